Thin whole path: release note, request, job and account end to end

Cause: the project starts empty; every later change needs one whole path to be measured against.

Change: one entry instance program (serve), a demonstration with stand-ins for store, list, runners and workers, pondctl (check, apply, account), a strict reader of JSON with comments, the store client with commits whose outcome is known after a lost answer, a grant table that divides slots, one shard with intent before start, and an account from workers' counters.

Ruled out while building: repeating a commit after a lost answer without reading first.

No fault is injected yet, slots are not yet safe across membership changes, and requests are not yet retried.

--- /dev/null
+++ b/cmd/oriolepond/main.go
@@ -0,0 +1,56 @@
+// Command oriolepond runs one entry instance, or a demonstration of several
+// with stand-ins for all systems around them.
+//
+// # Usage
+//
+//	oriolepond serve -settings FILE
+//	oriolepond demo [-seconds N] [-seed N] [-example bajio|cairo] [-faults a,b] [-json]
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+)
+
+// The exit statuses.
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+const usage = `oriolepond schedules latency-critical services and batch work on one pool.
+
+Usage:
+  oriolepond serve -settings FILE    run one entry instance
+  oriolepond demo [flags]            run three instances with stand-ins and a bounded load
+
+Run a command with -h for its flags.
+`
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	os.Exit(command(ctx, os.Args[1:]))
+}
+
+// command runs a command and returns the exit status.
+func command(ctx context.Context, args []string) int {
+	if len(args) == 0 {
+		fmt.Fprint(os.Stderr, usage)
+		return exitUsage
+	}
+	switch args[0] {
+	case "serve":
+		return serve(ctx, args[1:])
+	case "demo":
+		return runDemo(ctx, args[1:])
+	case "-h", "-help", "--help", "help":
+		fmt.Print(usage)
+		return 0
+	}
+	fmt.Fprintf(os.Stderr, "oriolepond: no command %q\n%s", args[0], usage)
+	return exitUsage
+}
--- /dev/null
+++ b/cmd/oriolepond/serve.go
@@ -0,0 +1,53 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+
+	"go.uber.org/zap"
+
+	"github.com/oriolepond/oriolepond"
+	"github.com/oriolepond/oriolepond/internal/eventlog"
+	"github.com/oriolepond/oriolepond/internal/settings"
+)
+
+// serve runs one entry instance until a signal asks for a planned stop.
+func serve(ctx context.Context, args []string) int {
+	flags := flag.NewFlagSet("serve", flag.ContinueOnError)
+	file := flags.String("settings", "", "settings `file` in JSON with comments (required)")
+	if err := flags.Parse(args); err != nil {
+		return parseStatus(err)
+	}
+	if *file == "" {
+		fmt.Fprintln(os.Stderr, "oriolepond serve: -settings is required")
+		return exitUsage
+	}
+	s, err := settings.Load(*file)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	z, err := zap.NewProduction()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	defer func() { _ = z.Sync() }()
+	i := &oriolepond.Instance{Settings: s, Log: eventlog.New(z).With(zap.String("instance", s.ID))}
+	if err := i.Run(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	return 0
+}
+
+// parseStatus returns the exit status for what the flags package said.
+func parseStatus(err error) int {
+	if errors.Is(err, flag.ErrHelp) {
+		return 0
+	}
+	return exitUsage
+}
--- /dev/null
+++ b/instance.go
@@ -0,0 +1,142 @@
+package oriolepond
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/oriolepond/oriolepond/internal/entry"
+	"github.com/oriolepond/oriolepond/internal/eventlog"
+	"github.com/oriolepond/oriolepond/internal/operate"
+	"github.com/oriolepond/oriolepond/internal/peer"
+	"github.com/oriolepond/oriolepond/internal/roster"
+	"github.com/oriolepond/oriolepond/internal/shard"
+	"github.com/oriolepond/oriolepond/internal/target"
+	"github.com/oriolepond/oriolepond/internal/task"
+)
+
+// followList reads the platform's list until the context ends.
+func (i *Instance) followList(ctx context.Context) error {
+	client := roster.NewClient(i.Settings.ListURL, &http.Client{})
+	ticker := time.NewTicker(i.Settings.ListInterval)
+	defer ticker.Stop()
+	for {
+		list, err := client.Read(ctx)
+		switch {
+		case err == nil:
+			i.list.Store(&list)
+			i.retarget()
+		case ctx.Err() == nil:
+			i.Log.Emit(eventlog.ListUnavailable, zap.Error(err))
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+func (i *Instance) currentList() roster.List {
+	if l := i.list.Load(); l != nil {
+		return *l
+	}
+	return roster.List{}
+}
+
+// retarget brings the targets in step with the list and the grant table.
+func (i *Instance) retarget() {
+	table := i.members.View().Table
+	var targets []target.Target
+	for _, r := range i.currentList().OfKind(roster.KindRunner) {
+		targets = append(targets, target.Target{
+			ID:      r.ID,
+			Service: r.Service,
+			Address: r.Address,
+			Slots:   table.Slots(i.Settings.ID, r.ID, r.Region, r.Slots),
+			Leaving: r.State != roster.Live,
+		})
+	}
+	i.targets.Set(targets)
+}
+
+// runnerIdleConns is how many idle connections to one runner are kept.
+const runnerIdleConns = 4
+
+func (i *Instance) front() http.Handler {
+	tasks := i.anyTasks()
+	return &entry.Front{
+		Config: i.configs.Current,
+		Dispatcher: &entry.Dispatcher{
+			Targets: i.targets,
+			HTTP:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: runnerIdleConns}},
+		},
+		Jobs:     &entry.Jobs{Submit: tasks.Submit, Describe: tasks.Describe, Cancel: tasks.Cancel},
+		Draining: i.draining.Load,
+		Log:      i.Log,
+	}
+}
+
+func (i *Instance) admin() http.Handler {
+	api := &operate.API{
+		TokenHash: i.Settings.OperatorTokenHash,
+		Ready:     i.ready,
+		Apply:     i.configs.Apply,
+		Accounts:  i.anyTasks().Accounts,
+		Log:       i.Log,
+	}
+	return api.Handler()
+}
+
+// ready reports whether callers may be sent here.
+func (i *Instance) ready() bool {
+	return !i.draining.Load() && i.list.Load() != nil && i.members.View().Table.Has(i.Settings.ID)
+}
+
+// localTasks is the task plane of this instance.
+func (i *Instance) localTasks() *peer.Tasks {
+	return &peer.Tasks{
+		Submit:   i.holder.Submit,
+		Describe: i.holder.Describe,
+		Cancel:   i.holder.Cancel,
+		Accounts: i.holder.Accounts,
+	}
+}
+
+// anyTasks is the task plane of whichever instance holds the shard.
+func (i *Instance) anyTasks() *peer.Tasks {
+	return &peer.Tasks{
+		Submit: func(ctx context.Context, s task.Submission) (task.Status, error) {
+			return atHolder(i, func(t *peer.Tasks) (task.Status, error) { return t.Submit(ctx, s) })
+		},
+		Describe: func(ctx context.Context, neighbour, id string) (task.Status, error) {
+			return atHolder(i, func(t *peer.Tasks) (task.Status, error) { return t.Describe(ctx, neighbour, id) })
+		},
+		Cancel: func(ctx context.Context, neighbour, id string) (task.Status, error) {
+			return atHolder(i, func(t *peer.Tasks) (task.Status, error) { return t.Cancel(ctx, neighbour, id) })
+		},
+		Accounts: func(ctx context.Context) ([]shard.Account, error) {
+			return atHolder(i, func(t *peer.Tasks) ([]shard.Account, error) { return t.Accounts(ctx) })
+		},
+	}
+}
+
+// atHolder makes a call here, or at the holder that this instance knows of.
+func atHolder[T any](i *Instance, call func(*peer.Tasks) (T, error)) (T, error) {
+	result, err := call(i.localTasks())
+	holder, elsewhere := shard.HolderOf(err)
+	if !elsewhere {
+		return result, err
+	}
+	p, known := i.members.View().Peer(holder)
+	if !known {
+		return result, err
+	}
+	conn, connErr := i.pool.Conn(p.PeerAddress)
+	if connErr != nil {
+		return result, connErr
+	}
+	return call(peer.NewTasks(conn))
+}
--- /dev/null
+++ b/internal/demo/report.go
@@ -0,0 +1,202 @@
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/oriolepond/oriolepond/internal/operate"
+)
+
+// counts are what callers saw.
+type counts struct {
+	requests, answered, failed, refused, unknown atomic.Int64
+	mismatches, truncated, refusalsThatRan       atomic.Int64
+	submitted                                    atomic.Int64
+	mu                                           sync.Mutex
+	latency                                      *hdrhistogram.Histogram
+	jobs                                         map[string]bool
+}
+
+// The range of the latency histogram.
+const (
+	lowestMicros   = 1
+	highestMicros  = 60_000_000
+	latencyDigits  = 3
+	medianQuantile = 50
+	tailQuantile   = 99
+)
+
+func newCounts() *counts {
+	return &counts{latency: hdrhistogram.New(lowestMicros, highestMicros, latencyDigits), jobs: map[string]bool{}}
+}
+
+func (c *counts) record(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_ = c.latency.RecordValue(d.Microseconds())
+}
+
+// accept counts the tasks of an accepted job once.
+func (c *counts) accept(id string, tasks int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.jobs[id] {
+		c.jobs[id] = true
+		c.submitted.Add(int64(tasks))
+	}
+}
+
+func (c *counts) millis(quantile float64) float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return float64(c.latency.ValueAtQuantile(quantile)) / 1000
+}
+
+// Report is what a demonstration found, counted by the stand-ins.
+type Report struct {
+	Requests             int64
+	Answered             int64
+	Refused              int64
+	Unknown              int64
+	AnswerMismatches     int64
+	TruncatedAnswers     int64
+	NonIdempotentDoubles int64
+	RefusalsThatRan      int64
+	NewWorkAfterLeave    int64
+	SlotOvercommits      int64
+	TasksSubmitted       int64
+	TasksFinished        int64
+	TasksLost            int64
+	TaskDoubleRuns       int64
+	ResumeDoubles        int64
+	WorkerOvercommits    int64
+	AccountErrorPercent  float64
+	P50, P99             float64
+	BatchTasksPerSecond  float64
+}
+
+func (d *Demo) report(ctx context.Context) Report {
+	c, seen := d.counts, d.cluster
+	r := Report{
+		Requests:             c.requests.Load(),
+		Answered:             c.answered.Load(),
+		Refused:              c.refused.Load(),
+		Unknown:              c.unknown.Load() + c.failed.Load(),
+		AnswerMismatches:     c.mismatches.Load(),
+		TruncatedAnswers:     c.truncated.Load(),
+		NonIdempotentDoubles: int64(seen.Requests.Doubles()),
+		RefusalsThatRan:      c.refusalsThatRan.Load(),
+		NewWorkAfterLeave:    seen.Requests.AfterLeave(),
+		SlotOvercommits:      seen.Requests.Overcommits(),
+		TasksSubmitted:       c.submitted.Load(),
+		TasksFinished:        int64(seen.Tasks.Finished()),
+		TaskDoubleRuns:       int64(seen.Tasks.DoubleRuns()),
+		ResumeDoubles:        int64(seen.Tasks.ResumeDoubles()),
+		WorkerOvercommits:    int64(seen.Tasks.Overcommits()),
+		AccountErrorPercent:  d.accountError(ctx),
+		P50:                  c.millis(medianQuantile),
+		P99:                  c.millis(tailQuantile),
+		BatchTasksPerSecond:  float64(seen.Tasks.Finished()) / d.Length.Seconds(),
+	}
+	r.TasksLost = max(0, r.TasksSubmitted-r.TasksFinished)
+	return r
+}
+
+// accountError compares the account with what the workers spent, in percent.
+func (d *Demo) accountError(ctx context.Context) float64 {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	spent := d.cluster.Tasks.Used(d.Example.Job).Processor.Seconds()
+	if spent == 0 {
+		return 0
+	}
+	off := math.Inf(1)
+	for ctx.Err() == nil {
+		client := operate.Client{Address: d.instances[0].addresses.Admin, Token: operatorToken}
+		rows, _, err := client.Account(ctx)
+		if err == nil {
+			booked := 0.0
+			for _, row := range rows {
+				booked += row.ProcessorSeconds
+			}
+			off = math.Abs(booked-spent) / spent * 100
+			if off < 0.001 {
+				return off
+			}
+		}
+		_ = pause(ctx, pollEvery)
+	}
+	return off
+}
+
+// rules are the counts that must be zero.
+func (r Report) rules() []rule {
+	return []rule{
+		{"answerMismatches", r.AnswerMismatches},
+		{"truncatedAnswers", r.TruncatedAnswers},
+		{"nonIdempotentDoubles", r.NonIdempotentDoubles},
+		{"refusalsThatRan", r.RefusalsThatRan},
+		{"newWorkAfterLeave", r.NewWorkAfterLeave},
+		{"slotOvercommits", r.SlotOvercommits},
+		{"tasksLost", r.TasksLost},
+		{"taskDoubleRuns", r.TaskDoubleRuns},
+		{"resumeDoubles", r.ResumeDoubles},
+		{"workerOvercommits", r.WorkerOvercommits},
+	}
+}
+
+type rule struct {
+	name  string
+	count int64
+}
+
+// Broken returns the rules of the product that were broken.
+func (r Report) Broken() []string {
+	var broken []string
+	for _, rule := range r.rules() {
+		if rule.count != 0 {
+			broken = append(broken, fmt.Sprintf("%s=%d", rule.name, rule.count))
+		}
+	}
+	return broken
+}
+
+// Text returns the report for a person.
+func (r Report) Text() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "\nrequests  %d, answered %d, refused unrun %d, unknown %d\n", r.Requests, r.Answered, r.Refused, r.Unknown)
+	fmt.Fprintf(&b, "latency   p50 %.1f ms, p99 %.1f ms\n", r.P50, r.P99)
+	fmt.Fprintf(&b, "tasks     %d submitted, %d finished, %.1f a second\n", r.TasksSubmitted, r.TasksFinished, r.BatchTasksPerSecond)
+	fmt.Fprintf(&b, "account   off by %.3f%%\n", r.AccountErrorPercent)
+	for _, rule := range r.rules() {
+		fmt.Fprintf(&b, "  %-22s %d\n", rule.name, rule.count)
+	}
+	return b.String()
+}
+
+// JSON returns the report as one line.
+func (r Report) JSON() string {
+	fields := map[string]any{
+		"requests": r.Requests, "answered": r.Answered,
+		"tasksSubmitted": r.TasksSubmitted, "tasksFinished": r.TasksFinished,
+		"accountErrorPercent": r.AccountErrorPercent,
+		"p50Millis":           r.P50, "p99Millis": r.P99,
+		"batchTasksPerSecond": r.BatchTasksPerSecond,
+	}
+	for _, rule := range r.rules() {
+		fields[rule.name] = rule.count
+	}
+	line, err := json.Marshal(fields)
+	if err != nil {
+		return fmt.Sprintf(`{"error":%q}`, err)
+	}
+	return string(line)
+}
--- /dev/null
+++ b/internal/entry/header.go
@@ -0,0 +1,42 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/oriolepond/oriolepond/pkg/share"
+)
+
+// connectionHeaders belong to one connection and are not passed on.
+var connectionHeaders = map[string]bool{
+	"Connection":          true,
+	"Keep-Alive":          true,
+	"Proxy-Authenticate":  true,
+	"Proxy-Authorization": true,
+	"Te":                  true,
+	"Trailer":             true,
+	"Transfer-Encoding":   true,
+	"Upgrade":             true,
+	"Content-Length":      true,
+	HeaderToken:           true,
+	HeaderRequestID:       true,
+}
+
+// copyHeader adds the headers that are passed on.
+func copyHeader(to, from http.Header) {
+	for name, values := range from {
+		if !connectionHeaders[name] {
+			to[name] = values
+		}
+	}
+}
+
+func withNeighbour(ctx context.Context, n share.Neighbour) context.Context {
+	return context.WithValue(ctx, neighbourKey{}, n)
+}
+
+// neighbourOf returns the neighbour that Front put into the context.
+func neighbourOf(ctx context.Context) share.Neighbour {
+	n, _ := ctx.Value(neighbourKey{}).(share.Neighbour)
+	return n
+}
--- /dev/null
+++ b/internal/entry/request.go
@@ -0,0 +1,32 @@
+package entry
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/oriolepond/oriolepond/pkg/release"
+	"github.com/oriolepond/oriolepond/pkg/share"
+)
+
+// Request is one caller's request, read whole and checked.
+type Request struct {
+	Neighbour share.Neighbour
+	Service   release.Service
+	Route     release.Route
+	Method    string
+	// Path is below the service's own, with the query.
+	Path   string
+	Header http.Header
+	Body   []byte
+	// Key is that of a non-idempotent request.
+	Key string
+	// Deadline is when the answer must be there.
+	Deadline time.Time
+}
+
+// Answer is a runner's whole answer.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
--- /dev/null
+++ b/internal/eventlog/instance.go
@@ -0,0 +1,46 @@
+package eventlog
+
+import "go.uber.org/zap/zapcore"
+
+// Events 1000 to 1099: the life of an instance.
+var (
+	InstanceStarted = register(Event{
+		Number: 1000, Level: zapcore.InfoLevel, Message: "instance started",
+		Meaning: "The instance listens on its addresses.", Advice: "None.",
+	})
+	InstanceStopping = register(Event{
+		Number: 1001, Level: zapcore.InfoLevel, Message: "planned stop begun",
+		Meaning: "The instance takes no new work and waits for requests in flight.", Advice: "None.",
+	})
+	InstanceStopped = register(Event{
+		Number: 1002, Level: zapcore.InfoLevel, Message: "planned stop finished",
+		Meaning: "No request is in flight.", Advice: "None.",
+	})
+)
+
+// Events 1100 to 1199: the store and the platform's list.
+var (
+	StoreUnavailable = register(Event{
+		Number: 1100, Level: zapcore.WarnLevel, Message: "store unavailable",
+		Meaning: "A call to the store failed; the instance carries on with what it holds.",
+		Advice:  "Check the store if this lasts.",
+	})
+	ListUnavailable = register(Event{
+		Number: 1101, Level: zapcore.WarnLevel, Message: "instance list unavailable",
+		Meaning: "The platform's list could not be read; the last one stays in use.",
+		Advice:  "Check the platform if this lasts.",
+	})
+)
+
+// Events 1200 to 1299: configuration.
+var (
+	ConfigApplied = register(Event{
+		Number: 1200, Level: zapcore.InfoLevel, Message: "configuration applied",
+		Meaning: "The instance works by this revision from now on.", Advice: "None.",
+	})
+	ConfigRejected = register(Event{
+		Number: 1201, Level: zapcore.ErrorLevel, Message: "configuration rejected",
+		Meaning: "A stored configuration could not be read; the last one stays in force.",
+		Advice:  "Apply a corrected release note.",
+	})
+)
--- /dev/null
+++ b/internal/jsonc/jsonc.go
@@ -0,0 +1,150 @@
+// Package jsonc reads JSON with comments strictly: unknown fields, wrong types
+// and missing fields are faults with a file, a line and a path, all of which
+// are collected before any is returned.
+//
+// # Usage
+//
+//	doc, err := jsonc.Parse("settings.jsonc", text)
+//	if err != nil {
+//		return err // A *jsonc.SyntaxError.
+//	}
+//	root := doc.Root()
+//	name := root.String("name")
+//	root.Close()
+//	return doc.Err() // Nil or a *jsonc.FaultsError.
+package jsonc
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"regexp"
+	"strconv"
+	"strings"
+
+	"github.com/tailscale/hujson"
+)
+
+// MaxDepth bounds the nesting of a document.
+const MaxDepth = 64
+
+// SyntaxError says that a text is not JSON with comments.
+type SyntaxError struct {
+	File   string
+	Line   int
+	Reason string
+}
+
+// Error returns the place and the reason.
+func (e *SyntaxError) Error() string {
+	return fmt.Sprintf("%s:%d: %s", e.File, e.Line, e.Reason)
+}
+
+// Fault is one thing that is wrong in a document.
+type Fault struct {
+	Line int
+	// Path is the place within the document, such as added.shares[2].quota.
+	Path   string
+	Reason string
+}
+
+// FaultsError holds all faults of a document.
+type FaultsError struct {
+	File   string
+	Faults []Fault
+}
+
+// Error returns one line for each fault.
+func (e *FaultsError) Error() string {
+	var b strings.Builder
+	for i, f := range e.Faults {
+		if i > 0 {
+			b.WriteByte('\n')
+		}
+		fmt.Fprintf(&b, "%s:%d: %s: %s", e.File, f.Line, f.Path, f.Reason)
+	}
+	return b.String()
+}
+
+// Document is a parsed text.
+type Document struct {
+	file   string
+	text   []byte
+	root   *Object
+	faults []Fault
+}
+
+// Parse reads a text whose outermost value is an object.
+func Parse(file string, text []byte) (*Document, error) {
+	if depth(text) > MaxDepth {
+		return nil, &SyntaxError{File: file, Line: 1, Reason: fmt.Sprintf("nested deeper than %d", MaxDepth)}
+	}
+	v, err := hujson.Parse(text)
+	if err != nil {
+		return nil, syntaxError(file, err)
+	}
+	d := &Document{file: file, text: text}
+	value := Value{doc: d, value: v}
+	if v.Value.Kind() != '{' {
+		return nil, &SyntaxError{File: file, Line: value.Line(), Reason: "the outermost value is not an object"}
+	}
+	d.root = value.Object()
+	return d, nil
+}
+
+// Root returns the outermost object.
+func (d *Document) Root() *Object {
+	return d.root
+}
+
+// Err returns a *FaultsError if any fault was found.
+func (d *Document) Err() error {
+	if len(d.faults) == 0 {
+		return nil
+	}
+	return &FaultsError{File: d.file, Faults: d.faults}
+}
+
+// Faultf records a fault at an offset of the text.
+func (d *Document) faultf(offset int, path, format string, args ...any) {
+	if path == "" {
+		path = "document"
+	}
+	d.faults = append(d.faults, Fault{Line: d.line(offset), Path: path, Reason: fmt.Sprintf(format, args...)})
+}
+
+func (d *Document) line(offset int) int {
+	offset = min(offset, len(d.text))
+	return 1 + bytes.Count(d.text[:offset], []byte("\n"))
+}
+
+var linePattern = regexp.MustCompile(`line (\d+), column \d+: (.*)`)
+
+// syntaxError takes the line out of the parser's message.
+func syntaxError(file string, err error) error {
+	reason := strings.TrimPrefix(err.Error(), "hujson: ")
+	line := 1
+	if m := linePattern.FindStringSubmatch(reason); m != nil {
+		line, _ = strconv.Atoi(m[1])
+		reason = m[2]
+	}
+	if errors.Unwrap(err) != nil {
+		reason = errors.Unwrap(err).Error()
+	}
+	return &SyntaxError{File: file, Line: line, Reason: reason}
+}
+
+// depth returns an upper bound of the nesting of a text.
+func depth(text []byte) int {
+	deepest, open := 0, 0
+	for _, c := range text {
+		switch c {
+		case '{', '[':
+			open++
+			deepest = max(deepest, open)
+		case '}', ']':
+			open--
+		}
+	}
+	return deepest
+}
--- /dev/null
+++ b/internal/jsonc/value.go
@@ -0,0 +1,96 @@
+package jsonc
+
+import (
+	"fmt"
+
+	"github.com/tailscale/hujson"
+)
+
+// Value is one value of a document.
+type Value struct {
+	doc   *Document
+	value hujson.Value
+	path  string
+}
+
+// Line returns the line on which the value begins.
+func (v Value) Line() int {
+	return v.doc.line(v.value.StartOffset)
+}
+
+// Path returns the place of the value within its document.
+func (v Value) Path() string {
+	return v.path
+}
+
+// Faultf records a fault of the value.
+func (v Value) Faultf(format string, args ...any) {
+	v.doc.faultf(v.value.StartOffset, v.path, format, args...)
+}
+
+// Object returns the value as an object; another type is a fault and reads as an empty one.
+func (v Value) Object() *Object {
+	o := &Object{value: v, members: map[string]Value{}, read: map[string]bool{}}
+	h, ok := v.value.Value.(*hujson.Object)
+	if !ok {
+		v.Faultf("is not an object")
+		return o
+	}
+	for _, m := range h.Members {
+		name := m.Name.Value.(hujson.Literal).String()
+		member := Value{doc: v.doc, value: m.Value, path: join(v.path, name)}
+		if _, twice := o.members[name]; twice {
+			member.Faultf("stands twice")
+			continue
+		}
+		o.names = append(o.names, name)
+		o.members[name] = member
+	}
+	return o
+}
+
+// List returns the elements of an array; another type is a fault and reads as none.
+func (v Value) List() []Value {
+	h, ok := v.value.Value.(*hujson.Array)
+	if !ok {
+		v.Faultf("is not a list")
+		return nil
+	}
+	values := make([]Value, len(h.Elements))
+	for i, e := range h.Elements {
+		values[i] = Value{doc: v.doc, value: e, path: fmt.Sprintf("%s[%d]", v.path, i)}
+	}
+	return values
+}
+
+// String returns a string; another type is a fault and reads as "".
+func (v Value) String() string {
+	l, ok := v.literal('"')
+	if !ok {
+		v.Faultf("is not a string")
+		return ""
+	}
+	return l.String()
+}
+
+// Bool returns a boolean; another type is a fault and reads as false.
+func (v Value) Bool() bool {
+	l, ok := v.value.Value.(hujson.Literal)
+	if !ok || (l.Kind() != 't' && l.Kind() != 'f') {
+		v.Faultf("is not true or false")
+		return false
+	}
+	return l.Bool()
+}
+
+func (v Value) literal(kind hujson.Kind) (hujson.Literal, bool) {
+	l, ok := v.value.Value.(hujson.Literal)
+	return l, ok && l.Kind() == kind
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
--- /dev/null
+++ b/internal/peer/tasks.go
@@ -0,0 +1,169 @@
+// Package peer carries the calls between entry instances, over gRPC.
+//
+// # Usage
+//
+//	peer.RegisterTasks(server, holder)
+//	tasks := peer.NewTasks(conn)
+//	status, err := tasks.Submit(ctx, submission)
+package peer
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/oriolepond/oriolepond/internal/peer/taskpb"
+	"github.com/oriolepond/oriolepond/internal/shard"
+	"github.com/oriolepond/oriolepond/internal/task"
+	"github.com/oriolepond/oriolepond/internal/worker"
+)
+
+// Tasks calls the task plane of a peer, or of this instance.
+type Tasks struct {
+	Submit   func(ctx context.Context, s task.Submission) (task.Status, error)
+	Describe func(ctx context.Context, neighbour, id string) (task.Status, error)
+	Cancel   func(ctx context.Context, neighbour, id string) (task.Status, error)
+	Accounts func(ctx context.Context) ([]shard.Account, error)
+}
+
+// NewTasks returns the task plane at the other end of a connection.
+func NewTasks(conn *grpc.ClientConn) *Tasks {
+	c := taskpb.NewTasksClient(conn)
+	return &Tasks{
+		Submit: func(ctx context.Context, s task.Submission) (task.Status, error) {
+			request := &taskpb.SubmitRequest{Neighbour: s.Neighbour, Job: s.Job, Key: s.Key, Tasks: int32(s.Tasks)}
+			return decodeStatus(c.Submit(ctx, request))
+		},
+		Describe: func(ctx context.Context, neighbour, id string) (task.Status, error) {
+			return decodeStatus(c.Describe(ctx, &taskpb.JobRequest{Neighbour: neighbour, Id: id}))
+		},
+		Cancel: func(ctx context.Context, neighbour, id string) (task.Status, error) {
+			return decodeStatus(c.Cancel(ctx, &taskpb.JobRequest{Neighbour: neighbour, Id: id}))
+		},
+		Accounts: func(ctx context.Context) ([]shard.Account, error) {
+			return decodeAccounts(c.Account(ctx, &taskpb.AccountRequest{}))
+		},
+	}
+}
+
+// RegisterTasks answers the calls of peers with a task plane.
+func RegisterTasks(server *grpc.Server, t *Tasks) {
+	taskpb.RegisterTasksServer(server, &tasksServer{tasks: t})
+}
+
+type tasksServer struct {
+	taskpb.UnimplementedTasksServer
+	tasks *Tasks
+}
+
+// Submit accepts a job.
+func (s *tasksServer) Submit(ctx context.Context, q *taskpb.SubmitRequest) (*taskpb.JobReply, error) {
+	submission := task.Submission{Neighbour: q.Neighbour, Job: q.Job, Tasks: int(q.Tasks), Key: q.Key}
+	return encodeStatus(s.tasks.Submit(ctx, submission))
+}
+
+// Describe returns the state of a job.
+func (s *tasksServer) Describe(ctx context.Context, q *taskpb.JobRequest) (*taskpb.JobReply, error) {
+	return encodeStatus(s.tasks.Describe(ctx, q.Neighbour, q.Id))
+}
+
+// Cancel withdraws what of a job has not finished.
+func (s *tasksServer) Cancel(ctx context.Context, q *taskpb.JobRequest) (*taskpb.JobReply, error) {
+	return encodeStatus(s.tasks.Cancel(ctx, q.Neighbour, q.Id))
+}
+
+// Account returns the usage of all shares.
+func (s *tasksServer) Account(ctx context.Context, _ *taskpb.AccountRequest) (*taskpb.AccountReply, error) {
+	all, err := s.tasks.Accounts(ctx)
+	if err != nil {
+		return nil, encodeError(err)
+	}
+	reply := &taskpb.AccountReply{}
+	for _, a := range all {
+		reply.Rows = append(reply.Rows, &taskpb.AccountRow{
+			Neighbour:         a.Neighbour,
+			Share:             a.Share,
+			ProcessorMicros:   a.Usage.Processor.Microseconds(),
+			MemoryByteSeconds: a.Usage.MemoryTime,
+			AcceleratorMicros: a.Usage.Accelerator.Microseconds(),
+			OpenTasks:         int64(a.OpenTasks),
+		})
+	}
+	return reply, nil
+}
+
+func decodeAccounts(reply *taskpb.AccountReply, err error) ([]shard.Account, error) {
+	if err != nil {
+		return nil, decodeError(err)
+	}
+	var all []shard.Account
+	for _, r := range reply.Rows {
+		all = append(all, shard.Account{
+			Neighbour: r.Neighbour,
+			Share:     r.Share,
+			Usage: worker.Usage{
+				Processor:   time.Duration(r.ProcessorMicros) * time.Microsecond,
+				MemoryTime:  r.MemoryByteSeconds,
+				Accelerator: time.Duration(r.AcceleratorMicros) * time.Microsecond,
+			},
+			OpenTasks: int(r.OpenTasks),
+		})
+	}
+	return all, nil
+}
+
+func encodeStatus(s task.Status, err error) (*taskpb.JobReply, error) {
+	if err != nil {
+		return nil, encodeError(err)
+	}
+	reply := &taskpb.JobReply{Id: s.ID, Job: s.Job, States: map[string]int32{}, Reason: s.Reason}
+	for state, n := range s.States {
+		reply.States[string(state)] = int32(n)
+	}
+	return reply, nil
+}
+
+func decodeStatus(reply *taskpb.JobReply, err error) (task.Status, error) {
+	if err != nil {
+		return task.Status{}, decodeError(err)
+	}
+	s := task.Status{ID: reply.Id, Job: reply.Job, States: map[task.State]int{}, Reason: reply.Reason}
+	for state, n := range reply.States {
+		s.States[task.State(state)] = int(n)
+	}
+	return s, nil
+}
+
+// encodeError maps the errors of the task plane to status codes.
+func encodeError(err error) error {
+	var missing *task.NotFoundError
+	var refused *task.RefusedError
+	var not *shard.NotHolderError
+	switch {
+	case errors.As(err, &missing):
+		return status.Error(codes.NotFound, missing.ID)
+	case errors.As(err, &refused):
+		return status.Error(codes.FailedPrecondition, refused.Reason)
+	case errors.As(err, &not):
+		return status.Error(codes.Aborted, not.Holder)
+	}
+	return status.Error(codes.Unavailable, err.Error())
+}
+
+// decodeError is the inverse of encodeError.
+func decodeError(err error) error {
+	s := status.Convert(err)
+	switch s.Code() {
+	case codes.NotFound:
+		return &task.NotFoundError{ID: s.Message()}
+	case codes.FailedPrecondition:
+		return &task.RefusedError{Reason: s.Message()}
+	case codes.Aborted:
+		return &shard.NotHolderError{Holder: s.Message()}
+	}
+	return err
+}
--- /dev/null
+++ b/internal/roster/client.go
@@ -0,0 +1,135 @@
+package roster
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/oriolepond/oriolepond/pkg/share"
+)
+
+const (
+	// readTimeout bounds one read of the list.
+	readTimeout = 2 * time.Second
+	// maxListBytes bounds the list.
+	maxListBytes = 16 << 20
+)
+
+// Client reads the platform's list.
+type Client struct {
+	// Read returns the list as it stands now.
+	Read func(ctx context.Context) (List, error)
+}
+
+// NewClient returns a client that reads the list by HTTP from an address.
+func NewClient(url string, h *http.Client) *Client {
+	return &Client{Read: func(ctx context.Context) (List, error) { return read(ctx, url, h) }}
+}
+
+func read(ctx context.Context, url string, h *http.Client) (List, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return List{}, fmt.Errorf("read instance list: %w", err)
+	}
+	answer, err := h.Do(r)
+	if err != nil {
+		return List{}, fmt.Errorf("read instance list: %w", err)
+	}
+	defer answer.Body.Close()
+	if answer.StatusCode != http.StatusOK {
+		return List{}, fmt.Errorf("read instance list: status %d", answer.StatusCode)
+	}
+	text, err := io.ReadAll(io.LimitReader(answer.Body, maxListBytes))
+	if err != nil {
+		return List{}, fmt.Errorf("read instance list: %w", err)
+	}
+	instances, err := Decode(text)
+	if err != nil {
+		return List{}, err
+	}
+	return List{Instances: instances, At: time.Now()}, nil
+}
+
+type (
+	wireInstance struct {
+		ID           string `json:"id"`
+		Kind         string `json:"kind"`
+		State        string `json:"state"`
+		Address      string `json:"address"`
+		PeerAddress  string `json:"peerAddress,omitempty"`
+		Region       string `json:"region"`
+		DataCentre   string `json:"dataCentre"`
+		Rack         string `json:"rack,omitempty"`
+		Service      string `json:"service,omitempty"`
+		Worker       string `json:"worker,omitempty"`
+		Slots        int    `json:"slots,omitempty"`
+		Connections  int    `json:"connections,omitempty"`
+		MilliCores   int64  `json:"milliCores,omitempty"`
+		Memory       int64  `json:"memory,omitempty"`
+		Accelerators int64  `json:"accelerators,omitempty"`
+	}
+	wireList struct {
+		Instances []wireInstance `json:"instances"`
+	}
+)
+
+// Encode returns the body of a list.
+func Encode(instances []Instance) ([]byte, error) {
+	w := wireList{Instances: []wireInstance{}}
+	for _, i := range instances {
+		w.Instances = append(w.Instances, wireInstance{
+			ID:           i.ID,
+			Kind:         string(i.Kind),
+			State:        string(i.State),
+			Address:      i.Address,
+			PeerAddress:  i.PeerAddress,
+			Region:       i.Region,
+			DataCentre:   i.DataCentre,
+			Rack:         i.Rack,
+			Service:      i.Service,
+			Worker:       i.Worker,
+			Slots:        i.Slots,
+			Connections:  i.Connections,
+			MilliCores:   int64(i.Capacity.Processors),
+			Memory:       int64(i.Capacity.Memory),
+			Accelerators: int64(i.Capacity.Accelerators),
+		})
+	}
+	return json.Marshal(w)
+}
+
+// Decode reads the body of a list.
+func Decode(text []byte) ([]Instance, error) {
+	var w wireList
+	if err := json.Unmarshal(text, &w); err != nil {
+		return nil, fmt.Errorf("decode instance list: %w", err)
+	}
+	instances := make([]Instance, len(w.Instances))
+	for n, i := range w.Instances {
+		instances[n] = Instance{
+			ID:          i.ID,
+			Kind:        Kind(i.Kind),
+			State:       State(i.State),
+			Address:     i.Address,
+			PeerAddress: i.PeerAddress,
+			Region:      i.Region,
+			DataCentre:  i.DataCentre,
+			Rack:        i.Rack,
+			Service:     i.Service,
+			Worker:      i.Worker,
+			Slots:       i.Slots,
+			Connections: i.Connections,
+			Capacity: share.Resources{
+				Processors:   share.MilliCores(i.MilliCores),
+				Memory:       share.Bytes(i.Memory),
+				Accelerators: share.Accelerators(i.Accelerators),
+			},
+		}
+	}
+	return instances, nil
+}
--- /dev/null
+++ b/internal/standin/checkpoint.go
@@ -0,0 +1,22 @@
+package standin
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// encodeCheckpoint returns a checkpoint that names its origin and its progress.
+func encodeCheckpoint(task string, incarnation int64, done time.Duration) string {
+	return fmt.Sprintf("%s/%d/%s", task, incarnation, done)
+}
+
+// decodeCheckpoint returns the progress of a checkpoint, or none.
+func decodeCheckpoint(c string) time.Duration {
+	i := strings.LastIndexByte(c, '/')
+	d, err := time.ParseDuration(c[i+1:])
+	if err != nil {
+		return 0
+	}
+	return d
+}
--- /dev/null
+++ b/internal/store/store_test.go
@@ -0,0 +1,51 @@
+package store_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/oriolepond/oriolepond/internal/standin"
+	"github.com/oriolepond/oriolepond/internal/store"
+)
+
+func newStore(t *testing.T) (*standin.Store, *store.Client) {
+	t.Helper()
+	s := standin.NewStore()
+	server := httptest.NewServer(s)
+	t.Cleanup(server.Close)
+	return s, store.NewEtcd([]string{server.URL}, server.Client())
+}
+
+// Each commit takes effect once although every other answer is lost.
+func TestWriterKnowsOutcomeOfLostAnswers(t *testing.T) {
+	s, client := newStore(t)
+	s.SetLostAnswers(0.5, 7)
+	w := &store.Writer{Client: client, ID: "w"}
+	var revision int64
+	for range 20 {
+		result, err := w.Commit(context.Background(), store.Txn{
+			If:   []store.Condition{{Key: "/k", Revision: revision}},
+			Then: []store.Op{store.Put("/k", []byte("v"))},
+		})
+		require.NoError(t, err)
+		require.True(t, result.Done)
+		revision = result.Revision
+	}
+	s.SetLostAnswers(0, 0)
+	e, ok, err := client.Read(context.Background(), "/k")
+	require.NoError(t, err)
+	require.True(t, ok)
+	require.Equal(t, revision, e.Revision)
+	require.EqualValues(t, 21, revision, "each commit moved the store's revision by one")
+}
+
+func TestConflictIsReported(t *testing.T) {
+	_, client := newStore(t)
+	w := &store.Writer{Client: client, ID: "w"}
+	result, err := w.Commit(context.Background(), store.Txn{If: []store.Condition{{Key: "/k", Revision: 9}}})
+	require.NoError(t, err)
+	require.False(t, result.Done)
+}
--- /dev/null
+++ b/internal/store/watch.go
@@ -0,0 +1,46 @@
+package store
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// progressLimit bounds the silence of a watch; the store sends progress more often.
+const progressLimit = 3 * time.Second
+
+// watch follows a prefix until the context ends, the connection breaks, or it
+// stays silent for longer than progressLimit.
+func (e *etcd) watch(ctx context.Context, prefix string, from int64, handle func(Update)) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	silence := time.AfterFunc(progressLimit, cancel)
+	defer silence.Stop()
+
+	create := watchCreate{Key: []byte(prefix), RangeEnd: PrefixEnd(prefix), StartRevision: number(from), ProgressNotify: true}
+	r, err := e.post(ctx, "/v3/watch", watchRequest{Create: create})
+	if err != nil {
+		return &UnavailableError{Call: "watch", Err: err}
+	}
+	defer r.Body.Close()
+	if r.StatusCode != http.StatusOK {
+		return &UnavailableError{Call: "watch", Err: fmt.Errorf("status %d", r.StatusCode)}
+	}
+	decoder := json.NewDecoder(r.Body)
+	for {
+		var answer watchAnswer
+		if err := decoder.Decode(&answer); err != nil {
+			return &UnavailableError{Call: "watch", Err: err}
+		}
+		silence.Reset(progressLimit)
+		if answer.Result.CompactRevision > 0 {
+			return &CompactedError{From: from}
+		}
+		if answer.Result.Canceled {
+			return &UnavailableError{Call: "watch", Err: fmt.Errorf("cancelled by the store")}
+		}
+		handle(answer.update())
+	}
+}
--- /dev/null
+++ b/internal/store/wire.go
@@ -0,0 +1,150 @@
+package store
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+)
+
+// number is a 64-bit integer, which the gateway writes as a string.
+type number int64
+
+// MarshalJSON writes the number as a string.
+func (n number) MarshalJSON() ([]byte, error) {
+	return []byte(`"` + strconv.FormatInt(int64(n), 10) + `"`), nil
+}
+
+// UnmarshalJSON reads a string or a plain number.
+func (n *number) UnmarshalJSON(text []byte) error {
+	var s string
+	if len(text) > 0 && text[0] == '"' {
+		if err := json.Unmarshal(text, &s); err != nil {
+			return err
+		}
+	} else {
+		s = string(text)
+	}
+	v, err := strconv.ParseInt(s, 10, 64)
+	if err != nil {
+		return fmt.Errorf("not a whole number: %s", text)
+	}
+	*n = number(v)
+	return nil
+}
+
+type (
+	wireHeader struct {
+		Revision number `json:"revision"`
+	}
+	wirePair struct {
+		Key         []byte `json:"key"`
+		Value       []byte `json:"value,omitempty"`
+		ModRevision number `json:"mod_revision"`
+		Lease       number `json:"lease"`
+	}
+	rangeRequest struct {
+		Key      []byte `json:"key"`
+		RangeEnd []byte `json:"range_end,omitempty"`
+	}
+	rangeAnswer struct {
+		Header wireHeader `json:"header"`
+		Pairs  []wirePair `json:"kvs"`
+	}
+	wireCompare struct {
+		Key         []byte `json:"key"`
+		Target      string `json:"target"`
+		Result      string `json:"result"`
+		ModRevision number `json:"mod_revision"`
+	}
+	wirePut struct {
+		Key   []byte `json:"key"`
+		Value []byte `json:"value"`
+		Lease number `json:"lease"`
+	}
+	wireDelete struct {
+		Key []byte `json:"key"`
+	}
+	wireOp struct {
+		Put    *wirePut    `json:"request_put,omitempty"`
+		Delete *wireDelete `json:"request_delete_range,omitempty"`
+	}
+	txnRequest struct {
+		Compare []wireCompare `json:"compare,omitempty"`
+		Success []wireOp      `json:"success,omitempty"`
+	}
+	txnAnswer struct {
+		Header    wireHeader `json:"header"`
+		Succeeded bool       `json:"succeeded"`
+	}
+	leaseRequest struct {
+		ID  number `json:"ID"`
+		TTL number `json:"TTL"`
+	}
+	leaseAnswer struct {
+		ID  number `json:"ID"`
+		TTL number `json:"TTL"`
+	}
+	keepAliveAnswer struct {
+		Result leaseAnswer `json:"result"`
+	}
+	statusAnswer struct {
+		Code    int    `json:"code"`
+		Message string `json:"message"`
+	}
+	watchCreate struct {
+		Key            []byte `json:"key"`
+		RangeEnd       []byte `json:"range_end,omitempty"`
+		StartRevision  number `json:"start_revision"`
+		ProgressNotify bool   `json:"progress_notify"`
+	}
+	watchRequest struct {
+		Create watchCreate `json:"create_request"`
+	}
+	wireEvent struct {
+		Type string   `json:"type,omitempty"`
+		Pair wirePair `json:"kv"`
+	}
+	watchResult struct {
+		Header          wireHeader  `json:"header"`
+		Created         bool        `json:"created,omitempty"`
+		Canceled        bool        `json:"canceled,omitempty"`
+		CompactRevision number      `json:"compact_revision"`
+		Events          []wireEvent `json:"events,omitempty"`
+	}
+	watchAnswer struct {
+		Result watchResult `json:"result"`
+	}
+)
+
+func (p wirePair) entry() Entry {
+	return Entry{Key: string(p.Key), Value: p.Value, Revision: int64(p.ModRevision), Lease: LeaseID(p.Lease)}
+}
+
+func (a watchAnswer) update() Update {
+	u := Update{Revision: int64(a.Result.Header.Revision)}
+	for _, ev := range a.Result.Events {
+		u.Changes = append(u.Changes, Change{Entry: ev.Pair.entry(), Deleted: ev.Type == "DELETE"})
+	}
+	return u
+}
+
+func encodeTxn(t Txn) txnRequest {
+	var w txnRequest
+	for _, c := range t.If {
+		w.Compare = append(w.Compare, wireCompare{
+			Key:         []byte(c.Key),
+			Target:      "MOD",
+			Result:      "EQUAL",
+			ModRevision: number(c.Revision),
+		})
+	}
+	for _, o := range t.Then {
+		if o.Kind == OpDelete {
+			w.Success = append(w.Success, wireOp{Delete: &wireDelete{Key: []byte(o.Key)}})
+			continue
+		}
+		put := &wirePut{Key: []byte(o.Key), Value: o.Value, Lease: number(o.Lease)}
+		w.Success = append(w.Success, wireOp{Put: put})
+	}
+	return w
+}
