--- a/instance.go
+++ b/instance.go
@@ -19,7 +19,7 @@
 
 // followList reads the platform's list until the context ends.
 func (i *Instance) followList(ctx context.Context) error {
-	client := roster.NewClient(i.Settings.ListURL, &http.Client{})
+	client := roster.NewClient(i.Settings.ListURL, i.httpClient(idleListConns))
 	ticker := time.NewTicker(i.Settings.ListInterval)
 	defer ticker.Stop()
 	for {
@@ -62,16 +62,13 @@
 	i.targets.Set(targets)
 }
 
-// runnerIdleConns is how many idle connections to one runner are kept.
-const runnerIdleConns = 4
-
 func (i *Instance) front() http.Handler {
 	tasks := i.anyTasks()
 	return &entry.Front{
 		Config: i.configs.Current,
 		Dispatcher: &entry.Dispatcher{
 			Targets: i.targets,
-			HTTP:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: runnerIdleConns}},
+			HTTP:    i.httpClient(idleRunnerConns),
 		},
 		Jobs:     &entry.Jobs{Submit: tasks.Submit, Describe: tasks.Describe, Cancel: tasks.Cancel},
 		Draining: i.draining.Load,
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -1,7 +1,9 @@
 package peer
 
 import (
+	"context"
 	"fmt"
+	"net"
 	"sync"
 
 	"google.golang.org/grpc"
@@ -10,6 +12,9 @@
 
 // Pool keeps one connection to each peer address.
 type Pool struct {
+	// Dial makes connections; nil means the system's way.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
 	mu    sync.Mutex
 	conns map[string]*grpc.ClientConn
 }
@@ -21,7 +26,9 @@
 	if c, ok := p.conns[address]; ok {
 		return c, nil
 	}
-	c, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	c, err := grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithContextDialer(p.dial))
 	if err != nil {
 		return nil, fmt.Errorf("connect to peer %s: %w", address, err)
 	}
@@ -32,6 +39,14 @@
 	return c, nil
 }
 
+func (p *Pool) dial(ctx context.Context, address string) (net.Conn, error) {
+	if p.Dial != nil {
+		return p.Dial(ctx, "tcp", address)
+	}
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", address)
+}
+
 // Close ends all connections.
 func (p *Pool) Close() {
 	p.mu.Lock()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -41,6 +41,8 @@
 	// Advertise and PeerAdvertise are the addresses by which others reach the instance.
 	Advertise     string
 	PeerAdvertise string
+	// BindAddress is the local IP address of outgoing connections; empty leaves it to the system.
+	BindAddress string
 	// StoreURLs are the addresses of the store; ListURL is that of the instance list.
 	StoreURLs []string
 	ListURL   string
@@ -94,6 +96,7 @@
 		MaxHeaderBytes:    int(positiveInt(o, "maxHeaderBytes", DefaultMaxHeaderBytes)),
 		QueuedPerTarget:   int(positiveInt(o, "queuedPerTarget", DefaultQueuedPerTarget)),
 	}
+	s.BindAddress = ipAddress(o, "bindAddress")
 	s.Advertise = address(o, "advertise", s.Listen)
 	s.PeerAdvertise = address(o, "peerAdvertise", s.PeerListen)
 	o.Close()
@@ -121,6 +124,19 @@
 	return s
 }
 
+// ipAddress reads an optional IP address.
+func ipAddress(o *jsonc.Object, name string) string {
+	v, ok := o.Optional(name)
+	if !ok {
+		return ""
+	}
+	s := v.String()
+	if net.ParseIP(s) == nil {
+		v.Faultf("%q is not an IP address", s)
+	}
+	return s
+}
+
 func httpURL(o *jsonc.Object, name string) string {
 	v, ok := o.Required(name)
 	if !ok {
--- a/oriolepond.go
+++ b/oriolepond.go
@@ -200,8 +200,8 @@
 
 func (i *Instance) build() {
 	s := i.Settings
-	client := store.NewEtcd(s.StoreURLs, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleStoreConns}})
-	i.pool = &peer.Pool{}
+	client := store.NewEtcd(s.StoreURLs, i.httpClient(idleStoreConns))
+	i.pool = &peer.Pool{Dial: i.dialer().DialContext}
 	i.targets = target.NewTable()
 	i.members = &membership.Keeper{
 		Store: client,
@@ -222,7 +222,7 @@
 		ID:       s.ID,
 		Store:    client,
 		Writer:   &store.Writer{Client: client, ID: s.ID + "/shard"},
-		Workers:  worker.NewClient(&http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}}),
+		Workers:  worker.NewClient(i.httpClient(idleWorkerConns)),
 		Lease:    i.members.Lease,
 		Config:   i.configs.Current,
 		List:     i.currentList,
@@ -230,6 +230,3 @@
 		Log:      i.Log,
 	}
 }
-
-// idleStoreConns is how many connections to the store are kept open.
-const idleStoreConns = 16
