--- /dev/null
+++ b/internal/placement/sizes.go
@@ -0,0 +1,101 @@
+package placement
+
+import (
+	"math"
+
+	"github.com/oriolepond/oriolepond/pkg/share"
+)
+
+const (
+	// sizeSamples is how many tasks of a family are remembered.
+	sizeSamples = 32
+	// trustedSamples is the number from which the declared size no longer counts.
+	trustedSamples = 5
+	// unknownMargin multiplies the declared size of a family that was never seen.
+	unknownMargin = 4
+	// unknownTasks bounds the running tasks of a family that was never seen.
+	unknownTasks = 2
+	// sizeMargin multiplies the greatest size seen, less so the more tasks were seen.
+	sizeMargin = 0.1
+	// earlyMargin is added to it, divided by the number of tasks seen.
+	earlyMargin = 1.0
+)
+
+// Sizes learns what the tasks of each job family truly hold. Declared sizes
+// are a prior. It is not safe for concurrent use.
+type Sizes struct {
+	families map[string]*sizeRecord
+}
+
+// sizeRecord holds the greatest sizes of the last tasks of a family.
+type sizeRecord struct {
+	samples [sizeSamples]share.Resources
+	count   int
+}
+
+// NewSizes returns sizes that know nothing.
+func NewSizes() *Sizes {
+	return &Sizes{families: map[string]*sizeRecord{}}
+}
+
+// Observe takes the greatest amounts that one task was seen to hold over its whole run.
+func (s *Sizes) Observe(family string, peak share.Resources) {
+	r, ok := s.families[family]
+	if !ok {
+		r = &sizeRecord{}
+		s.families[family] = r
+	}
+	r.samples[r.count%sizeSamples] = peak
+	r.count++
+}
+
+// Estimate returns the size to hold for a task, and how many tasks of the
+// family may run at once; 0 means any number. A size never exceeds the
+// greatest worker only because it is not known.
+func (s *Sizes) Estimate(family string, declared, greatest share.Resources) (size share.Resources, limit int) {
+	r, ok := s.families[family]
+	if !ok {
+		return capped(scaled(declared, unknownMargin), declared, greatest), unknownTasks
+	}
+	peak := r.peak()
+	size = scaled(peak, 1+sizeMargin+earlyMargin/float64(min(r.count, sizeSamples)))
+	size = capped(size, peak, greatest)
+	if r.count < trustedSamples {
+		size = larger(size, declared)
+		limit = 2 * unknownTasks * r.count
+	}
+	// Accelerators are whole devices, which a task takes whether it uses them or not.
+	size.Accelerators = max(declared.Accelerators, peak.Accelerators)
+	return size, limit
+}
+
+// peak returns the greatest amounts of all samples.
+func (r *sizeRecord) peak() share.Resources {
+	var peak share.Resources
+	for _, sample := range r.samples[:min(r.count, sizeSamples)] {
+		peak = larger(peak, sample)
+	}
+	return peak
+}
+
+// scaled returns r with its processors and memory multiplied by a factor.
+func scaled(r share.Resources, factor float64) share.Resources {
+	r.Processors = share.MilliCores(math.Ceil(float64(r.Processors) * factor))
+	r.Memory = share.Bytes(math.Ceil(float64(r.Memory) * factor))
+	return r
+}
+
+// capped returns r, but no more than the greatest worker has unless least is.
+func capped(r, least, greatest share.Resources) share.Resources {
+	r.Processors = max(least.Processors, min(r.Processors, greatest.Processors))
+	r.Memory = max(least.Memory, min(r.Memory, greatest.Memory))
+	return r
+}
+
+func larger(a, b share.Resources) share.Resources {
+	return share.Resources{
+		Processors:   max(a.Processors, b.Processors),
+		Memory:       max(a.Memory, b.Memory),
+		Accelerators: max(a.Accelerators, b.Accelerators),
+	}
+}
