--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -25,7 +25,6 @@
 	Incarnation
 	share string
 	spent Usage
-	moves int
 	// reported is the highest reading that reached the book.
 	reported Usage
 	final    bool
