placement.Planner joins learning, choice and yielding

Change: Planner with SetFamily, SetRules, SetWorker, Place, Start, End, Throttle, Measure, Yield; a worker that holds more than it has is unloaded without regard to rules. Conclusion: one entry point for the shard.

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"slices"
 	"time"
-
-	"github.com/oriolepond/oriolepond/pkg/share"
 )
 
 // candidateWorkers bounds the workers that one decision compares.
@@ -82,18 +80,13 @@
 	if len(p.workers) == 0 {
 		return &FullError{Task: c.Task, Reason: NoRoom}
 	}
-	var most share.Resources
 	for _, s := range p.workers {
-		capacity := s.Capacity.Minus(s.Reserved)
-		if c.Size.Fits(capacity) {
+		if c.Size.Fits(s.Capacity.Minus(s.Reserved)) {
 			return &FullError{Task: c.Task, Reason: NoRoom}
 		}
-		most.Processors = max(most.Processors, capacity.Processors)
-		most.Memory = max(most.Memory, capacity.Memory)
-		most.Accelerators = max(most.Accelerators, capacity.Accelerators)
 	}
-	reason := fmt.Sprintf("it takes %s, and no worker has more than %s", c.Size, most)
-	if c.Size.Fits(most) {
+	reason := fmt.Sprintf("it takes %s, and no worker has more than %s", c.Size, p.greatest)
+	if c.Size.Fits(p.greatest) {
 		reason = fmt.Sprintf("it takes %s, and no single worker has all of it", c.Size)
 	}
 	return &UnschedulableError{Task: c.Task, Reason: reason}
--- /dev/null
+++ b/internal/placement/measure.go
@@ -0,0 +1,102 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/oriolepond/oriolepond/pkg/share"
+)
+
+// sizeSettle is how long a task runs before its size counts as seen.
+const sizeSettle = 20 * time.Second
+
+// TaskMeasurement is what a worker measured of one task.
+type TaskMeasurement struct {
+	Task string
+	// Speed is the task's progress as a part of its undisturbed progress at
+	// the same throttle ratio; 0 means not measured.
+	Speed float64
+	// Peak is the most that the task was seen to hold.
+	Peak share.Resources
+}
+
+// Measurement is what a worker measured over a window that ended at a time.
+type Measurement struct {
+	Worker string
+	At     time.Time
+	Window time.Duration
+	// Tails are the services on the worker; their own times are not regarded.
+	Tails []ServiceView
+	Tasks []TaskMeasurement
+}
+
+// Measure takes a measurement, which may come late but in order for each worker.
+func (p *Planner) Measure(m Measurement) {
+	state, ok := p.workers[m.Worker]
+	if !ok {
+		return
+	}
+	for _, tail := range m.Tails {
+		tail.MeasuredAt = m.At
+		tail.Window = m.Window
+		if !m.At.After(state.tails[tail.Service].MeasuredAt) {
+			continue
+		}
+		state.tails[tail.Service] = tail
+		p.Learner.Tail(m.Worker, tail.Service, tail.Strain, m.At, m.Window)
+	}
+	for _, t := range m.Tasks {
+		p.measureTask(m, state, t)
+	}
+}
+
+func (p *Planner) measureTask(m Measurement, state *measured, t TaskMeasurement) {
+	r, held := p.Pool.Resident(m.Worker, t.Task)
+	known, ok := state.tasks[t.Task]
+	if !held || !ok {
+		return
+	}
+	if !r.Since.After(m.At.Add(-m.Window)) {
+		p.Learner.Speed(m.Worker, r.Job, t.Speed, r.load(), m.At, m.Window)
+	}
+	peak := larger(known.peak, t.Peak)
+	if peak == known.peak || m.At.Sub(r.Since) < sizeSettle {
+		return
+	}
+	known.peak = peak
+	p.Sizes.Observe(r.Job, peak)
+	if !peak.Fits(r.Size) {
+		// The task holds more than it was given: nobody else is to be given that.
+		r.Size = larger(r.Size, peak)
+		p.Pool.Hold(m.Worker, r)
+	}
+}
+
+// Yield returns what the tasks of a worker have to do now.
+func (p *Planner) Yield(worker string, now time.Time) []Action {
+	m, ok := p.workers[worker]
+	if !ok {
+		return nil
+	}
+	v := View{Worker: worker, Free: p.Pool.Free(worker)}
+	w, _ := p.Pool.Worker(worker)
+	for _, r := range w.Runners {
+		if tail, ok := m.tails[r.Service]; ok {
+			v.Services = append(v.Services, tail)
+		}
+	}
+	for _, r := range p.Pool.Residents(worker) {
+		v.Residents = append(v.Residents, ResidentView{
+			Task:        r.Task,
+			Job:         r.Job,
+			Share:       r.Share,
+			Size:        r.Size,
+			Since:       r.Since,
+			Ratio:       r.load(),
+			Checkpoints: p.families[r.Job].Checkpoints,
+			Unsaved:     now.Sub(m.tasks[r.Task].savedAt),
+			Urgent:      r.Urgent,
+			Leaving:     m.tasks[r.Task].leaving,
+		})
+	}
+	return p.Yielder.Decide(v, now)
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -83,6 +83,8 @@
 	QuotaUsed FullReason = "quotaUsed"
 	// Harmful means that the task would push a service past its objective.
 	Harmful FullReason = "harmful"
+	// SizeUnknown means that too few tasks of the family were measured to start more.
+	SizeUnknown FullReason = "sizeUnknown"
 )
 
 // FullError says that a task cannot be placed now.
--- /dev/null
+++ b/internal/placement/planner.go
@@ -0,0 +1,181 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/oriolepond/oriolepond/internal/interference"
+	"github.com/oriolepond/oriolepond/pkg/share"
+)
+
+// Family is a job family as it was declared.
+type Family struct {
+	Name        string
+	Declared    share.Resources
+	Checkpoints bool
+}
+
+// Planner joins the parts of placement: it learns from measurements, chooses
+// workers and decides who yields. It is not safe for concurrent use.
+type Planner struct {
+	Pool    *Pool
+	Sizes   *Sizes
+	Health  *Health
+	Learner *interference.Learner
+	Yielder *Yielder
+
+	families map[string]Family
+	running  map[string]int
+	workers  map[string]*measured
+}
+
+// measured is what was last measured on a worker.
+type measured struct {
+	tails map[string]ServiceView
+	tasks map[string]*measuredTask
+}
+
+// measuredTask is what was measured of one task.
+type measuredTask struct {
+	peak    share.Resources
+	leaving bool
+	// savedAt is when the task last saved a checkpoint by itself, or started.
+	savedAt time.Time
+}
+
+// NewPlanner returns a planner that knows no workers and no families.
+func NewPlanner() *Planner {
+	p := &Planner{
+		Pool:     NewPool(),
+		Sizes:    NewSizes(),
+		Health:   NewHealth(),
+		Learner:  interference.NewLearner(),
+		Yielder:  NewYielder(),
+		families: map[string]Family{},
+		running:  map[string]int{},
+		workers:  map[string]*measured{},
+	}
+	p.Pool.Model = p.Learner.Model
+	p.Pool.Health = p.Health
+	p.Yielder.Model = p.Learner.Model
+	return p
+}
+
+// SetFamily adds a job family, or changes what is declared of it.
+func (p *Planner) SetFamily(f Family) {
+	p.families[f.Name] = f
+}
+
+// SetRules replaces the yield rules.
+func (p *Planner) SetRules(rules []share.YieldRule) {
+	p.Pool.SetRules(rules)
+	p.Yielder.SetRules(rules)
+}
+
+// SetWorker adds a worker, or changes what is known of it.
+func (p *Planner) SetWorker(w Worker, now time.Time) {
+	p.Pool.SetWorker(w)
+	if _, ok := p.workers[w.ID]; !ok {
+		p.workers[w.ID] = &measured{tails: map[string]ServiceView{}, tasks: map[string]*measuredTask{}}
+		p.Learner.History.Set(w.ID, now, nil)
+	}
+}
+
+// RemoveWorker takes a worker out with all of its tasks.
+func (p *Planner) RemoveWorker(id string) {
+	for _, r := range p.Pool.Residents(id) {
+		p.running[r.Job]--
+	}
+	p.Pool.Remove(id)
+	p.Health.Remove(id)
+	p.Yielder.Remove(id)
+	p.Learner.History.Remove(id)
+	delete(p.workers, id)
+}
+
+// Place chooses a worker for a task and the size that it is to hold there; the
+// size of the candidate is not regarded. Errors are those of Pool.Choose.
+func (p *Planner) Place(c Candidate, now time.Time) (string, share.Resources, error) {
+	size, limit := p.Sizes.Estimate(c.Job, p.families[c.Job].Declared, p.Pool.Greatest())
+	if limit > 0 && p.running[c.Job] >= limit {
+		return "", size, &FullError{Task: c.Task, Reason: SizeUnknown}
+	}
+	c.Size = size
+	id, err := p.Pool.Choose(c, now)
+	return id, size, err
+}
+
+// Start says that a task now holds a part of a worker.
+func (p *Planner) Start(worker string, r Resident, now time.Time) {
+	m, ok := p.workers[worker]
+	if !ok {
+		return
+	}
+	if _, known := m.tasks[r.Task]; !known {
+		p.running[r.Job]++
+		m.tasks[r.Task] = &measuredTask{savedAt: r.Since}
+	}
+	p.Pool.Hold(worker, r)
+	p.Health.Started(worker, now)
+	p.recordLoads(worker, now)
+}
+
+// End is how a task left its worker.
+type End string
+
+// The ends of a task on a worker.
+const (
+	EndFinished End = "finished"
+	EndFailed   End = "failed"
+	EndMoved    End = "moved"
+)
+
+// End says that a task no longer holds a part of a worker.
+func (p *Planner) End(worker, task string, end End, now time.Time) {
+	m, ok := p.workers[worker]
+	r, held := p.Pool.Resident(worker, task)
+	if !ok || !held {
+		return
+	}
+	p.running[r.Job]--
+	if t := m.tasks[task]; end == EndFinished && t.peak != (share.Resources{}) {
+		p.Sizes.Observe(r.Job, t.peak)
+	}
+	switch end {
+	case EndFinished:
+		p.Health.Succeeded(worker, r.Job)
+	case EndFailed:
+		p.Health.Failed(worker, r.Job, now)
+	}
+	delete(m.tasks, task)
+	p.Pool.Release(worker, task)
+	p.recordLoads(worker, now)
+}
+
+// Throttle says that a task now keeps a part of its processors.
+func (p *Planner) Throttle(worker, task string, ratio float64, now time.Time) {
+	r, ok := p.Pool.Resident(worker, task)
+	if !ok {
+		return
+	}
+	r.Ratio = ratio
+	p.Pool.Hold(worker, r)
+	p.recordLoads(worker, now)
+}
+
+// Leave says that a task was told to checkpoint or stop; it holds its part until its End.
+func (p *Planner) Leave(worker, task string) {
+	if m, ok := p.workers[worker]; ok && m.tasks[task] != nil {
+		m.tasks[task].leaving = true
+	}
+}
+
+// Saved says that a task saved a checkpoint by itself.
+func (p *Planner) Saved(worker, task string, at time.Time) {
+	if m, ok := p.workers[worker]; ok && m.tasks[task] != nil {
+		m.tasks[task].savedAt = at
+	}
+}
+
+func (p *Planner) recordLoads(worker string, now time.Time) {
+	p.Learner.History.Set(worker, now, p.Pool.Loads(worker))
+}
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -30,6 +30,8 @@
 	groups map[string]*spread
 	trials map[trial]int
 	found  []int
+
+	greatest share.Resources
 }
 
 // state is one worker and its residents.
@@ -37,6 +39,7 @@
 	Worker
 	victims   []interference.Victim
 	residents map[string]Resident
+	held      share.Resources
 	loads     []familyLoad
 }
 
@@ -86,12 +89,23 @@
 		p.strides = strides(len(p.workers))
 	}
 	s := p.workers[i]
+	sameRoom := s.Capacity == w.Capacity && s.Reserved == w.Reserved
 	if ok && (s.Rack != w.Rack || s.DataCentre != w.DataCentre) {
 		p.move(s, w)
 	}
 	s.Worker = w
 	p.setVictims(s)
 	p.refresh(i)
+	if !sameRoom {
+		p.measureGreatest()
+	}
+}
+
+func (p *Pool) measureGreatest() {
+	p.greatest = share.Resources{}
+	for _, s := range p.workers {
+		p.greatest = larger(p.greatest, s.Capacity.Minus(s.Reserved))
+	}
 }
 
 // setVictims brings the services that a worker's tasks may disturb up to date.
@@ -133,6 +147,7 @@
 	p.free = p.free[:last]
 	delete(p.index, id)
 	p.strides = strides(last)
+	p.measureGreatest()
 }
 
 // Worker returns what is known of a worker, and whether it is in the pool.
@@ -153,6 +168,21 @@
 	return p.workers[i].left()
 }
 
+// Resident returns a task on a worker, and whether it holds a part of it.
+func (p *Pool) Resident(id, task string) (Resident, bool) {
+	i, ok := p.index[id]
+	if !ok {
+		return Resident{}, false
+	}
+	r, ok := p.workers[i].residents[task]
+	return r, ok
+}
+
+// Greatest returns the greatest amount of each resource that any worker can give to tasks.
+func (p *Pool) Greatest() share.Resources {
+	return p.greatest
+}
+
 // Residents returns the tasks that hold a part of a worker, in the order of their names.
 func (p *Pool) Residents(id string) []Resident {
 	i, ok := p.index[id]
@@ -200,6 +230,7 @@
 	p.Release(id, r.Task)
 	s := p.workers[i]
 	s.residents[r.Task] = r
+	s.held = s.held.Plus(r.Size)
 	p.used[r.Share] = p.used[r.Share].Plus(r.Size)
 	p.group(r.Group).add(s.Worker, 1)
 	p.addLoad(s, r, 1)
@@ -218,6 +249,7 @@
 		return
 	}
 	delete(s.residents, task)
+	s.held = s.held.Minus(r.Size)
 	p.used[r.Share] = p.used[r.Share].Minus(r.Size)
 	if p.group(r.Group).add(s.Worker, -1) {
 		delete(p.groups, r.Group)
@@ -249,11 +281,7 @@
 }
 
 func (s *state) left() share.Resources {
-	left := s.Capacity.Minus(s.Reserved)
-	for _, r := range s.residents {
-		left = left.Minus(r.Size)
-	}
-	return left
+	return s.Capacity.Minus(s.Reserved).Minus(s.held)
 }
 
 // addLoad adds or takes away the load of one task.
--- a/internal/placement/yield.go
+++ b/internal/placement/yield.go
@@ -12,6 +12,10 @@
 // Decide returns what the tasks of a worker have to do now.
 func (y *Yielder) Decide(v View, now time.Time) []Action {
 	s := y.state(v.Worker)
+	if actions := unload(v); len(actions) > 0 {
+		s.yielded(now)
+		return actions
+	}
 	worst, known := y.worst(v, s)
 	if !known {
 		return nil
@@ -33,6 +37,45 @@
 	return actions
 }
 
+// unload takes tasks off a worker that holds more than it has, those that lose
+// least first. It asks no rule: no worker may be given more than it holds.
+func unload(v View) []Action {
+	free := v.Free
+	for _, r := range v.Residents {
+		if r.Leaving {
+			free = free.Plus(r.Size)
+		}
+	}
+	if !free.IsNegative() {
+		return nil
+	}
+	all := slices.Clone(v.Residents)
+	slices.SortStableFunc(all, func(a, b ResidentView) int {
+		return cmp.Or(compareUrgent(a, b), cmp.Compare(a.lost(), b.lost()), cmp.Compare(a.Task, b.Task))
+	})
+	var actions []Action
+	for _, r := range all {
+		if r.Leaving || !free.IsNegative() {
+			continue
+		}
+		free = free.Plus(r.Size)
+		kind := share.YieldEvict
+		if r.Checkpoints {
+			kind = share.YieldCheckpoint
+		}
+		actions = append(actions, Action{Kind: kind, Worker: v.Worker, Task: r.Task})
+	}
+	return actions
+}
+
+// lost returns the run time that taking the task off costs.
+func (r ResidentView) lost() time.Duration {
+	if r.Checkpoints {
+		return moveCost
+	}
+	return moveCost + r.Unsaved
+}
+
 // yielded takes note of a yield. One that follows a lift doubles the pause
 // before the next lift.
 func (s *yieldState) yielded(now time.Time) {
@@ -120,7 +163,7 @@
 // throttle lowers ratios, the most harmful tasks first, and returns what is left of the excess.
 func (y *Yielder) throttle(worker string, all []suspect, excess float64) ([]Action, float64) {
 	slices.SortStableFunc(all, func(a, b suspect) int {
-		return cmp.Or(compareUrgent(a, b), cmp.Compare(b.harm, a.harm), cmp.Compare(a.Task, b.Task))
+		return cmp.Or(compareUrgent(a.ResidentView, b.ResidentView), cmp.Compare(b.harm, a.harm), cmp.Compare(a.Task, b.Task))
 	})
 	var actions []Action
 	for i := range all {
@@ -139,7 +182,7 @@
 // evict takes tasks off a worker, those of the least cost for their harm first.
 func (y *Yielder) evict(worker string, all []suspect, excess float64, now time.Time) []Action {
 	slices.SortStableFunc(all, func(a, b suspect) int {
-		return cmp.Or(compareUrgent(a, b), cmp.Compare(a.price(), b.price()), cmp.Compare(a.Task, b.Task))
+		return cmp.Or(compareUrgent(a.ResidentView, b.ResidentView), cmp.Compare(a.price(), b.price()), cmp.Compare(a.Task, b.Task))
 	})
 	var actions []Action
 	for _, s := range all {
@@ -179,14 +222,10 @@
 
 // price returns what taking the task off costs for each part of strain that it relieves.
 func (s suspect) price() float64 {
-	lost := moveCost
-	if !s.Checkpoints {
-		lost += s.Unsaved
-	}
 	if s.harm <= 0 {
 		return math.Inf(1)
 	}
-	return lost.Seconds() / (s.harm * s.ratio)
+	return s.lost().Seconds() / (s.harm * s.ratio)
 }
 
 // lift raises the ratios of throttled tasks, the least harmful first, as far
@@ -194,7 +233,7 @@
 func (y *Yielder) lift(v View, to ServiceView) []Action {
 	all := y.suspects(v, to)
 	slices.SortStableFunc(all, func(a, b suspect) int {
-		return cmp.Or(compareUrgent(b, a), cmp.Compare(a.harm, b.harm), cmp.Compare(a.Task, b.Task))
+		return cmp.Or(compareUrgent(b.ResidentView, a.ResidentView), cmp.Compare(a.harm, b.harm), cmp.Compare(a.Task, b.Task))
 	})
 	room := aimedStrain - to.Strain
 	var actions []Action
@@ -216,7 +255,7 @@
 }
 
 // compareUrgent puts tasks that are not urgent first.
-func compareUrgent(a, b suspect) int {
+func compareUrgent(a, b ResidentView) int {
 	switch {
 	case a.Urgent == b.Urgent:
 		return 0
--- a/internal/placement/yielder.go
+++ b/internal/placement/yielder.go
@@ -23,6 +23,7 @@
 	Task  string
 	Job   string
 	Share string
+	Size  share.Resources
 	Since time.Time
 	// Ratio is the part of its processors that the task keeps; 1 while it is not throttled.
 	Ratio float64
@@ -40,6 +41,8 @@
 	Worker    string
 	Services  []ServiceView
 	Residents []ResidentView
+	// Free is what is left of the worker; negative amounts are held beyond what it has.
+	Free share.Resources
 }
 
 // Action is what one task has to do. A throttle action with a ratio of 1 lifts the throttle.
