Request plane: fair queue, health, budgets, own connections, forwarding

Cause: the thin path polled for a slot, chose targets by a linear scan, knew neither health nor retries nor peers, and freed a slot when its caller left, while the target may still have been running the request. http.Transport also repeats a GET or a request with an Idempotency-Key header by itself after a reused connection breaks, which may run a non-idempotent request twice.

Change: internal/target chooses from buckets by distance and utilisation, with ejection, timed probes and slow start; internal/queue is bounded, fair and deadline-aware; internal/attempt classifies ends and bounds further attempts; internal/exchange carries one request at a time on each connection, counts the bytes that the connection took, and on giving up closes only the sending side and keeps the slot until the target closes its own; internal/link bounds the link between regions; internal/peer forwards requests and streams by gRPC. Paths that a target could read as another route's are refused.

Ruled out: freeing the slot at cancellation (overcommits while the runner has not noticed), and letting every abandoned attempt run to its end (a hedge would never save work).

--- a/dial.go
+++ b/dial.go
@@ -11,7 +11,6 @@
 	idleStoreConns  = 16
 	idleListConns   = 1
 	idleWorkerConns = 2
-	idleRunnerConns = 4
 )
 
 const (
--- a/instance.go
+++ b/instance.go
@@ -55,24 +55,24 @@
 			ID:      r.ID,
 			Service: r.Service,
 			Address: r.Address,
-			Slots:   table.Slots(i.Settings.ID, r.ID, r.Region, r.Slots),
-			Leaving: r.State != roster.Live,
+			Region:  r.Region, DataCentre: r.DataCentre,
+			Slots:       table.Slots(i.Settings.ID, r.ID, r.Region, r.Slots),
+			Connections: table.Slots(i.Settings.ID, r.ID, r.Region, r.Connections),
+			Leaving:     r.State != roster.Live,
 		})
 	}
 	i.targets.Set(targets)
+	i.requests.WakeAll()
 }
 
 func (i *Instance) front() http.Handler {
 	tasks := i.anyTasks()
 	return &entry.Front{
-		Config: i.configs.Current,
-		Dispatcher: &entry.Dispatcher{
-			Targets: i.targets,
-			HTTP:    i.httpClient(idleRunnerConns),
-		},
-		Jobs:     &entry.Jobs{Submit: tasks.Submit, Describe: tasks.Describe, Cancel: tasks.Cancel},
-		Draining: i.draining.Load,
-		Log:      i.Log,
+		Config:     i.configs.Current,
+		Dispatcher: i.requests,
+		Jobs:       &entry.Jobs{Submit: tasks.Submit, Describe: tasks.Describe, Cancel: tasks.Cancel},
+		Draining:   i.draining.Load,
+		Log:        i.Log,
 	}
 }
 
--- a/internal/entry/dispatcher.go
+++ b/internal/entry/dispatcher.go
@@ -1,146 +1,180 @@
 package entry
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"io"
-	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 
-	"github.com/google/uuid"
-
+	"github.com/oriolepond/oriolepond/internal/exchange"
+	"github.com/oriolepond/oriolepond/internal/link"
 	"github.com/oriolepond/oriolepond/internal/target"
+	"github.com/oriolepond/oriolepond/pkg/release"
 )
 
-// slotPoll is how often a waiting request looks for a free slot.
-const slotPoll = time.Millisecond
-
-// Dispatcher runs requests on runners.
+// Dispatcher runs requests on runners, here or through a peer. Its fields are
+// set before the first request; each function may be nil.
 type Dispatcher struct {
-	Targets *target.Table
-	HTTP    *http.Client
+	Targets  *target.Table
+	Exchange *exchange.Pool
+	// QueuedPerTarget bounds the waiting requests of a service, for each of its targets.
+	QueuedPerTarget int
+	// WeightOf returns the weight of a neighbour's waiting requests.
+	WeightOf func(neighbour string) int
+	// IdlePeer returns a peer of this region with idle slots of the service, other than exclude.
+	IdlePeer func(service, exclude string) (Peer, bool)
+	// AnyPeer returns a peer of this region that holds slots of the service, idle or not.
+	AnyPeer func(service, exclude string) (Peer, bool)
+	// RemotePeer returns a peer of another region with idle slots of the service.
+	RemotePeer func(service string) (Peer, bool)
+	// Link bounds and accounts what goes to the other region.
+	Link *link.Link
+	// Keys remembers the keys of non-idempotent requests.
+	Keys *Keys
+	// Recorded takes the end of each caller's request.
+	Recorded func(Sample)
+
+	mu      sync.Mutex
+	lanes   map[string]*lane
+	running atomic.Int64
 }
 
 // Do runs a request and returns its whole answer. The error is an *OutcomeError.
 func (d *Dispatcher) Do(ctx context.Context, q Request) (Answer, error) {
+	d.running.Add(1)
+	defer d.running.Add(-1)
 	ctx, cancel := context.WithDeadline(ctx, q.Deadline)
 	defer cancel()
-	slot, err := d.acquire(ctx, q)
-	if err != nil {
-		return Answer{}, err
-	}
-	defer d.Targets.Release(slot)
-	r, err := d.send(ctx, q, slot)
-	if err != nil {
-		return Answer{}, err
-	}
-	defer r.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(r.Body, int64(q.Route.MaxAnswer)+1))
-	if err != nil {
-		return Answer{}, unknown(http.StatusBadGateway, "the answer was cut short: %v", err)
-	}
-	if len(body) > int(q.Route.MaxAnswer) {
-		return Answer{}, unknown(http.StatusBadGateway, "the answer exceeds %d bytes", q.Route.MaxAnswer)
-	}
-	return Answer{Status: r.StatusCode, Header: r.Header, Body: body}, nil
+	r := &run{dispatcher: d, lane: d.lane(q.Service.Name), request: q, trip: trip{begun: time.Now()}}
+	r.lane.earn()
+	a, err := r.whole(ctx)
+	r.finishKey(err)
+	d.record(q, r.tripSoFar(), a.Status, err)
+	return a, err
 }
 
-// Stream runs a request and passes its answer on as it comes.
-func (d *Dispatcher) Stream(ctx context.Context, q Request, w http.ResponseWriter) error {
-	waiting, cancel := context.WithDeadline(ctx, q.Deadline)
-	defer cancel()
-	slot, err := d.acquire(waiting, q)
-	if err != nil {
-		return err
-	}
-	defer d.Targets.Release(slot)
-	r, err := d.send(ctx, q, slot)
-	if err != nil {
-		return err
+// Stream runs a request and passes its answer on as it comes. An error before
+// the head is an *OutcomeError, one after it a *CutError.
+func (d *Dispatcher) Stream(ctx context.Context, q Request, to Sink) error {
+	d.running.Add(1)
+	defer d.running.Add(-1)
+	r := &run{dispatcher: d, lane: d.lane(q.Service.Name), request: q, trip: trip{begun: time.Now()}}
+	r.lane.earn()
+	status := 0
+	head := to.Head
+	to.Head = func(s int, h http.Header) error {
+		status = s
+		d.record(q, r.tripSoFar(), s, nil)
+		return head(s, h)
 	}
-	defer r.Body.Close()
-	copyHeader(w.Header(), r.Header)
-	w.WriteHeader(r.StatusCode)
-	if err := pass(w, r.Body); err != nil {
-		panic(http.ErrAbortHandler)
+	err := r.stream(ctx, to)
+	r.finishKey(err)
+	if status == 0 {
+		d.record(q, r.tripSoFar(), 0, err)
 	}
-	return nil
+	return err
 }
 
-// streamBuffer is the size of the pieces in which a stream is passed on.
-const streamBuffer = 16 << 10
-
-// pass copies a stream and flushes each piece.
-func pass(w http.ResponseWriter, body io.Reader) error {
-	control := http.NewResponseController(w)
-	buffer := make([]byte, streamBuffer)
-	for {
-		n, err := body.Read(buffer)
-		if n > 0 {
-			if _, err := w.Write(buffer[:n]); err != nil {
-				return err
-			}
-			if err := control.Flush(); err != nil {
-				return err
-			}
-		}
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-	}
-}
+// drainPoll is how often a planned stop looks for requests in flight.
+const drainPoll = 5 * time.Millisecond
 
-// acquire waits for a slot until the deadline.
-func (d *Dispatcher) acquire(ctx context.Context, q Request) (target.Slot, error) {
-	for {
-		if slot, ok := d.Targets.Acquire(q.Service.Name, ""); ok {
-			return slot, nil
-		}
+// Drain waits until no request runs and every attempt has ended at its target.
+func (d *Dispatcher) Drain(ctx context.Context) error {
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for d.running.Load() > 0 || d.Targets.InFlight() > 0 {
 		select {
 		case <-ctx.Done():
-			return target.Slot{}, notRun(http.StatusServiceUnavailable, "no free slot before the deadline")
-		case <-time.After(slotPoll):
+			return ctx.Err()
+		case <-ticker.C:
 		}
 	}
+	return nil
 }
 
-// send makes one attempt and returns the answer's head, checked against the attempt.
-func (d *Dispatcher) send(ctx context.Context, q Request, slot target.Slot) (*http.Response, error) {
-	r, err := http.NewRequestWithContext(ctx, q.Method, "http://"+slot.Address+q.Path, bytes.NewReader(q.Body))
-	if err != nil {
-		return nil, notRun(http.StatusBadRequest, "%v", err)
+// run is one request on its way.
+type run struct {
+	dispatcher *Dispatcher
+	lane       *lane
+	request    Request
+
+	mu   sync.Mutex
+	trip trip
+	// mayHaveRun is set once an attempt ended without a certain outcome.
+	mayHaveRun bool
+	begun      bool
+}
+
+// tripSoFar returns a copy of what is known of the request's way.
+func (r *run) tripSoFar() trip {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.trip
+}
+
+// beginKey marks the request's key as started, once.
+func (r *run) beginKey(ctx context.Context) *OutcomeError {
+	key, needed := r.dispatcher.keyOf(r.request)
+	if !needed || r.begun {
+		return nil
 	}
-	copyHeader(r.Header, q.Header)
-	id := uuid.NewString()
-	r.Header.Set(HeaderRequestID, id)
-	answer, err := d.HTTP.Do(r)
-	if err != nil {
-		return nil, sendError(err)
+	err := r.dispatcher.Keys.Begin(ctx, key)
+	var taken *KeyTakenError
+	switch {
+	case err == nil:
+		r.begun = true
+		return nil
+	case errors.As(err, &taken):
+		r.mayHaveRun = true
+		return unknown(http.StatusConflict, "a request with this key may have run").WithCause(CauseCaller)
 	}
-	if answer.Header.Get(HeaderOutcome) == string(NotRun) {
-		answer.Body.Close()
-		return nil, notRun(http.StatusServiceUnavailable, "the target refused the request")
+	return notRun(http.StatusServiceUnavailable, "the key cannot be remembered now: %v", err).
+		WithRetryAfter(minRetryAfter).WithCause(CauseRefusal)
+}
+
+// finishKey tells how a request that began its key has ended.
+func (r *run) finishKey(err error) {
+	if !r.begun || r.dispatcher.Keys.Finish == nil {
+		return
 	}
-	if answer.Header.Get(HeaderRequestID) != id {
-		answer.Body.Close()
-		return nil, unknown(http.StatusBadGateway, "the answer belongs to another request")
+	key, _ := r.dispatcher.keyOf(r.request)
+	var outcome *OutcomeError
+	var cut *CutError
+	switch {
+	case errors.As(err, &outcome):
+		r.dispatcher.Keys.Finish(key, outcome.Outcome)
+	case errors.As(err, &cut):
+		r.dispatcher.Keys.Finish(key, Unknown)
+	default:
+		r.dispatcher.Keys.Finish(key, "")
 	}
-	return answer, nil
 }
 
-// sendError tells a connection that was never made from one that broke.
-func sendError(err error) *OutcomeError {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return notRun(http.StatusBadGateway, "the target cannot be reached")
+// seek finds a place for the next attempt and counts the time that it took.
+func (r *run) seek(ctx context.Context, s search) (place, *OutcomeError) {
+	begun := time.Now()
+	p, err := r.dispatcher.acquire(ctx, r.lane, r.request, s)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.trip.queued += time.Since(begun)
+	if err == nil {
+		r.trip.attempts++
 	}
-	if errors.Is(err, context.DeadlineExceeded) {
-		return unknown(http.StatusGatewayTimeout, "no answer before the deadline")
+	return p, err
+}
+
+// isSafe reports whether the request may run more than once.
+func (r *run) isSafe() bool { return r.request.Route.Class == release.Idempotent }
+
+// certain returns an error that holds for all attempts of the request.
+func (r *run) certain(e *OutcomeError) *OutcomeError {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if e.Outcome == NotRun && r.mayHaveRun {
+		e.Outcome = Unknown
+		return e
 	}
-	return unknown(http.StatusBadGateway, "the connection to the target broke")
+	return e
 }
--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -14,6 +14,8 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/url"
+	"strconv"
 	"strings"
 	"time"
 
@@ -80,7 +82,7 @@
 	q, err := f.read(w, r, n, rest)
 	if err == nil {
 		if q.Route.Class == release.Stream {
-			err = f.Dispatcher.Stream(r.Context(), q, w)
+			err = f.stream(w, r, q)
 		} else {
 			err = f.answer(w, r, q)
 		}
@@ -88,11 +90,36 @@
 	if err == nil {
 		return
 	}
-	var outcome *OutcomeError
-	if !errors.As(err, &outcome) {
-		outcome = unknown(http.StatusBadGateway, "%v", err)
+	var cut *CutError
+	if errors.As(err, &cut) {
+		// Only a broken connection tells the caller that the answer is not whole.
+		panic(http.ErrAbortHandler)
 	}
-	outcome.write(w)
+	outcomeOf(err).write(w)
+}
+
+// callerTimeout bounds the time in which a caller takes a piece of its answer.
+const callerTimeout = time.Minute
+
+// stream passes a streamed answer on.
+func (f *Front) stream(w http.ResponseWriter, r *http.Request, q Request) error {
+	control := http.NewResponseController(w)
+	return f.Dispatcher.Stream(r.Context(), q, Sink{
+		Head: func(status int, h http.Header) error {
+			copyHeader(w.Header(), h)
+			w.WriteHeader(status)
+			return control.Flush()
+		},
+		Write: func(piece []byte) error {
+			if err := control.SetWriteDeadline(time.Now().Add(callerTimeout)); err != nil {
+				return err
+			}
+			if _, err := w.Write(piece); err != nil {
+				return err
+			}
+			return control.Flush()
+		},
+	})
 }
 
 // answer dispatches a request and writes its whole answer.
@@ -102,6 +129,10 @@
 		return err
 	}
 	copyHeader(w.Header(), a.Header)
+	if len(a.Body) > 0 {
+		w.Header().Set("Content-Length", strconv.Itoa(len(a.Body)))
+	}
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(callerTimeout))
 	w.WriteHeader(a.Status)
 	_, _ = w.Write(a.Body)
 	return nil
@@ -113,36 +144,95 @@
 	path = "/" + path
 	s, ok := f.Config().Service(name)
 	if !ok {
-		return Request{}, notRun(http.StatusNotFound, "no service %q", name)
+		return Request{}, fault(http.StatusNotFound, "no service %q", name)
 	}
 	route, ok := s.Route(path)
 	if !ok {
-		return Request{}, notRun(http.StatusNotFound, "service %q has no route for %q", name, path)
+		return Request{}, fault(http.StatusNotFound, "service %q has no route for %q", name, path)
+	}
+	passed, ok := passedPath(r.URL, path)
+	if !ok || unsafePath(path) {
+		return Request{}, fault(http.StatusBadRequest, "the path has an empty or relative segment, a backslash or an escaped separator")
+	}
+	if r.URL.RawQuery != "" {
+		passed += "?" + r.URL.RawQuery
+	}
+	if !passableMethods[r.Method] {
+		return Request{}, fault(http.StatusMethodNotAllowed, "the method %q is not passed on", r.Method)
 	}
 	key := r.Header.Get(HeaderKey)
-	if route.Class != release.Idempotent && (key == "" || len(key) > maxKeyBytes) {
-		return Request{}, notRun(http.StatusBadRequest, "the route needs a key of at most %d bytes in %s", maxKeyBytes, HeaderKey)
+	if route.Class != release.Idempotent && !validKey(key) {
+		return Request{}, fault(http.StatusBadRequest, "the route needs a key of 1 to %d printable ASCII characters in %s", maxKeyBytes, HeaderKey)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(route.MaxRequest)))
+	body, err := readBody(w, r, route)
 	if err != nil {
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			return Request{}, notRun(http.StatusRequestEntityTooLarge, "the body exceeds %d bytes", tooLarge.Limit)
-		}
-		return Request{}, notRun(http.StatusBadRequest, "the body was cut short")
-	}
-	if r.URL.RawQuery != "" {
-		path += "?" + r.URL.RawQuery
+		return Request{}, err
 	}
 	return Request{
 		Neighbour: n,
 		Service:   s,
 		Route:     route,
 		Method:    r.Method,
-		Path:      path,
+		Path:      passed,
 		Header:    r.Header,
 		Body:      body,
 		Key:       key,
 		Deadline:  time.Now().Add(route.Deadline),
 	}, nil
 }
+
+// passableMethods are the methods that callers may use.
+var passableMethods = map[string]bool{
+	http.MethodGet: true, http.MethodHead: true, http.MethodPost: true, http.MethodPut: true,
+	http.MethodPatch: true, http.MethodDelete: true, http.MethodOptions: true,
+}
+
+// validKey reports whether a key may be remembered and passed on.
+func validKey(key string) bool {
+	if key == "" || len(key) > maxKeyBytes {
+		return false
+	}
+	for i := range len(key) {
+		if key[i] <= ' ' || key[i] > '~' {
+			return false
+		}
+	}
+	return true
+}
+
+// passedPath returns the path below the service's own as the caller wrote it,
+// and whether a target reads it as the path whose route was found.
+func passedPath(u *url.URL, found string) (string, bool) {
+	path := strings.TrimPrefix(u.EscapedPath(), ServicePrefix)
+	_, path, _ = strings.Cut(path, "/")
+	path = "/" + path
+	decoded, err := url.PathUnescape(path)
+	return path, err == nil && decoded == found
+}
+
+// readBody reads the body within the route's bound and deadline.
+func readBody(w http.ResponseWriter, r *http.Request, route release.Route) ([]byte, error) {
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(max(route.Deadline, minBodyTime)))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(route.MaxRequest)))
+	_ = control.SetReadDeadline(time.Time{})
+	if err == nil {
+		return body, nil
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, fault(http.StatusRequestEntityTooLarge, "the body exceeds %d bytes", tooLarge.Limit)
+	}
+	return nil, fault(http.StatusBadRequest, "the body was cut short")
+}
+
+// minBodyTime is the least time in which a caller may send its body.
+const minBodyTime = 10 * time.Second
+
+// fault refuses a request for what the caller sent.
+func fault(status int, format string, args ...any) *OutcomeError {
+	return notRun(status, format, args...).WithCause(CauseCaller)
+}
--- a/internal/entry/header.go
+++ b/internal/entry/header.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 
 	"github.com/oriolepond/oriolepond/pkg/share"
 )
@@ -17,9 +18,13 @@
 	"Trailer":             true,
 	"Transfer-Encoding":   true,
 	"Upgrade":             true,
+	"Expect":              true,
+	"Proxy-Connection":    true,
 	"Content-Length":      true,
 	HeaderToken:           true,
 	HeaderRequestID:       true,
+	HeaderOutcome:         true,
+	HeaderDeadline:        true,
 }
 
 // copyHeader adds the headers that are passed on.
@@ -29,6 +34,11 @@
 			to[name] = values
 		}
 	}
+	for _, names := range from["Connection"] {
+		for name := range strings.SplitSeq(names, ",") {
+			to.Del(strings.TrimSpace(name))
+		}
+	}
 }
 
 func withNeighbour(ctx context.Context, n share.Neighbour) context.Context {
--- a/internal/entry/outcome.go
+++ b/internal/entry/outcome.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -27,6 +28,8 @@
 	HeaderRequestID = "Oriolepond-Request-Id"
 	// HeaderKey names a non-idempotent request; repeats of it carry the same key.
 	HeaderKey = "Oriolepond-Key"
+	// HeaderDeadline tells a runner the milliseconds left; it ends the request by then.
+	HeaderDeadline = "Oriolepond-Deadline-Millis"
 	// HeaderToken carries the caller's token after the scheme Bearer.
 	HeaderToken = "Authorization"
 )
@@ -39,6 +42,8 @@
 	Reason string
 	// RetryAfter is when the caller may come back; zero says nothing.
 	RetryAfter time.Duration
+	// Cause is what ended the request.
+	Cause Cause
 }
 
 // Error returns the outcome and the reason.
@@ -64,6 +69,18 @@
 	_ = json.NewEncoder(w).Encode(wireOutcome{Outcome: string(e.Outcome), Reason: e.Reason})
 }
 
+// WithRetryAfter returns a copy of e that says when the caller may come back.
+func (e OutcomeError) WithRetryAfter(d time.Duration) *OutcomeError {
+	e.RetryAfter = d
+	return &e
+}
+
+// WithCause returns a copy of e with the cause.
+func (e OutcomeError) WithCause(c Cause) *OutcomeError {
+	e.Cause = c
+	return &e
+}
+
 func notRun(status int, format string, args ...any) *OutcomeError {
 	return &OutcomeError{Outcome: NotRun, Status: status, Reason: fmt.Sprintf(format, args...)}
 }
@@ -71,3 +88,12 @@
 func unknown(status int, format string, args ...any) *OutcomeError {
 	return &OutcomeError{Outcome: Unknown, Status: status, Reason: fmt.Sprintf(format, args...)}
 }
+
+// outcomeOf returns an error as an *OutcomeError; one of another type proves nothing.
+func outcomeOf(err error) *OutcomeError {
+	var outcome *OutcomeError
+	if errors.As(err, &outcome) {
+		return outcome
+	}
+	return unknown(http.StatusBadGateway, "%v", err)
+}
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -14,7 +14,7 @@
 	Service   release.Service
 	Route     release.Route
 	Method    string
-	// Path is below the service's own, with the query.
+	// Path is below the service's own, escaped, with the query.
 	Path   string
 	Header http.Header
 	Body   []byte
@@ -22,6 +22,10 @@
 	Key string
 	// Deadline is when the answer must be there.
 	Deadline time.Time
+	// Forwarded requests come from a peer and are not forwarded again. They
+	// wait for a slot only if MayQueue is set.
+	Forwarded bool
+	MayQueue  bool
 }
 
 // Answer is a runner's whole answer.
--- /dev/null
+++ b/internal/entry/sample.go
@@ -0,0 +1,75 @@
+package entry
+
+import (
+	"errors"
+	"time"
+)
+
+// Cause is what made a request late or end without an answer.
+type Cause string
+
+// The causes.
+const (
+	CauseNone     Cause = ""
+	CauseQueueing Cause = "queueing"
+	CauseTarget   Cause = "target"
+	CauseRetry    Cause = "retry"
+	CauseRefusal  Cause = "refusal"
+	// CauseCaller means that the caller left or sent a faulty request.
+	CauseCaller Cause = "caller"
+)
+
+// Sample is the end of one caller's request, as it is counted against an objective.
+type Sample struct {
+	Service   string
+	Neighbour string
+	Route     string
+	At        time.Time
+	// Latency is the time to the whole answer, or to a stream's first byte; Queued is the part spent waiting for a slot.
+	Latency time.Duration
+	Queued  time.Duration
+	// Attempts is how many targets or peers were tried.
+	Attempts int
+	// Status is the HTTP status of the answer; Outcome is empty for an answer of the service.
+	Status  int
+	Outcome Outcome
+	// Cause is the largest reason of the latency or of the failure.
+	Cause Cause
+}
+
+// trip collects what becomes the sample of a request.
+type trip struct {
+	begun    time.Time
+	queued   time.Duration
+	attempts int
+}
+
+// sample judges the end of a request.
+func (t trip) sample(q Request, status int, err error) Sample {
+	now := time.Now()
+	s := Sample{
+		Service: q.Service.Name, Neighbour: q.Neighbour.Name, Route: q.Route.Path,
+		At: now, Latency: now.Sub(t.begun), Queued: t.queued, Attempts: t.attempts, Status: status,
+	}
+	var outcome *OutcomeError
+	if errors.As(err, &outcome) {
+		s.Outcome, s.Status, s.Cause = outcome.Outcome, outcome.Status, outcome.Cause
+		return s
+	}
+	switch {
+	case t.queued > s.Latency/2:
+		s.Cause = CauseQueueing
+	case t.attempts > 1:
+		s.Cause = CauseRetry
+	default:
+		s.Cause = CauseTarget
+	}
+	return s
+}
+
+// record hands the sample of a caller's request on; the instance that forwarded a request records it.
+func (d *Dispatcher) record(q Request, t trip, status int, err error) {
+	if d.Recorded != nil && !q.Forwarded {
+		d.Recorded(t.sample(q, status, err))
+	}
+}
--- /dev/null
+++ b/internal/peer/requestcodec.go
@@ -0,0 +1,70 @@
+package peer
+
+import (
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/oriolepond/oriolepond/internal/entry"
+	"github.com/oriolepond/oriolepond/internal/peer/requestpb"
+)
+
+func encodeRequest(q entry.Request) *requestpb.Request {
+	return &requestpb.Request{
+		Neighbour: q.Neighbour.Name, Service: q.Service.Name, Route: q.Route.Path,
+		Method: q.Method, Path: q.Path, Headers: encodeHeaders(q.Header), Body: q.Body, Key: q.Key,
+		LeftMicros: time.Until(q.Deadline).Microseconds(), MayQueue: q.MayQueue,
+	}
+}
+
+func encodeHeaders(h http.Header) []*requestpb.Header {
+	all := make([]*requestpb.Header, 0, len(h))
+	for name, values := range h {
+		if name != entry.HeaderToken {
+			all = append(all, &requestpb.Header{Name: name, Values: values})
+		}
+	}
+	return all
+}
+
+func decodeHeaders(all []*requestpb.Header) http.Header {
+	h := make(http.Header, len(all))
+	for _, each := range all {
+		h[each.Name] = each.Values
+	}
+	return h
+}
+
+func encodeOutcome(err error) *requestpb.Outcome {
+	var o *entry.OutcomeError
+	if !errors.As(err, &o) {
+		return &requestpb.Outcome{
+			Outcome: string(entry.Unknown), Status: http.StatusBadGateway,
+			Reason: err.Error(), Cause: string(entry.CauseTarget),
+		}
+	}
+	return &requestpb.Outcome{
+		Outcome: string(o.Outcome), Status: int32(o.Status), Reason: o.Reason,
+		RetryAfterMicros: o.RetryAfter.Microseconds(), Cause: string(o.Cause),
+	}
+}
+
+// decodeOutcome returns the outcome that a peer sent; one that is not known proves nothing.
+func decodeOutcome(o *requestpb.Outcome) *entry.OutcomeError {
+	outcome := entry.Unknown
+	if o.Outcome == string(entry.NotRun) {
+		outcome = entry.NotRun
+	}
+	return &entry.OutcomeError{
+		Outcome: outcome, Status: int(o.Status), Reason: o.Reason,
+		RetryAfter: time.Duration(o.RetryAfterMicros) * time.Microsecond, Cause: entry.Cause(o.Cause),
+	}
+}
+
+func encodeKey(k entry.Key) *requestpb.Key {
+	return &requestpb.Key{Neighbour: k.Neighbour, Service: k.Service, Region: k.Region, Value: k.Value}
+}
+
+func decodeKey(k *requestpb.Key) entry.Key {
+	return entry.Key{Neighbour: k.GetNeighbour(), Service: k.GetService(), Region: k.GetRegion(), Value: k.GetValue()}
+}
--- /dev/null
+++ b/internal/peer/requests.go
@@ -0,0 +1,214 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/connectivity"
+
+	"github.com/oriolepond/oriolepond/internal/entry"
+	"github.com/oriolepond/oriolepond/internal/peer/requestpb"
+)
+
+// maxMessageBytes bounds a message between peers, above the largest body of a route.
+const maxMessageBytes = 128 << 20
+
+// ServerOptions are the options of the server that answers peers.
+func ServerOptions() []grpc.ServerOption {
+	return []grpc.ServerOption{grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxSendMsgSize(maxMessageBytes)}
+}
+
+// Requests is the request plane of an instance, here or at the other end of a connection.
+type Requests struct {
+	Do     func(ctx context.Context, q entry.Request) (entry.Answer, error)
+	Stream func(ctx context.Context, q entry.Request, to entry.Sink) error
+	// Begin and Finish keep the keys whose home the instance is.
+	Begin  func(ctx context.Context, k entry.Key) error
+	Finish func(ctx context.Context, k entry.Key, o entry.Outcome) error
+	// Resolve finds what a forwarded request names in the configuration; only a server needs it.
+	Resolve func(neighbour, service, route string) (entry.Request, bool)
+}
+
+// NewRequests returns the request plane at the other end of a connection.
+func NewRequests(conn *grpc.ClientConn) *Requests {
+	c := &requestsClient{
+		conn:   conn,
+		client: requestpb.NewRequestsClient(conn),
+		options: []grpc.CallOption{
+			grpc.MaxCallRecvMsgSize(maxMessageBytes),
+			grpc.MaxCallSendMsgSize(maxMessageBytes),
+		},
+	}
+	return &Requests{Do: c.do, Stream: c.stream, Begin: c.begin, Finish: c.finish}
+}
+
+type requestsClient struct {
+	conn    *grpc.ClientConn
+	client  requestpb.RequestsClient
+	options []grpc.CallOption
+}
+
+// reachable reports whether the connection stands; a call over another one
+// would leave open whether it was sent.
+func (c *requestsClient) reachable() bool {
+	if c.conn.GetState() == connectivity.Ready {
+		return true
+	}
+	c.conn.Connect()
+	return false
+}
+
+func unreachable() error {
+	return &entry.OutcomeError{
+		Outcome: entry.NotRun, Status: http.StatusServiceUnavailable,
+		Reason: "the peer cannot be reached", Cause: entry.CauseTarget,
+	}
+}
+
+func broken(err error) error {
+	return &entry.OutcomeError{
+		Outcome: entry.Unknown, Status: http.StatusBadGateway,
+		Reason: "the peer did not answer: " + err.Error(), Cause: entry.CauseTarget,
+	}
+}
+
+func (c *requestsClient) do(ctx context.Context, q entry.Request) (entry.Answer, error) {
+	if !c.reachable() {
+		return entry.Answer{}, unreachable()
+	}
+	reply, err := c.client.Do(ctx, encodeRequest(q), c.options...)
+	if err != nil {
+		return entry.Answer{}, broken(err)
+	}
+	if reply.Outcome != nil {
+		return entry.Answer{}, decodeOutcome(reply.Outcome)
+	}
+	return entry.Answer{Status: int(reply.Status), Header: decodeHeaders(reply.Headers), Body: reply.Body}, nil
+}
+
+func (c *requestsClient) stream(ctx context.Context, q entry.Request, to entry.Sink) error {
+	if !c.reachable() {
+		return unreachable()
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	parts, err := c.client.Stream(ctx, encodeRequest(q), c.options...)
+	if err != nil {
+		return broken(err)
+	}
+	head, err := parts.Recv()
+	if err != nil {
+		return broken(err)
+	}
+	if head.Outcome != nil {
+		return decodeOutcome(head.Outcome)
+	}
+	if err := to.Head(int(head.Status), decodeHeaders(head.Headers)); err != nil {
+		return &entry.CutError{Err: err}
+	}
+	for {
+		part, err := parts.Recv()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err == nil {
+			err = to.Write(part.Piece)
+		}
+		if err != nil {
+			return &entry.CutError{Err: err}
+		}
+	}
+}
+
+func (c *requestsClient) begin(ctx context.Context, k entry.Key) error {
+	reply, err := c.client.Begin(ctx, &requestpb.BeginRequest{Key: encodeKey(k)})
+	if err != nil {
+		return err
+	}
+	if reply.Taken {
+		return &entry.KeyTakenError{Key: k}
+	}
+	return nil
+}
+
+func (c *requestsClient) finish(ctx context.Context, k entry.Key, o entry.Outcome) error {
+	_, err := c.client.Finish(ctx, &requestpb.FinishRequest{Key: encodeKey(k), Outcome: string(o)})
+	return err
+}
+
+// RegisterRequests answers the calls of peers with a request plane.
+func RegisterRequests(server *grpc.Server, r *Requests) {
+	requestpb.RegisterRequestsServer(server, &requestsServer{requests: r})
+}
+
+type requestsServer struct {
+	requestpb.UnimplementedRequestsServer
+	requests *Requests
+}
+
+// decode returns the request that a peer forwards.
+func (s *requestsServer) decode(p *requestpb.Request) (entry.Request, error) {
+	q, ok := s.requests.Resolve(p.Neighbour, p.Service, p.Route)
+	if !ok {
+		return q, &entry.OutcomeError{
+			Outcome: entry.NotRun, Status: http.StatusServiceUnavailable,
+			Reason: "the peer does not know the route", Cause: entry.CauseRefusal,
+		}
+	}
+	q.Method, q.Path, q.Key, q.Body = p.Method, p.Path, p.Key, p.Body
+	q.Header = decodeHeaders(p.Headers)
+	q.Deadline = time.Now().Add(time.Duration(p.LeftMicros) * time.Microsecond)
+	q.Forwarded, q.MayQueue = true, p.MayQueue
+	return q, nil
+}
+
+// Do runs a request.
+func (s *requestsServer) Do(ctx context.Context, p *requestpb.Request) (*requestpb.Answer, error) {
+	q, err := s.decode(p)
+	if err != nil {
+		return &requestpb.Answer{Outcome: encodeOutcome(err)}, nil
+	}
+	a, err := s.requests.Do(ctx, q)
+	if err != nil {
+		return &requestpb.Answer{Outcome: encodeOutcome(err)}, nil
+	}
+	return &requestpb.Answer{Status: int32(a.Status), Headers: encodeHeaders(a.Header), Body: a.Body}, nil
+}
+
+// Stream runs a request and passes its answer on.
+func (s *requestsServer) Stream(p *requestpb.Request, to requestpb.Requests_StreamServer) error {
+	q, err := s.decode(p)
+	if err != nil {
+		return to.Send(&requestpb.Part{Outcome: encodeOutcome(err)})
+	}
+	err = s.requests.Stream(to.Context(), q, entry.Sink{
+		Head: func(status int, h http.Header) error {
+			return to.Send(&requestpb.Part{Status: int32(status), Headers: encodeHeaders(h)})
+		},
+		Write: func(piece []byte) error { return to.Send(&requestpb.Part{Piece: piece}) },
+	})
+	var outcome *entry.OutcomeError
+	if errors.As(err, &outcome) {
+		return to.Send(&requestpb.Part{Outcome: encodeOutcome(outcome)})
+	}
+	return err
+}
+
+// Begin marks a key as started.
+func (s *requestsServer) Begin(ctx context.Context, q *requestpb.BeginRequest) (*requestpb.BeginReply, error) {
+	err := s.requests.Begin(ctx, decodeKey(q.Key))
+	var taken *entry.KeyTakenError
+	if errors.As(err, &taken) {
+		return &requestpb.BeginReply{Taken: true}, nil
+	}
+	return &requestpb.BeginReply{}, err
+}
+
+// Finish tells how the request with a key ended.
+func (s *requestsServer) Finish(ctx context.Context, q *requestpb.FinishRequest) (*requestpb.FinishReply, error) {
+	return &requestpb.FinishReply{}, s.requests.Finish(ctx, decodeKey(q.Key), entry.Outcome(q.Outcome))
+}
--- a/internal/target/table.go
+++ b/internal/target/table.go
@@ -1,58 +1,32 @@
-// Package target decides which runner of a service takes a request. It holds
-// the slots that this instance may use at each target, and is free of I/O and
-// clocks.
-//
-// # Usage
-//
-//	t := target.NewTable()
-//	t.Set(targets)
-//	if slot, ok := t.Acquire("finish", ""); ok {
-//		defer t.Release(slot)
-//	}
 package target
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
-// Target is one runner as this instance may use it.
-type Target struct {
-	ID      string
-	Service string
-	Address string
-	// Slots is how many requests this instance may have in flight at the target.
-	Slots int
-	// Leaving targets get nothing new.
-	Leaving bool
-}
-
-// Slot is the right to have one request in flight at a target.
-type Slot struct {
-	Target  string
-	Address string
-}
-
-// Table holds the targets of all services.
+// Table holds the targets of all services. Its methods may be called at once.
 type Table struct {
+	// Region and DataCentre are those of this instance, set before Set.
+	Region     string
+	DataCentre string
+
 	mu       sync.Mutex
 	targets  map[string]*state
-	services map[string][]*state
-}
-
-type state struct {
-	Target
-	inFlight int
+	services map[string]*group
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{targets: map[string]*state{}, services: map[string][]*state{}}
+	return &Table{targets: map[string]*state{}, services: map[string]*group{}}
 }
 
-// Set replaces the targets; requests in flight stay counted.
+// Set replaces the targets; requests in flight and health stay.
 func (t *Table) Set(targets []Target) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	services := map[string][]*state{}
-	seen := map[string]bool{}
+	services := map[string]*group{}
+	seen := make(map[string]bool, len(targets))
 	for _, n := range targets {
 		s, ok := t.targets[n.ID]
 		if !ok {
@@ -61,43 +35,114 @@
 		}
 		s.Target = n
 		seen[n.ID] = true
-		services[n.Service] = append(services[n.Service], s)
+		g := services[n.Service]
+		if g == nil {
+			g = &group{cursor: t.cursorOf(n.Service)}
+			services[n.Service] = g
+		}
+		g.add(s, t.distance(n))
+	}
+	t.forget(seen)
+	t.services = services
+}
+
+// cursorOf returns where the rotation among a service's equal targets stands.
+func (t *Table) cursorOf(service string) uint32 {
+	if g := t.services[service]; g != nil {
+		return g.cursor
 	}
+	return 0
+}
+
+// forget removes targets that are no longer listed; those in use stay until they are released.
+func (t *Table) forget(seen map[string]bool) {
 	for id, s := range t.targets {
-		if !seen[id] && s.inFlight == 0 {
+		if seen[id] {
+			continue
+		}
+		s.group = nil
+		if s.inFlight == 0 {
 			delete(t.targets, id)
 		}
 	}
-	t.services = services
 }
 
-// Acquire takes a slot at the service's target with the most free slots, other than exclude.
-func (t *Table) Acquire(service, exclude string) (Slot, bool) {
+// distance returns the tier of a target: its data centre, its region, or another region.
+func (t *Table) distance(n Target) int {
+	switch {
+	case n.Region != t.Region:
+		return tierElsewhere
+	case n.DataCentre != t.DataCentre:
+		return tierRegion
+	}
+	return tierDataCentre
+}
+
+// SetSlots changes the slots and connections of listed targets; others stay as they are.
+func (t *Table) SetSlots(slots map[string]Limits) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var best *state
-	for _, s := range t.services[service] {
-		if s.Leaving || s.ID == exclude || s.inFlight >= s.Slots {
+	for id, n := range slots {
+		s, ok := t.targets[id]
+		if !ok {
 			continue
 		}
-		if best == nil || s.Slots-s.inFlight > best.Slots-best.inFlight {
-			best = s
+		s.Slots, s.Connections = n.Slots, n.Connections
+		if s.group != nil {
+			s.group.place(s)
 		}
 	}
-	if best == nil {
+}
+
+// Limits are what this instance may use of a target.
+type Limits struct {
+	Slots       int
+	Connections int
+}
+
+// Acquire takes a slot at a near, healthy target with few requests in flight.
+func (t *Table) Acquire(w Want) (Slot, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	g := t.services[w.Service]
+	if g == nil {
 		return Slot{}, false
 	}
-	best.inFlight++
-	return Slot{Target: best.ID, Address: best.Address}, true
+	s := g.choose(w)
+	if s == nil {
+		return Slot{}, false
+	}
+	slot := Slot{Target: s.ID, Address: s.Address, Connections: s.Connections, Probe: s.ejected(), state: s}
+	s.inFlight++
+	g.place(s)
+	return slot, true
 }
 
 // Release gives a slot back.
-func (t *Table) Release(s Slot) {
+func (t *Table) Release(slot Slot) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := slot.state
+	s.inFlight--
+	if s.group != nil {
+		s.group.place(s)
+		return
+	}
+	if s.inFlight == 0 && t.targets[s.ID] == s {
+		delete(t.targets, s.ID)
+	}
+}
+
+// Report tells how an attempt ended after the time taken.
+func (t *Table) Report(slot Slot, r Result, taken time.Duration, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if state, ok := t.targets[s.Target]; ok {
-		state.inFlight--
+	s := slot.state
+	if s.group == nil {
+		return
 	}
+	s.health.report(r, taken)
+	s.group.judge(s, r, slot.Probe, now)
 }
 
 // InFlight returns the requests in flight at all targets.
@@ -113,13 +158,39 @@
 
 // Count returns the targets of a service that take new work.
 func (t *Table) Count(service string) int {
+	return t.sum(service, func(s *state) int {
+		if s.Leaving {
+			return 0
+		}
+		return 1
+	})
+}
+
+// Capacity returns how many requests of a service this instance may have in flight.
+func (t *Table) Capacity(service string) int {
+	return t.sum(service, func(s *state) int { return s.usable() })
+}
+
+// Idle returns how many further requests of a service healthy targets take from this instance.
+func (t *Table) Idle(service string) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if g := t.services[service]; g != nil {
+		return g.idle
+	}
+	return 0
+}
+
+func (t *Table) sum(service string, of func(*state) int) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	g := t.services[service]
+	if g == nil {
+		return 0
+	}
 	n := 0
-	for _, s := range t.services[service] {
-		if !s.Leaving {
-			n++
-		}
+	for _, s := range g.all {
+		n += of(s)
 	}
 	return n
 }
--- a/oriolepond.go
+++ b/oriolepond.go
@@ -27,6 +27,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/oriolepond/oriolepond/internal/config"
+	"github.com/oriolepond/oriolepond/internal/entry"
 	"github.com/oriolepond/oriolepond/internal/eventlog"
 	"github.com/oriolepond/oriolepond/internal/membership"
 	"github.com/oriolepond/oriolepond/internal/peer"
@@ -50,6 +51,7 @@
 	members  *membership.Keeper
 	configs  *config.Keeper
 	targets  *target.Table
+	requests *entry.Dispatcher
 	holder   *shard.Holder
 	pool     *peer.Pool
 	list     atomic.Pointer[roster.List]
@@ -72,10 +74,12 @@
 	addLoop(&g, background, i.configs.Run)
 	addLoop(&g, background, i.holder.Run)
 	addLoop(&g, background, i.followList)
+	addLoop(&g, background, i.trimConnections)
 	front := &http.Server{Handler: i.front(), MaxHeaderBytes: i.Settings.MaxHeaderBytes, ReadHeaderTimeout: headerTimeout}
 	admin := &http.Server{Handler: i.admin(), ReadHeaderTimeout: headerTimeout}
-	peers := grpc.NewServer()
+	peers := grpc.NewServer(peer.ServerOptions()...)
 	peer.RegisterTasks(peers, i.localTasks())
+	i.registerRequests(peers)
 	addServer(&g, admin, listeners.admin)
 	g.Add(func() error { return peers.Serve(listeners.peer) }, func(error) { peers.Stop() })
 	addServer(&g, front, listeners.front)
@@ -137,6 +141,9 @@
 	if err := front.Shutdown(ctx); err != nil {
 		return fmt.Errorf("planned stop: %w", err)
 	}
+	if err := i.requests.Drain(ctx); err != nil {
+		return fmt.Errorf("planned stop: %w", err)
+	}
 	i.Log.Emit(eventlog.InstanceStopped)
 	return nil
 }
@@ -203,6 +210,7 @@
 	client := store.NewEtcd(s.StoreURLs, i.httpClient(idleStoreConns))
 	i.pool = &peer.Pool{Dial: i.dialer().DialContext}
 	i.targets = target.NewTable()
+	i.buildRequests()
 	i.members = &membership.Keeper{
 		Store: client,
 		Self: membership.Peer{
