--- /dev/null
+++ b/cmd/pondctl/report.go
@@ -0,0 +1,86 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/oriolepond/oriolepond/internal/burn"
+	"github.com/oriolepond/oriolepond/internal/operate"
+)
+
+// account prints the usage of all shares.
+func account(ctx context.Context, c *call) error {
+	c.withOperator()
+	if err := c.parseRemote(); err != nil {
+		return err
+	}
+	rows, _, err := c.client().Account(ctx)
+	if err != nil {
+		return err
+	}
+	return c.print(rows, func() {
+		w := tabwriter.NewWriter(c.out, 0, 0, 2, ' ', tabwriter.AlignRight)
+		fmt.Fprintln(w, "neighbour\tshare\tprocessor s\tmemory GB·s\taccelerator s\topen tasks\t")
+		for _, r := range rows {
+			fmt.Fprintf(w, "%s\t%s\t%.1f\t%.1f\t%.1f\t%d\t\n",
+				r.Neighbour, r.Share, r.ProcessorSeconds, r.MemoryByteSeconds/1e9, r.AcceleratorSeconds, r.OpenTasks)
+		}
+		_ = w.Flush()
+	})
+}
+
+// burnReport prints the burn of all services.
+func burnReport(ctx context.Context, c *call) error {
+	c.withOperator()
+	html := c.set.String("html", "", "also write a page with plots to a `file`")
+	if err := c.parseRemote(); err != nil {
+		return err
+	}
+	wire, _, err := c.client().Burn(ctx)
+	if err != nil {
+		return err
+	}
+	report := wire.Report()
+	if *html != "" {
+		if err := writePage(*html, report); err != nil {
+			return err
+		}
+	}
+	return c.print(wire, func() { c.printBurn(wire, report) })
+}
+
+func writePage(file string, report burn.Report) error {
+	f, err := os.Create(file)
+	if err != nil {
+		return err
+	}
+	if err := burn.WritePage(f, report); err != nil {
+		_ = f.Close()
+		return err
+	}
+	return f.Close()
+}
+
+func (c *call) printBurn(wire operate.WireBurn, report burn.Report) {
+	fmt.Fprintf(c.out, "counted at %s on %s\n", wire.At.Format("15:04:05 MST"), strings.Join(wire.Answered, ", "))
+	if len(wire.Missing) > 0 {
+		fmt.Fprintf(c.out, "NOT COUNTED, no answer: %s\n", strings.Join(wire.Missing, ", "))
+	}
+	w := tabwriter.NewWriter(c.out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "service\tneighbour\tobjective\tburn 5m\t30m\t1h\t6h\tbudget left\tp99\trequests\tcauses\talert\t")
+	for _, r := range report.Rows {
+		neighbour := r.Neighbour
+		if neighbour == "" {
+			neighbour = "(all)"
+		}
+		fmt.Fprintf(w, "%s\t%s\t%.4g%% in %v\t", r.Service, neighbour, r.Ratio*100, r.Latency)
+		for _, one := range r.Windows {
+			fmt.Fprintf(w, "%.2f\t", one.Burn)
+		}
+		fmt.Fprintf(w, "%.1f%%\t%v\t%d\t%s\t%s\t\n", r.BudgetLeft*100, r.P99, r.Windows[len(r.Windows)-1].Total, r.CauseText(), r.Alert)
+	}
+	_ = w.Flush()
+}
--- a/instance.go
+++ b/instance.go
@@ -9,7 +9,6 @@
 
 	"github.com/oriolepond/oriolepond/internal/entry"
 	"github.com/oriolepond/oriolepond/internal/eventlog"
-	"github.com/oriolepond/oriolepond/internal/operate"
 	"github.com/oriolepond/oriolepond/internal/peer"
 	"github.com/oriolepond/oriolepond/internal/roster"
 	"github.com/oriolepond/oriolepond/internal/shard"
@@ -76,17 +75,6 @@
 	}
 }
 
-func (i *Instance) admin() http.Handler {
-	api := &operate.API{
-		TokenHash: i.Settings.OperatorTokenHash,
-		Ready:     i.ready,
-		Apply:     i.configs.Apply,
-		Accounts:  i.anyTasks().Accounts,
-		Log:       i.Log,
-	}
-	return api.Handler()
-}
-
 // ready reports whether callers may be sent here.
 func (i *Instance) ready() bool {
 	return !i.draining.Load() && i.list.Load() != nil && i.members.View().Table.Has(i.Settings.ID)
--- /dev/null
+++ b/internal/burn/burn_test.go
@@ -0,0 +1,153 @@
+package burn_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/oriolepond/oriolepond/internal/burn"
+	"github.com/oriolepond/oriolepond/pkg/release"
+)
+
+var start = time.Unix(0, 1000*int64(burn.SlotLength))
+
+// config promises that 90% of answers come within 100 ms.
+func config(ratio float64) release.Config {
+	return release.Config{Declarations: release.Declarations{Services: []release.Service{{
+		Name: "finish", Objective: release.Objective{Latency: 100 * time.Millisecond, Ratio: ratio},
+	}}}}
+}
+
+func sample(latency time.Duration) burn.Sample {
+	return burn.Sample{Service: "finish", Neighbour: "floor", Objective: 100 * time.Millisecond, Latency: latency, Answered: true}
+}
+
+func TestCauses(t *testing.T) {
+	late := 400 * time.Millisecond
+	cases := []struct {
+		name   string
+		sample burn.Sample
+		want   burn.Cause
+	}{
+		{"good", sample(100 * time.Millisecond), ""},
+		{"slow target", sample(late), burn.Target},
+		{"queue", burn.Sample{Answered: true, Latency: late, Queued: late / 2}, burn.Queueing},
+		{"earlier attempts", burn.Sample{Answered: true, Latency: late, Queued: late / 8, Retried: late / 2}, burn.Retry},
+		{"refusal", burn.Sample{Refused: true, Latency: time.Millisecond}, burn.Refusal},
+		{"refusal after queueing", burn.Sample{Refused: true, Latency: late, Queued: late}, burn.Refusal},
+		{"failed target", burn.Sample{Latency: time.Millisecond}, burn.Target},
+		{"slowed target", burn.Sample{Answered: true, Latency: late, Interfered: true}, burn.Interference},
+		{"blamed", burn.Sample{Answered: true, Latency: late, Blame: burn.Retry}, burn.Retry},
+		{"blamed and slowed", burn.Sample{Answered: true, Latency: late, Blame: burn.Target, Interfered: true}, burn.Interference},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) { require.Equal(t, c.want, c.sample.Cause()) })
+	}
+}
+
+// Two instances count 50 requests each, of which 10 and 30 are late.
+func TestReportMergesInstances(t *testing.T) {
+	var snapshots []burn.Snapshot
+	for _, late := range []int{10, 30} {
+		r := burn.NewRecorder(start)
+		for i := range 50 {
+			latency := 20 * time.Millisecond
+			if i < late {
+				latency = 300 * time.Millisecond
+			}
+			r.Record(start, sample(latency))
+		}
+		snapshots = append(snapshots, r.Snapshot(start))
+	}
+	report := burn.NewReport(config(0.9), burn.Merge(snapshots), start)
+	require.Len(t, report.Rows, 2, "one row of the service, one of its neighbour")
+	for _, row := range report.Rows {
+		for _, w := range row.Windows {
+			require.EqualValues(t, 100, w.Total)
+			require.EqualValues(t, 40, w.Bad)
+			require.InDelta(t, 4, w.Burn, 1e-9, "40%% bad of 10%% allowed")
+		}
+		require.InDelta(t, -3, row.BudgetLeft, 1e-9)
+		require.Equal(t, map[burn.Cause]int64{burn.Target: 40}, row.Causes)
+		require.Empty(t, row.Alert)
+		require.InDelta(t, 300, row.P99.Milliseconds(), 3)
+	}
+}
+
+// A changed objective judges what was measured before it.
+func TestObjectiveJudgesThePast(t *testing.T) {
+	r := burn.NewRecorder(start)
+	for range 10 {
+		r.Record(start, sample(300*time.Millisecond))
+	}
+	c := config(0.9)
+	series := burn.Merge([]burn.Snapshot{r.Snapshot(start)})
+	require.EqualValues(t, 10, burn.NewReport(c, series, start).Rows[0].Windows[0].Bad)
+	c.Services[0].Objective.Latency = 400 * time.Millisecond
+	require.EqualValues(t, 0, burn.NewReport(c, series, start).Rows[0].Windows[0].Bad)
+}
+
+// A burst raises the fast alert while it lasts, and drops out of the windows one by one.
+func TestWindowsAndAlerts(t *testing.T) {
+	r := burn.NewRecorder(start)
+	for range 100 {
+		r.Record(start, burn.Sample{Service: "finish", Neighbour: "floor", Refused: true})
+	}
+	at := func(later time.Duration) burn.Row {
+		now := start.Add(later)
+		return burn.NewReport(config(0.99), burn.Merge([]burn.Snapshot{r.Snapshot(now)}), now).Rows[0]
+	}
+	require.Equal(t, burn.Fast, at(0).Alert)
+	require.Equal(t, burn.Slow, at(20*time.Minute).Alert)
+	for i := range 3 {
+		r.Record(start.Add(time.Duration(i+1)*burn.SlotLength), sample(time.Millisecond))
+	}
+	row := at(2 * time.Hour)
+	require.Empty(t, row.Alert)
+	require.Zero(t, row.Windows[2].Total, "the hour's window holds nothing of the burst")
+	require.EqualValues(t, 103, row.Windows[3].Total)
+	require.EqualValues(t, 100, row.Causes[burn.Refusal])
+}
+
+// Slots beyond the longest window are dropped.
+func TestOldSlotsAreDropped(t *testing.T) {
+	r := burn.NewRecorder(start)
+	for i := range 3 * burn.KeptSlots {
+		r.Record(start.Add(time.Duration(i)*burn.SlotLength), sample(time.Millisecond))
+	}
+	now := start.Add(time.Duration(3*burn.KeptSlots-1) * burn.SlotLength)
+	require.Len(t, r.Snapshot(now).Series[0].Slots, burn.KeptSlots)
+}
+
+func TestPageIsWholeAndEscaped(t *testing.T) {
+	r := burn.NewRecorder(start)
+	for i := range 100 {
+		s := sample(time.Duration(i) * 3 * time.Millisecond)
+		s.Neighbour = "<script>alert(1)</script>"
+		r.Record(start, s)
+	}
+	report := burn.NewReport(config(0.9), burn.Merge([]burn.Snapshot{r.Snapshot(start)}), start)
+	report.Answered, report.Missing = []string{"entry-1"}, []string{"entry-2"}
+	var page bytes.Buffer
+	require.NoError(t, burn.WritePage(&page, report))
+	text := page.String()
+	require.Contains(t, text, "Not counted, no answer: entry-2")
+	require.NotContains(t, text, "<script>")
+	require.Equal(t, 4, strings.Count(text, "<polyline")+strings.Count(text, "What burned the budget:"))
+	for _, outside := range []string{"http://", "https://", "src=", "<link"} {
+		require.NotContains(t, text, outside, "the page needs nothing else")
+	}
+	require.True(t, strings.HasSuffix(strings.TrimSpace(text), "</html>"))
+}
+
+func BenchmarkRecord(b *testing.B) {
+	r := burn.NewRecorder(start)
+	s := sample(20 * time.Millisecond)
+	b.ReportAllocs()
+	for b.Loop() {
+		r.Record(start, s)
+	}
+}
--- /dev/null
+++ b/internal/burn/recorder.go
@@ -0,0 +1,195 @@
+package burn
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	// SlotLength is the time that one slot covers.
+	SlotLength = 5 * time.Minute
+	// KeptSlots is how many slots are kept, the present one included.
+	KeptSlots = 73
+	// maxSeries bounds the pairs of service and neighbour that are counted.
+	maxSeries = 4096
+)
+
+// The range and the precision of the histograms.
+const (
+	latencyUnit   = 100 * time.Microsecond
+	highestUnits  = int64(10 * time.Minute / latencyUnit)
+	latencyDigits = 2
+)
+
+// Key names a series.
+type Key struct {
+	Service   string
+	Neighbour string
+}
+
+// Slot is what was counted in one slot of time.
+type Slot struct {
+	// Index is the number of the slot since the Unix epoch.
+	Index int64
+	// Latency holds the answers, in units of latencyUnit; nil means none.
+	Latency *hdrhistogram.Histogram
+	// Bad counts the requests that missed the objective, by cause.
+	Bad map[Cause]int64
+	// Unanswered counts the requests without an answer of their service.
+	Unanswered int64
+}
+
+// Series is what was counted for one service and neighbour, oldest slot first.
+type Series struct {
+	Key
+	Slots []Slot
+}
+
+// Snapshot is what one instance counted.
+type Snapshot struct {
+	Instance string
+	// Started is when the instance began to count.
+	Started time.Time
+	Series  []Series
+}
+
+// SlotOf returns the number of the slot of a time.
+func SlotOf(t time.Time) int64 {
+	return t.UnixNano() / int64(SlotLength)
+}
+
+// Recorder counts the requests of one instance. It may be used from many goroutines.
+type Recorder struct {
+	started time.Time
+	mu      sync.RWMutex
+	series  map[Key]*series
+}
+
+// NewRecorder returns a recorder that has counted nothing yet.
+func NewRecorder(started time.Time) *Recorder {
+	return &Recorder{started: started, series: map[Key]*series{}}
+}
+
+// series counts one pair of service and neighbour.
+type series struct {
+	mu     sync.Mutex
+	open   *openSlot
+	closed []closedSlot
+}
+
+// openSlot is the present slot.
+type openSlot struct {
+	index      int64
+	latency    *hdrhistogram.Histogram
+	bad        map[Cause]int64
+	unanswered int64
+}
+
+// closedSlot is an earlier slot, encoded to save memory.
+type closedSlot struct {
+	index      int64
+	latency    []byte
+	bad        map[Cause]int64
+	unanswered int64
+}
+
+// Record counts one request that finished now.
+func (r *Recorder) Record(now time.Time, s Sample) {
+	if one := r.find(Key{s.Service, s.Neighbour}); one != nil {
+		one.record(SlotOf(now), s)
+	}
+}
+
+// find returns the series of a key, or nil if there are too many.
+func (r *Recorder) find(k Key) *series {
+	r.mu.RLock()
+	one := r.series[k]
+	r.mu.RUnlock()
+	if one != nil {
+		return one
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if one := r.series[k]; one != nil || len(r.series) >= maxSeries {
+		return one
+	}
+	one = &series{}
+	r.series[k] = one
+	return one
+}
+
+func (s *series) record(index int64, sample Sample) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.turn(index)
+	if sample.Answered {
+		_ = s.open.latency.RecordValue(min(int64(sample.Latency/latencyUnit), highestUnits))
+	} else {
+		s.open.unanswered++
+	}
+	if cause := sample.Cause(); cause != "" {
+		s.open.bad[cause]++
+	}
+}
+
+// turn opens a slot unless it, or a later one, is open; s.mu is held.
+func (s *series) turn(index int64) {
+	if s.open != nil && s.open.index >= index {
+		return
+	}
+	latency := hdrhistogram.New(1, highestUnits, latencyDigits)
+	if old := s.open; old != nil {
+		s.closed = append(s.closed, closedSlot{old.index, encodeLatency(old.latency), old.bad, old.unanswered})
+		old.latency.Reset()
+		latency = old.latency
+	}
+	s.open = &openSlot{index: index, latency: latency, bad: map[Cause]int64{}}
+	oldest := index - KeptSlots
+	s.closed = slices.DeleteFunc(s.closed, func(c closedSlot) bool { return c.index <= oldest })
+}
+
+// Snapshot returns what was counted within the kept slots.
+func (r *Recorder) Snapshot(now time.Time) Snapshot {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	snapshot := Snapshot{Started: r.started}
+	oldest := SlotOf(now) - KeptSlots
+	for k, one := range r.series {
+		if slots := one.slots(oldest); len(slots) > 0 {
+			snapshot.Series = append(snapshot.Series, Series{Key: k, Slots: slots})
+		}
+	}
+	slices.SortFunc(snapshot.Series, func(a, b Series) int { return compareKeys(a.Key, b.Key) })
+	return snapshot
+}
+
+func (s *series) slots(oldest int64) []Slot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var all []Slot
+	for _, c := range s.closed {
+		if c.index > oldest {
+			latency, _ := DecodeLatency(c.latency)
+			all = append(all, Slot{Index: c.index, Latency: latency, Bad: c.bad, Unanswered: c.unanswered})
+		}
+	}
+	if o := s.open; o != nil && o.index > oldest {
+		bad := map[Cause]int64{}
+		for cause, n := range o.bad {
+			bad[cause] = n
+		}
+		all = append(all, Slot{
+			Index: o.index, Latency: hdrhistogram.Import(o.latency.Export()),
+			Bad: bad, Unanswered: o.unanswered,
+		})
+	}
+	return all
+}
+
+func compareKeys(a, b Key) int {
+	return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Neighbour, b.Neighbour))
+}
--- a/internal/config/keeper.go
+++ b/internal/config/keeper.go
@@ -1,25 +1,28 @@
 // Package config keeps the operators' configuration in the store, and each
 // instance's copy of it up to date.
 //
-// The store holds immutable chunks and one head key that names the newest.
-// An instance never goes back to a lower revision.
+// The store holds one head key, which names the chunks of the newest
+// configuration, the chunks themselves, and a record of each accepted note. A
+// note moves the head, writes the chunks that changed, removes those that are
+// no longer named, and writes its record, all in one commit. Instances watch
+// the head only, and pass newer copies on to their peers. An instance never
+// goes back to a lower revision.
 //
 // # Usage
 //
-//	k := &config.Keeper{Store: client, Log: log}
+//	k := &config.Keeper{ID: "entry-1", Store: client, Log: log}
 //	go k.Run(ctx)
-//	report, err := k.Apply(ctx, note)
+//	report, err := k.Apply(ctx, note, 0)
 package config
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
-	"encoding/json"
-	"fmt"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cenkalti/backoff/v5"
 	"go.uber.org/zap"
 
 	"github.com/oriolepond/oriolepond/internal/eventlog"
@@ -27,67 +30,79 @@
 	"github.com/oriolepond/oriolepond/pkg/release"
 )
 
-// The keys of the configuration in the store.
+// The bounds of the wait before a broken watch begins anew.
 const (
-	HeadKey     = "/oriolepond/config/head"
-	ChunkPrefix = "/oriolepond/config/chunk/"
+	minWatchRetry = 200 * time.Millisecond
+	maxWatchRetry = 2 * time.Second
 )
 
-// chunkBytes is the size of a chunk, below the store's limit of a value.
-const chunkBytes = 512 << 10
-
-// watchRetry is how long a broken watch waits before it begins anew.
-const watchRetry = 200 * time.Millisecond
-
-// ConflictError says that another operator's note was applied first.
-type ConflictError struct {
-	Note string
-}
-
-// Error returns the note.
-func (e *ConflictError) Error() string {
-	return fmt.Sprintf("release note %q: another note was applied at the same time", e.Note)
-}
-
-// Keeper keeps one instance's configuration.
+// Keeper keeps one instance's configuration. Its fields are set before Run.
 type Keeper struct {
-	Store  *store.Client
-	Writer *store.Writer
-	Log    *eventlog.Log
+	// ID is the instance's own.
+	ID    string
+	Store *store.Client
+	Log   *eventlog.Log
 	// Changed is called after each change; nil means nobody asks.
 	Changed func(release.Config)
-
-	current atomic.Pointer[release.Config]
+	// Peers returns the other instances as far as they are known; nil means none.
+	Peers func() []Peer
+	// Now tells the time at which notes are accepted; nil means time.Now.
+	Now func() time.Time
+
+	current atomic.Pointer[Copy]
+	// raise guards changes of current, so that Changed is called in order.
+	raise sync.Mutex
+	once  sync.Once
+	heard chan string
 }
 
 // Current returns the configuration in force.
 func (k *Keeper) Current() release.Config {
+	return k.Copy().config
+}
+
+// Copy returns the configuration in force with its chunks.
+func (k *Keeper) Copy() Copy {
 	if c := k.current.Load(); c != nil {
 		return *c
 	}
-	return release.Config{}
+	return Copy{}
 }
 
-// Run follows the head key until the context ends.
+// Run follows the head key and the peers until the context ends.
 func (k *Keeper) Run(ctx context.Context) error {
+	var group sync.WaitGroup
+	group.Go(func() { k.exchange(ctx) })
+	group.Go(func() { k.followHead(ctx) })
+	group.Wait()
+	return nil
+}
+
+// followHead follows the head key until the context ends.
+func (k *Keeper) followHead(ctx context.Context) {
+	wait := backoff.NewExponentialBackOff()
+	wait.InitialInterval = minWatchRetry
+	wait.MaxInterval = maxWatchRetry
 	for ctx.Err() == nil {
-		if err := k.follow(ctx); err != nil && ctx.Err() == nil {
+		err := k.follow(ctx, wait.Reset)
+		if err != nil && ctx.Err() == nil {
 			k.Log.Emit(eventlog.StoreUnavailable, zap.Error(err))
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(watchRetry):
+		case <-time.After(wait.NextBackOff()):
 		}
 	}
-	return nil
 }
 
-// follow reads the head and watches it until the watch breaks.
-func (k *Keeper) follow(ctx context.Context) error {
+// follow reads the head and watches it until the watch breaks; reached is
+// called once the store has answered.
+func (k *Keeper) follow(ctx context.Context, reached func()) error {
 	s, err := k.Store.List(ctx, HeadKey)
 	if err != nil {
 		return err
 	}
+	reached()
 	for _, e := range s.Entries {
 		if err := k.adopt(ctx, e.Value); err != nil {
 			return err
@@ -97,10 +112,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	err = k.Store.Watch(ctx, HeadKey, s.Revision+1, func(u store.Update) {
-		for _, c := range u.Changes {
-			if failure = k.adopt(ctx, c.Entry.Value); failure != nil {
-				cancel()
-			}
+		if failure = k.adoptNewest(ctx, u); failure != nil {
+			cancel()
 		}
 	})
 	if failure != nil {
@@ -109,6 +122,16 @@
 	return err
 }
 
+// adoptNewest adopts the last head of an update; earlier ones may have lost chunks already.
+func (k *Keeper) adoptNewest(ctx context.Context, u store.Update) error {
+	for i := len(u.Changes) - 1; i >= 0; i-- {
+		if !u.Changes[i].Deleted {
+			return k.adopt(ctx, u.Changes[i].Entry.Value)
+		}
+	}
+	return nil
+}
+
 // adopt brings a head's configuration into force unless a newer one is.
 func (k *Keeper) adopt(ctx context.Context, text []byte) error {
 	h, err := decodeHead(text)
@@ -116,130 +139,75 @@
 		k.Log.Emit(eventlog.ConfigRejected, zap.Error(err))
 		return nil
 	}
-	if h.Revision <= k.Current().Revision {
+	have := k.Copy()
+	if h.Revision < have.head.Revision {
+		k.Log.Emit(eventlog.ConfigBehind, zap.Int64("head", h.Revision), zap.Int64("inForce", have.head.Revision))
+	}
+	if h.Revision <= have.head.Revision {
 		return nil
 	}
-	c, err := k.load(ctx, h)
+	values, err := k.load(ctx, h, have.values)
 	if err != nil {
 		return err
 	}
+	c, err := newCopy(h, values)
+	if err != nil {
+		k.Log.Emit(eventlog.ConfigRejected, zap.Error(err))
+		return nil
+	}
 	k.Set(c)
 	return nil
 }
 
-// Set brings a configuration into force unless a newer one is.
-func (k *Keeper) Set(c release.Config) {
-	for {
-		old := k.current.Load()
-		if old != nil && old.Revision >= c.Revision {
-			return
+// load returns the chunks of a head, reading those that are not at hand.
+func (k *Keeper) load(ctx context.Context, h Head, have map[string][]byte) (map[string][]byte, error) {
+	values := make(map[string][]byte, len(h.Chunks))
+	for _, hash := range h.Chunks {
+		if hash == "" {
+			continue
 		}
-		if k.current.CompareAndSwap(old, &c) {
-			break
+		if value, ok := have[hash]; ok {
+			values[hash] = value
+			continue
 		}
-	}
-	k.Log.Emit(eventlog.ConfigApplied, zap.Int64("revision", c.Revision))
-	if k.Changed != nil {
-		k.Changed(c)
-	}
-}
-
-// load reads the chunks of a head.
-func (k *Keeper) load(ctx context.Context, h head) (release.Config, error) {
-	var text []byte
-	for _, hash := range h.Chunks {
 		e, ok, err := k.Store.Read(ctx, ChunkPrefix+hash)
 		if err != nil {
-			return release.Config{}, err
+			return nil, err
 		}
 		if !ok {
-			return release.Config{}, fmt.Errorf("configuration %d: chunk %s is missing", h.Revision, hash)
+			return nil, &MissingChunkError{Revision: h.Revision, Hash: hash}
 		}
-		text = append(text, e.Value...)
+		values[hash] = e.Value
 	}
-	return release.ParseConfig(fmt.Sprintf("configuration %d", h.Revision), text)
+	return values, nil
 }
 
-// Apply applies a note to the newest configuration in the store. The error is
-// a *ConflictError if another note came first.
-func (k *Keeper) Apply(ctx context.Context, n release.Note) (release.Report, error) {
-	e, ok, err := k.Store.Read(ctx, HeadKey)
-	if err != nil {
-		return release.Report{}, err
-	}
-	var base release.Config
-	if ok {
-		h, err := decodeHead(e.Value)
-		if err != nil {
-			return release.Report{}, err
-		}
-		if base, err = k.load(ctx, h); err != nil {
-			return release.Report{}, err
-		}
-	}
-	next, report := release.Apply(base, n)
-	if report.Refused() {
-		return report, nil
-	}
-	if err := k.write(ctx, next, e.Revision, n.Name); err != nil {
-		return release.Report{}, err
-	}
-	k.Set(next)
-	return report, nil
-}
+var (
+	revisionGauge = metrics.GetOrCreateGauge("oriolepond_config_revision", nil)
+	appliedTotal  = metrics.GetOrCreateCounter("oriolepond_config_applied_total")
+)
 
-// write stores the chunks and moves the head.
-func (k *Keeper) write(ctx context.Context, c release.Config, revision int64, note string) error {
-	text, err := release.EncodeConfig(c)
-	if err != nil {
-		return err
-	}
-	h := head{Revision: c.Revision}
-	for len(text) > 0 {
-		n := min(len(text), chunkBytes)
-		sum := sha256.Sum256(text[:n])
-		hash := hex.EncodeToString(sum[:])
-		h.Chunks = append(h.Chunks, hash)
-		chunk := store.Txn{Then: []store.Op{store.Put(ChunkPrefix+hash, text[:n])}}
-		if _, err := k.Store.Commit(ctx, chunk); err != nil {
-			return err
-		}
-		text = text[n:]
-	}
-	value, err := encodeHead(h)
-	if err != nil {
-		return err
-	}
-	result, err := k.Writer.Commit(ctx, store.Txn{
-		If:   []store.Condition{{Key: HeadKey, Revision: revision}},
-		Then: []store.Op{store.Put(HeadKey, value)},
-	})
-	if err != nil {
-		return err
-	}
-	if !result.Done {
-		return &ConflictError{Note: note}
+// Set brings a copy into force unless a newer one is, and reports whether it did.
+func (k *Keeper) Set(c Copy) bool {
+	k.raise.Lock()
+	defer k.raise.Unlock()
+	if old := k.current.Load(); old != nil && old.head.Revision >= c.head.Revision {
+		return false
+	}
+	k.current.Store(&c)
+	revisionGauge.Set(float64(c.head.Revision))
+	appliedTotal.Inc()
+	k.Log.Emit(eventlog.ConfigApplied, zap.Int64("revision", c.head.Revision))
+	if k.Changed != nil {
+		k.Changed(c.config)
 	}
-	return nil
-}
-
-// head names the newest configuration.
-type head struct {
-	Revision int64
-	Chunks   []string
+	go k.spread(c.head.Revision)
+	return true
 }
 
-type wireHead struct {
-	Revision int64    `json:"revision"`
-	Chunks   []string `json:"chunks"`
-}
-
-func encodeHead(h head) ([]byte, error) { return json.Marshal(wireHead(h)) }
-
-func decodeHead(text []byte) (head, error) {
-	var w wireHead
-	if err := json.Unmarshal(text, &w); err != nil {
-		return head{}, fmt.Errorf("decode configuration head: %w", err)
+func (k *Keeper) now() time.Time {
+	if k.Now != nil {
+		return k.Now()
 	}
-	return head(w), nil
+	return time.Now()
 }
--- a/internal/eventlog/operator.go
+++ b/internal/eventlog/operator.go
@@ -10,3 +10,31 @@
 		Advice:  "Find out who called if it was not one of yours.",
 	})
 )
+
+// Events 1310 to 1329: release notes and configuration.
+var (
+	NoteAccepted = register(Event{
+		Number: 1310, Level: zapcore.InfoLevel, Message: "release note accepted",
+		Meaning: "The note is in the store; all instances work by it within seconds.", Advice: "None.",
+	})
+	NoteRefused = register(Event{
+		Number: 1311, Level: zapcore.InfoLevel, Message: "release note refused",
+		Meaning: "An entry of the note does not fit the configuration; nothing was changed.",
+		Advice:  "Correct the entries that the report names.",
+	})
+	NoteConflict = register(Event{
+		Number: 1312, Level: zapcore.InfoLevel, Message: "release note conflicts",
+		Meaning: "Another note touched the same entries first; nothing was changed.",
+		Advice:  "Look at the other note, and apply this one again under a new base if it still holds.",
+	})
+	ConfigBehind = register(Event{
+		Number: 1313, Level: zapcore.ErrorLevel, Message: "store holds an older configuration",
+		Meaning: "The store's head is lower than the revision in force, which stays in force.",
+		Advice:  "Find out whether the store was restored from an old copy; restore a newer one.",
+	})
+	ConfigPeerFailed = register(Event{
+		Number: 1314, Level: zapcore.WarnLevel, Message: "configuration not fetched from peer",
+		Meaning: "A peer has a newer configuration but did not hand it over; another is asked.",
+		Advice:  "Check the network between the instances if this lasts.",
+	})
+)
--- a/internal/jsonc/value.go
+++ b/internal/jsonc/value.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"strconv"
+	"strings"
+	"unicode"
 
 	"github.com/tailscale/hujson"
 )
@@ -58,19 +61,25 @@
 	}
 	values := make([]Value, len(h.Elements))
 	for i, e := range h.Elements {
-		values[i] = Value{doc: v.doc, value: e, path: fmt.Sprintf("%s[%d]", v.path, i)}
+		values[i] = Value{doc: v.doc, value: e, path: fmt.Sprintf("%s[%s]", v.path, elementName(e, i))}
 	}
 	return values
 }
 
 // String returns a string; another type is a fault and reads as "".
 func (v Value) String() string {
+	s, _ := v.Text()
+	return s
+}
+
+// Text returns a string, and whether the value is one; another type is a fault.
+func (v Value) Text() (string, bool) {
 	l, ok := v.literal('"')
 	if !ok {
 		v.Faultf("is not a string")
-		return ""
+		return "", false
 	}
-	return l.String()
+	return l.String(), true
 }
 
 // Bool returns a boolean; another type is a fault and reads as false.
@@ -94,3 +103,28 @@
 	}
 	return path + "." + name
 }
+
+// maxElementName bounds the names of elements in paths.
+const maxElementName = 64
+
+// elementName returns the name field of an element if it has one, else its position.
+func elementName(e hujson.Value, position int) string {
+	h, ok := e.Value.(*hujson.Object)
+	if !ok {
+		return strconv.Itoa(position)
+	}
+	for _, m := range h.Members {
+		l, ok := m.Value.Value.(hujson.Literal)
+		if ok && l.Kind() == '"' && m.Name.Value.(hujson.Literal).String() == "name" && plainName(l.String()) {
+			return l.String()
+		}
+	}
+	return strconv.Itoa(position)
+}
+
+func plainName(s string) bool {
+	if s == "" || len(s) > maxElementName {
+		return false
+	}
+	return !strings.ContainsFunc(s, func(r rune) bool { return !unicode.IsPrint(r) || r == '[' || r == ']' })
+}
--- a/internal/operate/api.go
+++ b/internal/operate/api.go
@@ -1,4 +1,5 @@
-// Package operate answers operators: release notes, accounts and probes.
+// Package operate answers operators: release notes, accounts, service-level
+// burn and probes.
 //
 // # Usage
 //
@@ -15,12 +16,17 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
 
+	"github.com/oriolepond/oriolepond/internal/burn"
 	"github.com/oriolepond/oriolepond/internal/config"
 	"github.com/oriolepond/oriolepond/internal/eventlog"
+	"github.com/oriolepond/oriolepond/internal/jsonc"
 	"github.com/oriolepond/oriolepond/internal/shard"
 	"github.com/oriolepond/oriolepond/pkg/release"
 )
@@ -28,11 +34,19 @@
 // The paths of the operators' API.
 const (
 	NotesPath   = "/v1/notes"
+	ConfigPath  = "/v1/config"
 	AccountPath = "/v1/account"
+	BurnPath    = "/v1/burn"
 )
 
-// maxNoteBytes bounds a release note.
-const maxNoteBytes = 4 << 20
+const (
+	// maxNoteBytes bounds a release note.
+	maxNoteBytes = 4 << 20
+	// applyTimeout bounds the time in which a note is applied.
+	applyTimeout = 10 * time.Second
+	// defaultHistory is how many notes a history holds if the call does not say.
+	defaultHistory = 20
+)
 
 // API answers operators.
 type API struct {
@@ -40,8 +54,12 @@
 	TokenHash string
 	// Ready reports whether callers may be sent here.
 	Ready    func() bool
-	Apply    func(ctx context.Context, n release.Note) (release.Report, error)
+	Apply    func(ctx context.Context, n release.Note, since int64) (release.Report, error)
+	Status   func(ctx context.Context, note string) (release.Report, error)
+	History  func(ctx context.Context, n int) ([]release.Record, error)
+	Config   func() release.Config
 	Accounts func(ctx context.Context) ([]shard.Account, error)
+	Burn     func(ctx context.Context) (burn.Report, error)
 	Log      *eventlog.Log
 }
 
@@ -52,7 +70,11 @@
 	mux.HandleFunc("GET /readyz", a.ready)
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
 	mux.HandleFunc("POST "+NotesPath, a.guarded(a.apply))
+	mux.HandleFunc("GET "+NotesPath, a.guarded(a.history))
+	mux.HandleFunc("GET "+NotesPath+"/{note}", a.guarded(a.status))
+	mux.HandleFunc("GET "+ConfigPath, a.guarded(a.config))
 	mux.HandleFunc("GET "+AccountPath, a.guarded(a.account))
+	mux.HandleFunc("GET "+BurnPath, a.guarded(a.burn))
 	return mux
 }
 
@@ -64,14 +86,17 @@
 	_, _ = io.WriteString(w, "ready\n")
 }
 
+var operatorsRefused = metrics.GetOrCreateCounter("oriolepond_operate_refused_total")
+
 // guarded refuses calls without the operators' token.
 func (a *API) guarded(h http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		token := strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
+		token, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 		sum := sha256.Sum256([]byte(token))
 		if subtle.ConstantTimeCompare([]byte(hex.EncodeToString(sum[:])), []byte(a.TokenHash)) != 1 {
-			a.Log.Emit(eventlog.OperatorRefused)
-			writeError(w, http.StatusUnauthorized, "the operators' token is wrong")
+			operatorsRefused.Inc()
+			a.Log.Emit(eventlog.OperatorRefused, zap.String("from", r.RemoteAddr), zap.String("path", r.URL.Path))
+			writeError(w, http.StatusUnauthorized, wireError{Error: "the operators' token is wrong"})
 			return
 		}
 		h(w, r)
@@ -81,43 +106,139 @@
 func (a *API) apply(w http.ResponseWriter, r *http.Request) {
 	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxNoteBytes))
 	if err != nil {
-		writeError(w, http.StatusRequestEntityTooLarge, err.Error())
+		writeError(w, http.StatusRequestEntityTooLarge, wireError{Error: err.Error()})
+		return
+	}
+	since, err := numberOf(r, "base", 0)
+	if err != nil {
+		writeFailure(w, err)
 		return
 	}
 	n, err := release.Parse("note", text)
 	if err != nil {
-		writeError(w, http.StatusBadRequest, err.Error())
+		writeFailure(w, err)
 		return
 	}
-	report, err := a.Apply(r.Context(), n)
-	var conflict *config.ConflictError
-	switch {
-	case errors.As(err, &conflict):
-		writeError(w, http.StatusConflict, err.Error())
-	case err != nil:
-		writeError(w, http.StatusServiceUnavailable, err.Error())
-	default:
-		writeJSON(w, encodeReport(report))
+	ctx, cancel := context.WithTimeout(r.Context(), applyTimeout)
+	defer cancel()
+	report, err := a.Apply(ctx, n, since)
+	if err != nil {
+		writeFailure(w, err)
+		return
+	}
+	if !report.Refused() {
+		// The note is accepted whatever its status call says.
+		if now, err := a.Status(r.Context(), n.Name); err == nil {
+			report = now
+		}
+	}
+	writeJSON(w, encodeReport(report))
+}
+
+func (a *API) status(w http.ResponseWriter, r *http.Request) {
+	report, err := a.Status(r.Context(), r.PathValue("note"))
+	if err != nil {
+		writeFailure(w, err)
+		return
+	}
+	writeJSON(w, encodeReport(report))
+}
+
+func (a *API) history(w http.ResponseWriter, r *http.Request) {
+	n, err := numberOf(r, "n", defaultHistory)
+	if err != nil {
+		writeFailure(w, err)
+		return
+	}
+	all, err := a.History(r.Context(), int(n))
+	if err != nil {
+		writeFailure(w, err)
+		return
 	}
+	writeJSON(w, encodeHistory(all))
+}
+
+func (a *API) config(w http.ResponseWriter, _ *http.Request) {
+	text, err := release.EncodeConfig(a.Config())
+	if err != nil {
+		writeFailure(w, err)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(text)
 }
 
 func (a *API) account(w http.ResponseWriter, r *http.Request) {
 	all, err := a.Accounts(r.Context())
 	if err != nil {
-		writeError(w, http.StatusServiceUnavailable, err.Error())
+		writeFailure(w, err)
 		return
 	}
 	writeJSON(w, encodeAccounts(all))
 }
 
-type wireError struct {
-	Error string `json:"error"`
+func (a *API) burn(w http.ResponseWriter, r *http.Request) {
+	report, err := a.Burn(r.Context())
+	if err != nil {
+		writeFailure(w, err)
+		return
+	}
+	writeJSON(w, encodeBurn(report))
+}
+
+// badNumberError says that a parameter of a call is not a number.
+type badNumberError struct {
+	Name string
+}
+
+// Error returns the parameter.
+func (e *badNumberError) Error() string { return "the parameter " + e.Name + " is not a whole number" }
+
+func numberOf(r *http.Request, name string, missing int64) (int64, error) {
+	text := r.URL.Query().Get(name)
+	if text == "" {
+		return missing, nil
+	}
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || n < 0 {
+		return 0, &badNumberError{Name: name}
+	}
+	return n, nil
+}
+
+// writeFailure maps an error to a status.
+func writeFailure(w http.ResponseWriter, err error) {
+	var conflict *config.ConflictError
+	var taken *config.NameTakenError
+	var large *config.TooLargeError
+	var unknown *config.UnknownNoteError
+	var number *badNumberError
+	var syntax *jsonc.SyntaxError
+	var faults *jsonc.FaultsError
+	status := http.StatusServiceUnavailable
+	wire := wireError{Error: err.Error()}
+	switch {
+	case errors.As(err, &conflict):
+		status = http.StatusConflict
+		wire.Conflicts = encodeConflicts(conflict.Conflicts)
+	case errors.As(err, &taken):
+		status = http.StatusConflict
+	case errors.As(err, &large):
+		status = http.StatusRequestEntityTooLarge
+	case errors.As(err, &unknown):
+		status = http.StatusNotFound
+	case errors.As(err, &number), errors.As(err, &syntax), errors.As(err, &faults):
+		status = http.StatusBadRequest
+	default:
+		wire.Error = "no answer of the store or of peers, the outcome is unknown; make the same call again: " + wire.Error
+	}
+	writeError(w, status, wire)
 }
 
-func writeError(w http.ResponseWriter, status int, message string) {
+func writeError(w http.ResponseWriter, status int, wire wireError) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(wireError{Error: message})
+	_ = json.NewEncoder(w).Encode(wire)
 }
 
 func writeJSON(w http.ResponseWriter, value any) {
--- a/internal/operate/client.go
+++ b/internal/operate/client.go
@@ -7,10 +7,18 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/oriolepond/oriolepond/pkg/release"
 )
 
-// maxAnswerBytes bounds an answer of the API.
-const maxAnswerBytes = 64 << 20
+const (
+	// maxAnswerBytes bounds an answer of the API.
+	maxAnswerBytes = 64 << 20
+	// callTimeout bounds a call of the API.
+	callTimeout = 30 * time.Second
+)
 
 // Client calls the operators' API of an instance.
 type Client struct {
@@ -20,8 +28,9 @@
 
 // CallError is a refusal by the API.
 type CallError struct {
-	Status  int
-	Message string
+	Status    int
+	Message   string
+	Conflicts []WireConflict
 }
 
 // Error returns the status and the message.
@@ -31,11 +40,39 @@
 
 // Apply sends a note and returns its report, also as the API wrote it.
 func (c Client) Apply(ctx context.Context, note []byte) (WireReport, []byte, error) {
+	return c.ApplyOn(ctx, note, 0)
+}
+
+// ApplyOn is as Apply for a note that was written against a revision; zero is the newest.
+func (c Client) ApplyOn(ctx context.Context, note []byte, base int64) (WireReport, []byte, error) {
+	var report WireReport
+	raw, err := c.call(ctx, http.MethodPost, fmt.Sprintf("%s?base=%d", NotesPath, base), note, &report)
+	return report, raw, err
+}
+
+// Status returns what became of an accepted note, also as the API wrote it.
+func (c Client) Status(ctx context.Context, note string) (WireReport, []byte, error) {
 	var report WireReport
-	raw, err := c.call(ctx, http.MethodPost, NotesPath, note, &report)
+	raw, err := c.call(ctx, http.MethodGet, NotesPath+"/"+url.PathEscape(note), nil, &report)
 	return report, raw, err
 }
 
+// History returns up to n accepted notes, also as the API wrote them.
+func (c Client) History(ctx context.Context, n int) ([]WireRecord, []byte, error) {
+	var all []WireRecord
+	raw, err := c.call(ctx, http.MethodGet, fmt.Sprintf("%s?n=%d", NotesPath, n), nil, &all)
+	return all, raw, err
+}
+
+// Config returns the configuration in force at the instance.
+func (c Client) Config(ctx context.Context) (release.Config, error) {
+	var raw json.RawMessage
+	if _, err := c.call(ctx, http.MethodGet, ConfigPath, nil, &raw); err != nil {
+		return release.Config{}, err
+	}
+	return release.ParseConfig("configuration at "+c.Address, raw)
+}
+
 // Account returns the usage of all shares, also as the API wrote it.
 func (c Client) Account(ctx context.Context) ([]WireAccount, []byte, error) {
 	var rows []WireAccount
@@ -43,7 +80,16 @@
 	return rows, raw, err
 }
 
+// Burn returns the burn of all services, also as the API wrote it.
+func (c Client) Burn(ctx context.Context) (WireBurn, []byte, error) {
+	var report WireBurn
+	raw, err := c.call(ctx, http.MethodGet, BurnPath, nil, &report)
+	return report, raw, err
+}
+
 func (c Client) call(ctx context.Context, method, path string, body []byte, into any) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, method, "http://"+c.Address+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, err
@@ -61,9 +107,9 @@
 	if answer.StatusCode != http.StatusOK {
 		var w wireError
 		if json.Unmarshal(text, &w) != nil || w.Error == "" {
-			w.Error = string(text)
+			w.Error = string(bytes.TrimSpace(text))
 		}
-		return nil, &CallError{Status: answer.StatusCode, Message: w.Error}
+		return nil, &CallError{Status: answer.StatusCode, Message: w.Error, Conflicts: w.Conflicts}
 	}
 	return bytes.TrimSpace(text), json.Unmarshal(text, into)
 }
--- a/internal/operate/wire.go
+++ b/internal/operate/wire.go
@@ -1,6 +1,8 @@
 package operate
 
 import (
+	"time"
+
 	"github.com/oriolepond/oriolepond/internal/shard"
 	"github.com/oriolepond/oriolepond/pkg/release"
 )
@@ -10,7 +12,7 @@
 	Action    string   `json:"action"`
 	Kind      string   `json:"kind"`
 	Name      string   `json:"name"`
-	Outcome   string   `json:"outcome"`
+	Outcome   string   `json:"outcome,omitempty"`
 	Reason    string   `json:"reason,omitempty"`
 	PendingOn []string `json:"pendingOn,omitempty"`
 }
@@ -19,9 +21,26 @@
 type WireReport struct {
 	Note     string      `json:"note"`
 	Revision int64       `json:"revision"`
+	Accepted *time.Time  `json:"accepted,omitempty"`
+	Entries  []WireEntry `json:"entries"`
+}
+
+// WireRecord is an accepted note of a history, as the API writes it.
+type WireRecord struct {
+	Note     string      `json:"note"`
+	Digest   string      `json:"digest"`
+	Revision int64       `json:"revision"`
+	Accepted time.Time   `json:"accepted"`
 	Entries  []WireEntry `json:"entries"`
 }
 
+// WireConflict says which note touched an entry first, as the API writes it.
+type WireConflict struct {
+	Entry    WireEntry `json:"entry"`
+	Other    string    `json:"other"`
+	Revision int64     `json:"revision"`
+}
+
 // WireAccount is the usage of one share, as the API writes it.
 type WireAccount struct {
 	Neighbour          string  `json:"neighbour"`
@@ -32,17 +51,44 @@
 	OpenTasks          int     `json:"openTasks"`
 }
 
+type wireError struct {
+	Error     string         `json:"error"`
+	Conflicts []WireConflict `json:"conflicts,omitempty"`
+}
+
+func encodeEntry(e release.Entry) WireEntry {
+	return WireEntry{Action: string(e.Action), Kind: string(e.Kind), Name: e.Name}
+}
+
 func encodeReport(r release.Report) WireReport {
 	w := WireReport{Note: r.Note, Revision: r.Revision, Entries: []WireEntry{}}
+	if !r.Accepted.IsZero() {
+		w.Accepted = &r.Accepted
+	}
 	for _, e := range r.Entries {
-		w.Entries = append(w.Entries, WireEntry{
-			Action:    string(e.Action),
-			Kind:      string(e.Kind),
-			Name:      e.Name,
-			Outcome:   string(e.Outcome),
-			Reason:    e.Reason,
-			PendingOn: e.PendingOn,
-		})
+		entry := encodeEntry(e.Entry)
+		entry.Outcome, entry.Reason, entry.PendingOn = string(e.Outcome), e.Reason, e.PendingOn
+		w.Entries = append(w.Entries, entry)
+	}
+	return w
+}
+
+func encodeHistory(all []release.Record) []WireRecord {
+	w := []WireRecord{}
+	for _, r := range all {
+		record := WireRecord{Note: r.Note, Digest: r.Digest, Revision: r.Revision, Accepted: r.Accepted}
+		for _, e := range r.Entries {
+			record.Entries = append(record.Entries, encodeEntry(e))
+		}
+		w = append(w, record)
+	}
+	return w
+}
+
+func encodeConflicts(all []release.Conflict) []WireConflict {
+	var w []WireConflict
+	for _, c := range all {
+		w = append(w, WireConflict{Entry: encodeEntry(c.Entry), Other: c.Other, Revision: c.Revision})
 	}
 	return w
 }
--- /dev/null
+++ b/internal/peer/operate.go
@@ -0,0 +1,143 @@
+package peer
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/oriolepond/oriolepond/internal/burn"
+	"github.com/oriolepond/oriolepond/internal/config"
+	"github.com/oriolepond/oriolepond/internal/peer/operatepb"
+)
+
+// Operate calls the operators' plane of a peer, or answers for this instance.
+type Operate struct {
+	// Announce takes the caller's id and revision and returns the callee's revision.
+	Announce func(ctx context.Context, id string, revision int64) (int64, error)
+	// Newest returns the callee's configuration if it is newer than the caller's.
+	Newest func(ctx context.Context, have config.Copy) (config.Copy, bool, error)
+	// Burn returns what the callee counted.
+	Burn func(ctx context.Context) (burn.Snapshot, error)
+}
+
+// NewOperate returns the operators' plane at the other end of a connection.
+func NewOperate(conn *grpc.ClientConn) *Operate {
+	c := operatepb.NewOperateClient(conn)
+	return &Operate{
+		Announce: func(ctx context.Context, id string, revision int64) (int64, error) {
+			reply, err := c.Announce(ctx, &operatepb.AnnounceRequest{Id: id, Revision: revision})
+			return reply.GetRevision(), err
+		},
+		Newest: func(ctx context.Context, have config.Copy) (config.Copy, bool, error) {
+			reply, err := c.Newest(ctx, &operatepb.NewestRequest{Revision: have.Head().Revision, Known: have.Hashes()})
+			if err != nil || reply.Revision == 0 {
+				return config.Copy{}, false, err
+			}
+			h := config.Head{Revision: reply.Revision, Note: reply.Note, Chunks: reply.Chunks}
+			received, err := config.Received(h, reply.Values, have)
+			return received, err == nil, err
+		},
+		Burn: func(ctx context.Context) (burn.Snapshot, error) {
+			reply, err := c.Burn(ctx, &operatepb.BurnRequest{}, grpc.MaxCallRecvMsgSize(maxBurnBytes))
+			if err != nil {
+				return burn.Snapshot{}, err
+			}
+			return decodeBurn(reply)
+		},
+	}
+}
+
+// maxBurnBytes bounds what a peer counted.
+const maxBurnBytes = 64 << 20
+
+// RegisterOperate answers the calls of peers with an operators' plane.
+func RegisterOperate(server *grpc.Server, o *Operate) {
+	operatepb.RegisterOperateServer(server, &operateServer{operate: o})
+}
+
+type operateServer struct {
+	operatepb.UnimplementedOperateServer
+	operate *Operate
+}
+
+// Announce takes the caller's revision and returns this instance's.
+func (s *operateServer) Announce(ctx context.Context, q *operatepb.AnnounceRequest) (*operatepb.AnnounceReply, error) {
+	revision, err := s.operate.Announce(ctx, q.Id, q.Revision)
+	if err != nil {
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	return &operatepb.AnnounceReply{Revision: revision}, nil
+}
+
+// Newest returns this instance's configuration if it is newer.
+func (s *operateServer) Newest(ctx context.Context, q *operatepb.NewestRequest) (*operatepb.NewestReply, error) {
+	c, _, err := s.operate.Newest(ctx, config.Copy{})
+	if err != nil {
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	h := c.Head()
+	if h.Revision <= q.Revision {
+		return &operatepb.NewestReply{}, nil
+	}
+	known := map[string]bool{}
+	for _, hash := range q.Known {
+		known[hash] = true
+	}
+	reply := &operatepb.NewestReply{Revision: h.Revision, Note: h.Note, Chunks: h.Chunks, Values: map[string][]byte{}}
+	for _, hash := range c.Hashes() {
+		if !known[hash] {
+			reply.Values[hash] = c.Chunk(hash)
+		}
+	}
+	return reply, nil
+}
+
+// Burn returns what this instance counted.
+func (s *operateServer) Burn(ctx context.Context, _ *operatepb.BurnRequest) (*operatepb.BurnReply, error) {
+	snapshot, err := s.operate.Burn(ctx)
+	if err != nil {
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	return encodeBurn(snapshot), nil
+}
+
+func encodeBurn(snapshot burn.Snapshot) *operatepb.BurnReply {
+	reply := &operatepb.BurnReply{StartedUnixMillis: snapshot.Started.UnixMilli()}
+	for _, s := range snapshot.Series {
+		series := &operatepb.BurnSeries{Service: s.Service, Neighbour: s.Neighbour}
+		for _, slot := range s.Slots {
+			bad := map[string]int64{}
+			for cause, n := range slot.Bad {
+				bad[string(cause)] = n
+			}
+			series.Slots = append(series.Slots, &operatepb.BurnSlot{
+				Index: slot.Index, Latency: burn.EncodeLatency(slot), Bad: bad, Unanswered: slot.Unanswered,
+			})
+		}
+		reply.Series = append(reply.Series, series)
+	}
+	return reply
+}
+
+func decodeBurn(reply *operatepb.BurnReply) (burn.Snapshot, error) {
+	snapshot := burn.Snapshot{Started: time.UnixMilli(reply.StartedUnixMillis)}
+	for _, s := range reply.Series {
+		series := burn.Series{Key: burn.Key{Service: s.Service, Neighbour: s.Neighbour}}
+		for _, slot := range s.Slots {
+			latency, err := burn.DecodeLatency(slot.Latency)
+			if err != nil {
+				return burn.Snapshot{}, err
+			}
+			bad := map[burn.Cause]int64{}
+			for cause, n := range slot.Bad {
+				bad[burn.Cause(cause)] = n
+			}
+			series.Slots = append(series.Slots, burn.Slot{Index: slot.Index, Latency: latency, Bad: bad, Unanswered: slot.Unanswered})
+		}
+		snapshot.Series = append(snapshot.Series, series)
+	}
+	return snapshot, nil
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/url"
 	"os"
+	"regexp"
 	"time"
 
 	"github.com/oriolepond/oriolepond/internal/jsonc"
@@ -86,7 +87,7 @@
 		AdminListen:       address(o, "adminListen", ""),
 		ListURL:           httpURL(o, "listUrl"),
 		StoreURLs:         httpURLs(o, "storeUrls"),
-		OperatorTokenHash: o.String("operatorTokenHash"),
+		OperatorTokenHash: tokenHash(o, "operatorTokenHash"),
 		LeaseTTL:          positive(o, "leaseTtl", DefaultLeaseTTL),
 		ListInterval:      positive(o, "listInterval", DefaultListInterval),
 		PeerInterval:      positive(o, "peerInterval", DefaultPeerInterval),
@@ -137,6 +138,21 @@
 	return s
 }
 
+var hashPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
+
+// tokenHash reads the hash of a token.
+func tokenHash(o *jsonc.Object, name string) string {
+	v, ok := o.Required(name)
+	if !ok {
+		return ""
+	}
+	s, ok := v.Text()
+	if ok && !hashPattern.MatchString(s) {
+		v.Faultf("is not a lower-case hexadecimal SHA-256 (64 digits)")
+	}
+	return s
+}
+
 func httpURL(o *jsonc.Object, name string) string {
 	v, ok := o.Required(name)
 	if !ok {
--- a/oriolepond.go
+++ b/oriolepond.go
@@ -26,6 +26,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/grpc"
 
+	"github.com/oriolepond/oriolepond/internal/burn"
 	"github.com/oriolepond/oriolepond/internal/config"
 	"github.com/oriolepond/oriolepond/internal/entry"
 	"github.com/oriolepond/oriolepond/internal/eventlog"
@@ -50,6 +51,7 @@
 	aborting sync.Once
 	members  *membership.Keeper
 	configs  *config.Keeper
+	burned   *burn.Recorder
 	targets  *target.Table
 	requests *entry.Dispatcher
 	holder   *shard.Holder
@@ -80,6 +82,7 @@
 	peers := grpc.NewServer(peer.ServerOptions()...)
 	peer.RegisterTasks(peers, i.localTasks())
 	i.registerRequests(peers)
+	peer.RegisterOperate(peers, i.localOperate())
 	addServer(&g, admin, listeners.admin)
 	g.Add(func() error { return peers.Serve(listeners.peer) }, func(error) { peers.Stop() })
 	addServer(&g, front, listeners.front)
@@ -211,6 +214,7 @@
 	i.pool = &peer.Pool{Dial: i.dialer().DialContext}
 	i.targets = target.NewTable()
 	i.buildRequests()
+	i.buildBurn()
 	i.members = &membership.Keeper{
 		Store: client,
 		Self: membership.Peer{
@@ -222,9 +226,10 @@
 		Changed: func(membership.View) { i.retarget() },
 	}
 	i.configs = &config.Keeper{
-		Store:  client,
-		Writer: &store.Writer{Client: client, ID: s.ID + "/config"},
-		Log:    i.Log,
+		ID:    s.ID,
+		Store: client,
+		Log:   i.Log,
+		Peers: i.configPeers,
 	}
 	i.holder = &shard.Holder{
 		ID:       s.ID,
--- a/pkg/release/apply.go
+++ b/pkg/release/apply.go
@@ -1,123 +1,181 @@
 package release
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
-)
-
-// Outcome is what became of one entry of a note.
-type Outcome string
 
-// The outcomes of an entry.
-const (
-	TookEffect Outcome = "tookEffect"
-	Pending    Outcome = "pending"
-	Refused    Outcome = "refused"
-	Superseded Outcome = "superseded"
+	"github.com/oriolepond/oriolepond/pkg/share"
 )
 
-// Action is the list of a note that an entry stands in.
-type Action string
+// RememberedRevisions is for how many further revisions the origin of a
+// withdrawn declaration is kept.
+const RememberedRevisions = 1000
 
-// The actions of a note.
-const (
-	ActionAdd      Action = "added"
-	ActionChange   Action = "changed"
-	ActionWithdraw Action = "withdrawn"
-)
-
-// EntryReport is the outcome of one entry of a note.
-type EntryReport struct {
-	Action  Action
-	Kind    Kind
-	Name    string
-	Outcome Outcome
-	// Reason says why an entry was refused or superseded.
-	Reason string
-	// PendingOn names the instances that have not confirmed the entry.
-	PendingOn []string
-}
+// wholeNoteReason is the reason of entries that fall with another entry.
+const wholeNoteReason = "the note is refused whole because of its other entries"
 
-// Report is the outcome of a note, entry by entry.
-type Report struct {
-	Note     string
-	Revision int64
-	Entries  []EntryReport
+// Apply returns the configuration after the note, and the outcome of each entry.
+// If any entry is refused, the configuration is returned as it was and no entry
+// takes effect.
+func Apply(c Config, n Note) (Config, Report) {
+	next, refusals := attempt(c, n)
+	if len(refusals) > 0 {
+		return c, refusedReport(c, n, refusals)
+	}
+	next.Revision = c.Revision + 1
+	next.Origins = touch(c.Origins, n, next.Revision)
+	report := Report{Note: n.Name, Revision: next.Revision}
+	for _, e := range n.Entries() {
+		report.Entries = append(report.Entries, EntryReport{Entry: e, Outcome: TookEffect})
+	}
+	return next, report
 }
 
-// Refused reports whether any entry was refused.
-func (r Report) Refused() bool {
-	return slices.ContainsFunc(r.Entries, func(e EntryReport) bool { return e.Outcome == Refused })
+func refusedReport(c Config, n Note, refusals map[Entry][]string) Report {
+	report := Report{Note: n.Name, Revision: c.Revision}
+	for _, e := range n.Entries() {
+		reasons := refusals[e]
+		if len(reasons) == 0 {
+			reasons = []string{wholeNoteReason}
+		}
+		for _, reason := range reasons {
+			report.Entries = append(report.Entries, EntryReport{Entry: e, Outcome: Refused, Reason: reason})
+		}
+	}
+	return report
 }
 
-// Apply returns the configuration after the note, and the outcome of each entry.
-// If any entry is refused, the configuration is returned as it was.
-func Apply(c Config, n Note) (Config, Report) {
-	a := applier{report: Report{Note: n.Name, Revision: c.Revision + 1}}
-	next := c
+// attempt returns the declarations after the note, and why entries are refused.
+func attempt(c Config, n Note) (Config, map[Entry][]string) {
+	a := applier{config: c, refusals: map[Entry][]string{}}
+	next := Config{Revision: c.Revision}
 	next.Neighbours = applyKind(&a, KindNeighbour, c.Neighbours, n.Added.Neighbours, n.Changed.Neighbours, n.Withdrawn)
 	next.Shares = applyKind(&a, KindShare, c.Shares, n.Added.Shares, n.Changed.Shares, n.Withdrawn)
 	next.Services = applyKind(&a, KindService, c.Services, n.Added.Services, n.Changed.Services, n.Withdrawn)
 	next.Jobs = applyKind(&a, KindJob, c.Jobs, n.Added.Jobs, n.Changed.Jobs, n.Withdrawn)
 	next.YieldRules = applyKind(&a, KindYieldRule, c.YieldRules, n.Added.YieldRules, n.Changed.YieldRules, n.Withdrawn)
-	if a.report.Refused() {
-		a.report.Revision = c.Revision
-		return c, a.report
+	blame := newBlame(n)
+	for _, p := range problems(next.Declarations) {
+		e, reason := blame.entry(p)
+		a.refuse(e, "%s", reason)
 	}
-	next.Revision = c.Revision + 1
-	next.Notes = append(slices.Clone(c.Notes), n.Name)
-	return next, a.report
+	return next, a.refusals
 }
 
-// applier collects the outcomes of the entries of one note.
+// applier collects the refusals of the entries of one note.
 type applier struct {
-	report Report
+	config   Config
+	refusals map[Entry][]string
+}
+
+func (a *applier) refuse(e Entry, format string, args ...any) {
+	a.refusals[e] = append(a.refusals[e], fmt.Sprintf(format, args...))
 }
 
-func (a *applier) record(action Action, kind Kind, name, reason string) {
-	e := EntryReport{Action: action, Kind: kind, Name: name, Outcome: TookEffect}
-	if reason != "" {
-		e.Outcome = Refused
-		e.Reason = reason
+// refuseMissing refuses an entry whose declaration is not there.
+func (a *applier) refuseMissing(e Entry) {
+	if o, ok := a.config.Origin(e.Kind, e.Name); ok && o.Withdrawn {
+		a.refuse(e, "%s %q was withdrawn by note %q", e.Kind, e.Name, o.Note)
+		return
 	}
-	a.report.Entries = append(a.report.Entries, e)
+	a.refuse(e, "%s %q is not declared", e.Kind, e.Name)
 }
 
-// applyKind returns the declarations of one kind after the note.
+// applyKind returns the declarations of one kind after the note, in order of their names.
 func applyKind[T any](a *applier, kind Kind, have, added, changed []T, withdrawn []Withdrawal) []T {
-	next := slices.Clone(have)
-	find := func(name string) int {
-		return slices.IndexFunc(next, func(d T) bool { return nameOf(d) == name })
+	next := make(map[string]T, len(have)+len(added))
+	for _, d := range have {
+		next[nameOf(d)] = d
 	}
 	for _, d := range added {
-		reason := ""
-		if find(nameOf(d)) >= 0 {
-			reason = fmt.Sprintf("%s %q is already declared", kind, nameOf(d))
-		} else {
-			next = append(next, d)
+		e := Entry{Action: ActionAdd, Kind: kind, Name: nameOf(d)}
+		if _, ok := next[e.Name]; ok {
+			a.refuse(e, "%s %q is already declared", kind, e.Name)
+			continue
 		}
-		a.record(ActionAdd, kind, nameOf(d), reason)
+		next[e.Name] = d
 	}
 	for _, d := range changed {
-		reason := ""
-		if i := find(nameOf(d)); i < 0 {
-			reason = fmt.Sprintf("%s %q is not declared", kind, nameOf(d))
-		} else {
-			next[i] = d
+		e := Entry{Action: ActionChange, Kind: kind, Name: nameOf(d)}
+		if _, ok := next[e.Name]; !ok {
+			a.refuseMissing(e)
+			continue
 		}
-		a.record(ActionChange, kind, nameOf(d), reason)
+		next[e.Name] = d
 	}
 	for _, w := range withdrawn {
 		if w.Kind != kind {
 			continue
 		}
-		reason := ""
-		if i := find(w.Name); i < 0 {
-			reason = fmt.Sprintf("%s %q is not declared", kind, w.Name)
-		} else {
-			next = slices.Delete(next, i, i+1)
+		if _, ok := next[w.Name]; !ok {
+			a.refuseMissing(Entry{Action: ActionWithdraw, Kind: kind, Name: w.Name})
+			continue
+		}
+		delete(next, w.Name)
+	}
+	return sorted(next)
+}
+
+func sorted[T any](byName map[string]T) []T {
+	if len(byName) == 0 {
+		return nil
+	}
+	all := make([]T, 0, len(byName))
+	for _, d := range byName {
+		all = append(all, d)
+	}
+	sortByName(all)
+	return all
+}
+
+func sortByName[T any](all []T) {
+	slices.SortFunc(all, func(a, b T) int { return cmp.Compare(nameOf(a), nameOf(b)) })
+}
+
+// touch returns the origins after a note, without withdrawn ones that are too old.
+func touch(origins []Origin, n Note, revision int64) []Origin {
+	type key struct {
+		kind Kind
+		name string
+	}
+	next := make(map[key]Origin, len(origins))
+	for _, o := range origins {
+		if !o.Withdrawn || o.Revision > revision-RememberedRevisions {
+			next[key{o.Kind, o.Name}] = o
 		}
-		a.record(ActionWithdraw, kind, w.Name, reason)
 	}
-	return next
+	for _, e := range n.Entries() {
+		next[key{e.Kind, e.Name}] = Origin{
+			Kind: e.Kind, Name: e.Name, Note: n.Name, Revision: revision,
+			Withdrawn: e.Action == ActionWithdraw,
+		}
+	}
+	all := make([]Origin, 0, len(next))
+	for _, o := range next {
+		all = append(all, o)
+	}
+	slices.SortFunc(all, compareOrigins)
+	return all
+}
+
+func compareOrigins(a, b Origin) int {
+	return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name))
+}
+
+// nameOf returns the name of a declaration of any kind.
+func nameOf(d any) string {
+	switch d := d.(type) {
+	case share.Neighbour:
+		return d.Name
+	case share.Share:
+		return d.Name
+	case Service:
+		return d.Name
+	case Job:
+		return d.Name
+	case share.YieldRule:
+		return d.Name
+	}
+	return ""
 }
--- /dev/null
+++ b/pkg/release/chunk.go
@@ -0,0 +1,79 @@
+package release
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/oriolepond/oriolepond/pkg/share"
+)
+
+// ChunkCount is the number of chunks that a configuration is split into.
+const ChunkCount = 32
+
+// Chunks returns the encoded configuration in ChunkCount parts, without its
+// revision. The part of a declaration is chosen by its kind and name, so that
+// a change of a few entries changes a few parts; an empty part is nil.
+func Chunks(c Config) ([][]byte, error) {
+	parts := make([]Config, ChunkCount)
+	split(c.Neighbours, KindNeighbour, func(i int) *[]share.Neighbour { return &parts[i].Neighbours })
+	split(c.Shares, KindShare, func(i int) *[]share.Share { return &parts[i].Shares })
+	split(c.Services, KindService, func(i int) *[]Service { return &parts[i].Services })
+	split(c.Jobs, KindJob, func(i int) *[]Job { return &parts[i].Jobs })
+	split(c.YieldRules, KindYieldRule, func(i int) *[]share.YieldRule { return &parts[i].YieldRules })
+	for _, o := range c.Origins {
+		i := chunkOf(o.Kind, o.Name)
+		parts[i].Origins = append(parts[i].Origins, o)
+	}
+	chunks := make([][]byte, ChunkCount)
+	for i, p := range parts {
+		if len(p.Origins) == 0 && len(p.Declarations.entries(ActionAdd)) == 0 {
+			continue
+		}
+		text, err := EncodeConfig(p)
+		if err != nil {
+			return nil, err
+		}
+		chunks[i] = text
+	}
+	return chunks, nil
+}
+
+func chunkOf(kind Kind, name string) int {
+	return int(xxhash.Sum64String(string(kind)+"/"+name) % ChunkCount)
+}
+
+func split[T any](all []T, kind Kind, list func(int) *[]T) {
+	for _, d := range all {
+		to := list(chunkOf(kind, nameOf(d)))
+		*to = append(*to, d)
+	}
+}
+
+// FromChunks returns the configuration of a revision from its chunks.
+func FromChunks(revision int64, chunks [][]byte) (Config, error) {
+	c := Config{Revision: revision}
+	for i, text := range chunks {
+		if len(text) == 0 {
+			continue
+		}
+		p, err := ParseConfig(fmt.Sprintf("configuration %d chunk %d", revision, i), text)
+		if err != nil {
+			return Config{}, err
+		}
+		c.Neighbours = append(c.Neighbours, p.Neighbours...)
+		c.Shares = append(c.Shares, p.Shares...)
+		c.Services = append(c.Services, p.Services...)
+		c.Jobs = append(c.Jobs, p.Jobs...)
+		c.YieldRules = append(c.YieldRules, p.YieldRules...)
+		c.Origins = append(c.Origins, p.Origins...)
+	}
+	sortByName(c.Neighbours)
+	sortByName(c.Shares)
+	sortByName(c.Services)
+	sortByName(c.Jobs)
+	sortByName(c.YieldRules)
+	slices.SortFunc(c.Origins, compareOrigins)
+	return c, nil
+}
--- a/pkg/release/encode.go
+++ b/pkg/release/encode.go
@@ -10,9 +10,22 @@
 // The wire types mirror the format that Parse reads.
 type (
 	wireConfig struct {
-		Revision     int64            `json:"revision"`
-		Notes        []string         `json:"notes"`
+		Revision     int64            `json:"revision,omitempty"`
 		Declarations wireDeclarations `json:"declarations"`
+		Origins      []wireOrigin     `json:"origins,omitempty"`
+	}
+	wireOrigin struct {
+		Kind      string `json:"kind"`
+		Name      string `json:"name"`
+		Note      string `json:"note"`
+		Revision  int64  `json:"revision"`
+		Withdrawn bool   `json:"withdrawn,omitempty"`
+	}
+	wireNote struct {
+		Name      string              `json:"name"`
+		Added     wireDeclarations    `json:"added"`
+		Changed   wireDeclarations    `json:"changed"`
+		Withdrawn map[string][]string `json:"withdrawn"`
 	}
 	wireDeclarations struct {
 		Neighbours []wireNeighbour `json:"neighbours,omitempty"`
@@ -82,9 +95,10 @@
 
 // EncodeConfig returns the configuration in the form that ParseConfig reads.
 func EncodeConfig(c Config) ([]byte, error) {
-	w := wireConfig{Revision: c.Revision, Notes: c.Notes, Declarations: encodeDeclarations(c.Declarations)}
-	if w.Notes == nil {
-		w.Notes = []string{}
+	w := wireConfig{
+		Revision:     c.Revision,
+		Declarations: encodeDeclarations(c.Declarations),
+		Origins:      encodeEach(c.Origins, encodeOrigin),
 	}
 	text, err := json.Marshal(w)
 	if err != nil {
@@ -93,6 +107,34 @@
 	return text, nil
 }
 
+// encodeNote returns a note in the form that Parse reads.
+func encodeNote(n Note) wireNote {
+	w := wireNote{
+		Name:      n.Name,
+		Added:     encodeDeclarations(n.Added),
+		Changed:   encodeDeclarations(n.Changed),
+		Withdrawn: map[string][]string{},
+	}
+	for _, e := range n.Withdrawn {
+		list := listOf(e.Kind)
+		w.Withdrawn[list] = append(w.Withdrawn[list], e.Name)
+	}
+	return w
+}
+
+// EncodeNote returns the note in the form that Parse reads.
+func EncodeNote(n Note) ([]byte, error) {
+	text, err := json.MarshalIndent(encodeNote(n), "", "\t")
+	if err != nil {
+		return nil, fmt.Errorf("encode note %q: %w", n.Name, err)
+	}
+	return text, nil
+}
+
+func encodeOrigin(o Origin) wireOrigin {
+	return wireOrigin{Kind: string(o.Kind), Name: o.Name, Note: o.Note, Revision: o.Revision, Withdrawn: o.Withdrawn}
+}
+
 func encodeDeclarations(d Declarations) wireDeclarations {
 	return wireDeclarations{
 		Neighbours: encodeEach(d.Neighbours, func(n share.Neighbour) wireNeighbour {
--- /dev/null
+++ b/pkg/release/field.go
@@ -0,0 +1,244 @@
+package release
+
+import (
+	"cmp"
+	"math"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/oriolepond/oriolepond/internal/jsonc"
+	"github.com/oriolepond/oriolepond/pkg/share"
+)
+
+// Defaults of declarations that leave a field out.
+const (
+	defaultDeadline        = 2 * time.Second
+	defaultProgressTimeout = 10 * time.Second
+	defaultMaxBody         = 1 << 20
+	defaultMaxStarts       = 5
+	defaultRunTime         = time.Minute
+	defaultMinRunTime      = 30 * time.Second
+	defaultEvictions       = 60
+	defaultTailWeight      = 0.5
+	defaultObjectiveRatio  = 0.99
+)
+
+// Bounds of the fields of declarations.
+const (
+	maxProcessors      = 1_000_000 // Cores.
+	maxMemory          = 1 << 50   // Bytes.
+	maxAccelerators    = 1_000_000
+	maxWeight          = 1000
+	minDeadline        = time.Millisecond
+	maxDeadline        = 10 * time.Minute
+	maxBody            = 64 << 20 // Bytes.
+	maxRetries         = 10
+	minProgressTimeout = 100 * time.Millisecond
+	maxProgressTimeout = time.Hour
+	minRunTime         = time.Millisecond
+	maxRunTime         = 30 * 24 * time.Hour
+	maxStarts          = 1000
+	maxEvictions       = 1_000_000
+	maxPathBytes       = 256
+)
+
+var hashPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
+
+func parseNeighbour(o *jsonc.Object) share.Neighbour {
+	n := share.Neighbour{Name: name(o, "name"), Region: name(o, "region")}
+	if v, ok := o.Required("tokenHash"); ok {
+		n.TokenHash = v.String()
+		if !hashPattern.MatchString(n.TokenHash) {
+			v.Faultf("is not a lower-case hexadecimal SHA-256 (64 digits)")
+		}
+	}
+	return n
+}
+
+func parseShare(o *jsonc.Object) share.Share {
+	return share.Share{
+		Name:      name(o, "name"),
+		Neighbour: name(o, "neighbour"),
+		Quota:     parseResources(o, "quota"),
+		Weight:    int(intIn(o, "weight", 1, 1, maxWeight)),
+	}
+}
+
+// parseResources reads an amount that is above zero in something.
+func parseResources(parent *jsonc.Object, field string) share.Resources {
+	v, ok := parent.Required(field)
+	if !ok {
+		return share.Resources{}
+	}
+	o := v.Object()
+	cores := floatIn(o, "processors", 0, 0, maxProcessors)
+	r := share.Resources{
+		Processors:   share.MilliCores(math.Round(cores * 1000)),
+		Memory:       share.Bytes(sizeIn(o, "memory", 0, 0, maxMemory)),
+		Accelerators: share.Accelerators(intIn(o, "accelerators", 0, 0, maxAccelerators)),
+	}
+	o.Close()
+	if r == (share.Resources{}) {
+		v.Faultf("is zero in everything")
+	}
+	return r
+}
+
+func parseService(o *jsonc.Object) Service {
+	s := Service{
+		Name:      name(o, "name"),
+		Neighbour: name(o, "neighbour"),
+		Share:     name(o, "share"),
+		Runner:    parseResources(o, "runner"),
+	}
+	objective := o.Object("objective")
+	s.Objective = Objective{
+		Latency: durationIn(objective, "latency", defaultDeadline, minDeadline, maxDeadline),
+		Ratio:   objective.FloatOr("ratio", defaultObjectiveRatio),
+	}
+	if s.Objective.Ratio <= 0 || s.Objective.Ratio >= 1 {
+		faultAt(objective, "ratio", "is not between 0 and 1, both excluded")
+	}
+	objective.Close()
+	s.Routes = parseEach(o, "routes", parseRoute)
+	checkRoutes(o, s.Routes)
+	return s
+}
+
+func parseRoute(o *jsonc.Object) Route {
+	r := Route{
+		Path:            o.String("path"),
+		Class:           parseEnum(o, "class", Idempotent, Idempotent, NonIdempotent, Stream),
+		Deadline:        durationIn(o, "deadline", defaultDeadline, minDeadline, maxDeadline),
+		MaxRequest:      share.Bytes(sizeIn(o, "maxRequest", defaultMaxBody, 0, maxBody)),
+		MaxAnswer:       share.Bytes(sizeIn(o, "maxAnswer", defaultMaxBody, 1, maxBody)),
+		Retries:         int(intIn(o, "retries", 0, 0, maxRetries)),
+		HedgeAfter:      durationIn(o, "hedgeAfter", 0, 0, maxDeadline),
+		ProgressTimeout: durationIn(o, "progressTimeout", defaultProgressTimeout, minProgressTimeout, maxProgressTimeout),
+	}
+	if r.HedgeAfter > 0 && r.Class != Idempotent {
+		faultAt(o, "hedgeAfter", "only idempotent requests may be sent twice, and this route is %s", r.Class)
+	}
+	if r.HedgeAfter > 0 && r.HedgeAfter >= r.Deadline {
+		faultAt(o, "hedgeAfter", "is not below the deadline of %v", r.Deadline)
+	}
+	return r
+}
+
+// checkRoutes checks the paths of a service's routes, alone and together.
+func checkRoutes(o *jsonc.Object, routes []Route) {
+	if len(routes) == 0 {
+		faultAt(o, "routes", "a service needs at least one route")
+		return
+	}
+	values := o.List("routes")
+	for i, r := range routes {
+		if r.Path != "" && !plainPath(r.Path) {
+			values[i].Faultf("path %.80q is not plain: it begins with a slash, has no empty, dotted or special part, and at most %d bytes", r.Path, maxPathBytes)
+		}
+		for _, other := range routes[:i] {
+			if overlap(r.Path, other.Path) {
+				values[i].Faultf("path %q overlaps with %q within a part of the path", r.Path, other.Path)
+			}
+		}
+	}
+}
+
+var pathPattern = regexp.MustCompile(`^(/[A-Za-z0-9_~.-]+)+$`)
+
+func plainPath(p string) bool {
+	if p == "/" {
+		return true
+	}
+	dotted := slices.ContainsFunc(strings.Split(p, "/"), func(part string) bool { return part == "." || part == ".." })
+	return len(p) <= maxPathBytes && !dotted && pathPattern.MatchString(p)
+}
+
+// overlap reports whether two paths are the same, or one goes on within the last part of the other.
+func overlap(a, b string) bool {
+	if len(a) > len(b) {
+		a, b = b, a
+	}
+	if a == "" || !strings.HasPrefix(b, a) {
+		return false
+	}
+	return a == b || (a != "/" && b[len(a)] != '/')
+}
+
+func parseJob(o *jsonc.Object) Job {
+	return Job{
+		Name:        name(o, "name"),
+		Neighbour:   name(o, "neighbour"),
+		Share:       name(o, "share"),
+		Size:        parseResources(o, "size"),
+		RunTime:     durationIn(o, "runTime", defaultRunTime, minRunTime, maxRunTime),
+		Urgent:      o.BoolOr("urgent", false),
+		Checkpoints: o.BoolOr("checkpoints", false),
+		MaxStarts:   int(intIn(o, "maxStarts", defaultMaxStarts, 1, maxStarts)),
+	}
+}
+
+func parseYieldRule(o *jsonc.Object) share.YieldRule {
+	r := share.YieldRule{
+		Name:             name(o, "name"),
+		Yields:           name(o, "yields"),
+		To:               name(o, "to"),
+		Limit:            parseEnum(o, "limit", share.YieldThrottle, share.YieldThrottle, share.YieldCheckpoint, share.YieldEvict),
+		MinRunTime:       durationIn(o, "minRunTime", defaultMinRunTime, 0, maxRunTime),
+		EvictionsPerHour: int(intIn(o, "evictionsPerHour", defaultEvictions, 0, maxEvictions)),
+		TailWeight:       floatIn(o, "tailWeight", defaultTailWeight, 0, 1),
+	}
+	if r.Yields == r.To && r.To != "" {
+		faultAt(o, "to", "a share cannot yield to itself")
+	}
+	return r
+}
+
+// parseEnum reads an optional string that must be one of the allowed values.
+func parseEnum[T ~string](o *jsonc.Object, field string, missing T, allowed ...T) T {
+	v, ok := o.Optional(field)
+	if !ok {
+		return missing
+	}
+	s, ok := v.Text()
+	if ok && !slices.Contains(allowed, T(s)) {
+		v.Faultf("%.80q is not one of %v", s, allowed)
+	}
+	return T(s)
+}
+
+func durationIn(o *jsonc.Object, field string, missing, low, high time.Duration) time.Duration {
+	return in(o, field, o.DurationOr(field, missing), low, high)
+}
+
+func intIn(o *jsonc.Object, field string, missing, low, high int64) int64 {
+	return in(o, field, o.IntOr(field, missing), low, high)
+}
+
+func sizeIn(o *jsonc.Object, field string, missing, low, high int64) int64 {
+	return in(o, field, o.SizeOr(field, missing), low, high)
+}
+
+func floatIn(o *jsonc.Object, field string, missing, low, high float64) float64 {
+	return in(o, field, o.FloatOr(field, missing), low, high)
+}
+
+// in records a fault if a value is outside its bounds, and then returns low.
+func in[T cmp.Ordered](o *jsonc.Object, field string, v, low, high T) T {
+	if v >= low && v <= high {
+		return v
+	}
+	faultAt(o, field, "is %v, not between %v and %v", v, low, high)
+	return low
+}
+
+// faultAt records a fault at a field, or at its object if the field is left out.
+func faultAt(o *jsonc.Object, field, format string, args ...any) {
+	v, ok := o.Optional(field)
+	if !ok {
+		v = o.Value()
+	}
+	v.Faultf(format, args...)
+}
--- /dev/null
+++ b/pkg/release/fuzz_test.go
@@ -0,0 +1,42 @@
+package release_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/oriolepond/oriolepond/examples"
+	"github.com/oriolepond/oriolepond/pkg/release"
+)
+
+// Whatever is accepted survives its codec, and applies whole or not at all.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(firstNote))
+	for _, e := range examples.All() {
+		f.Add(e.Note)
+	}
+	f.Add([]byte(`{"name": "x", "withdrawn": {"shares": ["a", "a"]}}`))
+	f.Add([]byte(`{"name": "x", "added": {"services": [{"routes": [{"path": "/a"}, {"path": "/ab"}]}]}}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		n, err := release.Parse("fuzz", text)
+		if err != nil {
+			return
+		}
+		again, err := release.EncodeNote(n)
+		require.NoError(t, err)
+		m, err := release.Parse("again", again)
+		require.NoError(t, err)
+		d1, err := n.Digest()
+		require.NoError(t, err)
+		d2, err := m.Digest()
+		require.NoError(t, err)
+		require.Equal(t, d1, d2)
+		c, report := release.Apply(release.Config{}, n)
+		require.Equal(t, report.Refused(), c.Revision == 0)
+		chunks, err := release.Chunks(c)
+		require.NoError(t, err)
+		back, err := release.FromChunks(c.Revision, chunks)
+		require.NoError(t, err)
+		require.Equal(t, c, back)
+	})
+}
--- a/pkg/release/note.go
+++ b/pkg/release/note.go
@@ -1,15 +1,18 @@
 // Package release holds release notes, which add, change and withdraw the
 // declarations of a pool, and the configuration that results from them.
 //
-// A note is checked whole and applied to a configuration by Apply, which
-// returns a new configuration and an outcome for each entry. Values are
-// immutable.
+// A note is checked by itself when it is parsed, and against a configuration
+// when it is applied. Apply returns a new configuration and an outcome for
+// each entry; a note takes effect whole or not at all. Values are immutable.
 //
 // # Usage
 //
 //	note, err := release.Parse("note.jsonc", text)
 //	if err != nil {
-//		return err // A *release.SyntaxError or a *release.CheckError with all faults.
+//		return err // A *jsonc.SyntaxError or a *jsonc.FaultsError with all faults.
+//	}
+//	if err := release.Check("note.jsonc", config, note); err != nil {
+//		return err // A *jsonc.FaultsError with all faults against the configuration.
 //	}
 //	next, report := release.Apply(config, note)
 package release
@@ -49,53 +52,12 @@
 	Added     Declarations
 	Changed   Declarations
 	Withdrawn []Withdrawal
-}
-
-// Config is the sum of all notes that took effect.
-type Config struct {
-	// Revision grows by one with each note.
-	Revision int64
-	// Notes are the names of the notes that took effect, oldest first.
-	Notes []string
-	Declarations
-}
-
-// Service returns the service of that name, and whether there is one.
-func (c Config) Service(name string) (Service, bool) {
-	for _, s := range c.Services {
-		if s.Name == name {
-			return s, true
-		}
-	}
-	return Service{}, false
-}
-
-// Job returns the job of that name, and whether there is one.
-func (c Config) Job(name string) (Job, bool) {
-	for _, j := range c.Jobs {
-		if j.Name == name {
-			return j, true
-		}
-	}
-	return Job{}, false
-}
 
-// Share returns the share of that name, and whether there is one.
-func (c Config) Share(name string) (share.Share, bool) {
-	for _, s := range c.Shares {
-		if s.Name == name {
-			return s, true
-		}
-	}
-	return share.Share{}, false
+	// lines are where the entries stand in the file.
+	lines map[Entry]int
 }
 
-// NeighbourByToken returns the neighbour with that token hash, and whether there is one.
-func (c Config) NeighbourByToken(hash string) (share.Neighbour, bool) {
-	for _, n := range c.Neighbours {
-		if n.TokenHash == hash {
-			return n, true
-		}
-	}
-	return share.Neighbour{}, false
+// Line returns the line on which an entry stands; 1 if the note was not parsed from a text.
+func (n Note) Line(e Entry) int {
+	return max(1, n.lines[e])
 }
--- a/pkg/release/parse.go
+++ b/pkg/release/parse.go
@@ -1,25 +1,10 @@
 package release
 
 import (
-	"math"
+	"regexp"
 	"slices"
-	"time"
 
 	"github.com/oriolepond/oriolepond/internal/jsonc"
-	"github.com/oriolepond/oriolepond/pkg/share"
-)
-
-// Defaults of declarations that leave a field out.
-const (
-	defaultDeadline        = 2 * time.Second
-	defaultProgressTimeout = 10 * time.Second
-	defaultMaxBody         = 1 << 20
-	defaultMaxStarts       = 5
-	defaultRunTime         = time.Minute
-	defaultMinRunTime      = 30 * time.Second
-	defaultEvictions       = 60
-	defaultTailWeight      = 0.5
-	defaultObjectiveRatio  = 0.99
 )
 
 // Parse reads a release note in JSON with comments. The error is a
@@ -30,13 +15,16 @@
 		return Note{}, err
 	}
 	root := doc.Root()
-	n := Note{
-		Name:      root.String("name"),
-		Added:     parseDeclarations(root.Object("added")),
-		Changed:   parseDeclarations(root.Object("changed")),
-		Withdrawn: parseWithdrawals(root.Object("withdrawn")),
-	}
+	p := parser{lines: map[Entry]int{}, first: map[subject]Entry{}}
+	n := Note{Name: name(root, "name")}
+	n.Added = p.declarations(root.Object("added"), ActionAdd)
+	n.Changed = p.declarations(root.Object("changed"), ActionChange)
+	n.Withdrawn = p.withdrawals(root.Object("withdrawn"))
+	n.lines = p.lines
 	root.Close()
+	if len(n.Entries()) == 0 {
+		root.Value().Faultf("holds no entry")
+	}
 	if err := doc.Err(); err != nil {
 		return Note{}, err
 	}
@@ -50,11 +38,12 @@
 		return Config{}, err
 	}
 	root := doc.Root()
-	c := Config{Revision: root.Int("revision")}
-	for _, v := range root.List("notes") {
-		c.Notes = append(c.Notes, v.String())
+	p := parser{lines: map[Entry]int{}, first: map[subject]Entry{}}
+	c := Config{
+		Revision:     root.IntOr("revision", 0),
+		Declarations: p.declarations(root.Object("declarations"), ActionAdd),
+		Origins:      parseEach(root, "origins", parseOrigin),
 	}
-	c.Declarations = parseDeclarations(root.Object("declarations"))
 	root.Close()
 	if err := doc.Err(); err != nil {
 		return Config{}, err
@@ -62,21 +51,70 @@
 	return c, nil
 }
 
-func parseDeclarations(o *jsonc.Object) Declarations {
+// parser remembers where the entries of a document stand.
+type parser struct {
+	lines map[Entry]int
+	// first is the entry that names a declaration first.
+	first map[subject]Entry
+}
+
+// note remembers an entry; a second one for the same declaration is a fault.
+func (p *parser) note(e Entry, at jsonc.Value) {
+	of := subject{e.Kind, e.Name}
+	if other, twice := p.first[of]; twice && e.Name != "" {
+		at.Faultf("%s %q also stands under %s, on line %d", e.Kind, e.Name, other.Action, p.lines[other])
+		return
+	}
+	p.first[of] = e
+	p.lines[e] = at.Line()
+}
+
+func (p *parser) declarations(o *jsonc.Object, a Action) Declarations {
 	d := Declarations{
-		Neighbours: parseEach(o, "neighbours", parseNeighbour),
-		Shares:     parseEach(o, "shares", parseShare),
-		Services:   parseEach(o, "services", parseService),
-		Jobs:       parseEach(o, "jobs", parseJob),
-		YieldRules: parseEach(o, "yieldRules", parseYieldRule),
+		Neighbours: parseKind(p, o, a, KindNeighbour, parseNeighbour),
+		Shares:     parseKind(p, o, a, KindShare, parseShare),
+		Services:   parseKind(p, o, a, KindService, parseService),
+		Jobs:       parseKind(p, o, a, KindJob, parseJob),
+		YieldRules: parseKind(p, o, a, KindYieldRule, parseYieldRule),
 	}
 	o.Close()
 	return d
 }
 
-func parseEach[T any](o *jsonc.Object, name string, parse func(*jsonc.Object) T) []T {
+// kindLists are the names of the lists of declarations.
+var kindLists = []struct {
+	kind Kind
+	list string
+}{
+	{KindNeighbour, "neighbours"},
+	{KindShare, "shares"},
+	{KindService, "services"},
+	{KindJob, "jobs"},
+	{KindYieldRule, "yieldRules"},
+}
+
+func listOf(kind Kind) string {
+	i := slices.IndexFunc(kindLists, func(k struct {
+		kind Kind
+		list string
+	},
+	) bool {
+		return k.kind == kind
+	})
+	return kindLists[i].list
+}
+
+func parseKind[T any](p *parser, o *jsonc.Object, a Action, kind Kind, parse func(*jsonc.Object) T) []T {
+	return parseEach(o, listOf(kind), func(e *jsonc.Object) T {
+		d := parse(e)
+		p.note(Entry{Action: a, Kind: kind, Name: nameOf(d)}, e.Value())
+		return d
+	})
+}
+
+func parseEach[T any](o *jsonc.Object, list string, parse func(*jsonc.Object) T) []T {
 	var all []T
-	for _, v := range o.List(name) {
+	for _, v := range o.List(list) {
 		e := v.Object()
 		all = append(all, parse(e))
 		e.Close()
@@ -84,123 +122,45 @@
 	return all
 }
 
-// withdrawalKinds are the lists of a note's withdrawn section.
-var withdrawalKinds = []struct {
-	list string
-	kind Kind
-}{
-	{"neighbours", KindNeighbour},
-	{"shares", KindShare},
-	{"services", KindService},
-	{"jobs", KindJob},
-	{"yieldRules", KindYieldRule},
-}
-
-func parseWithdrawals(o *jsonc.Object) []Withdrawal {
+func (p *parser) withdrawals(o *jsonc.Object) []Withdrawal {
 	var all []Withdrawal
-	for _, k := range withdrawalKinds {
+	for _, k := range kindLists {
 		for _, v := range o.List(k.list) {
-			all = append(all, Withdrawal{Kind: k.kind, Name: v.String()})
+			w := Withdrawal{Kind: k.kind, Name: checkName(v)}
+			p.note(Entry{Action: ActionWithdraw, Kind: w.Kind, Name: w.Name}, v)
+			all = append(all, w)
 		}
 	}
 	o.Close()
 	return all
 }
 
-func parseNeighbour(o *jsonc.Object) share.Neighbour {
-	return share.Neighbour{
+func parseOrigin(o *jsonc.Object) Origin {
+	return Origin{
+		Kind:      Kind(o.String("kind")),
 		Name:      o.String("name"),
-		TokenHash: o.String("tokenHash"),
-		Region:    o.String("region"),
+		Note:      o.String("note"),
+		Revision:  o.Int("revision"),
+		Withdrawn: o.BoolOr("withdrawn", false),
 	}
 }
 
-func parseShare(o *jsonc.Object) share.Share {
-	return share.Share{
-		Name:      o.String("name"),
-		Neighbour: o.String("neighbour"),
-		Quota:     parseResources(o.Object("quota")),
-		Weight:    int(o.IntOr("weight", 1)),
-	}
-}
-
-func parseResources(o *jsonc.Object) share.Resources {
-	r := share.Resources{
-		Processors:   share.MilliCores(math.Round(o.FloatOr("processors", 0) * 1000)),
-		Memory:       share.Bytes(o.SizeOr("memory", 0)),
-		Accelerators: share.Accelerators(o.IntOr("accelerators", 0)),
-	}
-	o.Close()
-	if r.IsNegative() {
-		o.Value().Faultf("holds a negative amount")
-	}
-	return r
-}
+// namePattern is the form of all names.
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
 
-func parseService(o *jsonc.Object) Service {
-	s := Service{
-		Name:      o.String("name"),
-		Neighbour: o.String("neighbour"),
-		Share:     o.String("share"),
-		Runner:    parseResources(o.Object("runner")),
-	}
-	objective := o.Object("objective")
-	s.Objective = Objective{
-		Latency: objective.DurationOr("latency", defaultDeadline),
-		Ratio:   objective.FloatOr("ratio", defaultObjectiveRatio),
-	}
-	objective.Close()
-	s.Routes = parseEach(o, "routes", parseRoute)
-	return s
-}
-
-func parseRoute(o *jsonc.Object) Route {
-	return Route{
-		Path:            o.String("path"),
-		Class:           parseEnum(o, "class", Idempotent, Idempotent, NonIdempotent, Stream),
-		Deadline:        o.DurationOr("deadline", defaultDeadline),
-		MaxRequest:      share.Bytes(o.SizeOr("maxRequest", defaultMaxBody)),
-		MaxAnswer:       share.Bytes(o.SizeOr("maxAnswer", defaultMaxBody)),
-		Retries:         int(o.IntOr("retries", 0)),
-		HedgeAfter:      o.DurationOr("hedgeAfter", 0),
-		ProgressTimeout: o.DurationOr("progressTimeout", defaultProgressTimeout),
-	}
-}
-
-func parseJob(o *jsonc.Object) Job {
-	return Job{
-		Name:        o.String("name"),
-		Neighbour:   o.String("neighbour"),
-		Share:       o.String("share"),
-		Size:        parseResources(o.Object("size")),
-		RunTime:     o.DurationOr("runTime", defaultRunTime),
-		Urgent:      o.BoolOr("urgent", false),
-		Checkpoints: o.BoolOr("checkpoints", false),
-		MaxStarts:   int(o.IntOr("maxStarts", defaultMaxStarts)),
-	}
-}
-
-func parseYieldRule(o *jsonc.Object) share.YieldRule {
-	return share.YieldRule{
-		Name:             o.String("name"),
-		Yields:           o.String("yields"),
-		To:               o.String("to"),
-		Limit:            parseEnum(o, "limit", share.YieldThrottle, share.YieldThrottle, share.YieldCheckpoint, share.YieldEvict),
-		MinRunTime:       o.DurationOr("minRunTime", defaultMinRunTime),
-		EvictionsPerHour: int(o.IntOr("evictionsPerHour", defaultEvictions)),
-		TailWeight:       o.FloatOr("tailWeight", defaultTailWeight),
+// name reads a required name.
+func name(o *jsonc.Object, field string) string {
+	v, ok := o.Required(field)
+	if !ok {
+		return ""
 	}
+	return checkName(v)
 }
 
-// parseEnum reads an optional string that must be one of the allowed values.
-func parseEnum[T ~string](o *jsonc.Object, name string, missing T, allowed ...T) T {
-	v, ok := o.Optional(name)
-	if !ok {
-		return missing
-	}
-	s := T(v.String())
-	if !slices.Contains(allowed, s) {
-		v.Faultf("%q is not one of %v", s, allowed)
+func checkName(v jsonc.Value) string {
+	s, ok := v.Text()
+	if ok && !namePattern.MatchString(s) {
+		v.Faultf("%.80q is not a name: up to 63 letters, digits, dots, dashes and underscores", s)
 	}
 	return s
 }
--- /dev/null
+++ b/pkg/release/report.go
@@ -0,0 +1,83 @@
+package release
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+// Outcome is what became of one entry of a note.
+type Outcome string
+
+// The outcomes of an entry.
+const (
+	TookEffect Outcome = "tookEffect"
+	Pending    Outcome = "pending"
+	Refused    Outcome = "refused"
+	Superseded Outcome = "superseded"
+)
+
+// EntryReport is the outcome of one entry of a note.
+type EntryReport struct {
+	Entry
+	Outcome Outcome
+	// Reason says why an entry was refused or superseded.
+	Reason string
+	// PendingOn names the instances that have not confirmed the entry.
+	PendingOn []string
+}
+
+// Report is the outcome of a note, entry by entry.
+type Report struct {
+	Note     string
+	Revision int64
+	// Accepted is when the note was accepted; zero for a refused note.
+	Accepted time.Time
+	Entries  []EntryReport
+}
+
+// Refused reports whether any entry was refused.
+func (r Report) Refused() bool {
+	return r.has(Refused)
+}
+
+// Pending reports whether any entry is pending.
+func (r Report) Pending() bool {
+	return r.has(Pending)
+}
+
+func (r Report) has(o Outcome) bool {
+	return slices.ContainsFunc(r.Entries, func(e EntryReport) bool { return e.Outcome == o })
+}
+
+// Record is what is kept of an accepted note.
+type Record struct {
+	Note     string
+	Digest   string
+	Revision int64
+	Accepted time.Time
+	Entries  []Entry
+}
+
+// Report returns the outcome of an accepted note under a later configuration.
+// Behind names the instances that are not known to have reached its revision.
+func (r Record) Report(c Config, behind []string) Report {
+	report := Report{Note: r.Note, Revision: r.Revision, Accepted: r.Accepted}
+	for _, e := range r.Entries {
+		report.Entries = append(report.Entries, r.outcome(e, c, behind))
+	}
+	return report
+}
+
+func (r Record) outcome(e Entry, c Config, behind []string) EntryReport {
+	o, known := c.Origin(e.Kind, e.Name)
+	switch {
+	case !known && r.Revision < c.Revision:
+		return EntryReport{Entry: e, Outcome: Superseded, Reason: "by a note that is no longer remembered"}
+	case known && o.Revision > r.Revision:
+		return EntryReport{Entry: e, Outcome: Superseded, Reason: fmt.Sprintf("by note %q, revision %d", o.Note, o.Revision)}
+	case len(behind) > 0:
+		return EntryReport{Entry: e, Outcome: Pending, PendingOn: behind}
+	}
+	return EntryReport{Entry: e, Outcome: TookEffect}
+}
