Replay of traces against placement policies, urgent tasks make room

Cause: the targets for tail, throughput, evictions and recovery were unproved; urgent tasks waited up to 9 s in the overload trace because the pool was full. Ruled out: more exploration as the cause of the slow recovery (the oracle had the same limit and recovered only because it sees without a lag).

--- a/internal/interference/model.go
+++ b/internal/interference/model.go
@@ -126,3 +126,13 @@
 	}
 	return &r.pairs[a]
 }
+
+// SetBase sets the baseline of a victim as known for sure.
+func (m *Model) SetBase(v Victim, strain float64) {
+	m.rows[v].base = estimate{mean: strain}
+}
+
+// SetEffect sets the effect of an aggressor on a victim as known for sure.
+func (m *Model) SetEffect(v Victim, a Aggressor, mean float64) {
+	*m.rows[v].grow(a) = estimate{mean: mean}
+}
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// candidateWorkers bounds the workers that one decision compares.
+// candidateWorkers is the default of Pool.Candidates, which bounds the workers that one decision compares.
 const candidateWorkers = 16
 
 // Choose returns the worker that a task is best placed on. The error is a
@@ -43,7 +43,7 @@
 	return nil
 }
 
-// search finds up to candidateWorkers workers with room. It visits workers in
+// search finds up to p.Candidates workers with room. It visits workers in
 // a pseudo-random order that covers all of them, so that it misses room only
 // if there is none.
 func (p *Pool) search(c Candidate, now time.Time) {
@@ -57,7 +57,7 @@
 	for range n {
 		if c.Size.Fits(p.free[i]) && p.permits(i, c, now) {
 			p.found = append(p.found, i)
-			if len(p.found) == candidateWorkers {
+			if len(p.found) >= p.Candidates {
 				return
 			}
 		}
--- a/internal/placement/measure.go
+++ b/internal/placement/measure.go
@@ -35,6 +35,7 @@
 	if !ok {
 		return
 	}
+	state.fresh = true
 	for _, tail := range m.Tails {
 		tail.MeasuredAt = m.At
 		tail.Window = m.Window
@@ -71,12 +72,14 @@
 	}
 }
 
-// Yield returns what the tasks of a worker have to do now.
+// Yield returns what the tasks of a worker have to do now. It decides once for
+// each measurement.
 func (p *Planner) Yield(worker string, now time.Time) []Action {
 	m, ok := p.workers[worker]
-	if !ok {
+	if !ok || !m.fresh {
 		return nil
 	}
+	m.fresh = false
 	v := View{Worker: worker, Free: p.Pool.Free(worker)}
 	w, _ := p.Pool.Worker(worker)
 	for _, r := range w.Runners {
@@ -84,8 +87,16 @@
 			v.Services = append(v.Services, tail)
 		}
 	}
+	v.Residents = p.residents(worker, now)
+	return p.Yielder.Decide(v, now)
+}
+
+// residents returns the tasks of a worker as far as yielding regards them.
+func (p *Planner) residents(worker string, now time.Time) []ResidentView {
+	m := p.workers[worker]
+	var all []ResidentView
 	for _, r := range p.Pool.Residents(worker) {
-		v.Residents = append(v.Residents, ResidentView{
+		all = append(all, ResidentView{
 			Task:        r.Task,
 			Job:         r.Job,
 			Share:       r.Share,
@@ -98,5 +109,19 @@
 			Leaving:     m.tasks[r.Task].leaving,
 		})
 	}
-	return p.Yielder.Decide(v, now)
+	return all
+}
+
+// See takes a measurement for decisions on yielding only; nothing is learned from it.
+func (p *Planner) See(m Measurement) {
+	state, ok := p.workers[m.Worker]
+	if !ok {
+		return
+	}
+	state.fresh = true
+	for _, tail := range m.Tails {
+		tail.MeasuredAt = m.At
+		tail.Window = m.Window
+		state.tails[tail.Service] = tail
+	}
 }
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -26,12 +26,16 @@
 	families map[string]Family
 	running  map[string]int
 	workers  map[string]*measured
+	// asked is when room was last made for an urgent task.
+	asked map[string]time.Time
 }
 
 // measured is what was last measured on a worker.
 type measured struct {
 	tails map[string]ServiceView
 	tasks map[string]*measuredTask
+	// fresh says that something was measured since the last decision on yielding.
+	fresh bool
 }
 
 // measuredTask is what was measured of one task.
@@ -53,6 +57,7 @@
 		families: map[string]Family{},
 		running:  map[string]int{},
 		workers:  map[string]*measured{},
+		asked:    map[string]time.Time{},
 	}
 	p.Pool.Model = p.Learner.Model
 	p.Pool.Health = p.Health
@@ -96,7 +101,7 @@
 // size of the candidate is not regarded. Errors are those of Pool.Choose.
 func (p *Planner) Place(c Candidate, now time.Time) (string, share.Resources, error) {
 	size, limit := p.Sizes.Estimate(c.Job, p.families[c.Job].Declared, p.Pool.Greatest())
-	if limit > 0 && p.running[c.Job] >= limit {
+	if limit > 0 && !c.Urgent && p.running[c.Job] >= limit {
 		return "", size, &FullError{Task: c.Task, Reason: SizeUnknown}
 	}
 	c.Size = size
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -15,6 +15,8 @@
 	Model *interference.Model
 	// Health tells which workers are in quarantine; nil means none.
 	Health *Health
+	// Candidates bounds the workers that one decision compares.
+	Candidates int
 
 	index map[string]int
 	// workers and free stand in the same order; free is kept apart so that a
@@ -63,6 +65,8 @@
 // NewPool returns an empty pool.
 func NewPool() *Pool {
 	return &Pool{
+		Candidates: candidateWorkers,
+
 		index:  map[string]int{},
 		random: rand.New(rand.NewPCG(1, 1)),
 		quotas: map[string]share.Resources{},
--- a/internal/placement/score.go
+++ b/internal/placement/score.go
@@ -22,6 +22,8 @@
 	spreadCost = 0.3
 	// fitCost weighs capacity that is left unused beside what is taken.
 	fitCost = 0.05
+	// strainMargin is the part of an objective that a full weight of tail latency keeps free.
+	strainMargin = 0.15
 	// unsureDeviation is the standard deviation from which an effect counts as unsure.
 	unsureDeviation = 0.2
 	// maxTrials bounds the tasks of a family that share workers with a service while their effect is unsure.
@@ -70,7 +72,7 @@
 		cost += weight * tailCost * (beyond(after, comfortableStrain) - beyond(before, comfortableStrain))
 		cost += (1 - weight) * evictionCost * (beyond(after, 1) - beyond(before, 1))
 		cost += weight * (after - before)
-		harmful = harmful || (after > StrainLimit(weight) && after > before)
+		harmful = harmful || (after > strainLimit(weight) && after > before)
 	}
 	for i := range s.loads {
 		l := &s.loads[i]
@@ -105,10 +107,10 @@
 	return mean + deviation
 }
 
-// StrainLimit is the strain of a service beyond which no further task is
-// placed beside it, for a weight of tail latency from 0 to 1.
-func StrainLimit(tailWeight float64) float64 {
-	return 1 + 0.5*(1-tailWeight)
+// strainLimit returns the strain of a service beyond which no further task is
+// placed beside it: the more tail latency weighs, the wider the margin.
+func strainLimit(tailWeight float64) float64 {
+	return 1 - strainMargin*tailWeight
 }
 
 func (p *Pool) tailWeight(yields, to string) float64 {
--- a/internal/placement/sizes.go
+++ b/internal/placement/sizes.go
@@ -8,16 +8,16 @@
 
 const (
 	// sizeSamples is how many tasks of a family are remembered.
-	sizeSamples = 32
+	sizeSamples = 64
 	// trustedSamples is the number from which the declared size no longer counts.
 	trustedSamples = 5
 	// unknownMargin multiplies the declared size of a family that was never seen.
 	unknownMargin = 4
 	// unknownTasks bounds the running tasks of a family that was never seen.
 	unknownTasks = 2
-	// sizeMargin multiplies the greatest size seen, less so the more tasks were seen.
-	sizeMargin = 0.1
-	// earlyMargin is added to it, divided by the number of tasks seen.
+	// sizeMargin is the part of the greatest size seen that is held beyond it.
+	sizeMargin = 0.03
+	// earlyMargin is a further part, divided by the square of the number of tasks seen.
 	earlyMargin = 1.0
 )
 
@@ -58,8 +58,9 @@
 		return capped(scaled(declared, unknownMargin), declared, greatest), unknownTasks
 	}
 	peak := r.peak()
-	size = scaled(peak, 1+sizeMargin+earlyMargin/float64(min(r.count, sizeSamples)))
-	size = capped(size, peak, greatest)
+	n := float64(min(r.count, sizeSamples))
+	size = scaled(peak, 1+sizeMargin+earlyMargin/(n*n))
+	size = capped(kept(size, peak, declared), peak, greatest)
 	if r.count < trustedSamples {
 		size = larger(size, declared)
 		limit = 2 * unknownTasks * r.count
@@ -78,6 +79,18 @@
 	return peak
 }
 
+// kept returns the declared amounts where no task exceeded them and the
+// learned ones would be larger.
+func kept(learned, peak, declared share.Resources) share.Resources {
+	if peak.Processors <= declared.Processors {
+		learned.Processors = min(learned.Processors, declared.Processors)
+	}
+	if peak.Memory <= declared.Memory {
+		learned.Memory = min(learned.Memory, declared.Memory)
+	}
+	return learned
+}
+
 // scaled returns r with its processors and memory multiplied by a factor.
 func scaled(r share.Resources, factor float64) share.Resources {
 	r.Processors = share.MilliCores(math.Ceil(float64(r.Processors) * factor))
--- a/internal/placement/yield.go
+++ b/internal/placement/yield.go
@@ -22,7 +22,7 @@
 	}
 	var actions []Action
 	switch {
-	case worst.Strain > yieldStrain:
+	case worst.Strain > strainLimit(y.weight(v, worst)):
 		actions = y.relieve(v, worst, now)
 		if len(actions) > 0 {
 			s.yielded(now)
@@ -59,11 +59,7 @@
 			continue
 		}
 		free = free.Plus(r.Size)
-		kind := share.YieldEvict
-		if r.Checkpoints {
-			kind = share.YieldCheckpoint
-		}
-		actions = append(actions, Action{Kind: kind, Worker: v.Worker, Task: r.Task})
+		actions = append(actions, Action{Kind: r.leave(), Worker: v.Worker, Task: r.Task})
 	}
 	return actions
 }
@@ -144,20 +140,26 @@
 	all := y.suspects(v, to)
 	excess := to.Strain - aimedStrain
 	actions, left := y.throttle(v.Worker, all, excess)
-	if to.Strain-(excess-left) > evictionStrain(all) {
+	if to.Strain-(excess-left) > evictionStrain(y.weight(v, to)) {
 		actions = append(actions, y.evict(v.Worker, all, left, now)...)
 	}
 	return actions
 }
 
-// evictionStrain is the strain from which tasks are evicted: the less a rule
-// weighs tail latency, the more strain is borne first.
-func evictionStrain(all []suspect) float64 {
+// weight returns the greatest weight of a service's tail among the rules that
+// a worker's tasks are under.
+func (y *Yielder) weight(v View, to ServiceView) float64 {
 	weight := 0.0
-	for _, s := range all {
-		weight = max(weight, s.rule.TailWeight)
+	for _, r := range v.Residents {
+		weight = max(weight, y.rules[rulePair{yields: r.Share, to: to.Share}].TailWeight)
 	}
-	return StrainLimit(weight)
+	return weight
+}
+
+// evictionStrain is the strain from which tasks are evicted: the less tail
+// latency weighs, the more strain is borne first.
+func evictionStrain(tailWeight float64) float64 {
+	return 1 + bornStrain*(1-tailWeight)
 }
 
 // throttle lowers ratios, the most harmful tasks first, and returns what is left of the excess.
@@ -186,7 +188,7 @@
 	})
 	var actions []Action
 	for _, s := range all {
-		kind := s.leave()
+		kind := s.mildest()
 		if excess <= 0 || len(actions) == evictionsAtOnce {
 			break
 		}
@@ -204,8 +206,9 @@
 	return actions
 }
 
-// leave returns the mildest way in which the rule lets the task be taken off.
-func (s suspect) leave() share.YieldAction {
+// mildest returns the mildest way in which the rule lets the task be taken
+// off, or a throttle if it does not.
+func (s suspect) mildest() share.YieldAction {
 	switch {
 	case s.rule.Limit == share.YieldThrottle:
 		return share.YieldThrottle
--- a/internal/placement/yielder.go
+++ b/internal/placement/yielder.go
@@ -84,8 +84,9 @@
 	minRatio = 0.25
 	// ratioStep is the resolution of throttle ratios.
 	ratioStep = 0.05
-	// yieldStrain is the strain of a service from which tasks yield.
-	yieldStrain = 1.0
+	// bornStrain is the strain beyond an objective that is borne before
+	// evictions if tail latency weighs nothing.
+	bornStrain = 0.5
 	// aimedStrain is the strain that a yield aims at.
 	aimedStrain = 0.85
 	// liftStrain is the strain below which throttles are lifted.
--- /dev/null
+++ b/internal/replay/replay_test.go
@@ -0,0 +1,78 @@
+package replay
+
+import (
+	"fmt"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// loadTrace reads a trace of testdata.
+func loadTrace(t testing.TB, path string) Trace {
+	t.Helper()
+	text, err := os.ReadFile(path)
+	require.NoError(t, err)
+	trace, err := ParseTrace(path, text)
+	require.NoError(t, err)
+	return trace
+}
+
+func traceFiles(t testing.TB) []string {
+	t.Helper()
+	files, err := filepath.Glob("testdata/*.jsonc")
+	require.NoError(t, err)
+	require.NotEmpty(t, files)
+	return files
+}
+
+func runAll(t Trace, user User) []Result {
+	var all []Result
+	policies := Policies()
+	for _, name := range slices.Sorted(maps.Keys(policies)) {
+		all = append(all, Run(t, user, policies[name]))
+	}
+	return all
+}
+
+func TestTracesMeetTheirOutcomes(t *testing.T) {
+	for _, file := range traceFiles(t) {
+		trace := loadTrace(t, file)
+		for _, user := range trace.Users {
+			t.Run(trace.Name+"/"+user.Name, func(t *testing.T) {
+				t.Parallel()
+				all := runAll(trace, user)
+				for _, r := range all {
+					t.Log(r)
+				}
+				requireOutcomes(t, trace, all)
+			})
+		}
+	}
+}
+
+func requireOutcomes(t *testing.T, trace Trace, all []Result) {
+	t.Helper()
+	want := trace.Outcomes
+	learning, oracle, evicting := Find(all, Learning), Find(all, Oracle), Find(all, EvictAtOnce)
+	check := func(ok bool, format string, args ...any) {
+		if !ok {
+			t.Error(fmt.Sprintf(format, args...))
+		}
+	}
+	check(learning.P99 <= want.TailRatio*oracle.P99, "p99 %.3f, oracle %.3f", learning.P99, oracle.P99)
+	check(learning.TasksPerSecond >= want.ThroughputRatio*oracle.TasksPerSecond,
+		"%.3f tasks/s, oracle %.3f", learning.TasksPerSecond, oracle.TasksPerSecond)
+	check(float64(learning.Evictions) <= want.EvictionRatio*float64(evicting.Evictions),
+		"%d evictions, evict at once %d", learning.Evictions, evicting.Evictions)
+	check(learning.Overcommits == 0, "%d overcommitted steps", learning.Overcommits)
+	check(learning.UrgentWait <= 4900*time.Millisecond, "an urgent task waited %s", learning.UrgentWait)
+	if want.RecoveryLags > 0 {
+		bound := time.Duration(want.RecoveryLags * float64(trace.Lag))
+		check(learning.Recovery <= bound, "recovery took %s, bound %s", learning.Recovery, bound)
+	}
+}
--- /dev/null
+++ b/internal/replay/tracegen/traces.go
@@ -0,0 +1,124 @@
+package main
+
+import "time"
+
+// common is the part of a head that all traces share.
+const common = `
+	"window": "5s",
+	"lag": "15s",
+	"fleets": [
+		{"count": 12, "perRack": 8, "dataCentre": "bajio-a", "capacity": {"processors": 32, "memory": "125GB"}},
+		{"count": 12, "perRack": 8, "dataCentre": "bajio-b", "capacity": {"processors": 32, "memory": "125GB"}}
+	],
+	"services": [
+		{"name": "finish", "share": "finishing", "runners": 16, "runner": {"processors": 8, "memory": "16GB"}, "objective": "250ms", "p99": "110ms"}
+	],
+	"users": [
+		// The polishing shop weighs tail latency most.
+		{"name": "bajio", "yields": "batch", "to": "finishing", "limit": "evict", "minRunTime": "10s", "evictionsPerHour": 600, "tailWeight": 0.8},
+		// The permit office weighs evictions most.
+		{"name": "cairo", "yields": "batch", "to": "finishing", "limit": "evict", "minRunTime": "30s", "evictionsPerHour": 120, "tailWeight": 0.3}
+	],
+	// Hidden from the policies: by which part one task slows the victim down.
+	"slowdowns": [
+		{"victim": "finish", "aggressor": "review", "by": 0.05},
+		{"victim": "finish", "aggressor": "scan", "by": 0.5},
+		{"victim": "finish", "aggressor": "render", "by": 0.02},
+		{"victim": "finish", "aggressor": "recheck", "by": 0.05},
+		{"victim": "finish", "aggressor": "simulate", "by": 0.18},
+		{"victim": "finish", "aggressor": "grind", "by": 0.7},
+		{"victim": "scan", "aggressor": "scan", "by": 0.25},
+		{"victim": "review", "aggressor": "scan", "by": 0.15},
+		{"victim": "simulate", "aggressor": "scan", "by": 0.1},
+		{"victim": "scan", "aggressor": "simulate", "by": 0.1},
+		{"victim": "review", "aggressor": "grind", "by": 0.2},
+		{"victim": "grind", "aggressor": "grind", "by": 0.1}
+	],
+`
+
+// truthful are families whose declared sizes are right.
+const truthful = `
+	"families": [
+		{"name": "review", "share": "batch", "declared": {"processors": 4, "memory": "8GB"}, "true": {"processors": 4, "memory": "8GB"}, "checkpoints": true},
+		{"name": "scan", "share": "batch", "declared": {"processors": 4, "memory": "12GB"}, "true": {"processors": 4, "memory": "12GB"}, "checkpoints": true},
+		{"name": "render", "share": "batch", "declared": {"processors": 2, "memory": "4GB"}, "true": {"processors": 2, "memory": "4GB"}},
+		{"name": "recheck", "share": "batch", "declared": {"processors": 2, "memory": "4GB"}, "true": {"processors": 2, "memory": "4GB"}, "urgent": true, "checkpoints": true},
+		{"name": "simulate", "share": "batch", "declared": {"processors": 8, "memory": "16GB"}, "true": {"processors": 8, "memory": "16GB"}},
+		{"name": "grind", "share": "batch", "declared": {"processors": 4, "memory": "8GB"}, "true": {"processors": 4, "memory": "8GB"}, "checkpoints": true}
+	],
+`
+
+// mistaken are families whose declared sizes are far off.
+const mistaken = `
+	"families": [
+		// Declared at thrice what it takes.
+		{"name": "review", "share": "batch", "declared": {"processors": 12, "memory": "24GB"}, "true": {"processors": 4, "memory": "8GB"}, "checkpoints": true},
+		// Declared at a third of what it takes.
+		{"name": "scan", "share": "batch", "declared": {"processors": 1.3, "memory": "4GB"}, "true": {"processors": 4, "memory": "12GB"}, "checkpoints": true},
+		{"name": "render", "share": "batch", "declared": {"processors": 1, "memory": "16GB"}, "true": {"processors": 2, "memory": "4GB"}},
+		{"name": "recheck", "share": "batch", "declared": {"processors": 2, "memory": "1GB"}, "true": {"processors": 2, "memory": "4GB"}, "urgent": true, "checkpoints": true},
+		{"name": "simulate", "share": "batch", "declared": {"processors": 3, "memory": "16GB"}, "true": {"processors": 8, "memory": "16GB"}}
+	],
+`
+
+// outcomes are the bounds that every trace states.
+const outcomes = `
+	"outcomes": {"tailRatio": 1.15, "throughputRatio": 0.95, "evictionRatio": 0.5},
+`
+
+// waveOutcomes are those of a trace with a wave.
+const waveOutcomes = `
+	"outcomes": {"tailRatio": 1.15, "throughputRatio": 0.95, "evictionRatio": 0.5, "recoveryLags": 3},
+`
+
+// length is the length of every trace.
+const length = 40 * time.Minute
+
+// mix returns the usual streams; part is their part of the usual rate.
+func mix(part float64) []stream {
+	every := func(d time.Duration) time.Duration { return time.Duration(float64(d) / part) }
+	return []stream{
+		{family: "review", to: length, every: every(9 * time.Second), tasks: 4, least: 40 * time.Second, most: 3 * time.Minute},
+		{family: "scan", to: length, every: every(16 * time.Second), tasks: 3, least: 60 * time.Second, most: 3 * time.Minute},
+		{family: "render", to: length, every: every(6 * time.Second), tasks: 3, least: 20 * time.Second, most: 2 * time.Minute},
+		{family: "recheck", to: length, every: every(15 * time.Second), tasks: 3, least: 10 * time.Second, most: 40 * time.Second},
+		{family: "simulate", to: length, every: every(25 * time.Second), tasks: 2, least: 60 * time.Second, most: 5 * time.Minute},
+	}
+}
+
+func traces() []trace {
+	wave := append(mix(1), stream{
+		family: "grind", from: 20 * time.Minute, to: 26 * time.Minute,
+		every: 4 * time.Second, tasks: 3, least: 60 * time.Second, most: 2 * time.Minute,
+	})
+	return []trace{
+		{name: "steady-mix", seed: 11, streams: mix(1.45), head: `
+// A steady mix of batch work beside one service.
+{
+	"duration": "40m", "measureFrom": "10m",` + common + truthful + outcomes},
+		{name: "shifting-load", seed: 12, streams: mix(1.3), head: `
+// The service's own load doubles and falls while the batch mix stays.
+{
+	"duration": "40m", "measureFrom": "10m",
+	"loads": [
+		{"at": "8m", "service": "finish", "load": 1.3},
+		{"at": "14m", "service": "finish", "load": 1.6},
+		{"at": "20m", "service": "finish", "load": 0.8},
+		{"at": "26m", "service": "finish", "load": 1.7},
+		{"at": "34m", "service": "finish", "load": 1.0}
+	],` + common + truthful + outcomes},
+		{name: "noisy-wave", seed: 13, streams: wave, head: `
+// A family that was never seen before arrives in a wave and disturbs the service most of all.
+{
+	"duration": "40m", "measureFrom": "10m",
+	"wave": {"from": "20m", "to": "26m"},` + common + truthful + waveOutcomes},
+		{name: "wrong-sizes", seed: 14, streams: mix(1.3), head: `
+// Declared sizes are far off, both ways.
+{
+	"duration": "40m", "measureFrom": "10m",` + common + mistaken + outcomes},
+		{name: "overload", seed: 15, streams: mix(2.2), head: `
+// More batch work arrives than the workers can do.
+{
+	"duration": "40m", "measureFrom": "10m",` + common + truthful + outcomes},
+	}
+}
