Replay: a surge trace in which throttling does not suffice, and the weight's trade-off

Cause: the five traces needed no evictions by yield rules, so they could not show that the weight trades tail latency against evictions.

--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -193,7 +193,7 @@
 	if !ok {
 		return nil
 	}
-	var all []Resident
+	all := make([]Resident, 0, len(p.workers[i].residents))
 	for _, r := range p.workers[i].residents {
 		all = append(all, r)
 	}
--- a/internal/replay/baseline.go
+++ b/internal/replay/baseline.go
@@ -16,10 +16,21 @@
 	// order returns the workers in the order in which they are tried.
 	order func(c placement.Candidate) []placement.Worker
 	tails map[string][]placement.ServiceView
+	// counts are the tasks of each family by worker.
+	counts map[familyOn]int
+}
+
+type familyOn struct {
+	family, worker string
 }
 
 func newBaseline(t Trace) *baseline {
-	b := &baseline{trace: t, pool: placement.NewPool(), tails: map[string][]placement.ServiceView{}}
+	b := &baseline{
+		trace:  t,
+		pool:   placement.NewPool(),
+		tails:  map[string][]placement.ServiceView{},
+		counts: map[familyOn]int{},
+	}
 	for _, w := range t.workers() {
 		b.pool.SetWorker(w)
 	}
@@ -30,11 +41,22 @@
 	return Policy{
 		Name:    name,
 		Place:   b.place,
-		Started: func(worker string, r placement.Resident, _ time.Time) { b.pool.Hold(worker, r) },
-		Ended:   func(worker, task string, _ placement.End, _ time.Time) { b.pool.Release(worker, task) },
+		Started: b.started,
+		Ended:   b.ended,
 	}
 }
 
+func (b *baseline) started(worker string, r placement.Resident, _ time.Time) {
+	b.pool.Hold(worker, r)
+	b.counts[familyOn{r.Job, worker}]++
+}
+
+func (b *baseline) ended(worker, task string, _ placement.End, _ time.Time) {
+	r, _ := b.pool.Resident(worker, task)
+	b.pool.Release(worker, task)
+	b.counts[familyOn{r.Job, worker}]--
+}
+
 func (b *baseline) place(c placement.Candidate, _ time.Time) (string, share.Resources, error) {
 	f := b.trace.Families[b.trace.family(c.Job)]
 	for _, w := range b.order(c) {
@@ -75,17 +97,9 @@
 	b := newBaseline(t)
 	workers := t.workers()
 	b.order = func(c placement.Candidate) []placement.Worker {
-		same := map[string]int{}
-		for _, w := range workers {
-			for _, r := range b.pool.Residents(w.ID) {
-				if r.Job == c.Job {
-					same[w.ID]++
-				}
-			}
-		}
 		slices.SortStableFunc(workers, func(x, y placement.Worker) int {
 			return cmp.Or(
-				cmp.Compare(same[x.ID], same[y.ID]),
+				cmp.Compare(b.counts[familyOn{c.Job, x.ID}], b.counts[familyOn{c.Job, y.ID}]),
 				cmp.Compare(b.pool.Free(y.ID).Processors, b.pool.Free(x.ID).Processors))
 		})
 		return workers
--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -1,7 +1,6 @@
 package replay
 
 import (
-	"fmt"
 	"maps"
 	"os"
 	"path/filepath"
@@ -55,13 +54,28 @@
 	}
 }
 
+// Rules that differ only by their weight trade tail latency against evictions.
+func TestTailWeightTradesTailAgainstEvictions(t *testing.T) {
+	trace := loadTrace(t, "testdata/surge.jsonc")
+	weighted := func(weight float64) Result {
+		user := trace.Users[0]
+		user.Rule.TailWeight = weight
+		r := Run(trace, user, newLearning)
+		t.Logf("weight %.1f: %s", weight, r)
+		return r
+	}
+	tail, evictions := weighted(0.9), weighted(0.1)
+	require.Less(t, tail.P99, evictions.P99)
+	require.Greater(t, tail.Evictions, evictions.Evictions)
+}
+
 func requireOutcomes(t *testing.T, trace Trace, all []Result) {
 	t.Helper()
 	want := trace.Outcomes
 	learning, oracle, evicting := Find(all, Learning), Find(all, Oracle), Find(all, EvictAtOnce)
 	check := func(ok bool, format string, args ...any) {
 		if !ok {
-			t.Error(fmt.Sprintf(format, args...))
+			t.Errorf(format, args...)
 		}
 	}
 	check(learning.P99 <= want.TailRatio*oracle.P99, "p99 %.3f, oracle %.3f", learning.P99, oracle.P99)
--- a/internal/replay/run.go
+++ b/internal/replay/run.go
@@ -17,7 +17,6 @@
 	size    share.Resources
 	left    float64
 	run     float64
-	worker  string
 	started bool
 }
 
--- a/internal/replay/tracegen/traces.go
+++ b/internal/replay/tracegen/traces.go
@@ -116,6 +116,17 @@
 // Declared sizes are far off, both ways.
 {
 	"duration": "40m", "measureFrom": "10m",` + common + mistaken + outcomes},
+		{name: "surge", seed: 16, streams: mix(1.3), head: `
+// The service's load surges until its tail alone comes near the objective, so
+// that throttling no longer suffices.
+{
+	"duration": "40m", "measureFrom": "10m",
+	"loads": [
+		{"at": "12m", "service": "finish", "load": 2.1},
+		{"at": "18m", "service": "finish", "load": 1.0},
+		{"at": "24m", "service": "finish", "load": 1.9},
+		{"at": "32m", "service": "finish", "load": 0.9}
+	],` + common + truthful + outcomes},
 		{name: "overload", seed: 15, streams: mix(2.2), head: `
 // More batch work arrives than the workers can do.
 {
