A copy adopted while the head is read no longer makes a store look stale

Cause: Apply compared the head it had read with a copy taken after that read; a note accepted in between made the store look older than the copy. Seen: TestRacingOperators failed in 1 of about 4 runs under load. Ruled out: a stale read of the store; its reads are linearizable.

--- a/internal/config/apply.go
+++ b/internal/config/apply.go
@@ -124,11 +124,12 @@
 
 // base returns the newest configuration in the store and the revision of the head's key.
 func (a *application) base(ctx context.Context) (Copy, int64, error) {
+	// The copy is taken first: one that is adopted while the head is read may be newer.
+	have := a.keeper.Copy()
 	h, revision, err := a.keeper.head(ctx)
 	if err != nil {
 		return Copy{}, 0, err
 	}
-	have := a.keeper.Copy()
 	if h.Revision < have.head.Revision {
 		return Copy{}, 0, &StaleStoreError{Head: h.Revision, InForce: have.head.Revision}
 	}
