Peers that are not known to be up to date are told of a new configuration

Change: each keeper remembers the revisions that peers announced, tells all that are behind 100 ms after it adopted a revision, and tells up to 8 of them again every 2 s. Ruled out: a larger random fan-out, which only makes the miss rarer.

--- a/internal/config/exchange.go
+++ b/internal/config/exchange.go
@@ -8,17 +8,20 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-
 	"go.uber.org/zap"
 
 	"github.com/oriolepond/oriolepond/internal/eventlog"
 )
 
 const (
-	// exchangeInterval is how often one peer is asked for its revision.
+	// exchangeInterval is how often peers are asked for their revisions.
 	exchangeInterval = 2 * time.Second
-	// spreadFanout is how many peers are told of a new revision.
-	spreadFanout = 3
+	// joinFanout is how many peers are asked while there is no configuration yet.
+	joinFanout = 3
+	// retryFanout bounds the peers that are told again in one interval.
+	retryFanout = 8
+	// spreadDelay lets the store's watch come first, so that few peers need to be told.
+	spreadDelay = 100 * time.Millisecond
 	// peerTimeout bounds a call to a peer.
 	peerTimeout = time.Second
 )
@@ -36,12 +39,13 @@
 
 // hearing returns the channel of peers that announced a newer revision.
 func (k *Keeper) hearing() chan string {
-	k.once.Do(func() { k.heard = make(chan string, spreadFanout) })
+	k.once.Do(func() { k.heard = make(chan string, retryFanout) })
 	return k.heard
 }
 
 // Heard takes a peer's announcement and returns the revision in force here.
 func (k *Keeper) Heard(id string, revision int64) int64 {
+	k.known.Store(id, revision)
 	mine := k.Copy().head.Revision
 	if revision > mine {
 		select {
@@ -58,12 +62,13 @@
 	return c, c.head.Revision > than
 }
 
-// exchange asks peers for newer configurations until the context ends.
+// exchange asks peers for newer configurations, and tells them of its own,
+// until the context ends.
 func (k *Keeper) exchange(ctx context.Context) {
 	ticker := time.NewTicker(exchangeInterval)
 	defer ticker.Stop()
 	for {
-		k.askAny(ctx)
+		k.round(ctx)
 		select {
 		case <-ctx.Done():
 			return
@@ -74,15 +79,51 @@
 	}
 }
 
-// askAny asks one peer for its revision, or all while there is no configuration yet.
-func (k *Keeper) askAny(ctx context.Context) {
+// round asks a few peers at random, and some that are not known to be up to date.
+func (k *Keeper) round(ctx context.Context) {
 	fanout := 1
 	if k.Copy().head.Revision == 0 {
-		fanout = spreadFanout
+		fanout = joinFanout
+	}
+	chosen := k.somePeers(fanout)
+	if behind := k.unconfirmed(); len(behind) > 0 {
+		chosen = append(chosen, behind[:min(retryFanout, len(behind))]...)
+	}
+	k.askAll(ctx, chosen)
+	k.forget()
+}
+
+// forget drops what is known of instances that are no longer peers.
+func (k *Keeper) forget() {
+	ids := map[string]bool{}
+	for _, p := range k.peers() {
+		ids[p.ID] = true
 	}
-	for _, p := range k.somePeers(fanout) {
-		k.ask(ctx, p)
+	k.known.Range(func(id, _ any) bool {
+		if !ids[id.(string)] {
+			k.known.Delete(id)
+		}
+		return true
+	})
+}
+
+// unconfirmed returns the peers that are not known to have the revision in
+// force here, in random order.
+func (k *Keeper) unconfirmed() []Peer {
+	mine := k.Copy().head.Revision
+	return slices.DeleteFunc(k.somePeers(len(k.peers())), func(p Peer) bool {
+		revision, ok := k.known.Load(p.ID)
+		return mine == 0 || ok && revision.(int64) >= mine
+	})
+}
+
+// askAll asks peers for their revisions side by side.
+func (k *Keeper) askAll(ctx context.Context, all []Peer) {
+	var group sync.WaitGroup
+	for _, p := range all {
+		group.Go(func() { k.ask(ctx, p) })
 	}
+	group.Wait()
 }
 
 func (k *Keeper) askOne(ctx context.Context, id string) {
@@ -92,17 +133,26 @@
 	}
 }
 
-// ask asks a peer for its revision, and fetches its configuration if that is newer.
+// ask tells a peer the revision here, and fetches its configuration if that is newer.
 func (k *Keeper) ask(ctx context.Context, p Peer) {
-	mine := k.Copy().head.Revision
 	calling, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	theirs, err := p.Announce(calling, k.ID, mine)
+	mine := k.Copy().head.Revision
+	theirs, err := k.announce(calling, p, mine)
 	if err == nil && theirs > mine {
 		k.fetch(ctx, p)
 	}
 }
 
+// announce tells a peer a revision, and remembers the peer's.
+func (k *Keeper) announce(ctx context.Context, p Peer, mine int64) (int64, error) {
+	theirs, err := p.Announce(ctx, k.ID, mine)
+	if err == nil {
+		k.known.Store(p.ID, theirs)
+	}
+	return theirs, err
+}
+
 func (k *Keeper) fetch(ctx context.Context, p Peer) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
@@ -116,16 +166,18 @@
 	}
 }
 
-// spread tells some peers of a new revision, which then fetch it here.
+// spread tells the peers that are not known to have a new revision of it; they fetch it here.
 func (k *Keeper) spread(revision int64) {
+	if k.Copy().head.Revision > revision {
+		return // The newer one is spread by its own call.
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
 	defer cancel()
-	for _, p := range k.somePeers(spreadFanout) {
-		if k.Copy().head.Revision > revision {
-			return
-		}
-		_, _ = p.Announce(ctx, k.ID, revision)
+	var group sync.WaitGroup
+	for _, p := range k.unconfirmed() {
+		group.Go(func() { _, _ = k.announce(ctx, p, revision) })
 	}
+	group.Wait()
 }
 
 func (k *Keeper) peers() []Peer {
@@ -156,7 +208,7 @@
 	}
 	for _, p := range k.peers() {
 		group.Go(func() {
-			theirs, err := p.Announce(ctx, k.ID, mine)
+			theirs, err := k.announce(ctx, p, mine)
 			if err != nil || theirs < revision {
 				mu.Lock()
 				behind = append(behind, p.ID)
--- a/internal/config/keeper.go
+++ b/internal/config/keeper.go
@@ -54,6 +54,8 @@
 	raise sync.Mutex
 	once  sync.Once
 	heard chan string
+	// known holds the revisions that peers were last known to have, by id.
+	known sync.Map
 }
 
 // Current returns the configuration in force.
@@ -201,7 +203,7 @@
 	if k.Changed != nil {
 		k.Changed(c.config)
 	}
-	go k.spread(c.head.Revision)
+	time.AfterFunc(spreadDelay, func() { k.spread(c.head.Revision) })
 	return true
 }
 
