Placement: exact eviction budget, health of workers, tests of the parts

Cause: a token bucket let more evictions through in one hour than a rule says; two bad workers that failed the same families in turn were never quarantined; a throttle ratio that was a whole number of steps rounded down one more, and a negligible rest of an excess lifted the ratio of the next task by nothing.

--- a/internal/placement/budget.go
+++ b/internal/placement/budget.go
@@ -1,43 +1,42 @@
 package placement
 
-import "time"
+import (
+	"time"
+)
 
-// budgetBurst is the part of an hour's budget that may be spent at once.
-const budgetBurst = 1.0 / 12
+const (
+	// budgetPeriod is the time over which evictions are bounded.
+	budgetPeriod = time.Hour
+	// burstPeriod is the time in which no more than burstPart of them, and at least one, is made.
+	burstPeriod = 5 * time.Minute
+	burstPart   = 1.0 / 4
+)
 
-// budget bounds the evictions made under one rule.
+// budget bounds the evictions made under one rule: in any hour no more than
+// the rule says, and in any few minutes only a part of these.
 type budget struct {
-	perHour float64
-	tokens  float64
-	at      time.Time
-}
-
-func (b *budget) setRate(perHour int) {
-	fresh := b.perHour == 0
-	b.perHour = float64(perHour)
-	if fresh {
-		b.tokens = b.burst()
-	}
-	b.tokens = min(b.tokens, b.burst())
-}
-
-// burst returns the most that may be spent at once.
-func (b *budget) burst() float64 {
-	if b.perHour == 0 {
-		return 0
-	}
-	return max(1, b.perHour*budgetBurst)
+	perHour int
+	// spent are the times of the last hour's evictions, oldest first.
+	spent []time.Time
 }
 
 // allows reports whether one more eviction is within the budget.
 func (b *budget) allows(now time.Time) bool {
-	if elapsed := now.Sub(b.at); elapsed > 0 {
-		if !b.at.IsZero() {
-			b.tokens = min(b.burst(), b.tokens+b.perHour*elapsed.Hours())
-		}
-		b.at = now
+	old := 0
+	for old < len(b.spent) && now.Sub(b.spent[old]) >= budgetPeriod {
+		old++
+	}
+	b.spent = b.spent[old:]
+	if len(b.spent) >= b.perHour {
+		return false
 	}
-	return b.tokens >= 1
+	recent := 0
+	for i := len(b.spent) - 1; i >= 0 && now.Sub(b.spent[i]) < burstPeriod; i-- {
+		recent++
+	}
+	return recent < max(1, int(float64(b.perHour)*burstPart))
 }
 
-func (b *budget) spend() { b.tokens-- }
+func (b *budget) spend(now time.Time) {
+	b.spent = append(b.spent, now)
+}
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -29,15 +29,15 @@
 }
 
 func (p *Pool) checkQuota(c Candidate) error {
-	quota, bounded := p.quotas[c.Share]
+	q, bounded := p.quotas[c.Share]
 	if !bounded {
 		return nil
 	}
-	if !c.Size.Fits(quota) {
+	if !c.Size.Fits(q.whole) {
 		return &UnschedulableError{Task: c.Task, Reason: fmt.Sprintf(
-			"it takes %s, more than the quota of share %s, %s", c.Size, c.Share, quota)}
+			"it takes %s, more than the quota of share %s, %s", c.Size, c.Share, q.whole)}
 	}
-	if !p.used[c.Share].Plus(c.Size).Fits(quota) {
+	if !p.used[c.Share].Plus(c.Size).Fits(q.part) {
 		return &FullError{Task: c.Task, Reason: QuotaUsed}
 	}
 	return nil
--- /dev/null
+++ b/internal/placement/health_test.go
@@ -0,0 +1,82 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestWorkerThatFailsEverythingIsQuarantinedAndProbed(t *testing.T) {
+	h := NewHealth()
+	now := start
+	h.Succeeded("good", "review")
+	for range quarantineAfter {
+		require.True(t, h.Permits("bad", now))
+		h.Failed("bad", "review", now)
+	}
+	require.True(t, h.Quarantined("bad"))
+	require.False(t, h.Quarantined("good"))
+	pause := firstQuarantine
+	for range 8 {
+		require.False(t, h.Permits("bad", now.Add(pause-1)))
+		now = now.Add(pause)
+		require.True(t, h.Permits("bad", now), "one probe after %s", pause)
+		h.Started("bad", now)
+		require.False(t, h.Permits("bad", now), "only one probe at a time")
+		h.Failed("bad", "review", now)
+		pause = min(2*pause, longestQuarantine)
+	}
+	now = now.Add(pause)
+	h.Succeeded("bad", "review")
+	require.False(t, h.Quarantined("bad"))
+	require.True(t, h.Permits("bad", now))
+}
+
+func TestProbeThatIsNeverHeardOfAgainIsRepeated(t *testing.T) {
+	h := NewHealth()
+	h.Succeeded("good", "review")
+	for range quarantineAfter {
+		h.Failed("bad", "review", start)
+	}
+	probe := start.Add(firstQuarantine)
+	h.Started("bad", probe)
+	require.True(t, h.Permits("bad", probe.Add(firstQuarantine)))
+}
+
+func TestJobThatFailsEverywhereCondemnsNoWorker(t *testing.T) {
+	h := NewHealth()
+	for i := range 50 {
+		worker := string(rune('a' + i%5))
+		require.False(t, h.Failed(worker, "broken", start.Add(time.Duration(i)*time.Second)))
+		require.True(t, h.Permits(worker, start))
+	}
+}
+
+// Two bad workers that fail fast see the same families fail in turn, more
+// often than these succeed elsewhere.
+func TestSeveralBadWorkersAreToldFromBadJobs(t *testing.T) {
+	h := NewHealth()
+	h.Succeeded("good", "review")
+	for range quarantineAfter {
+		h.Failed("bad-1", "review", start.Add(time.Second))
+		h.Failed("bad-2", "review", start.Add(time.Second))
+	}
+	require.True(t, h.Quarantined("bad-1"))
+	require.True(t, h.Quarantined("bad-2"))
+}
+
+// A release of a job that used to work and now fails everywhere.
+func TestJobThatBeginsToFailCondemnsFewWorkers(t *testing.T) {
+	h := NewHealth()
+	h.Succeeded("good", "review")
+	quarantined := map[string]bool{}
+	for i := range 1000 {
+		worker := fmt.Sprint(i % 100)
+		if h.Failed(worker, "review", start) {
+			quarantined[worker] = true
+		}
+	}
+	require.Empty(t, quarantined)
+}
--- /dev/null
+++ b/internal/placement/planner_test.go
@@ -0,0 +1,129 @@
+package placement
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/oriolepond/oriolepond/pkg/share"
+)
+
+func TestUrgentTaskGetsRoomAtLeastLoss(t *testing.T) {
+	p := NewPlanner()
+	p.SetFamily(Family{Name: "keeps", Declared: cores(2), Checkpoints: true})
+	p.SetFamily(Family{Name: "loses", Declared: cores(2)})
+	p.SetFamily(Family{Name: "urgent", Declared: cores(1)})
+	for i, family := range []string{"loses", "keeps", "loses"} {
+		p.SetWorker(worker(i, cores(8)), start)
+		r := Resident{Task: fmt.Sprint("t", i), Job: family, Size: cores(8), Since: start}
+		p.Start(fmt.Sprint("w-", i), r, start)
+	}
+	now := start.Add(time.Minute)
+	c := Candidate{Task: "u", Job: "urgent", Urgent: true}
+	_, _, err := p.Place(c, now)
+	var full *FullError
+	require.ErrorAs(t, err, &full)
+	require.Equal(t, []Action{{Kind: share.YieldCheckpoint, Worker: "w-1", Task: "t1"}}, p.MakeRoom(c, now))
+	require.Empty(t, p.MakeRoom(c, now.Add(time.Second)), "room is being made")
+	calm := c
+	calm.Urgent = false
+	require.Empty(t, p.MakeRoom(calm, now))
+	p.End("w-1", "t1", EndMoved, now.Add(2*time.Second))
+	id, size, err := p.Place(c, now.Add(2*time.Second))
+	require.NoError(t, err)
+	require.Equal(t, "w-1", id)
+	require.Equal(t, cores(4), size, "a family that was never seen gets a margin")
+}
+
+// A task that holds more than it was given counts with what it holds, and its
+// worker is unloaded if that is too much.
+func TestTrueHoldingsCount(t *testing.T) {
+	p := NewPlanner()
+	p.SetFamily(Family{Name: "f", Declared: cores(1), Checkpoints: true})
+	p.SetWorker(worker(0, cores(8)), start)
+	for _, task := range []string{"a", "b"} {
+		p.Start("w-0", Resident{Task: task, Job: "f", Size: cores(4), Since: start}, start)
+	}
+	at := start.Add(time.Minute)
+	p.Measure(Measurement{Worker: "w-0", At: at, Window: testWindow, Tasks: []TaskMeasurement{{Task: "a", Peak: cores(5), Speed: 1}}})
+	require.Equal(t, cores(-1), p.Pool.Free("w-0"))
+	require.Len(t, p.Yield("w-0", at.Add(testLag)), 1)
+	size, _ := p.Sizes.Estimate("f", cores(1), cores(8))
+	require.True(t, cores(5).Fits(size))
+}
+
+// However tasks come, grow, fail and go, the planner never places beyond what
+// a worker has left, and its counts stay true.
+func TestPlannerKeepsItsCounts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := NewPlanner()
+		families := []string{"f", "g"}
+		for _, f := range families {
+			p.SetFamily(Family{Name: f, Declared: cores(1), Checkpoints: f == "f"})
+		}
+		for i := range 4 {
+			w := worker(i, cores(16))
+			w.Runners = []Runner{{Service: "s", Share: "front"}}
+			p.SetWorker(w, start)
+		}
+		now := start
+		at := map[string]string{}
+		family := map[string]string{}
+		for step := range 80 {
+			now = now.Add(time.Duration(rapid.IntRange(1, 30).Draw(t, "seconds")) * time.Second)
+			var names []string
+			for name := range at {
+				names = append(names, name)
+			}
+			if len(names) == 0 || rapid.Bool().Draw(t, "new") {
+				c := Candidate{Task: fmt.Sprintf("%03d", step), Job: rapid.SampledFrom(families).Draw(t, "family")}
+				id, size, err := p.Place(c, now)
+				if err == nil {
+					require.True(t, size.Fits(p.Pool.Free(id)))
+					c.Size = size
+					p.Start(id, c.Resident(now), now)
+					at[c.Task], family[c.Task] = id, c.Job
+				} else {
+					var full *FullError
+					require.True(t, errors.As(err, &full), "%v", err)
+				}
+				continue
+			}
+			name := rapid.SampledFrom(slices.Sorted(slices.Values(names))).Draw(t, "task")
+			switch rapid.IntRange(0, 2).Draw(t, "event") {
+			case 0:
+				end := rapid.SampledFrom([]End{EndFinished, EndFailed, EndMoved}).Draw(t, "end")
+				p.End(at[name], name, end, now)
+				p.End(at[name], name, end, now)
+				delete(at, name)
+			case 1:
+				p.Measure(Measurement{Worker: at[name], At: now, Window: testWindow, Tasks: []TaskMeasurement{
+					{Task: name, Peak: cores(rapid.Int64Range(0, 6).Draw(t, "peak")), Speed: 0.9},
+				}})
+			case 2:
+				p.Throttle(at[name], name, 0.5, now)
+			}
+			counts := map[string]int{}
+			for task := range at {
+				counts[family[task]]++
+			}
+			for _, f := range families {
+				require.Equal(t, counts[f], p.running[f])
+			}
+			require.Len(t, at, residentsOf(p))
+		}
+	})
+}
+
+func residentsOf(p *Planner) int {
+	n := 0
+	for _, s := range p.Pool.workers {
+		n += len(s.residents)
+	}
+	return n
+}
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -26,7 +26,7 @@
 	strides []int
 	random  *rand.Rand
 
-	quotas map[string]share.Resources
+	quotas map[string]quota
 	used   map[string]share.Resources
 	rules  map[rulePair]share.YieldRule
 	groups map[string]*spread
@@ -52,6 +52,11 @@
 	count  int
 }
 
+// quota is what a share may hold in this pool and in all pools.
+type quota struct {
+	part, whole share.Resources
+}
+
 type rulePair struct {
 	yields, to string
 }
@@ -69,7 +74,7 @@
 
 		index:  map[string]int{},
 		random: rand.New(rand.NewPCG(1, 1)),
-		quotas: map[string]share.Resources{},
+		quotas: map[string]quota{},
 		used:   map[string]share.Resources{},
 		rules:  map[rulePair]share.YieldRule{},
 		groups: map[string]*spread{},
@@ -202,8 +207,14 @@
 }
 
 // SetQuota bounds what the tasks of a share hold at once in this pool.
-func (p *Pool) SetQuota(name string, quota share.Resources) {
-	p.quotas[name] = quota
+func (p *Pool) SetQuota(name string, amount share.Resources) {
+	p.SetQuotaPart(name, amount, amount)
+}
+
+// SetQuotaPart is SetQuota for a pool that is one of several: part is this
+// pool's part of the share's whole quota.
+func (p *Pool) SetQuotaPart(name string, part, whole share.Resources) {
+	p.quotas[name] = quota{part: part, whole: whole}
 }
 
 // RemoveQuota lifts the bound of a share.
--- a/internal/placement/yield.go
+++ b/internal/placement/yield.go
@@ -170,10 +170,13 @@
 	var actions []Action
 	for i := range all {
 		s := &all[i]
-		if excess <= 0 || s.harm <= 0 || s.ratio <= minRatio {
+		if excess <= 0 || s.harm <= 0 {
 			continue
 		}
 		ratio := max(minRatio, roundDown(s.ratio-excess/s.harm))
+		if ratio >= s.ratio {
+			continue
+		}
 		excess -= s.harm * (s.ratio - ratio)
 		s.ratio = ratio
 		actions = append(actions, Action{Kind: share.YieldThrottle, Worker: worker, Task: s.Task, Ratio: ratio, Rule: s.rule.Name})
@@ -199,7 +202,7 @@
 		if !b.allows(now) {
 			continue
 		}
-		b.spend()
+		b.spend(now)
 		excess -= s.harm * s.ratio
 		actions = append(actions, Action{Kind: kind, Worker: worker, Task: s.Task, Rule: s.rule.Name})
 	}
@@ -269,5 +272,5 @@
 }
 
 func roundDown(ratio float64) float64 {
-	return math.Floor(ratio/ratioStep) * ratioStep
+	return math.Floor(ratio/ratioStep+ratioRounding) * ratioStep
 }
--- a/internal/placement/yielder.go
+++ b/internal/placement/yielder.go
@@ -84,6 +84,8 @@
 	minRatio = 0.25
 	// ratioStep is the resolution of throttle ratios.
 	ratioStep = 0.05
+	// ratioRounding keeps a ratio that is a whole number of steps from rounding down to the one below.
+	ratioRounding = 1e-6
 	// bornStrain is the strain beyond an objective that is borne before
 	// evictions if tail latency weighs nothing.
 	bornStrain = 0.5
@@ -108,6 +110,7 @@
 }
 
 // SetRules replaces the yield rules; what was spent of budgets stays spent.
+// The evictions per hour of a rule are those of this part of the pool.
 func (y *Yielder) SetRules(rules []share.YieldRule) {
 	clear(y.rules)
 	budgets := map[string]*budget{}
@@ -117,7 +120,7 @@
 		if !ok {
 			b = &budget{}
 		}
-		b.setRate(r.EvictionsPerHour)
+		b.perHour = r.EvictionsPerHour
 		budgets[r.Name] = b
 	}
 	y.budgets = budgets
--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -88,5 +88,6 @@
 	if want.RecoveryLags > 0 {
 		bound := time.Duration(want.RecoveryLags * float64(trace.Lag))
 		check(learning.Recovery <= bound, "recovery took %s, bound %s", learning.Recovery, bound)
+		check(learning.Breach <= bound, "a runner stayed beyond the objective for %s, bound %s", learning.Breach, bound)
 	}
 }
--- a/internal/replay/run.go
+++ b/internal/replay/run.go
@@ -198,7 +198,7 @@
 		for _, s := range f.Runners {
 			strain := r.world.strain(f, s.Service)
 			f.strains[s.Service] += strain
-			r.score.tail(r.elapsed(), strain, r.world.loads[s.Service])
+			r.score.tail(r.elapsed(), f.ID, s.Service, strain, r.world.loads[s.Service])
 		}
 		f.steps++
 		r.work(f)
--- a/internal/replay/score.go
+++ b/internal/replay/score.go
@@ -28,6 +28,9 @@
 	// Recovery is how long after the tail first passed the objective in the
 	// wave it stayed within for good; as many as the wave is long if never.
 	Recovery time.Duration
+	// Breach is the longest time in the wave for which the tail of any one
+	// runner stayed beyond the objective; without a wave, in the whole trace.
+	Breach time.Duration
 }
 
 // score collects the figures of one run.
@@ -38,10 +41,16 @@
 	count  Result
 	waits  time.Duration
 	number int
+	// breaches are the times since which runners are beyond the objective, by worker and service.
+	breaches map[[2]string]time.Duration
 }
 
 func newScore(t Trace) *score {
-	return &score{trace: t, slots: make([]histogram, t.Duration/t.Window+1)}
+	return &score{
+		trace:    t,
+		slots:    make([]histogram, t.Duration/t.Window+1),
+		breaches: map[[2]string]time.Duration{},
+	}
 }
 
 func (s *score) counts(at time.Duration) bool { return at >= s.trace.MeasureFrom }
@@ -76,13 +85,28 @@
 }
 
 // tail counts one step's requests of one runner; their number grows with the load.
-func (s *score) tail(at time.Duration, strain, load float64) {
+func (s *score) tail(at time.Duration, worker, service string, strain, load float64) {
+	s.breach(at, [2]string{worker, service}, strain)
 	s.slots[at/s.trace.Window].add(strain, load)
 	if s.counts(at) {
 		s.total.add(strain, load)
 	}
 }
 
+// breach takes note of how long a runner stays beyond the objective.
+func (s *score) breach(at time.Duration, runner [2]string, strain float64) {
+	wave := s.trace.Wave
+	watched := at >= s.trace.MeasureFrom && (wave.To == 0 || (at >= wave.From && at < wave.To))
+	if strain <= 1 || !watched {
+		delete(s.breaches, runner)
+		return
+	}
+	if _, ok := s.breaches[runner]; !ok {
+		s.breaches[runner] = at
+	}
+	s.count.Breach = max(s.count.Breach, at+step-s.breaches[runner])
+}
+
 func (s *score) result(policy, user string) Result {
 	r := s.count
 	r.Policy, r.User = policy, user
@@ -114,8 +138,8 @@
 
 // String returns one line of a table.
 func (r Result) String() string {
-	return fmt.Sprintf("%-8s %-12s p99 %5.2f  %6.3f tasks/s  %5d evictions  lost %8s  overcommits %5d  urgent wait %6s  recovery %6s",
-		r.User, r.Policy, r.P99, r.TasksPerSecond, r.Evictions, r.LostWork.Round(time.Second), r.Overcommits, r.UrgentWait, r.Recovery)
+	return fmt.Sprintf("%-8s %-12s p99 %5.2f  %6.3f tasks/s  %5d evictions  lost %8s  overcommits %5d  urgent wait %6s  recovery %6s  breach %6s",
+		r.User, r.Policy, r.P99, r.TasksPerSecond, r.Evictions, r.LostWork.Round(time.Second), r.Overcommits, r.UrgentWait, r.Recovery, r.Breach)
 }
 
 const (
