--- /dev/null
+++ b/internal/journal/journalpb/doc.go
@@ -0,0 +1,6 @@
+// Package journalpb holds the generated messages of the journal's codec.
+//
+// # Usage
+//
+//	text, err := proto.Marshal(&journalpb.Batch{})
+package journalpb
--- /dev/null
+++ b/internal/journal/log.go
@@ -0,0 +1,297 @@
+package journal
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync/atomic"
+
+	"github.com/oriolepond/oriolepond/internal/store"
+)
+
+const (
+	// segmentBytes is the size at which a segment is closed; each commit writes the open one whole.
+	segmentBytes = 8 << 10
+	// maxValueBytes bounds one value, below the store's limit of 1 MB.
+	maxValueBytes = 512 << 10
+	// maxSegments bounds the segments between two snapshots, below the store's limit on operations of a commit.
+	maxSegments = 64
+	// minCompactBytes is the least length of the log that is worth a snapshot.
+	minCompactBytes = 64 << 10
+	// maxDeletes bounds the deletions of one commit.
+	maxDeletes = 100
+)
+
+// FencedError says that another holder has taken the shard: nothing was written.
+type FencedError struct {
+	Key string
+}
+
+// Error returns the key of the fence.
+func (e *FencedError) Error() string { return fmt.Sprintf("journal: %s has changed hands", e.Key) }
+
+// CorruptError says that a journal cannot be read whole.
+type CorruptError struct {
+	Key    string
+	Reason string
+}
+
+// Error returns the key and the reason.
+func (e *CorruptError) Error() string { return fmt.Sprintf("journal: %s: %s", e.Key, e.Reason) }
+
+// Log is the journal of one shard, written by its holder alone. Its methods
+// are called by one goroutine.
+type Log struct {
+	Store  *store.Client
+	Writer *store.Writer
+	// Prefix is where the journal's keys stand; it ends in a slash.
+	Prefix string
+	// Fence is the condition under which the holder writes.
+	Fence store.Condition
+
+	// open is the segment that the next batch is added to, and number its number.
+	open   []byte
+	number int64
+	// segments and parts are the keys of the log and of the snapshot.
+	segments []string
+	parts    []string
+	logBytes int
+	snapshot int
+	written  atomic.Int64
+}
+
+// Written returns the bytes of values that were committed.
+func (l *Log) Written() int64 { return l.written.Load() }
+
+// The key of a segment sorts by its number. The snapshot is named by the
+// number of the first segment after it, so that its parts and the segments
+// that it replaces change in one commit.
+func (l *Log) segmentKey(n int64) string { return fmt.Sprintf("%slog/%016d", l.Prefix, n) }
+
+func (l *Log) partKey(n int64, part int) string {
+	return fmt.Sprintf("%ssnapshot/%016d/%04d", l.Prefix, n, part)
+}
+
+// headKey holds the number of the snapshot that counts and of its parts.
+func (l *Log) headKey() string { return l.Prefix + "head" }
+
+// Load reads all batches: the snapshot's, then the log's in order.
+func (l *Log) Load(ctx context.Context) ([]Batch, error) {
+	s, err := l.Store.List(ctx, l.Prefix)
+	if err != nil {
+		return nil, err
+	}
+	values := map[string][]byte{}
+	for _, e := range s.Entries {
+		values[e.Key] = e.Value
+	}
+	var first int64
+	var count int
+	if head, ok := values[l.headKey()]; ok {
+		if _, err := fmt.Sscanf(string(head), "%d %d", &first, &count); err != nil {
+			return nil, &CorruptError{Key: l.headKey(), Reason: err.Error()}
+		}
+	}
+	var batches []Batch
+	l.segments, l.parts, l.logBytes, l.snapshot, l.open = nil, nil, 0, 0, nil
+	for part := range count {
+		key := l.partKey(first, part)
+		value, ok := values[key]
+		if !ok {
+			return nil, &CorruptError{Key: key, Reason: "is missing"}
+		}
+		l.parts = append(l.parts, key)
+		l.snapshot += len(value)
+		if batches, err = appendBatch(batches, value); err != nil {
+			return nil, &CorruptError{Key: key, Reason: err.Error()}
+		}
+	}
+	l.number = first
+	for ; ; l.number++ {
+		key := l.segmentKey(l.number)
+		value, ok := values[key]
+		if !ok {
+			break
+		}
+		l.segments = append(l.segments, key)
+		l.logBytes += len(value)
+		if batches, err = appendBatch(batches, value); err != nil {
+			return nil, &CorruptError{Key: key, Reason: err.Error()}
+		}
+	}
+	return batches, l.discard(ctx, s)
+}
+
+func appendBatch(to []Batch, text []byte) ([]Batch, error) {
+	b, err := Decode(text)
+	if err != nil {
+		return nil, err
+	}
+	return append(to, b), nil
+}
+
+// discard removes the parts of snapshots that were never completed.
+func (l *Log) discard(ctx context.Context, s store.Snapshot) error {
+	kept := map[string]bool{}
+	for _, key := range l.parts {
+		kept[key] = true
+	}
+	var gone []string
+	for _, e := range s.Entries {
+		if strings.HasPrefix(e.Key, l.Prefix+"snapshot/") && !kept[e.Key] {
+			gone = append(gone, e.Key)
+		}
+	}
+	return l.remove(ctx, gone)
+}
+
+// remove deletes keys in commits of bounded size.
+func (l *Log) remove(ctx context.Context, keys []string) error {
+	for len(keys) > 0 {
+		n := min(len(keys), maxDeletes)
+		var ops []store.Op
+		for _, key := range keys[:n] {
+			ops = append(ops, store.Delete(key))
+		}
+		if err := l.commit(ctx, ops); err != nil {
+			return err
+		}
+		keys = keys[n:]
+	}
+	return nil
+}
+
+// Append commits a batch. It returns once the outcome is known or the context ends.
+func (l *Log) Append(ctx context.Context, b Batch) error {
+	text, err := Encode(b)
+	if err != nil {
+		return fmt.Errorf("encode journal: %w", err)
+	}
+	next := append(append([]byte(nil), l.open...), text...)
+	if len(next) > maxValueBytes && len(l.open) > 0 {
+		l.close()
+		next = text
+	}
+	if len(next) > maxValueBytes {
+		return l.appendLarge(ctx, b)
+	}
+	if err := l.commit(ctx, []store.Op{store.Put(l.segmentKey(l.number), next)}); err != nil {
+		return err
+	}
+	l.took(next, len(next)-len(l.open))
+	if len(next) > segmentBytes {
+		l.close()
+	}
+	return nil
+}
+
+// took notes that the open segment now has this value.
+func (l *Log) took(value []byte, grown int) {
+	if len(l.open) == 0 {
+		l.segments = append(l.segments, l.segmentKey(l.number))
+	}
+	l.open = value
+	l.logBytes += grown
+}
+
+// close ends the open segment.
+func (l *Log) close() {
+	if len(l.open) > 0 {
+		l.number++
+	}
+	l.open = nil
+}
+
+// appendLarge commits a batch that exceeds one value as several segments in one commit.
+func (l *Log) appendLarge(ctx context.Context, b Batch) error {
+	l.close()
+	values, err := split(b)
+	if err != nil {
+		return err
+	}
+	var ops []store.Op
+	for i, value := range values {
+		ops = append(ops, store.Put(l.segmentKey(l.number+int64(i)), value))
+	}
+	if err := l.commit(ctx, ops); err != nil {
+		return err
+	}
+	for _, value := range values {
+		l.took(value, len(value))
+		l.close()
+	}
+	return nil
+}
+
+// split encodes a batch as values within the store's limit.
+func split(b Batch) ([][]byte, error) {
+	text, err := Encode(b)
+	if err != nil {
+		return nil, fmt.Errorf("encode journal: %w", err)
+	}
+	if len(text) <= maxValueBytes || b.Len() == 1 {
+		return [][]byte{text}, nil
+	}
+	first, rest := b.cut(b.Len() / 2)
+	left, err := split(first)
+	if err != nil {
+		return nil, err
+	}
+	right, err := split(rest)
+	return append(left, right...), err
+}
+
+// NeedsCompaction reports whether the log has outgrown the snapshot.
+func (l *Log) NeedsCompaction() bool {
+	return len(l.segments) >= maxSegments || l.logBytes > max(minCompactBytes, l.snapshot)
+}
+
+// Compact replaces snapshot and log by one snapshot of the whole state, which
+// must include all batches that were appended. Until its last commit the old
+// ones count.
+func (l *Log) Compact(ctx context.Context, whole Batch) error {
+	if len(l.segments) == 0 {
+		return nil
+	}
+	values, err := split(whole)
+	if err != nil {
+		return err
+	}
+	l.close()
+	var parts []string
+	size := 0
+	for i, value := range values {
+		key := l.partKey(l.number, i)
+		if err := l.commit(ctx, []store.Op{store.Put(key, value)}); err != nil {
+			return err
+		}
+		parts = append(parts, key)
+		size += len(value)
+	}
+	old := append(l.parts, l.segments...)
+	now := old[:min(len(old), maxDeletes)]
+	ops := []store.Op{store.Put(l.headKey(), fmt.Appendf(nil, "%d %d", l.number, len(parts)))}
+	for _, key := range now {
+		ops = append(ops, store.Delete(key))
+	}
+	if err := l.commit(ctx, ops); err != nil {
+		return err
+	}
+	l.parts, l.segments, l.logBytes, l.snapshot = parts, nil, 0, size
+	return l.remove(ctx, old[len(now):])
+}
+
+// commit makes one fenced write.
+func (l *Log) commit(ctx context.Context, ops []store.Op) error {
+	result, err := l.Writer.Commit(ctx, store.Txn{If: []store.Condition{l.Fence}, Then: ops})
+	if err != nil {
+		return err
+	}
+	if !result.Done {
+		return &FencedError{Key: l.Fence.Key}
+	}
+	for _, o := range ops {
+		l.written.Add(int64(len(o.Value)))
+	}
+	return nil
+}
--- a/internal/peer/generate.sh
+++ b/internal/peer/generate.sh
@@ -6,7 +6,7 @@
 bin=$(mktemp -d)
 trap 'rm -rf "$bin"' EXIT
 go build -modfile=tools/go.mod -o "$bin" google.golang.org/protobuf/cmd/protoc-gen-go google.golang.org/grpc/cmd/protoc-gen-go-grpc
-for proto in internal/peer/*/*.proto; do
+for proto in internal/peer/*/*.proto internal/journal/*/*.proto; do
 	PATH="$bin:$PATH" protoc --go_out=. --go_opt=paths=source_relative \
 		--go-grpc_out=. --go-grpc_opt=paths=source_relative "$proto"
 done
--- /dev/null
+++ b/internal/standin/taskledger.go
@@ -0,0 +1,159 @@
+package standin
+
+import (
+	"sync"
+
+	"github.com/oriolepond/oriolepond/internal/worker"
+)
+
+// TaskLedger counts what all workers of a test have seen of tasks.
+type TaskLedger struct {
+	mu       sync.Mutex
+	running  map[string]int
+	finished map[string]int
+	// resumed counts the resumptions of each checkpoint that were not lost with their worker or failed.
+	resumed map[string]int
+	// expected is the checkpoint that a task resumes from next, once a holder has acknowledged it.
+	expected map[string]string
+	// doubted are tasks whose end may be known to nobody.
+	doubted map[string]bool
+	used    map[string]worker.Usage
+	starts  int
+
+	doubleRuns, resumeDoubles, resumeLosses, overcommits int
+}
+
+// NewTaskLedger returns an empty ledger.
+func NewTaskLedger() *TaskLedger {
+	return &TaskLedger{
+		running:  map[string]int{},
+		finished: map[string]int{},
+		resumed:  map[string]int{},
+		expected: map[string]string{},
+		doubted:  map[string]bool{},
+		used:     map[string]worker.Usage{},
+	}
+}
+
+// DoubleRuns returns how often a task ran in two places at once, or finished twice.
+func (l *TaskLedger) DoubleRuns() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.doubleRuns
+}
+
+// ResumeDoubles returns how often one checkpoint was resumed a second time while
+// the first resumption was not lost with its worker and did not fail.
+func (l *TaskLedger) ResumeDoubles() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.resumeDoubles
+}
+
+// ResumeLosses returns how often a task began anew although a checkpoint of it was acknowledged.
+func (l *TaskLedger) ResumeLosses() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.resumeLosses
+}
+
+// Starts returns how many incarnations were started.
+func (l *TaskLedger) Starts() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.starts
+}
+
+// Overcommits returns how often a worker held more than its capacity.
+func (l *TaskLedger) Overcommits() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.overcommits
+}
+
+// Finished returns how many tasks have finished.
+func (l *TaskLedger) Finished() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.finished)
+}
+
+// Used returns what the tasks of a job family have used.
+func (l *TaskLedger) Used(job string) worker.Usage {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.used[job]
+}
+
+func (l *TaskLedger) start(task, resume string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.running[task]++
+	if l.running[task] > 1 || (l.finished[task] > 0 && !l.doubted[task]) {
+		l.doubleRuns++
+	}
+	l.starts++
+	if l.expected[task] != "" && l.expected[task] != resume {
+		l.resumeLosses++
+	}
+	if resume == "" {
+		return
+	}
+	l.resumed[resume]++
+	if l.resumed[resume] > 1 {
+		l.resumeDoubles++
+	}
+}
+
+func (l *TaskLedger) end(task string, finished bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.running[task]--
+	if !finished {
+		return
+	}
+	l.finished[task]++
+	if l.finished[task] > 1 && !l.doubted[task] {
+		l.doubleRuns++
+	}
+}
+
+// lose takes back a resumption whose progress is gone.
+func (l *TaskLedger) lose(resume string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if resume != "" {
+		l.resumed[resume]--
+	}
+}
+
+// doubt notes that a task finished but its worker restarted before the end was
+// acknowledged: the holder may or may not know of it, and may run it again.
+func (l *TaskLedger) doubt(task string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.doubted[task] = true
+}
+
+// expect notes the checkpoint that the next incarnation of a task resumes from.
+func (l *TaskLedger) expect(task, checkpoint string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.expected[task] = checkpoint
+}
+
+func (l *TaskLedger) use(job string, u worker.Usage) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	sum := l.used[job]
+	sum.Processor += u.Processor
+	sum.MemoryTime += u.MemoryTime
+	sum.Accelerator += u.Accelerator
+	l.used[job] = sum
+}
+
+func (l *TaskLedger) overcommit() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.overcommits++
+}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -1,7 +1,10 @@
 package standin
 
 import (
+	"fmt"
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,107 +22,6 @@
 	Fails bool
 }
 
-// TaskLedger counts what all workers of a test have seen of tasks.
-type TaskLedger struct {
-	mu       sync.Mutex
-	running  map[string]int
-	finished map[string]int
-	resumed  map[string]int
-	used     map[string]worker.Usage
-
-	doubleRuns, resumeDoubles, overcommits int
-}
-
-// NewTaskLedger returns an empty ledger.
-func NewTaskLedger() *TaskLedger {
-	return &TaskLedger{
-		running:  map[string]int{},
-		finished: map[string]int{},
-		resumed:  map[string]int{},
-		used:     map[string]worker.Usage{},
-	}
-}
-
-// DoubleRuns returns how often a task ran in two places at once, or finished twice.
-func (l *TaskLedger) DoubleRuns() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.doubleRuns
-}
-
-// ResumeDoubles returns how often one checkpoint was resumed a second time.
-func (l *TaskLedger) ResumeDoubles() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.resumeDoubles
-}
-
-// Overcommits returns how often a worker held more than its capacity.
-func (l *TaskLedger) Overcommits() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.overcommits
-}
-
-// Finished returns how many tasks have finished.
-func (l *TaskLedger) Finished() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return len(l.finished)
-}
-
-// Used returns what the tasks of a job family have used.
-func (l *TaskLedger) Used(job string) worker.Usage {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.used[job]
-}
-
-func (l *TaskLedger) start(task, resume string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.running[task]++
-	if l.running[task] > 1 || l.finished[task] > 0 {
-		l.doubleRuns++
-	}
-	if resume == "" {
-		return
-	}
-	l.resumed[resume]++
-	if l.resumed[resume] > 1 {
-		l.resumeDoubles++
-	}
-}
-
-func (l *TaskLedger) end(task string, finished bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.running[task]--
-	if !finished {
-		return
-	}
-	l.finished[task]++
-	if l.finished[task] > 1 {
-		l.doubleRuns++
-	}
-}
-
-func (l *TaskLedger) use(job string, u worker.Usage) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	sum := l.used[job]
-	sum.Processor += u.Processor
-	sum.MemoryTime += u.MemoryTime
-	sum.Accelerator += u.Accelerator
-	l.used[job] = sum
-}
-
-func (l *TaskLedger) overcommit() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.overcommits++
-}
-
 // Worker is a stand-in for one worker. It is an http.Handler.
 type Worker struct {
 	ID       string
@@ -130,8 +32,15 @@
 	// Tails returns the tail latencies of the runners on the worker; nil means none.
 	Tails func(w *Worker) []worker.TailReport
 
-	mu     sync.Mutex
-	epoch  int64
+	// Now is the worker's clock; nil is the system's.
+	Now func() time.Time
+
+	mu       sync.Mutex
+	epoch    int64
+	sequence int64
+	// boots counts the starts of the worker, and booted is when the last was.
+	boots  int
+	booted time.Time
 	tasks  map[string]*workerTask
 	broken bool
 }
@@ -157,16 +66,33 @@
 func (w *Worker) Crash() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.advance(time.Now())
+	w.advance(w.now())
 	for _, t := range w.tasks {
+		finished := t.report.State == worker.TaskFinished
 		if !t.report.State.Final() {
 			w.Ledger.end(t.report.Task, false)
+			w.Ledger.lose(t.command.Resume)
+		} else if finished {
+			w.Ledger.doubt(t.report.Task)
 		}
 	}
 	w.tasks = nil
 	w.epoch = 0
+	w.sequence = 0
+	w.boots++
+	w.booted = w.now()
+}
+
+func (w *Worker) now() time.Time {
+	if w.Now != nil {
+		return w.Now()
+	}
+	return time.Now()
 }
 
+// boot names the present start of the worker.
+func (w *Worker) boot() string { return fmt.Sprintf("%s#%d", w.ID, w.boots) }
+
 // ServeHTTP takes one exchange.
 func (w *Worker) ServeHTTP(rw http.ResponseWriter, q *http.Request) {
 	body, err := readBody(rw, q, maxStoreBody)
@@ -179,7 +105,7 @@
 		http.Error(rw, err.Error(), http.StatusBadRequest)
 		return
 	}
-	report, ok := w.exchange(e, time.Now())
+	report, ok := w.Exchange(e)
 	text, err := worker.EncodeReport(report)
 	if err != nil {
 		http.Error(rw, err.Error(), http.StatusInternalServerError)
@@ -191,44 +117,85 @@
 	_, _ = rw.Write(text)
 }
 
-// exchange carries out the commands and reports whether the epoch was accepted.
-func (w *Worker) exchange(e worker.Exchange, now time.Time) (worker.Report, bool) {
+// Exchange carries out the commands and reports whether epoch and sequence were accepted.
+func (w *Worker) Exchange(e worker.Exchange) (worker.Report, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	now := w.now()
 	if w.tasks == nil {
 		w.tasks = map[string]*workerTask{}
 	}
-	w.advance(now)
-	if e.Epoch < w.epoch {
-		return worker.Report{Worker: w.ID, Epoch: w.epoch}, false
-	}
-	w.epoch = e.Epoch
-	for _, a := range e.Acks {
-		w.acknowledge(a)
+	if w.booted.IsZero() {
+		w.booted = now
 	}
-	for _, t := range w.tasks {
-		t.expires = now.Add(e.Lease)
+	w.advance(now)
+	report := worker.Report{Worker: w.ID, Boot: w.boot(), Stamp: now.Sub(w.booted)}
+	if !w.admit(e) {
+		report.Epoch = w.epoch
+		return report, false
 	}
-	report := worker.Report{Worker: w.ID, Epoch: w.epoch}
-	for _, c := range e.Commands {
-		if reason := w.carryOut(c, now, e.Lease); reason != "" {
-			report.Refused = append(report.Refused, worker.Refusal{Task: c.Task, Incarnation: c.Incarnation, Reason: reason})
+	report.Epoch = w.epoch
+	expires := w.booted.Add(e.Stamp + e.Lease)
+	named := map[string]bool{}
+	if e.Boot == w.boot() && now.Before(expires) {
+		w.renew(expires)
+		for _, a := range e.Acks {
+			w.acknowledge(a)
+		}
+		for _, c := range e.Commands {
+			named[c.Task] = true
+			if reason := w.carryOut(c, now, expires); reason != "" {
+				report.Refused = append(report.Refused, worker.Refusal{Task: c.Task, Incarnation: c.Incarnation, Reason: reason})
+			}
 		}
 	}
-	for _, t := range w.tasks {
-		report.Tasks = append(report.Tasks, t.report)
-	}
+	report.Full = e.Full || e.Boot != w.boot()
+	report.Tasks = w.rows(report.Full, named)
 	if w.Tails != nil {
 		report.Tails = w.Tails(w)
 	}
 	return report, true
 }
 
+// admit reports whether an exchange is newer than all that the worker has seen.
+func (w *Worker) admit(e worker.Exchange) bool {
+	if e.Epoch < w.epoch || (e.Epoch == w.epoch && e.Sequence <= w.sequence) {
+		return false
+	}
+	w.epoch = e.Epoch
+	w.sequence = e.Sequence
+	return true
+}
+
+func (w *Worker) renew(expires time.Time) {
+	for _, t := range w.tasks {
+		if expires.After(t.expires) {
+			t.expires = expires
+		}
+	}
+}
+
+// rows returns the incarnations that ended or are named, or all of them.
+func (w *Worker) rows(full bool, named map[string]bool) []worker.TaskReport {
+	var rows []worker.TaskReport
+	for _, id := range slices.Sorted(maps.Keys(w.tasks)) {
+		t := w.tasks[id]
+		if full || named[id] || t.report.State.Final() {
+			rows = append(rows, t.report)
+		}
+	}
+	return rows
+}
+
 func (w *Worker) acknowledge(a worker.Ack) {
 	t, ok := w.tasks[a.Task]
-	if ok && t.report.Incarnation == a.Incarnation && t.report.State.Final() {
-		delete(w.tasks, a.Task)
+	if !ok || t.report.Incarnation != a.Incarnation || !t.report.State.Final() {
+		return
+	}
+	if t.report.State == worker.TaskCheckpointed {
+		w.Ledger.expect(a.Task, t.report.Checkpoint)
 	}
+	delete(w.tasks, a.Task)
 }
 
 // advance brings every task up to a time.
@@ -280,10 +247,13 @@
 func (w *Worker) finish(t *workerTask, s worker.TaskState) {
 	t.report.State = s
 	w.Ledger.end(t.report.Task, s == worker.TaskFinished)
+	if s == worker.TaskFailed || s == worker.TaskLapsed || s == worker.TaskStopped {
+		w.Ledger.lose(t.command.Resume)
+	}
 }
 
 // carryOut does what a command asks and returns why not, if so.
-func (w *Worker) carryOut(c worker.Command, now time.Time, lease time.Duration) string {
+func (w *Worker) carryOut(c worker.Command, now, expires time.Time) string {
 	t, known := w.tasks[c.Task]
 	if c.Kind == worker.Start {
 		if known && t.report.Incarnation >= c.Incarnation {
@@ -292,7 +262,7 @@
 		if known && !t.report.State.Final() {
 			return "an earlier incarnation runs"
 		}
-		return w.start(c, now, lease)
+		return w.start(c, now, expires)
 	}
 	if !known || t.report.Incarnation != c.Incarnation || t.report.State.Final() {
 		return ""
@@ -309,7 +279,7 @@
 	return ""
 }
 
-func (w *Worker) start(c worker.Command, now time.Time, lease time.Duration) string {
+func (w *Worker) start(c worker.Command, now, expires time.Time) string {
 	held := c.Size
 	for _, t := range w.tasks {
 		if !t.report.State.Final() {
@@ -321,7 +291,7 @@
 		return "capacity exceeded"
 	}
 	work := w.Work(c.Job)
-	t := &workerTask{command: c, work: work, at: now, expires: now.Add(lease), done: decodeCheckpoint(c.Resume)}
+	t := &workerTask{command: c, work: work, at: now, expires: expires, done: decodeCheckpoint(c.Resume)}
 	t.report = worker.TaskReport{
 		Task:        c.Task,
 		Incarnation: c.Incarnation,
--- /dev/null
+++ b/internal/task/life.go
@@ -0,0 +1,43 @@
+package task
+
+import (
+	_ "embed"
+
+	"github.com/oriolepond/oriolepond/internal/chart"
+)
+
+//go:embed task.chart.jsonc
+var lifeText []byte
+
+var life = chart.Must("task.chart.jsonc", lifeText)
+
+// Event is what happens to a task.
+type Event string
+
+// The events of a task.
+const (
+	Place     Event = "place"
+	Started   Event = "started"
+	Yield     Event = "yield"
+	Cancel    Event = "cancel"
+	Finish    Event = "finished"
+	Fail      Event = "failed"
+	Exhausted Event = "exhausted"
+	Ended     Event = "ended"
+	Unfit     Event = "unfit"
+	Fit       Event = "fit"
+)
+
+// Next returns the state that follows an event, or a *chart.RefusedError.
+func (s State) Next(e Event) (State, error) {
+	next, err := life.Next(chart.State(s), chart.Event(e))
+	return State(next), err
+}
+
+// Final reports whether nothing follows the state.
+func (s State) Final() bool { return life.IsFinal(chart.State(s)) }
+
+// Placed reports whether a task in this state may run on its worker.
+func (s State) Placed() bool {
+	return s == Starting || s == Running || s == Yielding || s == Stopping
+}
--- a/internal/task/task.go
+++ b/internal/task/task.go
@@ -1,14 +1,18 @@
-// Package task holds the batch tasks of jobs and their life.
+// Package task holds the batch tasks of jobs and their life, which is a state
+// chart in task.chart.jsonc.
 //
 // # Usage
 //
 //	s := task.Submission{Neighbour: "quality", Job: "flatness-review", Tasks: 3, Key: key}
+//	next, err := task.Queued.Next(task.Place) // task.Starting
 package task
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/oriolepond/oriolepond/internal/worker"
+	"github.com/oriolepond/oriolepond/pkg/share"
 )
 
 // State is the state of a task.
@@ -36,7 +40,19 @@
 	Key string
 }
 
-// Status is the state of a job.
+// Part is the part of a job that one shard is given. It is idempotent per ID.
+type Part struct {
+	ID        string
+	Neighbour string
+	Share     string
+	// Name is that of the job family.
+	Name string
+	// First is the number of the part's first task within the job, Tasks how many there are.
+	First int
+	Tasks int
+}
+
+// Status is the state of a job, or of a part of it.
 type Status struct {
 	ID     string
 	Job    string
@@ -45,21 +61,56 @@
 	Reason string
 }
 
+// Plus returns the sum of two parts of one job.
+func (s Status) Plus(o Status) Status {
+	sum := Status{ID: s.ID, Job: s.Job, States: map[State]int{}, Reason: s.Reason}
+	if sum.Reason == "" {
+		sum.Reason = o.Reason
+	}
+	for _, each := range []Status{s, o} {
+		for state, n := range each.States {
+			sum.States[state] += n
+		}
+	}
+	return sum
+}
+
+// Job is a part of a job as its shard keeps it.
+type Job struct {
+	Part
+	// EndedAt is when its last task ended; zero while one has not. Its tasks are then only counted.
+	EndedAt time.Time
+	Counts  map[State]int
+	Reason  string
+	// Usage sums the tasks that have ended.
+	Usage worker.Usage
+}
+
 // Task is one unit of batch work.
 type Task struct {
-	ID          string
-	JobID       string
+	// Job is the identifier of the job, Number the task's within it.
 	Job         string
+	Number      int
 	State       State
 	Incarnation int64
-	Worker      string
-	Checkpoint  string
-	Starts      int
-	Reason      string
-	// Usage sums the incarnations that have ended.
-	Usage worker.Usage
+	// Worker and Size are set while the task is placed; Size is what is reserved for it.
+	Worker     string
+	Size       share.Resources
+	Checkpoint string
+	// Failures counts the incarnations that ended in failure.
+	Failures int
+	Reason   string
+	// Ended is the usage of incarnations that have ended, Live that of the present one as last reported.
+	Ended worker.Usage
+	Live  worker.Usage
 }
 
+// ID returns the name of the task on workers.
+func (t Task) ID() string { return fmt.Sprintf("%s-%d", t.Job, t.Number) }
+
+// Usage returns what the task has used.
+func (t Task) Usage() worker.Usage { return t.Ended.Plus(t.Live) }
+
 // NotFoundError says that a job is not known.
 type NotFoundError struct {
 	ID string
--- a/internal/worker/codec.go
+++ b/internal/worker/codec.go
@@ -30,7 +30,11 @@
 	wireExchange struct {
 		Holder      string        `json:"holder"`
 		Epoch       int64         `json:"epoch"`
+		Sequence    int64         `json:"sequence"`
+		Boot        string        `json:"boot,omitempty"`
+		StampMillis int64         `json:"stampMillis,omitempty"`
 		LeaseMillis int64         `json:"leaseMillis"`
+		Full        bool          `json:"full,omitempty"`
 		Commands    []wireCommand `json:"commands,omitempty"`
 		Acks        []wireAck     `json:"acks,omitempty"`
 	}
@@ -42,8 +46,8 @@
 		Reason            string   `json:"reason,omitempty"`
 		Checkpoint        string   `json:"checkpoint,omitempty"`
 		Size              wireSize `json:"size,omitzero"`
-		ProcessorMicros   int64    `json:"processorMicros"`
-		MemoryByteSeconds float64  `json:"memoryByteSeconds"`
+		ProcessorMicros   int64    `json:"processorMicros,omitempty"`
+		MemoryByteSeconds float64  `json:"memoryByteSeconds,omitempty"`
 		AcceleratorMicros int64    `json:"acceleratorMicros,omitempty"`
 		Speed             float64  `json:"speed"`
 		Ratio             float64  `json:"ratio"`
@@ -61,7 +65,10 @@
 	wireReport struct {
 		Worker            string        `json:"worker"`
 		Epoch             int64         `json:"epoch"`
-		MeasuredAgeMillis int64         `json:"measuredAgeMillis"`
+		Boot              string        `json:"boot"`
+		StampMillis       int64         `json:"stampMillis"`
+		Full              bool          `json:"full,omitempty"`
+		MeasuredAgeMillis int64         `json:"measuredAgeMillis,omitempty"`
 		Tasks             []wireTask    `json:"tasks,omitempty"`
 		Tails             []wireTail    `json:"tails,omitempty"`
 		Refused           []wireRefusal `json:"refused,omitempty"`
@@ -82,7 +89,15 @@
 
 // EncodeExchange returns the body of an exchange.
 func EncodeExchange(e Exchange) ([]byte, error) {
-	w := wireExchange{Holder: e.Holder, Epoch: e.Epoch, LeaseMillis: e.Lease.Milliseconds()}
+	w := wireExchange{
+		Holder:      e.Holder,
+		Epoch:       e.Epoch,
+		Sequence:    e.Sequence,
+		Boot:        e.Boot,
+		StampMillis: e.Stamp.Milliseconds(),
+		LeaseMillis: e.Lease.Milliseconds(),
+		Full:        e.Full,
+	}
 	for _, c := range e.Commands {
 		w.Commands = append(w.Commands, wireCommand{
 			Kind:        string(c.Kind),
@@ -106,7 +121,15 @@
 	if err := json.Unmarshal(text, &w); err != nil {
 		return Exchange{}, fmt.Errorf("decode exchange: %w", err)
 	}
-	e := Exchange{Holder: w.Holder, Epoch: w.Epoch, Lease: time.Duration(w.LeaseMillis) * time.Millisecond}
+	e := Exchange{
+		Holder:   w.Holder,
+		Epoch:    w.Epoch,
+		Sequence: w.Sequence,
+		Boot:     w.Boot,
+		Stamp:    time.Duration(w.StampMillis) * time.Millisecond,
+		Lease:    time.Duration(w.LeaseMillis) * time.Millisecond,
+		Full:     w.Full,
+	}
 	for _, c := range w.Commands {
 		e.Commands = append(e.Commands, Command{
 			Kind:        CommandKind(c.Kind),
@@ -126,7 +149,14 @@
 
 // EncodeReport returns the body of a report.
 func EncodeReport(r Report) ([]byte, error) {
-	w := wireReport{Worker: r.Worker, Epoch: r.Epoch, MeasuredAgeMillis: r.MeasuredAge.Milliseconds()}
+	w := wireReport{
+		Worker:            r.Worker,
+		Boot:              r.Boot,
+		StampMillis:       r.Stamp.Milliseconds(),
+		Epoch:             r.Epoch,
+		Full:              r.Full,
+		MeasuredAgeMillis: r.MeasuredAge.Milliseconds(),
+	}
 	for _, t := range r.Tasks {
 		w.Tasks = append(w.Tasks, encodeTask(t))
 	}
@@ -145,7 +175,14 @@
 	if err := json.Unmarshal(text, &w); err != nil {
 		return Report{}, fmt.Errorf("decode report: %w", err)
 	}
-	r := Report{Worker: w.Worker, Epoch: w.Epoch, MeasuredAge: time.Duration(w.MeasuredAgeMillis) * time.Millisecond}
+	r := Report{
+		Worker:      w.Worker,
+		Boot:        w.Boot,
+		Stamp:       time.Duration(w.StampMillis) * time.Millisecond,
+		Epoch:       w.Epoch,
+		Full:        w.Full,
+		MeasuredAge: time.Duration(w.MeasuredAgeMillis) * time.Millisecond,
+	}
 	for _, t := range w.Tasks {
 		r.Tasks = append(r.Tasks, decodeTask(t))
 	}
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -2,7 +2,15 @@
 // leases, report usage with a lag, and can checkpoint, throttle or stop a task.
 //
 // One exchange carries all commands for a worker and returns its report. It
-// also renews the lease of every task that the holder's epoch covers.
+// also renews the lease of every task on the worker.
+//
+// A worker tells its clock as a stamp in each report, and the next exchange
+// carries the stamp back. All that an exchange grants runs out on the worker's
+// own clock at the stamp plus the lease, however late the exchange arrives. So
+// the holder knows a bound on its own clock: the time at which it received
+// the stamp, plus the lease, plus drift. A worker refuses an exchange
+// whose epoch is lower than one that it has seen, whose sequence number is not
+// above the last, or that was meant for the worker before its last restart.
 //
 // # Usage
 //
@@ -53,8 +61,15 @@
 	// Holder is the instance that sends it; Epoch is the fencing epoch of its shard.
 	Holder string
 	Epoch  int64
-	// Lease is how long tasks may run without another exchange.
-	Lease    time.Duration
+	// Sequence grows by one with each exchange of the epoch with the worker.
+	Sequence int64
+	// Boot and Stamp are from the worker's last report; without them no commands are taken and nothing is renewed.
+	Boot  string
+	Stamp time.Duration
+	// Lease is how long after Stamp, on the worker's clock, the commands are taken and the tasks may run.
+	Lease time.Duration
+	// Full asks for a report on all incarnations, not just those that ended or stand in Commands.
+	Full     bool
 	Commands []Command
 	Acks     []Ack
 }
@@ -85,6 +100,22 @@
 	Accelerator time.Duration
 }
 
+// Plus returns the sum of u and o.
+func (u Usage) Plus(o Usage) Usage {
+	u.Processor += o.Processor
+	u.MemoryTime += o.MemoryTime
+	u.Accelerator += o.Accelerator
+	return u
+}
+
+// Minus returns u less o.
+func (u Usage) Minus(o Usage) Usage {
+	u.Processor -= o.Processor
+	u.MemoryTime -= o.MemoryTime
+	u.Accelerator -= o.Accelerator
+	return u
+}
+
 // TaskReport is the state of one incarnation.
 type TaskReport struct {
 	Task        string
@@ -113,9 +144,14 @@
 // Report is a worker's answer to an exchange.
 type Report struct {
 	Worker string
+	// Boot is unique for each start of the worker, and Stamp is the time since then on its clock.
+	Boot  string
+	Stamp time.Duration
+	// Full says that Tasks holds all incarnations that the worker knows.
+	Full bool
 	// Epoch is the highest that the worker has seen; a lower one is refused.
 	Epoch int64
-	// MeasuredAt is how long before the answer the measurements were taken.
+	// MeasuredAge is how long before the answer the measurements were taken.
 	MeasuredAge time.Duration
 	Tasks       []TaskReport
 	Tails       []TailReport
