--- a/instance.go
+++ b/instance.go
@@ -9,11 +9,8 @@
 
 	"github.com/oriolepond/oriolepond/internal/entry"
 	"github.com/oriolepond/oriolepond/internal/eventlog"
-	"github.com/oriolepond/oriolepond/internal/peer"
 	"github.com/oriolepond/oriolepond/internal/roster"
-	"github.com/oriolepond/oriolepond/internal/shard"
 	"github.com/oriolepond/oriolepond/internal/target"
-	"github.com/oriolepond/oriolepond/internal/task"
 )
 
 // followList reads the platform's list until the context ends.
@@ -65,7 +62,7 @@
 }
 
 func (i *Instance) front() http.Handler {
-	tasks := i.anyTasks()
+	tasks := i.jobs
 	return &entry.Front{
 		Config:     i.configs.Current,
 		Dispatcher: i.requests,
@@ -79,49 +76,3 @@
 func (i *Instance) ready() bool {
 	return !i.draining.Load() && i.list.Load() != nil && i.members.View().Table.Has(i.Settings.ID)
 }
-
-// localTasks is the task plane of this instance.
-func (i *Instance) localTasks() *peer.Tasks {
-	return &peer.Tasks{
-		Submit:   i.holder.Submit,
-		Describe: i.holder.Describe,
-		Cancel:   i.holder.Cancel,
-		Accounts: i.holder.Accounts,
-	}
-}
-
-// anyTasks is the task plane of whichever instance holds the shard.
-func (i *Instance) anyTasks() *peer.Tasks {
-	return &peer.Tasks{
-		Submit: func(ctx context.Context, s task.Submission) (task.Status, error) {
-			return atHolder(i, func(t *peer.Tasks) (task.Status, error) { return t.Submit(ctx, s) })
-		},
-		Describe: func(ctx context.Context, neighbour, id string) (task.Status, error) {
-			return atHolder(i, func(t *peer.Tasks) (task.Status, error) { return t.Describe(ctx, neighbour, id) })
-		},
-		Cancel: func(ctx context.Context, neighbour, id string) (task.Status, error) {
-			return atHolder(i, func(t *peer.Tasks) (task.Status, error) { return t.Cancel(ctx, neighbour, id) })
-		},
-		Accounts: func(ctx context.Context) ([]shard.Account, error) {
-			return atHolder(i, func(t *peer.Tasks) ([]shard.Account, error) { return t.Accounts(ctx) })
-		},
-	}
-}
-
-// atHolder makes a call here, or at the holder that this instance knows of.
-func atHolder[T any](i *Instance, call func(*peer.Tasks) (T, error)) (T, error) {
-	result, err := call(i.localTasks())
-	holder, elsewhere := shard.HolderOf(err)
-	if !elsewhere {
-		return result, err
-	}
-	p, known := i.members.View().Peer(holder)
-	if !known {
-		return result, err
-	}
-	conn, connErr := i.pool.Conn(p.PeerAddress)
-	if connErr != nil {
-		return result, connErr
-	}
-	return call(peer.NewTasks(conn))
-}
--- /dev/null
+++ b/internal/journal/journal_test.go
@@ -0,0 +1,181 @@
+package journal
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/oriolepond/oriolepond/internal/standin"
+	"github.com/oriolepond/oriolepond/internal/store"
+	"github.com/oriolepond/oriolepond/internal/task"
+	"github.com/oriolepond/oriolepond/internal/worker"
+	"github.com/oriolepond/oriolepond/pkg/share"
+)
+
+func sample() Batch {
+	return Batch{
+		Jobs: []task.Job{{
+			Part:    task.Part{ID: "j~bajio.1", Neighbour: "quality", Share: "reviews", Name: "flatness-review", First: 3, Tasks: 2},
+			EndedAt: time.UnixMilli(77), Counts: map[task.State]int{task.Finished: 2}, Reason: "r",
+			Usage: worker.Usage{Processor: 5, MemoryTime: 1.5, Accelerator: 7},
+		}},
+		Tasks: []task.Task{{
+			Job: "j~bajio.1", Number: 4, State: task.Running, Incarnation: 2, Worker: "w",
+			Size: share.Resources{Processors: 1, Memory: 2, Accelerators: 3}, Checkpoint: "c", Failures: 1, Reason: "f",
+			Ended: worker.Usage{Processor: 1}, Live: worker.Usage{MemoryTime: 2},
+		}},
+		Accounts: []Account{{Neighbour: "quality", Share: "reviews", Usage: worker.Usage{Accelerator: 9}}},
+		Dropped:  []string{"old"},
+	}
+}
+
+func TestCodecKeepsEveryField(t *testing.T) {
+	text, err := Encode(sample())
+	require.NoError(t, err)
+	b, err := Decode(text)
+	require.NoError(t, err)
+	require.Equal(t, sample(), b)
+}
+
+// Whatever a journal holds, reading it ends, and what was read can be written and read again.
+func FuzzDecode(f *testing.F) {
+	text, err := Encode(sample())
+	require.NoError(f, err)
+	f.Add(text)
+	f.Add(append(text, text...))
+	f.Add(text[:len(text)/2])
+	f.Add([]byte{0x0a, 0xff, 0xff, 0xff, 0xff, 0x0f})
+	f.Fuzz(func(t *testing.T, text []byte) {
+		b, err := Decode(text)
+		if err != nil {
+			return
+		}
+		again, err := Encode(b)
+		require.NoError(t, err)
+		c, err := Decode(again)
+		require.NoError(t, err)
+		require.Equal(t, b.Len(), c.Len())
+	})
+}
+
+type bench struct {
+	stand  *standin.Store
+	client *store.Client
+	fence  store.Condition
+}
+
+func newBench(t *testing.T) *bench {
+	t.Helper()
+	s := standin.NewStore()
+	server := httptest.NewServer(s)
+	t.Cleanup(server.Close)
+	b := &bench{stand: s, client: store.NewEtcd([]string{server.URL}, server.Client())}
+	b.take(t)
+	return b
+}
+
+// take makes a new holder the owner of the journal.
+func (b *bench) take(t *testing.T) {
+	t.Helper()
+	r, err := b.client.Commit(context.Background(), store.Txn{Then: []store.Op{store.Put("/holder", nil)}})
+	require.NoError(t, err)
+	b.fence = store.Condition{Key: "/holder", Revision: r.Revision}
+}
+
+func (b *bench) log(id string) *Log {
+	return &Log{Store: b.client, Writer: &store.Writer{Client: b.client, ID: id}, Prefix: "/s/", Fence: b.fence}
+}
+
+func names(t *testing.T, l *Log) []string {
+	t.Helper()
+	batches, err := l.Load(context.Background())
+	require.NoError(t, err)
+	var all []string
+	for _, b := range batches {
+		for _, j := range b.Jobs {
+			all = append(all, j.ID)
+		}
+	}
+	return all
+}
+
+func jobs(n ...int) Batch {
+	var b Batch
+	for _, i := range n {
+		b.Jobs = append(b.Jobs, task.Job{Part: task.Part{ID: fmt.Sprintf("job-%04d", i)}})
+	}
+	return b
+}
+
+// Everything that was accepted is read back, in order, although answers are lost and snapshots intervene.
+func TestLoadReadsBackEverything(t *testing.T) {
+	b := newBench(t)
+	b.stand.SetLostAnswers(0.2, 3)
+	l := b.log("a")
+	var want []string
+	whole := Batch{}
+	for i := range 60 {
+		one := jobs(i)
+		one.Jobs[0].Reason = strings.Repeat("r", 2000)
+		whole.Jobs = append(whole.Jobs, one.Jobs...)
+		want = append(want, one.Jobs[0].ID)
+		require.NoError(t, l.Append(context.Background(), one))
+		if l.NeedsCompaction() {
+			require.NoError(t, l.Compact(context.Background(), whole))
+		}
+	}
+	b.stand.SetLostAnswers(0, 0)
+	require.Positive(t, l.snapshot, "a snapshot was made")
+	require.Equal(t, want, names(t, b.log("b")))
+}
+
+// A batch beyond the store's limit on values goes into one commit of several.
+func TestLargeBatch(t *testing.T) {
+	b := newBench(t)
+	var n []int
+	for i := range 9000 {
+		n = append(n, i)
+	}
+	batch := jobs(n...)
+	for i := range batch.Jobs {
+		batch.Jobs[i].Reason = strings.Repeat("r", 100)
+	}
+	l := b.log("a")
+	require.NoError(t, l.Append(context.Background(), batch))
+	require.NoError(t, l.Append(context.Background(), jobs(9000)))
+	require.Len(t, names(t, b.log("b")), 9001)
+	require.NoError(t, l.Compact(context.Background(), batch))
+	require.Len(t, names(t, b.log("c")), 9000)
+}
+
+// A holder that was replaced can write nothing, and its unfinished snapshot leaves nothing behind.
+func TestReplacedHolderWritesNothing(t *testing.T) {
+	b := newBench(t)
+	old := b.log("old")
+	require.NoError(t, old.Append(context.Background(), jobs(1)))
+	b.take(t)
+	var fenced *FencedError
+	require.True(t, errors.As(old.Append(context.Background(), jobs(2)), &fenced))
+	require.True(t, errors.As(old.Compact(context.Background(), Batch{}), &fenced))
+	require.Equal(t, []string{"job-0001"}, names(t, b.log("new")))
+}
+
+// A commit whose answers are lost while the store goes down is found again once it is back.
+func TestOutageInTheMiddleOfACommit(t *testing.T) {
+	b := newBench(t)
+	b.stand.SetLostAnswers(1, 1)
+	done := make(chan error, 1)
+	go func() { done <- b.log("a").Append(context.Background(), jobs(1)) }()
+	require.Eventually(t, func() bool { return b.stand.Counts().Writes > 1 }, 10*time.Second, time.Millisecond)
+	b.stand.SetDown(true)
+	b.stand.SetLostAnswers(0, 0)
+	b.stand.SetDown(false)
+	require.NoError(t, <-done)
+	require.Equal(t, []string{"job-0001"}, names(t, b.log("b")))
+}
--- a/internal/peer/tasks.go
+++ b/internal/peer/tasks.go
@@ -22,63 +22,73 @@
 	"github.com/oriolepond/oriolepond/internal/worker"
 )
 
-// Tasks calls the task plane of a peer, or of this instance.
-type Tasks struct {
-	Submit   func(ctx context.Context, s task.Submission) (task.Status, error)
-	Describe func(ctx context.Context, neighbour, id string) (task.Status, error)
-	Cancel   func(ctx context.Context, neighbour, id string) (task.Status, error)
-	Accounts func(ctx context.Context) ([]shard.Account, error)
-}
-
-// NewTasks returns the task plane at the other end of a connection.
-func NewTasks(conn *grpc.ClientConn) *Tasks {
+// NewTasks returns the calls of the shards that the other end of a connection holds.
+func NewTasks(conn *grpc.ClientConn) *shard.Calls {
 	c := taskpb.NewTasksClient(conn)
-	return &Tasks{
-		Submit: func(ctx context.Context, s task.Submission) (task.Status, error) {
-			request := &taskpb.SubmitRequest{Neighbour: s.Neighbour, Job: s.Job, Key: s.Key, Tasks: int32(s.Tasks)}
-			return decodeStatus(c.Submit(ctx, request))
+	return &shard.Calls{
+		Submit: func(ctx context.Context, id string, p task.Part) (task.Status, error) {
+			return decodeStatus(c.Submit(ctx, encodePart(id, p)))
 		},
-		Describe: func(ctx context.Context, neighbour, id string) (task.Status, error) {
-			return decodeStatus(c.Describe(ctx, &taskpb.JobRequest{Neighbour: neighbour, Id: id}))
+		Describe: func(ctx context.Context, id, neighbour, job string) (task.Status, error) {
+			return decodeStatus(c.Describe(ctx, &taskpb.JobRequest{Shard: id, Neighbour: neighbour, Id: job}))
 		},
-		Cancel: func(ctx context.Context, neighbour, id string) (task.Status, error) {
-			return decodeStatus(c.Cancel(ctx, &taskpb.JobRequest{Neighbour: neighbour, Id: id}))
+		Cancel: func(ctx context.Context, id, neighbour, job string) (task.Status, error) {
+			return decodeStatus(c.Cancel(ctx, &taskpb.JobRequest{Shard: id, Neighbour: neighbour, Id: job}))
 		},
-		Accounts: func(ctx context.Context) ([]shard.Account, error) {
-			return decodeAccounts(c.Account(ctx, &taskpb.AccountRequest{}))
+		Accounts: func(ctx context.Context, id string) ([]shard.Account, error) {
+			return decodeAccounts(c.Account(ctx, &taskpb.AccountRequest{Shard: id}))
 		},
 	}
 }
 
-// RegisterTasks answers the calls of peers with a task plane.
-func RegisterTasks(server *grpc.Server, t *Tasks) {
-	taskpb.RegisterTasksServer(server, &tasksServer{tasks: t})
+// RegisterTasks answers the calls of peers to the shards that are held here.
+func RegisterTasks(server *grpc.Server, c *shard.Calls) {
+	taskpb.RegisterTasksServer(server, &tasksServer{calls: c})
 }
 
 type tasksServer struct {
 	taskpb.UnimplementedTasksServer
-	tasks *Tasks
+	calls *shard.Calls
+}
+
+func encodePart(id string, p task.Part) *taskpb.SubmitRequest {
+	return &taskpb.SubmitRequest{
+		Shard:     id,
+		Id:        p.ID,
+		Neighbour: p.Neighbour,
+		Share:     p.Share,
+		Name:      p.Name,
+		First:     int32(p.First),
+		Tasks:     int32(p.Tasks),
+	}
 }
 
-// Submit accepts a job.
+// Submit accepts a part of a job.
 func (s *tasksServer) Submit(ctx context.Context, q *taskpb.SubmitRequest) (*taskpb.JobReply, error) {
-	submission := task.Submission{Neighbour: q.Neighbour, Job: q.Job, Tasks: int(q.Tasks), Key: q.Key}
-	return encodeStatus(s.tasks.Submit(ctx, submission))
+	part := task.Part{
+		ID:        q.Id,
+		Neighbour: q.Neighbour,
+		Share:     q.Share,
+		Name:      q.Name,
+		First:     int(q.First),
+		Tasks:     int(q.Tasks),
+	}
+	return encodeStatus(s.calls.Submit(ctx, q.Shard, part))
 }
 
 // Describe returns the state of a job.
 func (s *tasksServer) Describe(ctx context.Context, q *taskpb.JobRequest) (*taskpb.JobReply, error) {
-	return encodeStatus(s.tasks.Describe(ctx, q.Neighbour, q.Id))
+	return encodeStatus(s.calls.Describe(ctx, q.Shard, q.Neighbour, q.Id))
 }
 
 // Cancel withdraws what of a job has not finished.
 func (s *tasksServer) Cancel(ctx context.Context, q *taskpb.JobRequest) (*taskpb.JobReply, error) {
-	return encodeStatus(s.tasks.Cancel(ctx, q.Neighbour, q.Id))
+	return encodeStatus(s.calls.Cancel(ctx, q.Shard, q.Neighbour, q.Id))
 }
 
 // Account returns the usage of all shares.
-func (s *tasksServer) Account(ctx context.Context, _ *taskpb.AccountRequest) (*taskpb.AccountReply, error) {
-	all, err := s.tasks.Accounts(ctx)
+func (s *tasksServer) Account(ctx context.Context, q *taskpb.AccountRequest) (*taskpb.AccountReply, error) {
+	all, err := s.calls.Accounts(ctx, q.Shard)
 	if err != nil {
 		return nil, encodeError(err)
 	}
--- /dev/null
+++ b/internal/shard/calls.go
@@ -0,0 +1,39 @@
+package shard
+
+import (
+	"context"
+	"errors"
+
+	"github.com/oriolepond/oriolepond/internal/task"
+)
+
+// NotHolderError says that another instance holds the shard, if any does.
+type NotHolderError struct {
+	Shard  string
+	Holder string
+}
+
+// Error returns the shard and its holder.
+func (e *NotHolderError) Error() string {
+	if e.Holder == "" {
+		return "shard " + e.Shard + " has no holder at present"
+	}
+	return "shard " + e.Shard + " is held by " + e.Holder
+}
+
+// HolderOf returns the holder that an error names, if it is a NotHolderError.
+func HolderOf(err error) (string, bool) {
+	var not *NotHolderError
+	if errors.As(err, &not) {
+		return not.Holder, true
+	}
+	return "", false
+}
+
+// Calls are what the holder of a shard answers, here or on a peer.
+type Calls struct {
+	Submit   func(ctx context.Context, shard string, p task.Part) (task.Status, error)
+	Describe func(ctx context.Context, shard, neighbour, id string) (task.Status, error)
+	Cancel   func(ctx context.Context, shard, neighbour, id string) (task.Status, error)
+	Accounts func(ctx context.Context, shard string) ([]Account, error)
+}
--- /dev/null
+++ b/internal/shard/changes.go
@@ -0,0 +1,125 @@
+package shard
+
+import (
+	"github.com/oriolepond/oriolepond/internal/journal"
+	"github.com/oriolepond/oriolepond/internal/task"
+)
+
+// changes are what a Core has to commit. Batches are numbered, and committed
+// one after the other; a change is durable once its batch is.
+type changes struct {
+	// open is the number of the batch that takes changes now, durable that of the last committed one.
+	open     uint64
+	durable  uint64
+	jobs     map[string]*jobEntry
+	tasks    map[string]*entry
+	accounts map[string]bool
+	dropped  []string
+	// workers are those that something is to be sent to once the open batch is durable.
+	workers map[string]bool
+	sent    map[string]bool
+}
+
+func newChanges() changes {
+	c := changes{open: 1, sent: map[string]bool{}}
+	c.clear()
+	return c
+}
+
+func (c *changes) clear() {
+	c.jobs = map[string]*jobEntry{}
+	c.tasks = map[string]*entry{}
+	c.accounts = map[string]bool{}
+	c.dropped = nil
+	c.workers = map[string]bool{}
+}
+
+// mark notes that a task is to be committed.
+func (c *Core) mark(e *entry) {
+	e.changed = c.changes.open
+	c.changes.tasks[e.id] = e
+	if e.Worker != "" {
+		c.changes.workers[e.Worker] = true
+	}
+}
+
+func (c *Core) markJob(j *jobEntry) { c.changes.jobs[j.ID] = j }
+
+// isDurable reports whether the last change of a task is committed.
+func (c *Core) isDurable(e *entry) bool { return e.changed <= c.changes.durable }
+
+// HasChanges reports whether there is something to commit.
+func (c *Core) HasChanges() bool {
+	x := &c.changes
+	return len(x.jobs)+len(x.tasks)+len(x.accounts)+len(x.dropped) > 0
+}
+
+// PendingBatch returns the number of the batch after which all present changes are durable.
+func (c *Core) PendingBatch() uint64 {
+	if c.HasChanges() {
+		return c.changes.open
+	}
+	return c.changes.open - 1
+}
+
+// Batch returns all changes since the last batch, and the number of the batch.
+// It is called again only after Committed.
+func (c *Core) Batch() (journal.Batch, uint64) {
+	var b journal.Batch
+	for _, j := range c.changes.jobs {
+		b.Jobs = append(b.Jobs, j.Job)
+	}
+	for _, t := range c.changes.tasks {
+		// The end of a job stands for the ends of its tasks.
+		if t.job.EndedAt.IsZero() {
+			b.Tasks = append(b.Tasks, stored(t.Task))
+		}
+	}
+	for name := range c.changes.accounts {
+		b.Accounts = append(b.Accounts, c.accounts[name])
+	}
+	b.Dropped = c.changes.dropped
+	number := c.changes.open
+	c.changes.sent = c.changes.workers
+	c.changes.clear()
+	c.changes.open++
+	return b, number
+}
+
+// Committed says that a batch is durable, and returns the workers that now
+// have something to be sent.
+func (c *Core) Committed(number uint64) []string {
+	c.changes.durable = number
+	var ids []string
+	for id := range c.changes.sent {
+		ids = append(ids, id)
+	}
+	c.changes.sent = map[string]bool{}
+	return ids
+}
+
+// Whole returns the whole state as one batch.
+func (c *Core) Whole() journal.Batch {
+	var b journal.Batch
+	for _, a := range c.accounts {
+		b.Accounts = append(b.Accounts, a)
+	}
+	for _, j := range c.jobs {
+		b.Jobs = append(b.Jobs, j.Job)
+		for _, t := range j.tasks {
+			if t.Task != (task.Task{Job: t.Job, Number: t.Number, State: task.Queued}) {
+				b.Tasks = append(b.Tasks, stored(t.Task))
+			}
+		}
+	}
+	return b
+}
+
+// stored returns a task as it is committed: being unschedulable is found out again.
+func stored(t task.Task) task.Task {
+	if t.State == task.Unschedulable {
+		t.State = task.Queued
+		t.Reason = ""
+	}
+	return t
+}
--- a/internal/shard/core.go
+++ b/internal/shard/core.go
@@ -1,38 +1,70 @@
-// Package shard holds the tasks of one part of the pool. Core decides and is
-// free of I/O and clocks; Holder keeps the state in the store, speaks to the
-// workers, and takes over from a holder that is gone.
+// Package shard holds the tasks of one part of the pool: the workers of some
+// racks of a region. Core decides and is free of I/O and clocks. Holder keeps
+// a Core's state in the store and speaks to its workers. Keeper takes and
+// hands over the shards of an instance. Router finds the shards of a job.
 //
 // # Usage
 //
-//	h := &shard.Holder{ID: "entry-1", Store: client, Workers: workers, Log: log}
-//	go h.Run(ctx)
-//	status, err := h.Submit(ctx, submission)
+//	k := &shard.Keeper{ID: "entry-1", Region: "bajio", Store: client, Workers: workers, Log: log}
+//	go k.Run(ctx)
+//	status, err := k.Submit(ctx, "bajio.2", part)
 package shard
 
 import (
-	"fmt"
 	"maps"
 	"slices"
 	"time"
 
-	"github.com/oriolepond/oriolepond/internal/roster"
+	"github.com/oriolepond/oriolepond/internal/journal"
+	"github.com/oriolepond/oriolepond/internal/placement"
 	"github.com/oriolepond/oriolepond/internal/task"
 	"github.com/oriolepond/oriolepond/internal/worker"
 	"github.com/oriolepond/oriolepond/pkg/release"
-	"github.com/oriolepond/oriolepond/pkg/share"
 )
 
-// taskLease is how long a task runs without its holder.
-const taskLease = 15 * time.Second
+// Timing holds the times by which a Core decides.
+type Timing struct {
+	// Lease is how long a task runs after the last stamp that its holder had from the worker.
+	Lease time.Duration
+	// Drift is the greatest rate by which two clocks may differ.
+	Drift float64
+	// Grace is how long a holder that lost the store still renews tasks.
+	Grace time.Duration
+	// FullEvery is how often a worker reports on all incarnations.
+	FullEvery time.Duration
+	// UsageEvery is how often the usage of a running task is committed.
+	UsageEvery time.Duration
+	// GoneAfter is how long a worker is missing from the platform's list before it counts as gone.
+	GoneAfter time.Duration
+	// SilentAfter is how long a worker may be silent before it gets no new tasks.
+	SilentAfter time.Duration
+	// Retention is how long a job is described after its end.
+	Retention time.Duration
+	// RetryAfter is the first wait of a task after a failure; it doubles with each.
+	RetryAfter time.Duration
+	// UrgentAfter is how long an urgent task waits for room before others yield to it.
+	UrgentAfter time.Duration
+}
 
-// Job is a submitted job.
-type Job struct {
-	ID        string
-	Neighbour string
-	Share     string
-	Name      string
-	Key       string
-	Tasks     []string
+// DefaultTiming returns the times that instances use.
+func DefaultTiming() Timing {
+	return Timing{
+		Lease:       15 * time.Second,
+		Drift:       0.01,
+		Grace:       5 * time.Minute,
+		FullEvery:   5 * time.Second,
+		UsageEvery:  time.Minute,
+		GoneAfter:   30 * time.Second,
+		SilentAfter: 5 * time.Second,
+		Retention:   24 * time.Hour,
+		RetryAfter:  time.Second,
+		UrgentAfter: time.Second,
+	}
+}
+
+// lapse returns how long after a stamp came in all that it granted has surely run out.
+func (t Timing) lapse() time.Duration {
+	return t.Lease + time.Duration(float64(t.Lease)*t.Drift)
 }
 
 // Account is the usage of one share.
@@ -40,193 +72,191 @@
 	Neighbour string
 	Share     string
 	Usage     worker.Usage
+	// OpenTasks are running, so that a part of their usage is not reported yet.
 	OpenTasks int
 }
 
-// Core holds the state of one shard.
+// Core holds the state of one shard. It is not safe for concurrent use.
 type Core struct {
-	jobs  map[string]*Job
-	byKey map[string]string
-	tasks map[string]*task.Task
-	// live is the usage of running incarnations as last reported.
-	live  map[string]worker.Usage
-	order []string
-	acks  map[string][]worker.Ack
-	next  int64
-	dirty bool
+	timing Timing
+	// began is when this holder took the shard; handedOver says that the one before stopped first.
+	began      time.Time
+	handedOver bool
+	config     release.Config
+	families   map[string]release.Job
+
+	jobs     map[string]*jobEntry
+	tasks    map[string]*entry
+	workers  map[string]*workerEntry
+	accounts map[string]journal.Account
+	// lost is what was counted of incarnations whose worker may still report their end.
+	lost map[worker.Ack]worker.Usage
+
+	pool    *placement.Pool
+	order   *placement.Order
+	health  *placement.Health
+	delayed map[*entry]bool
+	unfit   map[*entry]bool
+	refitAt time.Time
+	sweepAt time.Time
+
+	changes changes
 }
 
-// NewCore returns an empty shard.
-func NewCore() *Core {
-	return &Core{
-		jobs:  map[string]*Job{},
-		byKey: map[string]string{},
-		tasks: map[string]*task.Task{},
-		live:  map[string]worker.Usage{},
-		acks:  map[string][]worker.Ack{},
-	}
+// jobEntry is a job and the tasks of it that are not dropped.
+type jobEntry struct {
+	task.Job
+	tasks []*entry
 }
 
-// Submit accepts a job; a repeat of its key returns the first.
-func (c *Core) Submit(s task.Submission, config release.Config) (task.Status, error) {
-	byKey := s.Neighbour + "/" + s.Key
-	if id, ok := c.byKey[byKey]; ok {
-		return c.Describe(s.Neighbour, id)
-	}
-	family, ok := config.Job(s.Job)
-	if !ok || family.Neighbour != s.Neighbour {
-		return task.Status{}, &task.RefusedError{Reason: fmt.Sprintf("no job family %q", s.Job)}
-	}
-	c.next++
-	j := &Job{ID: fmt.Sprintf("job-%d", c.next), Neighbour: s.Neighbour, Share: family.Share, Name: s.Job, Key: s.Key}
-	for i := range s.Tasks {
-		id := fmt.Sprintf("%s-%d", j.ID, i)
-		j.Tasks = append(j.Tasks, id)
-		c.tasks[id] = &task.Task{ID: id, JobID: j.ID, Job: s.Job, State: task.Queued}
-		c.order = append(c.order, id)
-	}
-	c.jobs[j.ID] = j
-	c.byKey[byKey] = j.ID
-	c.dirty = true
-	return c.Describe(s.Neighbour, j.ID)
+// entry is a task with what need not outlast its holder.
+type entry struct {
+	task.Task
+	id  string
+	job *jobEntry
+	// changed is the number of the batch that holds the last change.
+	changed   uint64
+	queuedAt  time.Time
+	placedAt  time.Time
+	notBefore time.Time
+	avoid     []string
+	usageAt   time.Time
+	ratio     float64
 }
 
-// Describe returns the state of a neighbour's job.
-func (c *Core) Describe(neighbour, id string) (task.Status, error) {
-	j, ok := c.jobs[id]
-	if !ok || j.Neighbour != neighbour {
-		return task.Status{}, &task.NotFoundError{ID: id}
+// NewCore returns an empty shard that was taken over at a time; handed over
+// means that the former holder had surely stopped by then. Configure and
+// Restore follow.
+func NewCore(timing Timing, now time.Time, handedOver bool) *Core {
+	c := &Core{
+		timing:     timing,
+		began:      now,
+		handedOver: handedOver,
+		jobs:       map[string]*jobEntry{},
+		tasks:      map[string]*entry{},
+		workers:    map[string]*workerEntry{},
+		accounts:   map[string]journal.Account{},
+		lost:       map[worker.Ack]worker.Usage{},
+		pool:       placement.NewPool(),
+		order:      placement.NewOrder(),
+		health:     placement.NewHealth(),
+		delayed:    map[*entry]bool{},
+		unfit:      map[*entry]bool{},
+		changes:    newChanges(),
 	}
-	s := task.Status{ID: id, Job: j.Name, States: map[task.State]int{}}
-	for _, t := range j.Tasks {
-		s.States[c.tasks[t].State]++
-	}
-	return s, nil
+	c.pool.Health = c.health
+	return c
 }
 
-// Cancel withdraws what of a job has not started.
-func (c *Core) Cancel(neighbour, id string) (task.Status, error) {
-	if _, err := c.Describe(neighbour, id); err != nil {
-		return task.Status{}, err
+// Restore takes the state that the journal holds.
+func (c *Core) Restore(batches []journal.Batch, now time.Time) {
+	for _, b := range batches {
+		c.replay(b)
 	}
-	for _, t := range c.jobs[id].Tasks {
-		if c.tasks[t].State == task.Queued {
-			c.tasks[t].State = task.Cancelled
-			c.dirty = true
-		}
+	for _, id := range slices.Sorted(maps.Keys(c.tasks)) {
+		c.recover(c.tasks[id], now)
 	}
-	return c.Describe(neighbour, id)
 }
 
-// Observe takes a worker's report.
-func (c *Core) Observe(r worker.Report) {
-	for _, row := range r.Tasks {
-		t, ok := c.tasks[row.Task]
-		if !ok || t.Incarnation != row.Incarnation {
-			continue
+// replay takes the records of a batch.
+func (c *Core) replay(b journal.Batch) {
+	for _, a := range b.Accounts {
+		c.accounts[a.Share] = a
+	}
+	for _, j := range b.Jobs {
+		e, known := c.jobs[j.ID]
+		if !known {
+			e = c.addJob(j)
 		}
-		if !row.State.Final() {
-			c.live[t.ID] = row.Usage
-			if t.State == task.Starting {
-				t.State = task.Running
-			}
-			continue
+		e.Job = j
+		if !j.EndedAt.IsZero() {
+			c.forgetTasks(e)
 		}
-		c.acks[r.Worker] = append(c.acks[r.Worker], worker.Ack{Task: row.Task, Incarnation: row.Incarnation})
-		if t.State != task.Starting && t.State != task.Running {
-			continue
+	}
+	for _, t := range b.Tasks {
+		if e, ok := c.tasks[t.ID()]; ok {
+			e.Task = t
+		}
+	}
+	for _, id := range b.Dropped {
+		if j, ok := c.jobs[id]; ok {
+			c.forgetTasks(j)
+			delete(c.jobs, id)
 		}
-		c.end(t, row)
 	}
 }
 
-// end takes the end of a task's incarnation.
-func (c *Core) end(t *task.Task, row worker.TaskReport) {
-	t.Usage = plus(t.Usage, row.Usage)
-	delete(c.live, t.ID)
-	t.Worker = ""
-	t.Checkpoint = row.Checkpoint
-	t.State = task.Queued
-	if row.State == worker.TaskFinished {
-		t.State = task.Finished
-	}
-	c.dirty = true
+// recover brings a task that the journal holds back to where it stood.
+func (c *Core) recover(e *entry, now time.Time) {
+	e.queuedAt = now
+	switch {
+	case e.State == task.Queued:
+		c.enqueue(e, now)
+	case e.State.Placed():
+		e.placedAt = now
+		w := c.worker(e.Worker)
+		w.tasks[e.id] = e
+		c.hold(e, now)
+	}
 }
 
-func plus(a, b worker.Usage) worker.Usage {
-	a.Processor += b.Processor
-	a.MemoryTime += b.MemoryTime
-	a.Accelerator += b.Accelerator
-	return a
+func (c *Core) addJob(j task.Job) *jobEntry {
+	e := &jobEntry{Job: j}
+	c.jobs[j.ID] = e
+	for n := range j.Tasks {
+		t := &entry{Task: task.Task{Job: j.ID, Number: j.First + n, State: task.Queued}, job: e}
+		t.id = t.ID()
+		e.tasks = append(e.tasks, t)
+		c.tasks[t.id] = t
+	}
+	return e
 }
 
-// Plan places queued tasks and returns what is to be sent to each worker.
-func (c *Core) Plan(workers []roster.Instance, config release.Config) map[string]worker.Exchange {
-	free := map[string]share.Resources{}
-	exchanges := map[string]worker.Exchange{}
-	for _, w := range workers {
-		free[w.ID] = w.Capacity
-		exchanges[w.ID] = worker.Exchange{Lease: taskLease, Acks: c.acks[w.ID]}
-	}
-	c.acks = map[string][]worker.Ack{}
-	for _, t := range c.tasks {
-		if family, ok := config.Job(t.Job); ok && t.Worker != "" {
-			free[t.Worker] = free[t.Worker].Minus(family.Size)
-		}
-	}
-	for _, id := range c.order {
-		t := c.tasks[id]
-		family, ok := config.Job(t.Job)
-		if !ok {
-			continue
-		}
-		if t.State == task.Queued {
-			c.place(t, family, workers, free)
-		}
-		if e, known := exchanges[t.Worker]; known && t.State == task.Starting {
-			e.Commands = append(e.Commands, worker.Command{
-				Kind:        worker.Start,
-				Task:        t.ID,
-				Incarnation: t.Incarnation,
-				Job:         t.Job,
-				Size:        family.Size,
-				Resume:      t.Checkpoint,
-			})
-			exchanges[t.Worker] = e
-		}
+func (c *Core) forgetTasks(j *jobEntry) {
+	for _, t := range j.tasks {
+		delete(c.tasks, t.id)
+		delete(c.unfit, t)
+		delete(c.delayed, t)
 	}
-	return exchanges
+	j.tasks = nil
 }
 
-// place gives a task to the first worker that holds it.
-func (c *Core) place(t *task.Task, family release.Job, workers []roster.Instance, free map[string]share.Resources) {
-	for _, w := range workers {
-		if w.State != roster.Live || !family.Size.Fits(free[w.ID]) {
-			continue
-		}
-		free[w.ID] = free[w.ID].Minus(family.Size)
-		t.State = task.Starting
-		t.Worker = w.ID
-		t.Incarnation++
-		t.Starts++
-		c.dirty = true
+// Configure takes a configuration, with the part of each share's quota that is this shard's.
+func (c *Core) Configure(config release.Config, quotas Quotas) {
+	for _, s := range config.Shares {
+		c.pool.SetQuota(s.Name, quotas.Of(s))
+		c.order.SetShare(s.Name, s.Weight)
+	}
+	if c.families != nil && config.Revision == c.config.Revision {
 		return
 	}
+	c.config = config
+	c.families = map[string]release.Job{}
+	for _, j := range config.Jobs {
+		c.families[j.Name] = j
+	}
+	c.refitAt = time.Time{}
 }
 
 // Accounts returns the usage of all shares.
 func (c *Core) Accounts() []Account {
 	sums := map[string]*Account{}
-	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
-		j := c.jobs[id]
-		a, ok := sums[j.Share]
-		if !ok {
-			a = &Account{Neighbour: j.Neighbour, Share: j.Share}
-			sums[j.Share] = a
+	sum := func(neighbour, name string) *Account {
+		if sums[name] == nil {
+			sums[name] = &Account{Neighbour: neighbour, Share: name}
 		}
-		for _, t := range j.Tasks {
-			a.Usage = plus(a.Usage, plus(c.tasks[t].Usage, c.live[t]))
-			if c.tasks[t].Worker != "" {
+		return sums[name]
+	}
+	for _, a := range c.accounts {
+		s := sum(a.Neighbour, a.Share)
+		s.Usage = s.Usage.Plus(a.Usage)
+	}
+	for _, j := range c.jobs {
+		a := sum(j.Neighbour, j.Share)
+		a.Usage = a.Usage.Plus(j.Usage)
+		for _, t := range j.tasks {
+			a.Usage = a.Usage.Plus(t.Usage())
+			if t.State.Placed() {
 				a.OpenTasks++
 			}
 		}
--- /dev/null
+++ b/internal/shard/exchange.go
@@ -0,0 +1,224 @@
+package shard
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/oriolepond/oriolepond/internal/roster"
+	"github.com/oriolepond/oriolepond/internal/task"
+	"github.com/oriolepond/oriolepond/internal/worker"
+)
+
+func (w *workerEntry) sorted() []*entry {
+	var all []*entry
+	for _, id := range slices.Sorted(maps.Keys(w.tasks)) {
+		all = append(all, w.tasks[id])
+	}
+	return all
+}
+
+// Workers returns the addresses of the workers to exchange with, by name.
+func (c *Core) Workers() map[string]string {
+	all := map[string]string{}
+	for id, w := range c.workers {
+		if w.address != "" {
+			all[id] = w.address
+		}
+	}
+	return all
+}
+
+// Address returns the address of a worker, or "" if it is not listed.
+func (c *Core) Address(id string) string {
+	if w, ok := c.workers[id]; ok {
+		return w.address
+	}
+	return ""
+}
+
+// Exchange returns what is to be sent to a worker now. Without commands, it
+// only renews what runs: a holder that may have lost its shard starts nothing.
+// Only one exchange with a worker is under way at a time.
+func (c *Core) Exchange(id string, commands bool, now time.Time) (worker.Exchange, bool) {
+	w, ok := c.workers[id]
+	if !ok {
+		return worker.Exchange{}, false
+	}
+	w.sequence++
+	e := worker.Exchange{
+		Sequence: w.sequence,
+		Boot:     w.boot,
+		Stamp:    w.stamp,
+		Lease:    c.timing.Lease,
+		Full:     w.wantFull || now.Sub(w.fullAt) >= c.timing.FullEvery,
+	}
+	if w.boot == "" {
+		return e, true
+	}
+	if w.heardAt.After(w.grantedAt) {
+		w.grantedAt = w.heardAt
+	}
+	if commands {
+		e.Commands = c.commands(w)
+		e.Acks = c.takeAcks(w)
+	}
+	return e, true
+}
+
+// commands returns the commands that a worker's tasks ask for, as far as they are durable.
+func (c *Core) commands(w *workerEntry) []worker.Command {
+	var all []worker.Command
+	for _, e := range w.sorted() {
+		if !c.isDurable(e) {
+			continue
+		}
+		if command, ok := c.command(e); ok {
+			all = append(all, command)
+		}
+	}
+	for stray := range w.strays {
+		all = append(all, worker.Command{Kind: worker.Stop, Task: stray.Task, Incarnation: stray.Incarnation})
+	}
+	for _, id := range slices.Sorted(maps.Keys(w.ratios)) {
+		if e, ok := w.tasks[id]; ok && e.State == task.Running {
+			all = append(all, worker.Command{
+				Kind: worker.Throttle, Task: id, Incarnation: e.Incarnation, Ratio: w.ratios[id],
+			})
+		}
+	}
+	return all
+}
+
+// command returns what a task asks its worker to do.
+func (c *Core) command(e *entry) (worker.Command, bool) {
+	command := worker.Command{Task: e.id, Incarnation: e.Incarnation}
+	switch e.State {
+	case task.Starting:
+		command.Kind = worker.Start
+		command.Job = e.job.Name
+		command.Size = e.Size
+		command.Resume = e.Checkpoint
+	case task.Yielding:
+		command.Kind = worker.Stop
+		if c.families[e.job.Name].Checkpoints {
+			command.Kind = worker.Checkpoint
+		}
+	case task.Stopping:
+		command.Kind = worker.Stop
+	default:
+		return command, false
+	}
+	return command, true
+}
+
+// takeAcks returns the acknowledgements that are durable. One that is lost is
+// made again when the worker repeats its report.
+func (c *Core) takeAcks(w *workerEntry) []worker.Ack {
+	var acks []worker.Ack
+	var kept []pendingAck
+	for _, a := range w.acks {
+		if a.batch > c.changes.durable {
+			kept = append(kept, a)
+			continue
+		}
+		acks = append(acks, a.Ack)
+	}
+	w.acks = kept
+	return acks
+}
+
+// Observe takes a worker's answer to the last exchange.
+func (c *Core) Observe(r worker.Report, now time.Time) {
+	w, ok := c.workers[r.Worker]
+	if !ok {
+		return
+	}
+	w.adopted = true
+	w.boot, w.stamp, w.heardAt = r.Boot, r.Stamp, now
+	if w.grantedAt.IsZero() {
+		// Whatever an earlier holder granted was granted by a stamp before this one.
+		w.grantedAt = now
+	}
+	w.acks = nil
+	w.wantFull = false
+	seen := map[worker.Ack]bool{}
+	clear(w.strays)
+	for _, row := range r.Tasks {
+		seen[worker.Ack{Task: row.Task, Incarnation: row.Incarnation}] = true
+		c.observeRow(w, row, now)
+	}
+	for _, f := range r.Refused {
+		c.refuse(w, f, now)
+	}
+	if r.Full {
+		w.fullAt = now
+		c.observeMissing(w, seen, now)
+	}
+	for _, e := range w.tasks {
+		w.wantFull = w.wantFull || e.State == task.Stopping || e.State == task.Yielding
+	}
+	c.setAccepting(w, now)
+}
+
+// observeRow takes the state of one incarnation.
+func (c *Core) observeRow(w *workerEntry, row worker.TaskReport, now time.Time) {
+	ack := worker.Ack{Task: row.Task, Incarnation: row.Incarnation}
+	e, here := w.tasks[row.Task]
+	if here && e.Incarnation != row.Incarnation {
+		here = false
+	}
+	switch {
+	case here && !row.State.Final():
+		c.observeRunning(w, e, row, now)
+	case here:
+		c.end(e, row, now)
+		w.acks = append(w.acks, pendingAck{Ack: ack, batch: c.PendingBatch()})
+	case row.State.Final():
+		c.recoverUsage(row)
+		w.acks = append(w.acks, pendingAck{Ack: ack, batch: c.PendingBatch()})
+	default:
+		w.strays[ack] = true
+	}
+}
+
+func (c *Core) observeRunning(w *workerEntry, e *entry, row worker.TaskReport, now time.Time) {
+	if e.State == task.Starting {
+		e.usageAt = now
+		c.apply(e, task.Started, now)
+	}
+	e.Live = row.Usage
+	e.ratio = row.Ratio
+	if w.ratios[e.id] == row.Ratio {
+		delete(w.ratios, e.id)
+	}
+	if now.Sub(e.usageAt) >= c.timing.UsageEvery {
+		e.usageAt = now
+		c.mark(e)
+	}
+}
+
+// refuse takes a worker's refusal of a start. It will not carry out the start
+// later, since it refuses whatever was sent before.
+func (c *Core) refuse(w *workerEntry, f worker.Refusal, now time.Time) {
+	e, ok := w.tasks[f.Task]
+	if !ok || e.Incarnation != f.Incarnation {
+		return
+	}
+	e.avoid = []string{w.id}
+	e.notBefore = now.Add(c.timing.RetryAfter)
+	c.apply(e, task.Ended, now)
+}
+
+// observeMissing ends the tasks that a worker does not know, although it was
+// told of them. A start that may not have come in is sent again.
+func (c *Core) observeMissing(w *workerEntry, seen map[worker.Ack]bool, now time.Time) {
+	for _, e := range w.sorted() {
+		if e.State != task.Starting && !seen[worker.Ack{Task: e.id, Incarnation: e.Incarnation}] {
+			c.lose(e, now)
+		}
+	}
+}
+
+// leaving reports whether a worker is to be emptied.
+func (w *workerEntry) leaving() bool { return w.state == roster.Leaving }
--- a/internal/shard/holder.go
+++ b/internal/shard/holder.go
@@ -3,230 +3,355 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/oriolepond/oriolepond/internal/eventlog"
-	"github.com/oriolepond/oriolepond/internal/roster"
-	"github.com/oriolepond/oriolepond/internal/store"
+	"github.com/oriolepond/oriolepond/internal/journal"
 	"github.com/oriolepond/oriolepond/internal/task"
 	"github.com/oriolepond/oriolepond/internal/worker"
 	"github.com/oriolepond/oriolepond/pkg/release"
 )
 
-// The keys of a shard in the store.
-const (
-	HolderKey = "/oriolepond/shard/0/holder"
-	StateKey  = "/oriolepond/shard/0/state"
-)
-
-// NotHolderError says that another instance holds the shard, if any does.
-type NotHolderError struct {
-	Holder string
-}
+// commitInterval is the least time between two commits of a shard.
+const commitInterval = 100 * time.Millisecond
 
-// Error returns the holder.
-func (e *NotHolderError) Error() string {
-	if e.Holder == "" {
-		return "the shard has no holder at present"
-	}
-	return "the shard is held by " + e.Holder
+// Situation is what a holder is told of the world.
+type Situation struct {
+	Config  release.Config
+	Listing Listing
+	Quotas  Quotas
+	// Version changes whenever another field does.
+	Version uint64
 }
 
-// Holder holds the shard while it can, and stands by while another does.
+// Holder holds one shard from its taking until it is given up or lost. The
+// mutex guards the Core and is never held across a call.
 type Holder struct {
+	Shard string
+	// ID is the instance, Epoch the revision of the holder's key.
 	ID      string
-	Store   *store.Client
-	Writer  *store.Writer
+	Epoch   int64
+	Journal *journal.Log
 	Workers *worker.Client
-	// Lease returns the instance's lease in the store, or zero.
-	Lease func() store.LeaseID
-	// Config and List return what is known now.
-	Config   func() release.Config
-	List     func() roster.List
+	Timing  Timing
+	// Interval is how often each worker is spoken to.
 	Interval time.Duration
+	// Situation returns what is known now.
+	Situation func() Situation
+	// MayStart reports whether the shard is surely still held, MayRenew whether what runs may go on.
+	MayStart func(now time.Time) bool
+	MayRenew func(now time.Time) bool
 	Log      *eventlog.Log
 
-	mu     sync.Mutex
-	core   *Core // Nil while another instance holds the shard.
-	holder string
-	epoch  int64
-	state  int64 // The revision of the state's key.
+	mu      sync.Mutex
+	core    *Core
+	version uint64
+	// durable is the last committed batch; changed is closed and replaced when it grows.
+	durable uint64
+	changed chan struct{}
+	wakes   map[string]chan struct{}
+	stops   map[string]context.CancelFunc
+	loops   sync.WaitGroup
+	lost    context.CancelFunc
+	ended   bool
+}
+
+// Open reads back the journal. HandedOver says that the former holder had
+// stopped before this one took the shard.
+func (h *Holder) Open(ctx context.Context, handedOver bool) error {
+	now := time.Now()
+	batches, err := h.Journal.Load(ctx)
+	if err != nil {
+		return err
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.core = NewCore(h.Timing, now, handedOver)
+	h.changed = make(chan struct{})
+	h.wakes = map[string]chan struct{}{}
+	h.stops = map[string]context.CancelFunc{}
+	h.refresh(now)
+	h.core.Restore(batches, now)
+	return nil
 }
 
-// Run holds or stands by until the context ends.
+// Run holds the shard until the context ends or it is lost. At the end of
+// the context it commits what is left, and returns nil.
 func (h *Holder) Run(ctx context.Context) error {
-	ticker := time.NewTicker(h.Interval)
+	running, lost := context.WithCancel(ctx)
+	defer lost()
+	h.lost = lost
+	err := h.commitLoop(running)
+	h.mu.Lock()
+	for _, stop := range h.stops {
+		stop()
+	}
+	h.mu.Unlock()
+	h.loops.Wait()
+	if err == nil && ctx.Err() != nil {
+		final, cancel := context.WithTimeout(context.WithoutCancel(ctx), finalCommit)
+		defer cancel()
+		err = h.commitOnce(final)
+	}
+	h.mu.Lock()
+	h.ended = true
+	close(h.changed)
+	h.mu.Unlock()
+	if err == nil && ctx.Err() == nil {
+		err = &NotHolderError{Shard: h.Shard}
+	}
+	return err
+}
+
+// finalCommit bounds the last commit of a planned stop.
+const finalCommit = 2 * time.Second
+
+// commitLoop plans and commits until the context ends.
+func (h *Holder) commitLoop(ctx context.Context) error {
+	ticker := time.NewTicker(commitInterval)
 	defer ticker.Stop()
 	for {
-		if err := h.step(ctx); err != nil && ctx.Err() == nil {
-			h.Log.Emit(eventlog.StoreUnavailable, zap.Error(err))
+		h.mu.Lock()
+		now := time.Now()
+		h.refresh(now)
+		h.core.Plan(now)
+		h.reconcile(ctx)
+		h.mu.Unlock()
+		if err := h.commitOnce(ctx); err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			return err
 		}
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
 		}
+		// An idle shard waits for a change, or for the next look at the clock.
+		if err := h.compact(ctx); err != nil {
+			return err
+		}
 	}
 }
 
-func (h *Holder) step(ctx context.Context) error {
+// commitOnce commits the changes made so far, if any.
+func (h *Holder) commitOnce(ctx context.Context) error {
 	h.mu.Lock()
-	defer h.mu.Unlock()
-	if err := h.hold(ctx); err != nil || h.core == nil {
-		return err
+	if !h.core.HasChanges() {
+		h.mu.Unlock()
+		return nil
 	}
-	list := h.List()
-	workers := list.OfKind(roster.KindWorker)
-	exchanges := h.core.Plan(workers, h.Config())
-	if err := h.persist(ctx); err != nil {
+	batch, number := h.core.Batch()
+	h.mu.Unlock()
+	if err := h.Journal.Append(ctx, batch); err != nil {
 		return err
 	}
-	h.exchange(ctx, workers, exchanges)
-	return h.persist(ctx)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, id := range h.core.Committed(number) {
+		h.wake(id)
+	}
+	h.durable = number
+	close(h.changed)
+	h.changed = make(chan struct{})
+	return nil
 }
 
-// hold takes the shard if nobody holds it, and drops it if somebody else does.
-func (h *Holder) hold(ctx context.Context) error {
-	e, ok, err := h.Store.Read(ctx, HolderKey)
-	if err != nil {
-		return err
-	}
-	if ok {
-		h.holder = string(e.Value)
-		if h.holder != h.ID {
-			h.core = nil
-		}
-		if h.core != nil || h.holder != h.ID {
-			return nil
-		}
+// compact replaces the log by a snapshot when it has grown.
+func (h *Holder) compact(ctx context.Context) error {
+	if !h.Journal.NeedsCompaction() {
+		return nil
 	}
-	lease := h.Lease()
-	if lease == 0 {
+	h.mu.Lock()
+	whole := h.core.Whole()
+	h.mu.Unlock()
+	err := h.Journal.Compact(ctx, whole)
+	if err != nil && ctx.Err() != nil {
 		return nil
 	}
-	h.core = nil
-	put := store.Put(HolderKey, []byte(h.ID)).WithLease(lease)
-	result, err := h.Writer.Commit(ctx, store.Txn{
-		If:   []store.Condition{{Key: HolderKey, Revision: e.Revision}},
-		Then: []store.Op{put},
-	})
-	if err != nil || !result.Done {
-		return err
+	h.Log.Emit(eventlog.JournalCompacted, zap.String("shard", h.Shard), zap.Int("records", whole.Len()))
+	return err
+}
+
+// refresh gives the core what is new; h.mu is held.
+func (h *Holder) refresh(now time.Time) {
+	s := h.Situation()
+	if s.Version == h.version {
+		return
 	}
-	h.epoch = result.Revision
-	return h.load(ctx)
+	h.version = s.Version
+	h.core.Configure(s.Config, s.Quotas)
+	h.core.SetListing(s.Listing, now)
 }
 
-func (h *Holder) load(ctx context.Context) error {
-	e, ok, err := h.Store.Read(ctx, StateKey)
-	if err != nil {
-		return err
+// reconcile starts and ends the loops that speak to workers; h.mu is held.
+func (h *Holder) reconcile(ctx context.Context) {
+	workers := h.core.Workers()
+	for id, stop := range h.stops {
+		if _, ok := workers[id]; !ok {
+			stop()
+			delete(h.stops, id)
+			delete(h.wakes, id)
+		}
 	}
-	core := NewCore()
-	if ok {
-		if core, err = Decode(e.Value); err != nil {
-			return err
+	for id := range workers {
+		if _, ok := h.stops[id]; ok {
+			continue
 		}
+		running, stop := context.WithCancel(ctx)
+		wake := make(chan struct{}, 1)
+		h.stops[id] = stop
+		h.wakes[id] = wake
+		h.loops.Go(func() { h.speak(running, id, wake) })
 	}
-	h.state = e.Revision
-	h.core = core
-	h.holder = h.ID
-	return nil
 }
 
-// persist writes the state if it changed, fenced by the holder's key.
-func (h *Holder) persist(ctx context.Context) error {
-	if !h.core.dirty {
-		return nil
+// wake lets the next exchange with a worker begin at once; h.mu is held.
+func (h *Holder) wake(id string) {
+	if ch, ok := h.wakes[id]; ok {
+		select {
+		case ch <- struct{}{}:
+		default:
+		}
 	}
-	value, err := h.core.Encode()
-	if err != nil {
-		return err
+}
+
+// speak makes one exchange with a worker after the other. A worker that is
+// slow or dead delays only itself.
+func (h *Holder) speak(ctx context.Context, id string, wake chan struct{}) {
+	first := time.Duration(rand.Int64N(int64(h.Interval)))
+	timer := time.NewTimer(min(first, commitInterval))
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-wake:
+		case <-timer.C:
+		}
+		again := h.exchange(ctx, id)
+		wait := h.Interval*9/10 + time.Duration(rand.Int64N(int64(h.Interval)/5+1))
+		if again {
+			wait = 0
+		}
+		timer.Reset(wait)
+	}
+}
+
+// exchange makes one exchange and reports whether the next is to follow at once.
+func (h *Holder) exchange(ctx context.Context, id string) bool {
+	now := time.Now()
+	if !h.MayRenew(now) {
+		return false
+	}
+	h.mu.Lock()
+	e, ok := h.core.Exchange(id, h.MayStart(now), now)
+	address := h.core.Address(id)
+	h.mu.Unlock()
+	if !ok || address == "" {
+		return false
 	}
-	result, err := h.Writer.Commit(ctx, store.Txn{
-		If:   []store.Condition{{Key: HolderKey, Revision: h.epoch}, {Key: StateKey, Revision: h.state}},
-		Then: []store.Op{store.Put(StateKey, value)},
-	})
+	e.Holder = h.ID
+	e.Epoch = h.Epoch
+	report, err := h.Workers.Exchange(ctx, address, e)
 	if err != nil {
-		return err
+		h.unanswered(ctx, id, err)
+		return false
 	}
-	if !result.Done {
-		h.core = nil
-		return &NotHolderError{}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.core.Observe(report, time.Now())
+	return e.Boot != report.Boot
+}
+
+// unanswered takes the failure of an exchange. A worker that has seen a higher
+// epoch shows that the shard is lost.
+func (h *Holder) unanswered(ctx context.Context, id string, err error) {
+	var fenced *worker.EpochError
+	switch {
+	case ctx.Err() != nil:
+	case errors.As(err, &fenced) && fenced.Seen > h.Epoch:
+		h.Log.Emit(eventlog.ShardLost, zap.String("shard", h.Shard), zap.Error(err))
+		h.lost()
+	case !errors.As(err, &fenced):
+		h.Log.Emit(eventlog.WorkerSilent, zap.String("worker", id), zap.Error(err))
 	}
-	h.state = result.Revision
-	h.core.dirty = false
-	return nil
 }
 
-// exchange speaks to all workers at once and takes their reports.
-func (h *Holder) exchange(ctx context.Context, workers []roster.Instance, exchanges map[string]worker.Exchange) {
-	var group sync.WaitGroup
-	reports := make(chan worker.Report, len(workers))
-	for _, w := range workers {
-		group.Go(func() {
-			e := exchanges[w.ID]
-			e.Holder = h.ID
-			e.Epoch = h.epoch
-			if r, err := h.Workers.Exchange(ctx, w.Address, e); err == nil {
-				reports <- r
-			}
-		})
+// change makes a change and returns once it is committed.
+func (h *Holder) change(ctx context.Context, f func(c *Core, now time.Time) (task.Status, error)) (task.Status, error) {
+	h.mu.Lock()
+	if h.ended || !h.MayStart(time.Now()) {
+		h.mu.Unlock()
+		return task.Status{}, &NotHolderError{Shard: h.Shard}
 	}
-	group.Wait()
-	close(reports)
-	for r := range reports {
-		h.core.Observe(r)
+	s, err := f(h.core, time.Now())
+	number := h.core.PendingBatch()
+	h.mu.Unlock()
+	if err != nil {
+		return task.Status{}, err
 	}
+	return s, h.await(ctx, number)
 }
 
-// Submit accepts a job once it is committed.
-func (h *Holder) Submit(ctx context.Context, s task.Submission) (task.Status, error) {
-	return h.call(ctx, func(c *Core) (task.Status, error) { return c.Submit(s, h.Config()) })
+// await returns once a batch is durable.
+func (h *Holder) await(ctx context.Context, number uint64) error {
+	for {
+		h.mu.Lock()
+		done, ended, changed := h.durable >= number, h.ended, h.changed
+		h.mu.Unlock()
+		switch {
+		case done:
+			return nil
+		case ended:
+			return &NotHolderError{Shard: h.Shard}
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
 }
 
-// Describe returns the state of a job.
-func (h *Holder) Describe(ctx context.Context, neighbour, id string) (task.Status, error) {
-	return h.call(ctx, func(c *Core) (task.Status, error) { return c.Describe(neighbour, id) })
+// Submit accepts a part of a job once it is committed.
+func (h *Holder) Submit(ctx context.Context, p task.Part) (task.Status, error) {
+	return h.change(ctx, func(c *Core, now time.Time) (task.Status, error) { return c.Submit(p, now) })
 }
 
-// Cancel withdraws what of a job has not started.
+// Cancel withdraws what of a job has not ended, once that is committed.
 func (h *Holder) Cancel(ctx context.Context, neighbour, id string) (task.Status, error) {
-	return h.call(ctx, func(c *Core) (task.Status, error) { return c.Cancel(neighbour, id) })
+	return h.change(ctx, func(c *Core, now time.Time) (task.Status, error) { return c.Cancel(neighbour, id, now) })
 }
 
-// Accounts returns the usage of all shares.
-func (h *Holder) Accounts(context.Context) ([]Account, error) {
+// Describe returns the state of a part of a job.
+func (h *Holder) Describe(neighbour, id string) (task.Status, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.core == nil {
-		return nil, &NotHolderError{Holder: h.holder}
+	if h.ended {
+		return task.Status{}, &NotHolderError{Shard: h.Shard}
 	}
-	return h.core.Accounts(), nil
+	return h.core.Describe(neighbour, id)
 }
 
-// call makes a change and commits it before it answers.
-func (h *Holder) call(ctx context.Context, f func(*Core) (task.Status, error)) (task.Status, error) {
+// Accounts returns the usage of all shares.
+func (h *Holder) Accounts() ([]Account, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.core == nil {
-		return task.Status{}, &NotHolderError{Holder: h.holder}
+	if h.ended {
+		return nil, &NotHolderError{Shard: h.Shard}
 	}
-	s, err := f(h.core)
-	if err != nil {
-		return task.Status{}, err
-	}
-	return s, h.persist(ctx)
+	return h.core.Accounts(), nil
 }
 
-// HolderOf returns the holder that an error names, if it is a NotHolderError.
-func HolderOf(err error) (string, bool) {
-	var not *NotHolderError
-	if errors.As(err, &not) {
-		return not.Holder, true
-	}
-	return "", false
+// IsSole reports whether no earlier holder can still renew tasks of the shard.
+func (h *Holder) IsSole(now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.core.IsSole(now)
 }
--- /dev/null
+++ b/internal/shard/job.go
@@ -0,0 +1,104 @@
+package shard
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/oriolepond/oriolepond/internal/task"
+)
+
+// Submit accepts the part of a job; a repeat changes nothing. The part is
+// accepted once the open batch is durable.
+func (c *Core) Submit(p task.Part, now time.Time) (task.Status, error) {
+	if _, known := c.jobs[p.ID]; known {
+		return c.Describe(p.Neighbour, p.ID)
+	}
+	if f, ok := c.families[p.Name]; !ok || f.Neighbour != p.Neighbour {
+		return task.Status{}, &task.RefusedError{Reason: fmt.Sprintf("no job family %q", p.Name)}
+	}
+	j := c.addJob(task.Job{Part: p})
+	c.markJob(j)
+	for _, t := range j.tasks {
+		t.queuedAt = now
+		// A queued task has no record of its own, but is durable with its job.
+		t.changed = c.changes.open
+		c.enqueue(t, now)
+	}
+	return c.Describe(p.Neighbour, p.ID)
+}
+
+// Describe returns the state of a neighbour's job.
+func (c *Core) Describe(neighbour, id string) (task.Status, error) {
+	j, ok := c.jobs[id]
+	if !ok || j.Neighbour != neighbour {
+		return task.Status{}, &task.NotFoundError{ID: id}
+	}
+	return j.status(), nil
+}
+
+func (j *jobEntry) status() task.Status {
+	s := task.Status{ID: j.ID, Job: j.Name, States: maps.Clone(j.Counts), Reason: j.Reason}
+	if s.States == nil {
+		s.States = map[task.State]int{}
+	}
+	for _, t := range j.tasks {
+		s.States[t.State]++
+		if t.Reason != "" && (t.State == task.Unschedulable || s.Reason == "") {
+			s.Reason = t.Reason
+		}
+	}
+	return s
+}
+
+// Cancel withdraws what of a job has not ended. Running tasks are stopped.
+func (c *Core) Cancel(neighbour, id string, now time.Time) (task.Status, error) {
+	if _, err := c.Describe(neighbour, id); err != nil {
+		return task.Status{}, err
+	}
+	for _, t := range slices.Clone(c.jobs[id].tasks) {
+		if !t.State.Final() && t.State != task.Stopping {
+			c.apply(t, task.Cancel, now)
+		}
+	}
+	return c.jobs[id].status(), nil
+}
+
+// endJob folds a job whose tasks have all ended into counts.
+func (c *Core) endJob(j *jobEntry, now time.Time) {
+	for _, t := range j.tasks {
+		if !t.State.Final() {
+			return
+		}
+	}
+	s := j.status()
+	j.Counts, j.Reason = s.States, s.Reason
+	j.EndedAt = now
+	c.forgetTasks(j)
+	c.markJob(j)
+}
+
+// sweepEvery is how often jobs are looked at for their retention.
+const sweepEvery = 10 * time.Second
+
+// sweep drops the jobs whose retention is over; their usage stays in the accounts.
+func (c *Core) sweep(now time.Time) {
+	if now.Before(c.sweepAt) {
+		return
+	}
+	c.sweepAt = now.Add(sweepEvery)
+	for id, j := range c.jobs {
+		if j.EndedAt.IsZero() || now.Sub(j.EndedAt) < c.timing.Retention {
+			continue
+		}
+		a := c.accounts[j.Share]
+		a.Neighbour, a.Share = j.Neighbour, j.Share
+		a.Usage = a.Usage.Plus(j.Usage)
+		c.accounts[j.Share] = a
+		c.changes.accounts[j.Share] = true
+		c.changes.dropped = append(c.changes.dropped, id)
+		delete(c.changes.jobs, id)
+		delete(c.jobs, id)
+	}
+}
--- /dev/null
+++ b/internal/shard/life.go
@@ -0,0 +1,134 @@
+package shard
+
+import (
+	"time"
+
+	"github.com/oriolepond/oriolepond/internal/task"
+	"github.com/oriolepond/oriolepond/internal/worker"
+)
+
+// maxRetryWait bounds the wait of a task between two tries.
+const maxRetryWait = time.Minute
+
+// apply takes an event of a task through the chart and does what its new
+// state asks. It reports whether the state took the event.
+func (c *Core) apply(e *entry, event task.Event, now time.Time) bool {
+	next, err := e.State.Next(event)
+	if err != nil {
+		return false
+	}
+	before := e.State
+	e.State = next
+	if before.Placed() && !next.Placed() {
+		c.release(e)
+	}
+	switch {
+	case event == task.Unfit || event == task.Fit:
+		// Found out again by the next holder, so there is nothing to commit.
+	case before != next:
+		c.mark(e)
+	}
+	c.leave(e, before)
+	switch {
+	case next == task.Queued && before != task.Queued:
+		e.queuedAt = now
+		c.enqueue(e, now)
+	case next.Final() && !before.Final():
+		c.fold(e)
+		c.endJob(e.job, now)
+	}
+	return true
+}
+
+// leave takes a task out of the queues that its former state put it in.
+func (c *Core) leave(e *entry, before task.State) {
+	switch before {
+	case task.Queued:
+		c.order.Remove(e.id)
+		delete(c.delayed, e)
+	case task.Unschedulable:
+		delete(c.unfit, e)
+	}
+}
+
+// release takes a task off its worker.
+func (c *Core) release(e *entry) {
+	c.changes.workers[e.Worker] = true
+	if w, ok := c.workers[e.Worker]; ok {
+		delete(w.tasks, e.id)
+	}
+	c.pool.Release(e.Worker, e.id)
+	e.Ended = e.Usage()
+	e.Live = worker.Usage{}
+	e.Worker = ""
+	e.Size = zeroSize
+}
+
+// fold adds the usage of an ended task to its job.
+func (c *Core) fold(e *entry) {
+	e.job.Usage = e.job.Usage.Plus(e.Usage())
+	e.Ended = worker.Usage{}
+	e.Live = worker.Usage{}
+	e.Checkpoint = ""
+	c.markJob(e.job)
+}
+
+// end takes the end of the present incarnation as its worker reports it.
+func (c *Core) end(e *entry, row worker.TaskReport, now time.Time) {
+	on := e.Worker
+	e.Live = row.Usage
+	switch row.State {
+	case worker.TaskFinished:
+		c.health.Succeeded(on, e.job.Name)
+		c.apply(e, task.Finish, now)
+	case worker.TaskFailed:
+		c.fail(e, row.Reason, now)
+	default:
+		if row.Checkpoint != "" {
+			e.Checkpoint = row.Checkpoint
+		}
+		c.apply(e, task.Ended, now)
+	}
+}
+
+// fail takes a failure of the present incarnation.
+func (c *Core) fail(e *entry, reason string, now time.Time) {
+	c.health.Failed(e.Worker, e.job.Name, now)
+	e.Failures++
+	e.Reason = reason
+	e.avoid = []string{e.Worker}
+	e.notBefore = now.Add(min(maxRetryWait, c.timing.RetryAfter<<min(e.Failures-1, 8)))
+	event := task.Fail
+	if f, ok := c.families[e.job.Name]; ok && e.Failures >= f.MaxStarts {
+		event = task.Exhausted
+	}
+	c.apply(e, event, now)
+}
+
+// lose ends an incarnation that surely runs no more, although its worker did not report its end.
+func (c *Core) lose(e *entry, now time.Time) {
+	c.lost[worker.Ack{Task: e.id, Incarnation: e.Incarnation}] = e.Live
+	c.apply(e, task.Ended, now)
+}
+
+// recoverUsage counts what a lost incarnation used beyond what was counted.
+func (c *Core) recoverUsage(row worker.TaskReport) {
+	key := worker.Ack{Task: row.Task, Incarnation: row.Incarnation}
+	counted, ok := c.lost[key]
+	if !ok {
+		return
+	}
+	delete(c.lost, key)
+	e, known := c.tasks[row.Task]
+	if !known {
+		return
+	}
+	late := row.Usage.Minus(counted)
+	if e.State.Final() {
+		e.job.Usage = e.job.Usage.Plus(late)
+		c.markJob(e.job)
+		return
+	}
+	e.Ended = e.Ended.Plus(late)
+	c.mark(e)
+}
--- /dev/null
+++ b/internal/shard/plan.go
@@ -0,0 +1,227 @@
+package shard
+
+import (
+	"cmp"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/oriolepond/oriolepond/internal/placement"
+	"github.com/oriolepond/oriolepond/internal/task"
+	"github.com/oriolepond/oriolepond/pkg/share"
+)
+
+// enqueue puts a queued task where Plan finds it.
+func (c *Core) enqueue(e *entry, now time.Time) {
+	if e.notBefore.After(now) {
+		c.delayed[e] = true
+		return
+	}
+	c.order.Push(placement.Item{
+		Task:   e.id,
+		Job:    e.job.Name,
+		Share:  e.job.Share,
+		Urgent: c.families[e.job.Name].Urgent,
+		Queued: e.queuedAt,
+	})
+}
+
+// hold reserves the room of a placed task on its worker.
+func (c *Core) hold(e *entry, now time.Time) {
+	c.pool.Hold(e.Worker, placement.Resident{
+		Task:   e.id,
+		Group:  e.Job,
+		Job:    e.job.Name,
+		Share:  e.job.Share,
+		Size:   e.Size,
+		Urgent: c.families[e.job.Name].Urgent,
+		Since:  now,
+	})
+}
+
+// Plan lets time pass and places queued tasks. Nothing is sent before the
+// batch that it opens is durable.
+func (c *Core) Plan(now time.Time) {
+	c.lapse(now)
+	c.sweep(now)
+	c.clear(now)
+	for e := range c.delayed {
+		if !e.notBefore.After(now) {
+			delete(c.delayed, e)
+			c.enqueue(e, now)
+		}
+	}
+	c.refit(now)
+	c.place(now)
+}
+
+// maxPlaced bounds the tasks that one call of Plan places, so that a call stays short.
+const maxPlaced = 2000
+
+func (c *Core) place(now time.Time) {
+	round := c.order.Round(now)
+	for placed := 0; placed < maxPlaced; {
+		item, ok := round.Next()
+		if !ok {
+			return
+		}
+		e := c.tasks[item.Task]
+		if e == nil || e.State != task.Queued {
+			round.Drop()
+			continue
+		}
+		candidate, err := c.candidate(e)
+		id := ""
+		if err == nil {
+			id, err = c.pool.Choose(candidate, now)
+		}
+		var never *placement.UnschedulableError
+		switch {
+		case err == nil:
+			round.Take(c.cost(candidate.Size))
+			c.placeOn(e, id, candidate, now)
+			placed++
+		case errors.As(err, &never):
+			round.Drop()
+			c.setUnfit(e, never.Reason, now)
+		default:
+			round.Skip()
+			c.makeRoom(e, candidate, err, now)
+		}
+	}
+}
+
+// candidate returns a queued task as placement regards it.
+func (c *Core) candidate(e *entry) (placement.Candidate, error) {
+	f, ok := c.families[e.job.Name]
+	if !ok {
+		return placement.Candidate{}, &placement.UnschedulableError{Task: e.id, Reason: "its job family is withdrawn"}
+	}
+	return placement.Candidate{
+		Task:   e.id,
+		Group:  e.Job,
+		Job:    f.Name,
+		Share:  e.job.Share,
+		Size:   f.Size,
+		Urgent: f.Urgent,
+		Avoid:  c.avoid(e),
+	}, nil
+}
+
+// avoid returns the worker that a task failed on, unless there is no other.
+func (c *Core) avoid(e *entry) []string {
+	if len(c.workers) < 2 {
+		return nil
+	}
+	return e.avoid
+}
+
+// cost is what a task takes for the order of shares: its processors, in cores.
+func (c *Core) cost(size share.Resources) float64 {
+	return max(0.001, float64(size.Processors)/1000)
+}
+
+func (c *Core) placeOn(e *entry, id string, candidate placement.Candidate, now time.Time) {
+	e.Worker = id
+	e.Size = candidate.Size
+	e.Incarnation++
+	e.placedAt = now
+	e.Reason = ""
+	c.apply(e, task.Place, now)
+	c.worker(id).tasks[e.id] = e
+	c.pool.Hold(id, candidate.Resident(now))
+	c.health.Started(id, now)
+}
+
+func (c *Core) setUnfit(e *entry, reason string, now time.Time) {
+	c.apply(e, task.Unfit, now)
+	e.Reason = reason
+	c.unfit[e] = true
+}
+
+// refitEvery is how often unschedulable tasks are looked at again.
+const refitEvery = 5 * time.Second
+
+// refit queues the tasks that can run again after a change of configuration or workers.
+func (c *Core) refit(now time.Time) {
+	if now.Before(c.refitAt) {
+		return
+	}
+	c.refitAt = now.Add(refitEvery)
+	never := map[string]bool{}
+	for e := range c.unfit {
+		if never[e.job.Name] {
+			continue
+		}
+		candidate, err := c.candidate(e)
+		if err == nil {
+			_, err = c.pool.Choose(candidate, now)
+		}
+		var unschedulable *placement.UnschedulableError
+		if errors.As(err, &unschedulable) {
+			never[e.job.Name] = true
+			continue
+		}
+		e.Reason = ""
+		c.apply(e, task.Fit, now)
+	}
+}
+
+// clear lets the tasks of leaving workers yield, so that they go on elsewhere.
+func (c *Core) clear(now time.Time) {
+	for _, w := range c.workers {
+		if !w.leaving() {
+			continue
+		}
+		for _, e := range w.sorted() {
+			if e.State == task.Running && c.families[e.job.Name].Checkpoints {
+				c.apply(e, task.Yield, now)
+			}
+		}
+	}
+}
+
+// makeRoom lets other tasks yield to an urgent one that has waited in vain.
+func (c *Core) makeRoom(e *entry, candidate placement.Candidate, err error, now time.Time) {
+	var full *placement.FullError
+	if !candidate.Urgent || now.Sub(e.queuedAt) < c.timing.UrgentAfter || !errors.As(err, &full) || full.Reason != placement.NoRoom {
+		return
+	}
+	var best []*entry
+	for _, w := range c.workers {
+		if !c.accepts(w, now) {
+			continue
+		}
+		victims, enough, yielding := c.victims(w, candidate.Size)
+		if yielding {
+			// Room comes up there already.
+			return
+		}
+		if enough && (best == nil || len(victims) < len(best)) {
+			best = victims
+		}
+	}
+	for _, v := range best {
+		c.apply(v, task.Yield, now)
+	}
+}
+
+// victims returns the tasks that make room for a size on a worker, the newest
+// first, whether they are enough, and whether some yield already.
+func (c *Core) victims(w *workerEntry, size share.Resources) (victims []*entry, enough, yielding bool) {
+	free := c.pool.Free(w.id)
+	tasks := w.sorted()
+	slices.SortStableFunc(tasks, func(a, b *entry) int { return cmp.Compare(b.placedAt.UnixNano(), a.placedAt.UnixNano()) })
+	for _, e := range tasks {
+		f := c.families[e.job.Name]
+		if e.State == task.Yielding || e.State == task.Stopping {
+			return nil, false, size.Fits(free.Plus(e.Size))
+		}
+		if size.Fits(free) || f.Urgent || !f.Checkpoints || e.State != task.Running {
+			continue
+		}
+		victims = append(victims, e)
+		free = free.Plus(e.Size)
+	}
+	return victims, size.Fits(free), false
+}
--- /dev/null
+++ b/internal/shard/split.go
@@ -0,0 +1,109 @@
+package shard
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/oriolepond/oriolepond/internal/task"
+	"github.com/oriolepond/oriolepond/pkg/share"
+)
+
+// tasksPerShard is the number of tasks of a job from which it is split among one more shard.
+const tasksPerShard = 16
+
+// PlacedPart is a part of a job with the shard that keeps it.
+type PlacedPart struct {
+	Shard string
+	task.Part
+}
+
+// Split divides a job among the shards of its share, in proportion to their
+// processors. A small job goes to one of them, drawn by its identifier with
+// the same proportions.
+func (q Quotas) Split(s share.Share, p task.Part) []PlacedPart {
+	among := q.Among(s)
+	if len(among) == 0 {
+		return nil
+	}
+	n := min(len(among), (p.Tasks+tasksPerShard-1)/tasksPerShard)
+	chosen := q.draw(among, p.ID, n)
+	total, before := int64(0), int64(0)
+	for _, id := range chosen {
+		total += q.weights[id]
+	}
+	var parts []PlacedPart
+	for _, id := range chosen {
+		after := before + q.weights[id]
+		first := portion(int64(p.Tasks), before, total)
+		part := p
+		part.First = int(first)
+		part.Tasks = int(portion(int64(p.Tasks), after, total) - first)
+		before = after
+		if part.Tasks > 0 {
+			parts = append(parts, PlacedPart{Shard: id, Part: part})
+		}
+	}
+	return parts
+}
+
+// draw returns n shards that follow each other from one drawn by weight.
+func (q Quotas) draw(among []string, key string, n int) []string {
+	among = slices.Clone(among)
+	slices.Sort(among)
+	total := int64(0)
+	for _, id := range among {
+		total += q.weights[id]
+	}
+	point := int64(xxhash.Sum64String(key) % uint64(max(1, total)))
+	first := 0
+	for point >= q.weights[among[first]] {
+		point -= q.weights[among[first]]
+		first++
+	}
+	var chosen []string
+	for i := range n {
+		chosen = append(chosen, among[(first+i)%len(among)])
+	}
+	return chosen
+}
+
+// JobID returns the identifier of a job, which names the shards of its parts:
+// the unique part, then each region with the numbers of its shards.
+func JobID(unique string, shards []string) string {
+	var b strings.Builder
+	b.WriteString(unique)
+	region := ""
+	for _, id := range shards {
+		if r := RegionOf(id); r != region {
+			region = r
+			b.WriteString("~" + r)
+		}
+		b.WriteString(id[strings.LastIndexByte(id, '.'):])
+	}
+	return b.String()
+}
+
+// ShardsOf returns the shards that the identifier of a job names, or none if
+// it is not one.
+func ShardsOf(job string) []string {
+	var shards []string
+	for _, named := range strings.Split(job, "~")[1:] {
+		fields := strings.Split(named, ".")
+		region := fields
+		for len(region) > 1 && isShardNumber(region[len(region)-1]) {
+			region = region[:len(region)-1]
+		}
+		for _, n := range fields[len(region):] {
+			shards = append(shards, strings.Join(region, ".")+"."+n)
+		}
+	}
+	return shards
+}
+
+func isShardNumber(s string) bool {
+	n, err := strconv.ParseUint(s, 10, 8)
+	return err == nil && n < PerRegion
+}
--- a/oriolepond.go
+++ b/oriolepond.go
@@ -37,7 +37,6 @@
 	"github.com/oriolepond/oriolepond/internal/shard"
 	"github.com/oriolepond/oriolepond/internal/store"
 	"github.com/oriolepond/oriolepond/internal/target"
-	"github.com/oriolepond/oriolepond/internal/worker"
 )
 
 // Instance is one entry instance. Its fields are set before Run.
@@ -54,7 +53,8 @@
 	burned   *burn.Recorder
 	targets  *target.Table
 	requests *entry.Dispatcher
-	holder   *shard.Holder
+	shards   *shard.Keeper
+	jobs     *shard.Router
 	pool     *peer.Pool
 	list     atomic.Pointer[roster.List]
 	draining atomic.Bool
@@ -74,13 +74,13 @@
 	var g run.Group
 	addLoop(&g, background, i.members.Run)
 	addLoop(&g, background, i.configs.Run)
-	addLoop(&g, background, i.holder.Run)
+	addLoop(&g, background, i.shards.Run)
 	addLoop(&g, background, i.followList)
 	addLoop(&g, background, i.trimConnections)
 	front := &http.Server{Handler: i.front(), MaxHeaderBytes: i.Settings.MaxHeaderBytes, ReadHeaderTimeout: headerTimeout}
 	admin := &http.Server{Handler: i.admin(), ReadHeaderTimeout: headerTimeout}
 	peers := grpc.NewServer(peer.ServerOptions()...)
-	peer.RegisterTasks(peers, i.localTasks())
+	peer.RegisterTasks(peers, i.shards.Calls())
 	i.registerRequests(peers)
 	peer.RegisterOperate(peers, i.localOperate())
 	addServer(&g, admin, listeners.admin)
@@ -231,15 +231,5 @@
 		Log:   i.Log,
 		Peers: i.configPeers,
 	}
-	i.holder = &shard.Holder{
-		ID:       s.ID,
-		Store:    client,
-		Writer:   &store.Writer{Client: client, ID: s.ID + "/shard"},
-		Workers:  worker.NewClient(i.httpClient(idleWorkerConns)),
-		Lease:    i.members.Lease,
-		Config:   i.configs.Current,
-		List:     i.currentList,
-		Interval: s.WorkerInterval,
-		Log:      i.Log,
-	}
+	i.buildTasks(client)
 }
--- a/wire_operate.go
+++ b/wire_operate.go
@@ -25,7 +25,7 @@
 		Status:    i.configs.Status,
 		History:   i.configs.History,
 		Config:    i.configs.Current,
-		Accounts:  i.anyTasks().Accounts,
+		Accounts:  i.jobs.Accounts,
 		Burn:      i.burn,
 		Log:       i.Log,
 	}
--- /dev/null
+++ b/wire_tasks.go
@@ -0,0 +1,58 @@
+package oriolepond
+
+import (
+	"fmt"
+
+	"github.com/oriolepond/oriolepond/internal/peer"
+	"github.com/oriolepond/oriolepond/internal/shard"
+	"github.com/oriolepond/oriolepond/internal/store"
+	"github.com/oriolepond/oriolepond/internal/worker"
+)
+
+// buildTasks makes the parts of the task plane.
+func (i *Instance) buildTasks(client *store.Client) {
+	s := i.Settings
+	i.shards = &shard.Keeper{
+		ID:       s.ID,
+		Store:    client,
+		Workers:  worker.NewClient(i.httpClient(idleWorkerConns)),
+		TTL:      s.LeaseTTL,
+		Interval: s.WorkerInterval,
+		Members:  i.shardMembers,
+		Config:   i.configs.Current,
+		List:     i.currentList,
+		Log:      i.Log,
+	}
+	i.jobs = &shard.Router{
+		Store:    client,
+		Writer:   &store.Writer{Client: client, ID: s.ID + "/jobs"},
+		Local:    i.shards.Calls(),
+		Peer:     i.peerTasks,
+		HolderOf: i.shards.HolderOf,
+		Shards:   i.shards.Shards,
+		Config:   i.configs.Current,
+		List:     i.currentList,
+	}
+}
+
+// shardMembers returns the instances that can hold shards.
+func (i *Instance) shardMembers() []shard.Member {
+	var members []shard.Member
+	for _, p := range i.members.View().Peers {
+		members = append(members, shard.Member{ID: p.ID, Region: p.Region})
+	}
+	return members
+}
+
+// peerTasks returns the task plane of a peer.
+func (i *Instance) peerTasks(instance string) (*shard.Calls, error) {
+	p, known := i.members.View().Peer(instance)
+	if !known {
+		return nil, fmt.Errorf("instance %s is not a member", instance)
+	}
+	conn, err := i.pool.Conn(p.PeerAddress)
+	if err != nil {
+		return nil, err
+	}
+	return peer.NewTasks(conn), nil
+}
