Demonstration with faults, run by instances behind the fault proxy

The planned stop's actor ends with its group. Runners slow down beside noisy tasks, and workers report tail latency with a lag.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -1,5 +1,6 @@
 // Package demo runs entry instances with stand-ins for all systems around
-// them, under a bounded load, and reports what the stand-ins saw.
+// them, under a bounded load and with injected faults, and reports what the
+// stand-ins saw.
 //
 // # Usage
 //
@@ -11,6 +12,7 @@
 	"context"
 	"fmt"
 	"io"
+	"sync"
 	"time"
 
 	"github.com/oriolepond/oriolepond/examples"
@@ -27,11 +29,16 @@
 	// startTimeout bounds the start of all instances.
 	startTimeout = 20 * time.Second
 	// settleTimeout bounds the wait for the last tasks.
-	settleTimeout = 90 * time.Second
+	settleTimeout = 60 * time.Second
 	// progressEvery is how often a progress line is written.
 	progressEvery = time.Second
 	// listLag is how far the instance list lags.
 	listLag = 500 * time.Millisecond
+	// The one-way latencies between data centres and between regions.
+	dataCentreLatency = 500 * time.Microsecond
+	regionLatency     = 12 * time.Millisecond
+	// linkBitsPerSecond is the width of the link between regions.
+	linkBitsPerSecond = 30_000_000
 )
 
 // Demo is one demonstration.
@@ -41,17 +48,29 @@
 	Seed    uint64
 	Faults  []Fault
 	Out     io.Writer
+	// Launch starts an entry instance; nil runs it within this process.
+	Launch Launch
 
-	cluster   *standin.Cluster
-	instances []*instance
-	counts    *counts
+	cluster *standin.Cluster
+	network *standin.Network
+	counts  *counts
+
+	mu      sync.Mutex
+	places  []*instance
+	all     []*instance
+	started int
 }
 
 // Run starts everything, applies the load and the faults, and reports.
 func (d *Demo) Run(ctx context.Context) (Report, error) {
 	d.counts = newCounts()
+	d.places = make([]*instance, instanceCount)
+	d.network = standin.NewNetwork()
+	d.network.Latency = latency
+	d.network.LinkBitsPerSecond = linkBitsPerSecond
 	d.cluster = &standin.Cluster{
 		Example:     d.Example,
+		Network:     d.network,
 		ServiceTime: meanServiceTime,
 		ListLag:     listLag,
 		Work:        d.work,
@@ -59,6 +78,7 @@
 	if err := d.cluster.Start(); err != nil {
 		return Report{}, err
 	}
+	defer d.network.Close()
 	defer d.cluster.Close()
 	defer d.stopInstances()
 	if err := d.startInstances(ctx); err != nil {
@@ -66,7 +86,13 @@
 	}
 	fmt.Fprintf(d.Out, "%d instances, %d runners and %d workers on loopback\n",
 		instanceCount, d.Example.Runners, d.Example.Workers)
-	if err := d.applyNote(ctx); err != nil {
+	if err := d.applyNote(ctx, d.Example.Note); err != nil {
+		return Report{}, err
+	}
+	if err := d.awaitConfig(ctx); err != nil {
+		return Report{}, err
+	}
+	if err := d.applyNote(ctx, d.extraNote()); err != nil {
 		return Report{}, err
 	}
 	loaded, cancel := context.WithTimeout(ctx, d.Length)
@@ -76,36 +102,61 @@
 	return d.report(ctx), ctx.Err()
 }
 
+// latency returns the one-way latency between two sites.
+func latency(from, to standin.Site) time.Duration {
+	switch {
+	case from.Region != to.Region:
+		return regionLatency
+	case from.DataCentre != to.DataCentre:
+		return dataCentreLatency
+	}
+	return 0
+}
+
 // work returns what a task of a job family truly takes.
-func (d *Demo) work(string) standin.Work {
+func (d *Demo) work(job string) standin.Work {
 	size := share.Resources{Processors: 3_000, Memory: 6e9}
+	if job == noisyJob {
+		return standin.Work{RunTime: time.Second, Size: size, Noise: noisySlowdown}
+	}
 	return standin.Work{RunTime: 2 * time.Second, Size: size}
 }
 
-// applyNote applies the example's first release note.
-func (d *Demo) applyNote(ctx context.Context) error {
-	client := operate.Client{Address: d.instances[0].addresses.Admin, Token: operatorToken}
-	report, _, err := client.Apply(ctx, d.Example.Note)
+// applyNote applies a release note through the first ready instance.
+func (d *Demo) applyNote(ctx context.Context, note []byte) error {
+	client := operate.Client{Address: d.anyReady(0).admin(), Token: operatorToken}
+	report, _, err := client.Apply(ctx, note)
 	if err != nil {
-		return fmt.Errorf("apply the first release note: %w", err)
+		return fmt.Errorf("apply a release note: %w", err)
 	}
 	fmt.Fprintf(d.Out, "release note %s: revision %d, %d entries\n", report.Note, report.Revision, len(report.Entries))
-	return d.awaitConfig(ctx)
+	return nil
+}
+
+// anyReady returns a ready instance, from a number on; any one if none is ready.
+func (d *Demo) anyReady(from int) *instance {
+	all := d.running()
+	for n := range all {
+		if i := all[(from+n)%len(all)]; i.ready.Load() {
+			return i
+		}
+	}
+	return all[from%len(all)]
 }
 
-// awaitConfig waits until each instance knows the callers' tokens.
+// awaitConfig waits until each instance serves callers by the first note.
 func (d *Demo) awaitConfig(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
-	for _, i := range d.instances {
-		call := d.Example.Calls[0]
+	call := d.Example.Calls[0]
+	for _, i := range d.running() {
 		for {
-			status, _, err := d.post(ctx, i, call, "probe", "probe")
+			status, _, err := d.post(ctx, i, call, "probe", "probe", "")
 			if err == nil && status < 400 {
 				break
 			}
-			if err := pause(ctx, pollEvery); err != nil {
-				return fmt.Errorf("instance %s does not serve: status %d", i.id, status)
+			if pause(ctx, pollEvery) != nil {
+				return fmt.Errorf("instance %s does not serve: status %d, %w", i.id, status, err)
 			}
 		}
 	}
--- a/internal/demo/instances.go
+++ b/internal/demo/instances.go
@@ -6,40 +6,49 @@
 	"encoding/hex"
 	"fmt"
 	"net/http"
+	"os"
+	"sync/atomic"
 	"time"
 
-	"github.com/oriolepond/oriolepond"
-	"github.com/oriolepond/oriolepond/internal/eventlog"
-	"github.com/oriolepond/oriolepond/internal/settings"
+	"github.com/oriolepond/oriolepond/internal/standin"
 )
 
 const (
 	operatorToken = "operator-token"
 	// pollEvery is how often the demonstration looks whether something has come about.
 	pollEvery = 20 * time.Millisecond
+	// balancerEvery is how often the balancer probes an instance.
+	balancerEvery = 200 * time.Millisecond
 	// leaseTTL is the instances' lease in the store.
 	leaseTTL = 3 * time.Second
+	// The ports of an instance at its own loopback address.
+	frontPort, peerPort, adminPort = 7000, 7001, 7002
 )
 
 // instance is one entry instance of the demonstration.
 type instance struct {
-	id        string
-	server    *oriolepond.Instance
-	addresses oriolepond.Addresses
-	stop      context.CancelFunc
-	done      chan error
+	id      string
+	address string // Its own loopback address.
+	site    standin.Site
+	process *Process
+	ended   chan struct{}
+	err     error
+	// ready instances get calls from the balancer; stopping is set by a planned stop.
+	ready    atomic.Bool
+	stopping atomic.Bool
 }
 
+func (i *instance) front() string { return fmt.Sprintf("%s:%d", i.address, frontPort) }
+func (i *instance) admin() string { return fmt.Sprintf("%s:%d", i.address, adminPort) }
+
 // startInstances starts all instances and waits until they are ready.
 func (d *Demo) startInstances(ctx context.Context) error {
 	for n := range instanceCount {
-		i, err := d.startInstance(ctx, n, fmt.Sprintf("entry-%d", n))
-		if err != nil {
+		if err := d.startInstance(ctx, n); err != nil {
 			return err
 		}
-		d.instances = append(d.instances, i)
 	}
-	for _, i := range d.instances {
+	for _, i := range d.running() {
 		if err := i.awaitReady(ctx); err != nil {
 			return err
 		}
@@ -47,65 +56,117 @@
 	return nil
 }
 
-func (d *Demo) startInstance(ctx context.Context, n int, id string) (*instance, error) {
-	dc := d.Example.DataCentres[n%len(d.Example.DataCentres)]
+// startInstance starts a new instance in a place.
+func (d *Demo) startInstance(ctx context.Context, place int) error {
+	d.started++
+	dc := d.Example.DataCentres[place%len(d.Example.DataCentres)]
+	i := &instance{
+		id:      fmt.Sprintf("entry-%d", d.started),
+		address: loopback(d.started),
+		site:    standin.Site{Region: dc.Region, DataCentre: dc.Name},
+		ended:   make(chan struct{}),
+	}
+	d.network.Place(i.address, i.site)
+	peer, err := d.network.Open("peer:"+i.id, i.site, fmt.Sprintf("%s:%d", i.address, peerPort))
+	if err != nil {
+		return err
+	}
+	launch := d.Launch
+	if launch == nil {
+		launch = launchHere
+	}
+	if i.process, err = launch(ctx, d.settings(i, peer)); err != nil {
+		return err
+	}
+	go func() {
+		i.err = <-i.process.Done
+		i.ready.Store(false)
+		close(i.ended)
+	}()
+	go i.probe()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.all = append(d.all, i)
+	d.places[place] = i
+	return nil
+}
+
+// loopback returns the loopback address of an instance, distinct between processes of this program.
+func loopback(n int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid%250, pid/250%250, n)
+}
+
+// settings returns the text of an instance's settings.
+func (d *Demo) settings(i *instance, peer string) []byte {
 	sum := sha256.Sum256([]byte(operatorToken))
-	s, err := settings.Parse("demo", fmt.Appendf(nil, `{
+	return fmt.Appendf(nil, `{
 		"id": %q, "region": %q, "dataCentre": %q,
-		"listen": "127.0.0.1:0", "peerListen": "127.0.0.1:0", "adminListen": "127.0.0.1:0",
+		"listen": "%s:%d", "peerListen": "%s:%d", "adminListen": "%s:%d",
+		"peerAdvertise": %q, "bindAddress": %q,
 		"storeUrls": [%q], "listUrl": %q, "operatorTokenHash": %q,
 		"leaseTtl": %q, "listInterval": "200ms", "workerInterval": "100ms"
-	}`, id, dc.Region, dc.Name, d.cluster.StoreURL, d.cluster.ListURL, hex.EncodeToString(sum[:]), leaseTTL.String()))
-	if err != nil {
-		return nil, err
-	}
-	running, stop := context.WithCancel(context.Background())
-	listening := make(chan oriolepond.Addresses, 1)
-	i := &instance{id: id, stop: stop, done: make(chan error, 1)}
-	i.server = &oriolepond.Instance{
-		Settings:  s,
-		Log:       eventlog.Discard(),
-		Listening: func(a oriolepond.Addresses) { listening <- a },
-	}
-	go func() { i.done <- i.server.Run(running) }()
-	select {
-	case i.addresses = <-listening:
-		return i, nil
-	case err := <-i.done:
-		return nil, err
-	case <-ctx.Done():
-		return nil, ctx.Err()
+	}`, i.id, i.site.Region, i.site.DataCentre,
+		i.address, frontPort, i.address, peerPort, i.address, adminPort,
+		peer, i.address, d.cluster.StoreURL, d.cluster.ListURL, hex.EncodeToString(sum[:]), leaseTTL.String())
+}
+
+// running returns the instances that hold a place now.
+func (d *Demo) running() []*instance {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return append([]*instance(nil), d.places...)
+}
+
+// probe follows the instance's readiness as a balancer does.
+func (i *instance) probe() {
+	client := &http.Client{Timeout: balancerEvery}
+	for {
+		answer, err := client.Get("http://" + i.admin() + "/readyz")
+		if err == nil {
+			answer.Body.Close()
+		}
+		i.ready.Store(err == nil && answer.StatusCode == http.StatusOK)
+		select {
+		case <-i.ended:
+			return
+		case <-time.After(balancerEvery):
+		}
 	}
 }
 
-// awaitReady waits until the instance takes callers.
+// awaitReady waits until the balancer sends callers to the instance.
 func (i *instance) awaitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
-	for {
-		r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+i.addresses.Admin+"/readyz", nil)
-		if err != nil {
-			return err
-		}
-		if answer, err := http.DefaultClient.Do(r); err == nil {
-			answer.Body.Close()
-			if answer.StatusCode == http.StatusOK {
-				return nil
-			}
+	for !i.ready.Load() {
+		select {
+		case <-i.ended:
+			return fmt.Errorf("instance %s ended: %w", i.id, i.err)
+		default:
 		}
 		if err := pause(ctx, pollEvery); err != nil {
 			return fmt.Errorf("instance %s is not ready", i.id)
 		}
 	}
+	return nil
 }
 
 // stopInstances makes a planned stop of every instance.
 func (d *Demo) stopInstances() {
-	for _, i := range d.instances {
-		i.stop()
+	d.mu.Lock()
+	all := append([]*instance(nil), d.all...)
+	d.mu.Unlock()
+	for _, i := range all {
+		i.process.Stop()
 	}
-	for _, i := range d.instances {
-		<-i.done
+	for _, i := range all {
+		select {
+		case <-i.ended:
+		case <-time.After(startTimeout):
+			i.process.Kill()
+			<-i.ended
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/demo/jobs.go
@@ -0,0 +1,103 @@
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/oriolepond/oriolepond/internal/entry"
+)
+
+const (
+	// jobEvery is how often a job is submitted, with jobTasks tasks.
+	jobEvery = 250 * time.Millisecond
+	jobTasks = 5
+	// submitTimeout bounds one submission.
+	submitTimeout = 5 * time.Second
+	// outcomeTimeout bounds the repeats of one call until its outcome is known.
+	outcomeTimeout = 30 * time.Second
+)
+
+// submitter submits jobs and waits for the last one's outcome.
+func (d *Demo) submitter(ctx context.Context) {
+	for n := 0; pause(ctx, jobEvery) == nil; n++ {
+		// An outcome that the end of the load leaves open is still found out.
+		id, err := d.submit(context.WithoutCancel(ctx), d.Example.Job, fmt.Sprintf("demo-%d-%d", d.Seed, n), jobTasks)
+		if err == nil {
+			d.counts.accept(id, jobTasks)
+		}
+	}
+}
+
+// submit submits one job, and repeats that through other instances until its outcome is known.
+func (d *Demo) submit(ctx context.Context, job, key string, tasks int) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, outcomeTimeout)
+	defer cancel()
+	for n := 0; ; n++ {
+		id, err := d.submitOnce(ctx, d.anyReady(n), job, key, tasks)
+		if err == nil {
+			return id, nil
+		}
+		if pause(ctx, pollEvery) != nil {
+			return "", fmt.Errorf("submit %s: %w", key, err)
+		}
+	}
+}
+
+func (d *Demo) submitOnce(ctx context.Context, i *instance, job, key string, tasks int) (string, error) {
+	body := fmt.Sprintf(`{"job":%q,"tasks":%d}`, job, tasks)
+	return d.jobCall(ctx, i, http.MethodPost, entry.JobsPath, key, body, http.StatusAccepted)
+}
+
+// cancel cancels a job, and repeats that until it is known to be done.
+func (d *Demo) cancel(ctx context.Context, id string) error {
+	for n := 0; ; n++ {
+		_, err := d.jobCall(ctx, d.anyReady(n), http.MethodDelete, entry.JobsPath+"/"+id, "", "", http.StatusOK)
+		if err == nil {
+			return nil
+		}
+		if pause(ctx, pollEvery) != nil {
+			return fmt.Errorf("cancel %s: %w", id, err)
+		}
+	}
+}
+
+// jobCall makes one call about jobs and returns the job's id.
+func (d *Demo) jobCall(ctx context.Context, i *instance, method, path, key, body string, want int) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+i.front()+path, strings.NewReader(body))
+	if err != nil {
+		return "", err
+	}
+	r.Header.Set(entry.HeaderToken, "Bearer "+d.Example.JobToken)
+	if key != "" {
+		r.Header.Set(entry.HeaderKey, key)
+	}
+	answer, err := callers.Do(r)
+	if err != nil {
+		return "", err
+	}
+	defer answer.Body.Close()
+	if answer.StatusCode != want {
+		return "", fmt.Errorf("%s %s: status %d", method, path, answer.StatusCode)
+	}
+	var status struct {
+		ID string `json:"id"`
+	}
+	return status.ID, json.NewDecoder(answer.Body).Decode(&status)
+}
+
+// settle waits until every accepted task has finished.
+func (d *Demo) settle(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
+	defer cancel()
+	for int64(d.cluster.Tasks.FinishedOf(d.Example.Job)) < d.counts.submitted.Load() {
+		if pause(ctx, pollEvery) != nil {
+			return
+		}
+	}
+}
--- a/internal/demo/load.go
+++ b/internal/demo/load.go
@@ -1,12 +1,12 @@
 package demo
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -24,11 +24,12 @@
 	callerCount = 24
 	// callerPause is the mean time between a caller's requests.
 	callerPause = 20 * time.Millisecond
-	// jobEvery is how often a job is submitted, with jobTasks tasks.
-	jobEvery = 250 * time.Millisecond
-	jobTasks = 5
+	// keyedPart is the part of requests that are not idempotent.
+	keyedPart = 0.2
+	// resends is how often a caller repeats a keyed request whose outcome is unknown.
+	resends = 2
 	// callTimeout bounds a caller's patience.
-	callTimeout = 30 * time.Second
+	callTimeout = 10 * time.Second
 	// maxAnswer bounds what a caller reads.
 	maxAnswer = 1 << 20
 )
@@ -41,6 +42,7 @@
 	}
 	group.Go(func() { d.submitter(ctx) })
 	group.Go(func() { d.progress(ctx) })
+	group.Go(func() { d.injectFaults(ctx) })
 	group.Wait()
 }
 
@@ -49,47 +51,89 @@
 	random := rand.New(rand.NewPCG(d.Seed, uint64(n)))
 	for k := 0; ctx.Err() == nil; k++ {
 		call := d.Example.Calls[0]
-		if random.Float64() < 0.2 {
+		if random.Float64() < keyedPart {
 			call = d.Example.Calls[1+random.IntN(len(d.Example.Calls)-1)]
 		}
-		i := d.instances[random.IntN(len(d.instances))]
-		d.request(i, call, fmt.Sprintf("caller-%d-%d", n, k))
+		d.request(random, call, fmt.Sprintf("caller-%d-%d", n, k))
 		if pause(ctx, time.Duration(random.ExpFloat64()*float64(callerPause))) != nil {
 			return
 		}
 	}
 }
 
-// request makes one request and judges its answer.
-func (d *Demo) request(i *instance, call examples.Call, id string) {
+// request makes one request, and repeats a keyed one whose outcome is unknown.
+func (d *Demo) request(random *rand.Rand, call examples.Call, id string) {
+	d.counts.requests.Add(1)
+	key := ""
+	tries := 1
+	if call.Keyed {
+		key = uuid.Must(uuid.NewV7()).String()
+		tries += resends
+	}
+	var r result
+	for range tries {
+		r = d.try(d.anyReady(random.IntN(instanceCount)), call, id, key)
+		if r != resultUnknown && r != resultBroken {
+			break
+		}
+	}
+	d.counts.results[r].Add(1)
+}
+
+// result is what became of a try.
+type result string
+
+// The results of tries.
+const (
+	resultAnswered  result = "answered"
+	resultRefused   result = "refused"
+	resultUnknown   result = "unknown"
+	resultBroken    result = "broken"
+	resultMismatch  result = "mismatch"
+	resultTruncated result = "truncated"
+)
+
+// try makes one call and judges its answer by what the runners saw.
+func (d *Demo) try(i *instance, call examples.Call, id, key string) result {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	body := "body of " + id
 	begun := time.Now()
-	status, text, err := d.post(ctx, i, call, id, body)
-	d.counts.requests.Add(1)
+	before := d.cluster.Requests.Runs(id)
+	status, text, err := d.post(ctx, i, call, id, body, key)
 	expected := standin.AnswerTo(id, body)
-	if strings.HasSuffix(call.Path, "/watch") {
+	stream := strings.HasSuffix(call.Path, standin.StreamSuffix)
+	if stream {
 		expected = streamed(expected)
 	}
 	switch {
 	case err != nil:
-		d.counts.failed.Add(1)
+		if i.stopping.Load() && !isDialError(err) {
+			d.counts.cut.Add(1)
+		}
+		return resultBroken
 	case status == http.StatusOK && text == expected:
-		d.counts.answered.Add(1)
-		d.counts.record(time.Since(begun))
+		if !stream {
+			d.counts.record(time.Since(begun))
+		}
+		return resultAnswered
 	case status == http.StatusOK && strings.HasPrefix(expected, text):
-		d.counts.truncated.Add(1)
+		return resultTruncated
 	case status == http.StatusOK:
-		d.counts.mismatches.Add(1)
+		return resultMismatch
 	case strings.Contains(text, `"`+string(entry.NotRun)+`"`):
-		d.counts.refused.Add(1)
-		if d.cluster.Requests.Runs(id) > 0 {
+		if d.cluster.Requests.Runs(id) > before {
 			d.counts.refusalsThatRan.Add(1)
 		}
-	default:
-		d.counts.unknown.Add(1)
+		return resultRefused
 	}
+	return resultUnknown
+}
+
+// isDialError reports whether no connection was made.
+func isDialError(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
 }
 
 // streamed returns the whole stream of an answer.
@@ -102,17 +146,17 @@
 }
 
 // post makes one call and reads its whole answer.
-func (d *Demo) post(ctx context.Context, i *instance, call examples.Call, id, body string) (int, string, error) {
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+i.addresses.Front+call.Path, strings.NewReader(body))
+func (d *Demo) post(ctx context.Context, i *instance, call examples.Call, id, body, key string) (int, string, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+i.front()+call.Path, strings.NewReader(body))
 	if err != nil {
 		return 0, "", err
 	}
 	r.Header.Set(entry.HeaderToken, "Bearer "+call.Token)
 	r.Header.Set(standin.CallerHeader, id)
-	if call.Keyed {
-		r.Header.Set(entry.HeaderKey, uuid.Must(uuid.NewV7()).String())
+	if key != "" {
+		r.Header.Set(entry.HeaderKey, key)
 	}
-	answer, err := http.DefaultClient.Do(r)
+	answer, err := callers.Do(r)
 	if err != nil {
 		return 0, "", err
 	}
@@ -121,67 +165,15 @@
 	return answer.StatusCode, string(text), err
 }
 
-// submitter submits jobs.
-func (d *Demo) submitter(ctx context.Context) {
-	for n := 0; pause(ctx, jobEvery) == nil; n++ {
-		d.submit(ctx, d.instances[n%len(d.instances)], n)
-	}
-}
-
-// submit submits one job, and repeats that until its outcome is known.
-func (d *Demo) submit(ctx context.Context, i *instance, n int) {
-	key := fmt.Sprintf("demo-%d-%d", d.Seed, n)
-	for ctx.Err() == nil {
-		id, err := d.submitOnce(ctx, i, key)
-		if err == nil {
-			d.counts.accept(id, jobTasks)
-			return
-		}
-		if pause(ctx, pollEvery) != nil {
-			return
-		}
-	}
-}
-
-func (d *Demo) submitOnce(ctx context.Context, i *instance, key string) (string, error) {
-	body := fmt.Sprintf(`{"job":%q,"tasks":%d}`, d.Example.Job, jobTasks)
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+i.addresses.Front+entry.JobsPath, bytes.NewReader([]byte(body)))
-	if err != nil {
-		return "", err
-	}
-	r.Header.Set(entry.HeaderToken, "Bearer "+d.Example.JobToken)
-	r.Header.Set(entry.HeaderKey, key)
-	answer, err := http.DefaultClient.Do(r)
-	if err != nil {
-		return "", err
-	}
-	defer answer.Body.Close()
-	var status struct {
-		ID string `json:"id"`
-	}
-	if answer.StatusCode != http.StatusAccepted {
-		return "", fmt.Errorf("submission: status %d", answer.StatusCode)
-	}
-	return status.ID, json.NewDecoder(answer.Body).Decode(&status)
-}
+// callers is the HTTP client of all callers.
+var callers = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: callerCount}}
 
 // progress writes a line every second.
 func (d *Demo) progress(ctx context.Context) {
 	begun := time.Now()
 	for pause(ctx, progressEvery) == nil {
 		fmt.Fprintf(d.Out, "%3.0fs  requests %d  answered %d  tasks finished %d of %d\n",
-			time.Since(begun).Seconds(), d.counts.requests.Load(), d.counts.answered.Load(),
-			d.cluster.Tasks.Finished(), d.counts.submitted.Load())
-	}
-}
-
-// settle waits until every accepted task has finished.
-func (d *Demo) settle(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
-	defer cancel()
-	for int64(d.cluster.Tasks.Finished()) < d.counts.submitted.Load() {
-		if pause(ctx, pollEvery) != nil {
-			return
-		}
+			time.Since(begun).Seconds(), d.counts.requests.Load(), d.counts.results[resultAnswered].Load(),
+			d.cluster.Tasks.FinishedOf(d.Example.Job), d.counts.submitted.Load())
 	}
 }
--- a/internal/demo/report.go
+++ b/internal/demo/report.go
@@ -17,12 +17,14 @@
 
 // counts are what callers saw.
 type counts struct {
-	requests, answered, failed, refused, unknown atomic.Int64
-	mismatches, truncated, refusalsThatRan       atomic.Int64
-	submitted                                    atomic.Int64
-	mu                                           sync.Mutex
-	latency                                      *hdrhistogram.Histogram
-	jobs                                         map[string]bool
+	requests, refusalsThatRan, cut, reverts, submitted atomic.Int64
+	results                                            map[result]*atomic.Int64
+
+	mu       sync.Mutex
+	latency  *hdrhistogram.Histogram
+	jobs     map[string]bool
+	slowest  time.Duration
+	failures []error
 }
 
 // The range of the latency histogram.
@@ -35,7 +37,29 @@
 )
 
 func newCounts() *counts {
-	return &counts{latency: hdrhistogram.New(lowestMicros, highestMicros, latencyDigits), jobs: map[string]bool{}}
+	c := &counts{
+		results: map[result]*atomic.Int64{},
+		latency: hdrhistogram.New(lowestMicros, highestMicros, latencyDigits),
+		jobs:    map[string]bool{},
+	}
+	for _, r := range []result{resultAnswered, resultRefused, resultUnknown, resultBroken, resultMismatch, resultTruncated} {
+		c.results[r] = &atomic.Int64{}
+	}
+	return c
+}
+
+// fail records that a fault could not be injected or judged.
+func (c *counts) fail(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.failures = append(c.failures, err)
+}
+
+// inForce records how long a note took to be in force everywhere.
+func (c *counts) inForce(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.slowest = max(c.slowest, d)
 }
 
 func (c *counts) record(d time.Duration) {
@@ -70,6 +94,7 @@
 	TruncatedAnswers     int64
 	NonIdempotentDoubles int64
 	RefusalsThatRan      int64
+	CutByPlannedStop     int64
 	NewWorkAfterLeave    int64
 	SlotOvercommits      int64
 	TasksSubmitted       int64
@@ -78,33 +103,43 @@
 	TaskDoubleRuns       int64
 	ResumeDoubles        int64
 	WorkerOvercommits    int64
+	ConfigReverts        int64
+	ConfigInForceMax     time.Duration
 	AccountErrorPercent  float64
+	Evictions            int64
 	P50, P99             float64
 	BatchTasksPerSecond  float64
+	// Failures are faults that could not be injected or judged.
+	Failures []error
 }
 
 func (d *Demo) report(ctx context.Context) Report {
 	c, seen := d.counts, d.cluster
 	r := Report{
 		Requests:             c.requests.Load(),
-		Answered:             c.answered.Load(),
-		Refused:              c.refused.Load(),
-		Unknown:              c.unknown.Load() + c.failed.Load(),
-		AnswerMismatches:     c.mismatches.Load(),
-		TruncatedAnswers:     c.truncated.Load(),
+		Answered:             c.results[resultAnswered].Load(),
+		Refused:              c.results[resultRefused].Load(),
+		Unknown:              c.results[resultUnknown].Load() + c.results[resultBroken].Load(),
+		AnswerMismatches:     c.results[resultMismatch].Load(),
+		TruncatedAnswers:     c.results[resultTruncated].Load(),
 		NonIdempotentDoubles: int64(seen.Requests.Doubles()),
 		RefusalsThatRan:      c.refusalsThatRan.Load(),
+		CutByPlannedStop:     c.cut.Load(),
+		ConfigReverts:        c.reverts.Load(),
+		ConfigInForceMax:     c.slowest,
+		Evictions:            int64(seen.Tasks.Evictions()),
+		Failures:             c.failures,
 		NewWorkAfterLeave:    seen.Requests.AfterLeave(),
 		SlotOvercommits:      seen.Requests.Overcommits(),
 		TasksSubmitted:       c.submitted.Load(),
-		TasksFinished:        int64(seen.Tasks.Finished()),
+		TasksFinished:        int64(seen.Tasks.FinishedOf(d.Example.Job)),
 		TaskDoubleRuns:       int64(seen.Tasks.DoubleRuns()),
 		ResumeDoubles:        int64(seen.Tasks.ResumeDoubles()),
 		WorkerOvercommits:    int64(seen.Tasks.Overcommits()),
 		AccountErrorPercent:  d.accountError(ctx),
 		P50:                  c.millis(medianQuantile),
 		P99:                  c.millis(tailQuantile),
-		BatchTasksPerSecond:  float64(seen.Tasks.Finished()) / d.Length.Seconds(),
+		BatchTasksPerSecond:  float64(seen.Tasks.FinishedOf(d.Example.Job)) / d.Length.Seconds(),
 	}
 	r.TasksLost = max(0, r.TasksSubmitted-r.TasksFinished)
 	return r
@@ -117,8 +152,8 @@
 	off := math.Inf(1)
 	for ctx.Err() == nil {
 		// Read anew each time: a submission that the end of the load cut off may still run.
-		spent := d.cluster.Tasks.Used(d.Example.Job).Processor.Seconds()
-		client := operate.Client{Address: d.instances[0].addresses.Admin, Token: operatorToken}
+		spent := d.cluster.Tasks.Used(d.Example.Job).Processor.Seconds() + d.cluster.Tasks.Used(noisyJob).Processor.Seconds()
+		client := operate.Client{Address: d.anyReady(0).admin(), Token: operatorToken}
 		rows, _, err := client.Account(ctx)
 		if err == nil {
 			booked := 0.0
@@ -150,12 +185,14 @@
 		{"truncatedAnswers", r.TruncatedAnswers},
 		{"nonIdempotentDoubles", r.NonIdempotentDoubles},
 		{"refusalsThatRan", r.RefusalsThatRan},
+		{"cutByPlannedStop", r.CutByPlannedStop},
 		{"newWorkAfterLeave", r.NewWorkAfterLeave},
 		{"slotOvercommits", r.SlotOvercommits},
 		{"tasksLost", r.TasksLost},
 		{"taskDoubleRuns", r.TaskDoubleRuns},
 		{"resumeDoubles", r.ResumeDoubles},
 		{"workerOvercommits", r.WorkerOvercommits},
+		{"configReverts", r.ConfigReverts},
 	}
 }
 
@@ -172,6 +209,12 @@
 			broken = append(broken, fmt.Sprintf("%s=%d", rule.name, rule.count))
 		}
 	}
+	if r.ConfigInForceMax > inForceBound {
+		broken = append(broken, fmt.Sprintf("configInForceMaxMillis=%d", r.ConfigInForceMax.Milliseconds()))
+	}
+	for _, err := range r.Failures {
+		broken = append(broken, err.Error())
+	}
 	return broken
 }
 
@@ -181,7 +224,9 @@
 	fmt.Fprintf(&b, "\nrequests  %d, answered %d, refused unrun %d, unknown %d\n", r.Requests, r.Answered, r.Refused, r.Unknown)
 	fmt.Fprintf(&b, "latency   p50 %.1f ms, p99 %.1f ms\n", r.P50, r.P99)
 	fmt.Fprintf(&b, "tasks     %d submitted, %d finished, %.1f a second\n", r.TasksSubmitted, r.TasksFinished, r.BatchTasksPerSecond)
+	fmt.Fprintf(&b, "evictions %d\n", r.Evictions)
 	fmt.Fprintf(&b, "account   off by %.3f%%\n", r.AccountErrorPercent)
+	fmt.Fprintf(&b, "notes     in force everywhere within %d ms\n", r.ConfigInForceMax.Milliseconds())
 	for _, rule := range r.rules() {
 		fmt.Fprintf(&b, "  %-22s %d\n", rule.name, rule.count)
 	}
@@ -195,7 +240,9 @@
 		"tasksSubmitted": r.TasksSubmitted, "tasksFinished": r.TasksFinished,
 		"accountErrorPercent": r.AccountErrorPercent,
 		"p50Millis":           r.P50, "p99Millis": r.P99,
-		"batchTasksPerSecond": r.BatchTasksPerSecond,
+		"batchTasksPerSecond":    r.BatchTasksPerSecond,
+		"evictions":              r.Evictions,
+		"configInForceMaxMillis": r.ConfigInForceMax.Milliseconds(),
 	}
 	for _, rule := range r.rules() {
 		fields[rule.name] = rule.count
--- /dev/null
+++ b/internal/demo/workfaults.go
@@ -0,0 +1,93 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"sync"
+
+	"github.com/oriolepond/oriolepond/pkg/release"
+)
+
+// noisyJob is the job family of noisy and of cancelled tasks.
+const noisyJob = "noisy"
+
+const (
+	// noisySlowdown is what one noisy task adds to the runners beside it.
+	noisySlowdown = 0.5
+	noisyTasks    = 200
+	cancelledJobs = 5
+	cancelTasks   = 400
+)
+
+// The workers that are hit, by number.
+const (
+	crashedWorker = iota
+	badWorker
+)
+
+// workerCrash kills a worker with its tasks and lists its end later.
+func (d *Demo) workerCrash(ctx context.Context) error {
+	id, w := d.cluster.Worker(crashedWorker)
+	d.cluster.Kill(id)
+	w.Crash()
+	if err := pause(ctx, listChange); err != nil {
+		return err
+	}
+	d.cluster.Platform.Remove(id)
+	return nil
+}
+
+// badWorker makes a worker fail everything that it starts.
+func (d *Demo) badWorker(ctx context.Context) error {
+	_, w := d.cluster.Worker(badWorker)
+	w.SetBroken(true)
+	defer w.SetBroken(false)
+	return pause(ctx, 2*misbehaviour)
+}
+
+// extraNote declares what the faults need beside the example's own note.
+func (d *Demo) extraNote() []byte {
+	n, err := release.Parse(d.Example.Name, d.Example.Note)
+	if err != nil {
+		return nil
+	}
+	job, _ := release.Config{Declarations: n.Added}.Job(d.Example.Job)
+	return fmt.Appendf(nil, `{
+		"name": "demo-extra",
+		"added": {"jobs": [{
+			"name": %q, "neighbour": %q, "share": %q,
+			"size": {"processors": 4, "memory": "8GB"}, "runTime": "1s", "checkpoints": true
+		}]}
+	}`, noisyJob, job.Neighbour, job.Share)
+}
+
+// noisyWave submits many tasks that slow the runners beside them.
+func (d *Demo) noisyWave(ctx context.Context) error {
+	_, err := d.submit(ctx, noisyJob, fmt.Sprintf("noise-%d", d.Seed), noisyTasks)
+	return err
+}
+
+// cancelWave submits thousands of tasks and cancels them all at once.
+func (d *Demo) cancelWave(ctx context.Context) error {
+	ids := make([]string, cancelledJobs)
+	for n := range ids {
+		id, err := d.submit(ctx, noisyJob, fmt.Sprintf("cancel-%d-%d", d.Seed, n), cancelTasks)
+		if err != nil {
+			return err
+		}
+		ids[n] = id
+	}
+	var group sync.WaitGroup
+	failures := make(chan error, len(ids))
+	for _, id := range ids {
+		group.Go(func() { failures <- d.cancel(ctx, id) })
+	}
+	group.Wait()
+	close(failures)
+	for err := range failures {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/standin/cluster.go
+++ b/internal/standin/cluster.go
@@ -10,6 +10,7 @@
 
 	"github.com/oriolepond/oriolepond/examples"
 	"github.com/oriolepond/oriolepond/internal/roster"
+	"github.com/oriolepond/oriolepond/internal/worker"
 )
 
 // Cluster is a set of stand-ins on loopback for one example deployment.
@@ -18,6 +19,8 @@
 	Example examples.Example
 	Runners int
 	Workers int
+	// Network, if set, stands in front of every stand-in.
+	Network *Network
 	// ServiceTime is the mean time of a request on a runner.
 	ServiceTime time.Duration
 	// Work returns what a task of a job family truly takes.
@@ -33,14 +36,12 @@
 	StoreURL string
 	ListURL  string
 
-	mu         sync.Mutex
-	runners    map[string]*Runner
-	workers    map[string]*Worker
-	runnerIDs  []string
-	workerIDs  []string
-	servers    map[string]*http.Server
-	addresses  map[string]string
-	workerSeed uint64
+	mu        sync.Mutex
+	runners   map[string]*Runner
+	workers   map[string]*Worker
+	runnerIDs []string
+	workerIDs []string
+	servers   map[string]*http.Server
 }
 
 // Start listens on loopback and fills the instance list.
@@ -53,13 +54,13 @@
 	c.runners = map[string]*Runner{}
 	c.workers = map[string]*Worker{}
 	c.servers = map[string]*http.Server{}
-	c.addresses = map[string]string{}
-	address, err := c.serve("store", c.Store)
+	home := c.dataCentreOf(0)
+	address, err := c.serve("store", c.Store, home)
 	if err != nil {
 		return err
 	}
 	c.StoreURL = "http://" + address
-	if address, err = c.serve("platform", c.Platform); err != nil {
+	if address, err = c.serve("platform", c.Platform, home); err != nil {
 		return err
 	}
 	c.ListURL = "http://" + address + "/instances"
@@ -77,13 +78,13 @@
 	for i := range n {
 		id := fmt.Sprintf("worker-%d", i)
 		w := &Worker{ID: id, Capacity: c.Example.Worker, Ledger: c.Tasks, Work: c.Work}
-		address, err := c.serve(id, w)
+		dc := c.dataCentreOf(i / max(1, c.Example.WorkersPerRack))
+		address, err := c.serve(id, w, dc)
 		if err != nil {
 			return err
 		}
 		c.workers[id] = w
 		c.workerIDs = append(c.workerIDs, id)
-		dc := c.dataCentreOf(i / max(1, c.Example.WorkersPerRack))
 		c.Platform.Set(roster.Instance{
 			ID: id, Kind: roster.KindWorker, State: roster.Live, Address: address,
 			Region: dc.Region, DataCentre: dc.Name,
@@ -101,39 +102,64 @@
 	}
 	for i := range n {
 		id := fmt.Sprintf("runner-%d", i)
-		random := rand.New(rand.NewPCG(uint64(i), c.workerSeed))
-		var mu sync.Mutex
+		host := fmt.Sprintf("worker-%d", i%max(1, len(c.workerIDs)))
 		r := &Runner{Slots: c.Example.Slots, Ledger: c.Requests, Guard: true}
 		if c.ServiceTime > 0 {
-			r.ServiceTime = func() time.Duration {
-				mu.Lock()
-				defer mu.Unlock()
-				return time.Duration(random.ExpFloat64() * float64(c.ServiceTime))
-			}
+			r.ServiceTime = c.serviceTime(uint64(i), c.workers[host])
 		}
-		address, err := c.serve(id, r)
+		dc := c.dataCentreOf(i)
+		address, err := c.serve(id, r, dc)
 		if err != nil {
 			return err
 		}
 		c.runners[id] = r
 		c.runnerIDs = append(c.runnerIDs, id)
-		dc := c.dataCentreOf(i)
 		c.Platform.Set(roster.Instance{
 			ID: id, Kind: roster.KindRunner, State: roster.Live, Address: address,
 			Region: dc.Region, DataCentre: dc.Name, Service: c.Example.Service,
-			Worker: fmt.Sprintf("worker-%d", i%max(1, len(c.workerIDs))),
+			Worker: host,
 			Slots:  c.Example.Slots, Connections: c.Example.Connections,
 		})
 	}
 	return nil
 }
 
+// serviceTime returns random request times, which noise on the worker
+// prolongs, and shows them in the worker's reports.
+func (c *Cluster) serviceTime(seed uint64, w *Worker) func() time.Duration {
+	random := rand.New(rand.NewPCG(seed, seed))
+	var mu sync.Mutex
+	meter := &tailMeter{}
+	if w != nil {
+		w.Tails = func(*Worker) []worker.TailReport { return c.tails(meter) }
+	}
+	return func() time.Duration {
+		mu.Lock()
+		drawn := random.ExpFloat64() * float64(c.ServiceTime)
+		mu.Unlock()
+		if w != nil {
+			drawn *= 1 + w.Noise()
+		}
+		meter.record(time.Duration(drawn), time.Now())
+		return time.Duration(drawn)
+	}
+}
+
+// tails returns the shown measurement of a runner as a worker reports it.
+func (c *Cluster) tails(m *tailMeter) []worker.TailReport {
+	shown, ok := m.shown(time.Now())
+	if !ok {
+		return nil
+	}
+	return []worker.TailReport{{Service: c.Example.Service, P99: shown.p99, Samples: shown.samples}}
+}
+
 func (c *Cluster) dataCentreOf(i int) examples.DataCentre {
 	return c.Example.DataCentres[i%len(c.Example.DataCentres)]
 }
 
-// serve answers on a new loopback address.
-func (c *Cluster) serve(id string, h http.Handler) (string, error) {
+// serve answers on a new loopback address, which it returns, or that of its proxy.
+func (c *Cluster) serve(id string, h http.Handler, dc examples.DataCentre) (string, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", fmt.Errorf("stand-in %s: %w", id, err)
@@ -141,10 +167,12 @@
 	s := &http.Server{Handler: h, ErrorLog: quiet}
 	c.mu.Lock()
 	c.servers[id] = s
-	c.addresses[id] = l.Addr().String()
 	c.mu.Unlock()
 	go func() { _ = s.Serve(l) }()
-	return l.Addr().String(), nil
+	if c.Network == nil {
+		return l.Addr().String(), nil
+	}
+	return c.Network.Open(id, Site{Region: dc.Region, DataCentre: dc.Name}, l.Addr().String())
 }
 
 // Runner returns the runner of a number.
--- a/internal/standin/runner.go
+++ b/internal/standin/runner.go
@@ -150,7 +150,7 @@
 		wait(q, r.ServiceTime())
 	}
 	answer := AnswerTo(request, string(body))
-	if strings.HasSuffix(q.URL.Path, "/watch") {
+	if strings.HasSuffix(q.URL.Path, StreamSuffix) {
 		stream(w, q, answer)
 		return
 	}
@@ -202,8 +202,10 @@
 	}
 }
 
-// StreamParts is the number of lines of a streamed answer, streamInterval apart.
+// StreamSuffix ends the paths whose answers are streams of StreamParts lines,
+// streamInterval apart.
 const (
+	StreamSuffix   = "/watch"
 	StreamParts    = 5
 	streamInterval = 20 * time.Millisecond
 )
--- a/internal/standin/taskledger.go
+++ b/internal/standin/taskledger.go
@@ -19,8 +19,10 @@
 	doubted map[string]bool
 	used    map[string]worker.Usage
 	starts  int
+	// families counts the finished tasks of each job family.
+	families map[string]int
 
-	doubleRuns, resumeDoubles, resumeLosses, overcommits int
+	doubleRuns, resumeDoubles, resumeLosses, overcommits, evictions int
 }
 
 // NewTaskLedger returns an empty ledger.
@@ -32,6 +34,7 @@
 		expected: map[string]string{},
 		doubted:  map[string]bool{},
 		used:     map[string]worker.Usage{},
+		families: map[string]int{},
 	}
 }
 
@@ -78,6 +81,26 @@
 	return len(l.finished)
 }
 
+// FinishedOf returns how many tasks of a job family have finished.
+func (l *TaskLedger) FinishedOf(job string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.families[job]
+}
+
+// Evictions returns how many tasks were checkpointed to give way.
+func (l *TaskLedger) Evictions() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.evictions
+}
+
+func (l *TaskLedger) evict() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.evictions++
+}
+
 // Used returns what the tasks of a job family have used.
 func (l *TaskLedger) Used(job string) worker.Usage {
 	l.mu.Lock()
@@ -105,7 +128,7 @@
 	}
 }
 
-func (l *TaskLedger) end(task string, finished bool) {
+func (l *TaskLedger) end(task, job string, finished bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.running[task]--
@@ -113,6 +136,9 @@
 		return
 	}
 	l.finished[task]++
+	if l.finished[task] == 1 {
+		l.families[job]++
+	}
 	if l.finished[task] > 1 && !l.doubted[task] {
 		l.doubleRuns++
 	}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -20,6 +20,8 @@
 	Size share.Resources
 	// Fails makes each start end in failure.
 	Fails bool
+	// Noise is the slowdown that one such task adds to the runners on its worker.
+	Noise float64
 }
 
 // Worker is a stand-in for one worker. It is an http.Handler.
@@ -70,7 +72,7 @@
 	for _, t := range w.tasks {
 		finished := t.report.State == worker.TaskFinished
 		if !t.report.State.Final() {
-			w.Ledger.end(t.report.Task, false)
+			w.Ledger.end(t.report.Task, t.report.Job, false)
 			w.Ledger.lose(t.command.Resume)
 		} else if finished {
 			w.Ledger.doubt(t.report.Task)
@@ -246,7 +248,7 @@
 
 func (w *Worker) finish(t *workerTask, s worker.TaskState) {
 	t.report.State = s
-	w.Ledger.end(t.report.Task, s == worker.TaskFinished)
+	w.Ledger.end(t.report.Task, t.report.Job, s == worker.TaskFinished)
 	if s == worker.TaskFailed || s == worker.TaskLapsed || s == worker.TaskStopped {
 		w.Ledger.lose(t.command.Resume)
 	}
@@ -272,6 +274,7 @@
 		w.finish(t, worker.TaskStopped)
 	case worker.Checkpoint:
 		t.report.Checkpoint = encodeCheckpoint(c.Task, c.Incarnation, t.done)
+		w.Ledger.evict()
 		w.finish(t, worker.TaskCheckpointed)
 	case worker.Throttle:
 		t.report.Ratio = c.Ratio
--- a/oriolepond.go
+++ b/oriolepond.go
@@ -87,9 +87,13 @@
 	g.Add(func() error { return peers.Serve(listeners.peer) }, func(error) { peers.Stop() })
 	addServer(&g, front, listeners.front)
 	g.Add(func() error {
-		<-ctx.Done()
-		return i.drain(front)
-	}, func(error) {})
+		select {
+		case <-ctx.Done():
+			return i.drain(front)
+		case <-background.Done():
+			return nil
+		}
+	}, func(error) { stopBackground() })
 	g.Add(func() error {
 		<-i.aborted()
 		return &AbortedError{ID: i.Settings.ID}
