Planned stop serves on while the balancer learns of it

Cause: a planned stop closed idle connections at once, while the balancer still sent requests on them; the request on such a connection got no answer.

Change: a planned stop first turns not ready and ends each connection with its next answer for stopDelay, then refuses new work and waits for what is in flight. The default bound of a planned stop is a whole shift, since streams stay open that long.

Ruled out: refusing at once with notRun. It is truthful, but fails callers for as long as the balancer lags.

--- a/instance.go
+++ b/instance.go
@@ -67,12 +67,13 @@
 		Config:     i.configs.Current,
 		Dispatcher: i.requests,
 		Jobs:       &entry.Jobs{Submit: tasks.Submit, Describe: tasks.Describe, Cancel: tasks.Cancel},
-		Draining:   i.draining.Load,
+		Leaving:    i.stop.leaving.Load,
+		Draining:   i.stop.draining.Load,
 		Log:        i.Log,
 	}
 }
 
 // ready reports whether callers may be sent here.
 func (i *Instance) ready() bool {
-	return !i.draining.Load() && i.list.Load() != nil && i.members.View().Table.Has(i.Settings.ID)
+	return !i.stop.leaving.Load() && i.list.Load() != nil && i.members.View().Table.Has(i.Settings.ID)
 }
--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -38,6 +38,8 @@
 	Dispatcher *Dispatcher
 	// Jobs answers below /v1/jobs.
 	Jobs http.Handler
+	// Leaving reports whether connections end with their next answer; nil means never.
+	Leaving func() bool
 	// Draining reports whether new work is refused; nil means never.
 	Draining func() bool
 	Log      *eventlog.Log
@@ -47,8 +49,10 @@
 
 // ServeHTTP answers one request.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if f.Draining != nil && f.Draining() {
+	if f.Leaving != nil && f.Leaving() {
 		w.Header().Set("Connection", "close")
+	}
+	if f.Draining != nil && f.Draining() {
 		notRun(http.StatusServiceUnavailable, "instance is stopping").write(w)
 		return
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -23,7 +23,8 @@
 	DefaultListInterval    = time.Second
 	DefaultPeerInterval    = 50 * time.Millisecond
 	DefaultWorkerInterval  = time.Second
-	DefaultStopTimeout     = 10 * time.Minute
+	DefaultStopDelay       = 2 * time.Second
+	DefaultStopTimeout     = 12 * time.Hour
 	DefaultLinkBitsPerSec  = 30_000_000
 	DefaultMaxHeaderBytes  = 64 << 10
 	DefaultQueuedPerTarget = 16
@@ -53,7 +54,9 @@
 	ListInterval      time.Duration
 	PeerInterval      time.Duration
 	WorkerInterval    time.Duration
-	// StopTimeout bounds a planned stop.
+	// StopDelay is how long a planned stop still serves while the balancer learns of it.
+	StopDelay time.Duration
+	// StopTimeout bounds a planned stop; streams may stay open for a whole shift.
 	StopTimeout time.Duration
 	// LinkBitsPerSecond is the part of the link between regions that this instance may use.
 	LinkBitsPerSecond int64
@@ -92,6 +95,7 @@
 		ListInterval:      positive(o, "listInterval", DefaultListInterval),
 		PeerInterval:      positive(o, "peerInterval", DefaultPeerInterval),
 		WorkerInterval:    positive(o, "workerInterval", DefaultWorkerInterval),
+		StopDelay:         o.DurationOr("stopDelay", DefaultStopDelay),
 		StopTimeout:       positive(o, "stopTimeout", DefaultStopTimeout),
 		LinkBitsPerSecond: positiveInt(o, "linkBitsPerSecond", DefaultLinkBitsPerSec),
 		MaxHeaderBytes:    int(positiveInt(o, "maxHeaderBytes", DefaultMaxHeaderBytes)),
--- a/wire_requests.go
+++ b/wire_requests.go
@@ -69,13 +69,13 @@
 func (i *Instance) registerRequests(server *grpc.Server) {
 	peer.RegisterRequests(server, &peer.Requests{
 		Do: func(ctx context.Context, q entry.Request) (entry.Answer, error) {
-			if i.draining.Load() {
+			if i.stop.draining.Load() {
 				return entry.Answer{}, stopping()
 			}
 			return i.requests.Do(ctx, q)
 		},
 		Stream: func(ctx context.Context, q entry.Request, to entry.Sink) error {
-			if i.draining.Load() {
+			if i.stop.draining.Load() {
 				return stopping()
 			}
 			return i.requests.Stream(ctx, q, to)
