--- a/internal/interference/interference.go
+++ b/internal/interference/interference.go
@@ -61,19 +61,21 @@
 type estimate struct {
 	mean     float64
 	variance float64
-	at       time.Time
+	// at is when the variance was last brought up to date, in Unix nanoseconds, or zero.
+	at int64
 }
 
 // drift lets the variance grow up to a time, but not beyond a bound.
 func (e *estimate) drift(now time.Time, perHour, bound float64) {
-	elapsed := now.Sub(e.at)
-	if elapsed <= 0 {
+	at := now.UnixNano()
+	if at <= e.at {
 		return
 	}
-	if !e.at.IsZero() {
+	if e.at != 0 {
+		elapsed := time.Duration(at - e.at)
 		e.variance = max(e.variance, min(bound, e.variance+perHour*elapsed.Hours()))
 	}
-	e.at = now
+	e.at = at
 }
 
 // correct takes the estimate's part of a surprise; slope is how much the
--- a/internal/ledger/book.go
+++ b/internal/ledger/book.go
@@ -12,7 +12,7 @@
 	// Period is the length of one period of the accounts.
 	Period = time.Hour
 	// keptPeriods is how many periods are kept apart; older usage is only in the total.
-	keptPeriods = 7 * 24
+	keptPeriods = 24
 )
 
 // Incarnation names one run of a task.
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -19,6 +19,7 @@
 	}
 	p.search(c, now)
 	if len(p.found) == 0 {
+		p.reserve(c, now)
 		return "", p.noRoom(c)
 	}
 	best, harmful := p.best(c)
@@ -69,6 +70,9 @@
 
 func (p *Pool) permits(i int, c Candidate, now time.Time) bool {
 	id := p.workers[i].ID
+	if p.workers[i].reservation.bars(c, now) {
+		return false
+	}
 	if len(c.Avoid) > 0 && slices.Contains(c.Avoid, id) {
 		return false
 	}
--- a/internal/placement/order.go
+++ b/internal/placement/order.go
@@ -48,6 +48,7 @@
 // line is the queue of one job family; removed items are left as gaps at first.
 type line struct {
 	key   lineKey
+	turn  *turn
 	items []queued
 	live  int
 }
@@ -91,10 +92,10 @@
 	key := lineKey{share: i.Share, job: i.Job, urgent: i.Urgent}
 	l, ok := o.lines[key]
 	if !ok {
-		l = &line{key: key}
+		l = &line{key: key, turn: o.turn(i.Share)}
 		o.lines[key] = l
 	}
-	t := o.turn(i.Share)
+	t := l.turn
 	if t.queued == 0 {
 		// A share that had nothing to do gets no credit for it.
 		t.time = max(t.time, o.served)
@@ -114,7 +115,7 @@
 	}
 	delete(o.places, task)
 	l := p.line
-	o.turn(l.key.share).queued--
+	l.turn.queued--
 	i, _ := slices.BinarySearchFunc(l.items, p.number, func(q queued, n uint64) int { return cmp.Compare(q.number, n) })
 	l.items[i].gone = true
 	l.live--
@@ -157,9 +158,7 @@
 
 // Round begins a round. The order must not be changed but by the round itself until it ends.
 func (o *Order) Round(now time.Time) *Round {
-	r := &Round{order: o, now: now, lines: slices.Collect(maps.Values(o.lines))}
-	slices.SortFunc(r.lines, func(a, b *line) int { return cmp.Compare(a.items[0].number, b.items[0].number) })
-	return r
+	return &Round{order: o, now: now, lines: slices.Collect(maps.Values(o.lines))}
 }
 
 // Next returns the task that is to be placed next, and whether there is one.
@@ -183,9 +182,8 @@
 	if ra, rb := r.rank(a), r.rank(b); ra != rb {
 		return ra > rb
 	}
-	ta, tb := r.order.turn(a.key.share).time, r.order.turn(b.key.share).time
-	if ta != tb {
-		return ta < tb
+	if a.turn.time != b.turn.time {
+		return a.turn.time < b.turn.time
 	}
 	return a.items[0].number < b.items[0].number
 }
@@ -205,7 +203,7 @@
 // takes, above 0.
 func (r *Round) Take(cost float64) {
 	o, l := r.order, r.last
-	t := o.turn(l.key.share)
+	t := l.turn
 	o.served = max(o.served, t.time)
 	t.time += cost / t.weight
 	if l.key.urgent {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -63,6 +63,9 @@
 	Share  string
 	Size   share.Resources
 	Urgent bool
+	// Queued is when the task was queued; one that has waited long gets a
+	// worker reserved. Zero means that it never does.
+	Queued time.Time
 	// Avoid are workers that the task is not to be given to.
 	Avoid []string
 }
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -32,6 +32,8 @@
 	groups map[string]*spread
 	trials map[trial]int
 	found  []int
+	// reserved are the workers that are reserved, by task.
+	reserved map[string]*state
 
 	greatest share.Resources
 }
@@ -43,6 +45,8 @@
 	residents map[string]Resident
 	held      share.Resources
 	loads     []familyLoad
+
+	reservation reservation
 }
 
 // familyLoad is the load of one job family on a worker.
@@ -79,6 +83,8 @@
 		rules:  map[rulePair]share.YieldRule{},
 		groups: map[string]*spread{},
 		trials: map[trial]int{},
+
+		reserved: map[string]*state{},
 	}
 }
 
@@ -148,6 +154,7 @@
 	for task := range p.workers[i].residents {
 		p.Release(id, task)
 	}
+	p.unreserve(p.workers[i].reservation.task)
 	last := len(p.workers) - 1
 	p.workers[i] = p.workers[last]
 	p.free[i] = p.free[last]
@@ -243,6 +250,7 @@
 		return
 	}
 	p.Release(id, r.Task)
+	p.unreserve(r.Task)
 	s := p.workers[i]
 	s.residents[r.Task] = r
 	s.held = s.held.Plus(r.Size)
--- a/internal/placement/pool_test.go
+++ b/internal/placement/pool_test.go
@@ -149,3 +149,43 @@
 		}
 	}
 }
+
+// Small tasks come and go so that a worker is never empty by itself; a large
+// one must get in all the same, once it is overdue.
+func TestSmallTasksDoNotStarveLargeOnes(t *testing.T) {
+	p := NewPool()
+	for i := range 4 {
+		p.SetWorker(worker(i, cores(4)))
+	}
+	type small struct {
+		worker string
+		ends   int
+	}
+	running := map[string]small{}
+	large := Candidate{Task: "large", Size: cores(4), Queued: start}
+	const minute, longest = 60, 120
+	for second := range 10 * minute {
+		now := start.Add(time.Duration(second) * time.Second)
+		for task, s := range running {
+			if s.ends <= second {
+				p.Release(s.worker, task)
+				delete(running, task)
+			}
+		}
+		for i := 0; ; i++ {
+			c := Candidate{Task: fmt.Sprint(second, "-", i), Size: cores(1), Queued: now}
+			id, err := p.Choose(c, now)
+			if err != nil {
+				break
+			}
+			p.Hold(id, c.Resident(now))
+			running[c.Task] = small{id, second + minute + (second*7+i*13)%(longest-minute)}
+		}
+		if _, err := p.Choose(large, now); err == nil {
+			require.GreaterOrEqual(t, now.Sub(start), overdueAfter)
+			require.LessOrEqual(t, now.Sub(start), overdueAfter+longest*time.Second+reservedTime)
+			return
+		}
+	}
+	require.Fail(t, "the large task never ran")
+}
--- a/internal/replay/run.go
+++ b/internal/replay/run.go
@@ -149,7 +149,14 @@
 			break
 		}
 		j := r.jobs[item.Task]
-		c := placement.Candidate{Task: item.Task, Group: j.group, Job: item.Job, Share: item.Share, Urgent: item.Urgent}
+		c := placement.Candidate{
+			Task:   item.Task,
+			Group:  j.group,
+			Job:    item.Job,
+			Share:  item.Share,
+			Urgent: item.Urgent,
+			Queued: item.Queued,
+		}
 		id, size, err := r.policy.Place(c, r.world.now)
 		var never *placement.UnschedulableError
 		switch {
