Cores of membership: division in two steps, lease hold, homes of keys

Cause: a change of the grant table was used at once by every instance, so an instance that saw it early and one that saw it late together had more in flight at a target than it has slots. Nothing said what an instance may do past its store lease, nor where a key without repeats is remembered.

Change: grant.Division keeps to the lowest part since the last settled table and uses a gain at a target once every entry of the region reports the newest epoch without excess there, or is gone. lease holds the rule for a lost store: past the lease a holder needs the promise of one peer; a take-over needs the support of all peers, or the platform's list. home remembers begun keys and answers unknown for what an earlier home may have begun. membership.Core joins them.

Ruled out: majority promises, since the electorate changes with each join and majorities of different tables need not meet.

--- a/internal/grant/table.go
+++ b/internal/grant/table.go
@@ -4,11 +4,16 @@
 //
 // A Table names the members. The division is a pure function of the table and
 // of the target, so that instances with different instance lists agree on it.
+// Instances learn of a new table at different times; a Division bounds what one
+// instance uses meanwhile, so that the sum over all instances stays exact.
 //
 // # Usage
 //
 //	table, err := grant.Decode(value)
-//	n := table.Slots("entry-1", "runner-17", "bajio", 8)
+//	d := grant.NewDivision("entry-1", "bajio")
+//	d.Observe(table)
+//	d.Report("entry-2", grant.Report{Epoch: table.Epoch})
+//	n := d.Usable("runner-17", "bajio", 8)
 package grant
 
 import (
@@ -30,29 +35,88 @@
 	// Epoch grows by one with each change.
 	Epoch   int64
 	Members []Member
+	// Departed are former members that may still have requests in flight.
+	Departed []Member
 }
 
 // With returns the next table, with the member added.
 func (t Table) With(m Member) Table {
-	next := Table{Epoch: t.Epoch + 1, Members: append(slices.Clone(t.Members), m)}
+	next := Table{Epoch: t.Epoch + 1, Members: append(slices.Clone(t.Members), m), Departed: t.Departed}
 	slices.SortFunc(next.Members, compareMembers)
 	return next
 }
 
-// Without returns the next table, with the members removed.
+// Without returns the next table, with the members departed.
 func (t Table) Without(ids ...string) Table {
-	next := Table{Epoch: t.Epoch + 1}
+	next := Table{Epoch: t.Epoch + 1, Departed: slices.Clone(t.Departed)}
 	for _, m := range t.Members {
+		if slices.Contains(ids, m.ID) {
+			next.Departed = append(next.Departed, m)
+			continue
+		}
+		next.Members = append(next.Members, m)
+	}
+	slices.SortFunc(next.Departed, compareMembers)
+	return next
+}
+
+// Forget returns the next table, without departed members that hold nothing any more.
+func (t Table) Forget(ids ...string) Table {
+	next := Table{Epoch: t.Epoch + 1, Members: t.Members}
+	for _, m := range t.Departed {
 		if !slices.Contains(ids, m.ID) {
-			next.Members = append(next.Members, m)
+			next.Departed = append(next.Departed, m)
 		}
 	}
 	return next
 }
 
 // Has reports whether the instance is a member.
-func (t Table) Has(id string) bool {
-	return slices.ContainsFunc(t.Members, func(m Member) bool { return m.ID == id })
+func (t Table) Has(id string) bool { return has(t.Members, id) }
+
+// HasDeparted reports whether the instance is a departed member.
+func (t Table) HasDeparted(id string) bool { return has(t.Departed, id) }
+
+// Entries returns the members and departed members of a region.
+func (t Table) Entries(region string) []Member {
+	var entries []Member
+	for _, list := range [][]Member{t.Members, t.Departed} {
+		for _, m := range list {
+			if m.Region == region {
+				entries = append(entries, m)
+			}
+		}
+	}
+	return entries
+}
+
+// Owner returns the member of a region that a key belongs to, or "" if the region has none.
+// A change of members moves only the keys of the members that changed.
+func (t Table) Owner(key, region string) string {
+	owner, best := "", uint64(0)
+	for _, m := range t.Members {
+		if m.Region != region {
+			continue
+		}
+		if weight := weigh(key, m.ID); owner == "" || weight > best {
+			owner, best = m.ID, weight
+		}
+	}
+	return owner
+}
+
+// weigh returns the rendezvous weight of a member for a key.
+func weigh(key, member string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(member)
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(key)
+	return d.Sum64()
+}
+
+func has(list []Member, id string) bool {
+	return slices.ContainsFunc(list, func(m Member) bool { return m.ID == id })
 }
 
 // Slots returns how many of a target's slots a member may use.
@@ -94,8 +158,9 @@
 		Region string `json:"region"`
 	}
 	wireTable struct {
-		Epoch   int64        `json:"epoch"`
-		Members []wireMember `json:"members"`
+		Epoch    int64        `json:"epoch"`
+		Members  []wireMember `json:"members"`
+		Departed []wireMember `json:"departed,omitempty"`
 	}
 )
 
@@ -105,6 +170,9 @@
 	for _, m := range t.Members {
 		w.Members = append(w.Members, wireMember(m))
 	}
+	for _, m := range t.Departed {
+		w.Departed = append(w.Departed, wireMember(m))
+	}
 	return json.Marshal(w)
 }
 
@@ -118,5 +186,8 @@
 	for _, m := range w.Members {
 		t.Members = append(t.Members, Member(m))
 	}
+	for _, m := range w.Departed {
+		t.Departed = append(t.Departed, Member(m))
+	}
 	return t, nil
 }
--- /dev/null
+++ b/internal/home/keys.go
@@ -0,0 +1,260 @@
+// Package home remembers the keys of non-idempotent requests, so that each key
+// is run at most once although callers repeat it at any instance.
+//
+// A key belongs to one member of the grant table, its home, by a rendezvous
+// hash over the members of the neighbour's region. A member begins a key only
+// if it is the home in every table that it keeps to. After it became the home
+// it answers unknown to keys that an earlier home may have begun: those whose
+// time, which a UUID of version 7 holds, is not after the take-over plus
+// ClockBound. Keys without a time are to be journaled before they are run.
+//
+// # Usage
+//
+//	k := home.NewKeys("entry-1", "bajio")
+//	k.Observe(table)
+//	k.Settle(now) // Every member keeps to the table.
+//	switch v := k.Begin(key, now); v.Kind {
+//	case home.Run:
+//		k.Finish(key, answer, now)
+//	}
+package home
+
+import (
+	"time"
+
+	"github.com/oriolepond/oriolepond/internal/grant"
+)
+
+const (
+	// ClockBound bounds how far a caller's or an instance's clock is from another's.
+	ClockBound = time.Second
+	// Retention is how long a key is remembered after its time.
+	Retention = 10 * time.Minute
+	// MaxKeys bounds the remembered keys; beyond it the oldest are forgotten.
+	MaxKeys = 100_000
+	// MaxAnswerBytes bounds the kept answers; beyond it the oldest are dropped.
+	MaxAnswerBytes = 16 << 20
+)
+
+// Kind is what is to be done with a key.
+type Kind string
+
+// The kinds of verdicts.
+const (
+	// Run says that the request is to be run now.
+	Run Kind = "run"
+	// Journal says that the key is to be journaled in the store, and then run.
+	Journal Kind = "journal"
+	// Running says that the first request with the key has not ended.
+	Running Kind = "running"
+	// Answered says that the first request has ended with this answer.
+	Answered Kind = "answered"
+	// Unknown says that the key may have been run.
+	Unknown Kind = "unknown"
+	// Elsewhere says that another member is the home.
+	Elsewhere Kind = "elsewhere"
+	// NotYet says that no member begins the key now; it was not run by this request.
+	NotYet Kind = "notYet"
+	// Ahead says that the key's time is in the future; it was not run by this request.
+	Ahead Kind = "ahead"
+)
+
+// Verdict is what is to be done with a key.
+type Verdict struct {
+	Kind Kind
+	// Home is the member that is the home, if the kind is Elsewhere.
+	Home string
+	// Answer is the first answer, if the kind is Answered.
+	Answer any
+}
+
+// Keys are the keys that one member is the home of. It is not safe for concurrent use.
+type Keys struct {
+	self   string
+	region string
+	// tables are kept to; the first is the last settled one.
+	tables []grant.Table
+	eras   []era
+	known  map[string]*entry
+	// order holds the keys as they were begun, answers those whose answer is kept.
+	order   []*entry
+	answers []*entry
+	// floor is the time up to which keys may have been forgotten.
+	floor time.Time
+	bytes int
+}
+
+// era is a time between two settled tables.
+type era struct {
+	tables []grant.Table
+	at     time.Time
+}
+
+type entry struct {
+	key    string
+	begun  time.Time
+	done   bool
+	kept   bool
+	answer any
+	size   int
+}
+
+// NewKeys returns the keys of a member that has seen no table.
+func NewKeys(self, region string) *Keys {
+	return &Keys{self: self, region: region, tables: []grant.Table{{}}, known: map[string]*entry{}}
+}
+
+// Observe takes a newer table, to be kept to at once.
+func (k *Keys) Observe(t grant.Table) {
+	if t.Epoch > k.latest().Epoch {
+		k.tables = append(k.tables, t)
+	}
+}
+
+// Settle says that by now every member keeps to the newest table, or is gone.
+func (k *Keys) Settle(now time.Time) {
+	if len(k.tables) == 1 {
+		return
+	}
+	k.eras = append(k.eras, era{tables: k.tables, at: now})
+	k.tables = []grant.Table{k.latest()}
+	for len(k.eras) > 1 && k.eras[1].at.Before(now.Add(-Retention-2*ClockBound)) {
+		k.raise(k.eras[0].at)
+		k.eras = k.eras[1:]
+	}
+}
+
+func (k *Keys) latest() grant.Table { return k.tables[len(k.tables)-1] }
+
+// Home returns the member that is the home of a key in the newest table.
+func (k *Keys) Home(key string) string { return k.latest().Owner(key, k.region) }
+
+// Begin decides what is to be done with a key; if it is to be run, the key is
+// remembered as begun.
+func (k *Keys) Begin(key string, now time.Time) Verdict {
+	k.expire(now)
+	if e, ok := k.known[key]; ok {
+		return e.verdict()
+	}
+	if owner := k.Home(key); owner != k.self {
+		if owner == "" {
+			return Verdict{Kind: NotYet}
+		}
+		return Verdict{Kind: Elsewhere, Home: owner}
+	}
+	if !k.ownsAll(k.tables, key) {
+		return Verdict{Kind: NotYet}
+	}
+	at, timed := TimeOf(key)
+	switch {
+	case !timed:
+		k.remember(key, now)
+		return Verdict{Kind: Journal}
+	case at.After(now.Add(ClockBound)):
+		return Verdict{Kind: Ahead}
+	case !at.After(now.Add(-Retention)), !at.After(k.floor), !at.After(k.takeover(key).Add(2 * ClockBound)):
+		return Verdict{Kind: Unknown}
+	}
+	k.remember(key, now)
+	return Verdict{Kind: Run}
+}
+
+// takeover returns the time since which this member has been the only home of a key.
+func (k *Keys) takeover(key string) time.Time {
+	for n := len(k.eras) - 1; n >= 0; n-- {
+		if !k.ownsAll(k.eras[n].tables, key) {
+			return k.eras[n].at
+		}
+	}
+	return k.floor
+}
+
+func (k *Keys) ownsAll(tables []grant.Table, key string) bool {
+	for _, t := range tables {
+		if t.Owner(key, k.region) != k.self {
+			return false
+		}
+	}
+	return true
+}
+
+// Finish keeps the answer of a key that was begun, of that many bytes.
+func (k *Keys) Finish(key string, answer any, size int) {
+	e, ok := k.known[key]
+	if !ok {
+		return
+	}
+	e.done, e.kept, e.answer, e.size = true, true, answer, size
+	k.bytes += size
+	k.answers = append(k.answers, e)
+	for k.bytes > MaxAnswerBytes {
+		k.drop(k.answers[0])
+		k.answers = k.answers[1:]
+	}
+}
+
+// Lose says that the outcome of a key that was begun is unknown.
+func (k *Keys) Lose(key string) {
+	if e, ok := k.known[key]; ok {
+		e.done = true
+	}
+}
+
+// Undo forgets a key whose request was not run.
+func (k *Keys) Undo(key string) {
+	if e, ok := k.known[key]; ok {
+		k.drop(e)
+		delete(k.known, key)
+	}
+}
+
+// Len returns the number of remembered keys.
+func (k *Keys) Len() int { return len(k.known) }
+
+func (k *Keys) remember(key string, now time.Time) {
+	e := &entry{key: key, begun: now}
+	k.known[key] = e
+	k.order = append(k.order, e)
+}
+
+// expire forgets the keys that are past retention or beyond the bounds.
+func (k *Keys) expire(now time.Time) {
+	old := now.Add(-Retention - ClockBound)
+	for len(k.order) > 0 && (len(k.order) > MaxKeys || k.order[0].begun.Before(old)) {
+		e := k.order[0]
+		k.order[0] = nil
+		k.order = k.order[1:]
+		if k.known[e.key] != e {
+			continue
+		}
+		k.raise(e.begun.Add(ClockBound))
+		k.drop(e)
+		delete(k.known, e.key)
+	}
+	for len(k.answers) > 0 && !k.answers[0].kept {
+		k.answers = k.answers[1:]
+	}
+}
+
+func (k *Keys) raise(floor time.Time) {
+	if floor.After(k.floor) {
+		k.floor = floor
+	}
+}
+
+func (k *Keys) drop(e *entry) {
+	if e.kept {
+		k.bytes -= e.size
+		e.kept, e.answer = false, nil
+	}
+}
+
+func (e *entry) verdict() Verdict {
+	switch {
+	case !e.done:
+		return Verdict{Kind: Running}
+	case e.kept:
+		return Verdict{Kind: Answered, Answer: e.answer}
+	}
+	return Verdict{Kind: Unknown}
+}
--- /dev/null
+++ b/internal/home/keys_test.go
@@ -0,0 +1,119 @@
+package home_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/oriolepond/oriolepond/internal/grant"
+	"github.com/oriolepond/oriolepond/internal/home"
+)
+
+const region = "cairo"
+
+var start = time.UnixMilli(1_800_000_000_000)
+
+// keyAt returns a UUID of version 7 with that time.
+func keyAt(at time.Time, n int) string {
+	h := fmt.Sprintf("%012x", at.UnixMilli())
+	return fmt.Sprintf("%s-%s-7000-8000-%012x", h[:8], h[8:], n)
+}
+
+// newHome returns the only member, which took over at start.
+func newHome() *home.Keys {
+	k := home.NewKeys("a", region)
+	k.Observe(grant.Table{}.With(grant.Member{ID: "a", Region: region}))
+	k.Settle(start)
+	return k
+}
+
+func TestVerdicts(t *testing.T) {
+	later := start.Add(time.Minute)
+	cases := []struct {
+		name string
+		key  string
+		want home.Kind
+	}{
+		{"fresh", keyAt(later, 1), home.Run},
+		{"before the take-over", keyAt(start.Add(-time.Second), 1), home.Unknown},
+		{"just after the take-over", keyAt(start.Add(home.ClockBound), 1), home.Unknown},
+		{"from the future", keyAt(later.Add(2*home.ClockBound), 1), home.Ahead},
+		{"without a time", "order-17", home.Journal},
+		{"version 4", "6f0f8b0a-2f4e-4c1c-9e57-0a2b6c9d8e11", home.Journal},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			require.Equal(t, c.want, newHome().Begin(c.key, later).Kind)
+		})
+	}
+}
+
+// A repeat never runs: it gets the first answer, or unknown.
+func TestRepeats(t *testing.T) {
+	k, now := newHome(), start.Add(time.Minute)
+	key := keyAt(now, 1)
+	require.Equal(t, home.Run, k.Begin(key, now).Kind)
+	require.Equal(t, home.Running, k.Begin(key, now).Kind)
+	k.Finish(key, "answer", 6)
+	require.Equal(t, home.Verdict{Kind: home.Answered, Answer: "answer"}, k.Begin(key, now))
+
+	lost := keyAt(now, 2)
+	k.Begin(lost, now)
+	k.Lose(lost)
+	require.Equal(t, home.Unknown, k.Begin(lost, now).Kind)
+
+	undone := keyAt(now, 3)
+	k.Begin(undone, now)
+	k.Undo(undone)
+	require.Equal(t, home.Run, k.Begin(undone, now).Kind, "what did not run may run")
+
+	require.Equal(t, home.Unknown, k.Begin(key, now.Add(2*home.Retention)).Kind, "forgotten by age")
+	require.Zero(t, k.Len())
+}
+
+// Neither answers nor keys grow without bound, and what is forgotten is not run again.
+func TestBounds(t *testing.T) {
+	k, now := newHome(), start.Add(time.Minute)
+	first := keyAt(now, 0)
+	for n := range home.MaxKeys + 10 {
+		at := now.Add(time.Duration(n) * time.Millisecond)
+		k.Begin(keyAt(at, n), at)
+		k.Finish(keyAt(at, n), "", 1<<10)
+	}
+	require.LessOrEqual(t, k.Len(), home.MaxKeys+1)
+	at := now.Add((home.MaxKeys + 10) * time.Millisecond)
+	require.Equal(t, home.Unknown, k.Begin(first, at).Kind)
+	require.Equal(t, home.Unknown, k.Begin(keyAt(now.Add(50*time.Second), 50_000), at).Kind, "its answer was dropped")
+}
+
+// While tables change, neither the former nor the next home begins a key.
+func TestKeyBetweenHomes(t *testing.T) {
+	a, b := grant.Member{ID: "a", Region: region}, grant.Member{ID: "b", Region: region}
+	alone := grant.Table{}.With(a)
+	both := alone.With(b)
+	now := start.Add(time.Minute)
+	key := ""
+	for n := 0; key == ""; n++ {
+		if candidate := keyAt(now, n); both.Owner(candidate, region) == "b" {
+			key = candidate
+		}
+	}
+	former, next := newHome(), home.NewKeys("b", region)
+	former.Observe(both)
+	next.Observe(both)
+	require.Equal(t, home.Verdict{Kind: home.Elsewhere, Home: "b"}, former.Begin(key, now))
+	require.Equal(t, home.NotYet, next.Begin(key, now).Kind)
+	next.Settle(now)
+	require.Equal(t, home.Unknown, next.Begin(key, now).Kind, "the former home may have begun it")
+}
+
+func BenchmarkBegin(b *testing.B) {
+	k := newHome()
+	b.ReportAllocs()
+	now := start.Add(time.Minute)
+	for n := 0; b.Loop(); n++ {
+		k.Begin(keyAt(now, n), now)
+	}
+}
--- /dev/null
+++ b/internal/membership/core.go
@@ -0,0 +1,278 @@
+package membership
+
+import (
+	"time"
+
+	"github.com/oriolepond/oriolepond/internal/grant"
+	"github.com/oriolepond/oriolepond/internal/home"
+	"github.com/oriolepond/oriolepond/internal/lease"
+)
+
+// PromiseTime is how long a peer that lacks the store promises to support no take-over.
+const PromiseTime = 3 * time.Second
+
+// Core decides what one instance may use: it joins the division of slots, the
+// hold on the store's lease, the promises of peers, and the homes of keys. It
+// is free of I/O and clocks, and not safe for concurrent use.
+type Core struct {
+	self grant.Member
+	// Longest bounds the time that a request can be in flight.
+	Longest time.Duration
+	// ListLag is how far the platform's list may lag.
+	ListLag time.Duration
+	// Keys are the keys that this instance is the home of.
+	Keys *home.Keys
+
+	division   *grant.Division
+	hold       lease.Hold
+	promiser   lease.Promiser
+	departures map[string]*lease.Departure
+	supports   map[string]map[string]bool
+	heard      map[string]int64
+	released   map[string]bool
+	reachable  bool
+	joined     int64
+	// own is the last report of the instance's own use.
+	own  grant.Report
+	busy bool
+}
+
+// NewCore returns the core of an instance that has not joined.
+func NewCore(self grant.Member, longest, listLag time.Duration) *Core {
+	return &Core{
+		self:       self,
+		Longest:    longest,
+		ListLag:    listLag,
+		Keys:       home.NewKeys(self.ID, self.Region),
+		division:   grant.NewDivision(self.ID, self.Region),
+		departures: map[string]*lease.Departure{},
+		supports:   map[string]map[string]bool{},
+		heard:      map[string]int64{},
+		released:   map[string]bool{},
+	}
+}
+
+// Renamed returns the core of the same instance under another name, to join
+// anew after it has departed. Promises made under the former name stay.
+func (c *Core) Renamed(id string) *Core {
+	next := NewCore(grant.Member{ID: id, Region: c.self.Region}, c.Longest, c.ListLag)
+	next.promiser = c.promiser
+	next.reachable = c.reachable
+	return next
+}
+
+// Self returns the instance as the table names it.
+func (c *Core) Self() grant.Member { return c.self }
+
+// Table returns the newest table seen.
+func (c *Core) Table() grant.Table { return c.division.Latest() }
+
+// Settled reports whether every entry of the region keeps to the newest table.
+func (c *Core) Settled() bool { return c.division.Settled() }
+
+// Observe takes a table from the store or from a peer, and reports whether it is news.
+func (c *Core) Observe(t grant.Table, now time.Time) bool {
+	if !c.division.Observe(t) {
+		return false
+	}
+	c.Keys.Observe(t)
+	if c.joined == 0 && t.Has(c.self.ID) {
+		c.joined = t.Epoch
+	}
+	c.prune(t)
+	c.settle(now)
+	return true
+}
+
+// prune forgets what is known of instances that the table no longer names.
+func (c *Core) prune(t grant.Table) {
+	named := func(id string) bool { return t.Has(id) || t.HasDeparted(id) }
+	c.promiser.Keep(named)
+	for id := range c.departures {
+		if !named(id) {
+			delete(c.departures, id)
+			delete(c.supports, id)
+			delete(c.released, id)
+		}
+	}
+	for id := range c.heard {
+		if !named(id) {
+			delete(c.heard, id)
+		}
+	}
+}
+
+// Renewed says that the store renewed the lease for ttl, by a call begun at asked.
+func (c *Core) Renewed(asked time.Time, ttl time.Duration) { c.hold.Renewed(asked, ttl) }
+
+// SetReachable says whether the last call to the store was answered.
+func (c *Core) SetReachable(yes bool) { c.reachable = yes }
+
+// Reachable reports whether the last call to the store was answered.
+func (c *Core) Reachable() bool { return c.reachable }
+
+// Own takes the instance's own use: the targets at which it is over its part
+// in the newest table, and whether it has anything in flight.
+func (c *Core) Own(over []string, busy bool, now time.Time) {
+	c.own, c.busy = grant.Report{Epoch: c.Table().Epoch, Over: over}, busy
+	c.division.Report(c.self.ID, c.own)
+	c.settle(now)
+}
+
+// Hear takes the status of a peer.
+func (c *Core) Hear(s Status, now time.Time) {
+	c.division.Report(s.ID, s.Report)
+	c.heard[s.ID] = max(c.heard[s.ID], s.Report.Epoch)
+	for _, each := range s.Supports {
+		if c.supports[each.Holder] == nil {
+			c.supports[each.Holder] = map[string]bool{}
+		}
+		c.supports[each.Holder][s.ID] = each.Known
+	}
+	if s.Released && c.Table().HasDeparted(s.ID) {
+		c.released[s.ID] = true
+	}
+	c.settle(now)
+}
+
+// Promise answers a member that lacks the store: it is promised for
+// PromiseTime that this instance supports no take-over, if this one lacks the
+// store too.
+func (c *Core) Promise(holder string, now time.Time) bool {
+	t := c.Table()
+	if c.reachable || holder == c.self.ID || !t.Has(holder) || !t.Has(c.self.ID) {
+		return false
+	}
+	return c.promiser.Promise(holder, now, PromiseTime)
+}
+
+// Promised takes the promise of a peer that was asked at that time.
+func (c *Core) Promised(by string, asked time.Time) { c.hold.Promised(by, asked, PromiseTime) }
+
+// Peers returns the other members of the region in the newest table.
+func (c *Core) Peers() []string {
+	var peers []string
+	for _, m := range c.Table().Members {
+		if m.Region == c.self.Region && m.ID != c.self.ID {
+			peers = append(peers, m.ID)
+		}
+	}
+	return peers
+}
+
+// Held reports whether the instance may use its parts and begin keys.
+func (c *Core) Held(now time.Time) bool {
+	return c.Table().Has(c.self.ID) && c.hold.Held(now, c.Peers())
+}
+
+// Until returns the time until which Held stays true; unbounded says that it does for ever.
+func (c *Core) Until() (until time.Time, unbounded bool) {
+	if !c.Table().Has(c.self.ID) {
+		return time.Time{}, false
+	}
+	return c.hold.Until(c.Peers())
+}
+
+// LeaseUntil returns the time before which the store's lease cannot have lapsed.
+func (c *Core) LeaseUntil() time.Time { return c.hold.LeaseUntil() }
+
+// Usable returns how many of a target's units the instance may have in use
+// while it is held.
+func (c *Core) Usable(target, region string, units int) int {
+	return c.division.Usable(target, region, units)
+}
+
+// Part returns the instance's part of a target in the newest table.
+func (c *Core) Part(target, region string, units int) int {
+	return c.division.Part(target, region, units)
+}
+
+// List takes the platform's list, as it was read at that time. A list that
+// lacks this instance proves nothing.
+func (c *Core) List(listed map[string]bool, idOf func(member string) string, now time.Time) {
+	if !listed[idOf(c.self.ID)] {
+		return
+	}
+	for _, m := range c.Table().Departed {
+		c.departure(m.ID).Missing(!listed[idOf(m.ID)], now)
+	}
+}
+
+func (c *Core) departure(id string) *lease.Departure {
+	d, ok := c.departures[id]
+	if !ok {
+		d = &lease.Departure{}
+		c.departures[id] = d
+	}
+	return d
+}
+
+// Tick judges which departed members are surely gone.
+func (c *Core) Tick(now time.Time) {
+	longest := max(c.Longest, PromiseTime)
+	for _, m := range c.Table().Departed {
+		d := c.departure(m.ID)
+		d.Supported(c.supported(m, now), now)
+		if d.Gone(now, longest, c.ListLag) {
+			c.division.Gone(m.ID)
+		}
+	}
+	c.settle(now)
+}
+
+// supported reports whether every entry of a departed member's region supports
+// that it is taken over, and at least one on which it depended.
+func (c *Core) supported(departed grant.Member, now time.Time) bool {
+	known := false
+	for _, m := range c.Table().Entries(departed.Region) {
+		if m.ID == departed.ID || c.division.IsGone(m.ID) {
+			continue
+		}
+		depended, ok := c.supports[departed.ID][m.ID]
+		if m.ID == c.self.ID {
+			ok, depended = c.promiser.Support(departed.ID, now), c.knownTo(departed.ID)
+		}
+		if !ok {
+			return false
+		}
+		known = known || depended
+	}
+	return known
+}
+
+// knownTo reports whether a member has seen a table that names this instance.
+func (c *Core) knownTo(id string) bool { return c.joined > 0 && c.heard[id] >= c.joined }
+
+// Forgettable returns the departed members that hold nothing any more.
+func (c *Core) Forgettable() []string {
+	var ids []string
+	for _, m := range c.Table().Departed {
+		if c.released[m.ID] || c.division.IsGone(m.ID) {
+			ids = append(ids, m.ID)
+		}
+	}
+	return ids
+}
+
+// Status returns what the instance tells its peers.
+func (c *Core) Status(now time.Time) Status {
+	t := c.Table()
+	s := Status{ID: c.self.ID, Report: c.own}
+	for _, m := range t.Departed {
+		if m.ID != c.self.ID && m.Region == c.self.Region && c.promiser.Support(m.ID, now) {
+			s.Supports = append(s.Supports, Support{Holder: m.ID, Known: c.knownTo(m.ID)})
+		}
+	}
+	s.Released = t.HasDeparted(c.self.ID) && c.Idle(now)
+	return s
+}
+
+// Idle reports whether the instance has nothing in flight and no promise open.
+func (c *Core) Idle(now time.Time) bool { return !c.busy && !c.promiser.Open(now) }
+
+// settle tells the keys when the newest table has been settled.
+func (c *Core) settle(now time.Time) {
+	if c.division.Settled() {
+		c.Keys.Settle(now)
+	}
+}
