Membership shell: watch, exchange of statuses, keys at their homes

Cause: the keeper polled three reads a lease period from each instance, applied a new table at once, revoked its lease on an abort, and a member was taken out by whoever read a stale list. Peers knew nothing of each other's slots, and keys of non-idempotent requests were remembered nowhere.

Change: one watch and a re-read a minute; a join is one commit of registration and table; a removal holds only while the registration is absent; a planned stop hands its part over first and an abort leaves its lease to lapse; members get a new name at each registration. Instances stream their status to each other (epoch, excess, supports, idle slots), acknowledged so that silence is noticed; a newer table goes to peers that lag, so that an instance without the store still learns it. Slots are checked at the instant of use against the time up to which they are held. Keys are begun at their home; those without a time are journaled first. The demo lists its entry instances on the platform's list.

--- a/instance.go
+++ b/instance.go
@@ -10,7 +10,6 @@
 	"github.com/oriolepond/oriolepond/internal/entry"
 	"github.com/oriolepond/oriolepond/internal/eventlog"
 	"github.com/oriolepond/oriolepond/internal/roster"
-	"github.com/oriolepond/oriolepond/internal/target"
 )
 
 // followList reads the platform's list until the context ends.
@@ -22,8 +21,7 @@
 		list, err := client.Read(ctx)
 		switch {
 		case err == nil:
-			i.list.Store(&list)
-			i.retarget()
+			i.takeList(list)
 		case ctx.Err() == nil:
 			i.Log.Emit(eventlog.ListUnavailable, zap.Error(err))
 		}
@@ -42,25 +40,6 @@
 	return roster.List{}
 }
 
-// retarget brings the targets in step with the list and the grant table.
-func (i *Instance) retarget() {
-	table := i.members.View().Table
-	var targets []target.Target
-	for _, r := range i.currentList().OfKind(roster.KindRunner) {
-		targets = append(targets, target.Target{
-			ID:      r.ID,
-			Service: r.Service,
-			Address: r.Address,
-			Region:  r.Region, DataCentre: r.DataCentre,
-			Slots:       table.Slots(i.Settings.ID, r.ID, r.Region, r.Slots),
-			Connections: table.Slots(i.Settings.ID, r.ID, r.Region, r.Connections),
-			Leaving:     r.State != roster.Live,
-		})
-	}
-	i.targets.Set(targets)
-	i.requests.WakeAll()
-}
-
 func (i *Instance) front() http.Handler {
 	tasks := i.jobs
 	return &entry.Front{
@@ -75,5 +54,5 @@
 
 // ready reports whether callers may be sent here.
 func (i *Instance) ready() bool {
-	return !i.stop.leaving.Load() && i.list.Load() != nil && i.members.View().Table.Has(i.Settings.ID)
+	return !i.stop.leaving.Load() && i.list.Load() != nil && i.members.View().Joined()
 }
--- a/internal/demo/instances.go
+++ b/internal/demo/instances.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/oriolepond/oriolepond/internal/roster"
 	"github.com/oriolepond/oriolepond/internal/standin"
 )
 
@@ -78,9 +79,14 @@
 	if i.process, err = launch(ctx, d.settings(i, peer)); err != nil {
 		return err
 	}
+	d.cluster.Platform.Set(roster.Instance{
+		ID: i.id, Kind: roster.KindEntry, State: roster.Live, Region: dc.Region, DataCentre: dc.Name,
+		Address: fmt.Sprintf("%s:%d", i.address, frontPort), PeerAddress: peer,
+	})
 	go func() {
 		i.err = <-i.process.Done
 		i.ready.Store(false)
+		d.cluster.Platform.Remove(i.id)
 		close(i.ended)
 	}()
 	go i.probe()
--- a/internal/entry/dispatcher.go
+++ b/internal/entry/dispatcher.go
@@ -33,6 +33,8 @@
 	Link *link.Link
 	// Keys remembers the keys of non-idempotent requests.
 	Keys *Keys
+	// StreamContext returns the context of a stream, which may end it early.
+	StreamContext func(ctx context.Context) (context.Context, context.CancelFunc)
 	// Recorded takes the end of each caller's request.
 	Recorded func(Sample)
 
@@ -69,6 +71,11 @@
 		d.record(q, r.tripSoFar(), s, nil)
 		return head(s, h)
 	}
+	if d.StreamContext != nil {
+		var cancel context.CancelFunc
+		ctx, cancel = d.StreamContext(ctx)
+		defer cancel()
+	}
 	err := r.stream(ctx, to)
 	r.finishKey(err)
 	if status == 0 {
--- a/internal/grant/division.go
+++ b/internal/grant/division.go
@@ -24,6 +24,8 @@
 	held    map[string][]Table
 	reports map[string]Report
 	gone    map[string]bool
+	// version counts the changes of what may be used.
+	version int
 }
 
 // NewDivision returns the division of an instance that has seen no table: it may use nothing.
@@ -41,6 +43,9 @@
 // Latest returns the newest table seen.
 func (d *Division) Latest() Table { return d.history[len(d.history)-1] }
 
+// Version grows with each change of what the instance may use.
+func (d *Division) Version() int { return d.version }
+
 // Settled reports whether every entry keeps to the newest table.
 func (d *Division) Settled() bool { return len(d.history) == 1 }
 
@@ -52,6 +57,7 @@
 	if t.Epoch <= d.Latest().Epoch {
 		return false
 	}
+	d.version++
 	d.history = append(d.history, t)
 	for target, tables := range d.held {
 		d.held[target] = append(tables, t)
@@ -116,6 +122,7 @@
 	for target := range d.held {
 		if !over[target] {
 			delete(d.held, target)
+			d.version++
 		}
 	}
 	for target := range over {
@@ -123,7 +130,10 @@
 			d.held[target] = d.history
 		}
 	}
-	d.history = []Table{d.Latest()}
+	if len(d.history) > 1 {
+		d.history = []Table{d.Latest()}
+		d.version++
+	}
 }
 
 // overAtLatest returns the targets at which an entry is over its part in the
--- a/internal/home/keys.go
+++ b/internal/home/keys.go
@@ -13,9 +13,9 @@
 //	k := home.NewKeys("entry-1", "bajio")
 //	k.Observe(table)
 //	k.Settle(now) // Every member keeps to the table.
-//	switch v := k.Begin(key, now); v.Kind {
-//	case home.Run:
-//		k.Finish(key, answer, now)
+//	if k.Begin(key, now).Kind == home.Run {
+//		// Run the request; if it turns out that it did not run:
+//		k.Undo(key)
 //	}
 package home
 
@@ -32,8 +32,6 @@
 	Retention = 10 * time.Minute
 	// MaxKeys bounds the remembered keys; beyond it the oldest are forgotten.
 	MaxKeys = 100_000
-	// MaxAnswerBytes bounds the kept answers; beyond it the oldest are dropped.
-	MaxAnswerBytes = 16 << 20
 )
 
 // Kind is what is to be done with a key.
@@ -43,12 +41,8 @@
 const (
 	// Run says that the request is to be run now.
 	Run Kind = "run"
-	// Journal says that the key is to be journaled in the store, and then run.
-	Journal Kind = "journal"
-	// Running says that the first request with the key has not ended.
-	Running Kind = "running"
-	// Answered says that the first request has ended with this answer.
-	Answered Kind = "answered"
+	// JournalFirst says that the key is to be journaled in the store, and then run.
+	JournalFirst Kind = "journalFirst"
 	// Unknown says that the key may have been run.
 	Unknown Kind = "unknown"
 	// Elsewhere says that another member is the home.
@@ -64,10 +58,16 @@
 	Kind Kind
 	// Home is the member that is the home, if the kind is Elsewhere.
 	Home string
-	// Answer is the first answer, if the kind is Answered.
-	Answer any
 }
 
+// Key names a request: Value is the caller's, and unique within Scope.
+type Key struct {
+	Scope, Value string
+}
+
+// Name returns the whole name of the key.
+func (k Key) Name() string { return k.Scope + "\x00" + k.Value }
+
 // Keys are the keys that one member is the home of. It is not safe for concurrent use.
 type Keys struct {
 	self   string
@@ -76,12 +76,10 @@
 	tables []grant.Table
 	eras   []era
 	known  map[string]*entry
-	// order holds the keys as they were begun, answers those whose answer is kept.
-	order   []*entry
-	answers []*entry
+	// order holds the keys as they were begun.
+	order []*entry
 	// floor is the time up to which keys may have been forgotten.
 	floor time.Time
-	bytes int
 }
 
 // era is a time between two settled tables.
@@ -91,12 +89,8 @@
 }
 
 type entry struct {
-	key    string
-	begun  time.Time
-	done   bool
-	kept   bool
-	answer any
-	size   int
+	name  string
+	begun time.Time
 }
 
 // NewKeys returns the keys of a member that has seen no table.
@@ -126,94 +120,65 @@
 
 func (k *Keys) latest() grant.Table { return k.tables[len(k.tables)-1] }
 
-// Home returns the member that is the home of a key in the newest table.
-func (k *Keys) Home(key string) string { return k.latest().Owner(key, k.region) }
-
 // Begin decides what is to be done with a key; if it is to be run, the key is
 // remembered as begun.
-func (k *Keys) Begin(key string, now time.Time) Verdict {
+func (k *Keys) Begin(key Key, now time.Time) Verdict {
 	k.expire(now)
-	if e, ok := k.known[key]; ok {
-		return e.verdict()
+	name := key.Name()
+	if _, ok := k.known[name]; ok {
+		return Verdict{Kind: Unknown}
 	}
-	if owner := k.Home(key); owner != k.self {
+	if owner := k.latest().Owner(name, k.region); owner != k.self {
 		if owner == "" {
 			return Verdict{Kind: NotYet}
 		}
 		return Verdict{Kind: Elsewhere, Home: owner}
 	}
-	if !k.ownsAll(k.tables, key) {
+	if !k.ownsAll(k.tables, name) {
 		return Verdict{Kind: NotYet}
 	}
-	at, timed := TimeOf(key)
+	at, timed := TimeOf(key.Value)
 	switch {
 	case !timed:
-		k.remember(key, now)
-		return Verdict{Kind: Journal}
+		k.remember(name, now)
+		return Verdict{Kind: JournalFirst}
 	case at.After(now.Add(ClockBound)):
 		return Verdict{Kind: Ahead}
-	case !at.After(now.Add(-Retention)), !at.After(k.floor), !at.After(k.takeover(key).Add(2 * ClockBound)):
+	case !at.After(now.Add(-Retention)), !at.After(k.floor), !at.After(k.takeover(name).Add(2 * ClockBound)):
 		return Verdict{Kind: Unknown}
 	}
-	k.remember(key, now)
+	k.remember(name, now)
 	return Verdict{Kind: Run}
 }
 
 // takeover returns the time since which this member has been the only home of a key.
-func (k *Keys) takeover(key string) time.Time {
+func (k *Keys) takeover(name string) time.Time {
 	for n := len(k.eras) - 1; n >= 0; n-- {
-		if !k.ownsAll(k.eras[n].tables, key) {
+		if !k.ownsAll(k.eras[n].tables, name) {
 			return k.eras[n].at
 		}
 	}
 	return k.floor
 }
 
-func (k *Keys) ownsAll(tables []grant.Table, key string) bool {
+func (k *Keys) ownsAll(tables []grant.Table, name string) bool {
 	for _, t := range tables {
-		if t.Owner(key, k.region) != k.self {
+		if t.Owner(name, k.region) != k.self {
 			return false
 		}
 	}
 	return true
 }
 
-// Finish keeps the answer of a key that was begun, of that many bytes.
-func (k *Keys) Finish(key string, answer any, size int) {
-	e, ok := k.known[key]
-	if !ok {
-		return
-	}
-	e.done, e.kept, e.answer, e.size = true, true, answer, size
-	k.bytes += size
-	k.answers = append(k.answers, e)
-	for k.bytes > MaxAnswerBytes {
-		k.drop(k.answers[0])
-		k.answers = k.answers[1:]
-	}
-}
-
-// Lose says that the outcome of a key that was begun is unknown.
-func (k *Keys) Lose(key string) {
-	if e, ok := k.known[key]; ok {
-		e.done = true
-	}
-}
-
 // Undo forgets a key whose request was not run.
-func (k *Keys) Undo(key string) {
-	if e, ok := k.known[key]; ok {
-		k.drop(e)
-		delete(k.known, key)
-	}
-}
+func (k *Keys) Undo(key Key) { delete(k.known, key.Name()) }
 
 // Len returns the number of remembered keys.
 func (k *Keys) Len() int { return len(k.known) }
 
-func (k *Keys) remember(key string, now time.Time) {
-	e := &entry{key: key, begun: now}
-	k.known[key] = e
+func (k *Keys) remember(name string, now time.Time) {
+	e := &entry{name: name, begun: now}
+	k.known[name] = e
 	k.order = append(k.order, e)
 }
 
@@ -224,15 +189,11 @@
 		e := k.order[0]
 		k.order[0] = nil
 		k.order = k.order[1:]
-		if k.known[e.key] != e {
+		if k.known[e.name] != e {
 			continue
 		}
 		k.raise(e.begun.Add(ClockBound))
-		k.drop(e)
-		delete(k.known, e.key)
-	}
-	for len(k.answers) > 0 && !k.answers[0].kept {
-		k.answers = k.answers[1:]
+		delete(k.known, e.name)
 	}
 }
 
@@ -241,20 +202,3 @@
 		k.floor = floor
 	}
 }
-
-func (k *Keys) drop(e *entry) {
-	if e.kept {
-		k.bytes -= e.size
-		e.kept, e.answer = false, nil
-	}
-}
-
-func (e *entry) verdict() Verdict {
-	switch {
-	case !e.done:
-		return Verdict{Kind: Running}
-	case e.kept:
-		return Verdict{Kind: Answered, Answer: e.answer}
-	}
-	return Verdict{Kind: Unknown}
-}
--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -30,6 +30,7 @@
 	supports   map[string]map[string]bool
 	heard      map[string]int64
 	released   map[string]bool
+	registered map[string]bool
 	reachable  bool
 	joined     int64
 	// own is the last report of the instance's own use.
@@ -70,6 +71,12 @@
 // Settled reports whether every entry of the region keeps to the newest table.
 func (c *Core) Settled() bool { return c.division.Settled() }
 
+// Version grows with each change of what Usable returns.
+func (c *Core) Version() int { return c.division.Version() }
+
+// Over returns the targets at which the instance was last over its part.
+func (c *Core) Over() []string { return c.own.Over }
+
 // Observe takes a table from the store or from a peer, and reports whether it is news.
 func (c *Core) Observe(t grant.Table, now time.Time) bool {
 	if !c.division.Observe(t) {
@@ -105,6 +112,20 @@
 // Renewed says that the store renewed the lease for ttl, by a call begun at asked.
 func (c *Core) Renewed(asked time.Time, ttl time.Duration) { c.hold.Renewed(asked, ttl) }
 
+// Registered takes the members whose registration is in the store.
+func (c *Core) Registered(members map[string]bool) { c.registered = members }
+
+// CutAt returns the time at which every request must have ended here that was
+// begun under a part: a peer may take the part over soon after. It moves on
+// while the store's lease is renewed or a peer's promise is open.
+func (c *Core) CutAt(now time.Time) time.Time {
+	until, unbounded := c.hold.Until(c.Peers())
+	if unbounded {
+		until = now
+	}
+	return until.Add(lease.Shorter(c.Longest))
+}
+
 // SetReachable says whether the last call to the store was answered.
 func (c *Core) SetReachable(yes bool) { c.reachable = yes }
 
@@ -220,9 +241,13 @@
 	c.settle(now)
 }
 
-// supported reports whether every entry of a departed member's region supports
-// that it is taken over, and at least one on which it depended.
+// supported reports whether a departed member's registration has lapsed, every
+// entry of its region supports that it is taken over, and at least one of them
+// is an instance on which it depended.
 func (c *Core) supported(departed grant.Member, now time.Time) bool {
+	if c.registered[departed.ID] {
+		return false
+	}
 	known := false
 	for _, m := range c.Table().Entries(departed.Region) {
 		if m.ID == departed.ID || c.division.IsGone(m.ID) {
--- /dev/null
+++ b/internal/membership/sync.go
@@ -0,0 +1,306 @@
+package membership
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+
+	"github.com/oriolepond/oriolepond/internal/eventlog"
+	"github.com/oriolepond/oriolepond/internal/grant"
+	"github.com/oriolepond/oriolepond/internal/store"
+)
+
+const (
+	// DefaultLongest is the longest time in flight that is assumed before a configuration is known.
+	DefaultLongest = time.Minute
+	// renewalsPerTTL is how often a lease is renewed within its time to live.
+	renewalsPerTTL = 5
+	// rereadInterval is how often the registry is read anew although the watch works.
+	rereadInterval = time.Minute
+	// minRetry and maxRetry bound the wait before a failed watch or write is tried again.
+	minRetry = 100 * time.Millisecond
+	maxRetry = time.Second
+	// promisesPerTime is how often promises are asked for within PromiseTime.
+	promisesPerTime = 3
+	// mendInterval is how often the table is checked against the registry.
+	mendInterval = 500 * time.Millisecond
+	// leaveTimeout bounds the calls of a planned stop.
+	leaveTimeout = 2 * time.Second
+	// memberSuffix is the length of what makes a member name unique.
+	memberSuffix = 8
+)
+
+// Run keeps the instance registered until the context ends, then withdraws it
+// if it was leaving.
+func (k *Keeper) Run(ctx context.Context) error {
+	var group sync.WaitGroup
+	group.Go(func() { k.follow(ctx) })
+	group.Go(func() { every(ctx, k.TTL/renewalsPerTTL, k.renew) })
+	group.Go(func() { every(ctx, mendInterval, k.mend) })
+	group.Go(func() { every(ctx, PromiseTime/promisesPerTime, k.cling) })
+	group.Wait()
+	if k.leaving.Load() {
+		k.withdraw()
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, timer := range []*time.Timer{k.wake, k.cut} {
+		if timer != nil {
+			timer.Stop()
+		}
+	}
+	return nil
+}
+
+// every calls f until the context ends.
+func every(ctx context.Context, interval time.Duration, f func(context.Context)) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			f(ctx)
+		}
+	}
+}
+
+// follow keeps the registry up to date by a watch, and joins.
+func (k *Keeper) follow(ctx context.Context) {
+	for ctx.Err() == nil {
+		reading, cancel := context.WithTimeout(ctx, rereadInterval+rand.N(rereadInterval/4))
+		err := k.watch(reading)
+		overdue := reading.Err() != nil
+		cancel()
+		if overdue || ctx.Err() != nil {
+			continue
+		}
+		k.unreachable(err)
+		pause(ctx, minRetry+rand.N(maxRetry-minRetry))
+	}
+}
+
+// watch reads the registry, joins if need be, and follows the changes.
+func (k *Keeper) watch(ctx context.Context) error {
+	if err := k.read(ctx); err != nil {
+		return err
+	}
+	k.renew(ctx)
+	k.mu.Lock()
+	next := k.registry.next
+	k.mu.Unlock()
+	return k.Store.Watch(ctx, Prefix, next, func(u store.Update) {
+		k.mu.Lock()
+		changed, err := k.registry.apply(u)
+		k.mu.Unlock()
+		if err != nil {
+			k.Log.Emit(eventlog.MembershipUnreadable, zap.Error(err))
+		}
+		if changed {
+			k.observe()
+		}
+	})
+}
+
+// read replaces the registry by what the store holds.
+func (k *Keeper) read(ctx context.Context) error {
+	snapshot, err := k.Store.List(ctx, Prefix)
+	if err != nil {
+		return err
+	}
+	r, err := newRegistry(snapshot)
+	if err != nil {
+		return err
+	}
+	k.mu.Lock()
+	if k.registry == nil || r.next >= k.registry.next {
+		k.registry = r
+	}
+	k.mu.Unlock()
+	k.observe()
+	return nil
+}
+
+// observe takes the registry's table.
+func (k *Keeper) observe() {
+	k.change(false, func(c *Core, now time.Time) {
+		c.SetReachable(true)
+		c.Registered(k.registry.names())
+		c.Observe(k.registry.table, now)
+		c.Tick(now)
+	})
+}
+
+func (k *Keeper) unreachable(err error) {
+	k.change(false, func(c *Core, _ time.Time) {
+		c.SetReachable(false)
+		k.absent = nil
+	})
+	k.Log.Emit(eventlog.StoreUnavailable, zap.Error(err))
+}
+
+// renew renews the lease, or registers anew if it has lapsed.
+func (k *Keeper) renew(ctx context.Context) {
+	k.entering.Lock()
+	defer k.entering.Unlock()
+	id, asked := k.Lease(), time.Now()
+	err := error(&store.LeaseLapsedError{})
+	if id != 0 {
+		err = k.Store.KeepAlive(ctx, id)
+	}
+	var lapsed *store.LeaseLapsedError
+	switch {
+	case err == nil:
+		k.renewed(asked)
+	case !errors.As(err, &lapsed):
+		if ctx.Err() == nil {
+			k.unreachable(err)
+		}
+	case !k.leaving.Load():
+		if err := k.register(ctx); err != nil && ctx.Err() == nil {
+			k.unreachable(err)
+		}
+	}
+}
+
+func (k *Keeper) renewed(asked time.Time) {
+	k.change(false, func(c *Core, _ time.Time) {
+		c.SetReachable(true)
+		c.Renewed(asked, k.TTL)
+	})
+}
+
+// register enters the registry under a new lease. A member that is still in
+// the table keeps its name; others join under a new one.
+func (k *Keeper) register(ctx context.Context) error {
+	k.lease.Store(0)
+	asked := time.Now()
+	id, err := k.Store.GrantLease(ctx, k.TTL)
+	if err != nil {
+		return err
+	}
+	for ctx.Err() == nil {
+		if err := k.read(ctx); err != nil {
+			return err
+		}
+		done, err := k.enter(ctx, id)
+		if err != nil {
+			return err
+		}
+		if done {
+			k.lease.Store(int64(id))
+			k.renewed(asked)
+			return k.read(ctx)
+		}
+		pause(ctx, rand.N(minRetry))
+	}
+	return ctx.Err()
+}
+
+// enter writes the member's key, and the table if it does not name the member yet.
+func (k *Keeper) enter(ctx context.Context, id store.LeaseID) (bool, error) {
+	next, revision, changed := k.joined()
+	self := k.self()
+	value, err := encodePeer(self)
+	if err != nil {
+		return false, err
+	}
+	t := store.Txn{
+		If:   []store.Condition{{Key: TableKey, Revision: revision}},
+		Then: []store.Op{store.Put(MemberPrefix+self.Member, value).WithLease(id)},
+	}
+	if changed {
+		table, err := grant.Encode(next)
+		if err != nil {
+			return false, err
+		}
+		t.Then = append(t.Then, store.Put(TableKey, table))
+	}
+	result, err := k.Store.Commit(ctx, t)
+	return result.Done, err
+}
+
+// joined returns the table with this instance in it, and the revision that it follows.
+func (k *Keeper) joined() (next grant.Table, revision int64, changed bool) {
+	k.turn.Lock()
+	defer k.turn.Unlock()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	c := k.coreLocked()
+	next = k.registry.table
+	if next.Has(c.Self().ID) {
+		return next, k.registry.revision, false
+	}
+	if next.HasDeparted(c.Self().ID) {
+		next = next.Forget(c.Self().ID)
+		k.core = c.Renamed(k.newMember().ID)
+		k.core.Observe(k.registry.table, time.Now())
+		k.applied = -1
+	}
+	return next.With(k.core.Self()), k.registry.revision, true
+}
+
+func (k *Keeper) newMember() grant.Member {
+	id := k.Self.ID + memberSeparator + uuid.NewString()[:memberSuffix]
+	return grant.Member{ID: id, Region: k.Self.Region}
+}
+
+// self returns the instance under its present member name.
+func (k *Keeper) self() Peer {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	p := k.Self
+	p.Member = k.coreLocked().Self().ID
+	return p
+}
+
+// cling asks the peers of the region for promises while the store cannot be
+// reached and the lease may soon have lapsed.
+func (k *Keeper) cling(ctx context.Context) {
+	k.mu.Lock()
+	c := k.coreLocked()
+	due := !c.Reachable() && c.Table().Has(c.Self().ID) && time.Until(c.LeaseUntil()) < k.TTL/2
+	member, names := c.Self().ID, c.Peers()
+	k.mu.Unlock()
+	if !due || k.Promise == nil {
+		return
+	}
+	calling, cancel := context.WithTimeout(ctx, PromiseTime/promisesPerTime)
+	defer cancel()
+	var group sync.WaitGroup
+	for _, name := range names {
+		if p, ok := k.View().Member(name); ok {
+			group.Go(func() { k.ask(calling, p, member) })
+		}
+	}
+	group.Wait()
+}
+
+func (k *Keeper) ask(ctx context.Context, p Peer, member string) {
+	asked := time.Now()
+	by, ok := k.Promise(ctx, p, member)
+	if !ok {
+		return
+	}
+	k.change(false, func(c *Core, _ time.Time) {
+		if c.Self().ID == member {
+			c.Promised(by, asked)
+		}
+	})
+}
+
+// pause lets time pass unless the context ends.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/peer/directory.go
@@ -0,0 +1,106 @@
+package peer
+
+import (
+	"sync"
+	"time"
+)
+
+// Directory knows which peers have free slots. A peer that is silent for too
+// long is not used.
+type Directory struct {
+	// Silence bounds that of peers of this region, RemoteSilence that of others.
+	Silence       time.Duration
+	RemoteSilence time.Duration
+
+	mu    sync.Mutex
+	peers map[string]*known
+}
+
+type known struct {
+	remote bool
+	heard  time.Time
+	idle   map[string]int
+	epoch  int64
+}
+
+// Hear takes a report of a peer; remote peers stand in another region.
+func (d *Directory) Hear(id string, remote bool, r Report, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.peers == nil {
+		d.peers = map[string]*known{}
+	}
+	d.peers[id] = &known{remote: remote, heard: now, idle: r.Idle, epoch: r.Status.Report.Epoch}
+}
+
+// Keep forgets the peers that keep refuses.
+func (d *Directory) Keep(keep func(id string) bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for id := range d.peers {
+		if !keep(id) {
+			delete(d.peers, id)
+		}
+	}
+}
+
+// Silent says that a peer did not answer; it is not used before its next report.
+func (d *Directory) Silent(id string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.peers, id)
+}
+
+// Epoch returns the newest table that a peer is known to keep to.
+func (d *Directory) Epoch(id string) int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if p, ok := d.peers[id]; ok {
+		return p.epoch
+	}
+	return 0
+}
+
+// Idle returns the peer with the most free slots of a service, other than
+// exclude, and counts one of them as taken until the peer's next report.
+func (d *Directory) Idle(service, exclude string, remote bool, now time.Time) (string, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	best := ""
+	for id, p := range d.peers {
+		if id == exclude || p.remote != remote || !d.fresh(p, now) || p.idle[service] <= 0 {
+			continue
+		}
+		if best == "" || p.idle[service] > d.peers[best].idle[service] {
+			best = id
+		}
+	}
+	if best == "" {
+		return "", false
+	}
+	d.peers[best].idle[service]--
+	return best, true
+}
+
+// Any returns a peer of this region that holds slots of a service, the one
+// with the most free ones first.
+func (d *Directory) Any(service, exclude string, now time.Time) (string, bool) {
+	if id, ok := d.Idle(service, exclude, false, now); ok {
+		return id, true
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for id, p := range d.peers {
+		if _, holds := p.idle[service]; holds && id != exclude && !p.remote && d.fresh(p, now) {
+			return id, true
+		}
+	}
+	return "", false
+}
+
+func (d *Directory) fresh(p *known, now time.Time) bool {
+	if p.remote {
+		return now.Sub(p.heard) < d.RemoteSilence
+	}
+	return now.Sub(p.heard) < d.Silence
+}
--- /dev/null
+++ b/internal/peer/exchange.go
@@ -0,0 +1,302 @@
+package peer
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"github.com/oriolepond/oriolepond/internal/grant"
+	"github.com/oriolepond/oriolepond/internal/membership"
+	"github.com/oriolepond/oriolepond/internal/peer/slotpb"
+)
+
+// Report is what one instance tells another.
+type Report struct {
+	Status membership.Status
+	// Idle are the free slots by service, of the services that have slots there.
+	Idle map[string]int
+	// Table is the encoded grant table, or empty.
+	Table []byte
+}
+
+// Slots answers the calls of the division of slots.
+type Slots struct {
+	// Heard takes a report.
+	Heard func(r Report)
+	// Promise answers a request for a promise with the member name of this instance.
+	Promise func(member string) (by string, ok bool)
+}
+
+// RegisterSlots answers the calls of peers.
+func RegisterSlots(server *grpc.Server, s *Slots) {
+	slotpb.RegisterSlotsServer(server, &slotsServer{slots: s})
+}
+
+type slotsServer struct {
+	slotpb.UnimplementedSlotsServer
+	slots *Slots
+}
+
+// Report takes reports until the peer ends them.
+func (s *slotsServer) Report(stream grpc.BidiStreamingServer[slotpb.Status, slotpb.ReportReply]) error {
+	for {
+		m, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		s.slots.Heard(decodeReport(m))
+		if err := stream.Send(&slotpb.ReportReply{}); err != nil {
+			return err
+		}
+	}
+}
+
+// Promise answers a request for a promise.
+func (s *slotsServer) Promise(_ context.Context, q *slotpb.PromiseRequest) (*slotpb.PromiseReply, error) {
+	by, ok := s.slots.Promise(q.Member)
+	return &slotpb.PromiseReply{Promised: ok, Member: by}, nil
+}
+
+// AskPromise asks the peer at the other end of a connection for a promise.
+func AskPromise(ctx context.Context, conn *grpc.ClientConn, member string) (by string, ok bool) {
+	reply, err := slotpb.NewSlotsClient(conn).Promise(ctx, &slotpb.PromiseRequest{Member: member})
+	if err != nil {
+		return "", false
+	}
+	return reply.Member, reply.Promised
+}
+
+// Pace bounds how often reports are sent to one peer.
+type Pace struct {
+	// Interval is the shortest time between two reports.
+	Interval time.Duration
+	// Heartbeat is the longest time between two reports.
+	Heartbeat time.Duration
+	// PerSecond bounds the reports that only change idle slots.
+	PerSecond float64
+}
+
+// Reporter sends reports to one peer.
+type Reporter struct {
+	// Conn returns the connection to the peer, and Drop ends it if it is silent.
+	Conn func() (*grpc.ClientConn, error)
+	Drop func()
+	Pace Pace
+	// Next returns what to send now.
+	Next func() Report
+}
+
+const (
+	// reconnectDelay is the wait after a broken stream of reports.
+	reconnectDelay = 200 * time.Millisecond
+	// ackTimeout bounds the silence of a peer that was sent a report.
+	ackTimeout = 2 * time.Second
+)
+
+// Run sends reports until the context ends.
+func (r *Reporter) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		_ = r.stream(ctx)
+		select {
+		case <-ctx.Done():
+		case <-time.After(reconnectDelay):
+		}
+	}
+}
+
+// stream sends reports over one call until it breaks.
+func (r *Reporter) stream(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	conn, err := r.Conn()
+	if err != nil {
+		return err
+	}
+	silence := time.AfterFunc(ackTimeout+r.Pace.Heartbeat, func() {
+		r.Drop()
+		cancel()
+	})
+	defer silence.Stop()
+	call, err := slotpb.NewSlotsClient(conn).Report(ctx)
+	if err != nil {
+		return err
+	}
+	go func() {
+		defer cancel()
+		for {
+			if _, err := call.Recv(); err != nil {
+				return
+			}
+			silence.Reset(ackTimeout + r.Pace.Heartbeat)
+		}
+	}()
+	return r.send(ctx, call)
+}
+
+// send sends reports until the call breaks.
+func (r *Reporter) send(ctx context.Context, call grpc.BidiStreamingClient[slotpb.Status, slotpb.ReportReply]) error {
+	ticker := time.NewTicker(r.Pace.Interval)
+	defer ticker.Stop()
+	gate := newGate(r.Pace, time.Now())
+	for {
+		if next := r.Next(); gate.pass(next, time.Now()) {
+			if err := call.Send(encodeReport(next)); err != nil {
+				return err
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+// gate decides which reports are worth sending.
+type gate struct {
+	pace   Pace
+	last   Report
+	sent   time.Time
+	tokens float64
+	filled time.Time
+}
+
+func newGate(p Pace, now time.Time) *gate {
+	return &gate{pace: p, tokens: p.PerSecond, filled: now}
+}
+
+// pass reports whether a report is to be sent now, and if so notes it as sent.
+func (g *gate) pass(next Report, now time.Time) bool {
+	g.tokens = min(g.pace.PerSecond, g.tokens+g.pace.PerSecond*now.Sub(g.filled).Seconds())
+	g.filled = now
+	switch {
+	case g.sent.IsZero(), now.Sub(g.sent) >= g.pace.Heartbeat, !sameStatus(g.last, next):
+	case idleDiffers(g.last.Idle, next.Idle) && g.tokens >= 1:
+		g.tokens--
+	default:
+		return false
+	}
+	g.last, g.sent = next, now
+	return true
+}
+
+// sameStatus reports whether two reports say the same of the division.
+func sameStatus(a, b Report) bool {
+	x, y := a.Status, b.Status
+	return x.ID == y.ID && x.Report.Epoch == y.Report.Epoch && x.Released == y.Released &&
+		slices.Equal(x.Report.Over, y.Report.Over) && slices.Equal(x.Supports, y.Supports) &&
+		(len(b.Table) == 0 || len(a.Table) > 0)
+}
+
+// idleDiffers reports whether free slots changed so much that a peer would act
+// otherwise: from or to none, or by half.
+func idleDiffers(a, b map[string]int) bool {
+	if len(a) != len(b) {
+		return true
+	}
+	for service, n := range b {
+		m, ok := a[service]
+		if !ok || (m == 0) != (n == 0) || 2*m < n || 2*n < m {
+			return true
+		}
+	}
+	return false
+}
+
+func encodeReport(r Report) *slotpb.Status {
+	m := &slotpb.Status{
+		Member:   r.Status.ID,
+		Epoch:    r.Status.Report.Epoch,
+		Over:     r.Status.Report.Over,
+		Released: r.Status.Released,
+		Idle:     make(map[string]int32, len(r.Idle)),
+		Table:    r.Table,
+	}
+	for service, n := range r.Idle {
+		m.Idle[service] = int32(n)
+	}
+	for _, s := range r.Status.Supports {
+		m.Supports = append(m.Supports, &slotpb.Support{Holder: s.Holder, Known: s.Known})
+	}
+	return m
+}
+
+func decodeReport(m *slotpb.Status) Report {
+	r := Report{
+		Status: membership.Status{
+			ID:       m.Member,
+			Report:   grant.Report{Epoch: m.Epoch, Over: m.Over},
+			Released: m.Released,
+		},
+		Idle:  make(map[string]int, len(m.Idle)),
+		Table: m.Table,
+	}
+	for service, n := range m.Idle {
+		r.Idle[service] = int(n)
+	}
+	for _, s := range m.Supports {
+		r.Status.Supports = append(r.Status.Supports, membership.Support{Holder: s.Holder, Known: s.Known})
+	}
+	return r
+}
+
+// Group runs one Reporter for each of a changing set of peers.
+type Group struct {
+	// Start runs the reporter of a peer until the context ends.
+	Start func(ctx context.Context, p membership.Peer)
+
+	mu      sync.Mutex
+	ctx     context.Context
+	peers   []membership.Peer
+	running map[string]context.CancelFunc
+	done    sync.WaitGroup
+}
+
+// Run runs reporters until the context ends.
+func (g *Group) Run(ctx context.Context) error {
+	g.mu.Lock()
+	g.ctx = ctx
+	g.align()
+	g.mu.Unlock()
+	<-ctx.Done()
+	g.done.Wait()
+	return nil
+}
+
+// Set starts the reporters of new peers and ends those of former ones.
+func (g *Group) Set(peers []membership.Peer) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.peers = peers
+	g.align()
+}
+
+// align brings the reporters in step with the peers; g.mu is held.
+func (g *Group) align() {
+	if g.ctx == nil || g.ctx.Err() != nil {
+		return
+	}
+	if g.running == nil {
+		g.running = map[string]context.CancelFunc{}
+	}
+	wanted := map[string]bool{}
+	for _, p := range g.peers {
+		key := p.ID + "@" + p.PeerAddress
+		wanted[key] = true
+		if _, ok := g.running[key]; ok {
+			continue
+		}
+		each, cancel := context.WithCancel(g.ctx)
+		g.running[key] = cancel
+		g.done.Go(func() { g.Start(each, p) })
+	}
+	for key, cancel := range g.running {
+		if !wanted[key] {
+			cancel()
+			delete(g.running, key)
+		}
+	}
+}
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -47,6 +47,16 @@
 	return d.DialContext(ctx, "tcp", address)
 }
 
+// Drop ends the connection to an address; the next use makes a new one.
+func (p *Pool) Drop(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c, ok := p.conns[address]; ok {
+		_ = c.Close()
+		delete(p.conns, address)
+	}
+}
+
 // Close ends all connections.
 func (p *Pool) Close() {
 	p.mu.Lock()
--- a/internal/target/table.go
+++ b/internal/target/table.go
@@ -10,6 +10,8 @@
 	// Region and DataCentre are those of this instance, set before Set.
 	Region     string
 	DataCentre string
+	// Held reports whether slots may be used at this instant; nil means always.
+	Held func() bool
 
 	mu       sync.Mutex
 	targets  map[string]*state
@@ -102,6 +104,9 @@
 
 // Acquire takes a slot at a near, healthy target with few requests in flight.
 func (t *Table) Acquire(w Want) (Slot, bool) {
+	if t.Held != nil && !t.Held() {
+		return Slot{}, false
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	g := t.services[w.Service]
--- a/oriolepond.go
+++ b/oriolepond.go
@@ -30,6 +30,7 @@
 	"github.com/oriolepond/oriolepond/internal/config"
 	"github.com/oriolepond/oriolepond/internal/entry"
 	"github.com/oriolepond/oriolepond/internal/eventlog"
+	"github.com/oriolepond/oriolepond/internal/home"
 	"github.com/oriolepond/oriolepond/internal/membership"
 	"github.com/oriolepond/oriolepond/internal/peer"
 	"github.com/oriolepond/oriolepond/internal/roster"
@@ -58,6 +59,13 @@
 	pool     *peer.Pool
 	list     atomic.Pointer[roster.List]
 	stop     stopState
+
+	directory *peer.Directory
+	reporters peer.Group
+	others    atomic.Pointer[map[string]membership.Peer]
+	cuts      cutter
+
+	keyJournal *home.Journal
 }
 
 // Run serves until the context ends, then makes a planned stop: callers are
@@ -73,6 +81,7 @@
 	background, stopBackground := context.WithCancel(context.Background())
 	defer stopBackground()
 	var g run.Group
+	addLoop(&g, background, i.reporters.Run)
 	addLoop(&g, background, i.members.Run)
 	addLoop(&g, background, i.configs.Run)
 	addLoop(&g, background, i.shards.Run)
@@ -83,6 +92,7 @@
 	peers := grpc.NewServer(peer.ServerOptions()...)
 	peer.RegisterTasks(peers, i.shards.Calls())
 	i.registerRequests(peers)
+	i.registerSlots(peers)
 	peer.RegisterOperate(peers, i.localOperate())
 	addServer(&g, admin, listeners.admin)
 	g.Add(func() error { return peers.Serve(listeners.peer) }, func(error) { peers.Stop() })
@@ -204,16 +214,9 @@
 	i.targets = target.NewTable()
 	i.buildRequests()
 	i.buildBurn()
-	i.members = &membership.Keeper{
-		Store: client,
-		Self: membership.Peer{
-			ID: s.ID, Region: s.Region, DataCentre: s.DataCentre,
-			Address: s.Advertise, PeerAddress: s.PeerAdvertise,
-		},
-		TTL:     s.LeaseTTL,
-		Log:     i.Log,
-		Changed: func(membership.View) { i.retarget() },
-	}
+	i.reporters.Start = i.report
+	i.buildMembership(client)
+	i.routePeers()
 	i.configs = &config.Keeper{
 		ID:    s.ID,
 		Store: client,
--- a/stop.go
+++ b/stop.go
@@ -32,12 +32,15 @@
 		return nil
 	}
 	i.stop.draining.Store(true)
+	handOver := time.AfterFunc(i.longestDeadline(), func() { i.leave(ctx) })
+	defer handOver.Stop()
 	if err := front.Shutdown(ctx); err != nil {
 		return fmt.Errorf("planned stop: %w", err)
 	}
 	if err := i.requests.Drain(ctx); err != nil {
 		return fmt.Errorf("planned stop: %w", err)
 	}
+	i.leave(ctx)
 	i.Log.Emit(eventlog.InstanceStopped)
 	return nil
 }
--- /dev/null
+++ b/wire_membership.go
@@ -0,0 +1,239 @@
+package oriolepond
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+
+	"github.com/oriolepond/oriolepond/internal/entry"
+	"github.com/oriolepond/oriolepond/internal/eventlog"
+	"github.com/oriolepond/oriolepond/internal/grant"
+	"github.com/oriolepond/oriolepond/internal/home"
+	"github.com/oriolepond/oriolepond/internal/membership"
+	"github.com/oriolepond/oriolepond/internal/peer"
+	"github.com/oriolepond/oriolepond/internal/roster"
+	"github.com/oriolepond/oriolepond/internal/store"
+	"github.com/oriolepond/oriolepond/internal/target"
+)
+
+const (
+	// reportHeartbeat is the longest time between two reports to a peer of the region.
+	reportHeartbeat = 500 * time.Millisecond
+	// reportsPerSecond bounds the reports to a peer that only change idle slots.
+	reportsPerSecond = 8
+	// remoteHeartbeat and remoteReportsPerSecond are the same for peers of other regions.
+	remoteHeartbeat        = time.Second
+	remoteReportsPerSecond = 1
+	// peerSilence is how long a peer may be silent before it gets no requests.
+	peerSilence = 3 * reportHeartbeat
+	// remoteSilence is the same for peers of other regions.
+	remoteSilence = 3 * remoteHeartbeat
+)
+
+// buildMembership makes the registration and the division of slots.
+func (i *Instance) buildMembership(client *store.Client) {
+	s := i.Settings
+	i.directory = &peer.Directory{Silence: peerSilence, RemoteSilence: remoteSilence}
+	i.members = &membership.Keeper{
+		Store: client,
+		Self: membership.Peer{
+			ID: s.ID, Region: s.Region, DataCentre: s.DataCentre,
+			Address: s.Advertise, PeerAddress: s.PeerAdvertise,
+		},
+		TTL:     s.LeaseTTL,
+		Log:     i.Log,
+		Longest: i.longestDeadline,
+		Apply:   i.retarget,
+		Changed: func(membership.View) { i.reportToPeers() },
+		Cut:     i.cuts.Cut,
+		Promise: i.askPromise,
+	}
+	i.targets.Held = i.members.Held
+	i.keyJournal = &home.Journal{Store: client}
+	i.requests.Keys = i.keys()
+}
+
+// longestDeadline returns the longest deadline of any route.
+func (i *Instance) longestDeadline() time.Duration {
+	longest := time.Duration(0)
+	for _, s := range i.configs.Current().Services {
+		for _, r := range s.Routes {
+			longest = max(longest, r.Deadline)
+		}
+	}
+	return longest
+}
+
+// retarget brings the targets in step with the list and with what may be used,
+// and returns the targets that have more in flight than this instance's part.
+func (i *Instance) retarget() (over []string, busy bool) {
+	var targets []target.Target
+	parts := map[string]int{}
+	for _, r := range i.currentList().OfKind(roster.KindRunner) {
+		parts[r.ID] = i.members.Part(r.ID, r.Region, r.Slots)
+		targets = append(targets, target.Target{
+			ID:      r.ID,
+			Service: r.Service,
+			Address: r.Address,
+			Region:  r.Region, DataCentre: r.DataCentre,
+			Slots:       i.members.Usable(r.ID, r.Region, r.Slots),
+			Connections: i.members.Usable(r.ID, r.Region, r.Connections),
+			Leaving:     r.State != roster.Live,
+		})
+	}
+	i.targets.Set(targets)
+	i.requests.WakeAll()
+	return i.targets.Over(parts)
+}
+
+// takeList applies a new list of the platform.
+func (i *Instance) takeList(list roster.List) {
+	i.list.Store(&list)
+	listed := map[string]bool{}
+	for _, e := range list.OfKind(roster.KindEntry) {
+		listed[e.ID] = true
+	}
+	i.members.List(listed)
+}
+
+// otherInstances returns the registered instances, and those on the platform's
+// list, which is all that is known of an instance that starts in an outage.
+func (i *Instance) otherInstances() []membership.Peer {
+	all := map[string]membership.Peer{}
+	for _, r := range i.currentList().OfKind(roster.KindEntry) {
+		if r.State == roster.Live && r.PeerAddress != "" {
+			all[r.ID] = membership.Peer{
+				ID: r.ID, Region: r.Region, DataCentre: r.DataCentre,
+				Address: r.Address, PeerAddress: r.PeerAddress,
+			}
+		}
+	}
+	for _, p := range i.members.View().Peers {
+		all[p.ID] = p
+	}
+	delete(all, i.Settings.ID)
+	peers := make([]membership.Peer, 0, len(all))
+	for _, p := range all {
+		peers = append(peers, p)
+	}
+	return peers
+}
+
+// reportToPeers keeps one stream of reports to each other instance.
+func (i *Instance) reportToPeers() {
+	peers := i.otherInstances()
+	known := make(map[string]membership.Peer, len(peers))
+	for _, p := range peers {
+		known[p.ID] = p
+	}
+	i.others.Store(&known)
+	i.reporters.Set(peers)
+}
+
+// other returns another instance by its id.
+func (i *Instance) other(id string) (membership.Peer, bool) {
+	known := i.others.Load()
+	if known == nil {
+		return membership.Peer{}, false
+	}
+	p, ok := (*known)[id]
+	return p, ok
+}
+
+// report sends reports to one peer until the context ends.
+func (i *Instance) report(ctx context.Context, p membership.Peer) {
+	pace := peer.Pace{Interval: i.Settings.PeerInterval, Heartbeat: reportHeartbeat, PerSecond: reportsPerSecond}
+	if p.Region != i.Settings.Region {
+		pace.Heartbeat, pace.PerSecond = remoteHeartbeat, remoteReportsPerSecond
+	}
+	r := &peer.Reporter{
+		Conn: func() (*grpc.ClientConn, error) { return i.pool.Conn(p.PeerAddress) },
+		Drop: func() { i.pool.Drop(p.PeerAddress) },
+		Pace: pace,
+		Next: func() peer.Report { return i.reportFor(p.ID) },
+	}
+	r.Run(ctx)
+}
+
+// reportFor returns what a peer is told now.
+func (i *Instance) reportFor(id string) peer.Report {
+	i.members.Pulse()
+	r := peer.Report{Status: i.members.Status(), Idle: map[string]int{}}
+	for _, s := range i.configs.Current().Services {
+		if i.targets.Capacity(s.Name) > 0 && !i.stop.draining.Load() {
+			r.Idle[s.Name] = i.targets.Idle(s.Name)
+		}
+	}
+	view := i.members.View()
+	if epoch := i.directory.Epoch(id); epoch > 0 && epoch < view.Table.Epoch {
+		r.Table, _ = grant.Encode(view.Table)
+	}
+	return r
+}
+
+// registerSlots answers the calls of peers that divide the slots.
+func (i *Instance) registerSlots(server *grpc.Server) {
+	peer.RegisterSlots(server, &peer.Slots{
+		Heard: func(r peer.Report) {
+			id := membership.IDOf(r.Status.ID)
+			p, known := i.other(id)
+			if known {
+				i.directory.Hear(id, p.Region != i.Settings.Region, r, time.Now())
+			}
+			if err := i.members.Hear(r.Status, r.Table); err == nil && len(r.Status.Report.Over) == 0 {
+				i.requests.WakeAll()
+			}
+		},
+		Promise: i.members.Promises,
+	})
+}
+
+// askPromise asks a peer to support no take-over of this instance for a while.
+func (i *Instance) askPromise(ctx context.Context, p membership.Peer, member string) (string, bool) {
+	conn, err := i.pool.Conn(p.PeerAddress)
+	if err != nil {
+		return "", false
+	}
+	return peer.AskPromise(ctx, conn, member)
+}
+
+// routePeers lets the request plane forward to peers.
+func (i *Instance) routePeers() {
+	i.requests.IdlePeer = func(service, exclude string) (entry.Peer, bool) {
+		id, ok := i.directory.Idle(service, exclude, false, time.Now())
+		return i.entryPeer(id, ok)
+	}
+	i.requests.AnyPeer = func(service, exclude string) (entry.Peer, bool) {
+		id, ok := i.directory.Any(service, exclude, time.Now())
+		return i.entryPeer(id, ok)
+	}
+	i.requests.RemotePeer = func(service string) (entry.Peer, bool) {
+		id, ok := i.directory.Idle(service, "", true, time.Now())
+		return i.entryPeer(id, ok)
+	}
+	i.requests.StreamContext = i.cuts.With
+}
+
+// entryPeer returns a peer as the request plane calls it.
+func (i *Instance) entryPeer(id string, ok bool) (entry.Peer, bool) {
+	p, known := i.other(id)
+	if !ok || !known {
+		return entry.Peer{}, false
+	}
+	conn, err := i.pool.Conn(p.PeerAddress)
+	if err != nil {
+		return entry.Peer{}, false
+	}
+	requests := peer.NewRequests(conn)
+	return entry.Peer{ID: id, Address: p.PeerAddress, Do: requests.Do, Stream: requests.Stream}, true
+}
+
+// leave hands this instance's part over. A planned stop calls it once no
+// request waits any more; streams may go on.
+func (i *Instance) leave(ctx context.Context) {
+	if err := i.members.Leave(ctx); err != nil {
+		i.Log.Emit(eventlog.StoreUnavailable, zap.Error(err))
+	}
+}
--- a/wire_requests.go
+++ b/wire_requests.go
@@ -80,6 +80,8 @@
 			}
 			return i.requests.Stream(ctx, q, to)
 		},
+		Begin:   i.beginHere,
+		Finish:  i.finishHere,
 		Resolve: i.resolve,
 	})
 }
