--- a/internal/ledger/codec.go
+++ b/internal/ledger/codec.go
@@ -12,9 +12,9 @@
 
 type (
 	wireUsage struct {
-		Processor   int64 `json:"coreMicros,omitempty"`
-		Memory      int64 `json:"kibSeconds,omitempty"`
-		Accelerator int64 `json:"acceleratorMicros,omitempty"`
+		Processor   int64 `json:"coreMillis,omitempty"`
+		Memory      int64 `json:"mibSeconds,omitempty"`
+		Accelerator int64 `json:"acceleratorMillis,omitempty"`
 		Requests    int64 `json:"requests,omitempty"`
 		LinkBytes   int64 `json:"linkBytes,omitempty"`
 	}
@@ -122,9 +122,9 @@
 
 func decodeUsage(w wireUsage) Usage {
 	return Usage{
-		Processor:   CoreMicros(w.Processor),
-		Memory:      KiBSeconds(w.Memory),
-		Accelerator: AcceleratorMicros(w.Accelerator),
+		Processor:   CoreMillis(w.Processor),
+		Memory:      MiBSeconds(w.Memory),
+		Accelerator: AcceleratorMillis(w.Accelerator),
 		Requests:    w.Requests,
 		LinkBytes:   share.Bytes(w.LinkBytes),
 	}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -29,20 +29,23 @@
 	"github.com/oriolepond/oriolepond/pkg/share"
 )
 
-// CoreMicros is processor time in core-microseconds.
-type CoreMicros int64
+// CoreMillis is processor time in core-milliseconds.
+type CoreMillis int64
 
-// KiBSeconds is memory held over time, in kibibyte-seconds.
-type KiBSeconds int64
+// MiBSeconds is memory held over time, in mebibyte-seconds.
+type MiBSeconds int64
 
-// AcceleratorMicros is accelerator time in device-microseconds.
-type AcceleratorMicros int64
+// AcceleratorMillis is accelerator time in device-milliseconds.
+type AcceleratorMillis int64
+
+// bytesPerMiB is the size of a mebibyte.
+const bytesPerMiB = 1 << 20
 
 // Usage is an amount of everything that is accounted.
 type Usage struct {
-	Processor   CoreMicros
-	Memory      KiBSeconds
-	Accelerator AcceleratorMicros
+	Processor   CoreMillis
+	Memory      MiBSeconds
+	Accelerator AcceleratorMillis
 	Requests    int64
 	LinkBytes   share.Bytes
 }
@@ -51,12 +54,12 @@
 // memory is in byte-seconds. Amounts that cannot be are taken as none.
 func NewUsage(processor time.Duration, memoryByteSeconds float64, accelerator time.Duration) Usage {
 	u := Usage{
-		Processor:   CoreMicros(max(0, processor.Microseconds())),
-		Accelerator: AcceleratorMicros(max(0, accelerator.Microseconds())),
+		Processor:   CoreMillis(max(0, processor.Milliseconds())),
+		Accelerator: AcceleratorMillis(max(0, accelerator.Milliseconds())),
 	}
-	kib := memoryByteSeconds / 1024
-	if kib > 0 && kib < math.MaxInt64/2 {
-		u.Memory = KiBSeconds(kib)
+	mib := memoryByteSeconds / bytesPerMiB
+	if mib > 0 && mib < math.MaxInt64/2 {
+		u.Memory = MiBSeconds(mib)
 	}
 	return u
 }
@@ -98,8 +101,8 @@
 	}
 	seconds := elapsed.Seconds()
 	return Usage{
-		Processor:   CoreMicros(math.Ceil(seconds * 1000 * float64(size.Processors))),
-		Memory:      KiBSeconds(math.Ceil(seconds * float64(size.Memory) / 1024)),
-		Accelerator: AcceleratorMicros(math.Ceil(seconds * 1e6 * float64(size.Accelerators))),
+		Processor:   CoreMillis(math.Ceil(seconds * float64(size.Processors))),
+		Memory:      MiBSeconds(math.Ceil(seconds * float64(size.Memory) / bytesPerMiB)),
+		Accelerator: AcceleratorMillis(math.Ceil(seconds * 1e3 * float64(size.Accelerators))),
 	}
 }
