--- /dev/null
+++ b/internal/queue/queue_test.go
@@ -0,0 +1,191 @@
+package queue
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func item(neighbour string, weight int, patience time.Duration) *Item {
+	return &Item{Neighbour: neighbour, Weight: weight, Deadline: start.Add(patience)}
+}
+
+// newQueue returns a queue whose requests take ten milliseconds on each of some slots.
+func newQueue(limit, slots int) *Queue {
+	q := &Queue{Limit: limit, Slots: slots}
+	q.Observe(10 * time.Millisecond)
+	return q
+}
+
+// What waits is served in proportion to the weights, whoever came first.
+func TestNeighboursShareByWeight(t *testing.T) {
+	q := newQueue(1000, 10)
+	for range 100 {
+		_, err := q.Push(start, item("flood", 1, time.Hour))
+		require.NoError(t, err)
+	}
+	for range 60 {
+		_, err := q.Push(start, item("heavy", 3, time.Hour))
+		require.NoError(t, err)
+	}
+	served := map[string]int{}
+	for range 40 {
+		i, _ := q.Pop(start)
+		served[i.Neighbour]++
+	}
+	require.InDelta(t, 30, served["heavy"], 1)
+}
+
+// A neighbour that comes and goes gains nothing by it.
+func TestComingAndGoingGainsNothing(t *testing.T) {
+	q := newQueue(1000, 10)
+	for range 200 {
+		_, err := q.Push(start, item("steady", 1, time.Hour))
+		require.NoError(t, err)
+	}
+	served := map[string]int{}
+	for range 100 {
+		if served["guest"]+served["steady"] < 100 && !q.has("guest") {
+			_, err := q.Push(start, item("guest", 1, time.Hour))
+			require.NoError(t, err)
+		}
+		i, _ := q.Pop(start)
+		served[i.Neighbour]++
+	}
+	require.InDelta(t, 50, served["guest"], 1)
+}
+
+func (q *Queue) has(neighbour string) bool {
+	f, ok := q.known[neighbour]
+	return ok && len(f.items) > 0
+}
+
+func TestRefusedAtOnce(t *testing.T) {
+	cases := []struct {
+		name     string
+		waiting  int
+		limit    int
+		patience time.Duration
+		refused  bool
+	}{
+		{"room and time", 5, 10, time.Second, false},
+		{"no room", 10, 10, time.Second, true},
+		{"no time", 100, 1000, 100 * time.Millisecond, true},
+		{"just time", 50, 1000, 100 * time.Millisecond, false},
+		{"already late", 0, 10, -time.Millisecond, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			q := newQueue(c.limit, 10)
+			for range c.waiting {
+				_, err := q.Push(start, item("a", 1, time.Hour))
+				require.NoError(t, err)
+			}
+			_, err := q.Push(start, item("a", 1, c.patience))
+			var refused *RefusedError
+			if !c.refused {
+				require.NoError(t, err)
+				return
+			}
+			require.ErrorAs(t, err, &refused)
+			require.Equal(t, c.waiting, q.Len())
+		})
+	}
+}
+
+// In a full queue a neighbour within its part displaces one beyond its own.
+func TestFloodIsDisplaced(t *testing.T) {
+	q := newQueue(10, 10)
+	for range 10 {
+		_, err := q.Push(start, item("flood", 1, time.Hour))
+		require.NoError(t, err)
+	}
+	for range 5 {
+		displaced, err := q.Push(start, item("guest", 1, time.Hour))
+		require.NoError(t, err)
+		require.Equal(t, "flood", displaced.Neighbour)
+		require.False(t, displaced.Waiting())
+	}
+	_, err := q.Push(start, item("guest", 1, time.Hour))
+	require.Error(t, err)
+	require.Equal(t, 10, q.Len())
+}
+
+// What can no longer meet its deadline is not run.
+func TestLateItemsAreNotServed(t *testing.T) {
+	q := newQueue(10, 10)
+	short, long := item("a", 1, 50*time.Millisecond), item("a", 1, time.Hour)
+	for _, i := range []*Item{short, long} {
+		_, err := q.Push(start, i)
+		require.NoError(t, err)
+	}
+	next, expired := q.Pop(start.Add(45 * time.Millisecond))
+	require.Same(t, long, next)
+	require.Equal(t, []*Item{short}, expired)
+}
+
+// One slow spell does not refuse everything that comes after it.
+func TestSlowSpellDoesNotCloseTheQueue(t *testing.T) {
+	q := &Queue{Limit: 10, Slots: 100}
+	q.Observe(time.Hour)
+	q.Slots = 1 << 30
+	_, err := q.Push(start, item("a", 1, time.Second))
+	require.NoError(t, err)
+	next, _ := q.Pop(start.Add(100 * time.Millisecond))
+	require.NotNil(t, next)
+}
+
+// Whatever happens, the queue stays bounded, loses nothing and invents nothing.
+func TestQueueKeepsItsItems(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := newQueue(8, 4)
+		now := start
+		inside := map[*Item]bool{}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "millis")) * time.Millisecond)
+			switch rapid.IntRange(0, 3).Draw(t, "kind") {
+			case 0, 1:
+				n := rapid.IntRange(0, 3).Draw(t, "neighbour")
+				i := &Item{Neighbour: fmt.Sprint(n), Weight: n, Deadline: now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "left")) * time.Millisecond)}
+				displaced, err := q.Push(now, i)
+				inside[i] = err == nil
+				if displaced != nil {
+					inside[displaced] = false
+				}
+			case 2:
+				next, expired := q.Pop(now)
+				for _, i := range append(expired, next) {
+					if i != nil && !inside[i] {
+						t.Fatal("an item came out twice")
+					}
+					inside[i] = false
+				}
+			case 3:
+				for i, in := range inside {
+					if in {
+						q.Remove(i)
+						inside[i] = false
+						break
+					}
+				}
+			}
+			count := 0
+			for i, in := range inside {
+				if i != nil && in != i.Waiting() {
+					t.Fatal("an item does not know whether it waits")
+				}
+				if in {
+					count++
+				}
+			}
+			if count != q.Len() || count > q.Limit {
+				t.Fatalf("%d items in the queue, %d expected", q.Len(), count)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/target/target_test.go
@@ -0,0 +1,170 @@
+package target
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// tableOf returns a table with targets of one service in the instance's data centre.
+func tableOf(count, slots int) *Table {
+	t := NewTable()
+	t.Region, t.DataCentre = "r", "a"
+	var targets []Target
+	for n := range count {
+		targets = append(targets, Target{ID: fmt.Sprint(n), Service: "s", Region: "r", DataCentre: "a", Slots: slots})
+	}
+	t.Set(targets)
+	return t
+}
+
+func want(now time.Time) Want { return Want{Service: "s", Now: now} }
+
+func TestSlotsAreNeverExceeded(t *testing.T) {
+	table := tableOf(3, 2)
+	taken := map[string]int{}
+	for range 6 {
+		slot, ok := table.Acquire(want(start))
+		require.True(t, ok)
+		taken[slot.Target]++
+	}
+	require.Equal(t, map[string]int{"0": 2, "1": 2, "2": 2}, taken)
+	_, ok := table.Acquire(want(start))
+	require.False(t, ok)
+	require.Zero(t, table.Idle("s"))
+}
+
+// A target that leaves the list with a request in flight and comes back keeps its count.
+func TestSetKeepsWhatIsInFlight(t *testing.T) {
+	table := tableOf(1, 1)
+	slot, ok := table.Acquire(want(start))
+	require.True(t, ok)
+	table.Set(nil)
+	require.Equal(t, 1, table.InFlight())
+	table.Set([]Target{{ID: "0", Service: "s", Slots: 1}})
+	_, ok = table.Acquire(want(start))
+	require.False(t, ok)
+	table.Release(slot)
+	_, ok = table.Acquire(want(start))
+	require.True(t, ok)
+}
+
+func TestWhatTakesNothingNew(t *testing.T) {
+	cases := []struct {
+		name   string
+		target Target
+	}{
+		{"leaving", Target{Slots: 1, Leaving: true}},
+		{"without slots", Target{}},
+		{"of another service", Target{Slots: 1, Service: "other"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			table := NewTable()
+			c.target.ID = "x"
+			if c.target.Service == "" {
+				c.target.Service = "s"
+			}
+			table.Set([]Target{c.target})
+			_, ok := table.Acquire(want(start))
+			require.False(t, ok)
+		})
+	}
+}
+
+func TestConnectionsBoundTheSlots(t *testing.T) {
+	table := NewTable()
+	table.Set([]Target{{ID: "x", Service: "s", Slots: 8, Connections: 3}})
+	require.Equal(t, 3, table.Idle("s"))
+	table.SetSlots(map[string]Limits{"x": {Slots: 1, Connections: 3}})
+	require.Equal(t, 1, table.Idle("s"))
+}
+
+func TestNearTargetsComeFirst(t *testing.T) {
+	table := NewTable()
+	table.Region, table.DataCentre = "r", "a"
+	table.Set([]Target{
+		{ID: "far", Service: "s", Region: "q", DataCentre: "c", Slots: 1},
+		{ID: "region", Service: "s", Region: "r", DataCentre: "b", Slots: 1},
+		{ID: "near", Service: "s", Region: "r", DataCentre: "a", Slots: 1},
+	})
+	for _, id := range []string{"near", "region", "far"} {
+		slot, ok := table.Acquire(want(start))
+		require.True(t, ok)
+		require.Equal(t, id, slot.Target)
+	}
+}
+
+// Targets that fail everything get nothing new, but never more than a part of all.
+func TestEjectionIsBounded(t *testing.T) {
+	for _, c := range []struct{ targets, left int }{{1, 1}, {2, 2}, {3, 2}, {9, 6}} {
+		table := tableOf(c.targets, 1)
+		for range failuresToEject * c.targets * 10 {
+			slot, ok := table.Acquire(want(start))
+			require.True(t, ok)
+			table.Report(slot, Failed, time.Millisecond, start)
+			table.Release(slot)
+		}
+		require.Equal(t, c.left, table.Idle("s"), "of %d targets", c.targets)
+	}
+}
+
+// An ejected target is tried by one idempotent request at a time, and comes back when it answers.
+func TestProbesBringATargetBack(t *testing.T) {
+	table := tableOf(3, 2)
+	eject(t, table)
+	now := start.Add(firstEjection)
+	require.Equal(t, 4, table.Idle("s"))
+	slot, ok := table.Acquire(want(now))
+	require.True(t, ok)
+	require.False(t, slot.Probe, "a request that is not idempotent was a probe")
+	idempotent := want(now)
+	idempotent.Idempotent = true
+	probe, ok := table.Acquire(idempotent)
+	require.True(t, ok)
+	require.True(t, probe.Probe)
+	second, ok := table.Acquire(idempotent)
+	require.True(t, ok)
+	require.False(t, second.Probe)
+	table.Report(probe, Failed, time.Millisecond, now)
+	table.Release(probe)
+	third, ok := table.Acquire(idempotent)
+	require.True(t, ok)
+	require.False(t, third.Probe, "a failed probe lengthens the ejection")
+	idempotent.Now = now.Add(2 * firstEjection)
+	probe, ok = table.Acquire(idempotent)
+	require.True(t, ok)
+	require.True(t, probe.Probe)
+	table.Report(probe, Succeeded, time.Millisecond, idempotent.Now)
+	table.Release(probe)
+	require.Equal(t, 3, table.Idle("s"), "six slots, three of them taken")
+}
+
+// eject makes one of the targets fail until it is out.
+func eject(t *testing.T, table *Table) {
+	t.Helper()
+	for table.Idle("s") == 6 {
+		slot, ok := table.Acquire(want(start))
+		require.True(t, ok)
+		r := Succeeded
+		if slot.Target == "0" {
+			r = Failed
+		}
+		table.Report(slot, r, time.Millisecond, start)
+		table.Release(slot)
+	}
+}
+
+func TestChoiceAllocatesNothing(t *testing.T) {
+	table := tableOf(50, 2)
+	allocations := testing.AllocsPerRun(1000, func() {
+		slot, _ := table.Acquire(want(start))
+		table.Report(slot, Succeeded, time.Millisecond, start)
+		table.Release(slot)
+	})
+	require.Zero(t, allocations)
+}
