Tests and fuzz test of the front; a test that could hang or pass wrongly is mended

Cause: the test of late answers passed with the check of idle connections taken out, since the late bytes came with the first answer; the test of given-up attempts hung when it failed.

--- /dev/null
+++ b/internal/entry/front_test.go
@@ -0,0 +1,182 @@
+package entry
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/oriolepond/oriolepond/internal/eventlog"
+	"github.com/oriolepond/oriolepond/internal/standin"
+	"github.com/oriolepond/oriolepond/internal/target"
+	"github.com/oriolepond/oriolepond/pkg/release"
+	"github.com/oriolepond/oriolepond/pkg/share"
+)
+
+const token = "secret"
+
+// newFront returns a front before a dispatcher, with one route of each class.
+func newFront(d *Dispatcher) *Front {
+	sum := sha256.Sum256([]byte(token))
+	routes := []release.Route{route(release.Idempotent), route(release.NonIdempotent), route(release.Stream)}
+	for i, path := range []string{"/check", "/fee", "/watch"} {
+		routes[i].Path, routes[i].MaxRequest = path, 1024
+	}
+	config := release.Config{Declarations: release.Declarations{
+		Neighbours: []share.Neighbour{{Name: "n", TokenHash: hex.EncodeToString(sum[:])}},
+		Services:   []release.Service{{Name: "s", Neighbour: "n", Routes: routes}},
+	}}
+	return &Front{Config: func() release.Config { return config }, Dispatcher: d, Jobs: &Jobs{}, Log: eventlog.Discard()}
+}
+
+// What a caller sends wrong is refused without being run.
+func TestCallersFaults(t *testing.T) {
+	b := newBench(t, 1, 4, 0)
+	address := listen(t, newFront(b.Dispatcher))
+	long := strings.Repeat("k", maxKeyBytes+1)
+	cases := []struct {
+		name   string
+		method string
+		path   string
+		header http.Header
+		body   string
+		status int
+	}{
+		{"no token", "POST", "/s/s/check", http.Header{HeaderToken: nil}, "", 401},
+		{"wrong token", "POST", "/s/s/check", http.Header{HeaderToken: {"Bearer x"}}, "", 401},
+		{"no service", "POST", "/s/other/check", nil, "", 404},
+		{"no route", "POST", "/s/s/none", nil, "", 404},
+		{"no key", "POST", "/s/s/fee", nil, "", 400},
+		{"long key", "POST", "/s/s/fee", http.Header{HeaderKey: {long}}, "", 400},
+		{"key with a space", "POST", "/s/s/fee", http.Header{HeaderKey: {"a b"}}, "", 400},
+		{"large body", "POST", "/s/s/check", nil, strings.Repeat("b", 1025), 413},
+		{"relative segment", "POST", "/s/s/check/../fee", nil, "", 400},
+		{"escaped relative segment", "POST", "/s/s/check/%2e%2e/fee", nil, "", 400},
+		{"escaped separator", "POST", "/s/s/check%2F..%2Ffee", nil, "", 400},
+		{"separator that moves the route", "POST", "/s/s%2Fcheck/fee", nil, "", 400},
+		{"backslash", "POST", "/s/s/check%5C..%5Cfee", nil, "", 400},
+		{"empty segment", "POST", "/s/s/check//fee", nil, "", 400},
+		{"method", "TRACE", "/s/s/check", nil, "", 405},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r, err := http.NewRequest(c.method, "http://"+address+c.path, strings.NewReader(c.body))
+			require.NoError(t, err)
+			r.Header.Set(HeaderToken, "Bearer "+token)
+			r.Header.Set(standin.CallerHeader, c.name)
+			for name, values := range c.header {
+				r.Header[name] = values
+			}
+			answer, err := http.DefaultClient.Do(r)
+			require.NoError(t, err)
+			defer answer.Body.Close()
+			require.Equal(t, c.status, answer.StatusCode)
+			require.Equal(t, string(NotRun), answer.Header.Get(HeaderOutcome))
+			require.Zero(t, b.ledger.Runs(c.name))
+		})
+	}
+}
+
+// The path reaches the target as the caller wrote it.
+func TestPathIsPassedOnUnchanged(t *testing.T) {
+	seen := make(chan string, 1)
+	address := listen(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		seen <- r.RequestURI
+		w.Header().Set(HeaderRequestID, r.Header.Get(HeaderRequestID))
+	}))
+	front := listen(t, newFront(newDispatcher([]target.Target{{ID: "x", Service: "s", Address: address, Slots: 1}})))
+	for _, path := range []string{"/check/a%20b", "/check/%25zz", "/check/a%3Fb?q=%2F&r", "/check?", "/check/%C3%A9"} {
+		r, err := http.NewRequest(http.MethodGet, "http://"+front+"/s/s"+path, nil)
+		require.NoError(t, err)
+		r.Header.Set(HeaderToken, "Bearer "+token)
+		answer, err := http.DefaultClient.Do(r)
+		require.NoError(t, err)
+		answer.Body.Close()
+		require.Equal(t, http.StatusOK, answer.StatusCode, path)
+		require.Equal(t, strings.TrimSuffix(path, "?"), <-seen)
+	}
+}
+
+// A caller sees a broken connection when the target cuts a stream.
+func TestCutStreamBreaksTheCallersConnection(t *testing.T) {
+	b := newBench(t, 1, 1, 0)
+	b.runners[0].SetFault(&standin.RunnerFault{Cut: true})
+	address := listen(t, newFront(b.Dispatcher))
+	r, err := http.NewRequest(http.MethodPost, "http://"+address+"/s/s/watch", nil)
+	require.NoError(t, err)
+	r.Header.Set(HeaderToken, "Bearer "+token)
+	r.Header.Set(HeaderKey, "k")
+	answer, err := http.DefaultClient.Do(r)
+	if err == nil {
+		_, err = io.ReadAll(answer.Body)
+		answer.Body.Close()
+	}
+	require.Error(t, err)
+	b.drained(t)
+}
+
+// A caller that stops in the middle of its request holds no slot.
+func TestCutRequestIsNotRun(t *testing.T) {
+	b := newBench(t, 1, 1, 0)
+	address := listen(t, newFront(b.Dispatcher))
+	c, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	_, err = fmt.Fprintf(c, "POST /s/s/check HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: 10\r\n\r\nhalf", token)
+	require.NoError(t, err)
+	require.NoError(t, c.(*net.TCPConn).CloseWrite())
+	require.NoError(t, c.SetReadDeadline(time.Now().Add(patience)))
+	text, err := io.ReadAll(c)
+	require.NoError(t, err)
+	require.Contains(t, string(text), string(NotRun))
+	require.Zero(t, b.ledger.Runs(""))
+}
+
+// FuzzFront sends any path, header and body: the front neither breaks nor
+// passes a path on that belongs to another route.
+func FuzzFront(f *testing.F) {
+	seeds := []struct{ path, name, value, body string }{
+		{"/s/s/check", "X-A", "b", "body"},
+		{"/s/s/check/%2e%2e/fee", "Connection", "Authorization", ""},
+		{"/s/s%2Fcheck/fee", HeaderOutcome, "notRun", "x"},
+		{"/s//", "Expect", "100-continue", "\x00"},
+		{"/s/s/check\\..\\fee", "Content-Length", "-1", ""},
+		{"/v1/jobs/x/../y", "Transfer-Encoding", "chunked", "0\r\n\r\n"},
+	}
+	for _, s := range seeds {
+		f.Add(s.path, s.name, s.value, s.body)
+	}
+	runner := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(HeaderRequestID, r.Header.Get(HeaderRequestID))
+		w.Header().Set("Seen-Path", url.PathEscape(r.URL.Path))
+	})
+	front := newFront(newDispatcher([]target.Target{{ID: "x", Service: "s", Address: listen(f, runner), Slots: 1}}))
+	f.Fuzz(func(t *testing.T, path, name, value, body string) {
+		u, err := url.Parse(path)
+		if err != nil || u.Host != "" || u.Opaque != "" {
+			return
+		}
+		r := httptest.NewRequest(http.MethodPost, "/", bytes.NewReader([]byte(body)))
+		r.URL = u
+		r.Header[http.CanonicalHeaderKey(name)] = []string{value}
+		r.Header.Set(HeaderToken, "Bearer "+token)
+		w := httptest.NewRecorder()
+		front.ServeHTTP(w, r)
+		require.GreaterOrEqual(t, w.Code, 200)
+		if seen := w.Header().Get("Seen-Path"); seen != "" {
+			passed, err := url.PathUnescape(seen)
+			require.NoError(t, err)
+			require.Equal(t, strings.TrimPrefix(u.Path, "/s/s"), passed)
+			require.True(t, strings.HasPrefix(passed, "/check"), passed)
+		}
+	})
+}
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -78,11 +79,14 @@
 // A target that does not notice that its caller has left still runs the request.
 func TestGivenUpAttemptCountsUntilTheTargetEnds(t *testing.T) {
 	working, finish := make(chan struct{}), make(chan struct{})
+	var once sync.Once
+	finishWork := func() { once.Do(func() { close(finish) }) }
 	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
 		close(working)
 		<-finish
 	}))
 	defer server.Close()
+	defer finishWork()
 	ctx, cancel := context.WithCancel(t.Context())
 	end, ended := ending()
 	go func() {
@@ -98,7 +102,7 @@
 		require.FailNow(t, "the attempt counted as ended while the target ran it")
 	default:
 	}
-	close(finish)
+	finishWork()
 	await(t, ended, "true end")
 	require.Zero(t, p.Open(server.Listener.Addr().String()))
 }
@@ -214,32 +218,28 @@
 
 // What arrives late on a connection reaches no other request.
 func TestLateAnswerReachesNobody(t *testing.T) {
-	late := make(chan struct{})
+	read, late := make(chan struct{}), make(chan struct{})
 	address := rawServer(t, func(c net.Conn) {
-		for readRequest(c) {
-			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ntrue")
-			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate")
-			close(late)
-		}
+		readRequest(c)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ntrue")
+		<-read
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate")
+		close(late)
 	})
 	p := newPool()
 	end, _ := ending()
-	reply, err := p.Send(t.Context(), newCall(t, http.MethodGet, "http://"+address, ""), end)
+	call := newCall(t, http.MethodGet, "http://"+address, "")
+	reply, err := p.Send(t.Context(), call, end)
 	require.NoError(t, err)
 	text, err := io.ReadAll(reply)
 	require.NoError(t, err)
 	require.Equal(t, "true", string(text))
+	close(read)
 	await(t, late, "late answer")
-	call := newCall(t, http.MethodGet, "http://"+address, "")
-	require.Eventually(t, func() bool {
-		c, err := p.reuse(call)
-		if c == nil || err != nil {
-			return true
-		}
-		quiet := c.quiet()
-		p.put(c)
-		return !quiet
-	}, patience, time.Millisecond)
+	c, err := p.reuse(call)
+	require.NoError(t, err)
+	require.NotNil(t, c, "the connection was kept")
+	require.Eventually(t, func() bool { return !c.quiet() }, patience, time.Millisecond)
 }
 
 // The connections to one target stay within their bound, also those that were given up.
