Membership under failure: tests over the store stand-in, and the faults they found

Cause: every watch of the store broke at its first frame, since the stand-in sent no revision with it; followers only ever polled, and a member that was lost was never taken out, because each broken watch restarted the wait for it. The frame's revision must not move the registry ahead of events that are yet to come. Promises were asked for too late when the lease was shorter than twice the interval of asking.

A store that cannot be reached is logged once, not at each call.

--- a/internal/lease/hold.go
+++ b/internal/lease/hold.go
@@ -49,6 +49,3 @@
 	until, unbounded := h.Until(peers)
 	return unbounded || now.Before(until)
 }
-
-// LeaseUntil returns the time before which the store's lease cannot have lapsed.
-func (h *Hold) LeaseUntil() time.Time { return h.until }
--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -194,9 +194,6 @@
 	return c.hold.Until(c.Peers())
 }
 
-// LeaseUntil returns the time before which the store's lease cannot have lapsed.
-func (c *Core) LeaseUntil() time.Time { return c.hold.LeaseUntil() }
-
 // Usable returns how many of a target's units the instance may have in use
 // while it is held.
 func (c *Core) Usable(target, region string, units int) int {
--- a/internal/membership/registry.go
+++ b/internal/membership/registry.go
@@ -34,7 +34,7 @@
 	table grant.Table
 	// revision is that of the table's key.
 	revision int64
-	// next is the store's revision after the copy.
+	// next is the store's revision after the snapshot that the copy began with.
 	next int64
 }
 
@@ -65,7 +65,6 @@
 			return true, err
 		}
 	}
-	r.next = max(r.next, u.Revision+1)
 	return changed, nil
 }
 
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -25,8 +25,10 @@
 	// minRetry and maxRetry bound the wait before a failed watch or write is tried again.
 	minRetry = 100 * time.Millisecond
 	maxRetry = time.Second
-	// promisesPerTime is how often promises are asked for within PromiseTime.
-	promisesPerTime = 3
+	// clingInterval is how often it is checked whether promises are due, and
+	// clingAhead how long before the end of the hold they are.
+	clingInterval = 200 * time.Millisecond
+	clingAhead    = PromiseTime / 2
 	// mendInterval is how often the table is checked against the registry.
 	mendInterval = 500 * time.Millisecond
 	// leaveTimeout bounds the calls of a planned stop.
@@ -42,7 +44,7 @@
 	group.Go(func() { k.follow(ctx) })
 	group.Go(func() { every(ctx, k.TTL/renewalsPerTTL, k.renew) })
 	group.Go(func() { every(ctx, mendInterval, k.mend) })
-	group.Go(func() { every(ctx, PromiseTime/promisesPerTime, k.cling) })
+	group.Go(func() { every(ctx, clingInterval, k.cling) })
 	group.Wait()
 	if k.leaving.Load() {
 		k.withdraw()
@@ -137,12 +139,17 @@
 	})
 }
 
+// unreachable notes that a call to the store failed.
 func (k *Keeper) unreachable(err error) {
+	news := false
 	k.change(false, func(c *Core, _ time.Time) {
+		news = c.Reachable()
 		c.SetReachable(false)
 		k.absent = nil
 	})
-	k.Log.Emit(eventlog.StoreUnavailable, zap.Error(err))
+	if news {
+		k.Log.Emit(eventlog.StoreUnavailable, zap.Error(err))
+	}
 }
 
 // renew renews the lease, or registers anew if it has lapsed.
@@ -265,13 +272,14 @@
 func (k *Keeper) cling(ctx context.Context) {
 	k.mu.Lock()
 	c := k.coreLocked()
-	due := !c.Reachable() && c.Table().Has(c.Self().ID) && time.Until(c.LeaseUntil()) < k.TTL/2
+	until, unbounded := c.Until()
+	due := !c.Reachable() && !unbounded && c.Table().Has(c.Self().ID) && time.Until(until) < clingAhead
 	member, names := c.Self().ID, c.Peers()
 	k.mu.Unlock()
 	if !due || k.Promise == nil {
 		return
 	}
-	calling, cancel := context.WithTimeout(ctx, PromiseTime/promisesPerTime)
+	calling, cancel := context.WithTimeout(ctx, clingAhead/2)
 	defer cancel()
 	var group sync.WaitGroup
 	for _, name := range names {
--- a/internal/standin/storewatch.go
+++ b/internal/standin/storewatch.go
@@ -54,7 +54,10 @@
 		_ = json.NewEncoder(w).Encode(watchAnswer{Result: result})
 		_ = http.NewResponseController(w).Flush()
 	}
-	send(watchResult{Created: true})
+	s.mu.Lock()
+	created := watchResult{Header: s.header(), Created: true}
+	s.mu.Unlock()
+	send(created)
 	for {
 		s.mu.Lock()
 		s.sweep()
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -49,3 +49,42 @@
 	require.NoError(t, err)
 	require.False(t, result.Done)
 }
+
+// A watch delivers the changes from the revision asked for, deletions too.
+func TestWatchDeliversChanges(t *testing.T) {
+	_, client := newStore(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	put := func(key string) {
+		_, err := client.Commit(ctx, store.Txn{Then: []store.Op{store.Put(key, []byte("v"))}})
+		require.NoError(t, err)
+	}
+	put("/w/a")
+	first, err := client.List(ctx, "/w/")
+	require.NoError(t, err)
+	put("/w/b")
+	changes := make(chan store.Change, 10)
+	ended := make(chan error, 1)
+	go func() {
+		ended <- client.Watch(ctx, "/w/", first.Revision+1, func(u store.Update) {
+			for _, c := range u.Changes {
+				changes <- c
+			}
+		})
+	}()
+	next := func() store.Change {
+		select {
+		case c := <-changes:
+			return c
+		case err := <-ended:
+			require.NoError(t, err, "the watch ended")
+		}
+		return store.Change{}
+	}
+	require.Equal(t, "/w/b", next().Entry.Key)
+	_, err = client.Commit(ctx, store.Txn{Then: []store.Op{store.Delete("/w/a")}})
+	require.NoError(t, err)
+	deleted := next()
+	require.Equal(t, "/w/a", deleted.Entry.Key)
+	require.True(t, deleted.Deleted)
+}
