--- a/cmd/pondctl/call.go
+++ b/cmd/pondctl/call.go
@@ -5,6 +5,7 @@
 	"errors"
 	"flag"
 	"fmt"
+	"io"
 	"net/url"
 
 	"github.com/oriolepond/oriolepond/internal/operate"
@@ -23,17 +24,20 @@
 
 func newCall(t *terminal, c command, args []string) *call {
 	set := flag.NewFlagSet(c.name, flag.ContinueOnError)
-	set.SetOutput(t.out)
+	set.SetOutput(io.Discard)
 	run := &call{terminal: t, command: c, args: args, set: set}
 	run.asJSON = set.Bool("json", false, "print JSON")
-	set.Usage = func() {
-		fmt.Fprintf(t.out, "Usage: pondctl %s [flags] %s\n\n%s.\n\nFlags:\n", c.name, c.args, c.summary)
-		set.PrintDefaults()
-		fmt.Fprintf(t.out, "\nExample:\n  %s\n\n%s", c.example, exitHelp)
-	}
 	return run
 }
 
+// help prints the flags and an example.
+func (c *call) help() {
+	fmt.Fprintf(c.out, "Usage: pondctl %s [flags] %s\n\n%s.\n\nFlags:\n", c.command.name, c.command.args, c.command.summary)
+	c.set.SetOutput(c.out)
+	c.set.PrintDefaults()
+	fmt.Fprintf(c.out, "\nExample:\n  %s\n\n%s", c.command.example, exitHelp)
+}
+
 // withAddress adds the flags of commands that call an instance.
 func (c *call) withAddress(addressEnv, tokenEnv, whose string) {
 	c.at = c.set.String("at", c.env(addressEnv), whose+"' `address` of an instance; or "+addressEnv)
@@ -55,9 +59,10 @@
 func (c *call) parse() error {
 	if err := c.set.Parse(c.args); err != nil {
 		if errors.Is(err, flag.ErrHelp) {
+			c.help()
 			return err
 		}
-		return &exitError{Status: exitUsage}
+		return &usageError{Reason: err.Error()}
 	}
 	if c.set.NArg() != c.command.nargs {
 		return &usageError{Reason: fmt.Sprintf("wants %d argument(s) after the flags: %s", c.command.nargs, c.command.args)}
