Real-process failure tests and capacity benchmarks (in work)

Change: the demonstration's faults run against the built program; benchmarks measure processor time, memory, store calls and control traffic by size.

--- /dev/null
+++ b/e2e/capacity_test.go
@@ -0,0 +1,133 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/oriolepond/oriolepond/examples"
+	"github.com/oriolepond/oriolepond/internal/demo"
+	"github.com/oriolepond/oriolepond/internal/standin"
+)
+
+const (
+	// warmUp is how long an instance runs before it is measured.
+	warmUp = 8 * time.Second
+	// measured is how long it is measured.
+	measured = 10 * time.Second
+	// clockTicks is the unit of processor time in /proc, in ticks a second.
+	clockTicks = 100
+)
+
+// BenchmarkIdle measures what entry instances spend on a pool whose tasks all
+// run and whose callers are quiet, by the number of workers.
+func BenchmarkIdle(b *testing.B) {
+	for _, workers := range []int{50, 100, 200, 300} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			size := demo.Size{
+				Instances: 3, Workers: workers, Runners: workers, Callers: -1,
+				JobEvery: warmUp / 4, JobTasks: workers * 2, RunTime: time.Hour,
+			}
+			for b.Loop() {
+				measure(b, size)
+			}
+		})
+	}
+}
+
+// BenchmarkInstances measures the same by the number of entry instances.
+func BenchmarkInstances(b *testing.B) {
+	for _, instances := range []int{3, 7, 14} {
+		b.Run(fmt.Sprintf("instances=%d", instances), func(b *testing.B) {
+			size := demo.Size{
+				Instances: instances, Workers: 100, Runners: 100, Callers: -1,
+				JobEvery: warmUp / 4, JobTasks: 200, RunTime: time.Hour,
+			}
+			for b.Loop() {
+				measure(b, size)
+			}
+		})
+	}
+}
+
+// usage is what was spent up to a moment.
+type usage struct {
+	processor time.Duration
+	memory    int64
+	store     standin.StoreCounts
+	workers   int64
+	peers     int64
+}
+
+// measure runs one pool and reports what its instances spend.
+func measure(b *testing.B, size demo.Size) {
+	e, ok := examples.Find("bajio")
+	require.True(b, ok)
+	var before, after usage
+	d := &demo.Demo{
+		Example: e,
+		Length:  warmUp + measured,
+		Out:     io.Discard,
+		Size:    size,
+		NoWait:  true,
+		Launch:  launcher(b.TempDir()),
+		Observe: func(ctx context.Context, v demo.View) {
+			timer := time.NewTimer(warmUp)
+			defer timer.Stop()
+			<-timer.C
+			before = observe(v)
+			<-ctx.Done()
+			after = observe(v)
+		},
+	}
+	_, err := d.Run(context.Background())
+	require.NoError(b, err)
+	report(b, size, before, after)
+}
+
+// report gives the slopes of one run.
+func report(b *testing.B, size demo.Size, before, after usage) {
+	seconds := measured.Seconds()
+	each := seconds * float64(size.Instances)
+	b.ReportMetric(100*(after.processor-before.processor).Seconds()/each, "%core/instance")
+	b.ReportMetric(float64(after.memory)/float64(size.Instances)/1e6, "MB/instance")
+	b.ReportMetric(float64(after.store.Reads-before.store.Reads)/seconds, "storeReads/s")
+	b.ReportMetric(float64(after.store.Writes-before.store.Writes)/seconds, "storeWrites/s")
+	b.ReportMetric(float64(after.store.LeaseCalls-before.store.LeaseCalls)/seconds, "leaseCalls/s")
+	b.ReportMetric(float64(after.store.OpenWatches), "openWatches")
+	b.ReportMetric(float64(after.workers-before.workers)/seconds/float64(size.Workers), "B/s/worker")
+	b.ReportMetric(float64(after.peers-before.peers)/each, "peerB/s/instance")
+}
+
+func observe(v demo.View) usage {
+	u := usage{store: v.Cluster.Store.Counts()}
+	for _, p := range v.Processes {
+		processor, memory := processUsage(p.PID)
+		u.processor += processor
+		u.memory += memory
+	}
+	u.workers = v.Network.Carried(func(e string) bool { return strings.HasPrefix(e, "worker-") })
+	u.peers = v.Network.Carried(func(e string) bool { return strings.HasPrefix(e, "peer:") })
+	return u
+}
+
+// processUsage returns the processor time and the resident memory of a process.
+func processUsage(pid int) (time.Duration, int64) {
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0, 0
+	}
+	fields := strings.Fields(string(stat[strings.LastIndexByte(string(stat), ')')+1:]))
+	// Fields 14 and 15 of the whole line are user and system time; 24 is resident pages.
+	user, _ := strconv.ParseInt(fields[11], 10, 64)
+	system, _ := strconv.ParseInt(fields[12], 10, 64)
+	pages, _ := strconv.ParseInt(fields[21], 10, 64)
+	return time.Duration(user+system) * time.Second / clockTicks, pages * int64(os.Getpagesize())
+}
--- /dev/null
+++ b/e2e/process_test.go
@@ -0,0 +1,99 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+
+	"github.com/oriolepond/oriolepond/internal/demo"
+)
+
+// program is the built entry instance.
+var program string
+
+func TestMain(m *testing.M) {
+	os.Exit(buildAndRun(m))
+}
+
+func buildAndRun(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "oriolepond-e2e")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	program = filepath.Join(dir, "oriolepond")
+	build := exec.Command("go", "build", "-o", program, "github.com/oriolepond/oriolepond/cmd/oriolepond")
+	if output, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "%v\n%s", err, output)
+		return 1
+	}
+	return m.Run()
+}
+
+// launcher starts entry instances as processes, whose logs are kept in dir.
+func launcher(dir string) demo.Launch {
+	started := 0
+	return func(_ context.Context, text []byte) (*demo.Process, error) {
+		started++
+		settings := filepath.Join(dir, fmt.Sprintf("settings-%d.jsonc", started))
+		if err := os.WriteFile(settings, text, 0o600); err != nil {
+			return nil, err
+		}
+		log, err := os.Create(filepath.Join(dir, fmt.Sprintf("log-%d.txt", started)))
+		if err != nil {
+			return nil, err
+		}
+		return start(settings, log)
+	}
+}
+
+// start runs one process; its standard error goes to log.
+func start(settings string, log *os.File) (*demo.Process, error) {
+	c := exec.Command(program, "serve", "-settings", settings)
+	c.Stderr = log
+	if err := c.Start(); err != nil {
+		return nil, err
+	}
+	done := make(chan error, 1)
+	go func() {
+		err := c.Wait()
+		_ = log.Close()
+		done <- err
+	}()
+	send := func(s syscall.Signal) func() {
+		return func() { _ = c.Process.Signal(s) }
+	}
+	return &demo.Process{
+		PID:    c.Process.Pid,
+		Stop:   send(syscall.SIGTERM),
+		Kill:   send(syscall.SIGKILL),
+		Pause:  send(syscall.SIGSTOP),
+		Resume: send(syscall.SIGCONT),
+		Done:   done,
+	}, nil
+}
+
+// logs returns what the processes wrote, for a failed test.
+func logs(dir string) string {
+	names, _ := filepath.Glob(filepath.Join(dir, "log-*.txt"))
+	all := ""
+	for _, name := range names {
+		text, err := os.ReadFile(name)
+		if err == nil {
+			all += filepath.Base(name) + ":\n" + tail(string(text)) + "\n"
+		}
+	}
+	return all
+}
+
+// maxLogBytes bounds what is shown of one log.
+const maxLogBytes = 4000
+
+func tail(text string) string {
+	return text[max(0, len(text)-maxLogBytes):]
+}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -22,6 +22,8 @@
 )
 
 const (
+	// taskRunTime is how long an undisturbed task runs.
+	taskRunTime = 2 * time.Second
 	// instanceCount is how many entry instances a demonstration runs.
 	instanceCount = 3
 	// meanServiceTime is how long a request takes on a runner.
@@ -50,6 +52,12 @@
 	Out     io.Writer
 	// Launch starts an entry instance; nil runs it within this process.
 	Launch Launch
+	// Size changes how much runs; the zero value is the demonstration's own.
+	Size Size
+	// NoWait ends the run with the load, whatever tasks still run.
+	NoWait bool
+	// Observe, if set, runs beside the load until its context ends.
+	Observe func(ctx context.Context, v View)
 
 	cluster *standin.Cluster
 	network *standin.Network
@@ -61,16 +69,60 @@
 	started int
 }
 
+// Size is how much runs in a demonstration; a zero count takes the default.
+type Size struct {
+	Instances int
+	Runners   int
+	Workers   int
+	// Callers is how many callers make requests; below zero there are none.
+	Callers int
+	// JobEvery is how often a job of JobTasks tasks is submitted.
+	JobEvery time.Duration
+	JobTasks int
+	// RunTime is how long an undisturbed task runs.
+	RunTime time.Duration
+}
+
+// withDefaults returns the size with its zero counts replaced.
+func (s Size) withDefaults() Size {
+	if s.Instances == 0 {
+		s.Instances = instanceCount
+	}
+	if s.Callers == 0 {
+		s.Callers = callerCount
+	}
+	if s.JobEvery == 0 {
+		s.JobEvery = jobEvery
+	}
+	if s.JobTasks == 0 {
+		s.JobTasks = jobTasks
+	}
+	if s.RunTime == 0 {
+		s.RunTime = taskRunTime
+	}
+	return s
+}
+
+// View is what an observer sees of a demonstration.
+type View struct {
+	Processes []*Process
+	Cluster   *standin.Cluster
+	Network   *standin.Network
+}
+
 // Run starts everything, applies the load and the faults, and reports.
 func (d *Demo) Run(ctx context.Context) (Report, error) {
 	d.counts = newCounts()
-	d.places = make([]*instance, instanceCount)
+	d.Size = d.Size.withDefaults()
+	d.places = make([]*instance, d.Size.Instances)
 	d.network = standin.NewNetwork()
 	d.network.Latency = latency
 	d.network.LinkBitsPerSecond = linkBitsPerSecond
 	d.cluster = &standin.Cluster{
 		Example:     d.Example,
 		Network:     d.network,
+		RunnerCount: d.Size.Runners,
+		WorkerCount: d.Size.Workers,
 		ServiceTime: meanServiceTime,
 		ListLag:     listLag,
 		Work:        d.work,
@@ -85,7 +137,7 @@
 		return Report{}, err
 	}
 	fmt.Fprintf(d.Out, "%d instances, %d runners and %d workers on loopback\n",
-		instanceCount, d.Example.Runners, d.Example.Workers)
+		d.Size.Instances, len(d.cluster.Runners()), len(d.cluster.Workers()))
 	if err := d.applyNote(ctx, d.Example.Note); err != nil {
 		return Report{}, err
 	}
@@ -98,6 +150,9 @@
 	loaded, cancel := context.WithTimeout(ctx, d.Length)
 	defer cancel()
 	d.load(loaded)
+	if d.NoWait {
+		return Report{}, ctx.Err()
+	}
 	d.settle(ctx)
 	return d.report(ctx), ctx.Err()
 }
@@ -119,7 +174,7 @@
 	if job == noisyJob {
 		return standin.Work{RunTime: time.Second, Size: size, Noise: noisySlowdown}
 	}
-	return standin.Work{RunTime: 2 * time.Second, Size: size}
+	return standin.Work{RunTime: d.Size.RunTime, Size: size}
 }
 
 // applyNote applies a release note through the first ready instance.
--- a/internal/demo/faults.go
+++ b/internal/demo/faults.go
@@ -24,6 +24,7 @@
 	LateAnswers       Fault = "lateAnswers"
 	CrossedAnswers    Fault = "crossedAnswers"
 	StoreOutage       Fault = "storeOutage"
+	StoreSlow         Fault = "storeSlow"
 	StoreLostAnswers  Fault = "storeLostAnswers"
 	WorkerCrash       Fault = "workerCrash"
 	BadWorker         Fault = "badWorker"
@@ -54,6 +55,7 @@
 		{LateAnswers, (*Demo).lateAnswers},
 		{CrossedAnswers, (*Demo).crossedAnswers},
 		{StoreOutage, (*Demo).storeOutage},
+		{StoreSlow, (*Demo).storeSlow},
 		{StoreLostAnswers, (*Demo).storeLostAnswers},
 		{WorkerCrash, (*Demo).workerCrash},
 		{BadWorker, (*Demo).badWorker},
@@ -193,6 +195,16 @@
 	return pause(ctx, outage)
 }
 
+// storeDelay is how long a call to a slow store waits.
+const storeDelay = 800 * time.Millisecond
+
+// storeSlow makes each call to the store take long.
+func (d *Demo) storeSlow(ctx context.Context) error {
+	d.cluster.Store.SetDelay(storeDelay)
+	defer d.cluster.Store.SetDelay(0)
+	return pause(ctx, outage)
+}
+
 // lostAnswers is the part of the store's answers that get lost.
 const lostAnswers = 0.3
 
--- a/internal/demo/instances.go
+++ b/internal/demo/instances.go
@@ -44,7 +44,7 @@
 
 // startInstances starts all instances and waits until they are ready.
 func (d *Demo) startInstances(ctx context.Context) error {
-	for n := range instanceCount {
+	for n := range d.Size.Instances {
 		if err := d.startInstance(ctx, n); err != nil {
 			return err
 		}
--- a/internal/demo/jobs.go
+++ b/internal/demo/jobs.go
@@ -23,11 +23,11 @@
 
 // submitter submits jobs and waits for the last one's outcome.
 func (d *Demo) submitter(ctx context.Context) {
-	for n := 0; pause(ctx, jobEvery) == nil; n++ {
+	for n := 0; pause(ctx, d.Size.JobEvery) == nil; n++ {
 		// An outcome that the end of the load leaves open is still found out.
-		id, err := d.submit(context.WithoutCancel(ctx), d.Example.Job, fmt.Sprintf("demo-%d-%d", d.Seed, n), jobTasks)
+		id, err := d.submit(context.WithoutCancel(ctx), d.Example.Job, fmt.Sprintf("demo-%d-%d", d.Seed, n), d.Size.JobTasks)
 		if err == nil {
-			d.counts.accept(id, jobTasks)
+			d.counts.accept(id, d.Size.JobTasks)
 		}
 	}
 }
--- a/internal/demo/load.go
+++ b/internal/demo/load.go
@@ -37,15 +37,27 @@
 // load runs callers, submitters and faults until the context ends.
 func (d *Demo) load(ctx context.Context) {
 	var group sync.WaitGroup
-	for n := range callerCount {
+	for n := range max(0, d.Size.Callers) {
 		group.Go(func() { d.caller(ctx, n) })
 	}
 	group.Go(func() { d.submitter(ctx) })
 	group.Go(func() { d.progress(ctx) })
 	group.Go(func() { d.injectFaults(ctx) })
+	if d.Observe != nil {
+		group.Go(func() { d.Observe(ctx, d.view()) })
+	}
 	group.Wait()
 }
 
+// view returns what an observer sees.
+func (d *Demo) view() View {
+	v := View{Cluster: d.cluster, Network: d.network}
+	for _, i := range d.running() {
+		v.Processes = append(v.Processes, i.process)
+	}
+	return v
+}
+
 // caller makes one request after the other.
 func (d *Demo) caller(ctx context.Context, n int) {
 	random := rand.New(rand.NewPCG(d.Seed, uint64(n)))
@@ -72,7 +84,7 @@
 	}
 	var r result
 	for range tries {
-		r = d.try(d.anyReady(random.IntN(instanceCount)), call, id, key)
+		r = d.try(d.anyReady(random.IntN(d.Size.Instances)), call, id, key)
 		if r != resultUnknown && r != resultBroken {
 			break
 		}
--- a/internal/demo/process.go
+++ b/internal/demo/process.go
@@ -10,6 +10,8 @@
 
 // Process is one running entry instance.
 type Process struct {
+	// PID is the process id; zero for an instance within this process.
+	PID int
 	// Stop asks for a planned stop.
 	Stop func()
 	// Kill ends the instance at once.
--- a/internal/standin/cluster.go
+++ b/internal/standin/cluster.go
@@ -15,10 +15,10 @@
 
 // Cluster is a set of stand-ins on loopback for one example deployment.
 type Cluster struct {
-	// Example, Runners and Workers are set before Start; a zero count takes the example's.
-	Example examples.Example
-	Runners int
-	Workers int
+	// Example, RunnerCount and WorkerCount are set before Start; a zero count takes the example's.
+	Example     examples.Example
+	RunnerCount int
+	WorkerCount int
 	// Network, if set, stands in front of every stand-in.
 	Network *Network
 	// ServiceTime is the mean time of a request on a runner.
@@ -71,7 +71,7 @@
 }
 
 func (c *Cluster) startWorkers() error {
-	n := c.Workers
+	n := c.WorkerCount
 	if n == 0 {
 		n = c.Example.Workers
 	}
@@ -96,7 +96,7 @@
 }
 
 func (c *Cluster) startRunners() error {
-	n := c.Runners
+	n := c.RunnerCount
 	if n == 0 {
 		n = c.Example.Runners
 	}
@@ -175,6 +175,12 @@
 	return c.Network.Open(id, Site{Region: dc.Region, DataCentre: dc.Name}, l.Addr().String())
 }
 
+// Runners returns the ids of all runners.
+func (c *Cluster) Runners() []string { return c.runnerIDs }
+
+// Workers returns the ids of all workers.
+func (c *Cluster) Workers() []string { return c.workerIDs }
+
 // Runner returns the runner of a number.
 func (c *Cluster) Runner(i int) (string, *Runner) {
 	id := c.runnerIDs[i%len(c.runnerIDs)]
--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -30,7 +30,8 @@
 	flows     map[*flow]struct{}
 	links     map[[2]string]*rate.Limiter
 	linkBytes map[[2]string]int64
-	isolated  map[string]bool // Source addresses and endpoint names that reach nothing.
+	carried   map[string]int64 // By endpoint, both ways.
+	isolated  map[string]bool  // Source addresses and endpoint names that reach nothing.
 	split     bool
 }
 
@@ -49,6 +50,7 @@
 		flows:     map[*flow]struct{}{},
 		links:     map[[2]string]*rate.Limiter{},
 		linkBytes: map[[2]string]int64{},
+		carried:   map[string]int64{},
 		isolated:  map[string]bool{},
 	}
 }
@@ -205,12 +207,25 @@
 	n.mu.Unlock()
 }
 
-// countLink adds to the bytes that crossed between regions.
-func (n *Network) countLink(p path, bytes int) {
-	if p.key[0] == p.key[1] {
-		return
+// Carried returns the bytes carried both ways for the endpoints of which match holds.
+func (n *Network) Carried(match func(endpoint string) bool) int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	sum := int64(0)
+	for name, bytes := range n.carried {
+		if match(name) {
+			sum += bytes
+		}
 	}
+	return sum
+}
+
+// count adds to the bytes of an endpoint, and of the link if they crossed between regions.
+func (n *Network) count(e *endpoint, p path, bytes int) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.linkBytes[p.key] += int64(bytes)
+	n.carried[e.name] += int64(bytes)
+	if p.key[0] != p.key[1] {
+		n.linkBytes[p.key] += int64(bytes)
+	}
 }
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -36,6 +36,8 @@
 type StoreCounts struct {
 	Reads, Writes, LeaseCalls, Watches int64
 	WriteBytes                         int64
+	// OpenWatches is how many watches wait now.
+	OpenWatches int64
 }
 
 // Store is a stand-in for the platform's key-value service that speaks the
--- a/internal/standin/storewatch.go
+++ b/internal/standin/storewatch.go
@@ -48,7 +48,13 @@
 	}
 	s.mu.Lock()
 	s.counts.Watches++
+	s.counts.OpenWatches++
 	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.counts.OpenWatches--
+	}()
 	next, _ := strconv.ParseInt(q.Create.StartRevision, 10, 64)
 	send := func(result watchResult) {
 		_ = json.NewEncoder(w).Encode(watchAnswer{Result: result})
