Demo: reasons of tries without an answer

Cause: 244 of 3253 requests got no answer without any fault, for no stated reason. Change: the report counts the reasons.

--- a/internal/demo/load.go
+++ b/internal/demo/load.go
@@ -123,6 +123,7 @@
 		if i.stopping.Load() && !isDialError(err) {
 			d.counts.cut.Add(1)
 		}
+		d.counts.explain(resultBroken, call.Path, err.Error())
 		return resultBroken
 	case status == http.StatusOK && text == expected:
 		if !stream {
@@ -137,8 +138,10 @@
 		if d.cluster.Requests.Runs(id) > before {
 			d.counts.refusalsThatRan.Add(1)
 		}
+		d.counts.explain(resultRefused, call.Path, text)
 		return resultRefused
 	}
+	d.counts.explain(resultUnknown, call.Path, text)
 	return resultUnknown
 }
 
--- a/internal/demo/report.go
+++ b/internal/demo/report.go
@@ -4,7 +4,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -25,6 +27,8 @@
 	jobs     map[string]bool
 	slowest  time.Duration
 	failures []error
+	// reasons counts why tries got no answer.
+	reasons map[string]int
 }
 
 // The range of the latency histogram.
@@ -41,6 +45,7 @@
 		results: map[result]*atomic.Int64{},
 		latency: hdrhistogram.New(lowestMicros, highestMicros, latencyDigits),
 		jobs:    map[string]bool{},
+		reasons: map[string]int{},
 	}
 	for _, r := range []result{resultAnswered, resultRefused, resultUnknown, resultBroken, resultMismatch, resultTruncated} {
 		c.results[r] = &atomic.Int64{}
@@ -48,6 +53,19 @@
 	return c
 }
 
+// maxReasons bounds the reasons that are kept apart.
+const maxReasons = 100
+
+// explain counts why a try got no answer.
+func (c *counts) explain(r result, path, reason string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	key := fmt.Sprintf("%s %s: %s", r, path, strings.TrimSpace(reason))
+	if len(c.reasons) < maxReasons || c.reasons[key] > 0 {
+		c.reasons[key]++
+	}
+}
+
 // fail records that a fault could not be injected or judged.
 func (c *counts) fail(err error) {
 	c.mu.Lock()
@@ -109,6 +127,8 @@
 	Evictions            int64
 	P50, P99             float64
 	BatchTasksPerSecond  float64
+	// Reasons counts why tries got no answer.
+	Reasons map[string]int
 	// Failures are faults that could not be injected or judged.
 	Failures []error
 }
@@ -128,6 +148,7 @@
 		ConfigReverts:        c.reverts.Load(),
 		ConfigInForceMax:     c.slowest,
 		Evictions:            int64(seen.Tasks.Evictions()),
+		Reasons:              c.reasons,
 		Failures:             c.failures,
 		NewWorkAfterLeave:    seen.Requests.AfterLeave(),
 		SlotOvercommits:      seen.Requests.Overcommits(),
@@ -227,6 +248,9 @@
 	fmt.Fprintf(&b, "evictions %d\n", r.Evictions)
 	fmt.Fprintf(&b, "account   off by %.3f%%\n", r.AccountErrorPercent)
 	fmt.Fprintf(&b, "notes     in force everywhere within %d ms\n", r.ConfigInForceMax.Milliseconds())
+	for _, reason := range slices.Sorted(maps.Keys(r.Reasons)) {
+		fmt.Fprintf(&b, "tries     %d %s\n", r.Reasons[reason], reason)
+	}
 	for _, rule := range r.rules() {
 		fmt.Fprintf(&b, "  %-22s %d\n", rule.name, rule.count)
 	}
