A new home asks the former homes about fresh keys

Change: the new home asks the former homes that are still there whether they began the key, and who of them can vouch for the time before its own first table. It begins the key only if all exclude it and the home has not changed in between. A property test moves homes at random with answers that arrive late; without the vouching, without the check of what the former home knows, or without the second check, a key runs twice in it or in a unit test.

Ruled out: counting the time from the last table only (a member that joins right after another one left would not know of the older home), and a shorter clock bound (callers' clocks decide it).

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -12,9 +12,12 @@
 	"context"
 	"fmt"
 	"io"
+	"net/http"
 	"sync"
 	"time"
 
+	"github.com/google/uuid"
+
 	"github.com/oriolepond/oriolepond/examples"
 	"github.com/oriolepond/oriolepond/internal/operate"
 	"github.com/oriolepond/oriolepond/internal/standin"
@@ -203,17 +206,31 @@
 func (d *Demo) awaitConfig(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
-	call := d.Example.Calls[0]
 	for _, i := range d.running() {
-		for {
-			status, _, err := d.post(ctx, i, call, "probe", "probe", "")
-			if err == nil && status < 400 {
-				break
-			}
-			if pause(ctx, pollEvery) != nil {
-				return fmt.Errorf("instance %s does not serve: status %d, %w", i.id, status, err)
+		for _, call := range d.Example.Calls {
+			if err := d.awaitServed(ctx, i, call); err != nil {
+				return err
 			}
 		}
 	}
 	return nil
 }
+
+// awaitServed waits until an instance answers a kind of call. The first
+// instances of a pool answer keyed calls only once no earlier home can have
+// run them.
+func (d *Demo) awaitServed(ctx context.Context, i *instance, call examples.Call) error {
+	for n := 0; ; n++ {
+		key := ""
+		if call.Keyed {
+			key = uuid.Must(uuid.NewV7()).String()
+		}
+		status, text, err := d.post(ctx, i, call, fmt.Sprintf("probe-%s-%d", i.id, n), "probe", key)
+		if err == nil && status < http.StatusBadRequest {
+			return nil
+		}
+		if pause(ctx, pollEvery) != nil {
+			return fmt.Errorf("instance %s does not serve: status %d, %s, %w", i.id, status, text, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/home/former.go
@@ -0,0 +1,131 @@
+package home
+
+import (
+	"slices"
+	"time"
+)
+
+// Inquiry is what a new home has to learn from earlier homes before it may
+// begin a key that they may have begun.
+type Inquiry struct {
+	// Former are the members that may have begun the key.
+	Former []string
+	// Witness is the former member that has to vouch for the time before this
+	// member saw its first table; empty if nobody has to.
+	Witness string
+	// Covers is the newest take-over that the inquiry is about.
+	Covers time.Time
+}
+
+// Statement is what a former home says of a key.
+type Statement struct {
+	// Begun says that the member began the key, or cannot exclude it.
+	Begun bool
+	// Since is from when on the member was the only home of the key.
+	Since time.Time
+}
+
+// inquire returns the inquiry about a key with a time, and whether one can clear it.
+func (k *Keys) inquire(name string, at time.Time) (Inquiry, bool) {
+	q := Inquiry{}
+	for _, e := range k.eras {
+		if e.at.Before(at.Add(-2 * ClockBound)) {
+			continue
+		}
+		for n, t := range e.tables {
+			owner := t.Owner(name, k.region)
+			if t.Epoch == 0 {
+				if q.Witness = k.ownerAfter(e, n, name); q.Witness == "" {
+					return Inquiry{}, false
+				}
+				continue
+			}
+			if owner != "" && owner != k.self && !slices.Contains(q.Former, owner) {
+				q.Former = append(q.Former, owner)
+			}
+		}
+		q.Covers = e.at
+	}
+	return q, true
+}
+
+// ownerAfter returns the other member that owns a name in the table after the n-th, or "".
+func (k *Keys) ownerAfter(e era, n int, name string) string {
+	if n+1 >= len(e.tables) {
+		return ""
+	}
+	owner := e.tables[n+1].Owner(name, k.region)
+	if owner == k.self {
+		return ""
+	}
+	return owner
+}
+
+// Cleared reports whether the statements of all former homes, by member,
+// exclude that the key was begun.
+func (q Inquiry) Cleared(key Key, statements map[string]Statement) bool {
+	at, timed := TimeOf(key.Value)
+	if !timed {
+		return false
+	}
+	for _, former := range q.Former {
+		s, ok := statements[former]
+		if !ok || s.Begun {
+			return false
+		}
+	}
+	if q.Witness == "" {
+		return true
+	}
+	return at.After(statements[q.Witness].Since.Add(2 * ClockBound))
+}
+
+// BeginCleared is Begin for a key that an inquiry has cleared. It still refuses
+// the key if the home has changed since.
+func (k *Keys) BeginCleared(key Key, q Inquiry, now time.Time) Verdict {
+	v := k.Begin(key, now)
+	if v.Kind != AskFormer || !v.Inquiry.Covers.Equal(q.Covers) {
+		return v
+	}
+	k.remember(key.Name(), now)
+	return Verdict{Kind: Run}
+}
+
+// State returns what this member can say of a key as a former home.
+func (k *Keys) State(key Key, now time.Time) Statement {
+	k.expire(now)
+	name := key.Name()
+	at, timed := TimeOf(key.Value)
+	_, known := k.known[name]
+	if known || !timed || !at.After(k.floor) || k.latest().Owner(name, k.region) == k.self {
+		return Statement{Begun: true, Since: now}
+	}
+	return Statement{Since: k.ownedSince(name, now)}
+}
+
+// ownedSince returns the beginning of the last time in which this member was
+// the only home of a name; now if it never was.
+func (k *Keys) ownedSince(name string, now time.Time) time.Time {
+	n := len(k.eras) - 1
+	for n >= 0 && !k.owns(k.eras[n], len(k.eras[n].tables)-1, name) {
+		n--
+	}
+	if n < 0 {
+		if len(k.eras) > 0 && k.owns(k.eras[0], 0, name) {
+			return k.floor
+		}
+		return now
+	}
+	for n >= 0 && k.ownsAll(k.eras[n].tables, name) {
+		n--
+	}
+	if n < 0 {
+		return k.floor
+	}
+	return k.eras[n].at
+}
+
+// owns reports whether this member owns a name in the n-th table of an era.
+func (k *Keys) owns(e era, n int, name string) bool {
+	return e.tables[n].Owner(name, k.region) == k.self
+}
--- /dev/null
+++ b/internal/home/former_test.go
@@ -0,0 +1,260 @@
+package home_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/oriolepond/oriolepond/internal/grant"
+	"github.com/oriolepond/oriolepond/internal/home"
+)
+
+// pair returns a member that has long been alone, another that has just
+// joined it, and the table of both.
+func pair() (old, joined *home.Keys, both grant.Table) {
+	alone := grant.Table{}.With(grant.Member{ID: "a", Region: region})
+	both = alone.With(grant.Member{ID: "b", Region: region})
+	old, joined = home.NewKeys("a", region), home.NewKeys("b", region)
+	old.Observe(alone)
+	old.Settle(start)
+	for _, k := range []*home.Keys{old, joined} {
+		k.Observe(alone)
+		k.Observe(both)
+		k.Settle(start.Add(time.Minute))
+	}
+	return old, joined, both
+}
+
+// keyOwnedBy returns a key with a time whose home is the member.
+func keyOwnedBy(member string, t grant.Table, at time.Time) home.Key {
+	for n := 0; ; n++ {
+		if key := keyAt(at, n); t.Owner(key.Name(), region) == member {
+			return key
+		}
+	}
+}
+
+// A member that joins begins fresh keys at once if the former home excludes them.
+func TestFormerHomeClearsAKey(t *testing.T) {
+	cases := []struct {
+		name  string
+		begun bool
+		gone  bool
+		want  home.Kind
+	}{
+		{"the former home did not begin it", false, false, home.Run},
+		{"the former home began it", true, false, home.AskFormer},
+		{"the former home is gone", false, true, home.AskFormer},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			old, joined, both := pair()
+			now := start.Add(time.Minute)
+			key := keyOwnedBy("b", both, now)
+			if c.begun {
+				early := home.NewKeys("a", region)
+				early.Observe(grant.Table{}.With(grant.Member{ID: "a", Region: region}))
+				early.Settle(start)
+				require.Equal(t, home.Run, early.Begin(key, now).Kind)
+				early.Observe(both)
+				early.Settle(now)
+				old = early
+			}
+			v := joined.Begin(key, now)
+			require.Equal(t, home.AskFormer, v.Kind)
+			require.Equal(t, []string{"a"}, v.Inquiry.Former)
+			statements := map[string]home.Statement{"a": old.State(key, now)}
+			if c.gone {
+				statements = nil
+			}
+			if !v.Inquiry.Cleared(key, statements) {
+				require.Equal(t, c.want, home.AskFormer)
+				return
+			}
+			require.Equal(t, c.want, joined.BeginCleared(key, v.Inquiry, now).Kind)
+		})
+	}
+}
+
+// An inquiry does not clear a key whose home has moved on in the meantime.
+func TestClearedKeyIsRefusedAfterAnotherChange(t *testing.T) {
+	old, joined, both := pair()
+	now := start.Add(time.Minute)
+	key := keyOwnedBy("b", both, now)
+	v := joined.Begin(key, now)
+	require.True(t, v.Inquiry.Cleared(key, map[string]home.Statement{"a": old.State(key, now)}))
+	joined.Observe(both.Without("b"))
+	require.Equal(t, home.Elsewhere, joined.BeginCleared(key, v.Inquiry, now).Kind)
+}
+
+// An inquiry does not clear a key that another home held and gave back in the meantime.
+func TestClearedKeyIsRefusedAfterHomeMovedAndReturned(t *testing.T) {
+	old, joined, both := pair()
+	now := start.Add(time.Minute)
+	three := both.With(grant.Member{ID: "c", Region: region})
+	key := keyOwnedBy("c", three, now)
+	for n := 0; both.Owner(key.Name(), region) != "b" || three.Owner(key.Name(), region) != "c"; n++ {
+		key = keyAt(now, n)
+	}
+	v := joined.Begin(key, now)
+	require.True(t, v.Inquiry.Cleared(key, map[string]home.Statement{"a": old.State(key, now)}))
+	joined.Observe(three)
+	joined.Settle(now)
+	joined.Observe(three.Without("c"))
+	joined.Settle(now.Add(time.Millisecond))
+	require.NotEqual(t, home.Run, joined.BeginCleared(key, v.Inquiry, now).Kind)
+}
+
+// cell is a member of the model, with the tables it has yet to observe.
+type cell struct {
+	id   string
+	keys *home.Keys
+	seen int64
+	gone bool
+}
+
+// cellModel is a set of members over a history of tables.
+type cellModel struct {
+	t      *rapid.T
+	now    time.Time
+	tables []grant.Table
+	cells  []*cell
+	runs   map[string]int
+	// asked are inquiries whose statements are in but not used yet.
+	asked []askedKey
+}
+
+type askedKey struct {
+	cell    *cell
+	key     home.Key
+	inquiry home.Inquiry
+}
+
+func (m *cellModel) newest() grant.Table { return m.tables[len(m.tables)-1] }
+
+func (m *cellModel) join() {
+	c := &cell{id: fmt.Sprintf("m%d", len(m.cells))}
+	c.keys = home.NewKeys(c.id, region)
+	c.seen = m.newest().Epoch
+	c.keys.Observe(m.newest())
+	m.cells = append(m.cells, c)
+	m.tables = append(m.tables, m.newest().With(grant.Member{ID: c.id, Region: region}))
+}
+
+func (m *cellModel) leave(c *cell) {
+	c.gone = true
+	m.tables = append(m.tables, m.newest().Without(c.id))
+}
+
+func (m *cellModel) observe(c *cell) {
+	for _, table := range m.tables {
+		if table.Epoch > c.seen {
+			c.seen = table.Epoch
+			c.keys.Observe(table)
+			return
+		}
+	}
+}
+
+// settle settles a member if everybody alive keeps to the newest table that it has seen.
+func (m *cellModel) settle(c *cell) {
+	for _, o := range m.cells {
+		if !o.gone && o.seen < c.seen {
+			return
+		}
+	}
+	c.keys.Settle(m.now)
+}
+
+func (m *cellModel) begin(c *cell, key home.Key) {
+	if c.gone {
+		return
+	}
+	v := c.keys.Begin(key, m.now)
+	if v.Kind == home.Run {
+		m.runs[key.Name()]++
+	}
+	if v.Kind != home.AskFormer {
+		return
+	}
+	statements := map[string]home.Statement{}
+	for _, o := range m.cells {
+		if !o.gone {
+			statements[o.id] = o.keys.State(key, m.now)
+		}
+	}
+	if v.Inquiry.Cleared(key, statements) {
+		m.asked = append(m.asked, askedKey{c, key, v.Inquiry})
+	}
+}
+
+func (m *cellModel) useInquiry() {
+	if len(m.asked) == 0 {
+		return
+	}
+	a := m.asked[0]
+	m.asked = m.asked[1:]
+	if !a.cell.gone && a.cell.keys.BeginCleared(a.key, a.inquiry, m.now).Kind == home.Run {
+		m.runs[a.key.Name()]++
+	}
+}
+
+// No key runs twice, whatever joins, leaves, observes and settles in between.
+func TestNoKeyRunsTwice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &cellModel{t: t, now: start, tables: []grant.Table{{}}, runs: map[string]int{}}
+		var issued []home.Key
+		member := func() *cell { return m.cells[rapid.IntRange(0, len(m.cells)-1).Draw(t, "member")] }
+		m.join()
+		t.Repeat(map[string]func(*rapid.T){
+			"time": func(t *rapid.T) {
+				m.now = m.now.Add(time.Duration(rapid.IntRange(1, 1500).Draw(t, "ms")) * time.Millisecond)
+			},
+			"join": func(*rapid.T) { m.join() },
+			"leave": func(*rapid.T) {
+				if c := member(); !c.gone {
+					m.leave(c)
+				}
+			},
+			"observe": func(*rapid.T) { m.observe(member()) },
+			"settle":  func(*rapid.T) { m.settle(member()) },
+			"all": func(*rapid.T) {
+				for _, c := range m.cells {
+					for c.seen < m.newest().Epoch {
+						m.observe(c)
+					}
+				}
+				for _, c := range m.cells {
+					m.settle(c)
+				}
+			},
+			"key": func(t *rapid.T) {
+				skew := time.Duration(rapid.IntRange(-900, 900).Draw(t, "skew")) * time.Millisecond
+				issued = append(issued, keyAt(m.now.Add(skew), len(issued)))
+			},
+			"begin": func(t *rapid.T) {
+				if len(issued) > 0 {
+					m.begin(member(), issued[rapid.IntRange(0, len(issued)-1).Draw(t, "key")])
+				}
+			},
+			"begin everywhere": func(*rapid.T) {
+				for _, c := range m.cells {
+					if len(issued) > 0 {
+						m.begin(c, issued[len(issued)-1])
+					}
+				}
+			},
+			"use": func(*rapid.T) { m.useInquiry() },
+			"": func(t *rapid.T) {
+				for name, runs := range m.runs {
+					if runs > 1 {
+						t.Fatalf("key %x ran %d times", name, runs)
+					}
+				}
+			},
+		})
+	})
+}
--- a/internal/home/keys.go
+++ b/internal/home/keys.go
@@ -4,9 +4,10 @@
 // A key belongs to one member of the grant table, its home, by a rendezvous
 // hash over the members of the neighbour's region. A member begins a key only
 // if it is the home in every table that it keeps to. After it became the home
-// it answers unknown to keys that an earlier home may have begun: those whose
+// it asks the earlier homes about keys that they may have begun: those whose
 // time, which a UUID of version 7 holds, is not after the take-over plus
-// ClockBound. Keys without a time are to be journaled before they are run.
+// ClockBound. If one of them is gone, the key is answered with unknown. Keys
+// without a time are to be journaled before they are run.
 //
 // # Usage
 //
@@ -43,6 +44,8 @@
 	Run Kind = "run"
 	// JournalFirst says that the key is to be journaled in the store, and then run.
 	JournalFirst Kind = "journalFirst"
+	// AskFormer says that the key is to be run only if earlier homes did not begin it.
+	AskFormer Kind = "askFormer"
 	// Unknown says that the key may have been run.
 	Unknown Kind = "unknown"
 	// Elsewhere says that another member is the home.
@@ -58,6 +61,8 @@
 	Kind Kind
 	// Home is the member that is the home, if the kind is Elsewhere.
 	Home string
+	// Inquiry is what to ask, if the kind is AskFormer.
+	Inquiry Inquiry
 }
 
 // Key names a request: Value is the caller's, and unique within Scope.
@@ -144,13 +149,24 @@
 		return Verdict{Kind: JournalFirst}
 	case at.After(now.Add(ClockBound)):
 		return Verdict{Kind: Ahead}
-	case !at.After(now.Add(-Retention)), !at.After(k.floor), !at.After(k.takeover(name).Add(2 * ClockBound)):
+	case !at.After(now.Add(-Retention)), !at.After(k.floor):
 		return Verdict{Kind: Unknown}
+	case !at.After(k.takeover(name).Add(2 * ClockBound)):
+		return k.doubt(name, at)
 	}
 	k.remember(name, now)
 	return Verdict{Kind: Run}
 }
 
+// doubt returns the verdict on a key that an earlier home may have begun.
+func (k *Keys) doubt(name string, at time.Time) Verdict {
+	q, can := k.inquire(name, at)
+	if !can {
+		return Verdict{Kind: Unknown}
+	}
+	return Verdict{Kind: AskFormer, Inquiry: q}
+}
+
 // takeover returns the time since which this member has been the only home of a key.
 func (k *Keys) takeover(name string) time.Time {
 	for n := len(k.eras) - 1; n >= 0; n-- {
--- a/internal/membership/keeper.go
+++ b/internal/membership/keeper.go
@@ -224,6 +224,23 @@
 	return k.core.Keys.Begin(key, time.Now())
 }
 
+// BeginCleared is Begin for a key that an inquiry has cleared.
+func (k *Keeper) BeginCleared(key home.Key, q home.Inquiry) home.Verdict {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.held || !k.Held() {
+		return home.Verdict{Kind: home.NotYet}
+	}
+	return k.core.Keys.BeginCleared(key, q, time.Now())
+}
+
+// State says what this instance knows of a key whose home it was.
+func (k *Keeper) State(key home.Key) home.Statement {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.coreLocked().Keys.State(key, time.Now())
+}
+
 // Undo frees a key that was begun and whose request was not run.
 func (k *Keeper) Undo(key home.Key) {
 	k.mu.Lock()
--- a/internal/peer/requests.go
+++ b/internal/peer/requests.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -11,6 +12,7 @@
 	"google.golang.org/grpc/connectivity"
 
 	"github.com/oriolepond/oriolepond/internal/entry"
+	"github.com/oriolepond/oriolepond/internal/home"
 	"github.com/oriolepond/oriolepond/internal/peer/requestpb"
 )
 
@@ -29,6 +31,8 @@
 	// Begin and Finish keep the keys whose home the instance is.
 	Begin  func(ctx context.Context, k entry.Key) error
 	Finish func(ctx context.Context, k entry.Key, o entry.Outcome) error
+	// State says what the instance knows of a key whose home it was.
+	State func(ctx context.Context, k entry.Key) (home.Statement, error)
 	// Resolve finds what a forwarded request names in the configuration; only a server needs it.
 	Resolve func(neighbour, service, route string) (entry.Request, bool)
 }
@@ -43,7 +47,7 @@
 			grpc.MaxCallSendMsgSize(maxMessageBytes),
 		},
 	}
-	return &Requests{Do: c.do, Stream: c.stream, Begin: c.begin, Finish: c.finish}
+	return &Requests{Do: c.do, Stream: c.stream, Begin: c.begin, Finish: c.finish, State: c.state}
 }
 
 type requestsClient struct {
@@ -124,6 +128,14 @@
 	}
 }
 
+func (c *requestsClient) state(ctx context.Context, k entry.Key) (home.Statement, error) {
+	reply, err := c.client.State(ctx, &requestpb.StateRequest{Key: encodeKey(k)})
+	if err != nil {
+		return home.Statement{}, fmt.Errorf("ask a former home: %w", err)
+	}
+	return home.Statement{Begun: reply.Begun, Since: time.UnixMicro(reply.SinceMicros)}, nil
+}
+
 func (c *requestsClient) begin(ctx context.Context, k entry.Key) error {
 	reply, err := c.client.Begin(ctx, &requestpb.BeginRequest{Key: encodeKey(k)})
 	if err != nil {
@@ -208,6 +220,15 @@
 	return &requestpb.BeginReply{}, err
 }
 
+// State says what the instance knows of a key.
+func (s *requestsServer) State(ctx context.Context, q *requestpb.StateRequest) (*requestpb.StateReply, error) {
+	said, err := s.requests.State(ctx, decodeKey(q.Key))
+	if err != nil {
+		return nil, err
+	}
+	return &requestpb.StateReply{Begun: said.Begun, SinceMicros: said.Since.UnixMicro()}, nil
+}
+
 // Finish tells how the request with a key ended.
 func (s *requestsServer) Finish(ctx context.Context, q *requestpb.FinishRequest) (*requestpb.FinishReply, error) {
 	return &requestpb.FinishReply{}, s.requests.Finish(ctx, decodeKey(q.Key), entry.Outcome(q.Outcome))
--- a/wire_keys.go
+++ b/wire_keys.go
@@ -61,7 +61,11 @@
 // beginHere begins a key whose home is this instance. It never passes it on.
 func (i *Instance) beginHere(ctx context.Context, k entry.Key) error {
 	key := homeKey(k)
-	switch v := i.members.Begin(key); v.Kind {
+	v := i.members.Begin(key)
+	if v.Kind == home.AskFormer {
+		v = i.askFormer(ctx, k, v.Inquiry)
+	}
+	switch v.Kind {
 	case home.Run:
 		return nil
 	case home.JournalFirst:
@@ -73,6 +77,32 @@
 	}
 }
 
+// askTimeout bounds the question to a former home.
+const askTimeout = 300 * time.Millisecond
+
+// askFormer asks the former homes of a key and begins it if they exclude that they did.
+func (i *Instance) askFormer(ctx context.Context, k entry.Key, q home.Inquiry) home.Verdict {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	key := homeKey(k)
+	statements := map[string]home.Statement{}
+	for _, former := range q.Former {
+		requests, err := i.homeRequests(former)
+		if err != nil {
+			break
+		}
+		s, err := requests.State(ctx, k)
+		if err != nil {
+			break
+		}
+		statements[former] = s
+	}
+	if !q.Cleared(key, statements) {
+		return home.Verdict{Kind: home.Unknown}
+	}
+	return i.members.BeginCleared(key, q)
+}
+
 // journal writes a key without a time to the store.
 func (i *Instance) journal(ctx context.Context, k entry.Key) error {
 	fresh, err := i.keyJournal.Begin(ctx, homeKey(k))
--- a/wire_requests.go
+++ b/wire_requests.go
@@ -9,6 +9,7 @@
 
 	"github.com/oriolepond/oriolepond/internal/entry"
 	"github.com/oriolepond/oriolepond/internal/exchange"
+	"github.com/oriolepond/oriolepond/internal/home"
 	"github.com/oriolepond/oriolepond/internal/link"
 	"github.com/oriolepond/oriolepond/internal/peer"
 	"github.com/oriolepond/oriolepond/pkg/release"
@@ -80,8 +81,11 @@
 			}
 			return i.requests.Stream(ctx, q, to)
 		},
-		Begin:   i.beginHere,
-		Finish:  i.finishHere,
+		Begin:  i.beginHere,
+		Finish: i.finishHere,
+		State: func(_ context.Context, k entry.Key) (home.Statement, error) {
+			return i.members.State(homeKey(k)), nil
+		},
 		Resolve: i.resolve,
 	})
 }
