Chunks that an earlier copy holds are not parsed again; benchmarks of configuration

Cause: taking over a change of one declaration parsed the whole configuration. Ruled out: one chunk per declaration; its head would outgrow the change.

--- a/internal/config/apply.go
+++ b/internal/config/apply.go
@@ -141,7 +141,7 @@
 		a.since = h.Revision
 	}
 	a.based = true
-	base, err := newCopy(h, values)
+	base, err := newCopy(h, values, have)
 	return base, revision, err
 }
 
@@ -161,7 +161,7 @@
 		Note: a.note.Name, Digest: a.digest, Revision: next.Revision,
 		Accepted: a.keeper.now().UTC(), Entries: a.note.Entries(),
 	}
-	c, err := copyOf(next, a.note.Name)
+	c, err := copyOf(next, a.note.Name, base)
 	if err != nil {
 		return release.Report{}, err
 	}
--- /dev/null
+++ b/internal/config/bench_test.go
@@ -0,0 +1,201 @@
+package config_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/oriolepond/oriolepond/internal/config"
+	"github.com/oriolepond/oriolepond/internal/store"
+	"github.com/oriolepond/oriolepond/pkg/release"
+)
+
+// changePace is the time between two changes, so that one has settled before the next.
+const changePace = 300 * time.Millisecond
+
+// meter counts the calls of one keeper to the store, and the bytes both ways
+// without the headers of HTTP.
+type meter struct {
+	calls, bytes atomic.Int64
+}
+
+// RoundTrip makes one call.
+func (m *meter) RoundTrip(r *http.Request) (*http.Response, error) {
+	m.calls.Add(1)
+	m.bytes.Add(max(0, r.ContentLength))
+	answer, err := http.DefaultTransport.RoundTrip(r)
+	if err == nil {
+		answer.Body = &meteredBody{answer.Body, m}
+	}
+	return answer, err
+}
+
+type meteredBody struct {
+	io.ReadCloser
+	meter *meter
+}
+
+// Read counts what it reads.
+func (b *meteredBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.meter.bytes.Add(int64(n))
+	return n, err
+}
+
+// measured is a running fleet whose traffic is counted.
+type measured struct {
+	*fleet
+	meters    []*meter
+	announces atomic.Int64
+	adopted   chan time.Time
+}
+
+func newMeasured(b *testing.B, n int) *measured {
+	m := &measured{fleet: newFleet(b, n), adopted: make(chan time.Time, n*16)}
+	for i, k := range m.keepers {
+		one := &meter{}
+		m.meters = append(m.meters, one)
+		k.Store = store.NewEtcd([]string{m.url}, &http.Client{Transport: one})
+		k.Peers = func() []config.Peer { return m.countedPeers(i) }
+		k.Changed = func(release.Config) { m.adopted <- time.Now() }
+	}
+	return m
+}
+
+func (m *measured) countedPeers(i int) []config.Peer {
+	all := m.peersOf(i)
+	for j := range all {
+		announce := all[j].Announce
+		all[j].Announce = func(ctx context.Context, id string, revision int64) (int64, error) {
+			m.announces.Add(1)
+			return announce(ctx, id, revision)
+		}
+	}
+	return all
+}
+
+// change applies a note and returns the time from its acceptance until the
+// last keeper has it in force.
+func (m *measured) change(b *testing.B, n release.Note) time.Duration {
+	begun := time.Now()
+	report, err := m.keepers[0].Apply(b.Context(), n, 0)
+	require.NoError(b, err)
+	require.False(b, report.Refused(), "%+v", report)
+	last := begun
+	for range m.keepers {
+		last = <-m.adopted
+	}
+	return last.Sub(begun)
+}
+
+// neighbours is a note that declares n neighbours, each with a share, a service and a job.
+func neighbours(b *testing.B, n int) release.Note {
+	var list, shares, services, jobs []string
+	for i := range n {
+		list = append(list, fmt.Sprintf(`{"name": "n%d", "region": "r", "tokenHash": "%064x"}`, i, i))
+		shares = append(shares, fmt.Sprintf(`{"name": "s%d", "neighbour": "n%d", "quota": {"processors": 8, "memory": "16GB"}}`, i, i))
+		services = append(services, fmt.Sprintf(`{"name": "v%d", "neighbour": "n%d", "share": "s%d", "runner": {"processors": 2},
+			"routes": [{"path": "/a"}, {"path": "/b", "class": "nonIdempotent"}, {"path": "/c", "class": "stream"}]}`, i, i, i))
+		jobs = append(jobs, fmt.Sprintf(`{"name": "j%d", "neighbour": "n%d", "share": "s%d", "size": {"processors": 1}}`, i, i, i))
+	}
+	join := func(all []string) string { return strings.Join(all, ",") }
+	return note(b, "base", fmt.Sprintf(`"added": {"neighbours": [%s], "shares": [%s], "services": [%s], "jobs": [%s]}`,
+		join(list), join(shares), join(services), join(jobs)))
+}
+
+func quota(b *testing.B, i int) release.Note {
+	return note(b, fmt.Sprintf("change-%d", i), fmt.Sprintf(
+		`"changed": {"shares": [{"name": "s%d", "neighbour": "n%d", "quota": {"processors": %d, "memory": "16GB"}}]}`, i%10, i%10, 9+i))
+}
+
+// run makes b.N changes and reports the cost of each for each instance.
+func (m *measured) run(b *testing.B) {
+	run(b, m.keepers...)
+	m.change(b, neighbours(b, 10))
+	m.measure(b)
+}
+
+func (m *measured) measure(b *testing.B) {
+	pace := time.NewTicker(changePace)
+	defer pace.Stop()
+	<-pace.C
+	var calls, bytes int64
+	for _, one := range m.meters[1:] {
+		calls -= one.calls.Load()
+		bytes -= one.bytes.Load()
+	}
+	announces := -m.announces.Load()
+	var sum, longest time.Duration
+	for i := range b.N {
+		took := m.change(b, quota(b, i))
+		sum += took
+		longest = max(longest, took)
+		<-pace.C
+	}
+	for _, one := range m.meters[1:] {
+		calls += one.calls.Load()
+		bytes += one.bytes.Load()
+	}
+	announces += m.announces.Load()
+	others := float64(len(m.keepers) - 1)
+	b.ReportMetric(float64(sum.Microseconds())/1000/float64(b.N), "ms/inForce")
+	b.ReportMetric(float64(longest.Microseconds())/1000, "ms/inForceMax")
+	b.ReportMetric(float64(calls)/others/float64(b.N), "reads/change/instance")
+	b.ReportMetric(float64(bytes)/others/float64(b.N), "bytes/change/instance")
+	b.ReportMetric(float64(announces)/float64(len(m.keepers))/float64(b.N), "announces/change/instance")
+	b.ReportMetric(float64(m.store.Counts().Watches)/float64(len(m.keepers)), "watches/instance")
+	b.ReportMetric(0, "ns/op")
+}
+
+// Time from acceptance to in force everywhere, by the number of instances.
+func BenchmarkInForce(b *testing.B) {
+	for _, n := range []int{3, 7, 14, 28} {
+		b.Run(fmt.Sprintf("instances=%d", n), func(b *testing.B) { newMeasured(b, n).run(b) })
+	}
+}
+
+// Cost of one change for one instance, by the size of the configuration.
+func BenchmarkChange(b *testing.B) {
+	for _, n := range []int{10, 100, 280} {
+		b.Run(fmt.Sprintf("neighbours=%d", n), func(b *testing.B) {
+			m := newMeasured(b, 7)
+			run(b, m.keepers...)
+			m.change(b, neighbours(b, n))
+			m.measure(b)
+			size := 0
+			for _, hash := range m.keepers[1].Copy().Hashes() {
+				size += len(m.keepers[1].Copy().Chunk(hash))
+			}
+			b.ReportMetric(float64(size), "bytes/configuration")
+		})
+	}
+}
+
+// Processor time of taking over a configuration of which one declaration changed.
+func BenchmarkAdopt(b *testing.B) {
+	for _, n := range []int{10, 100, 280} {
+		b.Run(fmt.Sprintf("neighbours=%d", n), func(b *testing.B) {
+			f := newFleet(b, 1)
+			mustApply(b, f.keepers[0], neighbours(b, n))
+			before := f.keepers[0].Copy()
+			mustApply(b, f.keepers[0], quota(b, 0))
+			after := f.keepers[0].Copy()
+			sent := map[string][]byte{}
+			for _, hash := range after.Hashes() {
+				sent[hash] = after.Chunk(hash)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				_, err := config.Received(after.Head(), sent, before)
+				require.NoError(b, err)
+			}
+		})
+	}
+}
--- a/internal/config/copy.go
+++ b/internal/config/copy.go
@@ -31,31 +31,40 @@
 type Copy struct {
 	head   Head
 	values map[string][]byte
+	// parts are what the chunks hold, by hash.
+	parts  map[string]release.Config
 	config release.Config
 }
 
-// newCopy reads a configuration from the chunks that a head names.
-func newCopy(h Head, values map[string][]byte) (Copy, error) {
-	chunks := make([][]byte, len(h.Chunks))
-	for i, hash := range h.Chunks {
+// newCopy reads a configuration from the chunks that a head names; those that
+// an earlier copy holds are not read again.
+func newCopy(h Head, values map[string][]byte, earlier Copy) (Copy, error) {
+	c := Copy{head: h, values: values, parts: make(map[string]release.Config, len(values))}
+	var parts []release.Config
+	for _, hash := range h.Chunks {
 		if hash == "" {
 			continue
 		}
-		value, ok := values[hash]
-		if !ok || hashOf(value) != hash {
-			return Copy{}, &MissingChunkError{Revision: h.Revision, Hash: hash}
+		part, ok := earlier.parts[hash]
+		if !ok {
+			value, sent := values[hash]
+			if !sent || hashOf(value) != hash {
+				return Copy{}, &MissingChunkError{Revision: h.Revision, Hash: hash}
+			}
+			var err error
+			if part, err = release.ParseChunk(value); err != nil {
+				return Copy{}, fmt.Errorf("configuration %d: %w", h.Revision, err)
+			}
 		}
-		chunks[i] = value
+		c.parts[hash] = part
+		parts = append(parts, part)
 	}
-	c, err := release.FromChunks(h.Revision, chunks)
-	if err != nil {
-		return Copy{}, err
-	}
-	return Copy{head: h, values: values, config: c.WithIndex()}, nil
+	c.config = release.Join(h.Revision, parts).WithIndex()
+	return c, nil
 }
 
 // copyOf splits a configuration into chunks.
-func copyOf(c release.Config, note string) (Copy, error) {
+func copyOf(c release.Config, note string, earlier Copy) (Copy, error) {
 	chunks, err := release.Chunks(c)
 	if err != nil {
 		return Copy{}, err
@@ -68,7 +77,7 @@
 			values[h.Chunks[i]] = text
 		}
 	}
-	return Copy{head: h, values: values, config: c.WithIndex()}, nil
+	return newCopy(h, values, earlier)
 }
 
 // Head returns the copy's head.
--- a/internal/config/keeper.go
+++ b/internal/config/keeper.go
@@ -152,7 +152,7 @@
 	if err != nil {
 		return err
 	}
-	c, err := newCopy(h, values)
+	c, err := newCopy(h, values, have)
 	if err != nil {
 		k.Log.Emit(eventlog.ConfigRejected, zap.Error(err))
 		return nil
--- a/internal/config/remote.go
+++ b/internal/config/remote.go
@@ -14,5 +14,5 @@
 			values[hash] = have.values[hash]
 		}
 	}
-	return newCopy(h, values)
+	return newCopy(h, values, have)
 }
--- a/pkg/release/chunk.go
+++ b/pkg/release/chunk.go
@@ -1,7 +1,6 @@
 package release
 
 import (
-	"fmt"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -51,17 +50,15 @@
 	}
 }
 
-// FromChunks returns the configuration of a revision from its chunks.
-func FromChunks(revision int64, chunks [][]byte) (Config, error) {
+// ParseChunk returns the part of a configuration that a chunk holds.
+func ParseChunk(text []byte) (Config, error) {
+	return ParseConfig("chunk", text)
+}
+
+// Join returns the configuration of a revision from its parts.
+func Join(revision int64, parts []Config) Config {
 	c := Config{Revision: revision}
-	for i, text := range chunks {
-		if len(text) == 0 {
-			continue
-		}
-		p, err := ParseConfig(fmt.Sprintf("configuration %d chunk %d", revision, i), text)
-		if err != nil {
-			return Config{}, err
-		}
+	for _, p := range parts {
 		c.Neighbours = append(c.Neighbours, p.Neighbours...)
 		c.Shares = append(c.Shares, p.Shares...)
 		c.Services = append(c.Services, p.Services...)
@@ -75,5 +72,5 @@
 	sortByName(c.Jobs)
 	sortByName(c.YieldRules)
 	slices.SortFunc(c.Origins, compareOrigins)
-	return c, nil
+	return c
 }
--- a/pkg/release/fuzz_test.go
+++ b/pkg/release/fuzz_test.go
@@ -35,8 +35,14 @@
 		require.Equal(t, report.Refused(), c.Revision == 0)
 		chunks, err := release.Chunks(c)
 		require.NoError(t, err)
-		back, err := release.FromChunks(c.Revision, chunks)
-		require.NoError(t, err)
-		require.Equal(t, c, back)
+		var parts []release.Config
+		for _, chunk := range chunks {
+			if len(chunk) > 0 {
+				part, err := release.ParseChunk(chunk)
+				require.NoError(t, err)
+				parts = append(parts, part)
+			}
+		}
+		require.Equal(t, c, release.Join(c.Revision, parts))
 	})
 }
