--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -15,6 +15,9 @@
 // loadLength is how long the load of one case lasts; longer than any fault.
 const loadLength = 7 * time.Second
 
+// concurrentCases bounds the cases that run at once.
+const concurrentCases = 3
+
 // Each fault, under load on real processes, breaks no rule.
 func TestRulesHoldUnderFaults(t *testing.T) {
 	cases := []struct {
@@ -37,8 +40,12 @@
 		{"waves of noise and cancellations", "cairo", []demo.Fault{demo.NoisyWave, demo.CancelWave}},
 		{"an instance is killed in an outage", "cairo", []demo.Fault{demo.StoreOutage, demo.EntryCrash}},
 	}
+	turns := make(chan struct{}, concurrentCases)
 	for n, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			turns <- struct{}{}
+			defer func() { <-turns }()
 			e, ok := examples.Find(c.example)
 			require.True(t, ok)
 			dir := t.TempDir()
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -135,7 +135,7 @@
 	}
 	defer d.network.Close()
 	defer d.cluster.Close()
-	defer d.stopInstances()
+	defer d.endInstances()
 	if err := d.startInstances(ctx); err != nil {
 		return Report{}, err
 	}
--- a/internal/demo/instances.go
+++ b/internal/demo/instances.go
@@ -63,7 +63,7 @@
 	dc := d.Example.DataCentres[place%len(d.Example.DataCentres)]
 	i := &instance{
 		id:      fmt.Sprintf("entry-%d", d.started),
-		address: loopback(d.started),
+		address: loopback(int(addresses.Add(1))),
 		site:    standin.Site{Region: dc.Region, DataCentre: dc.Name},
 		ended:   make(chan struct{}),
 	}
@@ -97,6 +97,9 @@
 	return nil
 }
 
+// addresses counts the loopback addresses given out by this process.
+var addresses atomic.Int64
+
 // loopback returns the loopback address of an instance, distinct between processes of this program.
 func loopback(n int) string {
 	pid := os.Getpid()
@@ -158,21 +161,16 @@
 	return nil
 }
 
-// stopInstances makes a planned stop of every instance.
-func (d *Demo) stopInstances() {
+// endInstances ends every instance at once; nothing depends on them any more.
+func (d *Demo) endInstances() {
 	d.mu.Lock()
 	all := append([]*instance(nil), d.all...)
 	d.mu.Unlock()
 	for _, i := range all {
-		i.process.Stop()
+		i.process.Kill()
 	}
 	for _, i := range all {
-		select {
-		case <-i.ended:
-		case <-time.After(startTimeout):
-			i.process.Kill()
-			<-i.ended
-		}
+		<-i.ended
 	}
 }
 
