--- a/examples/examples.go
+++ b/examples/examples.go
@@ -19,6 +19,18 @@
 //go:embed cairo/note.jsonc
 var cairoNote []byte
 
+//go:embed bajio/next.jsonc
+var bajioNext []byte
+
+//go:embed cairo/next.jsonc
+var cairoNext []byte
+
+//go:embed bajio/settings.jsonc
+var bajioSettings []byte
+
+//go:embed cairo/settings.jsonc
+var cairoSettings []byte
+
 // DataCentre is a data centre within its region.
 type DataCentre struct {
 	Name   string
@@ -37,8 +49,11 @@
 // Example is one deployment.
 type Example struct {
 	Name string
-	// Note is the text of its first release note.
-	Note        []byte
+	// Note is the text of its first release note, and Next that of its second.
+	Note []byte
+	Next []byte
+	// Settings is the text of the settings of one entry instance.
+	Settings    []byte
 	DataCentres []DataCentre
 	Service     string
 	// Runners is the number of runners, each with Slots and Connections.
@@ -74,6 +89,8 @@
 	return Example{
 		Name:           "bajio",
 		Note:           bajioNote,
+		Next:           bajioNext,
+		Settings:       bajioSettings,
 		DataCentres:    []DataCentre{{"bajio-a", "bajio"}, {"bajio-b", "bajio"}, {"norte-a", "norte"}},
 		Service:        "finish",
 		Runners:        50,
@@ -96,6 +113,8 @@
 	return Example{
 		Name:           "cairo",
 		Note:           cairoNote,
+		Next:           cairoNext,
+		Settings:       cairoSettings,
 		DataCentres:    []DataCentre{{"cairo-nasr", "cairo"}, {"cairo-giza", "cairo"}, {"aswan-yard", "upper-egypt"}},
 		Service:        "permit-desk",
 		Runners:        50,
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/oriolepond/oriolepond/examples"
 	"github.com/oriolepond/oriolepond/internal/jsonc"
 	"github.com/oriolepond/oriolepond/internal/settings"
 )
@@ -142,6 +143,14 @@
 	}
 }
 
+func TestExampleSettings(t *testing.T) {
+	for _, e := range examples.All() {
+		s, err := settings.Parse(e.Name, e.Settings)
+		require.NoError(t, err)
+		require.Contains(t, e.DataCentres, examples.DataCentre{Name: s.DataCentre, Region: s.Region})
+	}
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(`{"id": "a", "storeUrls": ["http://x"], "listen": "127.0.0.1:1"}`))
 	f.Add([]byte(`{"leaseTtl": "1e9h", "storeUrls": [[]]} // x`))
--- a/pkg/release/release_test.go
+++ b/pkg/release/release_test.go
@@ -25,6 +25,20 @@
 	}
 }
 
+// The second note of each example fits the first.
+func TestExamplesFollowOneAnother(t *testing.T) {
+	for _, e := range examples.All() {
+		t.Run(e.Name, func(t *testing.T) {
+			first, err := release.Parse(e.Name, e.Note)
+			require.NoError(t, err)
+			config, _ := release.Apply(release.Config{}, first)
+			next, err := release.Parse(e.Name, e.Next)
+			require.NoError(t, err)
+			require.NoError(t, release.Check(e.Name, config, next))
+		})
+	}
+}
+
 func TestRefusedNoteChangesNothing(t *testing.T) {
 	note, err := release.Parse("bajio", examples.All()[0].Note)
 	require.NoError(t, err)
