--- a/internal/store/etcd.go
+++ b/internal/store/etcd.go
@@ -120,6 +120,7 @@
 	defer cancel()
 	r, err := e.post(ctx, path, request)
 	if err != nil {
+		e.distrust()
 		return &UnavailableError{Call: path, Err: err}
 	}
 	defer r.Body.Close()
@@ -136,6 +137,10 @@
 	return nil
 }
 
+// distrust closes the idle connections after a call or a watch got no answer:
+// whatever made that connection go silent may have silenced them, too.
+func (e *etcd) distrust() { e.http.CloseIdleConnections() }
+
 // refusal returns the error for a status other than OK.
 func refusal(path string, status int, body []byte) error {
 	var w statusAnswer
--- a/internal/store/watch.go
+++ b/internal/store/watch.go
@@ -22,6 +22,7 @@
 	create := watchCreate{Key: []byte(prefix), RangeEnd: PrefixEnd(prefix), StartRevision: number(from), ProgressNotify: true}
 	r, err := e.post(ctx, "/v3/watch", watchRequest{Create: create})
 	if err != nil {
+		e.distrust()
 		return &UnavailableError{Call: "watch", Err: err}
 	}
 	defer r.Body.Close()
@@ -32,6 +33,7 @@
 	for {
 		var answer watchAnswer
 		if err := decoder.Decode(&answer); err != nil {
+			e.distrust()
 			return &UnavailableError{Call: "watch", Err: err}
 		}
 		silence.Reset(progressLimit)
