--- a/internal/standin/runner.go
+++ b/internal/standin/runner.go
@@ -1,10 +1,12 @@
 package standin
 
 import (
+	"context"
 	"fmt"
 	"hash/fnv"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -16,6 +18,7 @@
 	headerRequestID = "Oriolepond-Request-Id"
 	headerKey       = "Oriolepond-Key"
 	headerOutcome   = "Oriolepond-Outcome"
+	headerDeadline  = "Oriolepond-Deadline-Millis"
 	outcomeNotRun   = "notRun"
 )
 
@@ -123,6 +126,8 @@
 
 // ServeHTTP runs one request.
 func (r *Runner) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	q, cancel := withDeadline(q)
+	defer cancel()
 	active := r.active.Add(1)
 	defer r.active.Add(-1)
 	if since := r.leaving.Load(); since > 0 && time.Since(time.Unix(0, since)) > LeaveGrace {
@@ -157,6 +162,16 @@
 	_, _ = io.WriteString(w, answer)
 }
 
+// withDeadline bounds a request by the time that its sender gives it.
+func withDeadline(q *http.Request) (*http.Request, context.CancelFunc) {
+	millis, err := strconv.ParseInt(q.Header.Get(headerDeadline), 10, 64)
+	if err != nil {
+		return q, func() {}
+	}
+	ctx, cancel := context.WithTimeout(q.Context(), time.Duration(millis)*time.Millisecond)
+	return q.WithContext(ctx), cancel
+}
+
 // misbehave applies the fault and reports whether the request is dealt with.
 func (r *Runner) misbehave(w http.ResponseWriter, q *http.Request, request string) bool {
 	f := r.fault.Load()
