Events and metrics of the request plane; a caller that leaves is tested through the front

Cause: ejections of targets and the outcomes of requests showed nowhere. Conclusion: the caller's end was passed on already; the test first failed for its own target, which did not read the body.

--- a/internal/entry/dispatcher.go
+++ b/internal/entry/dispatcher.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/oriolepond/oriolepond/internal/eventlog"
 	"github.com/oriolepond/oriolepond/internal/exchange"
 	"github.com/oriolepond/oriolepond/internal/link"
 	"github.com/oriolepond/oriolepond/internal/target"
@@ -35,6 +36,8 @@
 	Keys *Keys
 	// StreamContext returns the context of a stream, which may end it early.
 	StreamContext func(ctx context.Context) (context.Context, context.CancelFunc)
+	// Log takes events; nil means that nobody reads them.
+	Log *eventlog.Log
 	// Recorded takes the end of each caller's request.
 	Recorded func(Sample)
 
--- a/internal/entry/front_test.go
+++ b/internal/entry/front_test.go
@@ -180,3 +180,29 @@
 		}
 	})
 }
+
+// A caller that leaves ends its request at the target, and the slot is free again.
+func TestCallerThatLeavesEndsItsRequest(t *testing.T) {
+	working, cancelled := make(chan struct{}), make(chan struct{})
+	address := listen(t, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body) // Go's server looks for the caller's end only then.
+		close(working)
+		<-r.Context().Done()
+		close(cancelled)
+	}))
+	d := newDispatcher([]target.Target{{ID: "x", Service: "s", Address: address, Slots: 1}})
+	front := listen(t, newFront(d))
+	c, err := net.Dial("tcp", front)
+	require.NoError(t, err)
+	_, err = fmt.Fprintf(c, "POST /s/s/check HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: 4\r\n\r\nbody", token)
+	require.NoError(t, err)
+	for _, step := range []chan struct{}{working, cancelled} {
+		select {
+		case <-step:
+		case <-time.After(patience):
+			require.FailNow(t, "the target did not learn that the caller left")
+		}
+		_ = c.Close()
+	}
+	(&bench{Dispatcher: d}).drained(t)
+}
--- a/internal/entry/sample.go
+++ b/internal/entry/sample.go
@@ -67,9 +67,14 @@
 	return s
 }
 
-// record hands the sample of a caller's request on; the instance that forwarded a request records it.
+// record counts the end of a caller's request; the instance that forwarded a request records it.
 func (d *Dispatcher) record(q Request, t trip, status int, err error) {
-	if d.Recorded != nil && !q.Forwarded {
-		d.Recorded(t.sample(q, status, err))
+	if q.Forwarded {
+		return
+	}
+	s := t.sample(q, status, err)
+	s.count()
+	if d.Recorded != nil {
+		d.Recorded(s)
 	}
 }
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -149,7 +149,8 @@
 	if err != nil {
 		result = r.blame(ctx, taken, err)
 	}
-	r.dispatcher.Targets.Report(p.slot, result, taken, now)
+	change := r.dispatcher.Targets.Report(p.slot, result, taken, now)
+	r.dispatcher.tell(change, p.slot.Target)
 }
 
 // blame returns what an attempt without an answer tells of its target: nothing
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -73,6 +73,7 @@
 	}
 	q := r.request
 	q.MayQueue = p.remote || r.dispatcher.Targets.Capacity(q.Service.Name) == 0
+	forwardedTotal.Inc()
 	err := p.peer.Stream(ctx, q, to)
 	var cut *CutError
 	if err == nil || errors.As(err, &cut) {
--- a/internal/entry/whole.go
+++ b/internal/entry/whole.go
@@ -118,6 +118,7 @@
 	}
 	q := r.request
 	q.MayQueue = p.remote || r.dispatcher.Targets.Capacity(q.Service.Name) == 0
+	forwardedTotal.Inc()
 	a, err := p.peer.Do(ctx, q)
 	if p.remote {
 		r.dispatcher.linkIn(r.request, len(a.Body)+requestOverhead)
--- a/internal/target/group.go
+++ b/internal/target/group.go
@@ -135,19 +135,22 @@
 }
 
 // judge ejects a target that fails everything, and takes one back that answered a probe.
-func (g *group) judge(s *state, r Result, probe bool, now time.Time) {
+func (g *group) judge(s *state, r Result, probe bool, now time.Time) Change {
 	switch {
 	case r == Succeeded && s.ejected() && probe:
 		s.health.readmit(now)
 		g.dropEjected(s)
 		g.place(s)
+		return Readmitted
 	case s.ejected() && probe && r != Abandoned:
 		s.health.eject(now)
 	case !s.ejected() && s.health.failing() && g.mayEject():
 		s.health.eject(now)
 		g.ejected = append(g.ejected, s)
 		g.place(s)
+		return Ejected
 	}
+	return Unchanged
 }
 
 // maxEjected is the greatest part of a service's targets that is ejected at once, as a divisor.
--- a/internal/target/table.go
+++ b/internal/target/table.go
@@ -138,16 +138,16 @@
 	}
 }
 
-// Report tells how an attempt ended after the time taken.
-func (t *Table) Report(slot Slot, r Result, taken time.Duration, now time.Time) {
+// Report tells how an attempt ended after the time taken, and returns what that changes for the target.
+func (t *Table) Report(slot Slot, r Result, taken time.Duration, now time.Time) Change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := slot.state
 	if s.group == nil {
-		return
+		return Unchanged
 	}
 	s.health.report(r, taken)
-	s.group.judge(s, r, slot.Probe, now)
+	return s.group.judge(s, r, slot.Probe, now)
 }
 
 // InFlight returns the requests in flight at all targets.
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -64,6 +64,16 @@
 	Now        time.Time
 }
 
+// Change is what an attempt changed for its target.
+type Change string
+
+// The changes.
+const (
+	Unchanged  Change = ""
+	Ejected    Change = "ejected"
+	Readmitted Change = "readmitted"
+)
+
 // Result is how an attempt at a target ended, as far as it tells of the target.
 type Result string
 
--- a/wire_requests.go
+++ b/wire_requests.go
@@ -37,6 +37,7 @@
 		},
 		QueuedPerTarget: i.Settings.QueuedPerTarget,
 		WeightOf:        i.weightOf,
+		Log:             i.Log,
 		Link:            link.New(link.BytesPerSecond(i.Settings.LinkBitsPerSecond)),
 	}
 }
