--- /dev/null
+++ b/internal/shard/property_test.go
@@ -0,0 +1,135 @@
+package shard
+
+import (
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/oriolepond/oriolepond/internal/task"
+	"github.com/oriolepond/oriolepond/pkg/share"
+)
+
+// check fails if a rule of the product is broken at this moment.
+func (w *world) check(t require.TestingT) {
+	require.Zero(t, w.ledger.DoubleRuns(), "a task ran in two places")
+	require.Zero(t, w.ledger.Overcommits(), "a worker was over its capacity")
+	require.Zero(t, w.ledger.ResumeDoubles(), "a checkpoint was resumed twice")
+	require.Zero(t, w.ledger.ResumeLosses(), "a committed checkpoint was not resumed")
+	for _, h := range w.holders {
+		for _, s := range w.workers {
+			var held share.Resources
+			if known, ok := h.core.workers[s.ID]; ok {
+				for _, e := range known.tasks {
+					held = held.Plus(e.Size)
+				}
+			}
+			require.True(t, held.Fits(s.Capacity), "a holder promises more than a worker has")
+		}
+	}
+}
+
+// No interleaving of crashes, pauses, lost, late and doubled messages,
+// take-overs and outages of the store breaks a rule, and once all faults end
+// every accepted job ends with each of its tasks finished once or cancelled.
+func TestRulesHoldUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld()
+		t.Repeat(w.actions())
+		require.True(t, w.heal(), "a job does not end after all faults have")
+		w.check(t)
+		for id, tasks := range w.accepted {
+			s, err := w.holders[0].core.Describe("n", id)
+			require.NoError(t, err, "an accepted job is lost")
+			require.Equal(t, tasks, s.States[task.Finished]+s.States[task.Cancelled], "of job %s: %v", id, s.States)
+			if !w.cancelled[id] {
+				require.Equal(t, tasks, s.States[task.Finished], "of job %s: %v", id, s.States)
+			}
+		}
+	})
+}
+
+// actions are the steps that the test draws from.
+func (w *world) actions() map[string]func(*rapid.T) {
+	withHolder := func(f func(t *rapid.T, h *worldHolder)) func(*rapid.T) {
+		return func(t *rapid.T) {
+			if len(w.holders) == 0 {
+				w.take()
+				return
+			}
+			f(t, rapid.SampledFrom(w.holders).Draw(t, "holder"))
+		}
+	}
+	onWorker := rapid.IntRange(0, worldWorkers-1)
+	fates := rapid.SampledFrom([]fate{answered, answered, answered, answered, answerLost, lostSend, delayed})
+	exchange := withHolder(func(t *rapid.T, h *worldHolder) {
+		w.exchange(h, onWorker.Draw(t, "worker"), fates.Draw(t, "fate"))
+	})
+	commit := withHolder(func(t *rapid.T, h *worldHolder) {
+		w.commit(h, rapid.IntRange(0, 4).Draw(t, "answer") == 0)
+	})
+	return map[string]func(*rapid.T){
+		"": func(t *rapid.T) { w.check(t) },
+		"pass": func(t *rapid.T) {
+			w.advance(rapid.SampledFrom([]time.Duration{time.Second, 3 * time.Second, 16 * time.Second}).Draw(t, "time"))
+		},
+		"longPause": func(t *rapid.T) { w.advance(w.timing.Grace + w.timing.lapse() + time.Second) },
+		"submit": withHolder(func(t *rapid.T, h *worldHolder) {
+			family := rapid.SampledFrom([]string{"batch", "plain", "urgent"}).Draw(t, "family")
+			w.submit(h, family, rapid.IntRange(1, 4).Draw(t, "tasks"))
+		}),
+		"cancel": withHolder(func(t *rapid.T, h *worldHolder) {
+			if len(w.accepted) == 0 {
+				return
+			}
+			id := rapid.SampledFrom(slices.Sorted(maps.Keys(w.accepted))).Draw(t, "job")
+			w.cancelled[id] = true
+			_, _ = h.core.Cancel("n", id, w.now)
+		}),
+		"yield": withHolder(func(t *rapid.T, h *worldHolder) {
+			i := onWorker.Draw(t, "worker")
+			for _, e := range h.core.worker(w.workers[i].ID).sorted() {
+				h.core.Yield(e.id, w.now)
+			}
+		}),
+		"commit": commit, "commit2": commit, "commit3": commit,
+		"exchange": exchange, "exchange2": exchange, "exchange3": exchange, "exchange4": exchange,
+		"round": withHolder(func(_ *rapid.T, h *worldHolder) {
+			w.keepAlive(h)
+			w.commit(h, false)
+			for i := range w.workers {
+				w.exchange(h, i, answered)
+			}
+		}),
+		"keepAlive": withHolder(func(_ *rapid.T, h *worldHolder) { w.keepAlive(h) }),
+		"take":      func(*rapid.T) { w.take() },
+		"handOver":  withHolder(func(_ *rapid.T, h *worldHolder) { w.handOver(h) }),
+		"holderCrash": withHolder(func(_ *rapid.T, h *worldHolder) {
+			w.drop(h)
+		}),
+		"arrive": func(t *rapid.T) {
+			if len(w.stuck) > 0 {
+				w.arrive(rapid.IntRange(0, len(w.stuck)-1).Draw(t, "message"))
+			}
+		},
+		"workerCrash": func(t *rapid.T) { w.workers[onWorker.Draw(t, "worker")].Crash() },
+		"workerBroken": func(t *rapid.T) {
+			w.workers[onWorker.Draw(t, "worker")].SetBroken(rapid.Bool().Draw(t, "broken"))
+		},
+		"cut": func(t *rapid.T) {
+			i := onWorker.Draw(t, "worker")
+			w.cut[i] = !w.cut[i]
+		},
+		"gone": func(t *rapid.T) {
+			i := onWorker.Draw(t, "worker")
+			if !w.gone[i] {
+				w.workers[i].Crash()
+			}
+			w.gone[i] = !w.gone[i]
+		},
+		"store": func(*rapid.T) { w.storeUp = !w.storeUp },
+	}
+}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -55,6 +55,8 @@
 	done    time.Duration
 	at      time.Time
 	expires time.Time
+	// doubted says that its end was not acknowledged while its lease held.
+	doubted bool
 }
 
 // SetBroken makes the worker fail each task that it starts.
@@ -70,13 +72,12 @@
 	defer w.mu.Unlock()
 	w.advance(w.now())
 	for _, t := range w.tasks {
-		finished := t.report.State == worker.TaskFinished
-		if !t.report.State.Final() {
-			w.Ledger.end(t.report.Task, t.report.Job, false)
-			w.Ledger.lose(t.command.Resume)
-		} else if finished {
-			w.Ledger.doubt(t.report.Task)
+		if t.report.State.Final() {
+			w.doubt(t)
+			continue
 		}
+		w.Ledger.end(t.report.Task, t.report.Job, false)
+		w.Ledger.lose(t.command.Resume)
 	}
 	w.tasks = nil
 	w.epoch = 0
@@ -92,6 +93,29 @@
 	return time.Now()
 }
 
+// Advance brings all tasks up to the present time.
+func (w *Worker) Advance() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance(w.now())
+}
+
+// doubt notes an end that its holder may never come to know: the holder may
+// rightly run the task again from where this incarnation began.
+func (w *Worker) doubt(t *workerTask) {
+	if t.doubted {
+		return
+	}
+	t.doubted = true
+	switch t.report.State {
+	case worker.TaskFinished:
+		w.Ledger.doubt(t.report.Task)
+		w.Ledger.lose(t.command.Resume)
+	case worker.TaskCheckpointed:
+		w.Ledger.lose(t.command.Resume)
+	}
+}
+
 // boot names the present start of the worker.
 func (w *Worker) boot() string { return fmt.Sprintf("%s#%d", w.ID, w.boots) }
 
@@ -204,6 +228,9 @@
 func (w *Worker) advance(now time.Time) {
 	for _, t := range w.tasks {
 		if t.report.State.Final() {
+			if now.After(t.expires) {
+				w.doubt(t)
+			}
 			continue
 		}
 		until := now
