--- a/internal/shard/property_test.go
+++ b/internal/shard/property_test.go
@@ -38,6 +38,9 @@
 func TestRulesHoldUnderFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld()
+		if rapid.Bool().Draw(t, "busy") {
+			w.fill()
+		}
 		t.Repeat(w.actions())
 		require.True(t, w.heal(), "a job does not end after all faults have")
 		w.check(t)
@@ -71,6 +74,8 @@
 	commit := withHolder(func(t *rapid.T, h *worldHolder) {
 		w.commit(h, rapid.IntRange(0, 4).Draw(t, "answer") == 0)
 	})
+	round := withHolder(func(_ *rapid.T, h *worldHolder) { w.round(h) })
+	fractions := []time.Duration{0, 40 * time.Millisecond, 100 * time.Millisecond, 500 * time.Millisecond}
 	return map[string]func(*rapid.T){
 		"": func(t *rapid.T) { w.check(t) },
 		"pass": func(t *rapid.T) {
@@ -97,13 +102,10 @@
 		}),
 		"commit": commit, "commit2": commit, "commit3": commit,
 		"exchange": exchange, "exchange2": exchange, "exchange3": exchange, "exchange4": exchange,
-		"round": withHolder(func(_ *rapid.T, h *worldHolder) {
-			w.keepAlive(h)
-			w.commit(h, false)
-			for i := range w.workers {
-				w.exchange(h, i, answered)
-			}
-		}),
+		"round": round, "round2": round, "round3": round,
+		"coast": func(t *rapid.T) {
+			w.coast(rapid.IntRange(1, 20).Draw(t, "seconds"), rapid.SampledFrom(fractions).Draw(t, "fraction"))
+		},
 		"keepAlive": withHolder(func(_ *rapid.T, h *worldHolder) { w.keepAlive(h) }),
 		"take":      func(*rapid.T) { w.take() },
 		"handOver":  withHolder(func(_ *rapid.T, h *worldHolder) { w.handOver(h) }),
@@ -124,11 +126,7 @@
 			w.cut[i] = !w.cut[i]
 		},
 		"gone": func(t *rapid.T) {
-			i := onWorker.Draw(t, "worker")
-			if !w.gone[i] {
-				w.workers[i].Crash()
-			}
-			w.gone[i] = !w.gone[i]
+			w.replace(onWorker.Draw(t, "worker"))
 		},
 		"store": func(*rapid.T) { w.storeUp = !w.storeUp },
 	}
--- a/internal/shard/world_test.go
+++ b/internal/shard/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/oriolepond/oriolepond/internal/journal"
@@ -16,7 +17,7 @@
 const (
 	worldWorkers = 3
 	worldTTL     = 5 * time.Second
-	worldRun     = 20 * time.Second
+	worldRun     = 60 * time.Second
 	worldDrift   = 0.009
 )
 
@@ -283,6 +284,47 @@
 	}
 }
 
+// round lets a holder renew, commit and speak to each worker once.
+func (w *world) round(h *worldHolder) {
+	w.keepAlive(h)
+	w.commit(h, false)
+	for i := range w.workers {
+		w.exchange(h, i, answered)
+	}
+}
+
+// coast lets time pass with all holders at work; it may end on a fraction of a second.
+func (w *world) coast(seconds int, fraction time.Duration) {
+	for range seconds {
+		w.advance(time.Second)
+		for _, h := range slices.Clone(w.holders) {
+			w.round(h)
+		}
+	}
+	w.advance(fraction)
+	for range 2 {
+		for _, h := range slices.Clone(w.holders) {
+			w.round(h)
+		}
+	}
+}
+
+// fill brings the pool to work.
+func (w *world) fill() {
+	for _, family := range []string{"batch", "plain", "batch"} {
+		w.submit(w.holders[0], family, 2)
+	}
+	w.coast(3, 0)
+}
+
+// replace takes a worker away for good, or brings a new one in its place.
+func (w *world) replace(i int) {
+	if !w.gone[i] {
+		w.workers[i].Crash()
+	}
+	w.gone[i] = !w.gone[i]
+}
+
 // heal ends all faults and runs until every accepted job has ended.
 func (w *world) heal() bool {
 	w.storeUp = true
@@ -293,12 +335,8 @@
 	for range 3000 {
 		w.advance(time.Second)
 		w.take()
-		for _, h := range append([]*worldHolder(nil), w.holders...) {
-			w.keepAlive(h)
-			w.commit(h, false)
-			for i := range w.workers {
-				w.exchange(h, i, answered)
-			}
+		for _, h := range slices.Clone(w.holders) {
+			w.round(h)
 		}
 		if w.settled() {
 			return true
--- a/internal/standin/taskledger.go
+++ b/internal/standin/taskledger.go
@@ -14,7 +14,7 @@
 	// resumed counts the resumptions of each checkpoint that were not lost with their worker or failed.
 	resumed map[string]int
 	// expected is the checkpoint that a task resumes from next, once a holder has acknowledged it.
-	expected map[string]string
+	expected map[string]savedPoint
 	// doubted are tasks whose end may be known to nobody.
 	doubted map[string]bool
 	used    map[string]worker.Usage
@@ -31,7 +31,7 @@
 		running:  map[string]int{},
 		finished: map[string]int{},
 		resumed:  map[string]int{},
-		expected: map[string]string{},
+		expected: map[string]savedPoint{},
 		doubted:  map[string]bool{},
 		used:     map[string]worker.Usage{},
 		families: map[string]int{},
@@ -116,7 +116,7 @@
 		l.doubleRuns++
 	}
 	l.starts++
-	if l.expected[task] != "" && l.expected[task] != resume {
+	if saved := l.expected[task].checkpoint; saved != "" && saved != resume {
 		l.resumeLosses++
 	}
 	if resume == "" {
@@ -161,11 +161,19 @@
 	l.doubted[task] = true
 }
 
+// savedPoint is an acknowledged checkpoint and the incarnation that made it.
+type savedPoint struct {
+	incarnation int64
+	checkpoint  string
+}
+
 // expect notes the checkpoint that the next incarnation of a task resumes from.
-func (l *TaskLedger) expect(task, checkpoint string) {
+func (l *TaskLedger) expect(task string, incarnation int64, checkpoint string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.expected[task] = checkpoint
+	if incarnation > l.expected[task].incarnation {
+		l.expected[task] = savedPoint{incarnation: incarnation, checkpoint: checkpoint}
+	}
 }
 
 func (l *TaskLedger) use(job string, u worker.Usage) {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -219,7 +219,7 @@
 		return
 	}
 	if t.report.State == worker.TaskCheckpointed {
-		w.Ledger.expect(a.Task, t.report.Checkpoint)
+		w.Ledger.expect(a.Task, a.Incarnation, t.report.Checkpoint)
 	}
 	delete(w.tasks, a.Task)
 }
