Worker stand-in: a checkpoint acknowledged late or superseded is no lost resumption

Cause: the check took the acknowledgement as the only sign that a checkpoint is committed; seen: resume j1-0/3/6.018s where j1-0/1/1.982s was acknowledged, the later one being committed before its worker was gone.

--- a/internal/standin/checkpoint.go
+++ b/internal/standin/checkpoint.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -20,3 +21,16 @@
 	}
 	return d
 }
+
+// checkpointIncarnation returns the incarnation that made a checkpoint, or 0.
+func checkpointIncarnation(c string) int64 {
+	parts := strings.Split(c, "/")
+	if len(parts) < 3 {
+		return 0
+	}
+	n, err := strconv.ParseInt(parts[len(parts)-2], 10, 64)
+	if err != nil {
+		return 0
+	}
+	return n
+}
--- a/internal/standin/taskledger.go
+++ b/internal/standin/taskledger.go
@@ -13,8 +13,8 @@
 	finished map[string]int
 	// resumed counts the resumptions of each checkpoint that were not lost with their worker or failed.
 	resumed map[string]int
-	// expected is the checkpoint that a task resumes from next, once a holder has acknowledged it.
-	expected map[string]savedPoint
+	// expected is the incarnation whose checkpoint a task resumes from, if no later one is known.
+	expected map[string]int64
 	// doubted are tasks whose end may be known to nobody.
 	doubted map[string]bool
 	used    map[string]worker.Usage
@@ -31,7 +31,7 @@
 		running:  map[string]int{},
 		finished: map[string]int{},
 		resumed:  map[string]int{},
-		expected: map[string]savedPoint{},
+		expected: map[string]int64{},
 		doubted:  map[string]bool{},
 		used:     map[string]worker.Usage{},
 		families: map[string]int{},
@@ -116,7 +116,8 @@
 		l.doubleRuns++
 	}
 	l.starts++
-	if saved := l.expected[task].checkpoint; saved != "" && saved != resume {
+	// A later checkpoint may be committed although its worker was gone before the acknowledgement.
+	if checkpointIncarnation(resume) < l.expected[task] {
 		l.resumeLosses++
 	}
 	if resume == "" {
@@ -161,19 +162,12 @@
 	l.doubted[task] = true
 }
 
-// savedPoint is an acknowledged checkpoint and the incarnation that made it.
-type savedPoint struct {
-	incarnation int64
-	checkpoint  string
-}
-
-// expect notes the checkpoint that the next incarnation of a task resumes from.
-func (l *TaskLedger) expect(task string, incarnation int64, checkpoint string) {
+// expect notes that the checkpoint of an incarnation was acknowledged: the
+// task resumes from it, or from a later one.
+func (l *TaskLedger) expect(task string, incarnation int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if incarnation > l.expected[task].incarnation {
-		l.expected[task] = savedPoint{incarnation: incarnation, checkpoint: checkpoint}
-	}
+	l.expected[task] = max(l.expected[task], incarnation)
 }
 
 func (l *TaskLedger) use(job string, u worker.Usage) {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -218,8 +218,8 @@
 	if !ok || t.report.Incarnation != a.Incarnation || !t.report.State.Final() {
 		return
 	}
-	if t.report.State == worker.TaskCheckpointed {
-		w.Ledger.expect(a.Task, a.Incarnation, t.report.Checkpoint)
+	if t.report.State == worker.TaskCheckpointed && !t.doubted {
+		w.Ledger.expect(a.Task, a.Incarnation)
 	}
 	delete(w.tasks, a.Task)
 }
