--- a/internal/shard/property_test.go
+++ b/internal/shard/property_test.go
@@ -121,10 +121,12 @@
 		"workerBroken": func(t *rapid.T) {
 			w.workers[onWorker.Draw(t, "worker")].SetBroken(rapid.Bool().Draw(t, "broken"))
 		},
-		"cut": func(t *rapid.T) {
-			i := onWorker.Draw(t, "worker")
-			w.cut[i] = !w.cut[i]
-		},
+		"cut": withHolder(func(t *rapid.T, h *worldHolder) {
+			pair := [2]int64{h.epoch, int64(onWorker.Draw(t, "worker"))}
+			w.cut[pair] = !w.cut[pair]
+		}),
+		// The holder decides, but is gone or replaced before it can commit.
+		"plan": withHolder(func(_ *rapid.T, h *worldHolder) { h.core.Plan(w.now) }),
 		"gone": func(t *rapid.T) {
 			w.replace(onWorker.Draw(t, "worker"))
 		},
--- a/internal/shard/world_test.go
+++ b/internal/shard/world_test.go
@@ -15,10 +15,11 @@
 )
 
 const (
-	worldWorkers = 3
-	worldTTL     = 5 * time.Second
-	worldRun     = 60 * time.Second
-	worldDrift   = 0.009
+	worldWorkers  = 3
+	worldTTL      = 5 * time.Second
+	worldRun      = 60 * time.Second
+	worldShortRun = 4 * time.Second
+	worldDrift    = 0.009
 )
 
 var worldSize = share.Resources{Processors: 8000, Memory: 8 << 30}
@@ -30,8 +31,9 @@
 	config  release.Config
 	ledger  *standin.TaskLedger
 	workers []*standin.Worker
-	cut     []bool
-	gone    []bool
+	// cut are the pairs of a holder's epoch and a worker that do not reach each other.
+	cut  map[[2]int64]bool
+	gone []bool
 	// storeUp, epoch, clean and batches are the store's state; current is the holder of the epoch.
 	storeUp bool
 	epoch   int64
@@ -85,18 +87,24 @@
 		base := w.now
 		w.workers = append(w.workers, &standin.Worker{
 			ID: fmt.Sprintf("w%d", i), Capacity: worldSize, Ledger: w.ledger,
-			Work: func(string) standin.Work {
-				return standin.Work{RunTime: worldRun, Size: share.Resources{Processors: 1000}}
-			},
-			Now: func() time.Time { return base.Add(time.Duration(float64(w.now.Sub(base)) * rate)) },
+			Work: worldWork,
+			Now:  func() time.Time { return base.Add(time.Duration(float64(w.now.Sub(base)) * rate)) },
 		})
 	}
-	w.cut = make([]bool, worldWorkers)
+	w.cut = map[[2]int64]bool{}
 	w.gone = make([]bool, worldWorkers)
 	w.take()
 	return w
 }
 
+func worldWork(job string) standin.Work {
+	work := standin.Work{RunTime: worldRun, Size: share.Resources{Processors: 1000}}
+	if job == "plain" {
+		work.RunTime = worldShortRun
+	}
+	return work
+}
+
 func (w *world) listing() Listing {
 	var l Listing
 	for i, s := range w.workers {
@@ -261,7 +269,7 @@
 	switch {
 	case f == delayed:
 		w.stuck = append(w.stuck, stuckExchange{worker: i, e: e})
-	case w.gone[i] || w.cut[i] || f == lostSend:
+	case w.gone[i] || w.cut[[2]int64{h.epoch, int64(i)}] || f == lostSend:
 	default:
 		report, taken := w.workers[i].Exchange(e)
 		if f == answerLost {
@@ -328,8 +336,9 @@
 // heal ends all faults and runs until every accepted job has ended.
 func (w *world) heal() bool {
 	w.storeUp = true
+	clear(w.cut)
 	for i := range w.workers {
-		w.cut[i], w.gone[i] = false, false
+		w.gone[i] = false
 		w.workers[i].SetBroken(false)
 	}
 	for range 3000 {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -227,20 +227,20 @@
 // advance brings every task up to a time.
 func (w *Worker) advance(now time.Time) {
 	for _, t := range w.tasks {
-		if t.report.State.Final() {
-			if now.After(t.expires) {
-				w.doubt(t)
+		lapsed := now.After(t.expires)
+		if !t.report.State.Final() {
+			until := now
+			if lapsed {
+				until = t.expires
 			}
-			continue
+			w.progress(t, until)
 		}
-		until := now
-		if until.After(t.expires) {
-			until = t.expires
-		}
-		w.progress(t, until)
-		if now.After(t.expires) && !t.report.State.Final() {
+		if lapsed && !t.report.State.Final() {
 			w.finish(t, worker.TaskLapsed)
 		}
+		if lapsed {
+			w.doubt(t)
+		}
 	}
 }
 
