Tests of take-over, urgent work, waves of cancellations, retention

Each drives Core and worker stand-ins under virtual time. A clean hand-over that is claimed wrongly makes the world count a double run, so that the wait for the grace is shown to matter.

--- a/internal/shard/property_test.go
+++ b/internal/shard/property_test.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"flag"
 	"maps"
 	"slices"
 	"testing"
@@ -13,6 +14,15 @@
 	"github.com/oriolepond/oriolepond/pkg/share"
 )
 
+// The size of the property test in an ordinary run; its flags override it.
+func init() {
+	for name, value := range map[string]string{"rapid.checks": "1500", "rapid.steps": "80", "rapid.seed": "1"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+}
+
 // check fails if a rule of the product is broken at this moment.
 func (w *world) check(t require.TestingT) {
 	require.Zero(t, w.ledger.DoubleRuns(), "a task ran in two places")
@@ -125,7 +135,8 @@
 			pair := [2]int64{h.epoch, int64(onWorker.Draw(t, "worker"))}
 			w.cut[pair] = !w.cut[pair]
 		}),
-		// The holder decides, but is gone or replaced before it can commit.
+		"isolate": withHolder(func(_ *rapid.T, h *worldHolder) { h.isolated = !h.isolated }),
+		// The holder decides, but may be gone or replaced before it can commit.
 		"plan": withHolder(func(_ *rapid.T, h *worldHolder) { h.core.Plan(w.now) }),
 		"gone": func(t *rapid.T) {
 			w.replace(onWorker.Draw(t, "worker"))
--- /dev/null
+++ b/internal/shard/takeover_test.go
@@ -0,0 +1,168 @@
+package shard
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/oriolepond/oriolepond/internal/task"
+)
+
+// pinned returns the tasks that a holder has on a worker.
+func pinned(h *worldHolder, id string) int { return len(h.core.worker(id).tasks) }
+
+// isolateFirst lets the first holder lose the store while it still reaches the
+// workers, and a second one take over that does not reach worker 0.
+func isolateFirst(t *testing.T, clean bool) (*world, *worldHolder, int) {
+	t.Helper()
+	w := newWorld()
+	w.fill()
+	first := w.holders[0]
+	first.isolated = true
+	w.advance(worldTTL + 2*time.Second)
+	w.clean = clean
+	w.take()
+	require.Len(t, w.holders, 2)
+	second := w.holders[1]
+	w.cut[[2]int64{second.epoch, 0}] = true
+	held := pinned(second, "w0")
+	require.Positive(t, held)
+	return w, second, held
+}
+
+// A holder that was cut off renews the tasks of a worker that the next holder
+// does not reach; the next holder leaves them there until the grace is over.
+func TestTakeOverWaitsOutTheGrace(t *testing.T) {
+	w, second, held := isolateFirst(t, false)
+	w.coast(20, 0)
+	require.Equal(t, held, pinned(second, "w0"))
+	w.coast(30, 0)
+	require.Zero(t, pinned(second, "w0"), "the tasks move once the former holder's grace is over")
+	require.Zero(t, w.ledger.DoubleRuns())
+	require.True(t, w.heal())
+	w.check(t)
+}
+
+// Were the former holder taken for stopped although it is not, tasks would run
+// in two places: the world shows it.
+func TestWorldSeesADoubleRun(t *testing.T) {
+	w, _, _ := isolateFirst(t, true)
+	w.coast(25, 0)
+	require.Positive(t, w.ledger.DoubleRuns())
+}
+
+// A holder that may have lost its lease renews what runs and starts nothing.
+func TestHolderPastItsLeaseStartsNothing(t *testing.T) {
+	w := newWorld()
+	w.fill()
+	h := w.holders[0]
+	h.isolated = true
+	w.advance(worldTTL)
+	w.submit(h, "batch", 1)
+	before := w.ledger.Starts()
+	w.coast(20, 0)
+	require.Equal(t, before, w.ledger.Starts())
+	s, err := h.core.Describe("n", "j1")
+	require.NoError(t, err)
+	require.Equal(t, 2, s.States[task.Running], "what ran goes on within the grace")
+}
+
+// Urgent work starts within 4.9 s although other work fills the pool.
+func TestUrgentStartsInAFullPool(t *testing.T) {
+	w := newWorld()
+	h := w.holders[0]
+	w.submit(h, "batch", 40)
+	w.coast(5, 0)
+	w.submit(h, "urgent", 1)
+	w.coast(4, 900*time.Millisecond)
+	s, err := h.core.Describe("n", "j2")
+	require.NoError(t, err)
+	require.Equal(t, 1, s.States[task.Running])
+	w.check(t)
+}
+
+// A job that can never run says why, and others pass it by.
+func TestUnschedulableIsReportedAndPassedBy(t *testing.T) {
+	w := newWorld()
+	h := w.holders[0]
+	w.config.Jobs[1].Size = worldSize.Times(2)
+	w.config.Revision++
+	w.submit(h, "plain", 3)
+	w.submit(h, "batch", 1)
+	w.coast(3, 0)
+	s, err := h.core.Describe("n", "j1")
+	require.NoError(t, err)
+	require.Equal(t, 3, s.States[task.Unschedulable])
+	require.Contains(t, s.Reason, "no worker has more")
+	s, err = h.core.Describe("n", "j2")
+	require.NoError(t, err)
+	require.Equal(t, 1, s.States[task.Running])
+	w.config.Jobs[1].Size = worldSize
+	w.config.Revision++
+	w.coast(20, 0)
+	s, err = h.core.Describe("n", "j1")
+	require.NoError(t, err)
+	require.Zero(t, s.States[task.Unschedulable], "a corrected family runs")
+}
+
+// A wave of cancellations is one batch, whatever its size.
+func TestCancellationWaveIsOneBatch(t *testing.T) {
+	w := newWorld()
+	h := w.holders[0]
+	for range 300 {
+		w.submit(h, "batch", 10)
+	}
+	w.coast(2, 0)
+	before := len(w.batches)
+	for id := range h.core.jobs {
+		_, err := h.core.Cancel("n", id, w.now)
+		require.NoError(t, err)
+	}
+	w.commit(h, false)
+	require.Equal(t, before+1, len(w.batches))
+	w.coast(3, 0)
+	require.LessOrEqual(t, len(w.batches), before+1+8, "the stops of running tasks come in a few more")
+	for id := range h.core.jobs {
+		s, err := h.core.Describe("n", id)
+		require.NoError(t, err)
+		require.Equal(t, 10, s.States[task.Cancelled])
+	}
+}
+
+// A task that fails everywhere fails for good after as many starts as its family allows.
+func TestFailingTaskEndsWithReason(t *testing.T) {
+	w := newWorld()
+	w.config.Jobs[0].MaxStarts = 3
+	w.config.Revision++
+	for _, s := range w.workers {
+		s.SetBroken(true)
+	}
+	h := w.holders[0]
+	w.submit(h, "batch", 1)
+	w.coast(200, 0)
+	s, err := h.core.Describe("n", "j1")
+	require.NoError(t, err)
+	require.Equal(t, 1, s.States[task.Failed])
+	require.Equal(t, "start failed", s.Reason)
+	require.Equal(t, 3, w.ledger.Starts())
+}
+
+// The state that is kept stays bounded: an ended job is forgotten after its retention, its usage is not.
+func TestEndedJobsAreForgotten(t *testing.T) {
+	w := newWorld()
+	h := w.holders[0]
+	w.submit(h, "plain", 2)
+	w.coast(10, 0)
+	usage := h.core.Accounts()[0].Usage
+	require.Positive(t, usage.Processor)
+	w.advance(w.timing.Retention + sweepEvery)
+	w.coast(1, 0)
+	require.Empty(t, h.core.jobs)
+	require.Equal(t, usage, h.core.Accounts()[0].Usage)
+	again := NewCore(w.timing, w.now, true)
+	again.Configure(w.config, w.quotas())
+	again.Restore(w.batches, w.now)
+	require.Empty(t, again.jobs)
+	require.Equal(t, usage, again.Accounts()[0].Usage)
+}
