--- a/internal/placement/sizes.go
+++ b/internal/placement/sizes.go
@@ -14,7 +14,7 @@
 	// unknownMargin multiplies the declared size of a family that was never seen.
 	unknownMargin = 4
 	// unknownTasks bounds the running tasks of a family that was never seen.
-	unknownTasks = 2
+	unknownTasks = 8
 	// sizeMargin is the part of the greatest size seen that is held beyond it.
 	sizeMargin = 0.03
 	// earlyMargin is a further part, divided by the square of the number of tasks seen.
