A service in trouble by itself does not starve batch work

Change: an effect of at most 0.02 of the objective is no harm; after half an hour in the queue a task is placed all the same.

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -7,6 +7,9 @@
 	"time"
 )
 
+// harmAfter is how long a task waits until it is placed even where it harms a service.
+const harmAfter = 30 * time.Minute
+
 // candidateWorkers is the default of Pool.Candidates, which bounds the workers that one decision compares.
 const candidateWorkers = 16
 
@@ -23,12 +26,17 @@
 		return "", p.noRoom(c)
 	}
 	best, harmful := p.best(c)
-	if best < 0 || (harmful && !c.Urgent) {
+	if best < 0 || (harmful && !c.Urgent && !c.hasWaited(harmAfter, now)) {
 		return "", &FullError{Task: c.Task, Reason: Harmful}
 	}
 	return p.workers[best].ID, nil
 }
 
+// hasWaited reports whether the task has been queued for a time.
+func (c Candidate) hasWaited(d time.Duration, now time.Time) bool {
+	return !c.Queued.IsZero() && now.Sub(c.Queued) >= d
+}
+
 func (p *Pool) checkQuota(c Candidate) error {
 	q, bounded := p.quotas[c.Share]
 	if !bounded {
--- a/internal/placement/planner_test.go
+++ b/internal/placement/planner_test.go
@@ -127,3 +127,28 @@
 	}
 	return n
 }
+
+// Where a service is past its limit by itself, tasks that do not add to that
+// are placed all the same, and harmful ones once they are overdue.
+func TestServiceInTroubleDoesNotStarveBatchWork(t *testing.T) {
+	p := NewPlanner()
+	w := worker(0, cores(8))
+	w.Runners = []Runner{{Service: "s", Share: "front"}}
+	p.SetWorker(w, start)
+	m := p.Learner.Model
+	m.SetBase(m.Service("s"), 2)
+	m.SetEffect(m.Service("s"), m.Aggressor("mild"), 0.001)
+	m.SetEffect(m.Service("s"), m.Aggressor("noisy"), 0.5)
+	for _, family := range []string{"mild", "noisy"} {
+		p.SetFamily(Family{Name: family, Declared: cores(1)})
+	}
+	_, _, err := p.Place(Candidate{Task: "a", Job: "mild", Queued: start}, start)
+	require.NoError(t, err)
+	noisy := Candidate{Task: "b", Job: "noisy", Queued: start}
+	_, _, err = p.Place(noisy, start)
+	var full *FullError
+	require.ErrorAs(t, err, &full)
+	require.Equal(t, Harmful, full.Reason)
+	_, _, err = p.Place(noisy, start.Add(harmAfter))
+	require.NoError(t, err)
+}
--- a/internal/placement/reserve.go
+++ b/internal/placement/reserve.go
@@ -24,7 +24,7 @@
 // reserve keeps the room that comes up on one worker for an overdue task, so
 // that smaller tasks do not take it away again and again.
 func (p *Pool) reserve(c Candidate, now time.Time) {
-	if c.Queued.IsZero() || now.Sub(c.Queued) < overdueAfter {
+	if !c.hasWaited(overdueAfter, now) {
 		return
 	}
 	for task, s := range p.reserved {
--- a/internal/placement/score.go
+++ b/internal/placement/score.go
@@ -22,6 +22,8 @@
 	spreadCost = 0.3
 	// fitCost weighs capacity that is left unused beside what is taken.
 	fitCost = 0.05
+	// harmlessStrain is what one task may add to any strain of a service.
+	harmlessStrain = 0.02
 	// strainMargin is the part of an objective that a full weight of tail latency keeps free.
 	strainMargin = 0.1
 	// unsureDeviation is the standard deviation from which an effect counts as unsure.
@@ -72,7 +74,7 @@
 		cost += weight * tailCost * (beyond(after, comfortableStrain) - beyond(before, comfortableStrain))
 		cost += (1 - weight) * evictionCost * (beyond(after, 1) - beyond(before, 1))
 		cost += weight * (after - before)
-		harmful = harmful || (after > strainLimit(weight) && after > before)
+		harmful = harmful || (after > strainLimit(weight) && after-before > harmlessStrain)
 	}
 	for i := range s.loads {
 		l := &s.loads[i]
