A member that was forgotten takes another name

Cause: a member that was forgotten while it was cut off joined again under its former name, so that it passed for one that a lost member had known; an isolated sole member and its successors then both used all slots. The name was changed only if the table still listed the member as departed.

Change: a member that is in the table no more joins under another name. The property test also asks former homes about keys, with answers that come late.

Ruled out: a fault of the sole member's hold without bound; it held rightly.

--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -71,6 +71,10 @@
 // Settled reports whether every entry of the region keeps to the newest table.
 func (c *Core) Settled() bool { return c.division.Settled() }
 
+// Parted reports whether the instance has been a member under its present name
+// and is none any more. It has to join under another name.
+func (c *Core) Parted() bool { return c.joined > 0 && !c.Table().Has(c.self.ID) }
+
 // Version grows with each change of what Usable returns.
 func (c *Core) Version() int { return c.division.Version() }
 
--- a/internal/membership/core_test.go
+++ b/internal/membership/core_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
 	"github.com/oriolepond/oriolepond/internal/grant"
@@ -128,7 +129,7 @@
 func (w *world) join(n *node) {
 	self := n.core.Self()
 	next := w.table
-	if next.HasDeparted(self.ID) {
+	if n.core.Parted() {
 		w.names++
 		n.core = n.core.Renamed(fmt.Sprintf("%s~%d", baseOf(self.ID), w.names))
 		next = next.Forget(self.ID)
@@ -259,7 +260,7 @@
 		w.keys = append(w.keys, w.newKey())
 	}
 	key := w.keys[len(w.keys)-1-rapid.IntRange(0, min(len(w.keys)-1, 4)).Draw(w.t, "key")]
-	if !n.core.Held(w.clock(n)) || n.core.Keys.Begin(home.Key{Value: key}, w.clock(n)).Kind != home.Run {
+	if !n.core.Held(w.clock(n)) || w.verdict(n, home.Key{Value: key}) != home.Run {
 		return
 	}
 	if first, twice := w.begun[key]; twice {
@@ -268,6 +269,27 @@
 	w.begun[key] = n.core.Self().ID
 }
 
+// verdict decides on a key, and asks the former homes that can be reached.
+func (w *world) verdict(n *node, key home.Key) home.Kind {
+	v := n.core.Keys.Begin(key, w.clock(n))
+	if v.Kind != home.AskFormer {
+		return v.Kind
+	}
+	statements := map[string]home.Statement{}
+	for _, f := range w.alive() {
+		if f != n && !n.silent[f] {
+			statements[f.core.Self().ID] = f.core.Keys.State(key, w.clock(f))
+		}
+	}
+	if !v.Inquiry.Cleared(key, statements) {
+		return home.Unknown
+	}
+	if rapid.Bool().Draw(w.t, "late") {
+		w.sync(n)
+	}
+	return n.core.Keys.BeginCleared(key, v.Inquiry, w.clock(n)).Kind
+}
+
 // newKey returns a UUID of version 7 with a caller's clock, which is a little off.
 func (w *world) newKey() string {
 	var id uuid.UUID
@@ -395,3 +417,18 @@
 		})
 	})
 }
+
+// A member that was forgotten while it was cut off joins under another name:
+// under the former one, others would count it among those that a lost member knew.
+// It was found by the property test (seed 3247427).
+func TestForgottenMemberTakesAnotherName(t *testing.T) {
+	self := grant.Member{ID: "e-1", Region: region}
+	core := membership.NewCore(self, simLongest, simLag)
+	now := time.Unix(1_800_000_000, 0)
+	require.False(t, core.Parted(), "it has not joined yet")
+	joined := grant.Table{}.With(self)
+	core.Observe(joined, now)
+	require.False(t, core.Parted())
+	core.Observe(joined.Without(self.ID).Forget(self.ID), now)
+	require.True(t, core.Parted())
+}
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -244,7 +244,7 @@
 	if next.Has(c.Self().ID) {
 		return next, k.registry.revision, false
 	}
-	if next.HasDeparted(c.Self().ID) {
+	if c.Parted() {
 		next = next.Forget(c.Self().ID)
 		k.core = c.Renamed(k.newMember().ID)
 		k.core.Observe(k.registry.table, time.Now())
