--- a/internal/membership/keeper_test.go
+++ b/internal/membership/keeper_test.go
@@ -30,7 +30,8 @@
 
 // fleet is several keepers that share one store and one target.
 type fleet struct {
-	t       *testing.T
+	t       testing.TB
+	ttl     time.Duration
 	store   *standin.Store
 	url     string
 	mu      sync.Mutex
@@ -53,9 +54,9 @@
 	inFlight int
 }
 
-func newFleet(t *testing.T) *fleet {
+func newFleet(t testing.TB) *fleet {
 	t.Helper()
-	f := &fleet{t: t, store: standin.NewStore(), members: map[string]*member{}}
+	f := &fleet{t: t, ttl: testTTL, store: standin.NewStore(), members: map[string]*member{}}
 	server := httptest.NewServer(f.store)
 	t.Cleanup(server.Close)
 	f.url = server.URL
@@ -120,7 +121,7 @@
 	m.keeper = &membership.Keeper{
 		Store:   store.NewEtcd([]string{f.url}, &http.Client{Transport: transport}),
 		Self:    membership.Peer{ID: id, Region: region},
-		TTL:     testTTL,
+		TTL:     f.ttl,
 		Log:     eventlog.Discard(),
 		Longest: func() time.Duration { return heldLong },
 		Apply:   m.apply,
@@ -363,3 +364,35 @@
 	f.verify()
 	require.Len(t, f.all()[a].keeper.View().Table.Members, 1)
 }
+
+// The calls that the store takes: at rest, and for a join and a planned stop.
+func BenchmarkStoreCalls(b *testing.B) {
+	const instances, rest = 7, 20 * time.Second
+	f := newFleet(b)
+	f.ttl = 10 * time.Second
+	var ids []string
+	for range instances {
+		ids = append(ids, f.start())
+	}
+	f.awaitShared(ids...)
+	for b.Loop() {
+		before := f.store.Counts()
+		wait(context.Background(), rest)
+		atRest := f.store.Counts()
+		id := f.start()
+		f.awaitShared(append(ids, id)...)
+		joined := f.store.Counts()
+		require.NoError(b, f.all()[id].keeper.Leave(context.Background()))
+		f.crash(id)
+		f.awaitShared(ids...)
+		left := f.store.Counts()
+		perSecond := func(n int64) float64 { return float64(n) / rest.Seconds() / instances }
+		b.ReportMetric(perSecond(atRest.Reads-before.Reads), "reads/s/instance")
+		b.ReportMetric(perSecond(atRest.Writes-before.Writes), "writes/s/instance")
+		b.ReportMetric(perSecond(atRest.LeaseCalls-before.LeaseCalls), "renewals/s/instance")
+		b.ReportMetric(float64(joined.Writes-atRest.Writes), "writes/join")
+		b.ReportMetric(float64(joined.Reads-atRest.Reads), "reads/join")
+		b.ReportMetric(float64(left.Writes-joined.Writes), "writes/stop")
+		b.ReportMetric(float64(left.Reads-joined.Reads), "reads/stop")
+	}
+}
