An urgent task displaces its own share's tasks where the quota is used up

Change: tasks of the share that are not urgent and can checkpoint yield until the quota holds the urgent one, or none does if that would not suffice. Ruled out: counting declared sizes against the quota; the quota is a bound on what is held.

--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -237,6 +237,12 @@
 	p.quotas[name] = quota{part: part, whole: whole}
 }
 
+// Quota returns what the tasks of a share may hold at once in this pool, and whether that is bounded.
+func (p *Pool) Quota(name string) (share.Resources, bool) {
+	q, ok := p.quotas[name]
+	return q.part, ok
+}
+
 // RemoveQuota lifts the bound of a share.
 func (p *Pool) RemoveQuota(name string) {
 	delete(p.quotas, name)
--- a/internal/shard/plan.go
+++ b/internal/shard/plan.go
@@ -183,7 +183,13 @@
 // makeRoom lets other tasks yield to an urgent one that has waited in vain.
 func (c *Core) makeRoom(e *entry, candidate placement.Candidate, err error, now time.Time) {
 	var full *placement.FullError
-	if !candidate.Urgent || now.Sub(e.queuedAt) < c.timing.UrgentAfter || !errors.As(err, &full) || full.Reason != placement.NoRoom {
+	if !candidate.Urgent || now.Sub(e.queuedAt) < c.timing.UrgentAfter || !errors.As(err, &full) {
+		return
+	}
+	if full.Reason == placement.QuotaUsed {
+		c.makeQuota(candidate, now)
+	}
+	if full.Reason != placement.NoRoom {
 		return
 	}
 	var best []*entry
@@ -205,6 +211,38 @@
 	}
 }
 
+// makeQuota lets tasks of an urgent one's own share yield, the newest first,
+// until the share's quota holds it.
+func (c *Core) makeQuota(candidate placement.Candidate, now time.Time) {
+	quota, _ := c.pool.Quota(candidate.Share)
+	used := c.pool.Used(candidate.Share).Plus(candidate.Size)
+	var own []*entry
+	for _, w := range c.sortedWorkers() {
+		for _, e := range w.sorted() {
+			if e.job.Share != candidate.Share {
+				continue
+			}
+			switch f := c.families[e.job.Name]; {
+			case e.State == task.Yielding || e.State == task.Stopping:
+				used = used.Minus(e.Size)
+			case e.State == task.Running && f.Checkpoints && !f.Urgent:
+				own = append(own, e)
+			}
+		}
+	}
+	slices.SortStableFunc(own, func(a, b *entry) int { return b.placedAt.Compare(a.placedAt) })
+	n := 0
+	for ; n < len(own) && !used.Fits(quota); n++ {
+		used = used.Minus(own[n].Size)
+	}
+	if !used.Fits(quota) {
+		return
+	}
+	for _, e := range own[:n] {
+		c.apply(e, task.Yield, now)
+	}
+}
+
 // victims returns the tasks that make room for a size on a worker, the newest
 // first, whether they are enough, and whether some yield already.
 func (c *Core) victims(w *workerEntry, size share.Resources) (victims []*entry, enough, yielding bool) {
