Decisions of placement are logged: unschedulable, quarantine, yields, room made

Cause: events 3200 to 3204 stood in the catalogue and the operators' page, but nothing wrote them; event 3205 had no source at all. Shown failing: without the reason kept by family the test counts 20 notices.

--- a/internal/eventlog/placement.go
+++ b/internal/eventlog/placement.go
@@ -29,9 +29,4 @@
 		Meaning: "Tasks that are not urgent leave a worker for one that is.",
 		Advice:  "None; if this is frequent, the pool is too small for its urgent work.",
 	})
-	UsageAbandoned = register(Event{
-		Number: 3205, Level: zapcore.WarnLevel, Message: "usage never reported",
-		Meaning: "A worker is gone for good before its last reading; the account states the most that is missing.",
-		Advice:  "Read the account with the stated amount missing; find out why the worker went.",
-	})
 )
--- a/internal/shard/advise.go
+++ b/internal/shard/advise.go
@@ -1,9 +1,11 @@
 package shard
 
 import (
+	"fmt"
 	"math"
 	"time"
 
+	"github.com/oriolepond/oriolepond/internal/eventlog"
 	"github.com/oriolepond/oriolepond/internal/placement"
 	"github.com/oriolepond/oriolepond/internal/task"
 	"github.com/oriolepond/oriolepond/internal/worker"
@@ -59,9 +61,25 @@
 	return row.Speed / row.Ratio
 }
 
+// notifyAction tells of an action of the planner.
+func (c *Core) notifyAction(a placement.Action) {
+	n := Notice{Event: eventlog.TaskYielded, Task: a.Task, Worker: a.Worker, Rule: a.Rule, Reason: string(a.Kind)}
+	if e, ok := c.tasks[a.Task]; ok {
+		n.Job = e.job.Name
+	}
+	switch {
+	case a.Rule == "":
+		n.Event = eventlog.WorkerOvercommitted
+	case a.Kind == share.YieldThrottle:
+		n.Reason = fmt.Sprintf("%s to %.2f", a.Kind, a.Ratio)
+	}
+	c.notify(n)
+}
+
 // yieldOn lets the tasks of a worker give way as the planner decides.
 func (c *Core) yieldOn(w *workerEntry, now time.Time) {
 	for _, a := range c.planner.Yield(w.id, now) {
+		c.notifyAction(a)
 		if a.Kind == share.YieldThrottle {
 			c.Throttle(a.Task, a.Ratio)
 			continue
--- a/internal/shard/advise_test.go
+++ b/internal/shard/advise_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/oriolepond/oriolepond/internal/eventlog"
+	"github.com/oriolepond/oriolepond/internal/placement"
 	"github.com/oriolepond/oriolepond/internal/roster"
 	"github.com/oriolepond/oriolepond/internal/task"
 	"github.com/oriolepond/oriolepond/internal/worker"
@@ -172,3 +175,35 @@
 	a.tail = 20 * time.Millisecond
 	a.until(t, "throttles are not lifted", func() bool { return a.count(throttled) == 0 && a.count(isRunning) == 4 })
 }
+
+// Operators are told once of a family that can never run, and of each yield.
+func TestDecisionsAreNoted(t *testing.T) {
+	a := newAdvised()
+	require.NoError(t, a.submit("j", 2))
+	a.until(t, "the tasks do not run", func() bool { return a.count(isRunning) == 2 })
+	a.core.TakeNotices()
+	a.tail = 150 * time.Millisecond
+	noted := map[eventlog.Number]int{}
+	for range 60 {
+		a.step()
+		for _, n := range a.core.TakeNotices() {
+			noted[n.Event.Number]++
+			require.NotEmpty(t, n.Task)
+		}
+	}
+	require.Positive(t, noted[eventlog.TaskYielded.Number])
+	config := a.core.config
+	config.Revision++
+	config.Jobs = slices.Clone(config.Jobs)
+	config.Jobs[0].Size = gib(40)
+	a.core.Configure(config, NewQuotas("s.0", map[string][]roster.Instance{"s.0": {{Capacity: gib(32)}}}, config))
+	a.core.planner.Sizes = placement.NewSizes()
+	require.NoError(t, a.submit("k", 20))
+	for range 20 {
+		a.step()
+		for _, n := range a.core.TakeNotices() {
+			noted[n.Event.Number]++
+		}
+	}
+	require.Equal(t, 1, noted[eventlog.TaskUnschedulable.Number])
+}
--- a/internal/shard/core.go
+++ b/internal/shard/core.go
@@ -103,6 +103,9 @@
 	sweepAt time.Time
 
 	changes changes
+	notices []Notice
+	// told are the reasons for which families cannot run, as they were last noted.
+	told map[string]string
 }
 
 // jobEntry is a job and the tasks of it that are not dropped.
@@ -147,6 +150,7 @@
 		delayed:    map[*entry]bool{},
 		unfit:      map[*entry]bool{},
 		changes:    newChanges(),
+		told:       map[string]string{},
 	}
 	return c
 }
--- a/internal/shard/holder.go
+++ b/internal/shard/holder.go
@@ -119,6 +119,7 @@
 		now := time.Now()
 		h.refresh(now)
 		h.core.Plan(now)
+		h.tell()
 		h.reconcile(ctx)
 		h.mu.Unlock()
 		if err := h.commitOnce(ctx); err != nil {
@@ -266,6 +267,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.core.Observe(report, time.Now())
+	h.tell()
 	return e.Boot != report.Boot
 }
 
--- a/internal/shard/life.go
+++ b/internal/shard/life.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/oriolepond/oriolepond/internal/eventlog"
 	"github.com/oriolepond/oriolepond/internal/placement"
 	"github.com/oriolepond/oriolepond/internal/task"
 	"github.com/oriolepond/oriolepond/internal/worker"
@@ -94,7 +95,7 @@
 
 // fail takes a failure of the present incarnation.
 func (c *Core) fail(e *entry, reason string, now time.Time) {
-	c.health.Failed(e.Worker, e.job.Name, now)
+	c.blame(e, reason, now)
 	e.Failures++
 	e.Reason = reason
 	e.avoid = []string{e.Worker}
@@ -106,6 +107,15 @@
 	c.apply(e, event, now)
 }
 
+// blame takes note of a failure on a worker.
+func (c *Core) blame(e *entry, reason string, now time.Time) {
+	before := c.health.Quarantined(e.Worker)
+	c.health.Failed(e.Worker, e.job.Name, now)
+	if !before && c.health.Quarantined(e.Worker) {
+		c.notify(Notice{Event: eventlog.WorkerQuarantined, Job: e.job.Name, Task: e.id, Worker: e.Worker, Reason: reason})
+	}
+}
+
 // lose ends an incarnation that surely runs no more, although its worker did not report its end.
 func (c *Core) lose(e *entry, now time.Time) {
 	c.lost[worker.Ack{Task: e.id, Incarnation: e.Incarnation}] = e.Live
--- /dev/null
+++ b/internal/shard/notice.go
@@ -0,0 +1,50 @@
+package shard
+
+import (
+	"go.uber.org/zap"
+
+	"github.com/oriolepond/oriolepond/internal/eventlog"
+)
+
+// maxNotices bounds the notices that wait to be taken.
+const maxNotices = 1000
+
+// Notice is a decision that operators are told of. Fields that do not apply are empty.
+type Notice struct {
+	Event  eventlog.Event
+	Job    string
+	Task   string
+	Worker string
+	Rule   string
+	// Reason says why, or what is done to the task.
+	Reason string
+}
+
+// notify keeps a notice until it is taken; those beyond maxNotices are dropped.
+func (c *Core) notify(n Notice) {
+	if len(c.notices) < maxNotices {
+		c.notices = append(c.notices, n)
+	}
+}
+
+// TakeNotices returns the notices since the last call.
+func (c *Core) TakeNotices() []Notice {
+	taken := c.notices
+	c.notices = nil
+	return taken
+}
+
+// tell logs the core's notices; h.mu is held.
+func (h *Holder) tell() {
+	for _, n := range h.core.TakeNotices() {
+		fields := []zap.Field{zap.String("shard", h.Shard)}
+		for _, f := range []struct{ name, value string }{
+			{"job", n.Job}, {"task", n.Task}, {"worker", n.Worker}, {"rule", n.Rule}, {"reason", n.Reason},
+		} {
+			if f.value != "" {
+				fields = append(fields, zap.String(f.name, f.value))
+			}
+		}
+		h.Log.Emit(n.Event, fields...)
+	}
+}
--- a/internal/shard/plan.go
+++ b/internal/shard/plan.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/oriolepond/oriolepond/internal/eventlog"
 	"github.com/oriolepond/oriolepond/internal/placement"
 	"github.com/oriolepond/oriolepond/internal/task"
 	"github.com/oriolepond/oriolepond/pkg/share"
@@ -136,6 +137,10 @@
 	c.apply(e, task.Unfit, now)
 	e.Reason = reason
 	c.unfit[e] = true
+	if c.told[e.job.Name] != reason {
+		c.told[e.job.Name] = reason
+		c.notify(Notice{Event: eventlog.TaskUnschedulable, Job: e.job.Name, Task: e.id, Reason: reason})
+	}
 }
 
 // refitEvery is how often unschedulable tasks are looked at again.
@@ -207,7 +212,7 @@
 		}
 	}
 	for _, v := range best {
-		c.apply(v, task.Yield, now)
+		c.displace(v, e.id, now)
 	}
 }
 
@@ -239,10 +244,18 @@
 		return
 	}
 	for _, e := range own[:n] {
-		c.apply(e, task.Yield, now)
+		c.displace(e, candidate.Task, now)
 	}
 }
 
+// displace lets a task yield to an urgent one.
+func (c *Core) displace(e *entry, urgent string, now time.Time) {
+	c.notify(Notice{
+		Event: eventlog.RoomMade, Job: e.job.Name, Task: e.id, Worker: e.Worker, Reason: "for " + urgent,
+	})
+	c.apply(e, task.Yield, now)
+}
+
 // victims returns the tasks that make room for a size on a worker, the newest
 // first, whether they are enough, and whether some yield already.
 func (c *Core) victims(w *workerEntry, size share.Resources) (victims []*entry, enough, yielding bool) {
