--- a/internal/burn/burn_test.go
+++ b/internal/burn/burn_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"fmt"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -151,3 +153,45 @@
 		r.Record(start, s)
 	}
 }
+
+// filled returns a recorder of n series with all slots in use, and the last time counted.
+func filled(n int) (*burn.Recorder, time.Time) {
+	r := burn.NewRecorder(start)
+	now := start
+	for slot := range burn.KeptSlots {
+		now = start.Add(time.Duration(slot) * burn.SlotLength)
+		for i := range n {
+			for k := range 40 {
+				s := sample(time.Duration(k*k) * time.Millisecond)
+				s.Neighbour = fmt.Sprint(i)
+				r.Record(now, s)
+			}
+		}
+	}
+	return r, now
+}
+
+// Memory of a recorder whose slots are all in use, for each service and neighbour.
+func BenchmarkSeriesMemory(b *testing.B) {
+	for _, n := range []int{10, 100, 280} {
+		b.Run(fmt.Sprintf("series=%d", n), func(b *testing.B) {
+			for range b.N {
+				var before, after runtime.MemStats
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				r, now := filled(n)
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(n), "bytes/series")
+				b.ReportMetric(0, "ns/op")
+				size := 0
+				for _, s := range r.Snapshot(now).Series {
+					for _, slot := range s.Slots {
+						size += len(burn.EncodeLatency(slot))
+					}
+				}
+				b.ReportMetric(float64(size)/float64(n), "wirebytes/series")
+			}
+		})
+	}
+}
