--- a/internal/entry/helper_test.go
+++ b/internal/entry/helper_test.go
@@ -141,3 +141,8 @@
 	_, _ = io.Copy(io.Discard, c)
 	_ = c.Close()
 }
+
+// want asks for any slot of a service.
+func want(service string) target.Want {
+	return target.Want{Service: service, Now: time.Now()}
+}
