A retry does not go back to the peer that gave no answer

Cause: a retry excluded the target, but not the peer, of the attempt before; the test of uncertain peers passed with retries of non-idempotent requests let through, since no slot was free for one. Change: both are excluded; the test frees the slot, and fails on that mutant. Conclusion: a silent peer no longer takes all retries of a request.

--- a/internal/entry/forward_test.go
+++ b/internal/entry/forward_test.go
@@ -86,19 +86,27 @@
 
 // A peer that may have run a request is the last to get it unless it is idempotent.
 func TestUncertainPeerIsNotFollowedByARun(t *testing.T) {
-	b := newBench(t, 1, 1, 0)
-	uncertain := Peer{ID: "p", Do: func(context.Context, Request) (Answer, error) {
-		return Answer{}, unknown(http.StatusBadGateway, "the peer did not answer")
-	}}
-	b.IdlePeer = only(uncertain)
-	slot, ok := b.Targets.Acquire(want("s"))
-	require.True(t, ok)
-	defer b.Targets.Release(slot)
-	r := route(release.NonIdempotent)
-	r.Retries = 3
-	_, err := b.Do(t.Context(), request(r, "a"))
-	requireOutcome(t, Unknown, err)
-	require.Zero(t, b.ledger.Runs("a"))
+	for _, c := range []struct {
+		class release.RouteClass
+		runs  int
+	}{{release.NonIdempotent, 0}, {release.Idempotent, 1}} {
+		b := newBench(t, 1, 1, 0)
+		slot, ok := b.Targets.Acquire(want("s"))
+		require.True(t, ok)
+		b.IdlePeer = only(Peer{ID: "p", Do: func(context.Context, Request) (Answer, error) {
+			b.Targets.Release(slot)
+			return Answer{}, unknown(http.StatusBadGateway, "the peer did not answer")
+		}})
+		r := route(c.class)
+		r.Retries = 3
+		a, err := b.Do(t.Context(), request(r, "a"))
+		require.Equal(t, c.runs, b.ledger.Runs("a"), c.class)
+		if c.runs > 0 {
+			requireAnswer(t, "a", a, err)
+			continue
+		}
+		requireOutcome(t, Unknown, err)
+	}
 }
 
 // The other region takes only what this one cannot serve in time, within the link's rate.
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -27,7 +27,7 @@
 		if !again {
 			return r.certain(t.err)
 		}
-		s.exclude = t.target
+		s.exclude, s.excludePeer = t.target, t.target
 	}
 }
 
--- a/internal/entry/whole.go
+++ b/internal/entry/whole.go
@@ -42,7 +42,7 @@
 		again := n < r.request.Route.Retries && t.attempt && ctx.Err() == nil &&
 			(t.err == nil || attempt.MayRepeat(r.request.Route.Class, result)) && r.lane.spend()
 		if again {
-			s.exclude = t.target
+			s.exclude, s.excludePeer = t.target, t.target
 			continue
 		}
 		if fallback != nil {
