Processor time of an entry instance by request

Cause: the benchmark gave the time of callers, instance and runners together. Change: it calls the runners directly too.

--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -35,18 +35,26 @@
 	}
 }
 
-// BenchmarkThroughput calls through a front from many callers at once; the
-// processor time includes that of the callers and the runners.
+// BenchmarkThroughput makes calls of runners, directly and through a front,
+// from many callers at once. The processor time includes that of the callers
+// and the runners, so that the difference is that of the front.
 func BenchmarkThroughput(b *testing.B) {
 	through := newBench(b, 50, 8, 0)
 	front := listen(b, newFront(through.Dispatcher))
-	before := processorTime(b)
-	b.RunParallel(func(pb *testing.PB) {
-		for pb.Next() {
-			post(b, "http://"+front+"/s/s/check")
-		}
-	})
-	b.ReportMetric(float64((processorTime(b)-before).Microseconds())/float64(b.N), "cpu-µs/op")
+	for _, c := range []struct{ name, url string }{
+		{"direct", "http://" + through.targets[0].Address + "/check"},
+		{"entry", "http://" + front + "/s/s/check"},
+	} {
+		b.Run(c.name, func(b *testing.B) {
+			before := processorTime(b)
+			b.RunParallel(func(pb *testing.PB) {
+				for pb.Next() {
+					post(b, c.url)
+				}
+			})
+			b.ReportMetric(float64((processorTime(b)-before).Microseconds())/float64(b.N), "cpu-µs/op")
+		})
+	}
 }
 
 func processorTime(b *testing.B) time.Duration {
