Capacity benchmarks at the default settings

Cause: slopes at the demonstration's short intervals say nothing of a pool. Change: the benchmarks run with the default settings, and tell the tasks that run.

--- a/e2e/capacity_test.go
+++ b/e2e/capacity_test.go
@@ -14,12 +14,13 @@
 
 	"github.com/oriolepond/oriolepond/examples"
 	"github.com/oriolepond/oriolepond/internal/demo"
+	"github.com/oriolepond/oriolepond/internal/settings"
 	"github.com/oriolepond/oriolepond/internal/standin"
 )
 
 const (
 	// warmUp is how long an instance runs before it is measured.
-	warmUp = 8 * time.Second
+	warmUp = 15 * time.Second
 	// measured is how long it is measured.
 	measured = 10 * time.Second
 	// clockTicks is the unit of processor time in /proc, in ticks a second.
@@ -31,10 +32,7 @@
 func BenchmarkIdle(b *testing.B) {
 	for _, workers := range []int{50, 100, 200, 300} {
 		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
-			size := demo.Size{
-				Instances: 3, Workers: workers, Runners: workers, Callers: -1,
-				JobEvery: warmUp / 4, JobTasks: workers * 2, RunTime: time.Hour,
-			}
+			size := quiet(3, workers, 8)
 			for b.Loop() {
 				measure(b, size)
 			}
@@ -46,10 +44,19 @@
 func BenchmarkInstances(b *testing.B) {
 	for _, instances := range []int{3, 7, 14} {
 		b.Run(fmt.Sprintf("instances=%d", instances), func(b *testing.B) {
-			size := demo.Size{
-				Instances: instances, Workers: 100, Runners: 100, Callers: -1,
-				JobEvery: warmUp / 4, JobTasks: 200, RunTime: time.Hour,
+			size := quiet(instances, 100, 8)
+			for b.Loop() {
+				measure(b, size)
 			}
+		})
+	}
+}
+
+// BenchmarkTasks measures the same by the number of tasks on each worker.
+func BenchmarkTasks(b *testing.B) {
+	for _, tasks := range []int{2, 4, 8} {
+		b.Run(fmt.Sprintf("tasks=%d", tasks), func(b *testing.B) {
+			size := quiet(3, 200, tasks)
 			for b.Loop() {
 				measure(b, size)
 			}
@@ -57,6 +64,27 @@
 	}
 }
 
+// submissions is how many jobs bring the tasks of one run, within the warm-up.
+const submissions = 4
+
+// quiet returns the size of a pool without callers, whose instances have the
+// default settings and whose tasks outlast the run.
+func quiet(instances, workers, tasks int) demo.Size {
+	return demo.Size{
+		Instances:      instances,
+		Workers:        workers,
+		Runners:        workers,
+		Callers:        -1,
+		JobEvery:       warmUp / (2 * submissions),
+		JobTasks:       workers * tasks / submissions,
+		JobLimit:       submissions,
+		RunTime:        time.Hour,
+		LeaseTTL:       settings.DefaultLeaseTTL,
+		ListInterval:   settings.DefaultListInterval,
+		WorkerInterval: settings.DefaultWorkerInterval,
+	}
+}
+
 // usage is what was spent up to a moment.
 type usage struct {
 	processor time.Duration
@@ -64,6 +92,7 @@
 	store     standin.StoreCounts
 	workers   int64
 	peers     int64
+	running   int
 }
 
 // measure runs one pool and reports what its instances spend.
@@ -101,13 +130,14 @@
 	b.ReportMetric(float64(after.store.Reads-before.store.Reads)/seconds, "storeReads/s")
 	b.ReportMetric(float64(after.store.Writes-before.store.Writes)/seconds, "storeWrites/s")
 	b.ReportMetric(float64(after.store.LeaseCalls-before.store.LeaseCalls)/seconds, "leaseCalls/s")
+	b.ReportMetric(float64(after.running), "tasks")
 	b.ReportMetric(float64(after.store.OpenWatches), "openWatches")
 	b.ReportMetric(float64(after.workers-before.workers)/seconds/float64(size.Workers), "B/s/worker")
 	b.ReportMetric(float64(after.peers-before.peers)/each, "peerB/s/instance")
 }
 
 func observe(v demo.View) usage {
-	u := usage{store: v.Cluster.Store.Counts()}
+	u := usage{store: v.Cluster.Store.Counts(), running: v.Cluster.Tasks.Running()}
 	for _, p := range v.Processes {
 		processor, memory := processUsage(p.PID)
 		u.processor += processor
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -82,8 +82,14 @@
 	// JobEvery is how often a job of JobTasks tasks is submitted.
 	JobEvery time.Duration
 	JobTasks int
+	// JobLimit bounds the jobs; zero means no bound.
+	JobLimit int
 	// RunTime is how long an undisturbed task runs.
 	RunTime time.Duration
+	// LeaseTTL, ListInterval and WorkerInterval are settings of the instances.
+	LeaseTTL       time.Duration
+	ListInterval   time.Duration
+	WorkerInterval time.Duration
 }
 
 // withDefaults returns the size with its zero counts replaced.
@@ -103,6 +109,15 @@
 	if s.RunTime == 0 {
 		s.RunTime = taskRunTime
 	}
+	if s.LeaseTTL == 0 {
+		s.LeaseTTL = leaseTTL
+	}
+	if s.ListInterval == 0 {
+		s.ListInterval = listInterval
+	}
+	if s.WorkerInterval == 0 {
+		s.WorkerInterval = workerInterval
+	}
 	return s
 }
 
--- a/internal/demo/instances.go
+++ b/internal/demo/instances.go
@@ -22,6 +22,9 @@
 	balancerEvery = 200 * time.Millisecond
 	// leaseTTL is the instances' lease in the store.
 	leaseTTL = 3 * time.Second
+	// listInterval and workerInterval are how often the list is read and a worker is spoken to.
+	listInterval   = 200 * time.Millisecond
+	workerInterval = 100 * time.Millisecond
 	// The ports of an instance at its own loopback address.
 	frontPort, peerPort, adminPort = 7000, 7001, 7002
 )
@@ -114,10 +117,11 @@
 		"listen": "%s:%d", "peerListen": "%s:%d", "adminListen": "%s:%d",
 		"peerAdvertise": %q, "bindAddress": %q,
 		"storeUrls": [%q], "listUrl": %q, "operatorTokenHash": %q,
-		"leaseTtl": %q, "listInterval": "200ms", "workerInterval": "100ms"
+		"leaseTtl": %q, "listInterval": %q, "workerInterval": %q
 	}`, i.id, i.site.Region, i.site.DataCentre,
 		i.address, frontPort, i.address, peerPort, i.address, adminPort,
-		peer, i.address, d.cluster.StoreURL, d.cluster.ListURL, hex.EncodeToString(sum[:]), leaseTTL.String())
+		peer, i.address, d.cluster.StoreURL, d.cluster.ListURL, hex.EncodeToString(sum[:]),
+		d.Size.LeaseTTL.String(), d.Size.ListInterval.String(), d.Size.WorkerInterval.String())
 }
 
 // running returns the instances that hold a place now.
--- a/internal/demo/jobs.go
+++ b/internal/demo/jobs.go
@@ -23,7 +23,7 @@
 
 // submitter submits jobs and waits for the last one's outcome.
 func (d *Demo) submitter(ctx context.Context) {
-	for n := 0; pause(ctx, d.Size.JobEvery) == nil; n++ {
+	for n := 0; (d.Size.JobLimit == 0 || n < d.Size.JobLimit) && pause(ctx, d.Size.JobEvery) == nil; n++ {
 		// An outcome that the end of the load leaves open is still found out.
 		id, err := d.submit(context.WithoutCancel(ctx), d.Example.Job, fmt.Sprintf("demo-%d-%d", d.Seed, n), d.Size.JobTasks)
 		if err == nil {
--- a/internal/standin/taskledger.go
+++ b/internal/standin/taskledger.go
@@ -81,6 +81,17 @@
 	return len(l.finished)
 }
 
+// Running returns how many tasks run now.
+func (l *TaskLedger) Running() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	sum := 0
+	for _, n := range l.running {
+		sum += n
+	}
+	return sum
+}
+
 // FinishedOf returns how many tasks of a job family have finished.
 func (l *TaskLedger) FinishedOf(job string) int {
 	l.mu.Lock()
