Peers are looked up only when they change; idle slots are counted once an interval

Cause: each report that was heard, up to a hundred a second, rebuilt the view and walked the platform's whole list; each reporter walked all targets for itself at every interval.

Change: the view is published when the registry, the table or the hold changed; idle slots are counted once an interval for all peers.

Figures: not measured; the work is one pass over targets an interval instead of one for each peer, and none over the list for each report.

Ruled out: fewer reports, which would tell idle slots later.

--- a/internal/membership/keeper.go
+++ b/internal/membership/keeper.go
@@ -45,7 +45,7 @@
 	// at which more than Part is in flight, and whether anything is. It is
 	// called once at a time.
 	Apply func() (over []string, busy bool)
-	// Changed is called after each change of the view or of what is told to peers.
+	// Changed is called after each change of the view.
 	Changed func(View)
 	// Promise asks a peer for a promise and returns the member name that gave it.
 	Promise func(ctx context.Context, p Peer, member string) (by string, ok bool)
@@ -56,13 +56,15 @@
 	mu       sync.Mutex
 	core     *Core
 	registry *registry
-	absent   map[string]time.Time
-	held     bool
-	applied  int
-	wake     *time.Timer
-	cut      *time.Timer
-	longest  time.Duration
-	pulsed   time.Time
+	// stale is set while the view lacks a change of the registry.
+	stale   bool
+	absent  map[string]time.Time
+	held    bool
+	applied int
+	wake    *time.Timer
+	cut     *time.Timer
+	longest time.Duration
+	pulsed  time.Time
 	// entering is held through a registration or a renewal.
 	entering sync.Mutex
 
@@ -352,10 +354,17 @@
 	}
 }
 
-// publish makes the view known; k.turn is held.
+// publish makes the view known if it changed; k.turn is held.
 func (k *Keeper) publish() {
 	k.mu.Lock()
 	v := View{Table: k.core.Table(), Self: k.core.Self().ID, Held: k.held, Settled: k.core.Settled()}
+	before := k.view.Load()
+	if before != nil && !k.stale && before.Self == v.Self && before.Table.Epoch == v.Table.Epoch &&
+		before.Held == v.Held && before.Settled == v.Settled {
+		k.mu.Unlock()
+		return
+	}
+	k.stale = false
 	if k.registry != nil {
 		for _, p := range k.registry.peers {
 			v.Peers = append(v.Peers, p)
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -100,6 +100,7 @@
 	return k.Store.Watch(ctx, Prefix, next, func(u store.Update) {
 		k.mu.Lock()
 		changed, err := k.registry.apply(u)
+		k.stale = k.stale || changed
 		k.mu.Unlock()
 		if err != nil {
 			k.Log.Emit(eventlog.MembershipUnreadable, zap.Error(err))
@@ -122,7 +123,7 @@
 	}
 	k.mu.Lock()
 	if k.registry == nil || r.next >= k.registry.next {
-		k.registry = r
+		k.registry, k.stale = r, true
 	}
 	k.mu.Unlock()
 	k.observe()
--- a/oriolepond.go
+++ b/oriolepond.go
@@ -64,6 +64,7 @@
 	reporters peer.Group
 	others    atomic.Pointer[map[string]membership.Peer]
 	cuts      cutter
+	idle      idleCache
 
 	keyJournal *home.Journal
 }
--- a/wire_membership.go
+++ b/wire_membership.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -96,6 +97,7 @@
 		listed[e.ID] = true
 	}
 	i.members.List(listed)
+	i.reportToPeers()
 }
 
 // otherInstances returns the registered instances, and those on the platform's
@@ -160,12 +162,7 @@
 // reportFor returns what a peer is told now.
 func (i *Instance) reportFor(id string) peer.Report {
 	i.members.Pulse()
-	r := peer.Report{Status: i.members.Status(), Idle: map[string]int{}}
-	for _, s := range i.configs.Current().Services {
-		if i.targets.Capacity(s.Name) > 0 && !i.stop.draining.Load() {
-			r.Idle[s.Name] = i.targets.Idle(s.Name)
-		}
-	}
+	r := peer.Report{Status: i.members.Status(), Idle: i.idle.get(i.Settings.PeerInterval, i.idleSlots)}
 	view := i.members.View()
 	if epoch := i.directory.Epoch(id); epoch > 0 && epoch < view.Table.Epoch {
 		r.Table, _ = grant.Encode(view.Table)
@@ -173,6 +170,36 @@
 	return r
 }
 
+// idleSlots returns the free slots by service, of the services with slots here.
+func (i *Instance) idleSlots() map[string]int {
+	idle := map[string]int{}
+	if i.stop.draining.Load() {
+		return idle
+	}
+	for _, s := range i.configs.Current().Services {
+		if i.targets.Capacity(s.Name) > 0 {
+			idle[s.Name] = i.targets.Idle(s.Name)
+		}
+	}
+	return idle
+}
+
+// idleCache keeps the free slots for one interval, for the reports to all peers.
+type idleCache struct {
+	mu   sync.Mutex
+	at   time.Time
+	idle map[string]int
+}
+
+func (c *idleCache) get(interval time.Duration, count func() map[string]int) map[string]int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now := time.Now(); now.Sub(c.at) >= interval {
+		c.at, c.idle = now, count()
+	}
+	return c.idle
+}
+
 // registerSlots answers the calls of peers that divide the slots.
 func (i *Instance) registerSlots(server *grpc.Server) {
 	peer.RegisterSlots(server, &peer.Slots{
