--- a/internal/placement/measure.go
+++ b/internal/placement/measure.go
@@ -113,7 +113,7 @@
 			Since:       r.Since,
 			Ratio:       r.load(),
 			Checkpoints: p.families[r.Job].Checkpoints,
-			Unsaved:     now.Sub(m.tasks[r.Task].savedAt),
+			Unsaved:     now.Sub(m.tasks[r.Task].startedAt),
 			Urgent:      r.Urgent,
 			Leaving:     m.tasks[r.Task].leaving,
 		})
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -46,8 +46,8 @@
 type measuredTask struct {
 	peak    share.Resources
 	leaving bool
-	// savedAt is when the task last saved a checkpoint by itself, or started.
-	savedAt time.Time
+	// startedAt is when the task was first known to run on the worker.
+	startedAt time.Time
 }
 
 // NewPlanner returns a planner that knows no workers and no families.
@@ -122,7 +122,7 @@
 	}
 	if _, known := m.tasks[r.Task]; !known {
 		p.running[r.Job]++
-		m.tasks[r.Task] = &measuredTask{savedAt: now}
+		m.tasks[r.Task] = &measuredTask{startedAt: now}
 	}
 	p.Pool.Hold(worker, r)
 	p.Health.Started(worker, now)
@@ -186,13 +186,6 @@
 	}
 }
 
-// Saved says that a task saved a checkpoint by itself.
-func (p *Planner) Saved(worker, task string, at time.Time) {
-	if m, ok := p.workers[worker]; ok && m.tasks[task] != nil {
-		m.tasks[task].savedAt = at
-	}
-}
-
 func (p *Planner) recordLoads(worker string, now time.Time) {
 	p.Learner.History.Set(worker, now, p.Pool.Loads(worker))
 }
--- a/internal/placement/pool_test.go
+++ b/internal/placement/pool_test.go
@@ -74,14 +74,18 @@
 		p := NewPool()
 		n := rapid.IntRange(1, 40).Draw(t, "workers")
 		for i := range n {
-			p.SetWorker(worker(i, cores(rapid.Int64Range(1, 8).Draw(t, "capacity"))))
+			capacity := cores(rapid.Int64Range(1, 8).Draw(t, "capacity"))
+			capacity.Accelerators = share.Accelerators(rapid.IntRange(0, 2).Draw(t, "accelerators"))
+			p.SetWorker(worker(i, capacity))
 		}
 		quota := cores(rapid.Int64Range(4, 100).Draw(t, "quota"))
+		quota.Accelerators = share.Accelerators(rapid.IntRange(1, 10).Draw(t, "accelerator quota"))
 		p.SetQuota("a", quota)
 		held := map[string]string{}
 		for step := range 60 {
 			task := fmt.Sprintf("t-%d", step)
 			c := Candidate{Task: task, Group: "g", Job: "j", Share: "a", Size: cores(rapid.Int64Range(1, 4).Draw(t, "size"))}
+			c.Size.Accelerators = share.Accelerators(rapid.IntRange(0, 1).Draw(t, "takes accelerators"))
 			id, err := p.Choose(c, start)
 			if err == nil {
 				p.Hold(id, c.Resident(start))
