--- a/internal/peer/exchange_test.go
+++ b/internal/peer/exchange_test.go
@@ -115,6 +115,54 @@
 	require.False(t, ok)
 }
 
+// A connection on which reports are sent but nothing comes back is given up.
+func TestSilentConnectionIsDropped(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = inner.Close() })
+	accepted := make(chan net.Conn, 1)
+	go func() {
+		// It never answers.
+		if c, err := inner.Accept(); err == nil {
+			accepted <- c
+		}
+	}()
+	pool := &peer.Pool{}
+	t.Cleanup(pool.Close)
+	address := inner.Addr().String()
+	dropped := make(chan struct{}, 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	r := &peer.Reporter{
+		Conn: func() (*grpc.ClientConn, error) { return pool.Conn(address) },
+		Drop: func() {
+			pool.Drop(address)
+			select {
+			case dropped <- struct{}{}:
+			default:
+			}
+		},
+		Pace: peer.Pace{Interval: 10 * time.Millisecond, Heartbeat: 50 * time.Millisecond, PerSecond: 8},
+		Next: func() peer.Report { return peer.Report{} },
+	}
+	go func() {
+		defer close(done)
+		r.Run(ctx)
+	}()
+	select {
+	case <-dropped:
+	case <-time.After(30 * time.Second):
+		t.Error("the silent connection is kept")
+	}
+	cancel()
+	<-done
+	select {
+	case c := <-accepted:
+		_ = c.Close()
+	default:
+	}
+}
+
 // A silent peer gets no requests; a slot that was given away is not given twice.
 func TestDirectory(t *testing.T) {
 	d := &peer.Directory{Silence: time.Second, RemoteSilence: time.Minute}
