--- a/internal/demo/entryfaults.go
+++ b/internal/demo/entryfaults.go
@@ -43,6 +43,8 @@
 // cannot be frozen, the instance is cut off from everything instead.
 func (d *Demo) leasePause(ctx context.Context) error {
 	i := d.running()[pausedPlace]
+	i.setCutOff(true)
+	defer i.setCutOff(false)
 	if i.process.Pause != nil {
 		i.process.Pause()
 		defer i.process.Resume()
--- a/internal/demo/faults.go
+++ b/internal/demo/faults.go
@@ -217,6 +217,13 @@
 
 // regionSplit parts the regions for longer than the instances' lease.
 func (d *Demo) regionSplit(ctx context.Context) error {
+	home := d.Example.DataCentres[0].Region
+	for _, i := range d.running() {
+		if i.site.Region != home {
+			i.setCutOff(true)
+			defer i.setCutOff(false)
+		}
+	}
 	d.network.SetSplit(true)
 	defer d.network.SetSplit(false)
 	return pause(ctx, outage)
--- a/internal/demo/instances.go
+++ b/internal/demo/instances.go
@@ -40,6 +40,27 @@
 	// ready instances get calls from the balancer; stopping is set by a planned stop.
 	ready    atomic.Bool
 	stopping atomic.Bool
+	// reachedAt is when a fault last ended that kept the instance from the
+	// store, in nanoseconds since the epoch; zero if there was none.
+	reachedAt atomic.Int64
+	// cutOff is set while such a fault lasts.
+	cutOff atomic.Bool
+}
+
+// setCutOff begins or ends a fault that keeps the instance from the store.
+func (i *instance) setCutOff(cut bool) {
+	i.cutOff.Store(cut)
+	if !cut {
+		i.reachedAt.Store(time.Now().UnixNano())
+	}
+}
+
+// since returns how long ago a time was, or the end of the instance's last fault if that is later.
+func (i *instance) since(t time.Time) time.Duration {
+	if at := time.Unix(0, i.reachedAt.Load()); at.After(t) {
+		t = at
+	}
+	return time.Since(t)
 }
 
 func (i *instance) front() string { return fmt.Sprintf("%s:%d", i.address, frontPort) }
--- a/internal/demo/jobs.go
+++ b/internal/demo/jobs.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/oriolepond/oriolepond/internal/entry"
+	"github.com/oriolepond/oriolepond/internal/task"
 )
 
 const (
@@ -99,12 +100,50 @@
 	return status.ID, json.NewDecoder(answer.Body).Decode(&status)
 }
 
+// explainUnfinished asks for the jobs that have not finished and counts why.
+func (d *Demo) explainUnfinished(ctx context.Context) {
+	for _, id := range d.counts.accepted() {
+		var status struct {
+			States map[string]int `json:"states"`
+			Reason string         `json:"reason"`
+		}
+		err := d.describe(ctx, id, &status)
+		if err != nil {
+			d.counts.explain(resultUnknown, id, err.Error())
+			continue
+		}
+		for state, n := range status.States {
+			if state != string(task.Finished) {
+				d.counts.explain(result(state), fmt.Sprintf("%s, %d tasks", id, n), status.Reason)
+			}
+		}
+	}
+}
+
+// describe reads the state of a job.
+func (d *Demo) describe(ctx context.Context, id string, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.anyReady(0).front()+entry.JobsPath+"/"+id, nil)
+	if err != nil {
+		return err
+	}
+	r.Header.Set(entry.HeaderToken, "Bearer "+d.Example.JobToken)
+	answer, err := callers.Do(r)
+	if err != nil {
+		return err
+	}
+	defer answer.Body.Close()
+	return json.NewDecoder(answer.Body).Decode(into)
+}
+
 // settle waits until every accepted task has finished.
 func (d *Demo) settle(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
 	for int64(d.cluster.Tasks.FinishedOf(d.Example.Job)) < d.counts.submitted.Load() {
 		if pause(ctx, pollEvery) != nil {
+			d.explainUnfinished(context.WithoutCancel(ctx))
 			return
 		}
 	}
--- a/internal/demo/operators.go
+++ b/internal/demo/operators.go
@@ -58,7 +58,6 @@
 			return err
 		}
 	}
-	d.counts.inForce(time.Since(accepted))
 	for range revertChecks {
 		for _, i := range d.running() {
 			if known, err := d.knows(ctx, i, token); err == nil && !known {
@@ -89,13 +88,18 @@
 	}
 }
 
-// awaitToken waits until an instance knows a token; one that has ended or is cut off is passed over.
+// awaitToken waits until an instance knows a token, and records how long that
+// took from the acceptance, or from the end of a fault that kept the instance
+// from the store. An instance that has ended is passed over.
 func (d *Demo) awaitToken(ctx context.Context, i *instance, token string, accepted time.Time) error {
 	ctx, cancel := context.WithDeadline(ctx, accepted.Add(outcomeTimeout))
 	defer cancel()
 	for {
 		known, err := d.knows(ctx, i, token)
 		if err == nil && known {
+			if !i.cutOff.Load() {
+				d.counts.inForce(i.since(accepted))
+			}
 			return nil
 		}
 		select {
--- a/internal/demo/report.go
+++ b/internal/demo/report.go
@@ -86,6 +86,13 @@
 	_ = c.latency.RecordValue(d.Microseconds())
 }
 
+// accepted returns the ids of the accepted jobs, in order.
+func (c *counts) accepted() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Sorted(maps.Keys(c.jobs))
+}
+
 // accept counts the tasks of an accepted job once.
 func (c *counts) accept(id string, tasks int) {
 	c.mu.Lock()
