A peer that is silent from the start no longer holds up the end of an instance

Change: the greeting is bounded by 3 s.

Figures: the new test failed before (no end within 30 s) and passes after (3.0 s).

--- a/internal/peer/requests.go
+++ b/internal/peer/requests.go
@@ -19,9 +19,17 @@
 // maxMessageBytes bounds a message between peers, above the largest body of a route.
 const maxMessageBytes = 128 << 20
 
+// greetingTimeout bounds the making of a connection by a peer; a peer that is
+// silent from the start is dropped.
+const greetingTimeout = 3 * time.Second
+
 // ServerOptions are the options of the server that answers peers.
 func ServerOptions() []grpc.ServerOption {
-	return []grpc.ServerOption{grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxSendMsgSize(maxMessageBytes)}
+	return []grpc.ServerOption{
+		grpc.MaxRecvMsgSize(maxMessageBytes),
+		grpc.MaxSendMsgSize(maxMessageBytes),
+		grpc.ConnectionTimeout(greetingTimeout),
+	}
 }
 
 // Requests is the request plane of an instance, here or at the other end of a connection.
