--- /dev/null
+++ b/internal/shard/fleet_test.go
@@ -0,0 +1,144 @@
+package shard
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/oriolepond/oriolepond/internal/eventlog"
+	"github.com/oriolepond/oriolepond/internal/roster"
+	"github.com/oriolepond/oriolepond/internal/standin"
+	"github.com/oriolepond/oriolepond/internal/store"
+	"github.com/oriolepond/oriolepond/internal/task"
+	"github.com/oriolepond/oriolepond/internal/worker"
+	"github.com/oriolepond/oriolepond/pkg/release"
+	"github.com/oriolepond/oriolepond/pkg/share"
+)
+
+// fleet is the whole task plane in one process: the store is
+// called over HTTP, workers through their codec.
+type fleet struct {
+	store   *standin.Store
+	ledger  *standin.TaskLedger
+	routers []*Router
+	keepers []*Keeper
+	listed  atomic.Pointer[[]Member]
+	// bytes are those of the bodies to and from workers.
+	bytes     atomic.Int64
+	exchanges atomic.Int64
+	stops     []context.CancelFunc
+}
+
+func newFleet(b testing.TB, fleetWorkers, instances int, ttl, run time.Duration) *fleet {
+	f := &fleet{store: standin.NewStore(), ledger: standin.NewTaskLedger()}
+	server := httptest.NewServer(f.store)
+	b.Cleanup(server.Close)
+	client := store.NewEtcd([]string{server.URL}, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}})
+	list := roster.List{At: time.Now()}
+	workers := map[string]*standin.Worker{}
+	size := share.Resources{Processors: 32_000, Memory: 125e9}
+	for i := range fleetWorkers {
+		id := fmt.Sprintf("w%d", i)
+		workers[id] = &standin.Worker{ID: id, Capacity: size, Ledger: f.ledger, Work: func(string) standin.Work {
+			return standin.Work{RunTime: run, Size: share.Resources{Processors: 900, Memory: 1e9}}
+		}}
+		list.Instances = append(list.Instances, roster.Instance{
+			ID: id, Kind: roster.KindWorker, State: roster.Live, Address: id, Capacity: size,
+			Region: fmt.Sprintf("r%d", i%2), Rack: fmt.Sprintf("rack-%d", i/8),
+		})
+	}
+	config := release.Config{Revision: 1}
+	members := []Member{}
+	for r := range 2 {
+		n := fmt.Sprintf("n%d", r)
+		config.Neighbours = append(config.Neighbours, share.Neighbour{Name: n, Region: fmt.Sprintf("r%d", r)})
+		config.Shares = append(config.Shares, share.Share{Name: n, Neighbour: n, Weight: 1, Quota: size.Times(fleetWorkers)})
+		config.Jobs = append(config.Jobs, release.Job{
+			Name: n, Neighbour: n, Share: n, Size: share.Resources{Processors: 1000, Memory: 1e9}, MaxStarts: 3, Checkpoints: true,
+		})
+	}
+	for i := range instances {
+		members = append(members, Member{ID: fmt.Sprintf("e%d", i), Region: fmt.Sprintf("r%d", i%2)})
+	}
+	calls := map[string]*Calls{}
+	f.setMembers(members)
+	for _, m := range members {
+		k := &Keeper{
+			ID: m.ID, Store: client, Workers: f.client(workers), TTL: ttl, Interval: ttl / 10,
+			Members: f.members, Config: func() release.Config { return config },
+			List: func() roster.List { return list }, Log: eventlog.Discard(),
+		}
+		calls[m.ID] = k.Calls()
+		f.keepers = append(f.keepers, k)
+		f.routers = append(f.routers, &Router{
+			Store: client, Writer: &store.Writer{Client: client, ID: m.ID + "/jobs"}, Local: k.Calls(),
+			Peer:     func(id string) (*Calls, error) { return calls[id], nil },
+			HolderOf: k.HolderOf, Shards: k.Shards, Config: k.Config, List: k.List,
+		})
+		ctx, stop := context.WithCancel(context.Background())
+		f.stops = append(f.stops, stop)
+		b.Cleanup(stop)
+		go func() { _ = k.Run(ctx) }()
+	}
+	return f
+}
+
+func (f *fleet) setMembers(m []Member) { f.listed.Store(&m) }
+
+func (f *fleet) members() []Member { return *f.listed.Load() }
+
+// client speaks to the workers through their codec and counts the bytes.
+func (f *fleet) client(workers map[string]*standin.Worker) *worker.Client {
+	return &worker.Client{Exchange: func(_ context.Context, id string, e worker.Exchange) (worker.Report, error) {
+		out, err := worker.EncodeExchange(e)
+		if err != nil {
+			return worker.Report{}, err
+		}
+		sent, err := worker.DecodeExchange(out)
+		if err != nil {
+			return worker.Report{}, err
+		}
+		r, ok := workers[id].Exchange(sent)
+		back, err := worker.EncodeReport(r)
+		if err != nil {
+			return worker.Report{}, err
+		}
+		f.exchanges.Add(1)
+		f.bytes.Add(int64(len(out) + len(back)))
+		if !ok {
+			return worker.Report{}, &worker.EpochError{Worker: id, Seen: r.Epoch, Sent: e.Epoch}
+		}
+		return worker.DecodeReport(back)
+	}}
+}
+
+// submit submits a job, and repeats that until it is accepted.
+func (f *fleet) submit(b testing.TB, n, tasks int) {
+	neighbour := fmt.Sprintf("n%d", n%2)
+	s := task.Submission{Neighbour: neighbour, Job: neighbour, Tasks: tasks, Key: fmt.Sprintf("key-%d", n)}
+	for {
+		_, err := f.routers[n%len(f.routers)].Submit(context.Background(), s)
+		if err == nil {
+			return
+		}
+		var refused *task.RefusedError
+		if errors.As(err, &refused) {
+			b.Error(err)
+			return
+		}
+	}
+}
+
+// await waits until something holds.
+func (f *fleet) await(holds func() bool) {
+	ticker := time.NewTicker(10 * time.Millisecond)
+	defer ticker.Stop()
+	for !holds() {
+		<-ticker.C
+	}
+}
--- /dev/null
+++ b/internal/shard/keeper_test.go
@@ -0,0 +1,131 @@
+package shard
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/oriolepond/oriolepond/internal/task"
+)
+
+// generous bounds a wait for something that is expected well before.
+const generous = 60 * time.Second
+
+// finishAll waits until the tasks of jobs that were submitted have finished, each once.
+func (f *fleet) finishAll(t *testing.T, tasks int) {
+	t.Helper()
+	require.Eventually(t, func() bool { return f.ledger.Finished() >= tasks }, generous, 10*time.Millisecond)
+	require.Zero(t, f.ledger.DoubleRuns())
+	require.Zero(t, f.ledger.Overcommits())
+	require.Zero(t, f.ledger.ResumeDoubles())
+}
+
+// Nothing that was accepted is lost, and nothing runs twice, whatever becomes
+// of the store and of the instances that hold the shards.
+func TestJobsOutliveFailures(t *testing.T) {
+	tests := []struct {
+		name string
+		fail func(t *testing.T, f *fleet)
+	}{
+		{"planned stop of an instance", func(t *testing.T, f *fleet) {
+			f.setMembers([]Member{{ID: "e1", Region: "r1"}, {ID: "e2", Region: "r0"}})
+			f.stops[0]()
+			require.Eventually(t, func() bool { return f.heldBy("e0") == 0 }, generous, 10*time.Millisecond)
+		}},
+		{"every lease lapses", func(_ *testing.T, f *fleet) { f.store.ExpireLeases() }},
+		{"answers are lost", func(_ *testing.T, f *fleet) { f.store.SetLostAnswers(0.3, 5) }},
+		{"store is slow", func(_ *testing.T, f *fleet) { f.store.SetDelay(300 * time.Millisecond) }},
+		{"store is down past every lease", func(t *testing.T, f *fleet) {
+			f.store.SetDown(true)
+			f.store.ExpireLeases()
+			require.Eventually(t, func() bool { return !f.keepers[0].mayStart(time.Now()) }, generous, 10*time.Millisecond)
+			f.store.SetDown(false)
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, 16, 3, 2*time.Second, 300*time.Millisecond)
+			const tasks = 40
+			for n := range 2 {
+				f.submit(t, n, tasks)
+			}
+			test.fail(t, f)
+			for n := 2; n < 4; n++ {
+				f.submit(t, n, tasks)
+			}
+			f.finishAll(t, 4*tasks)
+		})
+	}
+}
+
+func (f *fleet) heldBy(id string) int {
+	held := 0
+	for _, s := range f.keepers[1].Shards() {
+		if f.keepers[1].HolderOf(s) == id {
+			held++
+		}
+	}
+	return held
+}
+
+// A repeat of a key is the same job, and another submission under it is refused.
+func TestKeysAreUnique(t *testing.T) {
+	f := newFleet(t, 16, 3, 2*time.Second, time.Millisecond)
+	s := task.Submission{Neighbour: "n0", Job: "n0", Tasks: 3, Key: "key"}
+	ids := map[string]bool{}
+	for i := range 6 {
+		status, err := f.routers[i%3].Submit(t.Context(), s)
+		require.NoError(t, err)
+		ids[status.ID] = true
+	}
+	require.Len(t, ids, 1)
+	s.Tasks = 4
+	_, err := f.routers[0].Submit(t.Context(), s)
+	var refused *task.RefusedError
+	require.ErrorAs(t, err, &refused)
+	f.finishAll(t, 3)
+}
+
+func TestAssignIsEvenAndStable(t *testing.T) {
+	var shards []string
+	for i := range 8 {
+		shards = append(shards, fmt.Sprintf("r%d.%d", i/4, i%4))
+	}
+	members := []Member{{"a", "r0"}, {"b", "r0"}, {"c", "r0"}, {"d", "r1"}}
+	before := Assign(shards, members)
+	counts := map[string]int{}
+	for id, m := range before {
+		counts[m]++
+		if RegionOf(id) == "r1" {
+			require.Equal(t, "d", m)
+		}
+	}
+	for _, m := range members[:3] {
+		require.LessOrEqual(t, counts[m.ID], 2)
+		require.Positive(t, counts[m.ID]+1)
+	}
+	after := Assign(shards, members[:3])
+	for id, m := range after {
+		require.NotEqual(t, "d", m)
+		if RegionOf(id) == "r0" {
+			require.Equal(t, before[id], m, "a member of another region moves nothing here")
+		}
+	}
+}
+
+func TestJobIDNamesItsShards(t *testing.T) {
+	tests := [][]string{
+		{"bajio.0"},
+		{"bajio.3", "bajio.0", "bajio.1"},
+		{"eu.west.2", "eu.west.3", "norte.1"},
+		{"zone.9.1"},
+	}
+	for _, shards := range tests {
+		require.Equal(t, shards, ShardsOf(JobID("0197", shards)))
+	}
+	require.Empty(t, ShardsOf("nonsense"))
+	require.Empty(t, ShardsOf("a~b"))
+}
--- a/internal/shard/router.go
+++ b/internal/shard/router.go
@@ -119,6 +119,7 @@
 		Then: []store.Op{store.Put(key, value).WithLease(lease)},
 	})
 	if err != nil {
+		r.forgetLease()
 		return reservation{}, err
 	}
 	if result.Done {
@@ -175,6 +176,13 @@
 	return lease, nil
 }
 
+// forgetLease makes the next key ask for a new lease: the store may not know the old one any more.
+func (r *Router) forgetLease() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lease = 0
+}
+
 // Describe returns the state of a job.
 func (r *Router) Describe(ctx context.Context, neighbour, id string) (task.Status, error) {
 	return r.each(ctx, id, func(shard string, c *Calls) (task.Status, error) {
