--- a/internal/shard/bench_test.go
+++ b/internal/shard/bench_test.go
@@ -131,3 +131,44 @@
 	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(len(kept))/shardTasks, "heapBytes/task")
 	runtime.KeepAlive(kept)
 }
+
+// BenchmarkExchangeBytes measures the bodies between a holder and a worker of
+// 22 running tasks over one period between two full reports.
+func BenchmarkExchangeBytes(b *testing.B) {
+	const tasks = 22
+	now := time.Now()
+	w := &standin.Worker{
+		ID: "worker-1", Capacity: share.Resources{Processors: 64_000, Memory: 1 << 40}, Ledger: standin.NewTaskLedger(),
+		Now: func() time.Time { return now },
+		Work: func(string) standin.Work {
+			return standin.Work{RunTime: time.Hour, Size: share.Resources{Processors: 900}}
+		},
+	}
+	bytes, sequence, boot, stamp := 0, int64(0), "", time.Duration(0)
+	exchange := func(full bool, commands []worker.Command) {
+		sequence++
+		e := worker.Exchange{
+			Holder: "entry-1", Epoch: 123_456, Sequence: sequence, Boot: boot, Stamp: stamp,
+			Lease: DefaultTiming().Lease, Full: full, Commands: commands,
+		}
+		out, _ := worker.EncodeExchange(e)
+		r, _ := w.Exchange(e)
+		back, _ := worker.EncodeReport(r)
+		boot, stamp = r.Boot, r.Stamp
+		bytes += len(out) + len(back)
+	}
+	exchange(true, nil)
+	for i := range tasks {
+		id := fmt.Sprintf("0197a1b2c3d4e5f60718293a4b5c6d7e~bajio.2-%d", i)
+		exchange(false, []worker.Command{{Kind: worker.Start, Task: id, Incarnation: 1, Job: "flatness-review"}})
+	}
+	perPeriod := int(DefaultTiming().FullEvery / time.Second)
+	bytes = 0
+	for b.Loop() {
+		for n := range perPeriod {
+			now = now.Add(time.Second)
+			exchange(n == 0, nil)
+		}
+	}
+	b.ReportMetric(float64(bytes)/float64(b.N*perPeriod), "bytes/s")
+}
