Directed tests for clock drift and late starts

Cause: with learned sizes the ordinary run of the property test (1,500 runs) no longer fails when the drift or the sequence number is taken out; the design page claimed that it does.

--- a/internal/shard/takeover_test.go
+++ b/internal/shard/takeover_test.go
@@ -174,3 +174,45 @@
 	require.Empty(t, again.jobs)
 	require.Equal(t, usage, again.Accounts()[0].Usage)
 }
+
+// onlyWorker0 returns a world whose holder knows worker 0 alone, whose clock is slow.
+func onlyWorker0() (*world, *worldHolder) {
+	w := newWorld()
+	w.gone[1], w.gone[2] = true, true
+	w.coast(2, 0)
+	return w, w.holders[0]
+}
+
+// A silent worker with a slow clock still runs its task when the lease is over
+// by the holder's clock; the task moves only after the drift as well.
+func TestLapseAllowsForDrift(t *testing.T) {
+	w, h := onlyWorker0()
+	w.submit(h, "batch", 1)
+	w.coast(2, 0)
+	require.Equal(t, 1, pinned(h, "w0"))
+	w.gone[1], w.gone[2] = false, false
+	w.coast(2, 0)
+	w.cut[[2]int64{h.epoch, 0}] = true
+	w.coast(15, 50*time.Millisecond)
+	require.Equal(t, 1, pinned(h, "w0"))
+	w.coast(2, 0)
+	require.Zero(t, pinned(h, "w0"))
+	require.Equal(t, 2, w.ledger.Starts())
+	require.Zero(t, w.ledger.DoubleRuns())
+}
+
+// A start that arrives after its task has ended there does nothing.
+func TestLateStartDoesNothing(t *testing.T) {
+	w, h := onlyWorker0()
+	w.submit(h, "plain", 1)
+	w.commit(h, false)
+	w.exchange(h, 0, delayed)
+	w.coast(7, 0)
+	s, err := h.core.Describe("n", "j1")
+	require.NoError(t, err)
+	require.Equal(t, 1, s.States[task.Finished])
+	require.Len(t, w.stuck, 1)
+	require.NotEmpty(t, w.stuck[0].e.Commands)
+	w.arrive(0)
+	require.Equal(t, 1, w.ledger.Starts())
+}
