Property tests have fixed seeds everywhere

Change: one package fixes seed and size for all; two packages had code of their own for it.

Conclusion: the tests pass with the seed; none was narrowed.

--- a/internal/membership/main_test.go
+++ b/internal/membership/main_test.go
@@ -1,17 +1,13 @@
 package membership_test
 
 import (
-	"flag"
 	"os"
 	"testing"
+
+	"github.com/oriolepond/oriolepond/internal/property"
 )
 
-// TestMain fixes the seed and the size of the property tests, unless flags set others.
 func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "3000", "rapid.steps": "100"} {
-		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
-			_ = f.Value.Set(value)
-		}
-	}
+	property.Fix(property.Size{Checks: 3000, Steps: 100})
 	os.Exit(m.Run())
 }
--- a/internal/shard/property_test.go
+++ b/internal/shard/property_test.go
@@ -1,8 +1,8 @@
 package shard
 
 import (
-	"flag"
 	"maps"
+	"os"
 	"slices"
 	"testing"
 	"time"
@@ -10,17 +10,15 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/oriolepond/oriolepond/internal/property"
 	"github.com/oriolepond/oriolepond/internal/task"
 	"github.com/oriolepond/oriolepond/pkg/share"
 )
 
-// The size of the property test in an ordinary run; its flags override it.
-func init() {
-	for name, value := range map[string]string{"rapid.checks": "1500", "rapid.steps": "80", "rapid.seed": "1"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
+// TestMain fixes the size of the property test in an ordinary run.
+func TestMain(m *testing.M) {
+	property.Fix(property.Size{Checks: 1500, Steps: 80})
+	os.Exit(m.Run())
 }
 
 // check fails if a rule of the product is broken at this moment.
