Accounts hold requests, link bytes and a bound of what is open

Cause: the account told only of tasks, and of what was not reported yet only how many tasks it concerned.

Change: internal/meter counts requests and link bytes by neighbour and share and keeps them in the store through stops, crashes and wrong guesses of who is gone; the account states the most that running tasks have used since their workers were last heard. The link's own count by neighbour gives way to it.

Ruled out: taking a key that is gone for folded as it was last written.

Figures: 8 requests at two instances and 1 after a restart under the same id are in the account as 9 (test). Cost in the store, by rate: one write in 30 s for each instance that served requests.

Conclusion: periods are still missing from the account of the shards.

--- a/cmd/pondctl/report.go
+++ b/cmd/pondctl/report.go
@@ -23,10 +23,11 @@
 	}
 	return c.print(rows, func() {
 		w := tabwriter.NewWriter(c.out, 0, 0, 2, ' ', tabwriter.AlignRight)
-		fmt.Fprintln(w, "neighbour\tshare\tprocessor s\tmemory GB·s\taccelerator s\topen tasks\t")
+		fmt.Fprintln(w, "neighbour\tshare\tprocessor s\tmemory GB·s\taccelerator s\trequests\tlink MB\topen tasks\topen processor s\t")
 		for _, r := range rows {
-			fmt.Fprintf(w, "%s\t%s\t%.1f\t%.1f\t%.1f\t%d\t\n",
-				r.Neighbour, r.Share, r.ProcessorSeconds, r.MemoryByteSeconds/1e9, r.AcceleratorSeconds, r.OpenTasks)
+			fmt.Fprintf(w, "%s\t%s\t%.1f\t%.1f\t%.1f\t%d\t%.3f\t%d\t%.1f\t\n",
+				r.Neighbour, r.Share, r.ProcessorSeconds, r.MemoryByteSeconds/1e9, r.AcceleratorSeconds,
+				r.Requests, float64(r.LinkBytes)/1e6, r.OpenTasks, r.OpenProcessorSeconds)
 		}
 		_ = w.Flush()
 	})
--- a/internal/entry/dispatcher.go
+++ b/internal/entry/dispatcher.go
@@ -32,6 +32,8 @@
 	RemotePeer func(service string) (Peer, bool)
 	// Link bounds and accounts what goes to the other region.
 	Link *link.Link
+	// LinkUsed is told the bytes that a request of a neighbour took on the link, and the share of its service; nil means nobody asks.
+	LinkUsed func(neighbour, share string, bytes int64)
 	// Keys remembers the keys of non-idempotent requests.
 	Keys *Keys
 	// StreamContext returns the context of a stream, which may end it early.
--- a/internal/entry/forward_test.go
+++ b/internal/entry/forward_test.go
@@ -116,6 +116,8 @@
 	remote := peerTo("far", far.Dispatcher, &seen)
 	here.RemotePeer = func(string) (Peer, bool) { return remote, true }
 	here.Link = link.New(1) // One byte a second.
+	used := map[string]int64{}
+	here.LinkUsed = func(neighbour, _ string, bytes int64) { used[neighbour] += bytes }
 	q := request(route(release.NonIdempotent), "near")
 	a, err := here.Do(t.Context(), q)
 	requireAnswer(t, "near", a, err)
@@ -126,7 +128,7 @@
 	defer here.Targets.Release(slot)
 	a, err = here.Do(t.Context(), request(route(release.NonIdempotent), "first"))
 	requireAnswer(t, "first", a, err)
-	require.GreaterOrEqual(t, here.Link.Usage.Totals()["n"], int64(len("body")+len(a.Body)))
+	require.GreaterOrEqual(t, used["n"], int64(len("body")+len(a.Body)))
 	_, err = here.Do(t.Context(), request(route(release.NonIdempotent), "second"))
 	outcome := requireOutcome(t, NotRun, err)
 	require.Positive(t, outcome.RetryAfter)
--- a/internal/entry/peer.go
+++ b/internal/entry/peer.go
@@ -85,13 +85,20 @@
 	if d.Link != nil {
 		bytes := int64(len(q.Body)) + requestOverhead
 		d.Link.Out.Take(time.Now(), bytes)
-		d.Link.Usage.Add(q.Neighbour.Name, bytes)
+		d.countLink(q, bytes)
 	}
 }
 
 func (d *Dispatcher) linkIn(q Request, bytes int) {
 	if d.Link != nil {
 		d.Link.In.Take(time.Now(), int64(bytes))
-		d.Link.Usage.Add(q.Neighbour.Name, int64(bytes))
+		d.countLink(q, int64(bytes))
+	}
+}
+
+// countLink counts bytes on the link for who pays for them.
+func (d *Dispatcher) countLink(q Request, bytes int64) {
+	if d.LinkUsed != nil {
+		d.LinkUsed(q.Neighbour.Name, q.Service.Share, bytes)
 	}
 }
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -6,7 +6,6 @@
 //	l := link.New(link.BytesPerSecond(30_000_000) / instances)
 //	if l.Out.Fits(now, size) {
 //		l.Out.Take(now, size)
-//		l.Usage.Add(neighbour, size)
 //	}
 package link
 
@@ -22,14 +21,13 @@
 
 // Link is this instance's part of the link, by direction.
 type Link struct {
-	Out   *Bucket
-	In    *Bucket
-	Usage *Usage
+	Out *Bucket
+	In  *Bucket
 }
 
 // New returns a link whose directions each carry a rate in bytes a second.
 func New(rate float64) *Link {
-	return &Link{Out: &Bucket{Rate: rate}, In: &Bucket{Rate: rate}, Usage: NewUsage()}
+	return &Link{Out: &Bucket{Rate: rate}, In: &Bucket{Rate: rate}}
 }
 
 // burst is the time whose traffic may pass at once.
@@ -68,30 +66,3 @@
 		b.at = now
 	}
 }
-
-// Usage counts the bytes on the link, both directions together, by neighbour.
-type Usage struct {
-	mu    sync.Mutex
-	bytes map[string]int64
-}
-
-// NewUsage returns an empty count.
-func NewUsage() *Usage { return &Usage{bytes: map[string]int64{}} }
-
-// Add counts bytes of a neighbour.
-func (u *Usage) Add(neighbour string, bytes int64) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.bytes[neighbour] += bytes
-}
-
-// Totals returns a copy of the counts since the start, by neighbour.
-func (u *Usage) Totals() map[string]int64 {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	all := make(map[string]int64, len(u.bytes))
-	for n, bytes := range u.bytes {
-		all[n] = bytes
-	}
-	return all
-}
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -33,11 +33,3 @@
 	require.False(t, b.Fits(now.Add(4*time.Second), 1000))
 	require.True(t, b.Fits(now.Add(5*time.Second), 1000))
 }
-
-func TestUsageIsCountedByNeighbour(t *testing.T) {
-	u := NewUsage()
-	u.Add("a", 1)
-	u.Add("b", 2)
-	u.Add("a", 3)
-	require.Equal(t, map[string]int64{"a": 4, "b": 2}, u.Totals())
-}
--- /dev/null
+++ b/internal/operate/account.go
@@ -0,0 +1,37 @@
+package operate
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/oriolepond/oriolepond/internal/meter"
+	"github.com/oriolepond/oriolepond/internal/shard"
+)
+
+// Account is what one share has used.
+type Account struct {
+	shard.Account
+	meter.Use
+}
+
+// Join returns the accounts of all shares that ran tasks or served requests,
+// in the order of neighbours and shares.
+func Join(tasks []shard.Account, counts meter.Counts) []Account {
+	rows := map[meter.Payer]Account{}
+	for _, a := range tasks {
+		rows[meter.Payer{Neighbour: a.Neighbour, Share: a.Share}] = Account{Account: a}
+	}
+	for p, u := range counts {
+		row := rows[p]
+		row.Neighbour, row.Share, row.Use = p.Neighbour, p.Share, u
+		rows[p] = row
+	}
+	all := make([]Account, 0, len(rows))
+	for _, row := range rows {
+		all = append(all, row)
+	}
+	slices.SortFunc(all, func(a, b Account) int {
+		return cmp.Or(cmp.Compare(a.Neighbour, b.Neighbour), cmp.Compare(a.Share, b.Share))
+	})
+	return all
+}
--- a/internal/operate/api.go
+++ b/internal/operate/api.go
@@ -27,7 +27,6 @@
 	"github.com/oriolepond/oriolepond/internal/config"
 	"github.com/oriolepond/oriolepond/internal/eventlog"
 	"github.com/oriolepond/oriolepond/internal/jsonc"
-	"github.com/oriolepond/oriolepond/internal/shard"
 	"github.com/oriolepond/oriolepond/pkg/release"
 )
 
@@ -58,7 +57,7 @@
 	Status   func(ctx context.Context, note string) (release.Report, error)
 	History  func(ctx context.Context, n int) ([]release.Record, error)
 	Config   func() release.Config
-	Accounts func(ctx context.Context) ([]shard.Account, error)
+	Accounts func(ctx context.Context) ([]Account, error)
 	Burn     func(ctx context.Context) (burn.Report, error)
 	Log      *eventlog.Log
 }
--- a/internal/operate/wire.go
+++ b/internal/operate/wire.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/oriolepond/oriolepond/internal/shard"
 	"github.com/oriolepond/oriolepond/pkg/release"
 )
 
@@ -48,7 +47,13 @@
 	ProcessorSeconds   float64 `json:"processorSeconds"`
 	MemoryByteSeconds  float64 `json:"memoryByteSeconds"`
 	AcceleratorSeconds float64 `json:"acceleratorSeconds"`
-	OpenTasks          int     `json:"openTasks"`
+	Requests           int64   `json:"requests"`
+	LinkBytes          int64   `json:"linkBytes"`
+	// OpenTasks run, and have used at most the open amounts since they were last heard of.
+	OpenTasks              int     `json:"openTasks"`
+	OpenProcessorSeconds   float64 `json:"openProcessorSeconds"`
+	OpenMemoryByteSeconds  float64 `json:"openMemoryByteSeconds"`
+	OpenAcceleratorSeconds float64 `json:"openAcceleratorSeconds"`
 }
 
 type wireError struct {
@@ -93,7 +98,7 @@
 	return w
 }
 
-func encodeAccounts(all []shard.Account) []WireAccount {
+func encodeAccounts(all []Account) []WireAccount {
 	w := []WireAccount{}
 	for _, a := range all {
 		w = append(w, WireAccount{
@@ -102,7 +107,13 @@
 			ProcessorSeconds:   a.Usage.Processor.Seconds(),
 			MemoryByteSeconds:  a.Usage.MemoryTime,
 			AcceleratorSeconds: a.Usage.Accelerator.Seconds(),
+			Requests:           a.Requests,
+			LinkBytes:          a.LinkBytes,
 			OpenTasks:          a.OpenTasks,
+
+			OpenProcessorSeconds:   a.OpenAtMost.Processor.Seconds(),
+			OpenMemoryByteSeconds:  a.OpenAtMost.MemoryTime,
+			OpenAcceleratorSeconds: a.OpenAtMost.Accelerator.Seconds(),
 		})
 	}
 	return w
--- a/internal/peer/tasks.go
+++ b/internal/peer/tasks.go
@@ -95,12 +95,15 @@
 	reply := &taskpb.AccountReply{}
 	for _, a := range all {
 		reply.Rows = append(reply.Rows, &taskpb.AccountRow{
-			Neighbour:         a.Neighbour,
-			Share:             a.Share,
-			ProcessorMicros:   a.Usage.Processor.Microseconds(),
-			MemoryByteSeconds: a.Usage.MemoryTime,
-			AcceleratorMicros: a.Usage.Accelerator.Microseconds(),
-			OpenTasks:         int64(a.OpenTasks),
+			Neighbour:             a.Neighbour,
+			Share:                 a.Share,
+			ProcessorMicros:       a.Usage.Processor.Microseconds(),
+			MemoryByteSeconds:     a.Usage.MemoryTime,
+			AcceleratorMicros:     a.Usage.Accelerator.Microseconds(),
+			OpenTasks:             int64(a.OpenTasks),
+			OpenProcessorMicros:   a.OpenAtMost.Processor.Microseconds(),
+			OpenMemoryByteSeconds: a.OpenAtMost.MemoryTime,
+			OpenAcceleratorMicros: a.OpenAtMost.Accelerator.Microseconds(),
 		})
 	}
 	return reply, nil
@@ -115,17 +118,23 @@
 		all = append(all, shard.Account{
 			Neighbour: r.Neighbour,
 			Share:     r.Share,
-			Usage: worker.Usage{
-				Processor:   time.Duration(r.ProcessorMicros) * time.Microsecond,
-				MemoryTime:  r.MemoryByteSeconds,
-				Accelerator: time.Duration(r.AcceleratorMicros) * time.Microsecond,
-			},
+			Usage:     decodeUsage(r.ProcessorMicros, r.MemoryByteSeconds, r.AcceleratorMicros),
 			OpenTasks: int(r.OpenTasks),
+			OpenAtMost: decodeUsage(
+				r.OpenProcessorMicros, r.OpenMemoryByteSeconds, r.OpenAcceleratorMicros),
 		})
 	}
 	return all, nil
 }
 
+func decodeUsage(processorMicros int64, memory float64, acceleratorMicros int64) worker.Usage {
+	return worker.Usage{
+		Processor:   time.Duration(processorMicros) * time.Microsecond,
+		MemoryTime:  memory,
+		Accelerator: time.Duration(acceleratorMicros) * time.Microsecond,
+	}
+}
+
 func encodeStatus(s task.Status, err error) (*taskpb.JobReply, error) {
 	if err != nil {
 		return nil, encodeError(err)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -23,6 +23,7 @@
 	DefaultListInterval    = time.Second
 	DefaultPeerInterval    = 50 * time.Millisecond
 	DefaultWorkerInterval  = time.Second
+	DefaultAccountInterval = 30 * time.Second
 	DefaultStopDelay       = 2 * time.Second
 	DefaultStopTimeout     = 12 * time.Hour
 	DefaultLinkBitsPerSec  = 30_000_000
@@ -54,6 +55,8 @@
 	ListInterval      time.Duration
 	PeerInterval      time.Duration
 	WorkerInterval    time.Duration
+	// AccountInterval is how often counted requests and link bytes are written to the store.
+	AccountInterval time.Duration
 	// StopDelay is how long a planned stop still serves while the balancer learns of it.
 	StopDelay time.Duration
 	// StopTimeout bounds a planned stop; streams may stay open for a whole shift.
@@ -95,6 +98,7 @@
 		ListInterval:      positive(o, "listInterval", DefaultListInterval),
 		PeerInterval:      positive(o, "peerInterval", DefaultPeerInterval),
 		WorkerInterval:    positive(o, "workerInterval", DefaultWorkerInterval),
+		AccountInterval:   positive(o, "accountInterval", DefaultAccountInterval),
 		StopDelay:         o.DurationOr("stopDelay", DefaultStopDelay),
 		StopTimeout:       positive(o, "stopTimeout", DefaultStopTimeout),
 		LinkBitsPerSecond: positiveInt(o, "linkBitsPerSecond", DefaultLinkBitsPerSec),
--- a/internal/shard/core.go
+++ b/internal/shard/core.go
@@ -72,8 +72,10 @@
 	Neighbour string
 	Share     string
 	Usage     worker.Usage
-	// OpenTasks are running, so that a part of their usage is not reported yet.
-	OpenTasks int
+	// OpenTasks are running, so that a part of their usage is not reported yet;
+	// OpenAtMost bounds that part by the sizes that they hold.
+	OpenTasks  int
+	OpenAtMost worker.Usage
 }
 
 // Core holds the state of one shard. It is not safe for concurrent use.
@@ -247,7 +249,7 @@
 }
 
 // Accounts returns the usage of all shares.
-func (c *Core) Accounts() []Account {
+func (c *Core) Accounts(now time.Time) []Account {
 	sums := map[string]*Account{}
 	sum := func(neighbour, name string) *Account {
 		if sums[name] == nil {
@@ -266,6 +268,7 @@
 			a.Usage = a.Usage.Plus(t.Usage())
 			if t.State.Placed() {
 				a.OpenTasks++
+				a.OpenAtMost = a.OpenAtMost.Plus(c.unreported(t, now))
 			}
 		}
 	}
@@ -275,3 +278,20 @@
 	}
 	return all
 }
+
+// unreported bounds what a placed task has used since its worker was last heard.
+func (c *Core) unreported(t *entry, now time.Time) worker.Usage {
+	since := c.began
+	if w, ok := c.workers[t.Worker]; ok && w.heardAt.After(since) {
+		since = w.heardAt
+	}
+	open := max(0, now.Sub(since))
+	return worker.Usage{
+		Processor:   time.Duration(float64(open) * float64(t.Size.Processors) / coreMillis),
+		MemoryTime:  open.Seconds() * float64(t.Size.Memory),
+		Accelerator: open * time.Duration(t.Size.Accelerators),
+	}
+}
+
+// coreMillis is one core in thousandths.
+const coreMillis = 1000
--- a/internal/shard/holder.go
+++ b/internal/shard/holder.go
@@ -348,7 +348,7 @@
 	if h.ended {
 		return nil, &NotHolderError{Shard: h.Shard}
 	}
-	return h.core.Accounts(), nil
+	return h.core.Accounts(time.Now()), nil
 }
 
 // IsSole reports whether no earlier holder can still renew tasks of the shard.
--- a/internal/shard/router.go
+++ b/internal/shard/router.go
@@ -232,6 +232,7 @@
 			}
 			all[i].Usage = all[i].Usage.Plus(a.Usage)
 			all[i].OpenTasks += a.OpenTasks
+			all[i].OpenAtMost = all[i].OpenAtMost.Plus(a.OpenAtMost)
 		}
 	}
 	return all, nil
--- a/internal/shard/takeover_test.go
+++ b/internal/shard/takeover_test.go
@@ -162,17 +162,17 @@
 	h := w.holders[0]
 	w.submit(h, "plain", 2)
 	w.coast(10, 0)
-	usage := h.core.Accounts()[0].Usage
+	usage := h.core.Accounts(w.now)[0].Usage
 	require.Positive(t, usage.Processor)
 	w.advance(w.timing.Retention + sweepEvery)
 	w.coast(1, 0)
 	require.Empty(t, h.core.jobs)
-	require.Equal(t, usage, h.core.Accounts()[0].Usage)
+	require.Equal(t, usage, h.core.Accounts(w.now)[0].Usage)
 	again := NewCore(w.timing, w.now, true)
 	again.Configure(w.config, w.quotas())
 	again.Restore(w.batches, w.now)
 	require.Empty(t, again.jobs)
-	require.Equal(t, usage, again.Accounts()[0].Usage)
+	require.Equal(t, usage, again.Accounts(w.now)[0].Usage)
 }
 
 // onlyWorker0 returns a world whose holder knows worker 0 alone, whose clock is slow.
--- a/operate_test.go
+++ b/operate_test.go
@@ -80,7 +80,7 @@
 		"id": %q, "region": "bajio", "dataCentre": "bajio-a",
 		"listen": "127.0.0.1:0", "peerListen": "127.0.0.1:0", "adminListen": "127.0.0.1:0",
 		"storeUrls": [%q], "listUrl": %q, "operatorTokenHash": %q,
-		"leaseTtl": "5s", "listInterval": "100ms", "workerInterval": "50ms"
+		"leaseTtl": "5s", "listInterval": "100ms", "workerInterval": "50ms", "accountInterval": "50ms"
 	}`, id, p.cluster.StoreURL, p.cluster.ListURL, hashOf(operatorToken)))
 	require.NoError(t, err)
 	listening := make(chan oriolepond.Addresses, 1)
--- a/oriolepond.go
+++ b/oriolepond.go
@@ -32,6 +32,7 @@
 	"github.com/oriolepond/oriolepond/internal/eventlog"
 	"github.com/oriolepond/oriolepond/internal/home"
 	"github.com/oriolepond/oriolepond/internal/membership"
+	"github.com/oriolepond/oriolepond/internal/meter"
 	"github.com/oriolepond/oriolepond/internal/peer"
 	"github.com/oriolepond/oriolepond/internal/roster"
 	"github.com/oriolepond/oriolepond/internal/settings"
@@ -67,6 +68,8 @@
 	idle      idleCache
 
 	keyJournal *home.Journal
+	meter      *meter.Meter
+	meters     *meter.Keeper
 }
 
 // Run serves until the context ends, then makes a planned stop: callers are
@@ -85,6 +88,7 @@
 	addLoop(&g, background, i.reporters.Run)
 	addLoop(&g, background, i.members.Run)
 	addLoop(&g, background, i.configs.Run)
+	addLoop(&g, background, i.meters.Run)
 	addLoop(&g, background, i.shards.Run)
 	addLoop(&g, background, i.followList)
 	addLoop(&g, background, i.trimConnections)
@@ -215,6 +219,7 @@
 	i.targets = target.NewTable()
 	i.buildRequests()
 	i.buildBurn()
+	i.buildMeter(client)
 	i.reporters.Start = i.report
 	i.buildMembership(client)
 	i.routePeers()
--- a/wire_burn.go
+++ b/wire_burn.go
@@ -6,6 +6,7 @@
 
 	"github.com/oriolepond/oriolepond/internal/burn"
 	"github.com/oriolepond/oriolepond/internal/entry"
+	"github.com/oriolepond/oriolepond/internal/meter"
 )
 
 // buildBurn counts the callers' requests against their objectives.
@@ -17,6 +18,9 @@
 // count counts the end of one caller's request; a caller's own mistake does not count.
 func (i *Instance) count(s entry.Sample) {
 	service, ok := i.configs.Current().Service(s.Service)
+	if ok && s.Outcome == "" && s.Status != 0 {
+		i.meter.Add(meter.Payer{Neighbour: s.Neighbour, Share: service.Share}, meter.Use{Requests: 1})
+	}
 	if !ok || s.Cause == entry.CauseCaller {
 		return
 	}
--- a/wire_operate.go
+++ b/wire_operate.go
@@ -25,7 +25,7 @@
 		Status:    i.configs.Status,
 		History:   i.configs.History,
 		Config:    i.configs.Current,
-		Accounts:  i.jobs.Accounts,
+		Accounts:  i.accounts,
 		Burn:      i.burn,
 		Log:       i.Log,
 	}
