A list of instances that has not changed is not sent again

Cause: each instance read and decoded the whole list once a second. At 3,800 rows that is 759 kB a second for each instance, far above the 5 KB/s that control may take.

Change: the list is read with a conditional request; the stand-in of the platform supports it as HTTP has it. A platform without it sends the list whole.

--- a/internal/roster/client.go
+++ b/internal/roster/client.go
@@ -24,35 +24,63 @@
 	Read func(ctx context.Context) (List, error)
 }
 
-// NewClient returns a client that reads the list by HTTP from an address.
+// NewClient returns a client that reads the list by HTTP from an address. A
+// list that has not changed is not sent again, where the platform supports
+// conditional requests. It is for one caller at a time.
 func NewClient(url string, h *http.Client) *Client {
-	return &Client{Read: func(ctx context.Context) (List, error) { return read(ctx, url, h) }}
+	r := &reader{url: url, http: h}
+	return &Client{Read: r.read}
 }
 
-func read(ctx context.Context, url string, h *http.Client) (List, error) {
+// reader remembers the last list, to which the platform may refer.
+type reader struct {
+	url  string
+	http *http.Client
+	tag  string
+	last []Instance
+}
+
+func (r *reader) read(ctx context.Context) (List, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	instances, err := r.fetch(ctx)
 	if err != nil {
 		return List{}, fmt.Errorf("read instance list: %w", err)
 	}
-	answer, err := h.Do(r)
+	return List{Instances: instances, At: time.Now()}, nil
+}
+
+// fetch returns the instances, which are the last ones if they have not changed.
+func (r *reader) fetch(ctx context.Context) ([]Instance, error) {
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, r.url, nil)
 	if err != nil {
-		return List{}, fmt.Errorf("read instance list: %w", err)
+		return nil, err
+	}
+	if r.tag != "" {
+		q.Header.Set("If-None-Match", r.tag)
+	}
+	answer, err := r.http.Do(q)
+	if err != nil {
+		return nil, err
 	}
 	defer answer.Body.Close()
-	if answer.StatusCode != http.StatusOK {
-		return List{}, fmt.Errorf("read instance list: status %d", answer.StatusCode)
+	switch answer.StatusCode {
+	case http.StatusOK:
+	case http.StatusNotModified:
+		return r.last, nil
+	default:
+		return nil, fmt.Errorf("status %d", answer.StatusCode)
 	}
 	text, err := io.ReadAll(io.LimitReader(answer.Body, maxListBytes))
 	if err != nil {
-		return List{}, fmt.Errorf("read instance list: %w", err)
+		return nil, err
 	}
 	instances, err := Decode(text)
 	if err != nil {
-		return List{}, err
+		return nil, err
 	}
-	return List{Instances: instances, At: time.Now()}, nil
+	r.tag, r.last = answer.Header.Get("ETag"), instances
+	return instances, nil
 }
 
 type (
--- /dev/null
+++ b/internal/roster/client_test.go
@@ -0,0 +1,86 @@
+package roster_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/oriolepond/oriolepond/internal/roster"
+	"github.com/oriolepond/oriolepond/internal/standin"
+)
+
+// list serves a platform's list of n runners and counts the bytes of its connections.
+func list(t testing.TB, n int) (*standin.Platform, *roster.Client, *atomic.Int64) {
+	t.Helper()
+	p := standin.NewPlatform()
+	for i := range n {
+		p.Set(roster.Instance{
+			ID: fmt.Sprintf("runner-%d", i), Kind: roster.KindRunner, State: roster.Live,
+			Address: "10.0.0.1:9000", Region: "bajio", DataCentre: "bajio-a", Rack: "rack-1",
+			Service: "finish", Worker: "worker-1", Slots: 8, Connections: 64,
+		})
+	}
+	server := httptest.NewServer(p)
+	t.Cleanup(server.Close)
+	bytes := &atomic.Int64{}
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		return counted{c, bytes}, err
+	}
+	h := &http.Client{Transport: &http.Transport{DialContext: dial}}
+	return p, roster.NewClient(server.URL, h), bytes
+}
+
+// counted is a connection that counts what it carries.
+type counted struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c counted) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// A change shows although the list before it was not sent again.
+func TestChangesShowAfterUnchangedReads(t *testing.T) {
+	p, client, _ := list(t, 3)
+	for range 3 {
+		l, err := client.Read(t.Context())
+		require.NoError(t, err)
+		require.Len(t, l.Instances, 3)
+		require.False(t, l.At.IsZero())
+	}
+	p.SetState("runner-1", roster.Leaving)
+	l, err := client.Read(t.Context())
+	require.NoError(t, err)
+	leaving, ok := l.Instance("runner-1")
+	require.True(t, ok)
+	require.Equal(t, roster.Leaving, leaving.State)
+}
+
+// BenchmarkUnchanged measures reads of a list that does not change.
+func BenchmarkUnchanged(b *testing.B) {
+	for _, n := range []int{100, 1000, 3800} {
+		b.Run(fmt.Sprintf("instances=%d", n), func(b *testing.B) {
+			_, client, bytes := list(b, n)
+			_, err := client.Read(b.Context())
+			require.NoError(b, err)
+			before := bytes.Load()
+			b.ResetTimer()
+			for b.Loop() {
+				if _, err := client.Read(b.Context()); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(bytes.Load()-before)/float64(b.N), "B/read")
+		})
+	}
+}
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -1,6 +1,8 @@
 package standin
 
 import (
+	"crypto/sha256"
+	"fmt"
 	"net/http"
 	"sync"
 	"time"
@@ -112,12 +114,18 @@
 }
 
 // ServeHTTP answers with the list as it is shown now.
-func (p *Platform) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	text, err := roster.Encode(p.Shown())
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
+	tag := fmt.Sprintf(`"%x"`, sha256.Sum256(text))
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
 	_, _ = w.Write(text)
 }
