The front door in small files named for what they hold

Cause: the root package had grown: one function made and ran everything, files were named for being wiring, and a global lock guarded the channel of Abort.

Change: listening, ends, peers and the parts of each plane stand in files of their own; the channel is made once by the instance that owns it. No behaviour changes.

Conclusion: the tests of the package and of the demonstration pass as before.

--- /dev/null
+++ b/front.go
@@ -0,0 +1,25 @@
+package oriolepond
+
+import (
+	"net/http"
+
+	"github.com/oriolepond/oriolepond/internal/entry"
+)
+
+// front answers callers.
+func (i *Instance) front() http.Handler {
+	tasks := i.jobs
+	return &entry.Front{
+		Config:     i.configs.Current,
+		Dispatcher: i.requests,
+		Jobs:       &entry.Jobs{Submit: tasks.Submit, Describe: tasks.Describe, Cancel: tasks.Cancel},
+		Leaving:    i.stop.leaving.Load,
+		Draining:   i.stop.draining.Load,
+		Log:        i.Log,
+	}
+}
+
+// ready reports whether callers may be sent here.
+func (i *Instance) ready() bool {
+	return !i.stop.leaving.Load() && i.list.Load() != nil && i.members.View().Joined()
+}
--- a/instance.go
+++ b/list.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"go.uber.org/zap"
 
-	"github.com/oriolepond/oriolepond/internal/entry"
 	"github.com/oriolepond/oriolepond/internal/eventlog"
 	"github.com/oriolepond/oriolepond/internal/roster"
 )
@@ -39,20 +37,3 @@
 	}
 	return roster.List{}
 }
-
-func (i *Instance) front() http.Handler {
-	tasks := i.jobs
-	return &entry.Front{
-		Config:     i.configs.Current,
-		Dispatcher: i.requests,
-		Jobs:       &entry.Jobs{Submit: tasks.Submit, Describe: tasks.Describe, Cancel: tasks.Cancel},
-		Leaving:    i.stop.leaving.Load,
-		Draining:   i.stop.draining.Load,
-		Log:        i.Log,
-	}
-}
-
-// ready reports whether callers may be sent here.
-func (i *Instance) ready() bool {
-	return !i.stop.leaving.Load() && i.list.Load() != nil && i.members.View().Joined()
-}
--- a/oriolepond.go
+++ b/oriolepond.go
@@ -15,10 +15,8 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -48,8 +46,7 @@
 	// Listening is called once the addresses are known; nil means nobody asks.
 	Listening func(Addresses)
 
-	abort    chan struct{}
-	aborting sync.Once
+	abort    abortState
 	members  *membership.Keeper
 	configs  *config.Keeper
 	burned   *burn.Recorder
@@ -82,82 +79,60 @@
 	}
 	i.build()
 	defer i.pool.Close()
-	background, stopBackground := context.WithCancel(context.Background())
-	defer stopBackground()
 	var g run.Group
-	addLoop(&g, background, i.reporters.Run)
-	addLoop(&g, background, i.members.Run)
-	addLoop(&g, background, i.configs.Run)
-	addLoop(&g, background, i.meters.Run)
-	addLoop(&g, background, i.shards.Run)
-	addLoop(&g, background, i.followList)
-	addLoop(&g, background, i.trimConnections)
+	addLoop(&g, i.reporters.Run)
+	addLoop(&g, i.members.Run)
+	addLoop(&g, i.configs.Run)
+	addLoop(&g, i.meters.Run)
+	addLoop(&g, i.shards.Run)
+	addLoop(&g, i.followList)
+	addLoop(&g, i.trimConnections)
 	front := &http.Server{Handler: i.front(), MaxHeaderBytes: i.Settings.MaxHeaderBytes, ReadHeaderTimeout: headerTimeout}
 	admin := &http.Server{Handler: i.admin(), ReadHeaderTimeout: headerTimeout}
-	peers := grpc.NewServer(peer.ServerOptions()...)
-	peer.RegisterTasks(peers, i.shards.Calls())
-	i.registerRequests(peers)
-	i.registerSlots(peers)
-	peer.RegisterOperate(peers, i.localOperate())
 	addServer(&g, admin, listeners.admin)
-	g.Add(func() error { return peers.Serve(listeners.peer) }, func(error) { peers.Stop() })
+	i.addPeers(&g, listeners.peer)
 	addServer(&g, front, listeners.front)
+	i.addEnds(ctx, &g, front)
+	i.Log.Emit(eventlog.InstanceStarted, zap.String("listen", i.Settings.Listen))
+	if i.Listening != nil {
+		i.Listening(listeners.addresses())
+	}
+	return g.Run()
+}
+
+// addPeers adds the server that answers peers.
+func (i *Instance) addPeers(g *run.Group, l net.Listener) {
+	server := grpc.NewServer(peer.ServerOptions()...)
+	peer.RegisterTasks(server, i.shards.Calls())
+	i.registerRequests(server)
+	i.registerSlots(server)
+	peer.RegisterOperate(server, i.localOperate())
+	g.Add(func() error { return server.Serve(l) }, func(error) { server.Stop() })
+}
+
+// addEnds adds what ends the instance: a planned stop once ctx ends, and Abort.
+func (i *Instance) addEnds(ctx context.Context, g *run.Group, front *http.Server) {
+	ended, end := context.WithCancel(context.Background())
 	g.Add(func() error {
 		select {
 		case <-ctx.Done():
 			return i.drain(front)
-		case <-background.Done():
+		case <-ended.Done():
 			return nil
 		}
-	}, func(error) { stopBackground() })
+	}, func(error) { end() })
 	g.Add(func() error {
 		<-i.aborted()
 		return &AbortedError{ID: i.Settings.ID}
 	}, func(error) { i.Abort() })
-	i.Log.Emit(eventlog.InstanceStarted, zap.String("listen", i.Settings.Listen))
-	if i.Listening != nil {
-		i.Listening(listeners.addresses())
-	}
-	return g.Run()
-}
-
-// Addresses are where an instance listens.
-type Addresses struct {
-	Front, Peer, Admin string
-}
-
-// AbortedError says that Abort ended an instance.
-type AbortedError struct {
-	ID string
-}
-
-// Error returns the instance.
-func (e *AbortedError) Error() string { return "instance " + e.ID + " was aborted" }
-
-// Abort ends the instance at once, without a planned stop: it cuts requests in
-// flight and leaves its leases to lapse.
-func (i *Instance) Abort() {
-	i.aborting.Do(func() { close(i.aborted()) })
-}
-
-var abortGuard sync.Mutex
-
-// aborted returns the channel that Abort closes.
-func (i *Instance) aborted() chan struct{} {
-	abortGuard.Lock()
-	defer abortGuard.Unlock()
-	if i.abort == nil {
-		i.abort = make(chan struct{})
-	}
-	return i.abort
 }
 
 // headerTimeout bounds the time in which a caller sends its headers.
 const headerTimeout = 10 * time.Second
 
 // addLoop adds a function that runs until its context ends.
-func addLoop(g *run.Group, parent context.Context, loop func(context.Context) error) {
-	ctx, cancel := context.WithCancel(parent)
+func addLoop(g *run.Group, loop func(context.Context) error) {
+	ctx, cancel := context.WithCancel(context.Background())
 	g.Add(func() error { return loop(ctx) }, func(error) { cancel() })
 }
 
@@ -178,40 +153,7 @@
 	})
 }
 
-type listeners struct {
-	front, peer, admin net.Listener
-}
-
-func (i *Instance) listen() (listeners, error) {
-	var l listeners
-	var err error
-	for _, each := range []struct {
-		address string
-		to      *net.Listener
-	}{{i.Settings.Listen, &l.front}, {i.Settings.PeerListen, &l.peer}, {i.Settings.AdminListen, &l.admin}} {
-		if *each.to, err = net.Listen("tcp", each.address); err != nil {
-			return l, fmt.Errorf("listen: %w", err)
-		}
-	}
-	i.Settings.Advertise = advertised(i.Settings.Advertise, l.front)
-	i.Settings.PeerAdvertise = advertised(i.Settings.PeerAdvertise, l.peer)
-	return l, nil
-}
-
-// advertised returns the address for others; port 0 stands for the one that was given.
-func advertised(address string, l net.Listener) string {
-	host, port, err := net.SplitHostPort(address)
-	if err != nil || port != "0" {
-		return address
-	}
-	_, given, _ := net.SplitHostPort(l.Addr().String())
-	return net.JoinHostPort(host, given)
-}
-
-func (l listeners) addresses() Addresses {
-	return Addresses{Front: l.front.Addr().String(), Peer: l.peer.Addr().String(), Admin: l.admin.Addr().String()}
-}
-
+// build makes the parts of the instance; none of them runs yet.
 func (i *Instance) build() {
 	s := i.Settings
 	client := store.NewEtcd(s.StoreURLs, i.httpClient(idleStoreConns))
