Test of configuration: keepers join under a lock

Cause: the race detector found the test's list of keepers read while one joins.

Change: the list has a lock. No assertion changes.

--- a/internal/config/keeper_test.go
+++ b/internal/config/keeper_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http/httptest"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -23,8 +24,10 @@
 
 // fleet is a number of keepers on one store.
 type fleet struct {
-	store   *standin.Store
-	url     string
+	store *standin.Store
+	url   string
+	// mu guards keepers, which running keepers look through.
+	mu      sync.Mutex
 	keepers []*config.Keeper
 	// cut holds the keepers that do not reach the store.
 	cut [64]atomic.Bool
@@ -50,6 +53,8 @@
 	k := &config.Keeper{ID: fmt.Sprintf("entry-%d", i), Log: eventlog.Discard()}
 	k.Store = f.client(i)
 	k.Peers = func() []config.Peer { return f.peersOf(i) }
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.keepers = append(f.keepers, k)
 	return k
 }
@@ -84,8 +89,11 @@
 }
 
 func (f *fleet) peersOf(i int) []config.Peer {
+	f.mu.Lock()
+	keepers := slices.Clone(f.keepers)
+	f.mu.Unlock()
 	var all []config.Peer
-	for j, other := range f.keepers {
+	for j, other := range keepers {
 		if i == j {
 			continue
 		}
