An instance that may not use its part is not ready

Cause: an instance that had lost the store and all of its peers refused every request, but stayed ready, so that the balancer went on sending callers to it.

Change: readiness asks whether the instance may use its part at this instant.

Ruled out: leaving it to callers to try another instance. They would meet the same one again, and each try costs a deadline.

--- a/front.go
+++ b/front.go
@@ -19,7 +19,12 @@
 	}
 }
 
-// ready reports whether callers may be sent here.
+// ready reports whether callers may be sent here. An instance that may not use
+// its part, since it is cut off from the store and from its peers, is not ready.
 func (i *Instance) ready() bool {
-	return !i.stop.leaving.Load() && i.list.Load() != nil && i.members.View().Joined()
+	if i.stop.leaving.Load() || i.list.Load() == nil {
+		return false
+	}
+	v := i.members.View()
+	return v.Joined() && i.members.Held()
 }
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -34,7 +34,7 @@
 	// startTimeout bounds the start of all instances.
 	startTimeout = 20 * time.Second
 	// settleTimeout bounds the wait for the last tasks.
-	settleTimeout = 60 * time.Second
+	settleTimeout = 3 * time.Minute
 	// progressEvery is how often a progress line is written.
 	progressEvery = time.Second
 	// listLag is how far the instance list lags.
