A stream over a whole shift, in virtual time

Cause: streams stay open for hours, and nothing showed that deadlines, the age of connections and a planned stop leave them alone.

Change: a test streams for eight hours of virtual time. It showed that a planned stop looked 200 times a second for requests in flight, for as long as a stream lasts; it now looks 20 times a second.

--- a/internal/entry/dispatcher.go
+++ b/internal/entry/dispatcher.go
@@ -90,7 +90,7 @@
 }
 
 // drainPoll is how often a planned stop looks for requests in flight.
-const drainPoll = 5 * time.Millisecond
+const drainPoll = 50 * time.Millisecond
 
 // Drain waits until no request runs and every attempt has ended at its target.
 func (d *Dispatcher) Drain(ctx context.Context) error {
--- /dev/null
+++ b/internal/entry/stream_test.go
@@ -0,0 +1,74 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/oriolepond/oriolepond/internal/exchange"
+	"github.com/oriolepond/oriolepond/internal/target"
+	"github.com/oriolepond/oriolepond/pkg/release"
+)
+
+const (
+	// shift is how long a stream stays open, with a piece each pieceEvery.
+	shift      = 8 * time.Hour
+	pieceEvery = 20 * time.Second
+)
+
+// serveShift answers one request with a stream that lasts a shift.
+func serveShift(c net.Conn) {
+	defer c.Close()
+	q, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		return
+	}
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n%s: %s\r\n\r\n",
+		HeaderRequestID, q.Header.Get(HeaderRequestID))
+	for range int(shift / pieceEvery) {
+		<-time.After(pieceEvery)
+		if _, err := fmt.Fprint(c, "6\r\npiece\n\r\n"); err != nil {
+			return
+		}
+	}
+	_, _ = fmt.Fprint(c, "0\r\n\r\n")
+}
+
+// A stream stays open for a whole shift, whatever its route's deadline and the
+// age of its connection, and a planned stop waits for its end.
+func TestStreamStaysOpenForAShift(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dial := func(context.Context, string, string) (net.Conn, error) {
+			near, far := net.Pipe()
+			go serveShift(far)
+			return near, nil
+		}
+		table := target.NewTable()
+		table.Set([]target.Target{{ID: "a", Service: "s", Address: "a", Slots: 1}})
+		d := &Dispatcher{
+			Targets:         table,
+			Exchange:        &exchange.Pool{Dial: dial, MaxAge: time.Minute},
+			QueuedPerTarget: 1,
+		}
+		r := route(release.Stream)
+		r.Deadline = time.Second
+		r.ProgressTimeout = 30 * time.Second
+		begun := time.Now()
+		var whole strings.Builder
+		streamed := make(chan error, 1)
+		go func() { streamed <- d.Stream(t.Context(), request(r, "a"), collect(&whole)) }()
+		synctest.Wait()
+		require.NoError(t, d.Drain(t.Context()))
+		require.GreaterOrEqual(t, time.Since(begun), shift)
+		require.NoError(t, <-streamed)
+		require.Equal(t, int(shift/pieceEvery), strings.Count(whole.String(), "piece\n"))
+	})
+}
