--- /dev/null
+++ b/e2e/pondctl_test.go
@@ -0,0 +1,74 @@
+package e2e
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/oriolepond/oriolepond/examples"
+	"github.com/oriolepond/oriolepond/internal/demo"
+)
+
+// secondNote declares one more job family for the neighbour of flatness reviews.
+const secondNote = `{
+	"name": "second",
+	"added": {"jobs": [{
+		"name": "edge-audit", "neighbour": "quality", "share": "reviews",
+		"size": {"processors": 1, "memory": "1GB"}, "runTime": "1s"
+	}]}
+}`
+
+// operator runs pondctl against a running pool.
+type operator struct {
+	t    *testing.T
+	view demo.View
+}
+
+// run returns what pondctl prints, and fails the test if it does not exit with the status.
+func (o operator) run(status int, args ...string) string {
+	c := exec.Command(control, args...)
+	c.Env = append(os.Environ(), "ORIOLEPOND_AT="+o.view.Admins[0], "ORIOLEPOND_TOKEN="+o.view.Token)
+	out, err := c.CombinedOutput()
+	if c.ProcessState == nil || c.ProcessState.ExitCode() != status {
+		o.t.Errorf("pondctl %v: %v\n%s", args, err, out)
+	}
+	return string(out)
+}
+
+// The operators' commands work on a pool of real processes under load.
+func TestPondctlOnRealProcesses(t *testing.T) {
+	e, ok := examples.Find("bajio")
+	require.True(t, ok)
+	dir := t.TempDir()
+	note, page := filepath.Join(dir, "note.jsonc"), filepath.Join(dir, "burn.html")
+	require.NoError(t, os.WriteFile(note, []byte(secondNote), 0o600))
+	d := &demo.Demo{Example: e, Length: 5 * time.Second, Seed: 1, Out: io.Discard, Launch: launcher(dir)}
+	d.Observe = func(_ context.Context, v demo.View) {
+		o := operator{t, v}
+		o.run(0, "check", note)
+		require.Contains(t, o.run(0, "diff", note), "edge-audit")
+		require.Contains(t, o.run(0, "apply", "-wait", note), "tookEffect")
+		require.Contains(t, o.run(0, "apply", note), "tookEffect", "a repeat gives the same report")
+		require.Contains(t, o.run(0, "status", "second"), "edge-audit")
+		require.Contains(t, o.run(0, "history"), "second")
+		require.Contains(t, o.run(0, "burn", "-html", page), "finish")
+		var rows []struct {
+			Neighbour string `json:"neighbour"`
+		}
+		require.NoError(t, json.Unmarshal([]byte(o.run(0, "account", "-json")), &rows))
+		require.NotEmpty(t, rows)
+	}
+	r, err := d.Run(context.Background())
+	require.NoError(t, err, logs(dir))
+	require.Empty(t, r.Broken())
+	html, err := os.ReadFile(page)
+	require.NoError(t, err)
+	require.Contains(t, string(html), "<svg")
+}
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -12,8 +12,8 @@
 	"github.com/oriolepond/oriolepond/internal/demo"
 )
 
-// program is the built entry instance.
-var program string
+// program is the built entry instance, and control the built pondctl.
+var program, control string
 
 func TestMain(m *testing.M) {
 	os.Exit(buildAndRun(m))
@@ -26,8 +26,8 @@
 		return 1
 	}
 	defer os.RemoveAll(dir)
-	program = filepath.Join(dir, "oriolepond")
-	build := exec.Command("go", "build", "-o", program, "github.com/oriolepond/oriolepond/cmd/oriolepond")
+	program, control = filepath.Join(dir, "oriolepond"), filepath.Join(dir, "pondctl")
+	build := exec.Command("go", "build", "-o", dir, "github.com/oriolepond/oriolepond/cmd/...")
 	if output, err := build.CombinedOutput(); err != nil {
 		fmt.Fprintf(os.Stderr, "%v\n%s", err, output)
 		return 1
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -125,6 +125,9 @@
 
 // View is what an observer sees of a demonstration.
 type View struct {
+	// Admins are the operators' addresses of the instances, and Token opens them.
+	Admins    []string
+	Token     string
 	Processes []*Process
 	Cluster   *standin.Cluster
 	Network   *standin.Network
--- a/internal/demo/load.go
+++ b/internal/demo/load.go
@@ -51,8 +51,9 @@
 
 // view returns what an observer sees.
 func (d *Demo) view() View {
-	v := View{Cluster: d.cluster, Network: d.network}
+	v := View{Token: operatorToken, Cluster: d.cluster, Network: d.network}
 	for _, i := range d.running() {
+		v.Admins = append(v.Admins, i.admin())
 		v.Processes = append(v.Processes, i.process)
 	}
 	return v
