--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -63,6 +63,8 @@
 			if broken := r.Broken(); len(broken) > 0 {
 				t.Fatalf("broken rules: %v\n%s\n%s\n%s", broken, out.String(), r.Text(), logs(dir))
 			}
+			t.Logf("requests %d, answered %d, refused unrun %d, unknown %d, p99 %.1f ms, tasks finished %d",
+				r.Requests, r.Answered, r.Refused, r.Unknown, r.P99, r.TasksFinished)
 			require.Positive(t, r.Answered)
 			require.Positive(t, r.TasksFinished)
 		})
