Demo: instances are numbered without a race; defaults by a library call

Cause: two faults could start instances at once, and the count of instances started had no lock; eight defaults were eight conditions.

Change: an atomic count; cmp.Or for the defaults.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -9,11 +9,13 @@
 package demo
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -66,10 +68,11 @@
 	network *standin.Network
 	counts  *counts
 
-	mu      sync.Mutex
-	places  []*instance
-	all     []*instance
-	started int
+	started atomic.Int64
+
+	mu     sync.Mutex
+	places []*instance
+	all    []*instance
 }
 
 // Size is how much runs in a demonstration; a zero count takes the default.
@@ -96,30 +99,14 @@
 
 // withDefaults returns the size with its zero counts replaced.
 func (s Size) withDefaults() Size {
-	if s.Instances == 0 {
-		s.Instances = instanceCount
-	}
-	if s.Callers == 0 {
-		s.Callers = callerCount
-	}
-	if s.JobEvery == 0 {
-		s.JobEvery = jobEvery
-	}
-	if s.JobTasks == 0 {
-		s.JobTasks = jobTasks
-	}
-	if s.RunTime == 0 {
-		s.RunTime = taskRunTime
-	}
-	if s.LeaseTTL == 0 {
-		s.LeaseTTL = leaseTTL
-	}
-	if s.ListInterval == 0 {
-		s.ListInterval = listInterval
-	}
-	if s.WorkerInterval == 0 {
-		s.WorkerInterval = workerInterval
-	}
+	s.Instances = cmp.Or(s.Instances, instanceCount)
+	s.Callers = cmp.Or(s.Callers, callerCount)
+	s.JobEvery = cmp.Or(s.JobEvery, jobEvery)
+	s.JobTasks = cmp.Or(s.JobTasks, jobTasks)
+	s.RunTime = cmp.Or(s.RunTime, taskRunTime)
+	s.LeaseTTL = cmp.Or(s.LeaseTTL, leaseTTL)
+	s.ListInterval = cmp.Or(s.ListInterval, listInterval)
+	s.WorkerInterval = cmp.Or(s.WorkerInterval, workerInterval)
 	return s
 }
 
--- a/internal/demo/instances.go
+++ b/internal/demo/instances.go
@@ -83,10 +83,10 @@
 
 // startInstance starts a new instance in a place.
 func (d *Demo) startInstance(ctx context.Context, place int) error {
-	d.started++
+	number := d.started.Add(1)
 	dc := d.Example.DataCentres[place%len(d.Example.DataCentres)]
 	i := &instance{
-		id:      fmt.Sprintf("entry-%d", d.started),
+		id:      fmt.Sprintf("entry-%d", number),
 		address: loopback(int(addresses.Add(1))),
 		site:    standin.Site{Region: dc.Region, DataCentre: dc.Name},
 		ended:   make(chan struct{}),
