Accounts by period

Cause: an account told only what was used in all; who used what in an hour could not be answered.

Change: at the end of each accountPeriod the totals of all shares are kept in the store, once for all instances, and pondctl account -periods prints what was used between them.

Cost by rate: one write an hour.

--- a/account.go
+++ b/account.go
@@ -22,6 +22,12 @@
 		Alive:    i.mayCount,
 		Log:      i.Log,
 	}
+	i.periods = &operate.Periods{
+		Store:    client,
+		Interval: i.Settings.AccountPeriod,
+		Accounts: i.accounts,
+		Log:      i.Log,
+	}
 	i.requests.LinkUsed = func(neighbour, share string, bytes int64) {
 		i.meter.Add(meter.Payer{Neighbour: neighbour, Share: share}, meter.Use{LinkBytes: bytes})
 	}
--- a/cmd/pondctl/report.go
+++ b/cmd/pondctl/report.go
@@ -6,6 +6,7 @@
 	"os"
 	"strings"
 	"text/tabwriter"
+	"time"
 
 	"github.com/oriolepond/oriolepond/internal/burn"
 	"github.com/oriolepond/oriolepond/internal/operate"
@@ -14,23 +15,45 @@
 // account prints the usage of all shares.
 func account(ctx context.Context, c *call) error {
 	c.withOperator()
+	periods := c.set.Int("periods", 0, "print the last `n` periods in place of everything so far")
 	if err := c.parseRemote(); err != nil {
 		return err
 	}
+	if *periods != 0 {
+		last, err := c.client().Periods(ctx, *periods)
+		if err != nil {
+			return err
+		}
+		return c.print(last, func() { c.printPeriods(last) })
+	}
 	rows, _, err := c.client().Account(ctx)
 	if err != nil {
 		return err
 	}
-	return c.print(rows, func() {
-		w := tabwriter.NewWriter(c.out, 0, 0, 2, ' ', tabwriter.AlignRight)
-		fmt.Fprintln(w, "neighbour\tshare\tprocessor s\tmemory GB·s\taccelerator s\trequests\tlink MB\topen tasks\topen processor s\t")
-		for _, r := range rows {
-			fmt.Fprintf(w, "%s\t%s\t%.1f\t%.1f\t%.1f\t%d\t%.3f\t%d\t%.1f\t\n",
-				r.Neighbour, r.Share, r.ProcessorSeconds, r.MemoryByteSeconds/1e9, r.AcceleratorSeconds,
-				r.Requests, float64(r.LinkBytes)/1e6, r.OpenTasks, r.OpenProcessorSeconds)
+	return c.print(rows, func() { c.printAccount(rows) })
+}
+
+// printPeriods prints one table for each period.
+func (c *call) printPeriods(last []operate.WirePeriod) {
+	for _, p := range last {
+		start := "the beginning"
+		if !p.Start.IsZero() {
+			start = p.Start.UTC().Format(time.RFC3339)
 		}
-		_ = w.Flush()
-	})
+		fmt.Fprintf(c.out, "from %s to %s\n", start, p.End.UTC().Format(time.RFC3339))
+		c.printAccount(p.Rows)
+	}
+}
+
+func (c *call) printAccount(rows []operate.WireAccount) {
+	w := tabwriter.NewWriter(c.out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "neighbour\tshare\tprocessor s\tmemory GB·s\taccelerator s\trequests\tlink MB\topen tasks\topen processor s\t")
+	for _, r := range rows {
+		fmt.Fprintf(w, "%s\t%s\t%.1f\t%.1f\t%.1f\t%d\t%.3f\t%d\t%.1f\t\n",
+			r.Neighbour, r.Share, r.ProcessorSeconds, r.MemoryByteSeconds/1e9, r.AcceleratorSeconds,
+			r.Requests, float64(r.LinkBytes)/1e6, r.OpenTasks, r.OpenProcessorSeconds)
+	}
+	_ = w.Flush()
 }
 
 // burnReport prints the burn of all services.
--- a/e2e/pondctl_test.go
+++ b/e2e/pondctl_test.go
@@ -64,6 +64,8 @@
 		}
 		require.NoError(t, json.Unmarshal([]byte(o.run(0, "account", "-json")), &rows))
 		require.NotEmpty(t, rows)
+		require.Contains(t, o.run(0, "account", "-periods", "1"), "finishing")
+		o.run(1, "account", "-periods", "-1")
 	}
 	r, err := d.Run(context.Background())
 	require.NoError(t, err, logs(dir))
--- a/internal/operate/api.go
+++ b/internal/operate/api.go
@@ -14,6 +14,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -35,6 +36,7 @@
 	NotesPath   = "/v1/notes"
 	ConfigPath  = "/v1/config"
 	AccountPath = "/v1/account"
+	PeriodsPath = "/v1/account/periods"
 	BurnPath    = "/v1/burn"
 )
 
@@ -58,8 +60,10 @@
 	History  func(ctx context.Context, n int) ([]release.Record, error)
 	Config   func() release.Config
 	Accounts func(ctx context.Context) ([]Account, error)
-	Burn     func(ctx context.Context) (burn.Report, error)
-	Log      *eventlog.Log
+	// Periods returns the last n periods of the accounts.
+	Periods func(ctx context.Context, n int) ([]WirePeriod, error)
+	Burn    func(ctx context.Context) (burn.Report, error)
+	Log     *eventlog.Log
 }
 
 // Handler returns the API with its probes and metrics.
@@ -73,6 +77,7 @@
 	mux.HandleFunc("GET "+NotesPath+"/{note}", a.guarded(a.status))
 	mux.HandleFunc("GET "+ConfigPath, a.guarded(a.config))
 	mux.HandleFunc("GET "+AccountPath, a.guarded(a.account))
+	mux.HandleFunc("GET "+PeriodsPath, a.guarded(a.periods))
 	mux.HandleFunc("GET "+BurnPath, a.guarded(a.burn))
 	return mux
 }
@@ -176,6 +181,20 @@
 	writeJSON(w, encodeAccounts(all))
 }
 
+func (a *API) periods(w http.ResponseWriter, r *http.Request) {
+	n, err := strconv.Atoi(r.URL.Query().Get("n"))
+	if err != nil || n < 1 || n > KeptPeriods {
+		writeError(w, http.StatusBadRequest, wireError{Error: fmt.Sprintf("n is not between 1 and %d", KeptPeriods)})
+		return
+	}
+	last, err := a.Periods(r.Context(), n)
+	if err != nil {
+		writeFailure(w, err)
+		return
+	}
+	writeJSON(w, last)
+}
+
 func (a *API) burn(w http.ResponseWriter, r *http.Request) {
 	report, err := a.Burn(r.Context())
 	if err != nil {
--- a/internal/operate/client.go
+++ b/internal/operate/client.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strconv"
 	"time"
 
 	"github.com/oriolepond/oriolepond/pkg/release"
@@ -87,6 +88,13 @@
 	return report, raw, err
 }
 
+// Periods returns the last n periods of the accounts.
+func (c Client) Periods(ctx context.Context, n int) ([]WirePeriod, error) {
+	var last []WirePeriod
+	_, err := c.call(ctx, http.MethodGet, PeriodsPath+"?n="+strconv.Itoa(n), nil, &last)
+	return last, err
+}
+
 func (c Client) call(ctx context.Context, method, path string, body []byte, into any) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/internal/operate/wire.go
+++ b/internal/operate/wire.go
@@ -56,6 +56,14 @@
 	OpenAcceleratorSeconds float64 `json:"openAcceleratorSeconds"`
 }
 
+// WirePeriod is what was used in one period, as the API writes it. The first
+// period that is kept has no start, and the last one ends now.
+type WirePeriod struct {
+	Start time.Time     `json:"start,omitzero"`
+	End   time.Time     `json:"end"`
+	Rows  []WireAccount `json:"rows"`
+}
+
 type wireError struct {
 	Error     string         `json:"error"`
 	Conflicts []WireConflict `json:"conflicts,omitempty"`
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -24,6 +24,7 @@
 	DefaultPeerInterval    = 50 * time.Millisecond
 	DefaultWorkerInterval  = time.Second
 	DefaultAccountInterval = 30 * time.Second
+	DefaultAccountPeriod   = time.Hour
 	DefaultStopDelay       = 2 * time.Second
 	DefaultStopTimeout     = 12 * time.Hour
 	DefaultLinkBitsPerSec  = 30_000_000
@@ -57,6 +58,8 @@
 	WorkerInterval    time.Duration
 	// AccountInterval is how often counted requests and link bytes are written to the store.
 	AccountInterval time.Duration
+	// AccountPeriod is the length of the periods that accounts are kept by.
+	AccountPeriod time.Duration
 	// StopDelay is how long a planned stop still serves while the balancer learns of it.
 	StopDelay time.Duration
 	// StopTimeout bounds a planned stop; streams may stay open for a whole shift.
@@ -99,6 +102,7 @@
 		PeerInterval:      positive(o, "peerInterval", DefaultPeerInterval),
 		WorkerInterval:    positive(o, "workerInterval", DefaultWorkerInterval),
 		AccountInterval:   positive(o, "accountInterval", DefaultAccountInterval),
+		AccountPeriod:     positive(o, "accountPeriod", DefaultAccountPeriod),
 		StopDelay:         o.DurationOr("stopDelay", DefaultStopDelay),
 		StopTimeout:       positive(o, "stopTimeout", DefaultStopTimeout),
 		LinkBitsPerSecond: positiveInt(o, "linkBitsPerSecond", DefaultLinkBitsPerSec),
--- a/operate.go
+++ b/operate.go
@@ -26,6 +26,7 @@
 		History:   i.configs.History,
 		Config:    i.configs.Current,
 		Accounts:  i.accounts,
+		Periods:   i.periods.Last,
 		Burn:      i.burn,
 		Log:       i.Log,
 	}
--- a/operate_test.go
+++ b/operate_test.go
@@ -152,6 +152,7 @@
 	const wrong = "not-the-operators-token"
 	c := operate.Client{Address: p.instances[0].addresses.Admin, Token: wrong}
 	calls := map[string]func() error{
+		"periods": func() error { _, err := c.Periods(t.Context(), 1); return err },
 		"apply":   func() error { _, _, err := c.Apply(t.Context(), p.example.Note); return err },
 		"status":  func() error { _, _, err := c.Status(t.Context(), "bajio-1"); return err },
 		"history": func() error { _, _, err := c.History(t.Context(), 1); return err },
--- a/oriolepond.go
+++ b/oriolepond.go
@@ -31,6 +31,7 @@
 	"github.com/oriolepond/oriolepond/internal/home"
 	"github.com/oriolepond/oriolepond/internal/membership"
 	"github.com/oriolepond/oriolepond/internal/meter"
+	"github.com/oriolepond/oriolepond/internal/operate"
 	"github.com/oriolepond/oriolepond/internal/peer"
 	"github.com/oriolepond/oriolepond/internal/roster"
 	"github.com/oriolepond/oriolepond/internal/settings"
@@ -67,6 +68,7 @@
 	keyJournal *home.Journal
 	meter      *meter.Meter
 	meters     *meter.Keeper
+	periods    *operate.Periods
 }
 
 // Run serves until the context ends, then makes a planned stop: callers are
@@ -84,6 +86,7 @@
 	addLoop(&g, i.members.Run)
 	addLoop(&g, i.configs.Run)
 	addLoop(&g, i.meters.Run)
+	addLoop(&g, i.periods.Run)
 	addLoop(&g, i.shards.Run)
 	addLoop(&g, i.followList)
 	addLoop(&g, i.trimConnections)
