Remove what nothing calls

Change: they are gone: Division.Constraints and ReportOf, Keeper.Until, Directory.Silent, Object.StringOr, Value.Path, Log.Written with its count, Pool.Greatest and RemoveQuota, Network.LinkBytes with its count.

Ruled out: removing what only tests or the replay use, such as Planner.MakeRoom and the ledger; whether they are to be used or go is a decision of its own.

Conclusion: behaviour is as before.

--- a/internal/grant/division.go
+++ b/internal/grant/division.go
@@ -49,9 +49,6 @@
 // Settled reports whether every entry keeps to the newest table.
 func (d *Division) Settled() bool { return len(d.history) == 1 }
 
-// Constraints returns the tables that the instance keeps to, the settled one first.
-func (d *Division) Constraints() []Table { return d.history }
-
 // Observe takes a table, and reports whether it is newer than those seen.
 func (d *Division) Observe(t Table) bool {
 	if t.Epoch <= d.Latest().Epoch {
@@ -85,9 +82,6 @@
 // IsGone reports whether an entry was said to be gone.
 func (d *Division) IsGone(id string) bool { return d.gone[id] }
 
-// ReportOf returns the last report of an entry.
-func (d *Division) ReportOf(id string) Report { return d.reports[id] }
-
 // Usable returns how many of a target's units (slots or connections) the
 // instance may have in use.
 func (d *Division) Usable(target, region string, units int) int {
--- a/internal/journal/log.go
+++ b/internal/journal/log.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"strings"
-	"sync/atomic"
 
 	"github.com/oriolepond/oriolepond/internal/store"
 )
@@ -57,12 +56,8 @@
 	parts    []string
 	logBytes int
 	snapshot int
-	written  atomic.Int64
 }
 
-// Written returns the bytes of values that were committed.
-func (l *Log) Written() int64 { return l.written.Load() }
-
 // The key of a segment sorts by its number. The snapshot is named by the
 // number of the first segment after it, so that its parts and the segments
 // that it replaces change in one commit.
@@ -290,8 +285,5 @@
 	if !result.Done {
 		return &FencedError{Key: l.Fence.Key}
 	}
-	for _, o := range ops {
-		l.written.Add(int64(len(o.Value)))
-	}
 	return nil
 }
--- a/internal/jsonc/object.go
+++ b/internal/jsonc/object.go
@@ -56,14 +56,6 @@
 	return s
 }
 
-// StringOr returns an optional string.
-func (o *Object) StringOr(name, missing string) string {
-	if v, ok := o.Optional(name); ok {
-		return v.String()
-	}
-	return missing
-}
-
 // Int returns a required whole number.
 func (o *Object) Int(name string) int64 {
 	if v, ok := o.Required(name); ok {
--- a/internal/jsonc/value.go
+++ b/internal/jsonc/value.go
@@ -21,11 +21,6 @@
 	return v.doc.line(v.value.StartOffset)
 }
 
-// Path returns the place of the value within its document.
-func (v Value) Path() string {
-	return v.path
-}
-
 // Faultf records a fault of the value.
 func (v Value) Faultf(format string, args ...any) {
 	v.doc.faultf(v.value.StartOffset, v.path, format, args...)
--- a/internal/membership/keeper.go
+++ b/internal/membership/keeper.go
@@ -126,9 +126,6 @@
 // Held reports whether the instance may use its part at this instant.
 func (k *Keeper) Held() bool { return int64(time.Since(begun)) < k.until.Load() }
 
-// Until returns the instant up to which Held stays true as things stand.
-func (k *Keeper) Until() time.Time { return begun.Add(time.Duration(k.until.Load())) }
-
 // Usable returns how many of a target's units may be in use here.
 func (k *Keeper) Usable(target, region string, units int) int {
 	k.mu.Lock()
--- a/internal/peer/directory.go
+++ b/internal/peer/directory.go
@@ -44,13 +44,6 @@
 	}
 }
 
-// Silent says that a peer did not answer; it is not used before its next report.
-func (d *Directory) Silent(id string) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	delete(d.peers, id)
-}
-
 // SetIdle takes the free slots that a peer's answer tells of, between its reports.
 func (d *Directory) SetIdle(id, service string, idle int) {
 	d.mu.Lock()
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -199,11 +199,6 @@
 	return r, ok
 }
 
-// Greatest returns the greatest amount of each resource that any worker can give to tasks.
-func (p *Pool) Greatest() share.Resources {
-	return p.greatest
-}
-
 // greatestFor returns the greatest amount of each resource that a task of a share can get.
 func (p *Pool) greatestFor(name string) share.Resources {
 	q, bounded := p.quotas[name]
@@ -248,11 +243,6 @@
 	return q.part, ok
 }
 
-// RemoveQuota lifts the bound of a share.
-func (p *Pool) RemoveQuota(name string) {
-	delete(p.quotas, name)
-}
-
 // Used returns what the tasks of a share hold in this pool.
 func (p *Pool) Used(name string) share.Resources {
 	return p.used[name]
--- a/internal/standin/flow.go
+++ b/internal/standin/flow.go
@@ -106,7 +106,7 @@
 			continue
 		}
 		if n > 0 {
-			f.network.count(f.endpoint, p, n)
+			f.network.count(f.endpoint, n)
 			pieces <- piece{bytes: buffer[:n], due: time.Now().Add(p.latency)}
 		}
 		if err != nil {
--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -29,7 +29,6 @@
 	endpoints map[string]*endpoint
 	flows     map[*flow]struct{}
 	links     map[[2]string]*rate.Limiter
-	linkBytes map[[2]string]int64
 	carried   map[string]int64 // By endpoint, both ways.
 	isolated  map[string]bool  // Source addresses and endpoint names that reach nothing.
 	split     bool
@@ -49,7 +48,6 @@
 		endpoints: map[string]*endpoint{},
 		flows:     map[*flow]struct{}{},
 		links:     map[[2]string]*rate.Limiter{},
-		linkBytes: map[[2]string]int64{},
 		carried:   map[string]int64{},
 		isolated:  map[string]bool{},
 	}
@@ -140,33 +138,26 @@
 	return n.split && known && from.Region != e.site.Region
 }
 
-// LinkBytes returns the bytes sent from one region to another.
-func (n *Network) LinkBytes(from, to string) int64 {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.linkBytes[[2]string{from, to}]
-}
-
 // path is the way between two sites, one direction.
 type path struct {
 	latency time.Duration
 	limiter *rate.Limiter
-	key     [2]string
 }
 
 // pathBetween returns the way from one site to another; n.mu is held.
 func (n *Network) pathBetween(from, to Site) path {
-	p := path{key: [2]string{from.Region, to.Region}}
+	var p path
 	if n.Latency != nil {
 		p.latency = n.Latency(from, to)
 	}
 	if from.Region == to.Region || n.LinkBitsPerSecond == 0 {
 		return p
 	}
-	l, ok := n.links[p.key]
+	key := [2]string{from.Region, to.Region}
+	l, ok := n.links[key]
 	if !ok {
 		l = rate.NewLimiter(rate.Limit(n.LinkBitsPerSecond/8), flowBuffer*2)
-		n.links[p.key] = l
+		n.links[key] = l
 	}
 	p.limiter = l
 	return p
@@ -220,12 +211,9 @@
 	return sum
 }
 
-// count adds to the bytes of an endpoint, and of the link if they crossed between regions.
-func (n *Network) count(e *endpoint, p path, bytes int) {
+// count adds to the bytes of an endpoint.
+func (n *Network) count(e *endpoint, bytes int) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.carried[e.name] += int64(bytes)
-	if p.key[0] != p.key[1] {
-		n.linkBytes[p.key] += int64(bytes)
-	}
 }
