Urgent tasks get room the same way in shards and in the replay

Cause: a shard made room by a search of its own (newest tasks with checkpoints, one urgent task of a family at a time), while the replay measured Planner.MakeRoom, which the product never called. Of nine urgent tasks of one family in a full pool of three workers five ran after 4.9 s, and beside work without checkpoints none did.

Change: shards call Planner.MakeRoom, too. It claims what comes up for the task, so that several urgent tasks of a family get room in one round, a worker that is being emptied is not emptied twice, and smaller tasks do not take the room in between. Stopping and yielding tasks count as leaving in the planner wherever they were told.

Ruled out: a pause per task without a claim (two tasks count on the same room), displacing tasks with checkpoints only (urgent work waits for as long as others run).

--- a/internal/placement/order.go
+++ b/internal/placement/order.go
@@ -177,6 +177,21 @@
 	return r.last.items[0].Item, true
 }
 
+// Waiting returns up to n tasks of the family that Next returned last, in the
+// order in which they were queued. It is called before Take, Skip or Drop.
+func (r *Round) Waiting(n int) []Item {
+	var all []Item
+	for _, q := range r.last.items {
+		if len(all) == n {
+			break
+		}
+		if !q.gone {
+			all = append(all, q.Item)
+		}
+	}
+	return all
+}
+
 // before reports whether line a is served before line b.
 func (r *Round) before(a, b *line) bool {
 	if ra, rb := r.rank(a), r.rank(b); ra != rb {
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -26,8 +26,8 @@
 	families map[string]Family
 	running  map[string]int
 	workers  map[string]*measured
-	// asked is when room was last made for an urgent task.
-	asked map[string]time.Time
+	// claims are the rooms that come up for urgent tasks, by task.
+	claims map[string]claim
 }
 
 // measured is what was last measured on a worker.
@@ -61,7 +61,7 @@
 		families: map[string]Family{},
 		running:  map[string]int{},
 		workers:  map[string]*measured{},
-		asked:    map[string]time.Time{},
+		claims:   map[string]claim{},
 	}
 	p.Pool.Model = p.Learner.Model
 	p.Pool.Health = p.Health
@@ -120,6 +120,7 @@
 	if !ok {
 		return
 	}
+	delete(p.claims, r.Task)
 	if _, known := m.tasks[r.Task]; !known {
 		p.running[r.Job]++
 		m.tasks[r.Task] = &measuredTask{startedAt: now}
--- a/internal/replay/run.go
+++ b/internal/replay/run.go
@@ -163,7 +163,7 @@
 		case errors.As(err, &never):
 			round.Drop()
 		case err != nil:
-			r.makeRoom(c)
+			r.makeRoom(round.Waiting(maxRoomMade), c)
 			round.Skip()
 		default:
 			round.Take(float64(size.Processors))
@@ -176,14 +176,22 @@
 	r.leaving = nil
 }
 
-// makeRoom lets tasks that are not urgent leave for one that is.
-func (r *runner) makeRoom(c placement.Candidate) {
+// maxRoomMade bounds the urgent tasks of one family that room is made for in one round.
+const maxRoomMade = 16
+
+// makeRoom lets tasks that are not urgent leave for the waiting ones of an urgent family.
+func (r *runner) makeRoom(waiting []placement.Item, c placement.Candidate) {
 	if !c.Urgent || r.policy.MakeRoom == nil {
 		return
 	}
-	for _, a := range r.policy.MakeRoom(c, r.world.now) {
-		f := r.world.byID[a.Worker]
-		r.leaving = append(r.leaving, func() { r.carryOut(f, a) })
+	for _, item := range waiting {
+		c.Task = item.Task
+		c.Group = r.jobs[item.Task].group
+		c.Queued = item.Queued
+		for _, a := range r.policy.MakeRoom(c, r.world.now) {
+			f := r.world.byID[a.Worker]
+			r.leaving = append(r.leaving, func() { r.carryOut(f, a) })
+		}
 	}
 }
 
--- a/internal/shard/advise.go
+++ b/internal/shard/advise.go
@@ -7,7 +7,6 @@
 
 	"github.com/oriolepond/oriolepond/internal/eventlog"
 	"github.com/oriolepond/oriolepond/internal/placement"
-	"github.com/oriolepond/oriolepond/internal/task"
 	"github.com/oriolepond/oriolepond/internal/worker"
 	"github.com/oriolepond/oriolepond/pkg/share"
 )
@@ -85,8 +84,5 @@
 			continue
 		}
 		c.Yield(a.Task, now)
-		if e, ok := w.tasks[a.Task]; ok && e.State == task.Yielding {
-			c.planner.Leave(w.id, a.Task)
-		}
 	}
 }
--- a/internal/shard/core.go
+++ b/internal/shard/core.go
@@ -42,8 +42,6 @@
 	Retention time.Duration
 	// RetryAfter is the first wait of a task after a failure; it doubles with each.
 	RetryAfter time.Duration
-	// UrgentAfter is how long an urgent task waits for room before others yield to it.
-	UrgentAfter time.Duration
 }
 
 // DefaultTiming returns the times that instances use.
@@ -58,7 +56,6 @@
 		SilentAfter: 5 * time.Second,
 		Retention:   24 * time.Hour,
 		RetryAfter:  time.Second,
-		UrgentAfter: time.Second,
 	}
 }
 
@@ -206,6 +203,9 @@
 		w := c.worker(e.Worker)
 		w.tasks[e.id] = e
 		c.hold(e, now)
+		if e.State == task.Yielding || e.State == task.Stopping {
+			c.planner.Leave(e.Worker, e.id)
+		}
 	}
 }
 
--- a/internal/shard/life.go
+++ b/internal/shard/life.go
@@ -31,6 +31,9 @@
 		c.mark(e)
 	}
 	c.leave(e, before)
+	if next == task.Yielding || next == task.Stopping {
+		c.planner.Leave(e.Worker, e.id)
+	}
 	switch {
 	case next == task.Queued && before != task.Queued:
 		e.queuedAt = now
--- a/internal/shard/plan.go
+++ b/internal/shard/plan.go
@@ -1,7 +1,6 @@
 package shard
 
 import (
-	"cmp"
 	"errors"
 	"slices"
 	"time"
@@ -85,8 +84,8 @@
 			round.Drop()
 			c.setUnfit(e, never.Reason, now)
 		default:
+			c.makeRoom(round.Waiting(maxRoomMade), candidate, err, now)
 			round.Skip()
-			c.makeRoom(e, candidate, err, now)
 		}
 	}
 }
@@ -185,37 +184,42 @@
 	}
 }
 
-// makeRoom lets other tasks yield to an urgent one that has waited in vain.
-func (c *Core) makeRoom(e *entry, candidate placement.Candidate, err error, now time.Time) {
+// maxRoomMade bounds the urgent tasks of one family that room is made for in one round.
+const maxRoomMade = 16
+
+// makeRoom lets other tasks yield to the urgent ones of a family that wait in
+// vain; the first of them is the candidate.
+func (c *Core) makeRoom(waiting []placement.Item, candidate placement.Candidate, err error, now time.Time) {
 	var full *placement.FullError
-	if !candidate.Urgent || now.Sub(e.queuedAt) < c.timing.UrgentAfter || !errors.As(err, &full) {
+	if !candidate.Urgent || !errors.As(err, &full) {
 		return
 	}
-	if full.Reason == placement.QuotaUsed {
-		c.makeQuota(candidate, now)
-	}
-	if full.Reason != placement.NoRoom {
-		return
-	}
-	var best []*entry
-	for _, w := range c.sortedWorkers() {
-		if !c.accepts(w, now) {
-			continue
-		}
-		victims, enough, yielding := c.victims(w, candidate.Size)
-		if yielding {
-			// Room comes up there already.
-			return
+	switch full.Reason {
+	case placement.QuotaUsed:
+		if now.Sub(candidate.Queued) >= quotaAfter {
+			c.makeQuota(candidate, now)
 		}
-		if enough && (best == nil || len(victims) < len(best)) {
-			best = victims
+	case placement.NoRoom:
+		for _, item := range waiting {
+			e, ok := c.tasks[item.Task]
+			if !ok {
+				continue
+			}
+			next, err := c.candidate(e)
+			if err != nil {
+				return
+			}
+			for _, a := range c.planner.MakeRoom(next, now) {
+				c.displace(c.tasks[a.Task], e.id, now)
+			}
 		}
 	}
-	for _, v := range best {
-		c.displace(v, e.id, now)
-	}
 }
 
+// quotaAfter is how long an urgent task waits for its share's quota before
+// other tasks of the share yield to it.
+const quotaAfter = time.Second
+
 // makeQuota lets tasks of an urgent one's own share yield, the newest first,
 // until the share's quota holds it.
 func (c *Core) makeQuota(candidate placement.Candidate, now time.Time) {
@@ -256,26 +260,6 @@
 	c.apply(e, task.Yield, now)
 }
 
-// victims returns the tasks that make room for a size on a worker, the newest
-// first, whether they are enough, and whether some yield already.
-func (c *Core) victims(w *workerEntry, size share.Resources) (victims []*entry, enough, yielding bool) {
-	free := c.pool.Free(w.id)
-	tasks := w.sorted()
-	slices.SortStableFunc(tasks, func(a, b *entry) int { return cmp.Compare(b.placedAt.UnixNano(), a.placedAt.UnixNano()) })
-	for _, e := range tasks {
-		f := c.families[e.job.Name]
-		if e.State == task.Yielding || e.State == task.Stopping {
-			return nil, false, size.Fits(free.Plus(e.Size))
-		}
-		if size.Fits(free) || f.Urgent || !f.Checkpoints || e.State != task.Running {
-			continue
-		}
-		victims = append(victims, e)
-		free = free.Plus(e.Size)
-	}
-	return victims, size.Fits(free), false
-}
-
 // Yield lets a running task give way: with a checkpoint if its family can make one.
 func (c *Core) Yield(id string, now time.Time) {
 	if e, ok := c.tasks[id]; ok && e.State == task.Running {
--- a/internal/shard/takeover_test.go
+++ b/internal/shard/takeover_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/oriolepond/oriolepond/internal/task"
+	"github.com/oriolepond/oriolepond/pkg/share"
 )
 
 // pinned returns the number of tasks that a holder has on a worker.
@@ -76,18 +77,38 @@
 	require.Equal(t, 2, s.States[task.Running], "what ran goes on within the grace")
 }
 
-// Urgent work starts within 4.9 s although other work fills the pool.
+// Urgent work starts within 4.9 s although other work fills the pool, with
+// checkpoints or without, and also where several tasks come at once.
 func TestUrgentStartsInAFullPool(t *testing.T) {
-	w := newWorld()
-	h := w.holders[0]
-	w.submit(h, "batch", 40)
-	w.coast(5, 0)
-	w.submit(h, "urgent", 1)
-	w.coast(4, 900*time.Millisecond)
-	s, err := h.core.Describe("n", "j2")
-	require.NoError(t, err)
-	require.Equal(t, 1, s.States[task.Running])
-	w.check(t)
+	cases := []struct {
+		name        string
+		checkpoints bool
+		urgent      int
+	}{
+		{"one", true, 1},
+		{"three for each worker", true, 3 * worldWorkers},
+		{"beside work without checkpoints", false, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld()
+			w.config.Jobs[0].Checkpoints = c.checkpoints
+			w.config.Revision++
+			h := w.holders[0]
+			for range 5 {
+				h.core.planner.Sizes.Observe("batch", share.Resources{Processors: 2000, Memory: 1 << 30})
+				h.core.planner.Sizes.Observe("urgent", share.Resources{Processors: 2000, Memory: 1 << 30})
+			}
+			w.submit(h, "batch", 40)
+			w.coast(5, 0)
+			w.submit(h, "urgent", c.urgent)
+			w.coast(4, 900*time.Millisecond)
+			s, err := h.core.Describe("n", "j2")
+			require.NoError(t, err)
+			require.Equal(t, c.urgent, s.States[task.Running])
+			w.check(t)
+		})
+	}
 }
 
 // A job that can never run says why, and others pass it by.
