A shard without news is planned without sorting

Cause: each shard plans ten times a second, and each time sorted its workers three times and, while an urgent task waits for quota, every task's name.

Change: only workers and tasks that something is done with are put in order: lapsed and leaving workers, tasks with commands, tasks that may yield. What is decided is the same.

Ruled out: planning less often, which is a change of its own.

--- a/internal/shard/exchange.go
+++ b/internal/shard/exchange.go
@@ -10,11 +10,20 @@
 	"github.com/oriolepond/oriolepond/internal/worker"
 )
 
+// sorted returns the tasks of a worker by name.
 func (w *workerEntry) sorted() []*entry {
+	return w.sortedWhere(func(*entry) bool { return true })
+}
+
+// sortedWhere returns the tasks of a worker of which a condition holds, by name.
+func (w *workerEntry) sortedWhere(holds func(e *entry) bool) []*entry {
 	var all []*entry
-	for _, id := range slices.Sorted(maps.Keys(w.tasks)) {
-		all = append(all, w.tasks[id])
+	for _, e := range w.tasks {
+		if holds(e) {
+			all = append(all, e)
+		}
 	}
+	sortTasks(all)
 	return all
 }
 
@@ -69,10 +78,7 @@
 // commands returns the commands that a worker's tasks ask for, as far as they are durable.
 func (c *Core) commands(w *workerEntry) []worker.Command {
 	var all []worker.Command
-	for _, e := range w.sorted() {
-		if !c.isDurable(e) {
-			continue
-		}
+	for _, e := range w.sortedWhere(c.isDue) {
 		if command, ok := c.command(e); ok {
 			all = append(all, command)
 		}
@@ -90,6 +96,9 @@
 	return all
 }
 
+// isDue reports whether a task asks its worker for something, and that is durable.
+func (c *Core) isDue(e *entry) bool { return e.State != task.Running && c.isDurable(e) }
+
 // command returns what a task asks its worker to do.
 func (c *Core) command(e *entry) (worker.Command, bool) {
 	command := worker.Command{Task: e.id, Incarnation: e.Incarnation}
@@ -218,10 +227,11 @@
 // observeMissing ends the tasks that a worker does not know, although it was
 // told of them. A start that may not have come in is sent again.
 func (c *Core) observeMissing(w *workerEntry, seen map[worker.Ack]bool, now time.Time) {
-	for _, e := range w.sorted() {
-		if e.State != task.Starting && !seen[worker.Ack{Task: e.id, Incarnation: e.Incarnation}] {
-			c.lose(e, now)
-		}
+	missing := func(e *entry) bool {
+		return e.State != task.Starting && !seen[worker.Ack{Task: e.id, Incarnation: e.Incarnation}]
+	}
+	for _, e := range w.sortedWhere(missing) {
+		c.lose(e, now)
 	}
 }
 
--- a/internal/shard/plan.go
+++ b/internal/shard/plan.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"cmp"
 	"errors"
 	"slices"
 	"time"
@@ -172,14 +173,17 @@
 
 // clear lets the tasks of leaving workers yield, so that they go on elsewhere.
 func (c *Core) clear(now time.Time) {
-	for _, w := range c.sortedWorkers() {
-		if !w.leaving() {
-			continue
+	var leaving []*workerEntry
+	for _, w := range c.workers {
+		if w.leaving() {
+			leaving = append(leaving, w)
 		}
-		for _, e := range w.sorted() {
-			if e.State == task.Running && c.families[e.job.Name].Checkpoints {
-				c.apply(e, task.Yield, now)
-			}
+	}
+	sortWorkers(leaving)
+	canYield := func(e *entry) bool { return e.State == task.Running && c.families[e.job.Name].Checkpoints }
+	for _, w := range leaving {
+		for _, e := range w.sortedWhere(canYield) {
+			c.apply(e, task.Yield, now)
 		}
 	}
 }
@@ -226,20 +230,20 @@
 	quota, _ := c.pool.Quota(candidate.Share)
 	used := c.pool.Used(candidate.Share).Plus(candidate.Size)
 	var own []*entry
-	for _, w := range c.sortedWorkers() {
-		for _, e := range w.sorted() {
+	for _, w := range c.workers {
+		for _, e := range w.tasks {
 			if e.job.Share != candidate.Share {
 				continue
 			}
-			switch f := c.families[e.job.Name]; {
+			switch {
 			case e.State == task.Yielding || e.State == task.Stopping:
 				used = used.Minus(e.Size)
-			case e.State == task.Running && f.Checkpoints && !f.Urgent:
+			case c.mayBeDisplaced(e):
 				own = append(own, e)
 			}
 		}
 	}
-	slices.SortStableFunc(own, func(a, b *entry) int { return b.placedAt.Compare(a.placedAt) })
+	slices.SortFunc(own, newestFirst)
 	n := 0
 	for ; n < len(own) && !used.Fits(quota); n++ {
 		used = used.Minus(own[n].Size)
@@ -252,6 +256,17 @@
 	}
 }
 
+// mayBeDisplaced reports whether a task may yield to an urgent one.
+func (c *Core) mayBeDisplaced(e *entry) bool {
+	f := c.families[e.job.Name]
+	return e.State == task.Running && f.Checkpoints && !f.Urgent
+}
+
+// newestFirst orders tasks by when they were placed.
+func newestFirst(a, b *entry) int {
+	return cmp.Or(b.placedAt.Compare(a.placedAt), cmp.Compare(a.id, b.id))
+}
+
 // displace lets a task yield to an urgent one.
 func (c *Core) displace(e *entry, urgent string, now time.Time) {
 	c.notify(Notice{
--- a/internal/shard/worker.go
+++ b/internal/shard/worker.go
@@ -160,37 +160,54 @@
 	for _, w := range c.workers {
 		all = append(all, w)
 	}
-	slices.SortFunc(all, func(a, b *workerEntry) int { return cmp.Compare(a.id, b.id) })
+	sortWorkers(all)
 	return all
 }
 
+// sortWorkers puts workers in order by name.
+func sortWorkers(all []*workerEntry) {
+	slices.SortFunc(all, func(a, b *workerEntry) int { return cmp.Compare(a.id, b.id) })
+}
+
 // sortedTasks returns a set of tasks by name.
 func sortedTasks(set map[*entry]bool) []*entry {
 	all := make([]*entry, 0, len(set))
 	for e := range set {
 		all = append(all, e)
 	}
-	slices.SortFunc(all, func(a, b *entry) int { return cmp.Compare(a.id, b.id) })
+	sortTasks(all)
 	return all
 }
 
+// sortTasks puts tasks in order by name.
+func sortTasks(all []*entry) {
+	slices.SortFunc(all, func(a, b *entry) int { return cmp.Compare(a.id, b.id) })
+}
+
 // lapse ends the tasks of workers that surely run them no more.
 func (c *Core) lapse(now time.Time) {
-	for _, w := range c.sortedWorkers() {
+	var lapsed []*workerEntry
+	for _, w := range c.workers {
 		c.setAccepting(w, now)
-		if len(w.tasks) == 0 {
-			continue
+		if len(w.tasks) > 0 && c.hasLapsed(w, now) {
+			lapsed = append(lapsed, w)
 		}
-		gone := !w.missingSince.IsZero() && now.Sub(w.missingSince) >= c.timing.GoneAfter &&
-			now.Sub(w.heardAt) >= c.timing.GoneAfter
-		if gone || now.After(c.lapsesAt(w)) {
-			for _, e := range w.sorted() {
-				c.lose(e, now)
-			}
+	}
+	sortWorkers(lapsed)
+	for _, w := range lapsed {
+		for _, e := range w.sorted() {
+			c.lose(e, now)
 		}
 	}
 }
 
+// hasLapsed reports whether nothing that a worker was given runs there any more.
+func (c *Core) hasLapsed(w *workerEntry, now time.Time) bool {
+	gone := !w.missingSince.IsZero() && now.Sub(w.missingSince) >= c.timing.GoneAfter &&
+		now.Sub(w.heardAt) >= c.timing.GoneAfter
+	return gone || now.After(c.lapsesAt(w))
+}
+
 // IsSole reports whether no earlier holder can still renew tasks of the shard:
 // it had stopped, its grace is over, or every worker with tasks refuses it.
 func (c *Core) IsSole(now time.Time) bool {
