A worker about which nothing is open is spoken to every three seconds

Change: Core.Pace decides. Busy (workerInterval, 1 s) while a start, stop, throttle or acknowledgement is open, an answer is missing, a service there is near its objective, a task is throttled or young; a twentieth of the youngest task's age, so that an end is seen late by a small part of its run time; and quietWorkerInterval (3 s) at most. What is durable and to be sent still goes out at once; acknowledgements alone wait for the next exchange.

What the pace rests on: a grant used to count from the stamp before the last one, so that two paces were lost from each lease, and at 3 s the tasks of a killed holder would have lapsed before its lease in the store (10 s) and the take-over were over. A grant now adds the time since the stamp came in, as far as the worker's clock has surely gone on; a repeat grants no more. QuietLimit derives the longest pace from lease, TTL and take-over: 3.18 s at the defaults. A worker is silent if it left an exchange unanswered for 1.5 s, which with the pace stays under the former 5 s since it was last heard.

Ruled out: 4 s (needs a lease of 17 s, so that what a lost worker ran starts again later); a long poll (a command would have to break it, and the platform's workers would have to offer it); judging by declared run times (far off).

--- a/internal/placement/quiet.go
+++ b/internal/placement/quiet.go
@@ -40,3 +40,16 @@
 		p.Pool.SetQuiet(m.Worker, r.Service, quiet)
 	}
 }
+
+// Strain returns the greatest strain that was last measured of a service on a worker.
+func (p *Planner) Strain(worker string) float64 {
+	state, ok := p.workers[worker]
+	if !ok {
+		return 0
+	}
+	greatest := 0.0
+	for _, tail := range state.tails {
+		greatest = max(greatest, tail.Strain)
+	}
+	return greatest
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -23,6 +23,7 @@
 	DefaultListInterval    = time.Second
 	DefaultPeerInterval    = 50 * time.Millisecond
 	DefaultWorkerInterval  = time.Second
+	DefaultQuietInterval   = 3 * time.Second
 	DefaultAccountInterval = 30 * time.Second
 	DefaultAccountPeriod   = time.Hour
 	DefaultStopDelay       = 2 * time.Second
@@ -55,7 +56,10 @@
 	LeaseTTL          time.Duration
 	ListInterval      time.Duration
 	PeerInterval      time.Duration
-	WorkerInterval    time.Duration
+	// WorkerInterval is how often a worker is called about which something is open,
+	// QuietWorkerInterval how often another.
+	WorkerInterval      time.Duration
+	QuietWorkerInterval time.Duration
 	// AccountInterval is how often counted requests and link bytes are written to the store.
 	AccountInterval time.Duration
 	// AccountPeriod is the length of the periods that accounts are kept by.
@@ -88,26 +92,27 @@
 	}
 	o := doc.Root()
 	s := Settings{
-		ID:                o.String("id"),
-		Region:            o.String("region"),
-		DataCentre:        o.String("dataCentre"),
-		Listen:            address(o, "listen", ""),
-		PeerListen:        address(o, "peerListen", ""),
-		AdminListen:       address(o, "adminListen", ""),
-		ListURL:           httpURL(o, "listUrl"),
-		StoreURLs:         httpURLs(o, "storeUrls"),
-		OperatorTokenHash: tokenHash(o, "operatorTokenHash"),
-		LeaseTTL:          positive(o, "leaseTtl", DefaultLeaseTTL),
-		ListInterval:      positive(o, "listInterval", DefaultListInterval),
-		PeerInterval:      positive(o, "peerInterval", DefaultPeerInterval),
-		WorkerInterval:    positive(o, "workerInterval", DefaultWorkerInterval),
-		AccountInterval:   positive(o, "accountInterval", DefaultAccountInterval),
-		AccountPeriod:     positive(o, "accountPeriod", DefaultAccountPeriod),
-		StopDelay:         o.DurationOr("stopDelay", DefaultStopDelay),
-		StopTimeout:       positive(o, "stopTimeout", DefaultStopTimeout),
-		LinkBitsPerSecond: positiveInt(o, "linkBitsPerSecond", DefaultLinkBitsPerSec),
-		MaxHeaderBytes:    int(positiveInt(o, "maxHeaderBytes", DefaultMaxHeaderBytes)),
-		QueuedPerTarget:   int(positiveInt(o, "queuedPerTarget", DefaultQueuedPerTarget)),
+		ID:                  o.String("id"),
+		Region:              o.String("region"),
+		DataCentre:          o.String("dataCentre"),
+		Listen:              address(o, "listen", ""),
+		PeerListen:          address(o, "peerListen", ""),
+		AdminListen:         address(o, "adminListen", ""),
+		ListURL:             httpURL(o, "listUrl"),
+		StoreURLs:           httpURLs(o, "storeUrls"),
+		OperatorTokenHash:   tokenHash(o, "operatorTokenHash"),
+		LeaseTTL:            positive(o, "leaseTtl", DefaultLeaseTTL),
+		ListInterval:        positive(o, "listInterval", DefaultListInterval),
+		PeerInterval:        positive(o, "peerInterval", DefaultPeerInterval),
+		WorkerInterval:      positive(o, "workerInterval", DefaultWorkerInterval),
+		QuietWorkerInterval: positive(o, "quietWorkerInterval", DefaultQuietInterval),
+		AccountInterval:     positive(o, "accountInterval", DefaultAccountInterval),
+		AccountPeriod:       positive(o, "accountPeriod", DefaultAccountPeriod),
+		StopDelay:           o.DurationOr("stopDelay", DefaultStopDelay),
+		StopTimeout:         positive(o, "stopTimeout", DefaultStopTimeout),
+		LinkBitsPerSecond:   positiveInt(o, "linkBitsPerSecond", DefaultLinkBitsPerSec),
+		MaxHeaderBytes:      int(positiveInt(o, "maxHeaderBytes", DefaultMaxHeaderBytes)),
+		QueuedPerTarget:     int(positiveInt(o, "queuedPerTarget", DefaultQueuedPerTarget)),
 	}
 	s.BindAddress = ipAddress(o, "bindAddress")
 	s.Advertise = address(o, "advertise", s.Listen)
--- a/internal/shard/changes.go
+++ b/internal/shard/changes.go
@@ -87,12 +87,14 @@
 }
 
 // Committed says that a batch is durable, and returns the workers that now
-// have something to be sent.
+// have something to be sent. Acknowledgements alone wait for the next exchange.
 func (c *Core) Committed(number uint64) []string {
 	c.changes.durable = number
 	var ids []string
 	for id := range c.changes.sent {
-		ids = append(ids, id)
+		if c.hasCommands(id) {
+			ids = append(ids, id)
+		}
 	}
 	c.changes.sent = map[string]bool{}
 	return ids
--- a/internal/shard/core.go
+++ b/internal/shard/core.go
@@ -36,7 +36,9 @@
 	UsageEvery time.Duration
 	// GoneAfter is how long a worker is missing from the platform's list before it counts as gone.
 	GoneAfter time.Duration
-	// SilentAfter is how long a worker may be silent before it gets no new tasks.
+	// Quiet is the longest time between two exchanges with a worker that has nothing to change.
+	Quiet time.Duration
+	// SilentAfter is how long a worker may leave an exchange unanswered before it gets no new tasks.
 	SilentAfter time.Duration
 	// Retention is how long a job is described after its end.
 	Retention time.Duration
@@ -53,15 +55,24 @@
 		FullEvery:   5 * time.Second,
 		UsageEvery:  time.Minute,
 		GoneAfter:   30 * time.Second,
-		SilentAfter: 5 * time.Second,
+		Quiet:       3 * time.Second,
+		SilentAfter: 1500 * time.Millisecond,
 		Retention:   24 * time.Hour,
 		RetryAfter:  time.Second,
 	}
 }
 
 // lapse returns how long after a stamp came in all that it granted has surely run out.
-func (t Timing) lapse() time.Duration {
-	return t.Lease + time.Duration(float64(t.Lease)*t.Drift)
+func (t Timing) lapse() time.Duration { return t.longest(t.Lease) }
+
+// longest returns how long a time on a worker's clock may take on the holder's.
+func (t Timing) longest(d time.Duration) time.Duration {
+	return d + time.Duration(float64(d)*t.Drift)
+}
+
+// shortest returns how long a time on the holder's clock takes at least on a worker's.
+func (t Timing) shortest(d time.Duration) time.Duration {
+	return d - time.Duration(float64(d)*t.Drift)
 }
 
 // Account is the usage of one share.
--- a/internal/shard/exchange.go
+++ b/internal/shard/exchange.go
@@ -55,19 +55,22 @@
 		return worker.Exchange{}, false
 	}
 	w.sequence++
+	if w.askedAt.IsZero() {
+		w.askedAt = now
+	}
+	if w.heardAt.After(w.grantedAt) {
+		c.grant(w, now)
+	}
 	e := worker.Exchange{
 		Sequence: w.sequence,
 		Boot:     w.boot,
 		Stamp:    w.stamp,
-		Lease:    c.timing.Lease,
+		Lease:    w.granted,
 		Full:     w.wantFull || now.Sub(w.fullAt) >= c.timing.FullEvery,
 	}
 	if w.boot == "" {
 		return e, true
 	}
-	if w.heardAt.After(w.grantedAt) {
-		w.grantedAt = w.heardAt
-	}
 	if commands {
 		e.Commands = c.commands(w)
 		e.Acks = c.takeAcks(w)
@@ -75,6 +78,15 @@
 	return e, true
 }
 
+// grant lets a worker's tasks run for a lease from now on. The worker counts
+// from its last stamp, so that the time since that came in is added, as far as
+// its clock has surely gone on. A repeat grants no more, so that a worker that
+// answers nothing is waited for no longer.
+func (c *Core) grant(w *workerEntry, now time.Time) {
+	w.grantedAt = w.heardAt
+	w.granted = c.timing.Lease + c.timing.shortest(now.Sub(w.heardAt))
+}
+
 // commands returns the commands that a worker's tasks ask for, as far as they are durable.
 func (c *Core) commands(w *workerEntry) []worker.Command {
 	var all []worker.Command
@@ -96,9 +108,6 @@
 	return all
 }
 
-// isDue reports whether a task asks its worker for something, and that is durable.
-func (c *Core) isDue(e *entry) bool { return e.State != task.Running && c.isDurable(e) }
-
 // command returns what a task asks its worker to do.
 func (c *Core) command(e *entry) (worker.Command, bool) {
 	command := worker.Command{Task: e.id, Incarnation: e.Incarnation}
@@ -145,9 +154,10 @@
 	}
 	w.adopted = true
 	w.boot, w.stamp, w.heardAt = r.Boot, r.Stamp, now
+	w.askedAt = time.Time{}
 	if w.grantedAt.IsZero() {
-		// Whatever an earlier holder granted was granted by a stamp before this one.
-		w.grantedAt = now
+		// Whatever an earlier holder granted was granted before this report.
+		w.grantedAt, w.granted = now, c.timing.Lease
 	}
 	w.acks = nil
 	w.wantFull = false
--- a/internal/shard/holder.go
+++ b/internal/shard/holder.go
@@ -38,7 +38,7 @@
 	Journal *journal.Log
 	Workers *worker.Client
 	Timing  Timing
-	// Interval is how often each worker is spoken to.
+	// Interval is how often a worker is spoken to about which something is open; others less often, by Timing.Quiet.
 	Interval time.Duration
 	// Situation returns what is known now.
 	Situation func() Situation
@@ -236,7 +236,7 @@
 		case <-timer.C:
 		}
 		again := h.exchange(ctx, id)
-		wait := h.Interval*9/10 + time.Duration(rand.Int64N(int64(h.Interval)/5+1))
+		wait := spread(h.pace(id))
 		if again {
 			wait = 0
 		}
@@ -244,6 +244,18 @@
 	}
 }
 
+// pace returns how soon a worker is to be spoken to again.
+func (h *Holder) pace(id string) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.core.Pace(id, h.Interval, time.Now())
+}
+
+// spread returns a time about a pace, so that the exchanges with many workers do not fall together.
+func spread(pace time.Duration) time.Duration {
+	return time.Duration(float64(pace) * (1 - paceSpread + 2*paceSpread*rand.Float64()))
+}
+
 // exchange makes one exchange and reports whether the next is to follow at once.
 func (h *Holder) exchange(ctx context.Context, id string) bool {
 	now := time.Now()
--- a/internal/shard/keeper.go
+++ b/internal/shard/keeper.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"maps"
@@ -39,8 +40,10 @@
 	Workers *worker.Client
 	// TTL is that of the lease under which the shards are held.
 	TTL time.Duration
-	// Interval is how often each worker is spoken to.
+	// Interval is how often a worker is spoken to about which something is open.
 	Interval time.Duration
+	// Quiet is the longest time between two exchanges with a worker; zero takes Timing's.
+	Quiet time.Duration
 	// Timing is by default DefaultTiming.
 	Timing Timing
 	// Members, Config and List return what is known now.
@@ -252,10 +255,12 @@
 }
 
 func (k *Keeper) timing() Timing {
-	if k.Timing == (Timing{}) {
-		return DefaultTiming()
+	t := k.Timing
+	if t == (Timing{}) {
+		t = DefaultTiming()
 	}
-	return k.Timing
+	t.Quiet = min(cmp.Or(k.Quiet, t.Quiet), t.QuietLimit(k.TTL))
+	return t
 }
 
 // HolderOf returns the instance that holds a shard, as last read.
--- /dev/null
+++ b/internal/shard/pace.go
@@ -0,0 +1,69 @@
+package shard
+
+import (
+	"time"
+
+	"github.com/oriolepond/oriolepond/internal/task"
+)
+
+const (
+	// endDelayPart bounds how late the end of a task is seen, as a part of its run time so far.
+	endDelayPart = 20
+	// watchedStrain is the part of its objective beyond which a service's tail is followed closely.
+	watchedStrain = 0.8
+	// paceSpread is the part of a pace by which the times between exchanges differ.
+	paceSpread = 0.1
+	// takeOverTime bounds the time from the end of a lost holder's lease to the next one's exchanges.
+	takeOverTime = 1500 * time.Millisecond
+)
+
+// QuietLimit returns the longest Quiet with which the tasks of a holder that
+// is lost without a sign outlast its lease in the store and the take-over.
+func (t Timing) QuietLimit(ttl time.Duration) time.Duration {
+	return time.Duration(float64(t.Lease-ttl-takeOverTime) / (1 + paceSpread))
+}
+
+// Pace returns how soon a worker is to be spoken to again: after busy at
+// least, and after Timing.Quiet at most. What is durable and is to be sent does
+// not wait for it.
+func (c *Core) Pace(id string, busy time.Duration, now time.Time) time.Duration {
+	w, ok := c.workers[id]
+	if !ok || c.needsAttention(w) {
+		return busy
+	}
+	pace := c.timing.Quiet
+	for _, e := range w.tasks {
+		if e.State != task.Running || e.throttled() {
+			return busy
+		}
+		pace = min(pace, now.Sub(e.placedAt)/endDelayPart)
+	}
+	return max(busy, pace)
+}
+
+// needsAttention reports whether something about a worker is open, its tasks apart.
+func (c *Core) needsAttention(w *workerEntry) bool {
+	unanswered := !w.adopted || !w.askedAt.IsZero()
+	open := len(w.acks)+len(w.strays)+len(w.ratios) > 0
+	return unanswered || open || w.leaving() || c.planner.Strain(w.id) > watchedStrain
+}
+
+// throttled reports whether a worker said that a task keeps only a part of its processors.
+func (e *entry) throttled() bool { return e.ratio > 0 && e.ratio < 1 }
+
+// isDue reports whether a task asks its worker for something, and that is durable.
+func (c *Core) isDue(e *entry) bool { return e.State != task.Running && c.isDurable(e) }
+
+// hasCommands reports whether there is something to be sent to a worker.
+func (c *Core) hasCommands(id string) bool {
+	w, ok := c.workers[id]
+	if !ok {
+		return false
+	}
+	for _, e := range w.tasks {
+		if c.isDue(e) {
+			return true
+		}
+	}
+	return len(w.strays)+len(w.ratios) > 0
+}
--- a/internal/shard/worker.go
+++ b/internal/shard/worker.go
@@ -26,8 +26,12 @@
 	boot    string
 	stamp   time.Duration
 	heardAt time.Time
-	// grantedAt is when the newest stamp came in that an exchange of this holder carried back.
+	// grantedAt is when the newest stamp came in that an exchange of this holder carried back,
+	// and granted is how long after it, on the worker's clock, the tasks may run.
 	grantedAt time.Time
+	granted   time.Duration
+	// askedAt is when the first exchange since the last report was made; zero if none was.
+	askedAt time.Time
 	// adopted says that the worker has answered this holder, and so refuses the ones before.
 	adopted  bool
 	sequence int64
@@ -129,7 +133,13 @@
 
 // accepts reports whether a worker may be given tasks.
 func (c *Core) accepts(w *workerEntry, now time.Time) bool {
-	return w.state == roster.Live && w.adopted && len(w.strays) == 0 && now.Sub(w.heardAt) < c.timing.SilentAfter
+	return w.state == roster.Live && w.adopted && len(w.strays) == 0 && !c.isSilent(w, now)
+}
+
+// isSilent reports whether a worker left an exchange unanswered, or has not been spoken to for a lease.
+func (c *Core) isSilent(w *workerEntry, now time.Time) bool {
+	unanswered := !w.askedAt.IsZero() && now.Sub(w.askedAt) >= c.timing.SilentAfter
+	return unanswered || now.Sub(w.heardAt) >= c.timing.Lease
 }
 
 func (c *Core) setAccepting(w *workerEntry, now time.Time) {
@@ -145,7 +155,7 @@
 // this holder, and unless the worker has answered it, by the one before.
 func (c *Core) lapsesAt(w *workerEntry) time.Time {
 	if w.adopted {
-		return w.grantedAt.Add(c.timing.lapse())
+		return w.grantedAt.Add(c.timing.longest(w.granted))
 	}
 	last := c.began
 	if !c.handedOver {
--- a/tasks.go
+++ b/tasks.go
@@ -18,6 +18,7 @@
 		Workers:  worker.NewClient(i.httpClient(idleWorkerConns)),
 		TTL:      s.LeaseTTL,
 		Interval: s.WorkerInterval,
+		Quiet:    s.QuietWorkerInterval,
 		Members:  i.shardMembers,
 		Config:   i.configs.Current,
 		List:     i.currentList,
