--- a/dial.go
+++ b/dial.go
@@ -8,9 +8,8 @@
 
 // The idle connections that are kept to one host of each kind.
 const (
-	idleStoreConns  = 16
-	idleListConns   = 1
-	idleWorkerConns = 2
+	idleStoreConns = 16
+	idleListConns  = 1
 )
 
 const (
--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -33,14 +34,15 @@
 	cancelled bool
 }
 
-// bufferSize is that of each direction of a connection.
-const bufferSize = 4 << 10
+// defaultBufferSize is that of each direction of a connection.
+const defaultBufferSize = 4 << 10
 
 func newConn(p *Pool, address string, raw net.Conn) *conn {
 	c := &conn{pool: p, address: address, raw: raw, made: time.Now()}
 	c.head = &io.LimitedReader{R: raw}
-	c.reader = bufio.NewReaderSize(c.head, bufferSize)
-	c.writer = bufio.NewWriterSize(countingWriter{c}, bufferSize)
+	size := cmp.Or(p.BufferSize, defaultBufferSize)
+	c.reader = bufio.NewReaderSize(c.head, size)
+	c.writer = bufio.NewWriterSize(countingWriter{c}, size)
 	return c
 }
 
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -37,6 +37,8 @@
 	MaxIdle time.Duration
 	// MaxHeaderBytes bounds the head of an answer.
 	MaxHeaderBytes int64
+	// BufferSize is that of each direction of a connection; zero takes a default.
+	BufferSize int
 
 	mu      sync.Mutex
 	targets map[string]*connections
--- a/internal/worker/client.go
+++ b/internal/worker/client.go
@@ -3,10 +3,13 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"time"
+
+	"github.com/oriolepond/oriolepond/internal/exchange"
 )
 
 const (
@@ -24,14 +27,30 @@
 	Exchange func(ctx context.Context, address string, e Exchange) (Report, error)
 }
 
-// NewClient returns a client that speaks HTTP with JSON bodies.
-func NewClient(h *http.Client) *Client {
+// NewClient returns a client that speaks HTTP with JSON bodies over the
+// connections of a pool. A connection that waits for its next exchange takes
+// neither goroutines nor buffers of net/http.
+func NewClient(p *exchange.Pool) *Client {
 	return &Client{Exchange: func(ctx context.Context, address string, e Exchange) (Report, error) {
-		return exchange(ctx, h, address, e)
+		r, err := call(ctx, p, address, e)
+		if err != nil {
+			return Report{}, wrap(address, err)
+		}
+		return r, nil
 	}}
 }
 
-func exchange(ctx context.Context, h *http.Client, address string, e Exchange) (Report, error) {
+// wrap names the worker in an error that does not name it itself.
+func wrap(address string, err error) error {
+	var epoch *EpochError
+	if errors.As(err, &epoch) {
+		return err
+	}
+	return fmt.Errorf("worker %s: %w", address, err)
+}
+
+// call makes one exchange.
+func call(ctx context.Context, p *exchange.Pool, address string, e Exchange) (Report, error) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	body, err := EncodeExchange(e)
@@ -40,26 +59,39 @@
 	}
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+exchangePath, bytes.NewReader(body))
 	if err != nil {
-		return Report{}, fmt.Errorf("worker %s: %w", address, err)
+		return Report{}, err
 	}
 	r.Header.Set("Content-Type", "application/json")
-	answer, err := h.Do(r)
+	answer, err := p.Send(ctx, exchange.Call{Address: address, Request: r}, func() {})
 	if err != nil {
-		return Report{}, fmt.Errorf("worker %s: %w", address, err)
+		return Report{}, err
 	}
-	defer answer.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(answer.Body, maxReportBytes))
+	defer answer.Close()
+	text, err := read(answer)
 	if err != nil {
-		return Report{}, fmt.Errorf("worker %s: %w", address, err)
+		return Report{}, err
 	}
-	if answer.StatusCode != http.StatusOK && answer.StatusCode != http.StatusConflict {
-		return Report{}, fmt.Errorf("worker %s: status %d", address, answer.StatusCode)
+	return decode(answer.StatusCode, text, e)
+}
+
+// read returns the body of an answer, for which room is made at once if its length is told.
+func read(answer *exchange.Reply) ([]byte, error) {
+	var text bytes.Buffer
+	text.Grow(int(min(max(0, answer.ContentLength), maxReportBytes)) + bytes.MinRead)
+	_, err := text.ReadFrom(io.LimitReader(answer, maxReportBytes))
+	return text.Bytes(), err
+}
+
+// decode returns the report that an answer holds.
+func decode(status int, text []byte, e Exchange) (Report, error) {
+	if status != http.StatusOK && status != http.StatusConflict {
+		return Report{}, &StatusError{Status: status}
 	}
 	report, err := DecodeReport(text)
 	if err != nil {
-		return Report{}, fmt.Errorf("worker %s: %w", address, err)
+		return Report{}, err
 	}
-	if answer.StatusCode == http.StatusConflict {
+	if status == http.StatusConflict {
 		return Report{}, &EpochError{Worker: report.Worker, Seen: report.Epoch, Sent: e.Epoch}
 	}
 	return report, nil
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -14,7 +14,7 @@
 //
 // # Usage
 //
-//	c := worker.NewClient(http.DefaultClient)
+//	c := worker.NewClient(&exchange.Pool{Dial: dialer.DialContext})
 //	report, err := c.Exchange(ctx, "10.0.0.7:9000", worker.Exchange{Holder: "entry-1", Epoch: 4})
 package worker
 
@@ -177,3 +177,11 @@
 func (e *EpochError) Error() string {
 	return fmt.Sprintf("worker %s has seen epoch %d and refuses epoch %d", e.Worker, e.Seen, e.Sent)
 }
+
+// StatusError says that a worker answered with a status that is no report.
+type StatusError struct {
+	Status int
+}
+
+// Error returns the status.
+func (e *StatusError) Error() string { return fmt.Sprintf("status %d", e.Status) }
--- a/oriolepond.go
+++ b/oriolepond.go
@@ -28,6 +28,7 @@
 	"github.com/oriolepond/oriolepond/internal/config"
 	"github.com/oriolepond/oriolepond/internal/entry"
 	"github.com/oriolepond/oriolepond/internal/eventlog"
+	"github.com/oriolepond/oriolepond/internal/exchange"
 	"github.com/oriolepond/oriolepond/internal/home"
 	"github.com/oriolepond/oriolepond/internal/membership"
 	"github.com/oriolepond/oriolepond/internal/meter"
@@ -54,10 +55,12 @@
 	targets  *target.Table
 	requests *entry.Dispatcher
 	shards   *shard.Keeper
-	jobs     *shard.Router
-	pool     *peer.Pool
-	list     atomic.Pointer[roster.List]
-	stop     stopState
+	// workerConns are the connections to workers.
+	workerConns *exchange.Pool
+	jobs        *shard.Router
+	pool        *peer.Pool
+	list        atomic.Pointer[roster.List]
+	stop        stopState
 
 	directory *peer.Directory
 	reporters peer.Group
--- a/requests.go
+++ b/requests.go
@@ -53,7 +53,7 @@
 	return weight
 }
 
-// trimConnections closes old connections to targets until the context ends.
+// trimConnections closes old connections to targets and workers until the context ends.
 func (i *Instance) trimConnections(ctx context.Context) error {
 	ticker := time.NewTicker(trimInterval)
 	defer ticker.Stop()
@@ -63,6 +63,7 @@
 			return nil
 		case <-ticker.C:
 			i.requests.Exchange.Trim()
+			i.workerConns.Trim()
 		}
 	}
 }
--- a/tasks.go
+++ b/tasks.go
@@ -3,19 +3,29 @@
 import (
 	"fmt"
 
+	"github.com/oriolepond/oriolepond/internal/exchange"
 	"github.com/oriolepond/oriolepond/internal/peer"
 	"github.com/oriolepond/oriolepond/internal/shard"
 	"github.com/oriolepond/oriolepond/internal/store"
 	"github.com/oriolepond/oriolepond/internal/worker"
 )
 
+// workerBuffer is the size of the buffers of a connection to a worker, in each direction.
+const workerBuffer = 1 << 10
+
 // buildTasks makes the parts of the task plane.
 func (i *Instance) buildTasks(client *store.Client) {
 	s := i.Settings
+	i.workerConns = &exchange.Pool{
+		Dial:       i.dialer().DialContext,
+		MaxAge:     connectionMaxAge,
+		MaxIdle:    connectionMaxIdle,
+		BufferSize: workerBuffer,
+	}
 	i.shards = &shard.Keeper{
 		ID:       s.ID,
 		Store:    client,
-		Workers:  worker.NewClient(i.httpClient(idleWorkerConns)),
+		Workers:  worker.NewClient(i.workerConns),
 		TTL:      s.LeaseTTL,
 		Interval: s.WorkerInterval,
 		Quiet:    s.QuietWorkerInterval,
