--- a/e2e/capacity_test.go
+++ b/e2e/capacity_test.go
@@ -28,6 +28,8 @@
 	measured = 10 * time.Second
 	// clockTicks is the unit of processor time in /proc, in ticks a second.
 	clockTicks = 100
+	// twoProcessors bounds the threads that run at once to those of a small instance.
+	twoProcessors = "GOMAXPROCS=2"
 )
 
 // BenchmarkIdle measures what entry instances spend on a pool whose tasks all
@@ -110,7 +112,7 @@
 		Out:     io.Discard,
 		Size:    size,
 		NoWait:  true,
-		Launch:  launcher(b.TempDir()),
+		Launch:  launcher(b.TempDir(), twoProcessors),
 		Observe: func(ctx context.Context, v demo.View) {
 			timer := time.NewTimer(warmUp)
 			defer timer.Stop()
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -35,8 +35,9 @@
 	return m.Run()
 }
 
-// launcher starts entry instances as processes, whose logs are kept in dir.
-func launcher(dir string) demo.Launch {
+// launcher starts entry instances as processes, whose logs are kept in dir, with
+// additions to this process's environment.
+func launcher(dir string, environment ...string) demo.Launch {
 	started := 0
 	return func(_ context.Context, text []byte) (*demo.Process, error) {
 		started++
@@ -48,13 +49,14 @@
 		if err != nil {
 			return nil, err
 		}
-		return start(settings, log)
+		return start(settings, log, environment)
 	}
 }
 
 // start runs one process; its standard error goes to log.
-func start(settings string, log *os.File) (*demo.Process, error) {
+func start(settings string, log *os.File, environment []string) (*demo.Process, error) {
 	c := exec.Command(program, "serve", "-settings", settings)
+	c.Env = append(os.Environ(), environment...)
 	c.Stderr = log
 	if err := c.Start(); err != nil {
 		return nil, err
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -112,7 +112,8 @@
 
 // View is what an observer sees of a demonstration.
 type View struct {
-	// Admins are the operators' addresses of the instances, and Token opens them.
+	// IDs are the names of the instances; Admins are their operators' addresses, and Token opens them.
+	IDs       []string
 	Admins    []string
 	Token     string
 	Processes []*Process
--- a/internal/demo/load.go
+++ b/internal/demo/load.go
@@ -53,6 +53,7 @@
 func (d *Demo) view() View {
 	v := View{Token: operatorToken, Cluster: d.cluster, Network: d.network}
 	for _, i := range d.running() {
+		v.IDs = append(v.IDs, i.id)
 		v.Admins = append(v.Admins, i.admin())
 		v.Processes = append(v.Processes, i.process)
 	}
--- a/internal/shard/bench_test.go
+++ b/internal/shard/bench_test.go
@@ -133,7 +133,7 @@
 }
 
 // BenchmarkExchangeBytes measures the bodies between a holder and a worker of
-// 22 running tasks over one period between two full reports.
+// 22 running tasks over one period between two full reports, at the quiet pace.
 func BenchmarkExchangeBytes(b *testing.B) {
 	const tasks = 22
 	now := time.Now()
@@ -162,13 +162,14 @@
 		id := fmt.Sprintf("0197a1b2c3d4e5f60718293a4b5c6d7e~bajio.2-%d", i)
 		exchange(false, []worker.Command{{Kind: worker.Start, Task: id, Incarnation: 1, Job: "flatness-review"}})
 	}
-	perPeriod := int(DefaultTiming().FullEvery / time.Second)
+	pace, between := DefaultTiming().Quiet, DefaultTiming().FullEvery
+	perPeriod := int((between + pace - 1) / pace)
 	bytes = 0
 	for b.Loop() {
 		for n := range perPeriod {
-			now = now.Add(time.Second)
+			now = now.Add(pace)
 			exchange(n == 0, nil)
 		}
 	}
-	b.ReportMetric(float64(bytes)/float64(b.N*perPeriod), "bytes/s")
+	b.ReportMetric(float64(bytes)/(float64(b.N*perPeriod)*pace.Seconds()), "bytes/s")
 }
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -86,6 +86,13 @@
 	w.booted = w.now()
 }
 
+// Epoch returns the highest epoch that the worker has seen.
+func (w *Worker) Epoch() int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.epoch
+}
+
 func (w *Worker) now() time.Time {
 	if w.Now != nil {
 		return w.Now()
