--- a/internal/shard/worker.go
+++ b/internal/shard/worker.go
@@ -179,17 +179,7 @@
 	return last.Add(c.timing.lapse())
 }
 
-// sortedWorkers returns all workers by name, so that decisions do not depend on the order of a map.
-func (c *Core) sortedWorkers() []*workerEntry {
-	all := make([]*workerEntry, 0, len(c.workers))
-	for _, w := range c.workers {
-		all = append(all, w)
-	}
-	sortWorkers(all)
-	return all
-}
-
-// sortWorkers puts workers in order by name.
+// sortWorkers puts workers in order by name, so that decisions do not depend on the order of a map.
 func sortWorkers(all []*workerEntry) {
 	slices.SortFunc(all, func(a, b *workerEntry) int { return cmp.Compare(a.id, b.id) })
 }
