Demo: loopback addresses of instances stay valid after 255 instances

Cause: found in reading: the last part of an instance's loopback address was a count that never started again, so that a process which started more than 255 instances (several rounds of the failure tests) made an address that is none.

Change: the count wraps at 250, when the first instances have long ended.

--- a/internal/demo/instances.go
+++ b/internal/demo/instances.go
@@ -124,10 +124,14 @@
 // addresses counts the loopback addresses given out by this process.
 var addresses atomic.Int64
 
-// loopback returns the loopback address of an instance, distinct between processes of this program.
+// loopbackOctet bounds each part of a loopback address.
+const loopbackOctet = 250
+
+// loopback returns the loopback address of the nth instance, distinct between
+// processes of this program; after many instances those of ended ones come again.
 func loopback(n int) string {
 	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d", 1+pid%250, pid/250%250, n)
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid%loopbackOctet, pid/loopbackOctet%loopbackOctet, 1+n%loopbackOctet)
 }
 
 // settings returns the text of an instance's settings.
