--- a/e2e/capacity_test.go
+++ b/e2e/capacity_test.go
@@ -124,12 +124,12 @@
 	}
 	_, err := d.Run(context.Background())
 	require.NoError(b, err)
-	report(b, size, before, after)
+	reportFor(b, size, measured, before, after)
 }
 
-// report gives the slopes of one run.
-func report(b *testing.B, size demo.Size, before, after usage) {
-	seconds := measured.Seconds()
+// reportFor gives what was spent within a time.
+func reportFor(b *testing.B, size demo.Size, within time.Duration, before, after usage) {
+	seconds := within.Seconds()
 	each := seconds * float64(size.Instances)
 	b.ReportMetric(100*(after.processor-before.processor).Seconds()/each, "%core/instance")
 	b.ReportMetric(float64(after.memory)/float64(size.Instances)/1e6, "MB/instance")
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -119,6 +119,8 @@
 	Processes []*Process
 	Cluster   *standin.Cluster
 	Network   *standin.Network
+	// Offered returns the number of tasks whose submission has begun.
+	Offered func() int64
 }
 
 // Run starts everything, applies the load and the faults, and reports.
--- a/internal/demo/jobs.go
+++ b/internal/demo/jobs.go
@@ -25,6 +25,7 @@
 // submitter submits jobs and waits for the last one's outcome.
 func (d *Demo) submitter(ctx context.Context) {
 	for n := 0; (d.Size.JobLimit == 0 || n < d.Size.JobLimit) && pause(ctx, d.Size.JobEvery) == nil; n++ {
+		d.counts.offered.Add(int64(d.Size.JobTasks))
 		// An outcome that the end of the load leaves open is still found out.
 		id, err := d.submit(context.WithoutCancel(ctx), d.job(), fmt.Sprintf("demo-%d-%d", d.Seed, n), d.Size.JobTasks)
 		if err == nil {
--- a/internal/demo/load.go
+++ b/internal/demo/load.go
@@ -51,7 +51,7 @@
 
 // view returns what an observer sees.
 func (d *Demo) view() View {
-	v := View{Token: operatorToken, Cluster: d.cluster, Network: d.network}
+	v := View{Token: operatorToken, Cluster: d.cluster, Network: d.network, Offered: d.counts.offered.Load}
 	for _, i := range d.running() {
 		v.IDs = append(v.IDs, i.id)
 		v.Admins = append(v.Admins, i.admin())
--- a/internal/demo/report.go
+++ b/internal/demo/report.go
@@ -19,8 +19,8 @@
 
 // counts are what callers saw.
 type counts struct {
-	requests, refusalsThatRan, cut, reverts, submitted atomic.Int64
-	results                                            map[result]*atomic.Int64
+	requests, refusalsThatRan, cut, reverts, offered, submitted atomic.Int64
+	results                                                     map[result]*atomic.Int64
 
 	mu       sync.Mutex
 	latency  *hdrhistogram.Histogram
