Accounts: each reported interval once, also over take-overs

A property test now compares Core.Accounts after every step with what the worker stand-ins really spent and reported (TestRulesHoldUnderFaults, with throttles added to its steps).

- The readings of lost incarnations were kept in the holder's memory only (Core.lost, unbounded).
- Sums in nanoseconds overflow after 292 years of processor time.
A share that takes 3,200 cores spends these in 33 days.

A task's record tells when its usage was read. Sums keep whole seconds apart.

Ruled out: lost incarnations in the task's record (gone with the job's end), and counting by the worker's measured time (a reading that spans the end of a period could only be divided by an assumed rate).

--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -28,10 +28,15 @@
 		Tasks: []task.Task{{
 			Job: "j~bajio.1", Number: 4, State: task.Running, Incarnation: 2, Worker: "w",
 			Size: share.Resources{Processors: 1, Memory: 2, Accelerators: 3}, Checkpoint: "c", Failures: 1, Reason: "f",
-			Ended: worker.Usage{Processor: 1}, Live: worker.Usage{MemoryTime: 2},
+			Ended: worker.Usage{Processor: 1}, Live: worker.Usage{MemoryTime: 2}, ReadAt: time.UnixMilli(78),
 		}},
-		Accounts: []Account{{Neighbour: "quality", Share: "reviews", Usage: worker.Usage{Accelerator: 9}}},
-		Dropped:  []string{"old"},
+		Accounts: []Account{{Neighbour: "quality", Share: "reviews", Usage: worker.Total{Accelerator: worker.Span{Whole: 1 << 40, Rest: 9}}}},
+		Lost: []Lost{{
+			Ack: worker.Ack{Task: "t", Incarnation: 3}, Worker: "w", Job: "j", Neighbour: "quality", Share: "reviews",
+			Counted: worker.Usage{Processor: 6}, Open: worker.Usage{Processor: 7}, LostAt: time.UnixMilli(79),
+		}},
+		Found:   []worker.Ack{{Task: "u", Incarnation: 4}},
+		Dropped: []string{"old"},
 	}
 }
 
--- a/internal/journal/record.go
+++ b/internal/journal/record.go
@@ -29,7 +29,22 @@
 type Account struct {
 	Neighbour string
 	Share     string
-	Usage     worker.Usage
+	Usage     worker.Total
+}
+
+// Lost is an incarnation that surely runs no more, but whose end its worker
+// did not report.
+type Lost struct {
+	worker.Ack
+	Worker string
+	// Job is the identifier of the job.
+	Job       string
+	Neighbour string
+	Share     string
+	// Counted is the last reading that was counted, and Open bounds what was used beyond it.
+	Counted worker.Usage
+	Open    worker.Usage
+	LostAt  time.Time
 }
 
 // Batch is a set of records that take effect together. Each record holds the
@@ -38,13 +53,16 @@
 	Jobs     []task.Job
 	Tasks    []task.Task
 	Accounts []Account
+	Lost     []Lost
+	// Found are the incarnations that no longer count as lost.
+	Found []worker.Ack
 	// Dropped are the identifiers of jobs that are forgotten.
 	Dropped []string
 }
 
 // Len returns the number of records.
 func (b Batch) Len() int {
-	return len(b.Jobs) + len(b.Tasks) + len(b.Accounts) + len(b.Dropped)
+	return len(b.Jobs) + len(b.Tasks) + len(b.Accounts) + len(b.Lost) + len(b.Found) + len(b.Dropped)
 }
 
 // cut returns the first n records and the rest; jobs come before their tasks.
@@ -52,6 +70,8 @@
 	first.Accounts, rest.Accounts, n = cutSlice(b.Accounts, n)
 	first.Jobs, rest.Jobs, n = cutSlice(b.Jobs, n)
 	first.Tasks, rest.Tasks, n = cutSlice(b.Tasks, n)
+	first.Lost, rest.Lost, n = cutSlice(b.Lost, n)
+	first.Found, rest.Found, n = cutSlice(b.Found, n)
 	first.Dropped, rest.Dropped, _ = cutSlice(b.Dropped, n)
 	return first, rest
 }
@@ -73,7 +93,13 @@
 		m.Tasks = append(m.Tasks, encodeTask(t))
 	}
 	for _, a := range b.Accounts {
-		m.Accounts = append(m.Accounts, &journalpb.Account{Neighbour: a.Neighbour, Share: a.Share, Usage: encodeUsage(a.Usage)})
+		m.Accounts = append(m.Accounts, &journalpb.Account{Neighbour: a.Neighbour, Share: a.Share, Usage: encodeTotal(a.Usage)})
+	}
+	for _, l := range b.Lost {
+		m.Lost = append(m.Lost, encodeLost(l))
+	}
+	for _, f := range b.Found {
+		m.Found = append(m.Found, encodeIncarnation(f))
 	}
 	return proto.Marshal(m)
 }
@@ -92,7 +118,13 @@
 		b.Tasks = append(b.Tasks, decodeTask(t))
 	}
 	for _, a := range m.Accounts {
-		b.Accounts = append(b.Accounts, Account{Neighbour: a.Neighbour, Share: a.Share, Usage: decodeUsage(a.Usage)})
+		b.Accounts = append(b.Accounts, Account{Neighbour: a.Neighbour, Share: a.Share, Usage: decodeTotal(a.Usage)})
+	}
+	for _, l := range m.Lost {
+		b.Lost = append(b.Lost, decodeLost(l))
+	}
+	for _, f := range m.Found {
+		b.Found = append(b.Found, decodeIncarnation(f))
 	}
 	return b, nil
 }
@@ -116,6 +148,58 @@
 	}
 }
 
+func encodeTotal(t worker.Total) *journalpb.Usage {
+	return &journalpb.Usage{
+		ProcessorNanos:     int64(t.Processor.Rest),
+		ProcessorSeconds:   t.Processor.Whole,
+		MemoryByteSeconds:  t.MemoryTime,
+		AcceleratorNanos:   int64(t.Accelerator.Rest),
+		AcceleratorSeconds: t.Accelerator.Whole,
+	}
+}
+
+func decodeTotal(m *journalpb.Usage) worker.Total {
+	return worker.Total{
+		Processor:   worker.Span{Whole: m.GetProcessorSeconds()}.Plus(time.Duration(m.GetProcessorNanos())),
+		MemoryTime:  m.GetMemoryByteSeconds(),
+		Accelerator: worker.Span{Whole: m.GetAcceleratorSeconds()}.Plus(time.Duration(m.GetAcceleratorNanos())),
+	}
+}
+
+func encodeIncarnation(a worker.Ack) *journalpb.Incarnation {
+	return &journalpb.Incarnation{Task: a.Task, Number: a.Incarnation}
+}
+
+func decodeIncarnation(m *journalpb.Incarnation) worker.Ack {
+	return worker.Ack{Task: m.GetTask(), Incarnation: m.GetNumber()}
+}
+
+func encodeLost(l Lost) *journalpb.Lost {
+	return &journalpb.Lost{
+		Incarnation: encodeIncarnation(l.Ack),
+		Worker:      l.Worker,
+		Job:         l.Job,
+		Neighbour:   l.Neighbour,
+		Share:       l.Share,
+		Counted:     encodeUsage(l.Counted),
+		Open:        encodeUsage(l.Open),
+		LostMillis:  l.LostAt.UnixMilli(),
+	}
+}
+
+func decodeLost(m *journalpb.Lost) Lost {
+	return Lost{
+		Ack:       decodeIncarnation(m.Incarnation),
+		Worker:    m.Worker,
+		Job:       m.Job,
+		Neighbour: m.Neighbour,
+		Share:     m.Share,
+		Counted:   decodeUsage(m.Counted),
+		Open:      decodeUsage(m.Open),
+		LostAt:    time.UnixMilli(m.LostMillis),
+	}
+}
+
 func encodeJob(j task.Job) *journalpb.Job {
 	m := &journalpb.Job{
 		Id:        j.ID,
@@ -177,6 +261,9 @@
 		Ended:       encodeUsage(t.Ended),
 		Live:        encodeUsage(t.Live),
 	}
+	if !t.ReadAt.IsZero() {
+		m.ReadMillis = t.ReadAt.UnixMilli()
+	}
 	if t.Size != (share.Resources{}) {
 		m.Size = &journalpb.Size{
 			MilliCores:   int64(t.Size.Processors),
@@ -188,7 +275,7 @@
 }
 
 func decodeTask(m *journalpb.Task) task.Task {
-	return task.Task{
+	t := task.Task{
 		Job:         m.Job,
 		Number:      int(m.Number),
 		State:       task.State(m.State),
@@ -205,4 +292,8 @@
 		Ended:      decodeUsage(m.Ended),
 		Live:       decodeUsage(m.Live),
 	}
+	if m.ReadMillis != 0 {
+		t.ReadAt = time.UnixMilli(m.ReadMillis)
+	}
+	return t
 }
--- a/internal/peer/tasks.go
+++ b/internal/peer/tasks.go
@@ -118,7 +118,11 @@
 		all = append(all, shard.Account{
 			Neighbour: r.Neighbour,
 			Share:     r.Share,
-			Usage:     decodeUsage(r.ProcessorMicros, r.MemoryByteSeconds, r.AcceleratorMicros),
+			Usage: worker.Total{
+				Processor:   worker.SpanOfMicroseconds(r.ProcessorMicros),
+				MemoryTime:  r.MemoryByteSeconds,
+				Accelerator: worker.SpanOfMicroseconds(r.AcceleratorMicros),
+			},
 			OpenTasks: int(r.OpenTasks),
 			OpenAtMost: decodeUsage(
 				r.OpenProcessorMicros, r.OpenMemoryByteSeconds, r.OpenAcceleratorMicros),
--- /dev/null
+++ b/internal/shard/accounts.go
@@ -0,0 +1,178 @@
+package shard
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/oriolepond/oriolepond/internal/journal"
+	"github.com/oriolepond/oriolepond/internal/task"
+	"github.com/oriolepond/oriolepond/internal/worker"
+)
+
+const (
+	// maxLost bounds the lost incarnations that are kept. What their workers
+	// report beyond that is not counted; nothing is ever counted twice.
+	maxLost = 4096
+	// clockError is how far the clocks of two holders may be apart.
+	clockError = time.Second
+	// coreMillis is one core in thousandths.
+	coreMillis = 1000
+)
+
+// Account is the usage of one share.
+type Account struct {
+	Neighbour string
+	Share     string
+	Usage     worker.Total
+	// OpenTasks are incarnations that run, or whose end was not reported, so
+	// that a part of their usage is not known yet; OpenAtMost bounds that part
+	// by the sizes that they hold.
+	OpenTasks  int
+	OpenAtMost worker.Usage
+}
+
+// Accounts returns the usage of all shares.
+func (c *Core) Accounts(now time.Time) []Account {
+	sums := map[string]*Account{}
+	sum := func(neighbour, name string) *Account {
+		if sums[name] == nil {
+			sums[name] = &Account{Neighbour: neighbour, Share: name}
+		}
+		return sums[name]
+	}
+	for _, a := range c.accounts {
+		s := sum(a.Neighbour, a.Share)
+		s.Usage = s.Usage.Sum(a.Usage)
+	}
+	for _, j := range c.jobs {
+		a := sum(j.Neighbour, j.Share)
+		a.Usage = a.Usage.Plus(j.Usage)
+		for _, t := range j.tasks {
+			a.Usage = a.Usage.Plus(t.Usage())
+			if t.State.Placed() {
+				a.addOpen(c.unreported(t, now))
+			}
+		}
+	}
+	for _, l := range c.lost {
+		sum(l.Neighbour, l.Share).addOpen(l.Open)
+	}
+	var all []Account
+	for _, name := range slices.Sorted(maps.Keys(sums)) {
+		all = append(all, *sums[name])
+	}
+	return all
+}
+
+func (a *Account) addOpen(atMost worker.Usage) {
+	a.OpenTasks++
+	a.OpenAtMost = a.OpenAtMost.Plus(atMost)
+}
+
+// unreported bounds what a placed task has used since its worker last read its usage.
+func (c *Core) unreported(e *entry, now time.Time) worker.Usage {
+	open := max(0, now.Sub(e.ReadAt))
+	if e.ReadAt.Before(c.began) {
+		open += clockError
+	}
+	open += time.Duration(float64(open) * c.timing.Drift)
+	size := e.Size
+	if r, ok := c.pool.Resident(e.Worker, e.id); ok {
+		// It may have been seen to hold more than it was given.
+		size = r.Size
+	}
+	return worker.Usage{
+		Processor:   time.Duration(float64(open) * float64(size.Processors) / coreMillis),
+		MemoryTime:  open.Seconds() * float64(size.Memory),
+		Accelerator: open * time.Duration(size.Accelerators),
+	}
+}
+
+// lose ends an incarnation that surely runs no more, although its worker did
+// not report its end.
+func (c *Core) lose(e *entry, now time.Time) {
+	if len(c.lost) >= maxLost {
+		c.dropOldestLost()
+	}
+	c.setLost(journal.Lost{
+		Ack:       worker.Ack{Task: e.id, Incarnation: e.Incarnation},
+		Worker:    e.Worker,
+		Job:       e.Job,
+		Neighbour: e.job.Neighbour,
+		Share:     e.job.Share,
+		Counted:   e.Live,
+		Open:      c.unreported(e, now),
+		LostAt:    now,
+	})
+	c.apply(e, task.Ended, now)
+}
+
+func (c *Core) setLost(l journal.Lost) {
+	c.lost[l.Ack] = l
+	c.changes.lost[l.Ack] = true
+}
+
+func (c *Core) dropLost(incarnation worker.Ack) {
+	delete(c.lost, incarnation)
+	c.changes.lost[incarnation] = true
+}
+
+func (c *Core) dropOldestLost() {
+	all := slices.Collect(maps.Values(c.lost))
+	oldest := slices.MinFunc(all, func(a, b journal.Lost) int {
+		return cmp.Or(a.LostAt.Compare(b.LostAt), cmp.Compare(a.Task, b.Task), cmp.Compare(a.Incarnation, b.Incarnation))
+	})
+	c.dropLost(oldest.Ack)
+}
+
+// sweepLost drops the lost incarnations of workers that did not come back.
+func (c *Core) sweepLost(now time.Time) {
+	for incarnation, l := range c.lost {
+		if now.Sub(l.LostAt) >= c.timing.Retention {
+			c.dropLost(incarnation)
+		}
+	}
+}
+
+// forgetLost drops the lost incarnations that a worker does not know any more;
+// its full report holds those that are seen.
+func (c *Core) forgetLost(w *workerEntry, seen map[worker.Ack]bool) {
+	for incarnation, l := range c.lost {
+		if l.Worker == w.id && !seen[incarnation] {
+			c.dropLost(incarnation)
+		}
+	}
+}
+
+// recoverUsage counts what a lost incarnation used beyond what was counted,
+// as its worker reports it late: for the task, or else for its job or share.
+func (c *Core) recoverUsage(row worker.TaskReport) {
+	l, ok := c.lost[worker.Ack{Task: row.Task, Incarnation: row.Incarnation}]
+	if !ok {
+		return
+	}
+	c.dropLost(l.Ack)
+	late := row.Usage.Minus(l.Counted)
+	if e, known := c.tasks[l.Task]; known && !e.State.Final() {
+		e.Ended = e.Ended.Plus(late)
+		c.mark(e)
+		return
+	}
+	if j, known := c.jobs[l.Job]; known {
+		j.Usage = j.Usage.Plus(late)
+		c.markJob(j)
+		return
+	}
+	c.addToAccount(l.Neighbour, l.Share, late)
+}
+
+// addToAccount counts usage that no job holds.
+func (c *Core) addToAccount(neighbour, name string, u worker.Usage) {
+	a := c.accounts[name]
+	a.Neighbour, a.Share = neighbour, name
+	a.Usage = a.Usage.Plus(u)
+	c.accounts[name] = a
+	c.changes.accounts[name] = true
+}
--- a/internal/shard/changes.go
+++ b/internal/shard/changes.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/oriolepond/oriolepond/internal/journal"
 	"github.com/oriolepond/oriolepond/internal/task"
+	"github.com/oriolepond/oriolepond/internal/worker"
 )
 
 // changes are what a Core has to commit. Batches are numbered, and committed
@@ -14,7 +15,9 @@
 	jobs     map[string]*jobEntry
 	tasks    map[string]*entry
 	accounts map[string]bool
-	dropped  []string
+	// lost are the incarnations that are lost since the last batch, or found.
+	lost    map[worker.Ack]bool
+	dropped []string
 	// workers are those that something is to be sent to once the open batch is durable.
 	workers map[string]bool
 	sent    map[string]bool
@@ -30,6 +33,7 @@
 	c.jobs = map[string]*jobEntry{}
 	c.tasks = map[string]*entry{}
 	c.accounts = map[string]bool{}
+	c.lost = map[worker.Ack]bool{}
 	c.dropped = nil
 	c.workers = map[string]bool{}
 }
@@ -51,7 +55,7 @@
 // HasChanges reports whether there is something to commit.
 func (c *Core) HasChanges() bool {
 	x := &c.changes
-	return len(x.jobs)+len(x.tasks)+len(x.accounts)+len(x.dropped) > 0
+	return len(x.jobs)+len(x.tasks)+len(x.accounts)+len(x.lost)+len(x.dropped) > 0
 }
 
 // PendingBatch returns the number of the batch after which all present changes are durable.
@@ -78,6 +82,13 @@
 	for name := range c.changes.accounts {
 		b.Accounts = append(b.Accounts, c.accounts[name])
 	}
+	for incarnation := range c.changes.lost {
+		if l, ok := c.lost[incarnation]; ok {
+			b.Lost = append(b.Lost, l)
+		} else {
+			b.Found = append(b.Found, incarnation)
+		}
+	}
 	b.Dropped = c.changes.dropped
 	number := c.changes.open
 	c.changes.sent = c.changes.workers
@@ -106,6 +117,9 @@
 	for _, a := range c.accounts {
 		b.Accounts = append(b.Accounts, a)
 	}
+	for _, l := range c.lost {
+		b.Lost = append(b.Lost, l)
+	}
 	for _, j := range c.jobs {
 		b.Jobs = append(b.Jobs, j.Job)
 		for _, t := range j.tasks {
--- a/internal/shard/core.go
+++ b/internal/shard/core.go
@@ -75,17 +75,6 @@
 	return d - time.Duration(float64(d)*t.Drift)
 }
 
-// Account is the usage of one share.
-type Account struct {
-	Neighbour string
-	Share     string
-	Usage     worker.Usage
-	// OpenTasks are running, so that a part of their usage is not reported yet;
-	// OpenAtMost bounds that part by the sizes that they hold.
-	OpenTasks  int
-	OpenAtMost worker.Usage
-}
-
 // Core holds the state of one shard. It is not safe for concurrent use.
 type Core struct {
 	timing Timing
@@ -99,8 +88,8 @@
 	tasks    map[string]*entry
 	workers  map[string]*workerEntry
 	accounts map[string]journal.Account
-	// lost is what was counted of incarnations whose worker may still report their end.
-	lost map[worker.Ack]worker.Usage
+	// lost are the incarnations whose worker may still report their end.
+	lost map[worker.Ack]journal.Lost
 
 	planner *placement.Planner
 	// pool and health are the planner's.
@@ -152,7 +141,7 @@
 		tasks:      map[string]*entry{},
 		workers:    map[string]*workerEntry{},
 		accounts:   map[string]journal.Account{},
-		lost:       map[worker.Ack]worker.Usage{},
+		lost:       map[worker.Ack]journal.Lost{},
 		planner:    planner,
 		pool:       planner.Pool,
 		order:      placement.NewOrder(),
@@ -180,6 +169,12 @@
 	for _, a := range b.Accounts {
 		c.accounts[a.Share] = a
 	}
+	for _, l := range b.Lost {
+		c.lost[l.Ack] = l
+	}
+	for _, found := range b.Found {
+		delete(c.lost, found)
+	}
 	for _, j := range b.Jobs {
 		e, known := c.jobs[j.ID]
 		if !known {
@@ -258,51 +253,3 @@
 	c.advise(quotas.Part())
 	c.refitAt = time.Time{}
 }
-
-// Accounts returns the usage of all shares.
-func (c *Core) Accounts(now time.Time) []Account {
-	sums := map[string]*Account{}
-	sum := func(neighbour, name string) *Account {
-		if sums[name] == nil {
-			sums[name] = &Account{Neighbour: neighbour, Share: name}
-		}
-		return sums[name]
-	}
-	for _, a := range c.accounts {
-		s := sum(a.Neighbour, a.Share)
-		s.Usage = s.Usage.Plus(a.Usage)
-	}
-	for _, j := range c.jobs {
-		a := sum(j.Neighbour, j.Share)
-		a.Usage = a.Usage.Plus(j.Usage)
-		for _, t := range j.tasks {
-			a.Usage = a.Usage.Plus(t.Usage())
-			if t.State.Placed() {
-				a.OpenTasks++
-				a.OpenAtMost = a.OpenAtMost.Plus(c.unreported(t, now))
-			}
-		}
-	}
-	var all []Account
-	for _, name := range slices.Sorted(maps.Keys(sums)) {
-		all = append(all, *sums[name])
-	}
-	return all
-}
-
-// unreported bounds what a placed task has used since its worker was last heard.
-func (c *Core) unreported(t *entry, now time.Time) worker.Usage {
-	since := c.began
-	if w, ok := c.workers[t.Worker]; ok && w.heardAt.After(since) {
-		since = w.heardAt
-	}
-	open := max(0, now.Sub(since))
-	return worker.Usage{
-		Processor:   time.Duration(float64(open) * float64(t.Size.Processors) / coreMillis),
-		MemoryTime:  open.Seconds() * float64(t.Size.Memory),
-		Accelerator: open * time.Duration(t.Size.Accelerators),
-	}
-}
-
-// coreMillis is one core in thousandths.
-const coreMillis = 1000
--- a/internal/shard/exchange.go
+++ b/internal/shard/exchange.go
@@ -154,6 +154,7 @@
 	}
 	w.adopted = true
 	w.boot, w.stamp, w.heardAt = r.Boot, r.Stamp, now
+	w.readAt = w.askedAt.Add(-r.MeasuredAge)
 	w.askedAt = time.Time{}
 	if w.grantedAt.IsZero() {
 		// Whatever an earlier holder granted was granted before this report.
@@ -173,6 +174,7 @@
 	if r.Full {
 		w.fullAt = now
 		c.observeMissing(w, seen, now)
+		c.forgetLost(w, seen)
 	}
 	for _, e := range w.tasks {
 		w.wantFull = w.wantFull || e.State == task.Stopping || e.State == task.Yielding
@@ -209,6 +211,7 @@
 		c.apply(e, task.Started, now)
 	}
 	e.Live = row.Usage
+	e.ReadAt = w.readAt
 	if e.ratio != row.Ratio {
 		e.ratio = row.Ratio
 		c.planner.Throttle(w.id, e.id, row.Ratio, now)
@@ -241,7 +244,7 @@
 		return e.State != task.Starting && !seen[worker.Ack{Task: e.id, Incarnation: e.Incarnation}]
 	}
 	for _, e := range w.sortedWhere(missing) {
-		c.lose(e, now)
+		c.apply(e, task.Ended, now)
 	}
 }
 
--- a/internal/shard/job.go
+++ b/internal/shard/job.go
@@ -88,15 +88,12 @@
 		return
 	}
 	c.sweepAt = now.Add(sweepEvery)
+	c.sweepLost(now)
 	for id, j := range c.jobs {
 		if j.EndedAt.IsZero() || now.Sub(j.EndedAt) < c.timing.Retention {
 			continue
 		}
-		a := c.accounts[j.Share]
-		a.Neighbour, a.Share = j.Neighbour, j.Share
-		a.Usage = a.Usage.Plus(j.Usage)
-		c.accounts[j.Share] = a
-		c.changes.accounts[j.Share] = true
+		c.addToAccount(j.Neighbour, j.Share, j.Usage)
 		c.changes.dropped = append(c.changes.dropped, id)
 		delete(c.changes.jobs, id)
 		delete(c.jobs, id)
--- a/internal/shard/life.go
+++ b/internal/shard/life.go
@@ -67,6 +67,7 @@
 	e.Live = worker.Usage{}
 	e.Worker = ""
 	e.Size = zeroSize
+	e.ReadAt = time.Time{}
 }
 
 // fold adds the usage of an ended task to its job.
@@ -118,31 +119,3 @@
 		c.notify(Notice{Event: eventlog.WorkerQuarantined, Job: e.job.Name, Task: e.id, Worker: e.Worker, Reason: reason})
 	}
 }
-
-// lose ends an incarnation that surely runs no more, although its worker did not report its end.
-func (c *Core) lose(e *entry, now time.Time) {
-	c.lost[worker.Ack{Task: e.id, Incarnation: e.Incarnation}] = e.Live
-	c.apply(e, task.Ended, now)
-}
-
-// recoverUsage counts what a lost incarnation used beyond what was counted.
-func (c *Core) recoverUsage(row worker.TaskReport) {
-	key := worker.Ack{Task: row.Task, Incarnation: row.Incarnation}
-	counted, ok := c.lost[key]
-	if !ok {
-		return
-	}
-	delete(c.lost, key)
-	e, known := c.tasks[row.Task]
-	if !known {
-		return
-	}
-	late := row.Usage.Minus(counted)
-	if e.State.Final() {
-		e.job.Usage = e.job.Usage.Plus(late)
-		c.markJob(e.job)
-		return
-	}
-	e.Ended = e.Ended.Plus(late)
-	c.mark(e)
-}
--- a/internal/shard/plan.go
+++ b/internal/shard/plan.go
@@ -133,6 +133,7 @@
 	e.Size = candidate.Size
 	e.Incarnation++
 	e.placedAt = now
+	e.ReadAt = now
 	e.Reason = ""
 	c.apply(e, task.Place, now)
 	c.worker(id).tasks[e.id] = e
--- a/internal/shard/property_test.go
+++ b/internal/shard/property_test.go
@@ -37,6 +37,7 @@
 			}
 			require.True(t, held.Fits(s.Capacity), "a holder promises more than a worker has")
 		}
+		w.checkAccounts(t, h)
 	}
 }
 
@@ -108,6 +109,12 @@
 				h.core.Yield(e.id, w.now)
 			}
 		}),
+		"throttle": withHolder(func(t *rapid.T, h *worldHolder) {
+			ratio := rapid.SampledFrom([]float64{0.25, 0.5, 1}).Draw(t, "ratio")
+			for _, e := range h.core.worker(w.workers[onWorker.Draw(t, "worker")].ID).sorted() {
+				h.core.Throttle(e.id, ratio)
+			}
+		}),
 		"commit": commit, "commit2": commit, "commit3": commit,
 		"exchange": exchange, "exchange2": exchange, "exchange3": exchange, "exchange4": exchange,
 		"round": round, "round2": round, "round3": round,
--- a/internal/shard/router.go
+++ b/internal/shard/router.go
@@ -230,7 +230,7 @@
 				all = append(all, a)
 				continue
 			}
-			all[i].Usage = all[i].Usage.Plus(a.Usage)
+			all[i].Usage = all[i].Usage.Sum(a.Usage)
 			all[i].OpenTasks += a.OpenTasks
 			all[i].OpenAtMost = all[i].OpenAtMost.Plus(a.OpenAtMost)
 		}
--- a/internal/shard/takeover_test.go
+++ b/internal/shard/takeover_test.go
@@ -184,7 +184,7 @@
 	w.submit(h, "plain", 2)
 	w.coast(10, 0)
 	usage := h.core.Accounts(w.now)[0].Usage
-	require.Positive(t, usage.Processor)
+	require.Positive(t, usage.Processor.Seconds())
 	w.advance(w.timing.Retention + sweepEvery)
 	w.coast(1, 0)
 	require.Empty(t, h.core.jobs)
--- a/internal/shard/worker.go
+++ b/internal/shard/worker.go
@@ -26,6 +26,8 @@
 	boot    string
 	stamp   time.Duration
 	heardAt time.Time
+	// readAt is the earliest time at which the worker read what it last reported.
+	readAt time.Time
 	// grantedAt is when the newest stamp came in that an exchange of this holder carried back,
 	// and granted is how long after it, on the worker's clock, the tasks may run.
 	grantedAt time.Time
--- a/internal/shard/world_test.go
+++ b/internal/shard/world_test.go
@@ -45,6 +45,9 @@
 	accepted  map[string]int
 	cancelled map[string]bool
 	next      int
+	// durable is what the journal holds of the usage of each task's incarnations, final the tasks that it says have ended.
+	durable readings
+	final   map[string]bool
 }
 
 type worldHolder struct {
@@ -58,6 +61,8 @@
 	unknown uint64
 	pending map[string]uint64
 	counts  map[string]int
+	// heard is what the holder knows of the usage of incarnations.
+	heard readings
 }
 
 type stuckExchange struct {
@@ -73,6 +78,8 @@
 		storeUp:   true,
 		accepted:  map[string]int{},
 		cancelled: map[string]bool{},
+		durable:   readings{},
+		final:     map[string]bool{},
 		config: release.Config{Revision: 1, Declarations: release.Declarations{
 			Neighbours: []share.Neighbour{{Name: "n", Region: "r"}},
 			Shares:     []share.Share{{Name: "s", Neighbour: "n", Weight: 1, Quota: worldSize.Times(worldWorkers)}},
@@ -100,7 +107,7 @@
 }
 
 func worldWork(job string) standin.Work {
-	work := standin.Work{RunTime: worldRun, Size: share.Resources{Processors: 1000}}
+	work := standin.Work{RunTime: worldRun, Size: share.Resources{Processors: 1000, Memory: 1 << 28}}
 	if job == "plain" {
 		work.RunTime = worldShortRun
 	}
@@ -144,6 +151,7 @@
 	h := &worldHolder{
 		core: NewCore(w.timing, w.now, w.clean), epoch: w.epoch,
 		validUntil: w.now.Add(worldTTL), confirmedAt: w.now, pending: map[string]uint64{}, counts: map[string]int{},
+		heard: w.durable.clone(),
 	}
 	w.clean = false
 	h.core.Configure(w.config, w.quotas())
@@ -218,6 +226,7 @@
 		panic(err)
 	}
 	w.batches = append(w.batches, stored)
+	w.keep(h, stored)
 	if lost {
 		h.unknown = number
 		return
@@ -279,6 +288,7 @@
 		}
 		if taken {
 			h.core.Observe(report, w.now)
+			h.heard.take(report)
 		} else if report.Epoch > h.epoch {
 			w.drop(h)
 		}
--- a/internal/standin/taskledger.go
+++ b/internal/standin/taskledger.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"maps"
 	"sync"
 
 	"github.com/oriolepond/oriolepond/internal/worker"
@@ -18,6 +19,9 @@
 	// doubted are tasks whose end may be known to nobody.
 	doubted map[string]bool
 	used    map[string]worker.Usage
+	// spent is the usage of each incarnation, crashed are those that ended with their worker.
+	spent   map[worker.Ack]worker.Usage
+	crashed map[worker.Ack]bool
 	starts  int
 	// families counts the finished tasks of each job family.
 	families map[string]int
@@ -34,6 +38,8 @@
 		expected: map[string]int64{},
 		doubted:  map[string]bool{},
 		used:     map[string]worker.Usage{},
+		spent:    map[worker.Ack]worker.Usage{},
+		crashed:  map[worker.Ack]bool{},
 		families: map[string]int{},
 	}
 }
@@ -181,14 +187,30 @@
 	l.expected[task] = max(l.expected[task], incarnation)
 }
 
-func (l *TaskLedger) use(job string, u worker.Usage) {
+// Spent returns what each incarnation has used whose end its worker can still
+// report, or did report.
+func (l *TaskLedger) Spent() map[worker.Ack]worker.Usage {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	sum := l.used[job]
-	sum.Processor += u.Processor
-	sum.MemoryTime += u.MemoryTime
-	sum.Accelerator += u.Accelerator
-	l.used[job] = sum
+	all := maps.Clone(l.spent)
+	for incarnation := range l.crashed {
+		delete(all, incarnation)
+	}
+	return all
+}
+
+func (l *TaskLedger) use(job string, incarnation worker.Ack, u worker.Usage) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.used[job] = l.used[job].Plus(u)
+	l.spent[incarnation] = l.spent[incarnation].Plus(u)
+}
+
+// crash notes that a worker restarted before the end of an incarnation was acknowledged.
+func (l *TaskLedger) crash(incarnation worker.Ack) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.crashed[incarnation] = true
 }
 
 func (l *TaskLedger) overcommit() {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -59,6 +59,10 @@
 	doubted bool
 }
 
+func (t *workerTask) incarnation() worker.Ack {
+	return worker.Ack{Task: t.report.Task, Incarnation: t.report.Incarnation}
+}
+
 // SetBroken makes the worker fail each task that it starts.
 func (w *Worker) SetBroken(broken bool) {
 	w.mu.Lock()
@@ -72,6 +76,7 @@
 	defer w.mu.Unlock()
 	w.advance(w.now())
 	for _, t := range w.tasks {
+		w.Ledger.crash(t.incarnation())
 		if t.report.State.Final() {
 			w.doubt(t)
 			continue
@@ -274,7 +279,7 @@
 	t.report.Usage.Processor += u.Processor
 	t.report.Usage.MemoryTime += u.MemoryTime
 	t.report.Usage.Accelerator += u.Accelerator
-	w.Ledger.use(t.report.Job, u)
+	w.Ledger.use(t.report.Job, t.incarnation(), u)
 	if t.done >= t.work.RunTime {
 		w.finish(t, worker.TaskFinished)
 	}
--- a/internal/task/task.go
+++ b/internal/task/task.go
@@ -103,10 +103,15 @@
 	// Ended is the usage of incarnations that have ended, Live that of the present one as last reported.
 	Ended worker.Usage
 	Live  worker.Usage
+	// ReadAt is when the worker read Live, or the placement of the present incarnation before that.
+	ReadAt time.Time
 }
 
 // ID returns the name of the task on workers.
-func (t Task) ID() string { return fmt.Sprintf("%s-%d", t.Job, t.Number) }
+func (t Task) ID() string { return ID(t.Job, t.Number) }
+
+// ID returns the name of a job's task on workers.
+func ID(job string, number int) string { return fmt.Sprintf("%s-%d", job, number) }
 
 // Usage returns what the task has used.
 func (t Task) Usage() worker.Usage { return t.Ended.Plus(t.Live) }
