Optional and required fields are read by one function each

Cause: found in reading: five methods of jsonc.Object and two functions of settings differed only in the method that reads the value.

Change: a generic function for optional, required and above-zero fields each. Faults and defaults are the same; the tests are untouched.

--- a/internal/jsonc/object.go
+++ b/internal/jsonc/object.go
@@ -56,60 +56,56 @@
 	return s
 }
 
-// Int returns a required whole number.
-func (o *Object) Int(name string) int64 {
+// optional returns an optional field by the method that reads its value.
+func optional[T any](o *Object, name string, missing T, read func(Value) T) T {
+	if v, ok := o.Optional(name); ok {
+		return read(v)
+	}
+	return missing
+}
+
+// required returns a required field by the method that reads its value; zero if it is missing.
+func required[T any](o *Object, name string, read func(Value) T) T {
+	var missing T
 	if v, ok := o.Required(name); ok {
-		return v.Int()
+		return read(v)
 	}
-	return 0
+	return missing
+}
+
+// Int returns a required whole number.
+func (o *Object) Int(name string) int64 {
+	return required(o, name, Value.Int)
 }
 
 // IntOr returns an optional whole number.
 func (o *Object) IntOr(name string, missing int64) int64 {
-	if v, ok := o.Optional(name); ok {
-		return v.Int()
-	}
-	return missing
+	return optional(o, name, missing, Value.Int)
 }
 
 // FloatOr returns an optional number.
 func (o *Object) FloatOr(name string, missing float64) float64 {
-	if v, ok := o.Optional(name); ok {
-		return v.Float()
-	}
-	return missing
+	return optional(o, name, missing, Value.Float)
 }
 
 // BoolOr returns an optional boolean.
 func (o *Object) BoolOr(name string, missing bool) bool {
-	if v, ok := o.Optional(name); ok {
-		return v.Bool()
-	}
-	return missing
+	return optional(o, name, missing, Value.Bool)
 }
 
 // Duration returns a required duration.
 func (o *Object) Duration(name string) time.Duration {
-	if v, ok := o.Required(name); ok {
-		return v.Duration()
-	}
-	return 0
+	return required(o, name, Value.Duration)
 }
 
 // DurationOr returns an optional duration.
 func (o *Object) DurationOr(name string, missing time.Duration) time.Duration {
-	if v, ok := o.Optional(name); ok {
-		return v.Duration()
-	}
-	return missing
+	return optional(o, name, missing, Value.Duration)
 }
 
 // SizeOr returns an optional size in bytes.
 func (o *Object) SizeOr(name string, missing int64) int64 {
-	if v, ok := o.Optional(name); ok {
-		return v.Size()
-	}
-	return missing
+	return optional(o, name, missing, Value.Size)
 }
 
 // List returns the elements of an optional list.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -204,23 +204,20 @@
 }
 
 func positive(o *jsonc.Object, name string, missing time.Duration) time.Duration {
-	v, ok := o.Optional(name)
-	if !ok {
-		return missing
-	}
-	d := v.Duration()
-	if d <= 0 {
-		v.Faultf("is not above zero")
-	}
-	return d
+	return aboveZero(o, name, missing, jsonc.Value.Duration)
 }
 
 func positiveInt(o *jsonc.Object, name string, missing int64) int64 {
+	return aboveZero(o, name, missing, jsonc.Value.Int)
+}
+
+// aboveZero returns an optional number; zero and less is a fault.
+func aboveZero[T ~int64](o *jsonc.Object, name string, missing T, read func(jsonc.Value) T) T {
 	v, ok := o.Optional(name)
 	if !ok {
 		return missing
 	}
-	n := v.Int()
+	n := read(v)
 	if n <= 0 {
 		v.Faultf("is not above zero")
 	}
