A new holder of a shard keeps to the evictions that were spent

Cause: eviction budgets, learned effects and sizes, and the time of the last action on each worker were gone with the holder. A new one had a new budget, and saw the strain of before the last throttle and evicted.

Effects on services and sizes are one record, at most once a minute, along with another commit. A new holder acts only on measurements that were made after its take-over. Ratios were adopted from the workers' reports already.

Ruled out: a key of its own (one more write for each shard and minute), and starting with spent budgets (no evictions for an hour after a take-over).

--- a/internal/interference/model.go
+++ b/internal/interference/model.go
@@ -26,9 +26,12 @@
 	return &Model{victims: map[string]Victim{}, aggressors: map[string]Aggressor{}}
 }
 
+// servicePrefix tells the services among the victims from the job families.
+const servicePrefix = "service/"
+
 // Service returns the victim that stands for a service.
 func (m *Model) Service(name string) Victim {
-	return m.victim("service/"+name, row{
+	return m.victim(servicePrefix+name, row{
 		base:      estimate{mean: serviceBase, variance: serviceBaseVariance},
 		baseDrift: serviceBaseDrift,
 		baseBound: serviceBaseVariance,
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/oriolepond/oriolepond/internal/interference"
+	"github.com/oriolepond/oriolepond/internal/placement"
 	"github.com/oriolepond/oriolepond/internal/standin"
 	"github.com/oriolepond/oriolepond/internal/store"
 	"github.com/oriolepond/oriolepond/internal/task"
@@ -36,6 +38,11 @@
 			Counted: worker.Usage{Processor: 6}, Open: worker.Usage{Processor: 7}, LostAt: time.UnixMilli(79),
 		}},
 		Found:   []worker.Ack{{Task: "u", Incarnation: 4}},
+		Budgets: []Budget{{Rule: "r", Spent: []time.Time{time.UnixMilli(80), time.UnixMilli(81)}}},
+		Learned: []Learned{{
+			Sizes:   []placement.KnownSize{{Family: "f", Peak: share.Resources{Processors: 1}, Count: 2}},
+			Effects: []interference.KnownEffect{{Service: "s", Family: "f", Mean: 0.5, Variance: 0.25, At: time.UnixMilli(82)}},
+		}},
 		Dropped: []string{"old"},
 	}
 }
--- a/internal/journal/record.go
+++ b/internal/journal/record.go
@@ -55,14 +55,17 @@
 	Accounts []Account
 	Lost     []Lost
 	// Found are the incarnations that no longer count as lost.
-	Found []worker.Ack
+	Found   []worker.Ack
+	Budgets []Budget
+	// Learned is one record, or none; the last one counts.
+	Learned []Learned
 	// Dropped are the identifiers of jobs that are forgotten.
 	Dropped []string
 }
 
 // Len returns the number of records.
 func (b Batch) Len() int {
-	return len(b.Jobs) + len(b.Tasks) + len(b.Accounts) + len(b.Lost) + len(b.Found) + len(b.Dropped)
+	return len(b.Jobs) + len(b.Tasks) + len(b.Accounts) + len(b.Lost) + len(b.Found) + len(b.Budgets) + len(b.Learned) + len(b.Dropped)
 }
 
 // cut returns the first n records and the rest; jobs come before their tasks.
@@ -72,6 +75,8 @@
 	first.Tasks, rest.Tasks, n = cutSlice(b.Tasks, n)
 	first.Lost, rest.Lost, n = cutSlice(b.Lost, n)
 	first.Found, rest.Found, n = cutSlice(b.Found, n)
+	first.Budgets, rest.Budgets, n = cutSlice(b.Budgets, n)
+	first.Learned, rest.Learned, n = cutSlice(b.Learned, n)
 	first.Dropped, rest.Dropped, _ = cutSlice(b.Dropped, n)
 	return first, rest
 }
@@ -101,6 +106,12 @@
 	for _, f := range b.Found {
 		m.Found = append(m.Found, encodeIncarnation(f))
 	}
+	for _, budget := range b.Budgets {
+		m.Budgets = append(m.Budgets, encodeBudget(budget))
+	}
+	for _, l := range b.Learned {
+		m.Learned = append(m.Learned, encodeLearned(l))
+	}
 	return proto.Marshal(m)
 }
 
@@ -126,6 +137,12 @@
 	for _, f := range m.Found {
 		b.Found = append(b.Found, decodeIncarnation(f))
 	}
+	for _, budget := range m.Budgets {
+		b.Budgets = append(b.Budgets, decodeBudget(budget))
+	}
+	for _, l := range m.Learned {
+		b.Learned = append(b.Learned, decodeLearned(l))
+	}
 	return b, nil
 }
 
@@ -265,11 +282,7 @@
 		m.ReadMillis = t.ReadAt.UnixMilli()
 	}
 	if t.Size != (share.Resources{}) {
-		m.Size = &journalpb.Size{
-			MilliCores:   int64(t.Size.Processors),
-			Memory:       int64(t.Size.Memory),
-			Accelerators: int64(t.Size.Accelerators),
-		}
+		m.Size = encodeSize(t.Size)
 	}
 	return m
 }
@@ -281,16 +294,12 @@
 		State:       task.State(m.State),
 		Incarnation: m.Incarnation,
 		Worker:      m.Worker,
-		Size: share.Resources{
-			Processors:   share.MilliCores(m.Size.GetMilliCores()),
-			Memory:       share.Bytes(m.Size.GetMemory()),
-			Accelerators: share.Accelerators(m.Size.GetAccelerators()),
-		},
-		Checkpoint: m.Checkpoint,
-		Failures:   int(m.Failures),
-		Reason:     m.Reason,
-		Ended:      decodeUsage(m.Ended),
-		Live:       decodeUsage(m.Live),
+		Size:        decodeSize(m.Size),
+		Checkpoint:  m.Checkpoint,
+		Failures:    int(m.Failures),
+		Reason:      m.Reason,
+		Ended:       decodeUsage(m.Ended),
+		Live:        decodeUsage(m.Live),
 	}
 	if m.ReadMillis != 0 {
 		t.ReadAt = time.UnixMilli(m.ReadMillis)
--- a/internal/placement/sizes.go
+++ b/internal/placement/sizes.go
@@ -1,7 +1,9 @@
 package placement
 
 import (
+	"maps"
 	"math"
+	"slices"
 
 	"github.com/oriolepond/oriolepond/pkg/share"
 )
@@ -49,6 +51,33 @@
 	r.count++
 }
 
+// KnownSize is what was learned of the tasks of one job family.
+type KnownSize struct {
+	Family string
+	// Peak is the greatest amounts that any of the last tasks was seen to hold, Count the number of these.
+	Peak  share.Resources
+	Count int
+}
+
+// Known returns what was learned, by family.
+func (s *Sizes) Known() []KnownSize {
+	var all []KnownSize
+	for _, family := range slices.Sorted(maps.Keys(s.families)) {
+		r := s.families[family]
+		all = append(all, KnownSize{Family: family, Peak: r.peak(), Count: min(r.count, sizeSamples)})
+	}
+	return all
+}
+
+// Restore takes what others had learned.
+func (s *Sizes) Restore(all []KnownSize) {
+	for _, k := range all {
+		for range min(k.Count, sizeSamples) {
+			s.Observe(k.Family, k.Peak)
+		}
+	}
+}
+
 // Estimate returns the size to hold for a task, and how many tasks of the
 // family may run at once; 0 means any number. A size never exceeds the
 // greatest worker only because it is not known.
--- a/internal/placement/yielder.go
+++ b/internal/placement/yielder.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"github.com/oriolepond/oriolepond/internal/interference"
@@ -126,6 +127,27 @@
 	y.budgets = budgets
 }
 
+// Spent returns the evictions of the last hour under a rule, oldest first.
+func (y *Yielder) Spent(rule string) []time.Time {
+	if b, ok := y.budgets[rule]; ok {
+		return slices.Clone(b.spent)
+	}
+	return nil
+}
+
+// SetSpent replaces the evictions of the last hour under a rule that was set.
+func (y *Yielder) SetSpent(rule string, spent []time.Time) {
+	if b, ok := y.budgets[rule]; ok {
+		b.spent = slices.Clone(spent)
+	}
+}
+
+// TakeOver says that somebody else made the tasks of a worker yield up to a
+// time: measurements of before tell nothing of what was done last.
+func (y *Yielder) TakeOver(worker string, now time.Time) {
+	y.state(worker).yielded(now)
+}
+
 // Remove forgets a worker.
 func (y *Yielder) Remove(worker string) {
 	delete(y.workers, worker)
--- a/internal/shard/advise.go
+++ b/internal/shard/advise.go
@@ -84,5 +84,8 @@
 			continue
 		}
 		c.Yield(a.Task, now)
+		if a.Rule != "" {
+			c.changes.budgets[a.Rule] = true
+		}
 	}
 }
--- a/internal/shard/advise_test.go
+++ b/internal/shard/advise_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/oriolepond/oriolepond/internal/eventlog"
+	"github.com/oriolepond/oriolepond/internal/journal"
 	"github.com/oriolepond/oriolepond/internal/placement"
 	"github.com/oriolepond/oriolepond/internal/roster"
 	"github.com/oriolepond/oriolepond/internal/task"
@@ -20,12 +21,22 @@
 // advised is one shard of one worker that carries out every command at once.
 type advised struct {
 	core    *Core
+	config  release.Config
+	listing Listing
+	// batches are what the journal holds.
+	batches []journal.Batch
 	now     time.Time
 	tasks   map[string]worker.TaskReport
 	started map[string]share.Resources
 	// size is what every task truly holds, and tail the service's p99.
 	size share.Resources
 	tail time.Duration
+	// noise is what a task at full speed adds to the tail, and lag how late reports come.
+	noise time.Duration
+	lag   time.Duration
+	// tails are the true tails, one for each second; evictions counts checkpoints.
+	tails     []time.Duration
+	evictions int
 }
 
 func gib(n int64) share.Resources {
@@ -54,12 +65,20 @@
 	}}
 	workers := []roster.Instance{{ID: "w", Kind: roster.KindWorker, State: roster.Live, Address: "a", Capacity: gib(32)}}
 	runners := []roster.Instance{{ID: "r", Kind: roster.KindRunner, Service: "finish", Worker: "w"}}
-	a.core = NewCore(DefaultTiming(), a.now, true)
-	a.core.Configure(config, NewQuotas("s.0", map[string][]roster.Instance{"s.0": workers}, config))
-	a.core.SetListing(Listing{Workers: workers, Runners: runners}, a.now)
+	a.config = config
+	a.listing = Listing{Workers: workers, Runners: runners}
+	a.takeOver()
 	return a
 }
 
+// takeOver lets a new holder take the shard.
+func (a *advised) takeOver() {
+	a.core = NewCore(DefaultTiming(), a.now, true)
+	a.core.Configure(a.config, NewQuotas("s.0", map[string][]roster.Instance{"s.0": a.listing.Workers}, a.config))
+	a.core.SetListing(a.listing, a.now)
+	a.core.Restore(a.batches, a.now)
+}
+
 func (a *advised) submit(id string, tasks int) error {
 	_, err := a.core.Submit(task.Part{ID: id, Neighbour: "n", Share: "batch", Name: "scan", Tasks: tasks}, a.now)
 	return err
@@ -69,8 +88,7 @@
 func (a *advised) step() {
 	a.now = a.now.Add(time.Second)
 	a.core.Plan(a.now)
-	_, number := a.core.Batch()
-	a.core.Committed(number)
+	a.commit()
 	e, _ := a.core.Exchange("w", true, a.now)
 	for _, c := range e.Commands {
 		a.carryOut(c)
@@ -79,13 +97,48 @@
 		delete(a.tasks, ack.Task)
 	}
 	r := worker.Report{Worker: "w", Boot: "b", Stamp: a.now.Sub(time.Unix(0, 0)), Full: true}
-	r.Tails = []worker.TailReport{{Service: "finish", P99: a.tail, Samples: 100}}
+	r.Tails = []worker.TailReport{{Service: "finish", P99: a.measure(), Samples: 100}}
+	r.MeasuredAge = a.lag
 	for _, row := range a.tasks {
 		r.Tasks = append(r.Tasks, row)
 	}
 	a.core.Observe(r, a.now)
 }
 
+// commit writes the open batch as the journal does.
+func (a *advised) commit() {
+	batch, number := a.core.Batch()
+	text, err := journal.Encode(batch)
+	if err != nil {
+		panic(err)
+	}
+	stored, err := journal.Decode(text)
+	if err != nil {
+		panic(err)
+	}
+	a.batches = append(a.batches, stored)
+	a.core.Committed(number)
+}
+
+// measure notes the present tail and returns the mean of the window that the
+// report is about.
+func (a *advised) measure() time.Duration {
+	tail := a.tail
+	for _, row := range a.tasks {
+		if isRunning(row) {
+			tail += time.Duration(row.Ratio * float64(a.noise))
+		}
+	}
+	a.tails = append(a.tails, tail)
+	end := max(1, len(a.tails)-int(a.lag/time.Second))
+	window := a.tails[max(0, end-int(measureWindow/time.Second)):end]
+	sum := time.Duration(0)
+	for _, t := range window {
+		sum += t
+	}
+	return sum / time.Duration(len(window))
+}
+
 func (a *advised) carryOut(c worker.Command) {
 	row := a.tasks[c.Task]
 	switch c.Kind {
@@ -99,6 +152,9 @@
 		row.Ratio = c.Ratio
 		row.Speed = c.Ratio
 	case worker.Checkpoint:
+		if isRunning(row) {
+			a.evictions++
+		}
 		row.State = worker.TaskCheckpointed
 		row.Checkpoint = fmt.Sprint("checkpoint ", c.Incarnation)
 	}
--- a/internal/shard/changes.go
+++ b/internal/shard/changes.go
@@ -16,7 +16,11 @@
 	tasks    map[string]*entry
 	accounts map[string]bool
 	// lost are the incarnations that are lost since the last batch, or found.
-	lost    map[worker.Ack]bool
+	lost map[worker.Ack]bool
+	// budgets are the yield rules under which tasks were evicted.
+	budgets map[string]bool
+	// learned says that the open batch is to hold what was learned; that alone is no change.
+	learned bool
 	dropped []string
 	// workers are those that something is to be sent to once the open batch is durable.
 	workers map[string]bool
@@ -34,6 +38,8 @@
 	c.tasks = map[string]*entry{}
 	c.accounts = map[string]bool{}
 	c.lost = map[worker.Ack]bool{}
+	c.budgets = map[string]bool{}
+	c.learned = false
 	c.dropped = nil
 	c.workers = map[string]bool{}
 }
@@ -55,7 +61,7 @@
 // HasChanges reports whether there is something to commit.
 func (c *Core) HasChanges() bool {
 	x := &c.changes
-	return len(x.jobs)+len(x.tasks)+len(x.accounts)+len(x.lost)+len(x.dropped) > 0
+	return len(x.jobs)+len(x.tasks)+len(x.accounts)+len(x.lost)+len(x.budgets)+len(x.dropped) > 0
 }
 
 // PendingBatch returns the number of the batch after which all present changes are durable.
@@ -89,6 +95,12 @@
 			b.Found = append(b.Found, incarnation)
 		}
 	}
+	for rule := range c.changes.budgets {
+		b.Budgets = append(b.Budgets, c.budget(rule))
+	}
+	if c.changes.learned {
+		b.Learned = c.learned()
+	}
 	b.Dropped = c.changes.dropped
 	number := c.changes.open
 	c.changes.sent = c.changes.workers
@@ -120,6 +132,10 @@
 	for _, l := range c.lost {
 		b.Lost = append(b.Lost, l)
 	}
+	for _, r := range c.config.YieldRules {
+		b.Budgets = append(b.Budgets, c.budget(r.Name))
+	}
+	b.Learned = c.learned()
 	for _, j := range c.jobs {
 		b.Jobs = append(b.Jobs, j.Job)
 		for _, t := range j.tasks {
--- a/internal/shard/core.go
+++ b/internal/shard/core.go
@@ -101,6 +101,10 @@
 	refitAt time.Time
 	sweepAt time.Time
 
+	// learnedAt is when a batch last held what was learned; known is what the journal held of it.
+	learnedAt time.Time
+	known     journal.Learned
+
 	changes changes
 	notices []Notice
 	// told are the reasons for which families cannot run, as they were last noted.
@@ -158,7 +162,9 @@
 func (c *Core) Restore(batches []journal.Batch, now time.Time) {
 	for _, b := range batches {
 		c.replay(b)
+		c.adoptLearned(b)
 	}
+	c.restoreLearned()
 	for _, id := range slices.Sorted(maps.Keys(c.tasks)) {
 		c.recover(c.tasks[id], now)
 	}
@@ -209,6 +215,7 @@
 		w := c.worker(e.Worker)
 		w.tasks[e.id] = e
 		c.hold(e, now)
+		c.planner.Yielder.TakeOver(e.Worker, now)
 		if e.State == task.Yielding || e.State == task.Stopping {
 			c.planner.Leave(e.Worker, e.id)
 		}
--- a/internal/shard/exchange.go
+++ b/internal/shard/exchange.go
@@ -180,6 +180,7 @@
 		w.wantFull = w.wantFull || e.State == task.Stopping || e.State == task.Yielding
 	}
 	c.learn(w, r, now)
+	c.noteLearned(now)
 	c.yieldOn(w, now)
 	c.setAccepting(w, now)
 }
--- /dev/null
+++ b/internal/shard/learned.go
@@ -0,0 +1,45 @@
+package shard
+
+import (
+	"time"
+
+	"github.com/oriolepond/oriolepond/internal/journal"
+)
+
+// learnedEvery is the least time between two records of what was learned. A
+// record goes along with other changes and asks for no commit of its own.
+const learnedEvery = time.Minute
+
+// noteLearned lets the next batch hold what was learned, if that is due.
+func (c *Core) noteLearned(now time.Time) {
+	if now.Sub(c.learnedAt) >= learnedEvery {
+		c.learnedAt = now
+		c.changes.learned = true
+	}
+}
+
+func (c *Core) learned() []journal.Learned {
+	return []journal.Learned{{Sizes: c.planner.Sizes.Known(), Effects: c.planner.Learner.Model.Known()}}
+}
+
+// budget returns the evictions of the last hour under a rule.
+func (c *Core) budget(rule string) journal.Budget {
+	return journal.Budget{Rule: rule, Spent: c.planner.Yielder.Spent(rule)}
+}
+
+// adoptLearned takes what the holders before had learned and spent.
+func (c *Core) adoptLearned(b journal.Batch) {
+	for _, l := range b.Learned {
+		c.known = l
+	}
+	for _, spent := range b.Budgets {
+		c.planner.Yielder.SetSpent(spent.Rule, spent.Spent)
+	}
+}
+
+// restoreLearned gives the planner what the last record holds.
+func (c *Core) restoreLearned() {
+	c.planner.Sizes.Restore(c.known.Sizes)
+	c.planner.Learner.Model.Restore(c.known.Effects)
+	c.known = journal.Learned{}
+}
