Burn names interference: holders tell which runners batch tasks slow

The cause interference was counted by nothing: an entry instance does not know beside which runners batch tasks run, nor what they do.

The holder of a shard asks the learned model once a second which runners its present tasks slow (by a fifth or more at the lower end of what is known, with hysteresis). Instances of the region follow their peers over one stream each: all marks first, then changes, at most 64 a message and one message a second, and a heartbeat each 4 s. What a holder told is void after 10 s of silence; a new stream begins anew, so a take-over leaves nothing. An attempt at a marked target marks its request's sample; answers, outcomes and heads of forwarded requests carry the mark back. Failures other than lateness are not laid to it, and a slow target goes before a repeat as the cause, since a hedge is made because the first target is slow.

The demo's noise is stronger and comes in three waves as long as an eighth of the load, since one wave of a second was over before it could be measured. Ruled out: measured strain alone (rises with the service's own load). Not done: the model forgets at a take-over, so a new holder marks nothing for some seconds.

--- a/burn.go
+++ b/burn.go
@@ -25,13 +25,14 @@
 		return
 	}
 	i.burned.Record(s.At, burn.Sample{
-		Service:   s.Service,
-		Neighbour: s.Neighbour,
-		Objective: service.Objective.Latency,
-		Latency:   s.Latency,
-		Answered:  s.Outcome == "" && s.Status != 0 && s.Status < http.StatusInternalServerError,
-		Refused:   s.Outcome == entry.NotRun,
-		Queued:    s.Queued,
-		Blame:     burn.Cause(s.Cause),
+		Service:    s.Service,
+		Neighbour:  s.Neighbour,
+		Objective:  service.Objective.Latency,
+		Latency:    s.Latency,
+		Answered:   s.Outcome == "" && s.Status != 0 && s.Status < http.StatusInternalServerError,
+		Refused:    s.Outcome == entry.NotRun,
+		Queued:     s.Queued,
+		Blame:      burn.Cause(s.Cause),
+		Interfered: s.Slowed,
 	})
 }
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -151,6 +151,7 @@
 	}
 	fmt.Fprintf(d.Out, "%d instances, %d runners and %d workers on loopback\n",
 		d.Size.Instances, len(d.cluster.Runners()), len(d.cluster.Workers()))
+	fmt.Fprintf(d.Out, "operators at %s with the token %s\n", d.anyReady(0).admin(), operatorToken)
 	if err := d.applyNote(ctx, d.Example.Note); err != nil {
 		return Report{}, err
 	}
@@ -188,7 +189,7 @@
 		return standin.Work{RunTime: d.Size.RunTime, Size: share.Resources{Processors: 90, Memory: 180e6}}
 	}
 	if job == noisyJob {
-		return standin.Work{RunTime: time.Second, Size: size, Noise: noisySlowdown}
+		return standin.Work{RunTime: d.noisyTime(), Size: size, Noise: noisySlowdown}
 	}
 	return standin.Work{RunTime: d.Size.RunTime, Size: size}
 }
--- a/internal/demo/workfaults.go
+++ b/internal/demo/workfaults.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"time"
 
 	"github.com/oriolepond/oriolepond/pkg/release"
 )
@@ -17,8 +18,12 @@
 
 const (
 	// noisySlowdown is what one noisy task adds to the runners beside it.
-	noisySlowdown = 0.5
+	noisySlowdown = 6
 	noisyTasks    = 200
+	// noisyWaves is how many waves of noisy tasks come, and noisyParts how
+	// many waves the load's length would hold.
+	noisyWaves    = 3
+	noisyParts    = 8
 	cancelledJobs = 5
 	cancelTasks   = 400
 )
@@ -68,12 +73,22 @@
 	}`, noisyJob, job.Neighbour, job.Share, LightJob, job.Neighbour, job.Share)
 }
 
-// noisyWave submits many tasks that slow the runners beside them.
+// noisyWave submits waves of tasks that slow the runners beside them.
 func (d *Demo) noisyWave(ctx context.Context) error {
-	_, err := d.submit(ctx, noisyJob, fmt.Sprintf("noise-%d", d.Seed), noisyTasks)
-	return err
+	for n := range noisyWaves {
+		if _, err := d.submit(ctx, noisyJob, fmt.Sprintf("noise-%d-%d", d.Seed, n), noisyTasks); err != nil {
+			return err
+		}
+		if err := pause(ctx, d.noisyTime()); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
+// noisyTime is how long an undisturbed noisy task runs, and the time between two waves.
+func (d *Demo) noisyTime() time.Duration { return d.Length / noisyParts }
+
 // cancelWave submits thousands of tasks and cancels them all at once.
 func (d *Demo) cancelWave(ctx context.Context) error {
 	ids := make([]string, cancelledJobs)
--- a/internal/entry/dispatcher.go
+++ b/internal/entry/dispatcher.go
@@ -42,6 +42,8 @@
 	Log *eventlog.Log
 	// Recorded takes the end of each caller's request.
 	Recorded func(Sample)
+	// Slowed reports whether batch work slows a target now.
+	Slowed func(target string) bool
 
 	mu      sync.Mutex
 	lanes   map[string]*lane
@@ -58,8 +60,10 @@
 	r.lane.earn()
 	a, err := r.whole(ctx)
 	r.finishKey(err)
-	d.record(q, r.tripSoFar(), a.Status, err)
-	return a, err
+	t := r.tripSoFar()
+	d.record(q, t, a.Status, err)
+	a.Slowed = t.slowed
+	return a, t.tell(err)
 }
 
 // Stream runs a request and passes its answer on as it comes. An error before
@@ -83,10 +87,12 @@
 	}
 	err := r.stream(ctx, to)
 	r.finishKey(err)
-	if status == 0 {
-		d.record(q, r.tripSoFar(), 0, err)
+	if status != 0 {
+		return err
 	}
-	return err
+	t := r.tripSoFar()
+	d.record(q, t, 0, err)
+	return t.tell(err)
 }
 
 // drainPoll is how often a planned stop looks for requests in flight.
--- a/internal/entry/outcome.go
+++ b/internal/entry/outcome.go
@@ -44,6 +44,8 @@
 	RetryAfter time.Duration
 	// Cause is what ended the request.
 	Cause Cause
+	// Slowed says that batch work slowed a target that was tried.
+	Slowed bool
 }
 
 // Error returns the outcome and the reason.
--- a/internal/entry/peer.go
+++ b/internal/entry/peer.go
@@ -23,6 +23,8 @@
 	Head func(status int, h http.Header) error
 	// Write passes a piece on; the piece is not kept.
 	Write func(piece []byte) error
+	// Slowed is called before Head if batch work slowed a target that was tried; nil means nobody asks.
+	Slowed func()
 }
 
 // CutError says that an answer broke off after its head was passed on.
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -33,4 +33,6 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// Slowed says that batch work slowed a target that was tried.
+	Slowed bool
 }
--- a/internal/entry/sample.go
+++ b/internal/entry/sample.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net/http"
 	"time"
 )
 
@@ -35,6 +36,8 @@
 	Outcome Outcome
 	// Cause is the largest reason of the latency or of the failure.
 	Cause Cause
+	// Slowed says that batch work slowed a target that was late.
+	Slowed bool
 }
 
 // trip collects what becomes the sample of a request.
@@ -42,6 +45,8 @@
 	begun    time.Time
 	queued   time.Duration
 	attempts int
+	// slowed says that batch work slowed a target that was tried.
+	slowed bool
 }
 
 // sample judges the end of a request.
@@ -54,11 +59,15 @@
 	var outcome *OutcomeError
 	if errors.As(err, &outcome) {
 		s.Outcome, s.Status, s.Cause = outcome.Outcome, outcome.Status, outcome.Cause
+		s.Slowed = t.slowed && outcome.Status == http.StatusGatewayTimeout
 		return s
 	}
+	s.Slowed = t.slowed && status < http.StatusInternalServerError
 	switch {
 	case t.queued > s.Latency/2:
 		s.Cause = CauseQueueing
+	case s.Slowed:
+		s.Cause = CauseTarget
 	case t.attempts > 1:
 		s.Cause = CauseRetry
 	default:
@@ -67,6 +76,39 @@
 	return s
 }
 
+// tell lets an outcome say for a peer whether a slowed target was tried.
+func (t trip) tell(err error) error {
+	var outcome *OutcomeError
+	if !errors.As(err, &outcome) || !t.slowed {
+		return err
+	}
+	told := *outcome
+	told.Slowed = true
+	return &told
+}
+
+// trying notes that a target is, or was just, tried.
+func (r *run) trying(target string) {
+	if r.dispatcher.Slowed != nil && r.dispatcher.Slowed(target) {
+		r.triedSlowed()
+	}
+}
+
+// triedSlowed notes that a target was tried that batch work slows.
+func (r *run) triedSlowed() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.trip.slowed = true
+}
+
+// heardSlowed takes what a peer's answer or outcome says of the target that it tried.
+func (r *run) heardSlowed(a Answer, err error) {
+	var outcome *OutcomeError
+	if a.Slowed || errors.As(err, &outcome) && outcome.Slowed {
+		r.triedSlowed()
+	}
+}
+
 // record counts the end of a caller's request; the instance that forwarded a request records it.
 func (d *Dispatcher) record(q Request, t trip, status int, err error) {
 	if q.Forwarded {
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -73,6 +73,7 @@
 func (r *run) send(ctx context.Context, p place, repeated bool) (*exchange.Reply, *OutcomeError) {
 	counted := r.request.Route.Class != release.Stream
 	ended := func() { r.dispatcher.release(r.lane, p, counted) }
+	r.trying(p.slot.Target)
 	request, id, err := newRequest(r.request, p.slot.Address)
 	if err != nil {
 		ended()
@@ -140,6 +141,7 @@
 
 // judge tells the target table how an attempt ended.
 func (r *run) judge(ctx context.Context, p place, status int, err error) {
+	r.trying(p.slot.Target)
 	now := time.Now()
 	taken := now.Sub(p.taken)
 	result := target.Succeeded
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -52,6 +52,9 @@
 	}
 	defer reply.Close()
 	r.judge(ctx, p, reply.StatusCode, nil)
+	if to.Slowed != nil && r.tripSoFar().slowed {
+		to.Slowed()
+	}
 	if err := to.Head(reply.StatusCode, passedOn(reply.Header)); err != nil {
 		return try{}, &CutError{Err: err}
 	}
@@ -74,7 +77,9 @@
 	q := r.request
 	q.MayQueue = p.remote || r.dispatcher.Targets.Capacity(q.Service.Name) == 0
 	forwardedTotal.Inc()
+	to.Slowed = r.triedSlowed
 	err := p.peer.Stream(ctx, q, to)
+	r.heardSlowed(Answer{}, err)
 	var cut *CutError
 	if err == nil || errors.As(err, &cut) {
 		return try{}, err
--- a/internal/entry/whole.go
+++ b/internal/entry/whole.go
@@ -120,6 +120,7 @@
 	q.MayQueue = p.remote || r.dispatcher.Targets.Capacity(q.Service.Name) == 0
 	forwardedTotal.Inc()
 	a, err := p.peer.Do(ctx, q)
+	r.heardSlowed(a, err)
 	if p.remote {
 		r.dispatcher.linkIn(r.request, len(a.Body)+requestOverhead)
 	}
--- a/internal/peer/requestcodec.go
+++ b/internal/peer/requestcodec.go
@@ -45,7 +45,7 @@
 	}
 	return &requestpb.Outcome{
 		Outcome: string(o.Outcome), Status: int32(o.Status), Reason: o.Reason,
-		RetryAfterMicros: o.RetryAfter.Microseconds(), Cause: string(o.Cause),
+		RetryAfterMicros: o.RetryAfter.Microseconds(), Cause: string(o.Cause), Slowed: o.Slowed,
 	}
 }
 
@@ -57,7 +57,7 @@
 	}
 	return &entry.OutcomeError{
 		Outcome: outcome, Status: int(o.Status), Reason: o.Reason,
-		RetryAfter: time.Duration(o.RetryAfterMicros) * time.Microsecond, Cause: entry.Cause(o.Cause),
+		RetryAfter: time.Duration(o.RetryAfterMicros) * time.Microsecond, Cause: entry.Cause(o.Cause), Slowed: o.Slowed,
 	}
 }
 
--- a/internal/peer/requests.go
+++ b/internal/peer/requests.go
@@ -110,7 +110,9 @@
 	if reply.Outcome != nil {
 		return entry.Answer{}, decodeOutcome(reply.Outcome)
 	}
-	return entry.Answer{Status: int(reply.Status), Header: decodeHeaders(reply.Headers), Body: reply.Body}, nil
+	return entry.Answer{
+		Status: int(reply.Status), Header: decodeHeaders(reply.Headers), Body: reply.Body, Slowed: reply.Slowed,
+	}, nil
 }
 
 func (c *requestsClient) stream(ctx context.Context, q entry.Request, to entry.Sink) error {
@@ -130,6 +132,9 @@
 	if head.Outcome != nil {
 		return decodeOutcome(head.Outcome)
 	}
+	if head.Slowed && to.Slowed != nil {
+		to.Slowed()
+	}
 	if err := to.Head(int(head.Status), decodeHeaders(head.Headers)); err != nil {
 		return &entry.CutError{Err: err}
 	}
@@ -216,7 +221,7 @@
 	if err != nil {
 		return &requestpb.Answer{Outcome: encodeOutcome(err)}
 	}
-	return &requestpb.Answer{Status: int32(a.Status), Headers: encodeHeaders(a.Header), Body: a.Body}
+	return &requestpb.Answer{Status: int32(a.Status), Headers: encodeHeaders(a.Header), Body: a.Body, Slowed: a.Slowed}
 }
 
 // Stream runs a request and passes its answer on.
@@ -225,9 +230,11 @@
 	if err != nil {
 		return to.Send(&requestpb.Part{Outcome: encodeOutcome(err)})
 	}
+	slowed := false
 	err = s.requests.Stream(to.Context(), q, entry.Sink{
+		Slowed: func() { slowed = true },
 		Head: func(status int, h http.Header) error {
-			return to.Send(&requestpb.Part{Status: int32(status), Headers: encodeHeaders(h)})
+			return to.Send(&requestpb.Part{Status: int32(status), Headers: encodeHeaders(h), Slowed: slowed})
 		},
 		Write: func(piece []byte) error { return to.Send(&requestpb.Part{Piece: piece}) },
 	})
--- a/internal/placement/measure.go
+++ b/internal/placement/measure.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"time"
 
 	"github.com/oriolepond/oriolepond/pkg/share"
@@ -100,6 +101,23 @@
 	return p.Yielder.Decide(v, now)
 }
 
+// Slowdown returns by how much the tasks on a worker multiply the strain of a
+// service there, by the lower end of what is known.
+func (p *Planner) Slowdown(worker, service string) float64 {
+	loads := p.Pool.Loads(worker)
+	if len(loads) == 0 {
+		return 1
+	}
+	victim := p.Learner.Model.Service(service)
+	slowdown, variance := 1.0, 0.0
+	for _, l := range loads {
+		mean, deviation := p.Learner.Model.Effect(victim, l.Aggressor)
+		slowdown += mean * l.Amount
+		variance += deviation * deviation * l.Amount * l.Amount
+	}
+	return max(1, slowdown-math.Sqrt(variance))
+}
+
 // residents returns the tasks of a worker as far as yielding regards them. The
 // next call uses the same memory.
 func (p *Planner) residents(worker string, now time.Time) []ResidentView {
--- a/internal/shard/calls.go
+++ b/internal/shard/calls.go
@@ -36,4 +36,6 @@
 	Describe func(ctx context.Context, shard, neighbour, id string) (task.Status, error)
 	Cancel   func(ctx context.Context, shard, neighbour, id string) (task.Status, error)
 	Accounts func(ctx context.Context, shard string) ([]Account, error)
+	// Slowed returns the slowed runners of all shards that are held there; only a server needs it.
+	Slowed func() []Slowed
 }
--- a/internal/shard/core.go
+++ b/internal/shard/core.go
@@ -104,6 +104,9 @@
 	// learnedAt is when a batch last held what was learned; known is what the journal held of it.
 	learnedAt time.Time
 	known     journal.Learned
+	// slowed are the runners that batch tasks slow down, as last found.
+	slowed   map[Slowed]bool
+	slowedAt time.Time
 
 	changes changes
 	notices []Notice
--- a/internal/shard/keeper.go
+++ b/internal/shard/keeper.go
@@ -339,5 +339,6 @@
 			}
 			return h.Accounts()
 		},
+		Slowed: k.Slowed,
 	}
 }
--- a/internal/shard/plan.go
+++ b/internal/shard/plan.go
@@ -54,6 +54,7 @@
 	}
 	c.refit(now)
 	c.place(now)
+	c.findSlowed(now)
 }
 
 // IsIdle reports whether nothing waits to be placed or committed.
--- a/internal/shard/world_test.go
+++ b/internal/shard/world_test.go
@@ -34,6 +34,8 @@
 	// cut are the pairs of a holder's epoch and a worker that do not reach each other.
 	cut  map[[2]int64]bool
 	gone []bool
+	// runners are on the platform's list beside the workers.
+	runners []roster.Instance
 	// storeUp, epoch, clean and batches are the store's state; current is the holder of the epoch.
 	storeUp bool
 	epoch   int64
@@ -115,7 +117,7 @@
 }
 
 func (w *world) listing() Listing {
-	var l Listing
+	l := Listing{Runners: w.runners}
 	for i, s := range w.workers {
 		if !w.gone[i] {
 			l.Workers = append(l.Workers, roster.Instance{
--- a/membership.go
+++ b/membership.go
@@ -135,6 +135,7 @@
 	}
 	i.others.Store(&known)
 	i.reporters.Set(peers)
+	i.followPeersSlowed(peers)
 }
 
 // other returns another instance by its id.
--- a/operate_test.go
+++ b/operate_test.go
@@ -54,14 +54,20 @@
 }
 
 func newPond(t *testing.T, n int) *pond {
+	t.Helper()
+	return newPondOn(t, n, &standin.Cluster{Work: func(string) standin.Work {
+		return standin.Work{RunTime: 3 * time.Second}
+	}})
+}
+
+// newPondOn starts instances on a cluster of two runners and two workers.
+func newPondOn(t *testing.T, n int, c *standin.Cluster) *pond {
 	t.Helper()
 	e, ok := examples.Find("bajio")
 	require.True(t, ok)
 	core, lines := observer.New(zapcore.DebugLevel)
-	p := &pond{example: e, log: eventlog.New(zap.New(core)), lines: lines}
-	p.cluster = &standin.Cluster{Example: e, RunnerCount: 2, WorkerCount: 2, Work: func(string) standin.Work {
-		return standin.Work{RunTime: 3 * time.Second}
-	}}
+	p := &pond{example: e, log: eventlog.New(zap.New(core)), lines: lines, cluster: c}
+	c.Example, c.RunnerCount, c.WorkerCount = e, 2, 2
 	require.NoError(t, p.cluster.Start())
 	t.Cleanup(p.cluster.Close)
 	for i := range n {
--- a/oriolepond.go
+++ b/oriolepond.go
@@ -64,9 +64,13 @@
 
 	directory *peer.Directory
 	reporters peer.Group
-	others    atomic.Pointer[map[string]membership.Peer]
-	cuts      cutter
-	idle      idleCache
+	// marks are the slowed runners, slowedTargets the targets among them.
+	marks         shard.Marks
+	slowedPeers   peer.Group
+	slowedTargets atomic.Pointer[map[string]bool]
+	others        atomic.Pointer[map[string]membership.Peer]
+	cuts          cutter
+	idle          idleCache
 
 	keyJournal *home.Journal
 	meter      *meter.Meter
@@ -86,6 +90,8 @@
 	defer i.pool.Close()
 	var g run.Group
 	addLoop(&g, i.reporters.Run)
+	addLoop(&g, i.slowedPeers.Run)
+	addLoop(&g, i.findSlowed)
 	addLoop(&g, i.members.Run)
 	addLoop(&g, i.configs.Run)
 	addLoop(&g, i.meters.Run)
@@ -178,4 +184,5 @@
 		Peers: i.configPeers,
 	}
 	i.buildTasks(client)
+	i.buildSlowed()
 }
