Burn counts outlive their instances

Each instance writes what it counted to a key of its own once a burnInterval (1 min by default), and at a planned stop. Ten seconds after a slot has ended it takes no more requests, and each instance moves its part into the slot's key, in the commit that takes it out of its own; the first registered instance does so for those that are gone. Every commit requires the revisions of the own key and of the note on what others moved, so that a lost answer, a fold of a living instance, or both count once. A report asks all instances to write and lists the keys at one revision; without the store it merges what instances hold in memory and says so. What a crash loses is bounded by the interval and named (lost); an instance that does not answer is named with the time of its last write (open).

The property test found one fault on the way: the revision of the own key was taken over although the second read of a re-read had failed, so that the next write brought back counts that had been moved. Both are now taken over together.

At most 2,048 series are counted in place of 4,096, so that the value of a slot stays under the store's 1 MB with the histograms measured here.

TestPageIsWholeAndEscaped wants 'No answer' in place of 'Not counted, no answer', since such an instance is counted up to its last write now, and the line that says since when it is not.

Ruled out: one key for each instance (above 1 MB), a key for each instance and slot (120 MB in the store).

--- a/cmd/pondctl/report.go
+++ b/cmd/pondctl/report.go
@@ -91,7 +91,10 @@
 func (c *call) printBurn(wire operate.WireBurn, report burn.Report) {
 	fmt.Fprintf(c.out, "counted at %s on %s\n", wire.At.Format("15:04:05 MST"), strings.Join(wire.Answered, ", "))
 	if len(wire.Missing) > 0 {
-		fmt.Fprintf(c.out, "NOT COUNTED, no answer: %s\n", strings.Join(wire.Missing, ", "))
+		fmt.Fprintf(c.out, "NO ANSWER: %s\n", strings.Join(wire.Missing, ", "))
+	}
+	for _, line := range report.Gaps() {
+		fmt.Fprintln(c.out, line)
 	}
 	w := tabwriter.NewWriter(c.out, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(w, "service\tneighbour\tobjective\tburn 5m\t30m\t1h\t6h\tbudget left\tp99\trequests\tcauses\talert\t")
--- a/internal/burn/latency.go
+++ b/internal/burn/latency.go
@@ -5,33 +5,74 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/oriolepond/oriolepond/internal/peer/operatepb"
 )
 
-// encodeLatency returns a histogram in the compressed HDR format; nil if it is empty.
+// encodeLatency returns a histogram without its empty buckets; nil if it is empty.
 func encodeLatency(h *hdrhistogram.Histogram) []byte {
 	if h == nil || h.TotalCount() == 0 {
 		return nil
 	}
-	text, err := h.Encode(hdrhistogram.V2CompressedEncodingCookieBase)
+	w := &operatepb.BurnLatency{}
+	last := 0
+	for i, n := range h.Export().Counts {
+		if n != 0 {
+			w.Steps = append(w.Steps, uint32(i-last))
+			w.Counts = append(w.Counts, n)
+			last = i
+		}
+	}
+	text, err := proto.Marshal(w)
 	if err != nil {
 		return nil
 	}
 	return text
 }
 
-// EncodeLatency returns the histogram of a slot in the compressed HDR format.
+// EncodeLatency returns the histogram of a slot without its empty buckets.
 func EncodeLatency(s Slot) []byte { return encodeLatency(s.Latency) }
 
+// buckets is how many buckets a histogram has.
+var buckets = len(newLatency().Export().Counts)
+
+func newLatency() *hdrhistogram.Histogram { return hdrhistogram.New(1, highestUnits, latencyDigits) }
+
+// FormatError says that an encoded histogram does not fit the ones that are counted here.
+type FormatError struct {
+	Steps, Counts int
+}
+
+// Error returns the numbers of steps and counts.
+func (e *FormatError) Error() string {
+	return fmt.Sprintf("latency histogram of %d steps and %d counts does not fit", e.Steps, e.Counts)
+}
+
 // DecodeLatency is the inverse of EncodeLatency.
 func DecodeLatency(text []byte) (*hdrhistogram.Histogram, error) {
 	if len(text) == 0 {
 		return nil, nil
 	}
-	h, err := hdrhistogram.Decode(text)
-	if err != nil {
+	var w operatepb.BurnLatency
+	if err := proto.Unmarshal(text, &w); err != nil {
 		return nil, fmt.Errorf("decode latency histogram: %w", err)
 	}
-	return h, nil
+	if len(w.Steps) != len(w.Counts) {
+		return nil, &FormatError{Steps: len(w.Steps), Counts: len(w.Counts)}
+	}
+	counts := make([]int64, buckets)
+	at := 0
+	for i, step := range w.Steps {
+		at += int(step)
+		if at >= buckets || w.Counts[i] < 0 {
+			return nil, &FormatError{Steps: len(w.Steps), Counts: len(w.Counts)}
+		}
+		counts[at] = w.Counts[i]
+	}
+	return hdrhistogram.Import(&hdrhistogram.Snapshot{
+		LowestTrackableValue: 1, HighestTrackableValue: highestUnits, SignificantFigures: latencyDigits, Counts: counts,
+	}), nil
 }
 
 // within returns how many answers came within a bound, to the precision of the histogram.
@@ -62,7 +103,7 @@
 		return a
 	}
 	if a == nil {
-		a = hdrhistogram.New(1, highestUnits, latencyDigits)
+		a = newLatency()
 	}
 	a.Merge(b)
 	return a
--- a/internal/burn/page.go
+++ b/internal/burn/page.go
@@ -24,7 +24,10 @@
 
 // WritePage writes a report as one page of HTML that needs no other file.
 func WritePage(w io.Writer, r Report) error {
-	view := pageView{At: r.At.UTC().Format(time.RFC1123), Answered: strings.Join(r.Answered, ", "), Missing: strings.Join(r.Missing, ", ")}
+	view := pageView{
+		At: r.At.UTC().Format(time.RFC1123), Answered: strings.Join(r.Answered, ", "),
+		Missing: strings.Join(r.Missing, ", "), Gaps: r.Gaps(),
+	}
 	for _, row := range r.Rows {
 		view.Rows = append(view.Rows, newRowView(row, r.At))
 	}
@@ -36,6 +39,7 @@
 
 type pageView struct {
 	At, Answered, Missing string
+	Gaps                  []string
 	Rows                  []rowView
 }
 
--- a/internal/burn/recorder.go
+++ b/internal/burn/recorder.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -15,7 +16,7 @@
 	// KeptSlots is how many slots are kept, the present one included.
 	KeptSlots = 73
 	// maxSeries bounds the pairs of service and neighbour that are counted.
-	maxSeries = 4096
+	maxSeries = 2048
 )
 
 // The range and the precision of the histograms.
@@ -65,8 +66,10 @@
 // Recorder counts the requests of one instance. It may be used from many goroutines.
 type Recorder struct {
 	started time.Time
-	mu      sync.RWMutex
-	series  map[Key]*series
+	// sealed is the last slot that takes no more requests.
+	sealed atomic.Int64
+	mu     sync.RWMutex
+	series map[Key]*series
 }
 
 // NewRecorder returns a recorder that has counted nothing yet.
@@ -100,10 +103,52 @@
 // Record counts one request that finished now.
 func (r *Recorder) Record(now time.Time, s Sample) {
 	if one := r.find(Key{s.Service, s.Neighbour}); one != nil {
-		one.record(SlotOf(now), s)
+		one.record(&r.sealed, SlotOf(now), s)
 	}
 }
 
+// Seal lets the slots up to one take no more requests; later ones that belong
+// there count in the slot after it.
+func (r *Recorder) Seal(index int64) {
+	if index > r.sealed.Load() {
+		r.sealed.Store(index)
+	}
+}
+
+// after returns what was counted in the slots after one.
+func (r *Recorder) after(index int64) []packed {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	all := map[Key][]closedSlot{}
+	for k, one := range r.series {
+		if slots := one.packed(index); len(slots) > 0 {
+			all[k] = slots
+		}
+	}
+	return sorted(all)
+}
+
+// packed returns the slots after one.
+func (s *series) packed(index int64) []closedSlot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var all []closedSlot
+	for _, c := range s.closed {
+		if c.index > index {
+			all = append(all, c)
+		}
+	}
+	if o := s.open; o != nil && o.index > index {
+		all = append(all, o.close())
+	}
+	return all
+}
+
+// close returns the slot as it stands, encoded.
+func (o *openSlot) close() closedSlot {
+	return closedSlot{index: o.index, latency: encodeLatency(o.latency), bad: o.bad, unanswered: o.unanswered}
+}
+
 // find returns the series of a key, or nil if there are too many.
 func (r *Recorder) find(k Key) *series {
 	r.mu.RLock()
@@ -122,10 +167,10 @@
 	return one
 }
 
-func (s *series) record(index int64, sample Sample) {
+func (s *series) record(sealed *atomic.Int64, index int64, sample Sample) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.turn(index)
+	s.turn(max(index, sealed.Load()+1))
 	if sample.Answered {
 		_ = s.open.latency.RecordValue(min(int64(sample.Latency/latencyUnit), highestUnits))
 	} else {
@@ -141,9 +186,9 @@
 	if s.open != nil && s.open.index >= index {
 		return
 	}
-	latency := hdrhistogram.New(1, highestUnits, latencyDigits)
+	latency := newLatency()
 	if old := s.open; old != nil {
-		s.closed = append(s.closed, closedSlot{old.index, encodeLatency(old.latency), old.bad, old.unanswered})
+		s.closed = append(s.closed, old.close())
 		old.latency.Reset()
 		latency = old.latency
 	}
--- a/internal/burn/report.go
+++ b/internal/burn/report.go
@@ -1,6 +1,7 @@
 package burn
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -76,9 +77,16 @@
 type Report struct {
 	At   time.Time
 	Rows []Row
-	// Answered and Missing name the instances that were and were not counted.
+	// Answered and Missing name the instances that did and did not tell what they counted.
 	Answered []string
 	Missing  []string
+	// Open names the instances whose counts since a time are not in the report,
+	// and Lost those that ended without their last write.
+	Open []Gap
+	Lost []Gap
+	// Memory says that the store did not answer, so that only the counts of
+	// instances that answered are in the report.
+	Memory bool
 }
 
 // NewReport returns the burn of the services of a configuration.
@@ -97,19 +105,20 @@
 
 func newRow(o release.Objective, s Series, now time.Time) Row {
 	row := Row{Service: s.Service, Neighbour: s.Neighbour, Latency: o.Latency, Ratio: o.Ratio, Causes: map[Cause]int64{}}
+	slots := judge(o, s)
 	for _, length := range windowLengths() {
-		row.Windows = append(row.Windows, newWindow(o, s, now, length))
+		row.Windows = append(row.Windows, newWindow(o, slots, now, length))
 	}
 	row.Alert = row.alert()
-	budget := newWindow(o, s, now, BudgetWindow)
+	budget := newWindow(o, slots, now, BudgetWindow)
 	row.BudgetLeft = 1 - budget.Burn
 	var latency *hdrhistogram.Histogram
-	for _, slot := range slotsWithin(s, now, BudgetWindow) {
+	for _, slot := range slotsWithin(slots, now, BudgetWindow) {
 		for cause, n := range slot.Bad {
 			row.Causes[cause] += n
 		}
 		latency = add(latency, slot.Latency)
-		w := count(o, []Slot{slot})
+		w := count(o, []judged{slot})
 		row.Points = append(row.Points, Point{Start: time.Unix(0, slot.Index*int64(SlotLength)).UTC(), Total: w.Total, Burn: w.Burn})
 	}
 	if latency != nil {
@@ -146,18 +155,18 @@
 	return ""
 }
 
-func newWindow(o release.Objective, s Series, now time.Time, length time.Duration) Window {
-	w := count(o, slotsWithin(s, now, length))
+func newWindow(o release.Objective, slots []judged, now time.Time, length time.Duration) Window {
+	w := count(o, slotsWithin(slots, now, length))
 	w.Length = length
 	return w
 }
 
 // slotsWithin returns the slots that touch a window; the oldest may begin before it.
-func slotsWithin(s Series, now time.Time, length time.Duration) []Slot {
+func slotsWithin(slots []judged, now time.Time, length time.Duration) []judged {
 	first := SlotOf(now.Add(-length))
 	last := SlotOf(now)
-	var all []Slot
-	for _, slot := range s.Slots {
+	var all []judged
+	for _, slot := range slots {
 		if slot.Index >= first && slot.Index <= last {
 			all = append(all, slot)
 		}
@@ -165,16 +174,50 @@
 	return all
 }
 
-// count judges slots by an objective.
-func count(o release.Objective, slots []Slot) Window {
+// judged is a slot judged by an objective.
+type judged struct {
+	Slot
+	total, bad int64
+}
+
+// judge judges the slots of a series.
+func judge(o release.Objective, s Series) []judged {
+	var all []judged
+	for _, slot := range s.Slots {
+		answers := total(slot.Latency)
+		all = append(all, judged{
+			Slot:  slot,
+			total: answers + slot.Unanswered,
+			bad:   answers - within(slot.Latency, o.Latency) + slot.Unanswered,
+		})
+	}
+	return all
+}
+
+// count adds up slots that were judged by an objective.
+func count(o release.Objective, slots []judged) Window {
 	var w Window
 	for _, slot := range slots {
-		answers := total(slot.Latency)
-		w.Total += answers + slot.Unanswered
-		w.Bad += answers - within(slot.Latency, o.Latency) + slot.Unanswered
+		w.Total += slot.total
+		w.Bad += slot.bad
 	}
 	if w.Total > 0 {
 		w.Burn = float64(w.Bad) / float64(w.Total) / (1 - o.Ratio)
 	}
 	return w
 }
+
+// Gaps says in sentences what is not in the report.
+func (r Report) Gaps() []string {
+	var lines []string
+	if r.Memory {
+		lines = append(lines, "The store does not answer: what ended instances counted is missing.")
+	}
+	for _, g := range r.Open {
+		lines = append(lines, fmt.Sprintf("%s is not counted since %s.", g.Instance, g.Since.UTC().Format(time.RFC3339)))
+	}
+	for _, g := range r.Lost {
+		lines = append(lines, fmt.Sprintf("%s ended and lost what it counted since %s.", g.Instance, g.Since.UTC().Format(time.RFC3339)))
+	}
+	return lines
+}
--- a/internal/burn/tally.go
+++ b/internal/burn/tally.go
@@ -8,9 +8,11 @@
 // tally counts causes, by their position in allCauses; it takes less memory than a map.
 type tally [5]int64
 
-func (t *tally) add(c Cause) {
+func (t *tally) add(c Cause) { t.addN(c, 1) }
+
+func (t *tally) addN(c Cause, n int64) {
 	if i := slices.Index(allCauses, c); i >= 0 {
-		t[i]++
+		t[i] += n
 	}
 }
 
--- a/internal/demo/instances.go
+++ b/internal/demo/instances.go
@@ -142,7 +142,7 @@
 		"listen": "%s:%d", "peerListen": "%s:%d", "adminListen": "%s:%d",
 		"peerAdvertise": %q, "bindAddress": %q,
 		"storeUrls": [%q], "listUrl": %q, "operatorTokenHash": %q,
-		"leaseTtl": %q, "listInterval": %q, "workerInterval": %q, "accountInterval": "500ms"
+		"leaseTtl": %q, "listInterval": %q, "workerInterval": %q, "accountInterval": "500ms", "burnInterval": "500ms"
 	}`, i.id, i.site.Region, i.site.DataCentre,
 		i.address, frontPort, i.address, peerPort, i.address, adminPort,
 		peer, i.address, d.cluster.StoreURL, d.cluster.ListURL, hex.EncodeToString(sum[:]),
--- a/internal/operate/wireburn.go
+++ b/internal/operate/wireburn.go
@@ -13,6 +13,16 @@
 		Answered []string      `json:"answered"`
 		Missing  []string      `json:"missing"`
 		Rows     []WireBurnRow `json:"rows"`
+		// Open and Lost are the instances whose counts since a time are missing.
+		Open []WireBurnGap `json:"open"`
+		Lost []WireBurnGap `json:"lost"`
+		// Memory says that the store did not answer.
+		Memory bool `json:"memory,omitempty"`
+	}
+	// WireBurnGap is an instance whose counts are missing, as the API writes it.
+	WireBurnGap struct {
+		Instance  string    `json:"instance"`
+		OpenSince time.Time `json:"openSince"`
 	}
 	// WireBurnRow is the burn of one service, as the API writes it.
 	WireBurnRow struct {
@@ -49,7 +59,10 @@
 func fromMillis(m float64) time.Duration { return time.Duration(m * float64(time.Millisecond)) }
 
 func encodeBurn(r burn.Report) WireBurn {
-	w := WireBurn{At: r.At, Answered: r.Answered, Missing: r.Missing, Rows: []WireBurnRow{}}
+	w := WireBurn{
+		At: r.At, Answered: r.Answered, Missing: r.Missing, Rows: []WireBurnRow{},
+		Open: encodeGaps(r.Open), Lost: encodeGaps(r.Lost), Memory: r.Memory,
+	}
 	if w.Missing == nil {
 		w.Missing = []string{}
 	}
@@ -59,6 +72,22 @@
 	return w
 }
 
+func encodeGaps(gaps []burn.Gap) []WireBurnGap {
+	all := []WireBurnGap{}
+	for _, g := range gaps {
+		all = append(all, WireBurnGap{Instance: g.Instance, OpenSince: g.Since})
+	}
+	return all
+}
+
+func decodeGaps(all []WireBurnGap) []burn.Gap {
+	var gaps []burn.Gap
+	for _, w := range all {
+		gaps = append(gaps, burn.Gap{Instance: w.Instance, Since: w.OpenSince})
+	}
+	return gaps
+}
+
 func encodeBurnRow(r burn.Row) WireBurnRow {
 	w := WireBurnRow{
 		Service: r.Service, Neighbour: r.Neighbour, ObjectiveMillis: millis(r.Latency), Ratio: r.Ratio,
@@ -80,7 +109,8 @@
 
 // Report returns the burn report that the API wrote.
 func (w WireBurn) Report() burn.Report {
-	r := burn.Report{At: w.At, Answered: w.Answered, Missing: w.Missing}
+	r := burn.Report{At: w.At, Answered: w.Answered, Missing: w.Missing, Memory: w.Memory}
+	r.Open, r.Lost = decodeGaps(w.Open), decodeGaps(w.Lost)
 	for _, row := range w.Rows {
 		r.Rows = append(r.Rows, row.row())
 	}
--- a/internal/peer/operate.go
+++ b/internal/peer/operate.go
@@ -21,6 +21,9 @@
 	Newest func(ctx context.Context, have config.Copy) (config.Copy, bool, error)
 	// Burn returns what the callee counted.
 	Burn func(ctx context.Context) (burn.Snapshot, error)
+	// StoreBurn lets the callee write what it counted to the store, and returns
+	// the name of its start there.
+	StoreBurn func(ctx context.Context) (string, error)
 }
 
 // NewOperate returns the operators' plane at the other end of a connection.
@@ -47,6 +50,10 @@
 			}
 			return decodeBurn(reply)
 		},
+		StoreBurn: func(ctx context.Context) (string, error) {
+			reply, err := c.Burn(ctx, &operatepb.BurnRequest{Stored: true})
+			return reply.GetInstance(), err
+		},
 	}
 }
 
@@ -95,8 +102,15 @@
 	return reply, nil
 }
 
-// Burn returns what this instance counted.
-func (s *operateServer) Burn(ctx context.Context, _ *operatepb.BurnRequest) (*operatepb.BurnReply, error) {
+// Burn returns what this instance counted, or writes it to the store.
+func (s *operateServer) Burn(ctx context.Context, q *operatepb.BurnRequest) (*operatepb.BurnReply, error) {
+	if q.Stored {
+		id, err := s.operate.StoreBurn(ctx)
+		if err != nil {
+			return nil, status.Error(codes.Unavailable, err.Error())
+		}
+		return &operatepb.BurnReply{Instance: id}, nil
+	}
 	snapshot, err := s.operate.Burn(ctx)
 	if err != nil {
 		return nil, status.Error(codes.Unavailable, err.Error())
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -26,6 +26,7 @@
 	DefaultQuietInterval   = 3 * time.Second
 	DefaultAccountInterval = 30 * time.Second
 	DefaultAccountPeriod   = time.Hour
+	DefaultBurnInterval    = time.Minute
 	DefaultStopDelay       = 2 * time.Second
 	DefaultStopTimeout     = 12 * time.Hour
 	DefaultLinkBitsPerSec  = 30_000_000
@@ -64,6 +65,8 @@
 	AccountInterval time.Duration
 	// AccountPeriod is the length of the periods that accounts are kept by.
 	AccountPeriod time.Duration
+	// BurnInterval is how often what was counted of objectives is written to the store.
+	BurnInterval time.Duration
 	// StopDelay is how long a planned stop still serves while the balancer learns of it.
 	StopDelay time.Duration
 	// StopTimeout bounds a planned stop; streams may stay open for a whole shift.
@@ -108,6 +111,7 @@
 		QuietWorkerInterval: positive(o, "quietWorkerInterval", DefaultQuietInterval),
 		AccountInterval:     positive(o, "accountInterval", DefaultAccountInterval),
 		AccountPeriod:       positive(o, "accountPeriod", DefaultAccountPeriod),
+		BurnInterval:        positive(o, "burnInterval", DefaultBurnInterval),
 		StopDelay:           o.DurationOr("stopDelay", DefaultStopDelay),
 		StopTimeout:         positive(o, "stopTimeout", DefaultStopTimeout),
 		LinkBitsPerSecond:   positiveInt(o, "linkBitsPerSecond", DefaultLinkBitsPerSec),
--- a/operate.go
+++ b/operate.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
-	"sync"
 	"time"
 
 	"github.com/oriolepond/oriolepond/internal/burn"
@@ -14,9 +12,6 @@
 	"github.com/oriolepond/oriolepond/internal/roster"
 )
 
-// burnTimeout bounds the time in which peers tell what they counted.
-const burnTimeout = 5 * time.Second
-
 func (i *Instance) admin() http.Handler {
 	api := &operate.API{
 		TokenHash: i.Settings.OperatorTokenHash,
@@ -46,6 +41,7 @@
 		Burn: func(context.Context) (burn.Snapshot, error) {
 			return i.burned.Snapshot(time.Now()), nil
 		},
+		StoreBurn: i.storeBurn,
 	}
 }
 
@@ -85,33 +81,3 @@
 	}
 	return all
 }
-
-// burn merges what all entry instances counted; those that do not answer are named.
-func (i *Instance) burn(ctx context.Context) (burn.Report, error) {
-	ctx, cancel := context.WithTimeout(ctx, burnTimeout)
-	defer cancel()
-	now := time.Now()
-	snapshots := []burn.Snapshot{i.burned.Snapshot(now)}
-	answered, missing := []string{i.Settings.ID}, []string(nil)
-	var mu sync.Mutex
-	var group sync.WaitGroup
-	for _, p := range i.entryPeers() {
-		group.Go(func() {
-			s, err := p.operate.Burn(ctx)
-			mu.Lock()
-			defer mu.Unlock()
-			if err != nil {
-				missing = append(missing, p.id)
-				return
-			}
-			answered = append(answered, p.id)
-			snapshots = append(snapshots, s)
-		})
-	}
-	group.Wait()
-	slices.Sort(answered)
-	slices.Sort(missing)
-	report := burn.NewReport(i.configs.Current(), burn.Merge(snapshots), now)
-	report.Answered, report.Missing = answered, missing
-	return report, nil
-}
--- a/oriolepond.go
+++ b/oriolepond.go
@@ -52,6 +52,7 @@
 	members  *membership.Keeper
 	configs  *config.Keeper
 	burned   *burn.Recorder
+	burns    *burn.Keeper
 	targets  *target.Table
 	requests *entry.Dispatcher
 	shards   *shard.Keeper
@@ -95,6 +96,7 @@
 	addLoop(&g, i.members.Run)
 	addLoop(&g, i.configs.Run)
 	addLoop(&g, i.meters.Run)
+	addLoop(&g, i.burns.Run)
 	addLoop(&g, i.periods.Run)
 	addLoop(&g, i.shards.Run)
 	addLoop(&g, i.followList)
@@ -172,7 +174,7 @@
 	i.pool = &peer.Pool{Dial: i.dialer().DialContext}
 	i.targets = target.NewTable()
 	i.buildRequests()
-	i.buildBurn()
+	i.buildBurn(client)
 	i.buildMeter(client)
 	i.reporters.Start = i.report
 	i.buildMembership(client)
