Planned stop test of the task plane: callers use instances that run

A stress run of all packages found TestJobsOutliveFailures/planned stop waiting for ever in Submit.

Cause: the test went on to submit through the instance that it had stopped. The shard map of a stopped instance is not read any more; where it was last read before the other instance had taken a shard, it names no holder, and each try ends after its retry window.

Ruled out: the shards. All were held by running instances. The product: a stopping instance ends its callers' requests before its shards, and a call in between ends with an error, upon which callers turn to another instance.

Change: a stopped instance gets no submissions, as behind a balancer, and a repeat goes to the next one. What is asserted is the same.

--- a/internal/shard/fleet_test.go
+++ b/internal/shard/fleet_test.go
@@ -32,10 +32,18 @@
 	bytes     atomic.Int64
 	exchanges atomic.Int64
 	stops     []context.CancelFunc
+	// stopped are the instances that callers reach no more.
+	stopped map[int]bool
+}
+
+// stop makes a planned stop of an instance.
+func (f *fleet) stop(n int) {
+	f.stopped[n] = true
+	f.stops[n]()
 }
 
 func newFleet(b testing.TB, fleetWorkers, instances int, ttl, run time.Duration) *fleet {
-	f := &fleet{store: standin.NewStore(), ledger: standin.NewTaskLedger()}
+	f := &fleet{store: standin.NewStore(), ledger: standin.NewTaskLedger(), stopped: map[int]bool{}}
 	server := httptest.NewServer(f.store)
 	b.Cleanup(server.Close)
 	client := store.NewEtcd([]string{server.URL}, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}})
@@ -117,12 +125,16 @@
 	}}
 }
 
-// submit submits a job, and repeats that until it is accepted.
+// submit submits a job through an instance that runs, and repeats that through
+// others until it is accepted.
 func (f *fleet) submit(b testing.TB, n, tasks int) {
 	neighbour := fmt.Sprintf("n%d", n%2)
 	s := task.Submission{Neighbour: neighbour, Job: neighbour, Tasks: tasks, Key: fmt.Sprintf("key-%d", n)}
-	for {
-		_, err := f.routers[n%len(f.routers)].Submit(context.Background(), s)
+	for try := n; ; try++ {
+		if f.stopped[try%len(f.routers)] {
+			continue
+		}
+		_, err := f.routers[try%len(f.routers)].Submit(context.Background(), s)
 		if err == nil {
 			return
 		}
--- a/internal/shard/keeper_test.go
+++ b/internal/shard/keeper_test.go
@@ -31,7 +31,7 @@
 	}{
 		{"planned stop of an instance", func(t *testing.T, f *fleet) {
 			f.setMembers([]Member{{ID: "e1", Region: "r1"}, {ID: "e2", Region: "r0"}})
-			f.stops[0]()
+			f.stop(0)
 			require.Eventually(t, func() bool { return f.heldBy("e0") == 0 }, generous, 10*time.Millisecond)
 		}},
 		{"every lease lapses", func(_ *testing.T, f *fleet) { f.store.ExpireLeases() }},
