Keys: a former home vouches for its last time only

Cause: a member that joins asks the owner of a key in its first table since when that one was the only home. The answer looked at the last table of each change only. If the key belonged to b, came back to a when b was taken out, and went on to the joiner before that table was settled, a answered with the time before b, and a key that b had begun ran a second time.

Change: the answer looks for the last table in which the member owned the key, also within a change and in the tables not settled yet, and gives the end of that change if others owned the key in it.

TestFormerHomeVouchesForItsLastTimeOnly fails without the change.

--- a/internal/home/former.go
+++ b/internal/home/former.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/oriolepond/oriolepond/internal/grant"
 )
 
 // Inquiry is what a new home has to learn from earlier homes before it may
@@ -103,29 +105,40 @@
 	return Statement{Since: k.ownedSince(name, now)}
 }
 
-// ownedSince returns the beginning of the last time in which this member was
-// the only home of a name; now if it never was.
+// ownedSince returns since when this member was the only home of a name when
+// it last was its home; the end of that change of tables if others were its
+// homes too, and now if it never was.
 func (k *Keys) ownedSince(name string, now time.Time) time.Time {
-	n := len(k.eras) - 1
-	for n >= 0 && !k.owns(k.eras[n], len(k.eras[n].tables)-1, name) {
-		n--
-	}
-	if n < 0 {
-		if len(k.eras) > 0 && k.owns(k.eras[0], 0, name) {
-			return k.floor
+	eras := append(slices.Clone(k.eras), era{tables: k.tables, at: now})
+	for n := len(eras) - 1; n >= 0; n-- {
+		last := k.lastOwned(eras[n].tables, name)
+		if last < 0 {
+			continue
+		}
+		if !k.ownsAll(eras[n].tables[:last], name) {
+			return eras[n].at
 		}
-		return now
+		return k.soleSince(eras[:n], name)
 	}
-	for n >= 0 && k.ownsAll(k.eras[n].tables, name) {
+	return now
+}
+
+// lastOwned returns the place of the last table in which this member owns a name, or -1.
+func (k *Keys) lastOwned(tables []grant.Table, name string) int {
+	n := len(tables) - 1
+	for n >= 0 && tables[n].Owner(name, k.region) != k.self {
 		n--
 	}
-	if n < 0 {
-		return k.floor
-	}
-	return k.eras[n].at
+	return n
 }
 
-// owns reports whether this member owns a name in the n-th table of an era.
-func (k *Keys) owns(e era, n int, name string) bool {
-	return e.tables[n].Owner(name, k.region) == k.self
+// soleSince returns since when this member has been the only home of a name at
+// the end of the eras.
+func (k *Keys) soleSince(eras []era, name string) time.Time {
+	for n := len(eras) - 1; n >= 0; n-- {
+		if !k.ownsAll(eras[n].tables, name) {
+			return eras[n].at
+		}
+	}
+	return k.floor
 }
--- a/internal/home/former_test.go
+++ b/internal/home/former_test.go
@@ -258,3 +258,26 @@
 		})
 	})
 }
+
+// A former home does not vouch for a time in which another member was the home,
+// although the name came back to it in a table that was never settled.
+func TestFormerHomeVouchesForItsLastTimeOnly(t *testing.T) {
+	old, _, both := pair()
+	without := both.Without("b")
+	three := without.With(grant.Member{ID: "c", Region: region})
+	now := start.Add(2 * time.Minute)
+	key := keyAt(now, 0)
+	for n := 0; both.Owner(key.Name(), region) != "b" || three.Owner(key.Name(), region) != "c"; n++ {
+		key = keyAt(now, n)
+	}
+	joined := home.NewKeys("c", region)
+	for _, k := range []*home.Keys{old, joined} {
+		k.Observe(without)
+		k.Observe(three)
+		k.Settle(now)
+	}
+	v := joined.Begin(key, now)
+	require.Equal(t, home.AskFormer, v.Kind)
+	statements := map[string]home.Statement{"a": old.State(key, now)}
+	require.False(t, v.Inquiry.Cleared(key, statements), "b, which is gone, may have begun it")
+}
