Keys of a lost member do not wait for its slots; four faults of take-over

Cause: a table was settled for keys and slots at once, so that keys whose home had been killed were refused for the lease, half of it and the longest deadline, and then unknown for two seconds more.

Change: a departed member that surely begins nothing any more has lapsed (support of all entries, or the list's lag); a table is settled for keys then, for slots later as before. The lapse is dated by the end of the registration as one watch saw it, where nobody promised the member anything, so that keys made later than two clock bounds after it run at once. A member is taken out after a quarter of the lease in place of half, if no call to the store failed in the last lease.

Tests: TestNoKeyRunsTwice now has members that go on after their departure, clocks 0.9 s apart, callers' clocks up to 1.4 s off, and asks only whom the inquiry names; TestSlotsAndKeysUnderFailures sends keys to all members. They fail if keys are handed over at the departure, if the clock bound is halved, if the lapse is dated a second early, or if reports are not waited for.

--- a/internal/eventlog/membership.go
+++ b/internal/eventlog/membership.go
@@ -26,7 +26,7 @@
 	})
 	RequestsCut = register(Event{
 		Number: 2104, Level: zapcore.WarnLevel, Message: "requests cut",
-		Meaning: "The part of the targets was lost for so long that others may use it; what was still in flight here was ended.",
+		Meaning: "The part of the targets was lost for so long that others may use it; the streams that were still open here were ended.",
 		Advice:  "Check the network between this instance, the store and the other instances.",
 	})
 )
--- a/internal/grant/division.go
+++ b/internal/grant/division.go
@@ -24,6 +24,8 @@
 	held    map[string][]Table
 	reports map[string]Report
 	gone    map[string]bool
+	// lapsed are the departed members that begin nothing any more.
+	lapsed map[string]bool
 	// version counts the changes of what may be used.
 	version int
 }
@@ -37,6 +39,7 @@
 		held:    map[string][]Table{},
 		reports: map[string]Report{},
 		gone:    map[string]bool{},
+		lapsed:  map[string]bool{},
 	}
 }
 
@@ -49,6 +52,21 @@
 // Settled reports whether every entry keeps to the newest table.
 func (d *Division) Settled() bool { return len(d.history) == 1 }
 
+// KeysSettled reports whether every entry keeps to the newest table with what
+// it begins, although some may have requests in flight yet.
+func (d *Division) KeysSettled() bool {
+	if d.Settled() {
+		return true
+	}
+	latest := d.Latest()
+	for _, m := range latest.Entries(d.region) {
+		if !d.gone[m.ID] && !d.lapsed[m.ID] && d.reports[m.ID].Epoch != latest.Epoch {
+			return false
+		}
+	}
+	return true
+}
+
 // Observe takes a table, and reports whether it is newer than those seen.
 func (d *Division) Observe(t Table) bool {
 	if t.Epoch <= d.Latest().Epoch {
@@ -79,6 +97,10 @@
 	d.settle()
 }
 
+// Lapsed says that a departed member surely begins nothing any more, although
+// it may have requests in flight.
+func (d *Division) Lapsed(id string) { d.lapsed[id] = true }
+
 // IsGone reports whether an entry was said to be gone.
 func (d *Division) IsGone(id string) bool { return d.gone[id] }
 
@@ -159,9 +181,11 @@
 			delete(d.reports, id)
 		}
 	}
-	for id := range d.gone {
-		if !named(id) {
-			delete(d.gone, id)
+	for _, ids := range []map[string]bool{d.gone, d.lapsed} {
+		for id := range ids {
+			if !named(id) {
+				delete(ids, id)
+			}
 		}
 	}
 }
--- a/internal/home/former.go
+++ b/internal/home/former.go
@@ -31,19 +31,19 @@
 func (k *Keys) inquire(name string, at time.Time) (Inquiry, bool) {
 	q := Inquiry{}
 	for _, e := range k.eras {
-		if e.at.Before(at.Add(-2 * ClockBound)) {
+		if at.After(e.at.Add(2 * ClockBound)) {
 			continue
 		}
 		for n, t := range e.tables {
-			owner := t.Owner(name, k.region)
 			if t.Epoch == 0 {
 				if q.Witness = k.ownerAfter(e, n, name); q.Witness == "" {
 					return Inquiry{}, false
 				}
+				q = q.asking(q.Witness)
 				continue
 			}
-			if owner != "" && owner != k.self && !slices.Contains(q.Former, owner) {
-				q.Former = append(q.Former, owner)
+			if owner := t.Owner(name, k.region); owner != "" && owner != k.self && e.mayHaveBegun(owner, at) {
+				q = q.asking(owner)
 			}
 		}
 		q.Covers = e.at
@@ -63,6 +63,14 @@
 	return owner
 }
 
+// asking returns the inquiry with a member among those to be asked.
+func (q Inquiry) asking(member string) Inquiry {
+	if !slices.Contains(q.Former, member) {
+		q.Former = append(q.Former, member)
+	}
+	return q
+}
+
 // Cleared reports whether the statements of all former homes, by member,
 // exclude that the key was begun.
 func (q Inquiry) Cleared(key Key, statements map[string]Statement) bool {
--- a/internal/home/former_test.go
+++ b/internal/home/former_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -114,8 +115,16 @@
 	keys *home.Keys
 	seen int64
 	gone bool
+	// skew is how far the member's clock is ahead.
+	skew time.Duration
+	// departed members begin keys until they have lapsed.
+	departed bool
+	lapsed   time.Time
 }
 
+// stopped reports whether the member begins nothing any more.
+func (c *cell) stopped() bool { return c.gone || !c.lapsed.IsZero() }
+
 // cellModel is a set of members over a history of tables.
 type cellModel struct {
 	t      *rapid.T
@@ -137,6 +146,7 @@
 
 func (m *cellModel) join() {
 	c := &cell{id: fmt.Sprintf("m%d", len(m.cells))}
+	c.skew = time.Duration(rapid.SampledFrom([]int{-450, 0, 450}).Draw(m.t, "clock")) * time.Millisecond
 	c.keys = home.NewKeys(c.id, region)
 	c.seen = m.newest().Epoch
 	c.keys.Observe(m.newest())
@@ -144,8 +154,16 @@
 	m.tables = append(m.tables, m.newest().With(grant.Member{ID: c.id, Region: region}))
 }
 
-func (m *cellModel) leave(c *cell) {
-	c.gone = true
+// leave takes a member out of the table; unless it is gone at once, it goes on
+// until it lapses.
+func (m *cellModel) leave(c *cell, gone bool) {
+	if c.gone || c.departed {
+		return
+	}
+	c.gone, c.departed = gone, true
+	if gone {
+		c.lapsed = m.now
+	}
 	m.tables = append(m.tables, m.newest().Without(c.id))
 }
 
@@ -159,21 +177,28 @@
 	}
 }
 
-// settle settles a member if everybody alive keeps to the newest table that it has seen.
+// settle settles a member if everybody that begins keys keeps to the newest
+// table that it has seen. It may learn late of a lapse.
 func (m *cellModel) settle(c *cell) {
 	for _, o := range m.cells {
-		if !o.gone && o.seen < c.seen {
+		if !o.stopped() && o.seen < c.seen {
 			return
 		}
 	}
-	c.keys.Settle(m.now)
+	for _, o := range m.cells {
+		if o.stopped() {
+			late := rapid.Int64Range(0, int64(m.now.Sub(o.lapsed))).Draw(m.t, "late")
+			c.keys.Lapsed(o.id, o.lapsed.Add(time.Duration(late)+c.skew))
+		}
+	}
+	c.keys.Settle(m.now.Add(c.skew))
 }
 
 func (m *cellModel) begin(c *cell, key home.Key) {
-	if c.gone {
+	if c.stopped() {
 		return
 	}
-	v := c.keys.Begin(key, m.now)
+	v := c.keys.Begin(key, m.now.Add(c.skew))
 	if v.Kind == home.Run {
 		m.runs[key.Name()]++
 	}
@@ -182,8 +207,8 @@
 	}
 	statements := map[string]home.Statement{}
 	for _, o := range m.cells {
-		if !o.gone {
-			statements[o.id] = o.keys.State(key, m.now)
+		if !o.gone && slices.Contains(v.Inquiry.Former, o.id) {
+			statements[o.id] = o.keys.State(key, m.now.Add(o.skew))
 		}
 	}
 	if v.Inquiry.Cleared(key, statements) {
@@ -197,7 +222,7 @@
 	}
 	a := m.asked[0]
 	m.asked = m.asked[1:]
-	if !a.cell.gone && a.cell.keys.BeginCleared(a.key, a.inquiry, m.now).Kind == home.Run {
+	if !a.cell.stopped() && a.cell.keys.BeginCleared(a.key, a.inquiry, m.now.Add(a.cell.skew)).Kind == home.Run {
 		m.runs[a.key.Name()]++
 	}
 }
@@ -208,15 +233,22 @@
 		m := &cellModel{t: t, now: start, tables: []grant.Table{{}}, runs: map[string]int{}}
 		var issued []home.Key
 		member := func() *cell { return m.cells[rapid.IntRange(0, len(m.cells)-1).Draw(t, "member")] }
+		everywhere := func(key home.Key) {
+			for _, c := range m.cells {
+				m.begin(c, key)
+			}
+		}
 		m.join()
 		t.Repeat(map[string]func(*rapid.T){
 			"time": func(t *rapid.T) {
 				m.now = m.now.Add(time.Duration(rapid.IntRange(1, 1500).Draw(t, "ms")) * time.Millisecond)
 			},
-			"join": func(*rapid.T) { m.join() },
-			"leave": func(*rapid.T) {
-				if c := member(); !c.gone {
-					m.leave(c)
+			"join":   func(*rapid.T) { m.join() },
+			"leave":  func(*rapid.T) { m.leave(member(), true) },
+			"depart": func(*rapid.T) { m.leave(member(), false) },
+			"lapse": func(*rapid.T) {
+				if c := member(); c.departed && !c.stopped() {
+					c.lapsed = m.now
 				}
 			},
 			"observe": func(*rapid.T) { m.observe(member()) },
@@ -232,19 +264,22 @@
 				}
 			},
 			"key": func(t *rapid.T) {
-				skew := time.Duration(rapid.IntRange(-900, 900).Draw(t, "skew")) * time.Millisecond
+				skew := time.Duration(rapid.SampledFrom([]int{-1400, -500, 0, 500, 1400}).Draw(t, "skew")) * time.Millisecond
 				issued = append(issued, keyAt(m.now.Add(skew), len(issued)))
 			},
+			"later": func(*rapid.T) {
+				m.now = m.now.Add(2*home.ClockBound + time.Second)
+				issued = append(issued, keyAt(m.now, len(issued)))
+				everywhere(issued[len(issued)-1])
+			},
 			"begin": func(t *rapid.T) {
 				if len(issued) > 0 {
 					m.begin(member(), issued[rapid.IntRange(0, len(issued)-1).Draw(t, "key")])
 				}
 			},
 			"begin everywhere": func(*rapid.T) {
-				for _, c := range m.cells {
-					if len(issued) > 0 {
-						m.begin(c, issued[len(issued)-1])
-					}
+				if len(issued) > 0 {
+					everywhere(issued[len(issued)-1])
 				}
 			},
 			"use": func(*rapid.T) { m.useInquiry() },
--- a/internal/home/keys.go
+++ b/internal/home/keys.go
@@ -6,8 +6,9 @@
 // if it is the home in every table that it keeps to. After it became the home
 // it asks the earlier homes about keys that they may have begun: those whose
 // time, which a UUID of version 7 holds, is not after the take-over plus
-// ClockBound. If one of them is gone, the key is answered with unknown. Keys
-// without a time are to be journaled before they are run.
+// ClockBound. If one of them is gone, the key is answered with unknown. What a
+// member that has lapsed may have begun ends with its lapse, so that later keys
+// need no question. Keys without a time are to be journaled before they are run.
 //
 // # Usage
 //
@@ -21,6 +22,7 @@
 package home
 
 import (
+	"maps"
 	"time"
 
 	"github.com/oriolepond/oriolepond/internal/grant"
@@ -79,6 +81,8 @@
 	region string
 	// tables are kept to; the first is the last settled one.
 	tables []grant.Table
+	// lapsed are the members that begin no key any more, and since when.
+	lapsed map[string]time.Time
 	eras   []era
 	known  map[string]*entry
 	// order holds the keys as they were begun.
@@ -91,6 +95,17 @@
 type era struct {
 	tables []grant.Table
 	at     time.Time
+	// lapsed are the members that had lapsed at the end, and since when.
+	lapsed map[string]time.Time
+}
+
+// mayHaveBegun reports whether another member may have begun, in this era, a name with that time.
+func (e era) mayHaveBegun(owner string, at time.Time) bool {
+	until := e.at
+	if since, ok := e.lapsed[owner]; ok && since.Before(until) {
+		until = since
+	}
+	return !at.After(until.Add(2 * ClockBound))
 }
 
 type entry struct {
@@ -100,7 +115,13 @@
 
 // NewKeys returns the keys of a member that has seen no table.
 func NewKeys(self, region string) *Keys {
-	return &Keys{self: self, region: region, tables: []grant.Table{{}}, known: map[string]*entry{}}
+	return &Keys{
+		self:   self,
+		region: region,
+		tables: []grant.Table{{}},
+		lapsed: map[string]time.Time{},
+		known:  map[string]*entry{},
+	}
 }
 
 // Observe takes a newer table, to be kept to at once.
@@ -110,13 +131,25 @@
 	}
 }
 
-// Settle says that by now every member keeps to the newest table, or is gone.
+// Lapsed says that a member that has departed has begun no key since that time
+// and begins none any more.
+func (k *Keys) Lapsed(member string, since time.Time) {
+	if known, ok := k.lapsed[member]; !ok || since.Before(known) {
+		k.lapsed[member] = since
+	}
+}
+
+// Settled reports whether the newest table has been settled.
+func (k *Keys) Settled() bool { return len(k.tables) == 1 }
+
+// Settle says that by now every member keeps to the newest table, or has lapsed.
 func (k *Keys) Settle(now time.Time) {
-	if len(k.tables) == 1 {
+	if k.Settled() {
 		return
 	}
-	k.eras = append(k.eras, era{tables: k.tables, at: now})
+	k.eras = append(k.eras, era{tables: k.tables, at: now, lapsed: maps.Clone(k.lapsed)})
 	k.tables = []grant.Table{k.latest()}
+	maps.DeleteFunc(k.lapsed, func(member string, _ time.Time) bool { return !k.latest().HasDeparted(member) })
 	for len(k.eras) > 1 && k.eras[1].at.Before(now.Add(-Retention-2*ClockBound)) {
 		k.raise(k.eras[0].at)
 		k.eras = k.eras[1:]
@@ -151,7 +184,7 @@
 		return Verdict{Kind: Ahead}
 	case !at.After(now.Add(-Retention)), !at.After(k.floor):
 		return Verdict{Kind: Unknown}
-	case !at.After(k.takeover(name).Add(2 * ClockBound)):
+	case k.doubtful(name, at):
 		return k.doubt(name, at)
 	}
 	k.remember(name, now)
@@ -167,14 +200,16 @@
 	return Verdict{Kind: AskFormer, Inquiry: q}
 }
 
-// takeover returns the time since which this member has been the only home of a key.
-func (k *Keys) takeover(name string) time.Time {
-	for n := len(k.eras) - 1; n >= 0; n-- {
-		if !k.ownsAll(k.eras[n].tables, name) {
-			return k.eras[n].at
+// doubtful reports whether another member may have begun a key with that time.
+func (k *Keys) doubtful(name string, at time.Time) bool {
+	for n := len(k.eras) - 1; n >= 0 && !at.After(k.eras[n].at.Add(2*ClockBound)); n-- {
+		for _, t := range k.eras[n].tables {
+			if owner := t.Owner(name, k.region); owner != k.self && k.eras[n].mayHaveBegun(owner, at) {
+				return true
+			}
 		}
 	}
-	return k.floor
+	return false
 }
 
 func (k *Keys) ownsAll(tables []grant.Table, name string) bool {
--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"maps"
 	"time"
 
 	"github.com/oriolepond/oriolepond/internal/grant"
@@ -27,12 +28,17 @@
 	hold       lease.Hold
 	promiser   lease.Promiser
 	departures map[string]*lease.Departure
-	supports   map[string]map[string]bool
+	supports   map[string]map[string]Support
 	heard      map[string]int64
 	released   map[string]bool
-	registered map[string]bool
-	reachable  bool
-	joined     int64
+	// withdrawn are the departed members whose registration is gone for good.
+	withdrawn map[string]bool
+	// dependents are the departed members that left the table while this instance was in it.
+	dependents map[string]bool
+	// unregistered are departed members whose registration has been absent for good, and since when.
+	unregistered map[string]time.Time
+	reachable    bool
+	joined       int64
 	// own is the last report of the instance's own use.
 	own  grant.Report
 	busy bool
@@ -47,9 +53,13 @@
 		Keys:       home.NewKeys(self.ID, self.Region),
 		division:   grant.NewDivision(self.ID, self.Region),
 		departures: map[string]*lease.Departure{},
-		supports:   map[string]map[string]bool{},
+		supports:   map[string]map[string]Support{},
 		heard:      map[string]int64{},
 		released:   map[string]bool{},
+		withdrawn:  map[string]bool{},
+		dependents: map[string]bool{},
+
+		unregistered: map[string]time.Time{},
 	}
 }
 
@@ -91,6 +101,11 @@
 		c.joined = t.Epoch
 	}
 	c.prune(t)
+	for _, m := range t.Departed {
+		if _, noted := c.dependents[m.ID]; !noted {
+			c.dependents[m.ID] = t.Has(c.self.ID)
+		}
+	}
 	c.settle(now)
 	return true
 }
@@ -99,32 +114,42 @@
 func (c *Core) prune(t grant.Table) {
 	named := func(id string) bool { return t.Has(id) || t.HasDeparted(id) }
 	c.promiser.Keep(named)
-	for id := range c.departures {
-		if !named(id) {
-			delete(c.departures, id)
-			delete(c.supports, id)
-			delete(c.released, id)
-		}
-	}
-	for id := range c.heard {
-		if !named(id) {
-			delete(c.heard, id)
-		}
-	}
+	forget(c.departures, named)
+	forget(c.supports, named)
+	forget(c.released, named)
+	forget(c.withdrawn, named)
+	forget(c.dependents, named)
+	forget(c.heard, named)
+	forget(c.unregistered, named)
+}
+
+// forget removes the entries of members that are not named.
+func forget[V any](known map[string]V, named func(id string) bool) {
+	maps.DeleteFunc(known, func(id string, _ V) bool { return !named(id) })
 }
 
 // Renewed says that the store renewed the lease for ttl, by a call begun at asked.
 func (c *Core) Renewed(asked time.Time, ttl time.Duration) { c.hold.Renewed(asked, ttl) }
 
-// Registered takes the members whose registration is in the store.
-func (c *Core) Registered(members map[string]bool) { c.registered = members }
+// Registered takes the members whose registration was in the store together
+// with that table. A departed member that was not among them registers no more;
+// of one that departed later, that is not known.
+func (c *Core) Registered(members map[string]bool, t grant.Table) {
+	for _, m := range t.Departed {
+		c.withdrawn[m.ID] = !members[m.ID]
+	}
+}
+
+// Unregistered says that the registration of a member has been absent since
+// that time, until a table named it as departed, and so for good.
+func (c *Core) Unregistered(member string, since time.Time) { c.unregistered[member] = since }
 
 // CutAt returns the time at which every request must have ended here that was
 // begun under a part: a peer may take the part over soon after. It moves on
 // while the store's lease is renewed or a peer's promise is open.
 func (c *Core) CutAt(now time.Time) time.Time {
 	until, unbounded := c.hold.Until(c.Peers())
-	if unbounded {
+	if unbounded && c.Table().Has(c.self.ID) {
 		until = now
 	}
 	return until.Add(lease.Shorter(c.Longest))
@@ -150,9 +175,9 @@
 	c.heard[s.ID] = max(c.heard[s.ID], s.Report.Epoch)
 	for _, each := range s.Supports {
 		if c.supports[each.Holder] == nil {
-			c.supports[each.Holder] = map[string]bool{}
+			c.supports[each.Holder] = map[string]Support{}
 		}
-		c.supports[each.Holder][s.ID] = each.Known
+		c.supports[each.Holder][s.ID] = each
 	}
 	if s.Released && c.Table().HasDeparted(s.ID) {
 		c.released[s.ID] = true
@@ -215,8 +240,11 @@
 	if !listed[idOf(c.self.ID)] {
 		return
 	}
-	for _, m := range c.Table().Departed {
-		c.departure(m.ID).Missing(!listed[idOf(m.ID)], now)
+	t := c.Table()
+	for _, members := range [][]grant.Member{t.Members, t.Departed} {
+		for _, m := range members {
+			c.departure(m.ID).Missing(!listed[idOf(m.ID)], now)
+		}
 	}
 }
 
@@ -229,12 +257,14 @@
 	return d
 }
 
-// Tick judges which departed members are surely gone.
+// Tick judges which departed members begin nothing any more, and which are surely gone.
 func (c *Core) Tick(now time.Time) {
 	longest := max(c.Longest, PromiseTime)
 	for _, m := range c.Table().Departed {
 		d := c.departure(m.ID)
-		d.Supported(c.supported(m, now), now)
+		all, unpromised := c.supported(m, now)
+		d.Supported(all, now)
+		c.lapse(m.ID, d, unpromised)
 		if d.Gone(now, longest, c.ListLag) {
 			c.division.Gone(m.ID)
 		}
@@ -242,32 +272,61 @@
 	c.settle(now)
 }
 
+// lapse tells division and keys of a departed member that has lapsed. One that
+// no peer ever promised anything lapsed with its registration.
+func (c *Core) lapse(id string, d *lease.Departure, unpromised bool) {
+	since, lapsed := d.Lapsed(c.ListLag)
+	if !lapsed {
+		return
+	}
+	if absent, known := c.unregistered[id]; known && unpromised && absent.Before(since) {
+		since = absent
+	}
+	c.division.Lapsed(id)
+	c.Keys.Lapsed(id, since)
+}
+
 // supported reports whether a departed member's registration has lapsed, every
 // entry of its region supports that it is taken over, and at least one of them
-// is an instance on which it depended.
-func (c *Core) supported(departed grant.Member, now time.Time) bool {
-	if c.registered[departed.ID] {
-		return false
+// is an instance on which it depended; and whether no entry ever promised it
+// anything.
+func (c *Core) supported(departed grant.Member, now time.Time) (all, unpromised bool) {
+	if !c.withdrawn[departed.ID] {
+		return false, false
 	}
-	known := false
+	known, unpromised := false, true
 	for _, m := range c.Table().Entries(departed.Region) {
-		if m.ID == departed.ID || c.division.IsGone(m.ID) {
+		if m.ID == departed.ID {
 			continue
 		}
-		depended, ok := c.supports[departed.ID][m.ID]
+		if c.division.IsGone(m.ID) {
+			unpromised = false
+			continue
+		}
+		s, ok := c.supports[departed.ID][m.ID]
 		if m.ID == c.self.ID {
-			ok, depended = c.promiser.Support(departed.ID, now), c.knownTo(departed.ID)
+			s, ok = c.support(departed.ID, now)
 		}
 		if !ok {
-			return false
+			return false, false
 		}
-		known = known || depended
+		known = known || s.Known
+		unpromised = unpromised && s.Unpromised
 	}
-	return known
+	return known, known && unpromised
 }
 
-// knownTo reports whether a member has seen a table that names this instance.
-func (c *Core) knownTo(id string) bool { return c.joined > 0 && c.heard[id] >= c.joined }
+// support returns this instance's support of a take-over, and whether it gives it.
+func (c *Core) support(holder string, now time.Time) (Support, bool) {
+	ok := c.promiser.Support(holder, now)
+	return Support{Holder: holder, Known: c.knownTo(holder), Unpromised: c.promiser.Unpromised(holder)}, ok
+}
+
+// knownTo reports whether a departed member surely depended on this instance:
+// it saw a table that names this instance as a member, and left before this one.
+func (c *Core) knownTo(id string) bool {
+	return c.joined > 0 && c.heard[id] >= c.joined && c.dependents[id]
+}
 
 // Forgettable returns the departed members that hold nothing any more.
 func (c *Core) Forgettable() []string {
@@ -285,8 +344,11 @@
 	t := c.Table()
 	s := Status{ID: c.self.ID, Report: c.own}
 	for _, m := range t.Departed {
-		if m.ID != c.self.ID && m.Region == c.self.Region && c.promiser.Support(m.ID, now) {
-			s.Supports = append(s.Supports, Support{Holder: m.ID, Known: c.knownTo(m.ID)})
+		if m.ID == c.self.ID || m.Region != c.self.Region {
+			continue
+		}
+		if support, ok := c.support(m.ID, now); ok {
+			s.Supports = append(s.Supports, support)
 		}
 	}
 	s.Released = t.HasDeparted(c.self.ID) && c.Idle(now)
@@ -296,9 +358,9 @@
 // Idle reports whether the instance has nothing in flight and no promise open.
 func (c *Core) Idle(now time.Time) bool { return !c.busy && !c.promiser.Open(now) }
 
-// settle tells the keys when the newest table has been settled.
+// settle tells the keys when the newest table has been settled for what is begun.
 func (c *Core) settle(now time.Time) {
-	if c.division.Settled() {
+	if !c.Keys.Settled() && c.division.KeysSettled() {
 		c.Keys.Settle(now)
 	}
 }
--- a/internal/membership/core_test.go
+++ b/internal/membership/core_test.go
@@ -47,6 +47,7 @@
 				}
 			},
 			"key":    func(*rapid.T) { w.begin(w.pick("by")) },
+			"keys":   func(*rapid.T) { w.beginEverywhere() },
 			"list":   func(*rapid.T) { w.list(w.pick("reader")) },
 			"outage": func(*rapid.T) { w.down = !w.down },
 			"cut": func(*rapid.T) {
@@ -65,6 +66,7 @@
 					w.cling()
 					round()
 					w.fill()
+					w.beginEverywhere()
 					w.check()
 				}
 			},
--- a/internal/membership/keeper.go
+++ b/internal/membership/keeper.go
@@ -57,8 +57,10 @@
 	core     *Core
 	registry *registry
 	// stale is set while the view lacks a change of the registry.
-	stale   bool
-	absent  map[string]time.Time
+	stale  bool
+	absent map[string]time.Time
+	// reached is since when the store has been reached without a failed call.
+	reached time.Time
 	held    bool
 	applied int
 	wake    *time.Timer
--- a/internal/membership/keeper_test.go
+++ b/internal/membership/keeper_test.go
@@ -32,6 +32,7 @@
 type fleet struct {
 	t       testing.TB
 	ttl     time.Duration
+	longest time.Duration
 	store   *standin.Store
 	url     string
 	mu      sync.Mutex
@@ -45,6 +46,7 @@
 type member struct {
 	keeper *membership.Keeper
 	cut    atomic.Bool
+	cuts   atomic.Int64
 	stop   context.CancelFunc
 	done   chan struct{}
 
@@ -56,7 +58,7 @@
 
 func newFleet(t testing.TB) *fleet {
 	t.Helper()
-	f := &fleet{t: t, ttl: testTTL, store: standin.NewStore(), members: map[string]*member{}}
+	f := &fleet{t: t, ttl: testTTL, longest: heldLong, store: standin.NewStore(), members: map[string]*member{}}
 	server := httptest.NewServer(f.store)
 	t.Cleanup(server.Close)
 	f.url = server.URL
@@ -123,8 +125,9 @@
 		Self:    membership.Peer{ID: id, Region: region},
 		TTL:     f.ttl,
 		Log:     eventlog.Discard(),
-		Longest: func() time.Duration { return heldLong },
+		Longest: func() time.Duration { return f.longest },
 		Apply:   m.apply,
+		Cut:     func() { m.cuts.Add(1) },
 		Promise: func(_ context.Context, p membership.Peer, name string) (string, bool) {
 			if to := f.all()[p.ID]; to != nil {
 				return to.keeper.Promises(name)
--- a/internal/membership/mend.go
+++ b/internal/membership/mend.go
@@ -58,13 +58,7 @@
 		k.absent = map[string]time.Time{}
 	}
 	var overdue []string
-	rank := 0
-	for n, m := range k.registry.table.Members {
-		if m.ID == k.core.Self().ID {
-			rank = n
-		}
-	}
-	grace := k.TTL/2 + time.Duration(rank)*mendInterval
+	grace := k.grace(now)
 	for _, m := range k.registry.table.Members {
 		if _, ok := k.registry.peers[m.ID]; ok || m.ID == k.core.Self().ID {
 			delete(k.absent, m.ID)
@@ -80,6 +74,29 @@
 	return overdue
 }
 
+// graceDivisor divides the lease into the time in which a member whose
+// registration has lapsed registers anew, where the store works.
+const graceDivisor = 4
+
+// grace returns how long a registration has to be gone before this instance
+// takes its member out of the table; k.mu is held. After an outage, leases
+// lapse of members that are well. Members take turns in the table's order.
+func (k *Keeper) grace(now time.Time) time.Duration {
+	grace := k.TTL / 2
+	if !k.reached.IsZero() && now.Sub(k.reached) >= k.TTL {
+		grace = k.TTL / graceDivisor
+	}
+	for _, m := range k.registry.table.Members {
+		if m.ID == k.core.Self().ID {
+			break
+		}
+		if _, ok := k.registry.peers[m.ID]; ok {
+			grace += mendInterval
+		}
+	}
+	return grace
+}
+
 // commit writes a table. A lost answer needs no care: the table's revision
 // lets the write take effect at most once, and the registry shows whether it did.
 func (k *Keeper) commit(ctx context.Context, next grant.Table, t store.Txn) error {
--- a/internal/membership/status.go
+++ b/internal/membership/status.go
@@ -8,6 +8,8 @@
 	Holder string
 	// Known says that the departed member knew the supporter, and so depended on it.
 	Known bool
+	// Unpromised says that the supporter never promised the departed member anything.
+	Unpromised bool
 }
 
 // Status is what an instance tells its peers of itself.
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -95,9 +95,10 @@
 	}
 	k.renew(ctx)
 	k.mu.Lock()
-	next := k.registry.next
+	next, absent := k.registry.next, newAbsence(k.registry, time.Now())
 	k.mu.Unlock()
 	return k.Store.Watch(ctx, Prefix, next, func(u store.Update) {
+		gone := absent.apply(u, time.Now())
 		k.mu.Lock()
 		changed, err := k.registry.apply(u)
 		k.stale = k.stale || changed
@@ -105,8 +106,8 @@
 		if err != nil {
 			k.Log.Emit(eventlog.MembershipUnreadable, zap.Error(err))
 		}
-		if changed {
-			k.observe()
+		if changed || len(gone) > 0 {
+			k.observe(gone)
 		}
 	})
 }
@@ -126,15 +127,22 @@
 		k.registry, k.stale = r, true
 	}
 	k.mu.Unlock()
-	k.observe()
+	k.observe(nil)
 	return nil
 }
 
-// observe takes the registry's table.
-func (k *Keeper) observe() {
+// observe takes the registry's table, and the members whose registration has
+// been absent for good.
+func (k *Keeper) observe(gone map[string]time.Time) {
 	k.change(false, func(c *Core, now time.Time) {
 		c.SetReachable(true)
-		c.Registered(k.registry.names())
+		if k.reached.IsZero() {
+			k.reached = now
+		}
+		c.Registered(k.registry.names(), k.registry.table)
+		for member, since := range gone {
+			c.Unregistered(member, since)
+		}
 		c.Observe(k.registry.table, now)
 		c.Tick(now)
 	})
@@ -146,7 +154,7 @@
 	k.change(false, func(c *Core, _ time.Time) {
 		news = c.Reachable()
 		c.SetReachable(false)
-		k.absent = nil
+		k.absent, k.reached = nil, time.Time{}
 	})
 	if news {
 		k.Log.Emit(eventlog.StoreUnavailable, zap.Error(err))
@@ -213,18 +221,21 @@
 
 // enter writes the member's key, and the table if it does not name the member yet.
 func (k *Keeper) enter(ctx context.Context, id store.LeaseID) (bool, error) {
-	next, revision, changed := k.joined()
+	entry := k.joined()
+	if entry.renamed {
+		k.cutFormer()
+	}
 	self := k.self()
 	value, err := encodePeer(self)
 	if err != nil {
 		return false, err
 	}
 	t := store.Txn{
-		If:   []store.Condition{{Key: TableKey, Revision: revision}},
+		If:   []store.Condition{{Key: TableKey, Revision: entry.revision}},
 		Then: []store.Op{store.Put(MemberPrefix+self.Member, value).WithLease(id)},
 	}
-	if changed {
-		table, err := grant.Encode(next)
+	if entry.changed {
+		table, err := grant.Encode(entry.next)
 		if err != nil {
 			return false, err
 		}
@@ -234,24 +245,46 @@
 	return result.Done, err
 }
 
-// joined returns the table with this instance in it, and the revision that it follows.
-func (k *Keeper) joined() (next grant.Table, revision int64, changed bool) {
+// entry is how an instance enters the table.
+type entry struct {
+	// next is the table with the instance in it, and revision that of the table before.
+	next     grant.Table
+	revision int64
+	// changed says that the table before does not name the instance.
+	changed bool
+	// renamed says that the instance enters under another name than before.
+	renamed bool
+}
+
+// joined returns how this instance enters the table.
+func (k *Keeper) joined() entry {
 	k.turn.Lock()
 	defer k.turn.Unlock()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	c := k.coreLocked()
-	next = k.registry.table
-	if next.Has(c.Self().ID) {
-		return next, k.registry.revision, false
+	e := entry{next: k.registry.table, revision: k.registry.revision}
+	if e.next.Has(c.Self().ID) {
+		return e
 	}
 	if c.Parted() {
-		next = next.Forget(c.Self().ID)
+		e.next = e.next.Forget(c.Self().ID)
 		k.core = c.Renamed(k.newMember().ID)
 		k.core.Observe(k.registry.table, time.Now())
 		k.applied = -1
+		e.renamed = true
+	}
+	e.next, e.changed = e.next.With(k.core.Self()), true
+	return e
+}
+
+// cutFormer ends the streams that were begun under a former name: others may
+// judge that name gone without hearing of the present one.
+func (k *Keeper) cutFormer() {
+	if k.Cut != nil {
+		k.Log.Emit(eventlog.RequestsCut)
+		k.Cut()
 	}
-	return next.With(k.core.Self()), k.registry.revision, true
 }
 
 func (k *Keeper) newMember() grant.Member {
--- a/internal/membership/world_test.go
+++ b/internal/membership/world_test.go
@@ -25,16 +25,20 @@
 // world drives cores under virtual time against a store, and counts what
 // targets see.
 type world struct {
-	t       *rapid.T
-	now     time.Time
-	down    bool
-	table   grant.Table
-	leases  map[string]time.Time
-	nodes   []*node
-	flights []flight
-	begun   map[string]string
-	keys    []string
-	names   int
+	t      *rapid.T
+	now    time.Time
+	down   bool
+	table  grant.Table
+	leases map[string]time.Time
+	// absent are the members that were taken out of the table, and since when
+	// their registration had lapsed then, or something was last forgotten.
+	absent    map[string]time.Time
+	forgotten time.Time
+	nodes     []*node
+	flights   []flight
+	begun     map[string]string
+	keys      []string
+	names     int
 }
 
 // node is one instance; its clock runs at its own rate.
@@ -60,13 +64,19 @@
 var simTargets = []string{"t-1", "t-2", "t-3"}
 
 func newWorld(t *rapid.T) *world {
-	return &world{t: t, now: time.Unix(1_800_000_000, 0), leases: map[string]time.Time{}, begun: map[string]string{}}
+	return &world{
+		t: t, now: time.Unix(1_800_000_000, 0), leases: map[string]time.Time{}, begun: map[string]string{},
+		absent: map[string]time.Time{},
+	}
 }
 
 // clock returns what the node's clock shows.
-func (w *world) clock(n *node) time.Time {
+func (w *world) clock(n *node) time.Time { return w.clockAt(n, w.now) }
+
+// clockAt returns what the node's clock showed at that time.
+func (w *world) clockAt(n *node, at time.Time) time.Time {
 	base := time.Unix(1_800_000_000, 0)
-	return base.Add(time.Duration(float64(w.now.Sub(base)) * n.rate)).Add(n.skew)
+	return base.Add(time.Duration(float64(at.Sub(base)) * n.rate)).Add(n.skew)
 }
 
 func (w *world) reaches(n *node) bool { return !w.down && !n.cut }
@@ -123,7 +133,8 @@
 	w.mend(n)
 }
 
-// join enters the table, under a new name if the former one has departed.
+// join enters the table, under a new name if the former one has departed; the
+// streams of the former one are cut.
 func (w *world) join(n *node) {
 	self := n.core.Self()
 	next := w.table
@@ -131,6 +142,8 @@
 		w.names++
 		n.core = n.core.Renamed(fmt.Sprintf("%s~%d", baseOf(self.ID), w.names))
 		next = next.Forget(self.ID)
+		w.forgotten = w.now
+		w.flights = slices.DeleteFunc(w.flights, func(f flight) bool { return f.by == n && f.stream })
 	}
 	w.table = next.With(n.core.Self())
 }
@@ -140,11 +153,16 @@
 	for _, m := range w.table.Members {
 		if !w.lives(m.ID) {
 			w.table = w.table.Without(m.ID)
+			w.absent[m.ID] = w.leases[m.ID]
+			if w.forgotten.After(w.absent[m.ID]) {
+				w.absent[m.ID] = w.forgotten
+			}
 			break
 		}
 	}
 	if ids := n.core.Forgettable(); len(ids) > 0 && n.core.Table().Epoch == w.table.Epoch {
 		w.table = w.table.Forget(ids...)
+		w.forgotten = w.now
 	}
 	w.observe(n, w.table)
 }
@@ -155,7 +173,12 @@
 		for id := range w.leases {
 			registered[id] = w.lives(id)
 		}
-		n.core.Registered(registered)
+		n.core.Registered(registered, w.table)
+		for id, since := range w.absent {
+			if w.table.HasDeparted(id) {
+				n.core.Unregistered(id, w.clockAt(n, since))
+			}
+		}
 	}
 	n.core.Observe(t, w.clock(n))
 	w.own(n)
@@ -257,7 +280,19 @@
 	if len(w.keys) == 0 || rapid.Bool().Draw(w.t, "new") {
 		w.keys = append(w.keys, w.newKey())
 	}
-	key := w.keys[len(w.keys)-1-rapid.IntRange(0, min(len(w.keys)-1, 4)).Draw(w.t, "key")]
+	w.beginKey(n, w.keys[len(w.keys)-1-rapid.IntRange(0, min(len(w.keys)-1, 4)).Draw(w.t, "key")])
+}
+
+// beginEverywhere sends one new key to all nodes, one after the other.
+func (w *world) beginEverywhere() {
+	w.keys = append(w.keys, w.newKey())
+	for _, n := range rapid.Permutation(w.alive()).Draw(w.t, "order") {
+		w.beginKey(n, w.keys[len(w.keys)-1])
+	}
+}
+
+// beginKey sends a key to a node, which may have run nowhere before if it runs there.
+func (w *world) beginKey(n *node, key string) {
 	if !n.core.Held(w.clock(n)) || w.verdict(n, home.Key{Value: key}) != home.Run {
 		return
 	}
--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -219,7 +219,9 @@
 		m.Idle[service] = int32(n)
 	}
 	for _, s := range r.Status.Supports {
-		m.Supports = append(m.Supports, &slotpb.Support{Holder: s.Holder, Known: s.Known})
+		m.Supports = append(m.Supports, &slotpb.Support{
+			Holder: s.Holder, Known: s.Known, Unpromised: s.Unpromised,
+		})
 	}
 	return m
 }
@@ -238,7 +240,9 @@
 		r.Idle[service] = int(n)
 	}
 	for _, s := range m.Supports {
-		r.Status.Supports = append(r.Status.Supports, membership.Support{Holder: s.Holder, Known: s.Known})
+		r.Status.Supports = append(r.Status.Supports, membership.Support{
+			Holder: s.Holder, Known: s.Known, Unpromised: s.Unpromised,
+		})
 	}
 	return r
 }
