Reports between instances tell changes, and are bounded in sum

Cause: each report held all of the status, was acknowledged at once, and drew four pings of the library; heartbeats and reports of idle slots went to each peer at a fixed rate, so that a node's bytes grew with the fleet.

Change: after the first report of a stream only changed idle slots are sent, unless the status changed. Acknowledgements are at least 0.9 s apart. Windows of connections are fixed, which spares the pings. peer.Fleet gives the pace: 25 heartbeats and 24 changes of idle slots a second in all, silence after three heartbeats.

Ruled out: see docs/DESIGN.md, "Traffic".

Tests: TestReportsOfChanges, TestPaceIsBounded.

--- a/internal/entry/load_test.go
+++ b/internal/entry/load_test.go
@@ -127,7 +127,9 @@
 		d := &entry.Dispatcher{Targets: table, Exchange: &exchange.Pool{Dial: dial}, QueuedPerTarget: 16}
 		d.IdlePeer = f.idlePeer(k)
 		f.dispatchers = append(f.dispatchers, d)
-		f.directories = append(f.directories, &peer.Directory{Silence: time.Hour})
+		f.directories = append(f.directories, &peer.Directory{
+			Silence: func(bool) time.Duration { return time.Hour },
+		})
 	}
 	return f
 }
--- a/internal/peer/directory.go
+++ b/internal/peer/directory.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"maps"
 	"sync"
 	"time"
 )
@@ -8,9 +9,8 @@
 // Directory knows which peers have free slots. A peer that is silent for too
 // long is not used.
 type Directory struct {
-	// Silence bounds that of peers of this region, RemoteSilence that of others.
-	Silence       time.Duration
-	RemoteSilence time.Duration
+	// Silence returns how long a peer may be silent; remote ones stand in another region.
+	Silence func(remote bool) time.Duration
 
 	mu    sync.Mutex
 	peers map[string]*known
@@ -30,7 +30,7 @@
 	if d.peers == nil {
 		d.peers = map[string]*known{}
 	}
-	d.peers[id] = &known{remote: remote, heard: now, idle: r.Idle, epoch: r.Status.Report.Epoch}
+	d.peers[id] = &known{remote: remote, heard: now, idle: maps.Clone(r.Idle), epoch: r.Status.Report.Epoch}
 }
 
 // Keep forgets the peers that keep refuses.
@@ -101,8 +101,5 @@
 }
 
 func (d *Directory) fresh(p *known, now time.Time) bool {
-	if p.remote {
-		return now.Sub(p.heard) < d.RemoteSilence
-	}
-	return now.Sub(p.heard) < d.Silence
+	return now.Sub(p.heard) < d.Silence(p.remote)
 }
--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -8,7 +8,6 @@
 
 	"google.golang.org/grpc"
 
-	"github.com/oriolepond/oriolepond/internal/grant"
 	"github.com/oriolepond/oriolepond/internal/membership"
 	"github.com/oriolepond/oriolepond/internal/peer/slotpb"
 )
@@ -40,16 +39,26 @@
 	slots *Slots
 }
 
+// ackInterval is the shortest time between two acknowledgements of reports. It
+// is shorter than the silence that a reporter bears, also with a heartbeat more.
+const ackInterval = 900 * time.Millisecond
+
 // Report takes reports until the peer ends them.
 func (s *slotsServer) Report(stream grpc.BidiStreamingServer[slotpb.Status, slotpb.ReportReply]) error {
+	var last Report
+	var acknowledged time.Time
 	for {
 		m, err := stream.Recv()
 		if err != nil {
 			return err
 		}
-		s.slots.Heard(decodeReport(m))
-		if err := stream.Send(&slotpb.ReportReply{}); err != nil {
-			return err
+		last = last.next(m)
+		s.slots.Heard(last)
+		if now := time.Now(); now.Sub(acknowledged) >= ackInterval {
+			acknowledged = now
+			if err := stream.Send(&slotpb.ReportReply{}); err != nil {
+				return err
+			}
 		}
 	}
 }
@@ -69,22 +78,13 @@
 	return reply.Member, reply.Promised
 }
 
-// Pace bounds how often reports are sent to one peer.
-type Pace struct {
-	// Interval is the shortest time between two reports.
-	Interval time.Duration
-	// Heartbeat is the longest time between two reports.
-	Heartbeat time.Duration
-	// PerSecond bounds the reports that only change idle slots.
-	PerSecond float64
-}
-
 // Reporter sends reports to one peer.
 type Reporter struct {
 	// Conn returns the connection to the peer, and Drop ends it if it is silent.
 	Conn func() (*grpc.ClientConn, error)
 	Drop func()
-	Pace Pace
+	// Pace returns how often reports are sent now.
+	Pace func() Pace
 	// Next returns what to send now.
 	Next func() Report
 }
@@ -115,7 +115,7 @@
 	if err != nil {
 		return err
 	}
-	silence := time.AfterFunc(ackTimeout+r.Pace.Heartbeat, func() {
+	silence := time.AfterFunc(ackTimeout+r.Pace().Heartbeat, func() {
 		r.Drop()
 		cancel()
 	})
@@ -130,7 +130,7 @@
 			if _, err := call.Recv(); err != nil {
 				return
 			}
-			silence.Reset(ackTimeout + r.Pace.Heartbeat)
+			silence.Reset(ackTimeout + r.Pace().Heartbeat)
 		}
 	}()
 	return r.send(ctx, call)
@@ -138,12 +138,13 @@
 
 // send sends reports until the call breaks.
 func (r *Reporter) send(ctx context.Context, call grpc.BidiStreamingClient[slotpb.Status, slotpb.ReportReply]) error {
-	ticker := time.NewTicker(r.Pace.Interval)
+	ticker := time.NewTicker(r.Pace().Interval)
 	defer ticker.Stop()
-	gate := newGate(r.Pace, time.Now())
+	gate := newGate(r.Pace(), time.Now())
 	for {
-		if next := r.Next(); gate.pass(next, time.Now()) {
-			if err := call.Send(encodeReport(next)); err != nil {
+		last, next := gate.last, r.Next()
+		if gate.pass(next, r.Pace(), time.Now()) {
+			if err := call.Send(encodeChange(last, next)); err != nil {
 				return err
 			}
 		}
@@ -157,7 +158,6 @@
 
 // gate decides which reports are worth sending.
 type gate struct {
-	pace   Pace
 	last   Report
 	sent   time.Time
 	tokens float64
@@ -165,15 +165,15 @@
 }
 
 func newGate(p Pace, now time.Time) *gate {
-	return &gate{pace: p, tokens: p.PerSecond, filled: now}
+	return &gate{tokens: p.PerSecond, filled: now}
 }
 
 // pass reports whether a report is to be sent now, and if so notes it as sent.
-func (g *gate) pass(next Report, now time.Time) bool {
-	g.tokens = min(g.pace.PerSecond, g.tokens+g.pace.PerSecond*now.Sub(g.filled).Seconds())
+func (g *gate) pass(next Report, p Pace, now time.Time) bool {
+	g.tokens = min(max(p.PerSecond, 1), g.tokens+p.PerSecond*now.Sub(g.filled).Seconds())
 	g.filled = now
 	switch {
-	case g.sent.IsZero(), now.Sub(g.sent) >= g.pace.Heartbeat, !sameStatus(g.last, next):
+	case g.sent.IsZero(), now.Sub(g.sent) >= p.Heartbeat, !sameStatus(g.last, next):
 	case idleDiffers(g.last.Idle, next.Idle) && g.tokens >= 1:
 		g.tokens--
 	default:
@@ -206,47 +206,6 @@
 	return false
 }
 
-func encodeReport(r Report) *slotpb.Status {
-	m := &slotpb.Status{
-		Member:   r.Status.ID,
-		Epoch:    r.Status.Report.Epoch,
-		Over:     r.Status.Report.Over,
-		Released: r.Status.Released,
-		Idle:     make(map[string]int32, len(r.Idle)),
-		Table:    r.Table,
-	}
-	for service, n := range r.Idle {
-		m.Idle[service] = int32(n)
-	}
-	for _, s := range r.Status.Supports {
-		m.Supports = append(m.Supports, &slotpb.Support{
-			Holder: s.Holder, Known: s.Known, Unpromised: s.Unpromised,
-		})
-	}
-	return m
-}
-
-func decodeReport(m *slotpb.Status) Report {
-	r := Report{
-		Status: membership.Status{
-			ID:       m.Member,
-			Report:   grant.Report{Epoch: m.Epoch, Over: m.Over},
-			Released: m.Released,
-		},
-		Idle:  make(map[string]int, len(m.Idle)),
-		Table: m.Table,
-	}
-	for service, n := range m.Idle {
-		r.Idle[service] = int(n)
-	}
-	for _, s := range m.Supports {
-		r.Status.Supports = append(r.Status.Supports, membership.Support{
-			Holder: s.Holder, Known: s.Known, Unpromised: s.Unpromised,
-		})
-	}
-	return r
-}
-
 // Group runs one Reporter for each of a changing set of peers.
 type Group struct {
 	// Start runs the reporter of a peer until the context ends.
--- a/internal/peer/exchange_test.go
+++ b/internal/peer/exchange_test.go
@@ -9,7 +9,6 @@
 
 	"github.com/stretchr/testify/require"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
 
 	"github.com/oriolepond/oriolepond/internal/grant"
 	"github.com/oriolepond/oriolepond/internal/membership"
@@ -53,28 +52,30 @@
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	l := &countingListener{Listener: inner}
-	server := grpc.NewServer()
+	server := grpc.NewServer(peer.ServerOptions()...)
 	peer.RegisterSlots(server, &peer.Slots{
 		Heard:   heard,
 		Promise: func(member string) (string, bool) { return "entry-2~x", member == "entry-1~x" },
 	})
 	go func() { _ = server.Serve(l) }()
 	t.Cleanup(server.Stop)
-	conn, err := grpc.NewClient("passthrough:///"+inner.Addr().String(),
-		grpc.WithTransportCredentials(insecure.NewCredentials()))
+	pool := &peer.Pool{}
+	t.Cleanup(pool.Close)
+	conn, err := pool.Conn(inner.Addr().String())
 	require.NoError(t, err)
-	t.Cleanup(func() { _ = conn.Close() })
 	return l, conn
 }
 
+var testPace = peer.Pace{Interval: 50 * time.Millisecond, Heartbeat: 500 * time.Millisecond, PerSecond: 8}
+
 // report starts a reporter that ends with the test.
-func report(t testing.TB, conn *grpc.ClientConn, next func() peer.Report) {
+func report(t testing.TB, conn *grpc.ClientConn, pace peer.Pace, next func() peer.Report) {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	r := &peer.Reporter{
 		Conn: func() (*grpc.ClientConn, error) { return conn, nil },
 		Drop: func() {},
-		Pace: peer.Pace{Interval: 50 * time.Millisecond, Heartbeat: 500 * time.Millisecond, PerSecond: 8},
+		Pace: func() peer.Pace { return pace },
 		Next: next,
 	}
 	go func() {
@@ -101,7 +102,7 @@
 	}
 	heard := make(chan peer.Report, 100)
 	_, conn := serve(t, func(r peer.Report) { heard <- r })
-	report(t, conn, func() peer.Report { return sent })
+	report(t, conn, testPace, func() peer.Report { return sent })
 	select {
 	case got := <-heard:
 		require.Equal(t, sent, got)
@@ -142,7 +143,9 @@
 			default:
 			}
 		},
-		Pace: peer.Pace{Interval: 10 * time.Millisecond, Heartbeat: 50 * time.Millisecond, PerSecond: 8},
+		Pace: func() peer.Pace {
+			return peer.Pace{Interval: 10 * time.Millisecond, Heartbeat: 50 * time.Millisecond, PerSecond: 8}
+		},
 		Next: func() peer.Report { return peer.Report{} },
 	}
 	go func() {
@@ -165,7 +168,12 @@
 
 // A silent peer gets no requests; a slot that was given away is not given twice.
 func TestDirectory(t *testing.T) {
-	d := &peer.Directory{Silence: time.Second, RemoteSilence: time.Minute}
+	d := &peer.Directory{Silence: func(remote bool) time.Duration {
+		if remote {
+			return time.Minute
+		}
+		return time.Second
+	}}
 	now := time.Now()
 	d.Hear("near", false, peer.Report{Idle: map[string]int{"finish": 1}}, now)
 	d.Hear("far", true, peer.Report{Idle: map[string]int{"finish": 9}}, now)
@@ -192,34 +200,44 @@
 	require.False(t, ok, "it is silent")
 }
 
-// Bytes a second of reports to one peer of the region, with their
-// acknowledgements, without the headers of TCP and IP.
-func BenchmarkReportBytes(b *testing.B) {
-	cases := []struct {
-		name string
-		idle func(n int) int
-	}{
-		{"at rest", func(int) int { return 40 }},
-		{"idle slots change all the time", func(n int) int { return n % 2 * 40 }},
+// What is told of changes adds up to the whole report, and little is sent
+// while nothing changes.
+func TestReportsOfChanges(t *testing.T) {
+	full := peer.Report{
+		Status: membership.Status{ID: "entry-1~x", Report: grant.Report{Epoch: 7, Over: []string{"runner-3"}}},
+		Idle:   map[string]int{"finish": 3, "desk": 5},
 	}
-	const length = 10 * time.Second
-	for _, c := range cases {
-		b.Run(c.name, func(b *testing.B) {
-			for b.Loop() {
-				l, conn := serve(b, func(peer.Report) {})
-				n := 0
-				report(b, conn, func() peer.Report {
-					n++
-					return peer.Report{
-						Status: membership.Status{ID: "entry-1~0a1b2c3d", Report: grant.Report{Epoch: 17}},
-						Idle:   map[string]int{"finish": c.idle(n), "gloss": 12, "flatness": 7, "edge": 3},
-					}
-				})
-				<-time.After(length / 10)
-				before := l.bytes.Load()
-				<-time.After(length)
-				b.ReportMetric(float64(l.bytes.Load()-before)/length.Seconds(), "B/s")
-			}
-		})
+	changed := full
+	changed.Idle = map[string]int{"finish": 0, "desk": 5}
+	withdrawn := full
+	withdrawn.Idle = map[string]int{"desk": 5}
+	settled := full
+	settled.Status.Report = grant.Report{Epoch: 8}
+	steps := []peer.Report{full, full, changed, full, withdrawn, settled, changed}
+	heard := make(chan peer.Report)
+	_, conn := serve(t, func(r peer.Report) { heard <- r })
+	n := -1
+	report(t, conn, peer.Pace{Interval: time.Millisecond, PerSecond: 1}, func() peer.Report {
+		n = min(n+1, len(steps)-1)
+		return steps[n]
+	})
+	for _, want := range steps {
+		select {
+		case got := <-heard:
+			require.Equal(t, want, got)
+		case <-time.After(30 * time.Second):
+			t.Fatal("no report")
+		}
+	}
+}
+
+// The reports of an instance are bounded whatever the fleet.
+func TestPaceIsBounded(t *testing.T) {
+	for _, n := range []int{1, 6, 13, 27, 100, 1000} {
+		p := peer.Fleet{Near: n}.Pace(time.Millisecond, false)
+		heartbeats := float64(n) / p.Heartbeat.Seconds()
+		require.LessOrEqual(t, heartbeats, 26.0, "heartbeats a second to %d peers", n)
+		require.LessOrEqual(t, p.PerSecond*float64(n), 24.1, "changes of idle slots a second to %d peers", n)
+		require.Greater(t, peer.Fleet{Near: n}.Silence(false), 2*p.Heartbeat)
 	}
 }
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -28,7 +28,9 @@
 	}
 	c, err := grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
-		grpc.WithContextDialer(p.dial))
+		grpc.WithContextDialer(p.dial),
+		grpc.WithStaticStreamWindowSize(windowBytes),
+		grpc.WithStaticConnWindowSize(windowBytes))
 	if err != nil {
 		return nil, fmt.Errorf("connect to peer %s: %w", address, err)
 	}
--- a/internal/peer/requests.go
+++ b/internal/peer/requests.go
@@ -19,6 +19,11 @@
 // maxMessageBytes bounds a message between peers, above the largest body of a route.
 const maxMessageBytes = 128 << 20
 
+// windowBytes is the flow-control window of a connection and of each call on
+// it, above what the link between regions holds in flight. A fixed window also spares the
+// pings with which the library measures connections, one with each message.
+const windowBytes = 1 << 20
+
 // greetingTimeout bounds the making of a connection by a peer; a peer that is
 // silent from the start is dropped.
 const greetingTimeout = 3 * time.Second
@@ -29,6 +34,8 @@
 		grpc.MaxRecvMsgSize(maxMessageBytes),
 		grpc.MaxSendMsgSize(maxMessageBytes),
 		grpc.ConnectionTimeout(greetingTimeout),
+		grpc.StaticStreamWindowSize(windowBytes),
+		grpc.StaticConnWindowSize(windowBytes),
 	}
 }
 
--- a/membership.go
+++ b/membership.go
@@ -19,24 +19,10 @@
 	"github.com/oriolepond/oriolepond/internal/target"
 )
 
-const (
-	// reportHeartbeat is the longest time between two reports to a peer of the region.
-	reportHeartbeat = 500 * time.Millisecond
-	// reportsPerSecond bounds the reports to a peer that only change idle slots.
-	reportsPerSecond = 8
-	// remoteHeartbeat and remoteReportsPerSecond are the same for peers of other regions.
-	remoteHeartbeat        = time.Second
-	remoteReportsPerSecond = 1
-	// peerSilence is how long a peer may be silent before it gets no requests.
-	peerSilence = 3 * reportHeartbeat
-	// remoteSilence is the same for peers of other regions.
-	remoteSilence = 3 * remoteHeartbeat
-)
-
 // buildMembership makes the registration and the division of slots.
 func (i *Instance) buildMembership(client *store.Client) {
 	s := i.Settings
-	i.directory = &peer.Directory{Silence: peerSilence, RemoteSilence: remoteSilence}
+	i.directory = &peer.Directory{Silence: func(remote bool) time.Duration { return i.fleet().Silence(remote) }}
 	i.members = &membership.Keeper{
 		Store: client,
 		Self: membership.Peer{
@@ -133,7 +119,7 @@
 	for _, p := range peers {
 		known[p.ID] = p
 	}
-	i.others.Store(&known)
+	i.others.Store(&others{peers: known, fleet: fleetOf(peers, i.Settings.Region)})
 	i.reporters.Set(peers)
 	i.followPeersSlowed(peers)
 }
@@ -144,20 +130,44 @@
 	if known == nil {
 		return membership.Peer{}, false
 	}
-	p, ok := (*known)[id]
+	p, ok := known.peers[id]
 	return p, ok
 }
 
+// others are the other instances, by id, and their number.
+type others struct {
+	peers map[string]membership.Peer
+	fleet peer.Fleet
+}
+
+// fleet returns the number of the other instances.
+func (i *Instance) fleet() peer.Fleet {
+	if known := i.others.Load(); known != nil {
+		return known.fleet
+	}
+	return peer.Fleet{}
+}
+
+// fleetOf counts the instances in a region and elsewhere.
+func fleetOf(peers []membership.Peer, region string) peer.Fleet {
+	var f peer.Fleet
+	for _, p := range peers {
+		if p.Region == region {
+			f.Near++
+		} else {
+			f.Remote++
+		}
+	}
+	return f
+}
+
 // report sends reports to one peer until the context ends.
 func (i *Instance) report(ctx context.Context, p membership.Peer) {
-	pace := peer.Pace{Interval: i.Settings.PeerInterval, Heartbeat: reportHeartbeat, PerSecond: reportsPerSecond}
-	if p.Region != i.Settings.Region {
-		pace.Heartbeat, pace.PerSecond = remoteHeartbeat, remoteReportsPerSecond
-	}
+	remote := p.Region != i.Settings.Region
 	r := &peer.Reporter{
 		Conn: func() (*grpc.ClientConn, error) { return i.pool.Conn(p.PeerAddress) },
 		Drop: func() { i.pool.Drop(p.PeerAddress) },
-		Pace: pace,
+		Pace: func() peer.Pace { return i.fleet().Pace(i.Settings.PeerInterval, remote) },
 		Next: func() peer.Report { return i.reportFor(p.ID) },
 	}
 	r.Run(ctx)
--- a/oriolepond.go
+++ b/oriolepond.go
@@ -69,7 +69,7 @@
 	marks         shard.Marks
 	slowedPeers   peer.Group
 	slowedTargets atomic.Pointer[map[string]bool]
-	others        atomic.Pointer[map[string]membership.Peer]
+	others        atomic.Pointer[others]
 	cuts          cutter
 	idle          idleCache
 
