--- a/internal/shard/pace.go
+++ b/internal/shard/pace.go
@@ -45,7 +45,8 @@
 func (c *Core) needsAttention(w *workerEntry) bool {
 	unanswered := !w.adopted || !w.askedAt.IsZero()
 	open := len(w.acks)+len(w.strays)+len(w.ratios) > 0
-	return unanswered || open || w.leaving() || c.planner.Strain(w.id) > watchedStrain
+	strained := len(w.tasks) > 0 && c.planner.Strain(w.id) > watchedStrain
+	return unanswered || open || strained || w.leaving()
 }
 
 // throttled reports whether a worker said that a task keeps only a part of its processors.
--- a/internal/shard/pace_test.go
+++ b/internal/shard/pace_test.go
@@ -86,3 +86,22 @@
 	w.exchange(h, 0, answered)
 	require.True(t, h.core.accepts(on, w.now))
 }
+
+// The quiet pace keeps to what lets tasks outlast the loss of their holder; a
+// lease in the store that leaves no room for one makes every worker busy.
+func TestQuietPaceKeepsToTheLease(t *testing.T) {
+	tests := []struct {
+		ttl, asked, want time.Duration
+	}{
+		{ttl: 10 * time.Second, want: 3 * time.Second},
+		{ttl: 10 * time.Second, asked: 2 * time.Second, want: 2 * time.Second},
+		{ttl: 10 * time.Second, asked: time.Minute, want: DefaultTiming().QuietLimit(10 * time.Second)},
+	}
+	for _, test := range tests {
+		k := &Keeper{TTL: test.ttl, Quiet: test.asked}
+		require.Equal(t, test.want, k.timing().Quiet)
+	}
+	w, h := onlyWorker0()
+	h.core.timing = (&Keeper{TTL: time.Minute}).timing()
+	require.Equal(t, time.Second, h.core.Pace("w0", time.Second, w.now))
+}
