A young task of a long family does not make its worker busy

Cause: at the peak of starts each worker of 22 tasks has a young one at almost every moment, so that the pace stayed at one exchange a second there.

Change: the end of a task may be seen late by a twentieth of its run time so far or of the mean run time of its family's last finished tasks, whichever is longer. The mean bounds what is lost in sum, also where run times differ: the mean delay is at most a fortieth of the mean run time. A family without a finished task goes by the age alone.

Ruled out: the declared run time, which may be far off.

--- a/internal/shard/core.go
+++ b/internal/shard/core.go
@@ -110,6 +110,8 @@
 
 	changes changes
 	notices []Notice
+	// runTimes are those of families, by which the pace of exchanges is set.
+	runTimes runTimes
 	// told are the reasons for which families cannot run, as they were last noted.
 	told map[string]string
 }
@@ -156,6 +158,7 @@
 		delayed:    map[*entry]bool{},
 		unfit:      map[*entry]bool{},
 		changes:    newChanges(),
+		runTimes:   runTimes{},
 		told:       map[string]string{},
 	}
 	return c
--- a/internal/shard/life.go
+++ b/internal/shard/life.go
@@ -86,6 +86,7 @@
 	switch row.State {
 	case worker.TaskFinished:
 		c.planner.Finished(on, e.job.Name, row.Size)
+		c.runTimes.observe(e.job.Name, now.Sub(e.placedAt))
 		c.apply(e, task.Finish, now)
 	case worker.TaskFailed:
 		c.fail(e, row.Reason, now)
--- a/internal/shard/pace.go
+++ b/internal/shard/pace.go
@@ -7,8 +7,11 @@
 )
 
 const (
-	// endDelayPart bounds how late the end of a task is seen, as a part of its run time so far.
+	// endDelayPart bounds how late the end of a task is seen, as a part of its
+	// run time so far or of its family's mean, whichever is longer.
 	endDelayPart = 20
+	// runTimeMemory is how many finished tasks the mean run time of a family is taken over.
+	runTimeMemory = 16
 	// watchedStrain is the part of its objective beyond which a service's tail is followed closely.
 	watchedStrain = 0.8
 	// paceSpread is the part of a pace by which the times between exchanges differ.
@@ -23,6 +26,19 @@
 	return time.Duration(float64(t.Lease-ttl-takeOverTime) / (1 + paceSpread))
 }
 
+// runTimes are the mean run times of job families, of the tasks that finished lately.
+type runTimes map[string]time.Duration
+
+// observe takes the run time of a finished task.
+func (r runTimes) observe(job string, took time.Duration) {
+	mean, known := r[job]
+	if !known {
+		r[job] = took
+		return
+	}
+	r[job] = mean + (took-mean)/runTimeMemory
+}
+
 // Pace returns how soon a worker is to be spoken to again: after busy at
 // least, and after Timing.Quiet at most. What is durable and is to be sent does
 // not wait for it.
@@ -36,7 +52,7 @@
 		if e.State != task.Running || e.throttled() {
 			return busy
 		}
-		pace = min(pace, now.Sub(e.placedAt)/endDelayPart)
+		pace = min(pace, max(now.Sub(e.placedAt), c.runTimes[e.job.Name])/endDelayPart)
 	}
 	return max(busy, pace)
 }
--- a/internal/shard/pace_test.go
+++ b/internal/shard/pace_test.go
@@ -23,6 +23,10 @@
 		{"a task is of middle age", func(w *world, e *entry, _ *workerEntry) {
 			e.placedAt = w.now.Add(-2 * busy * endDelayPart)
 		}, 2 * busy},
+		{"a task of a long family is young", func(w *world, e *entry, _ *workerEntry) {
+			e.placedAt = w.now
+			w.holders[0].core.runTimes.observe("batch", 2*busy*endDelayPart)
+		}, 2 * busy},
 		{"a task is to stop", func(_ *world, e *entry, _ *workerEntry) { e.State = task.Stopping }, busy},
 		{"a task is throttled", func(_ *world, e *entry, _ *workerEntry) { e.ratio = 0.5 }, busy},
 		{"a throttle is to be sent", func(_ *world, e *entry, on *workerEntry) { on.ratios[e.id] = 0.5 }, busy},
