--- a/internal/demo/faults.go
+++ b/internal/demo/faults.go
@@ -33,9 +33,11 @@
 	CancelWave        Fault = "cancelWave"
 	OperatorRace      Fault = "operatorRace"
 	RegionSplit       Fault = "regionSplit"
+	DataCentreLoss    Fault = "dataCentreLoss"
 )
 
-// AllFaults is the name that stands for every fault.
+// AllFaults is the name that stands for every fault but the loss of a data
+// centre, which leaves too little for the others.
 const AllFaults = "all"
 
 // faultKind is a fault with what injects it.
@@ -64,6 +66,7 @@
 		{CancelWave, (*Demo).cancelWave},
 		{OperatorRace, (*Demo).operatorRace},
 		{RegionSplit, (*Demo).regionSplit},
+		{DataCentreLoss, (*Demo).dataCentreLoss},
 	}
 }
 
@@ -76,7 +79,9 @@
 	var all []Fault
 	for _, k := range faultKinds() {
 		known[string(k.name)] = true
-		all = append(all, k.name)
+		if k.name != DataCentreLoss {
+			all = append(all, k.name)
+		}
 	}
 	if names == AllFaults {
 		return all, nil
--- a/internal/membership/world_test.go
+++ b/internal/membership/world_test.go
@@ -93,7 +93,9 @@
 	return alive[rapid.IntRange(0, len(alive)-1).Draw(w.t, label)]
 }
 
-func (w *world) start() *node {
+func (w *world) start() *node { return w.startIn(region) }
+
+func (w *world) startIn(region string) *node {
 	w.names++
 	self := grant.Member{ID: fmt.Sprintf("e-%d", w.names), Region: region}
 	n := &node{
--- a/internal/standin/cluster.go
+++ b/internal/standin/cluster.go
@@ -78,7 +78,7 @@
 	for i := range n {
 		id := fmt.Sprintf("worker-%d", i)
 		w := &Worker{ID: id, Capacity: c.Example.Worker, Ledger: c.Tasks, Work: c.Work}
-		dc := c.dataCentreOf(i / max(1, c.Example.WorkersPerRack))
+		dc := c.dataCentreOfWorker(i)
 		address, err := c.serve(id, w, dc)
 		if err != nil {
 			return err
@@ -102,12 +102,13 @@
 	}
 	for i := range n {
 		id := fmt.Sprintf("runner-%d", i)
-		host := fmt.Sprintf("worker-%d", i%max(1, len(c.workerIDs)))
+		n := i % max(1, len(c.workerIDs))
+		host := fmt.Sprintf("worker-%d", n)
 		r := &Runner{Slots: c.Example.Slots, Ledger: c.Requests, Guard: true}
 		if c.ServiceTime > 0 {
 			r.ServiceTime = c.serviceTime(uint64(i), c.workers[host])
 		}
-		dc := c.dataCentreOf(i)
+		dc := c.dataCentreOfWorker(n)
 		address, err := c.serve(id, r, dc)
 		if err != nil {
 			return err
@@ -158,6 +159,11 @@
 	return c.Example.DataCentres[i%len(c.Example.DataCentres)]
 }
 
+// dataCentreOfWorker returns where a worker stands, and the runners on it.
+func (c *Cluster) dataCentreOfWorker(i int) examples.DataCentre {
+	return c.dataCentreOf(i / max(1, c.Example.WorkersPerRack))
+}
+
 // serve answers on a new loopback address, which it returns, or that of its proxy.
 func (c *Cluster) serve(id string, h http.Handler, dc examples.DataCentre) (string, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
