Accounts: a first write that was lost and folded counts once

An instance whose first write had taken effect without an answer, and which was taken for gone before it wrote again, found its key absent, as it expected, and wrote the same counts once more: TestLostFirstAnswerThenFoldCountsOnce gave 10 in place of 5. Each write now requires that nothing was folded since the instance last looked, too. Found while the same protocol was made for the counts of objectives, whose property test has the case.

--- a/internal/meter/keeper.go
+++ b/internal/meter/keeper.go
@@ -47,6 +47,8 @@
 	// written is the value of the own key, and revision that of its last write.
 	written  Counts
 	revision int64
+	// foldedRevision is the revision of the key that says what was folded last, as last read.
+	foldedRevision int64
 }
 
 // Run writes the counts until the context ends, and once more then.
@@ -88,7 +90,10 @@
 		return err
 	}
 	result, err := k.Store.Commit(ctx, store.Txn{
-		If:   []store.Condition{{Key: k.key(), Revision: k.revision}},
+		If: []store.Condition{
+			{Key: k.key(), Revision: k.revision},
+			{Key: foldedPrefix + k.ID, Revision: k.foldedRevision},
+		},
 		Then: []store.Op{store.Put(k.key(), value)},
 	})
 	if err != nil {
@@ -104,35 +109,32 @@
 func (k *Keeper) key() string { return ownPrefix + k.ID }
 
 // reread finds out what became of the own key: an earlier write whose answer
-// was lost, or a fold by an instance that took this one for gone.
+// was lost, or a fold by an instance that took this one for gone, perhaps of
+// such a write.
 func (k *Keeper) reread(ctx context.Context) error {
-	e, ok, err := k.Store.Read(ctx, k.key())
+	own, exists, err := k.Store.Read(ctx, k.key())
 	if err != nil {
 		return err
 	}
-	if !ok {
-		return k.wasFolded(ctx)
-	}
-	k.revision = e.Revision
-	k.written, err = Decode(e.Value)
-	return err
-}
-
-// wasFolded learns what others have folded of this instance's counts. That may
-// be a write whose answer was lost.
-func (k *Keeper) wasFolded(ctx context.Context) error {
-	folded := k.written
-	e, ok, err := k.Store.Read(ctx, foldedPrefix+k.ID)
+	last, found, err := k.Store.Read(ctx, foldedPrefix+k.ID)
 	if err != nil {
 		return err
 	}
-	if ok {
-		if folded, err = Decode(e.Value); err != nil {
-			return err
-		}
+	written, folded := Counts(nil), Counts(nil)
+	switch {
+	case exists:
+		written, err = Decode(own.Value)
+	case found && last.Revision != k.foldedRevision:
+		folded, err = Decode(last.Value)
+	default:
+		// What says so has lapsed.
+		folded = k.written
+	}
+	if err != nil {
+		return err
 	}
 	k.folded = k.folded.Plus(folded)
-	k.written, k.revision = nil, 0
+	k.written, k.revision, k.foldedRevision = written, own.Revision, last.Revision
 	return nil
 }
 
--- a/internal/meter/keeper_test.go
+++ b/internal/meter/keeper_test.go
@@ -111,3 +111,22 @@
 	}
 	require.Equal(t, int64(7), r.total(b).Requests)
 }
+
+// The same holds for the first write of an instance.
+func TestLostFirstAnswerThenFoldCountsOnce(t *testing.T) {
+	r := newRig(t)
+	a, b := r.keeper("a"), r.keeper("b")
+	r.store.SetLostAnswers(1, 1)
+	a.Meter.Add(payer, meter.Use{Requests: 5})
+	require.Error(t, a.Flush(context.Background()))
+	r.store.SetLostAnswers(0, 0)
+	r.alive["a"] = false
+	require.NoError(t, b.Fold(context.Background()))
+	for range 2 {
+		require.NoError(t, a.Flush(context.Background()))
+	}
+	require.Equal(t, int64(5), r.total(b).Requests)
+	a.Meter.Add(payer, meter.Use{Requests: 2})
+	require.NoError(t, a.Flush(context.Background()))
+	require.Equal(t, int64(7), r.total(b).Requests)
+}
