--- a/burn.go
+++ b/burn.go
@@ -19,7 +19,7 @@
 
 // buildBurn counts the callers' requests against their objectives.
 func (i *Instance) buildBurn(client *store.Client) {
-	i.burned = burn.NewRecorder(time.Now())
+	i.burned = burn.NewRecorder()
 	i.requests.Recorded = i.count
 	i.burns = &burn.Keeper{
 		Recorder: i.burned,
@@ -90,7 +90,7 @@
 	if err != nil {
 		return i.burnInMemory(ctx)
 	}
-	report, err := stored.Report(i.configs.Current())
+	report, err := stored.Report(i.configs.Current(), time.Now())
 	if err != nil {
 		return burn.Report{}, err
 	}
@@ -112,9 +112,13 @@
 		snapshots = append(snapshots, s)
 		return err
 	})
-	report := burn.NewReport(i.configs.Current(), burn.Merge(snapshots), time.Now())
+	merged, err := burn.Merge(snapshots)
+	if err != nil {
+		return burn.Report{}, err
+	}
+	report, err := merged.Report(i.configs.Current(), time.Now())
 	report.Answered, report.Missing, report.Memory = answered, missing, true
-	return report, nil
+	return report, err
 }
 
 // eachEntry calls the operators' plane of every entry instance, this one
--- a/internal/burn/bench_test.go
+++ b/internal/burn/bench_test.go
@@ -76,7 +76,7 @@
 	for b.Loop() {
 		stored, err := burn.ReadStored(b.Context(), r.client, r.now)
 		require.NoError(b, err)
-		_, err = stored.Report(config(0.9))
+		_, err = stored.Report(config(0.9), r.now)
 		require.NoError(b, err)
 	}
 }
--- a/internal/burn/burn_test.go
+++ b/internal/burn/burn_test.go
@@ -50,11 +50,21 @@
 	}
 }
 
+// report merges what instances counted and reports it.
+func report(t *testing.T, c release.Config, now time.Time, all ...burn.Snapshot) burn.Report {
+	t.Helper()
+	merged, err := burn.Merge(all)
+	require.NoError(t, err)
+	r, err := merged.Report(c, now)
+	require.NoError(t, err)
+	return r
+}
+
 // Two instances count 50 requests each, of which 10 and 30 are late.
 func TestReportMergesInstances(t *testing.T) {
 	var snapshots []burn.Snapshot
 	for _, late := range []int{10, 30} {
-		r := burn.NewRecorder(start)
+		r := burn.NewRecorder()
 		for i := range 50 {
 			latency := 20 * time.Millisecond
 			if i < late {
@@ -64,9 +74,9 @@
 		}
 		snapshots = append(snapshots, r.Snapshot(start))
 	}
-	report := burn.NewReport(config(0.9), burn.Merge(snapshots), start)
-	require.Len(t, report.Rows, 2, "one row of the service, one of its neighbour")
-	for _, row := range report.Rows {
+	got := report(t, config(0.9), start, snapshots...)
+	require.Len(t, got.Rows, 2, "one row of the service, one of its neighbour")
+	for _, row := range got.Rows {
 		for _, w := range row.Windows {
 			require.EqualValues(t, 100, w.Total)
 			require.EqualValues(t, 40, w.Bad)
@@ -81,26 +91,25 @@
 
 // A changed objective judges what was measured before it.
 func TestObjectiveJudgesThePast(t *testing.T) {
-	r := burn.NewRecorder(start)
+	r := burn.NewRecorder()
 	for range 10 {
 		r.Record(start, sample(300*time.Millisecond))
 	}
 	c := config(0.9)
-	series := burn.Merge([]burn.Snapshot{r.Snapshot(start)})
-	require.EqualValues(t, 10, burn.NewReport(c, series, start).Rows[0].Windows[0].Bad)
+	require.EqualValues(t, 10, report(t, c, start, r.Snapshot(start)).Rows[0].Windows[0].Bad)
 	c.Services[0].Objective.Latency = 400 * time.Millisecond
-	require.EqualValues(t, 0, burn.NewReport(c, series, start).Rows[0].Windows[0].Bad)
+	require.EqualValues(t, 0, report(t, c, start, r.Snapshot(start)).Rows[0].Windows[0].Bad)
 }
 
 // A burst raises the fast alert while it lasts, and drops out of the windows one by one.
 func TestWindowsAndAlerts(t *testing.T) {
-	r := burn.NewRecorder(start)
+	r := burn.NewRecorder()
 	for range 100 {
 		r.Record(start, burn.Sample{Service: "finish", Neighbour: "floor", Refused: true})
 	}
 	at := func(later time.Duration) burn.Row {
 		now := start.Add(later)
-		return burn.NewReport(config(0.99), burn.Merge([]burn.Snapshot{r.Snapshot(now)}), now).Rows[0]
+		return report(t, config(0.99), now, r.Snapshot(now)).Rows[0]
 	}
 	require.Equal(t, burn.Fast, at(0).Alert)
 	require.Equal(t, burn.Slow, at(20*time.Minute).Alert)
@@ -116,26 +125,28 @@
 
 // Slots beyond the longest window are dropped.
 func TestOldSlotsAreDropped(t *testing.T) {
-	r := burn.NewRecorder(start)
+	r := burn.NewRecorder()
 	for i := range 3 * burn.KeptSlots {
 		r.Record(start.Add(time.Duration(i)*burn.SlotLength), sample(time.Millisecond))
 	}
 	now := start.Add(time.Duration(3*burn.KeptSlots-1) * burn.SlotLength)
-	require.Len(t, r.Snapshot(now).Series[0].Slots, burn.KeptSlots)
+	series, err := r.Snapshot(now).Series()
+	require.NoError(t, err)
+	require.Len(t, series[0].Slots, burn.KeptSlots)
 }
 
 func TestPageIsWholeAndEscaped(t *testing.T) {
-	r := burn.NewRecorder(start)
+	r := burn.NewRecorder()
 	for i := range 100 {
 		s := sample(time.Duration(i) * 3 * time.Millisecond)
 		s.Neighbour = "<script>alert(1)</script>"
 		r.Record(start, s)
 	}
-	report := burn.NewReport(config(0.9), burn.Merge([]burn.Snapshot{r.Snapshot(start)}), start)
-	report.Answered, report.Missing = []string{"entry-1"}, []string{"entry-2"}
-	report.Open = []burn.Gap{{Instance: "entry-2", Since: start}}
+	got := report(t, config(0.9), start, r.Snapshot(start))
+	got.Answered, got.Missing = []string{"entry-1"}, []string{"entry-2"}
+	got.Open = []burn.Gap{{Instance: "entry-2", Since: start}}
 	var page bytes.Buffer
-	require.NoError(t, burn.WritePage(&page, report))
+	require.NoError(t, burn.WritePage(&page, got))
 	text := page.String()
 	require.Contains(t, text, "No answer: entry-2")
 	require.Contains(t, text, "entry-2 is not counted since "+start.UTC().Format(time.RFC3339))
@@ -148,7 +159,7 @@
 }
 
 func BenchmarkRecord(b *testing.B) {
-	r := burn.NewRecorder(start)
+	r := burn.NewRecorder()
 	s := sample(20 * time.Millisecond)
 	b.ReportAllocs()
 	for b.Loop() {
@@ -158,7 +169,7 @@
 
 // filled returns a recorder of n series with all slots in use, and the last time counted.
 func filled(n int) (*burn.Recorder, time.Time) {
-	r := burn.NewRecorder(start)
+	r := burn.NewRecorder()
 	now := start
 	for slot := range burn.KeptSlots {
 		now = start.Add(time.Duration(slot) * burn.SlotLength)
@@ -187,7 +198,9 @@
 				b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(n), "bytes/series")
 				b.ReportMetric(0, "ns/op")
 				size := 0
-				for _, s := range r.Snapshot(now).Series {
+				series, err := r.Snapshot(now).Series()
+				require.NoError(b, err)
+				for _, s := range series {
 					for _, slot := range s.Slots {
 						size += len(burn.EncodeLatency(slot))
 					}
--- a/internal/burn/keeper_test.go
+++ b/internal/burn/keeper_test.go
@@ -63,7 +63,7 @@
 func (r *rig) keeper(id string) *burn.Keeper {
 	r.alive[id] = true
 	return &burn.Keeper{
-		Recorder: burn.NewRecorder(r.now), Store: r.client, ID: id, Log: eventlog.Discard(),
+		Recorder: burn.NewRecorder(), Store: r.client, ID: id, Log: eventlog.Discard(),
 		Alive: func(id string) bool { return r.alive[id] },
 		Now:   func() time.Time { return r.now },
 	}
--- a/internal/burn/recorder.go
+++ b/internal/burn/recorder.go
@@ -50,14 +50,15 @@
 	Slots []Slot
 }
 
-// Snapshot is what one instance counted.
+// Snapshot is what one instance, or all of them, counted. Its histograms are
+// encoded, since all of them decoded take much memory.
 type Snapshot struct {
-	Instance string
-	// Started is when the instance began to count.
-	Started time.Time
-	Series  []Series
+	series []packed
 }
 
+// Series returns the counts, decoded.
+func (s Snapshot) Series() ([]Series, error) { return unpack(s.series) }
+
 // SlotOf returns the number of the slot of a time.
 func SlotOf(t time.Time) int64 {
 	return t.UnixNano() / int64(SlotLength)
@@ -65,7 +66,6 @@
 
 // Recorder counts the requests of one instance. It may be used from many goroutines.
 type Recorder struct {
-	started time.Time
 	// sealed is the last slot that takes no more requests.
 	sealed atomic.Int64
 	mu     sync.RWMutex
@@ -73,9 +73,7 @@
 }
 
 // NewRecorder returns a recorder that has counted nothing yet.
-func NewRecorder(started time.Time) *Recorder {
-	return &Recorder{started: started, series: map[Key]*series{}}
-}
+func NewRecorder() *Recorder { return &Recorder{series: map[Key]*series{}} }
 
 // series counts one pair of service and neighbour.
 type series struct {
@@ -199,36 +197,7 @@
 
 // Snapshot returns what was counted within the kept slots.
 func (r *Recorder) Snapshot(now time.Time) Snapshot {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
-	snapshot := Snapshot{Started: r.started}
-	oldest := SlotOf(now) - KeptSlots
-	for k, one := range r.series {
-		if slots := one.slots(oldest); len(slots) > 0 {
-			snapshot.Series = append(snapshot.Series, Series{Key: k, Slots: slots})
-		}
-	}
-	slices.SortFunc(snapshot.Series, func(a, b Series) int { return compareKeys(a.Key, b.Key) })
-	return snapshot
-}
-
-func (s *series) slots(oldest int64) []Slot {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var all []Slot
-	for _, c := range s.closed {
-		if c.index > oldest {
-			latency, _ := DecodeLatency(c.latency)
-			all = append(all, Slot{Index: c.index, Latency: latency, Bad: c.bad.byCause(), Unanswered: c.unanswered})
-		}
-	}
-	if o := s.open; o != nil && o.index > oldest {
-		all = append(all, Slot{
-			Index: o.index, Latency: hdrhistogram.Import(o.latency.Export()),
-			Bad: o.bad.byCause(), Unanswered: o.unanswered,
-		})
-	}
-	return all
+	return Snapshot{series: r.after(SlotOf(now) - KeptSlots)}
 }
 
 func compareKeys(a, b Key) int {
--- a/internal/burn/report.go
+++ b/internal/burn/report.go
@@ -89,18 +89,46 @@
 	Memory bool
 }
 
-// NewReport returns the burn of the services of a configuration.
-func NewReport(c release.Config, series []Series, now time.Time) Report {
+// Report returns the burn of the services of a configuration. It decodes the
+// counts of one series at a time.
+func (s Snapshot) Report(c release.Config, now time.Time) (Report, error) {
 	report := Report{At: now}
-	for _, s := range slices.Concat(byService(series), series) {
-		if service, ok := c.Service(s.Service); ok {
-			report.Rows = append(report.Rows, newRow(service.Objective, s, now))
+	for rest := s.series; len(rest) > 0; {
+		n := 1
+		for n < len(rest) && rest[n].Service == rest[0].Service {
+			n++
+		}
+		rows, err := serviceRows(c, rest[:n], now)
+		if err != nil {
+			return Report{}, err
+		}
+		report.Rows = append(report.Rows, rows...)
+		rest = rest[n:]
+	}
+	return report, nil
+}
+
+// serviceRows returns the row of a whole service and those of its neighbours.
+func serviceRows(c release.Config, all []packed, now time.Time) ([]Row, error) {
+	service, ok := c.Service(all[0].Service)
+	if !ok {
+		return nil, nil
+	}
+	rows := make([]Row, 1, 1+len(all))
+	whole := map[int64]Slot{}
+	for _, p := range all {
+		one, err := unpack([]packed{p})
+		if err != nil {
+			return nil, err
+		}
+		rows = append(rows, newRow(service.Objective, one[0], now))
+		for _, slot := range one[0].Slots {
+			whole[slot.Index] = sum(whole[slot.Index], slot)
 		}
 	}
-	slices.SortStableFunc(report.Rows, func(a, b Row) int {
-		return compareKeys(Key{a.Service, a.Neighbour}, Key{b.Service, b.Neighbour})
-	})
-	return report
+	sums := Series{Key: Key{Service: all[0].Service}, Slots: ordered(whole)}
+	rows[0] = newRow(service.Objective, sums, now)
+	return rows, nil
 }
 
 func newRow(o release.Objective, s Series, now time.Time) Row {
--- a/internal/burn/sample.go
+++ b/internal/burn/sample.go
@@ -7,10 +7,12 @@
 //
 // # Usage
 //
-//	r := burn.NewRecorder(time.Now())
+//	r := burn.NewRecorder()
 //	r.Record(time.Now(), sample)
-//	merged := burn.Merge(snapshots)
-//	report := burn.NewReport(config, merged, time.Now())
+//	k := &burn.Keeper{Recorder: r, Store: client, ID: "entry-1", Interval: time.Minute}
+//	go k.Run(ctx)
+//	stored, err := burn.ReadStored(ctx, client, time.Now())
+//	report, err := stored.Report(config, time.Now())
 package burn
 
 import "time"
--- a/internal/burn/state.go
+++ b/internal/burn/state.go
@@ -28,20 +28,47 @@
 }
 
 func (s state) encode() ([]byte, error) {
-	w := &operatepb.BurnState{Moved: s.moved, AtUnixMillis: s.at.UnixMilli(), Final: s.final}
-	for _, p := range s.series {
+	w := &operatepb.BurnState{
+		Series: encodeSeries(s.series), Moved: s.moved, AtUnixMillis: s.at.UnixMilli(), Final: s.final,
+	}
+	for _, g := range s.gaps {
+		w.Gaps = append(w.Gaps, &operatepb.BurnGap{Instance: g.Instance, SinceUnixMillis: g.Since.UnixMilli()})
+	}
+	return proto.Marshal(w)
+}
+
+func encodeSeries(all []packed) []*operatepb.BurnSeries {
+	var encoded []*operatepb.BurnSeries
+	for _, p := range all {
 		series := &operatepb.BurnSeries{Service: p.Service, Neighbour: p.Neighbour}
 		for _, c := range p.slots {
 			series.Slots = append(series.Slots, encodeSlot(c))
 		}
-		w.Series = append(w.Series, series)
+		encoded = append(encoded, series)
 	}
-	for _, g := range s.gaps {
-		w.Gaps = append(w.Gaps, &operatepb.BurnGap{Instance: g.Instance, SinceUnixMillis: g.Since.UnixMilli()})
+	return encoded
+}
+
+func decodeSeries(all []*operatepb.BurnSeries) []packed {
+	var decoded []packed
+	for _, series := range all {
+		p := packed{Key: Key{series.Service, series.Neighbour}}
+		for _, slot := range series.Slots {
+			p.slots = append(p.slots, decodeSlot(slot))
+		}
+		decoded = append(decoded, p)
 	}
-	return proto.Marshal(w)
+	return decoded
+}
+
+// EncodeReply returns a snapshot as a peer is told it.
+func EncodeReply(s Snapshot) *operatepb.BurnReply {
+	return &operatepb.BurnReply{Series: encodeSeries(s.series)}
 }
 
+// DecodeReply is the inverse of EncodeReply.
+func DecodeReply(w *operatepb.BurnReply) Snapshot { return Snapshot{series: decodeSeries(w.Series)} }
+
 func encodeSlot(c closedSlot) *operatepb.BurnSlot {
 	slot := &operatepb.BurnSlot{Index: c.index, Latency: c.latency, Unanswered: c.unanswered}
 	for cause, n := range c.bad.byCause() {
@@ -58,13 +85,8 @@
 	if err := proto.Unmarshal(text, &w); err != nil {
 		return state{}, fmt.Errorf("decode burn counts: %w", err)
 	}
-	s := state{moved: w.Moved, at: time.UnixMilli(w.AtUnixMillis), final: w.Final}
-	for _, series := range w.Series {
-		p := packed{Key: Key{series.Service, series.Neighbour}}
-		for _, slot := range series.Slots {
-			p.slots = append(p.slots, decodeSlot(slot))
-		}
-		s.series = append(s.series, p)
+	s := state{
+		series: decodeSeries(w.Series), moved: w.Moved, at: time.UnixMilli(w.AtUnixMillis), final: w.Final,
 	}
 	for _, g := range w.Gaps {
 		s.gaps = append(s.gaps, Gap{Instance: g.Instance, Since: time.UnixMilli(g.SinceUnixMillis)})
--- a/internal/peer/operate.go
+++ b/internal/peer/operate.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
@@ -48,7 +47,7 @@
 			if err != nil {
 				return burn.Snapshot{}, err
 			}
-			return decodeBurn(reply)
+			return burn.DecodeReply(reply), nil
 		},
 		StoreBurn: func(ctx context.Context) (string, error) {
 			reply, err := c.Burn(ctx, &operatepb.BurnRequest{Stored: true})
@@ -115,43 +114,5 @@
 	if err != nil {
 		return nil, status.Error(codes.Unavailable, err.Error())
 	}
-	return encodeBurn(snapshot), nil
-}
-
-func encodeBurn(snapshot burn.Snapshot) *operatepb.BurnReply {
-	reply := &operatepb.BurnReply{StartedUnixMillis: snapshot.Started.UnixMilli()}
-	for _, s := range snapshot.Series {
-		series := &operatepb.BurnSeries{Service: s.Service, Neighbour: s.Neighbour}
-		for _, slot := range s.Slots {
-			bad := map[string]int64{}
-			for cause, n := range slot.Bad {
-				bad[string(cause)] = n
-			}
-			series.Slots = append(series.Slots, &operatepb.BurnSlot{
-				Index: slot.Index, Latency: burn.EncodeLatency(slot), Bad: bad, Unanswered: slot.Unanswered,
-			})
-		}
-		reply.Series = append(reply.Series, series)
-	}
-	return reply
-}
-
-func decodeBurn(reply *operatepb.BurnReply) (burn.Snapshot, error) {
-	snapshot := burn.Snapshot{Started: time.UnixMilli(reply.StartedUnixMillis)}
-	for _, s := range reply.Series {
-		series := burn.Series{Key: burn.Key{Service: s.Service, Neighbour: s.Neighbour}}
-		for _, slot := range s.Slots {
-			latency, err := burn.DecodeLatency(slot.Latency)
-			if err != nil {
-				return burn.Snapshot{}, err
-			}
-			bad := map[burn.Cause]int64{}
-			for cause, n := range slot.Bad {
-				bad[burn.Cause(cause)] = n
-			}
-			series.Slots = append(series.Slots, burn.Slot{Index: slot.Index, Latency: latency, Bad: bad, Unanswered: slot.Unanswered})
-		}
-		snapshot.Series = append(snapshot.Series, series)
-	}
-	return snapshot, nil
+	return burn.EncodeReply(snapshot), nil
 }
--- a/internal/peer/operate_test.go
+++ b/internal/peer/operate_test.go
@@ -58,7 +58,7 @@
 
 func TestBurnSurvivesTheWire(t *testing.T) {
 	now := time.Now()
-	r := burn.NewRecorder(now)
+	r := burn.NewRecorder()
 	for i := range 100 {
 		r.Record(now, burn.Sample{
 			Service: "finish", Neighbour: "floor", Answered: i%10 > 0, Refused: i%10 == 0,
@@ -69,8 +69,12 @@
 	client, _ := dial(t, &peer.Operate{Burn: func(context.Context) (burn.Snapshot, error) { return want, nil }})
 	got, err := client.Burn(t.Context())
 	require.NoError(t, err)
-	require.Equal(t, want.Series[0].Slots[0].Bad, got.Series[0].Slots[0].Bad)
-	require.True(t, want.Series[0].Slots[0].Latency.Equals(got.Series[0].Slots[0].Latency))
+	sent, err := want.Series()
+	require.NoError(t, err)
+	received, err := got.Series()
+	require.NoError(t, err)
+	require.Equal(t, sent[0].Slots[0].Bad, received[0].Slots[0].Bad)
+	require.True(t, sent[0].Slots[0].Latency.Equals(received[0].Slots[0].Latency))
 }
 
 func TestNothingNewerIsNothing(t *testing.T) {
