A claim on a worker replaces the task's reservation of another

Cause: an urgent task that had waited five minutes had a worker reserved; the claim of MakeRoom on another worker took its place in the list of reservations, and the first worker's was never dropped. It kept nobody away once its time was over, but no overdue task could have that worker reserved any more.

Change: the claim drops the older reservation. The test found two workers held for one task before, and one now.

Ruled out: dropping it when the task starts, since until then two workers are kept for one task.

--- a/internal/placement/planner_test.go
+++ b/internal/placement/planner_test.go
@@ -41,6 +41,32 @@
 	require.Equal(t, cores(4), size, "a family that was never seen gets a margin")
 }
 
+// A long-waiting urgent task that had a worker reserved gets room on another
+// one; the reservation goes with it, so that others get that worker reserved.
+func TestRoomReplacesAReservation(t *testing.T) {
+	p := NewPlanner()
+	p.SetFamily(Family{Name: "f", Declared: cores(8), Checkpoints: true})
+	for i := range 2 {
+		p.SetWorker(worker(i, cores(8)), start)
+		p.Start(fmt.Sprint("w-", i), Resident{Task: fmt.Sprint("t", i), Job: "f", Size: cores(8), Since: start, Urgent: i == 0}, start)
+	}
+	now := start.Add(overdueAfter)
+	c := Candidate{Task: "u", Job: "f", Urgent: true, Queued: start}
+	p.Pool.reserve(Candidate{Task: "u", Size: cores(8), Queued: start}, now)
+	require.Contains(t, p.Pool.reserved, "u")
+	for range 10 {
+		now = now.Add(claimTime)
+		p.MakeRoom(c, now)
+		held := 0
+		for _, s := range p.Pool.workers {
+			if s.reservation.task == "u" {
+				held++
+			}
+		}
+		require.Equal(t, 1, held)
+	}
+}
+
 // A task that holds more than it was given counts with what it holds, and its
 // worker is unloaded if that is too much.
 func TestTrueHoldingsCount(t *testing.T) {
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -68,6 +68,7 @@
 	p.claims[c.Task] = claim{worker: s.ID, size: c.Size, until: until}
 	if s.reservation.task == "" || !now.Before(s.reservation.until) {
 		p.Pool.unreserve(s.reservation.task)
+		p.Pool.unreserve(c.Task)
 		p.Pool.reserved[c.Task] = s
 		s.reservation = reservation{task: c.Task, until: until}
 	}
