What was learned of withdrawn families and services is not kept

Change: the record holds declared families and services only, the newest effects first.

Ruled out: forgetting them in the planner at a change of configuration, since a family that comes back is still known to the same holder.

--- a/internal/interference/known.go
+++ b/internal/interference/known.go
@@ -22,7 +22,7 @@
 	At time.Time
 }
 
-// Known returns what was measured of services, the surest first. What job
+// Known returns what was measured of services, the newest first. What job
 // families do to each other is learned anew: it moves no tail.
 func (m *Model) Known() []KnownEffect {
 	var all []KnownEffect
@@ -39,7 +39,7 @@
 	}
 	slices.SortFunc(all, func(a, b KnownEffect) int {
 		return cmp.Or(
-			cmp.Compare(a.Variance, b.Variance), cmp.Compare(a.Service, b.Service), cmp.Compare(a.Family, b.Family))
+			b.At.Compare(a.At), cmp.Compare(a.Variance, b.Variance), cmp.Compare(a.Service, b.Service), cmp.Compare(a.Family, b.Family))
 	})
 	return all[:min(len(all), maxKnown)]
 }
--- a/internal/shard/learned.go
+++ b/internal/shard/learned.go
@@ -1,9 +1,12 @@
 package shard
 
 import (
+	"slices"
 	"time"
 
+	"github.com/oriolepond/oriolepond/internal/interference"
 	"github.com/oriolepond/oriolepond/internal/journal"
+	"github.com/oriolepond/oriolepond/internal/placement"
 )
 
 // learnedEvery is the least time between two records of what was learned. A
@@ -18,8 +21,21 @@
 	}
 }
 
+// learned returns what was learned of the declared families and services.
 func (c *Core) learned() []journal.Learned {
-	return []journal.Learned{{Sizes: c.planner.Sizes.Known(), Effects: c.planner.Learner.Model.Known()}}
+	sizes := slices.DeleteFunc(c.planner.Sizes.Known(), func(k placement.KnownSize) bool {
+		return !c.hasFamily(k.Family)
+	})
+	effects := slices.DeleteFunc(c.planner.Learner.Model.Known(), func(k interference.KnownEffect) bool {
+		_, declared := c.config.Service(k.Service)
+		return !declared || (k.Family != "" && !c.hasFamily(k.Family))
+	})
+	return []journal.Learned{{Sizes: sizes, Effects: effects}}
+}
+
+func (c *Core) hasFamily(name string) bool {
+	_, ok := c.families[name]
+	return ok
 }
 
 // budget returns the evictions of the last hour under a rule.
--- a/internal/shard/wave_test.go
+++ b/internal/shard/wave_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/oriolepond/oriolepond/internal/interference"
 )
 
 // longestAbove returns the longest time for which a tail stayed above a bound.
@@ -83,3 +85,25 @@
 		})
 	}
 }
+
+// What is kept for the next holder is bounded by what is declared.
+func TestWithdrawnFamiliesAreNotKept(t *testing.T) {
+	a := newAdvised()
+	m := a.core.planner.Learner.Model
+	load := func(family string) []interference.Load {
+		return []interference.Load{{Aggressor: m.Aggressor(family), Amount: 1}}
+	}
+	for _, family := range []string{"scan", "withdrawn"} {
+		a.core.planner.Sizes.Observe(family, a.size)
+		m.Observe(m.Service("finish"), load(family), 0.5, a.now)
+		m.Observe(m.Service("closed"), load(family), 0.5, a.now)
+	}
+	kept := a.core.learned()[0]
+	require.Len(t, kept.Sizes, 1)
+	require.Equal(t, "scan", kept.Sizes[0].Family)
+	require.Len(t, kept.Effects, 2)
+	for _, e := range kept.Effects {
+		require.Equal(t, "finish", e.Service)
+		require.Contains(t, []string{"", "scan"}, e.Family)
+	}
+}
