Setting: how far the platform's list may lag

Cause: the bound by which an instance judges another gone from the platform's list was fixed at 5 s. How far a list lags is known to those who run the platform; where it lags more, a running instance could be judged gone.

Change: listLag (5 s by default) in the settings.

Test: a worker is not gone within a longer lag. The tests of membership set the same 5 s as before.

--- a/internal/membership/keeper.go
+++ b/internal/membership/keeper.go
@@ -25,9 +25,6 @@
 	"github.com/oriolepond/oriolepond/internal/store"
 )
 
-// DefaultListLag is how far the platform's list is taken to lag.
-const DefaultListLag = 5 * time.Second
-
 // Keeper keeps one instance registered. Its fields are set before Run.
 type Keeper struct {
 	Store *store.Client
@@ -38,6 +35,8 @@
 	// Longest returns the longest time that a request other than a stream can
 	// be in flight, or zero while that is not known.
 	Longest func() time.Duration
+	// ListLag is how far the platform's list may lag.
+	ListLag time.Duration
 	// Cut ends every request in flight; it is called when a part that was lost
 	// may soon be used by others.
 	Cut func()
@@ -253,7 +252,7 @@
 // coreLocked returns the core; k.mu is held.
 func (k *Keeper) coreLocked() *Core {
 	if k.core == nil {
-		k.core = NewCore(k.newMember(), DefaultLongest, DefaultListLag)
+		k.core = NewCore(k.newMember(), DefaultLongest, k.ListLag)
 	}
 	return k.core
 }
--- a/internal/membership/keeper_test.go
+++ b/internal/membership/keeper_test.go
@@ -22,6 +22,8 @@
 
 const (
 	testTTL = 2 * time.Second
+	// testListLag is how far the instance list lags at most.
+	testListLag = 5 * time.Second
 	// heldLong is the longest deadline of the tests' requests.
 	heldLong = 300 * time.Millisecond
 	patience = 30 * time.Second
@@ -126,6 +128,7 @@
 		TTL:     f.ttl,
 		Log:     eventlog.Discard(),
 		Longest: func() time.Duration { return f.longest },
+		ListLag: testListLag,
 		Apply:   m.apply,
 		Cut:     func() { m.cuts.Add(1) },
 		Promise: func(_ context.Context, p membership.Peer, name string) (string, bool) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -21,6 +21,7 @@
 const (
 	DefaultLeaseTTL        = 10 * time.Second
 	DefaultListInterval    = time.Second
+	DefaultListLag         = 5 * time.Second
 	DefaultPeerInterval    = 50 * time.Millisecond
 	DefaultWorkerInterval  = time.Second
 	DefaultQuietInterval   = 3 * time.Second
@@ -57,6 +58,8 @@
 	LeaseTTL          time.Duration
 	ListInterval      time.Duration
 	PeerInterval      time.Duration
+	// ListLag is how far the platform's list may lag.
+	ListLag time.Duration
 	// WorkerInterval is how often a worker is called about which something is open,
 	// QuietWorkerInterval how often another.
 	WorkerInterval      time.Duration
@@ -106,6 +109,7 @@
 		OperatorTokenHash:   tokenHash(o, "operatorTokenHash"),
 		LeaseTTL:            positive(o, "leaseTtl", DefaultLeaseTTL),
 		ListInterval:        positive(o, "listInterval", DefaultListInterval),
+		ListLag:             positive(o, "listLag", DefaultListLag),
 		PeerInterval:        positive(o, "peerInterval", DefaultPeerInterval),
 		WorkerInterval:      positive(o, "workerInterval", DefaultWorkerInterval),
 		QuietWorkerInterval: positive(o, "quietWorkerInterval", DefaultQuietInterval),
--- a/internal/shard/keeper.go
+++ b/internal/shard/keeper.go
@@ -46,6 +46,8 @@
 	Interval time.Duration
 	// Quiet is the longest time between two exchanges with a worker; zero takes Timing's.
 	Quiet time.Duration
+	// ListLag is how far the platform's list may lag; no worker counts as gone sooner.
+	ListLag time.Duration
 	// Timing is by default DefaultTiming.
 	Timing Timing
 	// Members, Config and List return what is known now.
@@ -273,6 +275,7 @@
 	if t == (Timing{}) {
 		t = DefaultTiming()
 	}
+	t.GoneAfter = max(t.GoneAfter, k.ListLag)
 	t.Quiet = min(cmp.Or(k.Quiet, t.Quiet), t.QuietLimit(k.TTL))
 	return t
 }
--- a/internal/shard/pace_test.go
+++ b/internal/shard/pace_test.go
@@ -109,3 +109,9 @@
 	h.core.timing = (&Keeper{TTL: time.Minute}).timing()
 	require.Equal(t, time.Second, h.core.Pace("w0", time.Second, w.now))
 }
+
+// A worker does not count as gone before the platform's list shows it.
+func TestWorkersAreNotGoneWithinTheListsLag(t *testing.T) {
+	require.Equal(t, time.Minute, (&Keeper{TTL: time.Second, ListLag: time.Minute}).timing().GoneAfter)
+	require.Equal(t, DefaultTiming().GoneAfter, (&Keeper{TTL: time.Second, ListLag: time.Second}).timing().GoneAfter)
+}
--- a/membership.go
+++ b/membership.go
@@ -32,6 +32,7 @@
 		TTL:     s.LeaseTTL,
 		Log:     i.Log,
 		Longest: i.longestDeadline,
+		ListLag: s.ListLag,
 		Apply:   i.retarget,
 		Changed: func(membership.View) { i.reportToPeers() },
 		Cut:     i.cuts.Cut,
--- a/tasks.go
+++ b/tasks.go
@@ -29,6 +29,7 @@
 		TTL:      s.LeaseTTL,
 		Interval: s.WorkerInterval,
 		Quiet:    s.QuietWorkerInterval,
+		ListLag:  s.ListLag,
 		Members:  i.shardMembers,
 		Config:   i.configs.Current,
 		List:     i.currentList,
