One loop looks for what peers are to be told of

Cause: the reporter of each peer looked twenty times a second for a change, so that each peer cost processor time although nothing changed.

Change: one loop of the instance looks, each peerInterval, and wakes the reporters (peer.Notice); they send heartbeats by a timer. The cache of idle slots is gone: the loop's last look serves all.

--- a/internal/peer/bytes_test.go
+++ b/internal/peer/bytes_test.go
@@ -1,6 +1,7 @@
 package peer_test
 
 import (
+	"context"
 	"fmt"
 	"sync/atomic"
 	"syscall"
@@ -37,7 +38,10 @@
 
 // measureFleet reports what one of that many instances pays.
 func measureFleet(b *testing.B, instances int, idle func(n int64) int) {
-	const length = 10 * time.Second
+	const (
+		length       = 10 * time.Second
+		lookInterval = 50 * time.Millisecond
+	)
 	near := instances - 1
 	if instances >= 14 {
 		near = instances/2 - 1
@@ -45,6 +49,23 @@
 	fleet := peer.Fleet{Near: near, Remote: instances - 1 - near}
 	// The streams to one instance stand for all.
 	l, _ := serve(b, func(peer.Report) {})
+	var notice peer.Notice
+	var looks atomic.Int64
+	now := func() peer.Report {
+		return peer.Report{
+			Status: membership.Status{ID: "entry-1~0a1b2c3d", Report: grant.Report{Epoch: 17}},
+			Idle:   map[string]int{"finish": idle(looks.Load()), "gloss": 12, "flatness": 7, "edge": 3},
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	b.Cleanup(cancel)
+	go func() {
+		for ctx.Err() == nil {
+			looks.Add(1)
+			notice.Look(now(), 17)
+			<-time.After(lookInterval)
+		}
+	}()
 	for k := range instances - 1 {
 		pool := &peer.Pool{}
 		b.Cleanup(pool.Close)
@@ -52,13 +73,7 @@
 		if err != nil {
 			b.Fatal(err)
 		}
-		var looks atomic.Int64
-		report(b, conn, fleet.Pace(50*time.Millisecond, k >= near), func() peer.Report {
-			return peer.Report{
-				Status: membership.Status{ID: "entry-1~0a1b2c3d", Report: grant.Report{Epoch: 17}},
-				Idle:   map[string]int{"finish": idle(looks.Add(1)), "gloss": 12, "flatness": 7, "edge": 3},
-			}
-		})
+		report(b, conn, fleet.Pace(k >= near), notice.Changed, now)
 	}
 	<-time.After(length / 5)
 	bytes, used := l.bytes.Load(), processorTime()
--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -85,13 +85,17 @@
 	Drop func()
 	// Pace returns how often reports are sent now.
 	Pace func() Pace
-	// Next returns what to send now.
-	Next func() Report
+	// Next returns what to send now, and Changed a channel that is closed once
+	// that has changed.
+	Next    func() Report
+	Changed func() <-chan struct{}
 }
 
 const (
 	// reconnectDelay is the wait after a broken stream of reports.
 	reconnectDelay = 200 * time.Millisecond
+	// minWait is the shortest wait between two looks without a change.
+	minWait = 10 * time.Millisecond
 	// ackTimeout bounds the silence of a peer that was sent a report.
 	ackTimeout = 2 * time.Second
 )
@@ -138,20 +142,23 @@
 
 // send sends reports until the call breaks.
 func (r *Reporter) send(ctx context.Context, call grpc.BidiStreamingClient[slotpb.Status, slotpb.ReportReply]) error {
-	ticker := time.NewTicker(r.Pace().Interval)
-	defer ticker.Stop()
 	gate := newGate(r.Pace(), time.Now())
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
-		last, next := gate.last, r.Next()
-		if gate.pass(next, r.Pace(), time.Now()) {
+		changed := r.Changed()
+		last, next, now := gate.last, r.Next(), time.Now()
+		if gate.pass(next, r.Pace(), now) {
 			if err := call.Send(encodeChange(last, next)); err != nil {
 				return err
 			}
 		}
+		timer.Reset(gate.wait(next, r.Pace(), now))
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-ticker.C:
+		case <-changed:
+		case <-timer.C:
 		}
 	}
 }
@@ -183,6 +190,15 @@
 	return true
 }
 
+// wait returns how long nothing is to be sent unless there is a change.
+func (g *gate) wait(next Report, p Pace, now time.Time) time.Duration {
+	wait := g.sent.Add(p.Heartbeat).Sub(now)
+	if idleDiffers(g.last.Idle, next.Idle) {
+		wait = min(wait, time.Duration((1-g.tokens)/p.PerSecond*float64(time.Second)))
+	}
+	return max(wait, minWait)
+}
+
 // sameStatus reports whether two reports say the same of the division.
 func sameStatus(a, b Report) bool {
 	x, y := a.Status, b.Status
--- a/internal/peer/exchange_test.go
+++ b/internal/peer/exchange_test.go
@@ -66,17 +66,30 @@
 	return l, conn
 }
 
-var testPace = peer.Pace{Interval: 50 * time.Millisecond, Heartbeat: 500 * time.Millisecond, PerSecond: 8}
+var testPace = peer.Pace{Heartbeat: 500 * time.Millisecond, PerSecond: 8}
+
+// never is the channel of changes of what never changes.
+func never() <-chan struct{} { return nil }
+
+// always is the channel of changes of what has changed at each look.
+func always() <-chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}
 
 // report starts a reporter that ends with the test.
-func report(t testing.TB, conn *grpc.ClientConn, pace peer.Pace, next func() peer.Report) {
+func report(
+	t testing.TB, conn *grpc.ClientConn, pace peer.Pace, changed func() <-chan struct{}, next func() peer.Report,
+) {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	r := &peer.Reporter{
-		Conn: func() (*grpc.ClientConn, error) { return conn, nil },
-		Drop: func() {},
-		Pace: func() peer.Pace { return pace },
-		Next: next,
+		Conn:    func() (*grpc.ClientConn, error) { return conn, nil },
+		Drop:    func() {},
+		Pace:    func() peer.Pace { return pace },
+		Changed: changed,
+		Next:    next,
 	}
 	go func() {
 		defer close(done)
@@ -102,7 +115,7 @@
 	}
 	heard := make(chan peer.Report, 100)
 	_, conn := serve(t, func(r peer.Report) { heard <- r })
-	report(t, conn, testPace, func() peer.Report { return sent })
+	report(t, conn, testPace, never, func() peer.Report { return sent })
 	select {
 	case got := <-heard:
 		require.Equal(t, sent, got)
@@ -144,9 +157,10 @@
 			}
 		},
 		Pace: func() peer.Pace {
-			return peer.Pace{Interval: 10 * time.Millisecond, Heartbeat: 50 * time.Millisecond, PerSecond: 8}
+			return peer.Pace{Heartbeat: 50 * time.Millisecond, PerSecond: 8}
 		},
-		Next: func() peer.Report { return peer.Report{} },
+		Changed: never,
+		Next:    func() peer.Report { return peer.Report{} },
 	}
 	go func() {
 		defer close(done)
@@ -217,7 +231,7 @@
 	heard := make(chan peer.Report)
 	_, conn := serve(t, func(r peer.Report) { heard <- r })
 	n := -1
-	report(t, conn, peer.Pace{Interval: time.Millisecond, PerSecond: 1}, func() peer.Report {
+	report(t, conn, peer.Pace{PerSecond: 1}, always, func() peer.Report {
 		n = min(n+1, len(steps)-1)
 		return steps[n]
 	})
@@ -234,10 +248,41 @@
 // The reports of an instance are bounded whatever the fleet.
 func TestPaceIsBounded(t *testing.T) {
 	for _, n := range []int{1, 6, 13, 27, 100, 1000} {
-		p := peer.Fleet{Near: n}.Pace(time.Millisecond, false)
+		p := peer.Fleet{Near: n}.Pace(false)
 		heartbeats := float64(n) / p.Heartbeat.Seconds()
 		require.LessOrEqual(t, heartbeats, 26.0, "heartbeats a second to %d peers", n)
 		require.LessOrEqual(t, p.PerSecond*float64(n), 24.1, "changes of idle slots a second to %d peers", n)
 		require.Greater(t, peer.Fleet{Near: n}.Silence(false), 2*p.Heartbeat)
 	}
 }
+
+// Reporters are woken by what a peer would act on, and by nothing else.
+func TestNotice(t *testing.T) {
+	var n peer.Notice
+	report := peer.Report{Status: membership.Status{ID: "entry-1~x"}, Idle: map[string]int{"finish": 8}}
+	n.Look(report, 1)
+	cases := []struct {
+		name  string
+		idle  int
+		epoch int64
+		woken bool
+	}{
+		{"nothing", 8, 1, false},
+		{"a few slots", 6, 1, false},
+		{"no slots left", 0, 1, true},
+		{"a new table", 0, 2, true},
+		{"nothing since", 0, 2, false},
+	}
+	for _, c := range cases {
+		changed := n.Changed()
+		report.Idle = map[string]int{"finish": c.idle}
+		n.Look(report, c.epoch)
+		woken := false
+		select {
+		case <-changed:
+			woken = true
+		default:
+		}
+		require.Equal(t, c.woken, woken, c.name)
+	}
+}
--- a/internal/peer/pace.go
+++ b/internal/peer/pace.go
@@ -1,6 +1,9 @@
 package peer
 
-import "time"
+import (
+	"sync"
+	"time"
+)
 
 const (
 	// heartbeat is the longest time between two reports to a peer of the
@@ -22,8 +25,6 @@
 
 // Pace bounds how often reports are sent to one peer.
 type Pace struct {
-	// Interval is the shortest time between two reports.
-	Interval time.Duration
 	// Heartbeat is the longest time between two reports.
 	Heartbeat time.Duration
 	// PerSecond bounds the reports that only change idle slots.
@@ -39,8 +40,8 @@
 
 // Pace returns the pace of reports to one peer, such that the reports of an
 // instance to all peers are bounded whatever the fleet.
-func (f Fleet) Pace(interval time.Duration, remote bool) Pace {
-	p := Pace{Interval: interval, Heartbeat: f.heartbeat(remote), PerSecond: remoteIdlePerSecond}
+func (f Fleet) Pace(remote bool) Pace {
+	p := Pace{Heartbeat: f.heartbeat(remote), PerSecond: remoteIdlePerSecond}
 	if !remote {
 		p.PerSecond = min(maxIdlePerSecond, idleReportsPerSecond/float64(max(f.Near, 1)))
 	}
@@ -59,3 +60,48 @@
 	}
 	return max(heartbeat, least)
 }
+
+// Notice tells all reporters of an instance that there is something to report,
+// so that none of them has to look for it. Its zero value is ready for use.
+type Notice struct {
+	mu      sync.Mutex
+	changed chan struct{}
+	// last is what the reporters were woken for last, with its epoch, and seen
+	// the free slots at the last look.
+	last  Report
+	epoch int64
+	seen  map[string]int
+}
+
+// Idle returns the free slots by service at the last look.
+func (n *Notice) Idle() map[string]int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.seen
+}
+
+// Changed returns a channel that is closed at the next change.
+func (n *Notice) Changed() <-chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.changed == nil {
+		n.changed = make(chan struct{})
+	}
+	return n.changed
+}
+
+// Look takes what there is to report now, with the epoch of the newest grant
+// table, and wakes the reporters if a peer would act otherwise on it.
+func (n *Notice) Look(now Report, epoch int64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.seen = now.Idle
+	if epoch == n.epoch && sameStatus(n.last, now) && !idleDiffers(n.last.Idle, now.Idle) {
+		return
+	}
+	n.last, n.epoch = now, epoch
+	if n.changed != nil {
+		close(n.changed)
+		n.changed = nil
+	}
+}
--- a/membership.go
+++ b/membership.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -166,18 +165,33 @@
 func (i *Instance) report(ctx context.Context, p membership.Peer) {
 	remote := p.Region != i.Settings.Region
 	r := &peer.Reporter{
-		Conn: func() (*grpc.ClientConn, error) { return i.pool.Conn(p.PeerAddress) },
-		Drop: func() { i.pool.Drop(p.PeerAddress) },
-		Pace: func() peer.Pace { return i.fleet().Pace(i.Settings.PeerInterval, remote) },
-		Next: func() peer.Report { return i.reportFor(p.ID) },
+		Conn:    func() (*grpc.ClientConn, error) { return i.pool.Conn(p.PeerAddress) },
+		Drop:    func() { i.pool.Drop(p.PeerAddress) },
+		Pace:    func() peer.Pace { return i.fleet().Pace(remote) },
+		Next:    func() peer.Report { return i.reportFor(p.ID) },
+		Changed: i.notice.Changed,
 	}
 	r.Run(ctx)
 }
 
+// watchReports looks for changes that peers are to be told of, until the context ends.
+func (i *Instance) watchReports(ctx context.Context) error {
+	ticker := time.NewTicker(i.Settings.PeerInterval)
+	defer ticker.Stop()
+	for {
+		i.members.Pulse()
+		i.notice.Look(peer.Report{Status: i.members.Status(), Idle: i.idleSlots()}, i.members.View().Table.Epoch)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
 // reportFor returns what a peer is told now.
 func (i *Instance) reportFor(id string) peer.Report {
-	i.members.Pulse()
-	r := peer.Report{Status: i.members.Status(), Idle: i.idle.get(i.Settings.PeerInterval, i.idleSlots)}
+	r := peer.Report{Status: i.members.Status(), Idle: i.notice.Idle()}
 	view := i.members.View()
 	if epoch := i.directory.Epoch(id); epoch > 0 && epoch < view.Table.Epoch {
 		r.Table, _ = grant.Encode(view.Table)
@@ -199,22 +213,6 @@
 	return idle
 }
 
-// idleCache keeps the free slots for one interval, for the reports to all peers.
-type idleCache struct {
-	mu   sync.Mutex
-	at   time.Time
-	idle map[string]int
-}
-
-func (c *idleCache) get(interval time.Duration, count func() map[string]int) map[string]int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if now := time.Now(); now.Sub(c.at) >= interval {
-		c.at, c.idle = now, count()
-	}
-	return c.idle
-}
-
 // registerSlots answers the calls of peers that divide the slots.
 func (i *Instance) registerSlots(server *grpc.Server) {
 	peer.RegisterSlots(server, &peer.Slots{
--- a/oriolepond.go
+++ b/oriolepond.go
@@ -71,7 +71,7 @@
 	slowedTargets atomic.Pointer[map[string]bool]
 	others        atomic.Pointer[others]
 	cuts          cutter
-	idle          idleCache
+	notice        peer.Notice
 
 	keyJournal *home.Journal
 	meter      *meter.Meter
@@ -93,6 +93,7 @@
 	addLoop(&g, i.reporters.Run)
 	addLoop(&g, i.slowedPeers.Run)
 	addLoop(&g, i.findSlowed)
+	addLoop(&g, i.watchReports)
 	addLoop(&g, i.members.Run)
 	addLoop(&g, i.configs.Run)
 	addLoop(&g, i.meters.Run)
