Shards hand queued tasks to each other

Cause: a job is split among shards when it is submitted, and its queued tasks never left their shard. When its racks vanished, or one shard had a long queue beside idle ones of the same share, they waited.

Change: a shard whose own tasks have waited 5 s asks the other shards of the share's quota for room and hands them what they could start now; tasks that no worker of it could hold for 30 s are divided among them by processors. The source commits the tasks as moved under the number of the transfer and keeps their books; the taker commits them with that number, by which it tells a repeat, and reports ends until the source has committed them. A report names its transfer, so that a late one touches no task that went again. Cancellations are part of the job's record and told until confirmed. Tasks that came from elsewhere are no surplus, so nothing goes to and fro.

Ruled out: one store transaction over two journals, a new split that changes the job's identifier, workers lent between holders, pull by idle shards (docs/DESIGN.md).

The property now also runs two or three shards; it fails if a transfer is taken twice, sent or answered before it is durable, begun before the last is confirmed, not sent again after a take-over, if an end is told before it is durable, if a late report counts, or if the checkpoint or the numbers are not kept. It does not find a replaced holder that confirms what it lacks, or lost incarnation numbers; directed tests do. The part for one shard is as it was. newFleet's keepers start after all of them are built, since they call each other now.

The models of the tests now know that an incarnation may have run in another shard (sent) and that the usage of a foreign task goes to the account.

--- a/internal/eventlog/task.go
+++ b/internal/eventlog/task.go
@@ -26,6 +26,16 @@
 		Number: 3004, Level: zapcore.DebugLevel, Message: "journal compacted",
 		Meaning: "A snapshot replaced the log of the shard.", Advice: "None.",
 	})
+	TasksMoved = register(Event{
+		Number: 3005, Level: zapcore.InfoLevel, Message: "tasks handed to another shard",
+		Meaning: "Queued tasks went to a shard with room, since their own had none for a while, or no worker left for them.",
+		Advice:  "None, unless racks vanished that you did not take away.",
+	})
+	TasksNotMoved = register(Event{
+		Number: 3006, Level: zapcore.WarnLevel, Message: "hand-over of tasks not answered",
+		Meaning: "Tasks are set aside for another shard, which did not confirm that it has them; the transfer is sent again until it does.",
+		Advice:  "Check the network between the instances, and the named shard, if this lasts.",
+	})
 	WorkerSilent = register(Event{
 		Number: 3100, Level: zapcore.WarnLevel, Message: "worker silent",
 		Meaning: "A worker did not answer; its tasks move once their leases have surely lapsed there.",
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -25,18 +25,20 @@
 		Jobs: []task.Job{{
 			Part:    task.Part{ID: "j~bajio.1", Neighbour: "quality", Share: "reviews", Name: "flatness-review", First: 3, Tasks: 2},
 			EndedAt: time.UnixMilli(77), Counts: map[task.State]int{task.Finished: 2}, Reason: "r",
-			Usage: worker.Usage{Processor: 5, MemoryTime: 1.5, Accelerator: 7},
+			Usage: worker.Usage{Processor: 5, MemoryTime: 1.5, Accelerator: 7}, Cancelled: true,
 		}},
 		Tasks: []task.Task{{
 			Job: "j~bajio.1", Number: 4, State: task.Running, Incarnation: 2, Worker: "w",
 			Size: share.Resources{Processors: 1, Memory: 2, Accelerators: 3}, Checkpoint: "c", Failures: 1, Reason: "f",
 			Ended: worker.Usage{Processor: 1}, Live: worker.Usage{MemoryTime: 2}, ReadAt: time.UnixMilli(78),
+			Away: "bajio.2", Transfer: 6, Origin: task.Origin{Shard: "bajio.1", Neighbour: "quality", Share: "reviews", Name: "n"},
 		}},
 		Accounts: []Account{{Neighbour: "quality", Share: "reviews", Usage: worker.Total{Accelerator: worker.Span{Whole: 1 << 40, Rest: 9}}}},
 		Lost: []Lost{{
 			Ack: worker.Ack{Task: "t", Incarnation: 3}, Worker: "w", Job: "j", Neighbour: "quality", Share: "reviews",
 			Counted: worker.Usage{Processor: 6}, Open: worker.Usage{Processor: 7}, LostAt: time.UnixMilli(79),
 		}},
+		Links:   []Link{{Shard: "bajio.2", Sent: 3, Received: 4}},
 		Found:   []worker.Ack{{Task: "u", Incarnation: 4}},
 		Budgets: []Budget{{Rule: "r", Spent: []time.Time{time.UnixMilli(80), time.UnixMilli(81)}}},
 		Learned: []Learned{{
--- a/internal/journal/record.go
+++ b/internal/journal/record.go
@@ -47,6 +47,13 @@
 	LostAt  time.Time
 }
 
+// Link numbers the last transfers of tasks to and from another shard.
+type Link struct {
+	Shard    string
+	Sent     int64
+	Received int64
+}
+
 // Batch is a set of records that take effect together. Each record holds the
 // whole new state of its subject.
 type Batch struct {
@@ -59,18 +66,20 @@
 	Budgets []Budget
 	// Learned is one record, or none; the last one counts.
 	Learned []Learned
+	Links   []Link
 	// Dropped are the identifiers of jobs that are forgotten.
 	Dropped []string
 }
 
 // Len returns the number of records.
 func (b Batch) Len() int {
-	return len(b.Jobs) + len(b.Tasks) + len(b.Accounts) + len(b.Lost) + len(b.Found) + len(b.Budgets) + len(b.Learned) + len(b.Dropped)
+	return len(b.Jobs) + len(b.Tasks) + len(b.Accounts) + len(b.Links) + len(b.Lost) + len(b.Found) + len(b.Budgets) + len(b.Learned) + len(b.Dropped)
 }
 
 // cut returns the first n records and the rest; jobs come before their tasks.
 func (b Batch) cut(n int) (first, rest Batch) {
 	first.Accounts, rest.Accounts, n = cutSlice(b.Accounts, n)
+	first.Links, rest.Links, n = cutSlice(b.Links, n)
 	first.Jobs, rest.Jobs, n = cutSlice(b.Jobs, n)
 	first.Tasks, rest.Tasks, n = cutSlice(b.Tasks, n)
 	first.Lost, rest.Lost, n = cutSlice(b.Lost, n)
@@ -112,6 +121,9 @@
 	for _, l := range b.Learned {
 		m.Learned = append(m.Learned, encodeLearned(l))
 	}
+	for _, l := range b.Links {
+		m.Links = append(m.Links, &journalpb.Link{Shard: l.Shard, Sent: l.Sent, Received: l.Received})
+	}
 	return proto.Marshal(m)
 }
 
@@ -143,6 +155,9 @@
 	for _, l := range m.Learned {
 		b.Learned = append(b.Learned, decodeLearned(l))
 	}
+	for _, l := range m.Links {
+		b.Links = append(b.Links, Link{Shard: l.Shard, Sent: l.Sent, Received: l.Received})
+	}
 	return b, nil
 }
 
@@ -227,6 +242,7 @@
 		Tasks:     int32(j.Tasks),
 		Reason:    j.Reason,
 		Usage:     encodeUsage(j.Usage),
+		Cancelled: j.Cancelled,
 	}
 	if !j.EndedAt.IsZero() {
 		m.EndedMillis = j.EndedAt.UnixMilli()
@@ -250,8 +266,9 @@
 			First:     int(m.First),
 			Tasks:     int(m.Tasks),
 		},
-		Reason: m.Reason,
-		Usage:  decodeUsage(m.Usage),
+		Reason:    m.Reason,
+		Usage:     decodeUsage(m.Usage),
+		Cancelled: m.Cancelled,
 	}
 	if m.EndedMillis != 0 {
 		j.EndedAt = time.UnixMilli(m.EndedMillis)
@@ -277,6 +294,16 @@
 		Reason:      t.Reason,
 		Ended:       encodeUsage(t.Ended),
 		Live:        encodeUsage(t.Live),
+		Away:        t.Away,
+		Transfer:    t.Transfer,
+	}
+	if t.Origin != (task.Origin{}) {
+		m.Origin = &journalpb.Origin{
+			Shard:     t.Origin.Shard,
+			Neighbour: t.Origin.Neighbour,
+			Share:     t.Origin.Share,
+			Name:      t.Origin.Name,
+		}
 	}
 	if !t.ReadAt.IsZero() {
 		m.ReadMillis = t.ReadAt.UnixMilli()
@@ -300,6 +327,14 @@
 		Reason:      m.Reason,
 		Ended:       decodeUsage(m.Ended),
 		Live:        decodeUsage(m.Live),
+		Away:        m.Away,
+		Transfer:    m.Transfer,
+		Origin: task.Origin{
+			Shard:     m.Origin.GetShard(),
+			Neighbour: m.Origin.GetNeighbour(),
+			Share:     m.Origin.GetShare(),
+			Name:      m.Origin.GetName(),
+		},
 	}
 	if m.ReadMillis != 0 {
 		t.ReadAt = time.UnixMilli(m.ReadMillis)
--- a/internal/peer/tasks.go
+++ b/internal/peer/tasks.go
@@ -38,6 +38,17 @@
 		Accounts: func(ctx context.Context, id string) ([]shard.Account, error) {
 			return decodeAccounts(c.Account(ctx, &taskpb.AccountRequest{Shard: id}))
 		},
+		Room: func(ctx context.Context, id, from string, families []string) ([]shard.Room, error) {
+			return decodeRooms(c.Room(ctx, &taskpb.RoomRequest{Shard: id, From: from, Families: families}))
+		},
+		Transfer: func(ctx context.Context, id string, t shard.Transfer) error {
+			_, err := c.Transfer(ctx, encodeTransfer(id, t))
+			return decodeError(err)
+		},
+		Report: func(ctx context.Context, id string, r shard.Report) error {
+			_, err := c.Report(ctx, encodeMoved(id, r))
+			return decodeError(err)
+		},
 	}
 }
 
@@ -179,6 +190,9 @@
 
 // decodeError is the inverse of encodeError.
 func decodeError(err error) error {
+	if err == nil {
+		return nil
+	}
 	s := status.Convert(err)
 	switch s.Code() {
 	case codes.NotFound:
--- /dev/null
+++ b/internal/peer/transfer_test.go
@@ -0,0 +1,70 @@
+package peer_test
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"github.com/oriolepond/oriolepond/internal/peer"
+	"github.com/oriolepond/oriolepond/internal/shard"
+	"github.com/oriolepond/oriolepond/internal/task"
+)
+
+// What one shard tells another arrives with every field, and its refusal comes back.
+func TestTransfersKeepEveryField(t *testing.T) {
+	transfer := shard.Transfer{
+		From: "bajio.0", Epoch: 7, Number: 3, Cancelled: []string{"gone"},
+		Jobs: []shard.MovedJob{{
+			ID: "j", Neighbour: "quality", Share: "reviews", Name: "flatness-review",
+			Tasks: []shard.MovedTask{
+				{Number: 4, Incarnation: 2, Checkpoint: "c", Failures: 1, Reason: "r", Waited: 3 * time.Second},
+			},
+		}},
+	}
+	report := shard.Report{From: "bajio.1", Rows: []shard.MovedState{{
+		Job: "j", Number: 4, Transfer: 3, State: task.Running, Incarnation: 5, Checkpoint: "d", Failures: 2, Reason: "s",
+	}}}
+	rooms := []shard.Room{{Family: "flatness-review", Fits: true, Idle: 9}}
+	calls := serveTasks(t, &shard.Calls{
+		Room: func(_ context.Context, id, from string, families []string) ([]shard.Room, error) {
+			require.Equal(t, []string{"bajio.1", "bajio.0", "flatness-review"}, append([]string{id, from}, families...))
+			return rooms, nil
+		},
+		Transfer: func(_ context.Context, id string, got shard.Transfer) error {
+			require.Equal(t, "bajio.1", id)
+			require.Equal(t, transfer, got)
+			return nil
+		},
+		Report: func(_ context.Context, id string, got shard.Report) error {
+			require.Equal(t, report, got)
+			return &shard.NotHolderError{Shard: id, Holder: "e"}
+		},
+	})
+	got, err := calls.Room(t.Context(), "bajio.1", "bajio.0", []string{"flatness-review"})
+	require.NoError(t, err)
+	require.Equal(t, rooms, got)
+	require.NoError(t, calls.Transfer(t.Context(), "bajio.1", transfer))
+	var not *shard.NotHolderError
+	require.ErrorAs(t, calls.Report(t.Context(), "bajio.0", report), &not)
+	require.Equal(t, "e", not.Holder)
+}
+
+// serveTasks returns the calls as a peer makes them over a connection.
+func serveTasks(t *testing.T, calls *shard.Calls) *shard.Calls {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := grpc.NewServer()
+	peer.RegisterTasks(server, calls)
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(server.Stop)
+	conn, err := grpc.NewClient("passthrough:///"+listener.Addr().String(), grpc.WithTransportCredentials(insecure.NewCredentials()))
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	return peer.NewTasks(conn)
+}
--- a/internal/shard/accounts.go
+++ b/internal/shard/accounts.go
@@ -49,11 +49,12 @@
 	for _, j := range c.jobs {
 		a := sum(j.Neighbour, j.Share)
 		a.Usage = a.Usage.Plus(j.Usage)
-		for _, t := range j.tasks {
-			a.Usage = a.Usage.Plus(t.Usage())
-			if t.State.Placed() {
-				a.addOpen(c.unreported(t, now))
-			}
+	}
+	for _, t := range c.tasks {
+		a := sum(t.job.Neighbour, t.job.Share)
+		a.Usage = a.Usage.Plus(t.Usage())
+		if t.State.Placed() {
+			a.addOpen(c.unreported(t, now))
 		}
 	}
 	for _, l := range c.lost {
@@ -155,7 +156,7 @@
 	}
 	c.dropLost(l.Ack)
 	late := row.Usage.Minus(l.Counted)
-	if e, known := c.tasks[l.Task]; known && !e.State.Final() {
+	if e, known := c.tasks[l.Task]; known && !e.isAccounted() {
 		e.Ended = e.Ended.Plus(late)
 		c.mark(e)
 		return
@@ -168,6 +169,12 @@
 	c.addToAccount(l.Neighbour, l.Share, late)
 }
 
+// isAccounted reports whether the usage of a task went to its job or, of a
+// foreign one that is handed back, to the account.
+func (e *entry) isAccounted() bool {
+	return e.State.Final() || (e.job.from != "" && e.State == task.Moved)
+}
+
 // addToAccount counts usage that no job holds.
 func (c *Core) addToAccount(neighbour, name string, u worker.Usage) {
 	a := c.accounts[name]
--- a/internal/shard/accounts_test.go
+++ b/internal/shard/accounts_test.go
@@ -39,9 +39,16 @@
 func (w *world) keep(h *worldHolder, b journal.Batch) {
 	keep := func(id string) { w.durable[id] = maps.Clone(h.heard[id]) }
 	for _, t := range b.Tasks {
-		w.final[t.ID()] = t.State.Final()
+		handedBack := t.Origin.Shard != "" && t.State == task.Moved
+		w.final[t.ID()] = t.State.Final() || t.State == task.Released || handedBack
 		keep(t.ID())
 	}
+	for _, f := range b.Found {
+		if w.final[f.Task] {
+			// The usage of a task that another shard has back went to the account.
+			keep(f.Task)
+		}
+	}
 	for _, j := range b.Jobs {
 		for n := range j.Tasks {
 			id := task.ID(j.ID, j.First+n)
@@ -73,12 +80,36 @@
 	}
 	var missing worker.Usage
 	for i, u := range w.ledger.Spent() {
+		if !w.sent[i] {
+			// It ran in another shard.
+			continue
+		}
 		missing = missing.Plus(u.Minus(h.heard[i.Task][i.Incarnation]))
 	}
 	require.LessOrEqual(t, missing.Processor, open.Processor, "processor time that was not reported")
 	require.LessOrEqual(t, missing.MemoryTime, open.MemoryTime, "memory that was not reported")
 }
 
+// A task whose incarnation lapsed does not start again on the worker that may
+// still report the end of that incarnation: the worker would forget it.
+func TestLapsedTaskLeavesItsLastReadingToBeRead(t *testing.T) {
+	w := newWorld()
+	h := w.holders[0]
+	w.coast(2, 0)
+	for i := range worldWorkers - 1 {
+		w.replace(i)
+	}
+	w.submit(h, "batch", 1)
+	w.coast(2, 0)
+	w.advance(13500 * time.Millisecond)
+	for range 30 {
+		w.advance(time.Second)
+		w.round(h)
+		w.check(t)
+	}
+	require.Equal(t, 2, w.ledger.Starts(), "it runs again once the end was read")
+}
+
 // What a share has used does not overflow, however large the pool.
 func TestAccountHoldsMoreThanOneDuration(t *testing.T) {
 	w := newWorld()
--- a/internal/shard/bench_test.go
+++ b/internal/shard/bench_test.go
@@ -173,3 +173,71 @@
 	}
 	b.ReportMetric(float64(bytes)/(float64(b.N*perPeriod)*pace.Seconds()), "bytes/s")
 }
+
+// BenchmarkVanishedRacks measures, in virtual time, how long the queued tasks
+// of a shard whose racks vanish wait until others have them, and the store
+// writes of their transfers.
+func BenchmarkVanishedRacks(b *testing.B) {
+	for _, busy := range []bool{false, true} {
+		b.Run(fmt.Sprintf("othersBusy=%t", busy), func(b *testing.B) {
+			var v vanished
+			for b.Loop() {
+				v = measureVanished(busy)
+			}
+			b.ReportMetric(v.firstRuns, "firstRuns-s")
+			b.ReportMetric(v.allMoved, "allMoved-s")
+			b.ReportMetric(float64(v.writes)/vanishedTasks*1000, "writes/1000tasks")
+		})
+	}
+}
+
+// vanishedTasks are queued in the shard whose racks vanish.
+const vanishedTasks = 1000
+
+type vanished struct {
+	// firstRuns and allMoved are the seconds until a task runs elsewhere, and until all are there.
+	firstRuns, allMoved float64
+	writes              int
+}
+
+func measureVanished(busy bool) vanished {
+	p := newPool(4)
+	gone := p.worlds[0]
+	p.coast(3)
+	if busy {
+		for _, w := range p.worlds[1:] {
+			w.submit(w.holders[0], "batch", 60)
+		}
+		p.coast(3)
+	}
+	gone.racksGone()
+	h := gone.holders[0]
+	gone.submit(h, "batch", vanishedTasks)
+	gone.commit(h, false)
+	before := p.transferWrites()
+	var v vanished
+	for second := 1.0; (v.allMoved == 0 || v.firstRuns == 0) && second < 300; second++ {
+		p.coast(1)
+		if v.firstRuns == 0 && gone.states()[task.Running] > 0 {
+			v.firstRuns = second
+		}
+		if v.allMoved == 0 && gone.moved()+gone.states()[task.Finished] == vanishedTasks {
+			v.allMoved = second
+		}
+	}
+	v.writes = p.transferWrites() - before
+	return v
+}
+
+// transferWrites returns the number of commits that send or take a transfer.
+func (p *pool) transferWrites() int {
+	n := 0
+	for _, w := range p.worlds {
+		for _, batch := range w.batches {
+			if len(batch.Links) > 0 {
+				n++
+			}
+		}
+	}
+	return n
+}
--- a/internal/shard/calls.go
+++ b/internal/shard/calls.go
@@ -38,4 +38,8 @@
 	Accounts func(ctx context.Context, shard string) ([]Account, error)
 	// Slowed returns the slowed runners of all shards that are held there; only a server needs it.
 	Slowed func() []Slowed
+	// Room, Transfer and Report are made by the holder of another shard.
+	Room     func(ctx context.Context, shard, from string, families []string) ([]Room, error)
+	Transfer func(ctx context.Context, shard string, t Transfer) error
+	Report   func(ctx context.Context, shard string, r Report) error
 }
--- a/internal/shard/changes.go
+++ b/internal/shard/changes.go
@@ -21,6 +21,7 @@
 	budgets map[string]bool
 	// learned says that the open batch is to hold what was learned; that alone is no change.
 	learned bool
+	links   map[string]*link
 	dropped []string
 	// workers are those that something is to be sent to once the open batch is durable.
 	workers map[string]bool
@@ -40,6 +41,7 @@
 	c.lost = map[worker.Ack]bool{}
 	c.budgets = map[string]bool{}
 	c.learned = false
+	c.links = map[string]*link{}
 	c.dropped = nil
 	c.workers = map[string]bool{}
 }
@@ -61,7 +63,7 @@
 // HasChanges reports whether there is something to commit.
 func (c *Core) HasChanges() bool {
 	x := &c.changes
-	return len(x.jobs)+len(x.tasks)+len(x.accounts)+len(x.lost)+len(x.budgets)+len(x.dropped) > 0
+	return len(x.jobs)+len(x.tasks)+len(x.accounts)+len(x.lost)+len(x.links)+len(x.budgets)+len(x.dropped) > 0
 }
 
 // PendingBatch returns the number of the batch after which all present changes are durable.
@@ -101,6 +103,9 @@
 	if c.changes.learned {
 		b.Learned = c.learned()
 	}
+	for _, l := range c.changes.links {
+		b.Links = append(b.Links, l.Link)
+	}
 	b.Dropped = c.changes.dropped
 	number := c.changes.open
 	c.changes.sent = c.changes.workers
@@ -136,12 +141,15 @@
 		b.Budgets = append(b.Budgets, c.budget(r.Name))
 	}
 	b.Learned = c.learned()
+	for _, l := range c.links {
+		b.Links = append(b.Links, l.Link)
+	}
 	for _, j := range c.jobs {
 		b.Jobs = append(b.Jobs, j.Job)
-		for _, t := range j.tasks {
-			if t.Task != (task.Task{Job: t.Job, Number: t.Number, State: task.Queued}) {
-				b.Tasks = append(b.Tasks, stored(t.Task))
-			}
+	}
+	for _, t := range c.tasks {
+		if t.Task != (task.Task{Job: t.Job, Number: t.Number, State: task.Queued}) {
+			b.Tasks = append(b.Tasks, stored(t.Task))
 		}
 	}
 	return b
--- a/internal/shard/core.go
+++ b/internal/shard/core.go
@@ -44,21 +44,27 @@
 	Retention time.Duration
 	// RetryAfter is the first wait of a task after a failure; it doubles with each.
 	RetryAfter time.Duration
+	// MoveAfter is how long a task waits in its shard before another one may take it.
+	MoveAfter time.Duration
+	// StrandedAfter is how long no worker of a shard can hold a task before it goes to one that can.
+	StrandedAfter time.Duration
 }
 
 // DefaultTiming returns the times that instances use.
 func DefaultTiming() Timing {
 	return Timing{
-		Lease:       15 * time.Second,
-		Drift:       0.01,
-		Grace:       5 * time.Minute,
-		FullEvery:   5 * time.Second,
-		UsageEvery:  time.Minute,
-		GoneAfter:   30 * time.Second,
-		Quiet:       3 * time.Second,
-		SilentAfter: 1500 * time.Millisecond,
-		Retention:   24 * time.Hour,
-		RetryAfter:  time.Second,
+		Lease:         15 * time.Second,
+		Drift:         0.01,
+		Grace:         5 * time.Minute,
+		FullEvery:     5 * time.Second,
+		UsageEvery:    time.Minute,
+		GoneAfter:     30 * time.Second,
+		Quiet:         3 * time.Second,
+		SilentAfter:   1500 * time.Millisecond,
+		Retention:     24 * time.Hour,
+		RetryAfter:    time.Second,
+		MoveAfter:     5 * time.Second,
+		StrandedAfter: 30 * time.Second,
 	}
 }
 
@@ -83,6 +89,7 @@
 	handedOver bool
 	config     release.Config
 	families   map[string]release.Job
+	quotas     Quotas
 
 	jobs     map[string]*jobEntry
 	tasks    map[string]*entry
@@ -90,6 +97,14 @@
 	accounts map[string]journal.Account
 	// lost are the incarnations whose worker may still report their end.
 	lost map[worker.Ack]journal.Lost
+	// links are by the name of the other shard.
+	links map[string]*link
+	// strandedSince is since when no worker could hold a task of a family that waits.
+	strandedSince map[string]time.Time
+	// asked are the shards that Give was called for since Surplus.
+	asked map[string]bool
+	// promises are by share.
+	promises map[string]promise
 
 	planner *placement.Planner
 	// pool and health are the planner's.
@@ -120,6 +135,9 @@
 type jobEntry struct {
 	task.Job
 	tasks []*entry
+	// from is the shard that keeps the job if this one only has tasks of it, the foreign ones.
+	from    string
+	foreign map[*entry]bool
 }
 
 // entry is a task with what need not outlast its holder.
@@ -135,6 +153,9 @@
 	avoid     []string
 	usageAt   time.Time
 	ratio     float64
+	// waited is how long a task was queued before it was moved, remote what the other shard last told of it.
+	waited time.Duration
+	remote MovedState
 }
 
 // NewCore returns an empty shard that was taken over at a time; handed over
@@ -151,6 +172,9 @@
 		workers:    map[string]*workerEntry{},
 		accounts:   map[string]journal.Account{},
 		lost:       map[worker.Ack]journal.Lost{},
+		links:      map[string]*link{},
+		asked:      map[string]bool{},
+		promises:   map[string]promise{},
 		planner:    planner,
 		pool:       planner.Pool,
 		order:      placement.NewOrder(),
@@ -160,6 +184,8 @@
 		changes:    newChanges(),
 		runTimes:   runTimes{},
 		told:       map[string]string{},
+
+		strandedSince: map[string]time.Time{},
 	}
 	return c
 }
@@ -171,6 +197,9 @@
 		c.adoptLearned(b)
 	}
 	c.restoreLearned()
+	for _, l := range c.links {
+		l.confirmed = l.Sent
+	}
 	for _, id := range slices.Sorted(maps.Keys(c.tasks)) {
 		c.recover(c.tasks[id], now)
 	}
@@ -197,10 +226,11 @@
 			c.forgetTasks(e)
 		}
 	}
+	for _, l := range b.Links {
+		c.link(l.Shard).Link = l
+	}
 	for _, t := range b.Tasks {
-		if e, ok := c.tasks[t.ID()]; ok {
-			e.Task = t
-		}
+		c.replayTask(t)
 	}
 	for _, id := range b.Dropped {
 		if j, ok := c.jobs[id]; ok {
@@ -210,9 +240,23 @@
 	}
 }
 
+// replayTask takes the record of a task.
+func (c *Core) replayTask(t task.Task) {
+	e, ok := c.tasks[t.ID()]
+	switch {
+	case ok && t.State == task.Released:
+		c.forgetForeign(c.link(t.Origin.Shard), e)
+	case ok:
+		e.Task = t
+	case t.Origin.Shard != "" && t.State != task.Released:
+		c.addForeign(t)
+	}
+}
+
 // recover brings a task that the journal holds back to where it stood.
 func (c *Core) recover(e *entry, now time.Time) {
 	e.queuedAt = now
+	c.relink(e)
 	switch {
 	case e.State == task.Queued:
 		c.enqueue(e, now)
@@ -251,6 +295,7 @@
 
 // Configure takes a configuration, with the part of each share's quota that is this shard's.
 func (c *Core) Configure(config release.Config, quotas Quotas) {
+	c.quotas = quotas
 	for _, s := range config.Shares {
 		c.pool.SetQuotaPart(s.Name, quotas.Of(s), s.Quota)
 		c.order.SetShare(s.Name, s.Weight)
--- a/internal/shard/fleet_test.go
+++ b/internal/shard/fleet_test.go
@@ -4,8 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net/http"
 	"net/http/httptest"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -29,7 +32,11 @@
 	keepers []*Keeper
 	listed  atomic.Pointer[[]Member]
 	// bytes are those of the bodies to and from workers.
-	bytes     atomic.Int64
+	bytes atomic.Int64
+	list  atomic.Pointer[roster.List]
+	// gone are the names of workers that have vanished.
+	gone      sync.Map
+	workers   map[string]*standin.Worker
 	exchanges atomic.Int64
 	stops     []context.CancelFunc
 	// stopped are the instances that callers reach no more.
@@ -42,13 +49,14 @@
 	f.stops[n]()
 }
 
-func newFleet(b testing.TB, fleetWorkers, instances int, ttl, run time.Duration) *fleet {
+func newFleet(b testing.TB, fleetWorkers, instances int, ttl, run time.Duration, options ...func(*Keeper)) *fleet {
 	f := &fleet{store: standin.NewStore(), ledger: standin.NewTaskLedger(), stopped: map[int]bool{}}
 	server := httptest.NewServer(f.store)
 	b.Cleanup(server.Close)
 	client := store.NewEtcd([]string{server.URL}, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}})
 	list := roster.List{At: time.Now()}
 	workers := map[string]*standin.Worker{}
+	f.workers = workers
 	size := share.Resources{Processors: 32_000, Memory: 125e9}
 	for i := range fleetWorkers {
 		id := fmt.Sprintf("w%d", i)
@@ -60,6 +68,7 @@
 			Region: fmt.Sprintf("r%d", i%2), Rack: fmt.Sprintf("rack-%d", i/8),
 		})
 	}
+	f.list.Store(&list)
 	config := release.Config{Revision: 1}
 	members := []Member{}
 	for r := range 2 {
@@ -79,7 +88,11 @@
 		k := &Keeper{
 			ID: m.ID, Store: client, Workers: f.client(workers), TTL: ttl, Interval: ttl / 10,
 			Members: f.members, Config: func() release.Config { return config },
-			List: func() roster.List { return list }, Log: eventlog.Discard(),
+			List: func() roster.List { return *f.list.Load() }, Log: eventlog.Discard(),
+			Peer: func(id string) (*Calls, error) { return calls[id], nil },
+		}
+		for _, option := range options {
+			option(k)
 		}
 		calls[m.ID] = k.Calls()
 		f.keepers = append(f.keepers, k)
@@ -88,6 +101,8 @@
 			Peer:     func(id string) (*Calls, error) { return calls[id], nil },
 			HolderOf: k.HolderOf, Shards: k.Shards, Config: k.Config, List: k.List,
 		})
+	}
+	for _, k := range f.keepers {
 		ctx, stop := context.WithCancel(context.Background())
 		f.stops = append(f.stops, stop)
 		b.Cleanup(stop)
@@ -96,6 +111,33 @@
 	return f
 }
 
+// vanish takes all racks of a shard away for good.
+func (f *fleet) vanish(shard string) {
+	var l roster.List
+	for _, w := range f.list.Load().Instances {
+		if Of(w) != shard {
+			l.Instances = append(l.Instances, w)
+			continue
+		}
+		f.gone.Store(w.ID, true)
+		f.workers[w.ID].Crash()
+	}
+	l.At = f.list.Load().At.Add(time.Second)
+	f.list.Store(&l)
+}
+
+// busiest returns the shard of a region that has the most workers.
+func (f *fleet) busiest(region string) string {
+	shards := Divide(f.keepers[0].List())
+	best := ""
+	for _, id := range slices.Sorted(maps.Keys(shards)) {
+		if RegionOf(id) == region && len(shards[id]) > len(shards[best]) {
+			best = id
+		}
+	}
+	return best
+}
+
 func (f *fleet) setMembers(m []Member) { f.listed.Store(&m) }
 
 func (f *fleet) members() []Member { return *f.listed.Load() }
@@ -103,6 +145,9 @@
 // client speaks to the workers through their codec and counts the bytes.
 func (f *fleet) client(workers map[string]*standin.Worker) *worker.Client {
 	return &worker.Client{Exchange: func(_ context.Context, id string, e worker.Exchange) (worker.Report, error) {
+		if _, gone := f.gone.Load(id); gone {
+			return worker.Report{}, errors.New("the worker has vanished")
+		}
 		out, err := worker.EncodeExchange(e)
 		if err != nil {
 			return worker.Report{}, err
--- a/internal/shard/hold.go
+++ b/internal/shard/hold.go
@@ -136,6 +136,7 @@
 			Fence:  store.Condition{Key: MapPrefix + h.shard + holderKey, Revision: h.epoch},
 		},
 		Workers:   k.Workers,
+		Others:    k.others(),
 		Timing:    k.timing(),
 		Interval:  k.Interval,
 		Situation: func() Situation { return k.situation(h.shard) },
--- a/internal/shard/holder.go
+++ b/internal/shard/holder.go
@@ -39,7 +39,9 @@
 	Epoch   int64
 	Journal *journal.Log
 	Workers *worker.Client
-	Timing  Timing
+	// Others are the calls of the other shards; without them no task is handed over.
+	Others *Calls
+	Timing Timing
 	// Interval is how often a worker is spoken to about which something is open; others less often, by Timing.Quiet.
 	Interval time.Duration
 	// Situation returns what is known now.
@@ -90,7 +92,11 @@
 	running, lost := context.WithCancel(ctx)
 	defer lost()
 	h.lost = lost
+	if h.Others != nil {
+		h.loops.Go(func() { h.moveLoop(running) })
+	}
 	err := h.commitLoop(running)
+	lost()
 	h.mu.Lock()
 	for _, stop := range h.stops {
 		stop()
@@ -229,20 +235,34 @@
 }
 
 // change makes a change and returns once it is committed.
-func (h *Holder) change(ctx context.Context, f func(c *Core, now time.Time) (task.Status, error)) (task.Status, error) {
+func (h *Holder) change(ctx context.Context, f func(c *Core, now time.Time) error) error {
 	h.mu.Lock()
 	if h.ended || !h.MayStart(time.Now()) {
 		h.mu.Unlock()
-		return task.Status{}, &NotHolderError{Shard: h.Shard}
+		return &NotHolderError{Shard: h.Shard}
 	}
-	s, err := f(h.core, time.Now())
+	err := f(h.core, time.Now())
 	number := h.core.PendingBatch()
 	h.announce()
 	h.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	return h.await(ctx, number)
+}
+
+// changeJob is change for one that returns the state of a job.
+func (h *Holder) changeJob(ctx context.Context, f func(c *Core, now time.Time) (task.Status, error)) (task.Status, error) {
+	var status task.Status
+	err := h.change(ctx, func(c *Core, now time.Time) error {
+		s, err := f(c, now)
+		status = s
+		return err
+	})
 	if err != nil {
 		return task.Status{}, err
 	}
-	return s, h.await(ctx, number)
+	return status, nil
 }
 
 // await returns once a batch is durable.
@@ -267,12 +287,12 @@
 
 // Submit accepts a part of a job once it is committed.
 func (h *Holder) Submit(ctx context.Context, p task.Part) (task.Status, error) {
-	return h.change(ctx, func(c *Core, now time.Time) (task.Status, error) { return c.Submit(p, now) })
+	return h.changeJob(ctx, func(c *Core, now time.Time) (task.Status, error) { return c.Submit(p, now) })
 }
 
 // Cancel withdraws what of a job has not ended, once that is committed.
 func (h *Holder) Cancel(ctx context.Context, neighbour, id string) (task.Status, error) {
-	return h.change(ctx, func(c *Core, now time.Time) (task.Status, error) { return c.Cancel(neighbour, id, now) })
+	return h.changeJob(ctx, func(c *Core, now time.Time) (task.Status, error) { return c.Cancel(neighbour, id, now) })
 }
 
 // Describe returns the state of a part of a job.
--- a/internal/shard/job.go
+++ b/internal/shard/job.go
@@ -44,9 +44,10 @@
 		s.States = map[task.State]int{}
 	}
 	for _, t := range j.tasks {
-		s.States[t.State]++
-		if t.Reason != "" && (t.State == task.Unschedulable || s.Reason == "") {
-			s.Reason = t.Reason
+		state, reason := t.shown()
+		s.States[state]++
+		if reason != "" && (state == task.Unschedulable || s.Reason == "") {
+			s.Reason = reason
 		}
 	}
 	return s
@@ -58,6 +59,10 @@
 		return task.Status{}, err
 	}
 	for _, t := range slices.Clone(c.jobs[id].tasks) {
+		if t.State == task.Moved {
+			c.cancelMoved(t)
+			continue
+		}
 		if !t.State.Final() && t.State != task.Stopping {
 			c.apply(t, task.Cancel, now)
 		}
@@ -65,6 +70,13 @@
 	return c.jobs[id].status(), nil
 }
 
+// cancelMoved lets the shard that has a task of a cancelled job be told.
+func (c *Core) cancelMoved(e *entry) {
+	e.job.Cancelled = true
+	c.markJob(e.job)
+	c.link(e.Away).cancels[e.Job] = c.changes.open
+}
+
 // endJob folds a job whose tasks have all ended into counts.
 func (c *Core) endJob(j *jobEntry, now time.Time) {
 	for _, t := range j.tasks {
--- a/internal/shard/keeper.go
+++ b/internal/shard/keeper.go
@@ -54,7 +54,9 @@
 	Members func() []Member
 	Config  func() release.Config
 	List    func() roster.List
-	Log     *eventlog.Log
+	// Peer returns the calls of another instance; without it no task goes from shard to shard.
+	Peer func(instance string) (*Calls, error)
+	Log  *eventlog.Log
 
 	uses atomic.Int64
 
@@ -343,5 +345,47 @@
 			return h.Accounts()
 		},
 		Slowed: k.Slowed,
+		Room: func(_ context.Context, id, from string, families []string) ([]Room, error) {
+			h, err := k.holder(id)
+			if err != nil {
+				return nil, err
+			}
+			return h.Room(from, families)
+		},
+		Transfer: func(ctx context.Context, id string, t Transfer) error {
+			h, err := k.holder(id)
+			if err != nil {
+				return err
+			}
+			return h.Transfer(ctx, t)
+		},
+		Report: func(ctx context.Context, id string, r Report) error {
+			h, err := k.holder(id)
+			if err != nil {
+				return err
+			}
+			return h.Report(ctx, r)
+		},
+	}
+}
+
+// others returns the calls of a holder to other shards, whoever holds them.
+func (k *Keeper) others() *Calls {
+	if k.Peer == nil {
+		return nil
+	}
+	r := &Router{Local: k.Calls(), Peer: k.Peer}
+	return &Calls{
+		Room: func(ctx context.Context, id, from string, families []string) ([]Room, error) {
+			return atOnce(r, id, func(c *Calls) ([]Room, error) { return c.Room(ctx, id, from, families) })
+		},
+		Transfer: func(ctx context.Context, id string, t Transfer) error {
+			_, err := atOnce(r, id, func(c *Calls) (struct{}, error) { return struct{}{}, c.Transfer(ctx, id, t) })
+			return err
+		},
+		Report: func(ctx context.Context, id string, t Report) error {
+			_, err := atOnce(r, id, func(c *Calls) (struct{}, error) { return struct{}{}, c.Report(ctx, id, t) })
+			return err
+		},
 	}
 }
--- a/internal/shard/keeper_test.go
+++ b/internal/shard/keeper_test.go
@@ -71,6 +71,29 @@
 	return held
 }
 
+// The tasks of a shard whose racks vanish for good, those that ran there and
+// those that were queued, run elsewhere, and their job's status counts each once.
+func TestRacksOfAShardVanish(t *testing.T) {
+	f := newFleet(t, 64, 3, 2*time.Second, time.Second, func(k *Keeper) {
+		k.Timing = DefaultTiming()
+		k.Timing.Lease, k.Timing.Grace, k.Timing.GoneAfter = 2*time.Second, 2*time.Second, 3*time.Second
+		k.Timing.MoveAfter, k.Timing.StrandedAfter = 500*time.Millisecond, 2*time.Second
+	})
+	const tasks = 200
+	s := task.Submission{Neighbour: "n0", Job: "n0", Tasks: tasks, Key: "key"}
+	status, err := f.routers[0].Submit(t.Context(), s)
+	require.NoError(t, err)
+	gone := f.busiest("r0")
+	require.Contains(t, ShardsOf(status.ID), gone)
+	f.vanish(gone)
+	f.finishAll(t, tasks)
+	require.Eventually(t, func() bool {
+		status, err = f.routers[1].Describe(t.Context(), "n0", status.ID)
+		return err == nil && status.States[task.Finished] == tasks
+	}, generous, 10*time.Millisecond)
+	require.Len(t, status.States, 1, "each task is counted once: %v", status.States)
+}
+
 // A repeat of a key is the same job, and another submission under it is refused.
 func TestKeysAreUnique(t *testing.T) {
 	f := newFleet(t, 16, 3, 2*time.Second, time.Millisecond)
--- a/internal/shard/life.go
+++ b/internal/shard/life.go
@@ -38,10 +38,13 @@
 	case next == task.Queued && before != task.Queued:
 		e.queuedAt = now
 		c.enqueue(e, now)
-	case next.Final() && !before.Final():
+	case next.Final() && !before.Final() && e.job.from == "":
 		c.fold(e)
 		c.endJob(e.job, now)
 	}
+	if e.job.from != "" && next != before {
+		c.changedForeign(e)
+	}
 	return true
 }
 
--- a/internal/shard/plan.go
+++ b/internal/shard/plan.go
@@ -9,6 +9,7 @@
 	"github.com/oriolepond/oriolepond/internal/eventlog"
 	"github.com/oriolepond/oriolepond/internal/placement"
 	"github.com/oriolepond/oriolepond/internal/task"
+	"github.com/oriolepond/oriolepond/internal/worker"
 	"github.com/oriolepond/oriolepond/pkg/share"
 )
 
@@ -116,12 +117,23 @@
 	}, nil
 }
 
-// avoid returns the worker that a task failed on, unless there is no other.
+// lostLookback is how many incarnations back a task's lost ones are looked for.
+const lostLookback = 8
+
+// avoid returns the worker that a task failed on, unless there is no other, and
+// those that may still report the end of a lost incarnation: a start of the
+// next one there would let them forget it.
 func (c *Core) avoid(e *entry) []string {
-	if len(c.workers) < 2 {
-		return nil
+	var avoid []string
+	if len(c.workers) > 1 {
+		avoid = slices.Clone(e.avoid)
+	}
+	for i := e.Incarnation; i > max(0, e.Incarnation-lostLookback); i-- {
+		if l, ok := c.lost[worker.Ack{Task: e.id, Incarnation: i}]; ok {
+			avoid = append(avoid, l.Worker)
+		}
 	}
-	return e.avoid
+	return avoid
 }
 
 // cost is what a task takes for the order of shares: its processors, in cores.
--- a/internal/shard/property_test.go
+++ b/internal/shard/property_test.go
@@ -45,25 +45,50 @@
 // take-overs and outages of the store breaks a rule, and once all faults end
 // every accepted job ends with each of its tasks finished once or cancelled.
 func TestRulesHoldUnderFaults(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		w := newWorld()
-		if rapid.Bool().Draw(t, "busy") {
-			w.fill()
-		}
-		t.Repeat(w.actions())
-		require.True(t, w.heal(), "a job does not end after all faults have")
-		w.check(t)
-		for id, tasks := range w.accepted {
-			s, err := w.holders[0].core.Describe("n", id)
-			require.NoError(t, err, "an accepted job is lost")
-			require.Equal(t, tasks, s.States[task.Finished]+s.States[task.Cancelled], "of job %s: %v", id, s.States)
-			if !w.cancelled[id] {
-				require.Equal(t, tasks, s.States[task.Finished], "of job %s: %v", id, s.States)
+	t.Run("one shard", func(t *testing.T) {
+		t.Parallel()
+		rapid.Check(t, func(t *rapid.T) {
+			w := newWorld()
+			if rapid.Bool().Draw(t, "busy") {
+				w.fill()
 			}
-		}
+			t.Repeat(w.actions())
+			require.True(t, w.heal(), "a job does not end after all faults have")
+			w.check(t)
+			w.checkEnds(t)
+		})
+	})
+	t.Run("tasks go from shard to shard", func(t *testing.T) {
+		t.Parallel()
+		rapid.Check(t, func(t *rapid.T) {
+			p := newPool(rapid.IntRange(2, 3).Draw(t, "shards"))
+			for _, w := range p.worlds {
+				w.timing.MoveAfter, w.timing.StrandedAfter = 0, 7*time.Second
+				w.takeAnew()
+			}
+			p.worlds[0].fill()
+			t.Repeat(p.actions())
+			require.True(t, p.heal(), "a job does not end after all faults have")
+			p.check(t)
+			for _, w := range p.worlds {
+				w.checkEnds(t)
+			}
+		})
 	})
 }
 
+// checkEnds fails if an accepted job has not ended with each task finished or cancelled.
+func (w *world) checkEnds(t require.TestingT) {
+	for id, tasks := range w.accepted {
+		s, err := w.holders[0].core.Describe("n", id)
+		require.NoError(t, err, "an accepted job is lost")
+		require.Equal(t, tasks, s.States[task.Finished]+s.States[task.Cancelled], "of job %s: %v", id, s.States)
+		if !w.cancelled[id] {
+			require.Equal(t, tasks, s.States[task.Finished], "of job %s: %v", id, s.States)
+		}
+	}
+}
+
 // actions are the steps that the test draws from.
 func (w *world) actions() map[string]func(*rapid.T) {
 	withHolder := func(f func(t *rapid.T, h *worldHolder)) func(*rapid.T) {
@@ -149,3 +174,50 @@
 		"store": func(*rapid.T) { w.storeUp = !w.storeUp },
 	}
 }
+
+// mend ends all faults.
+func (w *world) mend() {
+	w.storeUp = true
+	clear(w.cut)
+	for _, h := range w.holders {
+		h.isolated = false
+	}
+	for i := range w.workers {
+		w.gone[i] = false
+		w.workers[i].SetBroken(false)
+	}
+}
+
+// heal ends all faults and runs until every accepted job has ended.
+func (w *world) heal() bool {
+	w.mend()
+	for range 3000 {
+		w.advance(time.Second)
+		w.take()
+		for _, h := range slices.Clone(w.holders) {
+			w.round(h)
+		}
+		if w.settled() {
+			return true
+		}
+	}
+	return false
+}
+
+func (w *world) settled() bool {
+	if len(w.holders) != 1 {
+		return false
+	}
+	for id := range w.accepted {
+		s, err := w.holders[0].core.Describe("n", id)
+		if err != nil {
+			return false
+		}
+		for state := range s.States {
+			if !state.Final() {
+				return false
+			}
+		}
+	}
+	return true
+}
--- a/internal/shard/world_test.go
+++ b/internal/shard/world_test.go
@@ -26,6 +26,13 @@
 
 // world is one shard with holders, workers, a store and a network under virtual time.
 type world struct {
+	shard string
+	// prefix tells its jobs and workers from those of other shards.
+	prefix string
+	// listed returns the workers of all shards.
+	listed func() map[string][]roster.Instance
+	// pass lets time pass for all shards; nil if there is only this one.
+	pass    func(time.Duration)
 	now     time.Time
 	timing  Timing
 	config  release.Config
@@ -49,7 +56,9 @@
 	next      int
 	// durable is what the journal holds of the usage of each task's incarnations, final the tasks that it says have ended.
 	durable readings
-	final   map[string]bool
+	// sent are the incarnations whose start was sent to a worker.
+	sent  map[worker.Ack]bool
+	final map[string]bool
 }
 
 type worldHolder struct {
@@ -65,6 +74,13 @@
 	counts  map[string]int
 	// heard is what the holder knows of the usage of incarnations.
 	heard readings
+	// answers are given once their batch is durable.
+	answers []worldAnswer
+}
+
+type worldAnswer struct {
+	batch  uint64
+	answer func()
 }
 
 type stuckExchange struct {
@@ -73,14 +89,25 @@
 }
 
 func newWorld() *world {
+	w := newShardWorld("r.0", "", standin.NewTaskLedger())
+	w.listed = func() map[string][]roster.Instance { return map[string][]roster.Instance{w.shard: w.listing().Workers} }
+	w.take()
+	return w
+}
+
+// newShardWorld returns the world of one shard of several, without a holder.
+func newShardWorld(shard, prefix string, ledger *standin.TaskLedger) *world {
 	w := &world{
+		shard:     shard,
+		prefix:    prefix,
 		now:       time.Unix(1_000_000, 0),
 		timing:    DefaultTiming(),
-		ledger:    standin.NewTaskLedger(),
+		ledger:    ledger,
 		storeUp:   true,
 		accepted:  map[string]int{},
 		cancelled: map[string]bool{},
 		durable:   readings{},
+		sent:      map[worker.Ack]bool{},
 		final:     map[string]bool{},
 		config: release.Config{Revision: 1, Declarations: release.Declarations{
 			Neighbours: []share.Neighbour{{Name: "n", Region: "r"}},
@@ -97,14 +124,13 @@
 		rate := 1 + worldDrift*float64(i-1)
 		base := w.now
 		w.workers = append(w.workers, &standin.Worker{
-			ID: fmt.Sprintf("w%d", i), Capacity: worldSize, Ledger: w.ledger,
+			ID: fmt.Sprintf("%sw%d", prefix, i), Capacity: worldSize, Ledger: w.ledger,
 			Work: worldWork,
 			Now:  func() time.Time { return base.Add(time.Duration(float64(w.now.Sub(base)) * rate)) },
 		})
 	}
 	w.cut = map[[2]int64]bool{}
 	w.gone = make([]bool, worldWorkers)
-	w.take()
 	return w
 }
 
@@ -129,10 +155,18 @@
 }
 
 func (w *world) quotas() Quotas {
-	return NewQuotas("r.0", map[string][]roster.Instance{"r.0": w.listing().Workers}, w.config)
+	return NewQuotas(w.shard, w.listed(), w.config)
 }
 
 func (w *world) advance(d time.Duration) {
+	if w.pass != nil {
+		w.pass(d)
+		return
+	}
+	w.elapse(d)
+}
+
+func (w *world) elapse(d time.Duration) {
 	w.now = w.now.Add(d)
 	for _, s := range w.workers {
 		s.Advance()
@@ -245,6 +279,10 @@
 			delete(h.pending, id)
 		}
 	}
+	for len(h.answers) > 0 && h.answers[0].batch <= number {
+		h.answers[0].answer()
+		h.answers = h.answers[1:]
+	}
 }
 
 func (w *world) submit(h *worldHolder, family string, tasks int) {
@@ -252,7 +290,7 @@
 		return
 	}
 	w.next++
-	id := fmt.Sprintf("j%d", w.next)
+	id := fmt.Sprintf("%sj%d", w.prefix, w.next)
 	if _, err := h.core.Submit(task.Part{ID: id, Neighbour: "n", Share: "s", Name: family, Tasks: tasks}, w.now); err != nil {
 		panic(err)
 	}
@@ -279,6 +317,11 @@
 		return
 	}
 	e.Epoch = h.epoch
+	for _, command := range e.Commands {
+		if command.Kind == worker.Start {
+			w.sent[worker.Ack{Task: command.Task, Incarnation: command.Incarnation}] = true
+		}
+	}
 	switch {
 	case f == delayed:
 		w.stuck = append(w.stuck, stuckExchange{worker: i, e: e})
@@ -346,45 +389,3 @@
 	}
 	w.gone[i] = !w.gone[i]
 }
-
-// heal ends all faults and runs until every accepted job has ended.
-func (w *world) heal() bool {
-	w.storeUp = true
-	clear(w.cut)
-	for _, h := range w.holders {
-		h.isolated = false
-	}
-	for i := range w.workers {
-		w.gone[i] = false
-		w.workers[i].SetBroken(false)
-	}
-	for range 3000 {
-		w.advance(time.Second)
-		w.take()
-		for _, h := range slices.Clone(w.holders) {
-			w.round(h)
-		}
-		if w.settled() {
-			return true
-		}
-	}
-	return false
-}
-
-func (w *world) settled() bool {
-	if len(w.holders) != 1 {
-		return false
-	}
-	for id := range w.accepted {
-		s, err := w.holders[0].core.Describe("n", id)
-		if err != nil {
-			return false
-		}
-		for state := range s.States {
-			if !state.Final() {
-				return false
-			}
-		}
-	}
-	return true
-}
--- a/internal/task/life.go
+++ b/internal/task/life.go
@@ -26,6 +26,9 @@
 	Ended     Event = "ended"
 	Unfit     Event = "unfit"
 	Fit       Event = "fit"
+	Move      Event = "move"
+	Return    Event = "returned"
+	Withdraw  Event = "cancelled"
 )
 
 // Next returns the state that follows an event, or a *chart.RefusedError.
--- a/internal/task/task.go
+++ b/internal/task/task.go
@@ -29,8 +29,14 @@
 	Failed        State = "failed"
 	Cancelled     State = "cancelled"
 	Unschedulable State = "unschedulable"
+	// Moved is a task that another shard has, or is to have back.
+	Moved State = "moved"
 )
 
+// Released stands in the last record of a task that a shard keeps no more; no
+// task is ever in it.
+const Released State = "released"
+
 // Submission asks for the tasks of one job.
 type Submission struct {
 	Neighbour string
@@ -84,6 +90,17 @@
 	Reason  string
 	// Usage sums the tasks that have ended.
 	Usage worker.Usage
+	// Cancelled says that the job was cancelled while tasks of it were in other shards.
+	Cancelled bool
+}
+
+// Origin is the job of a task that came from another shard, which keeps the job's books.
+type Origin struct {
+	Shard     string
+	Neighbour string
+	Share     string
+	// Name is that of the job family.
+	Name string
 }
 
 // Task is one unit of batch work.
@@ -105,6 +122,11 @@
 	Live  worker.Usage
 	// ReadAt is when the worker read Live, or the placement of the present incarnation before that.
 	ReadAt time.Time
+	// Away is the shard that a moved task was handed to, Origin where a task came from
+	// that belongs to another shard, and Transfer the number of the transfer that moved it.
+	Away     string
+	Origin   Origin
+	Transfer int64
 }
 
 // ID returns the name of the task on workers.
--- a/tasks.go
+++ b/tasks.go
@@ -33,6 +33,7 @@
 		Members:  i.shardMembers,
 		Config:   i.configs.Current,
 		List:     i.currentList,
+		Peer:     i.peerTasks,
 		Log:      i.Log,
 	}
 	i.jobs = &shard.Router{
