A family that was never seen gets eight times its declared size

Change: eight times instead of four. The tests that name the multiple name the new one; TestUnseenFamiliesDoNotOvercommit fails with the old.

--- a/internal/placement/planner_test.go
+++ b/internal/placement/planner_test.go
@@ -38,7 +38,7 @@
 	id, size, err := p.Place(c, now.Add(2*time.Second))
 	require.NoError(t, err)
 	require.Equal(t, "w-1", id)
-	require.Equal(t, cores(4), size, "a family that was never seen gets a margin")
+	require.Equal(t, cores(8), size, "a family that was never seen gets a margin")
 }
 
 // A long-waiting urgent task that had a worker reserved gets room on another
--- a/internal/placement/sizes.go
+++ b/internal/placement/sizes.go
@@ -14,7 +14,7 @@
 	// trustedSamples is the number from which the declared size no longer counts.
 	trustedSamples = 5
 	// unknownMargin multiplies the declared size of a family that was never seen.
-	unknownMargin = 4
+	unknownMargin = 8
 	// unknownTasks bounds the running tasks of a family that was never seen.
 	unknownTasks = 8
 	// sizeMargin is the part of the greatest size seen that is held beyond it.
--- a/internal/placement/sizes_test.go
+++ b/internal/placement/sizes_test.go
@@ -26,7 +26,7 @@
 		most     share.Resources
 		limited  bool
 	}{
-		{"never seen: a multiple of the declared size, few at once", cores(2), nil, cores(8), cores(8), true},
+		{"never seen: a multiple of the declared size, few at once", cores(2), nil, cores(16), cores(16), true},
 		{"never seen: no more than the greatest worker", cores(20), nil, cores(32), cores(32), true},
 		{"one seen, smaller: not below the declared size", cores(4), repeat(1, cores(1)), cores(4), cores(4), true},
 		{"many seen, smaller: below the declared size", cores(12), repeat(20, cores(4)), cores(4), cores(5), false},
--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -69,6 +69,26 @@
 	require.Greater(t, tail.Evictions, evictions.Evictions)
 }
 
+// While families are seen for the first time, no worker holds too much although
+// all declared sizes are an eighth of the true ones, and urgent work starts in time.
+func TestUnseenFamiliesDoNotOvercommit(t *testing.T) {
+	const tooSmall = 8
+	for _, file := range []string{"testdata/overload.jsonc", "testdata/wrong-sizes.jsonc"} {
+		trace := loadTrace(t, file)
+		trace.Duration = 15 * time.Minute
+		trace.MeasureFrom = 0
+		for i := range trace.Families {
+			f := &trace.Families[i]
+			f.Declared.Processors = f.True.Processors / tooSmall
+			f.Declared.Memory = f.True.Memory / tooSmall
+		}
+		r := Run(trace, trace.Users[0], newLearning)
+		t.Log(trace.Name, r)
+		require.Zero(t, r.Overcommits)
+		require.LessOrEqual(t, r.UrgentWait, 4900*time.Millisecond)
+	}
+}
+
 func TestReplayIsDeterministic(t *testing.T) {
 	trace := loadTrace(t, "testdata/overload.jsonc")
 	trace.Duration = 15 * time.Minute
