An instance without a known configuration is not ready

Cause: an instance said that it was ready once it had joined, although it might still be reading the configuration. Callers that a balancer sent to it in that time were refused with 401, and its reports lacked all rows.

Change: config.Keeper.Known is true once the store has said that there is no configuration, or one is in force; readiness asks for it.

Ruled out: the counts, which were in the store.

Test: TestKnown, which fails if an unread configuration counts as known.

--- a/front.go
+++ b/front.go
@@ -20,9 +20,10 @@
 }
 
 // ready reports whether callers may be sent here. An instance that may not use
-// its part, since it is cut off from the store and from its peers, is not ready.
+// its part, since it is cut off from the store and from its peers, is not ready,
+// nor is one that does not know the configuration: it would refuse every token.
 func (i *Instance) ready() bool {
-	if i.stop.leaving.Load() || i.list.Load() == nil {
+	if i.stop.leaving.Load() || i.list.Load() == nil || !i.configs.Known() {
 		return false
 	}
 	v := i.members.View()
--- a/internal/config/keeper.go
+++ b/internal/config/keeper.go
@@ -50,6 +50,8 @@
 	Now func() time.Time
 
 	current atomic.Pointer[Copy]
+	// empty is set once the store has said that there is no configuration yet.
+	empty atomic.Bool
 	// raise guards changes of current, so that Changed is called in order.
 	raise sync.Mutex
 	once  sync.Once
@@ -71,6 +73,11 @@
 	return Copy{}
 }
 
+// Known reports whether the configuration in force is known; there may be none yet.
+func (k *Keeper) Known() bool {
+	return k.current.Load() != nil || k.empty.Load()
+}
+
 // Run follows the head key and the peers until the context ends.
 func (k *Keeper) Run(ctx context.Context) error {
 	var group sync.WaitGroup
@@ -105,6 +112,9 @@
 		return err
 	}
 	reached()
+	if len(s.Entries) == 0 {
+		k.empty.Store(true)
+	}
 	for _, e := range s.Entries {
 		if err := k.adopt(ctx, e.Value); err != nil {
 			return err
--- a/internal/config/keeper_test.go
+++ b/internal/config/keeper_test.go
@@ -236,6 +236,23 @@
 	require.ErrorContains(t, err, `touched by note "gone"`)
 }
 
+// An instance knows its configuration once the store has said that there is
+// none, or the newest one is in force; not while it still reads the chunks.
+func TestKnown(t *testing.T) {
+	f := newFleet(t, 1)
+	require.False(t, f.keepers[0].Known())
+	run(t, f.keepers...)
+	require.Eventually(t, f.keepers[0].Known, inForceWithin, time.Millisecond)
+	require.Zero(t, f.keepers[0].Current().Revision)
+	mustApply(t, f.keepers[0], note(t, "first", floor))
+	f.store.SetDelay(50 * time.Millisecond)
+	late := f.join(t)
+	late.Peers = nil
+	run(t, late)
+	require.Eventually(t, late.Known, inForceWithin, time.Millisecond)
+	require.EqualValues(t, 1, late.Current().Revision)
+}
+
 func TestJoinInStoreOutage(t *testing.T) {
 	f := newFleet(t, 3)
 	run(t, f.keepers...)
