--- a/cmd/oriolepond/main.go
+++ b/cmd/oriolepond/main.go
@@ -4,6 +4,7 @@
 // # Usage
 //
 //	oriolepond serve -settings FILE
+//	oriolepond node [-settings FILE]
 //	oriolepond demo [-seconds N] [-seed N] [-example bajio|cairo] [-faults a,b] [-json]
 package main
 
@@ -25,6 +26,7 @@
 
 Usage:
   oriolepond serve -settings FILE    run one entry instance
+  oriolepond node [flags]            run one node of the users' platform
   oriolepond demo [flags]            run three instances with stand-ins and a bounded load
 
 Run a command with -h for its flags.
@@ -45,6 +47,8 @@
 	switch args[0] {
 	case "serve":
 		return serve(ctx, args[1:])
+	case "node":
+		return runNode(ctx, args[1:])
 	case "demo":
 		return runDemo(ctx, args[1:])
 	case "-h", "-help", "--help", "help":
--- /dev/null
+++ b/cmd/oriolepond/node.go
@@ -0,0 +1,275 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/google/uuid"
+	"github.com/oklog/run"
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+
+	"github.com/oriolepond/oriolepond/internal/batch"
+	"github.com/oriolepond/oriolepond/internal/desk"
+	"github.com/oriolepond/oriolepond/internal/eventlog"
+	"github.com/oriolepond/oriolepond/internal/peer"
+	"github.com/oriolepond/oriolepond/internal/store"
+	"github.com/oriolepond/oriolepond/platform"
+)
+
+const (
+	// storeConns and lookConns bound the connections that are kept open while idle.
+	storeConns = 8
+	lookConns  = 2
+	orderConns = 4
+	// dialTimeout bounds a connection attempt; regions are 12 ms apart.
+	dialTimeout = 500 * time.Millisecond
+	// memoryPart is the part of a process's memory that the garbage collector aims for.
+	memoryPart = 0.6
+	// stopMargin is kept of the time for a planned stop.
+	stopMargin = 1500 * time.Millisecond
+	// lameDuck is how long a stopping node still takes connections, until the
+	// balancer has noticed: two of its checks, a second apart.
+	lameDuck = 2200 * time.Millisecond
+)
+
+// node is one process on the users' platform.
+type node struct {
+	settings platform.Settings
+	log      *eventlog.Log
+	desk     *desk.Desk
+	config   atomic.Pointer[platform.Config]
+	stopping atomic.Bool
+}
+
+// runNode runs one node of the users' platform until a signal asks for a planned stop.
+func runNode(ctx context.Context, args []string) int {
+	flags := flag.NewFlagSet("node", flag.ContinueOnError)
+	file := flags.String("settings", platform.SettingsPath(), "settings `file` as the platform writes it")
+	if err := flags.Parse(args); err != nil {
+		return parseStatus(err)
+	}
+	s, err := platform.LoadSettings(*file)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	debug.SetMemoryLimit(int64(memoryPart * float64(s.MemoryBytes)))
+	z := eventlog.NewZap(os.Stdout)
+	n := &node{settings: s, log: eventlog.New(z).With(zap.String("node", s.Node))}
+	if err := n.run(ctx, *file); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	return 0
+}
+
+// client returns an HTTP client that keeps a number of connections to each address.
+func client(conns, most int) *http.Client {
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: conns,
+		MaxConnsPerHost:     most,
+		DisableCompression:  true,
+		WriteBufferSize:     2 << 10,
+		ReadBufferSize:      2 << 10,
+	}}
+}
+
+func (n *node) run(ctx context.Context, file string) error {
+	s := n.settings
+	kv := platform.NewStore(s.StoreAddress, client(storeConns, 0))
+	pool := &peer.Pool{}
+	defer pool.Close()
+	set := metrics.NewSet()
+	n.desk = &desk.Desk{
+		ID: s.Node + "/" + uuid.NewString(), Address: s.Peer, Share: s.ProcessorShare, Store: kv,
+		Workers:      platform.NewWorkers(s.AdviserAddress, client(lookConns, 0), client(orderConns, orderConns)),
+		WorkerPrefix: platform.WorkerPrefix, DecodeWorker: platform.DecodeWorker,
+		Peer: func(address string) (*desk.Calls, error) {
+			conn, err := pool.Conn(address)
+			if err != nil {
+				return nil, err
+			}
+			return peer.NewJobs(conn), nil
+		},
+		Timing: timing(s), Log: n.log, Meter: desk.NewMeter(set),
+	}
+	listeners := make([]net.Listener, 0, 3)
+	for _, address := range []string{s.Front, s.Ready, s.Peer} {
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			return fmt.Errorf("listen: %w", err)
+		}
+		listeners = append(listeners, l)
+	}
+	front := &http.Server{Handler: &platform.Front{
+		Jobs: n.calls(), Config: n.current, Refused: n.refused,
+	}, ReadHeaderTimeout: headerTimeout}
+	ready := &http.Server{Handler: platform.Ready(n.isReady), ReadHeaderTimeout: headerTimeout}
+	server := grpc.NewServer(peer.ServerOptions()...)
+	peer.RegisterJobs(server, n.desk.LocalCalls())
+
+	var g run.Group
+	n.addLoops(&g, kv)
+	g.Add(func() error { return ignoreClosed(front.Serve(listeners[0])) }, func(error) { _ = front.Close() })
+	g.Add(func() error { return ignoreClosed(ready.Serve(listeners[1])) }, func(error) { _ = ready.Close() })
+	g.Add(func() error { return server.Serve(listeners[2]) }, func(error) { server.Stop() })
+	n.addReload(&g, file)
+	ended, end := context.WithCancel(context.Background())
+	g.Add(func() error {
+		select {
+		case <-ctx.Done():
+		case <-ended.Done():
+			return nil
+		}
+		return n.stop(front)
+	}, func(error) { end() })
+	n.log.Emit(eventlog.InstanceStarted, zap.String("listen", s.Front), zap.Int("pid", os.Getpid()))
+	err := g.Run()
+	n.log.Emit(eventlog.InstanceStopped, zap.Error(err))
+	return err
+}
+
+// headerTimeout bounds the time in which a caller sends its headers.
+const headerTimeout = 5 * time.Second
+
+func ignoreClosed(err error) error {
+	if err == http.ErrServerClosed {
+		return nil
+	}
+	return err
+}
+
+// timing takes the platform's bounds into the times of the core.
+func timing(s platform.Settings) batch.Timing {
+	t := batch.DefaultTiming()
+	if s.WorkerLease > 0 {
+		t.Lease = min(t.Lease, s.WorkerLease)
+	}
+	if s.StopTimeout > 0 {
+		t.StopTimeout = s.StopTimeout
+	}
+	if s.GangTimeout > 0 {
+		t.GangTimeout = s.GangTimeout
+	}
+	if s.RemoteFactor > 0 {
+		t.RemoteFactor = s.RemoteFactor
+	}
+	t.Retention = max(t.Retention, 2*s.Retention)
+	return t
+}
+
+// calls are what the front answers with.
+func (n *node) calls() *desk.Calls {
+	return &desk.Calls{
+		Submit: n.desk.Submit, Cancel: n.desk.Cancel, State: n.desk.State, Pending: n.desk.Pending,
+	}
+}
+
+func (n *node) current() (platform.Config, bool) {
+	c := n.config.Load()
+	if c == nil {
+		return platform.Config{}, false
+	}
+	return *c, true
+}
+
+func (n *node) isReady() bool { return n.config.Load() != nil && !n.stopping.Load() }
+
+func (n *node) refused(r *http.Request, queue, id string, status int, err error) {
+	n.log.Emit(eventlog.CallNotServed, zap.String("method", r.Method), zap.String("queue", queue),
+		zap.String("job", id), zap.Int("status", status), zap.Error(err))
+}
+
+// addLoops adds the configuration's follower and the desk.
+func (n *node) addLoops(g *run.Group, kv *store.Client) {
+	follower := &store.Follower{
+		Client: kv, Prefix: platform.OperatorPrefix,
+		Snapshot: func(s store.Snapshot) { n.takeEntries(s.Entries) },
+		Update: func(u store.Update) {
+			for _, c := range u.Changes {
+				if !c.Deleted {
+					n.takeEntries([]store.Entry{c.Entry})
+				}
+			}
+		},
+		Lost: func(err error) {
+			n.log.Emit(eventlog.StoreUnavailable, zap.String("use", "configuration"), zap.Error(err))
+		},
+		Back: func() { n.log.Emit(eventlog.StoreBack, zap.String("use", "configuration")) },
+	}
+	for _, loop := range []func(context.Context) error{follower.Run, n.desk.Run} {
+		ctx, cancel := context.WithCancel(context.Background())
+		g.Add(func() error { return loop(ctx) }, func(error) { cancel() })
+	}
+}
+
+// takeEntries puts the newest configuration among the entries in force; an older one never follows.
+func (n *node) takeEntries(entries []store.Entry) {
+	for _, e := range entries {
+		if !platform.IsConfig(e.Key) {
+			continue
+		}
+		c, err := platform.DecodeConfig(e.Value)
+		if err != nil {
+			n.log.Emit(eventlog.ConfigRejected, zap.Int64("revision", e.Revision), zap.Error(err))
+			continue
+		}
+		if old := n.config.Load(); old != nil && c.Table.Version <= old.Table.Version {
+			continue
+		}
+		n.config.Store(&c)
+		n.desk.SetTable(c.Table)
+		n.log.Emit(eventlog.ConfigApplied, zap.Int64("revision", e.Revision), zap.Int64("version", c.Table.Version),
+			zap.Int("queues", len(c.Table.Queues)))
+	}
+}
+
+// addReload checks the settings again on SIGHUP. The addresses of a process
+// never change, so that what is in force stays.
+func (n *node) addReload(g *run.Group, file string) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	done := make(chan struct{})
+	g.Add(func() error {
+		for {
+			select {
+			case <-done:
+				return nil
+			case <-hup:
+				_, err := platform.LoadSettings(file)
+				n.log.Emit(eventlog.SettingsReloaded, zap.Error(err))
+			}
+		}
+	}, func(error) {
+		signal.Stop(hup)
+		close(done)
+	})
+}
+
+// stop is a planned stop: the balancer is told, the term is handed over, and
+// the calls in flight are finished.
+func (n *node) stop(front *http.Server) error {
+	n.stopping.Store(true)
+	n.log.Emit(eventlog.InstanceStopping)
+	n.desk.Leave()
+	ctx, cancel := context.WithTimeout(context.Background(), max(n.settings.StopGrace-stopMargin, lameDuck))
+	defer cancel()
+	time.Sleep(lameDuck)
+	if err := front.Shutdown(ctx); err != nil {
+		return fmt.Errorf("planned stop: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/batch/core.go
@@ -0,0 +1,167 @@
+package batch
+
+import (
+	"time"
+
+	"github.com/oriolepond/oriolepond/internal/placement"
+)
+
+// Core holds all jobs and workers of a holder. It is not safe for concurrent use.
+type Core struct {
+	timing Timing
+	// began is when this holder took over.
+	began time.Time
+	// unheardUntil is when runs have lapsed on a worker that this holder never reached.
+	unheardUntil time.Time
+	// wall is what is added to the steady time for the time of day.
+	wall  time.Duration
+	table Table
+
+	jobs    map[string]*job
+	workers map[string]*worker
+	// active are the jobs that are not final, in the order of acceptance.
+	active []*job
+	dirty  []*job
+	health *placement.Health
+
+	// stops and looks are orders that need no record.
+	stops []Order
+	looks map[string]bool
+	// acked are workers with ends that became durable.
+	acked map[string]bool
+	notes []Note
+	// questions are for advisers.
+	questions []Question
+	expireAt  time.Time
+}
+
+// Note is a decision to be logged.
+type Note struct {
+	Kind NoteKind
+	Job  string
+	Task TaskName
+	Run  int64
+	// Worker is where, and Age how old what was known of it.
+	Worker string
+	Age    time.Duration
+	Reason string
+}
+
+// NoteKind is what a Note tells of.
+type NoteKind string
+
+// The kinds of notes.
+const (
+	NoteAccepted    NoteKind = "accepted"
+	NotePlaced      NoteKind = "placed"
+	NoteEnded       NoteKind = "ended"
+	NoteJobEnded    NoteKind = "jobEnded"
+	NoteStopping    NoteKind = "stopping"
+	NoteUnclear     NoteKind = "unclear"
+	NoteLost        NoteKind = "lost"
+	NoteWorkerLost  NoteKind = "workerLost"
+	NoteWorkerBack  NoteKind = "workerBack"
+	NoteQuarantined NoteKind = "quarantined"
+	NotePaced       NoteKind = "paced"
+	NoteUnfit       NoteKind = "unfit"
+	NoteStray       NoteKind = "stray"
+)
+
+const (
+	// firstProbe and longestProbe are the pauses before a failing worker gets another task:
+	// outages of a worker last some seconds.
+	firstProbe   = 2 * time.Second
+	longestProbe = 30 * time.Second
+)
+
+// NewCore returns a Core without jobs. Runs of earlier holders on workers
+// that are never reached have lapsed by unheardUntil.
+func NewCore(timing Timing, now, unheardUntil time.Time) *Core {
+	health := placement.NewHealth()
+	health.FirstPause, health.LongestPause = firstProbe, longestProbe
+	return &Core{
+		timing:       timing,
+		began:        now,
+		unheardUntil: unheardUntil,
+		jobs:         map[string]*job{},
+		workers:      map[string]*worker{},
+		looks:        map[string]bool{},
+		acked:        map[string]bool{},
+		health:       health,
+	}
+}
+
+// SetWall tells what has to be added to the steady time for the time of day.
+func (c *Core) SetWall(offset time.Duration) { c.wall = offset }
+
+// SetTable puts a configuration in force.
+func (c *Core) SetTable(t Table) {
+	c.table = t
+	for _, j := range c.active {
+		if q, ok := t.Queues[j.Queue]; ok {
+			j.service = q.Service
+		}
+	}
+}
+
+// Timing returns the times by which the core decides.
+func (c *Core) Timing() Timing { return c.timing }
+
+// mark notes that the job's record has changed.
+func (c *Core) mark(j *job) {
+	if !j.dirty {
+		j.dirty = true
+		c.dirty = append(c.dirty, j)
+	}
+}
+
+func (c *Core) note(n Note) { c.notes = append(c.notes, n) }
+
+// TakeNotes returns the decisions since the last call.
+func (c *Core) TakeNotes() []Note {
+	all := c.notes
+	c.notes = nil
+	return all
+}
+
+// Size returns the number of jobs that are kept.
+func (c *Core) Size() int { return len(c.jobs) }
+
+// Has reports whether a job is known, durable or not.
+func (c *Core) Has(id string) bool { return c.jobs[id] != nil }
+
+// Touch has a job's record written again.
+func (c *Core) Touch(id string) {
+	if j, ok := c.jobs[id]; ok {
+		c.mark(j)
+	}
+}
+
+// WorkerIDs returns all workers that are known.
+func (c *Core) WorkerIDs() []string {
+	all := make([]string, 0, len(c.workers))
+	for id := range c.workers {
+		all = append(all, id)
+	}
+	return all
+}
+
+// Knows reports whether a worker is known.
+func (c *Core) Knows(id string) bool { return c.workers[id] != nil }
+
+// TakeAcked returns the workers of which further ends may be acknowledged.
+func (c *Core) TakeAcked() []string {
+	var all []string
+	for id := range c.acked {
+		all = append(all, id)
+	}
+	clear(c.acked)
+	return all
+}
+
+// NotSent takes back a start that the holder may not send any more.
+func (c *Core) NotSent(o Order, now time.Time) {
+	if o.run != nil && o.run.state == runIntended {
+		c.unplace(o.run, now)
+	}
+}
--- /dev/null
+++ b/internal/batch/job.go
@@ -0,0 +1,202 @@
+package batch
+
+import (
+	"slices"
+	"time"
+)
+
+// job is a job with the state of its tasks.
+type job struct {
+	Job
+	// service is that of the queue when the job was last planned; it outlasts the queue.
+	service  string
+	accepted time.Time
+	// endedAt is when the job reached a final state.
+	endedAt   time.Time
+	state     State
+	cancelled bool
+	reason    string
+	// stored means that a record of the job is durable, finalStored that one with its final state is.
+	stored      bool
+	finalStored bool
+	removed     bool
+
+	// stages are the steps of all occurrences that have begun.
+	stages []*stage
+	// begun is the number of occurrences whose stages exist.
+	begun int
+	// chain is the longest chain of estimated work.
+	chain time.Duration
+
+	dirty bool
+	// starts wait for the record that names them.
+	starts []*run
+	// ends are to be acknowledged once the record is durable.
+	ends []endRef
+	// waiters are called once the record is durable.
+	waiters []func(State)
+}
+
+// endRef is one end that a worker reported.
+type endRef struct {
+	worker *worker
+	born   int64
+	number int64
+}
+
+// stage is one step of one occurrence.
+type stage struct {
+	job        *job
+	occurrence int
+	index      int
+	step       *Step
+	tasks      []*task
+	// undone are the tasks that have not ended for good, queued those that wait for a worker.
+	undone int
+	queued int
+	// open means that nothing holds the stage's tasks back.
+	open     bool
+	openedAt time.Time
+	// gangRun is the number of the gang's last run.
+	gangRun int64
+	// onWorkers counts the stage's runs by worker.
+	onWorkers map[*worker]int
+	// tickets are what the adviser gave.
+	tickets map[string]ticket
+	asked   askState
+	// unfit is set while no worker could ever take a task of the stage.
+	unfit bool
+}
+
+// ticket admits a step to a worker.
+type ticket struct {
+	text  string
+	born  int64
+	until time.Time
+}
+
+type taskState string
+
+const (
+	taskWaiting taskState = "waiting"
+	taskQueued  taskState = "queued"
+	taskPlaced  taskState = "placed"
+	taskDone    taskState = "done"
+)
+
+// task is one task with its runs.
+type task struct {
+	stage *stage
+	index int
+	state taskState
+	// lastRun is the number of the task's newest run.
+	lastRun    int64
+	runs       []*run
+	checkpoint string
+	failed     []int64
+	queuedAt   time.Time
+	// notBefore delays the next run after a failure.
+	notBefore time.Time
+	// avoid is the worker that the task last failed on.
+	avoid *worker
+}
+
+// name returns the task's name on workers.
+func (t *task) name() TaskName {
+	return TaskName{Job: t.stage.job.ID, Occurrence: t.stage.occurrence, Step: t.stage.index, Index: t.index}
+}
+
+type runState string
+
+const (
+	// runIntended waits for its record, or for its order to be sent.
+	runIntended runState = "intended"
+	// runOrdered was sent to the worker, without an answer so far.
+	runOrdered runState = "ordered"
+	// runUnclear had no answer: whether it runs or will run is not known.
+	runUnclear runState = "unclear"
+	runRunning runState = "running"
+	// runStopping is to be stopped, and runStopped had the worker's word for it.
+	runStopping runState = "stopping"
+	runStopped  runState = "stopped"
+)
+
+// run is one start of a task on a worker.
+type run struct {
+	task   *task
+	number int64
+	worker *worker
+	// born is the lifetime of the worker that the run was ordered from.
+	born  int64
+	state runState
+	// since is when the state began, as far as looks that were sent later show it.
+	since time.Time
+	// ordered is when the order was sent.
+	ordered time.Time
+	// waste tells why the run is stopped.
+	why string
+	// percent and progressAt tell when the run was last seen to make progress.
+	percent    int
+	progressAt time.Time
+	tail       time.Duration
+	pace       int
+	paceAt     time.Time
+	stopSentAt time.Time
+	evict      bool
+}
+
+// holdsProcessors reports whether the run counts against the worker's processors.
+func (r *run) holdsProcessors() bool { return !r.task.stage.step.Fills }
+
+func newStage(j *job, occurrence, index int) *stage {
+	s := &stage{job: j, occurrence: occurrence, index: index, step: &j.Steps[index], onWorkers: map[*worker]int{}}
+	s.undone = s.step.Tasks
+	s.tasks = make([]*task, s.step.Tasks)
+	block := make([]task, s.step.Tasks)
+	for i := range block {
+		block[i] = task{stage: s, index: i, state: taskWaiting}
+		s.tasks[i] = &block[i]
+	}
+	return s
+}
+
+// stage returns the stage of a step of an occurrence, if it has begun.
+func (j *job) stage(occurrence, step int) *stage {
+	i := occurrence*len(j.Steps) + step
+	if occurrence < 0 || step < 0 || step >= len(j.Steps) || i >= len(j.stages) {
+		return nil
+	}
+	return j.stages[i]
+}
+
+// longestChain returns the greatest sum of estimates along the steps that follow each other.
+func longestChain(steps []Step) time.Duration {
+	ends := make([]time.Duration, len(steps))
+	var longest time.Duration
+	for i, s := range steps {
+		for _, a := range s.After {
+			ends[i] = max(ends[i], ends[a])
+		}
+		ends[i] += s.Estimate
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// begin makes the stages of the next occurrence.
+func (j *job) begin() {
+	for i := range j.Steps {
+		j.stages = append(j.stages, newStage(j, j.begun, i))
+	}
+	j.begun++
+}
+
+// occurrences returns how often the job's steps run.
+func (j *job) occurrences() int { return max(1, j.Repeat.Count) }
+
+// started reports whether a run of the job was ever ordered.
+func (j *job) started() bool {
+	return slices.ContainsFunc(j.stages, func(s *stage) bool {
+		return s.undone < len(s.tasks) || slices.ContainsFunc(s.tasks, func(t *task) bool { return t.lastRun > 0 })
+	})
+}
--- /dev/null
+++ b/internal/batch/order.go
@@ -0,0 +1,294 @@
+package batch
+
+import (
+	"slices"
+	"time"
+)
+
+// OrderKind is what an order asks of a worker.
+type OrderKind string
+
+// The kinds of orders.
+const (
+	OrderStart OrderKind = "start"
+	OrderStop  OrderKind = "stop"
+	OrderPace  OrderKind = "pace"
+)
+
+// Order is one order to a worker, to be filled in by Send when its turn has come.
+type Order struct {
+	Kind OrderKind
+	run  *run
+	// stray is set instead of run for a run that no job explains.
+	stray  runKey
+	worker *worker
+	pace   int
+}
+
+// Call is an order as it goes to a worker.
+type Call struct {
+	Kind    OrderKind
+	Worker  string
+	Address string
+	Task    TaskName
+	Run     int64
+	// Spec, Deadline, Checkpoint and Ticket belong to a start; Deadline is on the worker's clock.
+	Spec       string
+	Deadline   time.Duration
+	Checkpoint string
+	Ticket     string
+	Percent    int
+}
+
+// Worker returns the worker that the order goes to.
+func (o Order) Worker() string { return o.worker.ID }
+
+// Answer is what became of a call to a worker.
+type Answer string
+
+// The answers to calls.
+const (
+	// AnswerDone means that the worker carried the order out.
+	AnswerDone Answer = "done"
+	// AnswerNone means that the order may have been carried out, or may be later.
+	AnswerNone Answer = "none"
+	// AnswerUnsent means that the worker took no byte of the order.
+	AnswerUnsent Answer = "unsent"
+	// AnswerBusy means that the worker is unhealthy and did nothing.
+	AnswerBusy Answer = "busy"
+	// AnswerRoom means that the task does not fit.
+	AnswerRoom Answer = "room"
+	// AnswerOld means that a run as new as this one was stopped or ended there.
+	AnswerOld Answer = "old"
+	// AnswerLate means that the deadline has passed on the worker's clock.
+	AnswerLate Answer = "late"
+	// AnswerTicket means that the ticket is missing or not valid any more.
+	AnswerTicket Answer = "ticket"
+	// AnswerFenced means that another holder has spoken to the worker.
+	AnswerFenced Answer = "fenced"
+	// AnswerGone means that the lifetime that was meant has ended.
+	AnswerGone Answer = "gone"
+	// AnswerInvalid means that the worker does not understand the order.
+	AnswerInvalid Answer = "invalid"
+)
+
+// Result is the answer to a call, with the worker's clock and lifetime if it told them.
+type Result struct {
+	Answer Answer
+	Clock  time.Duration
+	Born   int64
+}
+
+// TakeOrders returns the orders that need no record.
+func (c *Core) TakeOrders() []Order {
+	all := c.stops
+	c.stops = nil
+	return all
+}
+
+// TakeLooks returns the workers to be looked at at once.
+func (c *Core) TakeLooks() []string {
+	var all []string
+	for id := range c.looks {
+		all = append(all, id)
+	}
+	clear(c.looks)
+	return all
+}
+
+// look asks for a look at a worker.
+func (c *Core) look(w *worker) { c.looks[w.ID] = true }
+
+// Send returns the call of an order, unless it has become needless.
+func (c *Core) Send(o Order, now time.Time) (Call, bool) {
+	w := o.worker
+	call := Call{Kind: o.Kind, Worker: w.ID, Address: w.Address}
+	if o.run == nil {
+		if _, known := w.strays[o.stray]; !known {
+			return Call{}, false
+		}
+		call.Task, call.Run = o.stray.task, o.stray.run
+		return call, true
+	}
+	r := o.run
+	call.Task, call.Run = r.task.name(), r.number
+	switch o.Kind {
+	case OrderStart:
+		if r.state != runIntended || w.runs[r.key()] != r {
+			return Call{}, false
+		}
+		if !w.listed || !w.adopted || r.born != w.Born {
+			c.unplace(r, now)
+			return Call{}, false
+		}
+		s := r.task.stage
+		call.Spec = s.job.Spec
+		call.Checkpoint = r.task.checkpoint
+		call.Deadline = w.deadline(c.timing.Lease, now)
+		call.Ticket = s.tickets[w.ID].text
+		r.state, r.ordered, r.since = runOrdered, now, now
+	case OrderStop:
+		if w.runs[r.key()] != r {
+			return Call{}, false
+		}
+		r.stopSentAt = now
+	case OrderPace:
+		if r.state != runRunning {
+			return Call{}, false
+		}
+		call.Percent = o.pace
+	}
+	return call, true
+}
+
+// Answered takes the result of a call that was sent at a time.
+func (c *Core) Answered(o Order, res Result, sent, now time.Time) {
+	w := o.worker
+	if res.Answer == AnswerNone || res.Answer == AnswerUnsent {
+		c.unanswered(w, sent)
+	} else {
+		w.hear(res.Clock, now)
+		if res.Born != 0 && res.Born != w.Born {
+			c.reborn(w, res.Born, now)
+		}
+	}
+	if o.run == nil || w.runs[o.run.key()] != o.run {
+		return
+	}
+	switch o.Kind {
+	case OrderStart:
+		c.startAnswered(o.run, res, now)
+	case OrderStop:
+		c.stopAnswered(o.run, res, now)
+	case OrderPace:
+		if res.Answer == AnswerDone {
+			o.run.pace = o.pace
+		}
+	}
+}
+
+func (c *Core) startAnswered(r *run, res Result, now time.Time) {
+	if r.state != runOrdered {
+		return
+	}
+	w := r.worker
+	switch res.Answer {
+	case AnswerDone:
+		w.shunned = 0
+		r.state, r.since, r.progressAt = runRunning, now, now
+		c.begun(r.task.stage.job)
+	case AnswerNone:
+		r.state, r.since = runUnclear, now
+		c.look(w)
+		c.note(Note{Kind: NoteUnclear, Task: r.task.name(), Run: r.number, Worker: w.ID, Age: now.Sub(r.ordered)})
+	case AnswerUnsent, AnswerBusy, AnswerFenced, AnswerGone:
+		c.shun(w, now)
+		c.requeue(r, "worker: "+string(res.Answer), now)
+	case AnswerTicket:
+		delete(r.task.stage.tickets, w.ID)
+		c.requeue(r, "worker: ticket", now)
+	case AnswerRoom:
+		c.shun(w, now)
+		c.look(w)
+		c.requeue(r, "worker: room", now)
+	case AnswerOld, AnswerLate:
+		c.look(w)
+		c.requeue(r, "worker: "+string(res.Answer), now)
+	case AnswerInvalid:
+		j := r.task.stage.job
+		c.requeue(r, "worker: invalid", now)
+		r.task.notBefore = now.Add(firstProbe)
+		c.mark(j)
+	}
+}
+
+func (c *Core) stopAnswered(r *run, res Result, now time.Time) {
+	switch res.Answer {
+	case AnswerDone, AnswerOld:
+		if r.state == runStopping {
+			r.state, r.since = runStopped, now
+		}
+	case AnswerGone:
+		c.lose(r, "worker's lifetime has ended", now)
+	default:
+		// Tried again by retryStops.
+	}
+}
+
+const (
+	// firstShun and longestShun bound how long a worker that refuses starts gets none.
+	firstShun   = 500 * time.Millisecond
+	longestShun = 8 * time.Second
+)
+
+// shun keeps new runs away from a worker for a while.
+func (c *Core) shun(w *worker, now time.Time) {
+	if now.Before(w.shunUntil) {
+		return
+	}
+	pause := min(longestShun, firstShun<<min(w.shunned, 5))
+	w.shunned++
+	w.shunUntil = now.Add(pause)
+}
+
+// unanswered notes that a call had no answer.
+func (c *Core) unanswered(w *worker, sent time.Time) {
+	if w.heardAt.After(sent) {
+		return
+	}
+	if w.silentSince.IsZero() {
+		w.silentSince = sent
+		c.note(Note{Kind: NoteWorkerLost, Worker: w.ID, Age: sent.Sub(w.heardAt), Reason: "no answer"})
+	}
+}
+
+// unplace takes back a run that was never ordered.
+func (c *Core) unplace(r *run, now time.Time) { c.requeue(r, "not sent", now) }
+
+// requeue removes a run that surely does not run, and lets the task wait again.
+func (c *Core) requeue(r *run, reason string, now time.Time) {
+	c.dropRun(r)
+	t := r.task
+	if t.state == taskPlaced && len(t.runs) == 0 && !t.stage.job.state.Final() {
+		if t.stage.step.Gang {
+			c.breakGang(t.stage, reason, now)
+		}
+		c.enqueue(t, now)
+		c.mark(t.stage.job)
+	}
+}
+
+// dropRun forgets a run.
+func (c *Core) dropRun(r *run) {
+	r.worker.remove(r)
+	r.task.runs = slices.DeleteFunc(r.task.runs, func(o *run) bool { return o == r })
+}
+
+// lose requeues a run that has ended without the worker's word.
+func (c *Core) lose(r *run, reason string, now time.Time) {
+	c.note(Note{Kind: NoteLost, Task: r.task.name(), Run: r.number, Worker: r.worker.ID,
+		Age: now.Sub(r.worker.heardAt), Reason: reason})
+	c.requeue(r, reason, now)
+}
+
+// breakGang stops the other members of a gang of which one is gone.
+func (c *Core) breakGang(s *stage, reason string, now time.Time) {
+	for _, t := range s.tasks {
+		for _, r := range slices.Clone(t.runs) {
+			c.stopRun(r, "gang: "+reason, now)
+		}
+	}
+}
+
+// stopRun has a run stopped; one that was never ordered is taken back at once.
+func (c *Core) stopRun(r *run, reason string, now time.Time) {
+	switch r.state {
+	case runIntended:
+		c.requeue(r, reason, now)
+	case runStopping, runStopped:
+	default:
+		r.state, r.since, r.why = runStopping, now, reason
+		c.stops = append(c.stops, Order{Kind: OrderStop, run: r, worker: r.worker})
+		c.note(Note{Kind: NoteStopping, Task: r.task.name(), Run: r.number, Worker: r.worker.ID, Reason: reason})
+	}
+}
--- /dev/null
+++ b/internal/batch/submit.go
@@ -0,0 +1,189 @@
+package batch
+
+import (
+	"slices"
+	"time"
+)
+
+// NoQueueError says that no queue of a name is configured.
+type NoQueueError struct {
+	Queue string
+}
+
+// Error returns the queue.
+func (e *NoQueueError) Error() string { return "no queue " + e.Queue }
+
+// Submit takes a job in. The waiter is called once the job is durable, which
+// may be at once; a repeat of the ID is the same job.
+func (c *Core) Submit(s Job, now time.Time, waiter func(State)) error {
+	if j, ok := c.jobs[s.ID]; ok {
+		c.await(j, waiter)
+		return nil
+	}
+	if err := s.Check(); err != nil {
+		return err
+	}
+	if _, ok := c.table.Queues[s.Queue]; !ok {
+		return &NoQueueError{Queue: s.Queue}
+	}
+	c.take(s, now, waiter)
+	return nil
+}
+
+// SubmitTo takes in a job that another node has accepted, whether its queue is
+// still configured or not.
+func (c *Core) SubmitTo(s Job, now time.Time) error {
+	if err := s.Check(); err != nil || c.Has(s.ID) {
+		return err
+	}
+	c.take(s, now, nil)
+	return nil
+}
+
+func (c *Core) take(s Job, now time.Time, waiter func(State)) {
+	j := &job{Job: s, service: c.table.Queues[s.Queue].Service, accepted: now, state: Queued}
+	c.adopt(j)
+	c.advance(j, now)
+	c.mark(j)
+	c.await(j, waiter)
+	c.note(Note{Kind: NoteAccepted, Job: j.ID, Reason: j.Queue})
+}
+
+// adopt adds a job to those that are kept.
+func (c *Core) adopt(j *job) {
+	j.chain = longestChain(j.Steps)
+	c.jobs[j.ID] = j
+	if !j.state.Final() {
+		c.active = append(c.active, j)
+	}
+}
+
+// await calls the waiter with the job's state once all that is known is durable.
+func (c *Core) await(j *job, waiter func(State)) {
+	if waiter == nil {
+		return
+	}
+	if j.stored && !j.dirty && j.finalStored == j.state.Final() {
+		waiter(j.state)
+		return
+	}
+	c.mark(j)
+	j.waiters = append(j.waiters, waiter)
+}
+
+// Cancel withdraws a job; the waiter is called once that is durable. It reports
+// whether the job is known.
+func (c *Core) Cancel(id string, now time.Time, waiter func(State)) bool {
+	j, ok := c.jobs[id]
+	if !ok {
+		return false
+	}
+	if !j.state.Final() {
+		j.cancelled = true
+		c.finish(j, Cancelled, "cancelled by its caller", now)
+	}
+	c.await(j, waiter)
+	return true
+}
+
+// State returns the state of a job, and whether the job is known. A final
+// state is only told once it is durable.
+func (c *Core) State(id string) (State, bool) {
+	j, ok := c.jobs[id]
+	switch {
+	case !ok || !j.stored:
+		return "", false
+	case j.state.Final() && !j.finalStored:
+		return Active, true
+	}
+	return j.state, true
+}
+
+// Pending returns the number of a queue's jobs of which no task has started.
+func (c *Core) Pending(queue string) int {
+	n := 0
+	for _, j := range c.active {
+		if j.Queue == queue && j.state == Queued {
+			n++
+		}
+	}
+	return n
+}
+
+// finish brings a job to a final state and stops what of it runs.
+func (c *Core) finish(j *job, s State, reason string, now time.Time) {
+	j.state, j.reason, j.endedAt = s, reason, now
+	for _, st := range j.stages {
+		for _, t := range st.tasks {
+			for _, r := range slices.Clone(t.runs) {
+				c.stopRun(r, reason, now)
+			}
+		}
+	}
+	c.active = slices.DeleteFunc(c.active, func(o *job) bool { return o == j })
+	c.mark(j)
+	c.note(Note{Kind: NoteJobEnded, Job: j.ID, Age: now.Sub(j.accepted), Reason: string(s) + ": " + reason})
+}
+
+// advance opens the stages whose time has come.
+func (c *Core) advance(j *job, now time.Time) {
+	if j.state.Final() {
+		return
+	}
+	for j.begun < j.occurrences() && c.isDue(j, j.begun, now) {
+		j.begin()
+		c.mark(j)
+	}
+	for _, s := range j.stages {
+		if !s.open && c.mayOpen(s) {
+			c.openStage(s, now)
+		}
+	}
+}
+
+// isDue reports whether the time of an occurrence has come.
+func (c *Core) isDue(j *job, occurrence int, now time.Time) bool {
+	if j.Repeat.Count == 0 {
+		return true
+	}
+	due := j.Repeat.First.Add(time.Duration(occurrence) * j.Repeat.Every)
+	return !now.Add(c.wall).Before(due)
+}
+
+// mayOpen reports whether all steps before a stage have ended.
+func (c *Core) mayOpen(s *stage) bool {
+	for _, a := range s.step.After {
+		if s.job.stage(s.occurrence, a).undone > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *Core) openStage(s *stage, now time.Time) {
+	s.open, s.openedAt = true, now
+	for _, t := range s.tasks {
+		if t.state == taskWaiting {
+			c.enqueue(t, now)
+		}
+	}
+}
+
+// enqueue lets a task wait for a worker.
+func (c *Core) enqueue(t *task, now time.Time) {
+	t.state, t.queuedAt = taskQueued, now
+	t.stage.queued++
+}
+
+// completeIfDone ends a job whose last task has ended.
+func (c *Core) completeIfDone(j *job, now time.Time) {
+	if j.state.Final() || j.begun < j.occurrences() {
+		return
+	}
+	for _, s := range j.stages {
+		if s.undone > 0 {
+			return
+		}
+	}
+	c.finish(j, Completed, "all tasks have ended", now)
+}
--- /dev/null
+++ b/internal/desk/calls.go
@@ -0,0 +1,371 @@
+package desk
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/oriolepond/oriolepond/internal/batch"
+	"github.com/oriolepond/oriolepond/internal/eventlog"
+	"github.com/oriolepond/oriolepond/internal/store"
+)
+
+// Calls are the calls to a holder.
+type Calls struct {
+	Submit  func(ctx context.Context, j batch.Job) error
+	Cancel  func(ctx context.Context, id string) (known bool, err error)
+	State   func(ctx context.Context, id string) (batch.State, bool, error)
+	Pending func(ctx context.Context, queue string) (int, error)
+	// Retired reports whether the node renews nothing under tokens up to the given one.
+	Retired func(ctx context.Context, token int64) (bool, error)
+}
+
+// UnavailableError says that a call was surely not carried out, and when to come back.
+type UnavailableError struct {
+	Reason     string
+	RetryAfter time.Duration
+}
+
+// Error returns the reason.
+func (e *UnavailableError) Error() string { return "unavailable: " + e.Reason }
+
+// UnknownError says that a call may have been carried out.
+type UnknownError struct {
+	Err error
+}
+
+// Error returns the cause.
+func (e *UnknownError) Error() string { return fmt.Sprintf("outcome not known: %v", e.Err) }
+
+// Unwrap returns the cause.
+func (e *UnknownError) Unwrap() error { return e.Err }
+
+// NotHolderError says that a node does not hold the jobs.
+type NotHolderError struct{}
+
+// Error says so.
+func (e *NotHolderError) Error() string { return "this node does not hold the jobs" }
+
+const (
+	// retryAfter is when a caller is told to come back while there is no holder
+	// or no store: a take-over takes about two seconds.
+	retryAfter = time.Second
+	// passTimeout bounds one try at the holder, so that time is left for the store.
+	passTimeout = 900 * time.Millisecond
+	// settleWait is how long a call waits for a holder when there is none, and
+	// settlePause how long after a node that does not hold any more.
+	settleWait  = 400 * time.Millisecond
+	settlePause = 60 * time.Millisecond
+)
+
+// Submit accepts a job; it returns once the job is durable. An
+// *UnavailableError means that the job will never run, an *UnknownError that it
+// may be accepted.
+func (d *Desk) Submit(ctx context.Context, j batch.Job) error {
+	if err := j.Check(); err != nil {
+		return err
+	}
+	var uncertain error
+	err := d.pass(ctx, func(ctx context.Context, c *Calls) error {
+		err := c.Submit(ctx, j)
+		if isUncertain(err) {
+			uncertain = err
+		}
+		return err
+	})
+	if err == nil || isAnswer(err) && uncertain == nil {
+		return err
+	}
+	value, encodeErr := batch.EncodeJob(j)
+	if encodeErr != nil {
+		return encodeErr
+	}
+	err = d.leave(ctx, j.ID, inboxPrefix+j.ID, value)
+	d.Log.Emit(eventlog.LeftInInbox, zap.String("job", j.ID), zap.Error(err))
+	if uncertain != nil && err != nil && !errors.As(err, new(*UnknownError)) {
+		return &UnknownError{Err: uncertain}
+	}
+	return err
+}
+
+// leave writes a key for the next holder to find, unless the job is known already.
+func (d *Desk) leave(ctx context.Context, id, key string, value []byte) error {
+	txn := store.Txn{
+		If:   []store.Condition{{Key: key}, {Key: jobPrefix + id}},
+		Then: []store.Op{store.Put(key, value)},
+	}
+	uncertain := false
+	for {
+		call, cancel := context.WithTimeout(ctx, commitTimeout)
+		_, err := d.Store.Commit(call, txn)
+		cancel()
+		var not *store.RefusedError
+		switch {
+		case err == nil:
+			// Written now, or there already.
+			return nil
+		case !errors.As(err, &not):
+			uncertain = true
+		case !uncertain:
+			return &UnavailableError{Reason: err.Error(), RetryAfter: retryAfter}
+		}
+		if remaining(ctx) < commitTimeout {
+			return &UnknownError{Err: err}
+		}
+		select {
+		case <-ctx.Done():
+			return &UnknownError{Err: err}
+		case <-time.After(settlePause):
+		}
+	}
+}
+
+func remaining(ctx context.Context) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return time.Hour
+	}
+	return time.Until(deadline)
+}
+
+// Cancel withdraws a job and reports whether it is known; it returns once that is durable.
+func (d *Desk) Cancel(ctx context.Context, id string) (bool, error) {
+	known := false
+	err := d.pass(ctx, func(ctx context.Context, c *Calls) error {
+		var err error
+		known, err = c.Cancel(ctx, id)
+		return err
+	})
+	if err == nil || isAnswer(err) {
+		return known, err
+	}
+	state, known, err := d.stored(ctx, id)
+	if err != nil || !known || state.Final() {
+		return known, err
+	}
+	call, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	if _, err := d.Store.Commit(call, store.Txn{
+		If:   []store.Condition{{Key: inboxPrefix + id + cancelSuffix}},
+		Then: []store.Op{store.Put(inboxPrefix+id+cancelSuffix, []byte("{}"))},
+	}); err != nil {
+		return true, &UnknownError{Err: err}
+	}
+	return true, nil
+}
+
+// State returns the state of a job, and whether the job is known.
+func (d *Desk) State(ctx context.Context, id string) (batch.State, bool, error) {
+	var state batch.State
+	known := false
+	err := d.pass(ctx, func(ctx context.Context, c *Calls) error {
+		var err error
+		state, known, err = c.State(ctx, id)
+		return err
+	})
+	if err == nil {
+		return state, known, nil
+	}
+	return d.stored(ctx, id)
+}
+
+// stored returns the state of a job as the store has it.
+func (d *Desk) stored(ctx context.Context, id string) (batch.State, bool, error) {
+	e, found, err := d.Store.Read(ctx, jobPrefix+id)
+	if err != nil {
+		return "", false, &UnavailableError{Reason: err.Error(), RetryAfter: retryAfter}
+	}
+	if found {
+		state, err := batch.DecodeState(e.Value)
+		return state, true, err
+	}
+	_, waits, err := d.Store.Read(ctx, inboxPrefix+id)
+	if err != nil {
+		return "", false, &UnavailableError{Reason: err.Error(), RetryAfter: retryAfter}
+	}
+	return batch.Queued, waits, nil
+}
+
+// Pending counts the jobs of a queue of which no task has started.
+func (d *Desk) Pending(ctx context.Context, queue string) (int, error) {
+	n := 0
+	err := d.pass(ctx, func(ctx context.Context, c *Calls) error {
+		var err error
+		n, err = c.Pending(ctx, queue)
+		return err
+	})
+	if err != nil && !isAnswer(err) {
+		err = &UnavailableError{Reason: err.Error(), RetryAfter: retryAfter}
+	}
+	return n, err
+}
+
+// isAnswer reports whether an error is the holder's answer rather than the lack of one.
+func isAnswer(err error) bool {
+	return errors.As(err, new(*UnavailableError)) || errors.As(err, new(*batch.InvalidError)) ||
+		errors.As(err, new(*batch.NoQueueError))
+}
+
+// isUncertain reports whether a call that failed may have been carried out.
+func isUncertain(err error) bool {
+	return err != nil && !isAnswer(err) && !errors.As(err, new(*NotHolderError))
+}
+
+// pass makes a call at the holder, wherever it is. Without one it waits a
+// while for the next.
+func (d *Desk) pass(ctx context.Context, call func(context.Context, *Calls) error) error {
+	wait, cancel := context.WithTimeout(ctx, settleWait)
+	defer cancel()
+	for {
+		ref, changed := d.who()
+		c, err := d.callsOf(ref)
+		if err == nil {
+			bounded, stop := context.WithTimeout(ctx, passTimeout)
+			err = call(bounded, c)
+			stop()
+		}
+		if !errors.As(err, new(*NotHolderError)) {
+			return err
+		}
+		select {
+		case <-wait.Done():
+			return err
+		case <-changed:
+		case <-time.After(settlePause):
+		}
+	}
+}
+
+// callsOf returns the calls of a holder, which may be this node.
+func (d *Desk) callsOf(ref holderRef) (*Calls, error) {
+	if h := d.local(); h != nil {
+		return h.calls(), nil
+	}
+	if ref.Address == "" || ref.Address == d.Address {
+		return nil, &NotHolderError{}
+	}
+	return d.Peer(ref.Address)
+}
+
+// LocalCalls answers the calls of peers.
+func (d *Desk) LocalCalls() *Calls {
+	local := func() (*Calls, error) {
+		h := d.local()
+		if h == nil {
+			return nil, &NotHolderError{}
+		}
+		return h.calls(), nil
+	}
+	return &Calls{
+		Submit: func(ctx context.Context, j batch.Job) error {
+			c, err := local()
+			if err != nil {
+				return err
+			}
+			return c.Submit(ctx, j)
+		},
+		Cancel: func(ctx context.Context, id string) (bool, error) {
+			c, err := local()
+			if err != nil {
+				return false, err
+			}
+			return c.Cancel(ctx, id)
+		},
+		State: func(ctx context.Context, id string) (batch.State, bool, error) {
+			c, err := local()
+			if err != nil {
+				return "", false, err
+			}
+			return c.State(ctx, id)
+		},
+		Pending: func(ctx context.Context, queue string) (int, error) {
+			c, err := local()
+			if err != nil {
+				return 0, err
+			}
+			return c.Pending(ctx, queue)
+		},
+		Retired: func(_ context.Context, token int64) (bool, error) { return d.Retired(token), nil },
+	}
+}
+
+// calls returns what the holder answers.
+func (h *Holder) calls() *Calls {
+	return &Calls{Submit: h.submit, Cancel: h.cancel, State: h.state, Pending: h.pending}
+}
+
+func (h *Holder) submit(ctx context.Context, j batch.Job) error {
+	if h.isAway(now()) {
+		return h.whileAway(j.ID)
+	}
+	done := make(chan struct{})
+	h.mu.Lock()
+	err := h.core.Submit(j, now(), func(batch.State) { close(done) })
+	h.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	h.kick(h.plan)
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return &UnknownError{Err: ctx.Err()}
+	}
+}
+
+// whileAway answers a submission while the store does not answer: one that
+// came before may be on its way into the store.
+func (h *Holder) whileAway(id string) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.core.Has(id) {
+		return &UnknownError{Err: errors.New("the store does not answer")}
+	}
+	return &UnavailableError{Reason: "the store does not answer", RetryAfter: retryAfter}
+}
+
+func (h *Holder) cancel(ctx context.Context, id string) (bool, error) {
+	done := make(chan struct{})
+	h.mu.Lock()
+	known := h.core.Cancel(id, now(), func(batch.State) { close(done) })
+	waits := false
+	if !known {
+		_, waits = h.inbox[id]
+	}
+	h.mu.Unlock()
+	h.kick(h.plan)
+	switch {
+	case waits:
+		return true, &UnknownError{Err: errNotHolder}
+	case !known:
+		return false, nil
+	}
+	select {
+	case <-done:
+		return true, nil
+	case <-ctx.Done():
+		return true, &UnknownError{Err: ctx.Err()}
+	}
+}
+
+func (h *Holder) state(_ context.Context, id string) (batch.State, bool, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	state, known := h.core.State(id)
+	if !known {
+		if _, waits := h.inbox[id]; waits || h.core.Has(id) {
+			return batch.Queued, true, nil
+		}
+	}
+	return state, known, nil
+}
+
+func (h *Holder) pending(_ context.Context, queue string) (int, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.core.Pending(queue), nil
+}
--- /dev/null
+++ b/internal/desk/holder.go
@@ -0,0 +1,415 @@
+package desk
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/oklog/run"
+	"go.uber.org/zap"
+
+	"github.com/oriolepond/oriolepond/internal/batch"
+	"github.com/oriolepond/oriolepond/internal/eventlog"
+	"github.com/oriolepond/oriolepond/internal/lease"
+	"github.com/oriolepond/oriolepond/internal/store"
+)
+
+// Holder is one term of a node as holder of all jobs.
+type Holder struct {
+	// Token fences orders and commits of earlier terms.
+	Token        int64
+	ID           string
+	Store        *store.Client
+	Workers      Workers
+	Timing       batch.Timing
+	WorkerPrefix string
+	DecodeWorker func(key string, value []byte) (batch.WorkerInfo, error)
+	Log          *eventlog.Log
+	Meter        *Meter
+
+	stop context.CancelFunc
+
+	mu         sync.Mutex
+	core       *batch.Core
+	lookers    map[string]*looker
+	reason     string
+	validUntil time.Time
+	// awaySince is when the store last answered a commit before one that has no answer yet.
+	awaySince time.Time
+	fenced    bool
+	inbox     map[string]inboxEntry
+
+	head       int64
+	sequence   int64
+	plan       chan struct{}
+	commit     chan struct{}
+	superseded chan struct{}
+	once       sync.Once
+	running    sync.WaitGroup
+	orders     chan struct{}
+	// spawn starts a looker of the term.
+	spawn func(id string, l *looker)
+}
+
+// TermEndedError says why a term has ended.
+type TermEndedError struct {
+	Reason string
+}
+
+// Error returns the reason.
+func (e *TermEndedError) Error() string { return "term ended: " + e.Reason }
+
+const (
+	// planEvery is how often time is let pass without news.
+	planEvery = 100 * time.Millisecond
+	// commitGap is the least time between two commits, so that news share one.
+	commitGap = 8 * time.Millisecond
+	// commitTimeout bounds one try of a commit.
+	commitTimeout = 700 * time.Millisecond
+	// maxRecords leaves room for the head in one commit.
+	maxRecords = 15
+	// maxOrders bounds the orders that are under way at once.
+	maxOrders = 96
+)
+
+// renewed notes that the lease was renewed by a call that was made at a time.
+func (h *Holder) renewed(asked time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if until := asked.Add(lease.Shorter(holderTTL)); until.After(h.validUntil) {
+		h.validUntil = until
+	}
+}
+
+// graceEnds returns until when leases at workers are renewed without the store's word.
+func (h *Holder) graceEnds() time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.validUntil.Add(lease.Shorter(h.Timing.RenewGrace))
+}
+
+// holds reports whether no other holder can have been chosen.
+func (h *Holder) holds(at time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return at.Before(h.validUntil)
+}
+
+// lose ends the term.
+func (h *Holder) lose(reason string) {
+	h.mu.Lock()
+	if h.reason == "" {
+		h.reason = reason
+	}
+	h.mu.Unlock()
+	h.stop()
+}
+
+// supersede ends the term since another holder was chosen.
+func (h *Holder) supersede() { go h.lose("another holder was chosen") }
+
+func (h *Holder) size() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.core.Size()
+}
+
+// load reads all jobs back.
+func (h *Holder) load(ctx context.Context, t batch.Table, unheard time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	at := now()
+	core := batch.NewCore(h.Timing, at, at.Add(unheard))
+	core.SetWall(wallOffset())
+	core.SetTable(t)
+	jobs, err := h.Store.List(ctx, jobPrefix)
+	if err != nil {
+		return err
+	}
+	for _, e := range jobs.Entries {
+		if err := core.Restore(e.Value, at); err != nil {
+			h.Log.Emit(eventlog.RecordUnreadable, zap.String("key", e.Key), zap.Error(err))
+		}
+	}
+	head, found, err := h.Store.Read(ctx, headKey)
+	if err != nil {
+		return err
+	}
+	if found {
+		h.head = head.Revision
+	}
+	h.core = core
+	h.lookers = map[string]*looker{}
+	h.inbox = map[string]inboxEntry{}
+	h.plan = make(chan struct{}, 1)
+	h.commit = make(chan struct{}, 1)
+	h.orders = make(chan struct{}, maxOrders)
+	return nil
+}
+
+// run holds the term until it is lost or the context ends.
+func (h *Holder) run(ctx context.Context) error {
+	var g run.Group
+	add := func(loop func(context.Context) error) {
+		inner, cancel := context.WithCancel(ctx)
+		g.Add(func() error { return loop(inner) }, func(error) { cancel() })
+	}
+	workers := &store.Follower{
+		Client: h.Store, Prefix: h.WorkerPrefix,
+		Snapshot: h.workerSnapshot, Update: h.workerUpdate, Lost: h.lost("workers"), Back: h.back("workers"),
+	}
+	inbox := &store.Follower{
+		Client: h.Store, Prefix: inboxPrefix,
+		Snapshot: h.inboxSnapshot, Update: h.inboxUpdate, Lost: h.lost("inbox"), Back: h.back("inbox"),
+	}
+	h.spawn = func(id string, l *looker) { h.startLooker(ctx, id, l) }
+	add(workers.Run)
+	add(inbox.Run)
+	add(h.planLoop)
+	add(h.commitLoop)
+	err := g.Run()
+	h.stop()
+	h.running.Wait()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if err == nil && h.reason != "" {
+		err = &TermEndedError{Reason: h.reason}
+	}
+	return err
+}
+
+func (h *Holder) lost(use string) func(error) {
+	return func(err error) { h.Log.Emit(eventlog.StoreUnavailable, zap.String("use", use), zap.Error(err)) }
+}
+
+func (h *Holder) back(use string) func() {
+	return func() { h.Log.Emit(eventlog.StoreBack, zap.String("use", use)) }
+}
+
+func (h *Holder) setTable(t batch.Table) {
+	h.mu.Lock()
+	h.core.SetTable(t)
+	h.mu.Unlock()
+	h.kick(h.plan)
+}
+
+func (h *Holder) kick(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+func (h *Holder) workerSnapshot(s store.Snapshot) {
+	var all []batch.WorkerInfo
+	for _, e := range s.Entries {
+		info, err := h.DecodeWorker(strings.TrimPrefix(e.Key, h.WorkerPrefix), e.Value)
+		if err != nil {
+			h.Log.Emit(eventlog.WorkerUnreadable, zap.String("key", e.Key), zap.Int64("revision", e.Revision), zap.Error(err))
+			continue
+		}
+		all = append(all, info)
+	}
+	h.mu.Lock()
+	h.core.SetWorkers(all, now())
+	h.mu.Unlock()
+	h.syncLookers()
+	h.kick(h.plan)
+}
+
+func (h *Holder) workerUpdate(u store.Update) {
+	for _, c := range u.Changes {
+		id := strings.TrimPrefix(c.Entry.Key, h.WorkerPrefix)
+		if c.Deleted {
+			h.mu.Lock()
+			h.core.RemoveWorker(id, now())
+			h.mu.Unlock()
+			continue
+		}
+		info, err := h.DecodeWorker(id, c.Entry.Value)
+		if err != nil {
+			h.Log.Emit(eventlog.WorkerUnreadable, zap.String("key", c.Entry.Key), zap.Int64("revision", c.Entry.Revision), zap.Error(err))
+			continue
+		}
+		h.mu.Lock()
+		h.core.SetWorker(info, now())
+		h.mu.Unlock()
+	}
+	h.syncLookers()
+	h.kick(h.plan)
+}
+
+// planLoop decides whenever there is news, and lets time pass.
+func (h *Holder) planLoop(ctx context.Context) error {
+	tick := time.NewTicker(planEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-h.plan:
+		case <-tick.C:
+		}
+		h.mu.Lock()
+		h.core.SetWall(wallOffset())
+		h.core.Plan(now())
+		dirty := h.core.HasChanges()
+		h.mu.Unlock()
+		h.carryOut(ctx, nil)
+		if dirty {
+			h.kick(h.commit)
+		}
+	}
+}
+
+// carryOut sends the orders that are ready, and logs what was decided.
+func (h *Holder) carryOut(ctx context.Context, orders []batch.Order) {
+	h.mu.Lock()
+	orders = append(orders, h.core.TakeOrders()...)
+	looks := h.core.TakeLooks()
+	acks := h.core.TakeAcked()
+	questions := h.core.TakeQuestions()
+	notes := h.core.TakeNotes()
+	h.mu.Unlock()
+	for _, id := range acks {
+		h.wake(id)
+	}
+	for _, id := range looks {
+		h.lookNow(ctx, id)
+	}
+	for _, o := range orders {
+		h.send(ctx, o)
+	}
+	for _, q := range questions {
+		h.ask(ctx, q)
+	}
+	for _, n := range notes {
+		h.log(n)
+	}
+}
+
+// commitLoop makes changes durable, one commit at a time.
+func (h *Holder) commitLoop(ctx context.Context) error {
+	var last time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-h.commit:
+		}
+		if gap := commitGap - now().Sub(last); gap > 0 {
+			time.Sleep(gap)
+		}
+		last = now()
+		h.mu.Lock()
+		changes, err := h.core.Take(maxRecords)
+		h.mu.Unlock()
+		if err != nil {
+			return err
+		}
+		if changes.IsEmpty() {
+			continue
+		}
+		if err := h.write(ctx, changes); err != nil {
+			return err
+		}
+		h.mu.Lock()
+		starts := h.core.Durable(changes)
+		dirty := h.core.HasChanges()
+		h.mu.Unlock()
+		h.carryOut(ctx, starts)
+		if dirty {
+			h.kick(h.commit)
+		}
+	}
+}
+
+// write commits records, and repeats that until the outcome is known.
+func (h *Holder) write(ctx context.Context, changes batch.Changes) error {
+	h.sequence++
+	stamp := fmt.Sprintf("%d/%d", h.Token, h.sequence)
+	txn := store.Txn{
+		If:   []store.Condition{{Key: holderKey, Revision: h.Token}, {Key: headKey, Revision: h.head}},
+		Then: []store.Op{store.Put(headKey, []byte(stamp))},
+	}
+	for _, r := range changes.Records {
+		if r.Value == nil {
+			txn.Then = append(txn.Then, store.Delete(jobPrefix+r.ID))
+		} else {
+			txn.Then = append(txn.Then, store.Put(jobPrefix+r.ID, r.Value))
+		}
+		for _, key := range h.inboxKeys(r.ID) {
+			txn.Then = append(txn.Then, store.Delete(key))
+		}
+	}
+	began := now()
+	defer h.Meter.Commit(began)
+	for try := 0; ; try++ {
+		revision, known, err := h.tryWrite(ctx, txn, stamp, try > 0)
+		switch {
+		case err != nil:
+			return err
+		case known:
+			h.setAway(time.Time{})
+			h.head = revision
+			return nil
+		}
+		h.setAway(began)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(retryCommit):
+		}
+	}
+}
+
+// retryCommit is the pause between two tries of a commit.
+const retryCommit = 60 * time.Millisecond
+
+// tryWrite makes one try of a commit; it reports whether the commit surely took effect.
+func (h *Holder) tryWrite(ctx context.Context, txn store.Txn, stamp string, uncertain bool) (int64, bool, error) {
+	call, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	result, err := h.Store.Commit(call, txn)
+	switch {
+	case err != nil:
+		h.Log.Emit(eventlog.CommitUnanswered, zap.String("commit", stamp), zap.Error(err))
+		return 0, false, nil
+	case result.Done:
+		return result.Revision, true, nil
+	case !uncertain:
+		return 0, false, &TermEndedError{Reason: "the holder's key or the head has changed"}
+	}
+	// An earlier try may have taken effect.
+	head, found, err := h.Store.Read(call, headKey)
+	switch {
+	case err != nil:
+		return 0, false, nil
+	case found && string(head.Value) == stamp:
+		return head.Revision, true, nil
+	}
+	return 0, false, &TermEndedError{Reason: "the holder's key or the head has changed"}
+}
+
+// setAway notes since when the store leaves a commit unanswered.
+func (h *Holder) setAway(since time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.awaySince = since
+}
+
+// isAway reports whether the store lately did not answer.
+func (h *Holder) isAway(at time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !at.Before(h.validUntil) || !h.awaySince.IsZero() && at.Sub(h.awaySince) > awayAfter
+}
+
+// awayAfter is how long a commit goes unanswered until submissions are refused: an order
+// of magnitude above the usual time of a commit at a slow store's.
+const awayAfter = 400 * time.Millisecond
+
+var errNotHolder = errors.New("not the holder")
--- /dev/null
+++ b/internal/desk/inbox.go
@@ -0,0 +1,95 @@
+package desk
+
+import (
+	"errors"
+	"strings"
+
+	"go.uber.org/zap"
+
+	"github.com/oriolepond/oriolepond/internal/batch"
+	"github.com/oriolepond/oriolepond/internal/eventlog"
+	"github.com/oriolepond/oriolepond/internal/store"
+)
+
+// inboxEntry is what nodes left in the store for a job while they reached no holder.
+type inboxEntry struct {
+	submitted bool
+	cancelled bool
+}
+
+func (h *Holder) inboxSnapshot(s store.Snapshot) {
+	h.takeInbox(s.Entries)
+}
+
+func (h *Holder) inboxUpdate(u store.Update) {
+	var added []store.Entry
+	for _, c := range u.Changes {
+		if !c.Deleted {
+			added = append(added, c.Entry)
+		}
+	}
+	h.takeInbox(added)
+}
+
+// takeInbox takes submissions in, then cancels. Their keys go with the commit of the jobs.
+func (h *Holder) takeInbox(entries []store.Entry) {
+	h.mu.Lock()
+	for _, e := range entries {
+		id := strings.TrimPrefix(e.Key, inboxPrefix)
+		if strings.HasSuffix(id, cancelSuffix) {
+			continue
+		}
+		j, err := batch.DecodeJob(e.Value)
+		if err == nil {
+			err = h.core.Submit(j, now(), nil)
+			var gone *batch.NoQueueError
+			if errors.As(err, &gone) {
+				err = h.core.SubmitTo(j, now())
+			}
+		}
+		if err != nil {
+			h.Log.Emit(eventlog.RecordUnreadable, zap.String("key", e.Key), zap.Error(err))
+			continue
+		}
+		h.noteInbox(id, func(n *inboxEntry) { n.submitted = true })
+		h.core.Touch(id)
+	}
+	for _, e := range entries {
+		id, isCancel := strings.CutSuffix(strings.TrimPrefix(e.Key, inboxPrefix), cancelSuffix)
+		if !isCancel {
+			continue
+		}
+		h.noteInbox(id, func(n *inboxEntry) { n.cancelled = true })
+		if h.core.Cancel(id, now(), nil) {
+			h.core.Touch(id)
+		}
+	}
+	h.mu.Unlock()
+	h.kick(h.plan)
+}
+
+// noteInbox changes what is known of a job's inbox keys; h.mu is held.
+func (h *Holder) noteInbox(id string, change func(*inboxEntry)) {
+	n := h.inbox[id]
+	change(&n)
+	h.inbox[id] = n
+}
+
+// inboxKeys returns the inbox keys of a job, which its commit removes.
+func (h *Holder) inboxKeys(id string) []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n, ok := h.inbox[id]
+	if !ok {
+		return nil
+	}
+	delete(h.inbox, id)
+	var keys []string
+	if n.submitted {
+		keys = append(keys, inboxPrefix+id)
+	}
+	if n.cancelled {
+		keys = append(keys, inboxPrefix+id+cancelSuffix)
+	}
+	return keys
+}
--- /dev/null
+++ b/internal/desk/looks.go
@@ -0,0 +1,230 @@
+package desk
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/oriolepond/oriolepond/internal/batch"
+	"github.com/oriolepond/oriolepond/internal/eventlog"
+)
+
+// looker keeps looking at one worker while that has anything to look at.
+type looker struct {
+	kick chan struct{}
+	// single is true while a look besides the regular one is under way.
+	single bool
+}
+
+const (
+	// lookWait is how long a worker may wait for an end before it answers: a part of the lease.
+	lookWait = 1500 * time.Millisecond
+	// lookTimeout bounds a look that does not wait.
+	lookTimeout = 700 * time.Millisecond
+	// lookPause is the wait after a look that failed.
+	lookPause = 250 * time.Millisecond
+	// settleTimeout is how long a look waits for the commit of ends that were listed.
+	settleTimeout = 300 * time.Millisecond
+	// orderTimeout bounds one order.
+	orderTimeout = 600 * time.Millisecond
+)
+
+// syncLookers starts a looker for each worker that has none.
+func (h *Holder) syncLookers() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, id := range h.core.WorkerIDs() {
+		if h.lookers[id] != nil {
+			continue
+		}
+		l := &looker{kick: make(chan struct{}, 1)}
+		h.lookers[id] = l
+		h.spawn(id, l)
+	}
+}
+
+// wake lets a worker's looker go on.
+func (h *Holder) wake(id string) {
+	h.mu.Lock()
+	l := h.lookers[id]
+	h.mu.Unlock()
+	if l != nil {
+		h.kick(l.kick)
+	}
+}
+
+// startLooker looks at a worker until the term ends or the worker is forgotten.
+func (h *Holder) startLooker(ctx context.Context, id string, l *looker) {
+	h.running.Go(func() {
+		for ctx.Err() == nil {
+			if !h.lookTurn(ctx, id, l) {
+				return
+			}
+		}
+	})
+}
+
+// lookTurn makes one look, or waits until one is needed. It reports whether the worker is still known.
+func (h *Holder) lookTurn(ctx context.Context, id string, l *looker) bool {
+	h.mu.Lock()
+	known, needed, settled := h.core.Knows(id), h.core.NeedsLook(id), h.core.IsSettled(id)
+	if !known {
+		delete(h.lookers, id)
+	}
+	h.mu.Unlock()
+	switch {
+	case !known:
+		return false
+	case !needed:
+		h.pause(ctx, l, lookWait)
+		return true
+	case !settled:
+		h.pause(ctx, l, settleTimeout)
+	}
+	if !h.look(ctx, id) {
+		h.pause(ctx, l, lookPause)
+	}
+	return true
+}
+
+// pause waits until the looker is woken or a time has passed.
+func (h *Holder) pause(ctx context.Context, l *looker, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-l.kick:
+	case <-t.C:
+	}
+}
+
+// lookNow looks at a worker besides the regular looks.
+func (h *Holder) lookNow(ctx context.Context, id string) {
+	h.mu.Lock()
+	l := h.lookers[id]
+	if l == nil || l.single {
+		h.mu.Unlock()
+		return
+	}
+	l.single = true
+	h.mu.Unlock()
+	h.running.Go(func() {
+		h.look(ctx, id)
+		h.mu.Lock()
+		l.single = false
+		h.mu.Unlock()
+		h.kick(l.kick)
+	})
+}
+
+// look makes one look and reports whether it was answered.
+func (h *Holder) look(ctx context.Context, id string) bool {
+	sent := now()
+	if sent.After(h.graceEnds()) {
+		return false
+	}
+	h.mu.Lock()
+	l, ok := h.core.BeginLook(id, sent)
+	h.mu.Unlock()
+	if !ok {
+		return false
+	}
+	var wait time.Duration
+	if l.Wait {
+		wait = lookWait
+	}
+	call, cancel := context.WithTimeout(ctx, lookTimeout+wait)
+	defer cancel()
+	report, err := h.Workers.Look(call, l, wait, h.Token)
+	if ctx.Err() != nil {
+		return false
+	}
+	got := now()
+	h.Meter.Look(sent)
+	h.mu.Lock()
+	if err == nil {
+		h.core.Observe(id, report, sent, got)
+	} else {
+		answer, refused := batch.AnswerNone, false
+		var failed *LookError
+		if errors.As(err, &failed) {
+			answer, refused = failed.Answer, failed.Refused
+		}
+		if answer == batch.AnswerFenced {
+			h.fenced = true
+		}
+		h.core.LookFailed(id, answer, refused, sent, got)
+	}
+	fenced := h.fenced
+	h.mu.Unlock()
+	if fenced {
+		h.lose("worker " + id + " has heard a newer holder")
+	}
+	h.kick(h.plan)
+	return err == nil
+}
+
+// send carries out one order.
+func (h *Holder) send(ctx context.Context, o batch.Order) {
+	h.running.Go(func() {
+		select {
+		case h.orders <- struct{}{}:
+		case <-ctx.Done():
+			return
+		}
+		defer func() { <-h.orders }()
+		sent := now()
+		if o.Kind == batch.OrderStart && !h.holds(sent) {
+			h.mu.Lock()
+			h.core.NotSent(o, sent)
+			h.mu.Unlock()
+			return
+		}
+		h.mu.Lock()
+		call, ok := h.core.Send(o, sent)
+		h.mu.Unlock()
+		if !ok {
+			return
+		}
+		bounded, cancel := context.WithTimeout(ctx, orderTimeout)
+		defer cancel()
+		result := h.Workers.Order(bounded, call, h.Token)
+		h.Meter.Order(call.Kind, result.Answer, sent)
+		h.mu.Lock()
+		h.core.Answered(o, result, sent, now())
+		h.mu.Unlock()
+		if result.Answer == batch.AnswerFenced {
+			h.lose("worker " + call.Worker + " has heard a newer holder")
+		}
+		if call.Kind == batch.OrderStart {
+			h.wake(call.Worker)
+		}
+		if result.Answer != batch.AnswerDone {
+			h.Log.Emit(eventlog.OrderRefused, zap.String("kind", string(call.Kind)), zap.Stringer("task", call.Task),
+				zap.Int64("run", call.Run), zap.String("worker", call.Worker), zap.String("answer", string(result.Answer)))
+			h.kick(h.plan)
+		}
+	})
+}
+
+// ask puts a question to the adviser.
+func (h *Holder) ask(ctx context.Context, q batch.Question) {
+	h.running.Go(func() {
+		sent := now()
+		call, cancel := context.WithTimeout(ctx, askTimeout)
+		defer cancel()
+		admitted, valid, err := h.Workers.Ask(call, q.Step, q.Workers)
+		h.mu.Lock()
+		h.core.Advised(q, admitted, valid, err, sent, now())
+		h.mu.Unlock()
+		if err != nil {
+			h.Log.Emit(eventlog.AdviceMissing, zap.String("step", q.Step), zap.Error(err))
+		}
+		h.kick(h.plan)
+	})
+}
+
+// askTimeout bounds a question: the platform lets up to 32 wait in turn.
+const askTimeout = 3 * time.Second
--- /dev/null
+++ b/internal/peer/jobs.go
@@ -0,0 +1,143 @@
+package peer
+
+import (
+	"context"
+	"errors"
+
+	"google.golang.org/genproto/googleapis/rpc/errdetails"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/oriolepond/oriolepond/internal/batch"
+	"github.com/oriolepond/oriolepond/internal/desk"
+	"github.com/oriolepond/oriolepond/internal/peer/jobpb"
+)
+
+// NewJobs returns the calls about jobs of the node at the other end of a connection.
+func NewJobs(conn *grpc.ClientConn) *desk.Calls {
+	c := jobpb.NewJobsClient(conn)
+	return &desk.Calls{
+		Submit: func(ctx context.Context, j batch.Job) error {
+			value, err := batch.EncodeJob(j)
+			if err != nil {
+				return err
+			}
+			_, err = c.Submit(ctx, &jobpb.SubmitRequest{Job: value})
+			return decodeJobError(err)
+		},
+		Cancel: func(ctx context.Context, id string) (bool, error) {
+			r, err := c.Cancel(ctx, &jobpb.JobRequest{Id: id})
+			return r.GetKnown(), decodeJobError(err)
+		},
+		State: func(ctx context.Context, id string) (batch.State, bool, error) {
+			r, err := c.State(ctx, &jobpb.JobRequest{Id: id})
+			return batch.State(r.GetState()), r.GetKnown(), decodeJobError(err)
+		},
+		Pending: func(ctx context.Context, queue string) (int, error) {
+			r, err := c.Pending(ctx, &jobpb.PendingRequest{Queue: queue})
+			return int(r.GetJobs()), decodeJobError(err)
+		},
+		Retired: func(ctx context.Context, token int64) (bool, error) {
+			r, err := c.Retired(ctx, &jobpb.RetiredRequest{Token: token})
+			return r.GetRetired(), err
+		},
+	}
+}
+
+// RegisterJobs answers the calls of peers about jobs.
+func RegisterJobs(server *grpc.Server, c *desk.Calls) {
+	jobpb.RegisterJobsServer(server, &jobsServer{calls: c})
+}
+
+type jobsServer struct {
+	jobpb.UnimplementedJobsServer
+	calls *desk.Calls
+}
+
+// Submit accepts a job.
+func (s *jobsServer) Submit(ctx context.Context, q *jobpb.SubmitRequest) (*jobpb.SubmitReply, error) {
+	j, err := batch.DecodeJob(q.Job)
+	if err != nil {
+		return nil, encodeJobError(&batch.InvalidError{Reason: err.Error()})
+	}
+	return &jobpb.SubmitReply{}, encodeJobError(s.calls.Submit(ctx, j))
+}
+
+// Cancel withdraws a job.
+func (s *jobsServer) Cancel(ctx context.Context, q *jobpb.JobRequest) (*jobpb.StateReply, error) {
+	known, err := s.calls.Cancel(ctx, q.Id)
+	return &jobpb.StateReply{Known: known}, encodeJobError(err)
+}
+
+// State returns the state of a job.
+func (s *jobsServer) State(ctx context.Context, q *jobpb.JobRequest) (*jobpb.StateReply, error) {
+	state, known, err := s.calls.State(ctx, q.Id)
+	return &jobpb.StateReply{Known: known, State: string(state)}, encodeJobError(err)
+}
+
+// Pending counts the jobs of a queue of which no task has started.
+func (s *jobsServer) Pending(ctx context.Context, q *jobpb.PendingRequest) (*jobpb.PendingReply, error) {
+	n, err := s.calls.Pending(ctx, q.Queue)
+	return &jobpb.PendingReply{Jobs: int32(n)}, encodeJobError(err)
+}
+
+// Retired reports whether this node renews nothing under tokens up to the given one.
+func (s *jobsServer) Retired(ctx context.Context, q *jobpb.RetiredRequest) (*jobpb.RetiredReply, error) {
+	retired, err := s.calls.Retired(ctx, q.Token)
+	return &jobpb.RetiredReply{Retired: retired}, err
+}
+
+// encodeJobError maps the errors of desk calls to status codes.
+func encodeJobError(err error) error {
+	var (
+		not         *desk.NotHolderError
+		invalid     *batch.InvalidError
+		noQueue     *batch.NoQueueError
+		unavailable *desk.UnavailableError
+	)
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &not):
+		return status.Error(codes.FailedPrecondition, err.Error())
+	case errors.As(err, &invalid):
+		return status.Error(codes.InvalidArgument, invalid.Reason)
+	case errors.As(err, &noQueue):
+		return status.Error(codes.NotFound, noQueue.Queue)
+	case errors.As(err, &unavailable):
+		s, detailErr := status.New(codes.ResourceExhausted, unavailable.Reason).
+			WithDetails(&errdetails.RetryInfo{RetryDelay: durationpb.New(unavailable.RetryAfter)})
+		if detailErr != nil {
+			return status.Error(codes.ResourceExhausted, unavailable.Reason)
+		}
+		return s.Err()
+	}
+	return status.Error(codes.Unknown, err.Error())
+}
+
+// decodeJobError is the inverse of encodeJobError; what it does not know may have been carried out.
+func decodeJobError(err error) error {
+	s, ok := status.FromError(err)
+	if err == nil || !ok {
+		return err
+	}
+	switch s.Code() {
+	case codes.FailedPrecondition:
+		return &desk.NotHolderError{}
+	case codes.InvalidArgument:
+		return &batch.InvalidError{Reason: s.Message()}
+	case codes.NotFound:
+		return &batch.NoQueueError{Queue: s.Message()}
+	case codes.ResourceExhausted:
+		u := &desk.UnavailableError{Reason: s.Message()}
+		for _, d := range s.Details() {
+			if info, is := d.(*errdetails.RetryInfo); is {
+				u.RetryAfter = info.GetRetryDelay().AsDuration()
+			}
+		}
+		return u
+	}
+	return &desk.UnknownError{Err: err}
+}
--- a/internal/placement/health.go
+++ b/internal/placement/health.go
@@ -19,6 +19,10 @@
 // quarantine gets one task at a time, as a probe, with growing pauses, until
 // one succeeds. It is not safe for concurrent use.
 type Health struct {
+	// FirstPause and LongestPause bound the time until a worker in quarantine is probed.
+	FirstPause   time.Duration
+	LongestPause time.Duration
+
 	workers map[string]*record
 	// failedOn are the workers on which a family failed since its last
 	// success; a family that never succeeded is not there.
@@ -37,7 +41,12 @@
 
 // NewHealth returns a Health that trusts all workers.
 func NewHealth() *Health {
-	return &Health{workers: map[string]*record{}, failedOn: map[string]map[string]bool{}}
+	return &Health{
+		FirstPause:   firstQuarantine,
+		LongestPause: longestQuarantine,
+		workers:      map[string]*record{},
+		failedOn:     map[string]map[string]bool{},
+	}
 }
 
 // Permits reports whether a worker may be given a task.
@@ -83,7 +92,7 @@
 	if r.failures+len(r.doubtful) < quarantineAfter {
 		return false
 	}
-	r.pause = min(max(2*r.pause, firstQuarantine), longestQuarantine)
+	r.pause = min(max(2*r.pause, h.FirstPause), h.LongestPause)
 	r.until = now.Add(r.pause)
 	return true
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -155,3 +155,14 @@
 	// or the watch breaks or stays silent for longer than its progress limit.
 	Watch func(ctx context.Context, prefix string, from int64, handle func(Update)) error
 }
+
+// RefusedError says that the store refused a call and surely did nothing.
+type RefusedError struct {
+	Call   string
+	Status int
+}
+
+// Error returns the call and the status.
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("store %s: refused with status %d", e.Call, e.Status)
+}
