Interference: harmful images are learned and kept apart from serving ones

Cause: tasks that fill stood beside serving tasks of sensitive images and were paced down; all workers hold serving tasks, so they cannot be avoided. Serving tasks of one image now share workers, the model of interference tells which images harm which, and looks no longer spin while a run is unclear.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -200,8 +200,10 @@
 	Checkpoint string
 	// Percent is the progress of a task that ends, and 100 once one that lasts is at work.
 	Percent int
-	// Tail is the lately measured tail of a long-running task's response times.
-	Tail time.Duration
+	// Figure is a lately measured number: the tail of a serving task's response
+	// times in milliseconds, and for any other task the processors in use, in
+	// thousandths of a core.
+	Figure float64
 }
 
 // EndedRow is one run that has ended on a worker, and that was not acknowledged yet.
--- a/internal/batch/core.go
+++ b/internal/batch/core.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/oriolepond/oriolepond/internal/interference"
 	"github.com/oriolepond/oriolepond/internal/placement"
 )
 
@@ -23,6 +24,8 @@
 	active []*job
 	dirty  []*job
 	health *placement.Health
+	// model learns which images disturb which serving ones.
+	model *interference.Model
 
 	// stops and looks are orders that need no record.
 	stops []Order
@@ -45,6 +48,8 @@
 	Worker string
 	Age    time.Duration
 	Reason string
+	// Percent is the pace of a NotePaced.
+	Percent int
 }
 
 // NoteKind is what a Note tells of.
@@ -88,6 +93,7 @@
 		looks:        map[string]bool{},
 		acked:        map[string]bool{},
 		health:       health,
+		model:        interference.NewModel(),
 	}
 }
 
--- a/internal/batch/fit.go
+++ b/internal/batch/fit.go
@@ -18,7 +18,7 @@
 		if !c.fits(t, w, now) || in != nil && !in(w) {
 			continue
 		}
-		score := c.score(t, w)
+		score := c.score(t, w, now)
 		if best == nil || score > bestScore || score == bestScore && w.ID < best.ID {
 			best, bestScore = w, score
 		}
@@ -45,31 +45,44 @@
 	if s.RequiredLabel != "" && !w.hasLabel(s.RequiredLabel) {
 		return false
 	}
-	if !c.mayTake(w, now) {
+	if !c.mayTake(w, now) || c.isAdvised(t.stage) && !t.stage.hasTicket(w, now) {
 		return false
 	}
-	return !c.isAdvised(t.stage) || t.stage.hasTicket(w, now)
+	return !s.Fills || c.mayFill(s, w, now)
 }
 
+// mayFill reports whether a task that fills would get processors on a worker
+// without harm to those that serve there.
+func (c *Core) mayFill(s *Step, w *worker, now time.Time) bool {
+	if c.idle(w, now) < leastIdle*float64(s.Size.Processors) {
+		return false
+	}
+	if len(w.serving) == 0 {
+		return true
+	}
+	return w.strain < tailLow && w.strain+c.harm(w, s.Image, s.cores()) < strainBound
+}
+
+// leastIdle is the part of its processors that a task which fills has to expect.
+const leastIdle = 0.6
+
 // The weights of a score, against a part of the worker's processors.
 const (
 	// weightRack lets data be nearer than any balance of load.
 	weightRack = 10.0
 	// weightAvoid keeps a task from where it failed last while there is another place.
 	weightAvoid = 5.0
-	// weightServing keeps tasks that fill apart from those that serve users.
-	weightServing = 3.0
-	// weightDrained prefers workers whose idle processors the task can use in full.
-	weightIdle = 2.0
+	// weightImage lets serving tasks of one image share workers, so that what disturbs them has room elsewhere.
+	weightImage = 3.0
+	// weightHarm weighs the strain that is added to serving tasks.
+	weightHarm = 2.0
 )
 
 // score says how well a task does on a worker; the greater the better.
-func (c *Core) score(t *task, w *worker) float64 {
+func (c *Core) score(t *task, w *worker, now time.Time) float64 {
 	s := t.stage.step
 	whole := float64(max(1, w.Capacity.Processors))
-	idle := float64(w.Capacity.Processors-w.used.Processors-w.soft.Processors) / whole
-	need := float64(s.Size.Processors) / whole
-	score := idle - need
+	score := (c.idle(w, now) - float64(s.Size.Processors)) / whole
 	if s.PreferredRack != "" && w.Rack == s.PreferredRack {
 		score += weightRack
 	}
@@ -78,16 +91,30 @@
 	}
 	switch {
 	case s.TailTarget > 0:
-		score -= weightServing * float64(w.soft.Processors) / whole
-		if w.serving > 0 {
-			score += weightIdle
-		}
-	case s.Fills:
-		if idle < need {
-			score -= weightIdle * (need - idle) / max(need, 0.01)
+		score += c.servingScore(s, w)
+	case s.Fills && len(w.serving) > 0:
+		score -= weightHarm * (w.strain + c.harm(w, s.Image, s.cores()))
+	}
+	return score
+}
+
+// servingScore lets serving tasks of one image fill a worker before the next
+// one, away from what is known to disturb them.
+func (c *Core) servingScore(s *Step, w *worker) float64 {
+	score := 0.0
+	for image := range w.serving {
+		if image == s.Image {
+			score += weightImage
+		} else {
+			score -= weightImage
 		}
-		if w.serving > 0 {
-			score -= weightServing
+	}
+	if len(w.serving) > 0 {
+		score += float64(w.used.Processors) / float64(max(1, w.Capacity.Processors))
+	}
+	for _, r := range w.runs {
+		if o := r.task.stage.step; o.Fills {
+			score -= weightHarm * c.harmTo(s.Image, c.aggressor(o.Image), r.cores)
 		}
 	}
 	return score
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -133,16 +133,17 @@
 	since time.Time
 	// ordered is when the order was sent.
 	ordered time.Time
-	// waste tells why the run is stopped.
+	// why tells for what reason the run is stopped.
 	why string
 	// percent and progressAt tell when the run was last seen to make progress.
 	percent    int
 	progressAt time.Time
 	tail       time.Duration
+	// cores is what the run lately used, for one that does not serve.
+	cores      float64
 	pace       int
 	paceAt     time.Time
 	stopSentAt time.Time
-	evict      bool
 }
 
 // holdsProcessors reports whether the run counts against the worker's processors.
--- a/internal/batch/lapse.go
+++ b/internal/batch/lapse.go
@@ -64,6 +64,7 @@
 			WorkerInfo: WorkerInfo{ID: id},
 			runs:       map[runKey]*run{},
 			strays:     map[runKey]time.Time{},
+			serving:    map[string]int{},
 			lapseAt:    c.unheardUntil,
 		}
 		c.workers[id] = w
--- a/internal/batch/look.go
+++ b/internal/batch/look.go
@@ -151,7 +151,11 @@
 	if row.Percent != r.percent {
 		r.percent, r.progressAt = row.Percent, now
 	}
-	r.tail = row.Tail
+	if t.stage.step.TailTarget > 0 {
+		r.tail = time.Duration(row.Figure * float64(time.Millisecond))
+	} else {
+		r.cores = row.Figure / 1000
+	}
 }
 
 // begun notes that a task of the job has started.
--- a/internal/batch/order.go
+++ b/internal/batch/order.go
@@ -162,7 +162,7 @@
 		c.stopAnswered(o.run, res, now)
 	case OrderPace:
 		if res.Answer == AnswerDone {
-			o.run.pace = o.pace
+			o.run.pace, o.run.paceAt = o.pace, now
 		}
 	}
 }
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -40,8 +40,13 @@
 	pending []pendingEnd
 	acked   int64
 
-	serving int
-	pacedAt time.Time
+	// serving counts the runs with a tail target by image, servingCPU is what they hold.
+	serving    map[string]int
+	servingCPU share.MilliCores
+	// strain is the worst tail as a part of its target, as last measured.
+	strain      float64
+	pacedAt     time.Time
+	saturatedAt time.Time
 }
 
 type runKey struct {
@@ -71,8 +76,9 @@
 		w.used.Accelerators += size.Accelerators
 		w.soft.Processors += size.Processors
 	}
-	if r.task.stage.step.TailTarget > 0 {
-		w.serving++
+	if s := r.task.stage.step; s.TailTarget > 0 {
+		w.serving[s.Image]++
+		w.servingCPU += size.Processors
 	}
 	r.task.stage.onWorkers[w]++
 }
@@ -91,8 +97,11 @@
 		w.used.Accelerators -= size.Accelerators
 		w.soft.Processors -= size.Processors
 	}
-	if r.task.stage.step.TailTarget > 0 {
-		w.serving--
+	if s := r.task.stage.step; s.TailTarget > 0 {
+		w.servingCPU -= size.Processors
+		if w.serving[s.Image]--; w.serving[s.Image] == 0 {
+			delete(w.serving, s.Image)
+		}
 	}
 	if r.task.stage.onWorkers[w]--; r.task.stage.onWorkers[w] == 0 {
 		delete(r.task.stage.onWorkers, w)
--- a/internal/desk/looks.go
+++ b/internal/desk/looks.go
@@ -81,14 +81,50 @@
 		h.pause(ctx, l, lookWait)
 		return true
 	case !settled:
-		h.pause(ctx, l, settleTimeout)
+		h.settle(ctx, id, l)
 	}
-	if !h.look(ctx, id) {
+	waited, answered := h.look(ctx, id)
+	switch {
+	case !answered:
 		h.pause(ctx, l, lookPause)
+	case !waited:
+		h.pauseFor(ctx, repeatPause)
 	}
 	return true
 }
 
+// repeatPause spaces looks that do not wait for an end, while a run is unclear.
+const repeatPause = 100 * time.Millisecond
+
+// pauseFor waits for a time.
+func (h *Holder) pauseFor(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// settle waits until the ends that a worker has listed are durable.
+func (h *Holder) settle(ctx context.Context, id string, l *looker) {
+	timeout := time.NewTimer(settleTimeout)
+	defer timeout.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timeout.C:
+			return
+		case <-l.kick:
+		}
+		h.mu.Lock()
+		settled := h.core.IsSettled(id)
+		h.mu.Unlock()
+		if settled {
+			return
+		}
+	}
+}
+
 // pause waits until the looker is woken or a time has passed.
 func (h *Holder) pause(ctx context.Context, l *looker, d time.Duration) {
 	t := time.NewTimer(d)
@@ -119,17 +155,17 @@
 	})
 }
 
-// look makes one look and reports whether it was answered.
-func (h *Holder) look(ctx context.Context, id string) bool {
+// look makes one look, and reports whether the worker might wait for an end, and whether it answered.
+func (h *Holder) look(ctx context.Context, id string) (waited, answered bool) {
 	sent := now()
 	if sent.After(h.graceEnds()) {
-		return false
+		return false, false
 	}
 	h.mu.Lock()
 	l, ok := h.core.BeginLook(id, sent)
 	h.mu.Unlock()
 	if !ok {
-		return false
+		return false, false
 	}
 	var wait time.Duration
 	if l.Wait {
@@ -139,7 +175,7 @@
 	defer cancel()
 	report, err := h.Workers.Look(call, l, wait, h.Token)
 	if ctx.Err() != nil {
-		return false
+		return false, false
 	}
 	got := now()
 	h.Meter.Look(sent)
@@ -163,7 +199,7 @@
 		h.lose("worker " + id + " has heard a newer holder")
 	}
 	h.kick(h.plan)
-	return err == nil
+	return l.Wait, err == nil
 }
 
 // send carries out one order.
