Commits stay within the store's entries; silent workers lapse; the inbox serves while the holder is refused

(3) Refused with room: while the store refuses the holder, submissions were refused by all nodes; they now go to the inbox where the store serves the node.

--- a/internal/batch/look.go
+++ b/internal/batch/look.go
@@ -60,7 +60,8 @@
 		return Look{}, false
 	}
 	l := Look{Worker: id, Address: w.Address, Ack: w.acked, Wait: !c.IsSuspect(id)}
-	if w.adopted {
+	if w.adopted && w.silentSince.IsZero() {
+		// What a silent worker runs has to lapse some time.
 		l.Deadline = w.deadline(c.timing.Lease, now)
 	}
 	return l, true
--- a/internal/desk/calls.go
+++ b/internal/desk/calls.go
@@ -76,9 +76,11 @@
 		}
 		return err
 	})
-	if err == nil || isAnswer(err) && uncertain == nil {
+	away := errors.As(err, new(*UnavailableError))
+	if err == nil || isAnswer(err) && !away && uncertain == nil {
 		return err
 	}
+	// The store may serve this node although it does not serve the holder.
 	value, encodeErr := batch.EncodeJob(j)
 	if encodeErr != nil {
 		return encodeErr
--- a/internal/desk/holder.go
+++ b/internal/desk/holder.go
@@ -69,8 +69,10 @@
 	commitGap = 8 * time.Millisecond
 	// commitTimeout bounds one try of a commit.
 	commitTimeout = 700 * time.Millisecond
-	// maxRecords leaves room for the head in one commit.
-	maxRecords = 15
+	// maxEntries is how many conditions and writes the store takes in one commit.
+	maxEntries = 32
+	// maxRecords leaves room for the conditions, the head and some inbox keys.
+	maxRecords = 20
 	// maxOrders bounds the orders that are under way at once.
 	maxOrders = 96
 )
@@ -335,14 +337,16 @@
 		If:   []store.Condition{{Key: holderKey, Revision: h.Token}, {Key: headKey, Revision: h.head}},
 		Then: []store.Op{store.Put(headKey, []byte(stamp))},
 	}
+	room := maxEntries - len(txn.If) - len(txn.Then) - len(changes.Records)
 	for _, r := range changes.Records {
 		if r.Value == nil {
 			txn.Then = append(txn.Then, store.Delete(jobPrefix+r.ID))
 		} else {
 			txn.Then = append(txn.Then, store.Put(jobPrefix+r.ID, r.Value))
 		}
-		for _, key := range h.inboxKeys(r.ID) {
+		for _, key := range h.inboxKeys(r.ID, room) {
 			txn.Then = append(txn.Then, store.Delete(key))
+			room--
 		}
 	}
 	began := now()
@@ -374,7 +378,10 @@
 	call, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
 	result, err := h.Store.Commit(call, txn)
+	var invalid *store.InvalidError
 	switch {
+	case errors.As(err, &invalid):
+		return 0, false, err
 	case err != nil:
 		h.Log.Emit(eventlog.CommitUnanswered, zap.String("commit", stamp), zap.Error(err))
 		return 0, false, nil
--- a/internal/desk/inbox.go
+++ b/internal/desk/inbox.go
@@ -75,15 +75,15 @@
 	h.inbox[id] = n
 }
 
-// inboxKeys returns the inbox keys of a job, which its commit removes.
-func (h *Holder) inboxKeys(id string) []string {
+// inboxKeys returns the inbox keys of a job, which its commit removes if there
+// is room for them; else the job is written once more.
+func (h *Holder) inboxKeys(id string, room int) []string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	n, ok := h.inbox[id]
 	if !ok {
 		return nil
 	}
-	delete(h.inbox, id)
 	var keys []string
 	if n.submitted {
 		keys = append(keys, inboxPrefix+id)
@@ -91,5 +91,10 @@
 	if n.cancelled {
 		keys = append(keys, inboxPrefix+id+cancelSuffix)
 	}
+	if len(keys) > room {
+		h.core.Touch(id)
+		return nil
+	}
+	delete(h.inbox, id)
 	return keys
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -166,3 +166,15 @@
 func (e *RefusedError) Error() string {
 	return fmt.Sprintf("store %s: refused with status %d", e.Call, e.Status)
 }
+
+// InvalidError says that the store found a call malformed or too large; it will
+// never be carried out.
+type InvalidError struct {
+	Call   string
+	Status int
+}
+
+// Error returns the call and the status.
+func (e *InvalidError) Error() string {
+	return fmt.Sprintf("store %s: not possible, status %d", e.Call, e.Status)
+}
