--- a/internal/desk/holder.go
+++ b/internal/desk/holder.go
@@ -364,7 +364,7 @@
 		h.setAway(began)
 		select {
 		case <-ctx.Done():
-			return nil
+			return &TermEndedError{Reason: "the outcome of commit " + stamp + " is not known"}
 		case <-time.After(retryCommit):
 		}
 	}
