Pace by blame: only what harms yields, and moves away where it can

Cause: everything on a worker was slowed down while a tail was near its target, although serving tasks come near it by their own load; reviews stood still. Now the learned effects tell which runs to blame; these move to other workers.

--- a/internal/batch/disturb.go
+++ b/internal/batch/disturb.go
@@ -7,10 +7,10 @@
 )
 
 const (
-	// strainBound is the predicted tail, as a part of its target, up to which a filling task is placed.
-	strainBound = 0.75
-	// harmBound is the strain that a run adds by itself from which it has to leave.
-	harmBound = 0.4
+	// strainBound is the expected tail, as a part of its target, up to which a filling task is placed.
+	strainBound = 0.8
+	// loadedEffect is how much greater an effect is at a serving task's busy time than on average.
+	loadedEffect = 2
 	// steadyAfter is how long a run works before a measurement is laid to it, which covers half a second.
 	steadyAfter = 700 * time.Millisecond
 	// servingUse is the part of their processors that serving tasks are taken to use at their usual load.
@@ -26,22 +26,23 @@
 
 func (c *Core) aggressor(image string) interference.Aggressor { return c.model.Aggressor(image) }
 
-// harm returns the strain that an image with a number of cores is known to add
-// to the most sensitive serving task of a worker.
+// harm returns the strain that an image with a number of cores is expected to
+// add to the most sensitive serving task of a worker.
 func (c *Core) harm(w *worker, image string, cores float64) float64 {
 	worst := 0.0
 	a := c.aggressor(image)
 	for served := range w.serving {
-		worst = max(worst, c.harmTo(served, a, cores))
+		worst = max(worst, c.harmTo(w, served, a, cores))
 	}
 	return worst
 }
 
-// harmTo returns the strain that an aggressor adds to one serving image.
-func (c *Core) harmTo(served string, a interference.Aggressor, cores float64) float64 {
+// harmTo returns the strain that an aggressor is expected to add to one serving
+// image. The busier the serving task, the more it suffers from the same load.
+func (c *Core) harmTo(w *worker, served string, a interference.Aggressor, cores float64) float64 {
 	v := c.victim(served)
 	effect, _ := c.model.Effect(v, a)
-	return effect * cores * c.model.Base(v)
+	return loadedEffect * effect * cores * max(c.model.Base(v), w.strains[served])
 }
 
 // cores returns the processors of a step, in cores.
@@ -50,6 +51,7 @@
 // learn lays the measured tails of a report to the tasks that fill the worker.
 func (c *Core) learn(w *worker, now time.Time) {
 	w.strain = 0
+	clear(w.strains)
 	var loads []interference.Load
 	steady := true
 	got, need := 0.0, 0.0
@@ -76,6 +78,7 @@
 		}
 		strain := float64(r.tail) / float64(s.TailTarget)
 		w.strain = max(w.strain, strain)
+		w.strains[s.Image] = max(w.strains[s.Image], strain)
 		if steady {
 			c.model.Observe(c.victim(s.Image), loads, strain, now)
 		}
--- a/internal/batch/fit.go
+++ b/internal/batch/fit.go
@@ -114,7 +114,7 @@
 	}
 	for _, r := range w.runs {
 		if o := r.task.stage.step; o.Fills {
-			score -= weightHarm * c.harmTo(s.Image, c.aggressor(o.Image), r.cores)
+			score -= weightHarm * c.harmTo(w, s.Image, c.aggressor(o.Image), r.cores)
 		}
 	}
 	return score
--- a/internal/batch/lapse.go
+++ b/internal/batch/lapse.go
@@ -65,6 +65,7 @@
 			runs:       map[runKey]*run{},
 			strays:     map[runKey]time.Time{},
 			serving:    map[string]int{},
+			strains:    map[string]float64{},
 			lapseAt:    c.unheardUntil,
 		}
 		c.workers[id] = w
--- a/internal/batch/look.go
+++ b/internal/batch/look.go
@@ -14,8 +14,9 @@
 	Deadline time.Duration
 	// Ack is the highest end that was committed.
 	Ack int64
-	// Wait means that the answer may wait for an end.
+	// Wait means that the answer may wait for an end, Soon that it should not wait long.
 	Wait bool
+	Soon bool
 }
 
 // NeedsLook reports whether a worker has anything to look at.
@@ -59,7 +60,7 @@
 	if !ok || w.Address == "" {
 		return Look{}, false
 	}
-	l := Look{Worker: id, Address: w.Address, Ack: w.acked, Wait: !c.IsSuspect(id)}
+	l := Look{Worker: id, Address: w.Address, Ack: w.acked, Wait: !c.IsSuspect(id), Soon: w.soft.Processors > 0 && w.strain > tailLow}
 	if w.adopted && w.silentSince.IsZero() {
 		// What a silent worker runs has to lapse some time.
 		l.Deadline = w.deadline(c.timing.Lease, now)
--- a/internal/batch/pace.go
+++ b/internal/batch/pace.go
@@ -8,23 +8,34 @@
 const (
 	// fullPace is the percentage at which a run works undisturbed.
 	fullPace = 100
-	// slowPace is the first step down for what disturbs a serving task.
+	// slowPace is a step between standing still and full pace.
 	slowPace = 30
-	// tailHigh and tailLow are the parts of a tail target at which others are paced down and up again.
-	tailHigh = 0.85
-	tailLow  = 0.6
+	// tailHigh is the part of a tail target from which what harms it is slowed down.
+	tailHigh = 0.8
+	// tailLow is the part up to which runs that were slowed down are let go on, and
+	// tailIdle the part up to which those are that are known to harm.
+	tailLow  = 0.7
+	tailIdle = 0.45
 	// paceDownAfter lets a change show in the measurement, which covers half a second, before the next one.
-	paceDownAfter = 700 * time.Millisecond
+	paceDownAfter = 600 * time.Millisecond
 	// paceUpAfter is longer, since a relapse costs more than idle processors.
-	paceUpAfter = 1500 * time.Millisecond
-	// blamePart is the part of the greatest harm from which others are blamed, too.
-	blamePart = 0.3
+	paceUpAfter = 1200 * time.Millisecond
+	// harmfulPart is the part of its strain that a serving task is taken to owe to a harmful run.
+	harmfulPart = 0.2
+	// overdue is how long a target may be missed until all that fills the worker stands still.
+	overdue = 1200 * time.Millisecond
 )
 
 // balance paces the tasks that fill a worker by the tails of those that serve
 // there, and moves away what is known to harm them.
 func (c *Core) balance(w *worker, now time.Time) {
 	c.learn(w, now)
+	switch {
+	case w.strain < 1:
+		w.overSince = time.Time{}
+	case w.overSince.IsZero():
+		w.overSince = now
+	}
 	if len(w.serving) == 0 || w.soft.Processors == 0 {
 		return
 	}
@@ -32,12 +43,19 @@
 	case w.strain > tailHigh && now.Sub(w.pacedAt) >= paceDownAfter:
 		c.relieve(w, now)
 	case w.strain < tailLow && now.Sub(w.pacedAt) >= paceUpAfter:
-		c.paceAll(w, c.filling(w), func(pace int) int {
-			if pace < slowPace {
-				return slowPace
-			}
-			return fullPace
-		}, now)
+		c.restorePace(w, now)
+	}
+}
+
+// restorePace lets runs go on, those that are known to harm later and slower.
+func (c *Core) restorePace(w *worker, now time.Time) {
+	for _, r := range c.filling(w) {
+		switch {
+		case c.blame(w, r) < harmfulPart:
+			c.setPace(w, r, fullPace, now)
+		case w.strain < tailIdle:
+			c.setPace(w, r, max(r.pace, slowPace), now)
+		}
 	}
 }
 
@@ -48,32 +66,42 @@
 	})
 }
 
-// relieve slows down or moves away what disturbs the serving tasks of a worker.
-func (c *Core) relieve(w *worker, now time.Time) {
-	runs := c.filling(w)
-	harms := make([]float64, len(runs))
+// blame returns the greatest part of a strained serving task's tail that a run is taken to cause.
+func (c *Core) blame(w *worker, r *run) float64 {
+	s := r.task.stage.step
+	a := c.aggressor(s.Image)
 	worst := 0.0
-	for i, r := range runs {
-		harms[i] = c.harm(w, r.task.stage.step.Image, r.task.stage.step.cores())
-		worst = max(worst, harms[i])
-	}
-	var blamed []*run
-	for i, r := range runs {
-		if harms[i] >= blamePart*worst {
-			blamed = append(blamed, r)
+	for image, strain := range w.strains {
+		if strain > tailIdle {
+			effect, _ := c.model.Effect(c.victim(image), a)
+			worst = max(worst, loadedEffect*effect*s.cores())
 		}
 	}
-	w.pacedAt = now
-	c.paceAll(w, blamed, func(pace int) int {
-		if pace > slowPace {
-			return slowPace
+	return worst
+}
+
+// relieve slows down or moves away what disturbs the serving tasks of a
+// worker. If nothing is known to, all that fills it yields once a target is missed.
+func (c *Core) relieve(w *worker, now time.Time) {
+	runs := c.filling(w)
+	late := !w.overSince.IsZero() && now.Sub(w.overSince) >= overdue
+	found := false
+	for _, r := range runs {
+		blame := c.blame(w, r)
+		if blame < harmfulPart && !late {
+			continue
 		}
-		return 0
-	}, now)
-	for i, r := range runs {
-		if harms[i] > harmBound && r.pace < fullPace && c.hasBetter(r, now) {
+		found = true
+		if blame >= harmfulPart && c.hasBetter(r, now) {
 			r.task.avoid = w
 			c.stopRun(r, "disturbs a serving task", now)
+			continue
+		}
+		c.setPace(w, r, 0, now)
+	}
+	if !found && w.strain >= 1 {
+		for _, r := range runs {
+			c.setPace(w, r, min(r.pace, slowPace), now)
 		}
 	}
 }
@@ -88,15 +116,12 @@
 	return false
 }
 
-// paceAll changes the pace of runs.
-func (c *Core) paceAll(w *worker, runs []*run, next func(int) int, now time.Time) {
-	for _, r := range runs {
-		pace := next(r.pace)
-		if pace == r.pace {
-			continue
-		}
-		w.pacedAt = now
-		c.stops = append(c.stops, Order{Kind: OrderPace, run: r, worker: w, pace: pace})
-		c.note(Note{Kind: NotePaced, Task: r.task.name(), Run: r.number, Worker: w.ID, Percent: pace})
+// setPace changes the pace of a run.
+func (c *Core) setPace(w *worker, r *run, pace int, now time.Time) {
+	if pace == r.pace {
+		return
 	}
+	w.pacedAt = now
+	c.stops = append(c.stops, Order{Kind: OrderPace, run: r, worker: w, pace: pace})
+	c.note(Note{Kind: NotePaced, Task: r.task.name(), Run: r.number, Worker: w.ID, Percent: pace})
 }
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -44,8 +44,12 @@
 	serving    map[string]int
 	servingCPU share.MilliCores
 	// strain is the worst tail as a part of its target, as last measured.
-	strain      float64
-	pacedAt     time.Time
+	strain float64
+	// strains are the same by serving image.
+	strains map[string]float64
+	pacedAt time.Time
+	// overSince is since when a target is missed.
+	overSince   time.Time
 	saturatedAt time.Time
 }
 
--- a/internal/desk/looks.go
+++ b/internal/desk/looks.go
@@ -21,6 +21,9 @@
 const (
 	// lookWait is how long a worker may wait for an end before it answers: a part of the lease.
 	lookWait = 1500 * time.Millisecond
+	// soonWait is the same for a worker whose serving tasks are near their targets:
+	// it measures them over half a second.
+	soonWait = 400 * time.Millisecond
 	// lookTimeout bounds a look that does not wait.
 	lookTimeout = 700 * time.Millisecond
 	// lookPause is the wait after a look that failed.
@@ -168,7 +171,10 @@
 		return false, false
 	}
 	var wait time.Duration
-	if l.Wait {
+	switch {
+	case l.Soon:
+		wait = soonWait
+	case l.Wait:
 		wait = lookWait
 	}
 	call, cancel := context.WithTimeout(ctx, lookTimeout+wait)
