--- a/internal/batch/disturb.go
+++ b/internal/batch/disturb.go
@@ -14,7 +14,7 @@
 	// steadyAfter is how long a run works before a measurement is laid to it, which covers half a second.
 	steadyAfter = 700 * time.Millisecond
 	// servingUse is the part of their processors that serving tasks are taken to use at their usual load.
-	servingUse = 0.45
+	servingUse = 0.58
 	// saturatedFor is how long a worker is taken to be short of processors after it was seen so.
 	saturatedFor = time.Second
 	// fedPart is the part of its processors that a filling task gets on a worker that has enough.
--- a/internal/batch/pace.go
+++ b/internal/batch/pace.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -22,6 +23,8 @@
 	paceUpAfter = 1200 * time.Millisecond
 	// harmfulPart is the part of its strain that a serving task is taken to owe to a harmful run.
 	harmfulPart = 0.2
+	// leastBlame is the blame below which slowing a run down is taken to change nothing.
+	leastBlame = 0.01
 	// overdue is how long a target may be missed until all that fills the worker stands still.
 	overdue = 1200 * time.Millisecond
 )
@@ -81,29 +84,31 @@
 }
 
 // relieve slows down or moves away what disturbs the serving tasks of a
-// worker. If nothing is known to, all that fills it yields once a target is missed.
+// worker, most harmful first, until what remains is expected to keep the
+// target. If a target is missed for long, all that fills the worker yields.
 func (c *Core) relieve(w *worker, now time.Time) {
 	runs := c.filling(w)
 	late := !w.overSince.IsZero() && now.Sub(w.overSince) >= overdue
-	found := false
+	blames := map[*run]float64{}
+	total := 0.0
 	for _, r := range runs {
-		blame := c.blame(w, r)
-		if blame < harmfulPart && !late {
-			continue
+		blames[r] = c.blame(w, r)
+		total += blames[r] * float64(r.pace) / fullPace
+	}
+	slices.SortStableFunc(runs, func(a, b *run) int { return cmp.Compare(blames[b], blames[a]) })
+	expected := w.strain
+	for _, r := range runs {
+		if expected <= tailHigh && !late || blames[r] < leastBlame && !late {
+			return
 		}
-		found = true
-		if blame >= harmfulPart && c.hasBetter(r, now) {
+		expected -= w.strain / (1 + total) * blames[r] * float64(r.pace) / fullPace
+		if blames[r] >= harmfulPart && c.hasBetter(r, now) {
 			r.task.avoid = w
 			c.stopRun(r, "disturbs a serving task", now)
 			continue
 		}
 		c.setPace(w, r, 0, now)
 	}
-	if !found && w.strain >= 1 {
-		for _, r := range runs {
-			c.setPace(w, r, min(r.pace, slowPace), now)
-		}
-	}
 }
 
 // hasBetter reports whether another worker could take a run's task without harm.
