A planned stop answers the calls in flight

The server's actor now waits for the group's end, and callers are asked to close their connections meanwhile.

--- a/cmd/oriolepond/node.go
+++ b/cmd/oriolepond/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"net"
@@ -123,8 +124,8 @@
 
 	var g run.Group
 	n.addLoops(&g, kv)
-	g.Add(func() error { return ignoreClosed(front.Serve(listeners[0])) }, func(error) { _ = front.Close() })
-	g.Add(func() error { return ignoreClosed(ready.Serve(listeners[1])) }, func(error) { _ = ready.Close() })
+	addServer(&g, front, listeners[0])
+	addServer(&g, ready, listeners[1])
 	g.Add(func() error { return server.Serve(listeners[2]) }, func(error) { server.Stop() })
 	n.addReload(&g, file)
 	ended, end := context.WithCancel(context.Background())
@@ -145,11 +146,20 @@
 // headerTimeout bounds the time in which a caller sends its headers.
 const headerTimeout = 5 * time.Second
 
-func ignoreClosed(err error) error {
-	if err == http.ErrServerClosed {
+// addServer adds an HTTP server. One that was shut down runs on until the
+// group ends, since the calls in flight are still being answered.
+func addServer(g *run.Group, s *http.Server, l net.Listener) {
+	ended := make(chan struct{})
+	g.Add(func() error {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		<-ended
 		return nil
-	}
-	return err
+	}, func(error) {
+		close(ended)
+		_ = s.Close()
+	})
 }
 
 // timing takes the platform's bounds into the times of the core.
@@ -265,6 +275,7 @@
 	n.stopping.Store(true)
 	n.log.Emit(eventlog.InstanceStopping)
 	n.desk.Leave()
+	front.SetKeepAlivesEnabled(false)
 	ctx, cancel := context.WithTimeout(context.Background(), max(n.settings.StopGrace-stopMargin, lameDuck))
 	defer cancel()
 	time.Sleep(lameDuck)
