--- a/internal/batch/core.go
+++ b/internal/batch/core.go
@@ -24,8 +24,8 @@
 	active []*job
 	dirty  []*job
 	health *placement.Health
-	// model learns which images disturb which serving ones.
-	model *interference.Model
+	// risk learns which images harm which serving ones.
+	risk interference.Risk
 
 	// stops and looks are orders that need no record.
 	stops []Order
@@ -93,7 +93,6 @@
 		looks:        map[string]bool{},
 		acked:        map[string]bool{},
 		health:       health,
-		model:        interference.NewModel(),
 	}
 }
 
--- a/internal/batch/disturb.go
+++ b/internal/batch/disturb.go
@@ -7,10 +7,10 @@
 )
 
 const (
-	// strainBound is the expected tail, as a part of its target, up to which a filling task is placed.
-	strainBound = 0.8
-	// loadedEffect is how much greater an effect is at a serving task's busy time than on average.
-	loadedEffect = 2
+	// mostRisk is the probability of harm up to which a filling task is placed.
+	mostRisk = 0.5
+	// missedBound is the tail, as a part of its target, that counts as missed.
+	missedBound = 0.95
 	// steadyAfter is how long a run works before a measurement is laid to it, which covers half a second.
 	steadyAfter = 700 * time.Millisecond
 	// servingUse is the part of their processors that serving tasks are taken to use at their usual load.
@@ -21,28 +21,13 @@
 	fedPart = 0.5
 )
 
-// victim returns the model's name of a serving image.
-func (c *Core) victim(image string) interference.Victim { return c.model.Service(image) }
-
-func (c *Core) aggressor(image string) interference.Aggressor { return c.model.Aggressor(image) }
-
-// harm returns the strain that an image with a number of cores is expected to
-// add to the most sensitive serving task of a worker.
-func (c *Core) harm(w *worker, image string, cores float64) float64 {
-	worst := 0.0
-	a := c.aggressor(image)
+// harm returns the probability that an image harms a serving task of a worker.
+func (c *Core) harm(w *worker, image string) float64 {
+	safe := 1.0
 	for served := range w.serving {
-		worst = max(worst, c.harmTo(w, served, a, cores))
+		safe *= 1 - c.risk.Of(served, image)
 	}
-	return worst
-}
-
-// harmTo returns the strain that an aggressor is expected to add to one serving
-// image. The busier the serving task, the more it suffers from the same load.
-func (c *Core) harmTo(w *worker, served string, a interference.Aggressor, cores float64) float64 {
-	v := c.victim(served)
-	effect, _ := c.model.Effect(v, a)
-	return loadedEffect * effect * cores * max(c.model.Base(v), w.strains[served])
+	return 1 - safe
 }
 
 // cores returns the processors of a step, in cores.
@@ -52,10 +37,11 @@
 func (c *Core) learn(w *worker, now time.Time) {
 	w.strain = 0
 	clear(w.strains)
-	var loads []interference.Load
+	var beside []interference.Presence
 	steady := true
 	got, need := 0.0, 0.0
-	for _, r := range w.runs {
+	whole := float64(max(1, w.Capacity.Processors)) / 1000
+	for _, r := range sortedRuns(w.runs) {
 		s := r.task.stage.step
 		if !s.Fills || r.state != runRunning {
 			continue
@@ -66,23 +52,36 @@
 		}
 		got += r.cores
 		need += s.cores() * float64(r.pace) / fullPace
-		loads = append(loads, interference.Load{Aggressor: c.aggressor(s.Image), Amount: r.cores})
+		beside = addPresence(beside, s.Image, r.cores/whole)
 	}
 	if need > 0 && got < fedPart*need {
 		w.saturatedAt = now
 	}
-	for _, r := range sortedRuns(w.runs) {
+	for _, r := range w.runs {
 		s := r.task.stage.step
-		if s.TailTarget <= 0 || r.state != runRunning || r.tail <= 0 {
+		if s.TailTarget <= 0 || r.state != runRunning || r.tail <= 0 || r.percent < fullPace {
 			continue
 		}
 		strain := float64(r.tail) / float64(s.TailTarget)
 		w.strain = max(w.strain, strain)
 		w.strains[s.Image] = max(w.strains[s.Image], strain)
-		if steady {
-			c.model.Observe(c.victim(s.Image), loads, strain, now)
+	}
+	if steady && now.Sub(w.leftAt) >= steadyAfter {
+		for image, strain := range w.strains {
+			c.risk.Observe(image, beside, strain > missedBound)
+		}
+	}
+}
+
+// addPresence adds what an image uses to what others of it use.
+func addPresence(all []interference.Presence, image string, part float64) []interference.Presence {
+	for i := range all {
+		if all[i].Aggressor == image {
+			all[i].Part += part
+			return all
 		}
 	}
+	return append(all, interference.Presence{Aggressor: image, Part: part})
 }
 
 // idle returns the processors, in thousandths of a core, that tasks which fill may expect on a worker.
--- a/internal/batch/fit.go
+++ b/internal/batch/fit.go
@@ -60,7 +60,7 @@
 	if len(w.serving) == 0 {
 		return true
 	}
-	return w.strain < tailLow && w.strain+c.harm(w, s.Image, s.cores()) < strainBound
+	return w.strain < tailHigh && c.harm(w, s.Image) <= mostRisk
 }
 
 // leastIdle is the part of its processors that a task which fills has to expect.
@@ -74,8 +74,9 @@
 	weightAvoid = 5.0
 	// weightImage lets serving tasks of one image share workers, so that what disturbs them has room elsewhere.
 	weightImage = 3.0
-	// weightHarm weighs the strain that is added to serving tasks.
+	// weightHarm weighs the probability of harm to serving tasks, and strainPart their present strain against it.
 	weightHarm = 2.0
+	strainPart = 0.5
 )
 
 // score says how well a task does on a worker; the greater the better.
@@ -93,7 +94,7 @@
 	case s.TailTarget > 0:
 		score += c.servingScore(s, w)
 	case s.Fills && len(w.serving) > 0:
-		score -= weightHarm * (w.strain + c.harm(w, s.Image, s.cores()))
+		score -= weightHarm * (w.strain*strainPart + c.harm(w, s.Image))
 	}
 	return score
 }
@@ -114,7 +115,7 @@
 	}
 	for _, r := range w.runs {
 		if o := r.task.stage.step; o.Fills {
-			score -= weightHarm * c.harmTo(w, s.Image, c.aggressor(o.Image), r.cores)
+			score -= weightHarm * c.risk.Of(s.Image, o.Image)
 		}
 	}
 	return score
--- a/internal/batch/look.go
+++ b/internal/batch/look.go
@@ -201,7 +201,7 @@
 	r := w.runs[key]
 	if r != nil {
 		c.begun(j)
-		c.dropRun(r)
+		c.dropRun(r, now)
 	}
 	var t *task
 	if j != nil {
--- a/internal/batch/order.go
+++ b/internal/batch/order.go
@@ -247,7 +247,7 @@
 
 // requeue removes a run that surely does not run, and lets the task wait again.
 func (c *Core) requeue(r *run, reason string, now time.Time) {
-	c.dropRun(r)
+	c.dropRun(r, now)
 	t := r.task
 	if t.state == taskPlaced && len(t.runs) == 0 && !t.stage.job.state.Final() {
 		if t.stage.step.Gang {
@@ -259,7 +259,10 @@
 }
 
 // dropRun forgets a run.
-func (c *Core) dropRun(r *run) {
+func (c *Core) dropRun(r *run, now time.Time) {
+	if r.task.stage.step.Fills {
+		r.worker.leftAt = now
+	}
 	r.worker.remove(r)
 	r.task.runs = slices.DeleteFunc(r.task.runs, func(o *run) bool { return o == r })
 }
--- a/internal/batch/pace.go
+++ b/internal/batch/pace.go
@@ -1,7 +1,6 @@
 package batch
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -21,10 +20,8 @@
 	paceDownAfter = 600 * time.Millisecond
 	// paceUpAfter is longer, since a relapse costs more than idle processors.
 	paceUpAfter = 1200 * time.Millisecond
-	// harmfulPart is the part of its strain that a serving task is taken to owe to a harmful run.
-	harmfulPart = 0.2
-	// leastBlame is the blame below which slowing a run down is taken to change nothing.
-	leastBlame = 0.01
+	// harmfulRisk is the probability of harm from which a run leaves a strained worker.
+	harmfulRisk = 0.5
 	// overdue is how long a target may be missed until all that fills the worker stands still.
 	overdue = 1200 * time.Millisecond
 )
@@ -54,7 +51,7 @@
 func (c *Core) restorePace(w *worker, now time.Time) {
 	for _, r := range c.filling(w) {
 		switch {
-		case c.blame(w, r) < harmfulPart:
+		case c.blame(w, r) < harmfulRisk:
 			c.setPace(w, r, fullPace, now)
 		case w.strain < tailIdle:
 			c.setPace(w, r, max(r.pace, slowPace), now)
@@ -69,45 +66,37 @@
 	})
 }
 
-// blame returns the greatest part of a strained serving task's tail that a run is taken to cause.
+// blame returns the probability that a run harms a strained serving task.
 func (c *Core) blame(w *worker, r *run) float64 {
-	s := r.task.stage.step
-	a := c.aggressor(s.Image)
 	worst := 0.0
 	for image, strain := range w.strains {
 		if strain > tailIdle {
-			effect, _ := c.model.Effect(c.victim(image), a)
-			worst = max(worst, loadedEffect*effect*s.cores())
+			worst = max(worst, c.risk.Of(image, r.task.stage.step.Image))
 		}
 	}
 	return worst
 }
 
-// relieve slows down or moves away what disturbs the serving tasks of a
-// worker, most harmful first, until what remains is expected to keep the
-// target. If a target is missed for long, all that fills the worker yields.
+// relieve moves away or stops what is likely to harm the serving tasks of a
+// worker. If a target is missed for long, all that fills the worker yields.
 func (c *Core) relieve(w *worker, now time.Time) {
-	runs := c.filling(w)
 	late := !w.overSince.IsZero() && now.Sub(w.overSince) >= overdue
-	blames := map[*run]float64{}
-	total := 0.0
+	runs := c.filling(w)
+	worst := 0.0
 	for _, r := range runs {
-		blames[r] = c.blame(w, r)
-		total += blames[r] * float64(r.pace) / fullPace
+		worst = max(worst, c.blame(w, r))
 	}
-	slices.SortStableFunc(runs, func(a, b *run) int { return cmp.Compare(blames[b], blames[a]) })
-	expected := w.strain
 	for _, r := range runs {
-		if expected <= tailHigh && !late || blames[r] < leastBlame && !late {
-			return
-		}
-		expected -= w.strain / (1 + total) * blames[r] * float64(r.pace) / fullPace
-		if blames[r] >= harmfulPart && c.hasBetter(r, now) {
+		blame := c.blame(w, r)
+		switch {
+		case blame >= harmfulRisk && c.hasBetter(r, now):
 			r.task.avoid = w
 			c.stopRun(r, "disturbs a serving task", now)
-			continue
+		case blame >= harmfulRisk || late:
+			c.setPace(w, r, 0, now)
+		case w.strain >= 1 && blame >= worst:
+			c.setPace(w, r, min(r.pace, slowPace), now)
 		}
-		c.setPace(w, r, 0, now)
 	}
 }
 
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -48,6 +48,8 @@
 	// strains are the same by serving image.
 	strains map[string]float64
 	pacedAt time.Time
+	// leftAt is when a run that fills the worker last left it.
+	leftAt time.Time
 	// overSince is since when a target is missed.
 	overSince   time.Time
 	saturatedAt time.Time
--- /dev/null
+++ b/internal/interference/risk.go
@@ -0,0 +1,81 @@
+package interference
+
+import "math"
+
+// Risk learns which aggressors harm which victims, as a probability by pair.
+//
+// Where tasks last only seconds and tails grow beyond all bounds as soon as a
+// worker is short of what a pair shares, an additive model of strain is of
+// little use: a single measurement upsets it. Risk only asks whether a victim
+// missed its target beside a set of aggressors. A measurement within the target
+// clears all that were present; one beyond it is laid to the likeliest of
+// them (a noisy-or model). The zero value knows nothing. It is not safe for
+// concurrent use.
+type Risk struct {
+	// odds are those of harm by pair, as a natural logarithm; absent means the prior.
+	odds map[riskPair]float64
+}
+
+type riskPair struct {
+	victim, aggressor string
+}
+
+// Presence is how much of a worker's processors an aggressor used, from 0 to 1.
+type Presence struct {
+	Aggressor string
+	Part      float64
+}
+
+const (
+	// priorRisk is the probability of harm of a pair that was never measured.
+	priorRisk = 0.2
+	// missAlone is the probability that a victim misses its target undisturbed, at its busy times.
+	missAlone = 0.05
+	// missRate turns the part of a worker that a harmful aggressor uses into the
+	// probability of a miss: a tenth of a worker gives about a half.
+	missRate = 7
+	// temper discounts measurements, since those that follow each other share much of their window.
+	temper = 0.5
+	// leastPart is the part below which an aggressor is not regarded.
+	leastPart = 0.02
+	// greatestOdds keeps a pair open to new measurements.
+	greatestOdds = 4
+)
+
+// Of returns the probability that an aggressor harms a victim.
+func (r *Risk) Of(victim, aggressor string) float64 {
+	odds, ok := r.odds[riskPair{victim, aggressor}]
+	if !ok {
+		return priorRisk
+	}
+	return 1 / (1 + math.Exp(-odds))
+}
+
+// Observe takes whether a victim missed its target beside aggressors.
+func (r *Risk) Observe(victim string, beside []Presence, missed bool) {
+	if r.odds == nil {
+		r.odds = map[riskPair]float64{}
+	}
+	// clear is the probability that none of them causes a miss.
+	clear := 1 - missAlone
+	for _, p := range beside {
+		clear *= 1 - r.Of(victim, p.Aggressor)*causes(p)
+	}
+	for _, p := range beside {
+		if p.Part < leastPart {
+			continue
+		}
+		risk, cause := r.Of(victim, p.Aggressor), causes(p)
+		others := clear / (1 - risk*cause)
+		// The likelihoods of what was measured, if the pair is harmful and if it is not.
+		harmful, harmless := others*(1-cause), others
+		if missed {
+			harmful, harmless = 1-harmful, 1-harmless
+		}
+		odds := math.Log(risk/(1-risk)) + temper*math.Log(harmful/harmless)
+		r.odds[riskPair{victim, p.Aggressor}] = max(-greatestOdds, min(greatestOdds, odds))
+	}
+}
+
+// causes returns the probability that a harmful aggressor causes a miss.
+func causes(p Presence) float64 { return 1 - math.Exp(-missRate*p.Part) }
