--- a/internal/batch/disturb.go
+++ b/internal/batch/disturb.go
@@ -8,7 +8,7 @@
 
 const (
 	// mostRisk is the probability of harm up to which a filling task is placed.
-	mostRisk = 0.5
+	mostRisk = 0.37
 	// missedBound is the tail, as a part of its target, that counts as missed.
 	missedBound = 0.95
 	// steadyAfter is how long a run works before a measurement is laid to it, which covers half a second.
--- a/internal/batch/pace.go
+++ b/internal/batch/pace.go
@@ -21,7 +21,7 @@
 	// paceUpAfter is longer, since a relapse costs more than idle processors.
 	paceUpAfter = 1200 * time.Millisecond
 	// harmfulRisk is the probability of harm from which a run leaves a strained worker.
-	harmfulRisk = 0.5
+	harmfulRisk = 0.4
 	// overdue is how long a target may be missed until all that fills the worker stands still.
 	overdue = 1200 * time.Millisecond
 )
