--- /dev/null
+++ b/internal/batch/bench_test.go
@@ -0,0 +1,103 @@
+package batch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/oriolepond/oriolepond/pkg/share"
+)
+
+// benchStart is any time.
+var benchStart = time.Unix(1_000_000_000, 0)
+
+// benchCore returns a core with adopted workers, of which each serves tasks of one of five images.
+func benchCore(b *testing.B, workers int) *Core {
+	b.Helper()
+	now := benchStart
+	c := NewCore(DefaultTiming(), now, now)
+	c.SetTable(Table{Version: 1, Queues: map[string]Queue{
+		"check":  {Name: "check", Service: "pool", Attempts: 3, Slack: 1.5, Target: 400 * time.Millisecond},
+		"review": {Name: "review", Service: "pool", Priority: 2, Attempts: 3, Slack: 2, Target: time.Second},
+		"watch":  {Name: "watch", Service: "pool", Attempts: 3, Slack: 2, Target: time.Second},
+	}})
+	for i := range workers {
+		id := fmt.Sprintf("w-%04d", i)
+		c.SetWorker(WorkerInfo{
+			ID: id, Address: id, Service: "pool", Born: 1, Rack: fmt.Sprintf("r-%d", i/8),
+			Capacity: share.Resources{Processors: 32_000, Memory: 128 << 30},
+		}, now)
+		c.Observe(id, Report{Born: 1, Clock: time.Second}, now, now)
+	}
+	for i := range workers {
+		c.take(Job{ID: fmt.Sprintf("%016x", i), Queue: "watch", Steps: []Step{{
+			Tasks: 4, Size: share.Resources{Processors: 6400, Memory: 13 << 30}, LongRunning: true,
+			Image: fmt.Sprintf("s-%d", i%5), TailTarget: 150 * time.Millisecond,
+		}}}, now, nil)
+	}
+	c.Plan(now)
+	benchRun(b, c, now)
+	return c
+}
+
+// benchRun makes all changes durable and lets all starts succeed.
+func benchRun(b *testing.B, c *Core, now time.Time) {
+	b.Helper()
+	for c.HasChanges() {
+		changes, err := c.Take(20)
+		if err != nil {
+			b.Fatal(err)
+		}
+		for _, o := range c.Durable(changes) {
+			if _, ok := c.Send(o, now); ok {
+				c.Answered(o, Result{Answer: AnswerDone, Clock: time.Second}, now, now)
+			}
+		}
+	}
+	c.TakeNotes()
+}
+
+func benchReview(i int) Job {
+	return Job{ID: fmt.Sprintf("%016x", 1<<40+i), Queue: "review", Steps: []Step{{
+		Tasks: 8, Size: share.Resources{Processors: 3500, Memory: 1 << 30}, Estimate: 2 * time.Second,
+		Image: fmt.Sprintf("f-%d", i%9), Fills: true, Checkpoints: true,
+	}}}
+}
+
+// BenchmarkPlanFull lets time pass over a pool without room, with 300 steps waiting.
+func BenchmarkPlanFull(b *testing.B) {
+	for _, workers := range []int{48, 350, 1200} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			c := benchCore(b, workers)
+			for i := range workers + 300 {
+				c.take(benchReview(i), benchStart, nil)
+			}
+			now := benchStart.Add(100 * time.Millisecond)
+			c.Plan(now)
+			benchRun(b, c, now)
+			b.ReportAllocs()
+			for b.Loop() {
+				c.Plan(now)
+			}
+		})
+	}
+}
+
+// BenchmarkPlaceTask places one task of a step beside others.
+func BenchmarkPlaceTask(b *testing.B) {
+	for _, workers := range []int{48, 350, 1200} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			c := benchCore(b, workers)
+			j := benchReview(1)
+			c.take(j, benchStart, nil)
+			t := c.jobs[j.ID].stages[0].tasks[0]
+			c.findOpen(benchStart)
+			b.ReportAllocs()
+			for b.Loop() {
+				if c.choose(t, nil, benchStart) == nil {
+					b.Fatal("no worker")
+				}
+			}
+		})
+	}
+}
--- a/internal/batch/core.go
+++ b/internal/batch/core.go
@@ -5,6 +5,7 @@
 
 	"github.com/oriolepond/oriolepond/internal/interference"
 	"github.com/oriolepond/oriolepond/internal/placement"
+	"github.com/oriolepond/oriolepond/pkg/share"
 )
 
 // Core holds all jobs and workers of a holder. It is not safe for concurrent use.
@@ -25,7 +26,16 @@
 	dirty  []*job
 	health *placement.Health
 	// risk learns which images harm which serving ones.
-	risk interference.Risk
+	risk   interference.Risk
+	images map[string]int
+	// open are the workers that may take runs, as found at the beginning of a
+	// plan, and turn is where in them the next search begins.
+	open []*worker
+	turn int
+	// short are the needs that found no worker in the present plan.
+	short map[shortage]share.Resources
+	// ranks is kept to save allocations.
+	ranks []rank
 
 	// stops and looks are orders that need no record.
 	stops []Order
@@ -93,6 +103,8 @@
 		looks:        map[string]bool{},
 		acked:        map[string]bool{},
 		health:       health,
+		images:       map[string]int{},
+		short:        map[shortage]share.Resources{},
 	}
 }
 
--- a/internal/batch/disturb.go
+++ b/internal/batch/disturb.go
@@ -21,11 +21,21 @@
 	fedPart = 0.5
 )
 
+// imageID returns the number by which the core knows an image.
+func (c *Core) imageID(image string) int {
+	id, ok := c.images[image]
+	if !ok {
+		id = len(c.images)
+		c.images[image] = id
+	}
+	return id
+}
+
 // harm returns the probability that an image harms a serving task of a worker.
-func (c *Core) harm(w *worker, image string) float64 {
+func (c *Core) harm(w *worker, image int) float64 {
 	safe := 1.0
-	for served := range w.serving {
-		safe *= 1 - c.risk.Of(served, image)
+	for i := range w.serving {
+		safe *= 1 - c.risk.Of(w.serving[i].image, image)
 	}
 	return 1 - safe
 }
@@ -36,7 +46,9 @@
 // learn lays the measured tails of a report to the tasks that fill the worker.
 func (c *Core) learn(w *worker, now time.Time) {
 	w.strain = 0
-	clear(w.strains)
+	for i := range w.serving {
+		w.serving[i].strain = 0
+	}
 	var beside []interference.Presence
 	steady := true
 	got, need := 0.0, 0.0
@@ -52,7 +64,7 @@
 		}
 		got += r.cores
 		need += s.cores() * float64(r.pace) / fullPace
-		beside = addPresence(beside, s.Image, r.cores/whole)
+		beside = addPresence(beside, r.task.stage.image, r.cores/whole)
 	}
 	if need > 0 && got < fedPart*need {
 		w.saturatedAt = now
@@ -64,17 +76,21 @@
 		}
 		strain := float64(r.tail) / float64(s.TailTarget)
 		w.strain = max(w.strain, strain)
-		w.strains[s.Image] = max(w.strains[s.Image], strain)
+		if served := w.served(r.task.stage.image); served != nil {
+			served.strain = max(served.strain, strain)
+		}
 	}
 	if steady && now.Sub(w.leftAt) >= steadyAfter {
-		for image, strain := range w.strains {
-			c.risk.Observe(image, beside, strain > missedBound)
+		for _, served := range w.serving {
+			if served.strain > 0 {
+				c.risk.Observe(served.image, beside, served.strain > missedBound)
+			}
 		}
 	}
 }
 
 // addPresence adds what an image uses to what others of it use.
-func addPresence(all []interference.Presence, image string, part float64) []interference.Presence {
+func addPresence(all []interference.Presence, image int, part float64) []interference.Presence {
 	for i := range all {
 		if all[i].Aggressor == image {
 			all[i].Part += part
--- a/internal/batch/fit.go
+++ b/internal/batch/fit.go
@@ -1,6 +1,8 @@
 package batch
 
 import (
+	"cmp"
+	"slices"
 	"time"
 )
 
@@ -10,23 +12,78 @@
 		!now.Before(w.shunUntil) && len(w.strays) == 0 && c.health.Permits(w.ID, now)
 }
 
-// choose returns the best worker for a task, or nil. In restricts the choice, unless it is nil.
+// findOpen collects the workers that may take runs, in a fixed order.
+func (c *Core) findOpen(now time.Time) {
+	c.open = c.open[:0]
+	for _, w := range c.workers {
+		if c.mayTake(w, now) {
+			c.open = append(c.open, w)
+		}
+	}
+	slices.SortFunc(c.open, func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) })
+}
+
+// maxCompared bounds the workers among which one decision chooses, so that its
+// cost does not grow with the pool.
+const maxCompared = 96
+
+// choose returns the best worker for a task, or nil. In restricts the choice,
+// unless it is nil. In a large pool it compares the first that fit from where
+// the last search ended.
 func (c *Core) choose(t *task, in func(*worker) bool, now time.Time) *worker {
 	var best *worker
 	var bestScore float64
-	for _, w := range c.workers {
+	n := len(c.open)
+	compared := 0
+	for i := range n {
+		w := c.open[(c.turn+i)%n]
 		if !c.fits(t, w, now) || in != nil && !in(w) {
 			continue
 		}
 		score := c.score(t, w, now)
-		if best == nil || score > bestScore || score == bestScore && w.ID < best.ID {
+		if best == nil || score > bestScore {
 			best, bestScore = w, score
 		}
+		if compared++; compared == maxCompared {
+			c.turn = (c.turn + i + 1) % n
+			break
+		}
 	}
 	return best
 }
 
-// fits reports whether a worker has room for a task and may run it.
+// shortage names a kind of need that finds no worker.
+type shortage struct {
+	service string
+	fills   bool
+	image   int
+}
+
+// isPlain reports whether nothing but room and harm decides where a step's tasks run.
+func (s *Step) isPlain() bool { return s.RequiredLabel == "" && s.MaxPerWorker == 0 }
+
+// isShort reports whether a step with no greater needs has found no worker in the present plan.
+func (c *Core) isShort(s *stage) bool {
+	need, known := c.short[s.shortage()]
+	return known && need.Fits(s.step.Size)
+}
+
+// noteShort notes that a step has found no worker.
+func (c *Core) noteShort(s *stage) {
+	if s.step.isPlain() && !c.isAdvised(s) {
+		c.short[s.shortage()] = s.step.Size
+	}
+}
+
+func (s *stage) shortage() shortage {
+	key := shortage{service: s.job.service, fills: s.step.Fills}
+	if s.step.Fills {
+		key.image = s.image
+	}
+	return key
+}
+
+// fits reports whether a worker that may take runs has room for a task and may run it.
 func (c *Core) fits(t *task, w *worker, now time.Time) bool {
 	s := t.stage.step
 	if w.Service != t.stage.job.service {
@@ -45,22 +102,22 @@
 	if s.RequiredLabel != "" && !w.hasLabel(s.RequiredLabel) {
 		return false
 	}
-	if !c.mayTake(w, now) || c.isAdvised(t.stage) && !t.stage.hasTicket(w, now) {
+	if c.isAdvised(t.stage) && !t.stage.hasTicket(w, now) {
 		return false
 	}
-	return !s.Fills || c.mayFill(s, w, now)
+	return !s.Fills || c.mayFill(t.stage, w, now)
 }
 
 // mayFill reports whether a task that fills would get processors on a worker
 // without harm to those that serve there.
-func (c *Core) mayFill(s *Step, w *worker, now time.Time) bool {
-	if c.idle(w, now) < leastIdle*float64(s.Size.Processors) {
+func (c *Core) mayFill(s *stage, w *worker, now time.Time) bool {
+	if c.idle(w, now) < leastIdle*float64(s.step.Size.Processors) {
 		return false
 	}
 	if len(w.serving) == 0 {
 		return true
 	}
-	return w.strain < tailHigh && c.harm(w, s.Image) <= mostRisk
+	return w.strain < tailHigh && c.harm(w, s.image) <= mostRisk
 }
 
 // leastIdle is the part of its processors that a task which fills has to expect.
@@ -92,19 +149,19 @@
 	}
 	switch {
 	case s.TailTarget > 0:
-		score += c.servingScore(s, w)
+		score += c.servingScore(t.stage, w)
 	case s.Fills && len(w.serving) > 0:
-		score -= weightHarm * (w.strain*strainPart + c.harm(w, s.Image))
+		score -= weightHarm * (w.strain*strainPart + c.harm(w, t.stage.image))
 	}
 	return score
 }
 
 // servingScore lets serving tasks of one image fill a worker before the next
 // one, away from what is known to disturb them.
-func (c *Core) servingScore(s *Step, w *worker) float64 {
+func (c *Core) servingScore(s *stage, w *worker) float64 {
 	score := 0.0
-	for image := range w.serving {
-		if image == s.Image {
+	for i := range w.serving {
+		if w.serving[i].image == s.image {
 			score += weightImage
 		} else {
 			score -= weightImage
@@ -113,9 +170,12 @@
 	if len(w.serving) > 0 {
 		score += float64(w.used.Processors) / float64(max(1, w.Capacity.Processors))
 	}
+	if w.soft.Processors == 0 {
+		return score
+	}
 	for _, r := range w.runs {
-		if o := r.task.stage.step; o.Fills {
-			score -= weightHarm * c.risk.Of(s.Image, o.Image)
+		if o := r.task.stage; o.step.Fills {
+			score -= weightHarm * c.risk.Of(s.image, o.image)
 		}
 	}
 	return score
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -50,7 +50,9 @@
 	occurrence int
 	index      int
 	step       *Step
-	tasks      []*task
+	// image is the number of the step's image.
+	image int
+	tasks []*task
 	// undone are the tasks that have not ended for good, queued those that wait for a worker.
 	undone int
 	queued int
@@ -184,10 +186,12 @@
 	return longest
 }
 
-// begin makes the stages of the next occurrence.
-func (j *job) begin() {
+// begin makes the stages of a job's next occurrence.
+func (c *Core) begin(j *job) {
 	for i := range j.Steps {
-		j.stages = append(j.stages, newStage(j, j.begun, i))
+		s := newStage(j, j.begun, i)
+		s.image = c.imageID(s.step.Image)
+		j.stages = append(j.stages, s)
 	}
 	j.begun++
 }
--- a/internal/batch/lapse.go
+++ b/internal/batch/lapse.go
@@ -64,8 +64,6 @@
 			WorkerInfo: WorkerInfo{ID: id},
 			runs:       map[runKey]*run{},
 			strays:     map[runKey]time.Time{},
-			serving:    map[string]int{},
-			strains:    map[string]float64{},
 			lapseAt:    c.unheardUntil,
 		}
 		c.workers[id] = w
--- a/internal/batch/pace.go
+++ b/internal/batch/pace.go
@@ -69,9 +69,9 @@
 // blame returns the probability that a run harms a strained serving task.
 func (c *Core) blame(w *worker, r *run) float64 {
 	worst := 0.0
-	for image, strain := range w.strains {
-		if strain > tailIdle {
-			worst = max(worst, c.risk.Of(image, r.task.stage.step.Image))
+	for _, served := range w.serving {
+		if served.strain > tailIdle {
+			worst = max(worst, c.risk.Of(served.image, r.task.stage.image))
 		}
 	}
 	return worst
@@ -103,7 +103,7 @@
 // hasBetter reports whether another worker could take a run's task without harm.
 func (c *Core) hasBetter(r *run, now time.Time) bool {
 	for _, w := range c.workers {
-		if w != r.worker && c.fits(r.task, w, now) {
+		if w != r.worker && c.mayTake(w, now) && c.fits(r.task, w, now) {
 			return true
 		}
 	}
--- a/internal/batch/plan.go
+++ b/internal/batch/plan.go
@@ -10,8 +10,8 @@
 func (c *Core) Plan(now time.Time) {
 	c.lapse(now)
 	c.expire(now)
-	for _, j := range slices.Clone(c.active) {
-		if j.Repeat.Count > 0 {
+	for _, j := range c.active {
+		if j.begun < j.occurrences() {
 			c.advance(j, now)
 		}
 	}
@@ -57,7 +57,7 @@
 
 // waiting returns the stages with queued tasks, in the order in which they are placed.
 func (c *Core) waiting(now time.Time) []rank {
-	var all []rank
+	all := c.ranks[:0]
 	for _, j := range c.active {
 		for _, s := range j.stages {
 			if s.queued > 0 {
@@ -65,6 +65,7 @@
 			}
 		}
 	}
+	c.ranks = all
 	slices.SortStableFunc(all, func(a, b rank) int {
 		return cmp.Or(cmp.Compare(a.late, b.late), cmp.Compare(a.priority, b.priority), a.due.Compare(b.due))
 	})
@@ -74,10 +75,16 @@
 // place gives queued tasks to workers. A stage without room is passed by, so
 // that a job which can never run holds up no other.
 func (c *Core) place(now time.Time) {
-	for _, r := range c.waiting(now) {
+	waiting := c.waiting(now)
+	if len(waiting) == 0 {
+		return
+	}
+	c.findOpen(now)
+	clear(c.short)
+	for _, r := range waiting {
 		s := r.stage
 		switch {
-		case !c.isAdmitted(s, now):
+		case c.isShort(s) || !c.isAdmitted(s, now):
 		case s.step.Gang:
 			c.placeGang(s, now)
 		default:
@@ -93,6 +100,7 @@
 		}
 		w := c.choose(t, nil, now)
 		if w == nil {
+			c.noteShort(s)
 			return
 		}
 		c.assign(t, w, t.lastRun+1, now)
--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -318,7 +318,7 @@
 		return nil
 	}
 	for range w.Occurrences {
-		j.begin()
+		c.begin(j)
 	}
 	for _, s := range w.Stages {
 		if s.Stage < 0 || s.Stage >= len(j.stages) {
--- a/internal/batch/submit.go
+++ b/internal/batch/submit.go
@@ -131,7 +131,7 @@
 		return
 	}
 	for j.begun < j.occurrences() && c.isDue(j, j.begun, now) {
-		j.begin()
+		c.begin(j)
 		c.mark(j)
 	}
 	for _, s := range j.stages {
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -40,13 +40,11 @@
 	pending []pendingEnd
 	acked   int64
 
-	// serving counts the runs with a tail target by image, servingCPU is what they hold.
-	serving    map[string]int
+	// serving are the images of runs with a tail target, servingCPU is what they hold.
+	serving    []servedImage
 	servingCPU share.MilliCores
 	// strain is the worst tail as a part of its target, as last measured.
-	strain float64
-	// strains are the same by serving image.
-	strains map[string]float64
+	strain  float64
 	pacedAt time.Time
 	// leftAt is when a run that fills the worker last left it.
 	leftAt time.Time
@@ -83,7 +81,7 @@
 		w.soft.Processors += size.Processors
 	}
 	if s := r.task.stage.step; s.TailTarget > 0 {
-		w.serving[s.Image]++
+		w.addServed(r.task.stage.image, 1)
 		w.servingCPU += size.Processors
 	}
 	r.task.stage.onWorkers[w]++
@@ -105,15 +103,43 @@
 	}
 	if s := r.task.stage.step; s.TailTarget > 0 {
 		w.servingCPU -= size.Processors
-		if w.serving[s.Image]--; w.serving[s.Image] == 0 {
-			delete(w.serving, s.Image)
-		}
+		w.addServed(r.task.stage.image, -1)
 	}
 	if r.task.stage.onWorkers[w]--; r.task.stage.onWorkers[w] == 0 {
 		delete(r.task.stage.onWorkers, w)
 	}
 }
 
+// servedImage is an image with a tail target on a worker.
+type servedImage struct {
+	image int
+	runs  int
+	// strain is the worst tail as a part of its target, as last measured.
+	strain float64
+}
+
+// served returns an image that serves on the worker, or nil.
+func (w *worker) served(image int) *servedImage {
+	for i := range w.serving {
+		if w.serving[i].image == image {
+			return &w.serving[i]
+		}
+	}
+	return nil
+}
+
+// addServed adds a number of runs of an image, which may be negative.
+func (w *worker) addServed(image, runs int) {
+	s := w.served(image)
+	if s == nil {
+		w.serving = append(w.serving, servedImage{image: image, runs: runs})
+		return
+	}
+	if s.runs += runs; s.runs == 0 {
+		w.serving = slices.DeleteFunc(w.serving, func(o servedImage) bool { return o.image == image })
+	}
+}
+
 // hasLabel reports whether the worker carries a label.
 func (w *worker) hasLabel(label string) bool { return slices.Contains(w.Labels, label) }
 
--- a/internal/desk/holder.go
+++ b/internal/desk/holder.go
@@ -65,6 +65,8 @@
 const (
 	// planEvery is how often time is let pass without news.
 	planEvery = 100 * time.Millisecond
+	// planGap is the least time between two plans, so that news share one.
+	planGap = 8 * time.Millisecond
 	// commitGap is the least time between two commits, so that news share one.
 	commitGap = 8 * time.Millisecond
 	// commitTimeout bounds one try of a commit.
@@ -248,6 +250,7 @@
 func (h *Holder) planLoop(ctx context.Context) error {
 	tick := time.NewTicker(planEvery)
 	defer tick.Stop()
+	var last time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -255,6 +258,10 @@
 		case <-h.plan:
 		case <-tick.C:
 		}
+		if gap := planGap - now().Sub(last); gap > 0 {
+			time.Sleep(gap)
+		}
+		last = now()
 		h.mu.Lock()
 		h.core.SetWall(wallOffset())
 		h.core.Plan(now())
--- a/internal/interference/risk.go
+++ b/internal/interference/risk.go
@@ -12,17 +12,19 @@
 // them (a noisy-or model). The zero value knows nothing. It is not safe for
 // concurrent use.
 type Risk struct {
-	// odds are those of harm by pair, as a natural logarithm; absent means the prior.
-	odds map[riskPair]float64
+	// pairs are by victim and aggressor.
+	pairs [][]pairRisk
 }
 
-type riskPair struct {
-	victim, aggressor string
+// pairRisk is the probability that one aggressor harms one victim.
+type pairRisk struct {
+	known bool
+	risk  float64
 }
 
 // Presence is how much of a worker's processors an aggressor used, from 0 to 1.
 type Presence struct {
-	Aggressor string
+	Aggressor int
 	Part      float64
 }
 
@@ -42,20 +44,29 @@
 	greatestOdds = 4
 )
 
-// Of returns the probability that an aggressor harms a victim.
-func (r *Risk) Of(victim, aggressor string) float64 {
-	odds, ok := r.odds[riskPair{victim, aggressor}]
-	if !ok {
+// Of returns the probability that an aggressor harms a victim. Both are numbered from 0.
+func (r *Risk) Of(victim, aggressor int) float64 {
+	if victim >= len(r.pairs) || aggressor >= len(r.pairs[victim]) || !r.pairs[victim][aggressor].known {
 		return priorRisk
 	}
-	return 1 / (1 + math.Exp(-odds))
+	return r.pairs[victim][aggressor].risk
 }
 
-// Observe takes whether a victim missed its target beside aggressors.
-func (r *Risk) Observe(victim string, beside []Presence, missed bool) {
-	if r.odds == nil {
-		r.odds = map[riskPair]float64{}
+// pair returns a pair for a change.
+func (r *Risk) pair(victim, aggressor int) *pairRisk {
+	for victim >= len(r.pairs) {
+		r.pairs = append(r.pairs, nil)
+	}
+	row := r.pairs[victim]
+	for aggressor >= len(row) {
+		row = append(row, pairRisk{})
 	}
+	r.pairs[victim] = row
+	return &row[aggressor]
+}
+
+// Observe takes whether a victim missed its target beside aggressors.
+func (r *Risk) Observe(victim int, beside []Presence, missed bool) {
 	// clear is the probability that none of them causes a miss.
 	clear := 1 - missAlone
 	for _, p := range beside {
@@ -73,7 +84,8 @@
 			harmful, harmless = 1-harmful, 1-harmless
 		}
 		odds := math.Log(risk/(1-risk)) + temper*math.Log(harmful/harmless)
-		r.odds[riskPair{victim, p.Aggressor}] = max(-greatestOdds, min(greatestOdds, odds))
+		odds = max(-greatestOdds, min(greatestOdds, odds))
+		*r.pair(victim, p.Aggressor) = pairRisk{known: true, risk: 1 / (1 + math.Exp(-odds))}
 	}
 }
 
