Room for filling tasks follows the load of serving ones

Cause: half of the missed targets stood beside images that do no harm, on workers that were full while their serving tasks were busy. How busy they are shows in their tails.

--- a/internal/batch/disturb.go
+++ b/internal/batch/disturb.go
@@ -13,8 +13,11 @@
 	missedBound = 0.95
 	// steadyAfter is how long a run works before a measurement is laid to it, which covers half a second.
 	steadyAfter = 700 * time.Millisecond
-	// servingUse is the part of their processors that serving tasks are taken to use at their usual load.
-	servingUse = 0.58
+	// usualUse is the part of their processors that serving tasks are taken to use at a
+	// usual tail, and busyUse at one that is at its target; in between use grows with the tail.
+	usualUse    = 0.45
+	busyUse     = 0.85
+	usualStrain = 0.3
 	// saturatedFor is how long a worker is taken to be short of processors after it was seen so.
 	saturatedFor = time.Second
 	// fedPart is the part of its processors that a filling task gets on a worker that has enough.
@@ -53,6 +56,7 @@
 	steady := true
 	got, need := 0.0, 0.0
 	whole := float64(max(1, w.Capacity.Processors)) / 1000
+	total, serving := 0.0, 0
 	for _, r := range sortedRuns(w.runs) {
 		s := r.task.stage.step
 		if !s.Fills || r.state != runRunning {
@@ -76,10 +80,16 @@
 		}
 		strain := float64(r.tail) / float64(s.TailTarget)
 		w.strain = max(w.strain, strain)
+		total += min(1, strain)
+		serving++
 		if served := w.served(r.task.stage.image); served != nil {
 			served.strain = max(served.strain, strain)
 		}
 	}
+	w.usual = 0
+	if serving > 0 {
+		w.usual = total / float64(serving)
+	}
 	if steady && now.Sub(w.leftAt) >= steadyAfter {
 		for _, served := range w.serving {
 			if served.strain > 0 {
@@ -105,6 +115,12 @@
 	if now.Sub(w.saturatedAt) < saturatedFor {
 		return 0
 	}
-	used := float64(w.used.Processors) - (1-servingUse)*float64(w.servingCPU)
+	used := float64(w.used.Processors) - (1-w.servingUse())*float64(w.servingCPU)
 	return float64(w.Capacity.Processors) - used - float64(w.soft.Processors)
 }
+
+// servingUse returns the part of their processors that the serving tasks of a worker are taken to use.
+func (w *worker) servingUse() float64 {
+	busy := (w.usual - usualStrain) / (1 - usualStrain)
+	return usualUse + (busyUse-usualUse)*max(0, min(1, busy))
+}
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -44,7 +44,9 @@
 	serving    []servedImage
 	servingCPU share.MilliCores
 	// strain is the worst tail as a part of its target, as last measured.
-	strain  float64
+	strain float64
+	// usual is the mean tail as a part of its target, each counted up to its target.
+	usual   float64
 	pacedAt time.Time
 	// leftAt is when a run that fills the worker last left it.
 	leftAt time.Time
