--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -31,6 +31,7 @@
 const (
 	holderKey   = "pond/holder"
 	headKey     = "pond/head"
+	learnedKey  = "pond/learned"
 	jobPrefix   = "pond/job/"
 	inboxPrefix = "pond/inbox/"
 	// cancelSuffix marks the inbox key of a cancel.
--- a/internal/desk/holder.go
+++ b/internal/desk/holder.go
@@ -44,6 +44,7 @@
 
 	head       int64
 	sequence   int64
+	learnedAt  time.Time
 	plan       chan struct{}
 	commit     chan struct{}
 	superseded chan struct{}
@@ -145,6 +146,15 @@
 	if found {
 		h.head = head.Revision
 	}
+	learned, found, err := h.Store.Read(ctx, learnedKey)
+	if err != nil {
+		return err
+	}
+	if found {
+		if err := core.RestoreLearned(learned.Value); err != nil {
+			h.Log.Emit(eventlog.RecordUnreadable, zap.String("key", learnedKey), zap.Error(err))
+		}
+	}
 	h.core = core
 	h.lookers = map[string]*looker{}
 	h.inbox = map[string]inboxEntry{}
@@ -344,6 +354,7 @@
 		If:   []store.Condition{{Key: holderKey, Revision: h.Token}, {Key: headKey, Revision: h.head}},
 		Then: []store.Op{store.Put(headKey, []byte(stamp))},
 	}
+	txn.Then = append(txn.Then, h.learned()...)
 	room := maxEntries - len(txn.If) - len(txn.Then) - len(changes.Records)
 	for _, r := range changes.Records {
 		if r.Value == nil {
@@ -377,6 +388,26 @@
 	}
 }
 
+// learnEvery is how often what was learned goes along with a commit; it changes slowly.
+const learnEvery = 3 * time.Second
+
+// learned returns the write of what was learned, if its time has come.
+func (h *Holder) learned() []store.Op {
+	at := now()
+	if at.Sub(h.learnedAt) < learnEvery {
+		return nil
+	}
+	h.learnedAt = at
+	h.mu.Lock()
+	value, err := h.core.Learned()
+	h.mu.Unlock()
+	if err != nil {
+		h.Log.Emit(eventlog.RecordUnreadable, zap.String("key", learnedKey), zap.Error(err))
+		return nil
+	}
+	return []store.Op{store.Put(learnedKey, value)}
+}
+
 // retryCommit is the pause between two tries of a commit.
 const retryCommit = 60 * time.Millisecond
 
--- a/internal/interference/risk.go
+++ b/internal/interference/risk.go
@@ -40,8 +40,9 @@
 	temper = 0.5
 	// leastPart is the part below which an aggressor is not regarded.
 	leastPart = 0.02
-	// greatestOdds keeps a pair open to new measurements.
+	// greatestOdds keeps a pair open to new measurements, and leastRisk is the probability that follows.
 	greatestOdds = 4
+	leastRisk    = 0.018
 )
 
 // Of returns the probability that an aggressor harms a victim. Both are numbered from 0.
@@ -52,6 +53,20 @@
 	return r.pairs[victim][aggressor].risk
 }
 
+// Known returns the probability for a pair that was measured, and whether it was.
+func (r *Risk) Known(victim, aggressor int) (float64, bool) {
+	if victim >= len(r.pairs) || aggressor >= len(r.pairs[victim]) {
+		return 0, false
+	}
+	p := r.pairs[victim][aggressor]
+	return p.risk, p.known
+}
+
+// Set takes the probability for a pair from an earlier model.
+func (r *Risk) Set(victim, aggressor int, risk float64) {
+	*r.pair(victim, aggressor) = pairRisk{known: true, risk: max(leastRisk, min(1-leastRisk, risk))}
+}
+
 // pair returns a pair for a change.
 func (r *Risk) pair(victim, aggressor int) *pairRisk {
 	for victim >= len(r.pairs) {
