--- a/internal/batch/look.go
+++ b/internal/batch/look.go
@@ -106,7 +106,11 @@
 		c.note(Note{Kind: NoteWorkerBack, Worker: id, Age: now.Sub(w.silentSince)})
 	}
 	w.hear(rep.Clock, now)
-	w.adopted = true
+	if !w.adopted {
+		// Earlier holders are fenced from now on; what they granted lapses within a lease.
+		w.adopted = true
+		w.lapseAt = now.Add(time.Duration(float64(c.timing.Lease)/clockRate) + lapseSlack)
+	}
 	slices.SortFunc(rep.Ended, func(a, b EndedRow) int { return cmp.Compare(a.Number, b.Number) })
 	for _, e := range rep.Ended {
 		c.observeEnd(w, e, now)
--- a/internal/desk/calls.go
+++ b/internal/desk/calls.go
@@ -300,12 +300,12 @@
 }
 
 func (h *Holder) submit(ctx context.Context, j batch.Job) error {
-	if h.isAway(now()) {
+	if h.isAway(h.Now()) {
 		return h.whileAway(j.ID)
 	}
 	done := make(chan struct{})
 	h.mu.Lock()
-	err := h.core.Submit(j, now(), func(batch.State) { close(done) })
+	err := h.core.Submit(j, h.Now(), func(batch.State) { close(done) })
 	h.mu.Unlock()
 	if err != nil {
 		return err
@@ -333,7 +333,7 @@
 func (h *Holder) cancel(ctx context.Context, id string) (bool, error) {
 	done := make(chan struct{})
 	h.mu.Lock()
-	known := h.core.Cancel(id, now(), func(batch.State) { close(done) })
+	known := h.core.Cancel(id, h.Now(), func(batch.State) { close(done) })
 	waits := false
 	if !known {
 		_, waits = h.inbox[id]
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -87,6 +87,8 @@
 	Timing batch.Timing
 	Log    *eventlog.Log
 	Meter  *Meter
+	// Now is the steady time by which leases are judged; nil means that of the machine.
+	Now func() time.Time
 
 	mu      sync.Mutex
 	table   batch.Table
@@ -209,7 +211,12 @@
 }
 
 // now is the steady time.
-func now() time.Time { return steady.Now() }
+func (d *Desk) now() time.Time {
+	if d.Now == nil {
+		return steady.Now()
+	}
+	return d.Now()
+}
 
 // Leave ends the node's term, if it holds one, and keeps it from another.
 func (d *Desk) Leave() {
--- /dev/null
+++ b/internal/desk/desk_test.go
@@ -0,0 +1,337 @@
+package desk
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/stretchr/testify/require"
+
+	"github.com/oriolepond/oriolepond/internal/batch"
+	"github.com/oriolepond/oriolepond/internal/eventlog"
+	"github.com/oriolepond/oriolepond/internal/store"
+	"github.com/oriolepond/oriolepond/pkg/share"
+)
+
+const testPrefix = "workers/"
+
+// world is a store, workers and nodes within one synctest bubble.
+type world struct {
+	t       *testing.T
+	store   *fakeStore
+	workers *fakeWorkers
+	nodes   map[string]*Desk
+	stops   map[string]context.CancelFunc
+	// cut are the nodes that no peer reaches.
+	cut map[string]bool
+}
+
+var errCut = errors.New("no way to the peer")
+
+func newWorld(t *testing.T, duration time.Duration, workers ...string) *world {
+	w := &world{
+		t: t, store: newFakeStore(), workers: newFakeWorkers(duration, workers...),
+		nodes: map[string]*Desk{}, stops: map[string]context.CancelFunc{}, cut: map[string]bool{},
+	}
+	for _, id := range workers {
+		w.store.put(testPrefix+id, []byte(id))
+	}
+	return w
+}
+
+func testTable() batch.Table {
+	return batch.Table{
+		Version:  1,
+		Queues:   map[string]batch.Queue{"review": {Name: "review", Service: "pool", Attempts: 3, Slack: 2, Target: time.Second}},
+		Services: map[string]batch.Service{"pool": {Name: "pool", Guards: true}},
+	}
+}
+
+// add starts a node.
+func (w *world) add(name string) *Desk {
+	ctx, cancel := context.WithCancel(context.Background())
+	d := &Desk{
+		ID: name + "/" + fmt.Sprint(len(w.stops)), Address: name, Share: 1, Store: w.store.client(name), Workers: w.workers.calls(),
+		WorkerPrefix: testPrefix, Timing: batch.DefaultTiming(), Log: eventlog.Discard(), Meter: NewMeter(metrics.NewSet()),
+		Now: time.Now,
+		DecodeWorker: func(key string, value []byte) (batch.WorkerInfo, error) {
+			return batch.WorkerInfo{
+				ID: string(value), Address: string(value), Service: "pool", Born: 1,
+				Capacity: share.Resources{Processors: 32_000, Memory: 64 << 30},
+			}, nil
+		},
+		Peer: func(address string) (*Calls, error) {
+			peer := w.nodes[address]
+			if peer == nil || w.cut[address] || w.cut[name] {
+				return nil, &UnknownError{Err: errCut}
+			}
+			return peer.LocalCalls(), nil
+		},
+	}
+	d.SetTable(testTable())
+	w.nodes[name], w.stops[name] = d, cancel
+	go func() { _ = d.Run(ctx) }()
+	return d
+}
+
+// kill ends a node at once; what it has begun is not answered any more.
+func (w *world) kill(name string) {
+	w.stops[name]()
+	delete(w.nodes, name)
+	delete(w.stops, name)
+}
+
+// end stops all nodes, so that the bubble can end.
+func (w *world) end() {
+	for name := range w.stops {
+		w.kill(name)
+	}
+	time.Sleep(10 * time.Second)
+	synctest.Wait()
+	require.Empty(w.t, w.workers.rules())
+	require.Zero(w.t, w.store.tooMany, "commits above the store's entries")
+}
+
+// holder returns the node that holds, or nil.
+func (w *world) holder() (string, *Holder) {
+	for name, d := range w.nodes {
+		if h := d.local(); h != nil {
+			return name, h
+		}
+	}
+	return "", nil
+}
+
+func testJob(id, tasks int) batch.Job {
+	return batch.Job{ID: fmt.Sprintf("%016x", id), Queue: "review", Spec: "spec", Steps: []batch.Step{
+		{Tasks: tasks, Size: share.Resources{Processors: 1000, Memory: 1 << 30}, Estimate: time.Second},
+		{Tasks: 1, Size: share.Resources{Processors: 1000, Memory: 1 << 30}, Estimate: time.Second, After: []int{0}},
+	}}
+}
+
+// submit hands a job in through a node, within a caller's patience.
+func submit(d *Desk, j batch.Job) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	return d.Submit(ctx, j)
+}
+
+func state(t *testing.T, d *Desk, id string) batch.State {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	s, known, err := d.State(ctx, id)
+	require.NoError(t, err)
+	require.True(t, known, "job %s", id)
+	return s
+}
+
+func TestJobRunsThroughItsSteps(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, time.Second, "w1", "w2")
+		defer w.end()
+		a, b := w.add("a"), w.add("b")
+		time.Sleep(2 * time.Second)
+		j := testJob(1, 6)
+		began := time.Now()
+		require.NoError(t, submit(a, j))
+		require.Less(t, time.Since(began), 100*time.Millisecond)
+		require.NoError(t, submit(b, j), "a repeat is the same job")
+		time.Sleep(500 * time.Millisecond)
+		require.Equal(t, batch.Active, state(t, b, j.ID))
+		time.Sleep(2 * time.Second)
+		require.Equal(t, batch.Completed, state(t, a, j.ID))
+		require.Equal(t, 7, w.workers.starts)
+	})
+}
+
+// A term that is lost while a commit is under way must not take the commit for
+// done: a caller was told that a job was accepted which the store never saw.
+func TestTermThatEndsAmidACommitAcknowledgesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, time.Second, "w1")
+		defer w.end()
+		a := w.add("a")
+		time.Sleep(2 * time.Second)
+		name, h := w.holder()
+		require.Equal(t, "a", name)
+		w.store.set(func(s *fakeStore) { s.silent = true })
+		result := make(chan error, 1)
+		go func() { result <- submit(a, testJob(1, 1)) }()
+		time.Sleep(300 * time.Millisecond)
+		h.lose("test")
+		require.Error(t, <-result)
+		w.store.set(func(s *fakeStore) { s.silent = false })
+		time.Sleep(5 * time.Second)
+		require.False(t, w.store.has(jobPrefix+testJob(1, 1).ID))
+	})
+}
+
+// A commit may be carried out without an answer, or seconds later.
+func TestCommitsWithoutAnAnswerAreResolved(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		late time.Duration
+	}{
+		{name: "carried out at once"},
+		{name: "carried out later", late: 2 * time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, time.Second, "w1", "w2")
+				defer w.end()
+				a := w.add("a")
+				time.Sleep(2 * time.Second)
+				n := 0
+				w.store.set(func(s *fakeStore) {
+					s.lose = func(store.Txn) (bool, time.Duration) {
+						n++
+						return n%3 == 0, c.late
+					}
+				})
+				for i := range 10 {
+					require.NoError(t, submit(a, testJob(i, 3)))
+					time.Sleep(100 * time.Millisecond)
+				}
+				time.Sleep(20 * time.Second)
+				for i := range 10 {
+					require.Equal(t, batch.Completed, state(t, a, testJob(i, 3).ID))
+				}
+				require.Equal(t, 40, w.workers.starts, "no task runs again")
+			})
+		})
+	}
+}
+
+func TestAnotherNodeTakesOver(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// lose takes the holder away; within is how soon another one has to start tasks.
+		lose   func(w *world, holder string)
+		within time.Duration
+	}{
+		{
+			name: "killed", within: 2500 * time.Millisecond,
+			lose: func(w *world, holder string) { w.kill(holder) },
+		},
+		{
+			name: "planned stop", within: time.Second,
+			lose: func(w *world, holder string) { w.nodes[holder].Leave() },
+		},
+		{
+			name: "refused by the store", within: 3 * time.Second,
+			lose: func(w *world, holder string) {
+				w.store.set(func(s *fakeStore) { s.refused[holder] = true })
+			},
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, 4*time.Second, "w1", "w2", "w3")
+				defer w.end()
+				for _, name := range []string{"a", "b", "c"} {
+					w.add(name)
+				}
+				time.Sleep(2 * time.Second)
+				first, _ := w.holder()
+				require.NoError(t, submit(w.nodes[first], testJob(1, 8)))
+				time.Sleep(time.Second)
+				starts := w.workers.starts
+				require.Equal(t, 8, starts)
+				c.lose(w, first)
+				var other *Desk
+				for name, d := range w.nodes {
+					if name != first {
+						other = d
+					}
+				}
+				began := time.Now()
+				require.NoError(t, submit(other, testJob(2, 2)), "accepted without a holder")
+				for w.workers.starts < starts+2 {
+					time.Sleep(10 * time.Millisecond)
+					require.Less(t, time.Since(began), c.within)
+				}
+				time.Sleep(15 * time.Second)
+				require.Equal(t, batch.Completed, state(t, other, testJob(1, 8).ID))
+				require.Equal(t, batch.Completed, state(t, other, testJob(2, 2).ID))
+				require.Equal(t, 12, w.workers.starts, "what ran goes on")
+			})
+		})
+	}
+}
+
+// After the loss of all nodes many submissions wait in the inbox; a commit with
+// all of them and their keys is above what the store takes.
+func TestFullInboxIsTakenIn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, time.Second, "w1", "w2")
+		defer w.end()
+		for i := range 60 {
+			value, err := batch.EncodeJob(testJob(i, 1))
+			require.NoError(t, err)
+			w.store.put(inboxPrefix+testJob(i, 1).ID, value)
+			if i%2 == 0 {
+				w.store.put(inboxPrefix+testJob(i, 1).ID+cancelSuffix, []byte("{}"))
+			}
+		}
+		a := w.add("a")
+		time.Sleep(15 * time.Second)
+		for i := range 60 {
+			want := batch.Completed
+			if i%2 == 0 {
+				want = batch.Cancelled
+			}
+			require.Equal(t, want, state(t, a, testJob(i, 1).ID), "job %d", i)
+			require.False(t, w.store.has(inboxPrefix+testJob(i, 1).ID))
+		}
+	})
+}
+
+// While the store serves nobody, submissions are refused at once, truthfully;
+// what runs goes on.
+func TestStoreAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3*time.Second, "w1", "w2")
+		defer w.end()
+		a := w.add("a")
+		time.Sleep(2 * time.Second)
+		require.NoError(t, submit(a, testJob(1, 4)))
+		time.Sleep(500 * time.Millisecond)
+		w.store.set(func(s *fakeStore) { s.down = true })
+		time.Sleep(2 * time.Second)
+		began := time.Now()
+		var refused *UnavailableError
+		require.ErrorAs(t, submit(a, testJob(2, 1)), &refused)
+		require.Positive(t, refused.RetryAfter)
+		require.Less(t, time.Since(began), time.Second)
+		time.Sleep(6 * time.Second)
+		w.store.set(func(s *fakeStore) { s.down = false })
+		time.Sleep(10 * time.Second)
+		require.Equal(t, batch.Completed, state(t, a, testJob(1, 4).ID))
+		require.Equal(t, 5, w.workers.starts, "leases outlast the store's outage")
+		require.False(t, w.store.has(jobPrefix+testJob(2, 1).ID))
+	})
+}
+
+// What runs on a worker that is gone has to lapse, however often it is looked at.
+func TestSilentWorkerLapses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 8*time.Second, "w1", "w2")
+		defer w.end()
+		a := w.add("a")
+		time.Sleep(2 * time.Second)
+		require.NoError(t, submit(a, testJob(1, 8)))
+		time.Sleep(time.Second)
+		w.workers.set(func(f *fakeWorkers) { f.workers["w1"].silent = true })
+		time.Sleep(9 * time.Second)
+		w.workers.set(func(f *fakeWorkers) {
+			require.Len(t, f.workers["w2"].running, 4, "tasks of the silent worker run elsewhere")
+		})
+		time.Sleep(25 * time.Second)
+		require.Equal(t, batch.Completed, state(t, a, testJob(1, 8).ID))
+	})
+}
--- a/internal/desk/election.go
+++ b/internal/desk/election.go
@@ -94,13 +94,13 @@
 
 // tryTerm takes the holder's key if it is free, and holds until the term ends.
 func (d *Desk) tryTerm(ctx context.Context) {
-	asked := now()
+	asked := d.now()
 	id, err := d.grant(ctx)
 	if err != nil {
 		return
 	}
 	d.mu.Lock()
-	d.rtt = now().Sub(asked)
+	d.rtt = d.now().Sub(asked)
 	d.mu.Unlock()
 	token, ok := d.take(ctx, id)
 	if !ok {
@@ -159,7 +159,7 @@
 	d.mu.Unlock()
 	h := &Holder{
 		Token: token, ID: d.ID, Store: d.Store, Workers: d.Workers, Timing: d.Timing,
-		WorkerPrefix: d.WorkerPrefix, DecodeWorker: d.DecodeWorker, Log: d.Log, Meter: d.Meter,
+		WorkerPrefix: d.WorkerPrefix, DecodeWorker: d.DecodeWorker, Log: d.Log, Meter: d.Meter, Now: d.now,
 	}
 	h.renewed(asked)
 	term, cancel := context.WithCancel(ctx)
@@ -167,7 +167,7 @@
 	h.stop = cancel
 	h.superseded = make(chan struct{})
 	go d.renew(term, h, id)
-	began := now()
+	began := d.now()
 	d.Log.Emit(eventlog.TermBegun, zap.Int64("token", token), zap.String("former", former.ID))
 	err := h.load(term, table, d.unheard(former))
 	if err == nil {
@@ -176,7 +176,7 @@
 		newer := d.table
 		d.mu.Unlock()
 		h.setTable(newer)
-		d.Log.Emit(eventlog.TermServing, zap.Int64("token", token), zap.Duration("loaded", now().Sub(began)),
+		d.Log.Emit(eventlog.TermServing, zap.Int64("token", token), zap.Duration("loaded", d.now().Sub(began)),
 			zap.Int("jobs", h.size()))
 		err = h.run(term)
 	}
@@ -206,7 +206,7 @@
 			return
 		case <-time.After(renewEvery):
 		}
-		asked := now()
+		asked := d.now()
 		call, cancel := context.WithTimeout(ctx, renewTimeout)
 		err := d.Store.KeepAlive(call, id)
 		cancel()
@@ -217,7 +217,7 @@
 		case errors.As(err, &lapsed):
 			h.lose("the store no longer knows the lease")
 			return
-		case ctx.Err() == nil && now().After(h.graceEnds()):
+		case ctx.Err() == nil && d.now().After(h.graceEnds()):
 			h.lose("the store was away for too long")
 			return
 		}
--- a/internal/desk/holder.go
+++ b/internal/desk/holder.go
@@ -29,6 +29,8 @@
 	DecodeWorker func(key string, value []byte) (batch.WorkerInfo, error)
 	Log          *eventlog.Log
 	Meter        *Meter
+	// Now is the steady time.
+	Now func() time.Time
 
 	stop context.CancelFunc
 
@@ -126,9 +128,9 @@
 func (h *Holder) load(ctx context.Context, t batch.Table, unheard time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
-	at := now()
+	at := h.Now()
 	core := batch.NewCore(h.Timing, at, at.Add(unheard))
-	core.SetWall(wallOffset())
+	core.SetWall(h.wallOffset())
 	core.SetTable(t)
 	jobs, err := h.Store.List(ctx, jobPrefix)
 	if err != nil {
@@ -228,7 +230,7 @@
 		all = append(all, info)
 	}
 	h.mu.Lock()
-	h.core.SetWorkers(all, now())
+	h.core.SetWorkers(all, h.Now())
 	h.mu.Unlock()
 	h.syncLookers()
 	h.kick(h.plan)
@@ -239,7 +241,7 @@
 		id := strings.TrimPrefix(c.Entry.Key, h.WorkerPrefix)
 		if c.Deleted {
 			h.mu.Lock()
-			h.core.RemoveWorker(id, now())
+			h.core.RemoveWorker(id, h.Now())
 			h.mu.Unlock()
 			continue
 		}
@@ -249,7 +251,7 @@
 			continue
 		}
 		h.mu.Lock()
-		h.core.SetWorker(info, now())
+		h.core.SetWorker(info, h.Now())
 		h.mu.Unlock()
 	}
 	h.syncLookers()
@@ -268,13 +270,13 @@
 		case <-h.plan:
 		case <-tick.C:
 		}
-		if gap := planGap - now().Sub(last); gap > 0 {
+		if gap := planGap - h.Now().Sub(last); gap > 0 {
 			time.Sleep(gap)
 		}
-		last = now()
+		last = h.Now()
 		h.mu.Lock()
-		h.core.SetWall(wallOffset())
-		h.core.Plan(now())
+		h.core.SetWall(h.wallOffset())
+		h.core.Plan(h.Now())
 		dirty := h.core.HasChanges()
 		h.mu.Unlock()
 		h.carryOut(ctx, nil)
@@ -319,10 +321,10 @@
 			return nil
 		case <-h.commit:
 		}
-		if gap := commitGap - now().Sub(last); gap > 0 {
+		if gap := commitGap - h.Now().Sub(last); gap > 0 {
 			time.Sleep(gap)
 		}
-		last = now()
+		last = h.Now()
 		h.mu.Lock()
 		changes, err := h.core.Take(maxRecords)
 		h.mu.Unlock()
@@ -367,8 +369,8 @@
 			room--
 		}
 	}
-	began := now()
-	defer h.Meter.Commit(began)
+	began := h.Now()
+	defer func() { h.Meter.Commit(h.Now().Sub(began)) }()
 	for try := 0; ; try++ {
 		revision, known, err := h.tryWrite(ctx, txn, stamp, try > 0)
 		switch {
@@ -393,7 +395,7 @@
 
 // learned returns the write of what was learned, if its time has come.
 func (h *Holder) learned() []store.Op {
-	at := now()
+	at := h.Now()
 	if at.Sub(h.learnedAt) < learnEvery {
 		return nil
 	}
--- a/internal/desk/inbox.go
+++ b/internal/desk/inbox.go
@@ -41,10 +41,10 @@
 		}
 		j, err := batch.DecodeJob(e.Value)
 		if err == nil {
-			err = h.core.Submit(j, now(), nil)
+			err = h.core.Submit(j, h.Now(), nil)
 			var gone *batch.NoQueueError
 			if errors.As(err, &gone) {
-				err = h.core.SubmitTo(j, now())
+				err = h.core.SubmitTo(j, h.Now())
 			}
 		}
 		if err != nil {
@@ -60,7 +60,7 @@
 			continue
 		}
 		h.noteInbox(id, func(n *inboxEntry) { n.cancelled = true })
-		if h.core.Cancel(id, now(), nil) {
+		if h.core.Cancel(id, h.Now(), nil) {
 			h.core.Touch(id)
 		}
 	}
--- a/internal/desk/looks.go
+++ b/internal/desk/looks.go
@@ -160,7 +160,7 @@
 
 // look makes one look, and reports whether the worker might wait for an end, and whether it answered.
 func (h *Holder) look(ctx context.Context, id string) (waited, answered bool) {
-	sent := now()
+	sent := h.Now()
 	if sent.After(h.graceEnds()) {
 		return false, false
 	}
@@ -183,8 +183,8 @@
 	if ctx.Err() != nil {
 		return false, false
 	}
-	got := now()
-	h.Meter.Look(sent)
+	got := h.Now()
+	h.Meter.Look(got.Sub(sent))
 	h.mu.Lock()
 	if err == nil {
 		h.core.Observe(id, report, sent, got)
@@ -217,7 +217,7 @@
 			return
 		}
 		defer func() { <-h.orders }()
-		sent := now()
+		sent := h.Now()
 		if o.Kind == batch.OrderStart && !h.holds(sent) {
 			h.mu.Lock()
 			h.core.NotSent(o, sent)
@@ -233,9 +233,9 @@
 		bounded, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
 		result := h.Workers.Order(bounded, call, h.Token)
-		h.Meter.Order(call.Kind, result.Answer, sent)
+		h.Meter.Order(call.Kind, result.Answer, h.Now().Sub(sent))
 		h.mu.Lock()
-		h.core.Answered(o, result, sent, now())
+		h.core.Answered(o, result, sent, h.Now())
 		h.mu.Unlock()
 		if result.Answer == batch.AnswerFenced {
 			h.lose("worker " + call.Worker + " has heard a newer holder")
@@ -254,12 +254,12 @@
 // ask puts a question to the adviser.
 func (h *Holder) ask(ctx context.Context, q batch.Question) {
 	h.running.Go(func() {
-		sent := now()
+		sent := h.Now()
 		call, cancel := context.WithTimeout(ctx, askTimeout)
 		defer cancel()
 		admitted, valid, err := h.Workers.Ask(call, q.Step, q.Workers)
 		h.mu.Lock()
-		h.core.Advised(q, admitted, valid, err, sent, now())
+		h.core.Advised(q, admitted, valid, err, sent, h.Now())
 		h.mu.Unlock()
 		if err != nil {
 			h.Log.Emit(eventlog.AdviceMissing, zap.String("step", q.Step), zap.Error(err))
--- a/internal/desk/meter.go
+++ b/internal/desk/meter.go
@@ -27,14 +27,14 @@
 	}
 }
 
-// Commit counts a commit that began at a time.
-func (m *Meter) Commit(began time.Time) { m.commits.Update(now().Sub(began).Seconds()) }
+// Commit counts a commit by the time that it took.
+func (m *Meter) Commit(took time.Duration) { m.commits.Update(took.Seconds()) }
 
-// Look counts a look that was sent at a time.
-func (m *Meter) Look(sent time.Time) { m.looks.Update(now().Sub(sent).Seconds()) }
+// Look counts a look by the time until its answer or failure.
+func (m *Meter) Look(took time.Duration) { m.looks.Update(took.Seconds()) }
 
-// Order counts an order that was sent at a time.
-func (m *Meter) Order(kind batch.OrderKind, answer batch.Answer, sent time.Time) {
-	m.orders.Update(now().Sub(sent).Seconds())
+// Order counts an order by the time until its answer or failure.
+func (m *Meter) Order(kind batch.OrderKind, answer batch.Answer, took time.Duration) {
+	m.orders.Update(took.Seconds())
 	m.set.GetOrCreateCounter(fmt.Sprintf("oriolepond_orders_total{kind=%q,answer=%q}", kind, answer)).Inc()
 }
--- /dev/null
+++ b/internal/desk/store_test.go
@@ -0,0 +1,263 @@
+package desk
+
+import (
+	"context"
+	"errors"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/oriolepond/oriolepond/internal/store"
+)
+
+var errLost = errors.New("answer lost")
+
+// maxTxnEntries is how many entries the platform's store takes in one commit.
+const maxTxnEntries = 32
+
+// fakeStore is a store in memory with faults. Its clients stand for nodes.
+type fakeStore struct {
+	mu       sync.Mutex
+	revision int64
+	items    map[string]store.Entry
+	leases   map[store.LeaseID]time.Time
+	ttl      map[store.LeaseID]time.Duration
+	events   []store.Change
+	changed  chan struct{}
+	// down turns all away, refused the clients of these names.
+	down    bool
+	refused map[string]bool
+	// lose decides for each commit whether its answer is lost, and whether it is carried out late.
+	lose func(t store.Txn) (lost bool, late time.Duration)
+	// silent keeps commits from being carried out or answered at all.
+	silent  bool
+	commits int
+	tooMany int
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{
+		items: map[string]store.Entry{}, leases: map[store.LeaseID]time.Time{}, ttl: map[store.LeaseID]time.Duration{},
+		changed: make(chan struct{}), refused: map[string]bool{}, revision: 1,
+	}
+}
+
+func (s *fakeStore) note(c store.Change) {
+	s.events = append(s.events, c)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// sweep removes the keys of leases that have lapsed; s.mu is held.
+func (s *fakeStore) sweep() {
+	for id, until := range s.leases {
+		if time.Now().After(until) {
+			s.endLease(id)
+		}
+	}
+}
+
+func (s *fakeStore) endLease(id store.LeaseID) {
+	delete(s.leases, id)
+	for key, e := range s.items {
+		if e.Lease == id {
+			s.revision++
+			delete(s.items, key)
+			s.note(store.Change{Entry: store.Entry{Key: key, Revision: s.revision}, Deleted: true})
+		}
+	}
+}
+
+func (s *fakeStore) admit(client, call string) error {
+	s.sweep()
+	switch {
+	case s.silent:
+		return &store.UnavailableError{Call: call, Err: errLost}
+	case s.down || s.refused[client]:
+		return &store.RefusedError{Call: call, Status: 503}
+	}
+	return nil
+}
+
+func (s *fakeStore) apply(t store.Txn) (store.Result, error) {
+	if len(t.If)+len(t.Then) > maxTxnEntries {
+		s.tooMany++
+		return store.Result{}, &store.InvalidError{Call: "commit", Status: 400}
+	}
+	for _, c := range t.If {
+		if s.items[c.Key].Revision != c.Revision {
+			return store.Result{}, nil
+		}
+	}
+	for _, op := range t.Then {
+		if op.Lease != 0 {
+			if _, ok := s.leases[op.Lease]; !ok {
+				return store.Result{}, &store.LeaseLapsedError{Lease: op.Lease}
+			}
+		}
+	}
+	s.commits++
+	s.revision++
+	for _, op := range t.Then {
+		e := store.Entry{Key: op.Key, Value: op.Value, Revision: s.revision, Lease: op.Lease}
+		if op.Kind == store.OpDelete {
+			delete(s.items, op.Key)
+			s.note(store.Change{Entry: store.Entry{Key: op.Key, Revision: s.revision}, Deleted: true})
+			continue
+		}
+		s.items[op.Key] = e
+		s.note(store.Change{Entry: e})
+	}
+	return store.Result{Done: true, Revision: s.revision}, nil
+}
+
+// client returns the calls of one node.
+func (s *fakeStore) client(name string) *store.Client {
+	return &store.Client{
+		Read: func(_ context.Context, key string) (store.Entry, bool, error) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if err := s.admit(name, "read"); err != nil {
+				return store.Entry{}, false, err
+			}
+			e, ok := s.items[key]
+			return e, ok, nil
+		},
+		List: func(_ context.Context, prefix string) (store.Snapshot, error) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if err := s.admit(name, "list"); err != nil {
+				return store.Snapshot{}, err
+			}
+			return store.Snapshot{Entries: s.with(prefix), Revision: s.revision}, nil
+		},
+		Commit: func(ctx context.Context, t store.Txn) (store.Result, error) { return s.commit(ctx, name, t) },
+		GrantLease: func(_ context.Context, ttl time.Duration) (store.LeaseID, error) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if err := s.admit(name, "grant"); err != nil {
+				return 0, err
+			}
+			s.revision++
+			id := store.LeaseID(s.revision)
+			s.leases[id], s.ttl[id] = time.Now().Add(ttl), ttl
+			return id, nil
+		},
+		KeepAlive: func(_ context.Context, id store.LeaseID) error {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if err := s.admit(name, "keep"); err != nil {
+				return err
+			}
+			if _, ok := s.leases[id]; !ok {
+				return &store.LeaseLapsedError{Lease: id}
+			}
+			s.leases[id] = time.Now().Add(s.ttl[id])
+			return nil
+		},
+		RevokeLease: func(_ context.Context, id store.LeaseID) error {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if err := s.admit(name, "revoke"); err != nil {
+				return err
+			}
+			s.endLease(id)
+			return nil
+		},
+		Watch: func(ctx context.Context, prefix string, from int64, handle func(store.Update)) error {
+			return s.watch(ctx, name, prefix, from, handle)
+		},
+	}
+}
+
+func (s *fakeStore) with(prefix string) []store.Entry {
+	var all []store.Entry
+	for key, e := range s.items {
+		if strings.HasPrefix(key, prefix) {
+			all = append(all, e)
+		}
+	}
+	sort.Slice(all, func(a, b int) bool { return all[a].Key < all[b].Key })
+	return all
+}
+
+func (s *fakeStore) commit(ctx context.Context, name string, t store.Txn) (store.Result, error) {
+	s.mu.Lock()
+	if err := s.admit(name, "commit"); err != nil {
+		silent := s.silent
+		s.mu.Unlock()
+		if silent {
+			<-ctx.Done()
+		}
+		return store.Result{}, err
+	}
+	if s.lose != nil {
+		if lost, late := s.lose(t); lost {
+			defer s.mu.Unlock()
+			if late == 0 {
+				_, _ = s.apply(t)
+			} else {
+				time.AfterFunc(late, func() {
+					s.mu.Lock()
+					defer s.mu.Unlock()
+					s.sweep()
+					_, _ = s.apply(t)
+				})
+			}
+			return store.Result{}, &store.UnavailableError{Call: "commit", Err: errLost}
+		}
+	}
+	defer s.mu.Unlock()
+	return s.apply(t)
+}
+
+func (s *fakeStore) watch(ctx context.Context, name, prefix string, from int64, handle func(store.Update)) error {
+	seen := 0
+	for {
+		s.mu.Lock()
+		if err := s.admit(name, "watch"); err != nil {
+			s.mu.Unlock()
+			return err
+		}
+		u := store.Update{Revision: s.revision}
+		for _, c := range s.events[seen:] {
+			if c.Entry.Revision >= from && strings.HasPrefix(c.Entry.Key, prefix) {
+				u.Changes = append(u.Changes, c)
+			}
+		}
+		seen = len(s.events)
+		changed := s.changed
+		s.mu.Unlock()
+		handle(u)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		case <-time.After(time.Second):
+		}
+	}
+}
+
+// put writes a key as the operator or a worker would.
+func (s *fakeStore) put(key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	e := store.Entry{Key: key, Value: value, Revision: s.revision}
+	s.items[key] = e
+	s.note(store.Change{Entry: e})
+}
+
+func (s *fakeStore) has(key string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.items[key]
+	return ok
+}
+
+func (s *fakeStore) set(change func(*fakeStore)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(s)
+}
--- a/internal/desk/wall.go
+++ b/internal/desk/wall.go
@@ -3,4 +3,4 @@
 import "time"
 
 // wallOffset is what is added to the steady time for the time of day.
-func wallOffset() time.Duration { return time.Now().Round(0).Sub(now()) }
+func (h *Holder) wallOffset() time.Duration { return time.Now().Round(0).Sub(h.Now()) }
