--- a/cmd/oriolepond/node.go
+++ b/cmd/oriolepond/node.go
@@ -37,6 +37,8 @@
 	dialTimeout = 500 * time.Millisecond
 	// memoryPart is the part of a process's memory that the garbage collector aims for.
 	memoryPart = 0.6
+	// lastWrite bounds the writing of the last lines of the log.
+	lastWrite = 200 * time.Millisecond
 	// stopMargin is kept of the time for a planned stop.
 	stopMargin = 1500 * time.Millisecond
 	// lameDuck is how long a stopping node still takes connections, until the
@@ -66,7 +68,21 @@
 		return exitUsage
 	}
 	debug.SetMemoryLimit(int64(memoryPart * float64(s.MemoryBytes)))
-	z := eventlog.NewZap(os.Stdout)
+	sink := &eventlog.Sink{Out: os.Stdout}
+	written := make(chan struct{})
+	ended := make(chan struct{})
+	go func() {
+		sink.Run(ended)
+		close(written)
+	}()
+	defer func() {
+		close(ended)
+		select {
+		case <-written:
+		case <-time.After(lastWrite):
+		}
+	}()
+	z := eventlog.NewZap(sink)
 	n := &node{settings: s, log: eventlog.New(z).With(zap.String("node", s.Node))}
 	if err := n.run(ctx, *file); err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/internal/eventlog/batch.go
+++ b/internal/eventlog/batch.go
@@ -119,4 +119,9 @@
 		Meaning: "The process was told that its settings changed; what is in force stays if there is an error.",
 		Advice:  "None, unless there is an error.",
 	})
+	LinesDropped = register(Event{
+		Number: 4052, Level: zapcore.WarnLevel, Message: "log lines dropped",
+		Meaning: "The log exceeded its volume, or its output stood still; the named number of lines is missing here.",
+		Advice:  "Look at the counters for the time of the gap; check who reads the output if this lasts.",
+	})
 )
