--- a/cmd/oriolepond/node.go
+++ b/cmd/oriolepond/node.go
@@ -182,7 +182,7 @@
 func timing(s platform.Settings) batch.Timing {
 	t := batch.DefaultTiming()
 	if s.WorkerLease > 0 {
-		t.Lease = min(t.Lease, s.WorkerLease)
+		t.Lease, t.MaxLease = min(t.Lease, s.WorkerLease), s.WorkerLease
 	}
 	if s.StopTimeout > 0 {
 		t.StopTimeout = s.StopTimeout
--- a/internal/batch/lapse.go
+++ b/internal/batch/lapse.go
@@ -77,6 +77,8 @@
 	w.adopted = false
 	w.seen, w.acked, w.pending = 0, 0, nil
 	w.clock, w.clockAt = 0, time.Time{}
+	// Orders with deadlines on the former lifetime's clock may reach this one.
+	w.lapseAt = later(w.lapseAt, c.longestLapse(now))
 	w.shunUntil, w.shunned = time.Time{}, 0
 	clear(w.strays)
 	c.health.Remove(w.ID)
@@ -93,6 +95,19 @@
 	c.look(w)
 }
 
+// longestLapse returns when all that was granted up to now has lapsed, whatever its deadline.
+func (c *Core) longestLapse(now time.Time) time.Time {
+	return now.Add(time.Duration(float64(c.timing.MaxLease)/clockRate) + lapseSlack)
+}
+
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // forgetRuns takes that nothing runs on a worker any more.
 func (c *Core) forgetRuns(w *worker, reason string, now time.Time) {
 	for _, r := range sortedRuns(w.runs) {
--- a/internal/batch/look.go
+++ b/internal/batch/look.go
@@ -28,7 +28,7 @@
 	if !w.listed {
 		return len(w.runs) > 0
 	}
-	return !w.adopted || len(w.runs) > 0 || len(w.strays) > 0 || len(w.pending) > 0
+	return !w.adopted || !w.silentSince.IsZero() || len(w.runs) > 0 || len(w.strays) > 0 || len(w.pending) > 0
 }
 
 // IsSettled reports whether all ends that a worker has listed are durable.
@@ -107,9 +107,9 @@
 	}
 	w.hear(rep.Clock, now)
 	if !w.adopted {
-		// Earlier holders are fenced from now on; what they granted lapses within a lease.
+		// Earlier holders are fenced from now on.
 		w.adopted = true
-		w.lapseAt = now.Add(time.Duration(float64(c.timing.Lease)/clockRate) + lapseSlack)
+		w.lapseAt = c.longestLapse(now)
 	}
 	slices.SortFunc(rep.Ended, func(a, b EndedRow) int { return cmp.Compare(a.Number, b.Number) })
 	for _, e := range rep.Ended {
--- a/internal/batch/timing.go
+++ b/internal/batch/timing.go
@@ -6,6 +6,8 @@
 type Timing struct {
 	// Lease is how long runs go on at a worker that hears nothing more. It outlasts a take-over.
 	Lease time.Duration
+	// MaxLease is the longest time for which a worker lets runs go on, whatever it is granted.
+	MaxLease time.Duration
 	// RenewGrace is how long a holder that lost the store still renews leases at workers.
 	RenewGrace time.Duration
 	// StopTimeout is the longest time that a worker takes to stop a run.
@@ -29,6 +31,7 @@
 func DefaultTiming() Timing {
 	return Timing{
 		Lease:        5 * time.Second,
+		MaxLease:     10 * time.Second,
 		RenewGrace:   12 * time.Second,
 		StopTimeout:  400 * time.Millisecond,
 		GangTimeout:  3 * time.Second,
