--- a/internal/batch/order.go
+++ b/internal/batch/order.go
@@ -102,6 +102,10 @@
 // Send returns the call of an order, unless it has become needless.
 func (c *Core) Send(o Order, now time.Time) (Call, bool) {
 	w := o.worker
+	if w.Address == "" {
+		// The list of workers was not read yet; a stop is tried again.
+		return Call{}, false
+	}
 	call := Call{Kind: o.Kind, Worker: w.ID, Address: w.Address}
 	if o.run == nil {
 		if _, known := w.strays[o.stray]; !known {
@@ -238,7 +242,11 @@
 	}
 	if w.silentSince.IsZero() {
 		w.silentSince = sent
-		c.note(Note{Kind: NoteWorkerLost, Worker: w.ID, Age: sent.Sub(w.heardAt), Reason: "no answer"})
+		n := Note{Kind: NoteWorkerLost, Worker: w.ID, Reason: "no answer"}
+		if !w.heardAt.IsZero() {
+			n.Age = sent.Sub(w.heardAt)
+		}
+		c.note(n)
 	}
 }
 
