Only young workers are assumed to be under a deadline of a former clock

Cause: the longest lease was assumed for every worker after a take-over, so that runs on one that fell silent within 10 s waited twice as long as needed (TestSilentWorkerLapses). A worker's clock tells how old its lifetime is.

--- a/internal/batch/look.go
+++ b/internal/batch/look.go
@@ -93,6 +93,10 @@
 	}
 }
 
+// youngFor is for how many of its longest leases a worker may still be under a
+// deadline on the clock of its former lifetime; its clock begins with its lifetime.
+const youngFor = 2
+
 // Observe takes the answer to a look that was sent at a time.
 func (c *Core) Observe(id string, rep Report, sent, now time.Time) {
 	w, ok := c.workers[id]
@@ -109,7 +113,11 @@
 	if !w.adopted {
 		// Earlier holders are fenced from now on.
 		w.adopted = true
-		w.lapseAt = c.longestLapse(now)
+		w.lapseAt = now.Add(time.Duration(float64(c.timing.Lease)/clockRate) + lapseSlack)
+		if rep.Clock < youngFor*c.timing.MaxLease {
+			// It may have been granted a deadline on a former lifetime's clock.
+			w.lapseAt = c.longestLapse(now)
+		}
 	}
 	slices.SortFunc(rep.Ended, func(a, b EndedRow) int { return cmp.Compare(a.Number, b.Number) })
 	for _, e := range rep.Ended {
