--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -30,6 +30,7 @@
 // The keys in the store.
 const (
 	holderKey   = "pond/holder"
+	bestKey     = "pond/holder/best"
 	headKey     = "pond/head"
 	learnedKey  = "pond/learned"
 	jobPrefix   = "pond/job/"
@@ -101,7 +102,9 @@
 	retired int64
 	held    int64
 	leaving bool
-	rtt     time.Duration
+	// rtt is how far the store is, best the greatest share of a processor that a node is known to have.
+	rtt  time.Duration
+	best float64
 }
 
 // holderRef is what the holder's key says.
@@ -148,8 +151,11 @@
 func (d *Desk) holderSnapshot(s store.Snapshot) {
 	var ref holderRef
 	for _, e := range s.Entries {
-		if e.Key == holderKey {
+		switch e.Key {
+		case holderKey:
 			ref = decodeHolder(e)
+		case bestKey:
+			d.setBest(e.Value)
 		}
 	}
 	d.setHolder(ref)
@@ -158,6 +164,8 @@
 func (d *Desk) holderUpdate(u store.Update) {
 	for _, c := range u.Changes {
 		switch {
+		case c.Entry.Key == bestKey && !c.Deleted:
+			d.setBest(c.Entry.Value)
 		case c.Entry.Key != holderKey:
 		case c.Deleted:
 			d.setHolder(holderRef{})
--- a/internal/desk/election.go
+++ b/internal/desk/election.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -26,9 +27,12 @@
 	standTimeout = 700 * time.Millisecond
 	// standPause is the wait between two tries to become holder.
 	standPause = 150 * time.Millisecond
-	// rttWeight and shareWeight delay a node that is far from the store, or that has little processor.
+	// rttWeight and shareWeight delay a node that is far from the store, or that
+	// has less processor than others: a holder spends most of it.
 	rttWeight   = 12
-	shareWeight = 60 * time.Millisecond
+	shareWeight = 500 * time.Millisecond
+	// firstWait lets all nodes of a new deployment tell their share before the first election.
+	firstWait = 1500 * time.Millisecond
 	// loadTimeout bounds the reading of all jobs.
 	loadTimeout = 4 * time.Second
 )
@@ -48,8 +52,58 @@
 	return holderRef{ID: w.ID, Address: w.Address, Token: e.Revision}
 }
 
+// setBest takes the greatest share that a node is known to have.
+func (d *Desk) setBest(value []byte) {
+	share, err := strconv.ParseFloat(string(value), 64)
+	if err != nil {
+		d.Log.Emit(eventlog.RecordUnreadable, zap.String("key", bestKey), zap.Error(err))
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.best = share
+}
+
+// introduce measures how far the store is, and tells the node's share if it is
+// the greatest so far. It returns how long to wait before the first election.
+func (d *Desk) introduce(ctx context.Context) time.Duration {
+	asked := d.now()
+	call, cancel := context.WithTimeout(ctx, standTimeout)
+	defer cancel()
+	e, found, err := d.Store.Read(call, bestKey)
+	if err != nil {
+		return 0
+	}
+	d.mu.Lock()
+	d.rtt = d.now().Sub(asked)
+	d.mu.Unlock()
+	if found {
+		d.setBest(e.Value)
+	}
+	d.mu.Lock()
+	best := d.best
+	d.mu.Unlock()
+	if best < d.Share {
+		value := strconv.FormatFloat(d.Share, 'f', -1, 64)
+		if _, err := d.Store.Commit(call, store.Txn{
+			If: []store.Condition{{Key: bestKey, Revision: e.Revision}}, Then: []store.Op{store.Put(bestKey, []byte(value))},
+		}); err != nil {
+			d.Log.Emit(eventlog.StoreUnavailable, zap.String("use", "share"), zap.Error(err))
+		}
+	}
+	if found {
+		return 0
+	}
+	return firstWait
+}
+
 // stand tries to become holder whenever there is none, and holds until the term ends.
 func (d *Desk) stand(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-time.After(d.introduce(ctx)):
+	}
 	for {
 		ref, changed := d.who()
 		if ref.Token != 0 || !d.maySeek() {
@@ -88,7 +142,10 @@
 func (d *Desk) standDelay() time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	delay := rttWeight*d.rtt + time.Duration(float64(shareWeight)*(1-min(1, d.Share)))
+	delay := rttWeight * d.rtt
+	if d.best > d.Share {
+		delay += time.Duration(float64(shareWeight) * (1 - d.Share/d.best))
+	}
 	return delay + time.Duration(rand.Int64N(int64(20*time.Millisecond)))
 }
 
@@ -99,9 +156,6 @@
 	if err != nil {
 		return
 	}
-	d.mu.Lock()
-	d.rtt = d.now().Sub(asked)
-	d.mu.Unlock()
 	token, ok := d.take(ctx, id)
 	if !ok {
 		d.end(id)
--- a/internal/desk/holder.go
+++ b/internal/desk/holder.go
@@ -157,12 +157,17 @@
 			h.Log.Emit(eventlog.RecordUnreadable, zap.String("key", learnedKey), zap.Error(err))
 		}
 	}
+	inbox, err := h.Store.List(ctx, inboxPrefix)
+	if err != nil {
+		return err
+	}
 	h.core = core
 	h.lookers = map[string]*looker{}
 	h.inbox = map[string]inboxEntry{}
 	h.plan = make(chan struct{}, 1)
 	h.commit = make(chan struct{}, 1)
 	h.orders = make(chan struct{}, maxOrders)
+	h.takeInbox(inbox.Entries)
 	return nil
 }
 
