A choked link between regions no longer looks like silent workers

Starts were given up, stopped and repeated, filled all places for orders, and stops and paces waited behind them for seconds. Now patience follows the answers of a data centre, stops and paces wait behind no start, versions of a large value are gathered, and a job whose run was only intended counts as waiting after a take-over.

--- a/cmd/oriolepond/node.go
+++ b/cmd/oriolepond/node.go
@@ -37,6 +37,9 @@
 	dialTimeout = 500 * time.Millisecond
 	// memoryPart is the part of a process's memory that the garbage collector aims for.
 	memoryPart = 0.6
+	// configGather spaces large configurations that come in quick succession; they
+	// have to be in force within 2.5 s.
+	configGather = 500 * time.Millisecond
 	// lastWrite bounds the writing of the last lines of the log.
 	lastWrite = 200 * time.Millisecond
 	// stopMargin is kept of the time for a planned stop.
@@ -231,6 +234,7 @@
 				}
 			}
 		},
+		Gather: configGather,
 		Lost: func(err error) {
 			n.log.Emit(eventlog.StoreUnavailable, zap.String("use", "configuration"), zap.Error(err))
 		},
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -199,9 +199,12 @@
 // occurrences returns how often the job's steps run.
 func (j *job) occurrences() int { return max(1, j.Repeat.Count) }
 
-// started reports whether a run of the job was ever ordered.
-func (j *job) started() bool {
-	return slices.ContainsFunc(j.stages, func(s *stage) bool {
-		return s.undone < len(s.tasks) || slices.ContainsFunc(s.tasks, func(t *task) bool { return t.lastRun > 0 })
+// hasBegun reports whether a record shows that a task of the job has run. A run
+// that was only intended does not count: it may never have been ordered.
+func (j *job) hasBegun() bool {
+	return j.state == Active || slices.ContainsFunc(j.stages, func(s *stage) bool {
+		return s.undone < len(s.tasks) || slices.ContainsFunc(s.tasks, func(t *task) bool {
+			return len(t.failed) > 0 || t.checkpoint != ""
+		})
 	})
 }
--- a/internal/batch/look.go
+++ b/internal/batch/look.go
@@ -10,6 +10,8 @@
 type Look struct {
 	Worker  string
 	Address string
+	// DataCentre is the worker's.
+	DataCentre string
 	// Deadline is zero if nothing is to be renewed, since the worker's clock is not known.
 	Deadline time.Duration
 	// Ack is the highest end that was committed.
@@ -60,7 +62,7 @@
 	if !ok || w.Address == "" {
 		return Look{}, false
 	}
-	l := Look{Worker: id, Address: w.Address, Ack: w.acked, Wait: !c.IsSuspect(id), Soon: w.soft.Processors > 0 && w.strain > tailLow}
+	l := Look{Worker: id, Address: w.Address, DataCentre: w.DataCentre, Ack: w.acked, Wait: !c.IsSuspect(id), Soon: w.soft.Processors > 0 && w.strain > tailLow}
 	if w.adopted && w.silentSince.IsZero() {
 		// What a silent worker runs has to lapse some time.
 		l.Deadline = w.deadline(c.timing.Lease, now)
--- a/internal/batch/order.go
+++ b/internal/batch/order.go
@@ -30,8 +30,10 @@
 	Kind    OrderKind
 	Worker  string
 	Address string
-	Task    TaskName
-	Run     int64
+	// DataCentre is the worker's.
+	DataCentre string
+	Task       TaskName
+	Run        int64
 	// Spec, Deadline, Checkpoint and Ticket belong to a start; Deadline is on the worker's clock.
 	Spec       string
 	Deadline   time.Duration
@@ -106,7 +108,7 @@
 		// The list of workers was not read yet; a stop is tried again.
 		return Call{}, false
 	}
-	call := Call{Kind: o.Kind, Worker: w.ID, Address: w.Address}
+	call := Call{Kind: o.Kind, Worker: w.ID, Address: w.Address, DataCentre: w.DataCentre}
 	if o.run == nil {
 		if _, known := w.strays[o.stray]; !known {
 			return Call{}, false
--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -326,7 +326,7 @@
 		}
 		c.restoreStage(j.stages[s.Stage], s, now)
 	}
-	if j.started() {
+	if j.hasBegun() {
 		j.state = Active
 	}
 	c.adopt(j)
--- a/internal/desk/calls.go
+++ b/internal/desk/calls.go
@@ -141,7 +141,7 @@
 		known, err = c.Cancel(ctx, id)
 		return err
 	})
-	if err == nil || isAnswer(err) {
+	if err == nil && known || isAnswer(err) {
 		return known, err
 	}
 	state, known, err := d.stored(ctx, id)
@@ -168,9 +168,10 @@
 		state, known, err = c.State(ctx, id)
 		return err
 	})
-	if err == nil {
-		return state, known, nil
+	if err == nil && known {
+		return state, true, nil
 	}
+	// A holder that the store turns away may not know what waits in the inbox.
 	return d.stored(ctx, id)
 }
 
--- a/internal/desk/holder.go
+++ b/internal/desk/holder.go
@@ -52,7 +52,9 @@
 	superseded chan struct{}
 	once       sync.Once
 	running    sync.WaitGroup
-	orders     chan struct{}
+	// orders holds a place for each start that is under way.
+	orders   chan struct{}
+	patience patience
 	// spawn starts a looker of the term.
 	spawn func(id string, l *looker)
 }
@@ -78,8 +80,9 @@
 	maxEntries = 32
 	// maxRecords leaves room for the conditions, the head and some inbox keys.
 	maxRecords = 20
-	// maxOrders bounds the orders that are under way at once.
-	maxOrders = 96
+	// maxOrders bounds the starts that are under way at once: 330 a second at answers
+	// that take two thirds of a second each.
+	maxOrders = 256
 )
 
 // renewed notes that the lease was renewed by a call that was made at a time.
--- a/internal/desk/looks.go
+++ b/internal/desk/looks.go
@@ -24,14 +24,10 @@
 	// soonWait is the same for a worker whose serving tasks are near their targets:
 	// it measures them over half a second.
 	soonWait = 400 * time.Millisecond
-	// lookTimeout bounds a look that does not wait.
-	lookTimeout = 700 * time.Millisecond
 	// lookPause is the wait after a look that failed.
 	lookPause = 250 * time.Millisecond
 	// settleTimeout is how long a look waits for the commit of ends that were listed.
 	settleTimeout = 300 * time.Millisecond
-	// orderTimeout bounds one order.
-	orderTimeout = 600 * time.Millisecond
 )
 
 // syncLookers starts a looker for each worker that has none.
@@ -177,7 +173,7 @@
 	case l.Wait:
 		wait = lookWait
 	}
-	call, cancel := context.WithTimeout(ctx, lookTimeout+wait)
+	call, cancel := context.WithTimeout(ctx, h.patience.of(l.DataCentre)+wait)
 	defer cancel()
 	report, err := h.Workers.Look(call, l, wait, h.Token)
 	if ctx.Err() != nil {
@@ -211,12 +207,15 @@
 // send carries out one order.
 func (h *Holder) send(ctx context.Context, o batch.Order) {
 	h.running.Go(func() {
-		select {
-		case h.orders <- struct{}{}:
-		case <-ctx.Done():
-			return
+		if o.Kind == batch.OrderStart {
+			// Stops and paces relieve a worker, and never wait behind starts.
+			select {
+			case h.orders <- struct{}{}:
+			case <-ctx.Done():
+				return
+			}
+			defer func() { <-h.orders }()
 		}
-		defer func() { <-h.orders }()
 		sent := h.Now()
 		if o.Kind == batch.OrderStart && !h.holds(sent) {
 			h.mu.Lock()
@@ -230,10 +229,12 @@
 		if !ok {
 			return
 		}
-		bounded, cancel := context.WithTimeout(ctx, orderTimeout)
+		bounded, cancel := context.WithTimeout(ctx, h.patience.of(call.DataCentre))
 		defer cancel()
 		result := h.Workers.Order(bounded, call, h.Token)
-		h.Meter.Order(call.Kind, result.Answer, h.Now().Sub(sent))
+		took := h.Now().Sub(sent)
+		h.patience.observe(call.DataCentre, took)
+		h.Meter.Order(call.Kind, result.Answer, took)
 		h.mu.Lock()
 		h.core.Answered(o, result, sent, h.Now())
 		h.mu.Unlock()
@@ -245,7 +246,8 @@
 		}
 		if result.Answer != batch.AnswerDone {
 			h.Log.Emit(eventlog.OrderRefused, zap.String("kind", string(call.Kind)), zap.Stringer("task", call.Task),
-				zap.Int64("run", call.Run), zap.String("worker", call.Worker), zap.String("answer", string(result.Answer)))
+				zap.Int64("run", call.Run), zap.String("worker", call.Worker), zap.String("address", call.Address),
+				zap.Duration("took", took), zap.String("answer", string(result.Answer)))
 			h.kick(h.plan)
 		}
 	})
