--- a/cmd/oriolepond/node.go
+++ b/cmd/oriolepond/node.go
@@ -54,6 +54,7 @@
 	settings platform.Settings
 	log      *eventlog.Log
 	desk     *desk.Desk
+	set      *metrics.Set
 	config   atomic.Pointer[platform.Config]
 	stopping atomic.Bool
 }
@@ -113,6 +114,7 @@
 	pool := &peer.Pool{}
 	defer pool.Close()
 	set := metrics.NewSet()
+	n.set = set
 	n.desk = &desk.Desk{
 		ID: s.Node + "/" + uuid.NewString(), Address: s.Peer, Share: s.ProcessorShare, Store: kv,
 		Workers:      platform.NewWorkers(s.AdviserAddress, client(lookConns, 0), client(orderConns, orderConns)),
@@ -145,6 +147,9 @@
 	n.addLoops(&g, kv)
 	addServer(&g, front, listeners[0])
 	addServer(&g, ready, listeners[1])
+	if err := n.addMetrics(&g, set); err != nil {
+		return err
+	}
 	g.Add(func() error { return server.Serve(listeners[2]) }, func(error) { server.Stop() })
 	n.addReload(&g, file)
 	ended, end := context.WithCancel(context.Background())
@@ -162,6 +167,21 @@
 	return err
 }
 
+// addMetrics serves the node's metrics at the last port that is its own.
+func (n *node) addMetrics(g *run.Group, set *metrics.Set) error {
+	l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", n.settings.IP, n.settings.LastPort))
+	if err != nil {
+		return fmt.Errorf("listen for metrics: %w", err)
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		set.WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+	})
+	addServer(g, &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}, l)
+	return nil
+}
+
 // headerTimeout bounds the time in which a caller sends its headers.
 const headerTimeout = 5 * time.Second
 
@@ -218,6 +238,7 @@
 func (n *node) isReady() bool { return n.config.Load() != nil && !n.stopping.Load() }
 
 func (n *node) refused(r *http.Request, queue, id string, status int, err error) {
+	n.set.GetOrCreateCounter(fmt.Sprintf("oriolepond_calls_not_served_total{method=%q,status=\"%d\"}", r.Method, status)).Inc()
 	n.log.Emit(eventlog.CallNotServed, zap.String("method", r.Method), zap.String("queue", queue),
 		zap.String("job", id), zap.Int("status", status), zap.Error(err))
 }
--- a/cmd/pondctl/terminal.go
+++ b/cmd/pondctl/terminal.go
@@ -63,6 +63,7 @@
 		{"history", "", "list the accepted notes, newest first", "pondctl history -at 10.0.0.1:8082 -n 50", 0, history},
 		{"account", "", "print who used what", "pondctl account -at 10.0.0.1:8082", 0, account},
 		{"burn", "", "print how fast the services' error budgets burn, and why", "pondctl burn -at 10.0.0.1:8082 -html burn.html", 0, burnReport},
+		{"explain", "ID", "print the life of a job or task from nodes' logs", "pondctl explain -log a.log -log b.log 5c0e7a21d94b36f8", 1, explain},
 		{"job submit", "FAMILY", "submit a job, with a caller's token", "pondctl job submit -at 10.0.0.1:8080 -tasks 20 flatness-review", 1, jobSubmit},
 		{"job status", "ID", "print the state of a job, with a caller's token", "pondctl job status -at 10.0.0.1:8080 ID", 1, jobStatus},
 		{"job cancel", "ID", "cancel a job, with a caller's token", "pondctl job cancel -at 10.0.0.1:8080 ID", 1, jobCancel},
