--- a/cmd/oriolepond/node.go
+++ b/cmd/oriolepond/node.go
@@ -116,7 +116,7 @@
 	set := metrics.NewSet()
 	n.set = set
 	n.desk = &desk.Desk{
-		ID: s.Node + "/" + uuid.NewString(), Address: s.Peer, Share: s.ProcessorShare, Store: kv,
+		ID: s.Node + "/" + uuid.NewString(), Address: s.Peer, Peers: s.Seeds, Share: s.ProcessorShare, Store: kv,
 		Workers:      platform.NewWorkers(s.AdviserAddress, client(lookConns, 0), client(orderConns, orderConns)),
 		WorkerPrefix: platform.WorkerPrefix, DecodeWorker: platform.DecodeWorker,
 		Peer: func(address string) (*desk.Calls, error) {
--- a/internal/desk/calls.go
+++ b/internal/desk/calls.go
@@ -15,7 +15,9 @@
 
 // Calls are the calls to a holder.
 type Calls struct {
-	Submit  func(ctx context.Context, j batch.Job) error
+	Submit func(ctx context.Context, j batch.Job) error
+	// Relay submits a job through a node that need not be the holder.
+	Relay   func(ctx context.Context, j batch.Job) error
 	Cancel  func(ctx context.Context, id string) (known bool, err error)
 	State   func(ctx context.Context, id string) (batch.State, bool, error)
 	Pending func(ctx context.Context, queue string) (int, error)
@@ -63,8 +65,37 @@
 
 // Submit accepts a job; it returns once the job is durable. An
 // *UnavailableError means that the job will never run, an *UnknownError that it
-// may be accepted.
+// may be accepted. If neither the holder nor the store serves this node,
+// another node is asked before the job is refused.
 func (d *Desk) Submit(ctx context.Context, j batch.Job) error {
+	err := d.submitHere(ctx, j)
+	if !errors.As(err, new(*UnavailableError)) {
+		return err
+	}
+	for _, address := range d.Peers {
+		if address == d.Address || remaining(ctx) < relayTimeout {
+			continue
+		}
+		c, peerErr := d.Peer(address)
+		if peerErr != nil {
+			continue
+		}
+		bounded, cancel := context.WithTimeout(ctx, relayTimeout)
+		relayed := c.Relay(bounded, j)
+		cancel()
+		d.Log.Emit(eventlog.Relayed, zap.String("job", j.ID), zap.String("peer", address), zap.Error(relayed))
+		if !errors.As(relayed, new(*UnavailableError)) {
+			return relayed
+		}
+	}
+	return err
+}
+
+// relayTimeout bounds a submission through another node.
+const relayTimeout = 800 * time.Millisecond
+
+// submitHere accepts a job through the holder or the store.
+func (d *Desk) submitHere(ctx context.Context, j batch.Job) error {
 	if err := j.Check(); err != nil {
 		return err
 	}
@@ -270,6 +301,7 @@
 			}
 			return c.Submit(ctx, j)
 		},
+		Relay: d.submitHere,
 		Cancel: func(ctx context.Context, id string) (bool, error) {
 			c, err := local()
 			if err != nil {
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -83,6 +83,8 @@
 	// WorkerPrefix is where the store lists workers; DecodeWorker reads one entry.
 	WorkerPrefix string
 	DecodeWorker func(key string, value []byte) (batch.WorkerInfo, error)
+	// Peers are addresses of some other nodes, which may be out of date.
+	Peers []string
 	// Peer returns the calls of the node at an address.
 	Peer   func(address string) (*Calls, error)
 	Timing batch.Timing
--- a/internal/desk/desk_test.go
+++ b/internal/desk/desk_test.go
@@ -317,6 +317,28 @@
 	})
 }
 
+// A node that the store turns away, and which reaches no holder that the store
+// serves, asks another node before it refuses.
+func TestRefusedNodeRelays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, time.Second, "w1")
+		defer w.end()
+		a, b := w.add("a"), w.add("b")
+		time.Sleep(3 * time.Second)
+		holder, _ := w.holder()
+		refused, other := a, b
+		if holder == "b" {
+			refused, other = b, a
+		}
+		refused.Peers = []string{"a", "b"}
+		w.store.set(func(s *fakeStore) { s.refused[holder] = true })
+		time.Sleep(time.Second)
+		require.NoError(t, submit(refused, testJob(1, 1)))
+		time.Sleep(8 * time.Second)
+		require.Equal(t, batch.Completed, state(t, other, testJob(1, 1).ID))
+	})
+}
+
 // What runs on a worker that is gone has to lapse, however often it is looked at.
 func TestSilentWorkerLapses(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/eventlog/batch.go
+++ b/internal/eventlog/batch.go
@@ -109,6 +109,11 @@
 		Meaning: "The adviser of a queue did not answer; the step waits.",
 		Advice:  "Check the adviser if this lasts.",
 	})
+	Relayed = register(Event{
+		Number: 4009, Level: zapcore.InfoLevel, Message: "submission relayed",
+		Meaning: "Neither the holder nor the store serves this node; another node was asked to take the job in.",
+		Advice:  "Check this node's way to the store if it recurs.",
+	})
 	CallNotServed = register(Event{
 		Number: 4050, Level: zapcore.InfoLevel, Message: "call not served",
 		Meaning: "A caller got the status for the named reason.",
--- a/internal/peer/jobs.go
+++ b/internal/peer/jobs.go
@@ -27,6 +27,14 @@
 			_, err = c.Submit(ctx, &jobpb.SubmitRequest{Job: value})
 			return decodeJobError(err)
 		},
+		Relay: func(ctx context.Context, j batch.Job) error {
+			value, err := batch.EncodeJob(j)
+			if err != nil {
+				return err
+			}
+			_, err = c.Submit(ctx, &jobpb.SubmitRequest{Job: value, Relayed: true})
+			return decodeJobError(err)
+		},
 		Cancel: func(ctx context.Context, id string) (bool, error) {
 			r, err := c.Cancel(ctx, &jobpb.JobRequest{Id: id})
 			return r.GetKnown(), decodeJobError(err)
@@ -62,7 +70,11 @@
 	if err != nil {
 		return nil, encodeJobError(&batch.InvalidError{Reason: err.Error()})
 	}
-	return &jobpb.SubmitReply{}, encodeJobError(s.calls.Submit(ctx, j))
+	submit := s.calls.Submit
+	if q.Relayed {
+		submit = s.calls.Relay
+	}
+	return &jobpb.SubmitReply{}, encodeJobError(submit(ctx, j))
 }
 
 // Cancel withdraws a job.
