--- /dev/null
+++ b/internal/batch/shapes_test.go
@@ -0,0 +1,225 @@
+package batch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/oriolepond/oriolepond/internal/interference"
+	"github.com/oriolepond/oriolepond/pkg/share"
+)
+
+// shapesCore returns a core with adopted workers in two racks.
+func shapesCore(t *testing.T, now time.Time) *Core {
+	t.Helper()
+	c := NewCore(DefaultTiming(), now, now)
+	c.SetTable(simTable())
+	for i, rack := range []string{"r-1", "r-1", "r-2", "r-2"} {
+		id := string(rune('a' + i))
+		c.SetWorker(WorkerInfo{
+			ID: id, Address: id, Service: "pool", Born: 1, Rack: rack, Labels: []string{"kind-" + id, rack},
+			Capacity: share.Resources{Processors: 4000, Memory: 8 << 30},
+		}, now)
+		c.Observe(id, Report{Born: 1, Clock: time.Hour}, now, now)
+	}
+	return c
+}
+
+// started makes all changes durable and returns where each task was ordered.
+func started(t *testing.T, c *Core, now time.Time) map[TaskName]Call {
+	t.Helper()
+	calls := map[TaskName]Call{}
+	for c.HasChanges() {
+		changes, err := c.Take(20)
+		require.NoError(t, err)
+		for _, o := range c.Durable(changes) {
+			if call, ok := c.Send(o, now); ok {
+				calls[call.Task] = call
+				c.Answered(o, Result{Answer: AnswerDone, Clock: time.Hour}, now, now)
+			}
+		}
+	}
+	return calls
+}
+
+func TestPlacementKeepsToTheShapeOfSteps(t *testing.T) {
+	now := time.Unix(1_000_000_000, 0)
+	size := share.Resources{Processors: 1000, Memory: 1 << 30}
+	for _, c := range []struct {
+		name  string
+		step  Step
+		check func(t *testing.T, calls map[TaskName]Call)
+	}{
+		{
+			name: "required label", step: Step{Tasks: 3, Size: size, RequiredLabel: "kind-c"},
+			check: func(t *testing.T, calls map[TaskName]Call) {
+				require.Len(t, calls, 3)
+				for _, call := range calls {
+					require.Equal(t, "c", call.Worker)
+				}
+			},
+		},
+		{
+			name: "label that no worker has", step: Step{Tasks: 1, Size: size, RequiredLabel: "none"},
+			check: func(t *testing.T, calls map[TaskName]Call) { require.Empty(t, calls) },
+		},
+		{
+			name: "preferred rack", step: Step{Tasks: 6, Size: size, PreferredRack: "r-2"},
+			check: func(t *testing.T, calls map[TaskName]Call) {
+				require.Len(t, calls, 6)
+				for _, call := range calls {
+					require.Contains(t, "cd", call.Worker)
+				}
+			},
+		},
+		{
+			name: "at most one a worker", step: Step{Tasks: 6, Size: size, MaxPerWorker: 1},
+			check: func(t *testing.T, calls map[TaskName]Call) {
+				require.Len(t, calls, 4)
+				seen := map[string]bool{}
+				for _, call := range calls {
+					require.False(t, seen[call.Worker])
+					seen[call.Worker] = true
+				}
+			},
+		},
+		{
+			name: "gang in one rack", step: Step{Tasks: 6, Size: size, Gang: true, SameRack: true},
+			check: func(t *testing.T, calls map[TaskName]Call) {
+				require.Len(t, calls, 6)
+				racks := map[bool]bool{}
+				for _, call := range calls {
+					racks[call.Worker == "a" || call.Worker == "b"] = true
+					require.EqualValues(t, 1, call.Run)
+				}
+				require.Len(t, racks, 1)
+			},
+		},
+		{
+			name: "gang without room for all", step: Step{Tasks: 17, Size: size, Gang: true},
+			check: func(t *testing.T, calls map[TaskName]Call) { require.Empty(t, calls, "all or none") },
+		},
+		{
+			name: "larger than any worker", step: Step{Tasks: 1, Size: share.Resources{Processors: 9000}},
+			check: func(t *testing.T, calls map[TaskName]Call) { require.Empty(t, calls) },
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			core := shapesCore(t, now)
+			require.NoError(t, core.Submit(Job{ID: "0000000000000001", Queue: "check", Steps: []Step{c.step}}, now, nil))
+			core.Plan(now)
+			c.check(t, started(t, core, now))
+			// What cannot run holds up no other job.
+			require.NoError(t, core.Submit(Job{ID: "0000000000000002", Queue: "review", Steps: []Step{{Tasks: 1, Size: share.Resources{Processors: 100}}}}, now, nil))
+			core.Plan(now)
+			require.Len(t, started(t, core, now), 1)
+		})
+	}
+}
+
+// The members of a gang stop together, and start again with one number and one checkpoint.
+func TestGangStartsAgainAsOne(t *testing.T) {
+	now := time.Unix(1_000_000_000, 0)
+	c := shapesCore(t, now)
+	job := "0000000000000001"
+	require.NoError(t, c.Submit(Job{ID: job, Queue: "check", Steps: []Step{{
+		Tasks: 2, Size: share.Resources{Processors: 3000}, Gang: true, Checkpoints: true,
+	}}}, now, nil))
+	c.Plan(now)
+	calls := started(t, c, now)
+	require.Len(t, calls, 2)
+	first := calls[TaskName{Job: job}]
+	second := calls[TaskName{Job: job, Index: 1}]
+	now = now.Add(time.Second)
+	c.Observe(first.Worker, Report{Born: 1, Clock: time.Hour + time.Second, Ended: []EndedRow{
+		{Number: 1, Task: first.Task, Run: 1, How: EndFailed, Checkpoint: "x"},
+	}}, now, now)
+	c.Plan(now)
+	stops := c.TakeOrders()
+	require.Len(t, stops, 1)
+	require.Equal(t, second.Worker, stops[0].Worker())
+	now = now.Add(time.Second)
+	c.Observe(second.Worker, Report{Born: 1, Clock: time.Hour + 2*time.Second, Ended: []EndedRow{
+		{Number: 1, Task: second.Task, Run: 1, How: EndBroken},
+	}}, now, now)
+	c.Plan(now)
+	for _, call := range started(t, c, now) {
+		require.EqualValues(t, 2, call.Run)
+		require.Equal(t, "x", call.Checkpoint)
+	}
+}
+
+// An advised step runs only where the adviser admits it, with its ticket.
+func TestAdvisedStepWaitsForTickets(t *testing.T) {
+	now := time.Unix(1_000_000_000, 0)
+	c := shapesCore(t, now)
+	table := simTable()
+	q := table.Queues["check"]
+	q.Advised = true
+	table.Queues["check"] = q
+	c.SetTable(table)
+	require.NoError(t, c.Submit(Job{ID: "0000000000000001", Queue: "check", Steps: []Step{{Tasks: 2, Size: share.Resources{Processors: 1000}}}}, now, nil))
+	c.Plan(now)
+	require.Empty(t, started(t, c, now))
+	questions := c.TakeQuestions()
+	require.Len(t, questions, 1)
+	require.Equal(t, "0000000000000001.0.0", questions[0].Step)
+	c.Advised(questions[0], []Admission{{Worker: "b", Ticket: "t"}}, 3*time.Second, nil, now, now)
+	c.Plan(now)
+	calls := started(t, c, now)
+	require.Len(t, calls, 2)
+	for _, call := range calls {
+		require.Equal(t, "b", call.Worker)
+		require.Equal(t, "t", call.Ticket)
+	}
+}
+
+// Occurrences of a repeated job begin at their times.
+func TestRepeatedJob(t *testing.T) {
+	now := time.Unix(1_000_000_000, 0)
+	c := shapesCore(t, now)
+	require.NoError(t, c.Submit(Job{
+		ID: "0000000000000001", Queue: "check", Steps: []Step{{Tasks: 1, Size: share.Resources{Processors: 1000}}},
+		Repeat: Repeat{Count: 2, First: now.Add(time.Second), Every: time.Second},
+	}, now, nil))
+	for _, want := range []int{0, 1, 1} {
+		c.Plan(now)
+		require.Len(t, started(t, c, now), want)
+		now = now.Add(time.Second)
+	}
+}
+
+// Harm is learned from missed targets, and lets filling tasks keep away.
+func TestHarmfulImageKeepsAway(t *testing.T) {
+	now := time.Unix(1_000_000_000, 0)
+	c := shapesCore(t, now)
+	for range 12 {
+		c.risk.Observe(c.imageID("serves"), presence(c, "bad"), true)
+		c.risk.Observe(c.imageID("serves"), presence(c, "good"), false)
+	}
+	require.NoError(t, c.Submit(Job{ID: "0000000000000001", Queue: "check", Steps: []Step{{
+		Tasks: 4, Size: share.Resources{Processors: 2000}, LongRunning: true, Image: "serves", TailTarget: time.Second, MaxPerWorker: 1,
+	}}}, now, nil))
+	c.Plan(now)
+	require.Len(t, started(t, c, now), 4)
+	for i, image := range []string{"bad", "good"} {
+		require.NoError(t, c.Submit(Job{ID: []string{"0000000000000002", "0000000000000003"}[i], Queue: "review", Steps: []Step{{
+			Tasks: 1, Size: share.Resources{Processors: 500}, Fills: true, Image: image,
+		}}}, now, nil))
+	}
+	c.Plan(now)
+	calls := started(t, c, now)
+	require.Len(t, calls, 1)
+	require.Contains(t, calls, TaskName{Job: "0000000000000003"})
+	value, err := c.Learned()
+	require.NoError(t, err)
+	next := shapesCore(t, now)
+	require.NoError(t, next.RestoreLearned(value))
+	require.Greater(t, next.risk.Of(next.imageID("serves"), next.imageID("bad")), 0.9)
+}
+
+// presence is one image that uses a fifth of a worker.
+func presence(c *Core, image string) []interference.Presence {
+	return []interference.Presence{{Aggressor: c.imageID(image), Part: 0.2}}
+}
