A new holder asks the former one whether it still renews leases

The peers' call Retired was not used: runs on workers that a new holder cannot reach waited for the longest lease and 12 s more, even if the former holder had stopped. Unused fields removed.

--- a/internal/batch/core.go
+++ b/internal/batch/core.go
@@ -78,7 +78,6 @@
 	NoteWorkerBack  NoteKind = "workerBack"
 	NoteQuarantined NoteKind = "quarantined"
 	NotePaced       NoteKind = "paced"
-	NoteUnfit       NoteKind = "unfit"
 	NoteStray       NoteKind = "stray"
 )
 
@@ -182,3 +181,18 @@
 		c.unplace(o.run, now)
 	}
 }
+
+// ShortenUnheard takes that the earlier holder renews nothing any more, so that
+// what runs on workers that were never reached lapses within the longest lease.
+func (c *Core) ShortenUnheard(now time.Time) {
+	until := c.longestLapse(now)
+	if until.After(c.unheardUntil) {
+		return
+	}
+	c.unheardUntil = until
+	for _, w := range c.workers {
+		if !w.adopted && w.lapseAt.After(until) {
+			w.lapseAt = until
+		}
+	}
+}
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -66,8 +66,6 @@
 	// tickets are what the adviser gave.
 	tickets map[string]ticket
 	asked   askState
-	// unfit is set while no worker could ever take a task of the stage.
-	unfit bool
 }
 
 // ticket admits a step to a worker.
--- a/internal/batch/order.go
+++ b/internal/batch/order.go
@@ -279,8 +279,10 @@
 
 // lose requeues a run that has ended without the worker's word.
 func (c *Core) lose(r *run, reason string, now time.Time) {
-	c.note(Note{Kind: NoteLost, Task: r.task.name(), Run: r.number, Worker: r.worker.ID,
-		Age: now.Sub(r.worker.heardAt), Reason: reason})
+	c.note(Note{
+		Kind: NoteLost, Task: r.task.name(), Run: r.number, Worker: r.worker.ID,
+		Age: now.Sub(r.worker.heardAt), Reason: reason,
+	})
 	c.requeue(r, reason, now)
 }
 
--- a/internal/batch/world_test.go
+++ b/internal/batch/world_test.go
@@ -26,7 +26,6 @@
 	// fail is the part of runs that fail, cancel the part of jobs that are cancelled.
 	fail   float64
 	cancel float64
-	drain  time.Duration
 }
 
 // simWorld plays a core against workers in virtual time, without a network.
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -93,9 +93,11 @@
 	// Now is the steady time by which leases are judged; nil means that of the machine.
 	Now func() time.Time
 
-	mu      sync.Mutex
-	table   batch.Table
-	holder  holderRef
+	mu     sync.Mutex
+	table  batch.Table
+	holder holderRef
+	// last is the last holder that there was.
+	last    holderRef
 	seen    bool
 	current *Holder
 	// changed is closed when holder changes.
@@ -188,6 +190,9 @@
 	d.Log.Emit(eventlog.HolderChanged,
 		zap.String("holder", ref.ID), zap.String("address", ref.Address), zap.Int64("token", ref.Token))
 	d.holder = ref
+	if ref.Token != 0 && ref.ID != d.ID {
+		d.last = ref
+	}
 	if h := d.current; h != nil && ref.Token > h.Token {
 		h.supersede()
 	}
--- a/internal/desk/election.go
+++ b/internal/desk/election.go
@@ -207,7 +207,7 @@
 // serve holds one term.
 func (d *Desk) serve(ctx context.Context, id store.LeaseID, token int64, asked time.Time) {
 	d.mu.Lock()
-	former := d.holder
+	former := d.last
 	d.held = token
 	table := d.table
 	d.mu.Unlock()
@@ -219,17 +219,17 @@
 	term, cancel := context.WithCancel(ctx)
 	defer cancel()
 	h.stop = cancel
-	h.superseded = make(chan struct{})
 	go d.renew(term, h, id)
 	began := d.now()
 	d.Log.Emit(eventlog.TermBegun, zap.Int64("token", token), zap.String("former", former.ID))
-	err := h.load(term, table, d.unheard(former))
+	err := h.load(term, table, d.unheard())
 	if err == nil {
 		d.mu.Lock()
 		d.current = h
 		newer := d.table
 		d.mu.Unlock()
 		h.setTable(newer)
+		go d.askFormer(term, h, former)
 		d.Log.Emit(eventlog.TermServing, zap.Int64("token", token), zap.Duration("loaded", d.now().Sub(began)),
 			zap.Int("jobs", h.size()))
 		err = h.run(term)
@@ -248,8 +248,34 @@
 // unheard returns how long runs may go on at workers that this holder never
 // reaches: the lease there, and the time for which an earlier holder without
 // the store may renew it.
-func (d *Desk) unheard(holderRef) time.Duration {
-	return lease.Longer(d.Timing.Lease+d.Timing.RenewGrace) + time.Second
+func (d *Desk) unheard() time.Duration {
+	return lease.Longer(d.Timing.MaxLease+d.Timing.RenewGrace) + time.Second
+}
+
+// askFormer shortens that time if the earlier holder says that it renews nothing any more.
+func (d *Desk) askFormer(ctx context.Context, h *Holder, former holderRef) {
+	if former.Address == "" || former.Token >= h.Token {
+		return
+	}
+	retired := former.Address == d.Address
+	if !retired {
+		c, err := d.Peer(former.Address)
+		if err != nil {
+			return
+		}
+		bounded, cancel := context.WithTimeout(ctx, passTimeout)
+		defer cancel()
+		// Without an answer the longer time holds.
+		retired, err = c.Retired(bounded, former.Token)
+		if err != nil {
+			return
+		}
+	}
+	if retired {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.core.ShortenUnheard(h.Now())
+	}
 }
 
 // renew keeps the lease of a term until it ends.
--- a/internal/desk/holder.go
+++ b/internal/desk/holder.go
@@ -44,14 +44,12 @@
 	fenced    bool
 	inbox     map[string]inboxEntry
 
-	head       int64
-	sequence   int64
-	learnedAt  time.Time
-	plan       chan struct{}
-	commit     chan struct{}
-	superseded chan struct{}
-	once       sync.Once
-	running    sync.WaitGroup
+	head      int64
+	sequence  int64
+	learnedAt time.Time
+	plan      chan struct{}
+	commit    chan struct{}
+	running   sync.WaitGroup
 	// orders holds a place for each start that is under way.
 	orders   chan struct{}
 	patience patience
--- a/internal/desk/notes.go
+++ b/internal/desk/notes.go
@@ -20,7 +20,6 @@
 	batch.NoteWorkerBack:  eventlog.WorkerBack,
 	batch.NoteQuarantined: eventlog.WorkerQuarantined,
 	batch.NotePaced:       eventlog.RunPaced,
-	batch.NoteUnfit:       eventlog.TaskUnschedulable,
 	batch.NoteStray:       eventlog.RunUnexplained,
 }
 
