--- a/cmd/oriolepond/node.go
+++ b/cmd/oriolepond/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"flag"
 	"fmt"
 	"net"
@@ -20,6 +19,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/grpc"
 
+	"github.com/oriolepond/oriolepond/internal/actor"
 	"github.com/oriolepond/oriolepond/internal/batch"
 	"github.com/oriolepond/oriolepond/internal/desk"
 	"github.com/oriolepond/oriolepond/internal/eventlog"
@@ -145,8 +145,8 @@
 
 	var g run.Group
 	n.addLoops(&g, kv)
-	addServer(&g, front, listeners[0])
-	addServer(&g, ready, listeners[1])
+	actor.Server(&g, front, listeners[0])
+	actor.Server(&g, ready, listeners[1])
 	if err := n.addMetrics(&g, set); err != nil {
 		return err
 	}
@@ -178,29 +178,13 @@
 		set.WritePrometheus(w)
 		metrics.WriteProcessMetrics(w)
 	})
-	addServer(g, &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}, l)
+	actor.Server(g, &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}, l)
 	return nil
 }
 
 // headerTimeout bounds the time in which a caller sends its headers.
 const headerTimeout = 5 * time.Second
 
-// addServer adds an HTTP server. One that was shut down runs on until the
-// group ends, since the calls in flight are still being answered.
-func addServer(g *run.Group, s *http.Server, l net.Listener) {
-	ended := make(chan struct{})
-	g.Add(func() error {
-		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			return err
-		}
-		<-ended
-		return nil
-	}, func(error) {
-		close(ended)
-		_ = s.Close()
-	})
-}
-
 // timing takes the platform's bounds into the times of the core.
 func timing(s platform.Settings) batch.Timing {
 	t := batch.DefaultTiming()
@@ -261,10 +245,8 @@
 		},
 		Back: func() { n.log.Emit(eventlog.StoreBack, zap.String("use", "configuration")) },
 	}
-	for _, loop := range []func(context.Context) error{follower.Run, n.desk.Run} {
-		ctx, cancel := context.WithCancel(context.Background())
-		g.Add(func() error { return loop(ctx) }, func(error) { cancel() })
-	}
+	actor.Loop(context.Background(), g, follower.Run)
+	actor.Loop(context.Background(), g, n.desk.Run)
 }
 
 // takeEntries puts the newest configuration among the entries in force; an older one never follows.
--- /dev/null
+++ b/internal/actor/actor.go
@@ -0,0 +1,41 @@
+// Package actor adds the usual members to a group of package run: loops that
+// end with their context, and HTTP servers.
+//
+// # Usage
+//
+//	var g run.Group
+//	actor.Loop(ctx, &g, keeper.Run)
+//	actor.Server(&g, server, listener)
+//	err := g.Run()
+package actor
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+
+	"github.com/oklog/run"
+)
+
+// Loop adds a function that runs until its context ends.
+func Loop(ctx context.Context, g *run.Group, loop func(context.Context) error) {
+	inner, cancel := context.WithCancel(ctx)
+	g.Add(func() error { return loop(inner) }, func(error) { cancel() })
+}
+
+// Server adds an HTTP server on a listener. One that was shut down runs on
+// until the group ends, since a planned stop still waits for the calls in flight.
+func Server(g *run.Group, s *http.Server, l net.Listener) {
+	ended := make(chan struct{})
+	g.Add(func() error {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		<-ended
+		return nil
+	}, func(error) {
+		close(ended)
+		_ = s.Close()
+	})
+}
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -21,6 +21,7 @@
 	"github.com/oklog/run"
 	"go.uber.org/zap"
 
+	"github.com/oriolepond/oriolepond/internal/actor"
 	"github.com/oriolepond/oriolepond/internal/batch"
 	"github.com/oriolepond/oriolepond/internal/eventlog"
 	"github.com/oriolepond/oriolepond/internal/steady"
@@ -135,10 +136,6 @@
 	d.changed = make(chan struct{})
 	d.mu.Unlock()
 	var g run.Group
-	add := func(loop func(context.Context) error) {
-		inner, cancel := context.WithCancel(ctx)
-		g.Add(func() error { return loop(inner) }, func(error) { cancel() })
-	}
 	follower := &store.Follower{
 		Client: d.Store, Prefix: holderKey,
 		Snapshot: d.holderSnapshot, Update: d.holderUpdate,
@@ -147,8 +144,8 @@
 		},
 		Back: func() { d.Log.Emit(eventlog.StoreBack, zap.String("use", "holder")) },
 	}
-	add(follower.Run)
-	add(d.stand)
+	actor.Loop(ctx, &g, follower.Run)
+	actor.Loop(ctx, &g, d.stand)
 	return g.Run()
 }
 
--- a/internal/desk/holder.go
+++ b/internal/desk/holder.go
@@ -11,6 +11,7 @@
 	"github.com/oklog/run"
 	"go.uber.org/zap"
 
+	"github.com/oriolepond/oriolepond/internal/actor"
 	"github.com/oriolepond/oriolepond/internal/batch"
 	"github.com/oriolepond/oriolepond/internal/eventlog"
 	"github.com/oriolepond/oriolepond/internal/lease"
@@ -175,10 +176,6 @@
 // run holds the term until it is lost or the context ends.
 func (h *Holder) run(ctx context.Context) error {
 	var g run.Group
-	add := func(loop func(context.Context) error) {
-		inner, cancel := context.WithCancel(ctx)
-		g.Add(func() error { return loop(inner) }, func(error) { cancel() })
-	}
 	workers := &store.Follower{
 		Client: h.Store, Prefix: h.WorkerPrefix,
 		Snapshot: h.workerSnapshot, Update: h.workerUpdate, Lost: h.lost("workers"), Back: h.back("workers"),
@@ -188,10 +185,10 @@
 		Snapshot: h.inboxSnapshot, Update: h.inboxUpdate, Lost: h.lost("inbox"), Back: h.back("inbox"),
 	}
 	h.spawn = func(id string, l *looker) { h.startLooker(ctx, id, l) }
-	add(workers.Run)
-	add(inbox.Run)
-	add(h.planLoop)
-	add(h.commitLoop)
+	actor.Loop(ctx, &g, workers.Run)
+	actor.Loop(ctx, &g, inbox.Run)
+	actor.Loop(ctx, &g, h.planLoop)
+	actor.Loop(ctx, &g, h.commitLoop)
 	err := g.Run()
 	h.stop()
 	h.running.Wait()
--- a/oriolepond.go
+++ b/oriolepond.go
@@ -14,7 +14,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -24,6 +23,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/grpc"
 
+	"github.com/oriolepond/oriolepond/internal/actor"
 	"github.com/oriolepond/oriolepond/internal/burn"
 	"github.com/oriolepond/oriolepond/internal/config"
 	"github.com/oriolepond/oriolepond/internal/entry"
@@ -90,23 +90,23 @@
 	i.build()
 	defer i.pool.Close()
 	var g run.Group
-	addLoop(&g, i.reporters.Run)
-	addLoop(&g, i.slowedPeers.Run)
-	addLoop(&g, i.findSlowed)
-	addLoop(&g, i.watchReports)
-	addLoop(&g, i.members.Run)
-	addLoop(&g, i.configs.Run)
-	addLoop(&g, i.meters.Run)
-	addLoop(&g, i.burns.Run)
-	addLoop(&g, i.periods.Run)
-	addLoop(&g, i.shards.Run)
-	addLoop(&g, i.followList)
-	addLoop(&g, i.trimConnections)
+	actor.Loop(context.Background(), &g, i.reporters.Run)
+	actor.Loop(context.Background(), &g, i.slowedPeers.Run)
+	actor.Loop(context.Background(), &g, i.findSlowed)
+	actor.Loop(context.Background(), &g, i.watchReports)
+	actor.Loop(context.Background(), &g, i.members.Run)
+	actor.Loop(context.Background(), &g, i.configs.Run)
+	actor.Loop(context.Background(), &g, i.meters.Run)
+	actor.Loop(context.Background(), &g, i.burns.Run)
+	actor.Loop(context.Background(), &g, i.periods.Run)
+	actor.Loop(context.Background(), &g, i.shards.Run)
+	actor.Loop(context.Background(), &g, i.followList)
+	actor.Loop(context.Background(), &g, i.trimConnections)
 	front := &http.Server{Handler: i.front(), MaxHeaderBytes: i.Settings.MaxHeaderBytes, ReadHeaderTimeout: headerTimeout}
 	admin := &http.Server{Handler: i.admin(), ReadHeaderTimeout: headerTimeout}
-	addServer(&g, admin, listeners.admin)
+	actor.Server(&g, admin, listeners.admin)
 	i.addPeers(&g, listeners.peer)
-	addServer(&g, front, listeners.front)
+	actor.Server(&g, front, listeners.front)
 	i.addEnds(ctx, &g, front)
 	i.Log.Emit(eventlog.InstanceStarted, zap.String("listen", i.Settings.Listen))
 	if i.Listening != nil {
@@ -145,29 +145,6 @@
 // headerTimeout bounds the time in which a caller sends its headers.
 const headerTimeout = 10 * time.Second
 
-// addLoop adds a function that runs until its context ends.
-func addLoop(g *run.Group, loop func(context.Context) error) {
-	ctx, cancel := context.WithCancel(context.Background())
-	g.Add(func() error { return loop(ctx) }, func(error) { cancel() })
-}
-
-// addServer adds an HTTP server on a listener.
-func addServer(g *run.Group, s *http.Server, l net.Listener) {
-	closed := make(chan struct{})
-	g.Add(func() error {
-		err := s.Serve(l)
-		if errors.Is(err, http.ErrServerClosed) {
-			// A planned stop still waits for the requests in flight.
-			<-closed
-			return nil
-		}
-		return err
-	}, func(error) {
-		close(closed)
-		_ = s.Close()
-	})
-}
-
 // build makes the parts of the instance; none of them runs yet.
 func (i *Instance) build() {
 	s := i.Settings
