Settings, times and fields that nothing uses are removed

Read as a newcomer: bounds of gangs, stops, pace and advice were decoded and carried to the core, which does not use them; a branch of cancel could not be reached. Lines of the log name the node's data centre.

--- a/cmd/oriolepond/node.go
+++ b/cmd/oriolepond/node.go
@@ -87,7 +87,7 @@
 		}
 	}()
 	z := eventlog.NewZap(sink)
-	n := &node{settings: s, log: eventlog.New(z).With(zap.String("node", s.Node))}
+	n := &node{settings: s, log: eventlog.New(z).With(zap.String("node", s.Node), zap.String("dataCentre", s.DataCentre))}
 	if err := n.run(ctx, *file); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
@@ -191,15 +191,6 @@
 	if s.WorkerLease > 0 {
 		t.Lease, t.MaxLease = min(t.Lease, s.WorkerLease), s.WorkerLease
 	}
-	if s.StopTimeout > 0 {
-		t.StopTimeout = s.StopTimeout
-	}
-	if s.GangTimeout > 0 {
-		t.GangTimeout = s.GangTimeout
-	}
-	if s.RemoteFactor > 0 {
-		t.RemoteFactor = s.RemoteFactor
-	}
 	t.Retention = max(t.Retention, 2*s.Retention)
 	return t
 }
--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -89,28 +89,12 @@
 	Target time.Duration
 	// Advised means that only some workers may run a step, and an adviser tells which.
 	Advised bool
-	// Advice bounds one call for advice.
-	Advice Advice
-}
-
-// Advice is how long the adviser of a queue takes: Decide, and Period for each worker asked for.
-type Advice struct {
-	Decide time.Duration
-	Period time.Duration
-}
-
-// Service is a set of workers.
-type Service struct {
-	Name string
-	// Guards means that the workers refuse what does not fit.
-	Guards bool
 }
 
 // Table is the configuration in force.
 type Table struct {
-	Version  int64
-	Queues   map[string]Queue
-	Services map[string]Service
+	Version int64
+	Queues  map[string]Queue
 }
 
 // WorkerInfo is what a worker says of itself.
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -12,10 +12,9 @@
 	service  string
 	accepted time.Time
 	// endedAt is when the job reached a final state.
-	endedAt   time.Time
-	state     State
-	cancelled bool
-	reason    string
+	endedAt time.Time
+	state   State
+	reason  string
 	// stored means that a record of the job is durable, finalStored that one with its final state is.
 	stored      bool
 	finalStored bool
--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -313,7 +313,6 @@
 	}
 	if j.state.Final() {
 		j.finalStored, j.endedAt = true, time.UnixMilli(w.EndedMs).Add(-c.wall)
-		j.cancelled = j.state == Cancelled
 		c.adopt(j)
 		return nil
 	}
--- a/internal/batch/submit.go
+++ b/internal/batch/submit.go
@@ -79,7 +79,6 @@
 		return false
 	}
 	if !j.state.Final() {
-		j.cancelled = true
 		c.finish(j, Cancelled, "cancelled by its caller", now)
 	}
 	c.await(j, waiter)
--- a/internal/batch/timing.go
+++ b/internal/batch/timing.go
@@ -10,14 +10,8 @@
 	MaxLease time.Duration
 	// RenewGrace is how long a holder that lost the store still renews leases at workers.
 	RenewGrace time.Duration
-	// StopTimeout is the longest time that a worker takes to stop a run.
-	StopTimeout time.Duration
-	// GangTimeout is how long the members of a gang wait for each other.
-	GangTimeout time.Duration
 	// Retention is how long a job is described after its end.
 	Retention time.Duration
-	// RemoteFactor is how much longer tasks take away from their data.
-	RemoteFactor float64
 }
 
 // clockRate bounds how slow a worker's clock may be: 2%, as the platform states.
@@ -30,12 +24,9 @@
 // DefaultTiming returns the times that nodes use where the platform states none.
 func DefaultTiming() Timing {
 	return Timing{
-		Lease:        5 * time.Second,
-		MaxLease:     10 * time.Second,
-		RenewGrace:   12 * time.Second,
-		StopTimeout:  400 * time.Millisecond,
-		GangTimeout:  3 * time.Second,
-		Retention:    5 * time.Minute,
-		RemoteFactor: 3,
+		Lease:      5 * time.Second,
+		MaxLease:   10 * time.Second,
+		RenewGrace: 12 * time.Second,
+		Retention:  5 * time.Minute,
 	}
 }
--- a/internal/desk/calls.go
+++ b/internal/desk/calls.go
@@ -367,18 +367,11 @@
 	done := make(chan struct{})
 	h.mu.Lock()
 	known := h.core.Cancel(id, h.Now(), func(batch.State) { close(done) })
-	waits := false
-	if !known {
-		_, waits = h.inbox[id]
-	}
 	h.mu.Unlock()
-	h.kick(h.plan)
-	switch {
-	case waits:
-		return true, &UnknownError{Err: errNotHolder}
-	case !known:
+	if !known {
 		return false, nil
 	}
+	h.kick(h.plan)
 	select {
 	case <-done:
 		return true, nil
@@ -391,10 +384,9 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	state, known := h.core.State(id)
-	if !known {
-		if _, waits := h.inbox[id]; waits || h.core.Has(id) {
-			return batch.Queued, true, nil
-		}
+	if !known && h.core.Has(id) {
+		// It is being committed.
+		return batch.Queued, true, nil
 	}
 	return state, known, nil
 }
--- a/internal/desk/desk_test.go
+++ b/internal/desk/desk_test.go
@@ -45,9 +45,8 @@
 
 func testTable() batch.Table {
 	return batch.Table{
-		Version:  1,
-		Queues:   map[string]batch.Queue{"review": {Name: "review", Service: "pool", Attempts: 3, Slack: 2, Target: time.Second}},
-		Services: map[string]batch.Service{"pool": {Name: "pool", Guards: true}},
+		Version: 1,
+		Queues:  map[string]batch.Queue{"review": {Name: "review", Service: "pool", Attempts: 3, Slack: 2, Target: time.Second}},
 	}
 }
 
--- a/internal/desk/holder.go
+++ b/internal/desk/holder.go
@@ -461,5 +461,3 @@
 // awayAfter is how long a commit goes unanswered until submissions are refused: an order
 // of magnitude above the usual time of a commit at a slow store's.
 const awayAfter = 400 * time.Millisecond
-
-var errNotHolder = errors.New("not the holder")
