What no commit has carried is refused at once while the store is silent

They are taken back as long as no commit carries them, and a node asks the store before it writes to the inbox, so that a refusal stays true.

--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -18,7 +18,9 @@
 	// stored means that a record of the job is durable, finalStored that one with its final state is.
 	stored      bool
 	finalStored bool
-	removed     bool
+	// inFlight means that a commit with a record of the job is under way.
+	inFlight bool
+	removed  bool
 
 	// stages are the steps of all occurrences that have begun.
 	stages []*stage
--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -53,7 +53,7 @@
 		ch.jobs = append(ch.jobs, taken{
 			job: j, final: j.state.Final(), starts: j.starts, ends: j.ends, waits: j.waiters, state: j.state,
 		})
-		j.dirty = false
+		j.dirty, j.inFlight = false, true
 		j.starts, j.ends, j.waiters = nil, nil, nil
 	}
 	c.dirty = c.dirty[n:]
@@ -67,7 +67,7 @@
 func (c *Core) Durable(ch Changes) []Order {
 	var orders []Order
 	for _, t := range ch.jobs {
-		t.job.stored = true
+		t.job.stored, t.job.inFlight = true, false
 		t.job.finalStored = t.job.finalStored || t.final
 		for _, r := range t.starts {
 			if r.state == runIntended {
--- a/internal/batch/submit.go
+++ b/internal/batch/submit.go
@@ -49,6 +49,35 @@
 	c.note(Note{Kind: NoteAccepted, Job: j.ID, Reason: j.Queue})
 }
 
+// Dropped is told to the waiters of a submission that was taken back: it was
+// part of no commit, and will never run.
+const Dropped State = "dropped"
+
+// DropUncommitted takes back the submissions of which no commit has begun.
+// Those without a waiter came from the inbox, and stay.
+func (c *Core) DropUncommitted(now time.Time) {
+	for _, j := range slices.Clone(c.dirty) {
+		if j.stored || j.inFlight || len(j.waiters) == 0 {
+			continue
+		}
+		for _, s := range j.stages {
+			for _, t := range s.tasks {
+				for _, r := range slices.Clone(t.runs) {
+					c.dropRun(r, now)
+				}
+			}
+		}
+		same := func(o *job) bool { return o == j }
+		c.dirty = slices.DeleteFunc(c.dirty, same)
+		c.active = slices.DeleteFunc(c.active, same)
+		delete(c.jobs, j.ID)
+		for _, call := range j.waiters {
+			call(Dropped)
+		}
+		c.note(Note{Kind: NoteJobEnded, Job: j.ID, Reason: "dropped: the store does not answer"})
+	}
+}
+
 // adopt adds a job to those that are kept.
 func (c *Core) adopt(j *job) {
 	j.chain = longestChain(j.Steps)
--- a/internal/desk/calls.go
+++ b/internal/desk/calls.go
@@ -116,6 +116,11 @@
 	if encodeErr != nil {
 		return encodeErr
 	}
+	if uncertain == nil {
+		if err := d.probe(ctx, j.ID); err != nil {
+			return err
+		}
+	}
 	err = d.leave(ctx, j.ID, inboxPrefix+j.ID, value)
 	d.Log.Emit(eventlog.LeftInInbox, zap.String("job", j.ID), zap.Error(err))
 	if uncertain != nil && err != nil && !errors.As(err, new(*UnknownError)) {
@@ -124,6 +129,22 @@
 	return err
 }
 
+// probeTimeout bounds a look whether the store serves this node; a slow one
+// answers within 300 ms.
+const probeTimeout = 350 * time.Millisecond
+
+// probe returns an *UnavailableError if the store does not serve this node. A
+// write without an answer might take effect later, so that no true refusal
+// could follow it.
+func (d *Desk) probe(ctx context.Context, id string) error {
+	bounded, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	if _, _, err := d.Store.Read(bounded, inboxPrefix+id); err != nil {
+		return &UnavailableError{Reason: err.Error(), RetryAfter: retryAfter}
+	}
+	return nil
+}
+
 // leave writes a key for the next holder to find, unless the job is known already.
 func (d *Desk) leave(ctx context.Context, id, key string, value []byte) error {
 	txn := store.Txn{
@@ -336,16 +357,19 @@
 	if h.isAway(h.Now()) {
 		return h.whileAway(j.ID)
 	}
-	done := make(chan struct{})
+	done := make(chan batch.State, 1)
 	h.mu.Lock()
-	err := h.core.Submit(j, h.Now(), func(batch.State) { close(done) })
+	err := h.core.Submit(j, h.Now(), func(s batch.State) { done <- s })
 	h.mu.Unlock()
 	if err != nil {
 		return err
 	}
 	h.kick(h.plan)
 	select {
-	case <-done:
+	case s := <-done:
+		if s == batch.Dropped {
+			return &UnavailableError{Reason: "the store does not answer", RetryAfter: retryAfter}
+		}
 		return nil
 	case <-ctx.Done():
 		return &UnknownError{Err: ctx.Err()}
--- a/internal/desk/desk_test.go
+++ b/internal/desk/desk_test.go
@@ -338,6 +338,44 @@
 	})
 }
 
+// While the store is silent, what no commit has carried yet is refused at once
+// and truthfully; only what is under way may be unknown.
+func TestSilentStoreRefusesWhatWasNotCommitted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, time.Second, "w1")
+		defer w.end()
+		a := w.add("a")
+		time.Sleep(4 * time.Second)
+		w.store.set(func(s *fakeStore) { s.silent = true })
+		results := make(chan error, 20)
+		for i := range 20 {
+			go func() { results <- submit(a, testJob(i, 1)) }()
+			time.Sleep(20 * time.Millisecond)
+		}
+		began := time.Now()
+		refused := 0
+		for range 19 {
+			var unavailable *UnavailableError
+			if errors.As(<-results, &unavailable) {
+				refused++
+			}
+			if refused == 19 {
+				require.Less(t, time.Since(began), 1500*time.Millisecond)
+			}
+		}
+		require.GreaterOrEqual(t, refused, 18, "one commit was under way")
+		w.store.set(func(s *fakeStore) { s.silent = false })
+		time.Sleep(10 * time.Second)
+		stored := 0
+		for i := range 20 {
+			if w.store.has(jobPrefix + testJob(i, 1).ID) {
+				stored++
+			}
+		}
+		require.LessOrEqual(t, stored, 20-refused, "what was refused never runs")
+	})
+}
+
 // What runs on a worker that is gone has to lapse, however often it is looked at.
 func TestSilentWorkerLapses(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/desk/holder.go
+++ b/internal/desk/holder.go
@@ -277,7 +277,11 @@
 			time.Sleep(gap)
 		}
 		last = h.Now()
+		away := h.isAway(last)
 		h.mu.Lock()
+		if away {
+			h.core.DropUncommitted(last)
+		}
 		h.core.SetWall(h.wallOffset())
 		h.core.Plan(h.Now())
 		dirty := h.core.HasChanges()
