--- a/internal/desk/desk_test.go
+++ b/internal/desk/desk_test.go
@@ -376,6 +376,38 @@
 	})
 }
 
+// A holder that the store turns away does not know what waits in the inbox:
+// nobody may be told that such a job does not exist.
+func TestJobInTheInboxIsKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, time.Second, "w1")
+		defer w.end()
+		a, b := w.add("a"), w.add("b")
+		time.Sleep(3 * time.Second)
+		holder, _ := w.holder()
+		other, own := b, a
+		if holder == "b" {
+			other, own = a, b
+		}
+		w.store.set(func(s *fakeStore) { s.refused[holder] = true })
+		time.Sleep(450 * time.Millisecond)
+		j := testJob(1, 1)
+		value, err := batch.EncodeJob(j)
+		require.NoError(t, err)
+		w.store.put(inboxPrefix+j.ID, value)
+		require.Equal(t, batch.Queued, state(t, other, j.ID))
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_, known, err := own.State(ctx, j.ID)
+		require.True(t, known || err != nil, "the node that is turned away cannot tell")
+		known, err = other.Cancel(ctx, j.ID)
+		require.NoError(t, err)
+		require.True(t, known)
+		time.Sleep(8 * time.Second)
+		require.Equal(t, batch.Cancelled, state(t, other, j.ID))
+	})
+}
+
 // What runs on a worker that is gone has to lapse, however often it is looked at.
 func TestSilentWorkerLapses(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
