A silent connection between nodes is ended and made anew

Cause (read in the code): calls to the holder had a time-out, but their connection stayed; one that has gone silent for good would have cost each further call its time.

--- a/cmd/oriolepond/node.go
+++ b/cmd/oriolepond/node.go
@@ -126,6 +126,7 @@
 			}
 			return peer.NewJobs(conn), nil
 		},
+		Forget: pool.Drop,
 		Timing: timing(s), Log: n.log, Meter: desk.NewMeter(set),
 	}
 	listeners := make([]net.Listener, 0, 3)
--- a/internal/desk/calls.go
+++ b/internal/desk/calls.go
@@ -57,6 +57,8 @@
 	retryAfter = time.Second
 	// passTimeout bounds one try at the holder, so that time is left for the store.
 	passTimeout = 900 * time.Millisecond
+	// silentAfter is how long a call has to be without an answer until its connection is in doubt.
+	silentAfter = passTimeout / 2
 	// settleWait is how long a call waits for a holder when there is none, and
 	// settlePause how long after a node that does not hold any more.
 	settleWait  = 400 * time.Millisecond
@@ -279,8 +281,13 @@
 		c, err := d.callsOf(ref)
 		if err == nil {
 			bounded, stop := context.WithTimeout(ctx, passTimeout)
+			asked := d.now()
 			err = call(bounded, c)
+			late := d.now().Sub(asked) >= silentAfter && errors.Is(bounded.Err(), context.DeadlineExceeded)
 			stop()
+			if !isUncertain(err) || late {
+				d.noteAnswer(ref.Address, asked, isUncertain(err))
+			}
 		}
 		if !errors.As(err, new(*NotHolderError)) {
 			return err
@@ -294,6 +301,25 @@
 	}
 }
 
+// noteAnswer takes whether a call that was made at a time had no answer. A
+// connection may be silent for good while new ones work: if the node answered
+// nothing since, the next call makes a new one.
+func (d *Desk) noteAnswer(address string, asked time.Time, silent bool) {
+	d.mu.Lock()
+	if d.heard == nil {
+		d.heard = map[string]time.Time{}
+	}
+	if !silent {
+		d.heard[address] = d.now()
+	}
+	forget := silent && d.Forget != nil && address != d.Address && d.heard[address].Before(asked)
+	d.mu.Unlock()
+	if forget {
+		d.Log.Emit(eventlog.PeerSilent, zap.String("address", address))
+		d.Forget(address)
+	}
+}
+
 // callsOf returns the calls of a holder, which may be this node.
 func (d *Desk) callsOf(ref holderRef) (*Calls, error) {
 	if h := d.local(); h != nil {
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -87,7 +87,10 @@
 	// Peers are addresses of some other nodes, which may be out of date.
 	Peers []string
 	// Peer returns the calls of the node at an address.
-	Peer   func(address string) (*Calls, error)
+	Peer func(address string) (*Calls, error)
+	// Forget ends the connection to a node that left a call without an answer; nil
+	// means that connections need no end.
+	Forget func(address string)
 	Timing batch.Timing
 	Log    *eventlog.Log
 	Meter  *Meter
@@ -107,6 +110,8 @@
 	retired int64
 	held    int64
 	leaving bool
+	// heard is when each peer last answered.
+	heard map[string]time.Time
 	// rtt is how far the store is, best the greatest share of a processor that a node is known to have.
 	rtt  time.Duration
 	best float64
--- a/internal/desk/desk_test.go
+++ b/internal/desk/desk_test.go
@@ -408,6 +408,40 @@
 	})
 }
 
+// A connection to the holder that is silent for good is made anew, and one on
+// which a single call was slow is kept.
+func TestSilentConnectionIsEnded(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		heard  bool
+		silent bool
+		want   int
+	}{
+		{name: "silent", silent: true, want: 1},
+		{name: "another call was answered meanwhile", silent: true, heard: true},
+		{name: "answered"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			forgotten := 0
+			now := time.Unix(1_000_000_000, 0)
+			d := &Desk{
+				Address: "a", Log: eventlog.Discard(), Now: func() time.Time { return now },
+				Forget: func(address string) {
+					require.Equal(t, "b", address)
+					forgotten++
+				},
+			}
+			asked := now
+			now = now.Add(time.Second)
+			if c.heard {
+				d.noteAnswer("b", asked, false)
+			}
+			d.noteAnswer("b", asked, c.silent)
+			require.Equal(t, c.want, forgotten)
+		})
+	}
+}
+
 // What runs on a worker that is gone has to lapse, however often it is looked at.
 func TestSilentWorkerLapses(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/eventlog/batch.go
+++ b/internal/eventlog/batch.go
@@ -114,6 +114,11 @@
 		Meaning: "Neither the holder nor the store serves this node; another node was asked to take the job in.",
 		Advice:  "Check this node's way to the store if it recurs.",
 	})
+	PeerSilent = register(Event{
+		Number: 4010, Level: zapcore.WarnLevel, Message: "peer silent",
+		Meaning: "A call to another node had no answer; its connection is ended and made anew.",
+		Advice:  "Check the other node and the network if this lasts.",
+	})
 	CallNotServed = register(Event{
 		Number: 4050, Level: zapcore.InfoLevel, Message: "call not served",
 		Meaning: "A caller got the status for the named reason.",
