--- a/internal/batch/core.go
+++ b/internal/batch/core.go
@@ -153,6 +153,15 @@
 	}
 }
 
+// NoteInbox takes that the store holds a job in the inbox: it is accepted, even
+// if no record of it was committed yet.
+func (c *Core) NoteInbox(id string) {
+	if j, ok := c.jobs[id]; ok {
+		j.inInbox = true
+		c.mark(j)
+	}
+}
+
 // WorkerIDs returns all workers that are known.
 func (c *Core) WorkerIDs() []string {
 	all := make([]string, 0, len(c.workers))
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -18,6 +18,8 @@
 	// stored means that a record of the job is durable, finalStored that one with its final state is.
 	stored      bool
 	finalStored bool
+	// inInbox means that the store holds the job in the inbox.
+	inInbox bool
 	// inFlight means that a commit with a record of the job is under way.
 	inFlight bool
 	removed  bool
--- a/internal/batch/shapes_test.go
+++ b/internal/batch/shapes_test.go
@@ -223,3 +223,46 @@
 func presence(c *Core, image string) []interference.Presence {
 	return []interference.Presence{{Aggressor: c.imageID(image), Part: 0.2}}
 }
+
+// A submission that is taken back while the store is silent takes nothing with
+// it that was accepted: a job in the inbox stays, with its cancel.
+func TestDropKeepsWhatTheInboxHolds(t *testing.T) {
+	now := time.Unix(1_000_000_000, 0)
+	for _, c := range []struct {
+		name    string
+		inInbox bool
+		taken   bool
+		want    State
+	}{
+		{name: "only in memory", want: Dropped},
+		{name: "in the inbox", inInbox: true},
+		{name: "in a commit", taken: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			core := shapesCore(t, now)
+			id := "0000000000000001"
+			var submitted, cancelled State
+			require.NoError(t, core.Submit(Job{ID: id, Queue: "check", Steps: []Step{{Tasks: 2, Size: share.Resources{Processors: 1000}}}},
+				now, func(s State) { submitted = s }))
+			core.Plan(now)
+			if c.inInbox {
+				core.NoteInbox(id)
+			}
+			if c.taken {
+				_, err := core.Take(20)
+				require.NoError(t, err)
+			}
+			require.True(t, core.Cancel(id, now, func(s State) { cancelled = s }))
+			core.DropUncommitted(now)
+			require.Equal(t, c.want, cancelled)
+			if c.want == Dropped {
+				require.Equal(t, Dropped, submitted)
+				require.False(t, core.Has(id))
+				require.Empty(t, core.workers["a"].runs)
+				return
+			}
+			require.True(t, core.Has(id))
+			require.Equal(t, Cancelled, core.jobs[id].state)
+		})
+	}
+}
--- a/internal/batch/submit.go
+++ b/internal/batch/submit.go
@@ -53,11 +53,11 @@
 // part of no commit, and will never run.
 const Dropped State = "dropped"
 
-// DropUncommitted takes back the submissions of which no commit has begun.
-// Those without a waiter came from the inbox, and stay.
+// DropUncommitted takes back the submissions of which no commit has begun and
+// which do not stand in the inbox.
 func (c *Core) DropUncommitted(now time.Time) {
 	for _, j := range slices.Clone(c.dirty) {
-		if j.stored || j.inFlight || len(j.waiters) == 0 {
+		if j.stored || j.inFlight || j.inInbox {
 			continue
 		}
 		for _, s := range j.stages {
--- a/internal/desk/calls.go
+++ b/internal/desk/calls.go
@@ -414,16 +414,20 @@
 }
 
 func (h *Holder) cancel(ctx context.Context, id string) (bool, error) {
-	done := make(chan struct{})
+	done := make(chan batch.State, 1)
 	h.mu.Lock()
-	known := h.core.Cancel(id, h.Now(), func(batch.State) { close(done) })
+	known := h.core.Cancel(id, h.Now(), func(s batch.State) { done <- s })
 	h.mu.Unlock()
 	if !known {
 		return false, nil
 	}
 	h.kick(h.plan)
 	select {
-	case <-done:
+	case s := <-done:
+		if s == batch.Dropped {
+			// Whether the inbox has the job is not known here.
+			return true, &NotHolderError{}
+		}
 		return true, nil
 	case <-ctx.Done():
 		return true, &UnknownError{Err: ctx.Err()}
--- a/internal/desk/inbox.go
+++ b/internal/desk/inbox.go
@@ -52,7 +52,7 @@
 			continue
 		}
 		h.noteInbox(id, func(n *inboxEntry) { n.submitted = true })
-		h.core.Touch(id)
+		h.core.NoteInbox(id)
 	}
 	for _, e := range entries {
 		id, isCancel := strings.CutSuffix(strings.TrimPrefix(e.Key, inboxPrefix), cancelSuffix)
