--- a/internal/batch/core.go
+++ b/internal/batch/core.go
@@ -120,9 +120,6 @@
 	}
 }
 
-// Timing returns the times by which the core decides.
-func (c *Core) Timing() Timing { return c.timing }
-
 // mark notes that the job's record has changed.
 func (c *Core) mark(j *job) {
 	if !j.dirty {
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -136,12 +136,9 @@
 	since time.Time
 	// ordered is when the order was sent.
 	ordered time.Time
-	// why tells for what reason the run is stopped.
-	why string
-	// percent and progressAt tell when the run was last seen to make progress.
-	percent    int
-	progressAt time.Time
-	tail       time.Duration
+	// percent is the progress that the worker last told.
+	percent int
+	tail    time.Duration
 	// cores is what the run lately used, for one that does not serve.
 	cores      float64
 	pace       int
@@ -173,6 +170,24 @@
 	return j.stages[i]
 }
 
+// runs returns all runs of the job.
+func (j *job) runs() []*run {
+	var all []*run
+	for _, s := range j.stages {
+		all = append(all, s.runs()...)
+	}
+	return all
+}
+
+// runs returns all runs of the stage.
+func (s *stage) runs() []*run {
+	var all []*run
+	for _, t := range s.tasks {
+		all = append(all, t.runs...)
+	}
+	return all
+}
+
 // longestChain returns the greatest sum of estimates along the steps that follow each other.
 func longestChain(steps []Step) time.Duration {
 	ends := make([]time.Duration, len(steps))
--- a/internal/batch/look.go
+++ b/internal/batch/look.go
@@ -161,12 +161,10 @@
 		t.checkpoint = row.Checkpoint
 	}
 	if r.state == runOrdered || r.state == runUnclear || r.state == runIntended {
-		r.state, r.since, r.progressAt = runRunning, now, now
+		r.state, r.since = runRunning, now
 		c.begun(t.stage.job)
 	}
-	if row.Percent != r.percent {
-		r.percent, r.progressAt = row.Percent, now
-	}
+	r.percent = row.Percent
 	if t.stage.step.TailTarget > 0 {
 		r.tail = time.Duration(row.Figure * float64(time.Millisecond))
 	} else {
--- a/internal/batch/order.go
+++ b/internal/batch/order.go
@@ -181,7 +181,7 @@
 	switch res.Answer {
 	case AnswerDone:
 		w.shunned = 0
-		r.state, r.since, r.progressAt = runRunning, now, now
+		r.state, r.since = runRunning, now
 		c.begun(r.task.stage.job)
 	case AnswerNone:
 		r.state, r.since = runUnclear, now
@@ -288,10 +288,8 @@
 
 // breakGang stops the other members of a gang of which one is gone.
 func (c *Core) breakGang(s *stage, reason string, now time.Time) {
-	for _, t := range s.tasks {
-		for _, r := range slices.Clone(t.runs) {
-			c.stopRun(r, "gang: "+reason, now)
-		}
+	for _, r := range s.runs() {
+		c.stopRun(r, "gang: "+reason, now)
 	}
 }
 
@@ -302,7 +300,7 @@
 		c.requeue(r, reason, now)
 	case runStopping, runStopped:
 	default:
-		r.state, r.since, r.why = runStopping, now, reason
+		r.state, r.since = runStopping, now
 		c.stops = append(c.stops, Order{Kind: OrderStop, run: r, worker: r.worker})
 		c.note(Note{Kind: NoteStopping, Task: r.task.name(), Run: r.number, Worker: r.worker.ID, Reason: reason})
 	}
--- a/internal/batch/submit.go
+++ b/internal/batch/submit.go
@@ -60,12 +60,8 @@
 		if j.stored || j.inFlight || j.inInbox {
 			continue
 		}
-		for _, s := range j.stages {
-			for _, t := range s.tasks {
-				for _, r := range slices.Clone(t.runs) {
-					c.dropRun(r, now)
-				}
-			}
+		for _, r := range j.runs() {
+			c.dropRun(r, now)
 		}
 		same := func(o *job) bool { return o == j }
 		c.dirty = slices.DeleteFunc(c.dirty, same)
@@ -141,12 +137,8 @@
 // finish brings a job to a final state and stops what of it runs.
 func (c *Core) finish(j *job, s State, reason string, now time.Time) {
 	j.state, j.reason, j.endedAt = s, reason, now
-	for _, st := range j.stages {
-		for _, t := range st.tasks {
-			for _, r := range slices.Clone(t.runs) {
-				c.stopRun(r, reason, now)
-			}
-		}
+	for _, r := range j.runs() {
+		c.stopRun(r, reason, now)
 	}
 	c.active = slices.DeleteFunc(c.active, func(o *job) bool { return o == j })
 	c.mark(j)
--- a/internal/desk/inbox.go
+++ b/internal/desk/inbox.go
@@ -1,7 +1,6 @@
 package desk
 
 import (
-	"errors"
 	"strings"
 
 	"go.uber.org/zap"
@@ -41,11 +40,7 @@
 		}
 		j, err := batch.DecodeJob(e.Value)
 		if err == nil {
-			err = h.core.Submit(j, h.Now(), nil)
-			var gone *batch.NoQueueError
-			if errors.As(err, &gone) {
-				err = h.core.SubmitTo(j, h.Now())
-			}
+			err = h.core.SubmitTo(j, h.Now())
 		}
 		if err != nil {
 			h.Log.Emit(eventlog.RecordUnreadable, zap.String("key", e.Key), zap.Error(err))
