A fault soak of nodes as separate processes

Cause: the platform path was tested under faults in virtual time and by the bench only; nothing ran the real processes under faults from outside. Change: internal/soak launches nodes behind a loopback proxy that delays, resets, holds one way or silences connections; signals kill, stop, freeze and restart processes; the stand-ins of the store and the workers go silent, lose and delay commits, forget, crash, fail, drain and carry orders out late. Callers and workers are its only witnesses (runs at once, order, attempts, room, refusals, cancels, states, configuration, exits). New flags of 'oriolepond node': -advertise and -bind.

--- a/cmd/oriolepond/node.go
+++ b/cmd/oriolepond/node.go
@@ -52,17 +52,22 @@
 // node is one process on the users' platform.
 type node struct {
 	settings platform.Settings
-	log      *eventlog.Log
-	desk     *desk.Desk
-	set      *metrics.Set
-	config   atomic.Pointer[platform.Config]
-	stopping atomic.Bool
+	// advertise is where other nodes reach this one.
+	advertise string
+	dialer    *net.Dialer
+	log       *eventlog.Log
+	desk      *desk.Desk
+	set       *metrics.Set
+	config    atomic.Pointer[platform.Config]
+	stopping  atomic.Bool
 }
 
 // runNode runs one node of the users' platform until a signal asks for a planned stop.
 func runNode(ctx context.Context, args []string) int {
 	flags := flag.NewFlagSet("node", flag.ContinueOnError)
 	file := flags.String("settings", platform.SettingsPath(), "settings `file` as the platform writes it")
+	advertise := flags.String("advertise", "", "`address` under which other nodes reach this one, if it differs from the one that it listens at")
+	bind := flags.String("bind", "", "local IP `address` of outgoing connections; empty leaves it to the system")
 	if err := flags.Parse(args); err != nil {
 		return parseStatus(err)
 	}
@@ -71,6 +76,14 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitUsage
 	}
+	dialer, err := dialerFrom(*bind)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	if *advertise == "" {
+		*advertise = s.Peer
+	}
 	debug.SetMemoryLimit(int64(memoryPart * float64(s.MemoryBytes)))
 	sink := &eventlog.Sink{Out: os.Stdout}
 	written := make(chan struct{})
@@ -87,7 +100,7 @@
 		}
 	}()
 	z := eventlog.NewZap(sink)
-	n := &node{settings: s, log: eventlog.New(z).With(zap.String("node", s.Node), zap.String("dataCentre", s.DataCentre))}
+	n := &node{settings: s, advertise: *advertise, dialer: dialer, log: eventlog.New(z).With(zap.String("node", s.Node), zap.String("dataCentre", s.DataCentre))}
 	if err := n.run(ctx, *file); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
@@ -95,11 +108,24 @@
 	return 0
 }
 
+// dialerFrom returns the dialer of all connections that a node makes.
+func dialerFrom(bind string) (*net.Dialer, error) {
+	d := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+	if bind == "" {
+		return d, nil
+	}
+	ip := net.ParseIP(bind)
+	if ip == nil {
+		return nil, fmt.Errorf("-bind %q is not an IP address", bind)
+	}
+	d.LocalAddr = &net.TCPAddr{IP: ip}
+	return d, nil
+}
+
 // client returns an HTTP client that keeps a number of connections to each address.
-func client(conns, most int) *http.Client {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+func (n *node) client(conns, most int) *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         n.dialer.DialContext,
 		MaxIdleConnsPerHost: conns,
 		MaxConnsPerHost:     most,
 		DisableCompression:  true,
@@ -110,14 +136,14 @@
 
 func (n *node) run(ctx context.Context, file string) error {
 	s := n.settings
-	kv := platform.NewStore(s.StoreAddress, client(storeConns, 0))
-	pool := &peer.Pool{}
+	kv := platform.NewStore(s.StoreAddress, n.client(storeConns, 0))
+	pool := &peer.Pool{Dial: n.dialer.DialContext}
 	defer pool.Close()
 	set := metrics.NewSet()
 	n.set = set
 	n.desk = &desk.Desk{
-		ID: s.Node + "/" + uuid.NewString(), Address: s.Peer, Peers: s.Seeds, Share: s.ProcessorShare, Store: kv,
-		Workers:      platform.NewWorkers(s.AdviserAddress, client(lookConns, 0), client(orderConns, orderConns)),
+		ID: s.Node + "/" + uuid.NewString(), Address: n.advertise, Peers: s.Seeds, Share: s.ProcessorShare, Store: kv,
+		Workers:      platform.NewWorkers(s.AdviserAddress, n.client(lookConns, 0), n.client(orderConns, orderConns)),
 		WorkerPrefix: platform.WorkerPrefix, DecodeWorker: platform.DecodeWorker,
 		Peer: func(address string) (*desk.Calls, error) {
 			conn, err := pool.Conn(address)
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -10,6 +10,7 @@
 	"testing"
 
 	"github.com/oriolepond/oriolepond/internal/demo"
+	"github.com/oriolepond/oriolepond/internal/soak"
 )
 
 // program is the built entry instance, and control the built pondctl.
@@ -49,15 +50,31 @@
 		if err != nil {
 			return nil, err
 		}
-		return start(settings, log, environment)
+		return start(log, environment, "serve", "-settings", settings)
 	}
 }
 
-// start runs one process; its standard error goes to log.
-func start(settings string, log *os.File, environment []string) (*demo.Process, error) {
-	c := exec.Command(program, "serve", "-settings", settings)
+// nodeLauncher starts nodes of the users' platform as processes, whose settings
+// and logs are kept in dir; a node that starts again goes on in its log.
+func nodeLauncher(dir string) soak.Launch {
+	return func(name string, text []byte, args ...string) (*demo.Process, error) {
+		settings := filepath.Join(dir, "settings-"+name+".json")
+		if err := os.WriteFile(settings, text, 0o600); err != nil {
+			return nil, err
+		}
+		log, err := os.OpenFile(filepath.Join(dir, "log-"+name+".txt"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+		if err != nil {
+			return nil, err
+		}
+		return start(log, nil, append([]string{"node", "-settings", settings}, args...)...)
+	}
+}
+
+// start runs one process; what it writes goes to log.
+func start(log *os.File, environment []string, args ...string) (*demo.Process, error) {
+	c := exec.Command(program, args...)
 	c.Env = append(os.Environ(), environment...)
-	c.Stderr = log
+	c.Stdout, c.Stderr = log, log
 	if err := c.Start(); err != nil {
 		return nil, err
 	}
@@ -76,6 +93,7 @@
 		Kill:   send(syscall.SIGKILL),
 		Pause:  send(syscall.SIGSTOP),
 		Resume: send(syscall.SIGCONT),
+		HangUp: send(syscall.SIGHUP),
 		Done:   done,
 	}, nil
 }
--- a/internal/demo/process.go
+++ b/internal/demo/process.go
@@ -19,6 +19,8 @@
 	// Pause freezes the instance and Resume lets it go on; nil where that cannot be done.
 	Pause  func()
 	Resume func()
+	// HangUp tells the instance to look at its settings again; nil where that cannot be done.
+	HangUp func()
 	// Done yields the end of the instance once.
 	Done <-chan error
 }
--- a/internal/standin/flow.go
+++ b/internal/standin/flow.go
@@ -23,6 +23,54 @@
 	target net.Conn
 	closed bool
 	done   chan struct{}
+	harm   Harm
+	// changed is closed when the harm changes.
+	changed chan struct{}
+}
+
+func (f *flow) setHarm(h Harm) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.harm == h {
+		return
+	}
+	f.harm = h
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// harmNow returns the harm, and what is closed when it changes.
+func (f *flow) harmNow() (Harm, <-chan struct{}) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.harm, f.changed
+}
+
+// awaitPath waits while the path holds what goes one way.
+func (f *flow) awaitPath(holds func(Harm) bool) {
+	for {
+		h, changed := f.harmNow()
+		if !holds(h) {
+			return
+		}
+		select {
+		case <-changed:
+		case <-f.done:
+			return
+		}
+	}
+}
+
+// reset ends both connections without waiting for what is on its way.
+func (f *flow) reset() {
+	f.mu.Lock()
+	for _, c := range []net.Conn{f.caller, f.target} {
+		if t, ok := c.(*net.TCPConn); ok {
+			_ = t.SetLinger(0)
+		}
+	}
+	f.mu.Unlock()
+	f.close()
 }
 
 // piece is what was read at once, due at the other end at a time.
@@ -47,8 +95,8 @@
 		return
 	}
 	var group sync.WaitGroup
-	group.Go(func() { f.pump(f.caller, target, there) })
-	group.Go(func() { f.pump(target, f.caller, back) })
+	group.Go(func() { f.pump(f.caller, target, there, func(h Harm) bool { return h.HoldThere }) })
+	group.Go(func() { f.pump(target, f.caller, back, func(h Harm) bool { return h.HoldBack }) })
 	group.Wait()
 }
 
@@ -88,11 +136,12 @@
 	}
 }
 
-// pump carries bytes one way, late by the path's latency and as slow as its link.
-func (f *flow) pump(from, to net.Conn, p path) {
+// pump carries bytes one way, late by the path's latency and as slow as its link,
+// and not at all while the path holds them.
+func (f *flow) pump(from, to net.Conn, p path, holds func(Harm) bool) {
 	pieces := make(chan piece, 256)
 	var group sync.WaitGroup
-	group.Go(func() { f.deliver(to, pieces, p) })
+	group.Go(func() { f.deliver(to, pieces, p, holds) })
 	defer group.Wait()
 	defer close(pieces)
 	for {
@@ -105,22 +154,25 @@
 			}
 			continue
 		}
+		h, _ := f.harmNow()
+		due := time.Now().Add(p.latency + h.Delay)
 		if n > 0 {
 			f.network.count(f.endpoint, n)
-			pieces <- piece{bytes: buffer[:n], due: time.Now().Add(p.latency)}
+			pieces <- piece{bytes: buffer[:n], due: due}
 		}
 		if err != nil {
-			pieces <- piece{due: time.Now().Add(p.latency)}
+			pieces <- piece{due: due}
 			return
 		}
 	}
 }
 
 // deliver writes pieces when they are due; an empty one ends the direction.
-func (f *flow) deliver(to net.Conn, pieces <-chan piece, p path) {
+func (f *flow) deliver(to net.Conn, pieces <-chan piece, p path, holds func(Harm) bool) {
 	broken := false
 	for q := range pieces {
 		f.await(q.due)
+		f.awaitPath(holds)
 		if p.limiter != nil && len(q.bytes) > 0 {
 			_ = p.limiter.WaitN(context.Background(), len(q.bytes))
 		}
--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -32,6 +32,17 @@
 	carried   map[string]int64 // By endpoint, both ways.
 	isolated  map[string]bool  // Source addresses and endpoint names that reach nothing.
 	split     bool
+	harm      func(source, endpoint string) Harm
+}
+
+// Harm is what a path does to the connections that it carries.
+type Harm struct {
+	// Delay is added each way.
+	Delay time.Duration
+	// HoldThere holds what callers send, HoldBack what they are sent, until the
+	// harm is over: packets are lost and sent again.
+	HoldThere bool
+	HoldBack  bool
 }
 
 type endpoint struct {
@@ -101,6 +112,38 @@
 	return count
 }
 
+// ResetOpen resets the connections for which match holds, and returns their number.
+func (n *Network) ResetOpen(match func(source, endpoint string) bool) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	count := 0
+	for f := range n.flows {
+		if match(f.source, f.endpoint.name) {
+			f.reset()
+			count++
+		}
+	}
+	return count
+}
+
+// SetHarm tells the harm of each path from now on, also for open connections; nil means none.
+func (n *Network) SetHarm(harm func(source, endpoint string) Harm) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.harm = harm
+	for f := range n.flows {
+		f.setHarm(n.harmOf(f))
+	}
+}
+
+// harmOf returns the harm of a connection's path; n.mu is held.
+func (n *Network) harmOf(f *flow) Harm {
+	if n.harm == nil {
+		return Harm{}
+	}
+	return n.harm(f.source, f.endpoint.name)
+}
+
 // SetSplit parts the regions: traffic between them gets lost without a sign.
 func (n *Network) SetSplit(split bool) {
 	n.mu.Lock()
@@ -182,8 +225,11 @@
 // connect joins a caller to the endpoint's target.
 func (n *Network) connect(e *endpoint, caller net.Conn) {
 	source := sourceOf(caller)
-	f := &flow{endpoint: e, source: source, caller: caller, network: n, done: make(chan struct{})}
+	f := &flow{
+		endpoint: e, source: source, caller: caller, network: n, done: make(chan struct{}), changed: make(chan struct{}),
+	}
 	n.mu.Lock()
+	f.harm = n.harmOf(f)
 	f.silent.Store(n.blocked(source, e))
 	from, known := n.sites[source]
 	if !known {
