--- a/internal/desk/calls.go
+++ b/internal/desk/calls.go
@@ -226,9 +226,14 @@
 		return state, true, nil
 	}
 	// A holder that the store turns away may not know what waits in the inbox.
-	return d.stored(ctx, id)
+	bounded, cancel := context.WithTimeout(ctx, storedTimeout)
+	defer cancel()
+	return d.stored(bounded, id)
 }
 
+// storedTimeout bounds the reading of a job's state, as a call to the holder is bounded.
+const storedTimeout = passTimeout
+
 // stored returns the state of a job as the store has it.
 func (d *Desk) stored(ctx context.Context, id string) (batch.State, bool, error) {
 	e, found, err := d.Store.Read(ctx, jobPrefix+id)
@@ -435,9 +440,14 @@
 }
 
 func (h *Holder) state(_ context.Context, id string) (batch.State, bool, error) {
+	now := h.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	state, known := h.core.State(id)
+	if !state.Final() && !now.Before(h.validUntil) {
+		// Another holder may have gone on with the job; what has ended stays so.
+		return "", false, &NotHolderError{}
+	}
 	if !known && h.core.Has(id) {
 		// It is being committed.
 		return batch.Queued, true, nil
@@ -445,8 +455,15 @@
 	return state, known, nil
 }
 
+// pendingAge is how old a count of waiting jobs may be: callers are promised 2 s.
+const pendingAge = 2 * time.Second
+
 func (h *Holder) pending(_ context.Context, queue string) (int, error) {
+	now := h.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if !now.Before(h.validUntil.Add(pendingAge)) {
+		return 0, &NotHolderError{}
+	}
 	return h.core.Pending(queue), nil
 }
--- a/internal/desk/desk_test.go
+++ b/internal/desk/desk_test.go
@@ -26,8 +26,9 @@
 	workers *fakeWorkers
 	nodes   map[string]*Desk
 	stops   map[string]context.CancelFunc
-	// cut are the nodes that no peer reaches.
-	cut map[string]bool
+	// cut are the nodes that no peer reaches, apart those that reach no worker.
+	cut   map[string]bool
+	apart map[string]bool
 }
 
 var errCut = errors.New("no way to the peer")
@@ -35,7 +36,7 @@
 func newWorld(t *testing.T, duration time.Duration, workers ...string) *world {
 	w := &world{
 		t: t, store: newFakeStore(), workers: newFakeWorkers(duration, workers...),
-		nodes: map[string]*Desk{}, stops: map[string]context.CancelFunc{}, cut: map[string]bool{},
+		nodes: map[string]*Desk{}, stops: map[string]context.CancelFunc{}, cut: map[string]bool{}, apart: map[string]bool{},
 	}
 	for _, id := range workers {
 		w.store.put(testPrefix+id, []byte(id))
@@ -54,7 +55,7 @@
 func (w *world) add(name string) *Desk {
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &Desk{
-		ID: name + "/" + fmt.Sprint(len(w.stops)), Address: name, Share: 1, Store: w.store.client(name), Workers: w.workers.calls(),
+		ID: name + "/" + fmt.Sprint(len(w.stops)), Address: name, Share: 1, Store: w.store.client(name), Workers: w.workersOf(name),
 		WorkerPrefix: testPrefix, Timing: batch.DefaultTiming(), Log: eventlog.Discard(), Meter: NewMeter(metrics.NewSet()),
 		Now: time.Now,
 		DecodeWorker: func(key string, value []byte) (batch.WorkerInfo, error) {
@@ -77,6 +78,25 @@
 	return d
 }
 
+// workersOf returns a node's calls to the workers.
+func (w *world) workersOf(name string) Workers {
+	calls := w.workers.calls()
+	look, order := calls.Look, calls.Order
+	calls.Look = func(ctx context.Context, l batch.Look, wait time.Duration, token int64) (batch.Report, error) {
+		if w.apart[name] {
+			return batch.Report{}, &LookError{Worker: l.Worker, Answer: batch.AnswerNone, Err: errCut}
+		}
+		return look(ctx, l, wait, token)
+	}
+	calls.Order = func(ctx context.Context, c batch.Call, token int64) batch.Result {
+		if w.apart[name] {
+			return batch.Result{Answer: batch.AnswerNone}
+		}
+		return order(ctx, c, token)
+	}
+	return calls
+}
+
 // kill ends a node at once; what it has begun is not answered any more.
 func (w *world) kill(name string) {
 	w.stops[name]()
@@ -316,6 +336,47 @@
 	})
 }
 
+// A holder that lost the store, and was replaced without knowing it, shows no
+// state that may be out of date.
+func TestDeposedHolderShowsNoOldState(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3*time.Second, "w1")
+		defer w.end()
+		a, b := w.add("a"), w.add("b")
+		time.Sleep(3 * time.Second)
+		holder, _ := w.holder()
+		old, next := a, b
+		if holder == "b" {
+			old, next = b, a
+		}
+		j := testJob(1, 1)
+		require.NoError(t, submit(old, j))
+		time.Sleep(time.Second)
+		require.Equal(t, batch.Active, state(t, old, j.ID))
+		w.store.set(func(s *fakeStore) { s.unheard[holder] = true })
+		w.cut[holder], w.apart[holder] = true, true
+		shown := batch.Active
+		for range 60 {
+			time.Sleep(200 * time.Millisecond)
+			if s := state(t, next, j.ID); s != shown {
+				shown = s
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			s, known, err := old.State(ctx, j.ID)
+			cancel()
+			if err != nil {
+				require.ErrorAs(t, err, new(*UnavailableError))
+				continue
+			}
+			require.True(t, known)
+			if shown.Final() {
+				require.Equal(t, shown, s)
+			}
+		}
+		require.Equal(t, batch.Completed, shown)
+	})
+}
+
 // A node that the store turns away, and which reaches no holder that the store
 // serves, asks another node before it refuses.
 func TestRefusedNodeRelays(t *testing.T) {
--- a/internal/desk/store_test.go
+++ b/internal/desk/store_test.go
@@ -28,6 +28,8 @@
 	// down turns all away, refused the clients of these names.
 	down    bool
 	refused map[string]bool
+	// unheard leaves the calls of the clients of these names without an answer.
+	unheard map[string]bool
 	// lose decides for each commit whether its answer is lost, and whether it is carried out late.
 	lose func(t store.Txn) (lost bool, late time.Duration)
 	// silent keeps commits from being carried out or answered at all.
@@ -39,7 +41,7 @@
 func newFakeStore() *fakeStore {
 	return &fakeStore{
 		items: map[string]store.Entry{}, leases: map[store.LeaseID]time.Time{}, ttl: map[store.LeaseID]time.Duration{},
-		changed: make(chan struct{}), refused: map[string]bool{}, revision: 1,
+		changed: make(chan struct{}), refused: map[string]bool{}, unheard: map[string]bool{}, revision: 1,
 	}
 }
 
@@ -72,7 +74,7 @@
 func (s *fakeStore) admit(client, call string) error {
 	s.sweep()
 	switch {
-	case s.silent:
+	case s.silent || s.unheard[client]:
 		return &store.UnavailableError{Call: call, Err: errLost}
 	case s.down || s.refused[client]:
 		return &store.RefusedError{Call: call, Status: 503}
