A pace tells its reason, the strain and the risk behind it

Cause: 'run paced' named the run and nothing of what decided it, so that a log could not tell a known harm from a guess. Change: the note carries percent, reason, strain and risk. Result: no change of behaviour.

--- a/internal/batch/core.go
+++ b/internal/batch/core.go
@@ -58,8 +58,11 @@
 	Worker string
 	Age    time.Duration
 	Reason string
-	// Percent is the pace of a NotePaced.
+	// Percent is the pace of a NotePaced, Strain the worst tail against its target
+	// by which it was decided, and Risk the probability that the run harms.
 	Percent int
+	Strain  float64
+	Risk    float64
 }
 
 // NoteKind is what a Note tells of.
--- a/internal/batch/pace.go
+++ b/internal/batch/pace.go
@@ -52,9 +52,9 @@
 	for _, r := range c.filling(w) {
 		switch {
 		case c.blame(w, r) < harmfulRisk:
-			c.setPace(w, r, fullPace, now)
+			c.setPace(w, r, fullPace, "the tail is low", now)
 		case w.strain < tailIdle:
-			c.setPace(w, r, max(r.pace, slowPace), now)
+			c.setPace(w, r, max(r.pace, slowPace), "the tail is low, and it may harm", now)
 		}
 	}
 }
@@ -92,10 +92,12 @@
 		case blame >= harmfulRisk && c.hasBetter(r, now):
 			r.task.avoid = w
 			c.stopRun(r, "disturbs a serving task", now)
-		case blame >= harmfulRisk || late:
-			c.setPace(w, r, 0, now)
+		case blame >= harmfulRisk:
+			c.setPace(w, r, 0, "harms", now)
+		case late:
+			c.setPace(w, r, 0, "target missed for long", now)
 		case w.strain >= 1 && blame >= worst:
-			c.setPace(w, r, min(r.pace, slowPace), now)
+			c.setPace(w, r, min(r.pace, slowPace), "may harm", now)
 		}
 	}
 }
@@ -111,11 +113,14 @@
 }
 
 // setPace changes the pace of a run.
-func (c *Core) setPace(w *worker, r *run, pace int, now time.Time) {
+func (c *Core) setPace(w *worker, r *run, pace int, reason string, now time.Time) {
 	if pace == r.pace {
 		return
 	}
 	w.pacedAt = now
 	c.stops = append(c.stops, Order{Kind: OrderPace, run: r, worker: w, pace: pace})
-	c.note(Note{Kind: NotePaced, Task: r.task.name(), Run: r.number, Worker: w.ID, Percent: pace})
+	c.note(Note{
+		Kind: NotePaced, Task: r.task.name(), Run: r.number, Worker: w.ID, Percent: pace,
+		Reason: reason, Strain: w.strain, Risk: c.blame(w, r),
+	})
 }
--- a/internal/desk/notes.go
+++ b/internal/desk/notes.go
@@ -41,5 +41,8 @@
 	if n.Reason != "" {
 		fields = append(fields, zap.String("reason", n.Reason))
 	}
+	if n.Kind == batch.NotePaced {
+		fields = append(fields, zap.Int("percent", n.Percent), zap.Float64("strain", n.Strain), zap.Float64("risk", n.Risk))
+	}
 	h.Log.Emit(noteEvents[n.Kind], append(fields, zap.Int64("token", h.Token))...)
 }
