A submission whose fate is open goes on to another node

Change: what is unknown is relayed as what is refused was; only an acceptance ends it, since after an open fate no refusal is true.

--- a/internal/desk/calls.go
+++ b/internal/desk/calls.go
@@ -68,10 +68,11 @@
 // Submit accepts a job; it returns once the job is durable. An
 // *UnavailableError means that the job will never run, an *UnknownError that it
 // may be accepted. If neither the holder nor the store serves this node,
-// another node is asked before the job is refused.
+// another node is asked before the job is refused or its fate is left open:
+// wherever it arrives again, it stays one job.
 func (d *Desk) Submit(ctx context.Context, j batch.Job) error {
 	err := d.submitHere(ctx, j)
-	if !errors.As(err, new(*UnavailableError)) {
+	if !mayRelay(err) {
 		return err
 	}
 	for _, address := range d.Peers {
@@ -86,13 +87,25 @@
 		relayed := c.Relay(bounded, j)
 		cancel()
 		d.Log.Emit(eventlog.Relayed, zap.String("job", j.ID), zap.String("peer", address), zap.Error(relayed))
-		if !errors.As(relayed, new(*UnavailableError)) {
+		switch {
+		case relayed == nil:
+			return nil
+		case errors.As(err, new(*UnknownError)):
+			// Its fate is open, so that no refusal would be true.
+		case !mayRelay(relayed):
 			return relayed
+		case errors.As(relayed, new(*UnknownError)):
+			err = relayed
 		}
 	}
 	return err
 }
 
+// mayRelay reports whether another node may still accept a job.
+func mayRelay(err error) bool {
+	return errors.As(err, new(*UnavailableError)) || errors.As(err, new(*UnknownError))
+}
+
 // relayTimeout bounds a submission through another node.
 const relayTimeout = 800 * time.Millisecond
 
--- a/internal/desk/desk_test.go
+++ b/internal/desk/desk_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -29,6 +30,9 @@
 	// cut are the nodes that no peer reaches, apart those that reach no worker.
 	cut   map[string]bool
 	apart map[string]bool
+	// frozen are the nodes whose calls wait, each until its channel is closed.
+	frozen   map[string]chan struct{}
+	frozenMu sync.Mutex
 }
 
 var errCut = errors.New("no way to the peer")
@@ -37,6 +41,7 @@
 	w := &world{
 		t: t, store: newFakeStore(), workers: newFakeWorkers(duration, workers...),
 		nodes: map[string]*Desk{}, stops: map[string]context.CancelFunc{}, cut: map[string]bool{}, apart: map[string]bool{},
+		frozen: map[string]chan struct{}{},
 	}
 	for _, id := range workers {
 		w.store.put(testPrefix+id, []byte(id))
@@ -55,7 +60,7 @@
 func (w *world) add(name string) *Desk {
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &Desk{
-		ID: name + "/" + fmt.Sprint(len(w.stops)), Address: name, Share: 1, Store: w.store.client(name), Workers: w.workersOf(name),
+		ID: name + "/" + fmt.Sprint(len(w.stops)), Address: name, Share: 1, Store: w.storeOf(name), Workers: w.workersOf(name),
 		WorkerPrefix: testPrefix, Timing: batch.DefaultTiming(), Log: eventlog.Discard(), Meter: NewMeter(metrics.NewSet()),
 		Now: time.Now,
 		DecodeWorker: func(key string, value []byte) (batch.WorkerInfo, error) {
@@ -78,17 +83,61 @@
 	return d
 }
 
+// freeze keeps a node's calls from leaving until thaw: what it had decided upon
+// before goes out late.
+func (w *world) freeze(name string) (thaw func()) {
+	w.frozenMu.Lock()
+	defer w.frozenMu.Unlock()
+	thawed := make(chan struct{})
+	w.frozen[name] = thawed
+	return func() { close(thawed) }
+}
+
+func (w *world) awaitThaw(name string) {
+	w.frozenMu.Lock()
+	thawed := w.frozen[name]
+	w.frozenMu.Unlock()
+	if thawed != nil {
+		<-thawed
+	}
+}
+
+// storeOf returns a node's calls to the store.
+func (w *world) storeOf(name string) *store.Client {
+	plain := w.store.client(name)
+	held := *plain
+	held.Read = func(ctx context.Context, key string) (store.Entry, bool, error) {
+		w.awaitThaw(name)
+		return plain.Read(ctx, key)
+	}
+	held.Commit = func(ctx context.Context, t store.Txn) (store.Result, error) {
+		w.awaitThaw(name)
+		return plain.Commit(ctx, t)
+	}
+	held.KeepAlive = func(ctx context.Context, id store.LeaseID) error {
+		w.awaitThaw(name)
+		return plain.KeepAlive(ctx, id)
+	}
+	held.GrantLease = func(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
+		w.awaitThaw(name)
+		return plain.GrantLease(ctx, ttl)
+	}
+	return &held
+}
+
 // workersOf returns a node's calls to the workers.
 func (w *world) workersOf(name string) Workers {
 	calls := w.workers.calls()
 	look, order := calls.Look, calls.Order
 	calls.Look = func(ctx context.Context, l batch.Look, wait time.Duration, token int64) (batch.Report, error) {
+		w.awaitThaw(name)
 		if w.apart[name] {
 			return batch.Report{}, &LookError{Worker: l.Worker, Answer: batch.AnswerNone, Err: errCut}
 		}
 		return look(ctx, l, wait, token)
 	}
 	calls.Order = func(ctx context.Context, c batch.Call, token int64) batch.Result {
+		w.awaitThaw(name)
 		if w.apart[name] {
 			return batch.Result{Answer: batch.AnswerNone}
 		}
@@ -377,6 +426,67 @@
 	})
 }
 
+// A holder whose calls stand still goes on with what it was about to do: orders
+// and commits that it had decided upon leave late, after another one has taken over.
+func TestStalledHolderStartsNothingTwice(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		still time.Duration
+	}{
+		{"for less than its lease", 900 * time.Millisecond},
+		{"for longer than its lease", 3 * time.Second},
+		{"for longer than the lease of runs", 8 * time.Second},
+		{"for longer than any lease", 30 * time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, 800*time.Millisecond, "w1", "w2", "w3")
+				defer w.end()
+				for _, name := range []string{"a", "b", "c"} {
+					w.add(name)
+				}
+				time.Sleep(2 * time.Second)
+				var jobs []string
+				hand := func(d *Desk, id int) {
+					if submit(d, testJob(id, 3)) == nil {
+						jobs = append(jobs, testJob(id, 3).ID)
+					}
+				}
+				// It stops amid submissions, with commits and orders under way.
+				for turn := range 3 {
+					name, h := w.holder()
+					for h == nil {
+						time.Sleep(100 * time.Millisecond)
+						name, h = w.holder()
+					}
+					for i := range 5 {
+						hand(w.nodes[name], 100*turn+i)
+						time.Sleep(time.Duration(7*turn+13) * time.Millisecond)
+					}
+					go hand(w.nodes[name], 100*turn+90)
+					time.Sleep(time.Duration(turn) * time.Millisecond)
+					thaw := w.freeze(name)
+					time.Sleep(c.still / 2)
+					for other, d := range w.nodes {
+						if other != name {
+							hand(d, 100*turn+50)
+							break
+						}
+					}
+					time.Sleep(c.still / 2)
+					thaw()
+					time.Sleep(3 * time.Second)
+				}
+				time.Sleep(20 * time.Second)
+				require.NotEmpty(t, jobs)
+				for _, id := range jobs {
+					require.Equal(t, batch.Completed, state(t, w.nodes["a"], id), id)
+				}
+			})
+		})
+	}
+}
+
 // A node that the store turns away, and which reaches no holder that the store
 // serves, asks another node before it refuses.
 func TestRefusedNodeRelays(t *testing.T) {
