A job that leaves the inbox while its state is read stays known

Change: the record is read once more before a job is called unknown. Result: TestJobThatLeavesTheInboxStaysKnown fails before, passes after.

--- a/internal/desk/calls.go
+++ b/internal/desk/calls.go
@@ -249,19 +249,32 @@
 
 // stored returns the state of a job as the store has it.
 func (d *Desk) stored(ctx context.Context, id string) (batch.State, bool, error) {
-	e, found, err := d.Store.Read(ctx, jobPrefix+id)
-	if err != nil {
-		return "", false, &UnavailableError{Reason: err.Error(), RetryAfter: retryAfter}
-	}
-	if found {
-		state, err := batch.DecodeState(e.Value)
-		return state, true, err
+	state, found, err := d.recorded(ctx, id)
+	if err != nil || found {
+		return state, found, err
 	}
 	_, waits, err := d.Store.Read(ctx, inboxPrefix+id)
+	switch {
+	case err != nil:
+		return "", false, &UnavailableError{Reason: err.Error(), RetryAfter: retryAfter}
+	case waits:
+		return batch.Queued, true, nil
+	}
+	// The holder may have taken it out of the inbox between the two reads.
+	return d.recorded(ctx, id)
+}
+
+// recorded returns the state of a job that a holder has taken in.
+func (d *Desk) recorded(ctx context.Context, id string) (batch.State, bool, error) {
+	e, found, err := d.Store.Read(ctx, jobPrefix+id)
 	if err != nil {
 		return "", false, &UnavailableError{Reason: err.Error(), RetryAfter: retryAfter}
 	}
-	return batch.Queued, waits, nil
+	if !found {
+		return "", false, nil
+	}
+	state, err := batch.DecodeState(e.Value)
+	return state, true, err
 }
 
 // Pending counts the jobs of a queue of which no task has started.
--- a/internal/desk/desk_test.go
+++ b/internal/desk/desk_test.go
@@ -487,6 +487,24 @@
 	}
 }
 
+// While a job's state is read, the holder moves the job from the inbox to its own place.
+func TestJobThatLeavesTheInboxStaysKnown(t *testing.T) {
+	j := testJob(1, 1)
+	value, err := batch.EncodeJob(j)
+	require.NoError(t, err)
+	moved := false
+	d := &Desk{Store: &store.Client{Read: func(_ context.Context, key string) (store.Entry, bool, error) {
+		if key == inboxPrefix+j.ID {
+			moved = true
+			return store.Entry{}, false, nil
+		}
+		return store.Entry{Key: key, Value: value}, moved, nil
+	}}}
+	_, known, err := d.stored(context.Background(), j.ID)
+	require.NoError(t, err)
+	require.True(t, known)
+}
+
 // A node that the store turns away, and which reaches no holder that the store
 // serves, asks another node before it refuses.
 func TestRefusedNodeRelays(t *testing.T) {
