--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -86,7 +86,7 @@
 			r, err := s.Run(context.Background())
 			require.NoError(t, err, logs(dir))
 			t.Logf("jobs %d, accepted %d, refused %d, completed %d, runs %d, faults %d",
-				r.Jobs, r.Accepted, r.Refused, r.Completed, r.Runs, len(r.Faults))
+				r.Jobs, r.Accepted, r.Refused, r.Completed, r.Runs, r.Faults)
 			if testing.Verbose() {
 				t.Log(out.String())
 			}
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -37,7 +37,7 @@
 	l := j.world.ledger
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	r := Report{Jobs: len(l.jobs), Runs: len(l.order), Faults: j.world.faults}
+	r := Report{Jobs: len(l.jobs), Runs: len(l.order), Faults: len(j.world.spans)}
 	for _, id := range sortedIDs(l.jobs) {
 		job := l.jobs[id]
 		j.judgeJob(job, running)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -60,7 +60,7 @@
 // Report is what a run showed.
 type Report struct {
 	Broken    []string
-	Faults    []string
+	Faults    int
 	Jobs      int
 	Accepted  int
 	Refused   int
@@ -85,7 +85,6 @@
 	version  int64
 	written  time.Time // When the newest version was.
 	launched int
-	faults   []string
 
 	random *rand.Rand // Guarded by mu; of faults that decide call by call.
 	group  sync.WaitGroup
@@ -129,25 +128,20 @@
 	return j.report(), nil
 }
 
+// say writes a line with the time since the beginning.
 func (w *world) say(format string, args ...any) {
-	line := fmt.Sprintf("%6.2f ", time.Since(w.began).Seconds()) + fmt.Sprintf(format, args...)
+	if w.Out == nil {
+		return
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.faults = append(w.faults, line)
-	if w.Out != nil {
-		fmt.Fprintln(w.Out, line)
-	}
+	fmt.Fprintf(w.Out, "%6.2f %s\n", time.Since(w.began).Seconds(), fmt.Sprintf(format, args...))
 }
 
 // calm reports whether no fault was under way between two times or shortly before.
 func (w *world) calm(from, to time.Time, exceptPlanned bool) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.calmLocked(from, to, exceptPlanned)
-}
-
-// calmLocked is calm while w.mu is held.
-func (w *world) calmLocked(from, to time.Time, exceptPlanned bool) bool {
 	for _, s := range w.spans {
 		if exceptPlanned && s.planned {
 			continue
