--- a/internal/desk/desk_test.go
+++ b/internal/desk/desk_test.go
@@ -465,3 +465,35 @@
 		require.Equal(t, batch.Completed, state(t, a, testJob(1, 8).ID))
 	})
 }
+
+// The tasks of a worker that is lost with the holder wait until its lease has
+// surely lapsed; the loss of the next holder does not let that time begin anew.
+func TestLostWorkerIsNotWaitedForAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3*time.Second, "w1", "w2")
+		defer w.end()
+		for _, name := range []string{"a", "b", "c"} {
+			w.add(name)
+		}
+		time.Sleep(2 * time.Second)
+		j := testJob(1, 8)
+		first, _ := w.holder()
+		require.NoError(t, submit(w.nodes[first], j))
+		time.Sleep(500 * time.Millisecond)
+		w.workers.set(func(f *fakeWorkers) { f.workers["w1"].silent = true })
+		w.store.remove(testPrefix + "w1")
+		w.kill(first)
+		lost := time.Now()
+		time.Sleep(15 * time.Second)
+		second, _ := w.holder()
+		w.kill(second)
+		var last *Desk
+		for _, d := range w.nodes {
+			last = d
+		}
+		for state(t, last, j.ID) != batch.Completed {
+			time.Sleep(500 * time.Millisecond)
+			require.Less(t, time.Since(lost), last.unheard()+10*time.Second)
+		}
+	})
+}
--- a/internal/desk/store_test.go
+++ b/internal/desk/store_test.go
@@ -251,6 +251,14 @@
 	s.note(store.Change{Entry: e})
 }
 
+func (s *fakeStore) remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	delete(s.items, key)
+	s.note(store.Change{Entry: store.Entry{Key: key, Revision: s.revision}, Deleted: true})
+}
+
 func (s *fakeStore) has(key string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
