--- a/internal/desk/desk_test.go
+++ b/internal/desk/desk_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -29,7 +30,7 @@
 		require.Equal(t, batch.Active, state(t, b, j.ID))
 		time.Sleep(2 * time.Second)
 		require.Equal(t, batch.Completed, state(t, a, j.ID))
-		require.Equal(t, 7, w.workers.starts)
+		require.Equal(t, 7, w.workers.count())
 	})
 }
 
@@ -85,7 +86,7 @@
 				for i := range 10 {
 					require.Equal(t, batch.Completed, state(t, a, testJob(i, 3).ID))
 				}
-				require.Equal(t, 40, w.workers.starts, "no task runs again")
+				require.Equal(t, 40, w.workers.count(), "no task runs again")
 			})
 		})
 	}
@@ -124,7 +125,7 @@
 				first, _ := w.holder()
 				require.NoError(t, submit(w.nodes[first], testJob(1, 8)))
 				time.Sleep(time.Second)
-				starts := w.workers.starts
+				starts := w.workers.count()
 				require.Equal(t, 8, starts)
 				c.lose(w, first)
 				var other *Desk
@@ -135,14 +136,14 @@
 				}
 				began := time.Now()
 				require.NoError(t, submit(other, testJob(2, 2)), "accepted without a holder")
-				for w.workers.starts < starts+2 {
+				for w.workers.count() < starts+2 {
 					time.Sleep(10 * time.Millisecond)
 					require.Less(t, time.Since(began), c.within)
 				}
 				time.Sleep(15 * time.Second)
 				require.Equal(t, batch.Completed, state(t, other, testJob(1, 8).ID))
 				require.Equal(t, batch.Completed, state(t, other, testJob(2, 2).ID))
-				require.Equal(t, 12, w.workers.starts, "what ran goes on")
+				require.Equal(t, 12, w.workers.count(), "what ran goes on")
 			})
 		})
 	}
@@ -196,7 +197,7 @@
 		w.store.set(func(s *fakeStore) { s.down = false })
 		time.Sleep(10 * time.Second)
 		require.Equal(t, batch.Completed, state(t, a, testJob(1, 4).ID))
-		require.Equal(t, 5, w.workers.starts, "leases outlast the store's outage")
+		require.Equal(t, 5, w.workers.count(), "leases outlast the store's outage")
 		require.False(t, w.store.has(jobPrefix+testJob(2, 1).ID))
 	})
 }
@@ -219,7 +220,7 @@
 		time.Sleep(time.Second)
 		require.Equal(t, batch.Active, state(t, old, j.ID))
 		w.store.set(func(s *fakeStore) { s.unheard[holder] = true })
-		w.cut[holder], w.apart[holder] = true, true
+		w.cutOff(holder)
 		shown := batch.Active
 		for range 60 {
 			time.Sleep(200 * time.Millisecond)
@@ -262,9 +263,14 @@
 					w.add(name)
 				}
 				time.Sleep(2 * time.Second)
-				var jobs []string
+				var (
+					mu   sync.Mutex
+					jobs []string
+				)
 				hand := func(d *Desk, id int) {
 					if submit(d, testJob(id, 3)) == nil {
+						mu.Lock()
+						defer mu.Unlock()
 						jobs = append(jobs, testJob(id, 3).ID)
 					}
 				}
@@ -283,12 +289,11 @@
 					time.Sleep(time.Duration(turn) * time.Millisecond)
 					thaw := w.freeze(name)
 					time.Sleep(c.still / 2)
-					for other, d := range w.nodes {
-						if other != name {
-							hand(d, 100*turn+50)
-							break
-						}
+					other := "a"
+					if name == other {
+						other = "b"
 					}
+					hand(w.nodes[other], 100*turn+50)
 					time.Sleep(c.still / 2)
 					thaw()
 					time.Sleep(3 * time.Second)
--- a/internal/desk/workers_test.go
+++ b/internal/desk/workers_test.go
@@ -172,6 +172,13 @@
 	w.changed = make(chan struct{})
 }
 
+// count returns how many runs were started.
+func (f *fakeWorkers) count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.starts
+}
+
 func (f *fakeWorkers) set(change func(*fakeWorkers)) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/desk/world_test.go
+++ b/internal/desk/world_test.go
@@ -31,8 +31,9 @@
 	cut   map[string]bool
 	apart map[string]bool
 	// frozen are the nodes whose calls wait, each until its channel is closed.
-	frozen   map[string]chan struct{}
-	frozenMu sync.Mutex
+	frozen map[string]chan struct{}
+	// mu guards the maps of nodes, which their calls read.
+	mu sync.Mutex
 }
 
 var errCut = errors.New("no way to the peer")
@@ -70,6 +71,8 @@
 			}, nil
 		},
 		Peer: func(address string) (*Calls, error) {
+			w.mu.Lock()
+			defer w.mu.Unlock()
 			peer := w.nodes[address]
 			if peer == nil || w.cut[address] || w.cut[name] {
 				return nil, &UnknownError{Err: errCut}
@@ -78,7 +81,9 @@
 		},
 	}
 	d.SetTable(testTable())
+	w.mu.Lock()
 	w.nodes[name], w.stops[name] = d, cancel
+	w.mu.Unlock()
 	go func() { _ = d.Run(ctx) }()
 	return d
 }
@@ -86,17 +91,17 @@
 // freeze keeps a node's calls from leaving until thaw: what it had decided upon
 // before goes out late.
 func (w *world) freeze(name string) (thaw func()) {
-	w.frozenMu.Lock()
-	defer w.frozenMu.Unlock()
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	thawed := make(chan struct{})
 	w.frozen[name] = thawed
 	return func() { close(thawed) }
 }
 
 func (w *world) awaitThaw(name string) {
-	w.frozenMu.Lock()
+	w.mu.Lock()
 	thawed := w.frozen[name]
-	w.frozenMu.Unlock()
+	w.mu.Unlock()
 	if thawed != nil {
 		<-thawed
 	}
@@ -125,20 +130,33 @@
 	return &held
 }
 
+// cutOff keeps a node from its peers and from all workers.
+func (w *world) cutOff(name string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cut[name], w.apart[name] = true, true
+}
+
+func (w *world) isApart(name string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.apart[name]
+}
+
 // workersOf returns a node's calls to the workers.
 func (w *world) workersOf(name string) Workers {
 	calls := w.workers.calls()
 	look, order := calls.Look, calls.Order
 	calls.Look = func(ctx context.Context, l batch.Look, wait time.Duration, token int64) (batch.Report, error) {
 		w.awaitThaw(name)
-		if w.apart[name] {
+		if w.isApart(name) {
 			return batch.Report{}, &LookError{Worker: l.Worker, Answer: batch.AnswerNone, Err: errCut}
 		}
 		return look(ctx, l, wait, token)
 	}
 	calls.Order = func(ctx context.Context, c batch.Call, token int64) batch.Result {
 		w.awaitThaw(name)
-		if w.apart[name] {
+		if w.isApart(name) {
 			return batch.Result{Answer: batch.AnswerNone}
 		}
 		return order(ctx, c, token)
@@ -149,6 +167,8 @@
 // kill ends a node at once; what it has begun is not answered any more.
 func (w *world) kill(name string) {
 	w.stops[name]()
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	delete(w.nodes, name)
 	delete(w.stops, name)
 }
--- a/internal/standin/quiet.go
+++ b/internal/standin/quiet.go
@@ -5,5 +5,5 @@
 	"log"
 )
 
-// quiet drops the complaints of HTTP servers about connections that were cut on purpose.
-var quiet = log.New(io.Discard, "", 0)
+// Quiet drops the complaints of HTTP servers about connections that were cut on purpose.
+var Quiet = log.New(io.Discard, "", 0)
