What is left of a silent worker's lease is handed on to the next holder

Cause: since when a worker is silent was not in the store, so each new holder waited for the longest lease that any holder could have granted, anew.

Change: pond/silent names the silent workers with runs and how long the lease there may last yet. It goes along with a commit, once a second while anyone is silent. A worker that it names is granted nothing until a record without it is durable, so the time that is left only runs down.

Weighed: the longest deadline granted by worker (a write for each renewal) and a bound by the clock of the store (there is none).

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -12,7 +12,7 @@
 //	c.SetWorker(info, now)
 //	verdict := c.Submit(job, now)
 //	c.Plan(now)
-//	changes := c.Take(maxRecords)
+//	changes := c.Take(maxRecords, now)
 //	// Commit changes.Records, then:
 //	orders := c.Durable(changes, now)
 package batch
--- a/internal/batch/bench_test.go
+++ b/internal/batch/bench_test.go
@@ -44,7 +44,7 @@
 func benchRun(b *testing.B, c *Core, now time.Time) {
 	b.Helper()
 	for c.HasChanges() {
-		changes, err := c.Take(20)
+		changes, err := c.Take(20, now)
 		if err != nil {
 			b.Fatal(err)
 		}
@@ -183,7 +183,7 @@
 func (l *benchLife) commit(b *testing.B) {
 	b.Helper()
 	for l.c.HasChanges() {
-		changes, err := l.c.Take(20)
+		changes, err := l.c.Take(20, l.now)
 		if err != nil {
 			b.Fatal(err)
 		}
--- a/internal/batch/core.go
+++ b/internal/batch/core.go
@@ -41,6 +41,8 @@
 	// ranks is kept to save allocations.
 	ranks []rank
 
+	silences silences
+
 	// stops and looks are orders that need no record.
 	stops []Order
 	looks map[string]bool
--- a/internal/batch/fit.go
+++ b/internal/batch/fit.go
@@ -10,7 +10,7 @@
 // mayTake reports whether a worker may be given new runs at all.
 func (c *Core) mayTake(w *worker, now time.Time) bool {
 	return w.listed && !w.Draining && w.adopted && w.silentSince.IsZero() &&
-		!now.Before(w.shunUntil) && len(w.strays) == 0 && c.health.Permits(w.ID, now)
+		!now.Before(w.shunUntil) && len(w.strays) == 0 && c.mayGrant(w) && c.health.Permits(w.ID, now)
 }
 
 // findOpen collects the workers that may take runs, in a fixed order.
--- a/internal/batch/look.go
+++ b/internal/batch/look.go
@@ -63,7 +63,7 @@
 		return Look{}, false
 	}
 	l := Look{Worker: id, Address: w.Address, DataCentre: w.DataCentre, Ack: w.acked, Wait: !c.IsSuspect(id), Soon: w.soft.Processors > 0 && w.strain > tailLow}
-	if w.adopted && w.silentSince.IsZero() {
+	if w.adopted && w.silentSince.IsZero() && c.mayGrant(w) {
 		// What a silent worker runs has to lapse some time.
 		l.Deadline = w.deadline(c.timing.Lease, now)
 	}
--- a/internal/batch/order.go
+++ b/internal/batch/order.go
@@ -123,7 +123,7 @@
 		if r.state != runIntended || w.runs[r.key()] != r {
 			return Call{}, false
 		}
-		if !w.listed || !w.adopted || r.born != w.Born {
+		if !w.listed || !w.adopted || !c.mayGrant(w) || r.born != w.Born {
 			c.unplace(r, now)
 			return Call{}, false
 		}
--- a/internal/batch/plan.go
+++ b/internal/batch/plan.go
@@ -17,6 +17,7 @@
 	}
 	c.leaveDraining(now)
 	c.place(now)
+	c.noteSilences(now)
 }
 
 // rank orders the stages that wait: what can still meet its objective before
--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -18,7 +18,9 @@
 // Changes are the records that one commit has to make durable.
 type Changes struct {
 	Records []Record
-	jobs    []taken
+	// Silent is the record of workers whose leases nobody renews; nil leaves it as it is.
+	Silent []byte
+	jobs   []taken
 }
 
 // taken is a job as its record shows it.
@@ -32,15 +34,20 @@
 }
 
 // IsEmpty reports whether there is nothing to commit.
-func (c Changes) IsEmpty() bool { return len(c.Records) == 0 }
+func (c Changes) IsEmpty() bool { return len(c.Records) == 0 && c.Silent == nil }
 
-// HasChanges reports whether a job has changed since the last Take.
-func (c *Core) HasChanges() bool { return len(c.dirty) > 0 }
+// HasChanges reports whether anything has to be made durable since the last Take.
+func (c *Core) HasChanges() bool { return len(c.dirty) > 0 || c.silences.due }
 
 // Take returns the records of changed jobs, at most limit.
-func (c *Core) Take(limit int) (Changes, error) {
+func (c *Core) Take(limit int, now time.Time) (Changes, error) {
 	n := min(limit, len(c.dirty))
 	var ch Changes
+	silent, err := c.takeSilences(now)
+	if err != nil {
+		return Changes{}, fmt.Errorf("encode silent workers: %w", err)
+	}
+	ch.Silent = silent
 	for _, j := range c.dirty[:n] {
 		value, err := encodeJob(j, c.wall)
 		if err != nil {
@@ -66,6 +73,9 @@
 // Durable takes that changes were committed, and returns the starts that may be ordered now.
 func (c *Core) Durable(ch Changes) []Order {
 	var orders []Order
+	if ch.Silent != nil {
+		c.silencesDurable()
+	}
 	for _, t := range ch.jobs {
 		t.job.stored, t.job.inFlight = true, false
 		t.job.finalStored = t.job.finalStored || t.final
--- a/internal/batch/shapes_test.go
+++ b/internal/batch/shapes_test.go
@@ -31,7 +31,7 @@
 	t.Helper()
 	calls := map[TaskName]Call{}
 	for c.HasChanges() {
-		changes, err := c.Take(20)
+		changes, err := c.Take(20, now)
 		require.NoError(t, err)
 		for _, o := range c.Durable(changes) {
 			if call, ok := c.Send(o, now); ok {
@@ -249,7 +249,7 @@
 				core.NoteInbox(id)
 			}
 			if c.taken {
-				_, err := core.Take(20)
+				_, err := core.Take(20, now)
 				require.NoError(t, err)
 			}
 			require.True(t, core.Cancel(id, now, func(s State) { cancelled = s }))
--- a/internal/batch/world_test.go
+++ b/internal/batch/world_test.go
@@ -39,6 +39,8 @@
 	core    *Core
 	token   int64
 	records map[string][]byte
+	// silent is the record of silent workers.
+	silent  []byte
 	workers []*simWorker
 	jobs    map[string]Job
 	// ended are true ends, noted those that were acknowledged in time.
@@ -136,6 +138,9 @@
 	for _, id := range sortedKeys(w.records) {
 		require.NoError(w.t, w.core.Restore(w.records[id], w.now))
 	}
+	if w.silent != nil {
+		require.NoError(w.t, w.core.RestoreSilences(w.silent, w.now))
+	}
 	var all []WorkerInfo
 	for _, o := range w.workers {
 		all = append(all, o.info)
@@ -172,7 +177,7 @@
 			w.debug("note %+v", n)
 		}
 	}
-	changes, err := w.core.Take(20)
+	changes, err := w.core.Take(20, w.now)
 	require.NoError(w.t, err)
 	w.after(5*time.Millisecond, func() {
 		if token != w.token {
@@ -184,6 +189,9 @@
 				delete(w.records, r.ID)
 			}
 		}
+		if changes.Silent != nil {
+			w.silent = changes.Silent
+		}
 		w.carryOut(w.core.Durable(changes))
 	})
 	w.after(20*time.Millisecond, func() { w.planLoop(token) })
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -34,6 +34,7 @@
 	bestKey     = "pond/holder/best"
 	headKey     = "pond/head"
 	learnedKey  = "pond/learned"
+	silentKey   = "pond/silent"
 	jobPrefix   = "pond/job/"
 	inboxPrefix = "pond/inbox/"
 	// cancelSuffix marks the inbox key of a cancel.
--- a/internal/desk/holder.go
+++ b/internal/desk/holder.go
@@ -159,6 +159,15 @@
 			h.Log.Emit(eventlog.RecordUnreadable, zap.String("key", learnedKey), zap.Error(err))
 		}
 	}
+	silent, found, err := h.Store.Read(ctx, silentKey)
+	if err != nil {
+		return err
+	}
+	if found {
+		if err := core.RestoreSilences(silent.Value, at); err != nil {
+			h.Log.Emit(eventlog.RecordUnreadable, zap.String("key", silentKey), zap.Error(err))
+		}
+	}
 	inbox, err := h.Store.List(ctx, inboxPrefix)
 	if err != nil {
 		return err
@@ -333,7 +342,7 @@
 		}
 		last = h.Now()
 		h.mu.Lock()
-		changes, err := h.core.Take(maxRecords)
+		changes, err := h.core.Take(maxRecords, last)
 		h.mu.Unlock()
 		if err != nil {
 			return err
@@ -364,6 +373,9 @@
 		Then: []store.Op{store.Put(headKey, []byte(stamp))},
 	}
 	txn.Then = append(txn.Then, h.learned()...)
+	if changes.Silent != nil {
+		txn.Then = append(txn.Then, store.Put(silentKey, changes.Silent))
+	}
 	room := maxEntries - len(txn.If) - len(txn.Then) - len(changes.Records)
 	for _, r := range changes.Records {
 		if r.Value == nil {
