--- a/cmd/oriolepond/node.go
+++ b/cmd/oriolepond/node.go
@@ -56,7 +56,7 @@
 	advertise string
 	dialer    *net.Dialer
 	log       *eventlog.Log
-	desk      *desk.Desk
+	plane     *desk.Plane
 	set       *metrics.Set
 	config    atomic.Pointer[platform.Config]
 	stopping  atomic.Bool
@@ -141,16 +141,16 @@
 	defer pool.Close()
 	set := metrics.NewSet()
 	n.set = set
-	n.desk = &desk.Desk{
+	n.plane = &desk.Plane{
 		ID: s.Node + "/" + uuid.NewString(), Address: n.advertise, Peers: s.Seeds, Share: s.ProcessorShare, Store: kv,
 		Workers:      platform.NewWorkers(s.AdviserAddress, n.client(lookConns, 0), n.client(orderConns, orderConns)),
 		WorkerPrefix: platform.WorkerPrefix, DecodeWorker: platform.DecodeWorker,
-		Peer: func(address string) (*desk.Calls, error) {
+		Peer: func(address string, cell int) (*desk.Calls, error) {
 			conn, err := pool.Conn(address)
 			if err != nil {
 				return nil, err
 			}
-			return peer.NewJobs(conn), nil
+			return peer.NewJobs(conn, cell), nil
 		},
 		Forget: pool.Drop,
 		Timing: timing(s), Log: n.log, Meter: desk.NewMeter(set),
@@ -168,7 +168,7 @@
 	}, ReadHeaderTimeout: headerTimeout}
 	ready := &http.Server{Handler: platform.Ready(n.isReady), ReadHeaderTimeout: headerTimeout}
 	server := grpc.NewServer(peer.ServerOptions()...)
-	peer.RegisterJobs(server, n.desk.LocalCalls())
+	peer.RegisterJobs(server, n.plane.LocalCalls)
 
 	var g run.Group
 	n.addLoops(&g, kv)
@@ -225,7 +225,7 @@
 // calls are what the front answers with.
 func (n *node) calls() *desk.Calls {
 	return &desk.Calls{
-		Submit: n.desk.Submit, Cancel: n.desk.Cancel, State: n.desk.State, Pending: n.desk.Pending,
+		Submit: n.plane.Submit, Cancel: n.plane.Cancel, State: n.plane.State, Pending: n.plane.Pending,
 	}
 }
 
@@ -245,7 +245,7 @@
 		zap.String("job", id), zap.Int("status", status), zap.Error(err))
 }
 
-// addLoops adds the configuration's follower and the desk.
+// addLoops adds the configuration's follower and the task plane.
 func (n *node) addLoops(g *run.Group, kv *store.Client) {
 	follower := &store.Follower{
 		Client: kv, Prefix: platform.OperatorPrefix,
@@ -264,7 +264,7 @@
 		Back: func() { n.log.Emit(eventlog.StoreBack, zap.String("use", "configuration")) },
 	}
 	actor.Loop(context.Background(), g, follower.Run)
-	actor.Loop(context.Background(), g, n.desk.Run)
+	actor.Loop(context.Background(), g, n.plane.Run)
 }
 
 // takeEntries puts the newest configuration among the entries in force; an older one never follows.
@@ -282,7 +282,7 @@
 			continue
 		}
 		n.config.Store(&c)
-		n.desk.SetTable(c.Table)
+		n.plane.SetTable(c.Table)
 		n.log.Emit(eventlog.ConfigApplied, zap.Int64("revision", e.Revision), zap.Int64("version", c.Table.Version),
 			zap.Int("queues", len(c.Table.Queues)))
 	}
@@ -315,7 +315,7 @@
 func (n *node) stop(front *http.Server) error {
 	n.stopping.Store(true)
 	n.log.Emit(eventlog.InstanceStopping)
-	n.desk.Leave()
+	n.plane.Leave()
 	front.SetKeepAlivesEnabled(false)
 	ctx, cancel := context.WithTimeout(context.Background(), max(n.settings.StopGrace-stopMargin, lameDuck))
 	defer cancel()
--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -219,6 +219,8 @@
 	Completed State = "completed"
 	Failed    State = "failed"
 	Cancelled State = "cancelled"
+	// Moved means that another cell has the job.
+	Moved State = "moved"
 )
 
 // Final reports whether nothing follows the state.
--- a/internal/batch/core.go
+++ b/internal/batch/core.go
@@ -11,6 +11,12 @@
 // Core holds all jobs and workers of a holder. It is not safe for concurrent use.
 type Core struct {
 	timing Timing
+	cell   Cell
+	// peers are the other cells, by index, as far as their loads are known, and
+	// own is this cell as it was summed up at ownAt.
+	peers map[int]*peerCell
+	own   peerCell
+	ownAt time.Time
 	// began is when this holder took over.
 	began time.Time
 	// unheardUntil is when runs have lapsed on a worker that this holder never reached.
@@ -67,8 +73,10 @@
 	// Percent is the pace of a NotePaced, Strain the worst tail against its target
 	// by which it was decided, and Risk the probability that the run harms.
 	Percent int
-	Strain  float64
-	Risk    float64
+	// Cell is where a NoteMoved went.
+	Cell   int
+	Strain float64
+	Risk   float64
 }
 
 // NoteKind is what a Note tells of.
@@ -88,6 +96,7 @@
 	NoteQuarantined NoteKind = "quarantined"
 	NotePaced       NoteKind = "paced"
 	NoteStray       NoteKind = "stray"
+	NoteMoved       NoteKind = "moved"
 )
 
 const (
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -23,6 +23,12 @@
 	// inFlight means that a commit with a record of the job is under way.
 	inFlight bool
 	removed  bool
+	// movedTo is the cell to which a job in the state Moved was handed, and checkAt
+	// when that is next asked whether it still knows the job.
+	movedTo int
+	checkAt time.Time
+	// handCancel means that a cancel is to be handed on to that cell.
+	handCancel bool
 
 	// stages are the steps of all occurrences that have begun.
 	stages []*stage
--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -13,6 +13,11 @@
 	ID string
 	// Value is nil for a job that is to be forgotten.
 	Value []byte
+	// Handed is what goes to the inbox of the cell To; nil if the job stays.
+	Handed []byte
+	// Cancel means that a cancel goes there.
+	Cancel bool
+	To     int
 }
 
 // Changes are the records that one commit has to make durable.
@@ -36,19 +41,39 @@
 // IsEmpty reports whether there is nothing to commit.
 func (c Changes) IsEmpty() bool { return len(c.Records) == 0 && c.Silent == nil }
 
+// Writes returns how many writes of jobs a commit makes.
+func (c Changes) Writes() int {
+	n := len(c.Records)
+	for _, r := range c.Records {
+		if r.Handed != nil || r.Cancel {
+			n++
+		}
+	}
+	return n
+}
+
 // HasChanges reports whether anything has to be made durable since the last Take.
 func (c *Core) HasChanges() bool { return len(c.dirty) > 0 || c.silences.due }
 
-// Take returns the records of changed jobs, at most limit.
+// Take returns the records of changed jobs, at most limit; a job that is handed
+// to another cell counts twice.
 func (c *Core) Take(limit int, now time.Time) (Changes, error) {
-	n := min(limit, len(c.dirty))
 	var ch Changes
 	silent, err := c.takeSilences(now)
 	if err != nil {
 		return Changes{}, fmt.Errorf("encode silent workers: %w", err)
 	}
 	ch.Silent = silent
-	for _, j := range c.dirty[:n] {
+	n, room := 0, limit
+	for _, j := range c.dirty {
+		handed := j.state == Moved && !j.stored
+		if room--; handed || j.handCancel {
+			room--
+		}
+		if room < 0 {
+			break
+		}
+		n++
 		value, err := encodeJob(j, c.wall)
 		if err != nil {
 			return Changes{}, fmt.Errorf("encode job %s: %w", j.ID, err)
@@ -56,7 +81,14 @@
 		if j.removed {
 			value = nil
 		}
-		ch.Records = append(ch.Records, Record{ID: j.ID, Value: value})
+		record := Record{ID: j.ID, Value: value, To: j.movedTo, Cancel: j.handCancel}
+		j.handCancel = false
+		if handed {
+			if record.Handed, err = EncodeJob(j.Job); err != nil {
+				return Changes{}, fmt.Errorf("encode job %s: %w", j.ID, err)
+			}
+		}
+		ch.Records = append(ch.Records, record)
 		ch.jobs = append(ch.jobs, taken{
 			job: j, final: j.state.Final(), starts: j.starts, ends: j.ends, waits: j.waiters, state: j.state,
 		})
@@ -93,6 +125,10 @@
 		for _, call := range t.waits {
 			call(t.state)
 		}
+		if t.job.state == Moved {
+			// The other cell has the steps.
+			t.job.Job = Job{ID: t.job.ID, Queue: t.job.Queue}
+		}
 		if t.job.removed {
 			delete(c.jobs, t.job.ID)
 		}
@@ -117,6 +153,8 @@
 		Reason      string      `json:"reason,omitempty"`
 		Stages      []wireStage `json:"stages,omitempty"`
 		Occurrences int         `json:"occurrences,omitempty"`
+		// Cell is where a job in the state "moved" went.
+		Cell int `json:"cell,omitempty"`
 	}
 	wireStep struct {
 		Tasks         int      `json:"tasks"`
@@ -174,6 +212,10 @@
 		w.EndedMs = j.endedAt.Add(wall).UnixMilli()
 		return json.Marshal(w)
 	}
+	if j.state == Moved {
+		w.Cell = j.movedTo
+		return json.Marshal(w)
+	}
 	w.Spec, w.Occurrences = j.Spec, j.begun
 	if j.Repeat.Count > 0 {
 		w.Repeats, w.FirstMs, w.EveryMs = j.Repeat.Count, j.Repeat.First.UnixMilli(), j.Repeat.Every.Milliseconds()
@@ -289,13 +331,14 @@
 	return json.Marshal(w)
 }
 
-// DecodeState returns the state that a record holds.
-func DecodeState(value []byte) (State, error) {
+// DecodeState returns the state that a record holds, and for Moved the cell
+// that has the job.
+func DecodeState(value []byte) (State, int, error) {
 	var w wireJob
 	if err := json.Unmarshal(value, &w); err != nil {
-		return "", fmt.Errorf("decode job: %w", err)
+		return "", 0, fmt.Errorf("decode job: %w", err)
 	}
-	return State(w.State), nil
+	return State(w.State), w.Cell, nil
 }
 
 func decodeSubmission(w wireJob) Job {
@@ -326,6 +369,11 @@
 		c.adopt(j)
 		return nil
 	}
+	if j.state == Moved {
+		j.movedTo = w.Cell
+		c.adopt(j)
+		return nil
+	}
 	for range w.Occurrences {
 		c.begin(j)
 	}
--- a/internal/batch/submit.go
+++ b/internal/batch/submit.go
@@ -42,6 +42,11 @@
 
 func (c *Core) take(s Job, now time.Time, waiter func(State)) {
 	j := &job{Job: s, service: c.table.Queues[s.Queue].Service, accepted: now, state: Queued}
+	if to := c.cellFor(s, now); to != c.cell.Index {
+		c.moveOut(j, to)
+		c.await(j, waiter)
+		return
+	}
 	c.adopt(j)
 	c.advance(j, now)
 	c.mark(j)
@@ -78,7 +83,7 @@
 func (c *Core) adopt(j *job) {
 	j.chain = longestChain(j.Steps)
 	c.jobs[j.ID] = j
-	if !j.state.Final() {
+	if !j.state.Final() && j.state != Moved {
 		c.active = append(c.active, j)
 	}
 }
@@ -96,14 +101,19 @@
 	j.waiters = append(j.waiters, waiter)
 }
 
-// Cancel withdraws a job; the waiter is called once that is durable. It reports
-// whether the job is known.
+// Cancel withdraws a job; the waiter is called once that is durable, with Moved
+// if the job is another cell's. Without a waiter the cancel is handed on there.
+// It reports whether the job is known.
 func (c *Core) Cancel(id string, now time.Time, waiter func(State)) bool {
 	j, ok := c.jobs[id]
 	if !ok {
 		return false
 	}
-	if !j.state.Final() {
+	if j.state == Moved && waiter == nil {
+		c.handCancel(j, now)
+		return true
+	}
+	if !j.state.Final() && j.state != Moved {
 		c.finish(j, Cancelled, "cancelled by its caller", now)
 	}
 	c.await(j, waiter)
--- a/internal/desk/calls.go
+++ b/internal/desk/calls.go
@@ -45,6 +45,14 @@
 // Unwrap returns the cause.
 func (e *UnknownError) Unwrap() error { return e.Err }
 
+// MovedError says that another cell has a job.
+type MovedError struct {
+	Cell int
+}
+
+// Error returns the cell.
+func (e *MovedError) Error() string { return fmt.Sprintf("the job is in cell %d", e.Cell) }
+
 // NotHolderError says that a node does not hold the jobs.
 type NotHolderError struct{}
 
@@ -65,21 +73,21 @@
 	settlePause = 60 * time.Millisecond
 )
 
-// Submit accepts a job; it returns once the job is durable. An
+// submit accepts a job; it returns once the job is durable. An
 // *UnavailableError means that the job will never run, an *UnknownError that it
 // may be accepted. If neither the holder nor the store serves this node,
 // another node is asked before the job is refused or its fate is left open:
 // wherever it arrives again, it stays one job.
-func (d *Desk) Submit(ctx context.Context, j batch.Job) error {
+func (d *Desk) submit(ctx context.Context, j batch.Job) error {
 	err := d.submitHere(ctx, j)
 	if !mayRelay(err) {
 		return err
 	}
-	for _, address := range d.Peers {
-		if address == d.Address || remaining(ctx) < relayTimeout {
+	for _, address := range d.plane.Peers {
+		if address == d.plane.Address || remaining(ctx) < relayTimeout {
 			continue
 		}
-		c, peerErr := d.Peer(address)
+		c, peerErr := d.plane.Peer(address, d.Cell.Index)
 		if peerErr != nil {
 			continue
 		}
@@ -136,7 +144,7 @@
 			return err
 		}
 	}
-	err = d.leave(ctx, j.ID, inboxPrefix+j.ID, value)
+	err = d.leave(ctx, j.ID, d.keys.inbox+j.ID, value)
 	d.Log.Emit(eventlog.LeftInInbox, zap.String("job", j.ID), zap.Error(err))
 	if uncertain != nil && err != nil && !errors.As(err, new(*UnknownError)) {
 		return &UnknownError{Err: uncertain}
@@ -154,7 +162,7 @@
 func (d *Desk) probe(ctx context.Context, id string) error {
 	bounded, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	if _, _, err := d.Store.Read(bounded, inboxPrefix+id); err != nil {
+	if _, _, err := d.plane.Store.Read(bounded, d.keys.inbox+id); err != nil {
 		return &UnavailableError{Reason: err.Error(), RetryAfter: retryAfter}
 	}
 	return nil
@@ -163,13 +171,13 @@
 // leave writes a key for the next holder to find, unless the job is known already.
 func (d *Desk) leave(ctx context.Context, id, key string, value []byte) error {
 	txn := store.Txn{
-		If:   []store.Condition{{Key: key}, {Key: jobPrefix + id}},
+		If:   []store.Condition{{Key: key}, {Key: d.keys.jobs + id}},
 		Then: []store.Op{store.Put(key, value)},
 	}
 	uncertain := false
 	for {
 		call, cancel := context.WithTimeout(ctx, commitTimeout)
-		_, err := d.Store.Commit(call, txn)
+		_, err := d.plane.Store.Commit(call, txn)
 		cancel()
 		var not *store.RefusedError
 		switch {
@@ -200,8 +208,8 @@
 	return time.Until(deadline)
 }
 
-// Cancel withdraws a job and reports whether it is known; it returns once that is durable.
-func (d *Desk) Cancel(ctx context.Context, id string) (bool, error) {
+// cancel withdraws a job and reports whether it is known; it returns once that is durable.
+func (d *Desk) cancel(ctx context.Context, id string) (bool, error) {
 	known := false
 	err := d.pass(ctx, func(ctx context.Context, c *Calls) error {
 		var err error
@@ -217,17 +225,17 @@
 	}
 	call, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
-	if _, err := d.Store.Commit(call, store.Txn{
-		If:   []store.Condition{{Key: inboxPrefix + id + cancelSuffix}},
-		Then: []store.Op{store.Put(inboxPrefix+id+cancelSuffix, []byte("{}"))},
+	if _, err := d.plane.Store.Commit(call, store.Txn{
+		If:   []store.Condition{{Key: d.keys.inbox + id + cancelSuffix}},
+		Then: []store.Op{store.Put(d.keys.inbox+id+cancelSuffix, cancelValue)},
 	}); err != nil {
 		return true, &UnknownError{Err: err}
 	}
 	return true, nil
 }
 
-// State returns the state of a job, and whether the job is known.
-func (d *Desk) State(ctx context.Context, id string) (batch.State, bool, error) {
+// state returns the state of a job, and whether the job is known.
+func (d *Desk) state(ctx context.Context, id string) (batch.State, bool, error) {
 	var state batch.State
 	known := false
 	err := d.pass(ctx, func(ctx context.Context, c *Calls) error {
@@ -235,8 +243,8 @@
 		state, known, err = c.State(ctx, id)
 		return err
 	})
-	if err == nil && known {
-		return state, true, nil
+	if err == nil && known || errors.As(err, new(*MovedError)) {
+		return state, true, err
 	}
 	// A holder that the store turns away may not know what waits in the inbox.
 	bounded, cancel := context.WithTimeout(ctx, storedTimeout)
@@ -253,7 +261,7 @@
 	if err != nil || found {
 		return state, found, err
 	}
-	_, waits, err := d.Store.Read(ctx, inboxPrefix+id)
+	_, waits, err := d.plane.Store.Read(ctx, d.keys.inbox+id)
 	switch {
 	case err != nil:
 		return "", false, &UnavailableError{Reason: err.Error(), RetryAfter: retryAfter}
@@ -266,19 +274,22 @@
 
 // recorded returns the state of a job that a holder has taken in.
 func (d *Desk) recorded(ctx context.Context, id string) (batch.State, bool, error) {
-	e, found, err := d.Store.Read(ctx, jobPrefix+id)
+	e, found, err := d.plane.Store.Read(ctx, d.keys.jobs+id)
 	if err != nil {
 		return "", false, &UnavailableError{Reason: err.Error(), RetryAfter: retryAfter}
 	}
 	if !found {
 		return "", false, nil
 	}
-	state, err := batch.DecodeState(e.Value)
+	state, cell, err := batch.DecodeState(e.Value)
+	if err == nil && state == batch.Moved {
+		return "", true, &MovedError{Cell: cell}
+	}
 	return state, true, err
 }
 
-// Pending counts the jobs of a queue of which no task has started.
-func (d *Desk) Pending(ctx context.Context, queue string) (int, error) {
+// pending counts the jobs of a queue of which no task has started.
+func (d *Desk) pending(ctx context.Context, queue string) (int, error) {
 	n := 0
 	err := d.pass(ctx, func(ctx context.Context, c *Calls) error {
 		var err error
@@ -294,7 +305,7 @@
 // isAnswer reports whether an error is the holder's answer rather than the lack of one.
 func isAnswer(err error) bool {
 	return errors.As(err, new(*UnavailableError)) || errors.As(err, new(*batch.InvalidError)) ||
-		errors.As(err, new(*batch.NoQueueError))
+		errors.As(err, new(*batch.NoQueueError)) || errors.As(err, new(*MovedError))
 }
 
 // isUncertain reports whether a call that failed may have been carried out.
@@ -312,9 +323,9 @@
 		c, err := d.callsOf(ref)
 		if err == nil {
 			bounded, stop := context.WithTimeout(ctx, passTimeout)
-			asked := d.now()
+			asked := d.plane.now()
 			err = call(bounded, c)
-			late := d.now().Sub(asked) >= silentAfter && errors.Is(bounded.Err(), context.DeadlineExceeded)
+			late := d.plane.now().Sub(asked) >= silentAfter && errors.Is(bounded.Err(), context.DeadlineExceeded)
 			stop()
 			if !isUncertain(err) || late {
 				d.noteAnswer(ref.Address, asked, isUncertain(err))
@@ -341,13 +352,13 @@
 		d.heard = map[string]time.Time{}
 	}
 	if !silent {
-		d.heard[address] = d.now()
+		d.heard[address] = d.plane.now()
 	}
-	forget := silent && d.Forget != nil && address != d.Address && d.heard[address].Before(asked)
+	forget := silent && d.plane.Forget != nil && address != d.plane.Address && d.heard[address].Before(asked)
 	d.mu.Unlock()
 	if forget {
 		d.Log.Emit(eventlog.PeerSilent, zap.String("address", address))
-		d.Forget(address)
+		d.plane.Forget(address)
 	}
 }
 
@@ -356,14 +367,14 @@
 	if h := d.local(); h != nil {
 		return h.calls(), nil
 	}
-	if ref.Address == "" || ref.Address == d.Address {
+	if ref.Address == "" || ref.Address == d.plane.Address {
 		return nil, &NotHolderError{}
 	}
-	return d.Peer(ref.Address)
+	return d.plane.Peer(ref.Address, d.Cell.Index)
 }
 
-// LocalCalls answers the calls of peers.
-func (d *Desk) LocalCalls() *Calls {
+// localCalls answers the calls of peers.
+func (d *Desk) localCalls() *Calls {
 	local := func() (*Calls, error) {
 		h := d.local()
 		if h == nil {
@@ -401,7 +412,7 @@
 			}
 			return c.Pending(ctx, queue)
 		},
-		Retired: func(_ context.Context, token int64) (bool, error) { return d.Retired(token), nil },
+		Retired: func(_ context.Context, token int64) (bool, error) { return d.isRetired(token), nil },
 	}
 }
 
@@ -459,6 +470,9 @@
 			// Whether the inbox has the job is not known here.
 			return true, &NotHolderError{}
 		}
+		if s == batch.Moved {
+			return true, h.movedTo(id)
+		}
 		return true, nil
 	case <-ctx.Done():
 		return true, &UnknownError{Err: ctx.Err()}
@@ -469,6 +483,9 @@
 	now := h.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if cell, moved := h.core.MovedTo(id); moved {
+		return "", true, &MovedError{Cell: cell}
+	}
 	state, known := h.core.State(id)
 	if !state.Final() && !now.Before(h.validUntil) {
 		// Another holder may have gone on with the job; what has ended stays so.
@@ -481,6 +498,14 @@
 	return state, known, nil
 }
 
+// movedTo returns where a job was handed, as an error.
+func (h *Holder) movedTo(id string) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	cell, _ := h.core.MovedTo(id)
+	return &MovedError{Cell: cell}
+}
+
 // pendingAge is how old a count of waiting jobs may be: callers are promised 2 s.
 const pendingAge = 2 * time.Second
 
--- a/internal/desk/desk_test.go
+++ b/internal/desk/desk_test.go
@@ -52,7 +52,7 @@
 		require.Error(t, <-result)
 		w.store.set(func(s *fakeStore) { s.silent = false })
 		time.Sleep(5 * time.Second)
-		require.False(t, w.store.has(jobPrefix+testJob(1, 1).ID))
+		require.False(t, w.store.has(keysOf(0).jobs+testJob(1, 1).ID))
 	})
 }
 
@@ -128,7 +128,7 @@
 				starts := w.workers.count()
 				require.Equal(t, 8, starts)
 				c.lose(w, first)
-				var other *Desk
+				var other *Plane
 				for name, d := range w.nodes {
 					if name != first {
 						other = d
@@ -158,9 +158,9 @@
 		for i := range 60 {
 			value, err := batch.EncodeJob(testJob(i, 1))
 			require.NoError(t, err)
-			w.store.put(inboxPrefix+testJob(i, 1).ID, value)
+			w.store.put(keysOf(0).inbox+testJob(i, 1).ID, value)
 			if i%2 == 0 {
-				w.store.put(inboxPrefix+testJob(i, 1).ID+cancelSuffix, []byte("{}"))
+				w.store.put(keysOf(0).inbox+testJob(i, 1).ID+cancelSuffix, []byte("{}"))
 			}
 		}
 		a := w.add("a")
@@ -171,7 +171,7 @@
 				want = batch.Cancelled
 			}
 			require.Equal(t, want, state(t, a, testJob(i, 1).ID), "job %d", i)
-			require.False(t, w.store.has(inboxPrefix+testJob(i, 1).ID))
+			require.False(t, w.store.has(keysOf(0).inbox+testJob(i, 1).ID))
 		}
 	})
 }
@@ -198,7 +198,7 @@
 		time.Sleep(10 * time.Second)
 		require.Equal(t, batch.Completed, state(t, a, testJob(1, 4).ID))
 		require.Equal(t, 5, w.workers.count(), "leases outlast the store's outage")
-		require.False(t, w.store.has(jobPrefix+testJob(2, 1).ID))
+		require.False(t, w.store.has(keysOf(0).jobs+testJob(2, 1).ID))
 	})
 }
 
@@ -267,7 +267,7 @@
 					mu   sync.Mutex
 					jobs []string
 				)
-				hand := func(d *Desk, id int) {
+				hand := func(d *Plane, id int) {
 					if submit(d, testJob(id, 3)) == nil {
 						mu.Lock()
 						defer mu.Unlock()
@@ -314,13 +314,13 @@
 	value, err := batch.EncodeJob(j)
 	require.NoError(t, err)
 	moved := false
-	d := &Desk{Store: &store.Client{Read: func(_ context.Context, key string) (store.Entry, bool, error) {
-		if key == inboxPrefix+j.ID {
+	d := &Desk{keys: keysOf(0), plane: &Plane{Store: &store.Client{Read: func(_ context.Context, key string) (store.Entry, bool, error) {
+		if key == keysOf(0).inbox+j.ID {
 			moved = true
 			return store.Entry{}, false, nil
 		}
 		return store.Entry{Key: key, Value: value}, moved, nil
-	}}}
+	}}}}
 	_, known, err := d.stored(context.Background(), j.ID)
 	require.NoError(t, err)
 	require.True(t, known)
@@ -378,7 +378,7 @@
 		time.Sleep(10 * time.Second)
 		stored := 0
 		for i := range 20 {
-			if w.store.has(jobPrefix + testJob(i, 1).ID) {
+			if w.store.has(keysOf(0).jobs + testJob(i, 1).ID) {
 				stored++
 			}
 		}
@@ -404,7 +404,7 @@
 		j := testJob(1, 1)
 		value, err := batch.EncodeJob(j)
 		require.NoError(t, err)
-		w.store.put(inboxPrefix+j.ID, value)
+		w.store.put(keysOf(0).inbox+j.ID, value)
 		require.Equal(t, batch.Queued, state(t, other, j.ID))
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
@@ -434,13 +434,13 @@
 		t.Run(c.name, func(t *testing.T) {
 			forgotten := 0
 			now := time.Unix(1_000_000_000, 0)
-			d := &Desk{
-				Address: "a", Log: eventlog.Discard(), Now: func() time.Time { return now },
+			d := &Desk{Log: eventlog.Discard(), plane: &Plane{
+				Address: "a", Now: func() time.Time { return now },
 				Forget: func(address string) {
 					require.Equal(t, "b", address)
 					forgotten++
 				},
-			}
+			}}
 			asked := now
 			now = now.Add(time.Second)
 			if c.heard {
@@ -492,13 +492,13 @@
 		time.Sleep(15 * time.Second)
 		second, _ := w.holder()
 		w.kill(second)
-		var last *Desk
+		var last *Plane
 		for _, d := range w.nodes {
 			last = d
 		}
 		for state(t, last, j.ID) != batch.Completed {
 			time.Sleep(500 * time.Millisecond)
-			require.Less(t, time.Since(lost), last.unheard()+10*time.Second)
+			require.Less(t, time.Since(lost), last.home(j.ID).unheard()+10*time.Second)
 		}
 	})
 }
--- a/internal/desk/election.go
+++ b/internal/desk/election.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"math/rand/v2"
-	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -31,79 +30,19 @@
 	// has less processor than others: a holder spends most of it.
 	rttWeight   = 12
 	shareWeight = 500 * time.Millisecond
+	// termWeight delays a node for each term that it has, so that the cells spread
+	// over the nodes with the most processor first.
+	termWeight = 150 * time.Millisecond
+	// standSpread keeps nodes of one kind from standing at the same moment.
+	standSpread = 20 * time.Millisecond
 	// firstWait lets all nodes of a new deployment tell their share before the first election.
 	firstWait = 1500 * time.Millisecond
 	// loadTimeout bounds the reading of all jobs.
 	loadTimeout = 4 * time.Second
 )
 
-// wireHolder is the value of the holder's key.
-type wireHolder struct {
-	ID      string `json:"id"`
-	Address string `json:"address"`
-}
-
-func decodeHolder(e store.Entry) holderRef {
-	var w wireHolder
-	if err := json.Unmarshal(e.Value, &w); err != nil {
-		// A key that cannot be read still keeps others from the term.
-		return holderRef{ID: "unreadable", Token: e.Revision}
-	}
-	return holderRef{ID: w.ID, Address: w.Address, Token: e.Revision}
-}
-
-// setBest takes the greatest share that a node is known to have.
-func (d *Desk) setBest(value []byte) {
-	share, err := strconv.ParseFloat(string(value), 64)
-	if err != nil {
-		d.Log.Emit(eventlog.RecordUnreadable, zap.String("key", bestKey), zap.Error(err))
-		return
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.best = share
-}
-
-// introduce measures how far the store is, and tells the node's share if it is
-// the greatest so far. It returns how long to wait before the first election.
-func (d *Desk) introduce(ctx context.Context) time.Duration {
-	asked := d.now()
-	call, cancel := context.WithTimeout(ctx, standTimeout)
-	defer cancel()
-	e, found, err := d.Store.Read(call, bestKey)
-	if err != nil {
-		return 0
-	}
-	d.mu.Lock()
-	d.rtt = d.now().Sub(asked)
-	d.mu.Unlock()
-	if found {
-		d.setBest(e.Value)
-	}
-	d.mu.Lock()
-	best := d.best
-	d.mu.Unlock()
-	if best < d.Share {
-		value := strconv.FormatFloat(d.Share, 'f', -1, 64)
-		if _, err := d.Store.Commit(call, store.Txn{
-			If: []store.Condition{{Key: bestKey, Revision: e.Revision}}, Then: []store.Op{store.Put(bestKey, []byte(value))},
-		}); err != nil {
-			d.Log.Emit(eventlog.StoreUnavailable, zap.String("use", "share"), zap.Error(err))
-		}
-	}
-	if found {
-		return 0
-	}
-	return firstWait
-}
-
 // stand tries to become holder whenever there is none, and holds until the term ends.
 func (d *Desk) stand(ctx context.Context) error {
-	select {
-	case <-ctx.Done():
-		return nil
-	case <-time.After(d.introduce(ctx)):
-	}
 	for {
 		ref, changed := d.who()
 		if ref.Token != 0 || !d.maySeek() {
@@ -115,14 +54,21 @@
 			}
 			continue
 		}
+		terms := d.plane.seeks()
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-changed:
 			continue
-		case <-time.After(d.standDelay()):
+		case <-time.After(d.plane.standDelay()):
 		}
+		if d.plane.seeks() > terms {
+			// Another node without a term may come first.
+			continue
+		}
+		d.plane.seek(1)
 		d.tryTerm(ctx)
+		d.plane.seek(-1)
 		select {
 		case <-ctx.Done():
 			return nil
@@ -135,23 +81,37 @@
 func (d *Desk) maySeek() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.seen && !d.leaving && d.table.Queues != nil
+	return !d.leaving && d.table.Queues != nil
 }
 
-// standDelay lets nodes near the store, and with much processor, come first.
-func (d *Desk) standDelay() time.Duration {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	delay := rttWeight * d.rtt
-	if d.best > d.Share {
-		delay += time.Duration(float64(shareWeight) * (1 - d.Share/d.best))
+// standDelay lets nodes near the store, with much processor and with few terms, come first.
+func (p *Plane) standDelay() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delay := rttWeight*p.rtt + termWeight*time.Duration(p.terms)
+	if p.best > p.Share {
+		delay += time.Duration(float64(shareWeight) * (1 - p.Share/p.best))
 	}
-	return delay + time.Duration(rand.Int64N(int64(20*time.Millisecond)))
+	return delay + time.Duration(rand.Int64N(int64(standSpread)))
+}
+
+// seek counts a term that the node has or seeks.
+func (p *Plane) seek(more int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.terms += more
+}
+
+// seeks returns how many terms the node has or seeks.
+func (p *Plane) seeks() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.terms
 }
 
 // tryTerm takes the holder's key if it is free, and holds until the term ends.
 func (d *Desk) tryTerm(ctx context.Context) {
-	asked := d.now()
+	asked := d.plane.now()
 	id, err := d.grant(ctx)
 	if err != nil {
 		return
@@ -167,27 +127,27 @@
 func (d *Desk) grant(ctx context.Context) (store.LeaseID, error) {
 	ctx, cancel := context.WithTimeout(ctx, standTimeout)
 	defer cancel()
-	return d.Store.GrantLease(ctx, holderTTL)
+	return d.plane.Store.GrantLease(ctx, holderTTL)
 }
 
 // take writes the holder's key if there is none. After a lost answer it looks who holds.
 func (d *Desk) take(ctx context.Context, id store.LeaseID) (token int64, ok bool) {
-	value, err := json.Marshal(wireHolder{ID: d.ID, Address: d.Address})
+	value, err := json.Marshal(wireHolder{ID: d.plane.ID, Address: d.plane.Address})
 	if err != nil {
 		return 0, false
 	}
 	call, cancel := context.WithTimeout(ctx, standTimeout)
 	defer cancel()
-	result, err := d.Store.Commit(call, store.Txn{
-		If:   []store.Condition{{Key: holderKey}},
-		Then: []store.Op{store.Put(holderKey, value).WithLease(id)},
+	result, err := d.plane.Store.Commit(call, store.Txn{
+		If:   []store.Condition{{Key: d.keys.holder}},
+		Then: []store.Op{store.Put(d.keys.holder, value).WithLease(id)},
 	})
 	if err == nil {
 		return result.Revision, result.Done
 	}
 	again, stop := context.WithTimeout(ctx, standTimeout)
 	defer stop()
-	e, found, err := d.Store.Read(again, holderKey)
+	e, found, err := d.plane.Store.Read(again, d.keys.holder)
 	if err != nil || !found || e.Lease != id {
 		return 0, false
 	}
@@ -198,7 +158,7 @@
 func (d *Desk) end(id store.LeaseID) {
 	ctx, cancel := context.WithTimeout(context.Background(), renewTimeout)
 	defer cancel()
-	if err := d.Store.RevokeLease(ctx, id); err != nil {
+	if err := d.plane.Store.RevokeLease(ctx, id); err != nil {
 		// The lease lapses by itself within holderTTL.
 		d.Log.Emit(eventlog.StoreUnavailable, zap.String("use", "end of lease"), zap.Error(err))
 	}
@@ -212,15 +172,15 @@
 	table := d.table
 	d.mu.Unlock()
 	h := &Holder{
-		Token: token, ID: d.ID, Store: d.Store, Workers: d.Workers, Timing: d.Timing,
-		WorkerPrefix: d.WorkerPrefix, DecodeWorker: d.DecodeWorker, Log: d.Log, Meter: d.Meter, Now: d.now,
+		Token: token, Cell: d.Cell, keys: d.keys, ID: d.plane.ID, Store: d.plane.Store, Workers: d.plane.Workers, Timing: d.plane.Timing,
+		WorkerPrefix: d.plane.WorkerPrefix, DecodeWorker: d.plane.DecodeWorker, Log: d.Log, Meter: d.plane.Meter, Now: d.plane.now,
 	}
 	h.renewed(asked)
 	term, cancel := context.WithCancel(ctx)
 	defer cancel()
 	h.stop = cancel
 	go d.renew(term, h, id)
-	began := d.now()
+	began := d.plane.now()
 	d.Log.Emit(eventlog.TermBegun, zap.Int64("token", token), zap.String("former", former.ID))
 	err := h.load(term, table, d.unheard())
 	if err == nil {
@@ -230,7 +190,7 @@
 		d.mu.Unlock()
 		h.setTable(newer)
 		go d.askFormer(term, h, former)
-		d.Log.Emit(eventlog.TermServing, zap.Int64("token", token), zap.Duration("loaded", d.now().Sub(began)),
+		d.Log.Emit(eventlog.TermServing, zap.Int64("token", token), zap.Duration("loaded", d.plane.now().Sub(began)),
 			zap.Int("jobs", h.size()))
 		err = h.run(term)
 	}
@@ -249,7 +209,7 @@
 // reaches: the lease there, and the time for which an earlier holder without
 // the store may renew it.
 func (d *Desk) unheard() time.Duration {
-	return lease.Longer(d.Timing.MaxLease+d.Timing.RenewGrace) + time.Second
+	return lease.Longer(d.plane.Timing.MaxLease+d.plane.Timing.RenewGrace) + time.Second
 }
 
 // askFormer shortens that time if the earlier holder says that it renews nothing any more.
@@ -257,9 +217,9 @@
 	if former.Address == "" || former.Token >= h.Token {
 		return
 	}
-	retired := former.Address == d.Address
+	retired := former.Address == d.plane.Address
 	if !retired {
-		c, err := d.Peer(former.Address)
+		c, err := d.plane.Peer(former.Address, d.Cell.Index)
 		if err != nil {
 			return
 		}
@@ -286,9 +246,9 @@
 			return
 		case <-time.After(renewEvery):
 		}
-		asked := d.now()
+		asked := d.plane.now()
 		call, cancel := context.WithTimeout(ctx, renewTimeout)
-		err := d.Store.KeepAlive(call, id)
+		err := d.plane.Store.KeepAlive(call, id)
 		cancel()
 		var lapsed *store.LeaseLapsedError
 		switch {
@@ -297,7 +257,7 @@
 		case errors.As(err, &lapsed):
 			h.lose("the store no longer knows the lease")
 			return
-		case ctx.Err() == nil && d.now().After(h.graceEnds()):
+		case ctx.Err() == nil && d.plane.now().After(h.graceEnds()):
 			h.lose("the store was away for too long")
 			return
 		}
--- a/internal/desk/holder.go
+++ b/internal/desk/holder.go
@@ -18,8 +18,9 @@
 	"github.com/oriolepond/oriolepond/internal/store"
 )
 
-// Holder is one term of a node as holder of all jobs.
+// Holder is one term of a node as holder of a cell's jobs.
 type Holder struct {
+	Cell batch.Cell
 	// Token fences orders and commits of earlier terms.
 	Token        int64
 	ID           string
@@ -33,6 +34,7 @@
 	// Now is the steady time.
 	Now func() time.Time
 
+	keys keys
 	stop context.CancelFunc
 
 	mu         sync.Mutex
@@ -132,9 +134,10 @@
 	defer cancel()
 	at := h.Now()
 	core := batch.NewCore(h.Timing, at, at.Add(unheard))
+	core.SetCell(h.Cell)
 	core.SetWall(h.wallOffset())
 	core.SetTable(t)
-	jobs, err := h.Store.List(ctx, jobPrefix)
+	jobs, err := h.Store.List(ctx, h.keys.jobs)
 	if err != nil {
 		return err
 	}
@@ -143,32 +146,32 @@
 			h.Log.Emit(eventlog.RecordUnreadable, zap.String("key", e.Key), zap.Error(err))
 		}
 	}
-	head, found, err := h.Store.Read(ctx, headKey)
+	head, found, err := h.Store.Read(ctx, h.keys.head)
 	if err != nil {
 		return err
 	}
 	if found {
 		h.head = head.Revision
 	}
-	learned, found, err := h.Store.Read(ctx, learnedKey)
+	learned, found, err := h.Store.Read(ctx, h.keys.learned)
 	if err != nil {
 		return err
 	}
 	if found {
 		if err := core.RestoreLearned(learned.Value); err != nil {
-			h.Log.Emit(eventlog.RecordUnreadable, zap.String("key", learnedKey), zap.Error(err))
+			h.Log.Emit(eventlog.RecordUnreadable, zap.String("key", h.keys.learned), zap.Error(err))
 		}
 	}
-	silent, found, err := h.Store.Read(ctx, silentKey)
+	silent, found, err := h.Store.Read(ctx, h.keys.silent)
 	if err != nil {
 		return err
 	}
 	if found {
 		if err := core.RestoreSilences(silent.Value, at); err != nil {
-			h.Log.Emit(eventlog.RecordUnreadable, zap.String("key", silentKey), zap.Error(err))
+			h.Log.Emit(eventlog.RecordUnreadable, zap.String("key", h.keys.silent), zap.Error(err))
 		}
 	}
-	inbox, err := h.Store.List(ctx, inboxPrefix)
+	inbox, err := h.Store.List(ctx, h.keys.inbox)
 	if err != nil {
 		return err
 	}
@@ -190,7 +193,7 @@
 		Snapshot: h.workerSnapshot, Update: h.workerUpdate, Lost: h.lost("workers"), Back: h.back("workers"),
 	}
 	inbox := &store.Follower{
-		Client: h.Store, Prefix: inboxPrefix,
+		Client: h.Store, Prefix: h.keys.inbox,
 		Snapshot: h.inboxSnapshot, Update: h.inboxUpdate, Lost: h.lost("inbox"), Back: h.back("inbox"),
 	}
 	h.spawn = func(id string, l *looker) { h.startLooker(ctx, id, l) }
@@ -198,6 +201,10 @@
 	actor.Loop(ctx, &g, inbox.Run)
 	actor.Loop(ctx, &g, h.planLoop)
 	actor.Loop(ctx, &g, h.commitLoop)
+	if !h.Cell.IsWhole() {
+		actor.Loop(ctx, &g, h.shareLoads)
+		actor.Loop(ctx, &g, h.forgetMoves)
+	}
 	err := g.Run()
 	h.stop()
 	h.running.Wait()
@@ -234,7 +241,11 @@
 func (h *Holder) workerSnapshot(s store.Snapshot) {
 	var all []batch.WorkerInfo
 	for _, e := range s.Entries {
-		info, err := h.DecodeWorker(strings.TrimPrefix(e.Key, h.WorkerPrefix), e.Value)
+		id := strings.TrimPrefix(e.Key, h.WorkerPrefix)
+		if !h.Cell.HasWorker(id) {
+			continue
+		}
+		info, err := h.DecodeWorker(id, e.Value)
 		if err != nil {
 			h.Log.Emit(eventlog.WorkerUnreadable, zap.String("key", e.Key), zap.Int64("revision", e.Revision), zap.Error(err))
 			continue
@@ -251,6 +262,9 @@
 func (h *Holder) workerUpdate(u store.Update) {
 	for _, c := range u.Changes {
 		id := strings.TrimPrefix(c.Entry.Key, h.WorkerPrefix)
+		if !h.Cell.HasWorker(id) {
+			continue
+		}
 		if c.Deleted {
 			h.mu.Lock()
 			h.core.RemoveWorker(id, h.Now())
@@ -369,19 +383,25 @@
 	h.sequence++
 	stamp := fmt.Sprintf("%d/%d", h.Token, h.sequence)
 	txn := store.Txn{
-		If:   []store.Condition{{Key: holderKey, Revision: h.Token}, {Key: headKey, Revision: h.head}},
-		Then: []store.Op{store.Put(headKey, []byte(stamp))},
+		If:   []store.Condition{{Key: h.keys.holder, Revision: h.Token}, {Key: h.keys.head, Revision: h.head}},
+		Then: []store.Op{store.Put(h.keys.head, []byte(stamp))},
 	}
 	txn.Then = append(txn.Then, h.learned()...)
 	if changes.Silent != nil {
-		txn.Then = append(txn.Then, store.Put(silentKey, changes.Silent))
+		txn.Then = append(txn.Then, store.Put(h.keys.silent, changes.Silent))
 	}
-	room := maxEntries - len(txn.If) - len(txn.Then) - len(changes.Records)
+	room := maxEntries - len(txn.If) - len(txn.Then) - changes.Writes()
 	for _, r := range changes.Records {
+		if r.Handed != nil {
+			txn.Then = append(txn.Then, store.Put(keysOf(r.To).inbox+r.ID, r.Handed))
+		}
+		if r.Cancel {
+			txn.Then = append(txn.Then, store.Put(keysOf(r.To).inbox+r.ID+cancelSuffix, cancelValue))
+		}
 		if r.Value == nil {
-			txn.Then = append(txn.Then, store.Delete(jobPrefix+r.ID))
+			txn.Then = append(txn.Then, store.Delete(h.keys.jobs+r.ID))
 		} else {
-			txn.Then = append(txn.Then, store.Put(jobPrefix+r.ID, r.Value))
+			txn.Then = append(txn.Then, store.Put(h.keys.jobs+r.ID, r.Value))
 		}
 		for _, key := range h.inboxKeys(r.ID, room) {
 			txn.Then = append(txn.Then, store.Delete(key))
@@ -423,10 +443,10 @@
 	value, err := h.core.Learned()
 	h.mu.Unlock()
 	if err != nil {
-		h.Log.Emit(eventlog.RecordUnreadable, zap.String("key", learnedKey), zap.Error(err))
+		h.Log.Emit(eventlog.RecordUnreadable, zap.String("key", h.keys.learned), zap.Error(err))
 		return nil
 	}
-	return []store.Op{store.Put(learnedKey, value)}
+	return []store.Op{store.Put(h.keys.learned, value)}
 }
 
 // retryCommit is the pause between two tries of a commit.
@@ -450,7 +470,7 @@
 		return 0, false, &TermEndedError{Reason: "the holder's key or the head has changed"}
 	}
 	// An earlier try may have taken effect.
-	head, found, err := h.Store.Read(call, headKey)
+	head, found, err := h.Store.Read(call, h.keys.head)
 	switch {
 	case err != nil:
 		return 0, false, nil
--- a/internal/desk/inbox.go
+++ b/internal/desk/inbox.go
@@ -1,8 +1,6 @@
 package desk
 
 import (
-	"strings"
-
 	"go.uber.org/zap"
 
 	"github.com/oriolepond/oriolepond/internal/batch"
@@ -34,8 +32,8 @@
 func (h *Holder) takeInbox(entries []store.Entry) {
 	h.mu.Lock()
 	for _, e := range entries {
-		id := strings.TrimPrefix(e.Key, inboxPrefix)
-		if strings.HasSuffix(id, cancelSuffix) {
+		id, isCancel := h.keys.inboxID(e.Key)
+		if isCancel {
 			continue
 		}
 		j, err := batch.DecodeJob(e.Value)
@@ -50,7 +48,7 @@
 		h.core.NoteInbox(id)
 	}
 	for _, e := range entries {
-		id, isCancel := strings.CutSuffix(strings.TrimPrefix(e.Key, inboxPrefix), cancelSuffix)
+		id, isCancel := h.keys.inboxID(e.Key)
 		if !isCancel {
 			continue
 		}
@@ -81,10 +79,10 @@
 	}
 	var keys []string
 	if n.submitted {
-		keys = append(keys, inboxPrefix+id)
+		keys = append(keys, h.keys.inbox+id)
 	}
 	if n.cancelled {
-		keys = append(keys, inboxPrefix+id+cancelSuffix)
+		keys = append(keys, h.keys.inbox+id+cancelSuffix)
 	}
 	if len(keys) > room {
 		h.core.Touch(id)
--- /dev/null
+++ b/internal/desk/keys.go
@@ -0,0 +1,50 @@
+package desk
+
+import (
+	"fmt"
+	"strings"
+)
+
+// The keys in the store that belong to no cell.
+const (
+	// holderPrefix is where all cells name their holders; every node watches it.
+	holderPrefix = "pond/holder"
+	bestKey      = "pond/holder/best"
+	cellsKey     = "pond/holder/cells"
+	// loadPrefix is where the holders tell what their cells can take in.
+	loadPrefix = "pond/load/"
+	// cancelSuffix marks the inbox key of a cancel.
+	cancelSuffix = "/cancel"
+)
+
+// cancelValue is the value of a cancel's key.
+var cancelValue = []byte("{}")
+
+// keys are the keys in the store of one cell.
+type keys struct {
+	holder  string
+	head    string
+	learned string
+	silent  string
+	load    string
+	jobs    string
+	inbox   string
+}
+
+// keysOf returns the keys of a cell. Those of the first one are the keys that
+// deployments used before they were divided.
+func keysOf(index int) keys {
+	holder, base := holderPrefix, "pond/"
+	if index > 0 {
+		holder, base = fmt.Sprintf("%s/%d", holderPrefix, index), fmt.Sprintf("pond/cell/%d/", index)
+	}
+	return keys{
+		holder: holder, head: base + "head", learned: base + "learned", silent: base + "silent",
+		load: fmt.Sprintf("%s%d", loadPrefix, index), jobs: base + "job/", inbox: base + "inbox/",
+	}
+}
+
+// inboxID returns the job of an inbox key, and whether the key is that of a cancel.
+func (k keys) inboxID(key string) (id string, isCancel bool) {
+	return strings.CutSuffix(strings.TrimPrefix(key, k.inbox), cancelSuffix)
+}
--- a/internal/desk/notes.go
+++ b/internal/desk/notes.go
@@ -21,6 +21,7 @@
 	batch.NoteQuarantined: eventlog.WorkerQuarantined,
 	batch.NotePaced:       eventlog.RunPaced,
 	batch.NoteStray:       eventlog.RunUnexplained,
+	batch.NoteMoved:       eventlog.JobMoved,
 }
 
 // log writes the line of one decision.
@@ -41,6 +42,9 @@
 	if n.Reason != "" {
 		fields = append(fields, zap.String("reason", n.Reason))
 	}
+	if n.Kind == batch.NoteMoved {
+		fields = append(fields, zap.Int("to", n.Cell))
+	}
 	if n.Kind == batch.NotePaced {
 		fields = append(fields, zap.Int("percent", n.Percent), zap.Float64("strain", n.Strain), zap.Float64("risk", n.Risk))
 	}
--- /dev/null
+++ b/internal/desk/plane.go
@@ -0,0 +1,546 @@
+// Package desk joins the nodes of a deployment into one scheduler of jobs.
+//
+// The workers and jobs of a large deployment are divided into cells (package
+// batch). For each cell one node at a time is the holder, which decides for the
+// jobs there. Every node answers callers: it passes a call to the holder of the
+// job's cell, and while there is none it leaves submissions and cancels in the
+// store, where the next holder finds them.
+//
+// # Usage
+//
+//	p := &desk.Plane{ID: "entry-1", Address: "10.0.0.4:7000", Store: client, Workers: workers, Log: log}
+//	p.SetTable(table)
+//	go p.Run(ctx)
+//	err := p.Submit(ctx, job)
+package desk
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/oklog/run"
+	"go.uber.org/zap"
+
+	"github.com/oriolepond/oriolepond/internal/actor"
+	"github.com/oriolepond/oriolepond/internal/batch"
+	"github.com/oriolepond/oriolepond/internal/eventlog"
+	"github.com/oriolepond/oriolepond/internal/steady"
+	"github.com/oriolepond/oriolepond/internal/store"
+)
+
+// Workers are the calls to workers.
+type Workers struct {
+	// Look renews what runs on a worker and returns what it says of its runs; the
+	// worker may wait for an end for a while.
+	Look func(ctx context.Context, l batch.Look, wait time.Duration, token int64) (batch.Report, error)
+	// Order carries out one order.
+	Order func(ctx context.Context, c batch.Call, token int64) batch.Result
+	// Ask asks the adviser which workers may run a step, and how long that holds.
+	Ask func(ctx context.Context, step string, workers []string) ([]batch.Admission, time.Duration, error)
+}
+
+// LookError says why a look had no report.
+type LookError struct {
+	Worker string
+	Answer batch.Answer
+	// Refused means that nothing listens at the worker's address.
+	Refused bool
+	Err     error
+}
+
+// Error returns the worker and the cause.
+func (e *LookError) Error() string {
+	s := "look at " + e.Worker + ": " + string(e.Answer)
+	if e.Err != nil {
+		s += ": " + e.Err.Error()
+	}
+	return s
+}
+
+// Unwrap returns the cause.
+func (e *LookError) Unwrap() error { return e.Err }
+
+// Plane is a node's part of the scheduler. Its fields are set before Run.
+type Plane struct {
+	// ID is unique for each start of a node, Address where peers call it.
+	ID      string
+	Address string
+	// Share is the part of a processor that the node has.
+	Share   float64
+	Store   *store.Client
+	Workers Workers
+	// WorkerPrefix is where the store lists workers; DecodeWorker reads one entry.
+	WorkerPrefix string
+	DecodeWorker func(key string, value []byte) (batch.WorkerInfo, error)
+	// Peers are addresses of some other nodes, which may be out of date.
+	Peers []string
+	// Peer returns the calls about a cell of the node at an address.
+	Peer func(address string, cell int) (*Calls, error)
+	// Forget ends the connection to a node that left a call without an answer; nil
+	// means that connections need no end.
+	Forget func(address string)
+	Timing batch.Timing
+	Log    *eventlog.Log
+	Meter  *Meter
+	// Now is the steady time by which leases are judged; nil means that of the machine.
+	Now func() time.Time
+
+	mu    sync.Mutex
+	table batch.Table
+	// desks are the node's parts in the cells, by index; there are none before
+	// the number of cells is known.
+	desks  []*Desk
+	opened chan struct{}
+	// holders are the holders as last heard from the store, by key.
+	holders map[string]holderRef
+	// moved are the cells of jobs that are not at home, as far as known.
+	moved   map[string]int
+	leaving bool
+	// rtt is how far the store is, best the greatest share of a processor that a node is known to have.
+	rtt  time.Duration
+	best float64
+	// terms is how many holders' terms the node has or seeks.
+	terms int
+}
+
+// SetTable puts a configuration in force on this node.
+func (p *Plane) SetTable(t batch.Table) {
+	p.mu.Lock()
+	p.table = t
+	desks := p.desks
+	p.mu.Unlock()
+	for _, d := range desks {
+		d.setTable(t)
+	}
+}
+
+// Run takes part until the context ends; a holder then gives up its terms.
+func (p *Plane) Run(ctx context.Context) error {
+	opened := p.whenOpened()
+	var g run.Group
+	follower := &store.Follower{
+		Client: p.Store, Prefix: holderPrefix,
+		Snapshot: func(s store.Snapshot) { p.takeHolders(s.Entries) },
+		Update:   p.holderUpdate,
+		Lost: func(err error) {
+			p.Log.Emit(eventlog.StoreUnavailable, zap.String("use", "holder"), zap.Error(err))
+		},
+		Back: func() { p.Log.Emit(eventlog.StoreBack, zap.String("use", "holder")) },
+	}
+	actor.Loop(ctx, &g, follower.Run)
+	actor.Loop(ctx, &g, func(ctx context.Context) error {
+		wait := p.introduce(ctx)
+		p.divide(ctx, wait)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-opened:
+		}
+		return p.stand(ctx)
+	})
+	return g.Run()
+}
+
+// stand takes part in the elections of all cells.
+func (p *Plane) stand(ctx context.Context) error {
+	var g run.Group
+	for _, d := range p.all() {
+		actor.Loop(ctx, &g, d.stand)
+	}
+	return g.Run()
+}
+
+// all returns the node's parts in the cells.
+func (p *Plane) all() []*Desk {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.desks
+}
+
+// whenOpened returns a channel that closes once the number of cells is known.
+func (p *Plane) whenOpened() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.opened == nil {
+		p.opened = make(chan struct{})
+	}
+	return p.opened
+}
+
+// open makes the node's parts once the number of cells is known. That number
+// never changes in the life of a deployment.
+func (p *Plane) open(count int) {
+	p.whenOpened()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.desks) > 0 {
+		return
+	}
+	for i := range max(1, count) {
+		k := keysOf(i)
+		p.desks = append(p.desks, &Desk{
+			Cell: batch.Cell{Index: i, Count: max(1, count)}, plane: p, keys: k, table: p.table,
+			Log: p.Log.With(zap.Int("cell", i)), changed: make(chan struct{}), leaving: p.leaving,
+			holder: p.holders[k.holder], last: p.holders[k.holder],
+		})
+	}
+	close(p.opened)
+	p.Log.Emit(eventlog.CellsKnown, zap.Int("cells", len(p.desks)))
+}
+
+func (p *Plane) holderUpdate(u store.Update) {
+	for _, c := range u.Changes {
+		if c.Deleted {
+			p.setHolder(c.Entry.Key, holderRef{})
+		} else {
+			p.takeKey(c.Entry)
+		}
+	}
+}
+
+// setHolder notes what a holder's key says.
+func (p *Plane) setHolder(key string, ref holderRef) {
+	p.mu.Lock()
+	if p.holders == nil {
+		p.holders = map[string]holderRef{}
+	}
+	p.holders[key] = ref
+	desks := p.desks
+	p.mu.Unlock()
+	for _, d := range desks {
+		if key == d.keys.holder {
+			d.setHolder(ref)
+		}
+	}
+}
+
+// takeHolders takes all keys about holders.
+func (p *Plane) takeHolders(entries []store.Entry) {
+	found := map[string]bool{}
+	for _, e := range entries {
+		found[e.Key] = true
+		p.takeKey(e)
+	}
+	for _, d := range p.all() {
+		if !found[d.keys.holder] {
+			p.setHolder(d.keys.holder, holderRef{})
+		}
+	}
+}
+
+// takeKey takes one key about holders that is there.
+func (p *Plane) takeKey(e store.Entry) {
+	switch e.Key {
+	case bestKey:
+		p.setBest(e.Value)
+	case cellsKey:
+		count, err := strconv.Atoi(string(e.Value))
+		if err != nil {
+			p.Log.Emit(eventlog.RecordUnreadable, zap.String("key", cellsKey), zap.Error(err))
+			return
+		}
+		p.open(count)
+	default:
+		p.setHolder(e.Key, decodeHolder(e))
+	}
+}
+
+// setBest takes the greatest share that a node is known to have.
+func (p *Plane) setBest(value []byte) {
+	share, err := strconv.ParseFloat(string(value), 64)
+	if err != nil {
+		p.Log.Emit(eventlog.RecordUnreadable, zap.String("key", bestKey), zap.Error(err))
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.best = share
+}
+
+// introduce measures how far the store is, and tells the node's share if it is
+// the greatest so far. It returns how long to wait before the first election.
+func (p *Plane) introduce(ctx context.Context) time.Duration {
+	asked := p.now()
+	call, cancel := context.WithTimeout(ctx, standTimeout)
+	defer cancel()
+	e, found, err := p.Store.Read(call, bestKey)
+	if err != nil {
+		return 0
+	}
+	p.mu.Lock()
+	p.rtt = p.now().Sub(asked)
+	p.mu.Unlock()
+	if found {
+		p.setBest(e.Value)
+	}
+	p.mu.Lock()
+	best := p.best
+	p.mu.Unlock()
+	if best < p.Share {
+		value := strconv.FormatFloat(p.Share, 'f', -1, 64)
+		if _, err := p.Store.Commit(call, store.Txn{
+			If: []store.Condition{{Key: bestKey, Revision: e.Revision}}, Then: []store.Op{store.Put(bestKey, []byte(value))},
+		}); err != nil {
+			p.Log.Emit(eventlog.StoreUnavailable, zap.String("use", "share"), zap.Error(err))
+		}
+	}
+	if found {
+		return 0
+	}
+	return firstWait
+}
+
+const (
+	// dividePause is the wait between two tries to learn or decide the number of cells.
+	dividePause = 500 * time.Millisecond
+	// divideSpread spreads the nodes' tries, so that one of them decides and the
+	// others hear of it before they list all workers.
+	divideSpread = 800 * time.Millisecond
+	// emptyWait is how long a deployment without workers is waited for until it
+	// counts as one that is not divided.
+	emptyWait = 5 * time.Second
+)
+
+// divide decides into how many cells a new deployment is divided, after a wait,
+// unless another node does before.
+func (p *Plane) divide(ctx context.Context, wait time.Duration) {
+	opened := p.whenOpened()
+	began := p.now()
+	for {
+		p.mu.Lock()
+		behind := 0.0
+		if p.best > p.Share {
+			behind = 1 - p.Share/p.best
+		}
+		p.mu.Unlock()
+		wait += time.Duration(behind*float64(divideSpread)) + time.Duration(rand.Int64N(int64(divideSpread)))/8
+		select {
+		case <-ctx.Done():
+			return
+		case <-opened:
+			return
+		case <-time.After(wait):
+		}
+		wait = dividePause
+		count, err := p.cellCount(ctx, p.now().Sub(began) > emptyWait)
+		if err != nil || count == 0 {
+			if err != nil {
+				p.Log.Emit(eventlog.StoreUnavailable, zap.String("use", "cells"), zap.Error(err))
+			}
+			continue
+		}
+		call, cancel := context.WithTimeout(ctx, standTimeout)
+		// Whatever becomes of it, the watch tells what was decided.
+		_, err = p.Store.Commit(call, store.Txn{
+			If: []store.Condition{{Key: cellsKey}}, Then: []store.Op{store.Put(cellsKey, []byte(strconv.Itoa(count)))},
+		})
+		cancel()
+		if err != nil {
+			p.Log.Emit(eventlog.StoreUnavailable, zap.String("use", "cells"), zap.Error(err))
+		}
+	}
+}
+
+// cellCount returns the number of cells for the present workers, or 0 if there
+// are none yet. A deployment that ran before there were cells has one.
+func (p *Plane) cellCount(ctx context.Context, last bool) (int, error) {
+	call, cancel := context.WithTimeout(ctx, standTimeout)
+	defer cancel()
+	if _, found, err := p.Store.Read(call, keysOf(0).head); err != nil || found {
+		return 1, err
+	}
+	s, err := p.Store.List(call, p.WorkerPrefix)
+	if err != nil {
+		return 0, err
+	}
+	workers := 0
+	for _, e := range s.Entries {
+		if _, err := p.DecodeWorker(strings.TrimPrefix(e.Key, p.WorkerPrefix), e.Value); err == nil {
+			workers++
+		}
+	}
+	if workers == 0 && !last {
+		return 0, nil
+	}
+	p.mu.Lock()
+	best := max(p.best, p.Share)
+	p.mu.Unlock()
+	return batch.CellCount(workers, best), nil
+}
+
+// now is the steady time.
+func (p *Plane) now() time.Time {
+	if p.Now == nil {
+		return steady.Now()
+	}
+	return p.Now()
+}
+
+// Leave ends the node's terms, if it holds any, and keeps it from others.
+func (p *Plane) Leave() {
+	p.mu.Lock()
+	p.leaving = true
+	desks := p.desks
+	p.mu.Unlock()
+	for _, d := range desks {
+		d.quit()
+	}
+}
+
+// undivided is the answer while the number of cells is not known.
+func undivided() error {
+	return &UnavailableError{Reason: "the cells are not known yet", RetryAfter: retryAfter}
+}
+
+// desk returns the node's part in a cell, or nil.
+func (p *Plane) desk(cell int) *Desk {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if cell < 0 || cell >= len(p.desks) {
+		return nil
+	}
+	return p.desks[cell]
+}
+
+// home returns the node's part in a job's home.
+func (p *Plane) home(id string) *Desk {
+	p.mu.Lock()
+	count := len(p.desks)
+	p.mu.Unlock()
+	return p.desk(batch.HomeOf(id, count))
+}
+
+// maxMoved bounds what a node remembers of jobs that are not at home.
+const maxMoved = 20_000
+
+// noteMoved remembers where a job is.
+func (p *Plane) noteMoved(id string, cell int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.moved == nil || len(p.moved) >= maxMoved {
+		p.moved = map[string]int{}
+	}
+	p.moved[id] = cell
+}
+
+// find returns the node's part in the cell where a job is, as far as known.
+func (p *Plane) find(id string) *Desk {
+	p.mu.Lock()
+	cell, known := p.moved[id]
+	p.mu.Unlock()
+	if known {
+		return p.desk(cell)
+	}
+	return p.home(id)
+}
+
+// follow makes a call about a job in its cell, by way of its home if need be.
+func (p *Plane) follow(id string, call func(*Desk) error) error {
+	d := p.find(id)
+	if d == nil {
+		return undivided()
+	}
+	err := call(d)
+	var moved *MovedError
+	if !errors.As(err, &moved) {
+		return err
+	}
+	p.noteMoved(id, moved.Cell)
+	if d = p.desk(moved.Cell); d == nil {
+		return &UnknownError{Err: err}
+	}
+	return call(d)
+}
+
+// Submit accepts a job; it returns once the job is durable. An
+// *UnavailableError means that the job will never run, an *UnknownError that it
+// may be accepted.
+func (p *Plane) Submit(ctx context.Context, j batch.Job) error {
+	d := p.home(j.ID)
+	if d == nil {
+		return undivided()
+	}
+	return d.submit(ctx, j)
+}
+
+// Cancel withdraws a job and reports whether it is known; it returns once that is durable.
+func (p *Plane) Cancel(ctx context.Context, id string) (known bool, err error) {
+	err = p.follow(id, func(d *Desk) error {
+		known, err = d.cancel(ctx, id)
+		return err
+	})
+	return known, err
+}
+
+// State returns the state of a job, and whether the job is known.
+func (p *Plane) State(ctx context.Context, id string) (s batch.State, known bool, err error) {
+	err = p.follow(id, func(d *Desk) error {
+		s, known, err = d.state(ctx, id)
+		return err
+	})
+	return s, known, err
+}
+
+// Pending counts the jobs of a queue of which no task has started.
+func (p *Plane) Pending(ctx context.Context, queue string) (int, error) {
+	desks := p.all()
+	if len(desks) == 0 {
+		return 0, undivided()
+	}
+	type count struct {
+		jobs int
+		err  error
+	}
+	counts := make(chan count, len(desks))
+	for _, d := range desks {
+		go func() {
+			n, err := d.pending(ctx, queue)
+			counts <- count{n, err}
+		}()
+	}
+	sum := 0
+	var err error
+	for range desks {
+		c := <-counts
+		sum += c.jobs
+		err = errors.Join(err, c.err)
+	}
+	return sum, err
+}
+
+// LocalCalls answers the calls of peers about a cell.
+func (p *Plane) LocalCalls(cell int) *Calls {
+	if d := p.desk(cell); d != nil {
+		return d.localCalls()
+	}
+	not := &NotHolderError{}
+	return &Calls{
+		Submit:  func(context.Context, batch.Job) error { return not },
+		Relay:   func(context.Context, batch.Job) error { return undivided() },
+		Cancel:  func(context.Context, string) (bool, error) { return false, not },
+		State:   func(context.Context, string) (batch.State, bool, error) { return "", false, not },
+		Pending: func(context.Context, string) (int, error) { return 0, not },
+		Retired: func(context.Context, int64) (bool, error) { return false, not },
+	}
+}
+
+// wireHolder is the value of a holder's key.
+type wireHolder struct {
+	ID      string `json:"id"`
+	Address string `json:"address"`
+}
+
+func decodeHolder(e store.Entry) holderRef {
+	var w wireHolder
+	if err := json.Unmarshal(e.Value, &w); err != nil {
+		// A key that cannot be read still keeps others from the term.
+		return holderRef{ID: "unreadable", Token: e.Revision}
+	}
+	return holderRef{ID: w.ID, Address: w.Address, Token: e.Revision}
+}
--- a/internal/desk/world_test.go
+++ b/internal/desk/world_test.go
@@ -25,7 +25,7 @@
 	t       *testing.T
 	store   *fakeStore
 	workers *fakeWorkers
-	nodes   map[string]*Desk
+	nodes   map[string]*Plane
 	stops   map[string]context.CancelFunc
 	// cut are the nodes that no peer reaches, apart those that reach no worker.
 	cut   map[string]bool
@@ -41,7 +41,7 @@
 func newWorld(t *testing.T, duration time.Duration, workers ...string) *world {
 	w := &world{
 		t: t, store: newFakeStore(), workers: newFakeWorkers(duration, workers...),
-		nodes: map[string]*Desk{}, stops: map[string]context.CancelFunc{}, cut: map[string]bool{}, apart: map[string]bool{},
+		nodes: map[string]*Plane{}, stops: map[string]context.CancelFunc{}, cut: map[string]bool{}, apart: map[string]bool{},
 		frozen: map[string]chan struct{}{},
 	}
 	for _, id := range workers {
@@ -58,9 +58,9 @@
 }
 
 // add starts a node.
-func (w *world) add(name string) *Desk {
+func (w *world) add(name string) *Plane {
 	ctx, cancel := context.WithCancel(context.Background())
-	d := &Desk{
+	p := &Plane{
 		ID: name + "/" + fmt.Sprint(len(w.stops)), Address: name, Share: 1, Store: w.storeOf(name), Workers: w.workersOf(name),
 		WorkerPrefix: testPrefix, Timing: batch.DefaultTiming(), Log: eventlog.Discard(), Meter: NewMeter(metrics.NewSet()),
 		Now: time.Now,
@@ -70,22 +70,22 @@
 				Capacity: share.Resources{Processors: 32_000, Memory: 64 << 30},
 			}, nil
 		},
-		Peer: func(address string) (*Calls, error) {
+		Peer: func(address string, cell int) (*Calls, error) {
 			w.mu.Lock()
 			defer w.mu.Unlock()
 			peer := w.nodes[address]
 			if peer == nil || w.cut[address] || w.cut[name] {
 				return nil, &UnknownError{Err: errCut}
 			}
-			return peer.LocalCalls(), nil
+			return peer.LocalCalls(cell), nil
 		},
 	}
-	d.SetTable(testTable())
+	p.SetTable(testTable())
 	w.mu.Lock()
-	w.nodes[name], w.stops[name] = d, cancel
+	w.nodes[name], w.stops[name] = p, cancel
 	w.mu.Unlock()
-	go func() { _ = d.Run(ctx) }()
-	return d
+	go func() { _ = p.Run(ctx) }()
+	return p
 }
 
 // freeze keeps a node's calls from leaving until thaw: what it had decided upon
@@ -186,9 +186,11 @@
 
 // holder returns the node that holds, or nil.
 func (w *world) holder() (string, *Holder) {
-	for name, d := range w.nodes {
-		if h := d.local(); h != nil {
-			return name, h
+	for name, p := range w.nodes {
+		for _, d := range p.all() {
+			if h := d.local(); h != nil {
+				return name, h
+			}
 		}
 	}
 	return "", nil
@@ -202,13 +204,13 @@
 }
 
 // submit hands a job in through a node, within a caller's patience.
-func submit(d *Desk, j batch.Job) error {
+func submit(d *Plane, j batch.Job) error {
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
 	return d.Submit(ctx, j)
 }
 
-func state(t *testing.T, d *Desk, id string) batch.State {
+func state(t *testing.T, d *Plane, id string) batch.State {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
--- a/internal/eventlog/batch.go
+++ b/internal/eventlog/batch.go
@@ -6,12 +6,12 @@
 var (
 	HolderChanged = register(Event{
 		Number: 4000, Level: zapcore.InfoLevel, Message: "holder changed",
-		Meaning: "The store names another node as holder of all jobs, or none.",
+		Meaning: "The store names another node as holder of the jobs of a cell, or none.",
 		Advice:  "None, unless it recurs without a stop or failure of nodes.",
 	})
 	TermBegun = register(Event{
 		Number: 4001, Level: zapcore.InfoLevel, Message: "term begun",
-		Meaning: "This node became holder and reads all jobs back.",
+		Meaning: "This node became holder of a cell and reads its jobs back.",
 		Advice:  "None.",
 	})
 	TermServing = register(Event{
@@ -49,6 +49,16 @@
 		Meaning: "A call to the store was answered after one that failed.",
 		Advice:  "None.",
 	})
+	CellsKnown = register(Event{
+		Number: 4011, Level: zapcore.InfoLevel, Message: "cells known",
+		Meaning: "The node knows into how many cells the workers and jobs are divided, each with a holder of its own.",
+		Advice:  "None.",
+	})
+	JobMoved = register(Event{
+		Number: 4012, Level: zapcore.InfoLevel, Message: "job handed to another cell",
+		Meaning: "The job's home had less room for it than the named cell, which has it from now on.",
+		Advice:  "Follow the job in the lines of that cell.",
+	})
 	JobAccepted = register(Event{
 		Number: 4020, Level: zapcore.InfoLevel, Message: "job taken in",
 		Meaning: "The holder has the job and will acknowledge it once it is committed.",
--- a/internal/peer/jobs.go
+++ b/internal/peer/jobs.go
@@ -15,16 +15,16 @@
 	"github.com/oriolepond/oriolepond/internal/peer/jobpb"
 )
 
-// NewJobs returns the calls about jobs of the node at the other end of a connection.
-func NewJobs(conn *grpc.ClientConn) *desk.Calls {
-	c := jobpb.NewJobsClient(conn)
+// NewJobs returns the calls about the jobs of a cell of the node at the other end of a connection.
+func NewJobs(conn *grpc.ClientConn, cell int) *desk.Calls {
+	c, part := jobpb.NewJobsClient(conn), int32(cell)
 	return &desk.Calls{
 		Submit: func(ctx context.Context, j batch.Job) error {
 			value, err := batch.EncodeJob(j)
 			if err != nil {
 				return err
 			}
-			_, err = c.Submit(ctx, &jobpb.SubmitRequest{Job: value})
+			_, err = c.Submit(ctx, &jobpb.SubmitRequest{Job: value, Cell: part})
 			return decodeJobError(err)
 		},
 		Relay: func(ctx context.Context, j batch.Job) error {
@@ -32,36 +32,44 @@
 			if err != nil {
 				return err
 			}
-			_, err = c.Submit(ctx, &jobpb.SubmitRequest{Job: value, Relayed: true})
+			_, err = c.Submit(ctx, &jobpb.SubmitRequest{Job: value, Relayed: true, Cell: part})
 			return decodeJobError(err)
 		},
 		Cancel: func(ctx context.Context, id string) (bool, error) {
-			r, err := c.Cancel(ctx, &jobpb.JobRequest{Id: id})
-			return r.GetKnown(), decodeJobError(err)
+			r, err := c.Cancel(ctx, &jobpb.JobRequest{Id: id, Cell: part})
+			return r.GetKnown(), decodeStateError(r, err)
 		},
 		State: func(ctx context.Context, id string) (batch.State, bool, error) {
-			r, err := c.State(ctx, &jobpb.JobRequest{Id: id})
-			return batch.State(r.GetState()), r.GetKnown(), decodeJobError(err)
+			r, err := c.State(ctx, &jobpb.JobRequest{Id: id, Cell: part})
+			return batch.State(r.GetState()), r.GetKnown(), decodeStateError(r, err)
 		},
 		Pending: func(ctx context.Context, queue string) (int, error) {
-			r, err := c.Pending(ctx, &jobpb.PendingRequest{Queue: queue})
+			r, err := c.Pending(ctx, &jobpb.PendingRequest{Queue: queue, Cell: part})
 			return int(r.GetJobs()), decodeJobError(err)
 		},
 		Retired: func(ctx context.Context, token int64) (bool, error) {
-			r, err := c.Retired(ctx, &jobpb.RetiredRequest{Token: token})
+			r, err := c.Retired(ctx, &jobpb.RetiredRequest{Token: token, Cell: part})
 			return r.GetRetired(), err
 		},
 	}
 }
 
-// RegisterJobs answers the calls of peers about jobs.
-func RegisterJobs(server *grpc.Server, c *desk.Calls) {
-	jobpb.RegisterJobsServer(server, &jobsServer{calls: c})
+// decodeStateError returns the error of a reply that may say where a job went.
+func decodeStateError(r *jobpb.StateReply, err error) error {
+	if err == nil && r.GetMoved() {
+		return &desk.MovedError{Cell: int(r.GetMovedTo())}
+	}
+	return decodeJobError(err)
+}
+
+// RegisterJobs answers the calls of peers about the jobs of a cell.
+func RegisterJobs(server *grpc.Server, calls func(cell int) *desk.Calls) {
+	jobpb.RegisterJobsServer(server, &jobsServer{calls: calls})
 }
 
 type jobsServer struct {
 	jobpb.UnimplementedJobsServer
-	calls *desk.Calls
+	calls func(cell int) *desk.Calls
 }
 
 // Submit accepts a job.
@@ -70,34 +78,43 @@
 	if err != nil {
 		return nil, encodeJobError(&batch.InvalidError{Reason: err.Error()})
 	}
-	submit := s.calls.Submit
+	c := s.calls(int(q.Cell))
+	submit := c.Submit
 	if q.Relayed {
-		submit = s.calls.Relay
+		submit = c.Relay
 	}
 	return &jobpb.SubmitReply{}, encodeJobError(submit(ctx, j))
 }
 
 // Cancel withdraws a job.
 func (s *jobsServer) Cancel(ctx context.Context, q *jobpb.JobRequest) (*jobpb.StateReply, error) {
-	known, err := s.calls.Cancel(ctx, q.Id)
-	return &jobpb.StateReply{Known: known}, encodeJobError(err)
+	known, err := s.calls(int(q.Cell)).Cancel(ctx, q.Id)
+	return stateReply("", known, err)
 }
 
 // State returns the state of a job.
 func (s *jobsServer) State(ctx context.Context, q *jobpb.JobRequest) (*jobpb.StateReply, error) {
-	state, known, err := s.calls.State(ctx, q.Id)
+	return stateReply(s.calls(int(q.Cell)).State(ctx, q.Id))
+}
+
+// stateReply tells of a job, or where it went.
+func stateReply(state batch.State, known bool, err error) (*jobpb.StateReply, error) {
+	var moved *desk.MovedError
+	if errors.As(err, &moved) {
+		return &jobpb.StateReply{Known: true, Moved: true, MovedTo: int32(moved.Cell)}, nil
+	}
 	return &jobpb.StateReply{Known: known, State: string(state)}, encodeJobError(err)
 }
 
 // Pending counts the jobs of a queue of which no task has started.
 func (s *jobsServer) Pending(ctx context.Context, q *jobpb.PendingRequest) (*jobpb.PendingReply, error) {
-	n, err := s.calls.Pending(ctx, q.Queue)
+	n, err := s.calls(int(q.Cell)).Pending(ctx, q.Queue)
 	return &jobpb.PendingReply{Jobs: int32(n)}, encodeJobError(err)
 }
 
 // Retired reports whether this node renews nothing under tokens up to the given one.
 func (s *jobsServer) Retired(ctx context.Context, q *jobpb.RetiredRequest) (*jobpb.RetiredReply, error) {
-	retired, err := s.calls.Retired(ctx, q.Token)
+	retired, err := s.calls(int(q.Cell)).Retired(ctx, q.Token)
 	return &jobpb.RetiredReply{Retired: retired}, err
 }
 
