What cells learn counts in all, and the list of workers costs ten calls a second

Change: evidence of harm is added over cells (Risk.SetOthers); a cell has at least 300 workers; changes of the list gather for 100 ms; the gap between commits grows with the number of cells.

--- a/internal/batch/cell.go
+++ b/internal/batch/cell.go
@@ -60,5 +60,5 @@
 	holderPart = 0.5
 	// leastWorkers is the least number of workers in a cell: fewer leave a wide step
 	// too little room while other cells have some.
-	leastWorkers = 100
+	leastWorkers = 300
 )
--- a/internal/batch/learned.go
+++ b/internal/batch/learned.go
@@ -42,3 +42,26 @@
 	}
 	return nil
 }
+
+// SetLearned takes what the holders of other cells have learned, by cell, in
+// place of what they told before.
+func (c *Core) SetLearned(values map[int][]byte) error {
+	type pair struct{ victim, aggressor int }
+	risks := map[pair][]float64{}
+	for cell, value := range values {
+		var all []wireHarm
+		if err := json.Unmarshal(value, &all); err != nil {
+			return fmt.Errorf("decode what cell %d learned: %w", cell, err)
+		}
+		for _, h := range all {
+			for other, risk := range h.By {
+				p := pair{c.imageID(h.Image), c.imageID(other)}
+				risks[p] = append(risks[p], risk)
+			}
+		}
+	}
+	for p, all := range risks {
+		c.risk.SetOthers(p.victim, p.aggressor, all...)
+	}
+	return nil
+}
--- a/internal/desk/holder.go
+++ b/internal/desk/holder.go
@@ -73,8 +73,14 @@
 	planEvery = 100 * time.Millisecond
 	// planGap is the least time between two plans, so that news share one.
 	planGap = 8 * time.Millisecond
-	// commitGap is the least time between two commits, so that news share one.
-	commitGap = 8 * time.Millisecond
+	// commitGap is the least time between two commits of an undivided deployment,
+	// so that news share one; with more holders it grows up to longestCommitGap, a
+	// small part of the shortest tasks, so that the store's calls do not.
+	commitGap        = 8 * time.Millisecond
+	longestCommitGap = 24 * time.Millisecond
+	// workerSpacing gathers changes of the list of workers, hundreds a second in a
+	// large pool; nothing is started on a leaving worker seconds after it says so.
+	workerSpacing = 100 * time.Millisecond
 	// commitTimeout bounds one try of a commit.
 	commitTimeout = 700 * time.Millisecond
 	// maxEntries is how many conditions and writes the store takes in one commit.
@@ -190,7 +196,7 @@
 	var g run.Group
 	workers := &store.Follower{
 		Client: h.Store, Prefix: h.WorkerPrefix,
-		Snapshot: h.workerSnapshot, Update: h.workerUpdate, Lost: h.lost("workers"), Back: h.back("workers"),
+		Snapshot: h.workerSnapshot, Update: h.workerUpdate, Spacing: workerSpacing, Lost: h.lost("workers"), Back: h.back("workers"),
 	}
 	inbox := &store.Follower{
 		Client: h.Store, Prefix: h.keys.inbox,
@@ -351,7 +357,7 @@
 			return nil
 		case <-h.commit:
 		}
-		if gap := commitGap - h.Now().Sub(last); gap > 0 {
+		if gap := h.commitGap() - h.Now().Sub(last); gap > 0 {
 			time.Sleep(gap)
 		}
 		last = h.Now()
@@ -378,6 +384,11 @@
 	}
 }
 
+// commitGap returns the least time between two commits of the cell.
+func (h *Holder) commitGap() time.Duration {
+	return min(longestCommitGap, commitGap*time.Duration(max(1, h.Cell.Count)))
+}
+
 // write commits records, and repeats that until the outcome is known.
 func (h *Holder) write(ctx context.Context, changes batch.Changes) error {
 	h.sequence++
@@ -429,13 +440,20 @@
 	}
 }
 
-// learnEvery is how often what was learned goes along with a commit; it changes slowly.
-const learnEvery = 3 * time.Second
+const (
+	// learnEvery is how often what was learned goes along with a commit; it changes slowly.
+	learnEvery = 3 * time.Second
+	// teachEvery is the same where the holders of other cells use it, too.
+	teachEvery = time.Second
+)
 
 // learned returns the write of what was learned, if its time has come.
 func (h *Holder) learned() []store.Op {
-	at := h.Now()
-	if at.Sub(h.learnedAt) < learnEvery {
+	at, every := h.Now(), learnEvery
+	if !h.Cell.IsWhole() {
+		every = teachEvery
+	}
+	if at.Sub(h.learnedAt) < every {
 		return nil
 	}
 	h.learnedAt = at
--- a/internal/desk/loads.go
+++ b/internal/desk/loads.go
@@ -46,6 +46,7 @@
 	for {
 		h.tellLoad(ctx)
 		h.readLoads(ctx, seen)
+		h.readLearned(ctx)
 		select {
 		case <-ctx.Done():
 			return nil
@@ -110,6 +111,33 @@
 	h.mu.Unlock()
 }
 
+// readLearned takes what the other cells' holders have learned of interference:
+// one cell sees each pair of images too seldom to learn it soon.
+func (h *Holder) readLearned(ctx context.Context) {
+	values := map[int][]byte{}
+	for i := range h.Cell.Count {
+		if i == h.Cell.Index {
+			continue
+		}
+		call, cancel := context.WithTimeout(ctx, loadCallTimeout)
+		e, found, err := h.Store.Read(call, keysOf(i).learned)
+		cancel()
+		if err != nil {
+			// What they told before stays.
+			return
+		}
+		if found {
+			values[i] = e.Value
+		}
+	}
+	h.mu.Lock()
+	err := h.core.SetLearned(values)
+	h.mu.Unlock()
+	if err != nil {
+		h.Log.Emit(eventlog.RecordUnreadable, zap.String("key", loadPrefix), zap.Error(err))
+	}
+}
+
 const (
 	// forgetEvery and forgetBatch bound the store's reads for pointers to other
 	// cells: 4 a second.
--- a/internal/desk/plane.go
+++ b/internal/desk/plane.go
@@ -20,7 +20,6 @@
 	"errors"
 	"math/rand/v2"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -297,14 +296,17 @@
 }
 
 const (
-	// dividePause is the wait between two tries to learn or decide the number of cells.
-	dividePause = 500 * time.Millisecond
-	// divideSpread spreads the nodes' tries, so that one of them decides and the
-	// others hear of it before they list all workers.
-	divideSpread = 800 * time.Millisecond
+	// dividePause is the wait between two counts of the workers: they register
+	// about every 1.5 s.
+	dividePause = 1500 * time.Millisecond
+	// settledCounts is how many counts in a row have to agree until all workers have registered.
+	settledCounts = 2
+	// divideSpread is how much later the nodes with little processor count the
+	// workers: one of the others decides, and they hear of it.
+	divideSpread = 8 * time.Second
 	// emptyWait is how long a deployment without workers is waited for until it
 	// counts as one that is not divided.
-	emptyWait = 5 * time.Second
+	emptyWait = 10 * time.Second
 )
 
 // divide decides into how many cells a new deployment is divided, after a wait,
@@ -312,66 +314,66 @@
 func (p *Plane) divide(ctx context.Context, wait time.Duration) {
 	opened := p.whenOpened()
 	began := p.now()
+	p.mu.Lock()
+	if p.best > p.Share {
+		wait += time.Duration((1 - p.Share/p.best) * float64(divideSpread))
+	}
+	p.mu.Unlock()
+	last, same := -1, 0
 	for {
-		p.mu.Lock()
-		behind := 0.0
-		if p.best > p.Share {
-			behind = 1 - p.Share/p.best
-		}
-		p.mu.Unlock()
-		wait += time.Duration(behind*float64(divideSpread)) + time.Duration(rand.Int64N(int64(divideSpread)))/8
 		select {
 		case <-ctx.Done():
 			return
 		case <-opened:
 			return
-		case <-time.After(wait):
+		case <-time.After(wait + time.Duration(rand.Int64N(int64(standSpread)))):
 		}
 		wait = dividePause
-		count, err := p.cellCount(ctx, p.now().Sub(began) > emptyWait)
-		if err != nil || count == 0 {
-			if err != nil {
-				p.Log.Emit(eventlog.StoreUnavailable, zap.String("use", "cells"), zap.Error(err))
-			}
-			continue
-		}
-		call, cancel := context.WithTimeout(ctx, standTimeout)
-		// Whatever becomes of it, the watch tells what was decided.
-		_, err = p.Store.Commit(call, store.Txn{
-			If: []store.Condition{{Key: cellsKey}}, Then: []store.Op{store.Put(cellsKey, []byte(strconv.Itoa(count)))},
-		})
-		cancel()
+		workers, divided, err := p.countWorkers(ctx)
 		if err != nil {
 			p.Log.Emit(eventlog.StoreUnavailable, zap.String("use", "cells"), zap.Error(err))
+			wait = standPause
+			continue
+		}
+		if same++; workers != last {
+			last, same = workers, 1
+		}
+		count := 1
+		switch {
+		case divided:
+		case workers == 0 && p.now().Sub(began) < emptyWait, same < settledCounts:
+			continue
+		default:
+			p.mu.Lock()
+			count = batch.CellCount(workers, max(p.best, p.Share))
+			p.mu.Unlock()
 		}
+		p.writeCells(ctx, count)
 	}
 }
 
-// cellCount returns the number of cells for the present workers, or 0 if there
-// are none yet. A deployment that ran before there were cells has one.
-func (p *Plane) cellCount(ctx context.Context, last bool) (int, error) {
+// writeCells records the number of cells if no node has. Whatever becomes of
+// it, the watch tells what was decided.
+func (p *Plane) writeCells(ctx context.Context, count int) {
 	call, cancel := context.WithTimeout(ctx, standTimeout)
 	defer cancel()
-	if _, found, err := p.Store.Read(call, keysOf(0).head); err != nil || found {
-		return 1, err
+	if _, err := p.Store.Commit(call, store.Txn{
+		If: []store.Condition{{Key: cellsKey}}, Then: []store.Op{store.Put(cellsKey, []byte(strconv.Itoa(count)))},
+	}); err != nil {
+		p.Log.Emit(eventlog.StoreUnavailable, zap.String("use", "cells"), zap.Error(err))
 	}
-	s, err := p.Store.List(call, p.WorkerPrefix)
-	if err != nil {
-		return 0, err
-	}
-	workers := 0
-	for _, e := range s.Entries {
-		if _, err := p.DecodeWorker(strings.TrimPrefix(e.Key, p.WorkerPrefix), e.Value); err == nil {
-			workers++
-		}
-	}
-	if workers == 0 && !last {
-		return 0, nil
+}
+
+// countWorkers returns how many workers are registered, and whether the
+// deployment ran before there were cells: then it has one.
+func (p *Plane) countWorkers(ctx context.Context) (workers int, divided bool, err error) {
+	call, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	if _, divided, err = p.Store.Read(call, keysOf(0).head); err != nil || divided {
+		return 0, divided, err
 	}
-	p.mu.Lock()
-	best := max(p.best, p.Share)
-	p.mu.Unlock()
-	return batch.CellCount(workers, best), nil
+	s, err := p.Store.List(call, p.WorkerPrefix)
+	return len(s.Entries), false, err
 }
 
 // now is the steady time.
--- a/internal/desk/world_test.go
+++ b/internal/desk/world_test.go
@@ -47,6 +47,7 @@
 	for _, id := range workers {
 		w.store.put(testPrefix+id, []byte(id))
 	}
+	w.store.put(cellsKey, []byte("1"))
 	return w
 }
 
--- a/internal/interference/risk.go
+++ b/internal/interference/risk.go
@@ -20,8 +20,23 @@
 type pairRisk struct {
 	known bool
 	risk  float64
+	// own and others are what was added to the prior log odds by this model's own
+	// measurements, and by those of others.
+	own    float64
+	others float64
 }
 
+// settle computes the probability from the evidence.
+func (p *pairRisk) settle() {
+	odds := max(-greatestOdds, min(greatestOdds, priorOdds+p.own+p.others))
+	p.risk = 1 / (1 + math.Exp(-odds))
+}
+
+// priorOdds are the log odds of priorRisk.
+var priorOdds = logOdds(priorRisk)
+
+func logOdds(p float64) float64 { return math.Log(p / (1 - p)) }
+
 // Presence is how much of a worker's processors an aggressor used, from 0 to 1.
 type Presence struct {
 	Aggressor int
@@ -47,24 +62,45 @@
 
 // Of returns the probability that an aggressor harms a victim. Both are numbered from 0.
 func (r *Risk) Of(victim, aggressor int) float64 {
-	if victim >= len(r.pairs) || aggressor >= len(r.pairs[victim]) || !r.pairs[victim][aggressor].known {
+	if victim >= len(r.pairs) || aggressor >= len(r.pairs[victim]) || r.pairs[victim][aggressor].risk == 0 {
 		return priorRisk
 	}
 	return r.pairs[victim][aggressor].risk
 }
 
-// Known returns the probability for a pair that was measured, and whether it was.
+// Known returns the probability for a pair by this model's own measurements,
+// and whether there are any.
 func (r *Risk) Known(victim, aggressor int) (float64, bool) {
 	if victim >= len(r.pairs) || aggressor >= len(r.pairs[victim]) {
 		return 0, false
 	}
 	p := r.pairs[victim][aggressor]
+	p.others = 0
+	p.settle()
 	return p.risk, p.known
 }
 
 // Set takes the probability for a pair from an earlier model.
 func (r *Risk) Set(victim, aggressor int, risk float64) {
-	*r.pair(victim, aggressor) = pairRisk{known: true, risk: max(leastRisk, min(1-leastRisk, risk))}
+	p := r.pair(victim, aggressor)
+	p.known, p.own = true, evidence(risk)
+	p.settle()
+}
+
+// SetOthers takes the probabilities for a pair by models that have measured it
+// elsewhere, in place of what they told before.
+func (r *Risk) SetOthers(victim, aggressor int, risks ...float64) {
+	p := r.pair(victim, aggressor)
+	p.others = 0
+	for _, risk := range risks {
+		p.others += evidence(risk)
+	}
+	p.settle()
+}
+
+// evidence returns what measurements have added to the prior log odds.
+func evidence(risk float64) float64 {
+	return logOdds(max(leastRisk, min(1-leastRisk, risk))) - priorOdds
 }
 
 // pair returns a pair for a change.
@@ -98,9 +134,10 @@
 		if missed {
 			harmful, harmless = 1-harmful, 1-harmless
 		}
-		odds := math.Log(risk/(1-risk)) + temper*math.Log(harmful/harmless)
-		odds = max(-greatestOdds, min(greatestOdds, odds))
-		*r.pair(victim, p.Aggressor) = pairRisk{known: true, risk: 1 / (1 + math.Exp(-odds))}
+		before := logOdds(risk)
+		odds := max(-greatestOdds, min(greatestOdds, before+temper*math.Log(harmful/harmless)))
+		pair := r.pair(victim, p.Aggressor)
+		pair.known, pair.own, pair.risk = true, pair.own+odds-before, 1/(1+math.Exp(-odds))
 	}
 }
 
--- a/internal/store/follower.go
+++ b/internal/store/follower.go
@@ -21,6 +21,9 @@
 	// keys are listed until they stand still: a watch carries every version, over
 	// a link that may be slow, and a list the last one only.
 	Gather time.Duration
+	// Spacing, if set, is the pause after each update, in which further changes
+	// gather: a watch answers at the first one, so that busy keys cost a call each.
+	Spacing time.Duration
 	// Lost is told of each failure, Back of the first answer after one; nil means nobody asks.
 	Lost func(error)
 	Back func()
@@ -76,7 +79,9 @@
 				}
 				if settling {
 					stop()
+					return
 				}
+				sleep(watch, f.Spacing)
 			})
 			stop()
 		}
@@ -115,6 +120,9 @@
 
 // sleep waits for a time, or until the context ends.
 func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	select {
 	case <-ctx.Done():
 	case <-time.After(d):
