Tests of divided deployments; a node stands when its turn has come

Cause: a node that lost an election for one cell kept the delay of a node with a term for the others, so that one node took several cells while another had none; a node that did not know the cells yet called itself ready and refused.

--- a/internal/desk/election.go
+++ b/internal/desk/election.go
@@ -35,7 +35,8 @@
 	termWeight = 150 * time.Millisecond
 	// standSpread keeps nodes of one kind from standing at the same moment.
 	standSpread = 20 * time.Millisecond
-	// firstWait lets all nodes of a new deployment tell their share before the first election.
+	// firstWait lets all nodes of a new deployment tell their share before the cells
+	// are decided on, and so before the first election.
 	firstWait = 1500 * time.Millisecond
 	// loadTimeout bounds the reading of all jobs.
 	loadTimeout = 4 * time.Second
@@ -54,16 +55,7 @@
 			}
 			continue
 		}
-		terms := d.plane.seeks()
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-changed:
-			continue
-		case <-time.After(d.plane.standDelay()):
-		}
-		if d.plane.seeks() > terms {
-			// Another node without a term may come first.
+		if !d.plane.awaitTurn(ctx, changed) {
 			continue
 		}
 		d.plane.seek(1)
@@ -84,7 +76,27 @@
 	return !d.leaving && d.table.Queues != nil
 }
 
-// standDelay lets nodes near the store, with much processor and with few terms, come first.
+// awaitTurn waits for the node's turn to stand: nodes near the store, with much
+// processor and with few terms come first. It reports whether there is still no
+// holder then. The terms are looked at again, since they may end in a lost election.
+func (p *Plane) awaitTurn(ctx context.Context, changed <-chan struct{}) bool {
+	jitter := time.Duration(rand.Int64N(int64(standSpread)))
+	for began := p.now(); ; {
+		left := p.standDelay() + jitter - p.now().Sub(began)
+		if left <= 0 {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-changed:
+			return false
+		case <-time.After(min(left, standSpread)):
+		}
+	}
+}
+
+// standDelay returns how much later than others the node stands.
 func (p *Plane) standDelay() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -92,7 +104,7 @@
 	if p.best > p.Share {
 		delay += time.Duration(float64(shareWeight) * (1 - p.Share/p.best))
 	}
-	return delay + time.Duration(rand.Int64N(int64(standSpread)))
+	return delay
 }
 
 // seek counts a term that the node has or seeks.
@@ -102,13 +114,6 @@
 	p.terms += more
 }
 
-// seeks returns how many terms the node has or seeks.
-func (p *Plane) seeks() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.terms
-}
-
 // tryTerm takes the holder's key if it is free, and holds until the term ends.
 func (d *Desk) tryTerm(ctx context.Context) {
 	asked := d.plane.now()
--- a/internal/desk/plane.go
+++ b/internal/desk/plane.go
@@ -134,8 +134,8 @@
 	}
 	actor.Loop(ctx, &g, follower.Run)
 	actor.Loop(ctx, &g, func(ctx context.Context) error {
-		wait := p.introduce(ctx)
-		p.divide(ctx, wait)
+		p.introduce(ctx)
+		p.divide(ctx)
 		select {
 		case <-ctx.Done():
 			return nil
@@ -162,6 +162,9 @@
 	return p.desks
 }
 
+// IsOpen reports whether the node knows the cells, so that it can pass calls on.
+func (p *Plane) IsOpen() bool { return len(p.all()) > 0 }
+
 // whenOpened returns a channel that closes once the number of cells is known.
 func (p *Plane) whenOpened() <-chan struct{} {
 	p.mu.Lock()
@@ -263,14 +266,15 @@
 }
 
 // introduce measures how far the store is, and tells the node's share if it is
-// the greatest so far. It returns how long to wait before the first election.
-func (p *Plane) introduce(ctx context.Context) time.Duration {
+// the greatest so far.
+func (p *Plane) introduce(ctx context.Context) {
 	asked := p.now()
 	call, cancel := context.WithTimeout(ctx, standTimeout)
 	defer cancel()
 	e, found, err := p.Store.Read(call, bestKey)
 	if err != nil {
-		return 0
+		p.Log.Emit(eventlog.StoreUnavailable, zap.String("use", "share"), zap.Error(err))
+		return
 	}
 	p.mu.Lock()
 	p.rtt = p.now().Sub(asked)
@@ -289,10 +293,6 @@
 			p.Log.Emit(eventlog.StoreUnavailable, zap.String("use", "share"), zap.Error(err))
 		}
 	}
-	if found {
-		return 0
-	}
-	return firstWait
 }
 
 const (
@@ -309,11 +309,11 @@
 	emptyWait = 10 * time.Second
 )
 
-// divide decides into how many cells a new deployment is divided, after a wait,
-// unless another node does before.
-func (p *Plane) divide(ctx context.Context, wait time.Duration) {
+// divide decides into how many cells a new deployment is divided, unless
+// another node does before.
+func (p *Plane) divide(ctx context.Context) {
 	opened := p.whenOpened()
-	began := p.now()
+	began, wait := p.now(), firstWait
 	p.mu.Lock()
 	if p.best > p.Share {
 		wait += time.Duration((1 - p.Share/p.best) * float64(divideSpread))
--- a/internal/desk/workers_test.go
+++ b/internal/desk/workers_test.go
@@ -80,6 +80,10 @@
 func (f *fakeWorkers) look(ctx context.Context, l batch.Look, wait time.Duration, token int64) (batch.Report, error) {
 	f.mu.Lock()
 	w := f.workers[l.Worker]
+	if w == nil {
+		f.mu.Unlock()
+		return batch.Report{}, &LookError{Worker: l.Worker, Answer: batch.AnswerNone, Refused: true}
+	}
 	if w.silent {
 		f.mu.Unlock()
 		<-ctx.Done()
