--- a/cmd/oriolepond/node.go
+++ b/cmd/oriolepond/node.go
@@ -237,7 +237,9 @@
 	return *c, true
 }
 
-func (n *node) isReady() bool { return n.config.Load() != nil && n.plane.IsOpen() && !n.stopping.Load() }
+func (n *node) isReady() bool {
+	return n.config.Load() != nil && n.plane.IsOpen() && !n.stopping.Load()
+}
 
 func (n *node) refused(r *http.Request, queue, id string, status int, err error) {
 	n.set.GetOrCreateCounter(fmt.Sprintf("oriolepond_calls_not_served_total{method=%q,status=\"%d\"}", r.Method, status)).Inc()
--- /dev/null
+++ b/internal/batch/divide_test.go
@@ -0,0 +1,265 @@
+package batch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/oriolepond/oriolepond/pkg/share"
+)
+
+// Each worker and each job belongs to exactly one cell, and the cells are about
+// equally large.
+func TestCellsPartitionWorkers(t *testing.T) {
+	for _, prefix := range []string{"", "i-", "worker-0", "bajio-a/"} {
+		for count := 1; count <= 12; count++ {
+			sizes := make([]int, count)
+			const workers = 1200
+			for i := range workers {
+				id := fmt.Sprintf("%s%d", prefix, i)
+				found := 0
+				for index := range count {
+					if (Cell{Index: index, Count: count}).HasWorker(id) {
+						sizes[index]++
+						found++
+					}
+				}
+				require.Equal(t, 1, found, id)
+			}
+			for _, size := range sizes {
+				require.Greater(t, size, workers/count/2, "prefix %q: a cell has less than half of its part", prefix)
+			}
+		}
+	}
+}
+
+func TestCellCount(t *testing.T) {
+	for _, c := range []struct {
+		workers int
+		share   float64
+		want    int
+	}{
+		{workers: 0, share: 0.8, want: 1},
+		{workers: 48, share: 0.16, want: 1},
+		{workers: 350, share: 0.8, want: 1},
+		{workers: 1100, share: 0.8, want: 3},
+		{workers: 1200, share: 0.8, want: 4},
+		{workers: 1200, share: 4, want: 2},
+		{workers: 1200, share: 0, want: 1},
+	} {
+		require.Equal(t, c.want, CellCount(c.workers, c.share), "%d workers, share %v", c.workers, c.share)
+	}
+}
+
+// dividedCore returns the core of the first of three cells with four free workers of 4 cores.
+func dividedCore(t *testing.T, now time.Time) *Core {
+	c := shapesCore(t, now)
+	c.SetCell(Cell{Index: 0, Count: 3})
+	return c
+}
+
+// homeJob returns a job whose home is the first of three cells.
+func homeJob(t *testing.T, from int, steps ...Step) Job {
+	t.Helper()
+	for i := from; ; i++ {
+		if id := fmt.Sprintf("%016x", i); HomeOf(id, 3) == 0 {
+			return Job{ID: id, Queue: "check", Steps: steps}
+		}
+	}
+}
+
+func TestAJobGoesToTheCellWithTheMostRoom(t *testing.T) {
+	now := time.Unix(1_000_000_000, 0)
+	hold := Step{Tasks: 4, Size: share.Resources{Processors: 1000}}
+	fill := Step{Tasks: 4, Size: share.Resources{Processors: 1000}, Fills: true}
+	labelled := Step{Tasks: 1, Size: share.Resources{Processors: 1000}, RequiredLabel: "gpu"}
+	for _, c := range []struct {
+		name  string
+		step  Step
+		peers map[int]Load
+		want  int
+	}{
+		{name: "nothing is known of the others", step: hold, want: 0},
+		{name: "no other has clearly more room", step: hold, peers: map[int]Load{1: {Capacity: 16_000, Room: 16_100, Idle: 16_000}}, want: 0},
+		{
+			name: "the roomiest of the others", step: hold,
+			peers: map[int]Load{1: {Capacity: 16_000, Room: 17_000}, 2: {Capacity: 16_000, Room: 20_000}}, want: 2,
+		},
+		{
+			name: "what fills goes by idle processors", step: fill,
+			peers: map[int]Load{1: {Capacity: 16_000, Room: 20_000}, 2: {Capacity: 16_000, Idle: 20_000}}, want: 2,
+		},
+		{
+			name: "a label that no worker here carries", step: labelled,
+			peers: map[int]Load{1: {Capacity: 16_000, Room: 16_000}, 2: {Capacity: 16_000, Room: 9_000, Labels: map[string]int{"gpu": 1}}}, want: 2,
+		},
+		{name: "a label that no worker anywhere carries", step: labelled, peers: map[int]Load{1: {Capacity: 16_000, Room: 20_000}}, want: 0},
+		{name: "a cell without workers", step: hold, peers: map[int]Load{1: {}}, want: 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			core := dividedCore(t, now)
+			core.SetPeers(c.peers)
+			require.Equal(t, c.want, core.cellFor(homeJob(t, 0, c.step), now))
+		})
+	}
+}
+
+// A burst that comes before new loads are known spreads over all cells instead
+// of filling the one that had the most room.
+func TestBurstBetweenTwoLoadsSpreads(t *testing.T) {
+	now := time.Unix(1_000_000_000, 0)
+	core := dividedCore(t, now)
+	core.SetPeers(map[int]Load{1: {Capacity: 16_000, Room: 16_000}, 2: {Capacity: 16_000, Room: 16_000}})
+	to := map[int]int{}
+	from := 0
+	for range 30 {
+		j := homeJob(t, from, Step{Tasks: 2, Size: share.Resources{Processors: 1000}})
+		_, err := fmt.Sscanf(j.ID, "%x", &from)
+		require.NoError(t, err)
+		from++
+		to[core.cellFor(j, now)]++
+	}
+	for cell := range 3 {
+		require.InDelta(t, 10, to[cell], 3, "cell %d of %v", cell, to)
+	}
+}
+
+// Another cell's job stays where it was handed, whatever the loads.
+func TestAHandedJobIsNotHandedOn(t *testing.T) {
+	now := time.Unix(1_000_000_000, 0)
+	core := dividedCore(t, now)
+	core.SetPeers(map[int]Load{1: {Capacity: 16_000, Room: 30_000}})
+	id := "0"
+	for i := 1; HomeOf(id, 3) == 0; i++ {
+		id = fmt.Sprint(i)
+	}
+	require.Equal(t, 0, core.cellFor(Job{ID: id, Queue: "check", Steps: []Step{{Tasks: 1}}}, now))
+}
+
+// handOver submits a job that goes to another cell and returns the changes of its commit.
+func handOver(t *testing.T, core *Core, now time.Time) (Job, Changes) {
+	t.Helper()
+	core.SetPeers(map[int]Load{1: {Capacity: 16_000, Room: 30_000, Idle: 30_000}})
+	j := homeJob(t, 0, Step{Tasks: 2, Size: share.Resources{Processors: 1000}})
+	require.NoError(t, core.Submit(j, now, nil))
+	changes, err := core.Take(20, now)
+	require.NoError(t, err)
+	return j, changes
+}
+
+func TestAHandedJobIsCommittedWithItsPointer(t *testing.T) {
+	now := time.Unix(1_000_000_000, 0)
+	core := dividedCore(t, now)
+	j, changes := handOver(t, core, now)
+	require.Equal(t, 2, changes.Writes())
+	handed, err := DecodeJob(changes.Records[0].Handed)
+	require.NoError(t, err)
+	require.Equal(t, j.Steps, handed.Steps)
+	require.Equal(t, 1, changes.Records[0].To)
+	state, cell, err := DecodeState(changes.Records[0].Value)
+	require.NoError(t, err)
+	require.Equal(t, Moved, state)
+	require.Equal(t, 1, cell)
+	_, moved := core.MovedTo(j.ID)
+	require.False(t, moved, "told before it is durable")
+	require.Empty(t, core.Durable(changes))
+
+	next := NewCore(DefaultTiming(), now, now)
+	next.SetCell(Cell{Index: 0, Count: 3})
+	next.SetTable(core.table)
+	require.NoError(t, next.Restore(changes.Records[0].Value, now))
+	for _, c := range []*Core{core, next} {
+		cell, moved := c.MovedTo(j.ID)
+		require.True(t, moved)
+		require.Equal(t, 1, cell)
+		require.NoError(t, c.Submit(j, now, func(s State) { require.Equal(t, Moved, s) }))
+		require.Zero(t, c.Pending("check"))
+		c.Plan(now)
+		require.False(t, c.HasChanges(), "the job was taken in again")
+	}
+}
+
+func TestCancelOfAHandedJobIsHandedOn(t *testing.T) {
+	now := time.Unix(1_000_000_000, 0)
+	for _, c := range []struct {
+		name   string
+		commit bool
+	}{
+		{name: "amid the commit"},
+		{name: "after the commit", commit: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			core := dividedCore(t, now)
+			j, changes := handOver(t, core, now)
+			if c.commit {
+				core.Durable(changes)
+			}
+			require.True(t, core.Cancel(j.ID, now, nil))
+			if !c.commit {
+				core.Durable(changes)
+			}
+			next, err := core.Take(20, now)
+			require.NoError(t, err)
+			require.True(t, next.Records[0].Cancel)
+			require.Equal(t, 1, next.Records[0].To)
+			require.Nil(t, next.Records[0].Handed, "handed over twice")
+		})
+	}
+	t.Run("before the commit", func(t *testing.T) {
+		core := dividedCore(t, now)
+		core.SetPeers(map[int]Load{1: {Capacity: 16_000, Room: 30_000}})
+		j := homeJob(t, 0, Step{Tasks: 2, Size: share.Resources{Processors: 1000}})
+		require.NoError(t, core.Submit(j, now, nil))
+		require.True(t, core.Cancel(j.ID, now, nil))
+		changes, err := core.Take(20, now)
+		require.NoError(t, err)
+		require.Nil(t, changes.Records[0].Handed)
+		core.Durable(changes)
+		state, known := core.State(j.ID)
+		require.True(t, known)
+		require.Equal(t, Cancelled, state)
+	})
+}
+
+// The least commit has room for one job that is handed over.
+func TestHandedJobsCountTwiceInACommit(t *testing.T) {
+	now := time.Unix(1_000_000_000, 0)
+	core := dividedCore(t, now)
+	core.SetPeers(map[int]Load{1: {Capacity: 1_000_000, Room: 2_000_000}})
+	from := 0
+	for range 5 {
+		j := homeJob(t, from, Step{Tasks: 1, Size: share.Resources{Processors: 100}})
+		_, err := fmt.Sscanf(j.ID, "%x", &from)
+		require.NoError(t, err)
+		from++
+		require.NoError(t, core.Submit(j, now, nil))
+	}
+	changes, err := core.Take(5, now)
+	require.NoError(t, err)
+	require.Equal(t, 4, changes.Writes())
+	core.Durable(changes)
+	require.True(t, core.HasChanges())
+}
+
+// What other cells measured counts as if it had been measured here, once.
+func TestHarmThatOtherCellsLearnedCounts(t *testing.T) {
+	now := time.Unix(1_000_000_000, 0)
+	core := dividedCore(t, now)
+	victim, aggressor := core.imageID("serve"), core.imageID("fill")
+	before := core.risk.Of(victim, aggressor)
+	value := []byte(`[{"image":"serve","by":{"fill":0.7}}]`)
+	require.NoError(t, core.SetLearned(map[int][]byte{1: value}))
+	one := core.risk.Of(victim, aggressor)
+	require.InDelta(t, 0.7, one, 1e-9)
+	require.Greater(t, one, before)
+	require.NoError(t, core.SetLearned(map[int][]byte{1: value}))
+	require.InDelta(t, one, core.risk.Of(victim, aggressor), 1e-9, "counted twice")
+	require.NoError(t, core.SetLearned(map[int][]byte{1: value, 2: value}))
+	require.Greater(t, core.risk.Of(victim, aggressor), one)
+	own, err := core.Learned()
+	require.NoError(t, err)
+	require.NotContains(t, string(own), "fill", "what others measured is told as this cell's own")
+	require.Error(t, core.SetLearned(map[int][]byte{1: []byte("{")}))
+}
