A fault over one message ends that message, or the term, not the process

Cause: a panic in an answer to a peer, in the decoding of a worker's answer or in the core took the whole process down, and with it the callers' requests of that instance; net/http alone recovers.

Change: calls of peers recover with an open outcome; a worker's answer that panics counts as none; a fault in the core gives the lock back and ends the term, since the next holder reads back what was committed. A number of cells beyond all reason is not taken.

--- a/cmd/oriolepond/node.go
+++ b/cmd/oriolepond/node.go
@@ -167,7 +167,7 @@
 		Jobs: n.calls(), Config: n.current, Refused: n.refused,
 	}, ReadHeaderTimeout: headerTimeout}
 	ready := &http.Server{Handler: platform.Ready(n.isReady), ReadHeaderTimeout: headerTimeout}
-	server := grpc.NewServer(peer.ServerOptions()...)
+	server := grpc.NewServer(peer.ServerOptions(n.log)...)
 	peer.RegisterJobs(server, n.plane.LocalCalls)
 
 	var g run.Group
--- a/internal/desk/holder.go
+++ b/internal/desk/holder.go
@@ -258,9 +258,7 @@
 		}
 		all = append(all, info)
 	}
-	h.mu.Lock()
-	h.core.SetWorkers(all, h.Now())
-	h.mu.Unlock()
+	h.guarded("list of workers", func() { h.locked(func() { h.core.SetWorkers(all, h.Now()) }) })
 	h.syncLookers()
 	h.kick(h.plan)
 }
@@ -272,9 +270,7 @@
 			continue
 		}
 		if c.Deleted {
-			h.mu.Lock()
-			h.core.RemoveWorker(id, h.Now())
-			h.mu.Unlock()
+			h.guarded("list of workers", func() { h.locked(func() { h.core.RemoveWorker(id, h.Now()) }) })
 			continue
 		}
 		info, err := h.DecodeWorker(id, c.Entry.Value)
@@ -282,9 +278,7 @@
 			h.Log.Emit(eventlog.WorkerUnreadable, zap.String("key", c.Entry.Key), zap.Int64("revision", c.Entry.Revision), zap.Error(err))
 			continue
 		}
-		h.mu.Lock()
-		h.core.SetWorker(info, h.Now())
-		h.mu.Unlock()
+		h.guarded("list of workers", func() { h.locked(func() { h.core.SetWorker(info, h.Now()) }) })
 	}
 	h.syncLookers()
 	h.kick(h.plan)
@@ -306,15 +300,20 @@
 			time.Sleep(gap)
 		}
 		last = h.Now()
-		away := h.isAway(last)
-		h.mu.Lock()
-		if away {
-			h.core.DropUncommitted(last)
+		away, dirty := h.isAway(last), false
+		h.guarded("plan", func() {
+			h.locked(func() {
+				if away {
+					h.core.DropUncommitted(last)
+				}
+				h.core.SetWall(h.wallOffset())
+				h.core.Plan(h.Now())
+				dirty = h.core.HasChanges()
+			})
+		})
+		if ctx.Err() != nil {
+			return nil
 		}
-		h.core.SetWall(h.wallOffset())
-		h.core.Plan(h.Now())
-		dirty := h.core.HasChanges()
-		h.mu.Unlock()
 		h.carryOut(ctx, nil)
 		if dirty {
 			h.kick(h.commit)
--- a/internal/desk/inbox.go
+++ b/internal/desk/inbox.go
@@ -30,7 +30,12 @@
 
 // takeInbox takes submissions in, then cancels. Their keys go with the commit of the jobs.
 func (h *Holder) takeInbox(entries []store.Entry) {
-	h.mu.Lock()
+	h.guarded("inbox", func() { h.locked(func() { h.takeEntries(entries) }) })
+	h.kick(h.plan)
+}
+
+// takeEntries is takeInbox with h.mu held.
+func (h *Holder) takeEntries(entries []store.Entry) {
 	for _, e := range entries {
 		id, isCancel := h.keys.inboxID(e.Key)
 		if isCancel {
@@ -57,8 +62,6 @@
 			h.core.Touch(id)
 		}
 	}
-	h.mu.Unlock()
-	h.kick(h.plan)
 }
 
 // noteInbox changes what is known of a job's inbox keys; h.mu is held.
--- a/internal/desk/looks.go
+++ b/internal/desk/looks.go
@@ -56,7 +56,7 @@
 
 // startLooker looks at a worker until the term ends or the worker is forgotten.
 func (h *Holder) startLooker(ctx context.Context, id string, l *looker) {
-	h.running.Go(func() {
+	h.spawnGuarded("look", func() {
 		for ctx.Err() == nil {
 			if !h.lookTurn(ctx, id, l) {
 				return
@@ -145,11 +145,9 @@
 	}
 	l.single = true
 	h.mu.Unlock()
-	h.running.Go(func() {
+	h.spawnGuarded("look", func() {
 		h.look(ctx, id)
-		h.mu.Lock()
-		l.single = false
-		h.mu.Unlock()
+		h.locked(func() { l.single = false })
 		h.kick(l.kick)
 	})
 }
@@ -175,28 +173,31 @@
 	}
 	call, cancel := context.WithTimeout(ctx, h.patience.of(l.DataCentre)+wait)
 	defer cancel()
-	report, err := h.Workers.Look(call, l, wait, h.Token)
+	var report batch.Report
+	var err error
+	if h.fails(id, func() { report, err = h.Workers.Look(call, l, wait, h.Token) }) {
+		err = &LookError{Worker: id, Answer: batch.AnswerNone}
+	}
 	if ctx.Err() != nil {
 		return false, false
 	}
 	got := h.Now()
 	h.Meter.Look(got.Sub(sent))
-	h.mu.Lock()
-	if err == nil {
-		h.core.Observe(id, report, sent, got)
-	} else {
-		answer, refused := batch.AnswerNone, false
-		var failed *LookError
-		if errors.As(err, &failed) {
-			answer, refused = failed.Answer, failed.Refused
-		}
-		if answer == batch.AnswerFenced {
-			h.fenced = true
-		}
-		h.core.LookFailed(id, answer, refused, sent, got)
+	answer, refused := batch.AnswerNone, false
+	var failed *LookError
+	if errors.As(err, &failed) {
+		answer, refused = failed.Answer, failed.Refused
 	}
-	fenced := h.fenced
-	h.mu.Unlock()
+	fenced := false
+	h.locked(func() {
+		if err == nil {
+			h.core.Observe(id, report, sent, got)
+		} else {
+			h.core.LookFailed(id, answer, refused, sent, got)
+		}
+		h.fenced = h.fenced || answer == batch.AnswerFenced
+		fenced = h.fenced
+	})
 	if fenced {
 		h.lose("worker " + id + " has heard a newer holder")
 	}
@@ -206,7 +207,7 @@
 
 // send carries out one order.
 func (h *Holder) send(ctx context.Context, o batch.Order) {
-	h.running.Go(func() {
+	h.spawnGuarded("order", func() {
 		if o.Kind == batch.OrderStart {
 			// Stops and paces relieve a worker, and never wait behind starts.
 			select {
@@ -218,26 +219,23 @@
 		}
 		sent := h.Now()
 		if o.Kind == batch.OrderStart && !h.holds(sent) {
-			h.mu.Lock()
-			h.core.NotSent(o, sent)
-			h.mu.Unlock()
+			h.locked(func() { h.core.NotSent(o, sent) })
 			return
 		}
-		h.mu.Lock()
-		call, ok := h.core.Send(o, sent)
-		h.mu.Unlock()
+		var call batch.Call
+		var ok bool
+		h.locked(func() { call, ok = h.core.Send(o, sent) })
 		if !ok {
 			return
 		}
 		bounded, cancel := context.WithTimeout(ctx, h.patience.of(call.DataCentre))
 		defer cancel()
-		result := h.Workers.Order(bounded, call, h.Token)
+		result := batch.Result{Answer: batch.AnswerNone}
+		h.fails(call.Worker, func() { result = h.Workers.Order(bounded, call, h.Token) })
 		took := h.Now().Sub(sent)
 		h.patience.observe(call.DataCentre, took)
 		h.Meter.Order(call.Kind, result.Answer, took)
-		h.mu.Lock()
-		h.core.Answered(o, result, sent, h.Now())
-		h.mu.Unlock()
+		h.locked(func() { h.core.Answered(o, result, sent, h.Now()) })
 		if result.Answer == batch.AnswerFenced {
 			h.lose("worker " + call.Worker + " has heard a newer holder")
 		}
@@ -255,14 +253,12 @@
 
 // ask puts a question to the adviser.
 func (h *Holder) ask(ctx context.Context, q batch.Question) {
-	h.running.Go(func() {
+	h.spawnGuarded("advice", func() {
 		sent := h.Now()
 		call, cancel := context.WithTimeout(ctx, askTimeout)
 		defer cancel()
 		admitted, valid, err := h.Workers.Ask(call, q.Step, q.Workers)
-		h.mu.Lock()
-		h.core.Advised(q, admitted, valid, err, sent, h.Now())
-		h.mu.Unlock()
+		h.locked(func() { h.core.Advised(q, admitted, valid, err, sent, h.Now()) })
 		if err != nil {
 			h.Log.Emit(eventlog.AdviceMissing, zap.String("step", q.Step), zap.Error(err))
 		}
--- a/internal/desk/plane.go
+++ b/internal/desk/plane.go
@@ -184,10 +184,10 @@
 	if len(p.desks) > 0 {
 		return
 	}
-	for i := range max(1, count) {
+	for i := range count {
 		k := keysOf(i)
 		p.desks = append(p.desks, &Desk{
-			Cell: batch.Cell{Index: i, Count: max(1, count)}, plane: p, keys: k, table: p.table,
+			Cell: batch.Cell{Index: i, Count: count}, plane: p, keys: k, table: p.table,
 			Log: p.Log.With(zap.Int("cell", i)), changed: make(chan struct{}), leaving: p.leaving,
 			holder: p.holders[k.holder], last: p.holders[k.holder],
 		})
@@ -243,8 +243,8 @@
 		p.setBest(e.Value)
 	case cellsKey:
 		count, err := strconv.Atoi(string(e.Value))
-		if err != nil {
-			p.Log.Emit(eventlog.RecordUnreadable, zap.String("key", cellsKey), zap.Error(err))
+		if err != nil || count < 1 || count > maxCells {
+			p.Log.Emit(eventlog.RecordUnreadable, zap.String("key", cellsKey), zap.ByteString("value", e.Value), zap.Error(err))
 			return
 		}
 		p.open(count)
@@ -253,6 +253,10 @@
 	}
 }
 
+// maxCells bounds what a node takes for a number of cells: 300 workers each, for
+// a hundred times the size to design for.
+const maxCells = 400
+
 // setBest takes the greatest share that a node is known to have.
 func (p *Plane) setBest(value []byte) {
 	share, err := strconv.ParseFloat(string(value), 64)
--- a/internal/peer/exchange_test.go
+++ b/internal/peer/exchange_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 	"google.golang.org/grpc"
 
+	"github.com/oriolepond/oriolepond/internal/eventlog"
 	"github.com/oriolepond/oriolepond/internal/grant"
 	"github.com/oriolepond/oriolepond/internal/membership"
 	"github.com/oriolepond/oriolepond/internal/peer"
@@ -52,7 +53,7 @@
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	l := &countingListener{Listener: inner}
-	server := grpc.NewServer(peer.ServerOptions()...)
+	server := grpc.NewServer(peer.ServerOptions(eventlog.Discard())...)
 	peer.RegisterSlots(server, &peer.Slots{
 		Heard:   heard,
 		Promise: func(member string) (string, bool) { return "entry-2~x", member == "entry-1~x" },
--- /dev/null
+++ b/internal/peer/guard_test.go
@@ -0,0 +1,47 @@
+package peer_test
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/grpc"
+
+	"github.com/oriolepond/oriolepond/internal/batch"
+	"github.com/oriolepond/oriolepond/internal/desk"
+	"github.com/oriolepond/oriolepond/internal/eventlog"
+	"github.com/oriolepond/oriolepond/internal/peer"
+)
+
+// A panic in the answer to one call leaves that call's outcome open, and the
+// next call is answered.
+func TestFaultInOneCallEndsThatCallAlone(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := grpc.NewServer(peer.ServerOptions(eventlog.Discard())...)
+	peer.RegisterJobs(server, func(cell int) *desk.Calls {
+		return &desk.Calls{
+			Cancel: func(context.Context, string) (bool, error) { panic("odd job") },
+			State: func(context.Context, string) (batch.State, bool, error) {
+				return "", true, &desk.MovedError{Cell: cell + 1}
+			},
+		}
+	})
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(server.Stop)
+	pool := &peer.Pool{}
+	t.Cleanup(pool.Close)
+	conn, err := pool.Conn(l.Addr().String())
+	require.NoError(t, err)
+	jobs := peer.NewJobs(conn, 4)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	_, err = jobs.Cancel(ctx, "j")
+	require.ErrorAs(t, err, new(*desk.UnknownError))
+	_, _, err = jobs.State(ctx, "j")
+	var moved *desk.MovedError
+	require.ErrorAs(t, err, &moved)
+	require.Equal(t, 5, moved.Cell)
+}
--- a/internal/peer/requests.go
+++ b/internal/peer/requests.go
@@ -12,6 +12,7 @@
 	"google.golang.org/grpc/connectivity"
 
 	"github.com/oriolepond/oriolepond/internal/entry"
+	"github.com/oriolepond/oriolepond/internal/eventlog"
 	"github.com/oriolepond/oriolepond/internal/home"
 	"github.com/oriolepond/oriolepond/internal/peer/requestpb"
 )
@@ -28,9 +29,13 @@
 // silent from the start is dropped.
 const greetingTimeout = 3 * time.Second
 
-// ServerOptions are the options of the server that answers peers.
-func ServerOptions() []grpc.ServerOption {
+// ServerOptions are the options of the server that answers peers; a fault in
+// one answer goes to the log.
+func ServerOptions(log *eventlog.Log) []grpc.ServerOption {
+	g := guard{log: log}
 	return []grpc.ServerOption{
+		grpc.UnaryInterceptor(g.unary),
+		grpc.StreamInterceptor(g.stream),
 		grpc.MaxRecvMsgSize(maxMessageBytes),
 		grpc.MaxSendMsgSize(maxMessageBytes),
 		grpc.ConnectionTimeout(greetingTimeout),
--- a/internal/peer/requests_test.go
+++ b/internal/peer/requests_test.go
@@ -14,6 +14,7 @@
 	"google.golang.org/grpc/connectivity"
 
 	"github.com/oriolepond/oriolepond/internal/entry"
+	"github.com/oriolepond/oriolepond/internal/eventlog"
 	"github.com/oriolepond/oriolepond/pkg/release"
 )
 
@@ -24,7 +25,7 @@
 func dialRequests(t *testing.T, r *Requests) (*Requests, *grpc.Server) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	server := grpc.NewServer(ServerOptions()...)
+	server := grpc.NewServer(ServerOptions(eventlog.Discard())...)
 	if r.Resolve == nil {
 		r.Resolve = func(neighbour, service, route string) (entry.Request, bool) {
 			q := entry.Request{Route: release.Route{Path: route}}
--- a/oriolepond.go
+++ b/oriolepond.go
@@ -117,7 +117,7 @@
 
 // addPeers adds the server that answers peers.
 func (i *Instance) addPeers(g *run.Group, l net.Listener) {
-	server := grpc.NewServer(peer.ServerOptions()...)
+	server := grpc.NewServer(peer.ServerOptions(i.Log)...)
 	peer.RegisterTasks(server, i.shards.Calls())
 	i.registerRequests(server)
 	i.registerSlots(server)
