A worker that leaves starts unanswered is passed by for a while

Cause: a start without an answer made its worker silent only until the next look was answered, so that a worker which answers looks and no starts was chosen again and again, as the one with the most room.

Change: it is shunned as one that refuses, for 0.5 s and longer if it goes on.

--- a/internal/batch/order.go
+++ b/internal/batch/order.go
@@ -185,6 +185,8 @@
 		c.begun(r.task.stage.job)
 	case AnswerNone:
 		r.state, r.since = runUnclear, now
+		// A worker may answer looks and leave starts unanswered.
+		c.shun(w, now)
 		c.look(w)
 		c.note(Note{Kind: NoteUnclear, Task: r.task.name(), Run: r.number, Worker: w.ID, Age: now.Sub(r.ordered)})
 	case AnswerUnsent, AnswerBusy, AnswerFenced, AnswerGone:
