Work that starves in a full cell goes to another one

Change: a job of which nothing has begun goes on from its home after 1 s, and tasks that last and wait are lent: in one commit their cell marks them as gone and the other cell's inbox has them with the number of their last run. A cancel follows them. The soak can divide its workers (-soak.cells).

Shown: TestFullCellLendsLastingTasks and the tests of loans.

--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -24,6 +24,7 @@
 	soakKept   = flag.Bool("soak.kept", false, "run all seeds that are kept, not only those of the short run")
 	soakBeside = flag.Int("soak.beside", 3, "how many seeds run at once")
 	soakNodes  = flag.Int("soak.nodes", 5, "how many nodes each seed runs")
+	soakCells  = flag.Int("soak.cells", 0, "into how many cells each seed divides its workers; 0 leaves that to the nodes")
 	soakLogs   = flag.String("soak.logs", "", "`directory` that keeps the logs of each run")
 )
 
@@ -32,6 +33,7 @@
 	seed   uint64
 	short  bool // Part of each run of the tests.
 	reason string
+	cells  int // Into how many cells the workers are divided; 0 leaves that to the nodes.
 }
 
 // keptSeeds reads the seeds that ever failed, and those of the short run.
@@ -65,11 +67,14 @@
 		}
 	}
 	for i := range *soakSeeds {
-		cases = append(cases, soakCase{seed: *soakFirst + uint64(i), reason: "fresh"})
+		cases = append(cases, soakCase{seed: *soakFirst + uint64(i), reason: "fresh", cells: *soakCells})
+	}
+	if *soakSeeds == 0 {
+		cases = append(cases, soakCase{seed: dividedSeed, reason: "three cells", cells: 3})
 	}
 	turns := make(chan struct{}, *soakBeside)
 	for _, c := range cases {
-		t.Run(fmt.Sprintf("seed %d", c.seed), func(t *testing.T) {
+		t.Run(fmt.Sprintf("seed %d, cells %d", c.seed, c.cells), func(t *testing.T) {
 			t.Parallel()
 			turns <- struct{}{}
 			defer func() { <-turns }()
@@ -80,7 +85,7 @@
 			}
 			var out bytes.Buffer
 			s := &soak.Soak{
-				Seed: c.seed, Nodes: *soakNodes, Workers: 6, Length: soakLength, FaultEvery: soakFaultEvery,
+				Seed: c.seed, Nodes: *soakNodes, Workers: 6, Cells: c.cells, Length: soakLength, FaultEvery: soakFaultEvery,
 				JobsPerSecond: soakJobs, Launch: nodeLauncher(dir), Out: &out,
 			}
 			r, err := s.Run(context.Background())
@@ -99,6 +104,8 @@
 }
 
 const (
+	// dividedSeed is that of the short run in cells.
+	dividedSeed = 1
 	// soakLength is how long load and faults of one seed last.
 	soakLength = 12 * time.Second
 	// soakFaultEvery is the mean time between series of faults.
--- a/internal/batch/core.go
+++ b/internal/batch/core.go
@@ -73,7 +73,7 @@
 	// Percent is the pace of a NotePaced, Strain the worst tail against its target
 	// by which it was decided, and Risk the probability that the run harms.
 	Percent int
-	// Cell is where a NoteMoved went.
+	// Cell is where a NoteMoved or NoteLent went.
 	Cell   int
 	Strain float64
 	Risk   float64
@@ -97,6 +97,7 @@
 	NotePaced       NoteKind = "paced"
 	NoteStray       NoteKind = "stray"
 	NoteMoved       NoteKind = "moved"
+	NoteLent        NoteKind = "lent"
 )
 
 const (
--- a/internal/batch/divide.go
+++ b/internal/batch/divide.go
@@ -9,6 +9,8 @@
 	// others leave; what waits for a worker is taken off both.
 	Room int64
 	Idle int64
+	// Widest is the most that one worker has free for a run that holds processors.
+	Widest int64
 	// Labels counts the workers that carry a label.
 	Labels map[string]int
 }
@@ -57,6 +59,7 @@
 		}
 		l.Capacity += int64(w.Capacity.Processors)
 		l.Room += int64(w.free().Processors)
+		l.Widest = max(l.Widest, int64(w.free().Processors))
 		l.Idle += int64(c.idle(w, now))
 		for _, label := range w.Labels {
 			if label != w.Rack {
@@ -155,7 +158,7 @@
 // moveOut hands a job that has just come in to another cell. What stays is a
 // pointer, so that the job is found and never taken in twice.
 func (c *Core) moveOut(j *job, to int) {
-	j.state, j.movedTo = Moved, to
+	j.state, j.movedTo, j.handing = Moved, to, true
 	c.jobs[j.ID] = j
 	c.mark(j)
 	c.note(Note{Kind: NoteMoved, Job: j.ID, Cell: to})
@@ -164,18 +167,18 @@
 // handCancel withdraws a job that goes to another cell, or went there.
 func (c *Core) handCancel(j *job, now time.Time) {
 	if !j.stored && !j.inFlight {
-		j.state = Queued
+		j.state, j.handing = Queued, false
 		c.finish(j, Cancelled, "cancelled by its caller", now)
 		return
 	}
-	j.handCancel = true
+	j.cancelAt = []int{j.movedTo}
 	c.mark(j)
 }
 
 // MovedTo returns the cell to which a job was handed, once that is durable.
 func (c *Core) MovedTo(id string) (int, bool) {
 	j, ok := c.jobs[id]
-	if !ok || j.state != Moved || !j.stored {
+	if !ok || j.state != Moved || !j.movedStored {
 		return 0, false
 	}
 	return j.movedTo, true
@@ -189,7 +192,7 @@
 		if len(old) == limit {
 			break
 		}
-		if j.state == Moved && j.stored && !j.removed && now.Sub(j.accepted) > c.timing.Retention && !now.Before(j.checkAt) {
+		if j.state == Moved && j.movedStored && !j.removed && now.Sub(j.accepted) > c.timing.Retention && !now.Before(j.checkAt) {
 			j.checkAt = now.Add(c.timing.Retention)
 			old[id] = j.movedTo
 		}
--- a/internal/batch/divide_test.go
+++ b/internal/batch/divide_test.go
@@ -202,8 +202,7 @@
 			}
 			next, err := core.Take(20, now)
 			require.NoError(t, err)
-			require.True(t, next.Records[0].Cancel)
-			require.Equal(t, 1, next.Records[0].To)
+			require.Equal(t, []int{1}, next.Records[0].CancelAt)
 			require.Nil(t, next.Records[0].Handed, "handed over twice")
 		})
 	}
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -27,8 +27,18 @@
 	// when that is next asked whether it still knows the job.
 	movedTo int
 	checkAt time.Time
-	// handCancel means that a cancel is to be handed on to that cell.
-	handCancel bool
+	// handing means that the next record hands the job over, and movedStored that
+	// one which did is durable.
+	handing     bool
+	movedStored bool
+	// cancelAt are the cells to which a cancel is to be handed on.
+	cancelAt []int
+	// lent are the cells to which tasks were lent, one entry a loan, and loan is one
+	// that goes along with the next record.
+	lent []int
+	loan *wireStage
+	// guest means that the cell has only what another one lent it of the job.
+	guest bool
 
 	// stages are the steps of all occurrences that have begun.
 	stages []*stage
--- /dev/null
+++ b/internal/batch/loan.go
@@ -0,0 +1,214 @@
+package batch
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+)
+
+// A cell may run out of room while others have some. Then a job of which nothing
+// has begun goes to another cell from its home, and tasks that last and wait are
+// lent to another cell: it runs them until the job is cancelled, and the cell
+// that lent them no longer does.
+
+// starvesAfter is how long work waits in its cell until another one is asked: the
+// platform allows a task that lasts 6 s from its last run to its next.
+const starvesAfter = time.Second
+
+// guestSuffix tells what was lent of a job from the job itself, of which a cell
+// may have the pointer.
+const guestSuffix = "/loan"
+
+// GuestID returns the name by which a cell keeps what was lent to it of a job.
+func GuestID(job string) string { return job + guestSuffix }
+
+// key returns the name by which the core keeps the job.
+func (j *job) key() string {
+	if j.guest {
+		return GuestID(j.ID)
+	}
+	return j.ID
+}
+
+// jobOf returns the job of a task that a worker names, or nil.
+func (c *Core) jobOf(n TaskName) *job {
+	if j, ok := c.jobs[n.Job]; ok && j.state != Moved {
+		return j
+	}
+	return c.jobs[GuestID(n.Job)]
+}
+
+// Loan are tasks that go to the inbox of another cell.
+type Loan struct {
+	To int
+	// Number distinguishes the loans of one job.
+	Number int
+	Value  []byte
+}
+
+// relieveStarved hands on what has waited for too long. It is called after
+// placement, whose order it keeps to.
+func (c *Core) relieveStarved(now time.Time) {
+	if c.cell.IsWhole() || len(c.peers) == 0 {
+		return
+	}
+	for _, r := range c.ranks {
+		s := r.stage
+		j := s.job
+		if s.queued == 0 || j.state.Final() || j.state == Moved {
+			continue
+		}
+		switch {
+		case j.isUntouched() && c.cell.IsHome(j.ID) && j.stored && !j.inFlight && now.Sub(j.accepted) >= starvesAfter:
+			c.moveStarved(j, now)
+		case s.step.LongRunning && !s.step.Gang && !j.guest && j.loan == nil && j.Repeat.Count == 0:
+			c.lendStarved(s, now)
+		}
+	}
+}
+
+// isUntouched reports whether no task of the job was ever given to a worker.
+func (j *job) isUntouched() bool {
+	if j.state != Queued || j.Repeat.Count > 0 {
+		return false
+	}
+	for _, s := range j.stages {
+		for _, t := range s.tasks {
+			if t.lastRun > 0 {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// moveStarved hands a whole job on, if a cell has room for it.
+func (c *Core) moveStarved(j *job, now time.Time) {
+	to := c.cellFor(j.Job, now)
+	if to == c.cell.Index {
+		return
+	}
+	same := func(o *job) bool { return o == j }
+	c.active = slices.DeleteFunc(c.active, same)
+	j.stages = nil
+	c.moveOut(j, to)
+}
+
+// lendStarved lends the waiting tasks of a stage to the cell with the most room.
+func (c *Core) lendStarved(s *stage, now time.Time) {
+	var starved []*task
+	for _, t := range s.tasks {
+		if t.state == taskQueued && len(t.runs) == 0 && now.Sub(t.queuedAt) >= starvesAfter {
+			starved = append(starved, t)
+		}
+	}
+	if len(starved) == 0 {
+		return
+	}
+	size := int64(s.step.Size.Processors)
+	n := need{hold: size}
+	best, most := c.cell.Index, 0.0
+	for i := range c.cell.Count {
+		p := c.peers[i]
+		if p == nil || !p.load.has(s.job.Job) || p.load.Widest < size {
+			continue
+		}
+		sent := need{hold: p.sent.hold + p.sentLast.hold}
+		if left := p.load.left(sent, n); left > most {
+			best, most = i, left
+		}
+	}
+	if best == c.cell.Index {
+		return
+	}
+	p := c.peers[best]
+	room := max(1, int(most*float64(p.load.Capacity))/int(max(1, size)))
+	c.lend(s, starved[:min(len(starved), room)], best, now)
+}
+
+// lend hands tasks that surely do not run to another cell.
+func (c *Core) lend(s *stage, tasks []*task, to int, now time.Time) {
+	j := s.job
+	lent := wireStage{Stage: slices.Index(j.stages, s)}
+	for _, t := range tasks {
+		lent.Tasks = append(lent.Tasks, wireTask{Index: t.index, LastRun: t.lastRun, Checkpoint: t.checkpoint})
+		c.note(Note{Kind: NoteLent, Task: t.name(), Run: t.lastRun, Cell: to, Age: now.Sub(t.queuedAt)})
+		t.state = taskDone
+		s.queued--
+		s.undone--
+	}
+	c.peers[to].sent.hold += int64(len(tasks)) * int64(s.step.Size.Processors)
+	j.loan = &lent
+	j.lent = append(j.lent, to)
+	c.mark(j)
+}
+
+// takeLoan returns the loan of a job that goes along with its record, if any.
+func (c *Core) takeLoan(j *job) (*Loan, error) {
+	if j.loan == nil {
+		return nil, nil
+	}
+	w := wireJob{
+		ID: j.ID, Queue: j.Queue, Service: j.service, Spec: j.Spec, State: string(Active), Occurrences: j.begun,
+		AcceptedMs: j.accepted.Add(c.wall).UnixMilli(), Stages: []wireStage{*j.loan},
+	}
+	for _, s := range j.Steps {
+		w.Steps = append(w.Steps, encodeStep(s))
+	}
+	j.loan = nil
+	value, err := json.Marshal(w)
+	if err != nil {
+		return nil, fmt.Errorf("encode loan of job %s: %w", j.ID, err)
+	}
+	return &Loan{To: j.lent[len(j.lent)-1], Number: len(j.lent), Value: value}, nil
+}
+
+// TakeLoan takes in tasks that another cell has lent, and returns the name by
+// which the core keeps them. What was taken in before stays as it is.
+func (c *Core) TakeLoan(value []byte, now time.Time) (string, error) {
+	var w wireJob
+	if err := json.Unmarshal(value, &w); err != nil {
+		return "", fmt.Errorf("decode loan: %w", err)
+	}
+	j := c.jobs[GuestID(w.ID)]
+	if j == nil {
+		j = &job{
+			Job: decodeSubmission(w), service: w.Service, state: Active, guest: true,
+			accepted: time.UnixMilli(w.AcceptedMs).Add(-c.wall),
+		}
+		if err := j.Check(); err != nil {
+			return "", err
+		}
+		c.adopt(j)
+		for range w.Occurrences {
+			c.begin(j)
+		}
+		for _, s := range j.stages {
+			s.open, s.openedAt, s.undone = true, now, 0
+			for _, t := range s.tasks {
+				t.state = taskDone
+			}
+		}
+	}
+	if j.state.Final() {
+		return j.key(), nil
+	}
+	for _, ws := range w.Stages {
+		if ws.Stage < 0 || ws.Stage >= len(j.stages) {
+			return "", &InvalidError{Reason: fmt.Sprintf("loan of %s names stage %d", w.ID, ws.Stage)}
+		}
+		s := j.stages[ws.Stage]
+		for _, wt := range ws.Tasks {
+			if wt.Index < 0 || wt.Index >= len(s.tasks) || s.tasks[wt.Index].state != taskDone {
+				continue
+			}
+			t := s.tasks[wt.Index]
+			t.lastRun, t.checkpoint = wt.LastRun, wt.Checkpoint
+			s.undone++
+			c.enqueue(t, now)
+		}
+	}
+	c.mark(j)
+	return j.key(), nil
+}
--- /dev/null
+++ b/internal/batch/loan_test.go
@@ -0,0 +1,208 @@
+package batch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/oriolepond/oriolepond/pkg/share"
+)
+
+// watchJob is a job of tasks that last and fill a worker of 4 cores each.
+func watchJob(t *testing.T, tasks int) Job {
+	return homeJob(t, 0, Step{Tasks: tasks, Size: share.Resources{Processors: 4000}, LongRunning: true})
+}
+
+// secondCore returns the core of another cell with four free workers.
+func secondCore(t *testing.T, index int, now time.Time) *Core {
+	c := shapesCore(t, now)
+	c.SetCell(Cell{Index: index, Count: 3})
+	return c
+}
+
+// lendTwo returns a core whose cell runs four of six tasks that last, and the
+// changes that lend the other two.
+func lendTwo(t *testing.T, now time.Time) (*Core, Job, Changes, time.Time) {
+	t.Helper()
+	core := dividedCore(t, now)
+	j := watchJob(t, 6)
+	require.NoError(t, core.Submit(j, now, nil))
+	core.Plan(now)
+	require.Len(t, started(t, core, now), 4)
+	core.SetPeers(map[int]Load{1: {Capacity: 16_000, Room: 16_000, Widest: 4000}})
+	core.Plan(now.Add(starvesAfter / 2))
+	require.False(t, core.HasChanges(), "lent before the tasks have waited")
+	later := now.Add(2 * starvesAfter)
+	core.Plan(later)
+	changes, err := core.Take(20, later)
+	require.NoError(t, err)
+	require.Len(t, changes.Records, 1)
+	require.NotNil(t, changes.Records[0].Loan)
+	require.Equal(t, 2, changes.Writes())
+	core.Durable(changes)
+	return core, j, changes, later
+}
+
+// Tasks that last and find no room in a full cell run in another one, once each.
+func TestStarvedLastingTasksAreLent(t *testing.T) {
+	now := time.Unix(1_000_000_000, 0)
+	core, j, changes, later := lendTwo(t, now)
+	loan := changes.Records[0].Loan
+	require.Equal(t, 1, loan.To)
+	other := secondCore(t, 1, later)
+	for range 2 {
+		// A holder may find the loan in its inbox more than once.
+		id, err := other.TakeLoan(loan.Value, later)
+		require.NoError(t, err)
+		require.Equal(t, GuestID(j.ID), id)
+	}
+	other.Plan(later)
+	calls := started(t, other, later)
+	require.Len(t, calls, 2)
+	for name := range calls {
+		require.Contains(t, []int{4, 5}, name.Index)
+	}
+	require.Zero(t, other.Pending("check"))
+	// The lender starts them no more, also once it has room, nor does its next holder.
+	next := secondCore(t, 0, later)
+	require.NoError(t, next.Restore(changes.Records[0].Value, later))
+	for _, c := range []*Core{core, next} {
+		require.Equal(t, 4, len(c.jobs[j.ID].stages[0].runs()))
+		c.Plan(later.Add(time.Minute))
+		for _, o := range c.TakeOrders() {
+			require.NotEqual(t, OrderStart, o.Kind)
+		}
+		state, known := c.State(j.ID)
+		require.True(t, known)
+		require.Equal(t, Active, state)
+	}
+}
+
+// The borrower's next holder goes on with the borrowed tasks, and only these.
+func TestBorrowedTasksOutlastTheirHolder(t *testing.T) {
+	now := time.Unix(1_000_000_000, 0)
+	_, j, changes, later := lendTwo(t, now)
+	other := secondCore(t, 1, later)
+	_, err := other.TakeLoan(changes.Records[0].Loan.Value, later)
+	require.NoError(t, err)
+	_, records := commitAll(t, other, later)
+	next := secondCore(t, 1, later)
+	require.NoError(t, next.Restore(records[len(records)-1], later))
+	next.Plan(later)
+	require.Len(t, started(t, next, later), 2)
+	require.Equal(t, 2, next.jobs[GuestID(j.ID)].stages[0].undone)
+}
+
+// A cancel of the job reaches what was lent.
+func TestCancelReachesLentTasks(t *testing.T) {
+	now := time.Unix(1_000_000_000, 0)
+	core, j, changes, later := lendTwo(t, now)
+	other := secondCore(t, 1, later)
+	_, err := other.TakeLoan(changes.Records[0].Loan.Value, later)
+	require.NoError(t, err)
+	other.Plan(later)
+	require.Len(t, started(t, other, later), 2)
+	require.True(t, core.Cancel(j.ID, later, nil))
+	last, err := core.Take(20, later)
+	require.NoError(t, err)
+	require.Equal(t, []int{1}, last.Records[0].CancelAt)
+	require.Equal(t, GuestID(j.ID), last.Records[0].CancelID)
+	require.True(t, other.Cancel(GuestID(j.ID), later, nil))
+	stops := 0
+	for _, o := range other.TakeOrders() {
+		if o.Kind == OrderStop {
+			stops++
+		}
+	}
+	require.Equal(t, 2, stops)
+	// A loan that is found again after the cancel starts nothing.
+	_, err = other.TakeLoan(changes.Records[0].Loan.Value, later)
+	require.NoError(t, err)
+	other.Plan(later)
+	require.Empty(t, started(t, other, later))
+}
+
+// A home that has handed a job on may borrow tasks of it: the pointer stays, and
+// the ends of the tasks count.
+func TestTheHomeBorrowsFromItsOwnJob(t *testing.T) {
+	now := time.Unix(1_000_000_000, 0)
+	home := dividedCore(t, now)
+	j, changes := handOver(t, home, now)
+	home.Durable(changes)
+	other := secondCore(t, 1, now)
+	watch := watchJob(t, 6)
+	watch.ID = j.ID
+	require.NoError(t, other.SubmitTo(watch, now))
+	other.Plan(now)
+	require.Len(t, started(t, other, now), 4)
+	other.SetPeers(map[int]Load{0: {Capacity: 16_000, Room: 16_000, Widest: 4000}})
+	later := now.Add(2 * starvesAfter)
+	other.Plan(later)
+	lent, err := other.Take(20, later)
+	require.NoError(t, err)
+	_, err = home.TakeLoan(lent.Records[0].Loan.Value, later)
+	require.NoError(t, err)
+	to, moved := home.MovedTo(j.ID)
+	require.True(t, moved)
+	require.Equal(t, 1, to)
+	home.Plan(later)
+	calls := started(t, home, later)
+	require.Len(t, calls, 2)
+	for name, call := range calls {
+		home.Observe(call.Worker, Report{Born: 1, Clock: time.Hour, Ended: []EndedRow{
+			{Number: 1, Task: name, Run: call.Run, How: EndFailed},
+		}}, later, later)
+	}
+	later = later.Add(time.Second)
+	home.Plan(later)
+	again := started(t, home, later)
+	require.Len(t, again, 2, "tasks that last start again where they were lent")
+	for name, call := range again {
+		require.Equal(t, calls[name].Run+1, call.Run)
+	}
+}
+
+// A job that came home while the other cells were not known, and of which
+// nothing has begun, goes to a cell with room; until that is durable it is shown
+// as waiting here.
+func TestJobInAFullHomeGoesElsewhere(t *testing.T) {
+	now := time.Unix(1_000_000_000, 0)
+	core := dividedCore(t, now)
+	require.NoError(t, core.Submit(watchJob(t, 4), now, nil))
+	core.Plan(now)
+	require.Len(t, started(t, core, now), 4)
+	waits := homeJob(t, 1000, Step{Tasks: 2, Size: share.Resources{Processors: 2000}})
+	require.NoError(t, core.Submit(waits, now, nil))
+	core.Plan(now)
+	commitAll(t, core, now)
+	core.SetPeers(map[int]Load{2: {Capacity: 16_000, Room: 16_000, Idle: 16_000, Widest: 4000}})
+	later := now.Add(2 * starvesAfter)
+	core.Plan(later)
+	state, known := core.State(waits.ID)
+	require.True(t, known)
+	require.Equal(t, Queued, state)
+	_, moved := core.MovedTo(waits.ID)
+	require.False(t, moved)
+	changes, err := core.Take(20, later)
+	require.NoError(t, err)
+	handed, err := DecodeJob(changes.Records[0].Handed)
+	require.NoError(t, err)
+	require.Equal(t, waits.Steps, handed.Steps)
+	core.Durable(changes)
+	to, moved := core.MovedTo(waits.ID)
+	require.True(t, moved)
+	require.Equal(t, 2, to)
+}
+
+func TestUnreadableLoansAreRefused(t *testing.T) {
+	now := time.Unix(1_000_000_000, 0)
+	core := secondCore(t, 1, now)
+	for _, text := range []string{
+		"", "[]", "{}", `{"id":"a","steps":[{"tasks":0}]}`,
+		`{"id":"a","steps":[{"tasks":1}],"occurrences":1,"stages":[{"stage":7}]}`,
+	} {
+		_, err := core.TakeLoan([]byte(text), now)
+		require.Error(t, err, text)
+	}
+}
--- a/internal/batch/look.go
+++ b/internal/batch/look.go
@@ -209,7 +209,7 @@
 	}
 	key := runKey{task: e.Task, run: e.Run}
 	delete(w.strays, key)
-	j := c.jobs[e.Task.Job]
+	j := c.jobOf(e.Task)
 	r := w.runs[key]
 	if r != nil {
 		c.begun(j)
--- a/internal/batch/plan.go
+++ b/internal/batch/plan.go
@@ -17,6 +17,7 @@
 	}
 	c.leaveDraining(now)
 	c.place(now)
+	c.relieveStarved(now)
 	c.noteSilences(now)
 }
 
--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -15,9 +15,12 @@
 	Value []byte
 	// Handed is what goes to the inbox of the cell To; nil if the job stays.
 	Handed []byte
-	// Cancel means that a cancel goes there.
-	Cancel bool
 	To     int
+	// CancelAt are the cells to whose inboxes a cancel goes, under CancelID.
+	CancelAt []int
+	CancelID string
+	// Loan are tasks that another cell is to run; nil if there are none.
+	Loan *Loan
 }
 
 // Changes are the records that one commit has to make durable.
@@ -43,9 +46,13 @@
 
 // Writes returns how many writes of jobs a commit makes.
 func (c Changes) Writes() int {
-	n := len(c.Records)
+	n := 0
 	for _, r := range c.Records {
-		if r.Handed != nil || r.Cancel {
+		n += 1 + len(r.CancelAt)
+		if r.Handed != nil {
+			n++
+		}
+		if r.Loan != nil {
 			n++
 		}
 	}
@@ -66,14 +73,11 @@
 	ch.Silent = silent
 	n, room := 0, limit
 	for _, j := range c.dirty {
-		handed := j.state == Moved && !j.stored
-		if room--; handed || j.handCancel {
-			room--
-		}
-		if room < 0 {
+		if room -= j.writes(); room < 0 && n > 0 {
 			break
 		}
 		n++
+		handed := j.handing
 		value, err := encodeJob(j, c.wall)
 		if err != nil {
 			return Changes{}, fmt.Errorf("encode job %s: %w", j.ID, err)
@@ -81,8 +85,14 @@
 		if j.removed {
 			value = nil
 		}
-		record := Record{ID: j.ID, Value: value, To: j.movedTo, Cancel: j.handCancel}
-		j.handCancel = false
+		record := Record{ID: j.key(), Value: value, To: j.movedTo, CancelAt: j.cancelAt, CancelID: j.ID}
+		if j.state != Moved {
+			record.CancelID = GuestID(j.ID)
+		}
+		if record.Loan, err = c.takeLoan(j); err != nil {
+			return Changes{}, err
+		}
+		j.cancelAt, j.handing = nil, false
 		if handed {
 			if record.Handed, err = EncodeJob(j.Job); err != nil {
 				return Changes{}, fmt.Errorf("encode job %s: %w", j.ID, err)
@@ -102,6 +112,18 @@
 	return ch, nil
 }
 
+// writes returns how many writes the job's next record needs.
+func (j *job) writes() int {
+	n := 1 + len(j.cancelAt)
+	if j.handing {
+		n++
+	}
+	if j.loan != nil {
+		n++
+	}
+	return n
+}
+
 // Durable takes that changes were committed, and returns the starts that may be ordered now.
 func (c *Core) Durable(ch Changes) []Order {
 	var orders []Order
@@ -125,12 +147,13 @@
 		for _, call := range t.waits {
 			call(t.state)
 		}
-		if t.job.state == Moved {
+		if t.state == Moved {
+			t.job.movedStored = true
 			// The other cell has the steps.
 			t.job.Job = Job{ID: t.job.ID, Queue: t.job.Queue}
 		}
 		if t.job.removed {
-			delete(c.jobs, t.job.ID)
+			delete(c.jobs, t.job.key())
 		}
 	}
 	return orders
@@ -155,6 +178,9 @@
 		Occurrences int         `json:"occurrences,omitempty"`
 		// Cell is where a job in the state "moved" went.
 		Cell int `json:"cell,omitempty"`
+		// Lent are the cells to which tasks were lent, and a guest is what was lent here.
+		Lent  []int `json:"lent,omitempty"`
+		Guest bool  `json:"guest,omitempty"`
 	}
 	wireStep struct {
 		Tasks         int      `json:"tasks"`
@@ -216,7 +242,7 @@
 		w.Cell = j.movedTo
 		return json.Marshal(w)
 	}
-	w.Spec, w.Occurrences = j.Spec, j.begun
+	w.Spec, w.Occurrences, w.Lent, w.Guest = j.Spec, j.begun, j.lent, j.guest
 	if j.Repeat.Count > 0 {
 		w.Repeats, w.FirstMs, w.EveryMs = j.Repeat.Count, j.Repeat.First.UnixMilli(), j.Repeat.Every.Milliseconds()
 	}
@@ -362,7 +388,7 @@
 	}
 	j := &job{
 		Job: decodeSubmission(w), service: w.Service, state: State(w.State), reason: w.Reason,
-		accepted: time.UnixMilli(w.AcceptedMs).Add(-c.wall), stored: true,
+		accepted: time.UnixMilli(w.AcceptedMs).Add(-c.wall), stored: true, lent: w.Lent, guest: w.Guest,
 	}
 	if j.state.Final() {
 		j.finalStored, j.endedAt = true, time.UnixMilli(w.EndedMs).Add(-c.wall)
@@ -370,7 +396,7 @@
 		return nil
 	}
 	if j.state == Moved {
-		j.movedTo = w.Cell
+		j.movedTo, j.movedStored = w.Cell, true
 		c.adopt(j)
 		return nil
 	}
--- a/internal/batch/submit.go
+++ b/internal/batch/submit.go
@@ -71,7 +71,7 @@
 		same := func(o *job) bool { return o == j }
 		c.dirty = slices.DeleteFunc(c.dirty, same)
 		c.active = slices.DeleteFunc(c.active, same)
-		delete(c.jobs, j.ID)
+		delete(c.jobs, j.key())
 		for _, call := range j.waiters {
 			call(Dropped)
 		}
@@ -82,7 +82,7 @@
 // adopt adds a job to those that are kept.
 func (c *Core) adopt(j *job) {
 	j.chain = longestChain(j.Steps)
-	c.jobs[j.ID] = j
+	c.jobs[j.key()] = j
 	if !j.state.Final() && j.state != Moved {
 		c.active = append(c.active, j)
 	}
@@ -129,6 +129,9 @@
 		return "", false
 	case j.state.Final() && !j.finalStored:
 		return Active, true
+	case j.state == Moved:
+		// The other cell knows it once that is durable.
+		return Queued, true
 	}
 	return j.state, true
 }
@@ -150,6 +153,11 @@
 	for _, r := range j.runs() {
 		c.stopRun(r, reason, now)
 	}
+	for _, to := range j.lent {
+		if !slices.Contains(j.cancelAt, to) {
+			j.cancelAt = append(j.cancelAt, to)
+		}
+	}
 	c.active = slices.DeleteFunc(c.active, func(o *job) bool { return o == j })
 	c.mark(j)
 	c.note(Note{Kind: NoteJobEnded, Job: j.ID, Age: now.Sub(j.accepted), Reason: string(s) + ": " + reason})
@@ -207,7 +215,7 @@
 
 // completeIfDone ends a job whose last task has ended.
 func (c *Core) completeIfDone(j *job, now time.Time) {
-	if j.state.Final() || j.begun < j.occurrences() {
+	if j.state.Final() || j.begun < j.occurrences() || len(j.lent) > 0 {
 		return
 	}
 	for _, s := range j.stages {
--- a/internal/desk/cells_test.go
+++ b/internal/desk/cells_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/oriolepond/oriolepond/internal/batch"
+	"github.com/oriolepond/oriolepond/pkg/share"
 )
 
 // newCells returns a world that is divided, with a worker in each cell at least.
@@ -20,7 +21,7 @@
 		ids = append(ids, fmt.Sprintf("w%d", i))
 	}
 	w := newWorld(t, duration, ids...)
-	w.store.put(cellsKey, []byte(strconv.Itoa(count)))
+	w.store.put(CellsKey, []byte(strconv.Itoa(count)))
 	for _, name := range nodes {
 		w.add(name)
 	}
@@ -221,12 +222,12 @@
 			synctest.Test(t, func(t *testing.T) {
 				w := newWorld(t, time.Second, "w1")
 				defer w.end()
-				w.store.remove(cellsKey)
+				w.store.remove(CellsKey)
 				w.add("a")
 				w.add("b")
 				c.before(w)
 				time.Sleep(15 * time.Second)
-				w.store.set(func(s *fakeStore) { require.Equal(t, c.want, string(s.items[cellsKey].Value)) })
+				w.store.set(func(s *fakeStore) { require.Equal(t, c.want, string(s.items[CellsKey].Value)) })
 				require.Len(t, w.nodes["a"].all(), len(w.nodes["b"].all()))
 			})
 		})
@@ -260,3 +261,53 @@
 		w.store.set(func(s *fakeStore) { require.NotContains(t, s.items, keysOf(0).jobs+j.ID) })
 	})
 }
+
+// lastingJob is a job of tasks that last and take a quarter of a worker each.
+func lastingJob(j batch.Job, tasks int) batch.Job {
+	j.Steps = []batch.Step{{Tasks: tasks, Size: share.Resources{Processors: 8000, Memory: 1 << 30}, LongRunning: true}}
+	return j
+}
+
+// running counts the tasks of a job that workers have.
+func (w *world) running(id string) int {
+	n := 0
+	w.workers.set(func(f *fakeWorkers) {
+		for _, o := range f.workers {
+			for name := range o.running {
+				if name.Job == id {
+					n++
+				}
+			}
+		}
+	})
+	return n
+}
+
+// Tasks that last run in another cell once their own is full, go on there under
+// the next holder, and end with their job.
+func TestFullCellLendsLastingTasks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const count = 2
+		w := newCells(t, count, time.Hour, "a", "b", "c")
+		defer w.end()
+		// One job that fits into no single cell, of which the first part fills one.
+		j := lastingJob(jobAt(0, count, 1, 1), 28)
+		require.NoError(t, submit(w.nodes["a"], j))
+		time.Sleep(5 * time.Second)
+		require.Equal(t, 28, w.running(j.ID), "tasks that last wait although another cell has room")
+		for cell := range count {
+			lost, _ := w.holderOf(cell)
+			w.add(fmt.Sprintf("%s-%d", lost, cell))
+			w.kill(lost)
+			time.Sleep(6 * time.Second)
+			require.Equal(t, 28, w.running(j.ID), "cell %d has another holder", cell)
+		}
+		for _, p := range w.nodes {
+			known, err := p.Cancel(context.Background(), j.ID)
+			require.NoError(t, err)
+			require.True(t, known)
+		}
+		time.Sleep(3 * time.Second)
+		require.Zero(t, w.running(j.ID))
+	})
+}
--- a/internal/desk/holder.go
+++ b/internal/desk/holder.go
@@ -405,8 +405,11 @@
 		if r.Handed != nil {
 			txn.Then = append(txn.Then, store.Put(keysOf(r.To).inbox+r.ID, r.Handed))
 		}
-		if r.Cancel {
-			txn.Then = append(txn.Then, store.Put(keysOf(r.To).inbox+r.ID+cancelSuffix, cancelValue))
+		for _, cell := range r.CancelAt {
+			txn.Then = append(txn.Then, store.Put(keysOf(cell).inbox+r.CancelID+cancelSuffix, cancelValue))
+		}
+		if l := r.Loan; l != nil {
+			txn.Then = append(txn.Then, store.Put(keysOf(l.To).loan(r.ID, h.Cell.Index, l.Number), l.Value))
 		}
 		if r.Value == nil {
 			txn.Then = append(txn.Then, store.Delete(h.keys.jobs+r.ID))
--- a/internal/desk/inbox.go
+++ b/internal/desk/inbox.go
@@ -1,6 +1,9 @@
 package desk
 
 import (
+	"slices"
+	"strings"
+
 	"go.uber.org/zap"
 
 	"github.com/oriolepond/oriolepond/internal/batch"
@@ -12,6 +15,8 @@
 type inboxEntry struct {
 	submitted bool
 	cancelled bool
+	// loans are the keys of tasks that were lent.
+	loans []string
 }
 
 func (h *Holder) inboxSnapshot(s store.Snapshot) {
@@ -41,6 +46,10 @@
 		if isCancel {
 			continue
 		}
+		if strings.Contains(id, loanMark) {
+			h.takeLoan(e)
+			continue
+		}
 		j, err := batch.DecodeJob(e.Value)
 		if err == nil {
 			err = h.core.SubmitTo(j, h.Now())
@@ -64,6 +73,21 @@
 	}
 }
 
+// takeLoan takes in tasks that another cell has lent; h.mu is held.
+func (h *Holder) takeLoan(e store.Entry) {
+	id, err := h.core.TakeLoan(e.Value, h.Now())
+	if err != nil {
+		h.Log.Emit(eventlog.RecordUnreadable, zap.String("key", e.Key), zap.Error(err))
+		return
+	}
+	h.noteInbox(id, func(n *inboxEntry) {
+		if !slices.Contains(n.loans, e.Key) {
+			n.loans = append(n.loans, e.Key)
+		}
+	})
+	h.core.NoteInbox(id)
+}
+
 // noteInbox changes what is known of a job's inbox keys; h.mu is held.
 func (h *Holder) noteInbox(id string, change func(*inboxEntry)) {
 	n := h.inbox[id]
@@ -87,6 +111,7 @@
 	if n.cancelled {
 		keys = append(keys, h.keys.inbox+id+cancelSuffix)
 	}
+	keys = append(keys, n.loans...)
 	if len(keys) > room {
 		h.core.Touch(id)
 		return nil
--- a/internal/desk/keys.go
+++ b/internal/desk/keys.go
@@ -10,13 +10,16 @@
 	// holderPrefix is where all cells name their holders; every node watches it.
 	holderPrefix = "pond/holder"
 	bestKey      = "pond/holder/best"
-	cellsKey     = "pond/holder/cells"
 	// loadPrefix is where the holders tell what their cells can take in.
 	loadPrefix = "pond/load/"
 	// cancelSuffix marks the inbox key of a cancel.
 	cancelSuffix = "/cancel"
 )
 
+// CellsKey holds the number of cells in decimal digits. It is written once in the
+// life of a deployment.
+const CellsKey = "pond/holder/cells"
+
 // cancelValue is the value of a cancel's key.
 var cancelValue = []byte("{}")
 
@@ -44,6 +47,14 @@
 	}
 }
 
+// loanMark stands between the job and the number of a loan's inbox key.
+const loanMark = "/loan/"
+
+// loan returns the inbox key of a job's tasks that a cell lends.
+func (k keys) loan(job string, from, number int) string {
+	return fmt.Sprintf("%s%s%s%d-%d", k.inbox, job, loanMark, from, number)
+}
+
 // inboxID returns the job of an inbox key, and whether the key is that of a cancel.
 func (k keys) inboxID(key string) (id string, isCancel bool) {
 	return strings.CutSuffix(strings.TrimPrefix(key, k.inbox), cancelSuffix)
--- a/internal/desk/loads.go
+++ b/internal/desk/loads.go
@@ -29,6 +29,7 @@
 	Capacity int64          `json:"capacity"`
 	Room     int64          `json:"room"`
 	Idle     int64          `json:"idle"`
+	Widest   int64          `json:"widest"`
 	Labels   map[string]int `json:"labels,omitempty"`
 }
 
@@ -59,7 +60,7 @@
 	h.mu.Lock()
 	l := h.core.Load(h.Now())
 	h.mu.Unlock()
-	value, err := json.Marshal(wireLoad{Capacity: l.Capacity, Room: l.Room, Idle: l.Idle, Labels: l.Labels})
+	value, err := json.Marshal(wireLoad{Capacity: l.Capacity, Room: l.Room, Idle: l.Idle, Widest: l.Widest, Labels: l.Labels})
 	if err != nil {
 		h.Log.Emit(eventlog.RecordUnreadable, zap.String("key", h.keys.load), zap.Error(err))
 		return
@@ -96,7 +97,7 @@
 			continue
 		}
 		seen[i] = seenLoad{
-			load:     batch.Load{Capacity: w.Capacity, Room: w.Room, Idle: w.Idle, Labels: w.Labels},
+			load:     batch.Load{Capacity: w.Capacity, Room: w.Room, Idle: w.Idle, Widest: w.Widest, Labels: w.Labels},
 			revision: e.Revision, at: now,
 		}
 	}
--- a/internal/desk/notes.go
+++ b/internal/desk/notes.go
@@ -22,6 +22,7 @@
 	batch.NotePaced:       eventlog.RunPaced,
 	batch.NoteStray:       eventlog.RunUnexplained,
 	batch.NoteMoved:       eventlog.JobMoved,
+	batch.NoteLent:        eventlog.TaskLent,
 }
 
 // log writes the line of one decision.
@@ -42,7 +43,7 @@
 	if n.Reason != "" {
 		fields = append(fields, zap.String("reason", n.Reason))
 	}
-	if n.Kind == batch.NoteMoved {
+	if n.Kind == batch.NoteMoved || n.Kind == batch.NoteLent {
 		fields = append(fields, zap.Int("to", n.Cell))
 	}
 	if n.Kind == batch.NotePaced {
--- a/internal/desk/plane.go
+++ b/internal/desk/plane.go
@@ -241,10 +241,10 @@
 	switch e.Key {
 	case bestKey:
 		p.setBest(e.Value)
-	case cellsKey:
+	case CellsKey:
 		count, err := strconv.Atoi(string(e.Value))
 		if err != nil || count < 1 || count > maxCells {
-			p.Log.Emit(eventlog.RecordUnreadable, zap.String("key", cellsKey), zap.ByteString("value", e.Value), zap.Error(err))
+			p.Log.Emit(eventlog.RecordUnreadable, zap.String("key", CellsKey), zap.ByteString("value", e.Value), zap.Error(err))
 			return
 		}
 		p.open(count)
@@ -362,7 +362,7 @@
 	call, cancel := context.WithTimeout(ctx, standTimeout)
 	defer cancel()
 	if _, err := p.Store.Commit(call, store.Txn{
-		If: []store.Condition{{Key: cellsKey}}, Then: []store.Op{store.Put(cellsKey, []byte(strconv.Itoa(count)))},
+		If: []store.Condition{{Key: CellsKey}}, Then: []store.Op{store.Put(CellsKey, []byte(strconv.Itoa(count)))},
 	}); err != nil {
 		p.Log.Emit(eventlog.StoreUnavailable, zap.String("use", "cells"), zap.Error(err))
 	}
--- a/internal/desk/world_test.go
+++ b/internal/desk/world_test.go
@@ -47,7 +47,7 @@
 	for _, id := range workers {
 		w.store.put(testPrefix+id, []byte(id))
 	}
-	w.store.put(cellsKey, []byte("1"))
+	w.store.put(CellsKey, []byte("1"))
 	return w
 }
 
--- a/internal/eventlog/batch.go
+++ b/internal/eventlog/batch.go
@@ -59,6 +59,11 @@
 		Meaning: "The job's home had less room for it than the named cell, which has it from now on.",
 		Advice:  "Follow the job in the lines of that cell.",
 	})
+	TaskLent = register(Event{
+		Number: 4013, Level: zapcore.InfoLevel, Message: "task lent to another cell",
+		Meaning: "The task waited for room in its cell for the named time; the named cell runs it until the job is cancelled.",
+		Advice:  "None, unless it is frequent: then the workers are nearly full.",
+	})
 	JobAccepted = register(Event{
 		Number: 4020, Level: zapcore.InfoLevel, Message: "job taken in",
 		Meaning: "The holder has the job and will acknowledge it once it is committed.",
