--- a/internal/desk/cells_test.go
+++ b/internal/desk/cells_test.go
@@ -311,3 +311,39 @@
 		require.Zero(t, w.running(j.ID))
 	})
 }
+
+// A worker that has left, and a queue that was withdrawn, stay out of use after
+// any restart, although the worker still answers.
+func TestWhatHasLeftStaysGoneAfterARestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, time.Second, "w1", "w2")
+		defer w.end()
+		w.add("a")
+		time.Sleep(2 * time.Second)
+		require.NoError(t, submit(w.nodes["a"], testJob(1, 8)))
+		time.Sleep(5 * time.Second)
+		w.store.remove(testPrefix + "w2")
+		time.Sleep(time.Second)
+		w.workers.set(func(f *fakeWorkers) { clear(f.workers["w2"].ceiling) })
+		for i := range 3 {
+			w.kill("a")
+			a := w.add("a")
+			withdrawn := testTable()
+			withdrawn.Version = int64(2 + i)
+			withdrawn.Queues["other"] = withdrawn.Queues["review"]
+			delete(withdrawn.Queues, "review")
+			a.SetTable(withdrawn)
+			time.Sleep(3 * time.Second)
+			j := testJob(10+i, 8)
+			require.ErrorAs(t, submit(a, j), new(*batch.NoQueueError))
+			j.Queue = "other"
+			require.NoError(t, submit(a, j))
+			time.Sleep(5 * time.Second)
+			require.Equal(t, batch.Completed, state(t, a, j.ID))
+		}
+		w.workers.set(func(f *fakeWorkers) {
+			require.Empty(t, f.workers["w2"].ceiling, "a worker that has left was used again")
+			require.Empty(t, f.workers["w2"].running)
+		})
+	})
+}
