A node that the store turns away submits through the holder of another cell

Cause: the settings of these sites name no other nodes, so that a node turned away by the store refused each job whose home had no holder.

Change: the holders of the other cells, which the store serves, are asked as well.

Shown: TestRefusedNodeRelaysThroughAnotherCell, refused before.

--- a/internal/desk/calls.go
+++ b/internal/desk/calls.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -83,9 +84,9 @@
 	if !mayRelay(err) {
 		return err
 	}
-	for _, address := range d.plane.Peers {
-		if address == d.plane.Address || remaining(ctx) < relayTimeout {
-			continue
+	for _, address := range d.relays() {
+		if remaining(ctx) < relayTimeout {
+			break
 		}
 		c, peerErr := d.plane.Peer(address, d.Cell.Index)
 		if peerErr != nil {
@@ -109,6 +110,22 @@
 	return err
 }
 
+// relays returns the nodes that may take a job in for this one: those that the
+// settings name, and the holders of other cells, which the store serves.
+func (d *Desk) relays() []string {
+	home, _ := d.who()
+	all := slices.Clone(d.plane.Peers)
+	for _, o := range d.plane.all() {
+		if ref, _ := o.who(); o != d && ref.Address != "" {
+			all = append(all, ref.Address)
+		}
+	}
+	slices.Sort(all)
+	return slices.DeleteFunc(slices.Compact(all), func(address string) bool {
+		return address == d.plane.Address || address == home.Address
+	})
+}
+
 // mayRelay reports whether another node may still accept a job.
 func mayRelay(err error) bool {
 	return errors.As(err, new(*UnavailableError)) || errors.As(err, new(*UnknownError))
--- a/internal/desk/cells_test.go
+++ b/internal/desk/cells_test.go
@@ -347,3 +347,28 @@
 		})
 	})
 }
+
+// A node that the store turns away submits through the holder of another cell
+// while the job's home has no holder.
+func TestRefusedNodeRelaysThroughAnotherCell(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const count = 2
+		w := newCells(t, count, time.Second, "a", "b", "c")
+		defer w.end()
+		home, _ := w.holderOf(0)
+		away := ""
+		for name, p := range w.nodes {
+			if p.desk(0).local() == nil && p.desk(1).local() == nil {
+				away = name
+			}
+		}
+		require.NotEmpty(t, away)
+		w.store.set(func(s *fakeStore) { s.refused[away] = true })
+		w.kill(home)
+		j := jobAt(0, count, 1, 4)
+		require.NoError(t, submit(w.nodes[away], j))
+		time.Sleep(10 * time.Second)
+		w.store.set(func(s *fakeStore) { s.refused[away] = false })
+		require.Equal(t, batch.Completed, state(t, w.nodes[away], j.ID))
+	})
+}
