A home reckons with what the other homes hand on

Cause, found with the fleet of cells in virtual time (fleet_test.go): all homes see the same loads and each fills the roomiest cell, so that three of them overshoot threefold and the cells swing between full and empty.

Change: what is handed on counts as often as there are homes until the next load; the margin is 0.5% of a cell.

--- a/internal/batch/divide.go
+++ b/internal/batch/divide.go
@@ -18,9 +18,8 @@
 // peerCell is what a core knows of another cell.
 type peerCell struct {
 	load Load
-	// sent is what was handed to the cell since its last two loads, which may not show it yet.
-	sent     need
-	sentLast need
+	// sent is what all homes are taken to have handed to the cell since its last load.
+	sent need
 }
 
 // need is what a job takes of a cell, in thousandths of a core.
@@ -31,7 +30,7 @@
 
 // keepMargin is the part of a cell's processors by which another cell has to have
 // more room before a job goes there: a move costs a commit and a look into the inbox.
-const keepMargin = 0.02
+const keepMargin = 0.005
 
 // SetCell tells which part of a deployment the core decides for; it is called before Restore.
 func (c *Core) SetCell(cell Cell) { c.cell = cell }
@@ -41,11 +40,7 @@
 func (c *Core) SetPeers(loads map[int]Load) {
 	peers := make(map[int]*peerCell, len(loads))
 	for i, load := range loads {
-		p := &peerCell{load: load}
-		if old := c.peers[i]; old != nil {
-			p.sentLast = old.sent
-		}
-		peers[i] = p
+		peers[i] = &peerCell{load: load}
 	}
 	c.peers = peers
 }
@@ -138,8 +133,7 @@
 		if p == nil || !p.load.has(j) {
 			continue
 		}
-		sent := need{hold: p.sent.hold + p.sentLast.hold, fill: p.sent.fill + p.sentLast.fill}
-		if left := p.load.left(sent, n); left > most {
+		if left := p.load.left(p.sent, n); left > most {
 			best, most = i, left
 		}
 	}
@@ -147,8 +141,9 @@
 	if best != c.cell.Index {
 		to = c.peers[best]
 	}
-	to.sent.hold += n.hold
-	to.sent.fill += n.fill
+	// The other homes see the same loads and do alike.
+	to.sent.hold += n.hold * int64(c.cell.Count)
+	to.sent.fill += n.fill * int64(c.cell.Count)
 	return best
 }
 
--- a/internal/batch/loan.go
+++ b/internal/batch/loan.go
@@ -114,8 +114,7 @@
 		if p == nil || !p.load.has(s.job.Job) || p.load.Widest < size {
 			continue
 		}
-		sent := need{hold: p.sent.hold + p.sentLast.hold}
-		if left := p.load.left(sent, n); left > most {
+		if left := p.load.left(p.sent, n); left > most {
 			best, most = i, left
 		}
 	}
