--- a/internal/desk/desk_test.go
+++ b/internal/desk/desk_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/oriolepond/oriolepond/internal/batch"
 	"github.com/oriolepond/oriolepond/internal/eventlog"
+	"github.com/oriolepond/oriolepond/internal/lease"
 	"github.com/oriolepond/oriolepond/internal/store"
 )
 
@@ -502,3 +503,28 @@
 		}
 	})
 }
+
+// A holder that the store turns away is asked again until it has stopped, so that
+// the tasks of a worker which is lost meanwhile wait no longer than its lease.
+func TestFormerHolderIsAskedUntilItHasStopped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3*time.Second, "w1", "w2")
+		defer w.end()
+		w.add("a")
+		w.add("b")
+		time.Sleep(2 * time.Second)
+		former, _ := w.holder()
+		j := testJob(1, 8)
+		require.NoError(t, submit(w.nodes[former], j))
+		time.Sleep(500 * time.Millisecond)
+		w.workers.set(func(f *fakeWorkers) { f.workers["w1"].silent = true })
+		w.store.remove(testPrefix + "w1")
+		w.store.set(func(s *fakeStore) { s.refused[former] = true })
+		other := "a"
+		if former == other {
+			other = "b"
+		}
+		time.Sleep(lease.Longer(batch.DefaultTiming().MaxLease) + holderTTL + 10*time.Second)
+		require.Equal(t, batch.Completed, state(t, w.nodes[other], j.ID))
+	})
+}
--- a/internal/desk/election.go
+++ b/internal/desk/election.go
@@ -217,30 +217,44 @@
 	return lease.Longer(d.plane.Timing.MaxLease+d.plane.Timing.RenewGrace) + time.Second
 }
 
-// askFormer shortens that time if the earlier holder says that it renews nothing any more.
+// askFormer shortens that time once the earlier holder says that it renews
+// nothing any more. One that the store turned away hears of its successor from
+// the first question, and may end its term only after that.
 func (d *Desk) askFormer(ctx context.Context, h *Holder, former holderRef) {
 	if former.Address == "" || former.Token >= h.Token {
 		return
 	}
-	retired := former.Address == d.plane.Address
-	if !retired {
-		c, err := d.plane.Peer(former.Address, d.Cell.Index)
-		if err != nil {
+	for until := d.plane.now().Add(d.unheard()); d.plane.now().Before(until); {
+		if d.formerRetired(ctx, former) {
+			h.locked(func() { h.core.ShortenUnheard(h.Now()) })
+			d.Log.Emit(eventlog.FormerRetired, zap.String("former", former.ID), zap.Int64("token", former.Token))
 			return
 		}
-		bounded, cancel := context.WithTimeout(ctx, passTimeout)
-		defer cancel()
-		// Without an answer the longer time holds.
-		retired, err = c.Retired(bounded, former.Token)
-		if err != nil {
+		select {
+		case <-ctx.Done():
 			return
+		case <-time.After(askAgain):
 		}
 	}
-	if retired {
-		h.mu.Lock()
-		defer h.mu.Unlock()
-		h.core.ShortenUnheard(h.Now())
+}
+
+// askAgain is the pause between two questions to the earlier holder.
+const askAgain = time.Second
+
+// formerRetired reports whether the earlier holder says that it renews nothing
+// any more. Without an answer the longer time holds.
+func (d *Desk) formerRetired(ctx context.Context, former holderRef) bool {
+	if former.Address == d.plane.Address {
+		return true
+	}
+	c, err := d.plane.Peer(former.Address, d.Cell.Index)
+	if err != nil {
+		return false
 	}
+	bounded, cancel := context.WithTimeout(ctx, passTimeout)
+	defer cancel()
+	retired, err := c.Retired(bounded, former.Token)
+	return err == nil && retired
 }
 
 // renew keeps the lease of a term until it ends.
--- a/internal/eventlog/batch.go
+++ b/internal/eventlog/batch.go
@@ -59,6 +59,11 @@
 		Meaning: "The job's home had less room for it than the named cell, which has it from now on.",
 		Advice:  "Follow the job in the lines of that cell.",
 	})
+	FormerRetired = register(Event{
+		Number: 4014, Level: zapcore.InfoLevel, Message: "former holder has stopped",
+		Meaning: "The earlier holder says that it renews nothing any more; what runs on workers that are not reached lapses within the longest lease from now.",
+		Advice:  "None.",
+	})
 	TaskLent = register(Event{
 		Number: 4013, Level: zapcore.InfoLevel, Message: "task lent to another cell",
 		Meaning: "The task waited for room in its cell for the named time; the named cell runs it until the job is cancelled.",
