All former holders that may renew are asked, not the last one alone

Change: a node remembers each holder that it saw replaced for as long as that may renew, asks all of them, and shortens no wait before it has run for that long itself, since it may not have heard of one.

Shown: TestAllFormerHoldersAreAsked; TestFormerHolderIsAskedUntilItHasStopped.

--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -22,8 +22,10 @@
 	mu     sync.Mutex
 	table  batch.Table
 	holder holderRef
-	// last is the last holder that there was.
+	// last is the last holder that there was, and formers are all that may renew
+	// leases at workers yet, as far as this node has heard.
 	last    holderRef
+	formers []formerHolder
 	current *Holder
 	// changed is closed when holder changes.
 	changed chan struct{}
@@ -53,6 +55,12 @@
 	}
 }
 
+// formerHolder is a holder that was replaced, and until when it may renew.
+type formerHolder struct {
+	holderRef
+	until time.Time
+}
+
 // setHolder notes who holds the cell's jobs, as last heard from the store.
 func (d *Desk) setHolder(ref holderRef) {
 	d.mu.Lock()
@@ -62,6 +70,9 @@
 	}
 	d.Log.Emit(eventlog.HolderChanged,
 		zap.String("holder", ref.ID), zap.String("address", ref.Address), zap.Int64("token", ref.Token))
+	if d.holder.Token != 0 {
+		d.formers = append(d.formers, formerHolder{holderRef: d.holder, until: d.plane.now().Add(d.plane.renewsFor())})
+	}
 	d.holder = ref
 	if ref.Token != 0 && ref.ID != d.plane.ID {
 		d.last = ref
--- a/internal/desk/desk_test.go
+++ b/internal/desk/desk_test.go
@@ -512,7 +512,7 @@
 		defer w.end()
 		w.add("a")
 		w.add("b")
-		time.Sleep(2 * time.Second)
+		time.Sleep(20 * time.Second)
 		former, _ := w.holder()
 		j := testJob(1, 8)
 		require.NoError(t, submit(w.nodes[former], j))
@@ -528,3 +528,30 @@
 		require.Equal(t, batch.Completed, state(t, w.nodes[other], j.ID))
 	})
 }
+
+// A holder that was replaced twice over may still renew: the answer of its
+// successor does not speak for it.
+func TestAllFormerHoldersAreAsked(t *testing.T) {
+	now := time.Unix(1_000_000_000, 0)
+	retired := map[string]bool{}
+	p := &Plane{
+		ID: "c/1", Address: "c", Timing: batch.DefaultTiming(), Log: eventlog.Discard(), Now: func() time.Time { return now },
+		Peer: func(address string, _ int) (*Calls, error) {
+			return &Calls{Retired: func(context.Context, int64) (bool, error) { return retired[address], nil }}, nil
+		},
+	}
+	p.open(1)
+	d := p.home("")
+	for i, name := range []string{"a", "b"} {
+		d.setHolder(holderRef{ID: name, Address: name, Token: int64(i + 1)})
+		d.setHolder(holderRef{})
+		now = now.Add(2 * time.Second)
+	}
+	retired["b"] = true
+	require.False(t, d.formersRetired(context.Background(), 3), "b does not speak for a")
+	retired["a"] = true
+	require.True(t, d.formersRetired(context.Background(), 3))
+	retired["a"] = false
+	now = now.Add(p.renewsFor())
+	require.True(t, d.formersRetired(context.Background(), 3), "its time to renew is over")
+}
--- a/internal/desk/election.go
+++ b/internal/desk/election.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -194,7 +195,7 @@
 		newer := d.table
 		d.mu.Unlock()
 		h.setTable(newer)
-		go d.askFormer(term, h, former)
+		go d.askFormers(term, h)
 		d.Log.Emit(eventlog.TermServing, zap.Int64("token", token), zap.Duration("loaded", d.plane.now().Sub(began)),
 			zap.Int("jobs", h.size()))
 		err = h.run(term)
@@ -217,17 +218,26 @@
 	return lease.Longer(d.plane.Timing.MaxLease+d.plane.Timing.RenewGrace) + time.Second
 }
 
-// askFormer shortens that time once the earlier holder says that it renews
+// renewsFor is how long a holder may renew leases at workers after another node
+// has heard that its key is gone.
+func (p *Plane) renewsFor() time.Duration {
+	return lease.Longer(p.Timing.RenewGrace+holderTTL) + watchLag
+}
+
+// watchLag is how late a node may hear of a key: the watch ends when it is silent for 3 s.
+const watchLag = 3 * time.Second
+
+// askFormers shortens that time once the earlier holders say that they renew
 // nothing any more. One that the store turned away hears of its successor from
 // the first question, and may end its term only after that.
-func (d *Desk) askFormer(ctx context.Context, h *Holder, former holderRef) {
-	if former.Address == "" || former.Token >= h.Token {
-		return
-	}
-	for until := d.plane.now().Add(d.unheard()); d.plane.now().Before(until); {
-		if d.formerRetired(ctx, former) {
+func (d *Desk) askFormers(ctx context.Context, h *Holder) {
+	began := d.plane.now()
+	// Until then there may be one that this node has not heard of.
+	known := d.plane.began().Add(d.plane.renewsFor())
+	for until := began.Add(d.unheard()); d.plane.now().Before(until); {
+		if !d.plane.now().Before(known) && d.formersRetired(ctx, h.Token) {
 			h.locked(func() { h.core.ShortenUnheard(h.Now()) })
-			d.Log.Emit(eventlog.FormerRetired, zap.String("former", former.ID), zap.Int64("token", former.Token))
+			d.Log.Emit(eventlog.FormerRetired, zap.Int64("token", h.Token), zap.Duration("after", d.plane.now().Sub(began)))
 			return
 		}
 		select {
@@ -238,12 +248,26 @@
 	}
 }
 
-// askAgain is the pause between two questions to the earlier holder.
+// askAgain is the pause between two questions to the earlier holders.
 const askAgain = time.Second
 
-// formerRetired reports whether the earlier holder says that it renews nothing
-// any more. Without an answer the longer time holds.
-func (d *Desk) formerRetired(ctx context.Context, former holderRef) bool {
+// formersRetired reports whether each earlier holder that may renew leases yet
+// says that it does not. Without an answer the longer time holds.
+func (d *Desk) formersRetired(ctx context.Context, token int64) bool {
+	now := d.plane.now()
+	d.mu.Lock()
+	d.formers = slices.DeleteFunc(d.formers, func(f formerHolder) bool { return now.After(f.until) })
+	formers := slices.Clone(d.formers)
+	d.mu.Unlock()
+	for _, f := range formers {
+		if f.Token < token && !d.isFormerRetired(ctx, f.holderRef) {
+			return false
+		}
+	}
+	return true
+}
+
+func (d *Desk) isFormerRetired(ctx context.Context, former holderRef) bool {
 	if former.Address == d.plane.Address {
 		return true
 	}
--- a/internal/desk/plane.go
+++ b/internal/desk/plane.go
@@ -104,6 +104,8 @@
 	// rtt is how far the store is, best the greatest share of a processor that a node is known to have.
 	rtt  time.Duration
 	best float64
+	// since is when the node began to run.
+	since time.Time
 	// terms is how many holders' terms the node has or seeks.
 	terms int
 }
@@ -121,6 +123,9 @@
 
 // Run takes part until the context ends; a holder then gives up its terms.
 func (p *Plane) Run(ctx context.Context) error {
+	p.mu.Lock()
+	p.since = p.now()
+	p.mu.Unlock()
 	opened := p.whenOpened()
 	var g run.Group
 	follower := &store.Follower{
@@ -380,6 +385,13 @@
 	return len(s.Entries), false, err
 }
 
+// began returns when the node began to run.
+func (p *Plane) began() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.since
+}
+
 // now is the steady time.
 func (p *Plane) now() time.Time {
 	if p.Now == nil {
--- a/internal/eventlog/batch.go
+++ b/internal/eventlog/batch.go
@@ -60,8 +60,8 @@
 		Advice:  "Follow the job in the lines of that cell.",
 	})
 	FormerRetired = register(Event{
-		Number: 4014, Level: zapcore.InfoLevel, Message: "former holder has stopped",
-		Meaning: "The earlier holder says that it renews nothing any more; what runs on workers that are not reached lapses within the longest lease from now.",
+		Number: 4014, Level: zapcore.InfoLevel, Message: "former holders have stopped",
+		Meaning: "The earlier holders say that they renew nothing any more; what runs on workers that are not reached lapses within the longest lease from now.",
 		Advice:  "None.",
 	})
 	TaskLent = register(Event{
