Borrowed tasks that starve are lent on, but to no cell that lent them

Change: a loan carries the cells by way of which it came; any other may borrow.

Shown: TestBorrowedTasksAreLentOn.

--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -37,8 +37,10 @@
 	// that goes along with the next record.
 	lent []int
 	loan *wireStage
-	// guest means that the cell has only what another one lent it of the job.
+	// guest means that the cell has only what another one lent it of the job, and
+	// path are the cells by way of which it came: none of them borrows it again.
 	guest bool
+	path  []int
 
 	// stages are the steps of all occurrences that have begun.
 	stages []*stage
--- a/internal/batch/loan.go
+++ b/internal/batch/loan.go
@@ -62,7 +62,7 @@
 		switch {
 		case j.isUntouched() && c.cell.IsHome(j.ID) && j.stored && !j.inFlight && now.Sub(j.accepted) >= starvesAfter:
 			c.moveStarved(j, now)
-		case s.step.LongRunning && !s.step.Gang && !j.guest && j.loan == nil && j.Repeat.Count == 0:
+		case s.step.LongRunning && !s.step.Gang && j.loan == nil && j.Repeat.Count == 0:
 			c.lendStarved(s, now)
 		}
 	}
@@ -111,7 +111,7 @@
 	best, most := c.cell.Index, 0.0
 	for i := range c.cell.Count {
 		p := c.peers[i]
-		if p == nil || !p.load.has(s.job.Job) || p.load.Widest < size {
+		if p == nil || slices.Contains(s.job.path, i) || !p.load.has(s.job.Job) || p.load.Widest < size {
 			continue
 		}
 		if left := p.load.left(p.sent, n); left > most {
@@ -151,6 +151,7 @@
 	w := wireJob{
 		ID: j.ID, Queue: j.Queue, Service: j.service, Spec: j.Spec, State: string(Active), Occurrences: j.begun,
 		AcceptedMs: j.accepted.Add(c.wall).UnixMilli(), Stages: []wireStage{*j.loan},
+		Path: append(slices.Clone(j.path), c.cell.Index),
 	}
 	for _, s := range j.Steps {
 		w.Steps = append(w.Steps, encodeStep(s))
@@ -193,6 +194,11 @@
 	if j.state.Final() {
 		return j.key(), nil
 	}
+	for _, cell := range w.Path {
+		if !slices.Contains(j.path, cell) {
+			j.path = append(j.path, cell)
+		}
+	}
 	for _, ws := range w.Stages {
 		if ws.Stage < 0 || ws.Stage >= len(j.stages) {
 			return "", &InvalidError{Reason: fmt.Sprintf("loan of %s names stage %d", w.ID, ws.Stage)}
--- a/internal/batch/loan_test.go
+++ b/internal/batch/loan_test.go
@@ -195,6 +195,42 @@
 	require.Equal(t, 2, to)
 }
 
+// Borrowed tasks that starve are lent on, but to no cell that lent them, and the
+// cancel follows them.
+func TestBorrowedTasksAreLentOn(t *testing.T) {
+	now := time.Unix(1_000_000_000, 0)
+	_, j, changes, later := lendTwo(t, now)
+	second := secondCore(t, 1, later)
+	other := Job{ID: "other", Queue: "check", Steps: []Step{{Tasks: 4, Size: share.Resources{Processors: 4000}}}}
+	require.NoError(t, second.SubmitTo(other, later))
+	second.Plan(later)
+	require.Len(t, started(t, second, later), 4)
+	_, err := second.TakeLoan(changes.Records[0].Loan.Value, later)
+	require.NoError(t, err)
+	commitAll(t, second, later)
+	later = later.Add(2 * starvesAfter)
+	room := Load{Capacity: 16_000, Room: 16_000, Widest: 4000}
+	second.SetPeers(map[int]Load{0: room})
+	second.Plan(later)
+	require.False(t, second.HasChanges(), "lent back")
+	second.SetPeers(map[int]Load{0: room, 2: room})
+	second.Plan(later)
+	again, err := second.Take(20, later)
+	require.NoError(t, err)
+	require.Equal(t, 2, again.Records[0].Loan.To)
+	second.Durable(again)
+	third := secondCore(t, 2, later)
+	_, err = third.TakeLoan(again.Records[0].Loan.Value, later)
+	require.NoError(t, err)
+	third.Plan(later)
+	require.Len(t, started(t, third, later), 2)
+	require.True(t, second.Cancel(GuestID(j.ID), later, nil))
+	last, err := second.Take(20, later)
+	require.NoError(t, err)
+	require.Equal(t, []int{2}, last.Records[0].CancelAt)
+	require.Equal(t, GuestID(j.ID), last.Records[0].CancelID)
+}
+
 func TestUnreadableLoansAreRefused(t *testing.T) {
 	now := time.Unix(1_000_000_000, 0)
 	core := secondCore(t, 1, now)
--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -181,6 +181,8 @@
 		// Lent are the cells to which tasks were lent, and a guest is what was lent here.
 		Lent  []int `json:"lent,omitempty"`
 		Guest bool  `json:"guest,omitempty"`
+		// Path are the cells that lent a guest, beginning with that of the job.
+		Path []int `json:"path,omitempty"`
 	}
 	wireStep struct {
 		Tasks         int      `json:"tasks"`
@@ -242,7 +244,7 @@
 		w.Cell = j.movedTo
 		return json.Marshal(w)
 	}
-	w.Spec, w.Occurrences, w.Lent, w.Guest = j.Spec, j.begun, j.lent, j.guest
+	w.Spec, w.Occurrences, w.Lent, w.Guest, w.Path = j.Spec, j.begun, j.lent, j.guest, j.path
 	if j.Repeat.Count > 0 {
 		w.Repeats, w.FirstMs, w.EveryMs = j.Repeat.Count, j.Repeat.First.UnixMilli(), j.Repeat.Every.Milliseconds()
 	}
@@ -388,7 +390,7 @@
 	}
 	j := &job{
 		Job: decodeSubmission(w), service: w.Service, state: State(w.State), reason: w.Reason,
-		accepted: time.UnixMilli(w.AcceptedMs).Add(-c.wall), stored: true, lent: w.Lent, guest: w.Guest,
+		accepted: time.UnixMilli(w.AcceptedMs).Add(-c.wall), stored: true, lent: w.Lent, guest: w.Guest, path: w.Path,
 	}
 	if j.state.Final() {
 		j.finalStored, j.endedAt = true, time.UnixMilli(w.EndedMs).Add(-c.wall)
