Starving work that stays is not reckoned with anew in each plan

Cause: found in the read-through. Each plan asked where a starving job should go and counted it again against its own cell, so that new jobs were sent away from a home that was no fuller than the others.

Change: choosing a cell and reckoning with the choice are two functions; a starving job goes only where there is room.

--- a/internal/batch/divide.go
+++ b/internal/batch/divide.go
@@ -124,10 +124,19 @@
 	if now.Sub(c.ownAt) >= ownEvery {
 		c.own, c.ownAt = peerCell{load: c.Load(now)}, now
 	}
-	best, most := c.cell.Index, c.own.load.left(c.own.sent, n)+keepMargin
+	most := c.own.load.left(c.own.sent, n) + keepMargin
 	if !c.own.load.has(j) {
 		most = -1
 	}
+	best := c.roomiest(j, n, most)
+	c.reckon(best, n)
+	return best
+}
+
+// roomiest returns the cell that has the most room left with a job, if that is
+// more than a part of its processors; else this cell.
+func (c *Core) roomiest(j Job, n need, most float64) int {
+	best := c.cell.Index
 	for i := range c.cell.Count {
 		p := c.peers[i]
 		if p == nil || !p.load.has(j) {
@@ -137,14 +146,18 @@
 			best, most = i, left
 		}
 	}
+	return best
+}
+
+// reckon counts what a cell is handed until its next load. The other homes see
+// the same loads and do alike.
+func (c *Core) reckon(cell int, n need) {
 	to := &c.own
-	if best != c.cell.Index {
-		to = c.peers[best]
+	if cell != c.cell.Index {
+		to = c.peers[cell]
 	}
-	// The other homes see the same loads and do alike.
 	to.sent.hold += n.hold * int64(c.cell.Count)
 	to.sent.fill += n.fill * int64(c.cell.Count)
-	return best
 }
 
 // ownEvery is how long the core's own load counts without being summed up anew.
--- a/internal/batch/loan.go
+++ b/internal/batch/loan.go
@@ -61,7 +61,7 @@
 		}
 		switch {
 		case j.isUntouched() && c.cell.IsHome(j.ID) && j.stored && !j.inFlight && now.Sub(j.accepted) >= starvesAfter:
-			c.moveStarved(j, now)
+			c.moveStarved(j)
 		case s.step.LongRunning && !s.step.Gang && j.loan == nil && j.Repeat.Count == 0:
 			c.lendStarved(s, now)
 		}
@@ -84,11 +84,13 @@
 }
 
 // moveStarved hands a whole job on, if a cell has room for it.
-func (c *Core) moveStarved(j *job, now time.Time) {
-	to := c.cellFor(j.Job, now)
+func (c *Core) moveStarved(j *job) {
+	n := needOf(j.Job)
+	to := c.roomiest(j.Job, n, 0)
 	if to == c.cell.Index {
 		return
 	}
+	c.reckon(to, n)
 	same := func(o *job) bool { return o == j }
 	c.active = slices.DeleteFunc(c.active, same)
 	j.stages = nil
--- a/internal/batch/loan_test.go
+++ b/internal/batch/loan_test.go
@@ -242,3 +242,27 @@
 		require.Error(t, err, text)
 	}
 }
+
+// Work that starves while no cell has room for it does not change where new jobs go.
+func TestStarvingWorkThatStaysIsNotReckonedAnew(t *testing.T) {
+	now := time.Unix(1_000_000_000, 0)
+	core := dividedCore(t, now)
+	require.NoError(t, core.Submit(watchJob(t, 4), now, nil))
+	core.Plan(now)
+	require.Len(t, started(t, core, now), 4)
+	waits := homeJob(t, 1000, Step{Tasks: 2, Size: share.Resources{Processors: 2000}})
+	require.NoError(t, core.Submit(waits, now, nil))
+	commitAll(t, core, now)
+	core.SetPeers(map[int]Load{1: {Capacity: 16_000, Room: -8000, Idle: -8000}})
+	later := now.Add(2 * starvesAfter)
+	core.Plan(later)
+	before := core.own.sent
+	for range 10 {
+		core.Plan(later)
+	}
+	require.Equal(t, before, core.own.sent)
+	state, known := core.State(waits.ID)
+	require.True(t, known)
+	require.Equal(t, Queued, state)
+	require.False(t, core.HasChanges())
+}
