A handed job whose cell has lost its workers goes on to another one

Change: any job of which nothing has begun goes on to a cell with room that has no pointer to it; a job carries the cells by way of which it came, and calls follow the pointers.

Shown: TestHandedJobLeavesACellWithoutWorkers.

--- a/internal/batch/bench_test.go
+++ b/internal/batch/bench_test.go
@@ -33,7 +33,7 @@
 		c.take(Job{ID: fmt.Sprintf("%016x", i), Queue: "watch", Steps: []Step{{
 			Tasks: 4, Size: share.Resources{Processors: 6400, Memory: 13 << 30}, LongRunning: true,
 			Image: fmt.Sprintf("s-%d", i%5), TailTarget: 150 * time.Millisecond,
-		}}}, now, nil)
+		}}}, now, nil, nil)
 	}
 	c.Plan(now)
 	benchRun(b, c, now)
@@ -70,7 +70,7 @@
 		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
 			c := benchCore(b, workers)
 			for i := range workers + 300 {
-				c.take(benchReview(i), benchStart, nil)
+				c.take(benchReview(i), benchStart, nil, nil)
 			}
 			now := benchStart.Add(100 * time.Millisecond)
 			c.Plan(now)
@@ -89,7 +89,7 @@
 		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
 			c := benchCore(b, workers)
 			j := benchReview(1)
-			c.take(j, benchStart, nil)
+			c.take(j, benchStart, nil, nil)
 			t := c.jobs[j.ID].stages[0].tasks[0]
 			c.findOpen(benchStart)
 			b.ReportAllocs()
--- a/internal/batch/divide.go
+++ b/internal/batch/divide.go
@@ -1,6 +1,9 @@
 package batch
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Load is what a cell can take in, in thousandths of a core.
 type Load struct {
@@ -128,18 +131,18 @@
 	if !c.own.load.has(j) {
 		most = -1
 	}
-	best := c.roomiest(j, n, most)
+	best := c.roomiest(j, n, most, nil)
 	c.reckon(best, n)
 	return best
 }
 
 // roomiest returns the cell that has the most room left with a job, if that is
-// more than a part of its processors; else this cell.
-func (c *Core) roomiest(j Job, n need, most float64) int {
+// more than a part of its processors and the cell is not barred; else this cell.
+func (c *Core) roomiest(j Job, n need, most float64, barred []int) int {
 	best := c.cell.Index
 	for i := range c.cell.Count {
 		p := c.peers[i]
-		if p == nil || !p.load.has(j) {
+		if p == nil || !p.load.has(j) || slices.Contains(barred, i) {
 			continue
 		}
 		if left := p.load.left(p.sent, n); left > most {
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -38,7 +38,7 @@
 	lent []int
 	loan *wireStage
 	// guest means that the cell has only what another one lent it of the job, and
-	// path are the cells by way of which it came: none of them borrows it again.
+	// path are the cells by way of which the job or the loan came: it never returns there.
 	guest bool
 	path  []int
 
--- a/internal/batch/loan.go
+++ b/internal/batch/loan.go
@@ -8,7 +8,7 @@
 )
 
 // A cell may run out of room while others have some. Then a job of which nothing
-// has begun goes to another cell from its home, and tasks that last and wait are
+// has begun goes to another cell, and tasks that last and wait are
 // lent to another cell: it runs them until the job is cancelled, and the cell
 // that lent them no longer does.
 
@@ -60,7 +60,7 @@
 			continue
 		}
 		switch {
-		case j.isUntouched() && c.cell.IsHome(j.ID) && j.stored && !j.inFlight && now.Sub(j.accepted) >= starvesAfter:
+		case j.isUntouched() && j.stored && !j.inFlight && now.Sub(j.accepted) >= starvesAfter:
 			c.moveStarved(j)
 		case s.step.LongRunning && !s.step.Gang && j.loan == nil && j.Repeat.Count == 0:
 			c.lendStarved(s, now)
@@ -86,7 +86,8 @@
 // moveStarved hands a whole job on, if a cell has room for it.
 func (c *Core) moveStarved(j *job) {
 	n := needOf(j.Job)
-	to := c.roomiest(j.Job, n, 0)
+	// The home and the cells by way of which the job came keep pointers to it.
+	to := c.roomiest(j.Job, n, 0, append(slices.Clone(j.path), HomeOf(j.ID, c.cell.Count)))
 	if to == c.cell.Index {
 		return
 	}
@@ -110,10 +111,11 @@
 	}
 	size := int64(s.step.Size.Processors)
 	n := need{hold: size}
+	lenders := s.job.lenders()
 	best, most := c.cell.Index, 0.0
 	for i := range c.cell.Count {
 		p := c.peers[i]
-		if p == nil || slices.Contains(s.job.path, i) || !p.load.has(s.job.Job) || p.load.Widest < size {
+		if p == nil || slices.Contains(lenders, i) || !p.load.has(s.job.Job) || p.load.Widest < size {
 			continue
 		}
 		if left := p.load.left(p.sent, n); left > most {
@@ -128,6 +130,15 @@
 	c.lend(s, starved[:min(len(starved), room)], best, now)
 }
 
+// lenders returns the cells that have lent what the job has here. A pointer to the
+// job keeps no cell from borrowing.
+func (j *job) lenders() []int {
+	if j.guest {
+		return j.path
+	}
+	return nil
+}
+
 // lend hands tasks that surely do not run to another cell.
 func (c *Core) lend(s *stage, tasks []*task, to int, now time.Time) {
 	j := s.job
@@ -153,7 +164,7 @@
 	w := wireJob{
 		ID: j.ID, Queue: j.Queue, Service: j.service, Spec: j.Spec, State: string(Active), Occurrences: j.begun,
 		AcceptedMs: j.accepted.Add(c.wall).UnixMilli(), Stages: []wireStage{*j.loan},
-		Path: append(slices.Clone(j.path), c.cell.Index),
+		Path: append(slices.Clone(j.lenders()), c.cell.Index),
 	}
 	for _, s := range j.Steps {
 		w.Steps = append(w.Steps, encodeStep(s))
--- a/internal/batch/loan_test.go
+++ b/internal/batch/loan_test.go
@@ -243,6 +243,41 @@
 	}
 }
 
+// A handed job whose cell has lost its workers goes on to a cell that has no
+// pointer to it, and is found there.
+func TestHandedJobLeavesACellWithoutWorkers(t *testing.T) {
+	now := time.Unix(1_000_000_000, 0)
+	home := dividedCore(t, now)
+	j, changes := handOver(t, home, now)
+	path, err := DecodePath(changes.Records[0].Handed)
+	require.NoError(t, err)
+	require.Equal(t, []int{0}, path)
+	second := NewCore(DefaultTiming(), now, now)
+	second.SetCell(Cell{Index: 1, Count: 3})
+	second.SetTable(home.table)
+	require.NoError(t, second.SubmitTo(j, now, path...))
+	commitAll(t, second, now)
+	room := Load{Capacity: 16_000, Room: 16_000, Idle: 16_000, Widest: 4000}
+	later := now.Add(2 * starvesAfter)
+	second.SetPeers(map[int]Load{0: room})
+	second.Plan(later)
+	second.Plan(later.Add(time.Second))
+	require.False(t, second.HasChanges(), "handed back to its home")
+	second.SetPeers(map[int]Load{0: room, 2: room})
+	second.Plan(later)
+	second.Plan(later)
+	again, err := second.Take(20, later)
+	require.NoError(t, err)
+	require.Equal(t, 2, again.Records[0].To)
+	path, err = DecodePath(again.Records[0].Handed)
+	require.NoError(t, err)
+	require.Equal(t, []int{0, 1}, path)
+	second.Durable(again)
+	to, moved := second.MovedTo(j.ID)
+	require.True(t, moved)
+	require.Equal(t, 2, to)
+}
+
 // Work that starves while no cell has room for it does not change where new jobs go.
 func TestStarvingWorkThatStaysIsNotReckonedAnew(t *testing.T) {
 	now := time.Unix(1_000_000_000, 0)
--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/oriolepond/oriolepond/pkg/share"
@@ -94,7 +95,7 @@
 		}
 		j.cancelAt, j.handing = nil, false
 		if handed {
-			if record.Handed, err = EncodeJob(j.Job); err != nil {
+			if record.Handed, err = encodeSubmission(j.Job, append(slices.Clone(j.path), c.cell.Index)); err != nil {
 				return Changes{}, fmt.Errorf("encode job %s: %w", j.ID, err)
 			}
 		}
@@ -181,7 +182,7 @@
 		// Lent are the cells to which tasks were lent, and a guest is what was lent here.
 		Lent  []int `json:"lent,omitempty"`
 		Guest bool  `json:"guest,omitempty"`
-		// Path are the cells that lent a guest, beginning with that of the job.
+		// Path are the cells by way of which a job or a guest came.
 		Path []int `json:"path,omitempty"`
 	}
 	wireStep struct {
@@ -348,8 +349,19 @@
 }
 
 // EncodeJob returns the form in which a submission waits for a holder.
-func EncodeJob(j Job) ([]byte, error) {
-	w := wireJob{ID: j.ID, Queue: j.Queue, Spec: j.Spec, State: string(Queued)}
+func EncodeJob(j Job) ([]byte, error) { return encodeSubmission(j, nil) }
+
+// DecodePath returns the cells by way of which an inbox entry came.
+func DecodePath(value []byte) ([]int, error) {
+	var w wireJob
+	if err := json.Unmarshal(value, &w); err != nil {
+		return nil, fmt.Errorf("decode job: %w", err)
+	}
+	return w.Path, nil
+}
+
+func encodeSubmission(j Job, path []int) ([]byte, error) {
+	w := wireJob{ID: j.ID, Queue: j.Queue, Spec: j.Spec, State: string(Queued), Path: path}
 	if j.Repeat.Count > 0 {
 		w.Repeats, w.FirstMs, w.EveryMs = j.Repeat.Count, j.Repeat.First.UnixMilli(), j.Repeat.Every.Milliseconds()
 	}
--- a/internal/batch/submit.go
+++ b/internal/batch/submit.go
@@ -26,22 +26,22 @@
 	if _, ok := c.table.Queues[s.Queue]; !ok {
 		return &NoQueueError{Queue: s.Queue}
 	}
-	c.take(s, now, waiter)
+	c.take(s, now, waiter, nil)
 	return nil
 }
 
 // SubmitTo takes in a job that another node has accepted, whether its queue is
-// still configured or not.
-func (c *Core) SubmitTo(s Job, now time.Time) error {
+// still configured or not. The path are the cells by way of which it came.
+func (c *Core) SubmitTo(s Job, now time.Time, path ...int) error {
 	if err := s.Check(); err != nil || c.Has(s.ID) {
 		return err
 	}
-	c.take(s, now, nil)
+	c.take(s, now, nil, path)
 	return nil
 }
 
-func (c *Core) take(s Job, now time.Time, waiter func(State)) {
-	j := &job{Job: s, service: c.table.Queues[s.Queue].Service, accepted: now, state: Queued}
+func (c *Core) take(s Job, now time.Time, waiter func(State), path []int) {
+	j := &job{Job: s, service: c.table.Queues[s.Queue].Service, accepted: now, state: Queued, path: path}
 	if to := c.cellFor(s, now); to != c.cell.Index {
 		c.moveOut(j, to)
 		c.await(j, waiter)
--- a/internal/desk/inbox.go
+++ b/internal/desk/inbox.go
@@ -51,8 +51,12 @@
 			continue
 		}
 		j, err := batch.DecodeJob(e.Value)
+		var path []int
 		if err == nil {
-			err = h.core.SubmitTo(j, h.Now())
+			path, err = batch.DecodePath(e.Value)
+		}
+		if err == nil {
+			err = h.core.SubmitTo(j, h.Now(), path...)
 		}
 		if err != nil {
 			h.Log.Emit(eventlog.RecordUnreadable, zap.String("key", e.Key), zap.Error(err))
--- a/internal/desk/plane.go
+++ b/internal/desk/plane.go
@@ -458,22 +458,26 @@
 	return p.home(id)
 }
 
-// follow makes a call about a job in its cell, by way of its home if need be.
+// follow makes a call about a job in its cell, by way of its home and of the
+// cells that handed it on if need be.
 func (p *Plane) follow(id string, call func(*Desk) error) error {
 	d := p.find(id)
 	if d == nil {
 		return undivided()
 	}
-	err := call(d)
-	var moved *MovedError
-	if !errors.As(err, &moved) {
-		return err
-	}
-	p.noteMoved(id, moved.Cell)
-	if d = p.desk(moved.Cell); d == nil {
-		return &UnknownError{Err: err}
+	var err error
+	for range p.all() {
+		err = call(d)
+		var moved *MovedError
+		if !errors.As(err, &moved) {
+			return err
+		}
+		p.noteMoved(id, moved.Cell)
+		if d = p.desk(moved.Cell); d == nil {
+			break
+		}
 	}
-	return call(d)
+	return &UnknownError{Err: err}
 }
 
 // Submit accepts a job; it returns once the job is durable. An
