--- a/internal/batch/loan_test.go
+++ b/internal/batch/loan_test.go
@@ -301,3 +301,33 @@
 	require.Equal(t, Queued, state)
 	require.False(t, core.HasChanges())
 }
+
+// The tasks of a job that has begun and that ends by itself run elsewhere once
+// their cell has no worker left that may take them.
+func TestBegunJobLeavesACellWithoutWorkers(t *testing.T) {
+	now := time.Unix(1_000_000_000, 0)
+	core := dividedCore(t, now)
+	j := homeJob(t, 0, Step{Tasks: 8, Size: share.Resources{Processors: 4000}})
+	require.NoError(t, core.Submit(j, now, nil))
+	core.Plan(now)
+	require.Len(t, started(t, core, now), 4)
+	for _, id := range core.WorkerIDs() {
+		core.LookFailed(id, AnswerNone, true, now, now)
+		core.RemoveWorker(id, now)
+	}
+	core.SetPeers(map[int]Load{1: {Capacity: 32_000, Room: 32_000, Idle: 32_000, Widest: 4000}})
+	later := now.Add(10 * starvesAfter)
+	core.Plan(later)
+	handed := 0
+	for core.HasChanges() {
+		changes, err := core.Take(20, later)
+		require.NoError(t, err)
+		for _, r := range changes.Records {
+			if r.Handed != nil || r.Loan != nil {
+				handed++
+			}
+		}
+		core.Durable(changes)
+	}
+	require.Positive(t, handed, "tasks wait in a cell without workers while another has room")
+}
