Handing on and lending share their choice of a cell, and count and decode once

Cause, found in a read-through of the change: lending searched for the roomiest cell in a copy of the loop that handing on uses; the writes of a commit were counted by the same rules before and after taking the records; each inbox entry was decoded from JSON twice, once for its path; the steps of a job were encoded by the same loop in three places, and a job left the active ones in three.

Change: roomiest also asks for the room of one worker and serves both; Take counts once; DecodeHanded returns the job with its path; encodeSteps and deactivate. Behaviour stays; the tests keep their assertions.

--- a/internal/batch/divide.go
+++ b/internal/batch/divide.go
@@ -29,6 +29,8 @@
 type need struct {
 	hold int64
 	fill int64
+	// widest is what one worker has to have free for a single task.
+	widest int64
 }
 
 // keepMargin is the part of a cell's processors by which another cell has to have
@@ -142,7 +144,7 @@
 	best := c.cell.Index
 	for i := range c.cell.Count {
 		p := c.peers[i]
-		if p == nil || !p.load.has(j) || slices.Contains(barred, i) {
+		if p == nil || !p.load.has(j) || p.load.Widest < n.widest || slices.Contains(barred, i) {
 			continue
 		}
 		if left := p.load.left(p.sent, n); left > most {
@@ -166,7 +168,7 @@
 // ownEvery is how long the core's own load counts without being summed up anew.
 const ownEvery = 200 * time.Millisecond
 
-// moveOut hands a job that has just come in to another cell. What stays is a
+// moveOut hands a job of which nothing has begun to another cell. What stays is a
 // pointer, so that the job is found and never taken in twice.
 func (c *Core) moveOut(j *job, to int) {
 	j.state, j.movedTo, j.handing = Moved, to, true
--- a/internal/batch/loan.go
+++ b/internal/batch/loan.go
@@ -8,9 +8,9 @@
 )
 
 // A cell may run out of room while others have some. Then a job of which nothing
-// has begun goes to another cell, and tasks that last and wait are
-// lent to another cell: it runs them until the job is cancelled, and the cell
-// that lent them no longer does.
+// has begun goes to another cell, and tasks that last and wait are lent to one:
+// it runs them until the job is cancelled, and the cell that lent them no longer
+// does.
 
 // starvesAfter is how long work waits in its cell until another one is asked: the
 // platform allows a task that lasts 6 s from its last run to its next.
@@ -92,8 +92,7 @@
 		return
 	}
 	c.reckon(to, n)
-	same := func(o *job) bool { return o == j }
-	c.active = slices.DeleteFunc(c.active, same)
+	c.deactivate(j)
 	j.stages = nil
 	c.moveOut(j, to)
 }
@@ -110,24 +109,15 @@
 		return
 	}
 	size := int64(s.step.Size.Processors)
-	n := need{hold: size}
-	lenders := s.job.lenders()
-	best, most := c.cell.Index, 0.0
-	for i := range c.cell.Count {
-		p := c.peers[i]
-		if p == nil || slices.Contains(lenders, i) || !p.load.has(s.job.Job) || p.load.Widest < size {
-			continue
-		}
-		if left := p.load.left(p.sent, n); left > most {
-			best, most = i, left
-		}
-	}
-	if best == c.cell.Index {
+	n := need{hold: size, widest: size}
+	to := c.roomiest(s.job.Job, n, 0, s.job.lenders())
+	if to == c.cell.Index {
 		return
 	}
-	p := c.peers[best]
-	room := max(1, int(most*float64(p.load.Capacity))/int(max(1, size)))
-	c.lend(s, starved[:min(len(starved), room)], best, now)
+	p := c.peers[to]
+	free := p.load.left(p.sent, n) * float64(p.load.Capacity)
+	room := max(1, int(free)/int(max(1, size)))
+	c.lend(s, starved[:min(len(starved), room)], to, now)
 }
 
 // lenders returns the cells that have lent what the job has here. A pointer to the
@@ -166,9 +156,7 @@
 		AcceptedMs: j.accepted.Add(c.wall).UnixMilli(), Stages: []wireStage{*j.loan},
 		Path: append(slices.Clone(j.lenders()), c.cell.Index),
 	}
-	for _, s := range j.Steps {
-		w.Steps = append(w.Steps, encodeStep(s))
-	}
+	w.Steps = encodeSteps(j.Steps)
 	j.loan = nil
 	value, err := json.Marshal(w)
 	if err != nil {
--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -30,6 +30,7 @@
 	// Silent is the record of workers whose leases nobody renews; nil leaves it as it is.
 	Silent []byte
 	jobs   []taken
+	writes int
 }
 
 // taken is a job as its record shows it.
@@ -46,19 +47,7 @@
 func (c Changes) IsEmpty() bool { return len(c.Records) == 0 && c.Silent == nil }
 
 // Writes returns how many writes of jobs a commit makes.
-func (c Changes) Writes() int {
-	n := 0
-	for _, r := range c.Records {
-		n += 1 + len(r.CancelAt)
-		if r.Handed != nil {
-			n++
-		}
-		if r.Loan != nil {
-			n++
-		}
-	}
-	return n
-}
+func (c Changes) Writes() int { return c.writes }
 
 // HasChanges reports whether anything has to be made durable since the last Take.
 func (c *Core) HasChanges() bool { return len(c.dirty) > 0 || c.silences.due }
@@ -72,13 +61,14 @@
 		return Changes{}, fmt.Errorf("encode silent workers: %w", err)
 	}
 	ch.Silent = silent
-	n, room := 0, limit
+	n := 0
 	for _, j := range c.dirty {
-		if room -= j.writes(); room < 0 && n > 0 {
+		writes := j.writes()
+		if n > 0 && ch.writes+writes > limit {
 			break
 		}
 		n++
-		handed := j.handing
+		ch.writes += writes
 		value, err := encodeJob(j, c.wall)
 		if err != nil {
 			return Changes{}, fmt.Errorf("encode job %s: %w", j.ID, err)
@@ -93,12 +83,12 @@
 		if record.Loan, err = c.takeLoan(j); err != nil {
 			return Changes{}, err
 		}
-		j.cancelAt, j.handing = nil, false
-		if handed {
+		if j.handing {
 			if record.Handed, err = encodeSubmission(j.Job, append(slices.Clone(j.path), c.cell.Index)); err != nil {
 				return Changes{}, fmt.Errorf("encode job %s: %w", j.ID, err)
 			}
 		}
+		j.cancelAt, j.handing = nil, false
 		ch.Records = append(ch.Records, record)
 		ch.jobs = append(ch.jobs, taken{
 			job: j, final: j.state.Final(), starts: j.starts, ends: j.ends, waits: j.waiters, state: j.state,
@@ -249,9 +239,7 @@
 	if j.Repeat.Count > 0 {
 		w.Repeats, w.FirstMs, w.EveryMs = j.Repeat.Count, j.Repeat.First.UnixMilli(), j.Repeat.Every.Milliseconds()
 	}
-	for _, s := range j.Steps {
-		w.Steps = append(w.Steps, encodeStep(s))
-	}
+	w.Steps = encodeSteps(j.Steps)
 	for i, s := range j.stages {
 		if ws, touched := encodeStage(i, s); touched {
 			w.Stages = append(w.Stages, ws)
@@ -260,6 +248,14 @@
 	return json.Marshal(w)
 }
 
+func encodeSteps(steps []Step) []wireStep {
+	var all []wireStep
+	for _, s := range steps {
+		all = append(all, encodeStep(s))
+	}
+	return all
+}
+
 func encodeStep(s Step) wireStep {
 	w := wireStep{
 		Tasks: s.Tasks, MilliCores: int64(s.Size.Processors), MemoryBytes: int64(s.Size.Memory),
@@ -341,33 +337,29 @@
 
 // DecodeJob returns the submission that a record or an inbox entry holds.
 func DecodeJob(value []byte) (Job, error) {
+	j, _, err := DecodeHanded(value)
+	return j, err
+}
+
+// DecodeHanded returns the submission that an inbox entry holds, and the cells by
+// way of which it came.
+func DecodeHanded(value []byte) (Job, []int, error) {
 	var w wireJob
 	if err := json.Unmarshal(value, &w); err != nil {
-		return Job{}, fmt.Errorf("decode job: %w", err)
+		return Job{}, nil, fmt.Errorf("decode job: %w", err)
 	}
-	return decodeSubmission(w), nil
+	return decodeSubmission(w), w.Path, nil
 }
 
 // EncodeJob returns the form in which a submission waits for a holder.
 func EncodeJob(j Job) ([]byte, error) { return encodeSubmission(j, nil) }
 
-// DecodePath returns the cells by way of which an inbox entry came.
-func DecodePath(value []byte) ([]int, error) {
-	var w wireJob
-	if err := json.Unmarshal(value, &w); err != nil {
-		return nil, fmt.Errorf("decode job: %w", err)
-	}
-	return w.Path, nil
-}
-
 func encodeSubmission(j Job, path []int) ([]byte, error) {
 	w := wireJob{ID: j.ID, Queue: j.Queue, Spec: j.Spec, State: string(Queued), Path: path}
 	if j.Repeat.Count > 0 {
 		w.Repeats, w.FirstMs, w.EveryMs = j.Repeat.Count, j.Repeat.First.UnixMilli(), j.Repeat.Every.Milliseconds()
 	}
-	for _, s := range j.Steps {
-		w.Steps = append(w.Steps, encodeStep(s))
-	}
+	w.Steps = encodeSteps(j.Steps)
 	return json.Marshal(w)
 }
 
--- a/internal/batch/submit.go
+++ b/internal/batch/submit.go
@@ -70,7 +70,7 @@
 		}
 		same := func(o *job) bool { return o == j }
 		c.dirty = slices.DeleteFunc(c.dirty, same)
-		c.active = slices.DeleteFunc(c.active, same)
+		c.deactivate(j)
 		delete(c.jobs, j.key())
 		for _, call := range j.waiters {
 			call(Dropped)
@@ -88,6 +88,11 @@
 	}
 }
 
+// deactivate takes that nothing is to be done for a job here any more.
+func (c *Core) deactivate(j *job) {
+	c.active = slices.DeleteFunc(c.active, func(o *job) bool { return o == j })
+}
+
 // await calls the waiter with the job's state once all that is known is durable.
 func (c *Core) await(j *job, waiter func(State)) {
 	if waiter == nil {
@@ -158,7 +163,7 @@
 			j.cancelAt = append(j.cancelAt, to)
 		}
 	}
-	c.active = slices.DeleteFunc(c.active, func(o *job) bool { return o == j })
+	c.deactivate(j)
 	c.mark(j)
 	c.note(Note{Kind: NoteJobEnded, Job: j.ID, Age: now.Sub(j.accepted), Reason: string(s) + ": " + reason})
 }
--- a/internal/desk/inbox.go
+++ b/internal/desk/inbox.go
@@ -50,11 +50,7 @@
 			h.takeLoan(e)
 			continue
 		}
-		j, err := batch.DecodeJob(e.Value)
-		var path []int
-		if err == nil {
-			path, err = batch.DecodePath(e.Value)
-		}
+		j, path, err := batch.DecodeHanded(e.Value)
 		if err == nil {
 			err = h.core.SubmitTo(j, h.Now(), path...)
 		}
