What the store's answers carry, and how old the configuration is, can be seen

The record of the incident does not tell how much of an answer had arrived when it was cut, and a list that fails after a large value leaves no line. No decision changes.

--- a/cmd/oriolepond/node.go
+++ b/cmd/oriolepond/node.go
@@ -24,6 +24,7 @@
 	"github.com/oriolepond/oriolepond/internal/desk"
 	"github.com/oriolepond/oriolepond/internal/eventlog"
 	"github.com/oriolepond/oriolepond/internal/peer"
+	"github.com/oriolepond/oriolepond/internal/steady"
 	"github.com/oriolepond/oriolepond/internal/store"
 	"github.com/oriolepond/oriolepond/platform"
 )
@@ -59,7 +60,9 @@
 	plane     *desk.Plane
 	set       *metrics.Set
 	config    atomic.Pointer[platform.Config]
-	stopping  atomic.Bool
+	// heard is when the store last answered about the configuration, on the steady clock.
+	heard    atomic.Int64
+	stopping atomic.Bool
 }
 
 // runNode runs one node of the users' platform until a signal asks for a planned stop.
@@ -136,11 +139,11 @@
 
 func (n *node) run(ctx context.Context, file string) error {
 	s := n.settings
-	kv := platform.NewStore(s.StoreAddress, n.client(storeConns, 0))
-	pool := &peer.Pool{Dial: n.dialer.DialContext}
-	defer pool.Close()
 	set := metrics.NewSet()
 	n.set = set
+	kv := platform.NewStore(s.StoreAddress, n.client(storeConns, 0), n.observeStore)
+	pool := &peer.Pool{Dial: n.dialer.DialContext}
+	defer pool.Close()
 	n.plane = &desk.Plane{
 		ID: s.Node + "/" + uuid.NewString(), Address: n.advertise, Peers: s.Seeds, Share: s.ProcessorShare, Store: kv,
 		Workers:      platform.NewWorkers(s.AdviserAddress, n.client(lookConns, 0), n.client(orderConns, orderConns)),
@@ -243,12 +246,41 @@
 
 func (n *node) refused(r *http.Request, queue, id string, status int, err error) {
 	n.set.GetOrCreateCounter(fmt.Sprintf("oriolepond_calls_not_served_total{method=%q,status=\"%d\"}", r.Method, status)).Inc()
-	n.log.Emit(eventlog.CallNotServed, zap.String("method", r.Method), zap.String("queue", queue),
-		zap.String("job", id), zap.Int("status", status), zap.Error(err))
+	fields := []zap.Field{
+		zap.String("method", r.Method), zap.String("queue", queue), zap.String("job", id), zap.Int("status", status), zap.Error(err),
+	}
+	if status == http.StatusNotFound {
+		fields = append(fields, zap.Int64("version", n.configVersion()), zap.Duration("configAge", n.configAge()))
+	}
+	n.log.Emit(eventlog.CallNotServed, fields...)
+}
+
+// observeStore counts the calls to the store by what came of them.
+func (n *node) observeStore(call string, bytes int, err error) {
+	n.set.GetOrCreateCounter(fmt.Sprintf("oriolepond_store_answer_bytes_total{call=%q}", call)).Add(bytes)
+	if err != nil {
+		n.set.GetOrCreateCounter(fmt.Sprintf("oriolepond_store_failures_total{call=%q}", call)).Inc()
+	}
+}
+
+// configVersion returns the version of the configuration in force, zero without one.
+func (n *node) configVersion() int64 {
+	c := n.config.Load()
+	if c == nil {
+		return 0
+	}
+	return c.Table.Version
+}
+
+// configAge returns for how long the store has said nothing about the configuration.
+func (n *node) configAge() time.Duration {
+	return steady.Now().Sub(time.Unix(0, n.heard.Load()))
 }
 
 // addLoops adds the configuration's follower and the task plane.
 func (n *node) addLoops(g *run.Group, kv *store.Client) {
+	n.set.NewGauge("oriolepond_config_version", func() float64 { return float64(n.configVersion()) })
+	n.set.NewGauge("oriolepond_config_age_seconds", func() float64 { return n.configAge().Seconds() })
 	follower := &store.Follower{
 		Client: kv, Prefix: platform.OperatorPrefix,
 		Snapshot: func(s store.Snapshot) { n.takeEntries(s.Entries) },
@@ -263,7 +295,8 @@
 		Lost: func(err error) {
 			n.log.Emit(eventlog.StoreUnavailable, zap.String("use", "configuration"), zap.Error(err))
 		},
-		Back: func() { n.log.Emit(eventlog.StoreBack, zap.String("use", "configuration")) },
+		Back:  func() { n.log.Emit(eventlog.StoreBack, zap.String("use", "configuration")) },
+		Heard: func() { n.heard.Store(steady.Now().UnixNano()) },
 	}
 	actor.Loop(context.Background(), g, follower.Run)
 	actor.Loop(context.Background(), g, n.plane.Run)
--- a/internal/store/follower.go
+++ b/internal/store/follower.go
@@ -24,9 +24,11 @@
 	// Spacing, if set, is the pause after each update, in which further changes
 	// gather: a watch answers at the first one, so that busy keys cost a call each.
 	Spacing time.Duration
-	// Lost is told of each failure, Back of the first answer after one; nil means nobody asks.
-	Lost func(error)
-	Back func()
+	// Lost is told of each failure, Back of the first answer after one, Heard of each
+	// answer; nil means nobody asks.
+	Lost  func(error)
+	Back  func()
+	Heard func()
 }
 
 const (
@@ -48,6 +50,9 @@
 			f.Back()
 		}
 		failed = false
+		if f.Heard != nil {
+			f.Heard()
+		}
 	}
 	var next int64
 	// newest is the last change that was seen; settling means that more may have followed.
@@ -86,6 +91,10 @@
 			stop()
 		}
 		if settling && ctx.Err() == nil {
+			if err != nil && next == 0 && f.Lost != nil {
+				f.Lost(err)
+				failed = true
+			}
 			next = 0
 			sleep(ctx, f.Gather)
 			continue
