--- a/cmd/oriolepond/node.go
+++ b/cmd/oriolepond/node.go
@@ -24,7 +24,7 @@
 	"github.com/oriolepond/oriolepond/internal/desk"
 	"github.com/oriolepond/oriolepond/internal/eventlog"
 	"github.com/oriolepond/oriolepond/internal/peer"
-	"github.com/oriolepond/oriolepond/internal/steady"
+	"github.com/oriolepond/oriolepond/internal/replica"
 	"github.com/oriolepond/oriolepond/internal/store"
 	"github.com/oriolepond/oriolepond/platform"
 )
@@ -38,9 +38,6 @@
 	dialTimeout = 500 * time.Millisecond
 	// memoryPart is the part of a process's memory that the garbage collector aims for.
 	memoryPart = 0.6
-	// configGather spaces large configurations that come in quick succession; they
-	// have to be in force within 2.5 s.
-	configGather = 500 * time.Millisecond
 	// lastWrite bounds the writing of the last lines of the log.
 	lastWrite = 200 * time.Millisecond
 	// stopMargin is kept of the time for a planned stop.
@@ -59,9 +56,9 @@
 	log       *eventlog.Log
 	plane     *desk.Plane
 	set       *metrics.Set
-	config    atomic.Pointer[platform.Config]
-	// heard is when the store last answered about the configuration, on the steady clock.
-	heard    atomic.Int64
+	// document is the stored configuration, config the one in force.
+	document *replica.Document
+	config   atomic.Pointer[platform.Config]
 	stopping atomic.Bool
 }
 
@@ -250,7 +247,7 @@
 		zap.String("method", r.Method), zap.String("queue", queue), zap.String("job", id), zap.Int("status", status), zap.Error(err),
 	}
 	if status == http.StatusNotFound {
-		fields = append(fields, zap.Int64("version", n.configVersion()), zap.Duration("configAge", n.configAge()))
+		fields = append(fields, zap.Int64("version", n.configVersion()), zap.Duration("configAge", n.document.Age()))
 	}
 	n.log.Emit(eventlog.CallNotServed, fields...)
 }
@@ -272,55 +269,35 @@
 	return c.Table.Version
 }
 
-// configAge returns for how long the store has said nothing about the configuration.
-func (n *node) configAge() time.Duration {
-	return steady.Now().Sub(time.Unix(0, n.heard.Load()))
-}
-
 // addLoops adds the configuration's follower and the task plane.
 func (n *node) addLoops(g *run.Group, kv *store.Client) {
 	n.set.NewGauge("oriolepond_config_version", func() float64 { return float64(n.configVersion()) })
-	n.set.NewGauge("oriolepond_config_age_seconds", func() float64 { return n.configAge().Seconds() })
-	follower := &store.Follower{
-		Client: kv, Prefix: platform.OperatorPrefix,
-		Snapshot: func(s store.Snapshot) { n.takeEntries(s.Entries) },
-		Update: func(u store.Update) {
-			for _, c := range u.Changes {
-				if !c.Deleted {
-					n.takeEntries([]store.Entry{c.Entry})
-				}
-			}
-		},
-		Gather: configGather,
+	n.set.NewGauge("oriolepond_config_age_seconds", func() float64 { return n.document.Age().Seconds() })
+	n.document = &replica.Document{
+		Client: kv, Prefix: platform.OperatorPrefix, IsKey: platform.IsConfig, Take: n.takeConfig,
 		Lost: func(err error) {
 			n.log.Emit(eventlog.StoreUnavailable, zap.String("use", "configuration"), zap.Error(err))
 		},
-		Back:  func() { n.log.Emit(eventlog.StoreBack, zap.String("use", "configuration")) },
-		Heard: func() { n.heard.Store(steady.Now().UnixNano()) },
+		Back: func() { n.log.Emit(eventlog.StoreBack, zap.String("use", "configuration")) },
 	}
-	actor.Loop(context.Background(), g, follower.Run)
+	actor.Loop(context.Background(), g, n.document.Run)
 	actor.Loop(context.Background(), g, n.plane.Run)
 }
 
-// takeEntries puts the newest configuration among the entries in force; an older one never follows.
-func (n *node) takeEntries(entries []store.Entry) {
-	for _, e := range entries {
-		if !platform.IsConfig(e.Key) {
-			continue
-		}
-		c, err := platform.DecodeConfig(e.Value)
-		if err != nil {
-			n.log.Emit(eventlog.ConfigRejected, zap.Int64("revision", e.Revision), zap.Error(err))
-			continue
-		}
-		if old := n.config.Load(); old != nil && c.Table.Version <= old.Table.Version {
-			continue
-		}
-		n.config.Store(&c)
-		n.plane.SetTable(c.Table)
-		n.log.Emit(eventlog.ConfigApplied, zap.Int64("revision", e.Revision), zap.Int64("version", c.Table.Version),
-			zap.Int("queues", len(c.Table.Queues)))
+// takeConfig puts a version of the configuration in force; an older one never follows.
+func (n *node) takeConfig(value []byte, revision int64) {
+	c, err := platform.DecodeConfig(value)
+	if err != nil {
+		n.log.Emit(eventlog.ConfigRejected, zap.Int64("revision", revision), zap.Error(err))
+		return
+	}
+	if old := n.config.Load(); old != nil && c.Table.Version <= old.Table.Version {
+		return
 	}
+	n.config.Store(&c)
+	n.plane.SetTable(c.Table)
+	n.log.Emit(eventlog.ConfigApplied, zap.Int64("revision", revision), zap.Int64("version", c.Table.Version),
+		zap.Int("queues", len(c.Table.Queues)))
 }
 
 // addReload checks the settings again on SIGHUP. The addresses of a process
