--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -137,6 +137,28 @@
 	return fmt.Sprintf("store watch: revision %d is compacted", e.From)
 }
 
+// Span is what one poll asks for.
+type Span struct {
+	Prefix string
+	// From is the first revision that counts.
+	From int64
+	// Wait bounds how long the store waits for a change.
+	Wait time.Duration
+	// Limit bounds the bytes of the answer; zero leaves it to the client.
+	Limit int64
+}
+
+// LargeError says that an answer was left unread because it exceeds a limit.
+type LargeError struct {
+	Call  string
+	Limit int64
+}
+
+// Error returns the call and the limit.
+func (e *LargeError) Error() string {
+	return fmt.Sprintf("store %s: the answer exceeds %d bytes", e.Call, e.Limit)
+}
+
 // Client is a connection to the store.
 type Client struct {
 	// Read returns one key, and whether it is there.
@@ -154,6 +176,9 @@
 	// Watch calls handle for each update of a prefix from a revision on, until the context ends
 	// or the watch breaks or stays silent for longer than its progress limit.
 	Watch func(ctx context.Context, prefix string, from int64, handle func(Update)) error
+	// Poll returns the changes of a span, none if its time passes without one. The error
+	// is a *LargeError if the answer exceeds the limit; nil means that the store has no such call.
+	Poll func(ctx context.Context, s Span) (Update, error)
 }
 
 // RefusedError says that the store refused a call and surely did nothing.
