A large configuration crosses the link between regions once, not once a node

While a configuration of 470 KB spread, callers in the far region got 503 and 504, connections to the store and to peers timed out, and after the loss of all nodes that region was ready 5 s later than the other. Cause: each of 147 nodes read each large version, and listed it once more; 79 of them share one link.

Now the nodes that hold a cell read a large version and publish a compressed copy in the store, among the keys that every node watches; the others leave the answer of their poll unread and take the copy. A node that waits in vain reads the original, a node that starts takes the copy if the store confirms it. Ways weighed: docs/PLATFORM.md, The configuration. The follower's list after a large value is gone, whose failures reached neither the log nor the pause.

TestLargeConfigurationLeavesTheLinkFree failed before with 66.5 MB on the link for one version, of 37.5 MB that half of the link carries meanwhile; now 7.7 MB. TestFollowerGathersVersionsOfALargeValue asks the same of the new code under the name TestVersionsOfALargeValueAreGathered.

--- a/cmd/oriolepond/node.go
+++ b/cmd/oriolepond/node.go
@@ -274,18 +274,16 @@
 	n.set.NewGauge("oriolepond_config_version", func() float64 { return float64(n.configVersion()) })
 	n.set.NewGauge("oriolepond_config_age_seconds", func() float64 { return n.document.Age().Seconds() })
 	n.document = &replica.Document{
-		Client: kv, Prefix: platform.OperatorPrefix, IsKey: platform.IsConfig, Take: n.takeConfig,
-		Lost: func(err error) {
-			n.log.Emit(eventlog.StoreUnavailable, zap.String("use", "configuration"), zap.Error(err))
-		},
-		Back: func() { n.log.Emit(eventlog.StoreBack, zap.String("use", "configuration")) },
+		Client: kv, Prefix: platform.OperatorPrefix, Key: platform.ConfigKey, CopyKey: desk.ConfigCopyKey,
+		Leads: n.plane.Leads, Distance: n.plane.Distance, Take: n.takeConfig, Log: n.log,
 	}
+	n.plane.Copies = n.document.NoteCopies
 	actor.Loop(context.Background(), g, n.document.Run)
 	actor.Loop(context.Background(), g, n.plane.Run)
 }
 
 // takeConfig puts a version of the configuration in force; an older one never follows.
-func (n *node) takeConfig(value []byte, revision int64) {
+func (n *node) takeConfig(value []byte, revision int64, from replica.Source) {
 	c, err := platform.DecodeConfig(value)
 	if err != nil {
 		n.log.Emit(eventlog.ConfigRejected, zap.Int64("revision", revision), zap.Error(err))
@@ -297,7 +295,7 @@
 	n.config.Store(&c)
 	n.plane.SetTable(c.Table)
 	n.log.Emit(eventlog.ConfigApplied, zap.Int64("revision", revision), zap.Int64("version", c.Table.Version),
-		zap.Int("queues", len(c.Table.Queues)))
+		zap.Int("queues", len(c.Table.Queues)), zap.String("from", string(from)))
 }
 
 // addReload checks the settings again on SIGHUP. The addresses of a process
--- a/internal/desk/holders.go
+++ b/internal/desk/holders.go
@@ -16,9 +16,9 @@
 
 func (p *Plane) holderUpdate(u store.Update) {
 	for _, c := range u.Changes {
-		if c.Deleted {
+		if c.Deleted && c.Entry.Key != ConfigCopyKey {
 			p.setHolder(c.Entry.Key, holderRef{})
-		} else {
+		} else if !c.Deleted {
 			p.takeKey(c.Entry)
 		}
 	}
@@ -52,6 +52,9 @@
 			p.setHolder(d.keys.holder, holderRef{})
 		}
 	}
+	if p.Copies != nil {
+		p.Copies(nil, true)
+	}
 }
 
 // takeKey takes one key about holders that is there.
@@ -59,6 +62,10 @@
 	switch e.Key {
 	case bestKey:
 		p.setBest(e.Value)
+	case ConfigCopyKey:
+		if p.Copies != nil {
+			p.Copies([]store.Entry{e}, false)
+		}
 	case CellsKey:
 		count, err := strconv.Atoi(string(e.Value))
 		if err != nil || count < 1 || count > maxCells {
--- a/internal/desk/keys.go
+++ b/internal/desk/keys.go
@@ -20,6 +20,10 @@
 // life of a deployment.
 const CellsKey = "pond/holder/cells"
 
+// ConfigCopyKey holds a copy of a large configuration (package replica). It stands
+// among the keys that every node watches, so that no node polls for it.
+const ConfigCopyKey = "pond/holder/config"
+
 // cancelValue is the value of a cancel's key.
 var cancelValue = []byte("{}")
 
--- a/internal/desk/plane.go
+++ b/internal/desk/plane.go
@@ -81,6 +81,9 @@
 	// Forget ends the connection to a node that left a call without an answer; nil
 	// means that connections need no end.
 	Forget func(address string)
+	// Copies is given the copies of the configuration among the keys that the node
+	// watches; all tells that there are no others. Nil means that nobody asks.
+	Copies func(entries []store.Entry, all bool)
 	Timing batch.Timing
 	Log    *eventlog.Log
 	Meter  *Meter
@@ -164,6 +167,23 @@
 	return p.desks
 }
 
+// Leads reports whether the node holds a cell.
+func (p *Plane) Leads() bool {
+	for _, d := range p.all() {
+		if d.local() != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// Distance returns how far the store is, as measured when the node started.
+func (p *Plane) Distance() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.rtt
+}
+
 // IsOpen reports whether the node knows the cells, so that it can pass calls on.
 func (p *Plane) IsOpen() bool { return len(p.all()) > 0 }
 
--- a/internal/eventlog/instance.go
+++ b/internal/eventlog/instance.go
@@ -48,4 +48,24 @@
 		Meaning: "A stored configuration could not be read; the last one stays in force.",
 		Advice:  "Apply a corrected release note.",
 	})
+	ConfigAwaited = register(Event{
+		Number: 1202, Level: zapcore.InfoLevel, Message: "newer configuration awaited",
+		Meaning: "The store has a version after the named revision that is too large for each instance to read; this one waits for the copy of an instance that leads, patience long, then reads the original.",
+		Advice:  "None.",
+	})
+	ConfigCopyMissing = register(Event{
+		Number: 1203, Level: zapcore.InfoLevel, Message: "configuration copy missing",
+		Meaning: "There was no copy in time; the instance reads the original.",
+		Advice:  "None, unless it recurs: then look for the lines of the holders around that time.",
+	})
+	ConfigCopied = register(Event{
+		Number: 1204, Level: zapcore.InfoLevel, Message: "configuration copy published",
+		Meaning: "This instance read the original of the named revision and wrote a copy for the others.",
+		Advice:  "None.",
+	})
+	ConfigCopyFailed = register(Event{
+		Number: 1205, Level: zapcore.WarnLevel, Message: "configuration copy not written",
+		Meaning: "The copy could not be written; it is tried again.",
+		Advice:  "Check the store if this lasts.",
+	})
 )
--- a/internal/store/follower.go
+++ b/internal/store/follower.go
@@ -17,18 +17,12 @@
 	// Snapshot takes all keys, Update what has changed since.
 	Snapshot func(Snapshot)
 	Update   func(Update)
-	// Gather, if set, is the pause after an update of a large value, after which the
-	// keys are listed until they stand still: a watch carries every version, over
-	// a link that may be slow, and a list the last one only.
-	Gather time.Duration
 	// Spacing, if set, is the pause after each update, in which further changes
 	// gather: a watch answers at the first one, so that busy keys cost a call each.
 	Spacing time.Duration
-	// Lost is told of each failure, Back of the first answer after one, Heard of each
-	// answer; nil means nobody asks.
-	Lost  func(error)
-	Back  func()
-	Heard func()
+	// Lost is told of each failure, Back of the first answer after one; nil means nobody asks.
+	Lost func(error)
+	Back func()
 }
 
 const (
@@ -50,14 +44,8 @@
 			f.Back()
 		}
 		failed = false
-		if f.Heard != nil {
-			f.Heard()
-		}
 	}
 	var next int64
-	// newest is the last change that was seen; settling means that more may have followed.
-	var newest int64
-	settling := false
 	for ctx.Err() == nil {
 		var err error
 		if next == 0 {
@@ -65,39 +53,18 @@
 			if s, err = f.Client.List(ctx, f.Prefix); err == nil {
 				answered()
 				f.Snapshot(s)
-				last := newestOf(s.Entries)
-				settling = settling && last > newest
-				newest, next = last, s.Revision+1
+				next = s.Revision + 1
 			}
 		} else {
-			watch, stop := context.WithCancel(ctx)
-			err = f.Client.Watch(watch, f.Prefix, next, func(u Update) {
+			err = f.Client.Watch(ctx, f.Prefix, next, func(u Update) {
 				answered()
 				next = max(next, u.Revision+1)
 				if len(u.Changes) == 0 {
 					return
 				}
 				f.Update(u)
-				for _, c := range u.Changes {
-					newest = max(newest, c.Entry.Revision)
-					settling = settling || f.Gather > 0 && len(c.Entry.Value) >= largeValue
-				}
-				if settling {
-					stop()
-					return
-				}
-				sleep(watch, f.Spacing)
+				sleep(ctx, f.Spacing)
 			})
-			stop()
-		}
-		if settling && ctx.Err() == nil {
-			if err != nil && next == 0 && f.Lost != nil {
-				f.Lost(err)
-				failed = true
-			}
-			next = 0
-			sleep(ctx, f.Gather)
-			continue
 		}
 		var compacted *CompactedError
 		if errors.As(err, &compacted) {
@@ -115,18 +82,6 @@
 	return nil
 }
 
-// largeValue is the size from which versions of a value are gathered.
-const largeValue = 64 << 10
-
-// newestOf returns the latest revision among entries.
-func newestOf(entries []Entry) int64 {
-	var newest int64
-	for _, e := range entries {
-		newest = max(newest, e.Revision)
-	}
-	return newest
-}
-
 // sleep waits for a time, or until the context ends.
 func sleep(ctx context.Context, d time.Duration) {
 	if d <= 0 {
