A queue that may have been added is not called missing

Callers got 404 for a queue that had been added. Cause, beside the late transfer: a node answers by the version that it has, also when it knows that the store has a newer one, or has not heard from the store for longer than a version may take.

A node now knows whether it is current (replica.Standing). While it is not, a call for a queue that it does not know is answered with 503 and Retry-After; when it has known of a newer version for longer than the bound it takes no jobs in. Once it is current, 404 is given again.

--- a/cmd/oriolepond/node.go
+++ b/cmd/oriolepond/node.go
@@ -40,6 +40,9 @@
 	memoryPart = 0.6
 	// lastWrite bounds the writing of the last lines of the log.
 	lastWrite = 200 * time.Millisecond
+	// configMargin is how much earlier than it has to be in force a configuration
+	// counts as missing: an answer of the store and one to a caller travel meanwhile.
+	configMargin = 250 * time.Millisecond
 	// stopMargin is kept of the time for a planned stop.
 	stopMargin = 1500 * time.Millisecond
 	// lameDuck is how long a stopping node still takes connections, until the
@@ -164,7 +167,7 @@
 		listeners = append(listeners, l)
 	}
 	front := &http.Server{Handler: &platform.Front{
-		Jobs: n.calls(), Config: n.current, Refused: n.refused,
+		Jobs: n.calls(), Config: n.current, Standing: n.standing, Refused: n.refused,
 	}, ReadHeaderTimeout: headerTimeout}
 	ready := &http.Server{Handler: platform.Ready(n.isReady), ReadHeaderTimeout: headerTimeout}
 	server := grpc.NewServer(peer.ServerOptions(n.log)...)
@@ -237,6 +240,9 @@
 	return *c, true
 }
 
+// standing tells whether the configuration in force is the newest one.
+func (n *node) standing() replica.Standing { return n.document.Standing() }
+
 func (n *node) isReady() bool {
 	return n.config.Load() != nil && n.plane.IsOpen() && !n.stopping.Load()
 }
@@ -246,7 +252,7 @@
 	fields := []zap.Field{
 		zap.String("method", r.Method), zap.String("queue", queue), zap.String("job", id), zap.Int("status", status), zap.Error(err),
 	}
-	if status == http.StatusNotFound {
+	if queue == "" {
 		fields = append(fields, zap.Int64("version", n.configVersion()), zap.Duration("configAge", n.document.Age()))
 	}
 	n.log.Emit(eventlog.CallNotServed, fields...)
@@ -275,7 +281,7 @@
 	n.set.NewGauge("oriolepond_config_age_seconds", func() float64 { return n.document.Age().Seconds() })
 	n.document = &replica.Document{
 		Client: kv, Prefix: platform.OperatorPrefix, Key: platform.ConfigKey, CopyKey: desk.ConfigCopyKey,
-		Leads: n.plane.Leads, Distance: n.plane.Distance, Take: n.takeConfig, Log: n.log,
+		Within: n.settings.ConfigBound - configMargin, Leads: n.plane.Leads, Distance: n.plane.Distance, Take: n.takeConfig, Log: n.log,
 	}
 	n.plane.Copies = n.document.NoteCopies
 	actor.Loop(context.Background(), g, n.document.Run)
--- a/internal/replica/copy.go
+++ b/internal/replica/copy.go
@@ -185,7 +185,7 @@
 			s = d.newest
 			return d.floor > 0 && s.original >= d.floor && s.original > d.revision
 		}
-		if !d.await(ctx, pollWait, isNew) {
+		if !d.await(ctx, longestPoll, isNew) {
 			continue
 		}
 		v, err := s.unpack()
@@ -209,7 +209,7 @@
 			v, known = d.original, d.newest
 			return d.listed && v.revision > known.original
 		}
-		if !d.await(ctx, pollWait, isNew) {
+		if !d.await(ctx, longestPoll, isNew) {
 			continue
 		}
 		if !d.Leads() && d.await(ctx, rand.N(publishSpread), func() bool { return d.newest.original >= v.revision }) {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -10,10 +10,12 @@
 // # Usage
 //
 //	d := &replica.Document{Client: client, Prefix: "op/", Key: "op/config", CopyKey: desk.ConfigCopyKey,
-//		Leads: plane.Leads, Distance: plane.Distance, Take: apply, Log: log}
+//		Within: bound, Leads: plane.Leads, Distance: plane.Distance, Take: apply, Log: log}
 //	plane.Copies = d.NoteCopies
 //	go d.Run(ctx)
-//	known := d.IsCurrent(bound)
+//	if d.Standing() == replica.Current {
+//		// What the document does not name does not exist.
+//	}
 package replica
 
 import (
@@ -41,6 +43,18 @@
 	FromCopy  Source = "copy"
 )
 
+// Standing is what a node knows of its version of a document.
+type Standing string
+
+const (
+	// Current means that it was the newest one a short time ago.
+	Current Standing = "current"
+	// Uncertain means that there may be, or is, a newer one.
+	Uncertain Standing = "uncertain"
+	// Outdated means that a newer one should have been in force by now.
+	Outdated Standing = "outdated"
+)
+
 // Document is one key of the store as a node knows it. Its fields are set before Run.
 type Document struct {
 	Client *store.Client
@@ -48,6 +62,8 @@
 	Prefix  string
 	Key     string
 	CopyKey string
+	// Within is the time in which a new version has to be in force.
+	Within time.Duration
 	// Leads reports whether the node is one of the few that read large versions
 	// for all, Distance how far the store is.
 	Leads    func() bool
@@ -68,10 +84,10 @@
 	// that the node has not asked for; zero means that it has to read the document.
 	revision int64
 	next     int64
-	// heard is when the store last told all that there is, behind that it has
-	// told of a version since which the node does not have.
+	// heard is when the store last told all that there is, behind when it told of a
+	// version that the node does not have; zero if it has told of none since.
 	heard  time.Time
-	behind bool
+	behind time.Time
 	// floor is the lowest revision of which a copy may be put in force, zero while
 	// a copy may be older than what was in force before the node started.
 	floor int64
@@ -91,9 +107,12 @@
 const (
 	// largeValue is the size from which a version is published as a copy.
 	largeValue = 32 << 10
-	// pollWait is how long the store keeps a poll without a change: long waits cost
-	// fewer calls, short ones find a silent connection sooner.
-	pollWait = 2 * time.Second
+	// longestPoll bounds how long the store keeps a poll without a change: long waits
+	// cost fewer calls, short ones find a silent connection sooner.
+	longestPoll = 2 * time.Second
+	// pollPart is the part of Within that a poll may take, so that a node at rest
+	// always knows that it is current.
+	pollPart = 2. / 3
 	// confirmWait is how long a poll takes that only asks whether there is more.
 	confirmWait = time.Millisecond
 	// followerBytes bounds what a node reads of a poll that does not lead: a
@@ -125,12 +144,20 @@
 	return g.Run()
 }
 
-// IsCurrent reports whether the node knows that it has had the newest version
-// within a time.
-func (d *Document) IsCurrent(within time.Duration) bool {
+// Standing returns what the node knows of its version.
+func (d *Document) Standing() Standing {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return !d.heard.IsZero() && !d.behind && d.now().Sub(d.heard) < within
+	now := d.now()
+	switch {
+	case d.heard.IsZero():
+		return Uncertain
+	case !d.behind.IsZero() && now.Sub(d.behind) >= d.Within:
+		return Outdated
+	case !d.behind.IsZero() || now.Sub(d.heard) >= d.Within:
+		return Uncertain
+	}
+	return Current
 }
 
 // Age returns how long ago the node last knew that it had the newest version,
@@ -182,8 +209,8 @@
 // step reads the document, or polls once for a change.
 func (d *Document) step(ctx context.Context) error {
 	d.mu.Lock()
-	next, poll := d.next, store.Span{Prefix: d.Prefix, From: d.next, Wait: pollWait, Limit: followerBytes}
-	if d.behind || d.heard.IsZero() {
+	next, poll := d.next, store.Span{Prefix: d.Prefix, From: d.next, Wait: d.pollWait(), Limit: followerBytes}
+	if !d.behind.IsZero() || d.heard.IsZero() {
 		poll.Wait = confirmWait
 	}
 	d.mu.Unlock()
@@ -210,6 +237,11 @@
 	return nil
 }
 
+// pollWait is how long the store keeps a poll without a change.
+func (d *Document) pollWait() time.Duration {
+	return min(longestPoll, time.Duration(pollPart*float64(d.Within)))
+}
+
 // read takes the document as it is in the store.
 func (d *Document) read(ctx context.Context) error {
 	s, err := d.Client.List(ctx, d.Prefix)
@@ -232,7 +264,9 @@
 	began := d.now()
 	d.mu.Lock()
 	missing := d.next
-	d.behind = true
+	if d.behind.IsZero() {
+		d.behind = began
+	}
 	d.floor = max(d.floor, missing)
 	d.wake()
 	d.mu.Unlock()
@@ -268,7 +302,7 @@
 			d.original = v
 		}
 		if upTo > 0 {
-			d.heard, d.behind = d.now(), false
+			d.heard, d.behind = d.now(), time.Time{}
 			d.floor, d.next = max(d.floor, 1), max(d.next, upTo+1)
 		}
 	})
