A holder reads its jobs for as long as they arrive

The reading now ends with the term or with the silence of the store. So do the count of the workers that decides on cells, and single reads.

TestTakeOverOfManyJobsOverASlowLink (500 jobs, 2 MB, 250 KB/s) failed before: no holder within 20 s.

--- a/internal/desk/division.go
+++ b/internal/desk/division.go
@@ -127,11 +127,9 @@
 // countWorkers returns how many workers are registered, and whether the
 // deployment ran before there were cells: then it has one.
 func (p *Plane) countWorkers(ctx context.Context) (workers int, divided bool, err error) {
-	call, cancel := context.WithTimeout(ctx, loadTimeout)
-	defer cancel()
-	if _, divided, err = p.Store.Read(call, keysOf(0).head); err != nil || divided {
+	if _, divided, err = p.Store.Read(ctx, keysOf(0).head); err != nil || divided {
 		return 0, divided, err
 	}
-	s, err := p.Store.List(call, p.WorkerPrefix)
+	s, err := p.Store.List(ctx, p.WorkerPrefix)
 	return len(s.Entries), false, err
 }
--- a/internal/desk/election.go
+++ b/internal/desk/election.go
@@ -39,8 +39,6 @@
 	// firstWait lets all nodes of a new deployment tell their share before the cells
 	// are decided on, and so before the first election.
 	firstWait = 1500 * time.Millisecond
-	// loadTimeout bounds the reading of all jobs.
-	loadTimeout = 4 * time.Second
 )
 
 // stand tries to become holder whenever there is none, and holds until the term ends.
--- a/internal/desk/holder.go
+++ b/internal/desk/holder.go
@@ -134,10 +134,9 @@
 	return h.core.Size()
 }
 
-// load reads all jobs back.
+// load reads all jobs back. How long that takes follows from their number; it
+// ends with the term.
 func (h *Holder) load(ctx context.Context, t batch.Table, unheard time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
-	defer cancel()
 	at := h.Now()
 	core := batch.NewCore(h.Timing, at, at.Add(unheard))
 	core.SetCell(h.Cell)
