A refusal is judged by the sending that it answers, at any time

Sending 1 broke with its instance and reached its runner late, while sending 2 was refused and did not run. docs/CALLERS.md makes notRun speak of the one sending, so the refusal was true.

The check counted runs of any sending between the start and the end of the refused one. It now counts runs of the refused sending, also those after the answer, which it missed before.

--- a/internal/demo/load.go
+++ b/internal/demo/load.go
@@ -114,7 +114,6 @@
 	defer cancel()
 	body := "body of " + id
 	begun := time.Now()
-	before := d.cluster.Requests.Runs(id)
 	status, text, err := d.post(ctx, i, call, id, sending, body, key)
 	expected := standin.AnswerTo(id, body)
 	stream := strings.HasSuffix(call.Path, standin.StreamSuffix)
@@ -138,11 +137,7 @@
 	case status == http.StatusOK:
 		return resultMismatch
 	case strings.Contains(text, `"`+string(entry.NotRun)+`"`):
-		if now := d.cluster.Requests.Runs(id); now > before {
-			d.counts.refusalsThatRan.Add(1)
-			fmt.Fprintf(d.Out, "ran though refused: %s sending %s of key %q: %d runs before, %d now, %d of this sending; %s\n",
-				id, sending, key, before, now, d.cluster.Requests.RunsOf(id, sending), text)
-		}
+		d.counts.refuse(refusal{request: id, sending: sending, key: key, answer: text})
 		d.counts.explain(resultRefused, call.Path, text)
 		return resultRefused
 	}
--- a/internal/demo/report.go
+++ b/internal/demo/report.go
@@ -15,14 +15,16 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/oriolepond/oriolepond/internal/operate"
+	"github.com/oriolepond/oriolepond/internal/standin"
 )
 
 // counts are what callers saw.
 type counts struct {
-	requests, refusalsThatRan, cut, reverts, offered, submitted atomic.Int64
-	results                                                     map[result]*atomic.Int64
+	requests, cut, reverts, offered, submitted atomic.Int64
+	results                                    map[result]*atomic.Int64
 
 	mu       sync.Mutex
+	refused  []refusal
 	latency  *hdrhistogram.Histogram
 	jobs     map[string]bool
 	slowest  time.Duration
@@ -31,6 +33,31 @@
 	reasons map[string]int
 }
 
+// refusal is one sending of a request that was answered as not run.
+type refusal struct {
+	request, sending, key, answer string
+}
+
+// refuse notes a sending that was answered as not run.
+func (c *counts) refuse(r refusal) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.refused = append(c.refused, r)
+}
+
+// refusalsThatRan returns the refusals whose sending has run, before or after the answer.
+func (c *counts) refusalsThatRan(seen *standin.Ledger) []refusal {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var ran []refusal
+	for _, r := range c.refused {
+		if seen.RunsOf(r.request, r.sending) > 0 {
+			ran = append(ran, r)
+		}
+	}
+	return ran
+}
+
 // The range of the latency histogram.
 const (
 	lowestMicros   = 1
@@ -142,6 +169,10 @@
 
 func (d *Demo) report(ctx context.Context) Report {
 	c, seen := d.counts, d.cluster
+	falsely := c.refusalsThatRan(seen.Requests)
+	for _, f := range falsely {
+		fmt.Fprintf(d.Out, "ran though refused: %s sending %s of key %q: %s\n", f.request, f.sending, f.key, f.answer)
+	}
 	r := Report{
 		Requests:             c.requests.Load(),
 		Answered:             c.results[resultAnswered].Load(),
@@ -150,7 +181,7 @@
 		AnswerMismatches:     c.results[resultMismatch].Load(),
 		TruncatedAnswers:     c.results[resultTruncated].Load(),
 		NonIdempotentDoubles: int64(seen.Requests.Doubles()),
-		RefusalsThatRan:      c.refusalsThatRan.Load(),
+		RefusalsThatRan:      int64(len(falsely)),
 		CutByPlannedStop:     c.cut.Load(),
 		ConfigReverts:        c.reverts.Load(),
 		ConfigInForceMax:     c.slowest,
