A task that lasts and waits gets a worker reserved

A task that lasts and has waited for 1.5 s gets the worker reserved that lacks the least for it; others are given only what it leaves there, until it is placed, its job ends, or 5 s have passed. At most one in eight workers is reserved.

--- a/internal/batch/core.go
+++ b/internal/batch/core.go
@@ -39,6 +39,9 @@
 	retryAt time.Time
 	// appraisedAt is when workers were last appraised for the images that fill.
 	appraisedAt time.Time
+	// reserved are the workers that are reserved for a task, reservedAt is when others were last looked for.
+	reserved   []*worker
+	reservedAt time.Time
 	// open are the workers that may take runs, as found at the beginning of a
 	// plan, and turn is where in them the next search begins.
 	open []*worker
--- a/internal/batch/fit.go
+++ b/internal/batch/fit.go
@@ -134,7 +134,7 @@
 	if w.Service != t.stage.job.service {
 		return NoService
 	}
-	free := w.free()
+	free := w.freeFor(t)
 	switch {
 	case s.Size.Memory > free.Memory || s.Size.Accelerators > free.Accelerators:
 		return NoMemory
--- a/internal/batch/plan.go
+++ b/internal/batch/plan.go
@@ -87,10 +87,11 @@
 // that a job which can never run holds up no other.
 func (c *Core) place(now time.Time) {
 	waiting := c.waiting(now)
-	if len(waiting) == 0 {
+	if len(waiting) == 0 && len(c.reserved) == 0 {
 		return
 	}
 	c.findOpen(now)
+	c.release(now)
 	c.appraise(now)
 	clear(c.short)
 	for _, r := range waiting {
@@ -106,6 +107,7 @@
 			c.tellWait(s, now)
 		}
 	}
+	c.reserve(waiting, now)
 }
 
 func (c *Core) placeTasks(s *stage, now time.Time) {
--- /dev/null
+++ b/internal/batch/reserve.go
@@ -0,0 +1,124 @@
+package batch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/oriolepond/oriolepond/pkg/share"
+)
+
+// A task that lasts may wait for ever beside smaller ones that end, which take each
+// bit of room as it comes free. So one that has waited for long gets a worker
+// reserved: others are given only what it leaves there.
+
+const (
+	// reserveAfter is how long a task that lasts waits until a worker is reserved for
+	// it: the platform allows it 6 s from its last run to its next, and most runs of
+	// others end within two.
+	reserveAfter = 1500 * time.Millisecond
+	// reserveEvery is how often workers are looked for, which takes a look at each.
+	reserveEvery = 200 * time.Millisecond
+	// reserveLongest bounds a reservation, if the runs there do not end in time.
+	reserveLongest = 5 * time.Second
+	// reservedPart is of how many workers that take runs one may be reserved.
+	reservedPart = 8
+)
+
+// release ends the reservations that are not needed any more, or came to nothing.
+func (c *Core) release(now time.Time) {
+	c.reserved = slices.DeleteFunc(c.reserved, func(w *worker) bool {
+		if c.mayReserve(w.reservedFor, w, now) && now.Sub(w.reservedAt) < reserveLongest {
+			return false
+		}
+		w.reservedFor = nil
+		return true
+	})
+}
+
+// reserve makes reservations in the order in which tasks are placed. It is called
+// after placement.
+func (c *Core) reserve(waiting []rank, now time.Time) {
+	if now.Sub(c.reservedAt) < reserveEvery {
+		return
+	}
+	c.reservedAt = now
+	most := max(1, len(c.open)/reservedPart)
+	for _, r := range waiting {
+		s := r.stage
+		if s.queued == 0 || !s.step.LongRunning || s.step.Fills || s.step.Gang || s.waited(now) < reserveAfter {
+			continue
+		}
+		for _, t := range s.tasks {
+			if len(c.reserved) >= most {
+				return
+			}
+			if t.state != taskQueued || now.Before(t.notBefore) || c.hasReserved(t) {
+				continue
+			}
+			w := c.soonestRoom(t, now)
+			if w == nil {
+				break
+			}
+			w.reservedFor, w.reservedAt = t, now
+			c.reserved = append(c.reserved, w)
+		}
+	}
+}
+
+// mayReserve reports whether a worker can be, or stay, reserved for a task: it lacks
+// only room, and has that once the runs which end by themselves have ended.
+func (c *Core) mayReserve(t *task, w *worker, now time.Time) bool {
+	if t.state != taskQueued || t.stage.job.state.Final() || t.stage.job.state == Moved || !c.mayTake(w, now) {
+		return false
+	}
+	switch c.obstacle(t, w, now) {
+	case noObstacle, NoProcessors, NoMemory:
+		return t.stage.step.Size.Fits(w.free().Plus(w.passing()))
+	}
+	return false
+}
+
+// hasReserved reports whether a worker is reserved for a task.
+func (c *Core) hasReserved(t *task) bool {
+	return slices.ContainsFunc(c.reserved, func(w *worker) bool { return w.reservedFor == t })
+}
+
+// soonestRoom returns the worker that lacks the least for a task, or nil.
+func (c *Core) soonestRoom(t *task, now time.Time) *worker {
+	var best *worker
+	var least share.MilliCores
+	for _, w := range c.open {
+		if w.reservedFor != nil || !c.mayReserve(t, w, now) {
+			continue
+		}
+		if missing := t.stage.step.Size.Processors - w.free().Processors; best == nil || missing < least {
+			best, least = w, missing
+		}
+	}
+	return best
+}
+
+// passing returns what runs hold that end by themselves.
+func (w *worker) passing() share.Resources {
+	var sum share.Resources
+	for _, r := range w.runs {
+		if r.task.stage.step.LongRunning {
+			continue
+		}
+		size := r.task.stage.step.Size
+		if !r.holdsProcessors() {
+			size.Processors = 0
+		}
+		sum = sum.Plus(size)
+	}
+	return sum
+}
+
+// freeFor returns what a task may hold on a worker: not what is reserved for another one.
+func (w *worker) freeFor(t *task) share.Resources {
+	free := w.free()
+	if w.reservedFor != nil && w.reservedFor != t {
+		free = free.Minus(w.reservedFor.stage.step.Size)
+	}
+	return free
+}
--- /dev/null
+++ b/internal/batch/reserve_test.go
@@ -0,0 +1,88 @@
+package batch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/oriolepond/oriolepond/pkg/share"
+)
+
+// streamOf submits a job each 100 ms: small tasks that want half as much again as
+// the pool of four workers has.
+func (w *simWorld) streamOf(tasks int, size share.MilliCores, until time.Time) {
+	number := 0
+	var next func()
+	next = func() {
+		if !w.now.Before(until) {
+			return
+		}
+		number++
+		w.submit(Job{ID: fmt.Sprintf("%016x", number), Queue: "check", Steps: []Step{{
+			Tasks: tasks, Size: share.Resources{Processors: size, Memory: 1 << 20}, Estimate: 600 * time.Millisecond,
+		}}})
+		w.after(100*time.Millisecond, next)
+	}
+	next()
+}
+
+// Guards against a wide task that lasts and finds no room beside a stream of small ones.
+func TestWideTaskFindsRoomBesideAStreamOfSmallOnes(t *testing.T) {
+	const (
+		wide = "ffffffffffffffff"
+		// within is what the platform allows a task that lasts from its last run to its next.
+		within = 6 * time.Second
+	)
+	for _, c := range []struct {
+		name  string
+		tasks int
+		size  share.MilliCores
+	}{
+		{"most of a worker", 1, 12_000},
+		{"a whole worker", 1, 16_000},
+		{"two on a worker", 2, 6_000},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newSimWorld(t, 1, 4, simFaults{})
+			w.streamOf(8, 2000, w.now.Add(20*time.Second))
+			w.run(3 * time.Second)
+			w.submit(Job{ID: wide, Queue: "check", Steps: []Step{{
+				Tasks: c.tasks, LongRunning: true, Estimate: time.Minute,
+				Size: share.Resources{Processors: c.size, Memory: 1 << 20},
+			}}})
+			w.run(within)
+			for i := range c.tasks {
+				_, begun := w.began[TaskName{Job: wide, Index: i}]
+				require.True(t, begun, "task %d has not begun within %v", i, within)
+			}
+			require.Empty(t, w.broken)
+		})
+	}
+}
+
+// A reservation for a task that never gets its room does not keep others waiting.
+func TestReservationsEnd(t *testing.T) {
+	now := time.Unix(1_000_000_000, 0)
+	c := shapesCore(t, now)
+	size := func(p share.MilliCores) share.Resources { return share.Resources{Processors: p} }
+	submit := func(id string, s Step) {
+		require.NoError(t, c.Submit(Job{ID: id, Queue: "check", Steps: []Step{s}}, now, nil))
+		c.Plan(now)
+		started(t, c, now)
+	}
+	submit("0000000000000001", Step{Tasks: 4, Size: size(3000)})
+	submit("0000000000000002", Step{Tasks: 1, Size: size(4000), LongRunning: true})
+	now = now.Add(2 * reserveAfter)
+	c.Plan(now)
+	require.Len(t, c.reserved, 1, "a worker for the one that lasts")
+	require.Empty(t, started(t, c, now))
+	submit("0000000000000003", Step{Tasks: 4, Size: size(1000)})
+	require.Equal(t, 1, c.jobs["0000000000000003"].stages[0].queued, "the reserved worker takes none")
+	c.Cancel("0000000000000002", now, nil)
+	c.Plan(now.Add(reserveEvery))
+	require.Empty(t, c.reserved)
+	started(t, c, now)
+	require.Zero(t, c.jobs["0000000000000003"].stages[0].queued)
+}
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -56,6 +56,9 @@
 	spent      []interference.Presence
 	measuredAt time.Time
 	accruedAt  time.Time
+	// reservedFor is the task for which the worker is reserved, since reservedAt; nil if it is not.
+	reservedFor *task
+	reservedAt  time.Time
 	// appeal is how much the images want the worker that it suits.
 	appeal float64
 	// usual is the mean tail as a part of its target, each counted up to its target.
