A reservation is logged, and sizes that fit nowhere are looked for once

A worker that is reserved keeps others from it, so that it needs a line (4041). Where no worker will ever have room for a size, the next stages of that size or larger ones no longer look at each worker and its runs. What is reserved stays the same.

--- a/internal/batch/core.go
+++ b/internal/batch/core.go
@@ -103,6 +103,7 @@
 	NoteMoved       NoteKind = "moved"
 	NoteLent        NoteKind = "lent"
 	NoteWaits       NoteKind = "waits"
+	NoteReserved    NoteKind = "reserved"
 )
 
 const (
--- a/internal/batch/reserve.go
+++ b/internal/batch/reserve.go
@@ -42,27 +42,45 @@
 		return
 	}
 	c.reservedAt = now
-	most := max(1, len(c.open)/reservedPart)
+	// hopeless are, by service, sizes for which no worker will have room.
+	hopeless := map[string]share.Resources{}
 	for _, r := range waiting {
 		s := r.stage
-		if s.queued == 0 || !s.step.LongRunning || s.step.Fills || s.step.Gang || s.waited(now) < reserveAfter {
+		least, known := hopeless[s.job.service]
+		if !s.wantsReservation(now) || known && least.Fits(s.step.Size) {
+			continue
+		}
+		if !c.reserveFor(s, now) && s.step.isPlain() && !c.isAdvised(s) {
+			hopeless[s.job.service] = s.step.Size
+		}
+	}
+}
+
+// wantsReservation reports whether tasks of the stage last and have waited for long.
+func (s *stage) wantsReservation(now time.Time) bool {
+	return s.queued > 0 && s.step.LongRunning && !s.step.Fills && !s.step.Gang && s.waited(now) >= reserveAfter
+}
+
+// reserveFor reserves workers for the waiting tasks of a stage while there may be
+// more, and reports whether none of them lacks a worker that will have room.
+func (c *Core) reserveFor(s *stage, now time.Time) bool {
+	most := max(1, len(c.open)/reservedPart)
+	for _, t := range s.tasks {
+		if len(c.reserved) >= most {
+			return true
+		}
+		if t.state != taskQueued || now.Before(t.notBefore) || c.hasReserved(t) {
 			continue
 		}
-		for _, t := range s.tasks {
-			if len(c.reserved) >= most {
-				return
-			}
-			if t.state != taskQueued || now.Before(t.notBefore) || c.hasReserved(t) {
-				continue
-			}
-			w := c.soonestRoom(t, now)
-			if w == nil {
-				break
-			}
-			w.reservedFor, w.reservedAt = t, now
-			c.reserved = append(c.reserved, w)
+		w := c.soonestRoom(t, now)
+		if w == nil {
+			return false
 		}
+		w.reservedFor, w.reservedAt = t, now
+		c.reserved = append(c.reserved, w)
+		c.note(Note{Kind: NoteReserved, Task: t.name(), Run: t.lastRun, Worker: w.ID, Age: now.Sub(t.queuedAt)})
 	}
+	return true
 }
 
 // mayReserve reports whether a worker can be, or stay, reserved for a task: it lacks
--- a/internal/desk/notes.go
+++ b/internal/desk/notes.go
@@ -24,6 +24,7 @@
 	batch.NoteMoved:       eventlog.JobMoved,
 	batch.NoteLent:        eventlog.TaskLent,
 	batch.NoteWaits:       eventlog.TaskWaits,
+	batch.NoteReserved:    eventlog.WorkerReserved,
 }
 
 // log writes the line of one decision.
--- a/internal/eventlog/batch.go
+++ b/internal/eventlog/batch.go
@@ -114,6 +114,11 @@
 		Meaning: "A task has found no worker for the named time; reason is what keeps it from most of those that take runs. Told again every five seconds, once for each step.",
 		Advice:  "By the reason: more workers, or fewer tasks that last on them; an image that harms all others needs workers of its own.",
 	})
+	WorkerReserved = register(Event{
+		Number: 4041, Level: zapcore.InfoLevel, Message: "worker reserved",
+		Meaning: "The task lasts and has waited for the named time; others get only what it leaves on the worker, until it has room there.",
+		Advice:  "None, unless it is frequent: then the workers are nearly full of tasks that last.",
+	})
 	RunUnexplained = register(Event{
 		Number: 4036, Level: zapcore.WarnLevel, Message: "run without a record",
 		Meaning: "A worker has a run that no record explains; it is stopped.",
