Reservations are for tasks that have run and lost their worker

What the platform bounds is the time from a task's last run to its next; tasks that have not run yet get none any more.

--- a/internal/batch/reserve.go
+++ b/internal/batch/reserve.go
@@ -7,13 +7,15 @@
 	"github.com/oriolepond/oriolepond/pkg/share"
 )
 
-// A task that lasts may wait for ever beside smaller ones that end, which take each
-// bit of room as it comes free. So one that has waited for long gets a worker
-// reserved: others are given only what it leaves there.
+// A task that lasts and has lost its worker may wait for ever beside smaller ones that
+// end, which take each bit of room as it comes free. So one that has waited for long
+// gets a worker reserved: others are given only what it leaves there. Tasks that have
+// not run yet get none: where lasting work exceeds the pool, they would take it from
+// all that ends.
 
 const (
-	// reserveAfter is how long a task that lasts waits until a worker is reserved for
-	// it: the platform allows it 6 s from its last run to its next, and most runs of
+	// reserveAfter is how long a task that lasts waits after its last run until a worker
+	// is reserved for it: the platform allows it 6 s from its last run to its next, and most runs of
 	// others end within two.
 	reserveAfter = 1500 * time.Millisecond
 	// reserveEvery is how often workers are looked for, which takes a look at each.
@@ -47,7 +49,7 @@
 	for _, r := range waiting {
 		s := r.stage
 		least, known := hopeless[s.job.service]
-		if !s.wantsReservation(now) || known && least.Fits(s.step.Size) {
+		if !s.wantsReservation() || known && least.Fits(s.step.Size) {
 			continue
 		}
 		if !c.reserveFor(s, now) && s.step.isPlain() && !c.isAdvised(s) {
@@ -56,9 +58,14 @@
 	}
 }
 
-// wantsReservation reports whether tasks of the stage last and have waited for long.
-func (s *stage) wantsReservation(now time.Time) bool {
-	return s.queued > 0 && s.step.LongRunning && !s.step.Fills && !s.step.Gang && s.waited(now) >= reserveAfter
+// wantsReservation reports whether tasks of the stage may get a worker reserved.
+func (s *stage) wantsReservation() bool {
+	return s.queued > 0 && s.step.LongRunning && !s.step.Fills && !s.step.Gang
+}
+
+// wantsReservation reports whether the task has lost its run and waited for long.
+func (t *task) wantsReservation(now time.Time) bool {
+	return t.state == taskQueued && t.lastRun > 0 && !now.Before(t.notBefore) && now.Sub(t.queuedAt) >= reserveAfter
 }
 
 // reserveFor reserves workers for the waiting tasks of a stage while there may be
@@ -69,7 +76,7 @@
 		if len(c.reserved) >= most {
 			return true
 		}
-		if t.state != taskQueued || now.Before(t.notBefore) || c.hasReserved(t) {
+		if !t.wantsReservation(now) || c.hasReserved(t) {
 			continue
 		}
 		w := c.soonestRoom(t, now)
