--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -9,7 +9,7 @@
 //
 // # Usage
 //
-//	d := &replica.Document{Client: client, Prefix: "op/", Key: "op/config", CopyKey: desk.ConfigCopyKey,
+//	d := &replica.Document{Client: client, Prefix: prefix, Key: key, CopyKey: desk.ConfigCopyKey,
 //		Within: bound, Leads: plane.Leads, Distance: plane.Distance, Take: apply, Log: log}
 //	plane.Copies = d.NoteCopies
 //	go d.Run(ctx)
