--- a/internal/batch/core.go
+++ b/internal/batch/core.go
@@ -58,6 +58,8 @@
 	ranks []rank
 
 	unresponsive unresponsiveRecord
+	// work counts for TakeWork.
+	work Work
 
 	// commands are to be sent, and the workers whose IDs are in polls are to be polled, without
 	// waiting for a commit.
--- a/internal/batch/fit.go
+++ b/internal/batch/fit.go
@@ -39,7 +39,9 @@
 	var bestScore float64
 	n := len(c.accepting)
 	compared := 0
+	c.work.Searches++
 	for i := range n {
+		c.work.Examined++
 		w := c.accepting[(c.searchStart+i)%n]
 		if !c.fits(t, w, now) || permits != nil && !permits(w) {
 			continue
--- a/internal/batch/plan.go
+++ b/internal/batch/plan.go
@@ -10,6 +10,7 @@
 // jobs whose retention is over, starts occurrences that are due, and stops runs on draining
 // workers. Afterwards, it hands over or delegates what has waited too long.
 func (c *Core) Plan(now time.Time) {
+	c.work.Plans++
 	c.expireLeases(now)
 	c.expireJobs(now)
 	for _, j := range c.active {
--- /dev/null
+++ b/internal/batch/work.go
@@ -0,0 +1,40 @@
+package batch
+
+import "time"
+
+// Work is what a Core did since the last call of TakeWork, and what it had left to do then.
+type Work struct {
+	// Plans counts the plans, Searches the searches for a worker in them, and Examined the workers
+	// that these searches looked at.
+	Plans    int
+	Searches int
+	Examined int
+	// Jobs counts the jobs that have not ended, WaitingStages the stages with queued tasks, and
+	// QueuedTasks these tasks.
+	Jobs          int
+	WaitingStages int
+	QueuedTasks   int
+	// OldestContact is the longest time since a worker that has runs answered a call.
+	OldestContact time.Duration
+}
+
+// TakeWork returns the work since its last call.
+func (c *Core) TakeWork(now time.Time) Work {
+	work := c.work
+	c.work = Work{}
+	work.Jobs = len(c.active)
+	for _, j := range c.active {
+		for _, s := range j.stages {
+			if s.queued > 0 {
+				work.WaitingStages++
+				work.QueuedTasks += s.queued
+			}
+		}
+	}
+	for _, w := range c.workers {
+		if len(w.runs) > 0 && w.contacted {
+			work.OldestContact = max(work.OldestContact, now.Sub(w.lastContact))
+		}
+	}
+	return work
+}
--- a/internal/eventlog/batch.go
+++ b/internal/eventlog/batch.go
@@ -121,6 +121,11 @@
 		Meaning: "A long-running task has waited for the named time; until the worker has enough free capacity for it, other tasks get only the capacity that it does not need there.",
 		Advice:  "None, unless it is frequent: then long-running tasks nearly fill the workers.",
 	})
+	LeaderLoad = register(Event{
+		Number: 4042, Level: zapcore.InfoLevel, Message: "leader load",
+		Meaning: "What the leader spent its time on since the last such line, and what waits. The times are parts of the interval.",
+		Advice:  "If plans or reports take most of the interval, or the oldest contact nears the worker leases, the instance is too small for its cell.",
+	})
 	RunOrphaned = register(Event{
 		Number: 4036, Level: zapcore.WarnLevel, Message: "orphaned run",
 		Meaning: "A worker reported a run of which there is no record; the run is stopped.",
--- a/internal/scheduler/leader.go
+++ b/internal/scheduler/leader.go
@@ -49,6 +49,9 @@
 	fenced bool
 	inbox  map[string]inboxEntry
 
+	// load is what the leader spent its time on since it was last logged.
+	load load
+
 	// headRevision is the revision of the head, the key that names the cell's latest commit.
 	headRevision     int64
 	commitSequence   int64
@@ -211,6 +214,7 @@
 	actor.Loop(ctx, &g, inbox.Run)
 	actor.Loop(ctx, &g, l.planLoop)
 	actor.Loop(ctx, &g, l.commitLoop)
+	actor.Loop(ctx, &g, l.logLoad)
 	if !l.Cell.IsWhole() {
 		actor.Loop(ctx, &g, l.exchangeLoads)
 		actor.Loop(ctx, &g, l.removeForwardingRecords)
@@ -312,7 +316,11 @@
 					l.core.DropUncommitted(last)
 				}
 				l.core.SetWallOffset(l.wallClockOffset())
-				l.core.Plan(l.Now())
+				startedAt := l.Now()
+				l.core.Plan(startedAt)
+				planned := l.Now().Sub(startedAt)
+				l.load.planning += planned
+				l.Metrics.Plan(planned)
 				dirty = l.core.HasChanges()
 			})
 		})
--- a/internal/scheduler/meter.go
+++ b/internal/scheduler/meter.go
@@ -9,8 +9,9 @@
 	"github.com/oriolepond/oriolepond/internal/batch"
 )
 
-// Metrics records the durations of a node's commits, polls and commands as leader.
+// Metrics records the durations of a node's plans, commits, polls and commands as leader.
 type Metrics struct {
+	plans    *metrics.Histogram
 	commits  *metrics.Histogram
 	polls    *metrics.Histogram
 	commands *metrics.Histogram
@@ -20,6 +21,7 @@
 // NewMetrics returns metrics that are registered in a set.
 func NewMetrics(set *metrics.Set) *Metrics {
 	return &Metrics{
+		plans:    set.NewHistogram("oriolepond_plan_seconds"),
 		commits:  set.NewHistogram("oriolepond_commit_seconds"),
 		polls:    set.NewHistogram("oriolepond_look_seconds"),
 		commands: set.NewHistogram("oriolepond_order_seconds"),
@@ -27,6 +29,9 @@
 	}
 }
 
+// Plan records the duration of a plan.
+func (m *Metrics) Plan(duration time.Duration) { m.plans.Update(duration.Seconds()) }
+
 // Commit records the duration of a commit.
 func (m *Metrics) Commit(duration time.Duration) { m.commits.Update(duration.Seconds()) }
 
--- a/internal/scheduler/polls.go
+++ b/internal/scheduler/polls.go
@@ -193,7 +193,10 @@
 	fenced := false
 	l.withLock(func() {
 		if err == nil {
+			startedAt := l.Now()
 			l.core.ApplyReport(id, report, sent, received)
+			l.load.applying += l.Now().Sub(startedAt)
+			l.load.reports++
 		} else {
 			l.core.PollFailed(id, answer, refused, sent, received)
 		}
