The prior of missed targets is computed once

Cause: each estimate for a filler task on a worker evaluates the error function twenty times for each group of serving tasks there, always at the same 17 points.

Change: the 17 values are computed at the start of the process; results are the same.

--- a/internal/batch/bench_test.go
+++ b/internal/batch/bench_test.go
@@ -199,3 +199,16 @@
 	}
 	bench.core.TakeNotes()
 }
+
+// BenchmarkEstimatePlacement measures the estimate for a filler task on a worker with serving tasks
+// after a change there.
+func BenchmarkEstimatePlacement(b *testing.B) {
+	c := benchCore(b, 48)
+	w := c.workers["w-0000"]
+	image := c.imageID("f-0")
+	b.ReportAllocs()
+	for b.Loop() {
+		w.groupsStale = true
+		c.estimatePlacement(image, 0.1, w)
+	}
+}
--- a/internal/interference/calibration.go
+++ b/internal/interference/calibration.go
@@ -29,6 +29,14 @@
 	priorMissStdDev = 0.35
 )
 
+// priorProbabilities are the probabilities of a missed target that the prior assumes in each bin.
+var priorProbabilities = func() (probabilities [binCount]float64) {
+	for i := range probabilities {
+		probabilities[i] = math.Erfc((firstBinCentre+float64(i)*binWidth-1)/(priorMissStdDev*math.Sqrt2)) / 2
+	}
+	return probabilities
+}()
+
 // observe records whether the target was missed at an expected headroom.
 func (c *calibration) observe(expected float64, missed bool) {
 	index := int(math.Round((expected - firstBinCentre) / binWidth))
@@ -53,7 +61,6 @@
 
 // binProbability returns the probability of a missed target in one bin.
 func (c *calibration) binProbability(i int) float64 {
-	prior := math.Erfc((firstBinCentre+float64(i)*binWidth-1)/(priorMissStdDev*math.Sqrt2)) / 2
-	b := c.bins[i]
-	return (b.missed + priorCount*prior) / (b.count + priorCount)
+	b := &c.bins[i]
+	return (b.missed + priorCount*priorProbabilities[i]) / (b.count + priorCount)
 }
