The tasks of a stage share a search

Change: a search returns the workers that suit, with their scores; the tasks that follow take the best one left, and only the worker that was taken is rated again. A wide step compares 16 workers for each of its tasks, more than 96 if need be, so that the best ones are not used up.

--- a/internal/batch/advise.go
+++ b/internal/batch/advise.go
@@ -109,7 +109,7 @@
 		s.query.notBefore = now.Add(queryPause)
 		return
 	}
-	s.lastSearch = search{}
+	s.failedSearch = failedSearch{}
 	if s.tickets == nil {
 		s.tickets = map[string]ticket{}
 	}
--- a/internal/batch/bench_test.go
+++ b/internal/batch/bench_test.go
@@ -95,7 +95,7 @@
 			c.updateAccepting(benchStart)
 			b.ReportAllocs()
 			for b.Loop() {
-				if c.chooseWorker(t, nil, benchStart) == nil {
+				if c.take(c.searchStage(t, benchStart), t, benchStart) == nil {
 					b.Fatal("no worker")
 				}
 			}
--- a/internal/batch/core.go
+++ b/internal/batch/core.go
@@ -57,6 +57,8 @@
 	changed            []*worker
 	searchedAt         uint64
 	previousSearchedAt uint64
+	// shortlist is that of the last search; its slice is reused.
+	shortlist shortlist
 	// ranks are the stages with queued tasks in the order of placement, as last returned by the
 	// method waiting. Its next call reuses the slice.
 	ranks []rank
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -89,7 +89,7 @@
 	readyAt time.Time
 	// waitLoggedAt is when the reason why the stage waits was last logged.
 	waitLoggedAt time.Time
-	lastSearch   search
+	failedSearch failedSearch
 	// gangSearchedAt is when workers were last searched for the whole gang without success.
 	gangSearchedAt time.Time
 	// lastGangRun is the number of the gang's last run.
--- a/internal/batch/plan.go
+++ b/internal/batch/plan.go
@@ -116,13 +116,23 @@
 	c.makeReservations(waiting, now)
 }
 
+// placeTasks assigns the queued tasks of a stage to workers until no worker suits the next one.
 func (c *Core) placeTasks(s *stage, now time.Time) {
+	var found *shortlist
 	for _, t := range s.tasks {
 		if t.state != taskQueued || now.Before(t.notBefore) {
 			continue
 		}
-		w := c.findWorker(t, now)
+		if found == nil || !c.isShared(found, t, now) {
+			found = c.searchStage(t, now)
+		}
+		w := c.take(found, t, now)
+		if w == nil && !found.complete {
+			found = c.searchStage(t, now)
+			w = c.take(found, t, now)
+		}
 		if w == nil {
+			s.failedSearch = failedSearch{at: c.searchedAt, patience: found.patience}
 			return
 		}
 		c.assign(t, w, t.lastRun+1, now)
@@ -149,8 +159,8 @@
 		}
 		number = max(number, t.lastRun+1)
 	}
-	if c.onlyChangedSuit(s, 0) && c.chooseChangedWorker(s.tasks[0], now) == nil {
-		s.lastSearch.at = c.searchedAt
+	if c.onlyChangedSuit(s, 0) && len(c.searchChanged(s.tasks[0], now).choices) == 0 {
+		s.failedSearch.at = c.searchedAt
 		return
 	}
 	if now.Sub(s.gangSearchedAt) < gangSearchInterval {
@@ -158,7 +168,7 @@
 	}
 	chosen := c.chooseGang(s, now)
 	if chosen == nil {
-		s.lastSearch, s.gangSearchedAt = search{at: c.searchedAt}, now
+		s.failedSearch, s.gangSearchedAt = failedSearch{at: c.searchedAt}, now
 		return
 	}
 	s.lastGangRun = number
@@ -207,8 +217,13 @@
 		}
 	}()
 	inRack := func(w *worker) bool { return rack == "" || w.Rack == rack }
+	found := c.search(s.tasks[0], inRack, max(maxCandidates, candidatesPerTask*len(s.tasks)), now)
 	for _, t := range s.tasks {
-		w := c.chooseWorker(t, inRack, now)
+		w := c.take(found, t, now)
+		if w == nil && !found.complete {
+			found = c.search(t, inRack, maxCandidates, now)
+			w = c.take(found, t, now)
+		}
 		if w == nil {
 			return nil
 		}
--- a/internal/batch/search.go
+++ b/internal/batch/search.go
@@ -11,8 +11,8 @@
 // of all plans by the size of the pool. After a search without success, the next ones therefore look
 // only at the workers that have changed since then in a way that may suit more tasks.
 
-// search is the last search without success for a stage.
-type search struct {
+// failedSearch is the last search without success for a stage.
+type failedSearch struct {
 	// at is the value of Core.searchedAt in the plan of the search; zero means that there was none.
 	at uint64
 	// patience is that of the task, see task.patience.
@@ -54,86 +54,127 @@
 	c.previousSearchedAt, c.searchedAt = c.searchedAt, c.changes
 }
 
-// maxCandidates limits how many workers are compared for one task, so that the cost of a placement
-// does not grow with the pool.
-const maxCandidates = 96
+const (
+	// maxCandidates limits how many workers are compared for one task, so that the cost of a
+	// placement does not grow with the pool. For the tasks of a wide stage, which share a shortlist,
+	// it is candidatesPerTask for each of them.
+	maxCandidates     = 96
+	candidatesPerTask = 16
+)
+
+// shortlist holds the workers that were found for the tasks of a stage, from the same search.
+type shortlist struct {
+	choices []choice
+	// complete means that no other worker suits the tasks.
+	complete bool
+	// task is the task that was searched for, patience its patience then.
+	task     *task
+	patience int
+}
 
-// choice is the best worker that was found for a task so far.
+// choice is a worker that suits a task; a higher score is better.
 type choice struct {
 	worker *worker
 	score  float64
+	// outdated means that the worker was given a task after it was rated.
+	outdated bool
 }
 
-// consider replaces the choice if a worker suits the task better. It reports whether the worker suits
-// the task at all.
-func (c *Core) consider(best *choice, t *task, w *worker, now time.Time) bool {
+// consider adds a worker to the shortlist if it suits the task.
+func (c *Core) consider(l *shortlist, w *worker, now time.Time) {
 	c.work.Examined++
-	if !c.fits(t, w, now) {
-		return false
-	}
-	if score := c.score(t, w, now); best.worker == nil || score > best.score {
-		best.worker, best.score = w, score
-	}
-	return true
-}
-
-// findWorker returns the best worker for a task, or nil. If the search for the stage has failed in the
-// previous plan, it considers only the workers that have changed since.
-func (c *Core) findWorker(t *task, now time.Time) *worker {
-	s, patience := t.stage, t.patience(now)
-	var w *worker
-	if c.onlyChangedSuit(s, patience) {
-		w = c.chooseChangedWorker(t, now)
-	} else {
-		w = c.chooseWorker(t, nil, now)
+	if c.fits(l.task, w, now) {
+		l.choices = append(l.choices, choice{worker: w, score: c.score(l.task, w, now)})
 	}
-	if w == nil {
-		s.lastSearch = search{at: c.searchedAt, patience: patience}
-	}
-	return w
 }
 
-// onlyChangedSuit reports whether only workers in c.changed can suit a task of the stage.
-func (c *Core) onlyChangedSuit(s *stage, patience int) bool {
-	return s.lastSearch.at > 0 && s.lastSearch.at >= c.previousSearchedAt && patience <= s.lastSearch.patience
+// search returns a shortlist for a task, which is valid until the next search. If permits is not nil,
+// it restricts the search. At most limit workers are compared, beginning where the last search ended.
+func (c *Core) search(t *task, permits func(*worker) bool, limit int, now time.Time) *shortlist {
+	l := c.newShortlist(t, now)
+	n := len(c.accepting)
+	for i := range n {
+		w := c.accepting[(c.searchStart+i)%n]
+		if permits != nil && !permits(w) {
+			continue
+		}
+		if c.consider(l, w, now); len(l.choices) == limit {
+			c.searchStart = (c.searchStart + i + 1) % n
+			l.complete = i == n-1
+			break
+		}
+	}
+	return l
 }
 
-// chooseChangedWorker returns the best worker for a task among those in c.changed, or nil. It also
-// considers a worker that is reserved for the task, which no other task of the stage could use.
-func (c *Core) chooseChangedWorker(t *task, now time.Time) *worker {
-	c.work.Searches++
-	var best choice
+// searchChanged returns a shortlist for a task of the workers in c.changed. It also considers a worker
+// that is reserved for the task, which no other task of the stage could use.
+func (c *Core) searchChanged(t *task, now time.Time) *shortlist {
+	l := c.newShortlist(t, now)
 	for _, w := range c.changed {
-		c.consider(&best, t, w, now)
+		c.consider(l, w, now)
 	}
 	if t.stage.wantsReservation() {
 		for _, w := range c.reserved {
-			if w.reservedFor == t && w.accepts {
-				c.consider(&best, t, w, now)
+			if w.reservedFor == t && w.accepts && w.changedAt <= c.previousSearchedAt {
+				c.consider(l, w, now)
 			}
 		}
 	}
-	return best.worker
+	return l
 }
 
-// chooseWorker returns the best worker for a task, or nil. If permits is not nil, it restricts the
-// choice. At most maxCandidates workers are compared, beginning where the last search ended.
-func (c *Core) chooseWorker(t *task, permits func(*worker) bool, now time.Time) *worker {
+func (c *Core) newShortlist(t *task, now time.Time) *shortlist {
 	c.work.Searches++
-	var best choice
-	n := len(c.accepting)
-	compared := 0
-	for i := range n {
-		w := c.accepting[(c.searchStart+i)%n]
-		if permits != nil && !permits(w) || !c.consider(&best, t, w, now) {
-			continue
+	c.shortlist = shortlist{choices: c.shortlist.choices[:0], complete: true, task: t, patience: t.patience(now)}
+	return &c.shortlist
+}
+
+// searchStage returns a shortlist for a task and those of its stage that follow. If the search for the
+// stage has failed in the previous plan, it considers only the workers that have changed since.
+func (c *Core) searchStage(t *task, now time.Time) *shortlist {
+	if s := t.stage; !c.onlyChangedSuit(s, t.patience(now)) {
+		return c.search(t, nil, max(maxCandidates, candidatesPerTask*s.queued), now)
+	}
+	return c.searchChanged(t, now)
+}
+
+// onlyChangedSuit reports whether only workers in c.changed can suit a task of the stage.
+func (c *Core) onlyChangedSuit(s *stage, patience int) bool {
+	return s.failedSearch.at > 0 && s.failedSearch.at >= c.previousSearchedAt && patience <= s.failedSearch.patience
+}
+
+// isShared reports whether a shortlist is also valid for another task of its stage.
+func (c *Core) isShared(l *shortlist, t *task, now time.Time) bool {
+	return t == l.task || t.avoidWorker == l.task.avoidWorker && t.patience(now) == l.patience && !c.hasReservedFor(t.stage)
+}
+
+// hasReservedFor reports whether a worker is reserved for any task of a stage.
+func (c *Core) hasReservedFor(s *stage) bool {
+	return slices.ContainsFunc(c.reserved, func(w *worker) bool { return w.reservedFor.stage == s })
+}
+
+// take returns the best worker on a shortlist for a task, which is then given to that worker, or nil.
+func (c *Core) take(l *shortlist, t *task, now time.Time) *worker {
+	for len(l.choices) > 0 {
+		best := 0
+		for i := range l.choices {
+			if l.choices[i].score > l.choices[best].score {
+				best = i
+			}
 		}
-		if compared++; compared == maxCandidates {
-			c.searchStart = (c.searchStart + i + 1) % n
-			break
+		chosen := &l.choices[best]
+		if !chosen.outdated {
+			chosen.outdated = true
+			return chosen.worker
+		}
+		if !c.fits(t, chosen.worker, now) {
+			l.choices = slices.Delete(l.choices, best, best+1)
+			continue
 		}
+		chosen.score, chosen.outdated = c.score(t, chosen.worker, now), false
 	}
-	return best.worker
+	return nil
 }
 
 // patienceLevels is the number of steps in which the miss cost of a waiting filler task falls.
