A small node leaves an election to larger ones, at a slow store too

Cause: the leader stopped at 11.0 s while the store answered 74 times slower. An instance of 0.11 cores heard of it at 11.39 s, the large ones at 11.66 to 11.77 s. Its candidacy waits for 431 ms, less than the two calls of an election take there, so it won, restored for 1.7 s and lost its lease at 15.2 s, half a second before the leases at the workers ended.

Change: the delay by share is at most 2 s, longer than an election at a slow store. Equal nodes wait as before. Where only small nodes are left, an election takes up to 1.5 s more, within the leases of the workers.

TestLargeNodeIsElectedThoughSmallOneKnowsFirst fails without the change.

--- a/internal/scheduler/cluster_test.go
+++ b/internal/scheduler/cluster_test.go
@@ -27,6 +27,8 @@
 	workers *fakeWorkers
 	nodes   map[string]*Scheduler
 	stops   map[string]context.CancelFunc
+	// shares are the CPU shares of nodes; the others have a share of 1.
+	shares map[string]float64
 	// unreachable are the nodes that no peer reaches, withoutWorkers those that reach no worker.
 	unreachable    map[string]bool
 	withoutWorkers map[string]bool
@@ -42,7 +44,7 @@
 	cl := &cluster{
 		t: t, store: newFakeStore(), workers: newFakeWorkers(duration, workers...),
 		nodes: map[string]*Scheduler{}, stops: map[string]context.CancelFunc{}, unreachable: map[string]bool{}, withoutWorkers: map[string]bool{},
-		frozen: map[string]chan struct{}{},
+		frozen: map[string]chan struct{}{}, shares: map[string]float64{},
 	}
 	for _, id := range workers {
 		cl.store.put(testPrefix+id, []byte(id))
@@ -81,6 +83,9 @@
 			return peer.LocalCalls(cell), nil
 		},
 	}
+	if share, ok := cl.shares[name]; ok {
+		node.CPUShare = share
+	}
 	node.SetTable(testTable())
 	cl.mu.Lock()
 	cl.nodes[name], cl.stops[name] = node, cancel
--- a/internal/scheduler/election.go
+++ b/internal/scheduler/election.go
@@ -30,8 +30,9 @@
 	electionRetryInterval = 150 * time.Millisecond
 	// rttDelayFactor, in round trips, and maxShareDelay delay the candidacy of a node that is far
 	// from the store or has a smaller CPU share than others: a leader uses most of its node's share.
+	// The latter delay exceeds the time that an election takes at a slow store.
 	rttDelayFactor = 12
-	maxShareDelay  = 500 * time.Millisecond
+	maxShareDelay  = 2 * time.Second
 	// delayPerTerm delays a node for each term that it serves or runs for, so that the cells spread
 	// over the nodes, those with the greatest CPU share first.
 	delayPerTerm = 150 * time.Millisecond
--- a/internal/scheduler/fakestore_test.go
+++ b/internal/scheduler/fakestore_test.go
@@ -30,6 +30,8 @@
 	refusedClients map[string]bool
 	// unansweredClients are the clients whose calls get no answer.
 	unansweredClients map[string]bool
+	// latency delays the answers to the calls of each client.
+	latency map[string]time.Duration
 	// loseAnswer decides for each commit whether its answer is lost, and after which delay it is
 	// applied if so.
 	loseAnswer func(t store.Txn) (lost bool, late time.Duration)
@@ -42,7 +44,7 @@
 func newFakeStore() *fakeStore {
 	return &fakeStore{
 		items: map[string]store.Entry{}, leases: map[store.LeaseID]time.Time{}, ttl: map[store.LeaseID]time.Duration{},
-		changed: make(chan struct{}), refusedClients: map[string]bool{}, unansweredClients: map[string]bool{}, revision: 1,
+		changed: make(chan struct{}), refusedClients: map[string]bool{}, unansweredClients: map[string]bool{}, latency: map[string]time.Duration{}, revision: 1,
 	}
 }
 
@@ -116,10 +118,19 @@
 	return store.Result{Done: true, Revision: s.revision}, nil
 }
 
+// await waits for the latency of a client's calls.
+func (s *fakeStore) await(client string) {
+	s.mu.Lock()
+	latency := s.latency[client]
+	s.mu.Unlock()
+	time.Sleep(latency)
+}
+
 // client returns a client of the fake store for one node.
 func (s *fakeStore) client(name string) *store.Client {
 	return &store.Client{
 		Read: func(_ context.Context, key string) (store.Entry, bool, error) {
+			s.await(name)
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			if err := s.admit(name, "read"); err != nil {
@@ -129,6 +140,7 @@
 			return e, ok, nil
 		},
 		List: func(_ context.Context, prefix string) (store.Snapshot, error) {
+			s.await(name)
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			if err := s.admit(name, "list"); err != nil {
@@ -138,6 +150,7 @@
 		},
 		Commit: func(ctx context.Context, t store.Txn) (store.Result, error) { return s.commit(ctx, name, t) },
 		GrantLease: func(_ context.Context, ttl time.Duration) (store.LeaseID, error) {
+			s.await(name)
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			if err := s.admit(name, "grant"); err != nil {
@@ -149,6 +162,7 @@
 			return id, nil
 		},
 		KeepAlive: func(_ context.Context, id store.LeaseID) error {
+			s.await(name)
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			if err := s.admit(name, "keep"); err != nil {
@@ -161,6 +175,7 @@
 			return nil
 		},
 		RevokeLease: func(_ context.Context, id store.LeaseID) error {
+			s.await(name)
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			if err := s.admit(name, "revoke"); err != nil {
@@ -187,6 +202,7 @@
 }
 
 func (s *fakeStore) commit(ctx context.Context, name string, t store.Txn) (store.Result, error) {
+	s.await(name)
 	s.mu.Lock()
 	if err := s.admit(name, "commit"); err != nil {
 		unresponsive := s.unresponsive
@@ -233,6 +249,7 @@
 		seen = len(s.events)
 		changed := s.changed
 		s.mu.Unlock()
+		s.await(name)
 		handle(u)
 		select {
 		case <-ctx.Done():
--- a/internal/scheduler/takeover_test.go
+++ b/internal/scheduler/takeover_test.go
@@ -71,6 +71,29 @@
 	}
 }
 
+// Guards against a leader with too little processor time for its cell: a slow store delays the news
+// that there is no leader by more for a large node than for a small one.
+func TestLargeNodeIsElectedThoughSmallOneKnowsFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, time.Second, "w1")
+		defer cl.stop()
+		cl.shares["small"] = 0.1
+		cl.addNode("first")
+		time.Sleep(2 * time.Second)
+		cl.addNode("large")
+		cl.addNode("small")
+		time.Sleep(2 * time.Second)
+		cl.store.update(func(s *fakeStore) {
+			s.latency["large"], s.latency["small"] = 400*time.Millisecond, 100*time.Millisecond
+		})
+		time.Sleep(time.Second)
+		cl.kill("first")
+		time.Sleep(5 * time.Second)
+		leader, _ := cl.leader()
+		require.Equal(t, "large", leader)
+	})
+}
+
 // During an outage of the store, submissions have to be refused at once and never run, while
 // runs go on.
 func TestRunsOutlastStoreOutage(t *testing.T) {
