Estimates for filler tasks skip what a rejection does not need

The list of estimates of a worker grew with the waiting steps and is searched linearly.

Change: the misses are computed when they are needed, the probabilities without the task once for each change of the worker, and at most 32 estimates are kept.

--- a/internal/batch/bench_test.go
+++ b/internal/batch/bench_test.go
@@ -200,15 +200,22 @@
 	bench.core.TakeNotes()
 }
 
-// BenchmarkEstimatePlacement measures the estimate for a filler task on a worker with serving tasks
-// after a change there.
+// BenchmarkEstimatePlacement measures the estimates for filler tasks of 20 images on a worker with
+// serving tasks after a change there.
 func BenchmarkEstimatePlacement(b *testing.B) {
 	c := benchCore(b, 48)
 	w := c.workers["w-0000"]
-	image := c.imageID("f-0")
+	var images []int
+	for i := range 20 {
+		images = append(images, c.imageID(fmt.Sprintf("f-%d", i)))
+	}
 	b.ReportAllocs()
 	for b.Loop() {
 		w.groupsStale = true
-		c.estimatePlacement(image, 0.1, w)
+		for _, image := range images {
+			if c.missFreeProbability(image, 0.1, w) >= minMissFreeProbability {
+				c.estimatePlacement(image, 0.1, w)
+			}
+		}
 	}
 }
--- a/internal/batch/demand.go
+++ b/internal/batch/demand.go
@@ -31,7 +31,7 @@
 		for k := range demands {
 			d := &demands[k]
 			cpuShare := d.processors / float64(d.tasks) / float64(max(1, w.Capacity.Processors))
-			if c.estimatePlacement(d.image, cpuShare, w).missFreeProbability >= minMissFreeProbability {
+			if c.missFreeProbability(d.image, cpuShare, w) >= minMissFreeProbability {
 				suits[i*len(demands)+k] = true
 				d.supply += float64(w.Capacity.Processors)
 			}
--- a/internal/batch/estimate.go
+++ b/internal/batch/estimate.go
@@ -31,6 +31,10 @@
 	// variance of the baseline headroom as the load of the serving tasks changes.
 	typicalOffset   float64
 	typicalVariance float64
+	// missProbability is the probability that the target is missed beside the filler tasks on the
+	// worker, typicalMissProbability the same at the typical load.
+	missProbability        float64
+	typicalMissProbability float64
 }
 
 // missProbability returns the probability that the group's target is missed if an image uses an
@@ -78,6 +82,9 @@
 				group.variance += spread * spread * cpuShare * cpuShare
 			}
 		}
+		group.missProbability = c.missProbability(group, 0, 0)
+		typical := group.atTypicalLoad()
+		group.typicalMissProbability = c.missProbability(&typical, 0, 0)
 	}
 	return w.groups
 }
@@ -87,13 +94,15 @@
 	image int
 	// cpuShare is the share of the worker's processors that the task uses when it is not throttled.
 	cpuShare float64
-	// missesUnthrottled and missesAtHalf are how many more serving tasks are expected to miss their
-	// targets at their present load, if the filler task runs unthrottled or at half speed.
-	missesUnthrottled float64
-	missesAtHalf      float64
 	// missFreeProbability is the probability that no target is missed because of the task, at the
 	// typical load of the serving tasks and its variance.
 	missFreeProbability float64
+	// missesUnthrottled and missesAtHalf are how many more serving tasks are expected to miss their
+	// targets at their present load, if the filler task runs unthrottled or at half speed. They are
+	// computed when they are first needed, and hasMisses is set then.
+	hasMisses         bool
+	missesUnthrottled float64
+	missesAtHalf      float64
 }
 
 // netProgress returns the task's progress less the cost of the expected misses, unthrottled or at
@@ -109,25 +118,47 @@
 	return initialMissCost + waitedFraction*(longWaitMissCost-initialMissCost)
 }
 
+// maxEstimates limits how many estimates are kept for a worker. They are found by a linear search.
+const maxEstimates = 32
+
+// missFreeProbability returns that of the estimate for a filler task of an image on a worker.
+func (c *Core) missFreeProbability(image int, cpuShare float64, w *worker) float64 {
+	return c.findEstimate(image, cpuShare, w).missFreeProbability
+}
+
 // estimatePlacement returns the estimate for a filler task of an image on a worker.
 func (c *Core) estimatePlacement(image int, cpuShare float64, w *worker) placementEstimate {
+	estimate := c.findEstimate(image, cpuShare, w)
+	if !estimate.hasMisses {
+		estimate.hasMisses = true
+		for i := range w.groups {
+			group, tasks := &w.groups[i], float64(w.groups[i].tasks)
+			estimate.missesUnthrottled += tasks * (c.missProbability(group, image, cpuShare) - group.missProbability)
+			estimate.missesAtHalf += tasks * (c.missProbability(group, image, cpuShare/2) - group.missProbability)
+		}
+	}
+	return *estimate
+}
+
+// findEstimate returns the estimate for a filler task of an image on a worker, which may lack the
+// expected misses. It is valid until the next call.
+func (c *Core) findEstimate(image int, cpuShare float64, w *worker) *placementEstimate {
 	groups := c.servingGroups(w)
-	for _, estimate := range w.estimates {
-		if estimate.image == image && estimate.cpuShare == cpuShare {
-			return estimate
+	for i := range w.estimates {
+		if w.estimates[i].image == image && w.estimates[i].cpuShare == cpuShare {
+			return &w.estimates[i]
 		}
 	}
 	estimate := placementEstimate{image: image, cpuShare: cpuShare, missFreeProbability: 1}
 	for i := range groups {
-		group := &groups[i]
-		before, tasks := c.missProbability(group, 0, 0), float64(group.tasks)
-		estimate.missesUnthrottled += tasks * (c.missProbability(group, image, cpuShare) - before)
-		estimate.missesAtHalf += tasks * (c.missProbability(group, image, cpuShare/2) - before)
-		typical := group.atTypicalLoad()
-		estimate.missFreeProbability *= 1 - max(0, c.missProbability(&typical, image, cpuShare)-c.missProbability(&typical, 0, 0))
+		typical := groups[i].atTypicalLoad()
+		estimate.missFreeProbability *= 1 - max(0, c.missProbability(&typical, image, cpuShare)-typical.typicalMissProbability)
+	}
+	if len(w.estimates) == maxEstimates {
+		w.estimates = w.estimates[:maxEstimates-1]
 	}
 	w.estimates = append(w.estimates, estimate)
-	return estimate
+	return &w.estimates[len(w.estimates)-1]
 }
 
 // atTypicalLoad returns the group with the headroom that it has at its typical load.
--- a/internal/batch/fit.go
+++ b/internal/batch/fit.go
@@ -65,8 +65,9 @@
 	if len(w.servingImages) == 0 {
 		return noObstacle
 	}
-	p := c.estimatePlacement(s.image, s.step.cpuShare(w), w)
-	if p.missFreeProbability < minMissFreeProbability || p.netProgress(missCostAfter(now.Sub(t.queuedAt))) < minNetProgress {
+	cpuShare := s.step.cpuShare(w)
+	if c.missFreeProbability(s.image, cpuShare, w) < minMissFreeProbability ||
+		c.estimatePlacement(s.image, cpuShare, w).netProgress(missCostAfter(now.Sub(t.queuedAt))) < minNetProgress {
 		return NoHeadroom
 	}
 	return noObstacle
--- a/internal/batch/throttle.go
+++ b/internal/batch/throttle.go
@@ -91,7 +91,7 @@
 func (c *Core) mayMove(r *run, now time.Time) bool {
 	s := r.task.stage
 	if now.Sub(r.stateSince) < minStayBeforeMove || r.progress > maxProgressToMove || !s.step.Checkpoints && r.progress > maxProgressToLose ||
-		c.estimatePlacement(s.image, s.step.cpuShare(r.worker), r.worker).missFreeProbability > maxMissFreeToMove {
+		c.missFreeProbability(s.image, s.step.cpuShare(r.worker), r.worker) > maxMissFreeToMove {
 		return false
 	}
 	for _, w := range c.workers {
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -60,7 +60,7 @@
 	// again.
 	groups      []servingGroup
 	groupsStale bool
-	// estimates caches the results of Core.estimatePlacement for these groups.
+	// estimates caches results of Core.findEstimate for these groups, at most maxEstimates.
 	estimates []placementEstimate
 	// fillerUsage is the processor time that each filler image used from tailsRecordedAt, when
 	// tails were last recorded, to usageAddedAt: as a share of the worker's processors, times
