Plans take at most a quarter of a leader's time

Cause: a plan began as soon as the one before it had ended if that had taken 8 ms or more.

Change: the next plan begins after four times the duration of the last one, 8 ms to 500 ms. At usual load nothing changes: a plan takes a millisecond.

--- a/internal/scheduler/leader.go
+++ b/internal/scheduler/leader.go
@@ -75,10 +75,17 @@
 func (e *TermEndedError) Error() string { return "term ended: " + e.Reason }
 
 const (
-	// planInterval is how often the core plans when nothing has changed but the time.
-	planInterval = 100 * time.Millisecond
-	// minPlanInterval is the minimum time between two plans, so that changes are handled together.
+	// maxPlanInterval is how often the core plans when nothing has changed but the time.
+	maxPlanInterval = 100 * time.Millisecond
+	// minPlanInterval is the minimum time between the beginnings of two plans, so that changes are
+	// handled together.
 	minPlanInterval = 8 * time.Millisecond
+	// maxPlanShare is the greatest share of the time that plans may take. Polls, commits and callers
+	// wait while the core plans.
+	maxPlanShare = 0.25
+	// maxPlanDelay limits the time from a plan to the next one, since a plan also seems long if the
+	// process was suspended meanwhile.
+	maxPlanDelay = 500 * time.Millisecond
 	// baseCommitInterval is the minimum time between two commits of a single cell, so that
 	// changes share a commit. To limit the load of the store, it is multiplied by the number of
 	// cells, up to maxCommitInterval: a small fraction of the run time of the shortest tasks.
@@ -293,11 +300,18 @@
 	l.signal(l.planNeeded)
 }
 
-// planLoop lets the core plan after each change, and at least every planInterval.
+// planInterval returns the time between the beginnings of a plan, which took the given time, and of
+// the next one.
+func planInterval(planned time.Duration) time.Duration {
+	return min(max(minPlanInterval, time.Duration(float64(planned)/maxPlanShare)), maxPlanDelay)
+}
+
+// planLoop lets the core plan after each change, and at least every maxPlanInterval unless plans take long.
 func (l *Leader) planLoop(ctx context.Context) error {
-	tick := time.NewTicker(planInterval)
+	tick := time.NewTicker(maxPlanInterval)
 	defer tick.Stop()
 	var last time.Time
+	var planned time.Duration
 	for {
 		select {
 		case <-ctx.Done():
@@ -305,8 +319,8 @@
 		case <-l.planNeeded:
 		case <-tick.C:
 		}
-		if wait := minPlanInterval - l.Now().Sub(last); wait > 0 {
-			time.Sleep(wait)
+		if wait := planInterval(planned) - l.Now().Sub(last); wait > 0 {
+			l.sleep(ctx, wait)
 		}
 		last = l.Now()
 		unavailable, dirty := l.isStoreUnavailable(last), false
@@ -318,7 +332,7 @@
 				l.core.SetWallOffset(l.wallClockOffset())
 				startedAt := l.Now()
 				l.core.Plan(startedAt)
-				planned := l.Now().Sub(startedAt)
+				planned = l.Now().Sub(startedAt)
 				l.load.planning += planned
 				l.Metrics.Plan(planned)
 				dirty = l.core.HasChanges()
--- /dev/null
+++ b/internal/scheduler/planinterval_test.go
@@ -0,0 +1,28 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against plans that take all of the leader's time, so that leases at workers expire and
+// nothing is committed.
+func TestPlansLeaveTimeForOtherWork(t *testing.T) {
+	cases := []struct {
+		name    string
+		planned time.Duration
+		want    time.Duration
+	}{
+		{"nothing waits", 100 * time.Microsecond, minPlanInterval},
+		{"a quarter of the usual interval", 2 * time.Millisecond, 8 * time.Millisecond},
+		{"many steps wait", 30 * time.Millisecond, 120 * time.Millisecond},
+		{"the process was suspended", 4 * time.Second, maxPlanDelay},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			require.Equal(t, tc.want, planInterval(tc.planned))
+		})
+	}
+}
