store: list again if the changes exceed one response

Callers saw nothing at first; a leader whose watch of the workers or of the inbox once met more than 8 MB of changes asked for the same changes for ever and no longer learned of workers that came, left or drained.

Cause: Follower went back to a listing only for a compacted history. The changes of a watch response have no pages, and the client reads at most 8 MB. Six writes of a megabyte (the store's limit) between two watches exceed that in base64, for example while a node is refused by the store.

A response that is too large now leads to a new listing, which comes in pages, after the usual pause.

--- a/internal/store/follower.go
+++ b/internal/store/follower.go
@@ -10,7 +10,8 @@
 
 // Follower keeps a caller up to date with all keys under a prefix: it lists them
 // once and watches them from that revision on. If the store has compacted the
-// history, it lists them again, so no change is missed. Its fields are set before Run.
+// history, or the changes are too large for one response, it lists them again, so no
+// change is missed. Its fields are set before Run.
 type Follower struct {
 	Client *Client
 	Prefix string
@@ -72,6 +73,11 @@
 			nextRevision = 0
 			continue
 		}
+		var tooLarge *ResponseTooLargeError
+		if errors.As(err, &tooLarge) {
+			// The same changes would exceed the limit again; a listing comes in pages.
+			nextRevision = 0
+		}
 		if err != nil && ctx.Err() == nil {
 			if f.OnFailure != nil {
 				f.OnFailure(err)
