batch: no new runs on a worker whose entry cannot be decoded

What callers saw: an entry of the workers that another writer had overwritten took the worker out of use only when the list was read as a whole. A watch logged the entry and went on with the previous one, so tasks were still started there, against the platform's rule that such an entry names no worker to use. After a listing, the worker counted as removed; a refused connection then gave up its runs although the platform had not removed it.

Cause: the two paths had no common notion of an entry that is there but unreadable.

TestRunsOutlastUnreadableEntry fails if a listing removes the worker (its run is given up).

--- a/internal/batch/fit.go
+++ b/internal/batch/fit.go
@@ -11,7 +11,7 @@
 
 // acceptsRuns reports whether a worker may be given new runs.
 func (c *Core) acceptsRuns(w *worker, now time.Time) bool {
-	return w.listed && !w.Draining && w.contacted && w.unresponsiveSince.IsZero() &&
+	return w.isUsable() && !w.Draining && w.contacted && w.unresponsiveSince.IsZero() &&
 		!now.Before(w.backoffUntil) && len(w.orphans) == 0 && c.mayGrant(w) && c.health.Permits(w.ID, now)
 }
 
--- a/internal/batch/lease.go
+++ b/internal/batch/lease.go
@@ -6,9 +6,14 @@
 	"time"
 )
 
-// SetWorkers replaces the platform's list of workers.
-func (c *Core) SetWorkers(infos []WorkerInfo, now time.Time) {
+// SetWorkers replaces the platform's list of workers. Unreadable are the IDs of the workers whose
+// entries cannot be decoded.
+func (c *Core) SetWorkers(infos []WorkerInfo, unreadable []string, now time.Time) {
 	listed := map[string]bool{}
+	for _, id := range unreadable {
+		listed[id] = true
+		c.SetUnreadable(id)
+	}
 	for _, info := range infos {
 		listed[info.ID] = true
 		c.SetWorker(info, now)
@@ -34,12 +39,21 @@
 		w.drainingSince = now
 	}
 	w.WorkerInfo = info
-	w.listed = true
+	w.listed, w.unreadable = true, false
 	if !w.contacted {
 		c.requestPoll(w)
 	}
 }
 
+// SetUnreadable records that a worker's entry in the platform's list cannot be decoded. The worker
+// gets no new runs until its entry can be decoded again. Unlike a removal, this says nothing about
+// the runs that it has.
+func (c *Core) SetUnreadable(id string) {
+	if w, ok := c.workers[id]; ok {
+		w.unreadable = true
+	}
+}
+
 // RemoveWorker records that the platform's list no longer contains a worker.
 func (c *Core) RemoveWorker(id string, now time.Time) {
 	w, ok := c.workers[id]
--- /dev/null
+++ b/internal/batch/unreadable_test.go
@@ -0,0 +1,44 @@
+package batch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/oriolepond/oriolepond/pkg/share"
+)
+
+// Guards against a second run of a task because the entry of its worker cannot be decoded while
+// connections to the worker are refused, which proves the end of its runs only after a removal.
+func TestRunsOutlastUnreadableEntry(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(c *Core, id string, others []WorkerInfo, now time.Time)
+	}{
+		{"by listing", func(c *Core, id string, others []WorkerInfo, now time.Time) { c.SetWorkers(others, []string{id}, now) }},
+		{"by watch", func(c *Core, id string, _ []WorkerInfo, _ time.Time) { c.SetUnreadable(id) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			now := time.Unix(1_000_000_000, 0)
+			core := fourWorkerCore(t, now)
+			require.NoError(t, core.Submit(Job{ID: "j", Queue: "check", Steps: []Step{{Tasks: 1, Size: share.Resources{Processors: 1000}}}}, now, nil))
+			core.Plan(now)
+			task := TaskName{Job: "j"}
+			id := commitAndStart(t, core, now)[task].Worker
+			var others []WorkerInfo
+			for _, w := range core.workers {
+				if w.ID != id {
+					others = append(others, w.WorkerInfo)
+				}
+			}
+			c.change(core, id, others, now)
+			now = now.Add(time.Second)
+			core.PollFailed(id, AnswerNone, true, now, now)
+			core.Plan(now)
+			require.Contains(t, core.workers, id, "the runs of the worker were given up")
+			require.Len(t, core.workers[id].runs, 1)
+			require.Empty(t, commitAndStart(t, core, now), "the task was started again")
+		})
+	}
+}
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -11,8 +11,10 @@
 // worker is a worker as the leader sees it.
 type worker struct {
 	WorkerInfo
-	// listed means that the platform's list currently contains the worker.
+	// listed means that the platform's list currently contains the worker, unreadable that its
+	// entry there cannot be decoded. WorkerInfo is then what the last readable entry said.
 	listed        bool
+	unreadable    bool
 	drainingSince time.Time
 	runs          map[runKey]*run
 	// allocated is the sum of what is allocated to runs. fillerSize has the processors that the
@@ -172,6 +174,9 @@
 	}
 }
 
+// isUsable reports whether the platform's list names the worker for new runs.
+func (w *worker) isUsable() bool { return w.listed && !w.unreadable }
+
 // hasLabel reports whether the worker carries a label.
 func (w *worker) hasLabel(label string) bool { return slices.Contains(w.Labels, label) }
 
--- a/internal/batch/world_test.go
+++ b/internal/batch/world_test.go
@@ -150,7 +150,7 @@
 	for _, w := range sim.workers {
 		infos = append(infos, w.info)
 	}
-	sim.core.SetWorkers(infos, sim.now)
+	sim.core.SetWorkers(infos, nil, sim.now)
 	token := sim.token
 	for _, w := range sim.workers {
 		sim.pollLoop(w, token)
--- a/internal/eventlog/batch.go
+++ b/internal/eventlog/batch.go
@@ -38,7 +38,7 @@
 	})
 	WorkerEntryUnreadable = register(Event{
 		Number: 4006, Level: zapcore.WarnLevel, Message: "worker entry unreadable",
-		Meaning: "An entry of the list of workers could not be decoded; nothing is started on that worker.",
+		Meaning: "An entry of the list of workers could not be decoded; the worker gets no new runs, and the runs that it has go on.",
 		Advice:  "Find out who writes that entry.",
 	})
 	SubmissionInInbox = register(Event{
--- a/internal/scheduler/cluster_test.go
+++ b/internal/scheduler/cluster_test.go
@@ -20,6 +20,9 @@
 
 const testPrefix = "workers/"
 
+// oddEntry is the value of an entry of the workers that cannot be decoded.
+const oddEntry = "\xff"
+
 // cluster is a store, workers and nodes within one synctest bubble.
 type cluster struct {
 	t       *testing.T
@@ -65,7 +68,10 @@
 		ID: name + "/" + fmt.Sprint(len(cl.stops)), Address: name, CPUShare: 1, Store: cl.storeClient(name), Workers: cl.workerCalls(name),
 		WorkerPrefix: testPrefix, Timing: batch.DefaultTiming(), Log: eventlog.Discard(), Metrics: NewMetrics(metrics.NewSet()),
 		Now: time.Now,
-		DecodeWorker: func(key string, value []byte) (batch.WorkerInfo, error) {
+		DecodeWorker: func(_ string, value []byte) (batch.WorkerInfo, error) {
+			if string(value) == oddEntry {
+				return batch.WorkerInfo{}, errors.New("odd entry")
+			}
 			return batch.WorkerInfo{
 				ID: string(value), Address: string(value), Service: "pool", Incarnation: 1,
 				Capacity: share.Resources{Processors: 32_000, Memory: 64 << 30},
--- a/internal/scheduler/leader.go
+++ b/internal/scheduler/leader.go
@@ -251,6 +251,7 @@
 
 func (l *Leader) workerSnapshot(s store.Snapshot) {
 	var workers []batch.WorkerInfo
+	var unreadable []string
 	for _, e := range s.Entries {
 		id := strings.TrimPrefix(e.Key, l.WorkerPrefix)
 		if !l.Cell.HasWorker(id) {
@@ -259,11 +260,12 @@
 		info, err := l.DecodeWorker(id, e.Value)
 		if err != nil {
 			l.Log.Emit(eventlog.WorkerEntryUnreadable, zap.String("key", e.Key), zap.Int64("revision", e.Revision), zap.Error(err))
+			unreadable = append(unreadable, id)
 			continue
 		}
 		workers = append(workers, info)
 	}
-	l.guarded("list of workers", func() { l.withLock(func() { l.core.SetWorkers(workers, l.Now()) }) })
+	l.guarded("list of workers", func() { l.withLock(func() { l.core.SetWorkers(workers, unreadable, l.Now()) }) })
 	l.syncPollers()
 	l.signal(l.planNeeded)
 }
@@ -281,6 +283,7 @@
 		info, err := l.DecodeWorker(id, c.Entry.Value)
 		if err != nil {
 			l.Log.Emit(eventlog.WorkerEntryUnreadable, zap.String("key", c.Entry.Key), zap.Int64("revision", c.Entry.Revision), zap.Error(err))
+			l.withLock(func() { l.core.SetUnreadable(id) })
 			continue
 		}
 		l.guarded("list of workers", func() { l.withLock(func() { l.core.SetWorker(info, l.Now()) }) })
