batch: an entry without an incarnation says nothing about a restart

What callers saw: a task could run twice. If the entry of a worker lacked its incarnation (the field of another writer's entry may be missing), the leader forgot the one that it knew. Runs that it then started carried no incarnation, and the next report of the worker, with its unchanged incarnation, counted as a restart: the runs were given up and started again while they went on.

Cause: the entry replaced the known incarnation by zero, which means unknown.

The known incarnation now stays; a report with another one is still a restart.

TestEntryWithoutIncarnationIsNoRestart failed before (the run was given up at the first report) and passes now.

--- a/internal/batch/lease.go
+++ b/internal/batch/lease.go
@@ -32,7 +32,11 @@
 		// The entry was read before the worker published its new incarnation.
 		return
 	}
-	if info.Incarnation != 0 && info.Incarnation != w.Incarnation {
+	if info.Incarnation == 0 {
+		// Only a report tells then whether the worker has restarted.
+		info.Incarnation = w.Incarnation
+	}
+	if info.Incarnation != w.Incarnation {
 		c.beginIncarnation(w, info.Incarnation, now)
 	}
 	if info.Draining && !w.Draining {
