scheduler: count only workers whose entries can be decoded

What callers would see: a deployment that needs several leaders has one, for good. If an entry of another writer was in the store before the first worker, a new deployment counted it twice, found the count stable, and decided on one cell, however many workers then registered.

Cause: countWorkers counted keys.

It now counts the entries that can be decoded. With none, the decision waits for the first worker as it does for an empty list.

The new case of TestCellCountFitsDeployment (an odd entry, and 650 workers 8 s later) failed before (one cell instead of two) and passes now. How one leader serves such a deployment was not measured.

--- a/internal/scheduler/cellcount.go
+++ b/internal/scheduler/cellcount.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"strconv"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -124,12 +125,21 @@
 	}
 }
 
-// countWorkers returns the number of registered workers, and whether the
-// deployment is older than cells, in which case it keeps a single cell.
+// countWorkers returns the number of registered workers, without entries that
+// cannot be decoded, and whether the deployment is older than cells, in which
+// case it keeps a single cell.
 func (s *Scheduler) countWorkers(ctx context.Context) (workers int, predatesCells bool, err error) {
 	if _, predatesCells, err = s.Store.Read(ctx, keysOfCell(0).head); err != nil || predatesCells {
 		return 0, predatesCells, err
 	}
 	snapshot, err := s.Store.List(ctx, s.WorkerPrefix)
-	return len(snapshot.Entries), false, err
+	if err != nil {
+		return 0, false, err
+	}
+	for _, e := range snapshot.Entries {
+		if _, err := s.DecodeWorker(strings.TrimPrefix(e.Key, s.WorkerPrefix), e.Value); err == nil {
+			workers++
+		}
+	}
+	return workers, false, nil
 }
--- a/internal/scheduler/cells_test.go
+++ b/internal/scheduler/cells_test.go
@@ -211,6 +211,14 @@
 			}
 		}},
 		{name: "a small deployment has one cell", want: "1", before: func(cl *cluster) {}},
+		{name: "entries that cannot be decoded are not counted", want: "2", before: func(cl *cluster) {
+			cl.store.remove(testPrefix + "w1")
+			cl.store.put(testPrefix+"odd", []byte(oddEntry))
+			time.Sleep(8 * time.Second)
+			for i := range 650 {
+				cl.store.put(fmt.Sprintf("%sx%d", testPrefix, i), []byte(fmt.Sprint(i)))
+			}
+		}},
 		{name: "a deployment older than cells keeps one cell", want: "1", before: func(cl *cluster) {
 			cl.store.put(keysOfCell(0).head, []byte("1/1"))
 			for i := range 650 {
