batch: check each count and size of a job before they are summed

What callers saw: one submission stopped the leader of a cell. Three steps whose counts sum to 1 only by overflow (2^63-1, 2^63-1, 3) passed the check; the leader panicked while it made room for the tasks, with its lock held, and from then on answered no call and renewed no lease. From the inbox, the same job would meet each next leader. A size near the largest int64 (or memMb from 2^43 on, which became zero or negative bytes) passed as well, although the load of the cell sums the sizes of queued tasks.

Cause: as with worker entries, numbers of others were summed or shifted before they were compared with a limit.

What a large size does to the load is from reading the code.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -275,6 +275,9 @@
 	maxTasks = 10_000
 )
 
+// maxTaskSize limits the size of one task, so that sums over all queued tasks do not overflow.
+var maxTaskSize = share.Resources{Processors: 1 << 26, Memory: 1 << 46, Accelerators: 1 << 26}
+
 // Check returns an *InvalidError if the job is malformed.
 func (j Job) Check() error {
 	if len(j.Steps) == 0 || len(j.Steps) > maxSteps {
@@ -282,7 +285,7 @@
 	}
 	tasks := 0
 	for i, s := range j.Steps {
-		if s.Tasks < 1 || s.Size.IsNegative() || s.MaxPerWorker < 0 {
+		if s.Tasks < 1 || s.Tasks > maxTasks || s.Size.IsNegative() || !s.Size.Fits(maxTaskSize) || s.MaxPerWorker < 0 {
 			return &InvalidError{Reason: fmt.Sprintf("step %d: a count or size is out of range", i)}
 		}
 		tasks += s.Tasks
