scheduler: a panic over a submission or a cancel ends the term

What callers saw: after a panic in the core over one submission, the leader of the cell answered no call and renewed no lease, and kept its place, since the panic left the lock held.

Cause: submit and cancel locked the core without the guard that other messages have; the handler of the peer's or the caller's call recovered the panic above them, where the lock can't be released.

Both now run under the guard: the term ends, the lock is released, and the caller is told that the outcome is unknown.

TestPanicOnSubmissionEndsTerm failed before (no leader acts until the test's time runs out) and passes now: five runs, and once with the race detector. The same change to cancel has no test of its own. The package as a whole fails with the race detector, before this change too: the test TestPanicOnWorkerAnswerFailsOnlyThatCall writes the calls of a running node.

--- a/internal/scheduler/answers.go
+++ b/internal/scheduler/answers.go
@@ -13,14 +13,18 @@
 	return &Calls{Submit: l.submit, Cancel: l.cancel, State: l.state, Pending: l.pending}
 }
 
+// errTermPanicked means that a call panicked, which ends the term.
+var errTermPanicked = errors.New("the leader panicked")
+
 func (l *Leader) submit(ctx context.Context, j batch.Job) error {
 	if l.isStoreUnavailable(l.Now()) {
 		return l.submitError(j.ID)
 	}
 	done := make(chan batch.State, 1)
-	l.mu.Lock()
-	err := l.core.Submit(j, l.Now(), func(s batch.State) { done <- s })
-	l.mu.Unlock()
+	var err error = &UnknownOutcomeError{Err: errTermPanicked}
+	l.guarded("submission", func() {
+		l.withLock(func() { err = l.core.Submit(j, l.Now(), func(s batch.State) { done <- s }) })
+	})
 	if err != nil {
 		return err
 	}
@@ -49,11 +53,13 @@
 
 func (l *Leader) cancel(ctx context.Context, id string) (bool, error) {
 	done := make(chan batch.State, 1)
-	l.mu.Lock()
-	known := l.core.Cancel(id, l.Now(), func(s batch.State) { done <- s })
-	l.mu.Unlock()
-	if !known {
-		return false, nil
+	known := false
+	var err error = &UnknownOutcomeError{Err: errTermPanicked}
+	l.guarded("cancel", func() {
+		l.withLock(func() { known, err = l.core.Cancel(id, l.Now(), func(s batch.State) { done <- s }), nil })
+	})
+	if err != nil || !known {
+		return false, err
 	}
 	l.signal(l.planNeeded)
 	select {
--- a/internal/scheduler/guard_test.go
+++ b/internal/scheduler/guard_test.go
@@ -70,3 +70,31 @@
 		require.Equal(t, batch.Completed, state(t, b, testJob(1, 8).ID))
 	})
 }
+
+// A panic within the core over a submission has to end the term and release the lock; a leader that
+// keeps it renews no lease and answers no call.
+func TestPanicOnSubmissionEndsTerm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, time.Second, "w1", "w2")
+		defer cl.stop()
+		a := cl.addNode("a")
+		cl.addNode("b")
+		time.Sleep(2 * time.Second)
+		require.NoError(t, submit(a, testJob(1, 8)))
+		_, leader := cl.leader()
+		leader.withLock(func() {
+			// A core that was not made by NewCore cannot add a job.
+			leader.core = &batch.Core{}
+			leader.core.SetQueueConfig(testTable())
+		})
+		func() {
+			defer func() { require.Nil(t, recover(), "the panic reaches the caller") }()
+			require.ErrorAs(t, leader.submit(t.Context(), testJob(2, 1)), new(*UnknownOutcomeError))
+		}()
+		time.Sleep(30 * time.Second)
+		_, next := cl.leader()
+		require.NotNil(t, next)
+		require.NotSame(t, leader, next)
+		require.Equal(t, batch.Completed, state(t, a, testJob(1, 8).ID))
+	})
+}
