--- a/internal/batch/fit.go
+++ b/internal/batch/fit.go
@@ -4,7 +4,7 @@
 
 // acceptsRuns reports whether a worker may be given new runs.
 func (c *Core) acceptsRuns(w *worker, now time.Time) bool {
-	return w.listed && !w.Draining && w.contacted && w.unresponsiveSince.IsZero() &&
+	return w.isUsable() && !w.Draining && w.contacted && w.unresponsiveSince.IsZero() &&
 		!now.Before(w.backoffUntil) && len(w.orphans) == 0 && c.mayGrant(w) && c.health.Permits(w.ID, now)
 }
 
