Log lines without a copy of the logger

A leader writes two lines of level debug for each run. Each line copied the logger and its encoder with a buffer of 1 KB, to add the number of the event in front of the fields. The number is now the first field of the line; the lines are the same.

--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -76,5 +76,11 @@
 
 // Emit writes one line for an event, with its number in the field "event".
 func (l *Log) Emit(e Event, fields ...zap.Field) {
-	l.zap.With(zap.Int("event", int(e.Number))).Log(e.Level, e.Message, fields...)
+	entry := l.zap.Check(e.Level, e.Message)
+	if entry == nil {
+		return
+	}
+	all := make([]zap.Field, 0, 1+len(fields))
+	all = append(all, zap.Int("event", int(e.Number)))
+	entry.Write(append(all, fields...)...)
 }
