One reading of the clock fewer for each command

The clock of leases counts suspension and so each reading is a system call, of which the platform charges each. A leader read it once when a command was answered, for its latency, and again after it had got its lock, for the core. The core now gets the first reading, as it does for polls. It is the more exact one: the worker's clock in the answer belongs to it.

--- a/internal/scheduler/polls.go
+++ b/internal/scheduler/polls.go
@@ -237,10 +237,11 @@
 		defer cancel()
 		result := batch.Result{Answer: batch.AnswerNone}
 		l.callPanicked(call.Worker, func() { result = l.Workers.Execute(callCtx, call, l.Token) })
-		latency := l.Now().Sub(sent)
+		received := l.Now()
+		latency := received.Sub(sent)
 		l.timeouts.observe(call.DataCentre, latency)
 		l.Metrics.Command(call.Kind, result.Answer, latency)
-		l.withLock(func() { l.core.HandleAnswer(command, result, sent, l.Now()) })
+		l.withLock(func() { l.core.HandleAnswer(command, result, sent, received) })
 		if result.Answer == batch.AnswerFenced {
 			l.endTerm("worker " + call.Worker + " has seen a newer leader")
 		}
