BenchmarkLeader: an address of its own for each node

Two benchmarks at the same time could take each other's ports, and then waited for runs for a minute. A node that has ended is reported at once.

--- a/cmd/oriolepond/leader_bench_test.go
+++ b/cmd/oriolepond/leader_bench_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -164,7 +163,9 @@
 
 func benchmarkLeader(b *testing.B, c *surroundings) {
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
-	c.Front = freeBenchAddress(b)
+	// Benchmarks that run at the same time use different addresses.
+	ip := fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(63), 1+rand.IntN(250), 1+rand.IntN(250))
+	c.Front = fmt.Sprintf("%s:%d", ip, benchFrontPort)
 	text, err := json.Marshal(c)
 	require.NoError(b, err)
 	child := exec.Command(os.Args[0])
@@ -192,15 +193,20 @@
 	done := make(chan struct{})
 	go sink.Run(done)
 	defer close(done)
-	s := benchSettings(b, c.Front, strings.TrimSpace(store))
-	n := &node{settings: s, advertise: s.PeerAddress, dialer: &net.Dialer{Timeout: dialTimeout, KeepAlive: -1}, log: eventlog.New(eventlog.NewZap(sink))}
+	s := benchSettings(b, ip, strings.TrimSpace(store))
+	n := &node{
+		settings: s, advertise: s.PeerAddress, dialer: &net.Dialer{Timeout: dialTimeout, KeepAlive: -1},
+		log: eventlog.New(eventlog.NewZap(sink)),
+	}
 	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan error)
+	ended := make(chan error, 1)
 	go func() { ended <- n.run(ctx, "") }()
 	defer func() {
 		cancel()
 		<-ended
 	}()
+	time.Sleep(100 * time.Millisecond)
+	require.Empty(b, ended, "the node has ended")
 	counts()
 	awaitRuns := func(runs int) int {
 		for deadline := time.Now().Add(time.Minute); ; time.Sleep(100 * time.Millisecond) {
@@ -239,23 +245,22 @@
 	b.ReportMetric(runs/took.Seconds(), "runs/s")
 }
 
-// freeBenchAddress returns a free loopback address.
-func freeBenchAddress(b *testing.B) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(b, err)
-	require.NoError(b, l.Close())
-	return l.Addr().String()
-}
+// The ports of the node.
+const (
+	benchFrontPort = 7001 + iota
+	benchReadyPort
+	benchPeerPort
+	benchOwnPort
+)
 
-// benchSettings returns the settings of a node at a front address.
-func benchSettings(b *testing.B, front, store string) platform.Settings {
-	_, port, err := net.SplitHostPort(freeBenchAddress(b))
-	require.NoError(b, err)
-	text := fmt.Sprintf(`{"node":"edge-a-1","ip":"127.0.0.1","zone":"z","region":"r",
-		"listen":{"front":%q,"ready":%q,"control":%q},"portRange":[%s,%s],
-		"limits":{"cpuShare":0.8,"cores":1,"memoryMb":284},"bounds":{"holdMaxMs":10000,"status_s":120,"graceS":6,"configApplyMs":2500},
-		"platform":{"address":%q,"form":"kv"},"controlMode":"call"}`, front, freeBenchAddress(b), freeBenchAddress(b), port, port, store)
-	s, err := platform.DecodeSettings("", bytes.TrimSpace([]byte(text)))
+// benchSettings returns the settings of a node at a loopback IP address.
+func benchSettings(b *testing.B, ip, store string) platform.Settings {
+	s, err := platform.DecodeSettings("", fmt.Appendf(nil, `{"node":"edge-a-1","ip":%[1]q,"zone":"z","region":"r",
+		"listen":{"front":"%[1]s:%[2]d","ready":"%[1]s:%[3]d","control":"%[1]s:%[4]d"},"portRange":[%[5]d,%[5]d],
+		"limits":{"cpuShare":0.8,"cores":1,"memoryMb":284},
+		"bounds":{"holdMaxMs":10000,"status_s":120,"graceS":6,"configApplyMs":2500},
+		"platform":{"address":%[6]q,"form":"kv"},"controlMode":"call"}`,
+		ip, benchFrontPort, benchReadyPort, benchPeerPort, benchOwnPort, store))
 	require.NoError(b, err)
 	return s
 }
