Log crashes of workers with the runs that they ended

Operators could not tell a crash from an expired lease: both appeared as lost runs. Event 4042 names the worker, how many runs it had, and how many of them had just begun; oriolepond_worker_crashes_total counts crashes. A worker that leaves while it drains has not crashed. Without a contact with the worker, a lost run was logged with an age of 292 years; the age is omitted then.

No change of decisions.

--- a/internal/batch/command.go
+++ b/internal/batch/command.go
@@ -158,7 +158,12 @@
 	if res.Answer == AnswerNone || res.Answer == AnswerUnsent {
 		c.recordNoAnswer(w, sent)
 	} else {
+		aliveAt := w.aliveAt
 		w.recordContact(res.Clock, now)
+		if res.Answer == AnswerWrongIncarnation || res.Incarnation != 0 && res.Incarnation != w.Incarnation {
+			// Another incarnation has answered.
+			w.aliveAt = aliveAt
+		}
 		if res.Incarnation != 0 && res.Incarnation != w.Incarnation {
 			c.beginIncarnation(w, res.Incarnation, now)
 		}
@@ -189,7 +194,7 @@
 	case AnswerDone:
 		w.refusals = 0
 		w.addFillerUsage(now)
-		r.state, r.stateSince = runRunning, now
+		r.state, r.stateSince, r.started = runRunning, now, true
 		c.markStarted(r.task.stage.job)
 		if r.task.stage.step.Filler {
 			c.adjustThrottling(w, now)
@@ -228,6 +233,7 @@
 			r.state, r.stateSince = runStopped, now
 		}
 	case AnswerWrongIncarnation:
+		c.recordCrash(r.worker, 0, now)
 		c.lose(r, "worker incarnation has ended", now)
 	default:
 		// retryStops sends the command again.
@@ -294,7 +300,7 @@
 func (c *Core) lose(r *run, reason string, now time.Time) {
 	c.note(Note{
 		Kind: NoteLost, Task: r.task.name(), Run: r.number, Worker: r.worker.ID,
-		Age: now.Sub(r.worker.lastContact), Reason: reason,
+		Age: r.worker.silence(now), Reason: reason,
 	})
 	c.requeue(r, reason, now)
 }
--- a/internal/batch/core.go
+++ b/internal/batch/core.go
@@ -86,6 +86,10 @@
 	// tail ratio on the worker (measured tail latency as a fraction of its target), and the least
 	// headroom that is expected there.
 	Percent int
+	// Runs is the number of runs that a NoteWorkerCrashed is about, EarlyRuns how many of them are
+	// not known to have lasted for earlyCrash.
+	Runs      int
+	EarlyRuns int
 	// Cell is the destination of a NoteMoved or NoteDelegated.
 	Cell      int
 	TailRatio float64
@@ -106,6 +110,7 @@
 	NoteLost               NoteKind = "lost"
 	NoteWorkerUnresponsive NoteKind = "workerLost"
 	NoteWorkerRecovered    NoteKind = "workerBack"
+	NoteWorkerCrashed      NoteKind = "workerCrashed"
 	NoteQuarantined        NoteKind = "quarantined"
 	NoteThrottled          NoteKind = "paced"
 	NoteOrphaned           NoteKind = "stray"
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -170,6 +170,10 @@
 	stateSince time.Time
 	// sentAt is when the start command was sent.
 	sentAt time.Time
+	// started means that the worker has confirmed that the run has started, crashed that a crash of
+	// the worker during the run was recorded.
+	started bool
+	crashed bool
 	// progress is the percentage of work done that the worker last reported.
 	progress int
 	// tail is the tail latency that was reported last, previousTail the one for which tailRatio was
--- a/internal/batch/lease.go
+++ b/internal/batch/lease.go
@@ -75,8 +75,9 @@
 
 // beginIncarnation records that a worker has restarted, which ended all its runs.
 func (c *Core) beginIncarnation(w *worker, incarnation int64, now time.Time) {
+	c.recordCrash(w, incarnation, now)
 	w.Incarnation = incarnation
-	w.contacted = false
+	w.contacted, w.aliveAt = false, time.Time{}
 	w.lastEnd, w.ackableEnd, w.undurableEnds = 0, 0, nil
 	w.clock, w.clockAt = 0, time.Time{}
 	// Commands that were sent to the previous incarnation may reach this one. Their deadlines refer
@@ -112,8 +113,9 @@
 	return b
 }
 
-// loseAllRuns records that nothing runs on a worker any more.
+// loseAllRuns records that a worker has ended, and with it all that ran there.
 func (c *Core) loseAllRuns(w *worker, reason string, now time.Time) {
+	c.recordCrash(w, 0, now)
 	for _, r := range sortedRuns(w.runs) {
 		c.lose(r, reason, now)
 	}
--- a/internal/batch/poll.go
+++ b/internal/batch/poll.go
@@ -165,7 +165,7 @@
 	}
 	if r.state == runSent || r.state == runUnconfirmed || r.state == runPending {
 		r.worker.addFillerUsage(now)
-		r.state, r.stateSince = runRunning, now
+		r.state, r.stateSince, r.started = runRunning, now, true
 		c.markStarted(t.stage.job)
 	}
 	r.progress = row.Percent
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -32,6 +32,8 @@
 	// leasesExpireAt is when every lease granted to the worker is guaranteed to have expired.
 	leasesExpireAt time.Time
 	lastContact    time.Time
+	// aliveAt is when the worker's present incarnation last answered a call.
+	aliveAt time.Time
 	// unresponsiveSince is when the first of the currently unanswered calls was sent; zero if the
 	// last call was answered. refusesConnections means that nothing listens at the worker's
 	// address.
@@ -188,7 +190,7 @@
 
 // recordContact records that the worker answered a call, with its clock if that is known.
 func (w *worker) recordContact(clock time.Duration, now time.Time) {
-	w.lastContact = now
+	w.lastContact, w.aliveAt = now, now
 	w.unresponsiveSince = time.Time{}
 	w.refusesConnections = false
 	if clock > 0 {
--- a/internal/eventlog/batch.go
+++ b/internal/eventlog/batch.go
@@ -121,6 +121,11 @@
 		Meaning: "A long-running task has waited for the named time; until the worker has enough free capacity for it, other tasks get only the capacity that it does not need there.",
 		Advice:  "None, unless it is frequent: then long-running tasks nearly fill the workers.",
 	})
+	WorkerCrashed = register(Event{
+		Number: 4042, Level: zapcore.InfoLevel, Message: "worker crashed",
+		Meaning: "The worker ended, without having announced it, while it had the named number of runs; earlyRuns of them are not known to have lasted half a second.",
+		Advice:  "Look for tasks that recur among the runs lost by these workers if it is frequent.",
+	})
 	RunOrphaned = register(Event{
 		Number: 4036, Level: zapcore.WarnLevel, Message: "orphaned run",
 		Meaning: "A worker reported a run of which there is no record; the run is stopped.",
--- a/internal/scheduler/decisionlog.go
+++ b/internal/scheduler/decisionlog.go
@@ -18,6 +18,7 @@
 	batch.NoteLost:               eventlog.RunLost,
 	batch.NoteWorkerUnresponsive: eventlog.WorkerUnresponsive,
 	batch.NoteWorkerRecovered:    eventlog.WorkerRecovered,
+	batch.NoteWorkerCrashed:      eventlog.WorkerCrashed,
 	batch.NoteQuarantined:        eventlog.WorkerQuarantined,
 	batch.NoteThrottled:          eventlog.RunThrottleChanged,
 	batch.NoteOrphaned:           eventlog.RunOrphaned,
@@ -42,6 +43,10 @@
 	if decision.Age != 0 {
 		fields = append(fields, zap.Duration("age", decision.Age))
 	}
+	if decision.Kind == batch.NoteWorkerCrashed {
+		l.Metrics.WorkerCrashed()
+		fields = append(fields, zap.Int("runs", decision.Runs), zap.Int("earlyRuns", decision.EarlyRuns))
+	}
 	if decision.Reason != "" {
 		fields = append(fields, zap.String("reason", decision.Reason))
 	}
--- a/internal/scheduler/meter.go
+++ b/internal/scheduler/meter.go
@@ -14,6 +14,7 @@
 	commits  *metrics.Histogram
 	polls    *metrics.Histogram
 	commands *metrics.Histogram
+	crashes  *metrics.Counter
 	set      *metrics.Set
 }
 
@@ -23,6 +24,7 @@
 		commits:  set.NewHistogram("oriolepond_commit_seconds"),
 		polls:    set.NewHistogram("oriolepond_look_seconds"),
 		commands: set.NewHistogram("oriolepond_order_seconds"),
+		crashes:  set.NewCounter("oriolepond_worker_crashes_total"),
 		set:      set,
 	}
 }
@@ -33,6 +35,9 @@
 // Poll records the time until a poll was answered or failed.
 func (m *Metrics) Poll(duration time.Duration) { m.polls.Update(duration.Seconds()) }
 
+// WorkerCrashed counts a worker that crashed while it ran something.
+func (m *Metrics) WorkerCrashed() { m.crashes.Inc() }
+
 // Command records the time until a command was answered or failed, and counts its answer.
 func (m *Metrics) Command(kind batch.CommandKind, answer batch.Answer, duration time.Duration) {
 	m.commands.Update(duration.Seconds())
