Reproduce a task that crashes worker after worker

Simulated workers crash under some tasks: at once, before the start is answered, 0.3 s and 2 s later, beside takeovers, other crashes and lost answers.

--- a/internal/batch/simworker_test.go
+++ b/internal/batch/simworker_test.go
@@ -117,6 +117,7 @@
 	}
 	duration := time.Duration(float64(step.Estimate) * (0.5 + sim.random.Float64()) * w.slowdown)
 	w.running[key] = &simRun{startedAt: sim.now, endsAt: sim.now.Add(duration), fails: sim.chance(sim.faults.fail)}
+	sim.crasher.startRun(sim, w, key)
 }
 
 // violate records a violation of the scheduling rules.
--- a/internal/batch/world_test.go
+++ b/internal/batch/world_test.go
@@ -53,7 +53,9 @@
 	failures     map[TaskName]int
 	cancelledAt  map[string]time.Time
 	startCount   int
-	violations   []string
+	// crasher makes tasks crash their workers; nil means that none does.
+	crasher    *simCrasher
+	violations []string
 	// trace and traced are only set to debug a seed: trace logs the events of the tasks that traced
 	// selects.
 	trace  func(string, ...any)
@@ -347,7 +349,10 @@
 }
 
 // crash restarts a worker, which loses all its state.
-func (sim *simWorld) crash(w *simWorker) {
+func (sim *simWorld) crash(w *simWorker) { sim.crashFor(w, time.Second) }
+
+// crashFor crashes a worker that publishes its next incarnation after a time.
+func (sim *simWorld) crashFor(w *simWorker, d time.Duration) {
 	if sim.traced != nil {
 		sim.trace("crash %s", w.info.ID)
 	}
@@ -357,7 +362,7 @@
 	w.unackedEnds, w.lastEnd, w.token, w.leasedUntil = nil, 0, 0, time.Time{}
 	w.info.Incarnation++
 	w.incarnationStart = sim.now
-	sim.after(time.Second, func() { sim.core.SetWorker(w.info, sim.now) })
+	sim.after(d, func() { sim.core.SetWorker(w.info, sim.now) })
 }
 
 // submit submits a job and, as callers do, repeats the submission until the job is durable.
