Give up tasks that crash each worker that starts them

Cause: attempts count the ends that workers report as failed. A worker that crashes reports nothing; its runs were lost and started again without any count. Class: a failure that takes its observer with it is not counted. In the log, each new run of such a task follows the loss of the one before, and about half of the crashes have exactly one run that had just begun.

A crash (a new incarnation, or a removed worker where nothing listens) now counts for the tasks whose runs had begun within 5 s, in the job's record, so that the counts outlast takeover, hand-over and delegation. A suspect is isolated on its next worker, so that the next crash there has one cause. It is given up at its second crash if that is clear, at its third if less so, and at the fifth in any case. A worker that drained has not crashed. An uncertain crash, a lease that expired on a worker that is no longer listed, counts as a suspicion only.

--- a/internal/batch/command.go
+++ b/internal/batch/command.go
@@ -233,8 +233,9 @@
 			r.state, r.stateSince = runStopped, now
 		}
 	case AnswerWrongIncarnation:
-		c.recordCrash(r.worker, 0, now)
+		culprits := c.recordCrash(r.worker, 0, true, now)
 		c.lose(r, "worker incarnation has ended", now)
+		c.giveUp(culprits, now)
 	default:
 		// retryStops sends the command again.
 	}
--- a/internal/batch/core.go
+++ b/internal/batch/core.go
@@ -46,6 +46,12 @@
 	// were last made.
 	reserved       []*worker
 	reservationsAt time.Time
+	// isolating are the workers with an isolated run. isolationSearches counts the searches for
+	// more of them in the current plan.
+	isolating         []*worker
+	isolationSearches int
+	// crashTimes are the times of the last contact with workers that have crashed recently.
+	crashTimes []time.Time
 	// accepting are the workers that accept runs, collected at the beginning of each plan.
 	// searchStart is the index in them at which the next search for a worker begins.
 	accepting   []*worker
--- a/internal/batch/crash.go
+++ b/internal/batch/crash.go
@@ -1,18 +1,83 @@
 package batch
 
-import "time"
+import (
+	"fmt"
+	"slices"
+	"time"
+)
 
-// earlyCrash is how long a run has to last to be no suspect of a crash of its worker.
-const earlyCrash = 500 * time.Millisecond
+// A task may crash each worker that runs it. All runs on such a worker are lost with it and none of
+// them reports an end, so it is not known which one was the cause. Each crash counts for the tasks
+// whose runs had begun shortly before. Such a task is then isolated on its next worker: nothing
+// else starts there until the run has lasted for a while. A task is given up if several workers
+// have crashed under it and it is the only one that may have caused the last crash.
+
+const (
+	// earlyCrash and lateCrash limit how long after its start a run is suspected of a crash of its
+	// worker: for earlyCrash at first, for lateCrash if longCrashes workers have crashed under the
+	// task.
+	earlyCrash  = 500 * time.Millisecond
+	lateCrash   = 5 * time.Second
+	longCrashes = 3
+	// A task is given up after minCrashes if the last one came within promptCrash of the start and
+	// not together with others, else after one more. After maxCrashes it is given up although other tasks may have caused them. The
+	// platform requires two and permits five.
+	minCrashes  = 2
+	maxCrashes  = 5
+	promptCrash = 100 * time.Millisecond
+	// A crash has come together with others if simultaneousCrashes more workers failed within
+	// simultaneousWithin of it.
+	simultaneousCrashes = 3
+	simultaneousWithin  = 300 * time.Millisecond
+	// workersPerIsolation is the number of workers accepting runs for each isolated run.
+	workersPerIsolation = 4
+	// maxIsolationWait is how long a task waits to be isolated. The platform allows tasks that can
+	// run to wait for 3 s.
+	maxIsolationWait = 2 * time.Second
+	// maxIsolationSearches limits the searches for a worker to isolate a task in one plan.
+	maxIsolationSearches = 16
+)
+
+// crashCount counts the workers that crashed under a task, each within lateCrash of the start of
+// its run.
+type crashCount struct {
+	total int
+	// confirmed counts the crashes of which is known that the run had started.
+	confirmed int
+	// early means that the last crash may have come within earlyCrash of the start.
+	early bool
+}
+
+// isolation returns how long the task's next run is to be isolated; zero means not at all.
+func (n crashCount) isolation() time.Duration {
+	switch {
+	case n.total >= longCrashes:
+		return lateCrash
+	case n.early:
+		return earlyCrash
+	}
+	return 0
+}
+
+// add counts a crash under a run.
+func (n *crashCount) add(r *run, certain bool) {
+	n.total++
+	if r.started && certain {
+		n.confirmed++
+	}
+	n.early = r.lasted() < earlyCrash
+}
 
 // recordCrash records that a worker has crashed, which ended its runs except those that were meant
-// for the new incarnation; this is zero if it is not known.
-func (c *Core) recordCrash(w *worker, incarnation int64, now time.Time) {
+// for the new incarnation; this is zero if it is not known. Certain is false if the worker may have
+// left in another way. It returns the tasks that are to be given up.
+func (c *Core) recordCrash(w *worker, incarnation int64, certain bool, now time.Time) []*task {
 	if w.Draining {
 		// It has left as announced.
-		return
+		return nil
 	}
 	crashed := Note{Kind: NoteWorkerCrashed, Worker: w.ID, Age: w.silence(now)}
+	var suspects []*run
 	for _, r := range sortedRuns(w.runs) {
 		if !r.mayHaveCrashed(incarnation) {
 			continue
@@ -22,10 +87,92 @@
 		if r.lasted() < earlyCrash {
 			crashed.EarlyRuns++
 		}
+		t := r.task
+		if t.state != taskPlaced || t.stage.job.state.Final() {
+			continue
+		}
+		c.markDirty(t.stage.job)
+		if r.lasted() >= lateCrash {
+			t.crashes = crashCount{}
+			continue
+		}
+		t.crashes.add(r, certain)
+		suspects = append(suspects, r)
 	}
 	if crashed.Runs > 0 {
 		c.note(crashed)
 	}
+	var culprits []*task
+	cause, simultaneous := soleCause(w, suspects), c.crashedWithOthers(w)
+	for _, r := range suspects {
+		if r.task.crashes.total >= maxCrashes || r == cause && r.isProvenCause(simultaneous) {
+			culprits = append(culprits, r.task)
+		}
+	}
+	return culprits
+}
+
+// isProvenCause reports whether enough workers have crashed under the task of a run that alone may
+// have caused the last crash. Simultaneous means that other workers crashed at the same time.
+func (r *run) isProvenCause(simultaneous bool) bool {
+	n := r.task.crashes
+	least := minCrashes
+	if simultaneous || r.lasted() >= promptCrash {
+		least++
+	}
+	return r.started && n.total >= least && n.confirmed >= minCrashes
+}
+
+// soleCause returns the run that alone may have caused the crash of a worker, or nil. If runs had
+// just started, this is the isolated one of them, or else the only one, unless a worker had crashed
+// before under the task of another suspect. If none had just started, it is the only suspect.
+func soleCause(w *worker, suspects []*run) *run {
+	if r := w.isolated; r != nil && r.lasted() < earlyCrash && slices.Contains(suspects, r) {
+		return r
+	}
+	if len(suspects) == 1 {
+		return suspects[0]
+	}
+	var cause *run
+	for _, r := range suspects {
+		early := r.lasted() < earlyCrash
+		switch {
+		case !early && r.task.crashes.total == 1:
+		case !early || cause != nil:
+			return nil
+		default:
+			cause = r
+		}
+	}
+	return cause
+}
+
+// crashedWithOthers reports whether several workers have failed at the same time as a worker that has
+// crashed, so that they probably have a common cause, such as a loss of power.
+func (c *Core) crashedWithOthers(w *worker) bool {
+	c.crashTimes = slices.DeleteFunc(c.crashTimes, func(at time.Time) bool { return w.aliveAt.Sub(at) > 2*c.timing.MaxLease })
+	n := 0
+	for _, at := range c.crashTimes {
+		if w.aliveAt.Sub(at).Abs() < simultaneousWithin {
+			n++
+		}
+	}
+	for _, o := range c.workers {
+		if o != w && !o.unresponsiveSince.IsZero() && w.aliveAt.Sub(o.aliveAt).Abs() < simultaneousWithin {
+			n++
+		}
+	}
+	c.crashTimes = append(c.crashTimes, w.aliveAt)
+	return n >= simultaneousCrashes
+}
+
+// giveUp fails the jobs of tasks that crash their workers.
+func (c *Core) giveUp(tasks []*task, now time.Time) {
+	for _, t := range tasks {
+		if !t.stage.job.state.Final() {
+			c.finish(t.stage.job, Failed, fmt.Sprintf("%d workers crashed under task %s", t.crashes.total, t.name()), now)
+		}
+	}
 }
 
 // mayHaveCrashed reports whether the run may have been present when its worker crashed, and was not
@@ -52,3 +199,71 @@
 	}
 	return now.Sub(w.lastContact)
 }
+
+// chooseWorkerFor returns the best worker for a task, or nil. If workers have crashed under the
+// task, it prefers a worker on which the task can be isolated.
+func (c *Core) chooseWorkerFor(t *task, permits func(*worker) bool, now time.Time) *worker {
+	if t.crashes.isolation() == 0 {
+		return c.chooseWorker(t, permits, now)
+	}
+	if c.isolationSearches < maxIsolationSearches && len(c.isolating) < c.isolationLimit(t) {
+		c.isolationSearches++
+		isolates := func(w *worker) bool { return w.canIsolate() && (permits == nil || permits(w)) }
+		if w := c.chooseWorker(t, isolates, now); w != nil {
+			return w
+		}
+	}
+	if t.crashes.total >= minCrashes && now.Sub(t.queuedAt) < maxIsolationWait {
+		return nil
+	}
+	return c.chooseWorker(t, permits, now)
+}
+
+// isolationLimit returns on how many workers runs may be isolated before another run of a task is.
+// In a small pool no run is isolated after a single crash, since it would hold up all other work.
+func (c *Core) isolationLimit(t *task) int {
+	limit := len(c.accepting) / workersPerIsolation
+	if t.crashes.total >= minCrashes {
+		limit = max(1, limit)
+	}
+	return limit
+}
+
+// canIsolate reports whether a run can be isolated on the worker: the starts of all its runs are
+// confirmed.
+func (w *worker) canIsolate() bool {
+	if w.isolated != nil {
+		return false
+	}
+	for _, r := range w.runs {
+		if !r.started {
+			return false
+		}
+	}
+	return true
+}
+
+// isolate isolates a run that is being placed, if its task requires that and the worker permits it.
+func (c *Core) isolate(r *run) {
+	d := r.task.crashes.isolation()
+	if d > 0 && len(c.isolating) < c.isolationLimit(r.task) && r.worker.canIsolate() {
+		r.isolation, r.worker.isolated = d, r
+		c.isolating = append(c.isolating, r.worker)
+	}
+}
+
+// endIsolations ends the isolation of runs that have ended or lasted long enough.
+func (c *Core) endIsolations() {
+	c.isolationSearches = 0
+	c.isolating = slices.DeleteFunc(c.isolating, func(w *worker) bool {
+		r := w.isolated
+		if r != nil && r.lasted() >= r.isolation {
+			r.task.crashes.early = false
+			if r.isolation == lateCrash {
+				r.task.crashes = crashCount{}
+			}
+			w.isolated = nil
+		}
+		return w.isolated == nil
+	})
+}
--- a/internal/batch/delegate.go
+++ b/internal/batch/delegate.go
@@ -206,7 +206,7 @@
 	j := s.job
 	delegation := wireStage{Stage: slices.Index(j.stages, s)}
 	for _, t := range tasks {
-		delegation.Tasks = append(delegation.Tasks, wireTask{Index: t.index, LastRun: t.lastRun, Checkpoint: t.checkpoint})
+		delegation.Tasks = append(delegation.Tasks, wireTask{Index: t.index, LastRun: t.lastRun, Checkpoint: t.checkpoint, Crashes: encodeCrashes(t.crashes)})
 		c.note(Note{Kind: NoteDelegated, Task: t.name(), Run: t.lastRun, Cell: to, Age: now.Sub(t.queuedAt)})
 		t.state = taskDone
 		s.queued--
@@ -282,7 +282,7 @@
 				continue
 			}
 			t := s.tasks[wt.Index]
-			t.lastRun, t.checkpoint = wt.LastRun, wt.Checkpoint
+			t.lastRun, t.checkpoint, t.crashes = wt.LastRun, wt.Checkpoint, decodeCrashes(wt.Crashes)
 			s.unfinished++
 			c.enqueue(t, now)
 		}
--- a/internal/batch/fit.go
+++ b/internal/batch/fit.go
@@ -121,6 +121,7 @@
 	NoTicket               Obstacle = "no ticket from the adviser"
 	NoIdleProcessors       Obstacle = "not enough idle processors"
 	NoHeadroom             Obstacle = "serving tasks have too little headroom for the image"
+	IsolatedRun            Obstacle = "a run is isolated on the worker"
 	NoAcceptingWorker      Obstacle = "no worker accepts runs"
 	noObstacle             Obstacle = ""
 	noCapacityForGang      Obstacle = "not enough free capacity for the whole gang"
@@ -137,6 +138,9 @@
 	if w.Service != t.stage.job.service {
 		return NoService
 	}
+	if w.isolated != nil {
+		return IsolatedRun
+	}
 	free := w.freeFor(t)
 	switch {
 	case s.Size.Memory > free.Memory || s.Size.Accelerators > free.Accelerators:
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -126,6 +126,7 @@
 	runs       []*run
 	checkpoint string
 	failedRuns []int64
+	crashes    crashCount
 	queuedAt   time.Time
 	// notBefore delays the next run after a failure.
 	notBefore time.Time
@@ -174,6 +175,8 @@
 	// the worker during the run was recorded.
 	started bool
 	crashed bool
+	// isolation is how long the run is isolated on its worker; zero means not at all.
+	isolation time.Duration
 	// progress is the percentage of work done that the worker last reported.
 	progress int
 	// tail is the tail latency that was reported last, previousTail the one for which tailRatio was
@@ -277,7 +280,7 @@
 func (j *job) hasStarted() bool {
 	return j.state == Active || slices.ContainsFunc(j.stages, func(s *stage) bool {
 		return s.unfinished < len(s.tasks) || slices.ContainsFunc(s.tasks, func(t *task) bool {
-			return len(t.failedRuns) > 0 || t.checkpoint != ""
+			return len(t.failedRuns) > 0 || t.crashes.confirmed > 0 || t.checkpoint != ""
 		})
 	})
 }
--- a/internal/batch/lease.go
+++ b/internal/batch/lease.go
@@ -75,7 +75,7 @@
 
 // beginIncarnation records that a worker has restarted, which ended all its runs.
 func (c *Core) beginIncarnation(w *worker, incarnation int64, now time.Time) {
-	c.recordCrash(w, incarnation, now)
+	culprits := c.recordCrash(w, incarnation, true, now)
 	w.Incarnation = incarnation
 	w.contacted, w.aliveAt = false, time.Time{}
 	w.lastEnd, w.ackableEnd, w.undurableEnds = 0, 0, nil
@@ -96,6 +96,7 @@
 			c.lose(r, "worker has restarted", now)
 		}
 	}
+	c.giveUp(culprits, now)
 	c.requestPoll(w)
 }
 
@@ -115,11 +116,12 @@
 
 // loseAllRuns records that a worker has ended, and with it all that ran there.
 func (c *Core) loseAllRuns(w *worker, reason string, now time.Time) {
-	c.recordCrash(w, 0, now)
+	culprits := c.recordCrash(w, 0, true, now)
 	for _, r := range sortedRuns(w.runs) {
 		c.lose(r, reason, now)
 	}
 	clear(w.orphans)
+	c.giveUp(culprits, now)
 }
 
 // sortedRuns returns runs in a fixed order.
@@ -183,11 +185,17 @@
 // loseExpired gives up the runs on a worker whose leases have expired, except those whose start
 // command was not sent.
 func (c *Core) loseExpired(w *worker, now time.Time) {
+	var culprits []*task
+	if !w.listed {
+		// It has crashed, or is cut off from the platform.
+		culprits = c.recordCrash(w, 0, false, now)
+	}
 	for _, r := range sortedRuns(w.runs) {
 		if r.state != runPending {
 			c.lose(r, "lease has expired", now)
 		}
 	}
+	c.giveUp(culprits, now)
 }
 
 func (c *Core) retryStops(w *worker, now time.Time) {
--- a/internal/batch/plan.go
+++ b/internal/batch/plan.go
@@ -11,6 +11,7 @@
 // workers. Afterwards, it hands over or delegates what has waited too long.
 func (c *Core) Plan(now time.Time) {
 	c.expireLeases(now)
+	c.endIsolations()
 	c.expireJobs(now)
 	for _, j := range c.active {
 		if j.startedOccurrences < j.occurrences() {
@@ -120,7 +121,10 @@
 		if t.state != taskQueued || now.Before(t.notBefore) {
 			continue
 		}
-		w := c.chooseWorker(t, nil, now)
+		w := c.chooseWorkerFor(t, nil, now)
+		if w == nil && t.crashes.isolation() > 0 {
+			continue
+		}
 		if w == nil {
 			c.recordFailedPlacement(s, now)
 			return
@@ -196,7 +200,7 @@
 	}()
 	inRack := func(w *worker) bool { return rack == "" || w.Rack == rack }
 	for _, t := range s.tasks {
-		w := c.chooseWorker(t, inRack, now)
+		w := c.chooseWorkerFor(t, inRack, now)
 		if w == nil {
 			return nil
 		}
@@ -214,6 +218,7 @@
 	t.state = taskPlaced
 	t.stage.queued--
 	r := &run{task: t, number: number, worker: w, incarnation: w.Incarnation, state: runPending, stateSince: now, throttleRatio: unthrottled}
+	c.isolate(r)
 	t.runs = append(t.runs, r)
 	w.addRun(r)
 	j := t.stage.job
--- a/internal/batch/poll.go
+++ b/internal/batch/poll.go
@@ -64,7 +64,7 @@
 	if !ok || w.Address == "" {
 		return Poll{}, false
 	}
-	poll := Poll{Worker: id, Address: w.Address, DataCentre: w.DataCentre, Ack: w.ackableEnd, Wait: !c.IsSuspect(id), ShortWait: w.fillerSize.Processors > 0 && w.worstTailRatio > highTailRatio}
+	poll := Poll{Worker: id, Address: w.Address, DataCentre: w.DataCentre, Ack: w.ackableEnd, Wait: !c.IsSuspect(id), ShortWait: w.isolated != nil || w.fillerSize.Processors > 0 && w.worstTailRatio > highTailRatio}
 	if w.contacted && w.unresponsiveSince.IsZero() && c.mayGrant(w) {
 		// Leases of an unresponsive worker are not renewed, so that they expire at a known time.
 		poll.Deadline = w.grantDeadline(c.timing.Lease, now)
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -74,6 +74,8 @@
 	// reserved.
 	reservedFor *task
 	reservedAt  time.Time
+	// isolated is the run that is isolated on the worker, or nil: no other run is started there.
+	isolated *run
 	// demandPressure is how much the demand of filler images depends on this worker, see
 	// Core.updateDemandPressure.
 	demandPressure float64
@@ -128,6 +130,9 @@
 		return
 	}
 	delete(w.runs, r.key())
+	if w.isolated == r {
+		w.isolated = nil
+	}
 	w.groupsStale = true
 	size := r.task.stage.step.Size
 	if r.allocatesProcessors() {
