Start nothing that exceeds a worker's shrunken capacity

A worker's capacity may shrink and grow while it runs (LIMIT, for workers that don't guard their capacity). Placement follows the published capacity, and runs that are being stopped stay allocated until their end is reported. But a start that was planned before the capacity shrank was still sent when its record became durable. It is withdrawn now, and its task is placed again. Besides, a worker with more allocated than it has took free capacity from others in the load that its cell reports, and kept estimates for its former size.

The simulation of the scheduling rules has a case with changing capacity on workers that don't guard it; it passed before, too, and fails if the changes are not published.

--- a/internal/batch/command.go
+++ b/internal/batch/command.go
@@ -128,7 +128,7 @@
 		if r.state != runPending || w.runs[r.key()] != r {
 			return Call{}, false
 		}
-		if !w.listed || !w.contacted || !c.mayGrant(w) || r.incarnation != w.Incarnation {
+		if !w.listed || !w.contacted || !c.mayGrant(w) || r.incarnation != w.Incarnation || w.lacksCapacityFor(r) {
 			c.withdrawRun(r, now)
 			return Call{}, false
 		}
--- a/internal/batch/lease.go
+++ b/internal/batch/lease.go
@@ -33,6 +33,9 @@
 	if info.Draining && !w.Draining {
 		w.drainingSince = now
 	}
+	if info.Capacity != w.Capacity {
+		w.groupsStale = true
+	}
 	w.WorkerInfo = info
 	w.listed = true
 	if !w.contacted {
--- a/internal/batch/move.go
+++ b/internal/batch/move.go
@@ -64,7 +64,8 @@
 			continue
 		}
 		l.Capacity += int64(w.Capacity.Processors)
-		l.Free += int64(w.free().Processors)
+		// A worker whose capacity has shrunk may be allocated more than it has.
+		l.Free += max(0, int64(w.free().Processors))
 		l.LargestFree = max(l.LargestFree, int64(w.free().Processors))
 		l.Idle += int64(c.idleProcessors(w, now))
 		for _, label := range w.Labels {
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -105,6 +105,14 @@
 // free returns the resources that are not allocated.
 func (w *worker) free() share.Resources { return w.Capacity.Minus(w.allocated) }
 
+// lacksCapacityFor reports whether the worker's capacity has shrunk so that it no longer suffices for
+// a run that is allocated there.
+func (w *worker) lacksCapacityFor(r *run) bool {
+	free, size := w.free(), r.task.stage.step.Size
+	return size.Memory > 0 && free.Memory < 0 || size.Accelerators > 0 && free.Accelerators < 0 ||
+		r.allocatesProcessors() && size.Processors > 0 && free.Processors < 0
+}
+
 // addRun adds a run to the worker.
 func (w *worker) addRun(r *run) {
 	w.runs[r.key()] = r
--- a/internal/batch/world_test.go
+++ b/internal/batch/world_test.go
@@ -24,6 +24,8 @@
 	crash    time.Duration
 	outage   time.Duration
 	takeover time.Duration
+	// resize is the mean time between changes of a worker's capacity.
+	resize time.Duration
 	// fail is the probability that a run fails, cancel the probability that a job is cancelled.
 	fail   float64
 	cancel float64
@@ -348,6 +350,26 @@
 		sim.workers[sim.random.IntN(len(sim.workers))].unresponsiveUntil = sim.now.Add(time.Duration(sim.random.Int64N(int64(12 * time.Second))))
 	})
 	repeatedly(sim.faults.takeover, sim.takeOver)
+	repeatedly(sim.faults.resize, func() { sim.resize(sim.workers[sim.random.IntN(len(sim.workers))]) })
+}
+
+// resizeNotice is how long after a change of its capacity a worker may still be started runs by the
+// previous one. The platform allows it for longer.
+const resizeNotice = time.Second
+
+// resize changes the capacity of a worker, which publishes it soon.
+func (sim *simWorld) resize(w *simWorker) {
+	w.previousProcessors, w.resizedAt = max(w.info.Capacity.Processors, sim.usableProcessors(w)), sim.now
+	w.info.Capacity.Processors = share.MilliCores(sim.random.IntN(16_001))
+	sim.after(resizeNotice/2, func() { sim.core.SetWorker(w.info, sim.now) })
+}
+
+// usableProcessors returns the processors that the runs of a worker may be allocated.
+func (sim *simWorld) usableProcessors(w *simWorker) share.MilliCores {
+	if sim.now.Sub(w.resizedAt) < resizeNotice {
+		return max(w.previousProcessors, w.info.Capacity.Processors)
+	}
+	return w.info.Capacity.Processors
 }
 
 // crash restarts a worker, which loses all its state.
@@ -433,6 +455,7 @@
 			name: "unresponsive workers", seeds: 10, regressionSeeds: []int{138}, faults: simFaults{outage: 2 * time.Second},
 		},
 		{name: "leader changes", seeds: 10, faults: simFaults{takeover: 4 * time.Second, cancel: 0.1}},
+		{name: "changing capacity", seeds: 10, faults: simFaults{resize: 200 * time.Millisecond, takeover: 8 * time.Second, cancel: 0.2}},
 		// Seed 89: a start command reached a restarted worker with a deadline on the clock of its
 		// previous incarnation.
 		{name: "all faults", seeds: 30, regressionSeeds: []int{89}, faults: simFaults{
@@ -452,6 +475,9 @@
 				}
 				sim.run(30 * time.Second)
 				sim.faults.lostAnswer, sim.faults.lateCommand, sim.faults.fail = 0, 0, 0
+				if c.faults.resize > 0 {
+					sim.restoreCapacity()
+				}
 				sim.run(90 * time.Second)
 				require.Empty(t, sim.violations, "seed %d", seed)
 				sim.checkEnds(seed)
@@ -460,6 +486,14 @@
 	}
 }
 
+// restoreCapacity gives all workers their full capacity.
+func (sim *simWorld) restoreCapacity() {
+	for _, w := range sim.workers {
+		w.info.Capacity.Processors = 16_000
+		sim.core.SetWorker(w.info, sim.now)
+	}
+}
+
 // checkEnds checks that all jobs have ended, that all tasks of completed jobs have ended
 // successfully, and that no runs are left on the workers.
 func (sim *simWorld) checkEnds(seed int) {
