Treat a record on which the core panics as unreadable

A record in the store that makes the core panic ended the process of the leader that read it, and then that of each next leader: the same class as a task that crashes worker after worker. A restored job is now checked like a submitted one, and a panic while a record is restored is logged and counts as an unreadable record. Other jobs are served.

--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -450,6 +450,9 @@
 		c.addJob(j)
 		return nil
 	}
+	if err := j.Check(); err != nil {
+		return err
+	}
 	if err := c.restoreStages(j, w, now); err != nil {
 		return err
 	}
@@ -461,6 +464,9 @@
 
 // restoreStages restores the progress of a job's tasks.
 func (c *Core) restoreStages(j *job, w wireJob, now time.Time) error {
+	if w.Occurrences > j.occurrences() {
+		return &InvalidError{Reason: fmt.Sprintf("record of %s has %d of %d occurrences", j.ID, w.Occurrences, j.occurrences())}
+	}
 	for range w.Occurrences {
 		c.startOccurrence(j)
 	}
--- a/internal/scheduler/guard.go
+++ b/internal/scheduler/guard.go
@@ -1,8 +1,12 @@
 package scheduler
 
 import (
+	"fmt"
+	"time"
+
 	"go.uber.org/zap"
 
+	"github.com/oriolepond/oriolepond/internal/batch"
 	"github.com/oriolepond/oriolepond/internal/eventlog"
 )
 
@@ -31,6 +35,26 @@
 	f()
 }
 
+// RecordFaultError is the error for a record on which the core panicked.
+type RecordFaultError struct {
+	Fault any
+}
+
+func (e *RecordFaultError) Error() string { return fmt.Sprintf("panic: %v", e.Fault) }
+
+// restoreRecord restores a job from its record. A panic counts as an unreadable record; otherwise
+// each next leader would end on the same one.
+func (l *Leader) restoreRecord(core *batch.Core, value []byte, now time.Time) (err error) {
+	defer func() {
+		if fault := recover(); fault != nil {
+			l.Log.Emit(eventlog.MessagePanicked, zap.String("part", "record"), zap.Int64("token", l.Token),
+				zap.Any("fault", fault), zap.Stack("stack"))
+			err = &RecordFaultError{Fault: fault}
+		}
+	}()
+	return core.Restore(value, now)
+}
+
 // callPanicked makes a call to a worker and reports whether handling its answer
 // panicked. It is unknown then whether the worker carried the call out.
 func (l *Leader) callPanicked(worker string, call func()) (failed bool) {
--- a/internal/scheduler/guard_test.go
+++ b/internal/scheduler/guard_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/oriolepond/oriolepond/internal/batch"
+	"github.com/oriolepond/oriolepond/internal/eventlog"
 )
 
 // A panic while a worker's answer is handled has to count as no answer; the term goes on,
@@ -70,3 +71,38 @@
 		require.Equal(t, batch.Completed, state(t, b, testJob(1, 8).ID))
 	})
 }
+
+// Guards against a record that ends the process of each leader that reads it. The other jobs of the
+// cell are served.
+func TestLeaderOutlivesInvalidRecord(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		record string
+	}{
+		{"no object", `[]`},
+		{"negative number of tasks", `{"id":"00000000000000ff","queue":"check","state":"queued","steps":[{"tasks":-1}],"occurrences":1}`},
+		{"more tasks than a job may have", `{"id":"00000000000000ff","queue":"check","state":"queued","steps":[{"tasks":1000000000000}],"occurrences":1}`},
+		{"more occurrences than the job has", `{"id":"00000000000000ff","queue":"check","state":"queued","steps":[{"tasks":1}],"occurrences":1000000000000}`},
+		{"unknown stage", `{"id":"00000000000000ff","queue":"check","state":"queued","steps":[{"tasks":1}],"occurrences":1,"stages":[{"stage":7}]}`},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cl := newCluster(t, time.Second, "w1", "w2")
+				defer cl.stop()
+				cl.store.put("pond/job/00000000000000ff", []byte(c.record))
+				a := cl.addNode("a")
+				time.Sleep(4 * time.Second)
+				require.NoError(t, submit(a, testJob(1, 8)))
+				time.Sleep(10 * time.Second)
+				require.Equal(t, batch.Completed, state(t, a, testJob(1, 8).ID))
+			})
+		})
+	}
+}
+
+// A record on which the core panics has to count as unreadable.
+func TestPanicOnRecordIsAnError(t *testing.T) {
+	l := &Leader{Log: eventlog.Discard()}
+	var fault *RecordFaultError
+	require.ErrorAs(t, l.restoreRecord(nil, []byte(`{"state":"queued","steps":[{"tasks":1}]}`), time.Now()), &fault)
+}
--- a/internal/scheduler/leader.go
+++ b/internal/scheduler/leader.go
@@ -152,7 +152,7 @@
 		return err
 	}
 	for _, e := range jobs.Entries {
-		if err := core.Restore(e.Value, now); err != nil {
+		if err := l.restoreRecord(core, e.Value, now); err != nil {
 			l.Log.Emit(eventlog.RecordUnreadable, zap.String("key", e.Key), zap.Error(err))
 		}
 	}
