Reject delegations with more occurrences than a job may have

A delegation in the inbox with an impossible number of occurrences made its reader create stages until its memory was exhausted, and then the next leader's. No such entry has been seen; the test was not run on the code before, since it would have used up the machine's memory.

--- a/internal/batch/delegate.go
+++ b/internal/batch/delegate.go
@@ -253,6 +253,9 @@
 		if err := j.Check(); err != nil {
 			return "", err
 		}
+		if w.Occurrences > j.occurrences() {
+			return "", &InvalidError{Reason: fmt.Sprintf("delegation of %s has %d occurrences", w.ID, w.Occurrences)}
+		}
 		c.addJob(j)
 		for range w.Occurrences {
 			c.startOccurrence(j)
--- a/internal/batch/delegate_test.go
+++ b/internal/batch/delegate_test.go
@@ -239,6 +239,7 @@
 	core := coreOfCell(t, 1, now)
 	for _, text := range []string{
 		"", "[]", "{}", `{"id":"a","steps":[{"tasks":0}]}`,
+		`{"id":"b","steps":[{"tasks":1}],"occurrences":1000000000000}`,
 		`{"id":"a","steps":[{"tasks":1}],"occurrences":1,"stages":[{"stage":7}]}`,
 	} {
 		_, err := core.AcceptDelegation([]byte(text), now)
