--- a/internal/batch/capacity_test.go
+++ b/internal/batch/capacity_test.go
@@ -27,14 +27,32 @@
 		first, second int
 	}{
 		{name: "constant", planned: cores(4000), sent: cores(4000), later: cores(4000), first: 4},
-		{name: "shrunk before the starts are sent", planned: cores(4000), sent: cores(2500), later: cores(2500), first: 2},
-		{name: "memory shrunk before the starts are sent", planned: memory(8), sent: memory(6), later: memory(6), first: 3},
-		{name: "gone before the starts are sent", planned: cores(4000), sent: share.Resources{}, later: cores(1000), first: 0, second: 1},
+		{
+			name:    "shrunk before the starts are sent",
+			planned: cores(4000), sent: cores(2500), later: cores(2500), first: 2,
+		},
+		{
+			name:    "memory shrunk before the starts are sent",
+			planned: memory(8), sent: memory(6), later: memory(6), first: 3,
+		},
+		{
+			name:    "gone before the starts are sent",
+			planned: cores(4000), sent: share.Resources{}, later: cores(1000), first: 0, second: 1,
+		},
 		{name: "shrunk below what runs", planned: cores(4000), sent: cores(4000), later: cores(2000), first: 4},
 		{name: "grown", planned: cores(2000), sent: cores(2000), later: cores(5000), first: 2, second: 2},
-		{name: "shrunk while all runs are being stopped", planned: cores(4000), sent: cores(4000), later: cores(2000), stop: true, first: 4},
-		{name: "filler tasks and processors", step: Step{Filler: true}, planned: cores(4000), sent: cores(1000), later: cores(1000), first: 4},
-		{name: "filler tasks and memory", step: Step{Filler: true}, planned: memory(8), sent: memory(4), later: memory(4), first: 2},
+		{
+			name:    "shrunk while all runs are being stopped",
+			planned: cores(4000), sent: cores(4000), later: cores(2000), stop: true, first: 4,
+		},
+		{
+			name: "filler tasks and processors", step: Step{Filler: true},
+			planned: cores(4000), sent: cores(1000), later: cores(1000), first: 4,
+		},
+		{
+			name: "filler tasks and memory", step: Step{Filler: true},
+			planned: memory(8), sent: memory(4), later: memory(4), first: 2,
+		},
 		{
 			name: "tasks without memory on a worker that lacks some", step: Step{Size: share.Resources{Processors: 1000}},
 			planned: memory(8), sent: share.Resources{Processors: 4000}, later: share.Resources{Processors: 4000}, first: 4,
@@ -86,7 +104,8 @@
 func TestLoadOfShrunkWorker(t *testing.T) {
 	now := time.Unix(1_000_000_000, 0)
 	core := fourWorkerCore(t, now)
-	require.NoError(t, core.Submit(Job{ID: "0000000000000001", Queue: "check", Steps: []Step{{Tasks: 1, Size: share.Resources{Processors: 4000}}}}, now, nil))
+	step := Step{Tasks: 1, Size: share.Resources{Processors: 4000}}
+	require.NoError(t, core.Submit(Job{ID: "0000000000000001", Queue: "check", Steps: []Step{step}}, now, nil))
 	core.Plan(now)
 	calls := commitAndStart(t, core, now)
 	require.Equal(t, int64(12_000), core.Load(now).Free)
--- a/internal/batch/crash.go
+++ b/internal/batch/crash.go
@@ -20,8 +20,8 @@
 	lateCrash   = 5 * time.Second
 	longCrashes = 3
 	// A task is given up after minCrashes if the last one came within promptCrash of the start and
-	// not together with others, else after one more. After maxCrashes it is given up although other tasks may have caused them. The
-	// platform requires two and permits five.
+	// not together with others, else after one more. After maxCrashes it is given up although other
+	// tasks may have caused them. The platform requires two and permits five.
 	minCrashes  = 2
 	maxCrashes  = 5
 	promptCrash = 100 * time.Millisecond
@@ -150,7 +150,9 @@
 // crashedWithOthers reports whether several workers have failed at the same time as a worker that has
 // crashed, so that they probably have a common cause, such as a loss of power.
 func (c *Core) crashedWithOthers(w *worker) bool {
-	c.crashTimes = slices.DeleteFunc(c.crashTimes, func(at time.Time) bool { return w.aliveAt.Sub(at) > 2*c.timing.MaxLease })
+	c.crashTimes = slices.DeleteFunc(c.crashTimes, func(at time.Time) bool {
+		return w.aliveAt.Sub(at) > 2*c.timing.MaxLease
+	})
 	n := 0
 	for _, at := range c.crashTimes {
 		if w.aliveAt.Sub(at).Abs() < simultaneousWithin {
--- a/internal/batch/crash_test.go
+++ b/internal/batch/crash_test.go
@@ -244,7 +244,7 @@
 			c.RemoveWorker(w.ID, now)
 			return c
 		}},
-		{name: "a new incarnation is found by the next leader", want: 1, end: func(t *testing.T, c *Core, w *worker, now time.Time) *Core {
+		{name: "found by the next leader", want: 1, end: func(t *testing.T, c *Core, w *worker, now time.Time) *Core {
 			c.MarkDirty("0000000000000001")
 			changes, err := c.TakeChanges(20, now)
 			require.NoError(t, err)
@@ -273,7 +273,8 @@
 		t.Run(c.name, func(t *testing.T) {
 			now := time.Unix(1_000_000_000, 0)
 			core := fourWorkerCore(t, now)
-			j := Job{ID: "0000000000000001", Queue: "check", Spec: "spec", Steps: []Step{{Tasks: 1, Size: share.Resources{Processors: 4000}}}}
+			step := Step{Tasks: 1, Size: share.Resources{Processors: 4000}}
+			j := Job{ID: "0000000000000001", Queue: "check", Spec: "spec", Steps: []Step{step}}
 			require.NoError(t, core.Submit(j, now, nil))
 			core.Plan(now)
 			require.Len(t, commitAndStart(t, core, now), 1)
