--- a/internal/batch/core.go
+++ b/internal/batch/core.go
@@ -46,6 +46,12 @@
 	// were last made.
 	reserved       []*worker
 	reservationsAt time.Time
+	// isolating are the workers with an isolated run. isolationSearches counts the searches for
+	// more of them in the current plan.
+	isolating         []*worker
+	isolationSearches int
+	// crashTimes are the times of the last contact with workers that have crashed recently.
+	crashTimes []time.Time
 	// accepting are the workers that accept runs, collected at the beginning of each plan.
 	// searchStart is the index in them at which the next search for a worker begins.
 	accepting   []*worker
@@ -94,6 +100,10 @@
 	// tail ratio on the worker (measured tail latency as a fraction of its target), and the least
 	// headroom that is expected there.
 	Percent int
+	// Runs is the number of runs that a NoteWorkerCrashed is about, EarlyRuns how many of them are
+	// not known to have lasted for earlyCrash.
+	Runs      int
+	EarlyRuns int
 	// Cell is the destination of a NoteMoved or NoteDelegated.
 	Cell      int
 	TailRatio float64
@@ -114,6 +124,7 @@
 	NoteLost               NoteKind = "lost"
 	NoteWorkerUnresponsive NoteKind = "workerLost"
 	NoteWorkerRecovered    NoteKind = "workerBack"
+	NoteWorkerCrashed      NoteKind = "workerCrashed"
 	NoteQuarantined        NoteKind = "quarantined"
 	NoteThrottled          NoteKind = "paced"
 	NoteOrphaned           NoteKind = "stray"
--- /dev/null
+++ b/internal/batch/crash_test.go
@@ -0,0 +1,286 @@
+package batch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/oriolepond/oriolepond/pkg/share"
+)
+
+// simCrasher makes the runs of some tasks crash their workers.
+type simCrasher struct {
+	// crashes reports whether the runs of a task crash their worker, delay after their start.
+	crashes func(TaskName) bool
+	delay   time.Duration
+	// downtime is how long the worker is away.
+	downtime time.Duration
+	// crashCount counts the workers that crashed under each task, startsAfterThree the starts of
+	// each task since the third of them.
+	crashCount       map[TaskName]int
+	startsAfterThree map[TaskName]int
+}
+
+// startRun crashes the worker later if the task does that.
+func (d *simCrasher) startRun(sim *simWorld, w *simWorker, key runKey) {
+	if d == nil || !d.crashes(key.task) {
+		return
+	}
+	if d.crashCount[key.task] >= 3 {
+		if d.startsAfterThree[key.task]++; d.startsAfterThree[key.task] == 3 {
+			sim.violate("%v is started three times after three workers have crashed under it", key.task)
+		}
+	}
+	sim.after(d.delay, func() {
+		if w.running[key] == nil {
+			return
+		}
+		d.crashCount[key.task]++
+		w.unresponsiveUntil = sim.now.Add(d.downtime)
+		sim.crashFor(w, d.downtime)
+	})
+}
+
+// mayGiveUp reports whether the platform permits to give up a job: two workers have crashed under
+// one of its tasks.
+func (sim *simWorld) mayGiveUp(job string) bool {
+	for name, n := range sim.crashedUnder {
+		if name.Job == job && n >= 2 {
+			return true
+		}
+	}
+	return false
+}
+
+// crashingTask selects the first task of each eighth job.
+func crashingTask(n TaskName) bool {
+	last := n.Job[len(n.Job)-1]
+	return (last == '0' || last == '8') && n.Step == 0 && n.Index == 0
+}
+
+// Guards against a task that crashes worker after worker: after three workers have crashed under a
+// task it must not be started three times more, across takeovers, too. No other task may be given
+// up, however many runs it lost with those workers; where workers also crash by themselves, or long
+// after the start, at least two must have crashed under it.
+func TestTaskThatCrashesWorkersIsGivenUp(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		delay  time.Duration
+		faults simFaults
+		// ambiguous means that crashes recur under innocent tasks without any sign of the cause. These
+		// may be given up if the platform permits it.
+		ambiguous bool
+	}{
+		{name: "at its start", delay: 10 * time.Millisecond},
+		{name: "before the start is answered", delay: time.Millisecond},
+		{name: "some time after its start", delay: 300 * time.Millisecond},
+		{name: "long after its start", delay: 2 * time.Second, ambiguous: true},
+		{name: "beside takeovers", delay: 10 * time.Millisecond, faults: simFaults{takeover: 3 * time.Second}},
+		{name: "beside other crashes", delay: 10 * time.Millisecond, faults: simFaults{crash: 2 * time.Second}, ambiguous: true},
+		{name: "beside lost answers", delay: 10 * time.Millisecond, faults: simFaults{lostAnswer: 0.05}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			for seed := range 6 {
+				sim := newSimWorld(t, uint64(seed), 20, c.faults)
+				sim.crasher = &simCrasher{
+					crashes: crashingTask, delay: c.delay, downtime: 3 * time.Second,
+					crashCount: map[TaskName]int{}, startsAfterThree: map[TaskName]int{},
+				}
+				sim.injectFaults(sim.now.Add(30 * time.Second))
+				for i := range 50 {
+					sim.after(time.Duration(i)*500*time.Millisecond, func() {
+						j := sim.randomJob(i)
+						j.Steps[0].Estimate = max(j.Steps[0].Estimate, 3*c.delay)
+						sim.submit(j)
+					})
+				}
+				sim.run(30 * time.Second)
+				sim.faults.lostAnswer = 0
+				sim.run(120 * time.Second)
+				require.Empty(t, sim.violations, "seed %d", seed)
+				for _, id := range sortedKeys(sim.jobs) {
+					state, known := sim.core.State(id)
+					require.True(t, known, "seed %d, job %s", seed, id)
+					want := Completed
+					if crashingTask(TaskName{Job: id}) || c.ambiguous && state == Failed && sim.mayGiveUp(id) {
+						want = Failed
+					}
+					require.Equal(t, want, state, "seed %d, job %s", seed, id)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a long-running task that crashes worker after worker.
+func TestLongRunningTaskThatCrashesWorkersIsGivenUp(t *testing.T) {
+	sim := newSimWorld(t, 1, 20, simFaults{})
+	sim.crasher = &simCrasher{
+		crashes: crashingTask, delay: 10 * time.Millisecond, downtime: 3 * time.Second,
+		crashCount: map[TaskName]int{}, startsAfterThree: map[TaskName]int{},
+	}
+	for i := range 6 {
+		sim.submit(Job{ID: fmt.Sprintf("%016x", i), Queue: "check", Spec: "spec", Steps: []Step{{
+			Tasks: 3, Size: share.Resources{Processors: 2000, Memory: 1 << 30}, Estimate: time.Hour, LongRunning: true,
+		}}})
+	}
+	sim.run(60 * time.Second)
+	require.Empty(t, sim.violations)
+	for i := range 6 {
+		id := fmt.Sprintf("%016x", i)
+		state, _ := sim.core.State(id)
+		want := Active
+		if crashingTask(TaskName{Job: id}) {
+			want = Failed
+		}
+		require.Equal(t, want, state, "job %s", id)
+	}
+}
+
+// crashUnder crashes the worker that runs a task, and returns when that was.
+func crashUnder(t *testing.T, c *Core, name TaskName, now time.Time) time.Time {
+	t.Helper()
+	r := c.jobOf(name).stage(name.Occurrence, name.Step).tasks[name.Index].runs[0]
+	now = now.Add(50 * time.Millisecond)
+	c.SetWorker(WorkerInfo{
+		ID: r.worker.ID, Address: r.worker.ID, Service: r.worker.Service, Incarnation: r.worker.Incarnation + 1,
+		Capacity: r.worker.Capacity,
+	}, now)
+	return now
+}
+
+// Guards against counts of crashes that are lost with the leader or the cell that counted them.
+func TestCrashCountsOutlastTheirLeader(t *testing.T) {
+	want := crashCount{total: 1, confirmed: 1, early: true}
+	for _, c := range []struct {
+		name string
+		step Step
+		next func(*testing.T, *Core, Record, time.Time) *Core
+	}{
+		{
+			name: "takeover", step: Step{Tasks: 1, Size: share.Resources{Processors: 4000}},
+			next: func(t *testing.T, _ *Core, r Record, now time.Time) *Core {
+				next := firstCellCore(t, now)
+				require.NoError(t, next.Restore(r.Value, now))
+				return next
+			},
+		},
+		{
+			name: "hand-over to another cell", step: Step{Tasks: 1, Size: share.Resources{Processors: 4000}},
+			next: func(t *testing.T, _ *Core, r Record, now time.Time) *Core {
+				next := coreOfCell(t, 1, now)
+				require.NotNil(t, r.HandedOver)
+				require.NoError(t, next.AcceptHandedOver(r.HandedOver, now))
+				return next
+			},
+		},
+		{
+			name: "delegation to another cell", step: Step{Tasks: 1, Size: share.Resources{Processors: 4000}, LongRunning: true},
+			next: func(t *testing.T, _ *Core, r Record, now time.Time) *Core {
+				next := coreOfCell(t, 1, now)
+				require.NotNil(t, r.Delegation)
+				_, err := next.AcceptDelegation(r.Delegation.Value, now)
+				require.NoError(t, err)
+				return next
+			},
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			now := time.Unix(1_000_000_000, 0)
+			core := firstCellCore(t, now)
+			j := homeJob(t, 0, c.step)
+			name := TaskName{Job: j.ID}
+			require.NoError(t, core.Submit(j, now, nil))
+			core.Plan(now)
+			require.Len(t, commitAndStart(t, core, now), 1)
+			now = crashUnder(t, core, name, now)
+			require.Equal(t, want, core.jobs[j.ID].stages[0].tasks[0].crashes)
+			if c.name != "takeover" {
+				for _, id := range core.WorkerIDs() {
+					core.RemoveWorker(id, now)
+				}
+				core.SetPeers(map[int]Load{1: {Capacity: 16_000, Free: 16_000, Idle: 16_000, LargestFree: 4000}})
+				// The record of the crash is committed first.
+				changes, err := core.TakeChanges(20, now)
+				require.NoError(t, err)
+				core.Committed(changes)
+				now = now.Add(2 * starvedAfter)
+				core.Plan(now)
+			}
+			changes, err := core.TakeChanges(20, now)
+			require.NoError(t, err)
+			require.Len(t, changes.Records, 1)
+			next := c.next(t, core, changes.Records[0], now)
+			require.Equal(t, want, next.jobOf(name).stages[0].tasks[0].crashes)
+			next.Plan(now)
+			require.Len(t, commitAndStart(t, next, now), 1)
+			crashUnder(t, next, name, now)
+			state := next.jobOf(name).state
+			require.Equal(t, Failed, state)
+		})
+	}
+}
+
+// Guards against crashes that are counted for workers which left as announced, or were counted
+// before, and against crashes during a takeover that are not.
+func TestOnlyCrashesCount(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		end  func(*testing.T, *Core, *worker, time.Time) *Core
+		want int
+	}{
+		{name: "a new incarnation", want: 1, end: func(_ *testing.T, c *Core, w *worker, now time.Time) *Core {
+			info := w.WorkerInfo
+			for range 2 {
+				info.Incarnation++
+				c.SetWorker(info, now)
+			}
+			return c
+		}},
+		{name: "removed and nothing listens", want: 1, end: func(_ *testing.T, c *Core, w *worker, now time.Time) *Core {
+			c.PollFailed(w.ID, AnswerNone, true, now, now)
+			c.RemoveWorker(w.ID, now)
+			return c
+		}},
+		{name: "found by the next leader", want: 1, end: func(t *testing.T, c *Core, w *worker, now time.Time) *Core {
+			c.MarkDirty("0000000000000001")
+			changes, err := c.TakeChanges(20, now)
+			require.NoError(t, err)
+			next := NewCore(DefaultTiming(), now, now.Add(time.Minute))
+			next.SetQueueConfig(simQueueConfig())
+			require.NoError(t, next.Restore(changes.Records[0].Value, now))
+			info := w.WorkerInfo
+			info.Incarnation++
+			next.SetWorkers([]WorkerInfo{info}, nil, now)
+			return next
+		}},
+		{name: "drained", want: 0, end: func(_ *testing.T, c *Core, w *worker, now time.Time) *Core {
+			info := w.WorkerInfo
+			info.Draining = true
+			c.SetWorker(info, now)
+			c.PollFailed(w.ID, AnswerNone, true, now, now)
+			c.RemoveWorker(w.ID, now)
+			return c
+		}},
+		{name: "unresponsive but listed", want: 0, end: func(_ *testing.T, c *Core, w *worker, now time.Time) *Core {
+			c.PollFailed(w.ID, AnswerNone, false, now, now)
+			c.Plan(now.Add(time.Minute))
+			return c
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			now := time.Unix(1_000_000_000, 0)
+			core := fourWorkerCore(t, now)
+			step := Step{Tasks: 1, Size: share.Resources{Processors: 4000}}
+			j := Job{ID: "0000000000000001", Queue: "check", Spec: "spec", Steps: []Step{step}}
+			require.NoError(t, core.Submit(j, now, nil))
+			core.Plan(now)
+			require.Len(t, commitAndStart(t, core, now), 1)
+			now = now.Add(10 * time.Millisecond)
+			next := c.end(t, core, core.jobs[j.ID].stages[0].tasks[0].runs[0].worker, now)
+			require.Equal(t, c.want, next.jobs[j.ID].stages[0].tasks[0].crashes.total)
+		})
+	}
+}
--- a/internal/batch/delegate.go
+++ b/internal/batch/delegate.go
@@ -206,7 +206,7 @@
 	j := s.job
 	delegation := wireStage{Stage: slices.Index(j.stages, s)}
 	for _, t := range tasks {
-		delegation.Tasks = append(delegation.Tasks, wireTask{Index: t.index, LastRun: t.lastRun, Checkpoint: t.checkpoint})
+		delegation.Tasks = append(delegation.Tasks, wireTask{Index: t.index, LastRun: t.lastRun, Checkpoint: t.checkpoint, Crashes: encodeCrashes(t.crashes)})
 		c.note(Note{Kind: NoteDelegated, Task: t.name(), Run: t.lastRun, Cell: to, Age: now.Sub(t.queuedAt)})
 		t.state = taskDone
 		s.queued--
@@ -253,6 +253,9 @@
 		if err := j.Check(); err != nil {
 			return "", err
 		}
+		if w.Occurrences > j.occurrences() {
+			return "", &InvalidError{Reason: fmt.Sprintf("delegation of %s has %d occurrences", w.ID, w.Occurrences)}
+		}
 		c.addJob(j)
 		for range w.Occurrences {
 			c.startOccurrence(j)
@@ -282,7 +285,7 @@
 				continue
 			}
 			t := s.tasks[wt.Index]
-			t.lastRun, t.checkpoint = wt.LastRun, wt.Checkpoint
+			t.lastRun, t.checkpoint, t.crashes = wt.LastRun, wt.Checkpoint, decodeCrashes(wt.Crashes)
 			s.unfinished++
 			c.enqueue(t, now)
 		}
--- a/internal/batch/lease.go
+++ b/internal/batch/lease.go
@@ -42,6 +42,9 @@
 	if info.Draining && !w.Draining {
 		w.drainingSince = now
 	}
+	if info.Capacity != w.Capacity {
+		w.groupsStale = true
+	}
 	w.WorkerInfo = info
 	w.listed, w.unreadable = true, false
 	c.markChanged(w)
@@ -94,8 +97,9 @@
 
 // beginIncarnation records that a worker has restarted, which ended all its runs.
 func (c *Core) beginIncarnation(w *worker, incarnation int64, now time.Time) {
+	culprits := c.recordCrash(w, incarnation, true, now)
 	w.Incarnation = incarnation
-	w.contacted = false
+	w.contacted, w.aliveAt = false, time.Time{}
 	w.lastEnd, w.ackableEnd, w.undurableEnds = 0, 0, nil
 	w.clock, w.clockAt = 0, time.Time{}
 	// Commands that were sent to the previous incarnation may reach this one. Their deadlines refer
@@ -114,6 +118,7 @@
 			c.lose(r, "worker has restarted", now)
 		}
 	}
+	c.giveUp(culprits, now)
 	c.requestPoll(w)
 }
 
@@ -131,12 +136,14 @@
 	return b
 }
 
-// loseAllRuns records that nothing runs on a worker any more.
+// loseAllRuns records that a worker has ended, and with it all that ran there.
 func (c *Core) loseAllRuns(w *worker, reason string, now time.Time) {
+	culprits := c.recordCrash(w, 0, true, now)
 	for _, r := range sortedRuns(w.runs) {
 		c.lose(r, reason, now)
 	}
 	clear(w.orphans)
+	c.giveUp(culprits, now)
 }
 
 // sortedRuns returns runs in a fixed order.
@@ -200,11 +207,17 @@
 // loseExpired gives up the runs on a worker whose leases have expired, except those whose start
 // command was not sent.
 func (c *Core) loseExpired(w *worker, now time.Time) {
+	var culprits []*task
+	if !w.listed {
+		// It has crashed, or is cut off from the platform.
+		culprits = c.recordCrash(w, 0, false, now)
+	}
 	for _, r := range sortedRuns(w.runs) {
 		if r.state != runPending {
 			c.lose(r, "lease has expired", now)
 		}
 	}
+	c.giveUp(culprits, now)
 }
 
 func (c *Core) retryStops(w *worker, now time.Time) {
--- a/internal/batch/plan.go
+++ b/internal/batch/plan.go
@@ -12,6 +12,7 @@
 func (c *Core) Plan(now time.Time) {
 	c.work.Plans++
 	c.expireLeases(now)
+	c.endIsolations()
 	c.expireJobs(now)
 	for _, j := range c.active {
 		if j.startedOccurrences < j.occurrences() {
@@ -123,13 +124,23 @@
 		if t.state != taskQueued || now.Before(t.notBefore) {
 			continue
 		}
-		if found == nil || !c.isShared(found, t, now) {
-			found = c.searchStage(t, now)
+		var w *worker
+		if t.crashes.isolation() > 0 {
+			found = nil // The search for an isolated worker replaces the shortlist.
+			var waits bool
+			if w, waits = c.findIsolated(t, nil, now); waits {
+				continue
+			}
 		}
-		w := c.take(found, t, now)
-		if w == nil && !found.complete {
-			found = c.searchStage(t, now)
+		if w == nil {
+			if found == nil || !c.isShared(found, t, now) {
+				found = c.searchStage(t, now)
+			}
 			w = c.take(found, t, now)
+			if w == nil && !found.complete {
+				found = c.searchStage(t, now)
+				w = c.take(found, t, now)
+			}
 		}
 		if w == nil {
 			s.failedSearch = failedSearch{at: c.searchedAt, patience: found.patience}
@@ -217,12 +228,25 @@
 		}
 	}()
 	inRack := func(w *worker) bool { return rack == "" || w.Rack == rack }
-	found := c.search(s.tasks[0], inRack, max(maxCandidates, candidatesPerTask*len(s.tasks)), now)
+	var found *shortlist
 	for _, t := range s.tasks {
-		w := c.take(found, t, now)
-		if w == nil && !found.complete {
-			found = c.search(t, inRack, maxCandidates, now)
+		var w *worker
+		if t.crashes.isolation() > 0 {
+			found = nil // The search for an isolated worker replaces the shortlist.
+			var waits bool
+			if w, waits = c.findIsolated(t, inRack, now); waits {
+				return nil
+			}
+		}
+		if w == nil {
+			if found == nil {
+				found = c.search(t, inRack, max(maxCandidates, candidatesPerTask*len(s.tasks)), now)
+			}
 			w = c.take(found, t, now)
+			if w == nil && !found.complete {
+				found = c.search(t, inRack, maxCandidates, now)
+				w = c.take(found, t, now)
+			}
 		}
 		if w == nil {
 			return nil
@@ -241,6 +265,7 @@
 	t.state = taskPlaced
 	t.stage.queued--
 	r := &run{task: t, number: number, worker: w, incarnation: w.Incarnation, state: runPending, stateSince: now, throttleRatio: unthrottled}
+	c.isolate(r)
 	t.runs = append(t.runs, r)
 	w.addRun(r)
 	j := t.stage.job
--- a/internal/batch/poll.go
+++ b/internal/batch/poll.go
@@ -64,7 +64,7 @@
 	if !ok || w.Address == "" {
 		return Poll{}, false
 	}
-	poll := Poll{Worker: id, Address: w.Address, DataCentre: w.DataCentre, Ack: w.ackableEnd, Wait: !c.IsSuspect(id), ShortWait: w.fillerSize.Processors > 0 && w.worstTailRatio > highTailRatio}
+	poll := Poll{Worker: id, Address: w.Address, DataCentre: w.DataCentre, Ack: w.ackableEnd, Wait: !c.IsSuspect(id), ShortWait: w.isolated != nil || w.fillerSize.Processors > 0 && w.worstTailRatio > highTailRatio}
 	if w.contacted && w.unresponsiveSince.IsZero() && c.mayGrant(w) {
 		// Leases of an unresponsive worker are not renewed, so that they expire at a known time.
 		poll.Deadline = w.grantDeadline(c.timing.Lease, now)
@@ -166,7 +166,7 @@
 	}
 	if r.state == runSent || r.state == runUnconfirmed || r.state == runPending {
 		r.worker.addFillerUsage(now)
-		r.state, r.stateSince = runRunning, now
+		r.state, r.stateSince, r.started = runRunning, now, true
 		c.markStarted(t.stage.job)
 	}
 	r.progress = row.Percent
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -34,6 +34,8 @@
 	// leasesExpireAt is when every lease granted to the worker is guaranteed to have expired.
 	leasesExpireAt time.Time
 	lastContact    time.Time
+	// aliveAt is when the worker's present incarnation last answered a call.
+	aliveAt time.Time
 	// unresponsiveSince is when the first of the currently unanswered calls was sent; zero if the
 	// last call was answered. refusesConnections means that nothing listens at the worker's
 	// address.
@@ -74,6 +76,8 @@
 	// reserved.
 	reservedFor *task
 	reservedAt  time.Time
+	// isolated is the run that is isolated on the worker, or nil: no other run is started there.
+	isolated *run
 	// demandPressure is how much the demand of filler images depends on this worker, see
 	// Core.updateDemandPressure.
 	demandPressure float64
@@ -109,6 +113,14 @@
 // free returns the resources that are not allocated.
 func (w *worker) free() share.Resources { return w.Capacity.Minus(w.allocated) }
 
+// lacksCapacityFor reports whether the worker's capacity has shrunk so that it no longer suffices for
+// a run that is allocated there.
+func (w *worker) lacksCapacityFor(r *run) bool {
+	free, size := w.free(), r.task.stage.step.Size
+	return size.Memory > 0 && free.Memory < 0 || size.Accelerators > 0 && free.Accelerators < 0 ||
+		r.allocatesProcessors() && size.Processors > 0 && free.Processors < 0
+}
+
 // addRun adds a run to the worker.
 func (w *worker) addRun(r *run) {
 	w.runs[r.key()] = r
@@ -134,6 +146,9 @@
 		return
 	}
 	delete(w.runs, r.key())
+	if w.isolated == r {
+		w.isolated = nil
+	}
 	w.groupsStale = true
 	size := r.task.stage.step.Size
 	if r.allocatesProcessors() {
@@ -199,7 +214,7 @@
 
 // recordContact records that the worker answered a call, with its clock if that is known.
 func (w *worker) recordContact(clock time.Duration, now time.Time) {
-	w.lastContact = now
+	w.lastContact, w.aliveAt = now, now
 	w.unresponsiveSince = time.Time{}
 	w.refusesConnections = false
 	if clock > 0 {
--- a/internal/eventlog/batch.go
+++ b/internal/eventlog/batch.go
@@ -126,6 +126,11 @@
 		Meaning: "What the leader spent its time on since the last such line, and what waits. The times are parts of the interval.",
 		Advice:  "If plans or reports take most of the interval, or the oldest contact nears the worker leases, the instance is too small for its cell.",
 	})
+	WorkerCrashed = register(Event{
+		Number: 4043, Level: zapcore.InfoLevel, Message: "worker crashed",
+		Meaning: "The worker ended, without having announced it, while it had the named number of runs; earlyRuns of them are not known to have lasted half a second.",
+		Advice:  "Look for tasks that recur among the runs lost by these workers if it is frequent.",
+	})
 	RunOrphaned = register(Event{
 		Number: 4036, Level: zapcore.WarnLevel, Message: "orphaned run",
 		Meaning: "A worker reported a run of which there is no record; the run is stopped.",
