A reserved worker is used though an earlier task of the step waits

What callers would see: a long-running task that has lost its run does not run, with a free worker reserved for it (LOST).

Cause: the tasks of a step are placed in order until no worker suits one. A task that comes before the one with the reservation suits no worker that is reserved for another task, so the reserved one stood idle, and nothing else might use it.

Change: after the first task that no worker suits, the tasks that have a worker reserved are tried.

--- a/internal/batch/plan.go
+++ b/internal/batch/plan.go
@@ -117,11 +117,13 @@
 	c.makeReservations(waiting, now)
 }
 
-// placeTasks assigns the queued tasks of a stage to workers until no worker suits the next one.
+// placeTasks assigns the queued tasks of a stage to workers until no worker suits the next one. Of
+// the tasks that follow, it assigns those that have a worker reserved.
 func (c *Core) placeTasks(s *stage, now time.Time) {
 	var found *shortlist
+	failed := false
 	for _, t := range s.tasks {
-		if t.state != taskQueued || now.Before(t.notBefore) {
+		if t.state != taskQueued || now.Before(t.notBefore) || failed && !c.hasReserved(t) {
 			continue
 		}
 		var w *worker
@@ -142,11 +144,14 @@
 				w = c.take(found, t, now)
 			}
 		}
-		if w == nil {
-			s.failedSearch = failedSearch{at: c.searchedAt, patience: found.patience}
+		if w != nil {
+			c.assign(t, w, t.lastRun+1, now)
+			continue
+		}
+		failed, s.failedSearch = true, failedSearch{at: c.searchedAt, patience: found.patience}
+		if !c.hasReservedFor(s) {
 			return
 		}
-		c.assign(t, w, t.lastRun+1, now)
 	}
 }
 
--- a/internal/batch/reserve_test.go
+++ b/internal/batch/reserve_test.go
@@ -109,3 +109,56 @@
 	commitAndStart(t, c, now)
 	require.Zero(t, c.jobs["0000000000000003"].stages[0].queued)
 }
+
+// Guards against a lost long-running task that is not placed on the free worker that is reserved for
+// it, because an earlier task of its step still waits.
+func TestReservedWorkerIsUsedThoughEarlierTaskWaits(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// lastRuns are the numbers of the last runs of the two tasks.
+		lastRuns     [2]int64
+		reservations int
+	}{
+		{"the earlier task has not run", [2]int64{0, 1}, 1},
+		{"the earlier task waits for its own worker", [2]int64{1, 1}, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			now := time.Unix(1_000_000_000, 0)
+			// Each of 16 workers is full, since reservations for two tasks need that many.
+			const workers = 16
+			core := NewCore(DefaultTiming(), now, now)
+			core.SetQueueConfig(simQueueConfig())
+			size := share.Resources{Processors: 4000, Memory: 1 << 30}
+			for i := range workers {
+				id := fmt.Sprintf("w-%02d", i)
+				core.SetWorker(WorkerInfo{ID: id, Address: id, Service: "pool", Incarnation: 1, Capacity: size}, now)
+				core.ApplyReport(id, Report{Incarnation: 1, Clock: time.Hour}, now, now)
+			}
+			require.NoError(t, core.Submit(Job{ID: "0000000000000001", Queue: "check", Steps: []Step{{
+				Tasks: workers, Size: size, Estimate: time.Second,
+			}}}, now, nil))
+			core.Plan(now)
+			commitAndStart(t, core, now)
+			require.NoError(t, core.Submit(Job{ID: "0000000000000002", Queue: "check", Steps: []Step{{
+				Tasks: 2, Size: size, LongRunning: true,
+			}}}, now, nil))
+			lost := core.jobs["0000000000000002"].stages[0].tasks
+			for i := range lost {
+				lost[i].lastRun = c.lastRuns[i]
+			}
+			now = now.Add(reserveAfter)
+			core.Plan(now)
+			require.Len(t, core.reserved, c.reservations)
+			w := core.reserved[c.reservations-1]
+			require.Same(t, lost[1], w.reservedFor)
+			var ended []EndedRow
+			for _, r := range sortedRuns(w.runs) {
+				ended = append(ended, EndedRow{Number: 1, Task: r.task.name(), Run: r.number, How: EndDone})
+			}
+			now = now.Add(time.Millisecond)
+			core.ApplyReport(w.ID, Report{Incarnation: 1, Clock: time.Hour, Ended: ended}, now, now)
+			core.Plan(now)
+			require.Equal(t, taskPlaced, lost[1].state)
+		})
+	}
+}
