The leader's key is renewed while the core is busy

Cause: each renewal of the key, each start and each poll reads or writes until when the lease is valid, under the lock of the core.

Change: the lease has a lock of its own. TestLeaseIsRenewedWhileCoreIsBusy waits for the core without it.

--- a/internal/scheduler/answers.go
+++ b/internal/scheduler/answers.go
@@ -85,7 +85,7 @@
 		return "", true, &MovedError{Cell: cell}
 	}
 	state, known := l.core.State(id)
-	if !state.Final() && !now.Before(l.leaseUntil) {
+	if !state.Final() && !l.isLeaseValid(now) {
 		// Another leader may have continued the job; only a final state cannot change.
 		return "", false, &NotLeaderError{}
 	}
@@ -111,7 +111,7 @@
 	now := l.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !now.Before(l.leaseUntil.Add(maxPendingAge)) {
+	if !now.Before(l.leaseEnd().Add(maxPendingAge)) {
 		return 0, &NotLeaderError{}
 	}
 	return l.core.Pending(queue), nil
--- a/internal/scheduler/commit.go
+++ b/internal/scheduler/commit.go
@@ -184,7 +184,7 @@
 func (l *Leader) isStoreUnavailable(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return !now.Before(l.leaseUntil) || !l.unansweredSince.IsZero() && now.Sub(l.unansweredSince) > storeUnavailableAfter
+	return !l.isLeaseValid(now) || !l.unansweredSince.IsZero() && now.Sub(l.unansweredSince) > storeUnavailableAfter
 }
 
 // storeUnavailableAfter is how long a commit may be unanswered before submissions are refused: an
--- a/internal/scheduler/leader.go
+++ b/internal/scheduler/leader.go
@@ -37,12 +37,16 @@
 	keys keys
 	stop context.CancelFunc
 
+	// leaseMu guards leaseUntil. The lease is renewed while mu is locked, so that a long plan does
+	// not end the term.
+	leaseMu sync.Mutex
+	// leaseUntil is the earliest time at which the lease on the leader's key may expire.
+	leaseUntil time.Time
+
 	mu        sync.Mutex
 	core      *batch.Core
 	pollers   map[string]*poller
 	endReason string
-	// leaseUntil is the earliest time at which the lease on the leader's key may expire.
-	leaseUntil time.Time
 	// unansweredSince is when the commit that is still unanswered was first sent, zero if there is none.
 	unansweredSince time.Time
 	// fenced is true once a worker has rejected a poll because it has seen a newer leader.
@@ -109,8 +113,8 @@
 
 // leaseRenewed extends the lease by a renewal that was sent at the given time.
 func (l *Leader) leaseRenewed(sent time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	l.leaseMu.Lock()
+	defer l.leaseMu.Unlock()
 	if until := sent.Add(lease.Shorter(leaderTTL)); until.After(l.leaseUntil) {
 		l.leaseUntil = until
 	}
@@ -118,16 +122,17 @@
 
 // renewalsEnd returns until when leases at workers are renewed although the store does not answer.
 func (l *Leader) renewalsEnd() time.Time {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.leaseUntil.Add(lease.Shorter(l.Timing.RenewGrace))
+	return l.leaseEnd().Add(lease.Shorter(l.Timing.RenewGrace))
 }
 
 // isLeaseValid reports whether the lease is still valid, so that there can be no other leader.
-func (l *Leader) isLeaseValid(now time.Time) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return now.Before(l.leaseUntil)
+func (l *Leader) isLeaseValid(now time.Time) bool { return now.Before(l.leaseEnd()) }
+
+// leaseEnd returns the earliest time at which the lease on the leader's key may expire.
+func (l *Leader) leaseEnd() time.Time {
+	l.leaseMu.Lock()
+	defer l.leaseMu.Unlock()
+	return l.leaseUntil
 }
 
 // endTerm ends the term; the first reason is reported.
--- a/internal/scheduler/planinterval_test.go
+++ b/internal/scheduler/overload_test.go
@@ -5,8 +5,30 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/oriolepond/oriolepond/internal/batch"
 )
 
+// Guards against a term that ends, or leases at workers that expire, because the renewals wait while
+// the core plans.
+func TestLeaseIsRenewedWhileCoreIsBusy(t *testing.T) {
+	l := &Leader{Timing: batch.DefaultTiming()}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	renewed := make(chan bool, 1)
+	go func() {
+		l.leaseRenewed(now)
+		renewed <- l.isLeaseValid(now) && l.renewalsEnd().After(now)
+	}()
+	select {
+	case valid := <-renewed:
+		require.True(t, valid)
+	case <-time.After(5 * time.Second):
+		require.Fail(t, "the renewal waits for the core")
+	}
+}
+
 // Guards against plans that take all of the leader's time, so that leases at workers expire and
 // nothing is committed.
 func TestPlansLeaveTimeForOtherWork(t *testing.T) {
