The pause after a plan grows with plans of more than 125 ms, too

Found in the review: the time from plan to plan was limited to 500 ms, beginning to beginning, so the share of plans rose from a quarter to all of the time from 125 to 500 ms a plan, where the bound is needed most. The pause after a plan is now three times as long as the plan, up to a second; a quarter holds up to 333 ms a plan, and a pause is left after any. TestPlansLeaveTimeForOtherWork demands both; its case of a suspended process had fixed the old behaviour.

--- a/internal/scheduler/leader.go
+++ b/internal/scheduler/leader.go
@@ -84,12 +84,11 @@
 	// minPlanInterval is the minimum time between the beginnings of two plans, so that changes are
 	// handled together.
 	minPlanInterval = 8 * time.Millisecond
-	// maxPlanShare is the greatest share of the time that plans may take. Polls, commits and callers
-	// wait while the core plans.
-	maxPlanShare = 0.25
-	// maxPlanDelay limits the time from a plan to the next one, since a plan also seems long if the
-	// process was suspended meanwhile.
-	maxPlanDelay = 500 * time.Millisecond
+	// The pause after a plan is planPauseFactor times as long as the plan, so that plans take at most
+	// a quarter of the time: polls, commits and callers wait while the core plans. It is at most
+	// maxPlanPause, since a plan also seems long if the process was suspended meanwhile.
+	planPauseFactor = 3
+	maxPlanPause    = time.Second
 	// baseCommitInterval is the minimum time between two commits of a single cell, so that
 	// changes share a commit. To limit the load of the store, it is multiplied by the number of
 	// cells, up to maxCommitInterval: a small fraction of the run time of the shortest tasks.
@@ -311,7 +310,7 @@
 // planInterval returns the time between the beginnings of a plan, which took the given time, and of
 // the next one.
 func planInterval(planned time.Duration) time.Duration {
-	return min(max(minPlanInterval, time.Duration(float64(planned)/maxPlanShare)), maxPlanDelay)
+	return max(minPlanInterval, planned+min(planPauseFactor*planned, maxPlanPause))
 }
 
 // planLoop lets the core plan after each change, and at least every maxPlanInterval unless plans take long.
--- a/internal/scheduler/overload_test.go
+++ b/internal/scheduler/overload_test.go
@@ -40,7 +40,8 @@
 		{"nothing waits", 100 * time.Microsecond, minPlanInterval},
 		{"a quarter of the usual interval", 2 * time.Millisecond, 8 * time.Millisecond},
 		{"many steps wait", 30 * time.Millisecond, 120 * time.Millisecond},
-		{"the process was suspended", 4 * time.Second, maxPlanDelay},
+		{"a plan as long as the pause may be at most", 333 * time.Millisecond, 1332 * time.Millisecond},
+		{"the process was suspended", 4 * time.Second, 5 * time.Second},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
