A takeover reads the cell's records at the same time

Cause: a new leader read jobs, head, learned effects, unresponsive workers and inbox one after the other; at a store that takes 300 ms a call that is 1.5 s without polls. Nothing else writes these records once the leader has its key, and its commits require them, so the reads may run at the same time.

Change: so they do, and the delay by share is at most 1.5 s.

--- a/internal/scheduler/election.go
+++ b/internal/scheduler/election.go
@@ -32,7 +32,7 @@
 	// from the store or has a smaller CPU share than others: a leader uses most of its node's share.
 	// The latter delay exceeds the time that an election takes at a slow store.
 	rttDelayFactor = 12
-	maxShareDelay  = 2 * time.Second
+	maxShareDelay  = 1500 * time.Millisecond
 	// delayPerTerm delays a node for each term that it serves or runs for, so that the cells spread
 	// over the nodes, those with the greatest CPU share first.
 	delayPerTerm = 150 * time.Millisecond
--- a/internal/scheduler/leader.go
+++ b/internal/scheduler/leader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"strings"
 	"sync"
 	"time"
@@ -153,62 +154,82 @@
 	return l.core.JobCount()
 }
 
-// restore reads all jobs of the cell from the store. It has no timeout of its own,
-// since its duration depends on the number of jobs; it stops with the term.
+// restore reads the cell's records from the store. It has no timeout of its own, since its duration
+// depends on the number of jobs; it stops with the term.
 func (l *Leader) restore(ctx context.Context, table batch.QueueConfig, unreachedLimit time.Duration) error {
 	now := l.Now()
+	r, err := l.readRecords(ctx)
+	if err != nil {
+		return err
+	}
 	core := batch.NewCore(l.Timing, now, now.Add(unreachedLimit))
 	core.SetCell(l.Cell)
 	core.SetWallOffset(l.wallClockOffset())
 	core.SetQueueConfig(table)
-	jobs, err := l.Store.List(ctx, l.keys.jobs)
-	if err != nil {
-		return err
-	}
-	for _, e := range jobs.Entries {
+	for _, e := range r.jobs.Entries {
 		if err := l.restoreRecord(core, e.Value, now); err != nil {
 			l.Log.Emit(eventlog.RecordUnreadable, zap.String("key", e.Key), zap.Error(err))
 		}
 	}
-	head, found, err := l.Store.Read(ctx, l.keys.head)
-	if err != nil {
-		return err
-	}
-	if found {
-		l.headRevision = head.Revision
-	}
-	learned, found, err := l.Store.Read(ctx, l.keys.learned)
-	if err != nil {
-		return err
-	}
-	if found {
-		if err := core.RestoreEffects(learned.Value); err != nil {
+	l.headRevision = r.head.Revision
+	if r.learned.Revision != 0 {
+		if err := core.RestoreEffects(r.learned.Value); err != nil {
 			l.Log.Emit(eventlog.RecordUnreadable, zap.String("key", l.keys.learned), zap.Error(err))
 		}
 	}
-	unresponsive, found, err := l.Store.Read(ctx, l.keys.unresponsive)
-	if err != nil {
-		return err
-	}
-	if found {
-		if err := core.RestoreUnresponsive(unresponsive.Value, now); err != nil {
+	if r.unresponsive.Revision != 0 {
+		if err := core.RestoreUnresponsive(r.unresponsive.Value, now); err != nil {
 			l.Log.Emit(eventlog.RecordUnreadable, zap.String("key", l.keys.unresponsive), zap.Error(err))
 		}
 	}
-	inbox, err := l.Store.List(ctx, l.keys.inbox)
-	if err != nil {
-		return err
-	}
 	l.core = core
 	l.pollers = map[string]*poller{}
 	l.inbox = map[string]inboxEntry{}
 	l.planNeeded = make(chan struct{}, 1)
 	l.commitNeeded = make(chan struct{}, 1)
 	l.startSlots = make(chan struct{}, maxConcurrentStarts)
-	l.acceptInbox(inbox.Entries)
+	l.acceptInbox(r.inbox.Entries)
 	return nil
 }
 
+// records are what a cell has in the store. Entries that do not exist are zero.
+type records struct {
+	jobs, inbox                 store.Snapshot
+	head, learned, unresponsive store.Entry
+}
+
+// readRecords reads the cell's records. The reads run at the same time: since this leader has the
+// cell's key, no other one changes the records, and only submissions are added to the inbox.
+func (l *Leader) readRecords(ctx context.Context) (records, error) {
+	var r records
+	list := func(to *store.Snapshot, prefix string) func() error {
+		return func() (err error) {
+			*to, err = l.Store.List(ctx, prefix)
+			return err
+		}
+	}
+	read := func(to *store.Entry, key string) func() error {
+		return func() error {
+			e, found, err := l.Store.Read(ctx, key)
+			if found {
+				*to = e
+			}
+			return err
+		}
+	}
+	reads := []func() error{
+		list(&r.jobs, l.keys.jobs), list(&r.inbox, l.keys.inbox),
+		read(&r.head, l.keys.head), read(&r.learned, l.keys.learned), read(&r.unresponsive, l.keys.unresponsive),
+	}
+	errs := make([]error, len(reads))
+	var done sync.WaitGroup
+	for i, read := range reads {
+		done.Go(func() { errs[i] = read() })
+	}
+	done.Wait()
+	return r, errors.Join(errs...)
+}
+
 // run serves the term until it ends or the context ends.
 func (l *Leader) run(ctx context.Context) error {
 	var g run.Group
--- a/internal/scheduler/takeover_test.go
+++ b/internal/scheduler/takeover_test.go
@@ -309,3 +309,30 @@
 	now = now.Add(s.renewalLimit())
 	require.True(t, m.replacedLeadersRetired(context.Background(), 3), "a can no longer renew leases")
 }
+
+// Guards against a candidacy that is delayed for longer than leases at workers last, although only
+// nodes with a small CPU share are left.
+func TestRunsOutlastTakeoverBySmallNodes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, 30*time.Second, "w1", "w2", "w3")
+		defer cl.stop()
+		cl.shares["small"], cl.shares["other"] = 0.1, 0.1
+		cl.addNode("large")
+		time.Sleep(3 * time.Second)
+		cl.addNode("small")
+		cl.addNode("other")
+		time.Sleep(3 * time.Second)
+		require.NoError(t, submit(cl.nodes["large"], testJob(1, 8)))
+		time.Sleep(2 * time.Second)
+		require.Equal(t, 8, cl.workers.startCount())
+		cl.store.update(func(s *fakeStore) {
+			for name := range cl.nodes {
+				s.latency[name] = 300 * time.Millisecond
+			}
+		})
+		time.Sleep(2 * time.Second)
+		cl.kill("large")
+		time.Sleep(15 * time.Second)
+		require.Equal(t, 8, cl.workers.startCount(), "a task ran again under the new leader")
+	})
+}
