Reports of workers let only filler tasks look again

Found in the review: each report marked its worker as changed for all waiting steps, although only a run that ended there can make it suit a task that is not a filler, and that is marked by itself. A plan looks at each waiting step times each changed worker, and reports are most of the changes.

Reports, throttle ratios and the end of starvation now count for filler tasks alone.

TestNoSuitableWorkerIsLeftOutOfSearch and the other tests of batch pass.

--- a/internal/batch/command.go
+++ b/internal/batch/command.go
@@ -181,7 +181,7 @@
 			w.addFillerUsage(now)
 			cmd.run.throttleRatio, cmd.run.throttledAt = cmd.throttleRatio, now
 			w.groupsStale = true
-			c.markChanged(w)
+			c.markChangedForFillers(w)
 		}
 	}
 }
--- a/internal/batch/core.go
+++ b/internal/batch/core.go
@@ -56,11 +56,13 @@
 	// searchStart is the index in them at which the next search for a worker begins.
 	accepting   []*worker
 	searchStart int
-	// changes counts the calls of markChanged. changed are the workers in accepting that have changed
-	// since the previous plan that searched workers; searchedAt is the value of changes in the current
-	// one, previousSearchedAt in the previous one.
+	// changes counts the changes of workers. changed are the workers in accepting that have changed
+	// since the previous plan that searched workers, changedForFillers those that may suit more filler
+	// tasks since then; searchedAt is the value of changes in the current one, previousSearchedAt in
+	// the previous one.
 	changes            uint64
 	changed            []*worker
+	changedForFillers  []*worker
 	searchedAt         uint64
 	previousSearchedAt uint64
 	// shortlist is that of the last search; its slice is reused.
--- a/internal/batch/plan.go
+++ b/internal/batch/plan.go
@@ -148,7 +148,7 @@
 			c.assign(t, w, t.lastRun+1, now)
 			continue
 		}
-		failed, s.failedSearch = true, failedSearch{at: c.searchedAt, patience: found.patience}
+		failed, s.failedSearch = true, failedSearch{at: c.searchedAt, missCostLevel: found.missCostLevel}
 		if !c.hasReservedFor(s) {
 			return
 		}
--- a/internal/batch/poll.go
+++ b/internal/batch/poll.go
@@ -130,7 +130,7 @@
 	}
 	c.reconcileRuns(w, rep.Running, sent, now)
 	c.updateThrottling(w, now)
-	c.markChanged(w)
+	c.markChangedForFillers(w)
 }
 
 // reconcileRuns compares the runs that a worker reports with those that it should have.
--- a/internal/batch/search.go
+++ b/internal/batch/search.go
@@ -7,22 +7,28 @@
 	"time"
 )
 
-// A step that waits is searched a worker for in each plan, so that a backlog would multiply the cost
-// of all plans by the size of the pool. After a search without success, the next ones therefore look
-// only at the workers that have changed since then in a way that may suit more tasks.
+// Each plan searches workers for all waiting steps. If every search looked at the whole pool, the cost
+// of a plan would grow with the backlog times the pool. After a search without success, the next ones
+// therefore look only at the workers that have changed since then in a way that may suit more tasks.
 
 // failedSearch is the last search without success for a stage.
 type failedSearch struct {
 	// at is the value of Core.searchedAt in the plan of the search; zero means that there was none.
 	at uint64
-	// patience is that of the task, see task.patience.
-	patience int
+	// missCostLevel is that of the task, see task.missCostLevel.
+	missCostLevel int
 }
 
 // markChanged records that a worker may suit tasks that it did not suit before.
 func (c *Core) markChanged(w *worker) {
 	c.changes++
-	w.changedAt = c.changes
+	w.changedAt, w.changedForFillersAt = c.changes, c.changes
+}
+
+// markChangedForFillers records that a worker may suit filler tasks that it did not suit before.
+func (c *Core) markChangedForFillers(w *worker) {
+	c.changes++
+	w.changedForFillersAt = c.changes
 }
 
 // updateAccepting sets c.accepting to the workers that accept runs, sorted by ID.
@@ -33,8 +39,11 @@
 	c.accepting = c.accepting[:0]
 	for _, w := range c.sortedWorkers {
 		accepts, starved := c.acceptsRuns(w, now), w.hasStarved(now)
-		if accepts && !w.accepts || w.starved && !starved {
+		switch {
+		case accepts && !w.accepts:
 			c.markChanged(w)
+		case w.starved && !starved:
+			c.markChangedForFillers(w)
 		}
 		w.accepts, w.starved = accepts, starved
 		if accepts {
@@ -43,13 +52,17 @@
 	}
 }
 
-// updateChanged sets c.changed to the workers that accept runs and have changed since its last call.
+// updateChanged sets c.changed and c.changedForFillers to the workers that accept runs and have changed
+// since its last call.
 func (c *Core) updateChanged() {
-	c.changed = c.changed[:0]
+	c.changed, c.changedForFillers = c.changed[:0], c.changedForFillers[:0]
 	for _, w := range c.accepting {
 		if w.changedAt > c.searchedAt {
 			c.changed = append(c.changed, w)
 		}
+		if w.changedForFillersAt > c.searchedAt {
+			c.changedForFillers = append(c.changedForFillers, w)
+		}
 	}
 	c.previousSearchedAt, c.searchedAt = c.searchedAt, c.changes
 }
@@ -67,9 +80,9 @@
 	choices []choice
 	// complete means that no other worker suits the tasks.
 	complete bool
-	// task is the task that was searched for, patience its patience then.
-	task     *task
-	patience int
+	// task is the task that was searched for, missCostLevel its level then.
+	task          *task
+	missCostLevel int
 }
 
 // choice is a worker that suits a task; a higher score is better.
@@ -107,11 +120,15 @@
 	return l
 }
 
-// searchChanged returns a shortlist for a task of the workers in c.changed. It also considers a worker
-// that is reserved for the task, which no other task of the stage could use.
+// searchChanged returns a shortlist for a task of the workers that have changed. It also considers a
+// worker that is reserved for the task, which no other task of the stage could use.
 func (c *Core) searchChanged(t *task, now time.Time) *shortlist {
 	l := c.newShortlist(t, now)
-	for _, w := range c.changed {
+	changed := c.changed
+	if t.stage.step.Filler {
+		changed = c.changedForFillers
+	}
+	for _, w := range changed {
 		c.consider(l, w, now)
 	}
 	if t.stage.wantsReservation() {
@@ -126,27 +143,28 @@
 
 func (c *Core) newShortlist(t *task, now time.Time) *shortlist {
 	c.work.Searches++
-	c.shortlist = shortlist{choices: c.shortlist.choices[:0], complete: true, task: t, patience: t.patience(now)}
+	c.shortlist = shortlist{choices: c.shortlist.choices[:0], complete: true, task: t, missCostLevel: t.missCostLevel(now)}
 	return &c.shortlist
 }
 
 // searchStage returns a shortlist for a task and those of its stage that follow. If the search for the
 // stage has failed in the previous plan, it considers only the workers that have changed since.
 func (c *Core) searchStage(t *task, now time.Time) *shortlist {
-	if s := t.stage; !c.onlyChangedSuit(s, t.patience(now)) {
+	if s := t.stage; !c.onlyChangedSuit(s, t.missCostLevel(now)) {
 		return c.search(t, nil, max(maxCandidates, candidatesPerTask*s.queued), now)
 	}
 	return c.searchChanged(t, now)
 }
 
-// onlyChangedSuit reports whether only workers in c.changed can suit a task of the stage.
-func (c *Core) onlyChangedSuit(s *stage, patience int) bool {
-	return s.failedSearch.at > 0 && s.failedSearch.at >= c.previousSearchedAt && patience <= s.failedSearch.patience
+// onlyChangedSuit reports whether only workers that have changed since the previous plan can suit a task
+// of the stage: the search for it has failed in that plan, or later.
+func (c *Core) onlyChangedSuit(s *stage, missCostLevel int) bool {
+	return s.failedSearch.at > 0 && s.failedSearch.at >= c.previousSearchedAt && missCostLevel <= s.failedSearch.missCostLevel
 }
 
 // isShared reports whether a shortlist is also valid for another task of its stage.
 func (c *Core) isShared(l *shortlist, t *task, now time.Time) bool {
-	return t == l.task || t.avoidWorker == l.task.avoidWorker && t.patience(now) == l.patience && !c.hasReservedFor(t.stage)
+	return t == l.task || t.avoidWorker == l.task.avoidWorker && t.missCostLevel(now) == l.missCostLevel && !c.hasReservedFor(t.stage)
 }
 
 // hasReservedFor reports whether a worker is reserved for any task of a stage.
@@ -177,16 +195,16 @@
 	return nil
 }
 
-// patienceLevels is the number of steps in which the miss cost of a waiting filler task falls.
-const patienceLevels = 8
+// missCostLevels is the number of steps in which the miss cost of a waiting filler task falls.
+const missCostLevels = 8
 
-// patience returns how far the miss cost of a filler task has fallen, from 0 to patienceLevels. With
-// more patience, a worker may suit the task that did not suit it before.
-func (t *task) patience(now time.Time) int {
+// missCostLevel returns how far the miss cost of a filler task has fallen, from 0 to missCostLevels. On
+// a higher level, a worker may suit the task that did not suit it before.
+func (t *task) missCostLevel(now time.Time) int {
 	if !t.stage.step.Filler {
 		return 0
 	}
-	return int(patienceLevels * min(longWait, max(0, now.Sub(t.queuedAt))) / longWait)
+	return int(missCostLevels * min(longWait, max(0, now.Sub(t.queuedAt))) / longWait)
 }
 
 // nextTaskWait returns how long the stage's next queued task has waited.
--- a/internal/batch/search_test.go
+++ b/internal/batch/search_test.go
@@ -328,8 +328,8 @@
 		return
 	}
 	next := s.tasks[i]
-	// Within a step of its patience, a task is not searched for again.
-	at := next.queuedAt.Add(time.Duration(next.patience(m.now)) * longWait / patienceLevels)
+	// Within a level of its miss cost, a task is not searched for again.
+	at := next.queuedAt.Add(time.Duration(next.missCostLevel(m.now)) * longWait / missCostLevels)
 	for _, w := range c.accepting {
 		if s.step.Filler && w.changedAt <= m.assigned[w] {
 			// Beside another filler task, a task may be expected to cause fewer misses.
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -82,11 +82,12 @@
 	// Core.updateDemandPressure.
 	demandPressure float64
 	// changedAt is the value of Core.changes when the worker last changed in a way that may suit more
-	// tasks. accepts and starved are the results of Core.acceptsRuns and hasStarved in the last plan
+	// tasks, changedForFillersAt the same for filler tasks alone. accepts and starved are the results of Core.acceptsRuns and hasStarved in the last plan
 	// that searched workers.
-	changedAt uint64
-	accepts   bool
-	starved   bool
+	changedAt           uint64
+	changedForFillersAt uint64
+	accepts             bool
+	starved             bool
 	// meanTailRatio is the mean of the last measured tail ratios, each counted as at most 1.
 	meanTailRatio     float64
 	throttleChangedAt time.Time
