Searches for reservations are limited where they fail

Found in the review: for a step with a label or a limit of tasks per worker, a search for a worker to reserve that fails is not remembered, so that after the loss of many long-running tasks each of these steps looks at the whole pool five times a second.

A step whose search failed is skipped for a second, and a search ends after 16 of them.

--- a/internal/batch/backlog_test.go
+++ b/internal/batch/backlog_test.go
@@ -71,3 +71,26 @@
 	}
 	c.ApplyReport(id, rep, now, now)
 }
+
+// Guards against searches for reservations that look at the whole pool for each waiting step.
+func TestFailedReservationsAreLimited(t *testing.T) {
+	const workers, waiting, seconds = 40, 400, 2
+	c := benchCore(t, workers)
+	for i := range waiting {
+		j := Job{ID: fmt.Sprintf("%016x", 1<<41+i), Queue: "watch", Steps: []Step{{
+			Tasks: 1, Size: share.Resources{Processors: 100}, LongRunning: true, RequiredLabel: "none",
+		}}}
+		c.accept(j, benchStart, nil, nil)
+		c.jobs[j.ID].stages[0].tasks[0].lastRun = 1
+	}
+	now := benchStart.Add(reserveAfter)
+	c.Plan(now)
+	c.TakeWork(now)
+	for range seconds * 100 {
+		now = now.Add(10 * time.Millisecond)
+		c.Plan(now)
+	}
+	// Every reserveEvery, maxFailedReservations stages look at each worker.
+	limit := seconds * int(time.Second/reserveEvery) * maxFailedReservations * workers
+	require.LessOrEqual(t, c.TakeWork(now).Examined, limit)
+}
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -92,6 +92,8 @@
 	failedSearch failedSearch
 	// gangSearchedAt is when workers were last searched for the whole gang without success.
 	gangSearchedAt time.Time
+	// reservationFailedAt is when no worker was found that can be reserved for a task of the stage.
+	reservationFailedAt time.Time
 	// lastGangRun is the number of the gang's last run.
 	lastGangRun int64
 	// baseline is the headroom of the stage's serving tasks when no other image interferes.
--- a/internal/batch/reserve.go
+++ b/internal/batch/reserve.go
@@ -22,6 +22,10 @@
 	reserveEvery = 200 * time.Millisecond
 	// maxReservation limits how long a worker stays reserved if the runs there do not end.
 	maxReservation = 5 * time.Second
+	// maxFailedReservations limits the stages for which no worker is found in one search, since each
+	// of them costs a look at the whole pool. Such a stage is skipped for reservationRetryAfter.
+	maxFailedReservations = 16
+	reservationRetryAfter = time.Second
 	// workersPerReservation is the number of workers accepting runs for each permitted reservation.
 	workersPerReservation = 8
 )
@@ -47,14 +51,23 @@
 	c.reservationsAt = now
 	// failedSizes has, by service, the size of a task for which no suitable worker was found.
 	failedSizes := map[string]share.Resources{}
+	failed := 0
 	for _, r := range waiting {
 		s := r.stage
 		failedSize, known := failedSizes[s.job.service]
-		if !s.wantsReservation() || known && failedSize.Fits(s.step.Size) {
+		if !s.wantsReservation() || known && failedSize.Fits(s.step.Size) || now.Sub(s.reservationFailedAt) < reservationRetryAfter {
 			continue
 		}
-		if !c.reserveFor(s, now) && s.step.isUnconstrained() && !c.isAdvised(s) {
+		if c.reserveFor(s, now) {
+			continue
+		}
+		if s.step.isUnconstrained() && !c.isAdvised(s) {
 			failedSizes[s.job.service] = s.step.Size
+			continue
+		}
+		s.reservationFailedAt = now
+		if failed++; failed == maxFailedReservations {
+			return
 		}
 	}
 }
@@ -120,6 +133,7 @@
 	var best *worker
 	var least share.MilliCores
 	for _, w := range c.accepting {
+		c.work.Examined++
 		if w.reservedFor != nil || !c.mayReserve(t, w, now) {
 			continue
 		}
