At most 16 adviser queries are in flight

Queries in flight are limited over all steps, expired tickets are removed, and the first usable ticket ends the walk. TestQueriesInFlightAreLimited also checks that each step gets its turn.

--- a/internal/batch/advise.go
+++ b/internal/batch/advise.go
@@ -32,6 +32,8 @@
 	// maxQueriedWorkers limits the workers in one query. The platform expects about 30 workers per
 	// step.
 	maxQueriedWorkers = 30
+	// maxQueriesInFlight limits the concurrent queries; the platform refuses more than 32.
+	maxQueriesInFlight = 16
 	// queryPause is how long the next query waits after one that failed or after all workers were
 	// queried.
 	queryPause = 300 * time.Millisecond
@@ -48,16 +50,19 @@
 	if !c.isAdvised(s) {
 		return true
 	}
-	valid := 0
-	for id := range s.tickets {
-		if w := c.workers[id]; w != nil && s.hasTicket(w, now) && c.acceptsRuns(w, now) && s.step.Size.Fits(w.free()) {
-			valid++
+	for id, ticket := range s.tickets {
+		w := c.workers[id]
+		switch {
+		case !now.Before(ticket.validUntil):
+			delete(s.tickets, id)
+		case w != nil && s.hasTicket(w, now) && c.acceptsRuns(w, now) && s.step.Size.Fits(w.free()):
+			return true
 		}
 	}
-	if valid == 0 && !s.query.inFlight && !now.Before(s.query.notBefore) {
+	if !s.query.inFlight && c.queriesInFlight < maxQueriesInFlight && !now.Before(s.query.notBefore) {
 		c.queryAdviser(s, now)
 	}
-	return valid > 0
+	return false
 }
 
 // queryAdviser queries the adviser for the workers with the most free processors that were not
@@ -87,6 +92,7 @@
 		s.query.queriedWorkers[w.ID] = true
 	}
 	s.query.inFlight = true
+	c.queriesInFlight++
 	c.queries = append(c.queries, q)
 }
 
@@ -102,6 +108,7 @@
 func (c *Core) HandleAdvice(q AdviserQuery, admitted []Admission, valid time.Duration, err error, sent, now time.Time) {
 	s := q.stage
 	s.query.inFlight = false
+	c.queriesInFlight--
 	if err != nil {
 		for _, id := range q.Workers {
 			delete(s.query.queriedWorkers, id)
--- a/internal/batch/backlog_test.go
+++ b/internal/batch/backlog_test.go
@@ -94,3 +94,27 @@
 	limit := seconds * int(time.Second/reserveEvery) * maxFailedReservations * workers
 	require.LessOrEqual(t, c.TakeWork(now).Examined, limit)
 }
+
+// Guards against a backlog of steps with an adviser that all query it at once, and sort the pool for it.
+func TestQueriesInFlightAreLimited(t *testing.T) {
+	c := benchCore(t, 40)
+	c.SetQueueConfig(QueueConfig{Version: 2, Queues: map[string]Queue{"advised": {Name: "advised", Service: "pool", Advised: true}}})
+	for i := range 100 {
+		c.accept(Job{ID: fmt.Sprintf("%016x", 1<<41+i), Queue: "advised", Steps: []Step{{Tasks: 1}}}, benchStart, nil, nil)
+	}
+	asked := map[string]bool{}
+	now := benchStart
+	for range 100 {
+		now = now.Add(10 * time.Millisecond)
+		c.Plan(now)
+		queries := c.TakeQueries()
+		require.LessOrEqual(t, len(queries), maxQueriesInFlight)
+		c.Plan(now)
+		require.Empty(t, c.TakeQueries())
+		for _, q := range queries {
+			asked[q.Step] = true
+			c.HandleAdvice(q, nil, time.Second, nil, now, now)
+		}
+	}
+	require.Len(t, asked, 100, "steps that never queried the adviser")
+}
--- a/internal/batch/core.go
+++ b/internal/batch/core.go
@@ -82,9 +82,10 @@
 	// ackable are the IDs of workers with run ends that became durable.
 	ackable map[string]bool
 	notes   []Note
-	// queries are to be sent to advisers.
-	queries       []AdviserQuery
-	nextJobExpiry time.Time
+	// queries are to be sent to advisers. queriesInFlight counts those that were not answered yet.
+	queries         []AdviserQuery
+	queriesInFlight int
+	nextJobExpiry   time.Time
 }
 
 // Note is a decision of the Core that the leader logs.
