Changes of the workers' entries are applied under one lock

Each of some 230 entries a second waited for the core's lock by itself, behind plans, polls and commands, so an overloaded leader learns late that a worker drains.

--- a/internal/scheduler/leader.go
+++ b/internal/scheduler/leader.go
@@ -307,23 +307,31 @@
 }
 
 func (l *Leader) workerUpdate(u store.Update) {
+	var changes []func()
 	for _, c := range u.Changes {
 		id := strings.TrimPrefix(c.Entry.Key, l.WorkerPrefix)
 		if !l.Cell.HasWorker(id) {
 			continue
 		}
 		if c.Deleted {
-			l.guarded("list of workers", func() { l.withLock(func() { l.core.RemoveWorker(id, l.Now()) }) })
+			changes = append(changes, func() { l.core.RemoveWorker(id, l.Now()) })
 			continue
 		}
 		info, err := l.DecodeWorker(id, c.Entry.Value)
 		if err != nil {
 			l.Log.Emit(eventlog.WorkerEntryUnreadable, zap.String("key", c.Entry.Key), zap.Int64("revision", c.Entry.Revision), zap.Error(err))
-			l.withLock(func() { l.core.SetUnreadable(id) })
+			changes = append(changes, func() { l.core.SetUnreadable(id) })
 			continue
 		}
-		l.guarded("list of workers", func() { l.withLock(func() { l.core.SetWorker(info, l.Now()) }) })
+		changes = append(changes, func() { l.core.SetWorker(info, l.Now()) })
 	}
+	l.guarded("list of workers", func() {
+		l.withLock(func() {
+			for _, change := range changes {
+				change()
+			}
+		})
+	})
 	l.syncPollers()
 	l.signal(l.planNeeded)
 }
