A worker's heartbeat does not let waiting steps look at it again

An entry of a worker changes about every 1.5 s by its sequence number alone, and each change marked the worker for all waiting steps. Only service, rack, labels and capacity make it suit other tasks; whether it accepts runs is seen in each plan. TestNoSuitableWorkerIsLeftOutOfSearch changes all of these and passes.

--- a/internal/batch/lease.go
+++ b/internal/batch/lease.go
@@ -45,14 +45,22 @@
 	if info.Capacity != w.Capacity {
 		w.groupsStale = true
 	}
+	if !info.suitsSameTasks(w.WorkerInfo) {
+		c.markChanged(w)
+	}
 	w.WorkerInfo = info
 	w.listed, w.unreadable = true, false
-	c.markChanged(w)
 	if !w.contacted {
 		c.requestPoll(w)
 	}
 }
 
+// suitsSameTasks reports whether the worker suits the same tasks as one with another entry would, if both
+// accept runs.
+func (i WorkerInfo) suitsSameTasks(o WorkerInfo) bool {
+	return i.Service == o.Service && i.Rack == o.Rack && i.Capacity == o.Capacity && slices.Equal(i.Labels, o.Labels)
+}
+
 // SetUnreadable records that a worker's entry in the platform's list cannot be decoded. The worker
 // gets no new runs until its entry can be decoded again. Unlike a removal, this says nothing about
 // the runs that it has.
