--- a/internal/batch/plan.go
+++ b/internal/batch/plan.go
@@ -140,6 +140,7 @@
 			}
 			w = c.take(found, t, now)
 			if w == nil && !found.complete {
+				// The workers on the shortlist are full, but others may suit.
 				found = c.searchStage(t, now)
 				w = c.take(found, t, now)
 			}
--- a/internal/batch/search.go
+++ b/internal/batch/search.go
@@ -157,7 +157,8 @@
 }
 
 // onlyChangedSuit reports whether only workers that have changed since the previous plan can suit a task
-// of the stage: the search for it has failed in that plan, or later.
+// of the stage: the search for it has failed in that plan or in this one, and c.changed holds what has
+// changed since then.
 func (c *Core) onlyChangedSuit(s *stage, missCostLevel int) bool {
 	return s.failedSearch.at > 0 && s.failedSearch.at >= c.previousSearchedAt && missCostLevel <= s.failedSearch.missCostLevel
 }
@@ -172,7 +173,7 @@
 	return slices.ContainsFunc(c.reserved, func(w *worker) bool { return w.reservedFor.stage == s })
 }
 
-// take returns the best worker on a shortlist for a task, which is then given to that worker, or nil.
+// take returns the best worker on a shortlist for a task, or nil. The caller gives the task to that worker.
 func (c *Core) take(l *shortlist, t *task, now time.Time) *worker {
 	for len(l.choices) > 0 {
 		best := 0
@@ -206,13 +207,3 @@
 	}
 	return int(missCostLevels * min(longWait, max(0, now.Sub(t.queuedAt))) / longWait)
 }
-
-// nextTaskWait returns how long the stage's next queued task has waited.
-func (s *stage) nextTaskWait(now time.Time) time.Duration {
-	for _, t := range s.tasks {
-		if t.state == taskQueued {
-			return now.Sub(t.queuedAt)
-		}
-	}
-	return 0
-}
--- a/internal/batch/wait.go
+++ b/internal/batch/wait.go
@@ -45,3 +45,13 @@
 	}
 	return NoAcceptingWorker
 }
+
+// nextTaskWait returns how long the stage's next queued task has waited.
+func (s *stage) nextTaskWait(now time.Time) time.Duration {
+	for _, t := range s.tasks {
+		if t.state == taskQueued {
+			return now.Sub(t.queuedAt)
+		}
+	}
+	return 0
+}
