Test of interference: the service is first measured without tasks

Cause: the test submitted the noisy tasks as soon as the requests began, so that each worker ran one task before its first measurement. All that the leader could learn was the product of the service's baseline and the factor of the tasks: any baseline with a matching effect explains it. Which of the two took up the strain depended on the order in which high and low tail latencies happened to be measured. Load only changes that order: the stand-ins draw their request durations from fixed seeds, and timing decides which draws fall into a measured window.

Change: the test demanded an attribution before the effect could be measured. It now submits the tasks once each worker has reported the service's tail latency without tasks for 10 s, two measurements that the leader learns from. The bounds stay: 60 s until the first miss laid to interference, and 60 s until misses are laid to target or retry again. It also demands that no miss is laid to interference before the tasks.

--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -47,6 +47,9 @@
 	bootedAt  time.Time
 	tasks     map[string]*workerTask
 	broken    bool
+	// firstTails and lastTails are the times of the first and the last report with tail latencies.
+	firstTails time.Time
+	lastTails  time.Time
 }
 
 // workerTask is one incarnation of a task on the worker.
@@ -135,6 +138,28 @@
 // boot returns an ID of the current start of the worker.
 func (w *Worker) boot() string { return fmt.Sprintf("%s#%d", w.ID, w.bootCount) }
 
+// TailsReportedFor returns the time from the first to the last report with tail latencies.
+func (w *Worker) TailsReportedFor() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.lastTails.Sub(w.firstTails)
+}
+
+// tails returns the tail latencies for a report.
+func (w *Worker) tails(now time.Time) []worker.TailReport {
+	if w.Tails == nil {
+		return nil
+	}
+	reports := w.Tails(w)
+	if len(reports) > 0 {
+		w.lastTails = now
+		if w.firstTails.IsZero() {
+			w.firstTails = now
+		}
+	}
+	return reports
+}
+
 // ServeHTTP serves one exchange with a leader.
 func (w *Worker) ServeHTTP(rw http.ResponseWriter, q *http.Request) {
 	body, err := readBody(rw, q, maxStoreBody)
@@ -194,9 +219,7 @@
 	}
 	report.Full = e.Full || e.Boot != w.boot()
 	report.Tasks = w.taskReports(report.Full, named)
-	if w.Tails != nil {
-		report.Tails = w.Tails(w)
-	}
+	report.Tails = w.tails(now)
 	return report, true
 }
 
--- a/slowed_test.go
+++ b/slowed_test.go
@@ -19,6 +19,11 @@
 // interferenceTimeout bounds the time until the interference effect of a job family is measured.
 const interferenceTimeout = time.Minute
 
+// undisturbedTime is how long the service is measured without tasks: twice the time between two
+// measurements that a leader learns from. Measurements beside tasks alone can't tell the effect of
+// the tasks from the latency of the service itself.
+const undisturbedTime = 10 * time.Second
+
 // missesByCause returns the number of missed objectives of the finish service by cause.
 func missesByCause(t *testing.T, m *member) map[string]int64 {
 	t.Helper()
@@ -45,7 +50,7 @@
 }
 
 // Misses beside noisy tasks are attributed to interference once the effect was
-// measured, and no longer after the tasks have ended.
+// measured, but not before the tasks, and no longer after they have ended.
 func TestMissesBesideNoiseAreInterference(t *testing.T) {
 	const slowdown = 60
 	p := newDeploymentOn(t, 1, &standin.Cluster{
@@ -65,6 +70,16 @@
 			}
 		}()
 	}
+	interfered := func() int64 { return missesByCause(t, m)[string(burn.Interference)] }
+	require.Eventually(t, func() bool {
+		for i := range 2 {
+			if _, w := p.cluster.Worker(i); w.TailsReportedFor() < undisturbedTime {
+				return false
+			}
+		}
+		return true
+	}, interferenceTimeout, 100*time.Millisecond)
+	require.Zero(t, interfered(), "a miss before any task is attributed to interference")
 	jobs := operate.JobsClient{Address: m.addresses.Front, Token: p.example.JobToken}
 	var job operate.WireJob
 	require.Eventually(t, func() bool {
@@ -72,7 +87,6 @@
 		job, err = jobs.Submit(t.Context(), p.example.Job, 4, "noise")
 		return err == nil
 	}, eventTimeout, 100*time.Millisecond)
-	interfered := func() int64 { return missesByCause(t, m)[string(burn.Interference)] }
 	require.Eventually(t, func() bool { return interfered() > 0 }, interferenceTimeout, 100*time.Millisecond)
 	_, err := jobs.Call(t.Context(), http.MethodDelete, job.ID)
 	require.NoError(t, err)
