interference: an effect stays open to measurements that can tell it

A service whose workers all run a family from the start has its misses laid to the target for long after workers without the family were measured; placement and yielding use the same estimate.

Cause: beside the family alone, measurements determine only the product of baseline and factor. The filter keeps no covariances, so each of them lowers the variances of both.

Evidence: the new test fails on the code before: after five minutes or an hour of such measurements, five minutes with a worker without the family leave the effect more than 15% off.

Change: the standard deviation of a coefficient stays at 0.05 or more, as effects on headroom have their bound.

--- a/internal/interference/interference.go
+++ b/internal/interference/interference.go
@@ -49,6 +49,10 @@
 const (
 	// priorVariance is the variance of a coefficient before any measurement.
 	priorVariance = 0.25
+	// minCoefficientVariance bounds the variance of a coefficient from below. Measurements beside an
+	// aggressor alone can't tell its coefficient from the baseline, but lower both variances, since
+	// the filter keeps no covariances.
+	minCoefficientVariance = 0.0025
 	// coefficientDriftPerHour is the variance that a coefficient gains in an hour.
 	coefficientDriftPerHour = 0.02
 	// serviceBaseline and serviceBaselineVariance are the mean and variance of a service's
--- a/internal/interference/interference_test.go
+++ b/internal/interference/interference_test.go
@@ -76,6 +76,44 @@
 	require.InDeltaSlice(t, changed.effects, learnedEffects(m, changed), 0.1)
 }
 
+// Measurements beside a family alone can't tell its effect from the baseline. However many there
+// were, the effect must be learned within five minutes once one worker is without the family.
+func TestEffectIsLearnedAfterMeasurementsBesideItAlone(t *testing.T) {
+	cases := []struct {
+		name   string
+		tr     trueModel
+		beside int
+	}{
+		{"five minutes, half the baseline", trueModel{baseline: 0.4, effects: []float64{0.5}}, 60},
+		{"five minutes, the whole baseline", trueModel{baseline: 0.2, effects: []float64{1}}, 60},
+		{"an hour, the whole baseline", trueModel{baseline: 0.2, effects: []float64{1}}, 720},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(7, 1))
+			m := NewModel()
+			v, a := m.Service("s"), m.Aggressor("scan")
+			beside := []Load{{Aggressor: a, Amount: 1}}
+			at := start
+			measure := func(loads []Load) {
+				m.Observe(v, loads, c.tr.strain(loads)*(1+0.05*random.NormFloat64()), at)
+			}
+			for range c.beside {
+				at = at.Add(window)
+				measure(beside)
+				measure(beside)
+			}
+			for range 60 {
+				at = at.Add(window)
+				measure(nil)
+				measure(beside)
+			}
+			mean, _ := m.Effect(v, a)
+			require.InEpsilon(t, c.tr.effects[0], mean, 0.15)
+		})
+	}
+}
+
 func TestUncertaintyGrowsWithoutMeasurements(t *testing.T) {
 	m := NewModel()
 	v, a := m.Service("s"), m.Aggressor("scan")
--- a/internal/interference/model.go
+++ b/internal/interference/model.go
@@ -104,7 +104,10 @@
 	residual := strain - baseline*factor
 	model.baseline.correct(factor, residual, totalVariance)
 	for _, l := range loads {
-		model.coefficients[l.Aggressor].correct(baseline*l.Amount, residual, totalVariance)
+		e := &model.coefficients[l.Aggressor]
+		least := min(e.variance, minCoefficientVariance)
+		e.correct(baseline*l.Amount, residual, totalVariance)
+		e.variance = max(e.variance, least)
 	}
 }
 
