--- a/internal/scheduler/commit.go
+++ b/internal/scheduler/commit.go
@@ -28,8 +28,8 @@
 		last = l.Now()
 		l.mu.Lock()
 		changes, err := l.core.TakeChanges(maxCommitRecords, last)
-		l.load.encoding += l.Now().Sub(last)
-		l.load.commits++
+		l.spent.encoding += l.Now().Sub(last)
+		l.spent.commits++
 		l.mu.Unlock()
 		if err != nil {
 			return err
--- a/internal/scheduler/leader.go
+++ b/internal/scheduler/leader.go
@@ -54,8 +54,8 @@
 	fenced bool
 	inbox  map[string]inboxEntry
 
-	// load is what the leader spent its time on since it was last logged.
-	load load
+	// spent is what the leader spent its time on since that was last logged.
+	spent timeSpent
 
 	// headRevision is the revision of the head, the key that names the cell's latest commit.
 	headRevision     int64
@@ -369,7 +369,7 @@
 				startedAt := l.Now()
 				l.core.Plan(startedAt)
 				planned = l.Now().Sub(startedAt)
-				l.load.planning += planned
+				l.spent.planning += planned
 				l.Metrics.Plan(planned)
 				dirty = l.core.HasChanges()
 			})
--- a/internal/scheduler/polls.go
+++ b/internal/scheduler/polls.go
@@ -195,8 +195,8 @@
 		if err == nil {
 			startedAt := l.Now()
 			l.core.ApplyReport(id, report, sent, received)
-			l.load.applying += l.Now().Sub(startedAt)
-			l.load.reports++
+			l.spent.applying += l.Now().Sub(startedAt)
+			l.spent.reports++
 		} else {
 			l.core.PollFailed(id, answer, refused, sent, received)
 		}
--- a/internal/scheduler/load.go
+++ b/internal/scheduler/timespent.go
@@ -9,9 +9,9 @@
 	"github.com/oriolepond/oriolepond/internal/eventlog"
 )
 
-// load is what a leader spent its time on. The durations include the time for which the processor
+// timeSpent is what a leader spent its time on. The durations include the time for which the processor
 // ran other goroutines meanwhile.
-type load struct {
+type timeSpent struct {
 	planning time.Duration
 	// applying is the time in which the core applied reports.
 	applying time.Duration
@@ -35,8 +35,8 @@
 		}
 		now := l.Now()
 		l.mu.Lock()
-		spent, work := l.load, l.core.TakeWork(now)
-		l.load = load{}
+		spent, work := l.spent, l.core.TakeWork(now)
+		l.spent = timeSpent{}
 		l.mu.Unlock()
 		l.Log.Emit(eventlog.LeaderLoad, zap.Int64("token", l.Token), zap.Duration("interval", now.Sub(startedAt)),
 			zap.Int("plans", work.Plans), zap.Duration("planning", spent.planning), zap.Int("searches", work.Searches), zap.Int("examined", work.Examined),
