--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -89,6 +89,7 @@
 	readyAt time.Time
 	// waitLoggedAt is when the reason why the stage waits was last logged.
 	waitLoggedAt time.Time
+	// failedSearch limits the next search for a worker to those that have changed since.
 	failedSearch failedSearch
 	// gangSearchedAt is when workers were last searched for the whole gang without success.
 	gangSearchedAt time.Time
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -82,8 +82,8 @@
 	// Core.updateDemandPressure.
 	demandPressure float64
 	// changedAt is the value of Core.changes when the worker last changed in a way that may suit more
-	// tasks, changedForFillersAt the same for filler tasks alone. accepts and starved are the results of Core.acceptsRuns and hasStarved in the last plan
-	// that searched workers.
+	// tasks, changedForFillersAt the same for filler tasks alone. accepts and starved are the results
+	// of Core.acceptsRuns and hasStarved in the last plan that searched workers.
 	changedAt           uint64
 	changedForFillersAt uint64
 	accepts             bool
