--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -19,6 +20,8 @@
 	maxTxnEntries = 32
 	maxPageItems  = 500
 	minLeaseTTL   = 1000
+	// maxValueBytes is valueBytes of the settings.
+	maxValueBytes = 1 << 20
 )
 
 // item is one key of the store, or a change of one.
@@ -45,6 +48,8 @@
 	leases   map[int64]storeLease
 	events   []item
 	changed  chan struct{}
+	// refused counts the commits with a value that is too large.
+	refused atomic.Int64
 }
 
 func newStore() *kvStore {
@@ -247,6 +252,11 @@
 			w.WriteHeader(http.StatusNotFound)
 			return
 		}
+		if len(p.Value) > maxValueBytes {
+			s.refused.Add(1)
+			w.WriteHeader(http.StatusRequestEntityTooLarge)
+			return
+		}
 		if strings.HasPrefix(p.Key, "op/") || strings.HasPrefix(p.Key, "servers/") {
 			w.WriteHeader(http.StatusForbidden)
 			return
@@ -297,3 +307,14 @@
 	}
 	answer(w, http.StatusOK, map[string]any{"ttlMs": l.ttl.Milliseconds()})
 }
+
+// largest returns the size of the largest value.
+func (s *kvStore) largest() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, it := range s.items {
+		n = max(n, len(it.Value))
+	}
+	return n
+}
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -84,7 +84,9 @@
 	trouble    bool
 	startedAt  time.Time
 	record     *os.File
-	store      *kvStore
+	// brief leaves ends and notes out of the record.
+	brief bool
+	store *kvStore
 
 	mu      sync.Mutex
 	spans   []*span
@@ -200,14 +202,18 @@
 				s.ended, s.how = at, e.How
 			}
 		}
-		w.logf("%s: %s run %d ends: %s", e.Runner, e.Task, e.Run, e.How)
+		if !w.brief {
+			w.logf("%s: %s run %d ends: %s", e.Runner, e.Task, e.Run, e.How)
+		}
 	case "noted":
 		for _, s := range w.spans {
 			if s.task == e.Task && s.run == e.Run && s.runner == e.Runner && s.how == e.How {
 				s.noted = true
 			}
 		}
-		w.logf("%s: the end of %s run %d (%s) is taken note of", e.Runner, e.Task, e.Run, e.How)
+		if !w.brief {
+			w.logf("%s: the end of %s run %d (%s) is taken note of", e.Runner, e.Task, e.Run, e.How)
+		}
 	}
 }
 
@@ -493,8 +499,11 @@
 
 // job is a submission.
 type job struct {
-	Spec  string `json:"spec"`
-	Steps []step `json:"steps"`
+	Spec        string `json:"spec"`
+	Steps       []step `json:"steps"`
+	RepeatCount int    `json:"repeatCount,omitempty"`
+	StartTimeMs int64  `json:"startTimeMs,omitempty"`
+	IntervalMs  int64  `json:"intervalMs,omitempty"`
 }
 
 type step struct {
@@ -504,6 +513,7 @@
 	EstimateMs    int    `json:"estimateMs"`
 	RequiredLabel string `json:"requiredLabel,omitempty"`
 	LongRunning   bool   `json:"longRunning,omitempty"`
+	After         []int  `json:"after,omitempty"`
 }
 
 func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
