--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -25,6 +25,7 @@
 	soakParallel = flag.Int("soak.beside", 3, "how many seeds are run at once")
 	soakNodes    = flag.Int("soak.nodes", 5, "how many nodes each seed runs")
 	soakCells    = flag.Int("soak.cells", 0, "into how many cells the workers of each seed are divided; 0 lets the nodes decide")
+	soakFaults   = flag.String("soak.faults", "", "`set` of faults of the new seeds: empty for random faults, or rollouts")
 	soakLogs     = flag.String("soak.logs", "", "`directory` in which the logs of each run are kept")
 )
 
@@ -34,6 +35,7 @@
 	short  bool // Included in every test run.
 	reason string
 	cells  int // Number of cells: partitions of workers and jobs, each with its own leader. 0 lets the nodes decide.
+	faults soak.FaultSet
 }
 
 // readSeeds reads testdata/soak-seeds.txt: the seeds that once failed, and those of the short run.
@@ -67,12 +69,18 @@
 		}
 	}
 	for i := range *soakSeeds {
-		cases = append(cases, soakCase{seed: *soakFirst + uint64(i), reason: "new seed", cells: *soakCells})
+		cases = append(cases, soakCase{seed: *soakFirst + uint64(i), reason: "new seed", cells: *soakCells, faults: soak.FaultSet(*soakFaults)})
 	}
 	if *soakSeeds == 0 {
 		cases = append(cases, soakCase{seed: cellsSeed, reason: "three cells", cells: 3},
 			soakCase{seed: fullCellSeed, reason: "a started job stuck in a full cell", cells: 3})
 	}
+	runSoaks(t, cases)
+}
+
+// runSoaks runs each case as a subtest, a few at once.
+func runSoaks(t *testing.T, cases []soakCase) {
+	t.Helper()
 	slots := make(chan struct{}, *soakParallel)
 	for _, c := range cases {
 		t.Run(fmt.Sprintf("seed %d, cells %d", c.seed, c.cells), func(t *testing.T) {
@@ -87,7 +95,11 @@
 			var out bytes.Buffer
 			s := &soak.Soak{
 				Seed: c.seed, Nodes: *soakNodes, Workers: 6, Cells: c.cells, Duration: soakLength, FaultInterval: soakFaultEvery,
-				JobsPerSecond: soakJobs, Launch: nodeLauncher(dir), Out: &out,
+				JobsPerSecond: soakJobs, Faults: c.faults, Launch: nodeLauncher(dir), Out: &out,
+			}
+			if c.faults != soak.RandomFaults {
+				// Its faults come in series, each followed by a time without any.
+				s.Workers, s.Duration = 8, rolloutLength
 			}
 			r, err := s.Run(context.Background())
 			require.NoError(t, err, logs(dir))
@@ -111,6 +123,8 @@
 	fullCellSeed = 4025
 	// soakLength is how long load and faults last for each seed.
 	soakLength = 12 * time.Second
+	// rolloutLength is how long load lasts where the faults come in series.
+	rolloutLength = 24 * time.Second
 	// soakFaultEvery is the mean time between series of faults.
 	soakFaultEvery = 1500 * time.Millisecond
 	// soakJobs is the number of jobs submitted per second.
