World: draw leader changes amid departing workers, and interference with waiting jobs

The simulations in virtual time drew neither: they had no long-running tasks and no workers that depart for good, and judged only the share of filler jobs that end in time, beside serving tasks that fill three quarters of each worker.

TestLongRunningTasksRunAgainAfterLeaderChanges replaces the leader five times, a second apart, while workers are lost or leave. The model of the election is simple: each leader knows at once that the former ones grant no more leases.

TestFillerJobsRunWhileMostProcessorsAreFree draws the interference of three images with three serving images.

--- a/internal/batch/interference_test.go
+++ b/internal/batch/interference_test.go
@@ -28,6 +28,10 @@
 	// missed counts the reported tail latencies at which the true headroom was below 1, reports all
 	// reported tail latencies.
 	missed, reports int
+	// harmedFor is how long serving tasks on each worker have missed their targets on end because
+	// of filler tasks at work there, longestHarm the longest such time.
+	harmedFor   map[string]time.Duration
+	longestHarm time.Duration
 	// lastEnds is the number of the last run end of each worker.
 	lastEnds map[string]int64
 	// remainingWork is the remaining run time of each run at full speed.
@@ -58,12 +62,20 @@
 	maxMissedShare = 0.025
 )
 
-// newInterferenceSim returns a simulation with one worker for each serving image.
+// newInterferenceSim returns a simulation with one worker for each serving image. Serving tasks are
+// allocated three quarters of its processors.
 func newInterferenceSim(t *testing.T, serving ...string) *interferenceSim {
+	return newServingSim(t, 4, serving...)
+}
+
+// newServingSim returns a simulation with one worker for each serving image, and a number of serving
+// tasks on each.
+func newServingSim(t *testing.T, tasks int, serving ...string) *interferenceSim {
 	sim := &interferenceSim{
 		t: t, now: time.Unix(1_000_000_000, 0), headroomLost: map[string]map[string]float64{}, lastEnds: map[string]int64{},
 		remainingWork: map[runKey]time.Duration{}, jobTimes: map[string]time.Duration{}, reportedTails: map[runKey]float64{},
-		baseline: func(string, time.Time) float64 { return 2.2 },
+		harmedFor: map[string]time.Duration{},
+		baseline:  func(string, time.Time) float64 { return 2.2 },
 	}
 	sim.core = NewCore(DefaultTiming(), sim.now, sim.now)
 	sim.core.SetQueueConfig(simQueueConfig())
@@ -75,7 +87,7 @@
 		}, sim.now)
 		sim.core.ApplyReport(id, Report{Incarnation: 1, Clock: time.Hour}, sim.now, sim.now)
 		sim.submit(Step{
-			Tasks: 4, Size: share.Resources{Processors: 3000, Memory: 1 << 30}, LongRunning: true, Image: image,
+			Tasks: tasks, Size: share.Resources{Processors: 3000, Memory: 1 << 30}, LongRunning: true, Image: image,
 			TailTarget: servingTarget, RequiredLabel: id,
 		})
 	}
@@ -160,12 +172,15 @@
 		}
 		rep.Running = append(rep.Running, RunningRow{Task: key.task, Run: key.run, Percent: 50, Measurement: cores, Checkpoint: "c"})
 	}
+	harmed := false
 	for _, r := range sortedRuns(w.runs) {
 		s := r.task.stage.step
 		if s.Filler {
 			continue
 		}
-		headroom := max(0.05, sim.baseline(r.task.stage.job.ID, sim.now)-lost[s.Image])
+		baseline := sim.baseline(r.task.stage.job.ID, sim.now)
+		headroom := max(0.05, baseline-lost[s.Image])
+		harmed = harmed || headroom < 1 && baseline >= 1
 		sim.reports++
 		if headroom < 1 {
 			sim.missed++
@@ -179,6 +194,12 @@
 		sim.reportedTails[r.key()] = tail
 		rep.Running = append(rep.Running, RunningRow{Task: r.task.name(), Run: r.number, Percent: 100, Measurement: tail})
 	}
+	if harmed {
+		sim.harmedFor[w.ID] += interferenceTick
+	} else {
+		sim.harmedFor[w.ID] = 0
+	}
+	sim.longestHarm = max(sim.longestHarm, sim.harmedFor[w.ID])
 	return rep
 }
 
--- a/internal/batch/simworker_test.go
+++ b/internal/batch/simworker_test.go
@@ -25,8 +25,16 @@
 	// previousProcessors is the worker's capacity before it changed at resizedAt.
 	previousProcessors share.MilliCores
 	resizedAt          time.Time
+	// departing means that the worker was chosen to depart for good, departed that it has ended, and
+	// removed that the platform no longer lists it.
+	departing bool
+	departed  bool
+	removed   bool
 }
 
+// simLongRun is the duration of long-running tasks; it is longer than any simulation.
+const simLongRun = time.Hour
+
 // simEnd is a run end that was not acknowledged yet.
 type simEnd struct {
 	EndedRow
@@ -121,6 +129,9 @@
 		sim.violate("%s is over its capacity", w.info.ID)
 	}
 	duration := time.Duration(float64(step.Estimate) * (0.5 + sim.random.Float64()) * w.slowdown)
+	if step.LongRunning {
+		duration = simLongRun
+	}
 	w.running[key] = &simRun{startedAt: sim.now, endsAt: sim.now.Add(duration), fails: sim.chance(sim.faults.fail)}
 	sim.crasher.startRun(sim, w, key)
 }
--- a/internal/batch/world_test.go
+++ b/internal/batch/world_test.go
@@ -154,7 +154,9 @@
 	}
 	var infos []WorkerInfo
 	for _, w := range sim.workers {
-		infos = append(infos, w.info)
+		if !w.removed {
+			infos = append(infos, w.info)
+		}
 	}
 	sim.core.SetWorkers(infos, nil, sim.now)
 	token := sim.token
