Soak: draw workers that refuse connections, and routes removed under jobs

The soak drew none of these: its cuts were silent and left the workers' entries in the store, and its main route was in every configuration.

--- a/e2e/soakfaults_test.go
+++ b/e2e/soakfaults_test.go
@@ -15,3 +15,20 @@
 		{seed: 12, reason: "three workers lost during a rolling restart", faults: soak.RolloutFaults},
 	})
 }
+
+// Guards against tasks that are started a second time because their worker refuses connections,
+// although it runs on.
+func TestTasksOfRefusingWorkersRunOnce(t *testing.T) {
+	t.Parallel()
+	runSoaks(t, []soakCase{{seed: 1, reason: "workers cut off by a firewall that rejects", faults: soak.RefusalFaults}})
+}
+
+// Guards against jobs that never run, or are retried without limit, because their route was removed
+// after they had been accepted.
+func TestJobsOutlastTheirRoute(t *testing.T) {
+	t.Parallel()
+	runSoaks(t, []soakCase{
+		{seed: 1, reason: "routes removed after the leader was killed", faults: soak.RouteFaults},
+		{seed: 2, reason: "routes removed under waiting and running jobs", faults: soak.RouteFaults},
+	})
+}
--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -82,7 +82,7 @@
 	n.mu.Lock()
 	n.endpoints[name] = e
 	n.mu.Unlock()
-	go n.accept(e)
+	go n.accept(e, l)
 	return l.Addr().String(), nil
 }
 
@@ -127,6 +127,38 @@
 	return count
 }
 
+// Refuse makes an endpoint refuse connections and resets its open ones, as a firewall that rejects
+// does, until Accept is called. Its target runs on.
+func (n *Network) Refuse(name string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if e, ok := n.endpoints[name]; ok {
+		_ = e.listener.Close()
+	}
+	for f := range n.flows {
+		if f.endpoint.name == name {
+			f.reset()
+		}
+	}
+}
+
+// Accept ends the effect of Refuse.
+func (n *Network) Accept(name string) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	e, ok := n.endpoints[name]
+	if !ok {
+		return fmt.Errorf("no endpoint %s", name)
+	}
+	l, err := net.Listen("tcp", e.listener.Addr().String())
+	if err != nil {
+		return fmt.Errorf("proxy for %s: %w", name, err)
+	}
+	e.listener = l
+	go n.accept(e, l)
+	return nil
+}
+
 // SetPathFaults sets the function that returns the fault of each path, for open and for
 // new connections; nil means no faults.
 func (n *Network) SetPathFaults(faultOf func(source, endpoint string) PathFault) {
@@ -213,10 +245,10 @@
 	return host
 }
 
-// accept serves the connections to an endpoint until its listener is closed.
-func (n *Network) accept(e *endpoint) {
+// accept serves the connections to an endpoint until the listener is closed.
+func (n *Network) accept(e *endpoint, l net.Listener) {
 	for {
-		c, err := e.listener.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return
 		}
