--- /dev/null
+++ b/e2e/soakfaults_test.go
@@ -0,0 +1,34 @@
+package e2e
+
+import (
+	"testing"
+
+	"github.com/oriolepond/oriolepond/platform/soak"
+)
+
+// Guards against long-running tasks that have no run for long after their worker was lost or has left
+// during a rolling restart of all nodes.
+func TestLongRunningTasksOutlastRollouts(t *testing.T) {
+	t.Parallel()
+	runSoaks(t, []soakCase{
+		{seed: 1, reason: "two rolling restarts, two workers lost and one left", faults: soak.RolloutFaults},
+		{seed: 12, reason: "three workers lost during a rolling restart", faults: soak.RolloutFaults},
+	})
+}
+
+// Guards against tasks that are started a second time because their worker refuses connections,
+// although it runs on.
+func TestTasksOfRefusingWorkersRunOnce(t *testing.T) {
+	t.Parallel()
+	runSoaks(t, []soakCase{{seed: 1, reason: "workers cut off by a firewall that rejects", faults: soak.RefusalFaults}})
+}
+
+// Guards against jobs that never run, or are retried without limit, because their route was removed
+// after they had been accepted.
+func TestJobsOutlastTheirRoute(t *testing.T) {
+	t.Parallel()
+	runSoaks(t, []soakCase{
+		{seed: 1, reason: "routes removed after the leader was killed", faults: soak.RouteFaults},
+		{seed: 2, reason: "routes removed under waiting and running jobs", faults: soak.RouteFaults},
+	})
+}
