Log what keeps tasks from workers, by obstacle and idle processors

'task waits' now has the number of workers per obstacle and, for filler tasks, the most idle cores on one worker by declaration and by measurement; 'leader load' (4042) has the filler runs, the suspended ones and the idle cores of all workers. Both are computed where the line is logged, once in five seconds a step and once a second.

--- a/internal/batch/core.go
+++ b/internal/batch/core.go
@@ -111,6 +111,18 @@
 	Cell      int
 	TailRatio float64
 	Headroom  float64
+	// Obstacles and the others below belong to a NoteWaits: how many workers that accept runs each
+	// obstacle excludes, and, for a filler task, the largest number of idle processors on one of
+	// them, in cores, with filler runs counted by their declared size and by what they use.
+	Obstacles    []ObstacleCount
+	DeclaredIdle float64
+	MeasuredIdle float64
+}
+
+// ObstacleCount is the number of workers on which an obstacle keeps a task from running.
+type ObstacleCount struct {
+	Obstacle Obstacle
+	Workers  int
 }
 
 // NoteKind is the kind of decision that a Note reports.
--- a/internal/batch/interference.go
+++ b/internal/batch/interference.go
@@ -78,7 +78,7 @@
 func (w *worker) isStarved(now time.Time) bool {
 	got, need := 0.0, 0.0
 	for _, r := range w.runs {
-		if s := r.task.stage.step; s.Filler && r.state == runRunning && now.Sub(r.throttledAt) >= tailDecay && now.Sub(r.sentAt) >= tailDecay {
+		if s := r.task.stage.step; s.Filler && r.isSettled(now) {
 			got += r.coresUsed
 			need += s.cores() * float64(r.throttleRatio) / unthrottled
 		}
@@ -171,6 +171,29 @@
 	return float64(w.Capacity.Processors) - used - float64(w.fillerSize.Processors)
 }
 
+// measuredIdle returns the processors, in thousandths of a core, that are idle on a worker if each
+// filler run goes on to use what it was last reported to use. A run that has not been reported since
+// it was started or throttled counts with its size at its throttle ratio.
+func (w *worker) measuredIdle(now time.Time) float64 {
+	idle := float64(w.Capacity.Processors-w.allocated.Processors) + (1-w.servingUse())*float64(w.servingProcessors)
+	for _, r := range w.runs {
+		if s := r.task.stage.step; s.Filler {
+			used := s.cores() * float64(r.throttleRatio) / unthrottled
+			if r.isSettled(now) {
+				used = min(used, r.coresUsed)
+			}
+			idle -= 1000 * used
+		}
+	}
+	return idle
+}
+
+// isSettled reports whether the processor time that is reported for the run belongs to its present
+// throttle ratio.
+func (r *run) isSettled(now time.Time) bool {
+	return r.state == runRunning && now.Sub(r.throttledAt) >= tailDecay && now.Sub(r.sentAt) >= tailDecay
+}
+
 // servingUse returns the share of their processors that the serving tasks on the worker are assumed
 // to use.
 func (w *worker) servingUse() float64 {
--- a/internal/batch/interference_test.go
+++ b/internal/batch/interference_test.go
@@ -299,18 +299,21 @@
 	require.InDelta(t, 1, sim.onTime(hard, 3*time.Second), 1e-9)
 }
 
-// The reason why a task waits is logged once per interval for each step.
+// The reason why a task waits is logged once per interval for each step, with the number of workers
+// that each obstacle excludes.
 func TestWaitReasonIsLogged(t *testing.T) {
 	now := time.Unix(1_000_000_000, 0)
 	for _, c := range []struct {
-		name string
-		step Step
-		want Obstacle
+		name         string
+		step         Step
+		want         Obstacle
+		counts       []ObstacleCount
+		declaredIdle float64
 	}{
-		{name: "too large", step: Step{Tasks: 2, Size: share.Resources{Processors: 9000}}, want: NoProcessors},
-		{name: "too much memory", step: Step{Tasks: 2, Size: share.Resources{Memory: 99 << 30}}, want: NoMemoryOrAccelerators},
-		{name: "no such label", step: Step{Tasks: 2, RequiredLabel: "none"}, want: NoLabel},
-		{name: "nothing idle", step: Step{Tasks: 2, Size: share.Resources{Processors: 9000}, Filler: true}, want: NoIdleProcessors},
+		{name: "too large", step: Step{Tasks: 2, Size: share.Resources{Processors: 9000}}, want: NoProcessors, counts: []ObstacleCount{{Obstacle: NoProcessors, Workers: 4}}},
+		{name: "too much memory", step: Step{Tasks: 2, Size: share.Resources{Memory: 99 << 30}}, want: NoMemoryOrAccelerators, counts: []ObstacleCount{{Obstacle: NoMemoryOrAccelerators, Workers: 4}}},
+		{name: "no such label", step: Step{Tasks: 2, RequiredLabel: "none"}, want: NoLabel, counts: []ObstacleCount{{Obstacle: NoLabel, Workers: 4}}},
+		{name: "nothing idle", step: Step{Tasks: 2, Size: share.Resources{Processors: 9000}, Filler: true}, want: NoIdleProcessors, counts: []ObstacleCount{{Obstacle: NoIdleProcessors, Workers: 4}}, declaredIdle: 4},
 		{name: "gang", step: Step{Tasks: 5, Size: share.Resources{Processors: 4000}, Gang: true}, want: noCapacityForGang},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -323,6 +326,9 @@
 			}
 			require.Len(t, logged, 2)
 			require.Equal(t, string(c.want), logged[0].Reason)
+			require.Equal(t, c.counts, logged[0].Obstacles)
+			require.InDelta(t, c.declaredIdle, logged[0].DeclaredIdle, 1e-9)
+			require.InDelta(t, c.declaredIdle, logged[0].MeasuredIdle, 1e-9)
 			require.Equal(t, logWaitAfter, logged[0].Age)
 		})
 	}
--- a/internal/batch/wait.go
+++ b/internal/batch/wait.go
@@ -23,23 +23,33 @@
 	s.waitLoggedAt = now
 	i := slices.IndexFunc(s.tasks, func(t *task) bool { return t.state == taskQueued })
 	t := s.tasks[i]
-	c.note(Note{
-		Kind: NoteWaits, Task: t.name(), Run: t.lastRun, Age: now.Sub(t.queuedAt), Reason: string(c.waitReason(t, now)),
-	})
-}
-
-// waitReason returns the obstacle that keeps a task from most of the workers that accept runs.
-func (c *Core) waitReason(t *task, now time.Time) Obstacle {
+	n := Note{Kind: NoteWaits, Task: t.name(), Run: t.lastRun, Age: now.Sub(t.queuedAt)}
 	counts := map[Obstacle]int{}
 	for _, w := range c.accepting {
-		if o := c.obstacle(t, w, now); o != NoService {
+		o := c.obstacle(t, w, now)
+		if o == NoService {
+			continue
+		}
+		if o != noObstacle {
 			counts[o]++
 		}
+		if s.step.Filler {
+			n.DeclaredIdle = max(n.DeclaredIdle, c.idleProcessors(w, now)/1000)
+			n.MeasuredIdle = max(n.MeasuredIdle, w.measuredIdle(now)/1000)
+		}
 	}
-	delete(counts, noObstacle)
+	for _, o := range slices.Sorted(maps.Keys(counts)) {
+		n.Obstacles = append(n.Obstacles, ObstacleCount{Obstacle: o, Workers: counts[o]})
+	}
+	n.Reason = string(t.waitReason(n.Obstacles))
+	c.note(n)
+}
+
+// waitReason returns the obstacle that keeps a task from most of the workers that accept runs.
+func (t *task) waitReason(counts []ObstacleCount) Obstacle {
 	switch {
 	case len(counts) > 0:
-		return slices.MaxFunc(slices.Sorted(maps.Keys(counts)), func(a, b Obstacle) int { return cmp.Compare(counts[a], counts[b]) })
+		return slices.MaxFunc(counts, func(a, b ObstacleCount) int { return cmp.Compare(a.Workers, b.Workers) }).Obstacle
 	case t.stage.step.Gang:
 		return noCapacityForGang
 	}
--- a/internal/batch/work.go
+++ b/internal/batch/work.go
@@ -14,6 +14,13 @@
 	Jobs          int
 	WaitingStages int
 	QueuedTasks   int
+	// FillerRuns counts the runs of filler tasks, SuspendedRuns those of them whose throttle ratio is
+	// 0. DeclaredIdle is the number of processors, in cores, that are idle on all workers that accept
+	// runs, with filler runs counted by their declared size; MeasuredIdle is the same by what they use.
+	FillerRuns    int
+	SuspendedRuns int
+	DeclaredIdle  float64
+	MeasuredIdle  float64
 	// OldestContact is the longest time since a worker that has runs answered a call.
 	OldestContact time.Duration
 }
@@ -35,6 +42,18 @@
 		if len(w.runs) > 0 && w.contacted {
 			work.OldestContact = max(work.OldestContact, now.Sub(w.lastContact))
 		}
+		for _, r := range w.runs {
+			if r.task.stage.step.Filler {
+				work.FillerRuns++
+				if r.throttleRatio == 0 {
+					work.SuspendedRuns++
+				}
+			}
+		}
+		if c.acceptsRuns(w, now) {
+			work.DeclaredIdle += max(0, c.idleProcessors(w, now)) / 1000
+			work.MeasuredIdle += max(0, w.measuredIdle(now)) / 1000
+		}
 	}
 	return work
 }
--- a/internal/eventlog/batch.go
+++ b/internal/eventlog/batch.go
@@ -113,7 +113,7 @@
 	})
 	TaskWaiting = register(Event{
 		Number: 4040, Level: zapcore.InfoLevel, Message: "task waits",
-		Meaning: "A task has found no worker for the named time; reason is what excludes it from most of the workers that accept runs. Repeated at most every five seconds for each step.",
+		Meaning: "A task has found no worker for the named time; reason is what excludes it from most of the workers that accept runs, workers gives how many each obstacle excludes. For a task that fills idle capacity, declaredIdle and measuredIdle are the most idle cores on one of them, by the declared size of such tasks and by what they use. Repeated at most every five seconds for each step.",
 		Advice:  "Depending on the reason, add workers or run fewer long-running tasks on them; an image that interferes with all others needs workers of its own.",
 	})
 	WorkerReserved = register(Event{
@@ -123,7 +123,7 @@
 	})
 	LeaderLoad = register(Event{
 		Number: 4042, Level: zapcore.InfoLevel, Message: "leader load",
-		Meaning: "What the leader spent its time on since the last such line, and what waits. The times are parts of the interval.",
+		Meaning: "What the leader spent its time on since the last such line, and what waits. The times are parts of the interval. suspendedRuns of the fillerRuns (of tasks that fill idle capacity) are throttled to 0; declaredIdle and measuredIdle are the idle cores on all workers, by the declared size of such tasks and by what they use.",
 		Advice:  "If plans or reports take most of the interval, or the oldest contact nears the worker leases, the instance is too small for its cell.",
 	})
 	WorkerCrashed = register(Event{
--- a/internal/scheduler/decisionlog.go
+++ b/internal/scheduler/decisionlog.go
@@ -30,7 +30,7 @@
 
 // logDecision logs one decision of the core under its event, with the fields that are set.
 func (l *Leader) logDecision(decision batch.Note) {
-	fields := make([]zap.Field, 0, 7)
+	fields := make([]zap.Field, 0, 8)
 	if decision.Job != "" {
 		fields = append(fields, zap.String("job", decision.Job))
 	}
@@ -56,5 +56,15 @@
 	if decision.Kind == batch.NoteThrottled {
 		fields = append(fields, zap.Int("percent", decision.Percent), zap.Float64("strain", decision.TailRatio), zap.Float64("headroom", decision.Headroom))
 	}
+	if decision.Kind == batch.NoteWaits {
+		workers := make([]zap.Field, 0, len(decision.Obstacles))
+		for _, o := range decision.Obstacles {
+			workers = append(workers, zap.Int(string(o.Obstacle), o.Workers))
+		}
+		fields = append(fields, zap.Dict("workers", workers...))
+		if decision.DeclaredIdle != 0 || decision.MeasuredIdle != 0 {
+			fields = append(fields, zap.Float64("declaredIdle", decision.DeclaredIdle), zap.Float64("measuredIdle", decision.MeasuredIdle))
+		}
+	}
 	l.Log.Emit(decisionEvents[decision.Kind], append(fields, zap.Int64("token", l.Token))...)
 }
--- a/internal/scheduler/timespent.go
+++ b/internal/scheduler/timespent.go
@@ -43,6 +43,8 @@
 			zap.Int("reports", spent.reports), zap.Duration("applying", spent.applying),
 			zap.Int("commits", spent.commits), zap.Duration("encoding", spent.encoding),
 			zap.Int("jobs", work.Jobs), zap.Int("waitingSteps", work.WaitingStages), zap.Int("queuedTasks", work.QueuedTasks),
+			zap.Int("fillerRuns", work.FillerRuns), zap.Int("suspendedRuns", work.SuspendedRuns),
+			zap.Float64("declaredIdle", work.DeclaredIdle), zap.Float64("measuredIdle", work.MeasuredIdle),
 			zap.Duration("oldestContact", work.OldestContact))
 	}
 }
