Bound how long a job without runs waits for interference

Such a job ranks last once it is late, is expected to miss targets on half of the workers, and finds no idle processors by declaration on the others. Nothing bounded its wait.

One filler task of a job without runs is now overdue after 60 s, or after 1.5 s if its job has waited for 8 s and no more than 55% of the service's processors are allocated. It is placed on the worker with idle processors by measurement where it interferes least, at most two a worker; the throttling that limits missed targets decides its speed. While it is throttled it does not hold processors from others.

Tests: TestJobThatInterferesEverywhereHasARunWithinABound and TestSuspendedRunsDoNotBlockOtherJobs failed before.

--- a/internal/batch/core.go
+++ b/internal/batch/core.go
@@ -54,7 +54,9 @@
 	crashTimes []time.Time
 	// accepting are the workers that accept runs, collected at the beginning of each plan.
 	// searchStart is the index in them at which the next search for a worker begins.
-	accepting   []*worker
+	accepting []*worker
+	// serviceUse is the use of each service, updated at the beginning of each plan.
+	serviceUse  map[string]serviceUse
 	searchStart int
 	// changes counts the changes of workers. changed are the workers in accepting that have changed
 	// since the previous plan that searched workers, changedForFillers those that may suit more filler
--- a/internal/batch/filler_test.go
+++ b/internal/batch/filler_test.go
@@ -38,3 +38,79 @@
 	}
 	require.Equal(t, 1, core.TakeWork(now).SuspendedRuns)
 }
+
+// Guards against filler tasks that are expected to interfere on every worker and therefore never run.
+// Each job has a run within a bounded time, and no target is missed for as long as the platform
+// tolerates at most.
+func TestJobThatInterferesEverywhereHasARunWithinABound(t *testing.T) {
+	const toleratedMiss = 4 * time.Second
+	for _, c := range []struct {
+		name     string
+		capacity share.MilliCores
+		within   time.Duration
+	}{
+		{name: "most processors of the service are free", capacity: 2 * simWorkerProcessors, within: overdueJobAge + time.Second},
+		{name: "most processors of the service are allocated", capacity: simWorkerProcessors, within: overdueAfterBusy + time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			sim := newInterferenceSim(t, "v", "v", "v")
+			for id, w := range sim.core.workers {
+				info := w.WorkerInfo
+				info.Capacity.Processors = c.capacity
+				sim.core.SetWorker(info, sim.now)
+				require.Equal(t, c.capacity, sim.core.workers[id].Capacity.Processors)
+			}
+			sim.renewsLeases = true
+			sim.headroomLost = map[string]map[string]float64{"v": {"bad": 40}}
+			sim.submitLoad(8*time.Second, 4, "bad")
+			sim.run(2 * overdueAfterBusy)
+			sim.longestMiss = 0
+			step := fillerStep("bad", 4)
+			step.Estimate = time.Minute
+			jobs := []string{sim.submit(step), sim.submit(step)}
+			sim.run(c.within)
+			for _, id := range jobs {
+				require.True(t, sim.core.jobs[id].hasRuns(), "job without a run")
+			}
+			sim.run(20 * time.Second)
+			require.Less(t, sim.longestMiss, toleratedMiss)
+		})
+	}
+}
+
+// Guards against suspended filler runs that keep a harmless task from idle processors for as long as
+// they stand.
+func TestSuspendedRunsDoNotBlockOtherJobs(t *testing.T) {
+	now := time.Unix(1_000_000_000, 0)
+	core := fourWorkerCore(t, now)
+	step := Step{Tasks: 4, Size: share.Resources{Processors: 4000, Memory: 1 << 30}, Filler: true, Image: "a", MaxPerWorker: 1, Estimate: time.Minute}
+	require.NoError(t, core.Submit(Job{ID: "0000000000000001", Queue: "review", Steps: []Step{step}}, now, nil))
+	core.Plan(now)
+	rows := map[string]RunningRow{}
+	require.Len(t, commitAndStart(t, core, now), 4)
+	for id, w := range core.workers {
+		for key, r := range w.runs {
+			core.setThrottleRatio(w, r, 0, "test", now)
+			rows[id] = RunningRow{Task: key.task, Run: key.run, Percent: 10}
+		}
+	}
+	for _, command := range core.TakeCommands() {
+		_, ok := core.PrepareCall(command, now)
+		require.True(t, ok)
+		core.HandleAnswer(command, Result{Answer: AnswerDone, Clock: time.Hour}, now, now)
+	}
+	step.Image, step.Tasks, step.Size.Processors = "b", 1, 2000
+	require.NoError(t, core.Submit(Job{ID: "0000000000000002", Queue: "review", Steps: []Step{step}}, now, nil))
+	for until := now.Add(overdueJobAge + time.Second); now.Before(until); now = now.Add(500 * time.Millisecond) {
+		for id, row := range rows {
+			core.BeginPoll(id, now)
+			core.ApplyReport(id, Report{Incarnation: 1, Clock: time.Hour, Running: []RunningRow{row}}, now, now)
+		}
+		core.Plan(now)
+		for name := range commitAndStart(t, core, now) {
+			require.Equal(t, "0000000000000002", name.Job)
+			return
+		}
+	}
+	t.Fatal("the harmless task was not placed")
+}
--- a/internal/batch/fit.go
+++ b/internal/batch/fit.go
@@ -62,6 +62,15 @@
 // fillerObstacle returns why a worker has too few idle processors for a filler task, or why the
 // task would interfere too much with serving tasks there.
 func (c *Core) fillerObstacle(t *task, w *worker, now time.Time) Obstacle {
+	o := c.regularObstacle(t, w, now)
+	if o != noObstacle && c.mayRunOverdue(t, w, now) {
+		return noObstacle
+	}
+	return o
+}
+
+// regularObstacle is fillerObstacle for a task that is not overdue.
+func (c *Core) regularObstacle(t *task, w *worker, now time.Time) Obstacle {
 	s := t.stage
 	if c.idleProcessors(w, now) < minIdleShare*float64(s.step.Size.Processors) {
 		return NoIdleProcessors
@@ -111,6 +120,13 @@
 // score rates a worker for a task; higher is better.
 func (c *Core) score(t *task, w *worker, now time.Time) float64 {
 	s := t.stage.step
+	if c.isOverdue(t, now) {
+		score := c.overdueScore(t, w, now)
+		if t.avoidWorker == w {
+			score -= weightAvoid
+		}
+		return score
+	}
 	capacity := float64(max(1, w.Capacity.Processors))
 	score := (c.idleProcessors(w, now) - float64(s.Size.Processors)) / capacity
 	if s.PreferredRack != "" && w.Rack == s.PreferredRack {
--- a/internal/batch/interference.go
+++ b/internal/batch/interference.go
@@ -168,7 +168,7 @@
 		return 0
 	}
 	used := float64(w.allocated.Processors) - (1-w.servingUse())*float64(w.servingProcessors)
-	return float64(w.Capacity.Processors) - used - float64(w.fillerSize.Processors)
+	return float64(w.Capacity.Processors) - used - float64(w.fillerSize.Processors) + w.throttledOverdue()
 }
 
 // measuredIdle returns the processors, in thousandths of a core, that are idle on a worker if each
--- a/internal/batch/interference_test.go
+++ b/internal/batch/interference_test.go
@@ -28,6 +28,10 @@
 	// missed counts the reported tail latencies at which the true headroom was below 1, reports all
 	// reported tail latencies.
 	missed, reports int
+	// missedFor is how long each serving run has missed its target on end, longestMiss the longest
+	// such time of any run.
+	missedFor   map[runKey]time.Duration
+	longestMiss time.Duration
 	// lastEnds is the number of the last run end of each worker.
 	lastEnds map[string]int64
 	// remainingWork is the remaining run time of each run at full speed.
@@ -36,6 +40,8 @@
 	// reportedTails are the last reported tail latencies in milliseconds.
 	reportedTails map[runKey]float64
 	lastJob       int
+	// renewsLeases means that leases are renewed, so that serving tasks run without a break.
+	renewsLeases bool
 }
 
 const (
@@ -63,7 +69,8 @@
 	sim := &interferenceSim{
 		t: t, now: time.Unix(1_000_000_000, 0), headroomLost: map[string]map[string]float64{}, lastEnds: map[string]int64{},
 		remainingWork: map[runKey]time.Duration{}, jobTimes: map[string]time.Duration{}, reportedTails: map[runKey]float64{},
-		baseline: func(string, time.Time) float64 { return 2.2 },
+		missedFor: map[runKey]time.Duration{},
+		baseline:  func(string, time.Time) float64 { return 2.2 },
 	}
 	sim.core = NewCore(DefaultTiming(), sim.now, sim.now)
 	sim.core.SetQueueConfig(simQueueConfig())
@@ -110,6 +117,9 @@
 		sim.executeCommands()
 		sim.now = sim.now.Add(interferenceTick)
 		for _, id := range slices.Sorted(maps.Keys(sim.core.workers)) {
+			if sim.renewsLeases {
+				sim.core.BeginPoll(id, sim.now)
+			}
 			sim.core.ApplyReport(id, sim.report(sim.core.workers[id]), sim.now, sim.now)
 		}
 		sim.executeCommands()
@@ -169,6 +179,10 @@
 		sim.reports++
 		if headroom < 1 {
 			sim.missed++
+			sim.missedFor[r.key()] += interferenceTick
+			sim.longestMiss = max(sim.longestMiss, sim.missedFor[r.key()])
+		} else {
+			delete(sim.missedFor, r.key())
 		}
 		// The reported tail latency follows the true one with a delay.
 		tail := float64(servingTarget/time.Millisecond) / headroom
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -197,6 +197,8 @@
 	coresUsed     float64
 	throttleRatio int
 	throttledAt   time.Time
+	// overdue means that the task was overdue when it was placed, see Core.isOverdue.
+	overdue bool
 	// stopSentAt is when a stop command was last sent, or prepared to be sent again.
 	stopSentAt time.Time
 }
--- a/internal/batch/plan.go
+++ b/internal/batch/plan.go
@@ -98,6 +98,7 @@
 		return
 	}
 	c.updateAccepting(now)
+	c.updateServiceUse()
 	c.endReservations(now)
 	c.updateDemandPressure(now)
 	c.updateChanged()
@@ -267,17 +268,22 @@
 
 // assign assigns a task to a worker. The start command is sent once the job's record is durable.
 func (c *Core) assign(t *task, w *worker, number int64, now time.Time) {
+	overdue := c.isOverdue(t, now) && c.regularObstacle(t, w, now) != noObstacle
 	t.lastRun = number
 	t.state = taskPlaced
 	t.stage.queued--
-	r := &run{task: t, number: number, worker: w, incarnation: w.Incarnation, state: runPending, stateSince: now, throttleRatio: unthrottled}
+	r := &run{task: t, number: number, worker: w, incarnation: w.Incarnation, state: runPending, stateSince: now, throttleRatio: unthrottled, overdue: overdue}
 	c.isolate(r)
 	t.runs = append(t.runs, r)
 	w.addRun(r)
 	j := t.stage.job
 	j.pendingStarts = append(j.pendingStarts, r)
 	c.markDirty(j)
-	c.note(Note{Kind: NotePlaced, Task: t.name(), Run: number, Worker: w.ID, Age: now.Sub(t.queuedAt)})
+	n := Note{Kind: NotePlaced, Task: t.name(), Run: number, Worker: w.ID, Age: now.Sub(t.queuedAt)}
+	if overdue {
+		n.Reason = "its job has waited too long without a run"
+	}
+	c.note(n)
 }
 
 // stopRunsOnDraining stops the runs on draining workers, except those that mayRunToEnd permits.
--- a/internal/batch/search.go
+++ b/internal/batch/search.go
@@ -15,7 +15,7 @@
 type failedSearch struct {
 	// at is the value of Core.searchedAt in the plan of the search; zero means that there was none.
 	at uint64
-	// missCostLevel is that of the task, see task.missCostLevel.
+	// missCostLevel is that of the task, see Core.missCostLevel.
 	missCostLevel int
 }
 
@@ -143,14 +143,14 @@
 
 func (c *Core) newShortlist(t *task, now time.Time) *shortlist {
 	c.work.Searches++
-	c.shortlist = shortlist{choices: c.shortlist.choices[:0], complete: true, task: t, missCostLevel: t.missCostLevel(now)}
+	c.shortlist = shortlist{choices: c.shortlist.choices[:0], complete: true, task: t, missCostLevel: c.missCostLevel(t, now)}
 	return &c.shortlist
 }
 
 // searchStage returns a shortlist for a task and those of its stage that follow. If the search for the
 // stage has failed in the previous plan, it considers only the workers that have changed since.
 func (c *Core) searchStage(t *task, now time.Time) *shortlist {
-	if s := t.stage; !c.onlyChangedSuit(s, t.missCostLevel(now)) {
+	if s := t.stage; !c.onlyChangedSuit(s, c.missCostLevel(t, now)) {
 		return c.search(t, nil, max(maxCandidates, candidatesPerTask*s.queued), now)
 	}
 	return c.searchChanged(t, now)
@@ -165,7 +165,7 @@
 
 // isShared reports whether a shortlist is also valid for another task of its stage.
 func (c *Core) isShared(l *shortlist, t *task, now time.Time) bool {
-	return t == l.task || t.avoidWorker == l.task.avoidWorker && t.missCostLevel(now) == l.missCostLevel && !c.hasReservedFor(t.stage)
+	return t == l.task || t.avoidWorker == l.task.avoidWorker && c.missCostLevel(t, now) == l.missCostLevel && !c.hasReservedFor(t.stage)
 }
 
 // hasReservedFor reports whether a worker is reserved for any task of a stage.
@@ -200,10 +200,14 @@
 const missCostLevels = 8
 
 // missCostLevel returns how far the miss cost of a filler task has fallen, from 0 to missCostLevels. On
-// a higher level, a worker may suit the task that did not suit it before.
-func (t *task) missCostLevel(now time.Time) int {
+// a higher level, a worker may suit the task that did not suit it before. An overdue task has a level
+// of its own.
+func (c *Core) missCostLevel(t *task, now time.Time) int {
 	if !t.stage.step.Filler {
 		return 0
 	}
+	if c.isOverdue(t, now) {
+		return missCostLevels + 1
+	}
 	return int(missCostLevels * min(longWait, max(0, now.Sub(t.queuedAt))) / longWait)
 }
--- a/internal/batch/search_test.go
+++ b/internal/batch/search_test.go
@@ -329,7 +329,7 @@
 	}
 	next := s.tasks[i]
 	// Within a level of its miss cost, a task is not searched for again.
-	at := next.queuedAt.Add(time.Duration(next.missCostLevel(m.now)) * longWait / missCostLevels)
+	at := next.queuedAt.Add(time.Duration(m.core.missCostLevel(next, m.now)) * longWait / missCostLevels)
 	for _, w := range c.accepting {
 		if s.step.Filler && w.changedAt <= m.assigned[w] {
 			// Beside another filler task, a task may be expected to cause fewer misses.
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -21,6 +21,8 @@
 	// filler runs use at full speed, which are not allocated.
 	allocated  share.Resources
 	fillerSize share.Resources
+	// overdueRuns is the number of runs that were overdue when they were placed, see Core.isOverdue.
+	overdueRuns int
 	// orphans are the orphaned runs on the worker, which it reports but this Core has no record of,
 	// with the time of the last stop command. The worker is given no runs while it has orphans,
 	// since their size is unknown.
@@ -134,6 +136,9 @@
 		w.allocated.Accelerators += size.Accelerators
 		w.fillerSize.Processors += size.Processors
 	}
+	if r.overdue {
+		w.overdueRuns++
+	}
 	if s := r.task.stage.step; s.TailTarget > 0 {
 		w.addServing(r.task.stage.image, 1)
 		w.servingProcessors += size.Processors
@@ -159,6 +164,9 @@
 		w.allocated.Accelerators -= size.Accelerators
 		w.fillerSize.Processors -= size.Processors
 	}
+	if r.overdue {
+		w.overdueRuns--
+	}
 	if s := r.task.stage.step; s.TailTarget > 0 {
 		w.servingProcessors -= size.Processors
 		w.addServing(r.task.stage.image, -1)
