--- a/internal/batch/filler_test.go
+++ b/internal/batch/filler_test.go
@@ -114,3 +114,57 @@
 	}
 	t.Fatal("the harmless task was not placed")
 }
+
+// Guards against throttle commands that are sent again for each report until the first is answered. A
+// command that fails is sent again.
+func TestThrottleCommandIsNotRepeatedWhileInFlight(t *testing.T) {
+	now := time.Unix(1_000_000_000, 0)
+	core := fourWorkerCore(t, now)
+	step := Step{Tasks: 1, Size: share.Resources{Processors: 4000, Memory: 1 << 30}, Filler: true, Image: "a", Estimate: time.Minute, RequiredLabel: "kind-a"}
+	require.NoError(t, core.Submit(Job{ID: "0000000000000001", Queue: "review", Steps: []Step{step}}, now, nil))
+	core.Plan(now)
+	require.Len(t, commitAndStart(t, core, now), 1)
+	w := core.workers["a"]
+	request := func(ratio int) []Command {
+		for _, r := range w.runs {
+			core.setThrottleRatio(w, r, ratio, "test", now)
+		}
+		return core.TakeCommands()
+	}
+	answer := func(commands []Command, a Answer) {
+		require.Len(t, commands, 1)
+		_, ok := core.PrepareCall(commands[0], now)
+		require.True(t, ok)
+		core.HandleAnswer(commands[0], Result{Answer: a, Clock: time.Hour}, now, now)
+	}
+	first := request(50)
+	require.Empty(t, request(50))
+	answer(first, AnswerNone)
+	second := request(50)
+	answer(second, AnswerDone)
+	require.Empty(t, request(50))
+	answer(request(unthrottled), AnswerDone)
+}
+
+// Throttle ratios do not change back and forth while the load of the serving tasks does not change.
+func TestThrottleRatiosAreSteadyUnderSteadyLoad(t *testing.T) {
+	for _, headroomLost := range []float64{2, 6, 10, 20} {
+		sim := newInterferenceSim(t, "v")
+		sim.renewsLeases = true
+		sim.headroomLost = map[string]map[string]float64{"v": {"a": headroomLost}}
+		step := fillerStep("a", 4)
+		step.Estimate = 10 * time.Minute
+		sim.submit(step)
+		sim.submit(step)
+		sim.run(20 * time.Second)
+		require.NotZero(t, sim.core.workers["w-00"].fillerSize.Processors)
+		changes := 0
+		sim.onNote = func(n Note) {
+			if n.Kind == NoteThrottled {
+				changes++
+			}
+		}
+		sim.run(20 * time.Second)
+		require.Zero(t, changes, "headroom lost %v", headroomLost)
+	}
+}
