--- a/internal/batch/command.go
+++ b/internal/batch/command.go
@@ -110,9 +110,6 @@
 func (c *Core) PrepareCall(cmd Command, now time.Time) (Call, bool) {
 	w := cmd.worker
 	if w.Address == "" {
-		if cmd.Kind == CommandThrottle {
-			cmd.run.throttling = false
-		}
 		// The list of workers was not read yet. Stop commands are sent again later.
 		return Call{}, false
 	}
@@ -148,7 +145,6 @@
 		r.stopSentAt = now
 	case CommandThrottle:
 		if r.state != runRunning {
-			r.throttling = false
 			return Call{}, false
 		}
 		call.Percent = cmd.throttleRatio
@@ -181,9 +177,6 @@
 	case CommandStop:
 		c.stopAnswered(cmd.run, res, now)
 	case CommandThrottle:
-		if cmd.throttleRatio == cmd.run.requestedRatio {
-			cmd.run.throttling = false
-		}
 		if res.Answer == AnswerDone {
 			w.addFillerUsage(now)
 			cmd.run.throttleRatio, cmd.run.throttledAt = cmd.throttleRatio, now
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -197,10 +197,6 @@
 	coresUsed     float64
 	throttleRatio int
 	throttledAt   time.Time
-	// requestedRatio is the throttle ratio in a command that was not answered yet, if throttling is
-	// set.
-	throttling     bool
-	requestedRatio int
 	// overdue means that the task was overdue when it was placed, see Core.isOverdue.
 	overdue bool
 	// stopSentAt is when a stop command was last sent, or prepared to be sent again.
--- a/internal/batch/throttle.go
+++ b/internal/batch/throttle.go
@@ -159,10 +159,9 @@
 
 // setThrottleRatio sends a command that changes the throttle ratio of a run.
 func (c *Core) setThrottleRatio(w *worker, r *run, ratio int, reason string, now time.Time) {
-	if r.throttling && ratio == r.requestedRatio || !r.throttling && ratio == r.throttleRatio {
+	if ratio == r.throttleRatio {
 		return
 	}
-	r.throttling, r.requestedRatio = true, ratio
 	w.throttleChangedAt = now
 	c.commands = append(c.commands, Command{Kind: CommandThrottle, run: r, worker: w, throttleRatio: ratio})
 	leastHeadroom := 0.0
