--- a/internal/batch/filler_test.go
+++ b/internal/batch/filler_test.go
@@ -114,3 +114,26 @@
 	}
 	t.Fatal("the harmless task was not placed")
 }
+
+// Throttle ratios do not change back and forth while the load of the serving tasks does not change.
+func TestThrottleRatiosAreSteadyUnderSteadyLoad(t *testing.T) {
+	for _, headroomLost := range []float64{2, 6, 10, 20} {
+		sim := newInterferenceSim(t, "v")
+		sim.renewsLeases = true
+		sim.headroomLost = map[string]map[string]float64{"v": {"a": headroomLost}}
+		step := fillerStep("a", 4)
+		step.Estimate = 10 * time.Minute
+		sim.submit(step)
+		sim.submit(step)
+		sim.run(20 * time.Second)
+		require.NotZero(t, sim.core.workers["w-00"].fillerSize.Processors)
+		changes := 0
+		sim.onNote = func(n Note) {
+			if n.Kind == NoteThrottled {
+				changes++
+			}
+		}
+		sim.run(20 * time.Second)
+		require.Zero(t, changes, "headroom lost %v", headroomLost)
+	}
+}
--- a/internal/batch/interference_test.go
+++ b/internal/batch/interference_test.go
@@ -42,6 +42,8 @@
 	lastJob       int
 	// renewsLeases means that leases are renewed, so that serving tasks run without a break.
 	renewsLeases bool
+	// onNote is called for each decision; it may be nil.
+	onNote func(Note)
 }
 
 const (
@@ -124,6 +126,9 @@
 		}
 		sim.executeCommands()
 		for _, n := range sim.core.TakeNotes() {
+			if sim.onNote != nil {
+				sim.onNote(n)
+			}
 			if n.Kind == NoteJobEnded {
 				sim.jobTimes[n.Job] = n.Age
 			}
@@ -354,6 +359,9 @@
 	for at := sim.now; at.Before(sim.now.Add(9 * time.Second)); at = at.Add(time.Second) {
 		sim.core.Plan(at)
 		for _, n := range sim.core.TakeNotes() {
+			if sim.onNote != nil {
+				sim.onNote(n)
+			}
 			if n.Kind == NoteWaits {
 				reasons[Obstacle(n.Reason)] = true
 			}
