--- a/internal/eventlog/batch.go
+++ b/internal/eventlog/batch.go
@@ -83,7 +83,7 @@
 	})
 	TaskPlaced = register(Event{
 		Number: 4030, Level: zapcore.DebugLevel, Message: "task placed",
-		Meaning: "The task is started on the worker once the placement is committed; age is how long it waited.",
+		Meaning: "The task is started on the worker once the placement is committed; age is how long it waited. A reason is given if the task is placed although it is expected to interfere with serving tasks.",
 		Advice:  "None.",
 	})
 	RunEnded = register(Event{
