--- a/internal/batch/core.go
+++ b/internal/batch/core.go
@@ -54,7 +54,9 @@
 	crashTimes []time.Time
 	// accepting are the workers that accept runs, collected at the beginning of each plan.
 	// searchStart is the index in them at which the next search for a worker begins.
-	accepting   []*worker
+	accepting []*worker
+	// serviceUse is the use of each service, updated at the beginning of each plan.
+	serviceUse  map[string]serviceUse
 	searchStart int
 	// changes counts the changes of workers. changed are the workers in accepting that have changed
 	// since the previous plan that searched workers, changedForFillers those that may suit more filler
@@ -111,6 +113,18 @@
 	Cell      int
 	TailRatio float64
 	Headroom  float64
+	// Obstacles and the others below belong to a NoteWaits: how many workers that accept runs each
+	// obstacle excludes, and, for a filler task, the largest number of idle processors on one of
+	// them, in cores, with filler runs counted by their declared size and by what they use.
+	Obstacles    []ObstacleCount
+	DeclaredIdle float64
+	MeasuredIdle float64
+}
+
+// ObstacleCount is the number of workers on which an obstacle keeps a task from running.
+type ObstacleCount struct {
+	Obstacle Obstacle
+	Workers  int
 }
 
 // NoteKind is the kind of decision that a Note reports.
--- a/internal/batch/interference_test.go
+++ b/internal/batch/interference_test.go
@@ -32,6 +32,10 @@
 	// of filler tasks at work there, longestHarm the longest such time.
 	harmedFor   map[string]time.Duration
 	longestHarm time.Duration
+	// missedFor is how long each serving run has missed its target on end, longestMiss the longest
+	// such time of any run.
+	missedFor   map[runKey]time.Duration
+	longestMiss time.Duration
 	// lastEnds is the number of the last run end of each worker.
 	lastEnds map[string]int64
 	// remainingWork is the remaining run time of each run at full speed.
@@ -40,6 +44,10 @@
 	// reportedTails are the last reported tail latencies in milliseconds.
 	reportedTails map[runKey]float64
 	lastJob       int
+	// renewsLeases means that leases are renewed, so that serving tasks run without a break.
+	renewsLeases bool
+	// onNote is called for each decision; it may be nil.
+	onNote func(Note)
 }
 
 const (
@@ -75,6 +83,7 @@
 		t: t, now: time.Unix(1_000_000_000, 0), headroomLost: map[string]map[string]float64{}, lastEnds: map[string]int64{},
 		remainingWork: map[runKey]time.Duration{}, jobTimes: map[string]time.Duration{}, reportedTails: map[runKey]float64{},
 		harmedFor: map[string]time.Duration{},
+		missedFor: map[runKey]time.Duration{},
 		baseline:  func(string, time.Time) float64 { return 2.2 },
 	}
 	sim.core = NewCore(DefaultTiming(), sim.now, sim.now)
@@ -122,10 +131,16 @@
 		sim.executeCommands()
 		sim.now = sim.now.Add(interferenceTick)
 		for _, id := range slices.Sorted(maps.Keys(sim.core.workers)) {
+			if sim.renewsLeases {
+				sim.core.BeginPoll(id, sim.now)
+			}
 			sim.core.ApplyReport(id, sim.report(sim.core.workers[id]), sim.now, sim.now)
 		}
 		sim.executeCommands()
 		for _, n := range sim.core.TakeNotes() {
+			if sim.onNote != nil {
+				sim.onNote(n)
+			}
 			if n.Kind == NoteJobEnded {
 				sim.jobTimes[n.Job] = n.Age
 			}
@@ -184,6 +199,10 @@
 		sim.reports++
 		if headroom < 1 {
 			sim.missed++
+			sim.missedFor[r.key()] += interferenceTick
+			sim.longestMiss = max(sim.longestMiss, sim.missedFor[r.key()])
+		} else {
+			delete(sim.missedFor, r.key())
 		}
 		// The reported tail latency follows the true one with a delay.
 		tail := float64(servingTarget/time.Millisecond) / headroom
@@ -320,18 +339,21 @@
 	require.InDelta(t, 1, sim.onTime(hard, 3*time.Second), 1e-9)
 }
 
-// The reason why a task waits is logged once per interval for each step.
+// The reason why a task waits is logged once per interval for each step, with the number of workers
+// that each obstacle excludes.
 func TestWaitReasonIsLogged(t *testing.T) {
 	now := time.Unix(1_000_000_000, 0)
 	for _, c := range []struct {
-		name string
-		step Step
-		want Obstacle
+		name         string
+		step         Step
+		want         Obstacle
+		counts       []ObstacleCount
+		declaredIdle float64
 	}{
-		{name: "too large", step: Step{Tasks: 2, Size: share.Resources{Processors: 9000}}, want: NoProcessors},
-		{name: "too much memory", step: Step{Tasks: 2, Size: share.Resources{Memory: 99 << 30}}, want: NoMemoryOrAccelerators},
-		{name: "no such label", step: Step{Tasks: 2, RequiredLabel: "none"}, want: NoLabel},
-		{name: "nothing idle", step: Step{Tasks: 2, Size: share.Resources{Processors: 9000}, Filler: true}, want: NoIdleProcessors},
+		{name: "too large", step: Step{Tasks: 2, Size: share.Resources{Processors: 9000}}, want: NoProcessors, counts: []ObstacleCount{{Obstacle: NoProcessors, Workers: 4}}},
+		{name: "too much memory", step: Step{Tasks: 2, Size: share.Resources{Memory: 99 << 30}}, want: NoMemoryOrAccelerators, counts: []ObstacleCount{{Obstacle: NoMemoryOrAccelerators, Workers: 4}}},
+		{name: "no such label", step: Step{Tasks: 2, RequiredLabel: "none"}, want: NoLabel, counts: []ObstacleCount{{Obstacle: NoLabel, Workers: 4}}},
+		{name: "nothing idle", step: Step{Tasks: 2, Size: share.Resources{Processors: 9000}, Filler: true}, want: NoIdleProcessors, counts: []ObstacleCount{{Obstacle: NoIdleProcessors, Workers: 4}}, declaredIdle: 4},
 		{name: "gang", step: Step{Tasks: 5, Size: share.Resources{Processors: 4000}, Gang: true}, want: noCapacityForGang},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -344,6 +366,9 @@
 			}
 			require.Len(t, logged, 2)
 			require.Equal(t, string(c.want), logged[0].Reason)
+			require.Equal(t, c.counts, logged[0].Obstacles)
+			require.InDelta(t, c.declaredIdle, logged[0].DeclaredIdle, 1e-9)
+			require.InDelta(t, c.declaredIdle, logged[0].MeasuredIdle, 1e-9)
 			require.Equal(t, logWaitAfter, logged[0].Age)
 		})
 	}
@@ -355,6 +380,9 @@
 	for at := sim.now; at.Before(sim.now.Add(9 * time.Second)); at = at.Add(time.Second) {
 		sim.core.Plan(at)
 		for _, n := range sim.core.TakeNotes() {
+			if sim.onNote != nil {
+				sim.onNote(n)
+			}
 			if n.Kind == NoteWaits {
 				reasons[Obstacle(n.Reason)] = true
 			}
