Log what a leader waits for at workers that it cannot reach

"worker unresponsive" now gives the number of runs there and the time until they are given up. A new event (4015) names the earlier leaders that may still renew leases. The line "leader load" (4042, once a second) tells apart why a leader starts nothing: its lease (leaseRemaining), a commit without an answer (commitUnanswered), workers that were not contacted yet, nothing placed; and until when unreached runs wait.

--- a/internal/batch/command.go
+++ b/internal/batch/command.go
@@ -270,6 +270,9 @@
 		if !w.lastContact.IsZero() {
 			n.Age = sent.Sub(w.lastContact)
 		}
+		if len(w.runs) > 0 {
+			n.Runs, n.Remaining = len(w.runs), w.leasesExpireAt.Sub(sent)
+		}
 		c.note(n)
 	}
 }
--- a/internal/batch/core.go
+++ b/internal/batch/core.go
@@ -99,6 +99,8 @@
 	Worker string
 	Age    time.Duration
 	Reason string
+	// Remaining is how long the runs of an unresponsive worker wait until they are given up.
+	Remaining time.Duration
 	// Percent, TailRatio and Headroom belong to a NoteThrottled: the new throttle ratio, the worst
 	// tail ratio on the worker (measured tail latency as a fraction of its target), and the least
 	// headroom that is expected there.
--- a/internal/batch/work.go
+++ b/internal/batch/work.go
@@ -16,6 +16,14 @@
 	QueuedTasks   int
 	// OldestContact is the longest time since a worker that has runs answered a call.
 	OldestContact time.Duration
+	// Placed counts the runs whose start commands wait for a commit or to be sent.
+	Placed int
+	// Uncontacted counts the usable workers that have not answered this leader yet.
+	Uncontacted int
+	// UnreachedRuns counts the runs on workers that do not answer; UnreachedFor is the longest time
+	// until one of them is given up.
+	UnreachedRuns int
+	UnreachedFor  time.Duration
 }
 
 // TakeWork returns the work since its last call.
@@ -32,6 +40,18 @@
 		}
 	}
 	for _, w := range c.workers {
+		if !w.contacted && w.isUsable() {
+			work.Uncontacted++
+		}
+		for _, r := range w.runs {
+			if r.state == runPending {
+				work.Placed++
+			}
+		}
+		if len(w.runs) > 0 && (!w.contacted || !w.unresponsiveSince.IsZero()) {
+			work.UnreachedRuns += len(w.runs)
+			work.UnreachedFor = max(work.UnreachedFor, w.leasesExpireAt.Sub(now))
+		}
 		if len(w.runs) > 0 && w.contacted {
 			work.OldestContact = max(work.OldestContact, now.Sub(w.lastContact))
 		}
--- a/internal/eventlog/batch.go
+++ b/internal/eventlog/batch.go
@@ -66,6 +66,11 @@
 		Meaning: "The previous leaders confirmed that they renew no more leases; runs on workers that cannot be reached end when their leases expire, within the longest lease from now.",
 		Advice:  "None.",
 	})
+	EarlierLeadersOpen = register(Event{
+		Number: 4015, Level: zapcore.InfoLevel, Message: "earlier leaders may still renew leases",
+		Meaning: "The named leaders have not confirmed that they renew no more leases. Runs on workers that this leader cannot reach are given up after the named time (givenUpIn), sooner if they confirm.",
+		Advice:  "Look for the named instances if this lasts: one that lost the store, or was lost itself, cannot confirm.",
+	})
 	TaskDelegated = register(Event{
 		Number: 4013, Level: zapcore.InfoLevel, Message: "task delegated to another cell",
 		Meaning: "The task waited for free capacity in its cell for the named time; the named cell runs it until the job is cancelled.",
@@ -123,7 +128,7 @@
 	})
 	LeaderLoad = register(Event{
 		Number: 4042, Level: zapcore.InfoLevel, Message: "leader load",
-		Meaning: "What the leader spent its time on since the last such line, and what waits. The times are parts of the interval.",
+		Meaning: "What the leader spent its time on since the last such line, and what waits. The times are parts of the interval. A leader starts nothing while leaseRemaining is negative or a commit is unanswered (commitUnanswered); the runs on workers that do not answer (unreachedRuns) are given up within unreachedFor.",
 		Advice:  "If plans or reports take most of the interval, or the oldest contact nears the worker leases, the instance is too small for its cell.",
 	})
 	WorkerCrashed = register(Event{
--- a/internal/scheduler/decisionlog.go
+++ b/internal/scheduler/decisionlog.go
@@ -47,6 +47,9 @@
 		l.Metrics.WorkerCrashed()
 		fields = append(fields, zap.Int("runs", decision.Runs), zap.Int("earlyRuns", decision.EarlyRuns))
 	}
+	if decision.Remaining != 0 {
+		fields = append(fields, zap.Int("runs", decision.Runs), zap.Duration("givenUpIn", decision.Remaining))
+	}
 	if decision.Reason != "" {
 		fields = append(fields, zap.String("reason", decision.Reason))
 	}
--- a/internal/scheduler/election.go
+++ b/internal/scheduler/election.go
@@ -237,6 +237,7 @@
 	startedAt := m.scheduler.now()
 	// Until then, leases may still be renewed by a leader that was replaced before this node started.
 	allSeenAt := m.scheduler.startTime().Add(m.scheduler.renewalLimit())
+	m.logOpenLeaders(leader.Token, allSeenAt.Sub(startedAt))
 	for deadline := startedAt.Add(m.unreachedRunLimit()); m.scheduler.now().Before(deadline); {
 		if !m.scheduler.now().Before(allSeenAt) && m.replacedLeadersRetired(ctx, leader.Token) {
 			leader.withLock(func() { leader.core.ShortenUncontactedExpiry(leader.Now()) })
@@ -251,6 +252,23 @@
 	}
 }
 
+// logOpenLeaders logs which earlier leaders may still renew leases. Leaders that this node has not
+// seen may do so for the given time.
+func (m *cellMember) logOpenLeaders(token int64, unseenFor time.Duration) {
+	m.mu.Lock()
+	var open []string
+	for _, r := range m.replaced {
+		open = append(open, r.ID)
+	}
+	m.mu.Unlock()
+	if unseenFor > 0 {
+		open = append(open, "unseen")
+	}
+	if len(open) > 0 {
+		m.Log.Emit(eventlog.EarlierLeadersOpen, zap.Int64("token", token), zap.Strings("leaders", open), zap.Duration("givenUpIn", m.unreachedRunLimit()))
+	}
+}
+
 // retiredCheckInterval is the pause between two rounds of calls to the replaced leaders.
 const retiredCheckInterval = time.Second
 
--- a/internal/scheduler/polls.go
+++ b/internal/scheduler/polls.go
@@ -229,7 +229,11 @@
 		}
 		var call batch.Call
 		var ok bool
-		l.withLock(func() { call, ok = l.core.PrepareCall(command, sent) })
+		l.withLock(func() {
+			if call, ok = l.core.PrepareCall(command, sent); ok && call.Kind == batch.CommandStart {
+				l.spent.starts++
+			}
+		})
 		if !ok {
 			return
 		}
--- a/internal/scheduler/timespent.go
+++ b/internal/scheduler/timespent.go
@@ -19,6 +19,8 @@
 	// encoding is the time in which the core encoded the records of commits.
 	encoding time.Duration
 	commits  int
+	// starts counts the start commands that were sent.
+	starts int
 }
 
 // loadLogInterval is how often a leader logs its load.
@@ -35,14 +37,20 @@
 		}
 		now := l.Now()
 		l.mu.Lock()
-		spent, work := l.spent, l.core.TakeWork(now)
+		spent, work, unansweredSince := l.spent, l.core.TakeWork(now), l.unansweredSince
 		l.spent = timeSpent{}
 		l.mu.Unlock()
+		var unanswered time.Duration
+		if !unansweredSince.IsZero() {
+			unanswered = now.Sub(unansweredSince)
+		}
 		l.Log.Emit(eventlog.LeaderLoad, zap.Int64("token", l.Token), zap.Duration("interval", now.Sub(startedAt)),
 			zap.Int("plans", work.Plans), zap.Duration("planning", spent.planning), zap.Int("searches", work.Searches), zap.Int("examined", work.Examined),
 			zap.Int("reports", spent.reports), zap.Duration("applying", spent.applying),
 			zap.Int("commits", spent.commits), zap.Duration("encoding", spent.encoding),
 			zap.Int("jobs", work.Jobs), zap.Int("waitingSteps", work.WaitingStages), zap.Int("queuedTasks", work.QueuedTasks),
-			zap.Duration("oldestContact", work.OldestContact))
+			zap.Duration("oldestContact", work.OldestContact), zap.Int("starts", spent.starts), zap.Int("placed", work.Placed),
+			zap.Duration("leaseRemaining", l.leaseEnd().Sub(now)), zap.Duration("commitUnanswered", unanswered),
+			zap.Int("uncontacted", work.Uncontacted), zap.Int("unreachedRuns", work.UnreachedRuns), zap.Duration("unreachedFor", work.UnreachedFor))
 	}
 }
