--- a/internal/scheduler/election.go
+++ b/internal/scheduler/election.go
@@ -45,7 +45,7 @@
 
 // runElections runs for election whenever the cell has no leader, and serves each term that it wins.
 func (m *cellMember) runElections(ctx context.Context) error {
-	for {
+	for ctx.Err() == nil {
 		ref, changed := m.currentLeader()
 		if ref.Token != 0 || !m.mayRun() {
 			select {
@@ -68,6 +68,7 @@
 		case <-time.After(electionRetryInterval):
 		}
 	}
+	return nil
 }
 
 // mayRun reports whether the node may run for election: it has a configuration and is not stopping.
