A record of terms tells a leader who may still renew leases

Cause: a leader gives up runs at a worker that it cannot reach only once no earlier leader may renew leases there. It knew the earlier ones from its watch, and so believed them complete only 17 s after the start of its own process; each leader began that wait anew, and then waited for MaxLease, though no leader grants more than Lease. Class: a judgement about others that rests on what the own process happened to see. It was wrong in the other direction, too: a watch that skipped a leader (only a listing was left) shortened the wait while that leader still renewed leases: two runs of a task.

The leader's key is now won in one commit with pond/terms, on the condition that this record is as it was read, so no term is missing from it. A term that ends with its key removes itself in the commit that deletes the key, after its last call has ended. One that was lost stays, for RenewGrace and the key's TTL from the next election, or until its node confirms that it has stopped. The remaining times are written again once a second while there are any. Without a record, and if the head names a term that the record does not know, an unknown leader is assumed. From the end of the last open term on, Lease is waited for, MaxLease where a run was placed on a young worker (job records tell) or the worker restarted. A listing of the incarnation on which the runs were started is no longer taken for a restart. A node that may be about to begin a term does not confirm that it has stopped.

TestEachReplacedLeaderHasToConfirm named the list that is gone; it checks the same on the record, and that an unanswered call confirms nothing. The tests' crash ends a node without the revocation that a stopped one makes.

--- a/internal/batch/core.go
+++ b/internal/batch/core.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/oriolepond/oriolepond/internal/interference"
+	"github.com/oriolepond/oriolepond/internal/lease"
 	"github.com/oriolepond/oriolepond/internal/placement"
 )
 
@@ -250,17 +251,32 @@
 	}
 }
 
-// ShortenUncontactedExpiry records that the previous leader has stopped renewing leases. The leases
-// of the workers that this leader has not contacted yet then expire within MaxLease.
-func (c *Core) ShortenUncontactedExpiry(now time.Time) {
-	until := c.latestExpiry(now)
-	if until.After(c.uncontactedExpiry) {
-		return
+// LimitRenewals records that earlier leaders renew leases until the given time at most. It shortens
+// the wait for the workers that this leader has not contacted yet.
+func (c *Core) LimitRenewals(until time.Time) {
+	if latest := c.latestExpiry(until); latest.Before(c.uncontactedExpiry) {
+		c.uncontactedExpiry = latest
 	}
-	c.uncontactedExpiry = until
 	for _, w := range c.workers {
-		if !w.contacted && w.leasesExpireAt.After(until) {
-			w.leasesExpireAt = until
+		if w.contacted {
+			continue
+		}
+		if expiry := c.expiryAfter(w, until); expiry.Before(w.leasesExpireAt) {
+			w.leasesExpireAt = expiry
+		}
+	}
+}
+
+// UncontactedExpiry returns when runs are given up at a worker that this leader never contacts, at the latest.
+func (c *Core) UncontactedExpiry() time.Time { return c.uncontactedExpiry }
+
+// expiryAfter returns the time by which all leases that earlier leaders granted to a worker until the
+// given time are guaranteed to have expired.
+func (c *Core) expiryAfter(w *worker, until time.Time) time.Time {
+	for _, r := range w.runs {
+		if !r.settled {
+			return c.latestExpiry(until)
 		}
 	}
+	return until.Add(time.Duration(float64(lease.Longer(c.timing.Lease))/minClockRate) + expirySlack)
 }
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -197,6 +197,9 @@
 	coresUsed     float64
 	throttleRatio int
 	throttledAt   time.Time
+	// settled means that the worker incarnation was not young when the run was placed or later, so
+	// that no lease there has a deadline that was meant for an earlier incarnation's clock.
+	settled bool
 	// stopSentAt is when a stop command was last sent, or prepared to be sent again.
 	stopSentAt time.Time
 }
--- a/internal/batch/lease.go
+++ b/internal/batch/lease.go
@@ -106,17 +106,26 @@
 // beginIncarnation records that a worker has restarted, which ended all its runs.
 func (c *Core) beginIncarnation(w *worker, incarnation int64, now time.Time) {
 	culprits := c.recordCrash(w, incarnation, true, now)
+	// A worker that becomes known to this leader has not restarted if its runs are of this incarnation.
+	restarted := w.Incarnation != 0 || !w.hasOnlyRunsOf(incarnation)
 	w.Incarnation = incarnation
 	w.contacted, w.aliveAt = false, time.Time{}
 	w.lastEnd, w.ackableEnd, w.undurableEnds = 0, 0, nil
 	w.clock, w.clockAt = 0, time.Time{}
-	// Commands that were sent to the previous incarnation may reach this one. Their deadlines refer
-	// to the previous clock and may be far ahead on this one.
-	w.leasesExpireAt = later(w.leasesExpireAt, c.latestExpiry(now))
+	if restarted {
+		// Commands that were sent to the previous incarnation may reach this one. Their deadlines refer
+		// to the previous clock and may be far ahead on this one.
+		w.leasesExpireAt = later(w.leasesExpireAt, c.latestExpiry(now))
+	}
 	w.backoffUntil, w.refusals = time.Time{}, 0
 	clear(w.orphans)
 	c.health.Remove(w.ID)
 	for _, r := range sortedRuns(w.runs) {
+		if restarted && r.settled {
+			// Its start command, or a lease for it, may still reach the new incarnation.
+			r.settled = false
+			c.markDirty(r.task.stage.job)
+		}
 		switch {
 		case r.state == runPending:
 		case r.incarnation != incarnation && (r.state == runSent || r.state == runUnconfirmed):
@@ -130,6 +139,25 @@
 	c.requestPoll(w)
 }
 
+// hasOnlyRunsOf reports whether the worker has runs, and all of them were started on the given incarnation.
+func (w *worker) hasOnlyRunsOf(incarnation int64) bool {
+	for _, r := range w.runs {
+		if r.incarnation != incarnation {
+			return false
+		}
+	}
+	return len(w.runs) > 0
+}
+
+// isYoung reports whether a lease on the worker may have a deadline that was meant for the clock of
+// its previous incarnation.
+func (c *Core) isYoung(w *worker, now time.Time) bool {
+	if w.clockAt.IsZero() {
+		return true
+	}
+	return w.clock+now.Sub(w.clockAt) < youngWorkerLeases*c.timing.MaxLease
+}
+
 // latestExpiry returns the time by which all leases granted until now are guaranteed to have
 // expired, whatever their deadlines.
 func (c *Core) latestExpiry(now time.Time) time.Time {
--- a/internal/batch/plan.go
+++ b/internal/batch/plan.go
@@ -270,7 +270,7 @@
 	t.lastRun = number
 	t.state = taskPlaced
 	t.stage.queued--
-	r := &run{task: t, number: number, worker: w, incarnation: w.Incarnation, state: runPending, stateSince: now, throttleRatio: unthrottled}
+	r := &run{task: t, number: number, worker: w, incarnation: w.Incarnation, state: runPending, stateSince: now, throttleRatio: unthrottled, settled: !c.isYoung(w, now)}
 	c.isolate(r)
 	t.runs = append(t.runs, r)
 	w.addRun(r)
--- a/internal/batch/poll.go
+++ b/internal/batch/poll.go
@@ -161,6 +161,12 @@
 // applyRunningRow updates a run from what its worker reports.
 func (c *Core) applyRunningRow(r *run, row RunningRow, now time.Time) {
 	t := r.task
+	if !r.settled && !c.isYoung(r.worker, now) {
+		r.settled = true
+		if t.stage.step.LongRunning {
+			c.markDirty(t.stage.job)
+		}
+	}
 	if row.Checkpoint != "" {
 		t.checkpoint = row.Checkpoint
 	}
--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -205,6 +205,8 @@
 		AllDone bool       `json:"allDone,omitempty"`
 		Done    []byte     `json:"done,omitempty"`
 		Tasks   []wireTask `json:"tasks,omitempty"`
+		// Ages means that runs tell whether their workers are young. Records of earlier versions do not.
+		Ages bool `json:"ages,omitempty"`
 	}
 	wireTask struct {
 		Index      int       `json:"i"`
@@ -224,6 +226,7 @@
 		Number      int64  `json:"n"`
 		Worker      string `json:"w"`
 		Incarnation int64  `json:"b,omitempty"`
+		Young       bool   `json:"y,omitempty"`
 	}
 )
 
@@ -348,7 +351,8 @@
 		}
 		wt := wireTask{Index: t.index, LastRun: t.lastRun, Checkpoint: t.checkpoint, Failed: t.failedRuns, Crashes: encodeCrashes(t.crashes)}
 		for _, r := range t.runs {
-			wt.Runs = append(wt.Runs, wireRun{Number: r.number, Worker: r.worker.ID, Incarnation: cmp.Or(r.worker.Incarnation, r.incarnation)})
+			wt.Runs = append(wt.Runs, wireRun{Number: r.number, Worker: r.worker.ID, Incarnation: cmp.Or(r.worker.Incarnation, r.incarnation), Young: !r.settled})
+			w.Ages = true
 		}
 		w.Tasks = append(w.Tasks, wt)
 	}
@@ -498,7 +502,7 @@
 		t.lastRun, t.checkpoint, t.failedRuns, t.crashes = wt.LastRun, wt.Checkpoint, wt.Failed, decodeCrashes(wt.Crashes)
 		s.lastGangRun = max(s.lastGangRun, t.lastRun)
 		for _, wr := range wt.Runs {
-			c.restoreRun(t, wr, now)
+			c.restoreRun(t, wr, w.Ages && !wr.Young, now)
 		}
 	}
 	for _, t := range s.tasks {
@@ -510,10 +514,11 @@
 
 // restoreRun restores a run as unconfirmed, since its record does not show whether the start
 // command was sent.
-func (c *Core) restoreRun(t *task, wr wireRun, now time.Time) {
+func (c *Core) restoreRun(t *task, wr wireRun, settled bool, now time.Time) {
 	w := c.worker(wr.Worker)
 	r := &run{
 		task: t, number: wr.Number, worker: w, incarnation: wr.Incarnation, state: runUnconfirmed, stateSince: now, sentAt: now, throttleRatio: unthrottled,
+		settled: settled,
 	}
 	t.state = taskPlaced
 	t.runs = append(t.runs, r)
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/oriolepond/oriolepond/internal/interference"
+	"github.com/oriolepond/oriolepond/internal/lease"
 	"github.com/oriolepond/oriolepond/pkg/share"
 )
 
@@ -202,10 +203,11 @@
 // hasLabel reports whether the worker carries a label.
 func (w *worker) hasLabel(label string) bool { return slices.Contains(w.Labels, label) }
 
-// grantDeadline returns the lease deadline on the worker's clock that is d from now. It extends
-// leasesExpireAt to when that deadline is guaranteed to have passed.
+// grantDeadline returns the lease deadline on the worker's clock that is d from now, or earlier by
+// as much as that clock may be slow: a later leader, which does not know the clock, relies on it that the
+// lease is not longer than d. It extends leasesExpireAt to when that deadline is guaranteed to have passed.
 func (w *worker) grantDeadline(d time.Duration, now time.Time) time.Duration {
-	at := w.clock + now.Sub(w.clockAt) + d
+	at := w.clock + time.Duration(float64(lease.Shorter(now.Sub(w.clockAt)))*minClockRate) + d
 	expiry := w.clockAt.Add(time.Duration(float64(at-w.clock)/minClockRate) + expirySlack)
 	if expiry.After(w.leasesExpireAt) {
 		w.leasesExpireAt = expiry
--- a/internal/scheduler/cluster_test.go
+++ b/internal/scheduler/cluster_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -35,6 +36,11 @@
 	// unreachable are the nodes that no peer reaches, withoutWorkers those that reach no worker.
 	unreachable    map[string]bool
 	withoutWorkers map[string]bool
+	// cutOff are the workers that a node does not reach.
+	cutOff map[string]map[string]bool
+	// started counts the nodes that were started, dead ends all calls of a killed one.
+	started int
+	dead    map[string]*atomic.Bool
 	// frozen are the nodes whose calls wait, each until its channel is closed.
 	frozen map[string]chan struct{}
 	// mu guards the maps above, which the nodes' calls read.
@@ -47,7 +53,7 @@
 	cl := &cluster{
 		t: t, store: newFakeStore(), workers: newFakeWorkers(duration, workers...),
 		nodes: map[string]*Scheduler{}, stops: map[string]context.CancelFunc{}, unreachable: map[string]bool{}, withoutWorkers: map[string]bool{},
-		frozen: map[string]chan struct{}{}, shares: map[string]float64{},
+		frozen: map[string]chan struct{}{}, shares: map[string]float64{}, cutOff: map[string]map[string]bool{}, dead: map[string]*atomic.Bool{},
 	}
 	for _, id := range workers {
 		cl.store.put(testPrefix+id, []byte(id))
@@ -69,8 +75,10 @@
 // addNodeWithTable starts a node with a configuration.
 func (cl *cluster) addNodeWithTable(name string, table batch.QueueConfig) *Scheduler {
 	ctx, cancel := context.WithCancel(context.Background())
+	dead := &atomic.Bool{}
+	cl.started++
 	node := &Scheduler{
-		ID: name + "/" + fmt.Sprint(len(cl.stops)), Address: name, CPUShare: 1, Store: cl.storeClient(name), Workers: cl.workerCalls(name),
+		ID: name + "/" + fmt.Sprint(cl.started), Address: name, CPUShare: 1, Store: cl.storeClient(name, dead), Workers: cl.workerCalls(name, dead),
 		WorkerPrefix: testPrefix, Timing: batch.DefaultTiming(), Log: eventlog.Discard(), Metrics: NewMetrics(metrics.NewSet()),
 		Now: time.Now,
 		DecodeWorker: func(_ string, value []byte) (batch.WorkerInfo, error) {
@@ -86,7 +94,7 @@
 			cl.mu.Lock()
 			defer cl.mu.Unlock()
 			peer := cl.nodes[address]
-			if peer == nil || cl.unreachable[address] || cl.unreachable[name] {
+			if peer == nil || dead.Load() || cl.unreachable[address] || cl.unreachable[name] {
 				return nil, &UnknownOutcomeError{Err: errUnreachable}
 			}
 			return peer.LocalCalls(cell), nil
@@ -97,7 +105,7 @@
 	}
 	node.SetTable(table)
 	cl.mu.Lock()
-	cl.nodes[name], cl.stops[name] = node, cancel
+	cl.nodes[name], cl.stops[name], cl.dead[name] = node, cancel, dead
 	cl.mu.Unlock()
 	go func() { _ = node.Run(ctx) }()
 	return node
@@ -122,26 +130,47 @@
 	}
 }
 
-// storeClient returns a node's calls to the store.
-func (cl *cluster) storeClient(name string) *store.Client {
+// storeClient returns a node's calls to the store. Those of a dead node are not sent.
+func (cl *cluster) storeClient(name string, dead *atomic.Bool) *store.Client {
 	client := cl.store.client(name)
+	admit := func(call string) error {
+		cl.awaitThaw(name)
+		if dead.Load() {
+			return &store.UnavailableError{Call: call, Err: errUnreachable}
+		}
+		return nil
+	}
 	wrapped := *client
 	wrapped.Read = func(ctx context.Context, key string) (store.Entry, bool, error) {
-		cl.awaitThaw(name)
+		if err := admit("read"); err != nil {
+			return store.Entry{}, false, err
+		}
 		return client.Read(ctx, key)
 	}
 	wrapped.Commit = func(ctx context.Context, t store.Txn) (store.Result, error) {
-		cl.awaitThaw(name)
+		if err := admit("commit"); err != nil {
+			return store.Result{}, err
+		}
 		return client.Commit(ctx, t)
 	}
 	wrapped.KeepAlive = func(ctx context.Context, id store.LeaseID) error {
-		cl.awaitThaw(name)
+		if err := admit("keep"); err != nil {
+			return err
+		}
 		return client.KeepAlive(ctx, id)
 	}
 	wrapped.GrantLease = func(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
-		cl.awaitThaw(name)
+		if err := admit("grant"); err != nil {
+			return 0, err
+		}
 		return client.GrantLease(ctx, ttl)
 	}
+	wrapped.RevokeLease = func(ctx context.Context, id store.LeaseID) error {
+		if err := admit("revoke"); err != nil {
+			return err
+		}
+		return client.RevokeLease(ctx, id)
+	}
 	return &wrapped
 }
 
@@ -152,26 +181,36 @@
 	cl.unreachable[name], cl.withoutWorkers[name] = true, true
 }
 
-func (cl *cluster) isWithoutWorkers(name string) bool {
+// cut cuts a node off from the named workers.
+func (cl *cluster) cut(name string, workers ...string) {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	cl.cutOff[name] = map[string]bool{}
+	for _, id := range workers {
+		cl.cutOff[name][id] = true
+	}
+}
+
+func (cl *cluster) reaches(name, worker string) bool {
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
-	return cl.withoutWorkers[name]
+	return !cl.withoutWorkers[name] && !cl.cutOff[name][worker]
 }
 
 // workerCalls returns a node's calls to the workers.
-func (cl *cluster) workerCalls(name string) Workers {
+func (cl *cluster) workerCalls(name string, dead *atomic.Bool) Workers {
 	calls := cl.workers.calls()
 	poll, execute := calls.Poll, calls.Execute
 	calls.Poll = func(ctx context.Context, request batch.Poll, wait time.Duration, token int64) (batch.Report, error) {
 		cl.awaitThaw(name)
-		if cl.isWithoutWorkers(name) {
+		if dead.Load() || !cl.reaches(name, request.Worker) {
 			return batch.Report{}, &PollError{Worker: request.Worker, Answer: batch.AnswerNone, Err: errUnreachable}
 		}
 		return poll(ctx, request, wait, token)
 	}
 	calls.Execute = func(ctx context.Context, call batch.Call, token int64) batch.Result {
 		cl.awaitThaw(name)
-		if cl.isWithoutWorkers(name) {
+		if dead.Load() || !cl.reaches(name, call.Worker) {
 			return batch.Result{Answer: batch.AnswerNone}
 		}
 		return execute(ctx, call, token)
@@ -179,6 +218,12 @@
 	return calls
 }
 
+// crash ends a node without the calls to the store by which a node that is stopped gives up its terms.
+func (cl *cluster) crash(name string) {
+	cl.dead[name].Store(true)
+	cl.kill(name)
+}
+
 // kill ends a node at once; calls under way get no answer.
 func (cl *cluster) kill(name string) {
 	cl.stops[name]()
--- a/internal/scheduler/commit.go
+++ b/internal/scheduler/commit.go
@@ -34,7 +34,7 @@
 		if err != nil {
 			return err
 		}
-		if changes.IsEmpty() {
+		if changes.IsEmpty() && !l.terms.isDue() {
 			continue
 		}
 		if err := l.commitChanges(ctx, changes); err != nil {
@@ -67,6 +67,7 @@
 		Then: []store.Op{store.Put(l.keys.head, []byte(stamp))},
 	}
 	txn.Then = append(txn.Then, l.learnedWrite()...)
+	txn.Then = append(txn.Then, l.termsWrite()...)
 	if changes.Unresponsive != nil {
 		txn.Then = append(txn.Then, store.Put(l.keys.unresponsive, changes.Unresponsive))
 	}
--- a/internal/scheduler/election.go
+++ b/internal/scheduler/election.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 	"errors"
 	"math/rand/v2"
-	"slices"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -120,16 +120,49 @@
 // runForLeader acquires the leader's key if it is free, and serves the term until it ends.
 func (m *cellMember) runForLeader(ctx context.Context) {
 	requestedAt := m.scheduler.now()
+	var former store.Entry
+	var found bool
+	var readErr error
+	var read sync.WaitGroup
+	read.Go(func() { former, found, readErr = m.readTerms(ctx) })
 	id, err := m.grantLease(ctx)
+	read.Wait()
 	if err != nil {
 		return
 	}
-	token, ok := m.acquireKey(ctx, id)
+	if readErr != nil {
+		m.revokeLease(id)
+		return
+	}
+	m.becomeCandidate()
+	defer m.endCandidacy()
+	record := m.successor(former, found)
+	token, ok := m.acquireKey(ctx, id, record, former.Revision)
 	if !ok {
 		m.revokeLease(id)
 		return
 	}
-	m.serveTerm(ctx, id, token, requestedAt)
+	m.serveTerm(ctx, id, newTerms(record, token, m.scheduler.renewalLimit(), m.scheduler.now()), requestedAt)
+}
+
+// becomeCandidate records that the node may be about to begin a term.
+func (m *cellMember) becomeCandidate() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.candidate = true
+}
+
+func (m *cellMember) endCandidacy() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.candidate = false
+}
+
+// readTerms reads the record of terms.
+func (m *cellMember) readTerms(ctx context.Context) (store.Entry, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, electionCallTimeout)
+	defer cancel()
+	return m.scheduler.Store.Read(ctx, m.keys.terms)
 }
 
 func (m *cellMember) grantLease(ctx context.Context) (store.LeaseID, error) {
@@ -138,18 +171,22 @@
 	return m.scheduler.Store.GrantLease(ctx, leaderTTL)
 }
 
-// acquireKey writes the leader's key if there is none. If the answer is lost, it reads
-// the key to find out whether the write took effect.
-func (m *cellMember) acquireKey(ctx context.Context, id store.LeaseID) (token int64, ok bool) {
+// acquireKey writes the leader's key if there is none, and the record of terms if it still has the
+// given revision. If the answer is lost, it reads the key to find out whether the write took effect.
+func (m *cellMember) acquireKey(ctx context.Context, id store.LeaseID, record wireTerms, revision int64) (token int64, ok bool) {
 	value, err := json.Marshal(wireLeader{ID: m.scheduler.ID, Address: m.scheduler.Address})
 	if err != nil {
 		return 0, false
 	}
+	terms, err := json.Marshal(record)
+	if err != nil {
+		return 0, false
+	}
 	call, cancel := context.WithTimeout(ctx, electionCallTimeout)
 	defer cancel()
 	result, err := m.scheduler.Store.Commit(call, store.Txn{
-		If:   []store.Condition{{Key: m.keys.leader}},
-		Then: []store.Op{store.Put(m.keys.leader, value).WithLease(id)},
+		If:   []store.Condition{{Key: m.keys.leader}, {Key: m.keys.terms, Revision: revision}},
+		Then: []store.Op{store.Put(m.keys.leader, value).WithLease(id), store.Put(m.keys.terms, terms)},
 	})
 	if err == nil {
 		return result.Revision, result.Done
@@ -175,14 +212,15 @@
 
 // serveTerm restores the cell's jobs and leads the cell until the term ends. The lease was
 // requested at requestedAt, from which its validity counts.
-func (m *cellMember) serveTerm(ctx context.Context, id store.LeaseID, token int64, requestedAt time.Time) {
+func (m *cellMember) serveTerm(ctx context.Context, id store.LeaseID, earlier *terms, requestedAt time.Time) {
+	token := earlier.own.Token
 	m.mu.Lock()
 	previous := m.previous
 	m.latestToken = token
 	table := m.table
 	m.mu.Unlock()
 	leader := &Leader{
-		Token: token, Cell: m.Cell, keys: m.keys, ID: m.scheduler.ID, Store: m.scheduler.Store, Workers: m.scheduler.Workers, Timing: m.scheduler.Timing,
+		Token: token, Cell: m.Cell, keys: m.keys, terms: earlier, ID: m.scheduler.ID, Store: m.scheduler.Store, Workers: m.scheduler.Workers, Timing: m.scheduler.Timing,
 		WorkerPrefix: m.scheduler.WorkerPrefix, DecodeWorker: m.scheduler.DecodeWorker, Log: m.Log, Metrics: m.scheduler.Metrics, Now: m.scheduler.now,
 	}
 	leader.leaseRenewed(requestedAt)
@@ -199,7 +237,7 @@
 		latestTable := m.table
 		m.mu.Unlock()
 		leader.setTable(latestTable)
-		go m.awaitReplacedLeaders(term, leader)
+		go m.awaitEarlierTerms(term, leader)
 		m.Log.Emit(eventlog.TermServing, zap.Int64("token", token), zap.Duration("loaded", m.scheduler.now().Sub(startedAt)),
 			zap.Int("jobs", leader.jobCount()))
 		err = leader.run(term)
@@ -207,10 +245,12 @@
 	m.mu.Lock()
 	m.ownTerm = nil
 	m.retiredToken = token
+	m.candidate = false
 	if m.leader.Token == token {
 		m.leader = leaderRef{}
 	}
 	m.mu.Unlock()
+	leader.retire()
 	m.revokeLease(id)
 	m.Log.Emit(eventlog.TermEnded, zap.Int64("token", token), zap.Error(err))
 }
@@ -222,87 +262,6 @@
 	return lease.Longer(m.scheduler.Timing.MaxLease+m.scheduler.Timing.RenewGrace) + time.Second
 }
 
-// renewalLimit returns how long a leader may renew leases at workers after another
-// node has seen that its key is gone.
-func (s *Scheduler) renewalLimit() time.Duration {
-	return lease.Longer(s.Timing.RenewGrace+leaderTTL) + watchLag
-}
-
-// watchLag bounds how late a node learns of a change to a key: the watch ends after 3 s without a message.
-const watchLag = 3 * time.Second
-
-// awaitReplacedLeaders asks the replaced leaders until all have stopped renewing leases, and
-// then shortens the wait for unreached workers. A leader that the store refused learns
-// of its successor from the first such call, and may end its term only after that.
-func (m *cellMember) awaitReplacedLeaders(ctx context.Context, leader *Leader) {
-	startedAt := m.scheduler.now()
-	// Until then, leases may still be renewed by a leader that was replaced before this node started.
-	allSeenAt := m.scheduler.startTime().Add(m.scheduler.renewalLimit())
-	m.logOpenLeaders(leader.Token, allSeenAt.Sub(startedAt))
-	for deadline := startedAt.Add(m.unreachedRunLimit()); m.scheduler.now().Before(deadline); {
-		if !m.scheduler.now().Before(allSeenAt) && m.replacedLeadersRetired(ctx, leader.Token) {
-			leader.withLock(func() { leader.core.ShortenUncontactedExpiry(leader.Now()) })
-			m.Log.Emit(eventlog.PreviousLeadersStopped, zap.Int64("token", leader.Token), zap.Duration("after", m.scheduler.now().Sub(startedAt)))
-			return
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(retiredCheckInterval):
-		}
-	}
-}
-
-// logOpenLeaders logs which earlier leaders may still renew leases. Leaders that this node has not
-// seen may do so for the given time.
-func (m *cellMember) logOpenLeaders(token int64, unseenFor time.Duration) {
-	m.mu.Lock()
-	var open []string
-	for _, r := range m.replaced {
-		open = append(open, r.ID)
-	}
-	m.mu.Unlock()
-	if unseenFor > 0 {
-		open = append(open, "unseen")
-	}
-	if len(open) > 0 {
-		m.Log.Emit(eventlog.EarlierLeadersOpen, zap.Int64("token", token), zap.Strings("leaders", open), zap.Duration("givenUpIn", m.unreachedRunLimit()))
-	}
-}
-
-// retiredCheckInterval is the pause between two rounds of calls to the replaced leaders.
-const retiredCheckInterval = time.Second
-
-// replacedLeadersRetired reports whether every replaced leader that may still renew
-// leases confirms that it does not. An unanswered call counts as no confirmation.
-func (m *cellMember) replacedLeadersRetired(ctx context.Context, token int64) bool {
-	now := m.scheduler.now()
-	m.mu.Lock()
-	m.replaced = slices.DeleteFunc(m.replaced, func(r replacedLeader) bool { return now.After(r.renewsUntil) })
-	replaced := slices.Clone(m.replaced)
-	m.mu.Unlock()
-	for _, r := range replaced {
-		if r.Token < token && !m.isLeaderRetired(ctx, r.leaderRef) {
-			return false
-		}
-	}
-	return true
-}
-
-func (m *cellMember) isLeaderRetired(ctx context.Context, leader leaderRef) bool {
-	if leader.Address == m.scheduler.Address {
-		return true
-	}
-	c, err := m.scheduler.Peer(leader.Address, m.Cell.Index)
-	if err != nil {
-		return false
-	}
-	bounded, cancel := context.WithTimeout(ctx, leaderCallTimeout)
-	defer cancel()
-	retired, err := c.Retired(bounded, leader.Token)
-	return err == nil && retired
-}
-
 // renewLease renews the lease of a term until the term ends.
 func (m *cellMember) renewLease(ctx context.Context, leader *Leader, id store.LeaseID) {
 	for {
--- a/internal/scheduler/fakestore_test.go
+++ b/internal/scheduler/fakestore_test.go
@@ -30,6 +30,9 @@
 	refusedClients map[string]bool
 	// unansweredClients are the clients whose calls get no answer.
 	unansweredClients map[string]bool
+	// stalledWatches are the clients whose watches deliver nothing. Once a client is removed, what it
+	// missed is no longer in the store's history.
+	stalledWatches map[string]bool
 	// latency delays the answers to the calls of each client.
 	latency map[string]time.Duration
 	// loseAnswer decides for each commit whether its answer is lost, and after which delay it is
@@ -44,7 +47,7 @@
 func newFakeStore() *fakeStore {
 	return &fakeStore{
 		items: map[string]store.Entry{}, leases: map[store.LeaseID]time.Time{}, ttl: map[store.LeaseID]time.Duration{},
-		changed: make(chan struct{}), refusedClients: map[string]bool{}, unansweredClients: map[string]bool{}, latency: map[string]time.Duration{}, revision: 1,
+		changed: make(chan struct{}), refusedClients: map[string]bool{}, unansweredClients: map[string]bool{}, stalledWatches: map[string]bool{}, latency: map[string]time.Duration{}, revision: 1,
 	}
 }
 
@@ -233,9 +236,23 @@
 }
 
 func (s *fakeStore) watch(ctx context.Context, name, prefix string, from int64, handle func(store.Update)) error {
-	seen := 0
+	seen, stalled := 0, false
 	for {
 		s.mu.Lock()
+		if s.stalledWatches[name] {
+			s.mu.Unlock()
+			stalled = true
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case <-time.After(50 * time.Millisecond):
+			}
+			continue
+		}
+		if stalled {
+			s.mu.Unlock()
+			return &store.CompactedError{From: from}
+		}
 		if err := s.admit(name, "watch"); err != nil {
 			s.mu.Unlock()
 			return err
--- a/internal/scheduler/keys.go
+++ b/internal/scheduler/keys.go
@@ -37,7 +37,9 @@
 	learned string
 	// unresponsive is the key of the record of unresponsive workers.
 	unresponsive string
-	load         string
+	// terms is the key of the record of terms.
+	terms string
+	load  string
 	// jobs and inbox are the prefixes of the keys of job records and of the inbox.
 	jobs  string
 	inbox string
@@ -51,7 +53,7 @@
 		leader, base = fmt.Sprintf("%s/%d", leaderPrefix, index), fmt.Sprintf("pond/cell/%d/", index)
 	}
 	return keys{
-		leader: leader, head: base + "head", learned: base + "learned", unresponsive: base + "silent",
+		leader: leader, head: base + "head", learned: base + "learned", unresponsive: base + "silent", terms: base + "terms",
 		load: fmt.Sprintf("%s%d", loadPrefix, index), jobs: base + "job/", inbox: base + "inbox/",
 	}
 }
--- a/internal/scheduler/leader.go
+++ b/internal/scheduler/leader.go
@@ -36,7 +36,9 @@
 	Now func() time.Time
 
 	keys keys
-	stop context.CancelFunc
+	// terms is the record of the cell's terms.
+	terms *terms
+	stop  context.CancelFunc
 
 	// leaseMu guards leaseUntil. The lease is renewed while mu is locked, so that a long plan does
 	// not end the term.
@@ -172,6 +174,8 @@
 		}
 	}
 	l.headRevision = r.head.Revision
+	l.terms.checkHead(string(r.head.Value), r.head.Revision != 0, l.Now())
+	core.LimitRenewals(l.terms.renewalsEnd(l.Now()))
 	if r.learned.Revision != 0 {
 		if err := core.RestoreEffects(r.learned.Value); err != nil {
 			l.Log.Emit(eventlog.RecordUnreadable, zap.String("key", l.keys.learned), zap.Error(err))
--- a/internal/scheduler/member.go
+++ b/internal/scheduler/member.go
@@ -22,10 +22,8 @@
 	mu     sync.Mutex
 	table  batch.QueueConfig
 	leader leaderRef
-	// previous is the last known leader other than this node. replaced are the earlier
-	// leaders that may still renew leases at workers, as far as this node has seen.
+	// previous is the last known leader other than this node.
 	previous leaderRef
-	replaced []replacedLeader
 	// ownTerm is this node's current term as leader, nil while it does not lead the cell.
 	ownTerm *Leader
 	// leaderChanged is closed when leader changes, or when the node gets its first configuration and
@@ -35,7 +33,9 @@
 	// latestToken is the token of its latest term.
 	retiredToken int64
 	latestToken  int64
-	steppedDown  bool
+	// candidate is true from before the node writes the leader's key until its term has ended.
+	candidate   bool
+	steppedDown bool
 	// lastContact is when each peer last answered, by address.
 	lastContact map[string]time.Time
 }
@@ -62,12 +62,6 @@
 	}
 }
 
-// replacedLeader is a leader that was replaced, and until when it may renew leases.
-type replacedLeader struct {
-	leaderRef
-	renewsUntil time.Time
-}
-
 // setLeader records the cell's leader as last read from the store.
 func (m *cellMember) setLeader(ref leaderRef) {
 	m.mu.Lock()
@@ -77,9 +71,6 @@
 	}
 	m.Log.Emit(eventlog.LeaderChanged,
 		zap.String("holder", ref.ID), zap.String("address", ref.Address), zap.Int64("token", ref.Token))
-	if m.leader.Token != 0 {
-		m.replaced = append(m.replaced, replacedLeader{leaderRef: m.leader, renewsUntil: m.scheduler.now().Add(m.scheduler.renewalLimit())})
-	}
 	m.leader = ref
 	if ref.Token != 0 && ref.ID != m.scheduler.ID {
 		m.previous = ref
@@ -119,6 +110,10 @@
 		m.ownTerm.supersede()
 		return false
 	}
+	if m.ownTerm == nil && m.candidate {
+		// The token of the term that may begin is not known here yet, or its term has not begun.
+		return false
+	}
 	return m.latestToken <= m.retiredToken || m.latestToken > token
 }
 
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -116,8 +116,6 @@
 	// rtt is the round-trip time to the store, bestShare the greatest known CPU share of any node.
 	rtt       time.Duration
 	bestShare float64
-	// startedAt is when Run was called.
-	startedAt time.Time
 	// terms is the number of cells that the node leads or runs for.
 	terms int
 }
@@ -136,9 +134,6 @@
 // Run tracks the cells' leaders and takes part in their elections until the context ends, and
 // then ends the node's terms as leader.
 func (s *Scheduler) Run(ctx context.Context) error {
-	s.mu.Lock()
-	s.startedAt = s.now()
-	s.mu.Unlock()
 	cellsKnown := s.whenCellsKnown()
 	var g run.Group
 	follower := &store.Follower{
@@ -231,13 +226,6 @@
 	s.Log.Emit(eventlog.CellsKnown, zap.Int("cells", len(s.members)))
 }
 
-// startTime returns when Run was called.
-func (s *Scheduler) startTime() time.Time {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.startedAt
-}
-
 // now returns the monotonic time.
 func (s *Scheduler) now() time.Time {
 	if s.Now == nil {
--- a/internal/scheduler/takeover_test.go
+++ b/internal/scheduler/takeover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -12,6 +13,7 @@
 	"github.com/oriolepond/oriolepond/internal/batch"
 	"github.com/oriolepond/oriolepond/internal/eventlog"
 	"github.com/oriolepond/oriolepond/internal/lease"
+	"github.com/oriolepond/oriolepond/internal/store"
 )
 
 func TestAnotherNodeTakesOver(t *testing.T) {
@@ -302,27 +304,53 @@
 // one's answer that it has stopped must not count for the first.
 func TestEachReplacedLeaderHasToConfirm(t *testing.T) {
 	now := time.Unix(1_000_000_000, 0)
+	var mu sync.Mutex
 	retired := map[string]bool{}
+	unanswered := false
 	s := &Scheduler{
 		ID: "c/1", Address: "c", Timing: batch.DefaultTiming(), Log: eventlog.Discard(), Now: func() time.Time { return now },
 		Peer: func(address string, _ int) (*Calls, error) {
-			return &Calls{Retired: func(context.Context, int64) (bool, error) { return retired[address], nil }}, nil
+			return &Calls{Retired: func(context.Context, int64) (bool, error) {
+				mu.Lock()
+				defer mu.Unlock()
+				if unanswered {
+					return true, errUnreachable
+				}
+				return retired[address], nil
+			}}, nil
 		},
 	}
 	s.setCellCount(1)
 	m := s.homeMember("")
+	record := wireTerms{}
 	for i, name := range []string{"a", "b"} {
-		m.setLeader(leaderRef{ID: name, Address: name, Token: int64(i + 1)})
-		m.setLeader(leaderRef{})
-		now = now.Add(2 * time.Second)
+		value, err := json.Marshal(record)
+		require.NoError(t, err)
+		record = m.successor(store.Entry{Value: value, Revision: int64(i)}, true)
+		record.Serving.leaderID = leaderID{ID: name, Address: name}
+	}
+	value, err := json.Marshal(record)
+	require.NoError(t, err)
+	record = m.successor(store.Entry{Value: value, Revision: 2}, true)
+	leader := &Leader{Token: 3, terms: newTerms(record, 3, s.renewalLimit(), now)}
+	allRetired := func() bool {
+		m.askOpenTerms(context.Background(), leader, leader.terms.openAt(now))
+		return len(leader.terms.openAt(now)) == 0
 	}
+	unanswered = true
+	require.False(t, allRetired())
+	require.Len(t, leader.terms.openAt(now), 2, "a call without an answer confirms nothing")
+	unanswered = false
 	retired["b"] = true
-	require.False(t, m.replacedLeadersRetired(context.Background(), 3), "a may still renew leases")
+	require.False(t, allRetired(), "a may still renew leases")
+	require.Equal(t, "a", leader.terms.openAt(now)[0].ID)
 	retired["a"] = true
-	require.True(t, m.replacedLeadersRetired(context.Background(), 3))
+	require.True(t, allRetired())
+	leader.terms = newTerms(record, 3, s.renewalLimit(), now)
 	retired["a"] = false
-	now = now.Add(s.renewalLimit())
-	require.True(t, m.replacedLeadersRetired(context.Background(), 3), "a can no longer renew leases")
+	require.False(t, allRetired())
+	now = now.Add(lease.Longer(s.renewalLimit()) + 2*time.Millisecond)
+	require.True(t, allRetired(), "a can no longer renew leases")
 }
 
 // Guards against a candidacy that is delayed for longer than leases at workers last, although only
