A planned stop commits what the leader knows

docs/PLATFORM.md promised that a leader that is stopped finishes its commit. It did not: the end of the term cancelled the commit under way, and ends of runs that were reported but not committed were forgotten. And a node that was told to stop while it read the jobs served its term as if it was not.

A node that is stopping begins no term, and ends one that it has just won.

--- a/internal/batch/core.go
+++ b/internal/batch/core.go
@@ -251,6 +251,17 @@
 	}
 }
 
+// WithdrawUnsent withdraws all start commands that were not sent.
+func (c *Core) WithdrawUnsent(now time.Time) {
+	for _, w := range c.workers {
+		for _, r := range sortedRuns(w.runs) {
+			if r.state == runPending {
+				c.withdrawRun(r, now)
+			}
+		}
+	}
+}
+
 // LimitRenewals records that earlier leaders renew leases until the given time at most. It shortens
 // the wait for the workers that this leader has not contacted yet.
 func (c *Core) LimitRenewals(until time.Time) {
--- a/internal/scheduler/commit.go
+++ b/internal/scheduler/commit.go
@@ -13,12 +13,25 @@
 	"github.com/oriolepond/oriolepond/internal/store"
 )
 
-// commitLoop commits the core's changes to the store, one commit at a time.
+// commitLoop commits the core's changes to the store, one commit at a time. At a planned stop it
+// commits what the core knows before it ends: a worker that leaves meanwhile would not report it again.
 func (l *Leader) commitLoop(ctx context.Context) error {
+	commits, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	defer context.AfterFunc(ctx, func() {
+		if !l.isStopPlanned() {
+			cancel()
+			return
+		}
+		time.AfterFunc(commitTimeout, cancel)
+	})()
 	var last time.Time
 	for {
 		select {
 		case <-ctx.Done():
+			if l.isStopPlanned() {
+				return l.commitRest(commits)
+			}
 			return nil
 		case <-l.commitNeeded:
 		}
@@ -37,20 +50,51 @@
 		if changes.IsEmpty() && !l.terms.isDue() {
 			continue
 		}
-		if err := l.commitChanges(ctx, changes); err != nil {
+		if err := l.commitChanges(commits, changes); err != nil {
 			return err
 		}
 		l.mu.Lock()
 		starts := l.core.Committed(changes)
 		dirty := l.core.HasChanges()
 		l.mu.Unlock()
-		l.dispatch(ctx, starts)
+		if ctx.Err() == nil {
+			l.dispatch(ctx, starts)
+		}
 		if dirty {
 			l.signal(l.commitNeeded)
 		}
 	}
 }
 
+// commitRest commits all changes at a planned stop. Starts that were not sent are withdrawn first.
+func (l *Leader) commitRest(ctx context.Context) error {
+	for withdrawn := false; ; withdrawn = true {
+		l.mu.Lock()
+		if !withdrawn {
+			l.core.WithdrawUnsent(l.Now())
+		}
+		changes, err := l.core.TakeChanges(maxCommitRecords, l.Now())
+		l.mu.Unlock()
+		if err != nil {
+			return err
+		}
+		if changes.IsEmpty() {
+			return nil
+		}
+		if err := l.commitChanges(ctx, changes); err != nil {
+			return err
+		}
+		l.withLock(func() { l.core.Committed(changes) })
+	}
+}
+
+// isStopPlanned reports whether the term ends because the node is stopping.
+func (l *Leader) isStopPlanned() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.endReason == plannedStop
+}
+
 // commitInterval returns the minimum time between two commits of the cell.
 func (l *Leader) commitInterval() time.Duration {
 	return min(maxCommitInterval, baseCommitInterval*time.Duration(max(1, l.Cell.Count)))
--- a/internal/scheduler/election.go
+++ b/internal/scheduler/election.go
@@ -134,7 +134,10 @@
 		m.revokeLease(id)
 		return
 	}
-	m.becomeCandidate()
+	if !m.becomeCandidate() {
+		m.revokeLease(id)
+		return
+	}
 	defer m.endCandidacy()
 	record := m.successor(former, found)
 	token, ok := m.acquireKey(ctx, id, record, former.Revision)
@@ -145,11 +148,12 @@
 	m.serveTerm(ctx, id, newTerms(record, token, m.scheduler.renewalLimit(), m.scheduler.now()), requestedAt)
 }
 
-// becomeCandidate records that the node may be about to begin a term.
-func (m *cellMember) becomeCandidate() {
+// becomeCandidate records that the node may be about to begin a term, unless it is stopping.
+func (m *cellMember) becomeCandidate() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.candidate = true
+	m.candidate = !m.steppedDown
+	return m.candidate
 }
 
 func (m *cellMember) endCandidacy() {
@@ -234,8 +238,11 @@
 	if err == nil {
 		m.mu.Lock()
 		m.ownTerm = leader
-		latestTable := m.table
+		latestTable, stopping := m.table, m.steppedDown
 		m.mu.Unlock()
+		if stopping {
+			leader.endTerm(plannedStop)
+		}
 		leader.setTable(latestTable)
 		go m.awaitEarlierTerms(term, leader)
 		m.Log.Emit(eventlog.TermServing, zap.Int64("token", token), zap.Duration("loaded", m.scheduler.now().Sub(startedAt)),
--- a/internal/scheduler/member.go
+++ b/internal/scheduler/member.go
@@ -124,6 +124,9 @@
 	term := m.ownTerm
 	m.mu.Unlock()
 	if term != nil {
-		term.endTerm("planned stop")
+		term.endTerm(plannedStop)
 	}
 }
+
+// plannedStop is the reason for the end of a term of a node that is stopping.
+const plannedStop = "planned stop"
--- a/internal/scheduler/restart_test.go
+++ b/internal/scheduler/restart_test.go
@@ -271,3 +271,28 @@
 		require.False(t, cl.nodes["a"].IsLeader())
 	})
 }
+
+// Guards against a node that is told to stop while it reads the jobs, and then serves its term as if
+// it was not.
+func TestNodeThatStopsDuringRestoreServesNoTerm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, time.Second, "w1")
+		defer cl.stop()
+		cl.addNode("a")
+		time.Sleep(2 * time.Second)
+		cl.addNode("b")
+		time.Sleep(time.Second)
+		cl.store.update(func(s *fakeStore) { s.latency["b"] = 200 * time.Millisecond })
+		cl.nodes["a"].StepDown()
+		for leads := false; !leads; {
+			time.Sleep(time.Millisecond)
+			cl.store.update(func(s *fakeStore) { leads = decodeLeader(s.items[keysOfCell(0).leader]).Address == "b" })
+		}
+		time.Sleep(100 * time.Millisecond)
+		require.False(t, cl.nodes["b"].IsLeader())
+		cl.nodes["b"].StepDown()
+		time.Sleep(time.Second)
+		require.False(t, cl.nodes["b"].IsLeader())
+		require.False(t, cl.store.has(keysOfCell(0).leader))
+	})
+}
--- a/internal/scheduler/terms_test.go
+++ b/internal/scheduler/terms_test.go
@@ -114,8 +114,10 @@
 func TestCandidateDoesNotConfirmThatItHasStopped(t *testing.T) {
 	m := &cellMember{}
 	require.True(t, m.isRetired(5))
-	m.becomeCandidate()
+	require.True(t, m.becomeCandidate())
 	require.False(t, m.isRetired(5))
 	m.endCandidacy()
 	require.True(t, m.isRetired(5))
+	m.steppedDown = true
+	require.False(t, m.becomeCandidate())
 }
