--- a/internal/batch/interference.go
+++ b/internal/batch/interference.go
@@ -78,7 +78,7 @@
 func (w *worker) isStarved(now time.Time) bool {
 	got, need := 0.0, 0.0
 	for _, r := range w.runs {
-		if s := r.task.stage.step; s.Filler && r.isSettled(now) {
+		if s := r.task.stage.step; s.Filler && r.isUseKnown(now) {
 			got += r.coresUsed
 			need += s.cores() * float64(r.throttleRatio) / unthrottled
 		}
@@ -179,7 +179,7 @@
 	for _, r := range w.runs {
 		if s := r.task.stage.step; s.Filler {
 			used := s.cores() * float64(r.throttleRatio) / unthrottled
-			if r.isSettled(now) {
+			if r.isUseKnown(now) {
 				used = min(used, r.coresUsed)
 			}
 			idle -= 1000 * used
@@ -188,9 +188,9 @@
 	return idle
 }
 
-// isSettled reports whether the processor time that is reported for the run belongs to its present
+// isUseKnown reports whether the processor time that is reported for the run belongs to its present
 // throttle ratio.
-func (r *run) isSettled(now time.Time) bool {
+func (r *run) isUseKnown(now time.Time) bool {
 	return r.state == runRunning && now.Sub(r.throttledAt) >= tailDecay && now.Sub(r.sentAt) >= tailDecay
 }
 
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -199,6 +199,9 @@
 	throttledAt   time.Time
 	// overdue means that the task was overdue when it was placed, see Core.isOverdue.
 	overdue bool
+	// settled means that the worker incarnation was not young when the run was placed or later, so
+	// that no lease there has a deadline that was meant for an earlier incarnation's clock.
+	settled bool
 	// stopSentAt is when a stop command was last sent, or prepared to be sent again.
 	stopSentAt time.Time
 }
--- a/internal/batch/world_rollout_test.go
+++ b/internal/batch/world_rollout_test.go
@@ -48,7 +48,7 @@
 // grants no more leases.
 func (s *simRollout) replaceLeader() {
 	s.takeOver()
-	s.core.ShortenUncontactedExpiry(s.now)
+	s.core.LimitRenewals(s.now)
 	s.changedAt = s.now
 }
 
