--- a/internal/batch/world_rollout_test.go
+++ b/internal/batch/world_rollout_test.go
@@ -157,28 +157,42 @@
 // the leases of a worker that is gone.
 func TestLongRunningTasksRunAgainAfterLeaderChanges(t *testing.T) {
 	for seed := range 20 {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			s := &simRollout{
-				simWorld: newSimWorld(t, uint64(seed), 12, simFaults{}), idleSince: map[TaskName]time.Time{},
-				fullAt: map[TaskName]time.Time{}, violated: map[TaskName]bool{},
-			}
-			for i := range 6 {
-				s.submit(Job{ID: fmt.Sprintf("%016x", 1000+i), Queue: "review", Spec: "spec", Steps: []Step{{
-					Tasks: 4, Size: share.Resources{Processors: 2000, Memory: 1 << 30}, LongRunning: true,
-				}}})
-			}
-			for i := range 100 {
-				s.after(time.Duration(i)*500*time.Millisecond, func() { s.submit(s.randomJob(i)) })
-			}
-			s.watch()
-			s.after(5*time.Second, s.rollOut)
-			s.after(30*time.Second, s.rollOut)
-			s.run(55 * time.Second)
-			require.Empty(t, s.violations)
-			for i := range 24 {
-				name := TaskName{Job: fmt.Sprintf("%016x", 1000+i/4), Index: i % 4}
-				require.NotZero(t, s.startedAt[name], "%v has not started", name)
-			}
-		})
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { checkRollouts(t, uint64(seed), 0) })
+	}
+}
+
+// Guards against the same on workers that have run for long, so that no lease there has a deadline
+// which was meant for an earlier incarnation.
+func TestLongRunningTasksOfSettledWorkersRunAgainAfterLeaderChanges(t *testing.T) {
+	for seed := range 20 {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { checkRollouts(t, uint64(seed), time.Minute) })
+	}
+}
+
+// checkRollouts plays two rolling restarts in a pool whose workers have run for the given time.
+func checkRollouts(t *testing.T, seed uint64, age time.Duration) {
+	s := &simRollout{
+		simWorld: newSimWorld(t, seed, 12, simFaults{}), idleSince: map[TaskName]time.Time{},
+		fullAt: map[TaskName]time.Time{}, violated: map[TaskName]bool{},
+	}
+	for _, w := range s.workers {
+		w.incarnationStart = w.incarnationStart.Add(-age)
+	}
+	for i := range 6 {
+		s.submit(Job{ID: fmt.Sprintf("%016x", 1000+i), Queue: "review", Spec: "spec", Steps: []Step{{
+			Tasks: 4, Size: share.Resources{Processors: 2000, Memory: 1 << 30}, LongRunning: true,
+		}}})
+	}
+	for i := range 100 {
+		s.after(time.Duration(i)*500*time.Millisecond, func() { s.submit(s.randomJob(i)) })
+	}
+	s.watch()
+	s.after(5*time.Second, s.rollOut)
+	s.after(30*time.Second, s.rollOut)
+	s.run(55 * time.Second)
+	require.Empty(t, s.violations)
+	for i := range 24 {
+		name := TaskName{Job: fmt.Sprintf("%016x", 1000+i/4), Index: i % 4}
+		require.NotZero(t, s.startedAt[name], "%v has not started", name)
 	}
 }
