End the election loop when its context ends

A node whose context ended while it waited for its turn to run for election looped without a pause: awaitElectionTurn returned at once, nothing else checked the context, and there was still no leader. The process used a full processor and its loops never ended, so that it stopped only when it was killed. A planned stop was not affected, since the node steps down first.

The loop now returns once the context has ended. Found when a virtual-time test of an election failed and its cluster could not be stopped. TestNodeEndsWhileItWaitsForElection ran into its time-out before.

--- a/internal/scheduler/election.go
+++ b/internal/scheduler/election.go
@@ -57,6 +57,9 @@
 			continue
 		}
 		if !m.scheduler.awaitElectionTurn(ctx, changed) {
+			if ctx.Err() != nil {
+				return nil
+			}
 			continue
 		}
 		m.scheduler.addTerms(1)
