Measure the round trip to the store again if the store was slow

A node waits twelve round trips before it runs for election, so that nodes near the store come first. It measured the round trip once, when it started. A node that started while the store was slow kept that measurement for its life: up to 0.7 s, which delays its candidacy by up to 8.4 s. If all nodes had started then, the cell had no leader for that long after the loss of one, although the store had long been fast again, and nothing was started meanwhile.

The node now keeps the shortest measurement, and measures again every two seconds while the shortest one is longer than a round trip between regions. The delay is at most half a second, which keeps the order of nodes up to a round trip of 41 ms, so that an election while the store is slow does not wait either.

Before, TestNodesThatStartedAtSlowStoreTakeOverInTime found no leader within 2.5 s. It fails without the new measurements, TestElectionDelayIsBoundedAtSlowStore without the bound. TestNodeEndsWhileItWaitsForElection now stops the node after 100 ms, since its turn comes earlier.

--- a/internal/scheduler/cellcount.go
+++ b/internal/scheduler/cellcount.go
@@ -37,9 +37,7 @@
 		s.Log.Emit(eventlog.StoreUnavailable, zap.String("use", "share"), zap.Error(err))
 		return
 	}
-	s.mu.Lock()
-	s.rtt = s.now().Sub(sent)
-	s.mu.Unlock()
+	s.recordRTT(s.now().Sub(sent))
 	if found {
 		s.setBestShare(e.Value)
 	}
--- a/internal/scheduler/election.go
+++ b/internal/scheduler/election.go
@@ -30,8 +30,10 @@
 	electionRetryInterval = 150 * time.Millisecond
 	// rttDelayFactor, in round trips, and maxShareDelay delay the candidacy of a node that is far
 	// from the store or has a smaller CPU share than others: a leader uses most of its node's share.
-	// The latter delay exceeds the time that an election takes at a slow store.
+	// maxRTTDelay bounds the former, since nothing is decided meanwhile. The latter exceeds the time
+	// that an election takes at a slow store.
 	rttDelayFactor = 12
+	maxRTTDelay    = 500 * time.Millisecond
 	maxShareDelay  = 1500 * time.Millisecond
 	// delayPerTerm delays a node for each term that it serves or runs for, so that the cells spread
 	// over the nodes, those with the greatest CPU share first.
@@ -105,7 +107,7 @@
 func (s *Scheduler) electionDelay() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delay := rttDelayFactor*s.rtt + delayPerTerm*time.Duration(s.terms)
+	delay := min(rttDelayFactor*s.rtt, maxRTTDelay) + delayPerTerm*time.Duration(s.terms)
 	if s.bestShare > s.CPUShare {
 		delay += time.Duration(float64(maxShareDelay) * (1 - s.CPUShare/s.bestShare))
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -113,7 +113,7 @@
 	// movedTo maps jobs that are known to have left their home cell to their cells.
 	movedTo     map[string]int
 	steppedDown bool
-	// rtt is the round-trip time to the store, bestShare the greatest known CPU share of any node.
+	// rtt is the shortest measured round-trip time to the store, bestShare the greatest known CPU share of any node.
 	rtt       time.Duration
 	bestShare float64
 	// startedAt is when Run was called.
@@ -167,6 +167,7 @@
 // runElections takes part in the elections of all cells.
 func (s *Scheduler) runElections(ctx context.Context) error {
 	var g run.Group
+	actor.Loop(ctx, &g, s.trackRTT)
 	for _, m := range s.allMembers() {
 		actor.Loop(ctx, &g, m.runElections)
 	}
@@ -190,7 +191,7 @@
 	return false
 }
 
-// StoreRTT returns the round-trip time to the store, as measured when the node started.
+// StoreRTT returns the shortest measured round-trip time to the store, or zero if there is none yet.
 func (s *Scheduler) StoreRTT() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
