Let a large node take over from a leader with a much smaller CPU share

It leads until its own end, however many large nodes are available, since they only come first in an election.

A leader's key now contains its CPU share. The leader ends its term as on any other error and gives up its lease, so that the election is the usual one and no second leader is possible.

TestLargeNodeTakesOverFromSmallOne failed before. It fails if the leader's share is ignored, TestNodeWithoutStoreLeavesCellToSmallNode without the read, TestLargeNodeTakesOverOnceItsOtherTermsEnd if that is checked only once.

--- a/internal/eventlog/batch.go
+++ b/internal/eventlog/batch.go
@@ -66,6 +66,11 @@
 		Meaning: "The previous leaders confirmed that they renew no more leases; runs on workers that cannot be reached end when their leases expire, within the longest lease from now.",
 		Advice:  "None.",
 	})
+	SmallLeaderReplaced = register(Event{
+		Number: 4017, Level: zapcore.InfoLevel, Message: "leader asked to end its term",
+		Meaning: "The leader's node has a much smaller CPU share than this one, which can lead the cell; cpuShare is that of the leader.",
+		Advice:  "None, unless it recurs: then the nodes with a large CPU share lose the store or the election.",
+	})
 	TaskDelegated = register(Event{
 		Number: 4013, Level: zapcore.InfoLevel, Message: "task delegated to another cell",
 		Meaning: "The task waited for free capacity in its cell for the named time; the named cell runs it until the job is cancelled.",
--- a/internal/scheduler/election.go
+++ b/internal/scheduler/election.go
@@ -109,11 +109,16 @@
 	defer s.mu.Unlock()
 	delay := min(rttDelayFactor*s.rtt, maxRTTDelay) + delayPerTerm*time.Duration(s.terms)
 	if s.bestShare > s.CPUShare {
-		delay += time.Duration(float64(maxShareDelay) * (1 - s.CPUShare/s.bestShare))
+		delay += shareDelay(s.CPUShare, s.bestShare)
 	}
 	return delay
 }
 
+// shareDelay returns how long a node waits for one with a greater CPU share to be elected.
+func shareDelay(share, greater float64) time.Duration {
+	return time.Duration(float64(maxShareDelay) * (1 - share/greater))
+}
+
 // addTerms changes the number of terms that the node serves or runs for.
 func (s *Scheduler) addTerms(delta int) {
 	s.mu.Lock()
@@ -145,7 +150,7 @@
 // acquireKey writes the leader's key if there is none. If the answer is lost, it reads
 // the key to find out whether the write took effect.
 func (m *cellMember) acquireKey(ctx context.Context, id store.LeaseID) (token int64, ok bool) {
-	value, err := json.Marshal(wireLeader{ID: m.scheduler.ID, Address: m.scheduler.Address})
+	value, err := json.Marshal(wireLeader{ID: m.scheduler.ID, Address: m.scheduler.Address, CPUShare: m.scheduler.CPUShare})
 	if err != nil {
 		return 0, false
 	}
--- a/internal/scheduler/election_test.go
+++ b/internal/scheduler/election_test.go
@@ -84,3 +84,64 @@
 		})
 	}
 }
+
+// Guards against a cell that starts next to nothing, although the store and a large node are
+// available, because a node with too small a CPU share for the cell leads it.
+func TestLargeNodeTakesOverFromSmallOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, time.Second, "w1", "w2")
+		defer cl.stop()
+		cl.shares["small"], cl.shares["other"] = 0.25, 0.25
+		cl.addNode("small")
+		cl.addNode("other")
+		time.Sleep(3 * time.Second)
+		leader, _ := cl.leader()
+		require.NotEmpty(t, leader)
+		cl.addNode("large")
+		time.Sleep(5 * time.Second)
+		leader, _ = cl.leader()
+		require.Equal(t, "large", leader)
+	})
+}
+
+// Guards against a small node that keeps the cell, because the large one had terms in other cells when
+// the small one was elected.
+func TestLargeNodeTakesOverOnceItsOtherTermsEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, time.Second, "w1", "w2")
+		defer cl.stop()
+		cl.shares["small"] = 0.25
+		cl.addNode("small")
+		time.Sleep(3 * time.Second)
+		large := cl.addNode("large")
+		large.addTerms(10)
+		time.Sleep(5 * time.Second)
+		leader, _ := cl.leader()
+		require.Equal(t, "small", leader)
+		large.addTerms(-10)
+		time.Sleep(5 * time.Second)
+		leader, _ = cl.leader()
+		require.Equal(t, "large", leader)
+	})
+}
+
+// Guards against a small node that loses the cell to nobody, because the large node that asked for the
+// end of its term has no store.
+func TestNodeWithoutStoreLeavesCellToSmallNode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, time.Second, "w1", "w2")
+		defer cl.stop()
+		cl.shares["small"] = 0.25
+		cl.addNode("small")
+		time.Sleep(3 * time.Second)
+		_, first := cl.leader()
+		require.NotNil(t, first)
+		cl.addNode("large")
+		time.Sleep(time.Second)
+		cl.store.update(func(s *fakeStore) { s.refusedClients["large"] = true })
+		time.Sleep(20 * time.Second)
+		name, leader := cl.leader()
+		require.Equal(t, "small", name)
+		require.Equal(t, first.Token, leader.Token)
+	})
+}
--- a/internal/scheduler/leaderkeys.go
+++ b/internal/scheduler/leaderkeys.go
@@ -80,8 +80,9 @@
 
 // wireLeader is the JSON value of a leader's key.
 type wireLeader struct {
-	ID      string `json:"id"`
-	Address string `json:"address"`
+	ID       string  `json:"id"`
+	Address  string  `json:"address"`
+	CPUShare float64 `json:"cpuShare,omitempty"`
 }
 
 func decodeLeader(e store.Entry) leaderRef {
@@ -90,5 +91,5 @@
 		// An unreadable key still keeps other nodes from becoming leader.
 		return leaderRef{ID: "unreadable", Token: e.Revision}
 	}
-	return leaderRef{ID: w.ID, Address: w.Address, Token: e.Revision}
+	return leaderRef{ID: w.ID, Address: w.Address, Token: e.Revision, CPUShare: w.CPUShare}
 }
--- a/internal/scheduler/member.go
+++ b/internal/scheduler/member.go
@@ -41,11 +41,13 @@
 }
 
 // leaderRef is the content of a leader's key; the zero value means that there is no leader.
-// Token is the fencing token of the term: the revision at which the key was written.
+// Token is the fencing token of the term: the revision at which the key was written. CPUShare is that
+// of the leader's node, zero if the key does not contain it.
 type leaderRef struct {
-	ID      string
-	Address string
-	Token   int64
+	ID       string
+	Address  string
+	Token    int64
+	CPUShare float64
 }
 
 // setTable applies a configuration to this node's member of the cell, and to its term if it leads.
@@ -115,8 +117,8 @@
 func (m *cellMember) isRetired(token int64) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.ownTerm != nil && m.ownTerm.Token <= token {
-		m.ownTerm.supersede()
+	if term := m.ownTerm; term != nil && term.Token <= token {
+		go term.endTerm("another node asked for its end")
 		return false
 	}
 	return m.latestToken <= m.retiredToken || m.latestToken > token
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -170,6 +170,7 @@
 	actor.Loop(ctx, &g, s.trackRTT)
 	for _, m := range s.allMembers() {
 		actor.Loop(ctx, &g, m.runElections)
+		actor.Loop(ctx, &g, m.replaceSmallLeaders)
 	}
 	return g.Run()
 }
