--- a/internal/eventlog/batch.go
+++ b/internal/eventlog/batch.go
@@ -71,6 +71,11 @@
 		Meaning: "The named leaders have not confirmed that they renew no more leases. Runs on workers that this leader cannot reach are given up after the named time (givenUpIn), sooner if they confirm.",
 		Advice:  "Look for the named instances if this lasts: one that lost the store, or was lost itself, cannot confirm.",
 	})
+	SmallLeaderReplaced = register(Event{
+		Number: 4017, Level: zapcore.InfoLevel, Message: "leader asked to end its term",
+		Meaning: "The leader's node has a much smaller CPU share than this one, which can lead the cell; cpuShare is that of the leader.",
+		Advice:  "None, unless it recurs: then the nodes with a large CPU share lose the store or the election.",
+	})
 	TaskDelegated = register(Event{
 		Number: 4013, Level: zapcore.InfoLevel, Message: "task delegated to another cell",
 		Meaning: "The task waited for free capacity in its cell for the named time; the named cell runs it until the job is cancelled.",
--- a/internal/scheduler/election.go
+++ b/internal/scheduler/election.go
@@ -30,8 +30,10 @@
 	electionRetryInterval = 150 * time.Millisecond
 	// rttDelayFactor, in round trips, and maxShareDelay delay the candidacy of a node that is far
 	// from the store or has a smaller CPU share than others: a leader uses most of its node's share.
-	// The latter delay exceeds the time that an election takes at a slow store.
+	// maxRTTDelay bounds the former, since nothing is decided meanwhile. The latter exceeds the time
+	// that an election takes at a slow store.
 	rttDelayFactor = 12
+	maxRTTDelay    = 500 * time.Millisecond
 	maxShareDelay  = 1500 * time.Millisecond
 	// delayPerTerm delays a node for each term that it serves or runs for, so that the cells spread
 	// over the nodes, those with the greatest CPU share first.
@@ -103,13 +105,18 @@
 func (s *Scheduler) electionDelay() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delay := rttDelayFactor*s.rtt + delayPerTerm*time.Duration(s.terms)
+	delay := min(rttDelayFactor*s.rtt, maxRTTDelay) + delayPerTerm*time.Duration(s.terms)
 	if s.bestShare > s.CPUShare {
-		delay += time.Duration(float64(maxShareDelay) * (1 - s.CPUShare/s.bestShare))
+		delay += shareDelay(s.CPUShare, s.bestShare)
 	}
 	return delay
 }
 
+// shareDelay returns how long a node waits for one with a greater CPU share to be elected.
+func shareDelay(share, greater float64) time.Duration {
+	return time.Duration(float64(maxShareDelay) * (1 - share/greater))
+}
+
 // addTerms changes the number of terms that the node serves or runs for.
 func (s *Scheduler) addTerms(delta int) {
 	s.mu.Lock()
@@ -178,7 +185,7 @@
 // acquireKey writes the leader's key if there is none, and the record of terms if it still has the
 // given revision. If the answer is lost, it reads the key to find out whether the write took effect.
 func (m *cellMember) acquireKey(ctx context.Context, id store.LeaseID, record wireTerms, revision int64) (token int64, ok bool) {
-	value, err := json.Marshal(wireLeader{ID: m.scheduler.ID, Address: m.scheduler.Address})
+	value, err := json.Marshal(wireLeader{ID: m.scheduler.ID, Address: m.scheduler.Address, CPUShare: m.scheduler.CPUShare})
 	if err != nil {
 		return 0, false
 	}
