An accepted job keeps the policy of its queue

Cause: what decides about accepted work was read from the configuration at the time of the decision. The job kept only its service, and even that followed a changed queue. Reads of the configuration, and what they decide: SetQueueConfig (service of active jobs), rankOf (priority, objective), recordFailure (attempts), isAdvised (adviser): accepted work, now from the job. Submit (is there such a queue, and its policy), Front (route, time-outs) and the replica's freshness: new calls only, unchanged.

Change: Job.Policy is the queue's configuration at acceptance. It is part of the job's record, of hand-overs and of delegations. Records of earlier versions have only the service; they get the rest from the configuration in force when they are restored, as before.

--- a/internal/batch/advise.go
+++ b/internal/batch/advise.go
@@ -42,7 +42,7 @@
 )
 
 // isAdvised reports whether the stage's queue has an adviser.
-func (c *Core) isAdvised(s *stage) bool { return c.queueConfig.Queues[s.job.Queue].Advised }
+func (c *Core) isAdvised(s *stage) bool { return s.job.Policy.Advised }
 
 // isAdmitted reports whether the stage has a valid ticket for a worker with free capacity, or needs
 // no ticket. It queries the adviser if such a ticket is missing.
@@ -70,7 +70,7 @@
 func (c *Core) queryAdviser(s *stage, now time.Time) {
 	var candidates []*worker
 	for _, w := range c.workers {
-		if w.Service == s.job.service && c.acceptsRuns(w, now) && !s.query.queriedWorkers[w.ID] {
+		if w.Service == s.job.Policy.Service && c.acceptsRuns(w, now) && !s.query.queriedWorkers[w.ID] {
 			candidates = append(candidates, w)
 		}
 	}
--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -61,6 +61,16 @@
 	Spec   string
 	Steps  []Step
 	Repeat Repeat
+	// Policy is the configuration of the queue when the job was accepted. Later changes of the queue
+	// do not apply to the job. The zero value means that the job is not accepted yet.
+	Policy Queue
+}
+
+// WithPolicy returns the job with the policy of its queue.
+func (j Job) WithPolicy(q Queue) Job {
+	q.Name = j.Queue
+	j.Policy = q
+	return j
 }
 
 // Repeat makes a job run several times. The zero value runs it once, immediately.
--- a/internal/batch/core.go
+++ b/internal/batch/core.go
@@ -165,19 +165,31 @@
 // SetWallOffset sets the offset that is added to monotonic time to get the time of day.
 func (c *Core) SetWallOffset(offset time.Duration) { c.wallOffset = offset }
 
-// SetQueueConfig replaces the queue configuration.
+// SetQueueConfig replaces the queue configuration. Jobs that were accepted before keep the policy of
+// their acceptance.
 func (c *Core) SetQueueConfig(config QueueConfig) {
 	c.queueConfig = config
 	for _, j := range c.active {
-		if q, ok := config.Queues[j.Queue]; ok {
-			j.service = q.Service
-		}
+		c.completePolicy(&j.Job)
 	}
 	for _, w := range c.workers {
 		c.markChanged(w)
 	}
 }
 
+// completePolicy gives a job the policy in force if it has none: an earlier version, whose records
+// have no policy, accepted it.
+func (c *Core) completePolicy(j *Job) {
+	q, known := c.queueConfig.Queues[j.Queue]
+	if !known || j.Policy.Name != "" {
+		return
+	}
+	if j.Policy.Service != "" {
+		q.Service = j.Policy.Service
+	}
+	*j = j.WithPolicy(q)
+}
+
 // markDirty marks the job's record as changed, so that it is written by the next commit.
 func (c *Core) markDirty(j *job) {
 	if !j.dirty {
--- a/internal/batch/delegate.go
+++ b/internal/batch/delegate.go
@@ -114,7 +114,7 @@
 
 // handOverStarted hands over a job with its progress, under the same condition as tryHandOver.
 func (c *Core) handOverStarted(j *job, minShare float64) {
-	w := &wireJob{ID: j.ID, Queue: j.Queue, Service: j.service, State: string(Active), AcceptedMs: j.accepted.Add(c.wallOffset).UnixMilli()}
+	w := &wireJob{ID: j.ID, Queue: j.Queue, Service: j.Policy.Service, Policy: encodePolicy(j.Policy), State: string(Active), AcceptedMs: j.accepted.Add(c.wallOffset).UnixMilli()}
 	w.addTasks(j)
 	c.tryHandOver(j, minShare)
 	if j.state == Moved {
@@ -137,12 +137,13 @@
 		return nil
 	}
 	j := &job{
-		Job: decodeSubmission(started), service: started.Service, state: Queued, cellPath: started.Path,
+		Job: decodeSubmission(started), state: Queued, cellPath: started.Path,
 		accepted: time.UnixMilli(started.AcceptedMs).Add(-c.wallOffset),
 	}
 	if err := j.Check(); err != nil {
 		return err
 	}
+	c.completePolicy(&j.Job)
 	if err := c.restoreStages(j, started, now); err != nil {
 		return err
 	}
@@ -224,7 +225,7 @@
 		return nil, nil
 	}
 	w := wireJob{
-		ID: j.ID, Queue: j.Queue, Service: j.service, Spec: j.Spec, State: string(Active), Occurrences: j.startedOccurrences,
+		ID: j.ID, Queue: j.Queue, Service: j.Policy.Service, Policy: encodePolicy(j.Policy), Spec: j.Spec, State: string(Active), Occurrences: j.startedOccurrences,
 		AcceptedMs: j.accepted.Add(c.wallOffset).UnixMilli(), Stages: []wireStage{*j.pendingDelegation},
 		Path: append(slices.Clone(j.delegators()), c.cell.Index),
 	}
@@ -247,12 +248,13 @@
 	j := c.jobs[DelegatedID(w.ID)]
 	if j == nil {
 		j = &job{
-			Job: decodeSubmission(w), service: w.Service, state: Active, delegated: true,
+			Job: decodeSubmission(w), state: Active, delegated: true,
 			accepted: time.UnixMilli(w.AcceptedMs).Add(-c.wallOffset),
 		}
 		if err := j.Check(); err != nil {
 			return "", err
 		}
+		c.completePolicy(&j.Job)
 		if w.Occurrences > j.occurrences() {
 			return "", &InvalidError{Reason: fmt.Sprintf("delegation of %s has %d occurrences", w.ID, w.Occurrences)}
 		}
--- a/internal/batch/fit.go
+++ b/internal/batch/fit.go
@@ -35,7 +35,7 @@
 // obstacle returns why a worker that accepts runs cannot run a task.
 func (c *Core) obstacle(t *task, w *worker, now time.Time) Obstacle {
 	s := t.stage.step
-	if w.Service != t.stage.job.service {
+	if w.Service != t.stage.job.Policy.Service {
 		return NoService
 	}
 	if w.isolated != nil {
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -10,8 +10,6 @@
 // job is a job with the state of its tasks.
 type job struct {
 	Job
-	// service is the queue's service. It is kept if the queue is removed from the configuration.
-	service  string
 	accepted time.Time
 	// endedAt is when the job reached a final state.
 	endedAt time.Time
--- a/internal/batch/plan.go
+++ b/internal/batch/plan.go
@@ -42,7 +42,7 @@
 // rankOf returns the rank of a stage.
 func (c *Core) rankOf(s *stage, now time.Time) rank {
 	j := s.job
-	q := c.queueConfig.Queues[j.Queue]
+	q := j.Policy
 	submitted := j.accepted
 	if j.Repeat.Count > 0 {
 		submitted = j.Repeat.First.Add(time.Duration(s.occurrence) * j.Repeat.Every).Add(-c.wallOffset)
--- a/internal/batch/poll.go
+++ b/internal/batch/poll.go
@@ -312,12 +312,11 @@
 		return
 	}
 	t.failedRuns = append(t.failedRuns, run)
-	q, known := c.queueConfig.Queues[t.stage.job.Queue]
 	failures := len(t.failedRuns)
 	if t.stage.step.Gang {
 		failures = gangFailures(t.stage)
 	}
-	if known && q.Attempts > 0 && failures >= q.Attempts {
+	if limit := t.stage.job.Policy.Attempts; limit > 0 && failures >= limit {
 		c.finish(t.stage.job, Failed, "task "+t.name().String()+" failed too often", now)
 	}
 }
--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -159,6 +159,7 @@
 		ID          string      `json:"id"`
 		Queue       string      `json:"queue"`
 		Service     string      `json:"service,omitempty"`
+		Policy      *wirePolicy `json:"policy,omitempty"`
 		Spec        string      `json:"spec,omitempty"`
 		Steps       []wireStep  `json:"steps,omitempty"`
 		Repeats     int         `json:"repeats,omitempty"`
@@ -183,6 +184,15 @@
 		// steps.
 		Started *wireJob `json:"begun,omitempty"`
 	}
+	// wirePolicy is the rest of the queue's configuration when the job was accepted. Records of
+	// earlier versions have only the service.
+	wirePolicy struct {
+		Priority int     `json:"priority,omitempty"`
+		Attempts int     `json:"attempts,omitempty"`
+		Slack    float64 `json:"slack,omitempty"`
+		TargetMs int64   `json:"targetMillis,omitempty"`
+		Advised  bool    `json:"advised,omitempty"`
+	}
 	wireStep struct {
 		Tasks          int      `json:"tasks"`
 		MilliCores     int64    `json:"milliCores,omitempty"`
@@ -239,7 +249,7 @@
 
 func encodeJob(j *job, wallOffset time.Duration) ([]byte, error) {
 	w := wireJob{
-		ID: j.ID, Queue: j.Queue, Service: j.service, State: string(j.state), Reason: j.reason,
+		ID: j.ID, Queue: j.Queue, Service: j.Policy.Service, State: string(j.state), Reason: j.reason,
 		AcceptedMs: j.accepted.Add(wallOffset).UnixMilli(),
 	}
 	if j.state.Final() {
@@ -250,10 +260,31 @@
 		w.Cell = j.forwardedTo
 		return json.Marshal(w)
 	}
+	w.Policy = encodePolicy(j.Policy)
 	w.addTasks(j)
 	return json.Marshal(w)
 }
 
+// encodePolicy returns the stored form of a policy without its service, or nil if there is none.
+func encodePolicy(q Queue) *wirePolicy {
+	if q.Name == "" {
+		return nil
+	}
+	return &wirePolicy{Priority: q.Priority, Attempts: q.Attempts, Slack: q.Slack, TargetMs: q.Target.Milliseconds(), Advised: q.Advised}
+}
+
+// decodePolicy returns the policy in a record. It has no name if the record has only the service.
+func decodePolicy(w wireJob) Queue {
+	if w.Policy == nil {
+		return Queue{Service: w.Service}
+	}
+	p := w.Policy
+	return Queue{
+		Name: w.Queue, Service: w.Service, Priority: p.Priority, Attempts: p.Attempts, Slack: p.Slack,
+		Target: time.Duration(p.TargetMs) * time.Millisecond, Advised: p.Advised,
+	}
+}
+
 // addTasks adds the steps of a job and the progress of their tasks.
 func (w *wireJob) addTasks(j *job) {
 	w.Spec, w.Occurrences, w.DelegatedTo, w.Delegated, w.Path = j.Spec, j.startedOccurrences, j.delegatedTo, j.delegated, j.cellPath
@@ -388,7 +419,9 @@
 func EncodeJob(j Job) ([]byte, error) { return encodeSubmission(j, nil) }
 
 func encodeSubmission(j Job, path []int) ([]byte, error) {
-	w := wireJob{ID: j.ID, Queue: j.Queue, Spec: j.Spec, State: string(Queued), Path: path}
+	w := wireJob{
+		ID: j.ID, Queue: j.Queue, Service: j.Policy.Service, Policy: encodePolicy(j.Policy), Spec: j.Spec, State: string(Queued), Path: path,
+	}
 	if j.Repeat.Count > 0 {
 		w.Repeats, w.FirstMs, w.EveryMs = j.Repeat.Count, j.Repeat.First.UnixMilli(), j.Repeat.Every.Milliseconds()
 	}
@@ -418,7 +451,7 @@
 }
 
 func decodeSubmission(w wireJob) Job {
-	j := Job{ID: w.ID, Queue: w.Queue, Spec: w.Spec}
+	j := Job{ID: w.ID, Queue: w.Queue, Spec: w.Spec, Policy: decodePolicy(w)}
 	if w.Repeats > 0 {
 		j.Repeat = Repeat{
 			Count: w.Repeats, First: time.UnixMilli(w.FirstMs), Every: time.Duration(w.EveryMs) * time.Millisecond,
@@ -437,7 +470,7 @@
 		return fmt.Errorf("decode job: %w", err)
 	}
 	j := &job{
-		Job: decodeSubmission(w), service: w.Service, state: State(w.State), reason: w.Reason,
+		Job: decodeSubmission(w), state: State(w.State), reason: w.Reason,
 		accepted: time.UnixMilli(w.AcceptedMs).Add(-c.wallOffset), stored: true, delegatedTo: w.DelegatedTo, delegated: w.Delegated, cellPath: w.Path,
 	}
 	if j.state.Final() {
@@ -453,6 +486,7 @@
 	if err := j.Check(); err != nil {
 		return err
 	}
+	c.completePolicy(&j.Job)
 	if err := c.restoreStages(j, w, now); err != nil {
 		return err
 	}
--- a/internal/batch/reserve.go
+++ b/internal/batch/reserve.go
@@ -54,7 +54,7 @@
 	failed := 0
 	for _, r := range waiting {
 		s := r.stage
-		failedSize, known := failedSizes[s.job.service]
+		failedSize, known := failedSizes[s.job.Policy.Service]
 		if !s.wantsReservation() || known && failedSize.Fits(s.step.Size) || now.Sub(s.reservationFailedAt) < reservationRetryAfter {
 			continue
 		}
@@ -62,7 +62,7 @@
 			continue
 		}
 		if s.step.isUnconstrained() && !c.isAdvised(s) {
-			failedSizes[s.job.service] = s.step.Size
+			failedSizes[s.job.Policy.Service] = s.step.Size
 			continue
 		}
 		s.reservationFailedAt = now
