A submission in the inbox carries the policy of its queue

Cause: an inbox entry held only what the caller sent. The next leader took the service from its own configuration, found none, and no worker has the empty service; the record kept it for all later leaders.

Change: the node that accepts writes the policy that it knows with the entry.

--- a/internal/scheduler/submit.go
+++ b/internal/scheduler/submit.go
@@ -91,7 +91,7 @@
 		return err
 	}
 	// The store may serve this node although it does not serve the leader.
-	value, encodeErr := batch.EncodeJob(j)
+	value, encodeErr := batch.EncodeJob(m.withPolicy(j))
 	if encodeErr != nil {
 		return encodeErr
 	}
@@ -108,6 +108,17 @@
 	return err
 }
 
+// withPolicy returns the job with the policy of its queue, if this node knows the queue. The next
+// leader may not know it any more.
+func (m *cellMember) withPolicy(j batch.Job) batch.Job {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if q, known := m.table.Queues[j.Queue]; known {
+		return j.WithPolicy(q)
+	}
+	return j
+}
+
 // storeCheckTimeout bounds the check whether the store serves this node; a slow
 // store answers within 300 ms.
 const storeCheckTimeout = 350 * time.Millisecond
--- a/internal/scheduler/takeover_test.go
+++ b/internal/scheduler/takeover_test.go
@@ -351,3 +351,24 @@
 		require.Equal(t, 8, cl.workers.startCount(), "a task ran again under the new leader")
 	})
 }
+
+// Guards against an accepted job that never runs: no node led when it was submitted, and its queue was
+// removed before the next leader found it in the inbox.
+func TestJobFromInboxRunsThoughItsQueueWasRemoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, time.Second, "w1")
+		defer cl.stop()
+		cl.addNode("a")
+		cl.addNode("b")
+		time.Sleep(3 * time.Second)
+		leader, _ := cl.leader()
+		cl.kill(leader)
+		j := testJob(1, 2)
+		for _, other := range cl.nodes {
+			require.NoError(t, submit(other, j))
+			other.SetTable(batch.QueueConfig{Version: 2, Queues: map[string]batch.Queue{}})
+			time.Sleep(10 * time.Second)
+			require.Equal(t, batch.Completed, state(t, other, j.ID))
+		}
+	})
+}
