A refused connection does not end the runs of a worker

The class: an observation about the path to a worker was taken for one about the worker.

RemoveWorker and a failed poll end nothing any more.

--- a/internal/batch/command.go
+++ b/internal/batch/command.go
@@ -208,20 +208,20 @@
 		c.note(Note{Kind: NoteUnconfirmed, Task: r.task.name(), Run: r.number, Worker: w.ID, Age: now.Sub(r.sentAt)})
 	case AnswerUnsent, AnswerBusy, AnswerFenced, AnswerWrongIncarnation:
 		c.backOff(w, now)
-		c.requeue(r, "worker: "+string(res.Answer), now)
+		c.requeue(r, startRefused(res.Answer), now)
 	case AnswerBadTicket:
 		delete(r.task.stage.tickets, w.ID)
-		c.requeue(r, "worker: ticket", now)
+		c.requeue(r, startRefused(res.Answer), now)
 	case AnswerNoCapacity:
 		c.backOff(w, now)
 		c.requestPoll(w)
-		c.requeue(r, "worker: room", now)
+		c.requeue(r, startRefused(res.Answer), now)
 	case AnswerSuperseded, AnswerExpired:
 		c.requestPoll(w)
-		c.requeue(r, "worker: "+string(res.Answer), now)
+		c.requeue(r, startRefused(res.Answer), now)
 	case AnswerInvalid:
 		j := r.task.stage.job
-		c.requeue(r, "worker: invalid", now)
+		c.requeue(r, startRefused(res.Answer), now)
 		r.task.notBefore = now.Add(minProbePause)
 		c.markDirty(j)
 	}
@@ -235,7 +235,7 @@
 		}
 	case AnswerWrongIncarnation:
 		culprits := c.recordCrash(r.worker, 0, true, now)
-		c.lose(r, "worker incarnation has ended", now)
+		c.lose(r, evidenceReplaced, now)
 		c.giveUp(culprits, now)
 	default:
 		// retryStops sends the command again.
@@ -274,23 +274,6 @@
 	}
 }
 
-// withdrawRun removes a run whose start command was never sent.
-func (c *Core) withdrawRun(r *run, now time.Time) { c.requeue(r, "not sent", now) }
-
-// requeue removes a run that is guaranteed not to run, and queues its task again if no other run is
-// left.
-func (c *Core) requeue(r *run, reason string, now time.Time) {
-	c.dropRun(r, now)
-	t := r.task
-	if t.state == taskPlaced && len(t.runs) == 0 && !t.stage.job.state.Final() {
-		if t.stage.step.Gang {
-			c.breakGang(t.stage, reason, now)
-		}
-		c.enqueue(t, now)
-		c.markDirty(t.stage.job)
-	}
-}
-
 // dropRun removes a run from its worker and its task.
 func (c *Core) dropRun(r *run, now time.Time) {
 	r.worker.addFillerUsage(now)
@@ -299,15 +282,6 @@
 	r.task.runs = slices.DeleteFunc(r.task.runs, func(o *run) bool { return o == r })
 }
 
-// lose gives up a run whose end its worker did not report, and queues its task again.
-func (c *Core) lose(r *run, reason string, now time.Time) {
-	c.note(Note{
-		Kind: NoteLost, Task: r.task.name(), Run: r.number, Worker: r.worker.ID,
-		Age: r.worker.silence(now), Reason: reason,
-	})
-	c.requeue(r, reason, now)
-}
-
 // breakGang stops the other members of a gang after one has ended.
 func (c *Core) breakGang(s *stage, reason string, now time.Time) {
 	for _, r := range s.runs() {
@@ -320,7 +294,7 @@
 func (c *Core) stopRun(r *run, reason string, now time.Time) {
 	switch r.state {
 	case runPending:
-		c.requeue(r, reason, now)
+		c.withdrawRun(r, now)
 	case runStopping, runStopped:
 	default:
 		r.state, r.stateSince = runStopping, now
--- /dev/null
+++ b/internal/batch/evidence_test.go
@@ -0,0 +1,87 @@
+package batch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/oriolepond/oriolepond/pkg/share"
+)
+
+// Guards against a second run of a task beside the first one, whose worker is behind a firewall that
+// rejects: its entry expires and connections to it are refused, but its lease lasts.
+func TestOnlyEvidenceEndsRuns(t *testing.T) {
+	start := time.Unix(1_000_000_000, 0)
+	silent := func(c *Core, w *worker, at time.Time) { c.PollFailed(w.ID, AnswerNone, at, at) }
+	for _, c := range []struct {
+		name string
+		// observe is called twice a second; endsWithin is when the run counts as ended at the latest,
+		// and not before outlasts.
+		observe              func(c *Core, w *worker, at time.Time)
+		outlasts, endsWithin time.Duration
+	}{
+		{"does not answer", silent, 5 * time.Second, 6 * time.Second},
+		{"does not answer and is removed", func(c *Core, w *worker, at time.Time) {
+			silent(c, w, at)
+			c.RemoveWorker(w.ID)
+		}, 5 * time.Second, 6 * time.Second},
+		{"is removed from a listing", func(c *Core, w *worker, at time.Time) {
+			silent(c, w, at)
+			c.SetWorkers(otherWorkers(c, w.ID), nil, at)
+		}, 5 * time.Second, 6 * time.Second},
+		{"refuses the stop command", func(c *Core, w *worker, at time.Time) {
+			silent(c, w, at)
+			c.RemoveWorker(w.ID)
+			for _, r := range sortedRuns(w.runs) {
+				c.stopRun(r, "test", at)
+			}
+			for _, command := range c.TakeCommands() {
+				if _, ok := c.PrepareCall(command, at); ok {
+					c.HandleAnswer(command, Result{Answer: AnswerUnsent}, at, at)
+				}
+			}
+		}, 5 * time.Second, 6 * time.Second},
+		{"is replaced at its address", func(c *Core, w *worker, at time.Time) {
+			c.RemoveWorker(w.ID)
+			c.PollFailed(w.ID, AnswerWrongIncarnation, at, at)
+		}, 0, time.Second},
+		{"restarts", func(c *Core, w *worker, at time.Time) {
+			if w.Incarnation == 1 {
+				c.ApplyReport(w.ID, Report{Incarnation: 2, Clock: time.Second}, at, at)
+			}
+		}, 0, time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			now := start
+			core := fourWorkerCore(t, now)
+			require.NoError(t, core.Submit(Job{ID: "j", Queue: "check", Steps: []Step{{Tasks: 1, Size: share.Resources{Processors: 1000}}}}, now, nil))
+			core.Plan(now)
+			first := commitAndStart(t, core, now)[TaskName{Job: "j"}]
+			w := core.workers[first.Worker]
+			started := false
+			for now.Sub(start) <= c.endsWithin {
+				now = now.Add(500 * time.Millisecond)
+				c.observe(core, w, now)
+				core.Plan(now)
+				for _, call := range commitAndStart(t, core, now) {
+					started = true
+					require.EqualValues(t, 2, call.Run)
+					require.GreaterOrEqual(t, now.Sub(start), c.outlasts, "the task was started again before the lease had expired")
+				}
+			}
+			require.True(t, started, "the task was not started again")
+		})
+	}
+}
+
+// otherWorkers returns the listed workers but one.
+func otherWorkers(c *Core, id string) []WorkerInfo {
+	var others []WorkerInfo
+	for _, w := range c.workers {
+		if w.ID != id && w.listed {
+			others = append(others, w.WorkerInfo)
+		}
+	}
+	return others
+}
--- a/internal/batch/lease.go
+++ b/internal/batch/lease.go
@@ -20,7 +20,7 @@
 	}
 	for id := range c.workers {
 		if !listed[id] {
-			c.RemoveWorker(id, now)
+			c.RemoveWorker(id)
 		}
 	}
 }
@@ -70,16 +70,14 @@
 	}
 }
 
-// RemoveWorker records that the platform's list no longer contains a worker.
-func (c *Core) RemoveWorker(id string, now time.Time) {
+// RemoveWorker records that the platform's list no longer contains a worker. This proves nothing about
+// its runs.
+func (c *Core) RemoveWorker(id string) {
 	w, ok := c.workers[id]
 	if !ok {
 		return
 	}
 	w.listed = false
-	if w.refusesConnections {
-		c.loseAllRuns(w, "worker was removed and refuses connections", now)
-	}
 	if len(w.runs) == 0 {
 		delete(c.workers, id)
 		c.sortedWorkers = nil
@@ -123,7 +121,7 @@
 			// The start command may still reach the new incarnation.
 			r.state, r.stateSince = runUnconfirmed, now
 		case r.incarnation != incarnation:
-			c.lose(r, "worker has restarted", now)
+			c.lose(r, evidenceRestarted, now)
 		}
 	}
 	c.giveUp(culprits, now)
@@ -144,16 +142,6 @@
 	return b
 }
 
-// loseAllRuns records that a worker has ended, and with it all that ran there.
-func (c *Core) loseAllRuns(w *worker, reason string, now time.Time) {
-	culprits := c.recordCrash(w, 0, true, now)
-	for _, r := range sortedRuns(w.runs) {
-		c.lose(r, reason, now)
-	}
-	clear(w.orphans)
-	c.giveUp(culprits, now)
-}
-
 // sortedRuns returns runs in a fixed order.
 func sortedRuns(byKey map[runKey]*run) []*run {
 	runs := slices.Collect(maps.Values(byKey))
@@ -222,7 +210,7 @@
 	}
 	for _, r := range sortedRuns(w.runs) {
 		if r.state != runPending {
-			c.lose(r, "lease has expired", now)
+			c.lose(r, evidenceExpired, now)
 		}
 	}
 	c.giveUp(culprits, now)
--- a/internal/batch/poll.go
+++ b/internal/batch/poll.go
@@ -72,9 +72,8 @@
 	return poll, true
 }
 
-// PollFailed handles the failure of a poll that was sent at the time sent. Refused means that
-// nothing listens at the worker's address.
-func (c *Core) PollFailed(id string, answer Answer, refused bool, sent, now time.Time) {
+// PollFailed handles the failure of a poll that was sent at the time sent.
+func (c *Core) PollFailed(id string, answer Answer, sent, now time.Time) {
 	w, ok := c.workers[id]
 	if !ok {
 		return
@@ -82,7 +81,7 @@
 	switch answer {
 	case AnswerWrongIncarnation:
 		if !w.listed {
-			c.loseAllRuns(w, "worker incarnation has ended", now)
+			c.loseAllRuns(w, evidenceReplaced, now)
 		}
 		w.backoffUntil = now.Add(minBackoff)
 	case AnswerBusy:
@@ -90,10 +89,6 @@
 		c.backOff(w, now)
 	default:
 		c.recordNoAnswer(w, sent)
-		w.refusesConnections = refused
-		if refused && !w.listed {
-			c.loseAllRuns(w, "worker was removed and refuses connections", now)
-		}
 	}
 }
 
@@ -191,9 +186,9 @@
 		// Once the stop is carried out, the worker refuses a start command that arrives late.
 		c.stopRun(r, "start command was not answered", now)
 	case runStopped:
-		c.requeue(r, "stopped", now)
+		c.requeue(r, evidenceStopped, now)
 	case runRunning:
-		c.lose(r, "missing from its worker's report", now)
+		c.lose(r, evidenceMissing, now)
 	}
 }
 
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -37,10 +37,8 @@
 	// aliveAt is when the worker's present incarnation last answered a call.
 	aliveAt time.Time
 	// unresponsiveSince is when the first of the currently unanswered calls was sent; zero if the
-	// last call was answered. refusesConnections means that nothing listens at the worker's
-	// address.
-	unresponsiveSince  time.Time
-	refusesConnections bool
+	// last call was answered.
+	unresponsiveSince time.Time
 	// backoffUntil is the time until which the worker is given no new runs, because it refused or
 	// did not answer a call. refusals counts the calls of Core.backOff since the last successful
 	// start.
@@ -217,7 +215,6 @@
 func (w *worker) recordContact(clock time.Duration, now time.Time) {
 	w.lastContact, w.aliveAt = now, now
 	w.unresponsiveSince = time.Time{}
-	w.refusesConnections = false
 	if clock > 0 {
 		w.clock, w.clockAt = clock, now
 	}
--- a/internal/scheduler/leader.go
+++ b/internal/scheduler/leader.go
@@ -314,7 +314,7 @@
 			continue
 		}
 		if c.Deleted {
-			changes = append(changes, func() { l.core.RemoveWorker(id, l.Now()) })
+			changes = append(changes, func() { l.core.RemoveWorker(id) })
 			continue
 		}
 		info, err := l.DecodeWorker(id, c.Entry.Value)
--- a/internal/scheduler/polls.go
+++ b/internal/scheduler/polls.go
@@ -185,10 +185,10 @@
 	}
 	received := l.Now()
 	l.Metrics.Poll(received.Sub(sent))
-	answer, refused := batch.AnswerNone, false
+	answer := batch.AnswerNone
 	var pollErr *PollError
 	if errors.As(err, &pollErr) {
-		answer, refused = pollErr.Answer, pollErr.Refused
+		answer = pollErr.Answer
 	}
 	fenced := false
 	l.withLock(func() {
@@ -198,7 +198,7 @@
 			l.spent.applying += l.Now().Sub(startedAt)
 			l.spent.reports++
 		} else {
-			l.core.PollFailed(id, answer, refused, sent, received)
+			l.core.PollFailed(id, answer, sent, received)
 		}
 		l.fenced = l.fenced || answer == batch.AnswerFenced
 		fenced = l.fenced
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -56,9 +56,7 @@
 type PollError struct {
 	Worker string
 	Answer batch.Answer
-	// Refused means that nothing listens at the worker's address.
-	Refused bool
-	Err     error
+	Err    error
 }
 
 // Error returns the worker and the cause.
