A planned stop answers requests that have already arrived

Cause: SetKeepAlivesEnabled(false) and Shutdown of net/http close connections that count as idle, and a connection counts as idle until the header of the next request is parsed. A process with a sixth of a core may have received a request for tens of milliseconds before that.

Change: package shutdown tracks whether a byte has arrived on a connection since its last response. A stop closes connections with their next response, and ends others by a read deadline: bytes that arrive meanwhile are served. Both programs use it (node and serve): the same cause acted in both.

TestRequestThatArrivedIsAnswered fails with the calls of net/http ("while the request is read, in the last phase") and passes now; tests of the root package, cmd, internal/actor and internal/entry pass.

--- a/cmd/oriolepond/node.go
+++ b/cmd/oriolepond/node.go
@@ -25,6 +25,7 @@
 	"github.com/oriolepond/oriolepond/internal/peer"
 	"github.com/oriolepond/oriolepond/internal/replica"
 	"github.com/oriolepond/oriolepond/internal/scheduler"
+	"github.com/oriolepond/oriolepond/internal/shutdown"
 	"github.com/oriolepond/oriolepond/internal/store"
 	"github.com/oriolepond/oriolepond/platform"
 )
@@ -186,7 +187,9 @@
 
 	var g run.Group
 	n.addLoops(&g, kv)
-	actor.Server(&g, front, listeners[0])
+	tracker := &shutdown.Tracker{}
+	tracker.Attach(front)
+	actor.Server(&g, front, tracker.Listen(listeners[0]))
 	actor.Server(&g, ready, listeners[1])
 	if err := n.addMetrics(&g, set); err != nil {
 		return err
@@ -200,7 +203,7 @@
 		case <-ended.Done():
 			return nil
 		}
-		return n.stop(front)
+		return n.stop(tracker, front)
 	}, func(error) { end() })
 	n.log.Emit(eventlog.InstanceStarted, zap.String("listen", s.FrontAddress), zap.Int("pid", os.Getpid()))
 	err := g.Run()
@@ -349,15 +352,15 @@
 
 // stop performs a planned stop: it reports the node as not ready to the load balancer, ends the
 // node's terms as leader of cells so that other nodes take over, and waits for calls in flight.
-func (n *node) stop(front *http.Server) error {
+func (n *node) stop(tracker *shutdown.Tracker, front *http.Server) error {
 	n.stopping.Store(true)
 	n.log.Emit(eventlog.InstanceStopping)
 	n.scheduler.StepDown()
-	front.SetKeepAlivesEnabled(false)
+	tracker.CloseAfterResponses()
 	ctx, cancel := context.WithTimeout(context.Background(), max(n.settings.StopGrace-stopMargin, drainDelay))
 	defer cancel()
 	time.Sleep(drainDelay)
-	if err := front.Shutdown(ctx); err != nil {
+	if err := tracker.Drain(ctx, front); err != nil {
 		return fmt.Errorf("planned stop: %w", err)
 	}
 	return nil
--- a/oriolepond.go
+++ b/oriolepond.go
@@ -37,6 +37,7 @@
 	"github.com/oriolepond/oriolepond/internal/roster"
 	"github.com/oriolepond/oriolepond/internal/settings"
 	"github.com/oriolepond/oriolepond/internal/shard"
+	"github.com/oriolepond/oriolepond/internal/shutdown"
 	"github.com/oriolepond/oriolepond/internal/store"
 	"github.com/oriolepond/oriolepond/internal/target"
 )
@@ -108,8 +109,10 @@
 	admin := &http.Server{Handler: i.adminHandler(), ReadHeaderTimeout: headerTimeout}
 	actor.Server(&g, admin, listeners.admin)
 	i.addPeerServer(&g, listeners.peer)
-	actor.Server(&g, front, listeners.front)
-	i.addStopActors(ctx, &g, front)
+	tracker := &shutdown.Tracker{}
+	tracker.Attach(front)
+	actor.Server(&g, front, tracker.Listen(listeners.front))
+	i.addStopActors(ctx, &g, tracker, front)
 	i.Log.Emit(eventlog.InstanceStarted, zap.String("listen", i.Settings.Listen))
 	if i.Listening != nil {
 		i.Listening(listeners.addresses())
@@ -128,12 +131,12 @@
 }
 
 // addStopActors adds the actors that end the instance: a planned stop once ctx ends, and Abort.
-func (i *Instance) addStopActors(ctx context.Context, g *run.Group, front *http.Server) {
+func (i *Instance) addStopActors(ctx context.Context, g *run.Group, tracker *shutdown.Tracker, front *http.Server) {
 	ended, end := context.WithCancel(context.Background())
 	g.Add(func() error {
 		select {
 		case <-ctx.Done():
-			return i.drain(front)
+			return i.drain(tracker, front)
 		case <-ended.Done():
 			return nil
 		}
--- a/stop.go
+++ b/stop.go
@@ -9,6 +9,7 @@
 
 	"github.com/oriolepond/oriolepond/internal/eventlog"
 	"github.com/oriolepond/oriolepond/internal/home"
+	"github.com/oriolepond/oriolepond/internal/shutdown"
 )
 
 // stopState records the progress of a planned stop.
@@ -24,7 +25,7 @@
 // drain makes a planned stop. For StopDelay the instance still serves while the load
 // balancer learns that it is not ready. Then it refuses new work and waits for the
 // requests in flight.
-func (i *Instance) drain(front *http.Server) error {
+func (i *Instance) drain(tracker *shutdown.Tracker, front *http.Server) error {
 	i.stop.leaving.Store(true)
 	i.Log.Emit(eventlog.InstanceStopping)
 	ctx, cancel := context.WithTimeout(context.Background(), i.Settings.StopTimeout)
@@ -35,7 +36,7 @@
 	i.stop.draining.Store(true)
 	handOver := time.AfterFunc(i.longestDeadline(), func() { i.leaveMembership(ctx) })
 	defer handOver.Stop()
-	if err := front.Shutdown(ctx); err != nil {
+	if err := tracker.Drain(ctx, front); err != nil {
 		return fmt.Errorf("planned stop: %w", err)
 	}
 	if err := i.requests.Drain(ctx); err != nil {
