--- a/internal/batch/overdue.go
+++ b/internal/batch/overdue.go
@@ -31,7 +31,7 @@
 	if !s.step.Filler || t.state != taskQueued || waited < overdueAfter || s.job.hasRuns() {
 		return false
 	}
-	return waited >= overdueAfterBusy || now.Sub(s.readyAt) >= overdueJobAge && c.isMostlyFree(s.job.service)
+	return waited >= overdueAfterBusy || now.Sub(s.readyAt) >= overdueJobAge && c.isMostlyFree(s.job.Policy.Service)
 }
 
 // hasRuns reports whether any task of the job has a run.
--- a/internal/batch/work_test.go
+++ b/internal/batch/work_test.go
@@ -27,7 +27,7 @@
 	require.True(t, ok)
 	require.Zero(t, c.TakeWork(now).UnreachedRuns)
 	c.TakeNotes()
-	c.PollFailed(call.Worker, AnswerNone, false, now.Add(time.Millisecond), now.Add(time.Second))
+	c.PollFailed(call.Worker, AnswerNone, now.Add(time.Millisecond), now.Add(time.Second))
 	notes := c.TakeNotes()
 	require.Len(t, notes, 1)
 	require.Equal(t, 1, notes[0].Runs)
--- a/internal/batch/world_rollout_test.go
+++ b/internal/batch/world_rollout_test.go
@@ -95,7 +95,7 @@
 
 func (s *simRollout) remove(w *simWorker) {
 	w.removed = true
-	s.core.RemoveWorker(w.info.ID, s.now)
+	s.core.RemoveWorker(w.info.ID)
 }
 
 // watch checks the bounds for long-running tasks at short intervals.
