A record leaves out the finished occurrences of a job

Its record had a row of about 31 bytes for each step of each occurrence, finished or not: 1,069,503 bytes at the end, more than the store takes. The store refused the commit, and the term of each leader ended on it.

An occurrence all of whose tasks have ended, and none of whose runs is left, now has no rows in the record and no stages in memory; the record names the open occurrences. A report about its tasks is handled as before: acknowledged once the next record is durable, nothing starts. Records of earlier versions are restored; an earlier version rejects a folded record, since it would run the finished occurrences again.

--- a/internal/batch/delegate.go
+++ b/internal/batch/delegate.go
@@ -144,7 +144,7 @@
 		return err
 	}
 	c.completePolicy(&j.Job)
-	if err := c.restoreStages(j, started, now); err != nil {
+	if err := c.restoreStages(j, started, nil, now); err != nil {
 		return err
 	}
 	c.addJob(j)
@@ -205,7 +205,7 @@
 // delegate delegates tasks to another cell. The tasks must be guaranteed not to run.
 func (c *Core) delegate(s *stage, tasks []*task, to int, now time.Time) {
 	j := s.job
-	delegation := wireStage{Stage: slices.Index(j.stages, s)}
+	delegation := wireStage{Stage: s.number()}
 	for _, t := range tasks {
 		delegation.Tasks = append(delegation.Tasks, wireTask{Index: t.index, LastRun: t.lastRun, Checkpoint: t.checkpoint, Crashes: encodeCrashes(t.crashes)})
 		c.note(Note{Kind: NoteDelegated, Task: t.name(), Run: t.lastRun, Cell: to, Age: now.Sub(t.queuedAt)})
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -46,9 +46,10 @@
 	delegated bool
 	cellPath  []int
 
-	// stages are the steps of all occurrences that have started.
+	// stages are the steps of the occurrences that have started, except those that dropFinished has
+	// dropped, ordered by occurrence and step.
 	stages []*stage
-	// startedOccurrences is the number of occurrences whose stages exist.
+	// startedOccurrences is the number of occurrences that have started.
 	startedOccurrences int
 	// criticalPath is the estimated run time of the longest chain of dependent steps.
 	criticalPath time.Duration
@@ -216,15 +217,6 @@
 	return s
 }
 
-// stage returns the stage of a step of an occurrence, or nil if it has not started.
-func (j *job) stage(occurrence, step int) *stage {
-	i := occurrence*len(j.Steps) + step
-	if occurrence < 0 || step < 0 || step >= len(j.Steps) || i >= len(j.stages) {
-		return nil
-	}
-	return j.stages[i]
-}
-
 // runs returns all runs of the job.
 func (j *job) runs() []*run {
 	var runs []*run
@@ -282,7 +274,7 @@
 // hasStarted reports whether a record shows that a task of the job has run. A run that was only
 // recorded does not count: its start command may never have been sent.
 func (j *job) hasStarted() bool {
-	return j.state == Active || slices.ContainsFunc(j.stages, func(s *stage) bool {
+	return j.state == Active || j.hasDropped() || slices.ContainsFunc(j.stages, func(s *stage) bool {
 		return s.unfinished < len(s.tasks) || slices.ContainsFunc(s.tasks, func(t *task) bool {
 			return len(t.failedRuns) > 0 || t.crashes.confirmed > 0 || t.checkpoint != ""
 		})
--- a/internal/batch/plan.go
+++ b/internal/batch/plan.go
@@ -16,7 +16,7 @@
 	c.expireJobs(now)
 	for _, j := range c.active {
 		if j.startedOccurrences < j.occurrences() {
-			c.advance(j, now)
+			c.startDue(j, now)
 		}
 	}
 	c.stopRunsOnDraining(now)
--- a/internal/batch/poll.go
+++ b/internal/batch/poll.go
@@ -221,6 +221,12 @@
 			t = s.tasks[e.Task.Index]
 		}
 	}
+	if t == nil && j != nil && !j.state.Final() && j.isDropped(e.Task) {
+		c.note(Note{Kind: NoteEnded, Task: e.Task, Run: e.Run, Worker: w.ID, Reason: string(e.How)})
+		j.pendingEnds = append(j.pendingEnds, endRef{worker: w, incarnation: w.Incarnation, number: e.Number})
+		c.markDirty(j)
+		return
+	}
 	if t == nil || j.state.Final() {
 		if j == nil || !j.dirty {
 			w.markEndDurable(e.Number)
@@ -285,7 +291,7 @@
 		}
 	}
 	if s.unfinished == 0 {
-		c.advance(s.job, now)
+		c.advanceAfter(s, now)
 		c.completeIfDone(s.job, now)
 	}
 }
--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -71,6 +71,7 @@
 		}
 		n++
 		ch.writes += writes
+		j.dropFinished()
 		value, err := encodeJob(j, c.wallOffset)
 		if err != nil {
 			return Changes{}, fmt.Errorf("encode job %s: %w", j.ID, err)
@@ -183,6 +184,10 @@
 		// an earlier version, which does not know the field, rejects the entry because it has no
 		// steps.
 		Started *wireJob `json:"begun,omitempty"`
+		// Folded is the rest of a record without the stages of finished occurrences. It is a separate
+		// field, so that an earlier version, which would run these occurrences again, rejects the
+		// record because it has no steps.
+		Folded *wireFolded `json:"folded,omitempty"`
 	}
 	// wirePolicy is the rest of the queue's configuration when the job was accepted. Records of
 	// earlier versions have only the service.
@@ -262,7 +267,7 @@
 	}
 	w.Policy = encodePolicy(j.Policy)
 	w.addTasks(j)
-	return json.Marshal(w)
+	return json.Marshal(w.fold(j))
 }
 
 // encodePolicy returns the stored form of a policy without its service, or nil if there is none.
@@ -292,8 +297,8 @@
 		w.Repeats, w.FirstMs, w.EveryMs = j.Repeat.Count, j.Repeat.First.UnixMilli(), j.Repeat.Every.Milliseconds()
 	}
 	w.Steps = encodeSteps(j.Steps)
-	for i, s := range j.stages {
-		if ws, touched := encodeStage(i, s); touched {
+	for _, s := range j.stages {
+		if ws, touched := encodeStage(s); touched {
 			w.Stages = append(w.Stages, ws)
 		}
 	}
@@ -360,8 +365,8 @@
 }
 
 // encodeStage returns the stored form of a stage, and false if nothing has happened to its tasks.
-func encodeStage(i int, s *stage) (wireStage, bool) {
-	w := wireStage{Stage: i}
+func encodeStage(s *stage) (wireStage, bool) {
+	w := wireStage{Stage: s.number()}
 	if s.unfinished == 0 {
 		w.AllDone = true
 		return w, true
@@ -412,6 +417,7 @@
 	if err := json.Unmarshal(value, &w); err != nil {
 		return Job{}, nil, fmt.Errorf("decode job: %w", err)
 	}
+	w, _ = w.unfold()
 	return decodeSubmission(w), w.Path, nil
 }
 
@@ -469,6 +475,7 @@
 	if err := json.Unmarshal(value, &w); err != nil {
 		return fmt.Errorf("decode job: %w", err)
 	}
+	w, finished := w.unfold()
 	j := &job{
 		Job: decodeSubmission(w), state: State(w.State), reason: w.Reason,
 		accepted: time.UnixMilli(w.AcceptedMs).Add(-c.wallOffset), stored: true, delegatedTo: w.DelegatedTo, delegated: w.Delegated, cellPath: w.Path,
@@ -487,7 +494,7 @@
 		return err
 	}
 	c.completePolicy(&j.Job)
-	if err := c.restoreStages(j, w, now); err != nil {
+	if err := c.restoreStages(j, w, finished, now); err != nil {
 		return err
 	}
 	c.addJob(j)
@@ -496,19 +503,26 @@
 	return nil
 }
 
-// restoreStages restores the progress of a job's tasks.
-func (c *Core) restoreStages(j *job, w wireJob, now time.Time) error {
-	if w.Occurrences > j.occurrences() {
+// restoreStages restores the progress of a job's tasks. Finished tells for each occurrence that has
+// started whether its stages are left out; nil means that none are.
+func (c *Core) restoreStages(j *job, w wireJob, finished []bool, now time.Time) error {
+	if w.Occurrences < 0 || w.Occurrences > j.occurrences() {
 		return &InvalidError{Reason: fmt.Sprintf("record of %s has %d of %d occurrences", j.ID, w.Occurrences, j.occurrences())}
 	}
-	for range w.Occurrences {
+	for o := range w.Occurrences {
+		if o < len(finished) && finished[o] {
+			j.startedOccurrences++
+			continue
+		}
 		c.startOccurrence(j)
 	}
 	for _, s := range w.Stages {
-		if s.Stage < 0 || s.Stage >= len(j.stages) {
+		if s.Stage < 0 || s.Stage >= w.Occurrences*len(j.Steps) {
 			return &InvalidError{Reason: fmt.Sprintf("record of %s names unknown stage %d", j.ID, s.Stage)}
 		}
-		c.restoreStage(j.stages[s.Stage], s, now)
+		if stage := j.stage(s.Stage/len(j.Steps), s.Stage%len(j.Steps)); stage != nil {
+			c.restoreStage(stage, s, now)
+		}
 	}
 	if j.hasStarted() {
 		j.state = Active
--- a/internal/batch/submit.go
+++ b/internal/batch/submit.go
@@ -170,17 +170,42 @@
 	c.note(Note{Kind: NoteJobEnded, Job: j.ID, Age: now.Sub(j.accepted), Reason: string(s) + ": " + reason})
 }
 
-// advance starts the occurrences that are due and queues the tasks of stages whose dependencies are
-// done.
+// advance starts the occurrences that are due and queues the tasks of all stages whose dependencies
+// are done.
 func (c *Core) advance(j *job, now time.Time) {
 	if j.state.Final() {
 		return
 	}
+	c.startDue(j, now)
+	c.markReadyAmong(j.stages, now)
+}
+
+// advanceAfter does what advance does after all tasks of a stage have ended. It looks only at the
+// stages of the same occurrence.
+func (c *Core) advanceAfter(s *stage, now time.Time) {
+	j := s.job
+	if j.state.Final() {
+		return
+	}
+	if i, found := j.find(s.occurrence); found {
+		c.markReadyAmong(j.stages[i:i+len(j.Steps)], now)
+	}
+	c.startDue(j, now)
+}
+
+// startDue starts the occurrences that are due and queues the tasks of their first stages.
+func (c *Core) startDue(j *job, now time.Time) {
+	first := len(j.stages)
 	for j.startedOccurrences < j.occurrences() && c.isDue(j, j.startedOccurrences, now) {
 		c.startOccurrence(j)
 		c.markDirty(j)
 	}
-	for _, s := range j.stages {
+	c.markReadyAmong(j.stages[first:], now)
+}
+
+// markReadyAmong queues the tasks of those of the stages whose dependencies are done.
+func (c *Core) markReadyAmong(stages []*stage, now time.Time) {
+	for _, s := range stages {
 		if !s.ready && c.dependenciesDone(s) {
 			c.markReady(s, now)
 		}
