The size of a record is known before it is sent

What callers saw: a job was accepted whose record could not fit into the store, and failed later; nothing read valueBytes or looked at a record's size.

The limit comes from platform.valueBytes of the settings (1 MiB without it). A job whose record may exceed it with one occurrence open is refused, with an error that names the limit; the arithmetic per task is in docs/CAPACITY.md. Of a job with many occurrences only as many are open at once as fit. A record over the limit is not sent, and its job is set aside. One commit takes no more bytes than one record may have.

Failing before: TestJobDueThousandsOfTimesRunsToItsEnd (8,640 occurrences of four steps, through the scheduler and the fake store, with a change of leader in between) on: no leader. The other tests use what is new.

--- a/cmd/oriolepond/node.go
+++ b/cmd/oriolepond/node.go
@@ -166,8 +166,8 @@
 			}
 			return peer.NewJobs(conn, cell), nil
 		},
-		DropConnection: pool.Drop,
-		Timing:         coreTiming(s), Log: n.log, Metrics: scheduler.NewMetrics(set),
+		DropConnection: pool.Drop, MaxStoreValue: s.MaxStoreValue,
+		Timing: coreTiming(s), Log: n.log, Metrics: scheduler.NewMetrics(set),
 	}
 	listeners := make([]net.Listener, 0, 3)
 	for _, address := range []string{s.FrontAddress, s.ReadyAddress, s.PeerAddress} {
--- a/internal/batch/core.go
+++ b/internal/batch/core.go
@@ -26,6 +26,8 @@
 	// wallOffset is the offset that is added to monotonic time to get the time of day.
 	wallOffset  time.Duration
 	queueConfig QueueConfig
+	// recordLimit is the size in bytes of the largest value that the store takes.
+	recordLimit int
 
 	jobs    map[string]*job
 	workers map[string]*worker
@@ -162,6 +164,7 @@
 		ackable:           map[string]bool{},
 		health:            health,
 		images:            map[string]int{},
+		recordLimit:       DefaultRecordLimit,
 	}
 }
 
--- a/internal/batch/fold_test.go
+++ b/internal/batch/fold_test.go
@@ -28,6 +28,8 @@
 	lastEnd int64
 	// ended are the ends that were not acknowledged yet.
 	ended []EndedRow
+	// limit is the greatest size of a record; zero means the default.
+	limit int
 	// holdBack keeps the runs for which it returns true from ending.
 	holdBack func(TaskName) bool
 	running  map[TaskName]int64
@@ -46,6 +48,7 @@
 func (s *schedule) takeOver() {
 	s.core = NewCore(DefaultTiming(), s.now, s.now)
 	s.core.SetQueueConfig(simQueueConfig())
+	s.core.SetRecordLimit(s.limit)
 	for _, id := range sortedKeys(s.records) {
 		require.NoError(s.t, s.core.Restore(s.records[id], s.now))
 	}
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -59,6 +59,8 @@
 	stages []*stage
 	// startedOccurrences is the number of occurrences that have started.
 	startedOccurrences int
+	// maxOpen is the result of maxOpenOccurrences; zero means that it was not computed yet.
+	maxOpen int
 	// criticalPath is the estimated run time of the longest chain of dependent steps.
 	criticalPath time.Duration
 
--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -57,8 +57,9 @@
 // HasChanges reports whether anything has to be committed.
 func (c *Core) HasChanges() bool { return len(c.dirty) > 0 || c.unresponsive.writeDue }
 
-// TakeChanges returns the records of changed jobs, with at most limit writes unless the first job
-// needs more. A job that is handed over needs two writes.
+// TakeChanges returns the records of changed jobs, with at most limit writes and together no larger
+// than one record may be, unless the first job needs more. A job that is handed over needs two
+// writes.
 func (c *Core) TakeChanges(limit int, now time.Time) (Changes, error) {
 	var ch Changes
 	unresponsive, err := c.takeUnresponsiveRecord(now)
@@ -66,7 +67,7 @@
 		return Changes{}, fmt.Errorf("encode unresponsive workers: %w", err)
 	}
 	ch.Unresponsive = unresponsive
-	n := 0
+	n, size := 0, 0
 	var unfit []*job
 	for _, j := range c.dirty {
 		writes := j.writes()
@@ -77,7 +78,11 @@
 		if err != nil {
 			return Changes{}, fmt.Errorf("encode job %s: %w", j.ID, err)
 		}
+		if len(ch.Records) > 0 && size+len(value) > c.recordLimit {
+			break
+		}
 		n++
+		size += len(value)
 		if !fits {
 			j.dirty = false
 			unfit = append(unfit, j)
--- a/internal/batch/refuse.go
+++ b/internal/batch/refuse.go
@@ -102,7 +102,9 @@
 }
 
 // mayFit reports whether the store may take a record of the job with the given size.
-func (c *Core) mayFit(j *job, size int) bool { return !j.isSetAside || size < j.refusedSize }
+func (c *Core) mayFit(j *job, size int) bool {
+	return size <= c.recordLimit && (!j.isSetAside || size < j.refusedSize)
+}
 
 // dropUnfit drops jobs that the store never takes. The others are kept: their last records, or
 // their inbox entries, are durable.
--- a/internal/batch/submit.go
+++ b/internal/batch/submit.go
@@ -22,6 +22,9 @@
 	if err := s.Check(); err != nil {
 		return err
 	}
+	if err := s.CheckSize(c.recordLimit); err != nil {
+		return err
+	}
 	if _, ok := c.queueConfig.Queues[s.Queue]; !ok {
 		return &NoQueueError{Queue: s.Queue}
 	}
@@ -183,10 +186,14 @@
 	c.startDue(j, now)
 }
 
-// startDue starts the occurrences that are due and queues the tasks of their first stages.
+// startDue starts the occurrences that are due and queues the tasks of their first stages. An
+// occurrence for which the record has no space waits until others are finished.
 func (c *Core) startDue(j *job, now time.Time) {
+	if j.startedOccurrences == j.occurrences() || !c.isDue(j, j.startedOccurrences, now) {
+		return
+	}
 	first := len(j.stages)
-	for j.startedOccurrences < j.occurrences() && c.isDue(j, j.startedOccurrences, now) {
+	for open := j.openOccurrences(); open < c.maxOpenOccurrences(j) && j.startedOccurrences < j.occurrences() && c.isDue(j, j.startedOccurrences, now); open++ {
 		c.startOccurrence(j)
 		c.markDirty(j)
 	}
--- a/internal/scheduler/leader.go
+++ b/internal/scheduler/leader.go
@@ -23,15 +23,17 @@
 	Cell batch.Cell
 	// Token is the fencing token of the term: workers and the store reject commands
 	// and commits under lower tokens.
-	Token        int64
-	ID           string
-	Store        *store.Client
-	Workers      Workers
-	Timing       batch.Timing
-	WorkerPrefix string
-	DecodeWorker func(key string, value []byte) (batch.WorkerInfo, error)
-	Log          *eventlog.Log
-	Metrics      *Metrics
+	Token   int64
+	ID      string
+	Store   *store.Client
+	Workers Workers
+	Timing  batch.Timing
+	// MaxStoreValue is that of the Scheduler.
+	MaxStoreValue int
+	WorkerPrefix  string
+	DecodeWorker  func(key string, value []byte) (batch.WorkerInfo, error)
+	Log           *eventlog.Log
+	Metrics       *Metrics
 	// Now returns the monotonic time.
 	Now func() time.Time
 
@@ -165,6 +167,7 @@
 	core := batch.NewCore(l.Timing, now, now.Add(unreachedLimit))
 	core.SetCell(l.Cell)
 	core.SetWallOffset(l.wallClockOffset())
+	core.SetRecordLimit(l.MaxStoreValue)
 	core.SetQueueConfig(table)
 	for _, e := range r.jobs.Entries {
 		if err := l.restoreRecord(core, e.Value, now); err != nil {
--- a/internal/scheduler/refused_test.go
+++ b/internal/scheduler/refused_test.go
@@ -171,3 +171,42 @@
 	defer s.mu.Unlock()
 	return s.refusedValues
 }
+
+// Guards against a job that is due thousands of times and whose record outgrows the store, which
+// ends the term of each leader.
+func TestJobDueThousandsOfTimesRunsToItsEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const count = 8640
+		cl := newCluster(t, 200*time.Millisecond, "w1", "w2", "w3", "w4")
+		defer cl.stop()
+		a := cl.addNode("a")
+		time.Sleep(2 * time.Second)
+		j := batch.Job{ID: testJob(1, 1).ID, Queue: "review", Repeat: batch.Repeat{
+			Count: count, First: time.Now().Add(-count * time.Minute), Every: time.Minute,
+		}}
+		for i := range 4 {
+			s := batch.Step{Tasks: 1, Size: share.Resources{Processors: 100, Memory: 1 << 20}}
+			if i > 0 {
+				s.After = []int{i - 1}
+			}
+			j.Steps = append(j.Steps, s)
+		}
+		require.NoError(t, submit(a, j))
+		time.Sleep(5 * time.Second)
+		_, first := cl.leader()
+		require.NotNil(t, first)
+		b := cl.addNode("b")
+		cl.kill("a")
+		time.Sleep(time.Minute)
+		_, second := cl.leader()
+		require.NotNil(t, second)
+		for waited := 0; waited < 100 && state(t, b, j.ID) != batch.Completed; waited++ {
+			time.Sleep(time.Second)
+		}
+		require.Equal(t, batch.Completed, state(t, b, j.ID))
+		_, last := cl.leader()
+		require.Equal(t, second, last, "a term has ended")
+		require.Zero(t, cl.store.refusals())
+		require.Equal(t, 4*count, cl.workers.startCount())
+	})
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -94,9 +94,12 @@
 	// it. A call with listed set follows each complete listing of the watched keys: if no
 	// entry came before it, there is no copy. OnConfigCopies may be nil.
 	OnConfigCopies func(entries []store.Entry, listed bool)
-	Timing         batch.Timing
-	Log            *eventlog.Log
-	Metrics        *Metrics
+	// MaxStoreValue is the size in bytes of the largest value that the store takes; zero means the
+	// default.
+	MaxStoreValue int
+	Timing        batch.Timing
+	Log           *eventlog.Log
+	Metrics       *Metrics
 	// Now returns the monotonic time for leases; nil means the machine's clock.
 	Now func() time.Time
 
--- a/internal/scheduler/submit.go
+++ b/internal/scheduler/submit.go
@@ -90,6 +90,9 @@
 	if err == nil || isAnswer(err) && !unavailable && uncertain == nil {
 		return err
 	}
+	if err := j.CheckSize(m.scheduler.MaxStoreValue); err != nil {
+		return err
+	}
 	// The store may serve this node although it does not serve the leader.
 	value, encodeErr := batch.EncodeJob(m.withPolicy(j))
 	if encodeErr != nil {
