Tests: the scheduling rules hold for repeated jobs and refused records

The simulated world gets jobs that are repeated, and a store that refuses records over a size while the faults last. Its check of dependencies looked at occurrence 0 whatever the occurrence of the task was, which made no difference while no job was repeated; it now looks at the task's own occurrence.

What the simulation needed: a job that was set aside starts runs again as soon as any smaller record is durable and the pause is over. Three quarters of the refused size, as before, may lie below what the steps alone take, and such a job would have waited for the next term. The waiter of a job that is being handed over is not called while the job is set aside.

--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -25,7 +25,7 @@
 	inFlight bool
 	// isSetAside means that the store refused a record of refusedSize bytes.
 	// At resumeAt it may start new runs again, resumePause after it was set aside, if recordSize, the
-	// size of its durable record, is small enough.
+	// size of its durable record, is smaller.
 	isSetAside  bool
 	refusedSize int
 	recordSize  int
--- a/internal/batch/refuse.go
+++ b/internal/batch/refuse.go
@@ -80,20 +80,17 @@
 }
 
 const (
-	// maxResumeShare is the share of the refused size that the record of a job may have for the job
-	// to start new runs again.
-	maxResumeShare = 0.75
 	// The first pause until a job may start new runs again is minResumePause. It doubles each time that
 	// the job is set aside.
 	minResumePause = time.Second
 	maxResumePause = time.Minute
 )
 
-// resumeFitting lets jobs that were set aside start new runs again, once their durable records are
-// small enough.
+// resumeFitting lets jobs that were set aside start new runs again, once a smaller record is durable
+// and the pause is over.
 func (c *Core) resumeFitting(now time.Time) {
 	for _, j := range c.active {
-		if !j.isSetAside || !j.stored || j.inFlight || j.dirty || now.Before(j.resumeAt) || float64(j.recordSize) > maxResumeShare*float64(j.refusedSize) {
+		if !j.isSetAside || !j.stored || j.inFlight || j.dirty || now.Before(j.resumeAt) || j.recordSize >= j.refusedSize {
 			continue
 		}
 		j.isSetAside = false
--- a/internal/batch/simworker_test.go
+++ b/internal/batch/simworker_test.go
@@ -105,7 +105,7 @@
 	}
 	for _, before := range step.After {
 		for i := range sim.jobs[name.Job].Steps[before].Tasks {
-			if _, done := sim.endedAt[TaskName{Job: name.Job, Step: before, Index: i}]; !done {
+			if _, done := sim.endedAt[TaskName{Job: name.Job, Occurrence: name.Occurrence, Step: before, Index: i}]; !done {
 				sim.violate("%v starts before %d.%d has ended", name, before, i)
 			}
 		}
--- a/internal/batch/submit.go
+++ b/internal/batch/submit.go
@@ -92,7 +92,7 @@
 	if waiter == nil {
 		return
 	}
-	if j.stored && (!j.dirty || j.isSetAside) && j.finalStored == j.state.Final() {
+	if j.stored && (!j.dirty || j.isSetAside && j.state != Moved) && j.finalStored == j.state.Final() {
 		waiter(j.state)
 		return
 	}
--- a/internal/batch/world_test.go
+++ b/internal/batch/world_test.go
@@ -45,8 +45,12 @@
 	records   map[string][]byte
 	// unresponsive is the stored record of unresponsive workers.
 	unresponsive []byte
-	workers      []*simWorker
-	jobs         map[string]Job
+	// storeLimit is the size of the largest record that the store takes; zero means any size.
+	// refusals counts the records that it refused.
+	storeLimit int
+	refusals   int
+	workers    []*simWorker
+	jobs       map[string]Job
 	// endedAt is when tasks ended successfully on their workers. acknowledged is the same for the
 	// tasks whose end was acknowledged before the worker's lease expired.
 	endedAt      map[TaskName]time.Time
@@ -194,20 +198,41 @@
 		if token != sim.token {
 			return
 		}
-		for _, r := range changes.Records {
-			sim.records[r.ID] = r.Value
-			if r.Value == nil {
-				delete(sim.records, r.ID)
-			}
+		if !sim.isRefused(changes) {
+			sim.commit(changes)
+			return
 		}
-		if changes.Unresponsive != nil {
-			sim.unresponsive = changes.Unresponsive
+		for _, part := range changes.Split() {
+			if sim.isRefused(part) {
+				sim.refusals++
+				sim.core.Refuse(part, sim.now)
+			} else {
+				sim.commit(part)
+			}
 		}
-		sim.sendCommands(sim.core.Committed(changes))
 	})
 	sim.after(20*time.Millisecond, func() { sim.planLoop(token) })
 }
 
+// isRefused reports whether the store refuses changes.
+func (sim *simWorld) isRefused(changes Changes) bool {
+	return sim.storeLimit > 0 && slices.ContainsFunc(changes.Records, func(r Record) bool { return len(r.Value) > sim.storeLimit })
+}
+
+// commit stores changes, and sends the start commands that wait for them.
+func (sim *simWorld) commit(changes Changes) {
+	for _, r := range changes.Records {
+		sim.records[r.ID] = r.Value
+		if r.Value == nil {
+			delete(sim.records, r.ID)
+		}
+	}
+	if changes.Unresponsive != nil {
+		sim.unresponsive = changes.Unresponsive
+	}
+	sim.sendCommands(sim.core.Committed(changes))
+}
+
 func (sim *simWorld) find(id string) *simWorker {
 	for _, w := range sim.workers {
 		if w.info.ID == id {
