--- a/internal/batch/core.go
+++ b/internal/batch/core.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/oriolepond/oriolepond/internal/interference"
@@ -26,6 +27,8 @@
 	// wallOffset is the offset that is added to monotonic time to get the time of day.
 	wallOffset  time.Duration
 	queueConfig QueueConfig
+	// recordLimit is the size in bytes of the largest value that the store takes.
+	recordLimit int
 
 	jobs    map[string]*job
 	workers map[string]*worker
@@ -152,6 +155,8 @@
 	NoteDelegated          NoteKind = "lent"
 	NoteWaits              NoteKind = "waits"
 	NoteReserved           NoteKind = "reserved"
+	NoteSetAside           NoteKind = "setAside"
+	NoteResumed            NoteKind = "resumed"
 )
 
 const (
@@ -176,6 +181,7 @@
 		ackable:           map[string]bool{},
 		health:            health,
 		images:            map[string]int{},
+		recordLimit:       DefaultRecordLimit,
 	}
 }
 
@@ -215,6 +221,11 @@
 	}
 }
 
+// removeDirty removes a job from those with changes.
+func (c *Core) removeDirty(j *job) {
+	c.dirty = slices.DeleteFunc(c.dirty, func(o *job) bool { return o == j })
+}
+
 // note records a decision for TakeNotes.
 func (c *Core) note(n Note) { c.notes = append(c.notes, n) }
 
--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -43,6 +43,9 @@
 	ends    []endRef
 	waiters []func(State)
 	state   State
+	// delegation is the job's part of Record.Delegation, writes the number of writes of the record.
+	delegation *wireStage
+	writes     int
 }
 
 // IsEmpty reports whether there is nothing to commit.
@@ -54,8 +57,9 @@
 // HasChanges reports whether anything has to be committed.
 func (c *Core) HasChanges() bool { return len(c.dirty) > 0 || c.unresponsive.writeDue }
 
-// TakeChanges returns the records of changed jobs, with at most limit writes unless the first job
-// needs more. A job that is handed over needs two writes.
+// TakeChanges returns the records of changed jobs, with at most limit writes and together no larger
+// than one record may be, unless the first job needs more. A job that is handed over needs two
+// writes.
 func (c *Core) TakeChanges(limit int, now time.Time) (Changes, error) {
 	var ch Changes
 	unresponsive, err := c.takeUnresponsiveRecord(now)
@@ -63,21 +67,32 @@
 		return Changes{}, fmt.Errorf("encode unresponsive workers: %w", err)
 	}
 	ch.Unresponsive = unresponsive
-	n := 0
+	n, size := 0, 0
+	var unfit []*job
 	for _, j := range c.dirty {
 		writes := j.writes()
 		if n > 0 && ch.writes+writes > limit {
 			break
 		}
-		n++
-		ch.writes += writes
-		value, err := encodeJob(j, c.wallOffset)
+		value, fits, err := c.encodeFitting(j, now)
 		if err != nil {
 			return Changes{}, fmt.Errorf("encode job %s: %w", j.ID, err)
 		}
+		if len(ch.Records) > 0 && size+len(value) > c.recordLimit {
+			break
+		}
+		n++
+		size += len(value)
+		if !fits {
+			j.dirty = false
+			unfit = append(unfit, j)
+			continue
+		}
+		ch.writes += writes
 		if j.removed {
 			value = nil
 		}
+		delegation := j.pendingDelegation
 		record := Record{ID: j.storageID(), Value: value, To: j.forwardedTo, CancelCells: j.cancelCells, CancelID: j.ID}
 		if j.state != Moved {
 			record.CancelID = DelegatedID(j.ID)
@@ -94,6 +109,7 @@
 		ch.Records = append(ch.Records, record)
 		ch.jobs = append(ch.jobs, changedJob{
 			job: j, final: j.state.Final(), starts: j.pendingStarts, ends: j.pendingEnds, waiters: j.waiters, state: j.state,
+			delegation: delegation, writes: writes,
 		})
 		j.dirty, j.inFlight = false, true
 		j.pendingStarts, j.pendingEnds, j.waiters = nil, nil, nil
@@ -102,6 +118,7 @@
 	if len(c.dirty) == 0 {
 		c.dirty = nil
 	}
+	c.dropUnfit(unfit, now)
 	return ch, nil
 }
 
@@ -124,9 +141,11 @@
 	if ch.Unresponsive != nil {
 		c.markUnresponsiveDurable()
 	}
-	for _, t := range ch.jobs {
+	for i, t := range ch.jobs {
 		t.job.stored, t.job.inFlight = true, false
+		t.job.recordSize = len(ch.Records[i].Value)
 		t.job.finalStored = t.job.finalStored || t.final
+		t.job.isSetAside = t.job.isSetAside && !t.final
 		for _, r := range t.starts {
 			if r.state == runPending {
 				commands = append(commands, Command{Kind: CommandStart, run: r, worker: r.worker})
@@ -183,6 +202,10 @@
 		// an earlier version, which does not know the field, rejects the entry because it has no
 		// steps.
 		Started *wireJob `json:"begun,omitempty"`
+		// Folded is the rest of a record without the stages of finished occurrences. It is a separate
+		// field, so that an earlier version, which would run these occurrences again, rejects the
+		// record because it has no steps.
+		Folded *wireFolded `json:"folded,omitempty"`
 	}
 	// wirePolicy is the rest of the queue's configuration when the job was accepted. Records of
 	// earlier versions have only the service.
@@ -265,7 +288,7 @@
 	}
 	w.Policy = encodePolicy(j.Policy)
 	w.addTasks(j)
-	return json.Marshal(w)
+	return json.Marshal(w.fold(j))
 }
 
 // encodePolicy returns the stored form of a policy without its service, or nil if there is none.
@@ -295,8 +318,8 @@
 		w.Repeats, w.FirstMs, w.EveryMs = j.Repeat.Count, j.Repeat.First.UnixMilli(), j.Repeat.Every.Milliseconds()
 	}
 	w.Steps = encodeSteps(j.Steps)
-	for i, s := range j.stages {
-		if ws, touched := encodeStage(i, s); touched {
+	for _, s := range j.stages {
+		if ws, touched := encodeStage(s); touched {
 			w.Stages = append(w.Stages, ws)
 		}
 	}
@@ -363,8 +386,8 @@
 }
 
 // encodeStage returns the stored form of a stage, and false if nothing has happened to its tasks.
-func encodeStage(i int, s *stage) (wireStage, bool) {
-	w := wireStage{Stage: i}
+func encodeStage(s *stage) (wireStage, bool) {
+	w := wireStage{Stage: s.number()}
 	if s.unfinished == 0 {
 		w.AllDone = true
 		return w, true
@@ -416,6 +439,7 @@
 	if err := json.Unmarshal(value, &w); err != nil {
 		return Job{}, nil, fmt.Errorf("decode job: %w", err)
 	}
+	w, _ = w.unfold()
 	return decodeSubmission(w), w.Path, nil
 }
 
@@ -473,6 +497,7 @@
 	if err := json.Unmarshal(value, &w); err != nil {
 		return fmt.Errorf("decode job: %w", err)
 	}
+	w, finished := w.unfold()
 	j := &job{
 		Job: decodeSubmission(w), state: State(w.State), reason: w.Reason,
 		accepted: time.UnixMilli(w.AcceptedMs).Add(-c.wallOffset), stored: true, delegatedTo: w.DelegatedTo, delegated: w.Delegated, cellPath: w.Path,
@@ -491,7 +516,7 @@
 		return err
 	}
 	c.completePolicy(&j.Job)
-	if err := c.restoreStages(j, w, now); err != nil {
+	if err := c.restoreStages(j, w, finished, now); err != nil {
 		return err
 	}
 	c.addJob(j)
@@ -500,19 +525,26 @@
 	return nil
 }
 
-// restoreStages restores the progress of a job's tasks.
-func (c *Core) restoreStages(j *job, w wireJob, now time.Time) error {
-	if w.Occurrences > j.occurrences() {
+// restoreStages restores the progress of a job's tasks. Finished tells for each occurrence that has
+// started whether its stages are left out; nil means that none are.
+func (c *Core) restoreStages(j *job, w wireJob, finished []bool, now time.Time) error {
+	if w.Occurrences < 0 || w.Occurrences > j.occurrences() {
 		return &InvalidError{Reason: fmt.Sprintf("record of %s has %d of %d occurrences", j.ID, w.Occurrences, j.occurrences())}
 	}
-	for range w.Occurrences {
+	for o := range w.Occurrences {
+		if o < len(finished) && finished[o] {
+			j.startedOccurrences++
+			continue
+		}
 		c.startOccurrence(j)
 	}
 	for _, s := range w.Stages {
-		if s.Stage < 0 || s.Stage >= len(j.stages) {
+		if s.Stage < 0 || s.Stage >= w.Occurrences*len(j.Steps) {
 			return &InvalidError{Reason: fmt.Sprintf("record of %s names unknown stage %d", j.ID, s.Stage)}
 		}
-		c.restoreStage(j.stages[s.Stage], s, now)
+		if stage := j.stage(s.Stage/len(j.Steps), s.Stage%len(j.Steps)); stage != nil {
+			c.restoreStage(stage, s, now)
+		}
 	}
 	if j.hasStarted() {
 		j.state = Active
--- a/internal/batch/submit.go
+++ b/internal/batch/submit.go
@@ -22,6 +22,9 @@
 	if err := s.Check(); err != nil {
 		return err
 	}
+	if err := s.CheckSize(c.recordLimit); err != nil {
+		return err
+	}
 	if _, ok := c.queueConfig.Queues[s.Queue]; !ok {
 		return &NoQueueError{Queue: s.Queue}
 	}
@@ -66,17 +69,7 @@
 		if j.stored || j.inFlight || j.inInbox {
 			continue
 		}
-		for _, r := range j.runs() {
-			c.dropRun(r, now)
-		}
-		same := func(o *job) bool { return o == j }
-		c.dirty = slices.DeleteFunc(c.dirty, same)
-		c.deactivate(j)
-		delete(c.jobs, j.storageID())
-		for _, call := range j.waiters {
-			call(Dropped)
-		}
-		c.note(Note{Kind: NoteJobEnded, Job: j.ID, Reason: "dropped: the store does not answer"})
+		c.drop(j, Dropped, "dropped: the store does not answer", now)
 	}
 }
 
@@ -99,7 +92,7 @@
 	if waiter == nil {
 		return
 	}
-	if j.stored && !j.dirty && j.finalStored == j.state.Final() {
+	if j.stored && (!j.dirty || j.isSetAside && j.state != Moved) && j.finalStored == j.state.Final() {
 		waiter(j.state)
 		return
 	}
@@ -170,17 +163,46 @@
 	c.note(Note{Kind: NoteJobEnded, Job: j.ID, Age: now.Sub(j.accepted), Reason: string(s) + ": " + reason})
 }
 
-// advance starts the occurrences that are due and queues the tasks of stages whose dependencies are
-// done.
+// advance starts the occurrences that are due and queues the tasks of all stages whose dependencies
+// are done.
 func (c *Core) advance(j *job, now time.Time) {
 	if j.state.Final() {
 		return
 	}
-	for j.startedOccurrences < j.occurrences() && c.isDue(j, j.startedOccurrences, now) {
+	c.startDue(j, now)
+	c.markReadyAmong(j.stages, now)
+}
+
+// advanceAfter does what advance does after all tasks of a stage have ended. It looks only at the
+// stages of the same occurrence.
+func (c *Core) advanceAfter(s *stage, now time.Time) {
+	j := s.job
+	if j.state.Final() {
+		return
+	}
+	if i, found := j.find(s.occurrence); found {
+		c.markReadyAmong(j.stages[i:i+len(j.Steps)], now)
+	}
+	c.startDue(j, now)
+}
+
+// startDue starts the occurrences that are due and queues the tasks of their first stages. An
+// occurrence for which the record has no space waits until others are finished.
+func (c *Core) startDue(j *job, now time.Time) {
+	if j.startedOccurrences == j.occurrences() || !c.isDue(j, j.startedOccurrences, now) {
+		return
+	}
+	first := len(j.stages)
+	for open := j.openOccurrences(); open < c.maxOpenOccurrences(j) && j.startedOccurrences < j.occurrences() && c.isDue(j, j.startedOccurrences, now); open++ {
 		c.startOccurrence(j)
 		c.markDirty(j)
 	}
-	for _, s := range j.stages {
+	c.markReadyAmong(j.stages[first:], now)
+}
+
+// markReadyAmong queues the tasks of those of the stages whose dependencies are done.
+func (c *Core) markReadyAmong(stages []*stage, now time.Time) {
+	for _, s := range stages {
 		if !s.ready && c.dependenciesDone(s) {
 			c.markReady(s, now)
 		}
