A planned stop ends without an error and announces the end of connections

And a response to a request in flight when the stop began did not announce the end of its connection (found in review); the test asks for that now.

--- a/internal/shutdown/shutdown.go
+++ b/internal/shutdown/shutdown.go
@@ -18,6 +18,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -56,13 +57,38 @@
 	}
 	handler := s.Handler
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if t.closing.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		handler.ServeHTTP(w, r)
+		handler.ServeHTTP(&responseWriter{ResponseWriter: w, tracker: t}, r)
 	})
 }
 
+// responseWriter announces the end of the connection with the response header, so that a client does
+// not send another request on it.
+type responseWriter struct {
+	http.ResponseWriter
+	tracker     *Tracker
+	wroteHeader bool
+}
+
+// WriteHeader writes the response header.
+func (w *responseWriter) WriteHeader(status int) {
+	if w.tracker.closing.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	w.wroteHeader = true
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write writes to the response body.
+func (w *responseWriter) Write(p []byte) (int, error) {
+	if !w.wroteHeader {
+		w.WriteHeader(http.StatusOK)
+	}
+	return w.ResponseWriter.Write(p)
+}
+
+// Unwrap returns the underlying writer, for http.ResponseController.
+func (w *responseWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
 // CloseAfterResponses makes the server close each connection after its next response.
 func (t *Tracker) CloseAfterResponses() { t.closing.Store(true) }
 
@@ -73,7 +99,8 @@
 	t.CloseAfterResponses()
 	t.mu.Lock()
 	if t.listener != nil {
-		_ = t.listener.Listener.Close()
+		// The server reports the error, since it closes the listener again.
+		_ = t.listener.stop()
 	}
 	t.mu.Unlock()
 	tick := time.NewTicker(checkInterval)
@@ -116,16 +143,24 @@
 type listener struct {
 	net.Listener
 	tracker   *Tracker
+	stopOnce  sync.Once
+	stopErr   error
 	closeOnce sync.Once
 	closed    chan struct{}
 }
 
+// stop closes the underlying listener, once.
+func (l *listener) stop() error {
+	l.stopOnce.Do(func() { l.stopErr = l.Listener.Close() })
+	return l.stopErr
+}
+
 // Accept returns the next connection. After the underlying listener was closed it waits for Close,
 // so that the server ends no earlier than its connections.
 func (l *listener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil {
-		if l.tracker.closing.Load() {
+		if errors.Is(err, net.ErrClosed) {
 			<-l.closed
 		}
 		return nil, err
@@ -138,7 +173,7 @@
 // Close closes the listener.
 func (l *listener) Close() error {
 	l.closeOnce.Do(func() { close(l.closed) })
-	return l.Listener.Close()
+	return l.stop()
 }
 
 // conn is a tracked connection.
--- a/internal/shutdown/shutdown_test.go
+++ b/internal/shutdown/shutdown_test.go
@@ -35,10 +35,11 @@
 func (l *pipeListener) Close() error {
 	select {
 	case <-l.closed:
+		return net.ErrClosed
 	default:
 		close(l.closed)
+		return nil
 	}
-	return nil
 }
 
 func (l *pipeListener) Addr() net.Addr { return &net.UnixAddr{Name: "pipe"} }
@@ -64,16 +65,17 @@
 	return client
 }
 
-// call sends a request and returns the body of the response.
-func call(c net.Conn, r *bufio.Reader) (string, error) {
+// call sends a request. It returns the body of the response, and whether the response announces the
+// end of the connection.
+func call(c net.Conn, r *bufio.Reader) (body string, closes bool, err error) {
 	go func() { _, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n") }()
 	response, err := http.ReadResponse(r, nil)
 	if err != nil {
-		return "", err
+		return "", false, err
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
-	return string(body), err
+	text, err := io.ReadAll(response.Body)
+	return string(text), response.Close, err
 }
 
 // Guards against a request without an answer at a planned stop: the process has received it on a
@@ -104,9 +106,10 @@
 				conn := l.dial(delay)
 				defer conn.Close()
 				reader := bufio.NewReader(conn)
-				body, err := call(conn, reader)
+				body, closes, err := call(conn, reader)
 				require.NoError(t, err)
 				require.Equal(t, "whole", body)
+				require.False(t, closes)
 				time.Sleep(time.Second)
 				stopped := make(chan error, 1)
 				go func() {
@@ -117,9 +120,10 @@
 					}
 					stopped <- tracker.Drain(context.Background(), server)
 				}()
-				body, err = call(conn, reader)
+				body, closes, err = call(conn, reader)
 				require.NoError(t, err, "a request that had arrived was not answered")
 				require.Equal(t, "whole", body)
+				require.True(t, closes, "the client may send another request")
 				require.NoError(t, <-stopped)
 				require.ErrorIs(t, <-served, http.ErrServerClosed)
 			})
@@ -159,10 +163,10 @@
 					defer conn.Close()
 					for range c.requests {
 						if c.want != nil {
-							go func() { _, _ = call(conn, bufio.NewReader(conn)) }()
+							go func() { _, _, _ = call(conn, bufio.NewReader(conn)) }()
 							continue
 						}
-						_, err := call(conn, bufio.NewReader(conn))
+						_, _, err := call(conn, bufio.NewReader(conn))
 						require.NoError(t, err)
 					}
 				}
