Leases on workers that have just started are not waited for as after a restart

Cause: a worker with a clock under 20 s counts as young: a lease there may have a deadline that was meant for an earlier incarnation. Each new leader then waited for MaxLease anew. But the incarnation is what is young or not, and in the first term of a cell there was nobody to call an earlier incarnation.

Change: one run that was placed on a settled incarnation speaks for all runs of that incarnation, and in the first term (no record of terms, no head) only workers that restart in this term are young.

Two findings of the review of this incident are mended in the same functions: a wait that was shortened for a settled worker is undone if the worker turns out to have restarted while an earlier leader may renew (case of TestWaitForUnreachedWorkerFollowsItsLongestLease), and a term that ends before it has compared the record with the head vouches for no earlier one (TestLeaderWithoutRecordMayRenewLeases). Each fails without its line.

--- a/internal/batch/core.go
+++ b/internal/batch/core.go
@@ -59,6 +59,11 @@
 	// accepting are the workers that accept runs, collected at the beginning of each plan.
 	// searchStart is the index in them at which the next search for a worker begins.
 	accepting []*worker
+	// firstTerm means that the cell had no leader before; seen are then the workers that were ever known.
+	firstTerm bool
+	seen      map[string]bool
+	// renewalsUntil is until when earlier leaders may renew leases, as given to LimitRenewals.
+	renewalsUntil time.Time
 	// serviceUse is the use of each service, updated at the beginning of each plan.
 	serviceUse  map[string]serviceUse
 	searchStart int
@@ -299,9 +304,14 @@
 	}
 }
 
+// SetFirstTerm records that the cell had no leader before, so that no lease was granted to an earlier
+// incarnation of any worker. It is called before any worker is known.
+func (c *Core) SetFirstTerm() { c.firstTerm, c.seen = true, map[string]bool{} }
+
 // LimitRenewals records that earlier leaders renew leases until the given time at most. It shortens
 // the wait for the workers that this leader has not contacted yet.
 func (c *Core) LimitRenewals(until time.Time) {
+	c.renewalsUntil = until
 	if latest := c.latestExpiry(until); latest.Before(c.uncontactedExpiry) {
 		c.uncontactedExpiry = latest
 	}
@@ -321,10 +331,8 @@
 // expiryAfter returns the time by which all leases that earlier leaders granted to a worker until the
 // given time are guaranteed to have expired.
 func (c *Core) expiryAfter(w *worker, until time.Time) time.Time {
-	for _, r := range w.runs {
-		if !r.settled {
-			return c.latestExpiry(until)
-		}
+	if len(w.runs) > 0 && !w.hasSettledRun() {
+		return c.latestExpiry(until)
 	}
 	return until.Add(time.Duration(float64(lease.Longer(c.timing.Lease))/minClockRate) + expirySlack)
 }
--- a/internal/batch/lease.go
+++ b/internal/batch/lease.go
@@ -94,6 +94,10 @@
 			runs:           map[runKey]*run{},
 			orphans:        map[runKey]time.Time{},
 			leasesExpireAt: c.uncontactedExpiry,
+			restarted:      c.seen[id],
+		}
+		if c.firstTerm {
+			c.seen[id] = true
 		}
 		c.workers[id] = w
 		c.sortedWorkers = nil
@@ -106,6 +110,7 @@
 	culprits := c.recordCrash(w, incarnation, true, now)
 	// A worker that becomes known to this leader has not restarted if its runs are of this incarnation.
 	restarted := w.Incarnation != 0 || !w.hasOnlyRunsOf(incarnation)
+	w.restarted = w.restarted || w.Incarnation != 0
 	w.Incarnation = incarnation
 	w.contacted, w.aliveAt = false, time.Time{}
 	w.lastEnd, w.ackableEnd, w.undurableEnds = 0, 0, nil
@@ -113,7 +118,7 @@
 	if restarted {
 		// Commands that were sent to the previous incarnation may reach this one. Their deadlines refer
 		// to the previous clock and may be far ahead on this one.
-		w.leasesExpireAt = later(w.leasesExpireAt, c.latestExpiry(now))
+		w.leasesExpireAt = later(w.leasesExpireAt, c.latestExpiry(later(now, c.renewalsUntil)))
 	}
 	w.backoffUntil, w.refusals = time.Time{}, 0
 	clear(w.orphans)
@@ -147,9 +152,27 @@
 	return len(w.runs) > 0
 }
 
+// hasSettledRun reports whether a run of the newest incarnation that the runs name is settled, which is
+// then true of the incarnation.
+func (w *worker) hasSettledRun() bool {
+	newest, settled := int64(0), false
+	for _, r := range w.runs {
+		switch {
+		case r.incarnation > newest:
+			newest, settled = r.incarnation, r.settled
+		case r.incarnation == newest:
+			settled = settled || r.settled
+		}
+	}
+	return newest > 0 && settled
+}
+
 // isYoung reports whether a lease on the worker may have a deadline that was meant for the clock of
 // its previous incarnation.
 func (c *Core) isYoung(w *worker, now time.Time) bool {
+	if c.firstTerm && !w.restarted || w.hasSettledRun() {
+		return false
+	}
 	if w.clockAt.IsZero() {
 		return true
 	}
--- a/internal/batch/poll.go
+++ b/internal/batch/poll.go
@@ -114,7 +114,7 @@
 		// The worker has seen this leader's fencing token and rejects earlier leaders from now on.
 		w.contacted = true
 		w.leasesExpireAt = now.Add(time.Duration(float64(c.timing.Lease)/minClockRate) + expirySlack)
-		if rep.Clock < youngWorkerLeases*c.timing.MaxLease {
+		if c.isYoung(w, now) {
 			// Its lease may have a deadline that was meant for the previous incarnation's clock.
 			w.leasesExpireAt = c.latestExpiry(now)
 		}
--- a/internal/batch/renewals_test.go
+++ b/internal/batch/renewals_test.go
@@ -22,6 +22,8 @@
 		// listed is the incarnation under which the next leader finds the worker; zero means that it is not listed.
 		listed int64
 		strip  bool
+		// renews is how long an earlier leader may still renew leases.
+		renews time.Duration
 		long   bool
 	}{
 		{name: "worker long since started", clock: time.Hour},
@@ -30,6 +32,8 @@
 		{name: "worker that was young when the run was placed", clock: time.Second, later: time.Minute},
 		{name: "worker that was young a little before", clock: time.Second, later: time.Second, long: true},
 		{name: "worker that has restarted", clock: time.Hour, listed: 2, long: true},
+		{name: "worker long since started, and an earlier leader renews", clock: time.Hour, listed: 1, renews: 13 * time.Second},
+		{name: "worker that has restarted, and an earlier leader renews", clock: time.Hour, listed: 2, renews: 13 * time.Second, long: true},
 		{name: "record of an earlier version", clock: time.Hour, strip: true, long: true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -64,13 +68,13 @@
 			second := NewCore(DefaultTiming(), now, now.Add(time.Minute))
 			second.SetQueueConfig(simQueueConfig())
 			require.NoError(t, second.Restore(record, now))
-			second.LimitRenewals(now)
+			second.LimitRenewals(now.Add(c.renews))
 			if c.listed > 0 {
 				info.Incarnation = c.listed
 				second.SetWorker(info, now)
-				second.LimitRenewals(now)
+				second.LimitRenewals(now.Add(c.renews))
 			}
-			wait := second.workers["w"].leasesExpireAt.Sub(now)
+			wait := second.workers["w"].leasesExpireAt.Sub(now.Add(c.renews))
 			if c.long {
 				require.Greater(t, wait, time.Duration(float64(second.timing.MaxLease)/minClockRate))
 			} else {
@@ -112,3 +116,35 @@
 	require.Contains(t, string(record), ages)
 	return []byte(strings.ReplaceAll(string(record), ages, ""))
 }
+
+// Guards against two runs of a task: in the first term of a cell a lease may still have a deadline that
+// was meant for an earlier incarnation, if the worker has restarted in this term.
+func TestRestartedWorkerIsYoungInFirstTerm(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		restart func(c *Core, info WorkerInfo, now time.Time)
+		long    bool
+	}{
+		{"has not restarted", func(*Core, WorkerInfo, time.Time) {}, false},
+		{"while it was listed", func(c *Core, info WorkerInfo, now time.Time) { c.SetWorker(info, now) }, true},
+		{"after it was forgotten", func(c *Core, info WorkerInfo, now time.Time) {
+			c.RemoveWorker(info.ID)
+			c.Plan(now)
+			c.SetWorker(info, now)
+		}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			now := time.Unix(1_000_000_000, 0)
+			core := NewCore(DefaultTiming(), now, now)
+			core.SetFirstTerm()
+			info := WorkerInfo{ID: "w", Address: "w", Service: "pool", Incarnation: 1, Capacity: share.Resources{Processors: 8000, Memory: 1 << 34}}
+			core.SetWorker(info, now)
+			core.ApplyReport("w", Report{Incarnation: 1, Clock: time.Second}, now, now)
+			info.Incarnation = 2
+			c.restart(core, info, now)
+			core.ApplyReport("w", Report{Incarnation: core.workers["w"].Incarnation, Clock: time.Second}, now, now)
+			wait := core.workers["w"].leasesExpireAt.Sub(now)
+			require.Equal(t, c.long, wait > core.timing.MaxLease, "%v", wait)
+		})
+	}
+}
--- a/internal/batch/world_test.go
+++ b/internal/batch/world_test.go
@@ -149,6 +149,9 @@
 	sim.token++
 	timing := DefaultTiming()
 	sim.core = NewCore(timing, sim.now, sim.now.Add(timing.Lease+timing.RenewGrace+time.Second))
+	if sim.token == 1 {
+		sim.core.SetFirstTerm()
+	}
 	sim.core.SetQueueConfig(simQueueConfig())
 	for _, id := range sortedKeys(sim.records) {
 		require.NoError(sim.t, sim.core.Restore(sim.records[id], sim.now))
--- a/internal/scheduler/election.go
+++ b/internal/scheduler/election.go
@@ -152,7 +152,9 @@
 		m.revokeLease(id)
 		return
 	}
-	m.serveTerm(ctx, id, newTerms(record, token, m.scheduler.renewalLimit(), m.scheduler.now()), requestedAt)
+	earlier := newTerms(record, token, m.scheduler.renewalLimit(), m.scheduler.now())
+	earlier.first = !found
+	m.serveTerm(ctx, id, earlier, requestedAt)
 }
 
 // becomeCandidate records that the node may be about to begin a term, unless it is stopping.
--- a/internal/scheduler/leader.go
+++ b/internal/scheduler/leader.go
@@ -167,6 +167,9 @@
 		return err
 	}
 	core := batch.NewCore(l.Timing, now, now.Add(unreachedLimit))
+	if l.terms.first && r.head.Revision == 0 {
+		core.SetFirstTerm()
+	}
 	core.SetCell(l.Cell)
 	core.SetWallOffset(l.wallClockOffset())
 	core.SetRecordLimit(l.MaxStoreValue)
--- a/internal/scheduler/terms.go
+++ b/internal/scheduler/terms.go
@@ -57,6 +57,9 @@
 	open  []openTerm
 	last  int64
 	limit time.Duration
+	// first means that there was no record before, headChecked that the record was compared with the head.
+	first       bool
+	headChecked bool
 	// writeDue means that the record has to be written.
 	writeDue bool
 }
@@ -110,6 +113,7 @@
 func (t *terms) checkHead(stamp string, found bool, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.headChecked = true
 	if !found {
 		t.open = nil
 		return
@@ -168,7 +172,11 @@
 	open := t.openAt(now)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	w := wireTerms{Last: max(t.last, t.own.Token)}
+	w := wireTerms{Last: t.last}
+	if t.headChecked {
+		// Otherwise the head may be of a term that is not in the record.
+		w.Last = max(t.last, t.own.Token)
+	}
 	if !ended {
 		own := t.own
 		w.Serving = &own
--- a/internal/scheduler/terms_test.go
+++ b/internal/scheduler/terms_test.go
@@ -51,6 +51,12 @@
 				require.False(t, o.renewsUntil.Before(now.Add(s.renewalLimit())))
 			}
 			require.Len(t, open, c.want)
+			// A term that ends before it has checked the head vouches for nothing.
+			unchecked, err := newTerms(record, 12, s.renewalLimit(), now).value(now, true)
+			require.NoError(t, err)
+			next := newTerms(m.successor(store.Entry{Value: unchecked, Revision: 13}, true), 14, s.renewalLimit(), now)
+			next.checkHead(c.head, c.head != "", now)
+			require.GreaterOrEqual(t, len(next.openAt(now)), c.want)
 		})
 	}
 }
