--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -6,8 +6,6 @@
 	"fmt"
 	"slices"
 	"time"
-
-	"github.com/oriolepond/oriolepond/pkg/share"
 )
 
 // Record is a change of a job's stored form, with what goes to other cells in the same commit.
@@ -207,30 +205,6 @@
 		// record because it has no steps.
 		Folded *wireFolded `json:"folded,omitempty"`
 	}
-	// wirePolicy is the rest of the queue's configuration when the job was accepted. Records of
-	// earlier versions have only the service.
-	wirePolicy struct {
-		Priority int     `json:"priority,omitempty"`
-		Attempts int     `json:"attempts,omitempty"`
-		Slack    float64 `json:"slack,omitempty"`
-		TargetMs int64   `json:"targetMillis,omitempty"`
-		Advised  bool    `json:"advised,omitempty"`
-	}
-	wireStep struct {
-		Tasks          int      `json:"tasks"`
-		MilliCores     int64    `json:"milliCores,omitempty"`
-		MemoryBytes    int64    `json:"memoryBytes,omitempty"`
-		Accelerators   int64    `json:"accelerators,omitempty"`
-		EstimateMs     int64    `json:"estimateMillis,omitempty"`
-		After          []int    `json:"after,omitempty"`
-		Traits         []string `json:"traits,omitempty"`
-		RequiredLabel  string   `json:"requiredLabel,omitempty"`
-		PreferredRack  string   `json:"preferredRack,omitempty"`
-		MaxPerWorker   int      `json:"maxPerWorker,omitempty"`
-		Image          string   `json:"image,omitempty"`
-		TailTargetMs   int64    `json:"tailTargetMillis,omitempty"`
-		MaxUnavailable int      `json:"mayMiss,omitempty"`
-	}
 	// wireStage omits tasks that never had a run.
 	wireStage struct {
 		Stage int `json:"stage"`
@@ -263,16 +237,6 @@
 	}
 )
 
-// The names of step traits in records.
-const (
-	traitCheckpoints = "checkpoints"
-	traitGang        = "gang"
-	traitSameRack    = "sameRack"
-	traitSpeculative = "speculative"
-	traitLongRunning = "longRunning"
-	traitFiller      = "fills"
-)
-
 func encodeJob(j *job, wallOffset time.Duration) ([]byte, error) {
 	w := wireJob{
 		ID: j.ID, Queue: j.Queue, Service: j.Policy.Service, State: string(j.state), Reason: j.reason,
@@ -291,26 +255,6 @@
 	return json.Marshal(w.fold(j))
 }
 
-// encodePolicy returns the stored form of a policy without its service, or nil if there is none.
-func encodePolicy(q Queue) *wirePolicy {
-	if q.Name == "" {
-		return nil
-	}
-	return &wirePolicy{Priority: q.Priority, Attempts: q.Attempts, Slack: q.Slack, TargetMs: q.Target.Milliseconds(), Advised: q.Advised}
-}
-
-// decodePolicy returns the policy in a record. It has no name if the record has only the service.
-func decodePolicy(w wireJob) Queue {
-	if w.Policy == nil {
-		return Queue{Service: w.Service}
-	}
-	p := w.Policy
-	return Queue{
-		Name: w.Queue, Service: w.Service, Priority: p.Priority, Attempts: p.Attempts, Slack: p.Slack,
-		Target: time.Duration(p.TargetMs) * time.Millisecond, Advised: p.Advised,
-	}
-}
-
 // addTasks adds the steps of a job and the progress of their tasks.
 func (w *wireJob) addTasks(j *job) {
 	w.Spec, w.Occurrences, w.DelegatedTo, w.Delegated, w.Path = j.Spec, j.startedOccurrences, j.delegatedTo, j.delegated, j.cellPath
@@ -325,66 +269,6 @@
 	}
 }
 
-func encodeSteps(steps []Step) []wireStep {
-	var encoded []wireStep
-	for _, s := range steps {
-		encoded = append(encoded, encodeStep(s))
-	}
-	return encoded
-}
-
-func encodeStep(s Step) wireStep {
-	w := wireStep{
-		Tasks: s.Tasks, MilliCores: int64(s.Size.Processors), MemoryBytes: int64(s.Size.Memory),
-		Accelerators: int64(s.Size.Accelerators), EstimateMs: s.Estimate.Milliseconds(), After: s.After,
-		RequiredLabel: s.RequiredLabel, PreferredRack: s.PreferredRack, MaxPerWorker: s.MaxPerWorker,
-		Image: s.Image, TailTargetMs: s.TailTarget.Milliseconds(), MaxUnavailable: s.MaxUnavailable,
-	}
-	for _, t := range s.traits() {
-		if *t.flag {
-			w.Traits = append(w.Traits, t.name)
-		}
-	}
-	return w
-}
-
-type trait struct {
-	name string
-	flag *bool
-}
-
-func (s *Step) traits() []trait {
-	return []trait{
-		{traitCheckpoints, &s.Checkpoints},
-		{traitGang, &s.Gang},
-		{traitSameRack, &s.SameRack},
-		{traitSpeculative, &s.Speculative},
-		{traitLongRunning, &s.LongRunning},
-		{traitFiller, &s.Filler},
-	}
-}
-
-func decodeStep(w wireStep) Step {
-	s := Step{
-		Tasks: w.Tasks,
-		Size: share.Resources{
-			Processors: share.MilliCores(w.MilliCores), Memory: share.Bytes(w.MemoryBytes),
-			Accelerators: share.Accelerators(w.Accelerators),
-		},
-		Estimate: time.Duration(w.EstimateMs) * time.Millisecond, After: w.After,
-		RequiredLabel: w.RequiredLabel, PreferredRack: w.PreferredRack, MaxPerWorker: w.MaxPerWorker,
-		Image: w.Image, TailTarget: time.Duration(w.TailTargetMs) * time.Millisecond, MaxUnavailable: w.MaxUnavailable,
-	}
-	for _, t := range s.traits() {
-		for _, name := range w.Traits {
-			if name == t.name {
-				*t.flag = true
-			}
-		}
-	}
-	return s
-}
-
 // encodeStage returns the stored form of a stage, and false if nothing has happened to its tasks.
 func encodeStage(s *stage) (wireStage, bool) {
 	w := wireStage{Stage: s.number()}
--- a/internal/batch/world_test.go
+++ b/internal/batch/world_test.go
@@ -359,69 +359,6 @@
 	}
 }
 
-// injectFaults injects faults until a time.
-func (sim *simWorld) injectFaults(until time.Time) {
-	repeatedly := func(mean time.Duration, do func()) {
-		if mean == 0 {
-			return
-		}
-		var next func()
-		next = func() {
-			if sim.now.After(until) {
-				return
-			}
-			do()
-			sim.after(sim.exponential(mean), next)
-		}
-		sim.after(sim.exponential(mean), next)
-	}
-	repeatedly(sim.faults.crash, func() { sim.crash(sim.workers[sim.random.IntN(len(sim.workers))]) })
-	repeatedly(sim.faults.outage, func() {
-		sim.workers[sim.random.IntN(len(sim.workers))].unresponsiveUntil = sim.now.Add(time.Duration(sim.random.Int64N(int64(12 * time.Second))))
-	})
-	repeatedly(sim.faults.takeover, sim.takeOver)
-	repeatedly(sim.faults.resize, func() { sim.resize(sim.workers[sim.random.IntN(len(sim.workers))]) })
-}
-
-// resizeNotice is how long after a change of its capacity a worker may still be started runs by the
-// previous one. The platform allows it for longer.
-const resizeNotice = time.Second
-
-// resize changes the capacity of a worker, which publishes it soon.
-func (sim *simWorld) resize(w *simWorker) {
-	w.previousProcessors, w.resizedAt = max(w.info.Capacity.Processors, sim.usableProcessors(w)), sim.now
-	w.info.Capacity.Processors = share.MilliCores(sim.random.IntN(16_001))
-	sim.after(resizeNotice/2, func() { sim.core.SetWorker(w.info, sim.now) })
-}
-
-// usableProcessors returns the processors that the runs of a worker may be allocated.
-func (sim *simWorld) usableProcessors(w *simWorker) share.MilliCores {
-	if sim.now.Sub(w.resizedAt) < resizeNotice {
-		return max(w.previousProcessors, w.info.Capacity.Processors)
-	}
-	return w.info.Capacity.Processors
-}
-
-// crash restarts a worker, which loses all its state.
-func (sim *simWorld) crash(w *simWorker) { sim.crashFor(w, time.Second) }
-
-// crashFor crashes a worker that publishes its next incarnation after a time.
-func (sim *simWorld) crashFor(w *simWorker, d time.Duration) {
-	if sim.traced != nil {
-		sim.trace("crash %s", w.info.ID)
-	}
-	sim.passTime(w)
-	for key := range w.running {
-		sim.crashedUnder[key.task]++
-	}
-	clear(w.running)
-	clear(w.highestEndedRun)
-	w.unackedEnds, w.lastEnd, w.token, w.leasedUntil = nil, 0, 0, time.Time{}
-	w.info.Incarnation++
-	w.incarnationStart = sim.now
-	sim.after(d, func() { sim.core.SetWorker(w.info, sim.now) })
-}
-
 // submit submits a job and, as callers do, repeats the submission until the job is durable.
 func (sim *simWorld) submit(j Job) {
 	sim.jobs[j.ID] = j
