An idle worker is polled before the reading of its clock is too old

Callers would see the first task on a worker that was idle for three minutes started twice (the worker refuses the first start as late), and after a minute a lease that does not outlast a takeover.

TestFirstLeaseAfterIdleTimeIsLongEnough fails without the poll after one minute, ten minutes and an hour.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -36,7 +36,7 @@
 //			c.HandleAnswer(command, result, sent, now)
 //		}
 //	}
-//	if c.NeedsPoll(worker) {
+//	if c.NeedsPoll(worker, now) {
 //		poll, ok := c.BeginPoll(worker, now)
 //		// Send the poll, then:
 //		c.ApplyReport(worker, report, sent, now)
--- a/internal/batch/poll.go
+++ b/internal/batch/poll.go
@@ -22,8 +22,12 @@
 	ShortWait bool
 }
 
+// maxClockAge is how old the reading of an idle worker's clock may become before the worker is polled.
+// The lease that the next start grants is shorter by 3% of that age, the bound on the rates of both clocks.
+const maxClockAge = 30 * time.Second
+
 // NeedsPoll reports whether a worker has to be polled.
-func (c *Core) NeedsPoll(id string) bool {
+func (c *Core) NeedsPoll(id string, now time.Time) bool {
 	w, ok := c.workers[id]
 	if !ok {
 		return false
@@ -31,7 +35,7 @@
 	if !w.listed {
 		return len(w.runs) > 0
 	}
-	return !w.contacted || !w.unresponsiveSince.IsZero() || len(w.runs) > 0 || len(w.orphans) > 0 || len(w.undurableEnds) > 0
+	return !w.contacted || now.Sub(w.clockAt) > maxClockAge || !w.unresponsiveSince.IsZero() || len(w.runs) > 0 || len(w.orphans) > 0 || len(w.undurableEnds) > 0
 }
 
 // IsSettled reports whether all run ends that a worker reported are durable.
--- a/internal/batch/renewals_test.go
+++ b/internal/batch/renewals_test.go
@@ -109,6 +109,30 @@
 	}
 }
 
+// Guards against a start that an idle worker refuses because its lease has already expired, and against
+// a lease that does not outlast a takeover: the worker's clock was read too long ago.
+func TestFirstLeaseAfterIdleTimeIsLongEnough(t *testing.T) {
+	for _, idle := range []time.Duration{0, 10 * time.Second, time.Minute, 10 * time.Minute, time.Hour} {
+		t.Run(idle.String(), func(t *testing.T) {
+			start := time.Unix(1_000_000_000, 0)
+			core := fourWorkerCore(t, start)
+			now := start
+			for now.Sub(start) < idle {
+				now = now.Add(time.Second)
+				for _, id := range core.WorkerIDs() {
+					if core.NeedsPoll(id, now) {
+						core.ApplyReport(id, Report{Incarnation: 1, Clock: time.Hour + now.Sub(start)}, now, now)
+					}
+				}
+			}
+			require.NoError(t, core.Submit(Job{ID: "j", Queue: "check", Steps: []Step{{Tasks: 1, Size: share.Resources{Processors: 1000}}}}, now, nil))
+			core.Plan(now)
+			call := commitAndStart(t, core, now)[TaskName{Job: "j"}]
+			require.Greater(t, call.Deadline-time.Hour-now.Sub(start), 4*time.Second)
+		})
+	}
+}
+
 // stripAges returns a record as earlier versions wrote it.
 func stripAges(t *testing.T, record []byte) []byte {
 	t.Helper()
--- a/internal/batch/world_test.go
+++ b/internal/batch/world_test.go
@@ -295,7 +295,7 @@
 	if token != sim.token {
 		return
 	}
-	if sim.core.NeedsPoll(w.info.ID) {
+	if sim.core.NeedsPoll(w.info.ID, sim.now) {
 		sim.poll(w, token)
 	}
 	sim.after(100*time.Millisecond, func() { sim.pollLoop(w, token) })
--- a/internal/scheduler/polls.go
+++ b/internal/scheduler/polls.go
@@ -68,7 +68,7 @@
 // pollStep makes one poll, or waits if none is needed. It reports whether the worker is still known.
 func (l *Leader) pollStep(ctx context.Context, id string, p *poller) bool {
 	l.mu.Lock()
-	known, needed, settled := l.core.HasWorker(id), l.core.NeedsPoll(id), l.core.IsSettled(id)
+	known, needed, settled := l.core.HasWorker(id), l.core.NeedsPoll(id, l.Now()), l.core.IsSettled(id)
 	if !known {
 		delete(l.pollers, id)
 	}
