A job keeps the policy with which it arrived

Callers would see a job that was answered with 200 and never runs, or one whose tasks are retried without limit.

Cause: a submission got its queue's policy only when it was written to the inbox, or when the leader accepted it, from the configuration in force then. A route that was removed while the body arrived, or while the node waited for an answer of the leader (up to 0.9 s), left the job without service and attempts; so did a node that stored the job for another one and no longer knew the queue.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -61,8 +61,8 @@
 	Spec   string
 	Steps  []Step
 	Repeat Repeat
-	// Policy is the configuration of the queue when the job was accepted. Later changes of the queue
-	// do not apply to the job. The zero value means that the job is not accepted yet.
+	// Policy is the configuration of the queue when the job was submitted. Later changes of the queue
+	// do not apply to the job. The zero value stands for that in force when the job is accepted.
 	Policy Queue
 }
 
--- a/internal/scheduler/calls.go
+++ b/internal/scheduler/calls.go
@@ -258,7 +258,7 @@
 			}
 			return c.Submit(ctx, j)
 		},
-		Relay: m.submitLocally,
+		Relay: func(ctx context.Context, j batch.Job) error { return m.submitLocally(ctx, m.withPolicy(j)) },
 		Cancel: func(ctx context.Context, id string) (bool, error) {
 			c, err := termCalls()
 			if err != nil {
--- a/internal/scheduler/submit.go
+++ b/internal/scheduler/submit.go
@@ -19,6 +19,7 @@
 // relays the job through another node before it reports one of these errors. A
 // job that arrives several times this way is still one job.
 func (m *cellMember) submit(ctx context.Context, j batch.Job) error {
+	j = m.withPolicy(j)
 	err := m.submitLocally(ctx, j)
 	if !mayRelay(err) {
 		return err
@@ -94,7 +95,7 @@
 		return err
 	}
 	// The store may serve this node although it does not serve the leader.
-	value, encodeErr := batch.EncodeJob(m.withPolicy(j))
+	value, encodeErr := batch.EncodeJob(j)
 	if encodeErr != nil {
 		return encodeErr
 	}
@@ -111,9 +112,12 @@
 	return err
 }
 
-// withPolicy returns the job with the policy of its queue, if this node knows the queue. The next
-// leader may not know it any more.
+// withPolicy returns a job that has no policy with that of its queue, if this node knows the queue.
+// Later, neither this node nor the leader may know it any more.
 func (m *cellMember) withPolicy(j batch.Job) batch.Job {
+	if j.Policy.Name != "" {
+		return j
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if q, known := m.table.Queues[j.Queue]; known {
