Workers tell whether a leader that was lost still renews leases

Cause: a leader that lost the store may renew leases for 12 s. Its successor gives up the runs on a worker that it cannot reach only after that time and the lease, unless the earlier leader confirms that it has stopped or has removed its term from the record. One that is gone for good can do neither.

Change: each leader stores which worker incarnations have answered it. Without the store's lease it renews leases only while half of them have answered within 1.5 s; once more than half have answered its successor, which makes them reject it, it can renew no more after 1.5 s, alive or not.

The store of the tests now expires leases on time: it noticed up to a second later.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -37,7 +37,7 @@
 //		}
 //	}
 //	if c.NeedsPoll(worker, now) {
-//		poll, ok := c.BeginPoll(worker, now)
+//		poll, ok := c.BeginPoll(worker, now, true)
 //		// Send the poll, then:
 //		c.ApplyReport(worker, report, sent, now)
 //	}
--- a/internal/batch/bench_test.go
+++ b/internal/batch/bench_test.go
@@ -162,7 +162,7 @@
 // poll polls a worker, which reports its runs as running. If ended is set, the worker reports the
 // given runs as ended instead, and only its long-running runs as running.
 func (bench *jobBenchmark) poll(id string, runs []*run, ended bool) {
-	if _, ok := bench.core.BeginPoll(id, bench.now); !ok {
+	if _, ok := bench.core.BeginPoll(id, bench.now, true); !ok {
 		return
 	}
 	rep := Report{Incarnation: 1, Clock: time.Second}
--- a/internal/batch/cells_test.go
+++ b/internal/batch/cells_test.go
@@ -105,7 +105,7 @@
 }
 
 // renewLease renews a worker's lease, as a poll does.
-func (c *Core) renewLease(id string, now time.Time) { c.BeginPoll(id, now) }
+func (c *Core) renewLease(id string, now time.Time) { c.BeginPoll(id, now, true) }
 
 // shareLoads passes each cell the loads of the others.
 func (sim *cellsSim) shareLoads() {
--- a/internal/batch/filler_test.go
+++ b/internal/batch/filler_test.go
@@ -103,7 +103,7 @@
 	require.NoError(t, core.Submit(Job{ID: "0000000000000002", Queue: "review", Steps: []Step{step}}, now, nil))
 	for until := now.Add(overdueJobAge + time.Second); now.Before(until); now = now.Add(500 * time.Millisecond) {
 		for id, row := range rows {
-			core.BeginPoll(id, now)
+			core.BeginPoll(id, now, true)
 			core.ApplyReport(id, Report{Incarnation: 1, Clock: time.Hour, Running: []RunningRow{row}}, now, now)
 		}
 		core.Plan(now)
--- a/internal/batch/fold_test.go
+++ b/internal/batch/fold_test.go
@@ -61,7 +61,7 @@
 // report gives the core a report of the worker with what still runs and what has ended since the
 // last acknowledgement.
 func (s *schedule) report() {
-	poll, ok := s.core.BeginPoll("a", s.now)
+	poll, ok := s.core.BeginPoll("a", s.now, true)
 	require.True(s.t, ok)
 	s.ended = slices.DeleteFunc(s.ended, func(e EndedRow) bool { return e.Number <= poll.Ack })
 	r := Report{Incarnation: 1, Clock: s.now.Sub(time.Unix(0, 0)), Ended: slices.Clone(s.ended)}
@@ -255,7 +255,7 @@
 			require.False(t, s.core.IsSettled("a"), "acknowledged before the record is durable")
 			s.turn()
 			require.True(t, s.core.IsSettled("a"))
-			poll, ok := s.core.BeginPoll("a", s.now)
+			poll, ok := s.core.BeginPoll("a", s.now, true)
 			require.True(t, ok)
 			require.Equal(t, s.lastEnd, poll.Ack)
 			require.Len(t, s.runs, runs)
--- a/internal/batch/interference_test.go
+++ b/internal/batch/interference_test.go
@@ -132,7 +132,7 @@
 		sim.now = sim.now.Add(interferenceTick)
 		for _, id := range slices.Sorted(maps.Keys(sim.core.workers)) {
 			if sim.renewsLeases {
-				sim.core.BeginPoll(id, sim.now)
+				sim.core.BeginPoll(id, sim.now, true)
 			}
 			sim.core.ApplyReport(id, sim.report(sim.core.workers[id]), sim.now, sim.now)
 		}
--- a/internal/batch/lease.go
+++ b/internal/batch/lease.go
@@ -112,7 +112,7 @@
 	restarted := w.Incarnation != 0 || !w.hasOnlyRunsOf(incarnation)
 	w.restarted = w.restarted || w.Incarnation != 0
 	w.Incarnation = incarnation
-	w.contacted, w.aliveAt = false, time.Time{}
+	w.contacted, w.aliveAt, w.answeredPollAt = false, time.Time{}, time.Time{}
 	w.lastEnd, w.ackableEnd, w.undurableEnds = 0, 0, nil
 	w.clock, w.clockAt = 0, time.Time{}
 	if restarted {
--- a/internal/batch/poll.go
+++ b/internal/batch/poll.go
@@ -62,14 +62,15 @@
 	return false
 }
 
-// BeginPoll returns the next poll of a worker, or false if its address is not known.
-func (c *Core) BeginPoll(id string, now time.Time) (Poll, bool) {
+// BeginPoll returns the next poll of a worker, or false if its address is not known. The poll renews the
+// worker's leases only if renew is true.
+func (c *Core) BeginPoll(id string, now time.Time, renew bool) (Poll, bool) {
 	w, ok := c.workers[id]
 	if !ok || w.Address == "" {
 		return Poll{}, false
 	}
 	poll := Poll{Worker: id, Address: w.Address, DataCentre: w.DataCentre, Ack: w.ackableEnd, Wait: !c.IsSuspect(id), ShortWait: w.isolated != nil || w.fillerSize.Processors > 0 && w.worstTailRatio > highTailRatio}
-	if w.contacted && w.unresponsiveSince.IsZero() && c.mayGrant(w) {
+	if renew && w.contacted && w.unresponsiveSince.IsZero() && c.mayGrant(w) {
 		// Leases of an unresponsive worker are not renewed, so that they expire at a known time.
 		poll.Deadline = w.grantDeadline(c.timing.Lease, now)
 	}
@@ -114,6 +115,9 @@
 		c.note(Note{Kind: NoteWorkerRecovered, Worker: id, Age: now.Sub(w.unresponsiveSince)})
 	}
 	w.recordContact(rep.Clock, now)
+	if rep.Incarnation == w.Incarnation {
+		w.answeredPollAt = later(w.answeredPollAt, sent)
+	}
 	if !w.contacted {
 		// The worker has seen this leader's fencing token and rejects earlier leaders from now on.
 		w.contacted = true
--- a/internal/batch/search_test.go
+++ b/internal/batch/search_test.go
@@ -225,7 +225,7 @@
 	if !w.contacted {
 		m.lastEnds[id] = 0
 	}
-	m.core.BeginPoll(id, m.now)
+	m.core.BeginPoll(id, m.now, true)
 	rep := Report{Incarnation: w.Incarnation, Clock: m.clock()}
 	for _, r := range sortedRuns(w.runs) {
 		if r.state == runPending {
--- a/internal/batch/unresponsive_test.go
+++ b/internal/batch/unresponsive_test.go
@@ -63,7 +63,7 @@
 	second.ApplyReport(id, Report{Incarnation: info.Incarnation, Clock: time.Hour, Running: []RunningRow{
 		{Task: TaskName{Job: "j"}, Run: 1},
 	}}, later, later)
-	poll, ok := second.BeginPoll(id, later)
+	poll, ok := second.BeginPoll(id, later, true)
 	require.True(t, ok)
 	require.Zero(t, poll.Deadline, "a lease is granted to a worker in the durable record")
 	require.False(t, second.acceptsRuns(second.workers[id], later))
@@ -71,7 +71,7 @@
 	require.True(t, second.HasChanges())
 	cleared, _ := commitAll(t, second, later)
 	require.Equal(t, "[]", string(cleared))
-	poll, ok = second.BeginPoll(id, later)
+	poll, ok = second.BeginPoll(id, later, true)
 	require.True(t, ok)
 	require.NotZero(t, poll.Deadline)
 }
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -39,6 +39,8 @@
 	// leasesExpireAt is when every lease granted to the worker is guaranteed to have expired.
 	leasesExpireAt time.Time
 	lastContact    time.Time
+	// answeredPollAt is when the newest poll that its present incarnation has answered was sent.
+	answeredPollAt time.Time
 	// aliveAt is when the worker's present incarnation last answered a call.
 	aliveAt time.Time
 	// unresponsiveSince is when the first of the currently unanswered calls was sent; zero if the
--- a/internal/batch/world_test.go
+++ b/internal/batch/world_test.go
@@ -306,7 +306,7 @@
 		return
 	}
 	core, sent := sim.core, sim.now
-	poll, ok := core.BeginPoll(w.info.ID, sent)
+	poll, ok := core.BeginPoll(w.info.ID, sent, true)
 	if !ok {
 		return
 	}
--- a/internal/eventlog/batch.go
+++ b/internal/eventlog/batch.go
@@ -68,9 +68,14 @@
 	})
 	EarlierLeadersOpen = register(Event{
 		Number: 4015, Level: zapcore.InfoLevel, Message: "earlier leaders may still renew leases",
-		Meaning: "The named leaders have not confirmed that they renew no more leases. Runs on workers that this leader cannot reach are given up after the named time (givenUpIn), sooner if they confirm.",
+		Meaning: "The named leaders have not confirmed that they renew no more leases. Runs on workers that this leader cannot reach are given up after the named time (givenUpIn), sooner if they confirm, or if most of the workers that they had recorded answer this leader.",
 		Advice:  "Look for the named instances if this lasts: one that lost the store, or was lost itself, cannot confirm.",
 	})
+	RenewalsSuspended = register(Event{
+		Number: 4018, Level: zapcore.WarnLevel, Message: "renewal of leases changed without the store",
+		Meaning: "The leader may have been replaced, since it does not reach the store. It renews the leases at workers while half of those that it last recorded answer it; suspended means that fewer do.",
+		Advice:  "Restore the path from the leader to the workers and to the store; runs end when their leases expire.",
+	})
 	SmallLeaderReplaced = register(Event{
 		Number: 4017, Level: zapcore.InfoLevel, Message: "leader asked to end its term",
 		Meaning: "The leader's node has a much smaller CPU share than this one, which can lead the cell; cpuShare is that of the leader.",
--- a/internal/scheduler/commit.go
+++ b/internal/scheduler/commit.go
@@ -110,7 +110,8 @@
 		Then: []store.Op{store.Put(l.keys.head, []byte(stamp))},
 	}
 	txn.Then = append(txn.Then, learned...)
-	txn.Then = append(txn.Then, l.termsWrite()...)
+	terms := l.termsWrite()
+	txn.Then = append(txn.Then, terms...)
 	if changes.Unresponsive != nil {
 		txn.Then = append(txn.Then, store.Put(l.keys.unresponsive, changes.Unresponsive))
 	}
@@ -144,11 +145,15 @@
 		switch {
 		case err != nil:
 			l.restoreInboxKeys(inboxKeys)
-			return err
 		case known:
 			l.setUnansweredSince(time.Time{})
 			l.headRevision = revision
-			return nil
+		}
+		if err != nil || known {
+			if len(terms) > 0 {
+				l.terms.endWrite(known)
+			}
+			return err
 		}
 		l.setUnansweredSince(startedAt)
 		select {
--- a/internal/scheduler/election.go
+++ b/internal/scheduler/election.go
@@ -255,6 +255,7 @@
 		}
 		leader.setTable(latestTable)
 		go m.awaitEarlierTerms(term, leader)
+		go leader.fenceEarlierTerms(term)
 		m.Log.Emit(eventlog.TermServing, zap.Int64("token", token), zap.Duration("loaded", m.scheduler.now().Sub(startedAt)),
 			zap.Int("jobs", leader.jobCount()))
 		err = leader.run(term)
--- a/internal/scheduler/fakestore_test.go
+++ b/internal/scheduler/fakestore_test.go
@@ -281,7 +281,7 @@
 			}
 		}
 		seen = len(s.events)
-		changed := s.changed
+		changed, expiry := s.changed, s.untilExpiry()
 		s.mu.Unlock()
 		s.await(name)
 		handle(u)
@@ -289,11 +289,20 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-changed:
-		case <-time.After(time.Second):
+		case <-time.After(expiry):
 		}
 	}
 }
 
+// untilExpiry returns the time until a lease expires, a second at most; s.mu is held.
+func (s *fakeStore) untilExpiry() time.Duration {
+	d := time.Second
+	for _, until := range s.leases {
+		d = min(d, time.Until(until)+time.Millisecond)
+	}
+	return max(d, time.Millisecond)
+}
+
 // put writes a key on behalf of an operator or a worker.
 func (s *fakeStore) put(key string, value []byte) {
 	s.mu.Lock()
--- a/internal/scheduler/leader.go
+++ b/internal/scheduler/leader.go
@@ -5,6 +5,7 @@
 	"errors"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/oklog/run"
@@ -48,6 +49,9 @@
 	// leaseUntil is the earliest time at which the lease on the leader's key may expire.
 	leaseUntil time.Time
 
+	// renewalsSuspended means that leases are not renewed, for want of witnesses.
+	renewalsSuspended atomic.Bool
+
 	mu        sync.Mutex
 	core      *batch.Core
 	pollers   map[string]*poller
@@ -124,7 +128,8 @@
 	}
 }
 
-// renewalsEnd returns until when leases at workers are renewed although the store does not answer.
+// renewalsEnd returns until when leases at workers are renewed at the latest although the store does not
+// answer. See mayRenew.
 func (l *Leader) renewalsEnd() time.Time {
 	return l.leaseEnd().Add(lease.Shorter(l.Timing.RenewGrace))
 }
@@ -257,6 +262,7 @@
 	actor.Loop(ctx, &g, l.planLoop)
 	actor.Loop(ctx, &g, l.commitLoop)
 	actor.Loop(ctx, &g, l.logLoad)
+	actor.Loop(ctx, &g, l.recordWitnesses)
 	if !l.Cell.IsWhole() {
 		actor.Loop(ctx, &g, l.exchangeLoads)
 		actor.Loop(ctx, &g, l.removeForwardingRecords)
--- a/internal/scheduler/polls.go
+++ b/internal/scheduler/polls.go
@@ -68,7 +68,9 @@
 // pollStep makes one poll, or waits if none is needed. It reports whether the worker is still known.
 func (l *Leader) pollStep(ctx context.Context, id string, p *poller) bool {
 	l.mu.Lock()
-	known, needed, settled := l.core.HasWorker(id), l.core.NeedsPoll(id, l.Now()), l.core.IsSettled(id)
+	now := l.Now()
+	// Without the store's lease, the answers of idle workers count, too.
+	known, needed, settled := l.core.HasWorker(id), l.core.NeedsPoll(id, now) || !l.isLeaseValid(now), l.core.IsSettled(id)
 	if !known {
 		delete(l.pollers, id)
 	}
@@ -160,8 +162,9 @@
 	if sent.After(l.renewalsEnd()) {
 		return false, false
 	}
+	renew := l.mayRenew(sent)
 	l.mu.Lock()
-	request, ok := l.core.BeginPoll(id, sent)
+	request, ok := l.core.BeginPoll(id, sent, renew)
 	l.mu.Unlock()
 	if !ok {
 		return false, false
@@ -173,6 +176,9 @@
 	case request.Wait:
 		wait = pollWait
 	}
+	if !l.isLeaseValid(sent) {
+		wait = min(wait, outagePollWait)
+	}
 	call, cancel := context.WithTimeout(ctx, l.timeouts.timeout(request.DataCentre)+wait)
 	defer cancel()
 	var report batch.Report
--- a/internal/scheduler/terms.go
+++ b/internal/scheduler/terms.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/oriolepond/oriolepond/internal/batch"
 	"github.com/oriolepond/oriolepond/internal/eventlog"
 	"github.com/oriolepond/oriolepond/internal/lease"
 	"github.com/oriolepond/oriolepond/internal/store"
@@ -35,6 +36,11 @@
 	Token int64 `json:"token,omitempty"`
 	// RemainingMs is how long an open term may renew leases, counted from when the record was written.
 	RemainingMs int64 `json:"leftMillis,omitempty"`
+	// Witnessed means that the leader needs its witnesses to renew leases without the store's lease.
+	// Leaders of earlier versions do not. Witnesses is the encoded set; before it is written, the
+	// leader renews none.
+	Witnessed bool   `json:"witnessed,omitempty"`
+	Witnesses []byte `json:"witnesses,omitempty"`
 }
 
 type leaderID struct {
@@ -62,12 +68,21 @@
 	headChecked bool
 	// writeDue means that the record has to be written.
 	writeDue bool
+	// witnesses is the set that the next write contains, durable the one in the store, and inDoubt one
+	// that may have replaced it.
+	witnesses, durable, inDoubt batch.Witnesses
+	// witnessedUntil is the last result of Leader.witnessedUntil; zero if the sets have changed since.
+	witnessedUntil time.Time
 }
 
 // openTerm is an earlier term, and until when it may renew leases.
 type openTerm struct {
 	leaderRef
 	renewsUntil time.Time
+	// witnesses are those of its leader, none if it renews leases without them. Fenced means that
+	// enough of them have answered this leader.
+	witnesses batch.Witnesses
+	fenced    bool
 }
 
 // successor returns the record for a new term, from the entry with the record before; found is
@@ -88,9 +103,12 @@
 			former.Token = e.Revision
 		}
 		former.RemainingMs = limitMs
+		if former.Witnessed && len(former.Witnesses) == 0 {
+			former.RemainingMs = lease.Longer(leaderTTL).Milliseconds() + 1
+		}
 		w.Open = append(w.Open, *former)
 	}
-	w.Serving = &wireTerm{leaderID: leaderID{ID: m.scheduler.ID, Address: m.scheduler.Address}}
+	w.Serving = &wireTerm{leaderID: leaderID{ID: m.scheduler.ID, Address: m.scheduler.Address}, Witnessed: true}
 	return w
 }
 
@@ -102,11 +120,21 @@
 		t.open = append(t.open, openTerm{
 			leaderRef:   leaderRef{ID: o.ID, Address: o.Address, Token: o.Token},
 			renewsUntil: now.Add(lease.Longer(time.Duration(o.RemainingMs) * time.Millisecond)),
+			witnesses:   o.witnesses(),
 		})
 	}
 	return t
 }
 
+// witnesses returns the term's witnesses, none if the set cannot be used.
+func (w wireTerm) witnesses() batch.Witnesses {
+	set, err := batch.DecodeWitnesses(w.Witnesses)
+	if err != nil || !w.Witnessed {
+		return nil
+	}
+	return set
+}
+
 // checkHead compares the record with the head, the stamp of the cell's latest commit. Without a
 // head, no earlier term has started any run. If the head is of a term that the record does not
 // know, its leader does not write the record.
@@ -172,6 +200,11 @@
 	open := t.openAt(now)
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.encode(open, now, ended)
+}
+
+// encode is value with t.mu held.
+func (t *terms) encode(open []openTerm, now time.Time, ended bool) ([]byte, error) {
 	w := wireTerms{Last: t.last}
 	if t.headChecked {
 		// Otherwise the head may be of a term that is not in the record.
@@ -179,30 +212,56 @@
 	}
 	if !ended {
 		own := t.own
+		own.Witnesses = t.witnesses.Encode()
 		w.Serving = &own
 	}
 	for _, o := range open {
 		w.Open = append(w.Open, wireTerm{
 			leaderID: leaderID{ID: o.ID, Address: o.Address}, Token: o.Token, RemainingMs: o.renewsUntil.Sub(now).Milliseconds() + 1,
+			Witnessed: len(o.witnesses) > 0, Witnesses: o.witnesses.Encode(),
 		})
 	}
 	return json.Marshal(w)
 }
 
-// termsWrite returns the write of the record of terms, if it is due. A write that is lost with its
-// commit leaves longer times in the record.
+// beginWrite returns the record that is going to be written at the given time. The outcome is reported
+// to endWrite.
+func (t *terms) beginWrite(now time.Time) ([]byte, error) {
+	open := t.openAt(now)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	value, err := t.encode(open, now, false)
+	if err != nil {
+		return nil, err
+	}
+	t.writeDue = false
+	t.inDoubt, t.witnessedUntil = t.witnesses, time.Time{}
+	return value, nil
+}
+
+// endWrite records that the record was written, or else that it is not known whether it was, and has to
+// be written again.
+func (t *terms) endWrite(written bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !written {
+		t.writeDue = true
+		return
+	}
+	t.durable, t.inDoubt, t.witnessedUntil = t.inDoubt, nil, time.Time{}
+}
+
+// termsWrite returns the write of the record of terms, if it is due. The caller reports its outcome to
+// endWrite.
 func (l *Leader) termsWrite() []store.Op {
 	if !l.terms.isDue() {
 		return nil
 	}
-	value, err := l.terms.value(l.Now(), false)
+	value, err := l.terms.beginWrite(l.Now())
 	if err != nil {
 		l.Log.Emit(eventlog.RecordUnreadable, zap.String("key", l.keys.terms), zap.Error(err))
 		return nil
 	}
-	l.terms.mu.Lock()
-	l.terms.writeDue = false
-	l.terms.mu.Unlock()
 	return []store.Op{store.Put(l.keys.terms, value)}
 }
 
