An answer at the former address of a worker ends none of its runs

Cause: an answer 421 proves that the process which a poll was sent to is gone. If the worker had restarted under its id at another address meanwhile, and its entry had expired, the runs of the new incarnation were given up and their tasks started a second time. A poll lasts up to 3.5 s, an entry expires 3 s after the last heartbeat at the soonest.

Change: the answer counts only for a poll that was sent after the present incarnation was known.

Evidence: TestAnswerAtFormerAddressEndsNoRun fails before ("the answer is from the former address") and passes now; internal/batch passes.

--- a/internal/batch/evidence_test.go
+++ b/internal/batch/evidence_test.go
@@ -75,6 +75,28 @@
 	}
 }
 
+// Guards against a second run of a task: a late answer from the address that its worker had before a restart.
+func TestAnswerAtFormerAddressEndsNoRun(t *testing.T) {
+	now := time.Unix(1_000_000_000, 0)
+	core := fourWorkerCore(t, now)
+	sent := now
+	now = now.Add(time.Second)
+	info := core.workers["a"].WorkerInfo
+	info.Incarnation, info.Address = 2, "new address"
+	core.SetWorker(info, now)
+	core.ApplyReport("a", Report{Incarnation: 2, Clock: time.Second}, now, now)
+	step := Step{Tasks: 1, Size: share.Resources{Processors: 1000}, RequiredLabel: "kind-a"}
+	require.NoError(t, core.Submit(Job{ID: "j", Queue: "check", Steps: []Step{step}}, now, nil))
+	core.Plan(now)
+	require.Len(t, commitAndStart(t, core, now), 1)
+	now = now.Add(time.Second)
+	core.RemoveWorker("a")
+	core.PollFailed("a", AnswerWrongIncarnation, sent, now)
+	require.Len(t, core.workers["a"].runs, 1, "the answer is from the former address")
+	core.PollFailed("a", AnswerWrongIncarnation, now, now)
+	require.Empty(t, core.workers["a"].runs)
+}
+
 // otherWorkers returns the listed workers but one.
 func otherWorkers(c *Core, id string) []WorkerInfo {
 	var others []WorkerInfo
--- a/internal/batch/lease.go
+++ b/internal/batch/lease.go
@@ -111,7 +111,7 @@
 	// A worker that becomes known to this leader has not restarted if its runs are of this incarnation.
 	restarted := w.Incarnation != 0 || !w.hasOnlyRunsOf(incarnation)
 	w.restarted = w.restarted || w.Incarnation != 0
-	w.Incarnation = incarnation
+	w.Incarnation, w.incarnationKnownAt = incarnation, now
 	w.contacted, w.aliveAt, w.answeredPollAt = false, time.Time{}, time.Time{}
 	w.lastEnd, w.ackableEnd, w.undurableEnds = 0, 0, nil
 	w.clock, w.clockAt = 0, time.Time{}
--- a/internal/batch/poll.go
+++ b/internal/batch/poll.go
@@ -85,7 +85,8 @@
 	}
 	switch answer {
 	case AnswerWrongIncarnation:
-		if !w.listed {
+		// An earlier poll may have gone to the address of an earlier incarnation.
+		if !w.listed && !sent.Before(w.incarnationKnownAt) {
 			c.loseAllRuns(w, evidenceReplaced, now)
 		}
 		w.backoffUntil = now.Add(minBackoff)
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -34,6 +34,8 @@
 	clockAt time.Time
 	// contacted means that the worker's present incarnation has answered a poll of this leader.
 	contacted bool
+	// incarnationKnownAt is when this leader learned of the present incarnation.
+	incarnationKnownAt time.Time
 	// restarted means that this leader has known an earlier incarnation of the worker.
 	restarted bool
 	// leasesExpireAt is when every lease granted to the worker is guaranteed to have expired.
