Soak: draw leaders that are lost for good together with workers

The class of the fault that mends was drawn by no test of ours: soak and World replace nodes, but a killed node comes back at its address and confirms that its former process has ended.

-soak.faults losses kills a leader for good, or stops it while its path to the store is stalled, within 0.5 s of the loss of a worker; another node comes 3 s later. The checker's rule for long-running tasks is unchanged.

--- a/e2e/soakfaults_test.go
+++ b/e2e/soakfaults_test.go
@@ -16,6 +16,16 @@
 	})
 }
 
+// Guards against long-running tasks that have no run for long after their worker was lost together with a
+// leader that cannot give up its term.
+func TestLongRunningTasksOutlastLostLeaders(t *testing.T) {
+	t.Parallel()
+	runSoaks(t, []soakCase{
+		{seed: 3, reason: "a leader killed for good", faults: soak.LossFaults},
+		{seed: 6, reason: "a planned stop without a path to the store", faults: soak.LossFaults},
+	})
+}
+
 // Guards against tasks that are started a second time because their worker refuses connections,
 // although it runs on.
 func TestTasksOfRefusingWorkersRunOnce(t *testing.T) {
