--- a/internal/scheduler/cluster_test.go
+++ b/internal/scheduler/cluster_test.go
@@ -43,6 +43,8 @@
 	dead    map[string]*atomic.Bool
 	// frozen are the nodes whose calls wait, each until its channel is closed.
 	frozen map[string]chan struct{}
+	// wrapWorkers, if not nil, replaces the calls to the workers of nodes that are added later.
+	wrapWorkers func(Workers) Workers
 	// mu guards the maps above, which the nodes' calls read.
 	mu sync.Mutex
 }
@@ -100,6 +102,9 @@
 			return peer.LocalCalls(cell), nil
 		},
 	}
+	if cl.wrapWorkers != nil {
+		node.Workers = cl.wrapWorkers(node.Workers)
+	}
 	if share, ok := cl.shares[name]; ok {
 		node.CPUShare = share
 	}
--- a/internal/scheduler/guard_test.go
+++ b/internal/scheduler/guard_test.go
@@ -26,20 +26,23 @@
 			synctest.Test(t, func(t *testing.T) {
 				cl := newCluster(t, time.Second, "w1", "w2")
 				defer cl.stop()
-				a := cl.addNode("a")
-				workers := a.Workers
-				a.Workers.Poll = func(ctx context.Context, request batch.Poll, wait time.Duration, token int64) (batch.Report, error) {
-					if c.polls && request.Worker == "w1" {
-						panic("odd report")
+				cl.wrapWorkers = func(workers Workers) Workers {
+					wrapped := workers
+					wrapped.Poll = func(ctx context.Context, request batch.Poll, wait time.Duration, token int64) (batch.Report, error) {
+						if c.polls && request.Worker == "w1" {
+							panic("odd report")
+						}
+						return workers.Poll(ctx, request, wait, token)
 					}
-					return workers.Poll(ctx, request, wait, token)
-				}
-				a.Workers.Execute = func(ctx context.Context, call batch.Call, token int64) batch.Result {
-					if !c.polls && call.Worker == "w1" && call.Kind == batch.CommandStart {
-						panic("odd answer")
+					wrapped.Execute = func(ctx context.Context, call batch.Call, token int64) batch.Result {
+						if !c.polls && call.Worker == "w1" && call.Kind == batch.CommandStart {
+							panic("odd answer")
+						}
+						return workers.Execute(ctx, call, token)
 					}
-					return workers.Execute(ctx, call, token)
+					return wrapped
 				}
+				a := cl.addNode("a")
 				time.Sleep(2 * time.Second)
 				_, first := cl.leader()
 				require.NotNil(t, first)
