--- a/e2e/soakfaults_test.go
+++ b/e2e/soakfaults_test.go
@@ -42,3 +42,10 @@
 		{seed: 2, reason: "routes removed under waiting and running jobs", faults: soak.RouteFaults},
 	})
 }
+
+// Guards against leaders whose terms end on a record that the store refuses, and against large jobs that are
+// lost on the way from one leader to the next.
+func TestLargeJobsOutlastTheirLeaders(t *testing.T) {
+	t.Parallel()
+	runSoaks(t, []soakCase{{seed: 1, reason: "a long schedule and a wide job, leaders killed", faults: soak.SizeFaults}})
+}
