--- a/internal/batch/filler_test.go
+++ b/internal/batch/filler_test.go
@@ -54,12 +54,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			sim := newInterferenceSim(t, "v", "v", "v")
-			for id, w := range sim.core.workers {
-				info := w.WorkerInfo
-				info.Capacity.Processors = c.capacity
-				sim.core.SetWorker(info, sim.now)
-				require.Equal(t, c.capacity, sim.core.workers[id].Capacity.Processors)
-			}
+			sim.setProcessors(c.capacity)
 			sim.renewsLeases = true
 			sim.headroomLost = map[string]map[string]float64{"v": {"bad": 40}}
 			sim.submitLoad(8*time.Second, 4, "bad")
@@ -96,11 +91,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			sim := newInterferenceSim(t, "v", "v", "v")
-			for id := range sim.core.workers {
-				info := sim.core.workers[id].WorkerInfo
-				info.Capacity.Processors = 2 * simWorkerProcessors
-				sim.core.SetWorker(info, sim.now)
-			}
+			sim.setProcessors(2 * simWorkerProcessors)
 			sim.renewsLeases = true
 			sim.headroomLost = map[string]map[string]float64{"v": {"bad": 40}}
 			sim.submitLoad(8*time.Second, 4, "bad")
--- a/internal/batch/interference_test.go
+++ b/internal/batch/interference_test.go
@@ -148,6 +148,16 @@
 	}
 }
 
+// setProcessors changes the capacity of all workers.
+func (sim *interferenceSim) setProcessors(n share.MilliCores) {
+	for id, w := range sim.core.workers {
+		info := w.WorkerInfo
+		info.Capacity.Processors = n
+		sim.core.SetWorker(info, sim.now)
+		require.Equal(sim.t, n, sim.core.workers[id].Capacity.Processors)
+	}
+}
+
 // replaceLeader replaces the core by one that has what is stored.
 func (sim *interferenceSim) replaceLeader() {
 	next := NewCore(DefaultTiming(), sim.now, sim.now.Add(time.Minute))
