--- a/internal/batch/bench_test.go
+++ b/internal/batch/bench_test.go
@@ -219,3 +219,22 @@
 		}
 	}
 }
+
+// BenchmarkWitnesses measures what a leader spends on its witnesses: comparing the set, four times a second, and
+// counting the answers of workers in an outage of the store, about once a second.
+func BenchmarkWitnesses(b *testing.B) {
+	for _, workers := range []int{48, 350, 1200} {
+		core := benchCore(b, workers)
+		stored := core.Witnesses()
+		b.Run(fmt.Sprintf("compare/%d", workers), func(b *testing.B) {
+			for b.Loop() {
+				core.Witnesses().Changes(stored)
+			}
+		})
+		b.Run(fmt.Sprintf("count/%d", workers), func(b *testing.B) {
+			for b.Loop() {
+				core.AnsweredSince(stored, (len(stored)+1)/2)
+			}
+		})
+	}
+}
