--- a/internal/batch/bench_test.go
+++ b/internal/batch/bench_test.go
@@ -228,7 +228,7 @@
 		stored := core.Witnesses()
 		b.Run(fmt.Sprintf("compare/%d", workers), func(b *testing.B) {
 			for b.Loop() {
-				core.Witnesses().Changes(stored)
+				core.Witnesses().Difference(stored)
 			}
 		})
 		b.Run(fmt.Sprintf("count/%d", workers), func(b *testing.B) {
--- a/internal/batch/witness.go
+++ b/internal/batch/witness.go
@@ -45,8 +45,8 @@
 	return ws, nil
 }
 
-// Changes returns how many witnesses are in only one of two sets.
-func (ws Witnesses) Changes(other Witnesses) int {
+// Difference returns how many witnesses are in only one of two sets.
+func (ws Witnesses) Difference(other Witnesses) int {
 	common := 0
 	for _, w := range ws {
 		if other.contains(w) {
--- a/internal/scheduler/commit.go
+++ b/internal/scheduler/commit.go
@@ -110,8 +110,8 @@
 		Then: []store.Op{store.Put(l.keys.head, []byte(stamp))},
 	}
 	txn.Then = append(txn.Then, learned...)
-	terms := l.termsWrite()
-	txn.Then = append(txn.Then, terms...)
+	termsWrite := l.termsWrite()
+	txn.Then = append(txn.Then, termsWrite...)
 	if changes.Unresponsive != nil {
 		txn.Then = append(txn.Then, store.Put(l.keys.unresponsive, changes.Unresponsive))
 	}
@@ -150,7 +150,7 @@
 			l.headRevision = revision
 		}
 		if err != nil || known {
-			if len(terms) > 0 {
+			if len(termsWrite) > 0 {
 				l.terms.endWrite(known)
 			}
 			return err
--- a/internal/scheduler/polls.go
+++ b/internal/scheduler/polls.go
@@ -163,6 +163,7 @@
 		return false, false
 	}
 	renew := l.mayRenew(sent)
+	l.logSuspension(!renew)
 	l.mu.Lock()
 	request, ok := l.core.BeginPoll(id, sent, renew)
 	l.mu.Unlock()
--- a/internal/scheduler/witness.go
+++ b/internal/scheduler/witness.go
@@ -43,11 +43,14 @@
 // mayRenew reports whether the leader may renew leases at workers: it has the store's lease, or lost it
 // no longer than RenewGrace ago and enough witnesses answer.
 func (l *Leader) mayRenew(now time.Time) bool {
-	may := l.isLeaseValid(now) || !now.After(l.renewalsEnd()) && !now.After(l.witnessedUntil(now))
-	if suspended := !may; l.renewalsSuspended.Swap(suspended) != suspended {
+	return l.isLeaseValid(now) || !now.After(l.renewalsEnd()) && !now.After(l.witnessedUntil(now))
+}
+
+// logSuspension logs when the leader stops to renew leases, or renews them again.
+func (l *Leader) logSuspension(suspended bool) {
+	if l.renewalsSuspended.Swap(suspended) != suspended {
 		l.Log.Emit(eventlog.RenewalsSuspended, zap.Int64("token", l.Token), zap.Bool("suspended", suspended))
 	}
-	return may
 }
 
 // witnessedUntil returns until when the leader may renew leases without the store's lease, by the answers
@@ -87,7 +90,7 @@
 func (t *terms) updateWitnesses(answering batch.Witnesses) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if len(answering) == 0 || len(t.inDoubt) > 0 || t.witnesses.Changes(answering)*witnessChangeDivisor <= len(t.witnesses) {
+	if len(answering) == 0 || len(t.inDoubt) > 0 || t.witnesses.Difference(answering)*witnessChangeDivisor <= len(t.witnesses) {
 		return false
 	}
 	t.witnesses, t.writeDue = answering, true
