--- a/internal/batch/fold.go
+++ b/internal/batch/fold.go
@@ -71,9 +71,7 @@
 }
 
 // hasRuns reports whether any task of the stage has a run.
-func (s *stage) hasRuns() bool {
-	return slices.ContainsFunc(s.tasks, func(t *task) bool { return len(t.runs) > 0 })
-}
+func (s *stage) hasRuns() bool { return len(s.runsByWorker) > 0 }
 
 // wireFolded is the record of a repeated job without the stages of finished occurrences. Open lists
 // the other occurrences that have started.
--- a/internal/batch/fold_test.go
+++ b/internal/batch/fold_test.go
@@ -143,13 +143,19 @@
 	for range 10 {
 		s.turn()
 	}
-	require.Len(t, s.runs, 4*count)
+	s.requireRunOnce(j.ID, 4*count)
+}
+
+// requireRunOnce checks that a job with a number of tasks is completed, and that each of them had one run.
+func (s *schedule) requireRunOnce(id string, tasks int) {
+	s.t.Helper()
+	require.Len(s.t, s.runs, tasks)
 	for name, n := range s.runs {
-		require.Equal(t, 1, n, "runs of %s", name)
+		require.Equal(s.t, 1, n, "runs of %s", name)
 	}
-	state, known := s.core.State(j.ID)
-	require.True(t, known)
-	require.Equal(t, Completed, state)
+	state, known := s.core.State(id)
+	require.True(s.t, known)
+	require.Equal(s.t, Completed, state)
 }
 
 // Guards against occurrences that are left out of the record although they are not finished, if
@@ -190,12 +196,7 @@
 			for range 8 {
 				s.turn()
 			}
-			require.Len(t, s.runs, 4*count)
-			for name, n := range s.runs {
-				require.Equal(t, 1, n, "runs of %s", name)
-			}
-			state, _ := s.core.State(j.ID)
-			require.Equal(t, Completed, state)
+			s.requireRunOnce(j.ID, 4*count)
 		})
 	}
 }
--- a/internal/batch/overdue.go
+++ b/internal/batch/overdue.go
@@ -1,6 +1,9 @@
 package batch
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // A filler task may be expected to interfere with serving tasks on every worker, or find no idle
 // processors for as long as tasks that are throttled hold them. So that its job does not wait without
@@ -35,14 +38,7 @@
 }
 
 // hasRuns reports whether any task of the job has a run.
-func (j *job) hasRuns() bool {
-	for _, s := range j.stages {
-		if len(s.runsByWorker) > 0 {
-			return true
-		}
-	}
-	return false
-}
+func (j *job) hasRuns() bool { return slices.ContainsFunc(j.stages, (*stage).hasRuns) }
 
 // isMostlyFree reports whether few of the processors of a service are allocated.
 func (c *Core) isMostlyFree(service string) bool {
--- a/internal/scheduler/cluster_test.go
+++ b/internal/scheduler/cluster_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -179,6 +180,18 @@
 	return &wrapped
 }
 
+// cutPeers cuts a node off from its peers.
+func (cl *cluster) cutPeers(name string) {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	cl.unreachable[name] = true
+}
+
+// others returns the names of three nodes without the named one.
+func others(than string) []string {
+	return slices.DeleteFunc([]string{"a", "b", "c"}, func(name string) bool { return name == than })
+}
+
 // isolate cuts a node off from its peers and from all workers.
 func (cl *cluster) isolate(name string) {
 	cl.mu.Lock()
--- a/internal/scheduler/policy_test.go
+++ b/internal/scheduler/policy_test.go
@@ -48,19 +48,14 @@
 				}
 				time.Sleep(3 * time.Second)
 				leader := cl.awaitLeader()
-				var others []string
-				for _, name := range []string{"a", "b", "c"} {
-					if name != leader {
-						others = append(others, name)
-					}
-				}
+				nodes := others(leader)
 				j := testJob(1, 2)
-				require.NoError(t, c.submit(cl, leader, others[0], others[1], j))
+				require.NoError(t, c.submit(cl, leader, nodes[0], nodes[1], j))
 				for _, node := range cl.nodes {
 					node.SetTable(removed)
 				}
 				time.Sleep(10 * time.Second)
-				require.Equal(t, batch.Completed, state(t, cl.nodes[others[1]], j.ID))
+				require.Equal(t, batch.Completed, state(t, cl.nodes[nodes[1]], j.ID))
 			})
 		})
 	}
--- a/internal/scheduler/restart_test.go
+++ b/internal/scheduler/restart_test.go
@@ -101,15 +101,9 @@
 					time.Sleep(time.Second)
 					require.Equal(t, 9, cl.runningOn("w1", "w2", "w3"))
 					cl.lose("w1")
-					var others []string
-					for _, name := range []string{"a", "b", "c"} {
-						if name != first {
-							others = append(others, name)
-						}
-					}
-					names := append(others, first)
+					names := append(others(first), first)
 					if order == "leader first" {
-						names = append([]string{first}, others...)
+						names = append([]string{first}, others(first)...)
 					}
 					for _, name := range names {
 						c.restart(cl, name)
@@ -185,9 +179,7 @@
 				for _, name := range []string{"b", "c"} {
 					cl.cut(name, "w1")
 				}
-				cl.mu.Lock()
-				cl.unreachable["a"] = true
-				cl.mu.Unlock()
+				cl.cutPeers("a")
 				cl.store.update(func(s *fakeStore) { s.refusedClients["a"] = true })
 				time.Sleep(3 * time.Second)
 				for range 4 {
@@ -255,9 +247,7 @@
 		cl.addNode("b")
 		time.Sleep(time.Second)
 		cl.cut("b", "w1")
-		cl.mu.Lock()
-		cl.unreachable["a"] = true
-		cl.mu.Unlock()
+		cl.cutPeers("a")
 		cl.store.update(func(s *fakeStore) { s.refusedClients["a"] = true })
 		time.Sleep(4 * time.Second)
 		require.True(t, cl.nodes["a"].IsLeader())
--- a/internal/scheduler/witness_test.go
+++ b/internal/scheduler/witness_test.go
@@ -105,14 +105,10 @@
 					defer cl.stop()
 					names := workerNames(workers)
 					cl.cut(leader, names[reached:]...)
-					for _, name := range []string{"a", "b", "c"} {
-						if name != leader {
-							cl.cut(name, names[:reached]...)
-						}
+					for _, name := range others(leader) {
+						cl.cut(name, names[:reached]...)
 					}
-					cl.mu.Lock()
-					cl.unreachable[leader] = true
-					cl.mu.Unlock()
+					cl.cutPeers(leader)
 					cl.store.update(func(s *fakeStore) { s.refusedClients[leader] = true })
 					timing := batch.DefaultTiming()
 					cl.awaitRunning(2*workers, lease.Longer(timing.RenewGrace+leaderTTL+timing.MaxLease)+5*time.Second, names[reached:]...)
@@ -128,21 +124,17 @@
 	synctest.Test(t, func(t *testing.T) {
 		cl, leader := newSettledCluster(t, 6, 12)
 		defer cl.stop()
-		others := workerNames(6)[1:]
-		for _, name := range []string{"a", "b", "c"} {
-			if name != leader {
-				cl.cut(name, "w1")
-			}
+		reached := workerNames(6)[1:]
+		for _, name := range others(leader) {
+			cl.cut(name, "w1")
 		}
-		cl.mu.Lock()
-		cl.unreachable[leader] = true
-		cl.mu.Unlock()
+		cl.cutPeers(leader)
 		cl.store.update(func(s *fakeStore) { s.refusedClients[leader] = true })
 		for cl.storedLeader() == leader {
 			time.Sleep(time.Millisecond)
 		}
-		cl.cut(leader, others...)
-		cl.awaitRunning(12, maxTimeWithoutRun+witnessWindow, others...)
+		cl.cut(leader, reached...)
+		cl.awaitRunning(12, maxTimeWithoutRun+witnessWindow, reached...)
 	})
 }
 
