--- a/internal/scheduler/cluster_test.go
+++ b/internal/scheduler/cluster_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -25,6 +26,9 @@
 // oddEntry is the value of an entry of the workers that cannot be decoded.
 const oddEntry = "\xff"
 
+// drainingEntry ends the entry of a worker that drains.
+const drainingEntry = " draining"
+
 // cluster is a store, workers and nodes within one synctest bubble.
 type cluster struct {
 	t       *testing.T
@@ -88,8 +92,9 @@
 			if string(value) == oddEntry {
 				return batch.WorkerInfo{}, errors.New("odd entry")
 			}
+			id, draining := strings.CutSuffix(string(value), drainingEntry)
 			return batch.WorkerInfo{
-				ID: string(value), Address: string(value), Service: "pool", Incarnation: 1,
+				ID: id, Address: id, Service: "pool", Incarnation: 1, Draining: draining,
 				Capacity: share.Resources{Processors: 32_000, Memory: 64 << 30},
 			}, nil
 		},
--- a/internal/scheduler/witness_test.go
+++ b/internal/scheduler/witness_test.go
@@ -32,15 +32,20 @@
 // newSettledCluster returns a cluster of three nodes and n workers that have run for a while, and the
 // name of its leader. One job runs in it, with the given number of tasks.
 func newSettledCluster(t *testing.T, workers, tasks int) (cl *cluster, leader string) {
+	return newSettledClusterWith(t, workers, testJob(1, tasks))
+}
+
+// newSettledClusterWith is newSettledCluster with another job.
+func newSettledClusterWith(t *testing.T, workers int, job batch.Job) (cl *cluster, leader string) {
 	cl = newCluster(t, 10*time.Minute, workerNames(workers)...)
 	for _, name := range []string{"a", "b", "c"} {
 		cl.addNode(name)
 	}
 	time.Sleep(20 * time.Second)
 	leader = cl.awaitLeader()
-	require.NoError(t, submit(cl.nodes[leader], testJob(1, tasks)))
+	require.NoError(t, submit(cl.nodes[leader], job))
 	time.Sleep(2 * time.Second)
-	require.Equal(t, tasks, cl.runningOn(workerNames(workers)...))
+	require.Equal(t, job.Steps[0].Tasks, cl.runningOn(workerNames(workers)...))
 	return cl, leader
 }
 
@@ -88,6 +93,44 @@
 	}
 }
 
+// Guards against LOST, "is to last and doesn't run": runs are stopped since their worker drains, it leaves, and
+// the leader is lost for good before it has committed their ends.
+func TestTasksOfDrainedWorkerRunAgainAfterLossOfLeader(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// undurable makes the leader's commits fail from the drain on.
+		undurable func(s *fakeStore, leader string)
+	}{
+		{"commits take effect too late", func(s *fakeStore, _ string) {
+			s.loseAnswer = func(store.Txn) (bool, time.Duration) { return true, 20 * time.Second }
+		}},
+		{"commits have no effect", func(s *fakeStore, _ string) {
+			s.loseAnswer = func(store.Txn) (bool, time.Duration) { return true, time.Hour }
+		}},
+		{"calls get no answer", func(s *fakeStore, leader string) { s.unansweredClients[leader] = true }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				job := testJob(1, 12)
+				job.Steps = job.Steps[:1]
+				job.Steps[0].LongRunning = true
+				cl, leader := newSettledClusterWith(t, 6, job)
+				defer cl.stop()
+				cl.store.put(testPrefix+"w1", []byte("w1"+drainingEntry))
+				time.Sleep(10 * time.Millisecond)
+				cl.store.update(func(s *fakeStore) { c.undurable(s, leader) })
+				for cl.runningOn("w1") > 0 {
+					time.Sleep(time.Millisecond)
+				}
+				cl.lose("w1")
+				cl.crash(leader)
+				cl.store.update(func(s *fakeStore) { s.loseAnswer = nil })
+				cl.awaitRunning(12, maxTimeWithoutRun, workerNames(6)[1:]...)
+			})
+		})
+	}
+}
+
 // storedLeader returns the name of the node that the leader's key names, empty if there is no key.
 func (cl *cluster) storedLeader() (name string) {
 	cl.store.update(func(s *fakeStore) { name = decodeLeader(s.items[keysOfCell(0).leader]).Address })
