Races in the processes of the end-to-end tests fail them

Cause: TestMain built the programs without the race detector, whatever the tests were built with. So go test -race ./e2e saw races of the test's own process only, none of the instances and nodes, which are what the tests are about. A process that was killed had written its reports before; an exit status alone would miss them. pondctl exits with status 66, which the tests of pondctl compare already.

--- a/e2e/capacity_test.go
+++ b/e2e/capacity_test.go
@@ -114,7 +114,7 @@
 		Out:     io.Discard,
 		Size:    size,
 		NoWait:  true,
-		Launch:  launcher(b.TempDir(), twoProcessors),
+		Launch:  launcher(b, b.TempDir(), twoProcessors),
 		Observe: func(ctx context.Context, v demo.View) {
 			timer := time.NewTimer(warmUp)
 			defer timer.Stop()
--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -58,7 +58,7 @@
 				Seed:    uint64(n),
 				Faults:  c.faults,
 				Out:     &out,
-				Launch:  launcher(dir),
+				Launch:  launcher(t, dir),
 			}
 			r, err := d.Run(context.Background())
 			require.NoError(t, err, logs(dir))
--- a/e2e/pondctl_test.go
+++ b/e2e/pondctl_test.go
@@ -49,7 +49,7 @@
 	dir := t.TempDir()
 	note, page := filepath.Join(dir, "note.jsonc"), filepath.Join(dir, "burn.html")
 	require.NoError(t, os.WriteFile(note, []byte(secondNote), 0o600))
-	d := &demo.Demo{Example: e, Length: 5 * time.Second, Seed: 1, Out: io.Discard, Launch: launcher(dir)}
+	d := &demo.Demo{Example: e, Length: 5 * time.Second, Seed: 1, Out: io.Discard, Launch: launcher(t, dir)}
 	d.Observe = func(_ context.Context, v demo.View) {
 		o := operator{t, v}
 		o.run(0, "check", note)
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 
@@ -29,8 +30,12 @@
 	}
 	defer os.RemoveAll(dir)
 	oriolepondPath, pondctlPath = filepath.Join(dir, "oriolepond"), filepath.Join(dir, "pondctl")
-	build := exec.Command("go", "build", "-o", dir, "github.com/oriolepond/oriolepond/cmd/...")
-	if output, err := build.CombinedOutput(); err != nil {
+	args := []string{"build", "-o", dir}
+	if raceDetector {
+		args = append(args, "-race")
+	}
+	args = append(args, "github.com/oriolepond/oriolepond/cmd/...")
+	if output, err := exec.Command("go", args...).CombinedOutput(); err != nil {
 		fmt.Fprintf(os.Stderr, "%v\n%s", err, output)
 		return 1
 	}
@@ -39,7 +44,10 @@
 
 // launcher returns a function that starts entry instances as processes. Settings and
 // logs are written to dir; environment is added to the environment of this process.
-func launcher(dir string, environment ...string) demo.Launch {
+// The test fails if a process reports a data race.
+func launcher(tb testing.TB, dir string, environment ...string) demo.Launch {
+	tb.Helper()
+	failOnRaces(tb, dir)
 	started := 0
 	return func(_ context.Context, text []byte) (*demo.Process, error) {
 		started++
@@ -57,8 +65,10 @@
 
 // nodeLauncher returns a function that starts nodes of the users' platform as
 // processes. Settings and logs are written to dir; a node that is started again appends
-// to its log.
-func nodeLauncher(dir string) soak.Launch {
+// to its log. The test fails if a process reports a data race.
+func nodeLauncher(tb testing.TB, dir string) soak.Launch {
+	tb.Helper()
+	failOnRaces(tb, dir)
 	return func(name string, text []byte, args ...string) (*demo.Process, error) {
 		settings := filepath.Join(dir, "settings-"+name+".json")
 		if err := os.WriteFile(settings, text, 0o600); err != nil {
@@ -100,6 +110,48 @@
 	}, nil
 }
 
+// failOnRaces makes the test fail, when it ends, with the data races that the logs in dir report.
+func failOnRaces(tb testing.TB, dir string) {
+	tb.Helper()
+	tb.Cleanup(func() {
+		names, err := filepath.Glob(filepath.Join(dir, "log-*.txt"))
+		if err != nil {
+			tb.Error(err)
+		}
+		for _, name := range names {
+			text, err := os.ReadFile(name)
+			if err != nil {
+				tb.Error(err)
+				continue
+			}
+			for _, report := range raceReports(string(text)) {
+				tb.Errorf("%s:\n%s", filepath.Base(name), report)
+			}
+		}
+	})
+}
+
+// raceBanner begins a report of the race detector, and raceRule is the line around each report.
+const (
+	raceBanner = "WARNING: DATA RACE"
+	raceRule   = "=================="
+)
+
+// raceReports returns the reports of the race detector in a process's log. Of a report that
+// was cut off it returns what there is.
+func raceReports(log string) []string {
+	var reports []string
+	for {
+		_, rest, found := strings.Cut(log, raceBanner)
+		if !found {
+			return reports
+		}
+		report, rest, _ := strings.Cut(rest, raceRule)
+		reports = append(reports, raceBanner+report)
+		log = rest
+	}
+}
+
 // logs returns the end of each process's log, to be printed by a failed test.
 func logs(dir string) string {
 	names, _ := filepath.Glob(filepath.Join(dir, "log-*.txt"))
--- a/e2e/size_test.go
+++ b/e2e/size_test.go
@@ -62,7 +62,7 @@
 		Out:     io.Discard,
 		Size:    size,
 		NoWait:  true,
-		Launch:  launcher(b.TempDir()),
+		Launch:  launcher(b, b.TempDir()),
 		Observe: func(ctx context.Context, v demo.View) {
 			ticker := time.NewTicker(sampleInterval)
 			defer ticker.Stop()
--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -95,7 +95,7 @@
 			var out bytes.Buffer
 			s := &soak.Soak{
 				Seed: c.seed, Nodes: *soakNodes, Workers: 6, Cells: c.cells, Duration: soakLength, FaultInterval: soakFaultEvery,
-				JobsPerSecond: soakJobs, Faults: c.faults, Launch: nodeLauncher(dir), Out: &out,
+				JobsPerSecond: soakJobs, Faults: c.faults, Launch: nodeLauncher(t, dir), Out: &out,
 			}
 			if c.faults != soak.RandomFaults {
 				// Its faults come in series, each followed by a time without any.
--- a/e2e/takeover_test.go
+++ b/e2e/takeover_test.go
@@ -47,7 +47,7 @@
 		Out:     io.Discard,
 		Size:    size,
 		NoWait:  true,
-		Launch:  launcher(b.TempDir()),
+		Launch:  launcher(b, b.TempDir()),
 		Observe: func(ctx context.Context, v demo.View) {
 			defer done()
 			timer := time.NewTimer(warmUp)
