The parts of a demonstration no longer race on its output

Cause: Demo.Out is written by the lines of progress and by those of the faults, in goroutines of their own, without a lock. The end-to-end tests set it to a bytes.Buffer. Change: Demo.printf holds a lock.

--- a/internal/demo/centrefault.go
+++ b/internal/demo/centrefault.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 
 	"github.com/oriolepond/oriolepond/internal/roster"
 )
@@ -28,7 +27,7 @@
 	for _, i := range lost {
 		d.killInstance(i)
 	}
-	fmt.Fprintf(d.Out, "  %d instances of %s were lost\n", len(lost), name)
+	d.printf("  %d instances of %s were lost\n", len(lost), name)
 	if err := sleep(ctx, removalDelay); err != nil {
 		return err
 	}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -57,7 +57,8 @@
 	Length  time.Duration
 	Seed    uint64
 	Faults  []Fault
-	Out     io.Writer
+	// Out need not be safe for concurrent use.
+	Out io.Writer
 	// Launch starts an entry instance; nil runs it within this process.
 	Launch Launch
 	// Size sets the number of instances, the load and some settings; the zero value takes the defaults.
@@ -74,6 +75,8 @@
 
 	startCount atomic.Int64
 
+	outMu sync.Mutex // Guards Out.
+
 	mu sync.Mutex
 	// current holds the newest instance of each position; one that is started in place of
 	// another has the same position. startedInstances holds all that were started.
@@ -156,9 +159,9 @@
 	if err := d.startInstances(ctx); err != nil {
 		return Report{}, err
 	}
-	fmt.Fprintf(d.Out, "%d instances, %d runners and %d workers on loopback\n",
+	d.printf("%d instances, %d runners and %d workers on loopback\n",
 		d.Size.Instances, len(d.cluster.Runners()), len(d.cluster.Workers()))
-	fmt.Fprintf(d.Out, "operators at %s with the token %s\n", d.anyReady(0).admin(), operatorToken)
+	d.printf("operators at %s with the token %s\n", d.anyReady(0).admin(), operatorToken)
 	if err := d.applyNote(ctx, d.Example.Note); err != nil {
 		return Report{}, err
 	}
@@ -178,6 +181,13 @@
 	return d.report(ctx), ctx.Err()
 }
 
+// printf prints to Out.
+func (d *Demo) printf(format string, args ...any) {
+	d.outMu.Lock()
+	defer d.outMu.Unlock()
+	fmt.Fprintf(d.Out, format, args...)
+}
+
 // latency returns the one-way latency between two sites.
 func latency(from, to standin.Site) time.Duration {
 	switch {
@@ -208,7 +218,7 @@
 	if err != nil {
 		return fmt.Errorf("apply a release note: %w", err)
 	}
-	fmt.Fprintf(d.Out, "release note %s: revision %d, %d entries\n", report.Note, report.Revision, len(report.Entries))
+	d.printf("release note %s: revision %d, %d entries\n", report.Note, report.Revision, len(report.Entries))
 	return nil
 }
 
--- a/internal/demo/faults.go
+++ b/internal/demo/faults.go
@@ -122,7 +122,7 @@
 		if sleep(ctx, time.Until(at)) != nil {
 			return
 		}
-		fmt.Fprintf(d.Out, "fault: %s\n", k.name)
+		d.printf("fault: %s\n", k.name)
 		group.Go(func() {
 			if err := k.inject(d, context.WithoutCancel(ctx)); err != nil {
 				d.counts.recordFailure(fmt.Errorf("fault %s: %w", k.name, err))
@@ -190,7 +190,7 @@
 	n := d.network.BlackholeOpen(func(endpoint string) bool {
 		return strings.HasPrefix(endpoint, "runner-") || strings.HasPrefix(endpoint, "peer:") || endpoint == "store"
 	})
-	fmt.Fprintf(d.Out, "  %d connections were blackholed\n", n)
+	d.printf("  %d connections were blackholed\n", n)
 	return nil
 }
 
--- a/internal/demo/load.go
+++ b/internal/demo/load.go
@@ -188,7 +188,7 @@
 func (d *Demo) printProgress(ctx context.Context) {
 	start := time.Now()
 	for sleep(ctx, progressInterval) == nil {
-		fmt.Fprintf(d.Out, "%3.0fs  requests %d  answered %d  tasks finished %d of %d\n",
+		d.printf("%3.0fs  requests %d  answered %d  tasks finished %d of %d\n",
 			time.Since(start).Seconds(), d.counts.requests.Load(), d.counts.results[resultAnswered].Load(),
 			d.cluster.Tasks.FinishedOf(d.Example.Job), d.counts.submitted.Load())
 	}
--- a/internal/demo/report.go
+++ b/internal/demo/report.go
@@ -176,7 +176,7 @@
 	c, cluster := d.counts, d.cluster
 	ranAnyway := c.refusalsThatRan(cluster.Requests)
 	for _, f := range ranAnyway {
-		fmt.Fprintf(d.Out, "ran though refused: %s sending %s of key %q: %s\n", f.request, f.attempt, f.key, f.answer)
+		d.printf("ran though refused: %s sending %s of key %q: %s\n", f.request, f.attempt, f.key, f.answer)
 	}
 	r := Report{
 		Requests:             c.requests.Load(),
