Bound the wait of late filler jobs however many there are

Cause: a filler task that is expected to interfere everywhere becomes overdue and is placed all the same, but each worker takes two such runs at most. With more than twice as many late jobs as workers (or as workers with the label, or that are not full), the others wait for as long as those two stand, although most processors are free.

Change: the limit stays for the first 250 ms in which a task is overdue. After that, while the service is mostly free, the task is placed on the worker with the fewest overdue runs. With at most two such jobs for each worker that suits them nothing changes: they find a place under the limit.

--- a/internal/batch/overdue.go
+++ b/internal/batch/overdue.go
@@ -21,20 +21,35 @@
 	// more are allocated.
 	mostlyFree = 0.55
 	// maxOverduePerWorker limits the runs on a worker that were overdue when they were placed, so that
-	// suspended runs do not accumulate there.
+	// suspended runs do not accumulate there. While the service is mostly free, an overdue task that finds no
+	// worker for exceedLimitAfter is placed all the same: its wait must be bounded however many there are.
 	maxOverduePerWorker = 2
-	// weightOverdueRun spreads overdue tasks over the workers.
+	exceedLimitAfter    = 250 * time.Millisecond
+	// weightOverdueRun spreads overdue tasks over the workers, weightOverLimit those over the limit evenly,
+	// whatever interference is expected.
 	weightOverdueRun = 1.0
+	weightOverLimit  = 10_000.0
 )
 
 // isOverdue reports whether a filler task is placed despite the interference that is expected of it.
 func (c *Core) isOverdue(t *task, now time.Time) bool {
-	s := t.stage
-	waited := now.Sub(t.queuedAt)
-	if !s.step.Filler || t.state != taskQueued || waited < overdueAfter || s.job.hasRuns() {
-		return false
-	}
-	return waited >= overdueAfterBusy || now.Sub(c.submittedAt(s)) >= overdueJobAge && c.isMostlyFree(s.job.Policy.Service)
+	return c.isOverdueInFreeService(t, 0, now) || now.Sub(t.queuedAt) >= overdueAfterBusy && t.mayBeOverdue()
+}
+
+// mayExceedLimit reports whether a task is placed although its workers have maxOverduePerWorker overdue runs.
+func (c *Core) mayExceedLimit(t *task, now time.Time) bool {
+	return c.isOverdueInFreeService(t, exceedLimitAfter, now)
+}
+
+// isOverdueInFreeService reports whether a filler task has been overdue for a time, in a service that is mostly free.
+func (c *Core) isOverdueInFreeService(t *task, since time.Duration, now time.Time) bool {
+	return now.Sub(t.queuedAt) >= overdueAfter+since && now.Sub(c.submittedAt(t.stage)) >= overdueJobAge+since &&
+		t.mayBeOverdue() && c.isMostlyFree(t.stage.job.Policy.Service)
+}
+
+// mayBeOverdue reports whether the task is a waiting filler task of a job without runs.
+func (t *task) mayBeOverdue() bool {
+	return t.stage.step.Filler && t.state == taskQueued && !t.stage.job.hasRuns()
 }
 
 // hasRuns reports whether any task of the job has a run.
@@ -85,7 +100,7 @@
 
 // mayRunOverdue reports whether a worker has idle processors by measurement for a task that is overdue.
 func (c *Core) mayRunOverdue(t *task, w *worker, now time.Time) bool {
-	return c.isOverdue(t, now) && w.overdueRuns < maxOverduePerWorker && !w.hasStarved(now) &&
+	return c.isOverdue(t, now) && (w.overdueRuns < maxOverduePerWorker || c.mayExceedLimit(t, now)) && !w.hasStarved(now) &&
 		w.measuredIdle(now) >= minIdleShare*float64(t.stage.step.Size.Processors)
 }
 
@@ -94,6 +109,7 @@
 func (c *Core) overdueScore(t *task, w *worker, now time.Time) float64 {
 	s := t.stage
 	score := (w.measuredIdle(now)-float64(s.step.Size.Processors))/float64(max(1, w.Capacity.Processors)) - weightOverdueRun*float64(w.overdueRuns)
+	score -= weightOverLimit * float64(max(0, w.overdueRuns+1-maxOverduePerWorker))
 	if len(w.servingImages) > 0 {
 		p := c.estimatePlacement(s.image, s.step.cpuShare(w), w)
 		score -= weightNetProgress*(1-p.netProgress(initialMissCost)) + weightMissFree*(1-p.missFreeProbability)
--- a/internal/batch/search.go
+++ b/internal/batch/search.go
@@ -201,12 +201,15 @@
 
 // missCostLevel returns how far the miss cost of a filler task has fallen, from 0 to missCostLevels. On
 // a higher level, a worker may suit the task that did not suit it before. An overdue task has a level
-// of its own.
+// of its own, and another one once it may exceed the limit of overdue runs.
 func (c *Core) missCostLevel(t *task, now time.Time) int {
 	if !t.stage.step.Filler {
 		return 0
 	}
-	if c.isOverdue(t, now) {
+	switch {
+	case c.mayExceedLimit(t, now):
+		return missCostLevels + 2
+	case c.isOverdue(t, now):
 		return missCostLevels + 1
 	}
 	return int(missCostLevels * min(longWait, max(0, now.Sub(t.queuedAt))) / longWait)
