A late filler job does not wait anew for 1.5 s under each leader or cell

Cause: a late job's next task waits 1.5 s for a worker that it suits before it is placed as overdue.

Evidence: TestManyLateJobsThatInterfereEverywhereKeepARun with changes of leader (every second seed) fails before at seed 11, "nothing has run for too long, 29.5s after the submission"; of seeds 0 to 39 also at 19, 25 and 33.

Change: such a task waits 500 ms under the new leader, since it has waited for an unknown time before.

--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -11,6 +11,9 @@
 type job struct {
 	Job
 	accepted time.Time
+	// restoredAt is when this leader got the job's progress from an earlier leader or another cell; zero if it
+	// did not.
+	restoredAt time.Time
 	// endedAt is when the job reached a final state.
 	endedAt time.Time
 	state   State
--- a/internal/batch/latefiller_test.go
+++ b/internal/batch/latefiller_test.go
@@ -119,8 +119,13 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			sim := newLateFillerSim(t, seed)
+			leaderChangesEvery := time.Duration(0)
+			if seed%2 == 1 {
+				leaderChangesEvery = time.Duration(5+sim.random.IntN(10)) * time.Second
+			}
 			left := len(sim.core.workers) * (3 + sim.random.IntN(4))
 			burst := 1 + left/(1+sim.random.IntN(10))
+			replacedAt := sim.now
 			sim.longestHarm = 0
 			for until := sim.now.Add(40 * time.Second); sim.now.Before(until); {
 				for range min(left, burst) {
@@ -128,6 +133,10 @@
 					left--
 				}
 				sim.run(interferenceTick)
+				if leaderChangesEvery > 0 && sim.now.Sub(replacedAt) >= leaderChangesEvery {
+					sim.replaceLeader()
+					replacedAt = sim.now
+				}
 				sim.check()
 			}
 			require.LessOrEqual(t, sim.longestHarm, simHarmTime, "serving tasks miss their targets for too long")
--- a/internal/batch/overdue.go
+++ b/internal/batch/overdue.go
@@ -17,6 +17,9 @@
 	overdueAfter     = 1500 * time.Millisecond
 	overdueJobAge    = 8 * time.Second
 	overdueAfterBusy = 60 * time.Second
+	// overdueAfterRestore is overdueAfter for a task that has waited under an earlier leader or in another cell,
+	// for an unknown time.
+	overdueAfterRestore = 500 * time.Millisecond
 	// mostlyFree is the share of a service's processors below which it counts as mostly free if no
 	// more are allocated.
 	mostlyFree = 0.55
@@ -43,10 +46,18 @@
 
 // isOverdueInFreeService reports whether a filler task has been overdue for a time, in a service that is mostly free.
 func (c *Core) isOverdueInFreeService(t *task, since time.Duration, now time.Time) bool {
-	return now.Sub(t.queuedAt) >= overdueAfter+since && now.Sub(c.submittedAt(t.stage)) >= overdueJobAge+since &&
+	return now.Sub(t.queuedAt) >= t.overdueAfter()+since && now.Sub(c.submittedAt(t.stage)) >= overdueJobAge+since &&
 		t.mayBeOverdue() && c.isMostlyFree(t.stage.job.Policy.Service)
 }
 
+// overdueAfter returns how long the task waits under this leader until it may be overdue.
+func (t *task) overdueAfter() time.Duration {
+	if t.queuedAt.Equal(t.stage.job.restoredAt) {
+		return overdueAfterRestore
+	}
+	return overdueAfter
+}
+
 // mayBeOverdue reports whether the task is a waiting filler task of a job without runs.
 func (t *task) mayBeOverdue() bool {
 	return t.stage.step.Filler && t.state == taskQueued && !t.stage.job.hasRuns()
--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -415,6 +415,7 @@
 	if w.Occurrences < 0 || w.Occurrences > j.occurrences() {
 		return &InvalidError{Reason: fmt.Sprintf("record of %s has %d of %d occurrences", j.ID, w.Occurrences, j.occurrences())}
 	}
+	j.restoredAt = now
 	for o := range w.Occurrences {
 		if o < len(finished) && finished[o] {
 			j.startedOccurrences++
