Count free workers that accept no runs for a while where a service counts as mostly free

Cause: a late filler job is placed all the same while at most 55% of its service's processors are allocated, else after 60 s. Only workers that accept runs at that moment were counted. With free workers in quarantine, backing off or not yet contacted by a new leader, the others may be fuller than that while the service is mostly free: the job waits for 60 s, where 3 s are permitted.

Evidence: TestLateJobRunsWhileFreeWorkersAcceptNoRuns (two workers three quarters full, two free ones back off) fails before.

Change: all listed workers that do not drain are counted, with what is allocated there. A new leader so knows the use before it has contacted its workers.

Measured: the test passes, as do those of internal/batch.

--- a/internal/batch/latefiller_test.go
+++ b/internal/batch/latefiller_test.go
@@ -143,3 +143,23 @@
 		})
 	}
 }
+
+// Guards against a late job that waits as in a busy service while most processors are free, because only the
+// workers that accept runs at that moment are counted.
+func TestLateJobRunsWhileFreeWorkersAcceptNoRuns(t *testing.T) {
+	sim := newInterferenceSim(t, "v", "v")
+	sim.renewsLeases = true
+	sim.headroomLost = map[string]map[string]float64{"v": {"bad": 40}}
+	sim.submitLoad(8*time.Second, 4, "bad")
+	sim.run(2 * overdueAfterBusy)
+	for _, id := range []string{"free-1", "free-2"} {
+		sim.core.SetWorker(WorkerInfo{
+			ID: id, Address: id, Service: "pool", Incarnation: 1,
+			Capacity: share.Resources{Processors: simWorkerProcessors, Memory: 64 << 30},
+		}, sim.now)
+		sim.core.workers[id].backoffUntil = sim.now.Add(time.Hour)
+	}
+	id := sim.submit(fillerStep("bad", 1))
+	sim.run(overdueJobAge + simIdleTime)
+	require.True(t, sim.core.jobs[id].hasRuns() || sim.core.jobs[id].state == Completed, "nothing has run")
+}
--- a/internal/batch/overdue.go
+++ b/internal/batch/overdue.go
@@ -72,20 +72,23 @@
 	return float64(use.allocated) < mostlyFree*float64(use.capacity)
 }
 
-// serviceUse is the sum of the processors of the workers of a service that accept runs, and what is
-// allocated of them, in thousandths of a core.
+// serviceUse is the sum of the processors of the workers of a service that are listed and do not drain, and
+// what is allocated of them, in thousandths of a core. A worker that accepts no runs for a while counts.
 type serviceUse struct {
 	capacity  int64
 	allocated int64
 }
 
-// updateServiceUse updates c.serviceUse from the workers that accept runs.
+// updateServiceUse updates c.serviceUse from the workers.
 func (c *Core) updateServiceUse() {
 	if c.serviceUse == nil {
 		c.serviceUse = map[string]serviceUse{}
 	}
 	clear(c.serviceUse)
-	for _, w := range c.accepting {
+	for _, w := range c.workers {
+		if !w.isUsable() || w.Draining {
+			continue
+		}
 		use := c.serviceUse[w.Service]
 		use.capacity += int64(w.Capacity.Processors)
 		use.allocated += int64(w.allocated.Processors)
