A ticket that is of no use does not keep an advised step waiting

Cause: a step of a queue with an adviser was queried again only once none of its tickets was for a worker with free capacity. A filler step was not even tried while its admitted workers had fewer unallocated processors than its size, though none are allocated to it.

Change: only workers with the label are queried, a ticket for a worker at the step's limit counts as used up, and a step with any ticket is tried.

--- a/internal/batch/advise.go
+++ b/internal/batch/advise.go
@@ -44,25 +44,39 @@
 // isAdvised reports whether the stage's queue has an adviser.
 func (c *Core) isAdvised(s *stage) bool { return s.job.Policy.Advised }
 
-// isAdmitted reports whether the stage has a valid ticket for a worker with free capacity, or needs
-// no ticket. It queries the adviser if such a ticket is missing.
+// isAdmitted reports whether the stage has a valid ticket, or needs none. It queries the adviser if none of its
+// tickets is for a worker that has capacity for another task of the stage.
 func (c *Core) isAdmitted(s *stage, now time.Time) bool {
 	if !c.isAdvised(s) {
 		return true
 	}
+	admitted := false
 	for id, ticket := range s.tickets {
 		w := c.workers[id]
 		switch {
 		case !now.Before(ticket.validUntil):
 			delete(s.tickets, id)
-		case w != nil && s.hasTicket(w, now) && c.acceptsRuns(w, now) && s.step.Size.Fits(w.free()):
-			return true
+		case w != nil && s.hasTicket(w, now) && c.acceptsRuns(w, now):
+			if s.mayRunOn(w) && s.step.Size.Fits(w.free()) && !s.isAtLimit(w) {
+				return true
+			}
+			admitted = true
 		}
 	}
 	if !s.query.inFlight && c.queriesInFlight < maxQueriesInFlight && !now.Before(s.query.notBefore) {
 		c.queryAdviser(s, now)
 	}
-	return false
+	return admitted
+}
+
+// mayRunOn reports whether tasks of the stage may run on a worker of its service and label.
+func (s *stage) mayRunOn(w *worker) bool {
+	return w.Service == s.job.Policy.Service && (s.step.RequiredLabel == "" || w.hasLabel(s.step.RequiredLabel))
+}
+
+// isAtLimit reports whether as many tasks of the stage run on a worker as its step permits.
+func (s *stage) isAtLimit(w *worker) bool {
+	return s.step.MaxPerWorker > 0 && s.runsByWorker[w] >= s.step.MaxPerWorker
 }
 
 // queryAdviser queries the adviser for the workers with the most free processors that were not
@@ -70,7 +84,7 @@
 func (c *Core) queryAdviser(s *stage, now time.Time) {
 	var candidates []*worker
 	for _, w := range c.workers {
-		if w.Service == s.job.Policy.Service && c.acceptsRuns(w, now) && !s.query.queriedWorkers[w.ID] {
+		if s.mayRunOn(w) && c.acceptsRuns(w, now) && !s.query.queriedWorkers[w.ID] {
 			candidates = append(candidates, w)
 		}
 	}
--- a/internal/batch/fit.go
+++ b/internal/batch/fit.go
@@ -47,7 +47,7 @@
 		return NoMemoryOrAccelerators
 	case !s.Filler && s.Size.Processors > free.Processors:
 		return NoProcessors
-	case s.MaxPerWorker > 0 && t.stage.runsByWorker[w] >= s.MaxPerWorker:
+	case t.stage.isAtLimit(w):
 		return StepLimitPerWorker
 	case s.RequiredLabel != "" && !w.hasLabel(s.RequiredLabel):
 		return NoLabel
