A job that is handed over before anything of it ran keeps the time of its acceptance

Cause: such a job went to the other cell's inbox without the time of its acceptance and counted as new there. So the 8 s after which a late filler job is placed all the same began anew in each cell, and its due time and lateness moved on. Jobs that had begun keep it.

Evidence: TestHandedOverJobKeepsItsAge fails before (8 s later than the acceptance).

How long a cell keeps such a job before it hands it on still counts from its arrival there.

Measured: the test passes, as do those of internal/batch and internal/scheduler.

--- a/internal/batch/delegate.go
+++ b/internal/batch/delegate.go
@@ -65,7 +65,7 @@
 			continue
 		}
 		switch {
-		case j.neverPlaced() && j.stored && !j.inFlight && now.Sub(j.accepted) >= starvedAfter:
+		case j.neverPlaced() && j.stored && !j.inFlight && now.Sub(later(j.accepted, j.arrivedAt)) >= starvedAfter:
 			c.tryHandOver(j, 0)
 		case len(c.accepting) == 0 && j.canHandOver(starvedAfter, now):
 			// Any cell with workers is better than one without.
@@ -130,7 +130,13 @@
 		return fmt.Errorf("decode job: %w", err)
 	}
 	if w.Started == nil {
-		return c.AcceptFromCell(decodeSubmission(w), now, w.Path...)
+		known := c.HasJob(w.ID)
+		if err := c.AcceptFromCell(decodeSubmission(w), now, w.Path...); err != nil || known || w.AcceptedMs == 0 {
+			return err
+		}
+		// The other cell's clock may be ahead.
+		c.jobs[w.ID].accepted = earlier(now, time.UnixMilli(w.AcceptedMs).Add(-c.wallOffset))
+		return nil
 	}
 	started := *w.Started
 	if c.HasJob(started.ID) {
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -11,6 +11,8 @@
 type job struct {
 	Job
 	accepted time.Time
+	// arrivedAt is when this leader got the submission from a caller or another cell; zero if it restored the job.
+	arrivedAt time.Time
 	// restoredAt is when this leader got the job's progress from an earlier leader or another cell; zero if it
 	// did not.
 	restoredAt time.Time
--- a/internal/batch/lease.go
+++ b/internal/batch/lease.go
@@ -193,6 +193,14 @@
 	return b
 }
 
+// earlier returns the earlier of two times.
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // sortedRuns returns runs in a fixed order.
 func sortedRuns(byKey map[runKey]*run) []*run {
 	runs := slices.Collect(maps.Values(byKey))
--- a/internal/batch/move_test.go
+++ b/internal/batch/move_test.go
@@ -265,3 +265,31 @@
 	// The stored form of earlier versions contains no evidence, but is no error.
 	require.NoError(t, core.SetPeerEffects(map[int][]byte{1: []byte(`[{"image":"serve","by":{"fill":0.7}}]`)}))
 }
+
+// Guards against a late job that waits anew in each cell that it is handed over to: its age counts from the acceptance
+// by the first one. It also stays in the next cell for as long as any other before that hands it on.
+func TestHandedOverJobKeepsItsAge(t *testing.T) {
+	now := time.Unix(1_000_000_000, 0)
+	home := firstCellCore(t, now)
+	j := homeJob(t, 0, Step{Tasks: 1, Size: share.Resources{Processors: 1000, Memory: 16 << 30}, Filler: true, Image: "a"})
+	require.NoError(t, home.Submit(j, now, nil))
+	home.Plan(now)
+	commitAll(t, home, now)
+	moved := now.Add(overdueJobAge)
+	home.SetPeers(map[int]Load{1: {Capacity: 16_000, Free: 16_000, Idle: 16_000, LargestFree: 4000}})
+	home.Plan(moved)
+	changes, err := home.TakeChanges(20, moved)
+	require.NoError(t, err)
+	require.Equal(t, 1, changes.Records[0].To)
+	next := coreOfCell(t, 1, moved)
+	require.NoError(t, next.AcceptHandedOver(changes.Records[0].HandedOver, moved))
+	commitAll(t, next, moved)
+	stage := next.jobs[j.ID].stages[0]
+	require.Equal(t, now, next.submittedAt(stage).Round(time.Second))
+	next.SetPeers(map[int]Load{2: {Capacity: 16_000, Free: 16_000, Idle: 16_000, LargestFree: 4000}})
+	next.Plan(moved.Add(starvedAfter / 2))
+	require.False(t, next.HasChanges(), "handed on at once")
+	require.True(t, next.isOverdue(stage.tasks[0], moved.Add(overdueAfter)))
+	next.Plan(moved.Add(2 * starvedAfter))
+	require.True(t, next.HasChanges())
+}
--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -328,11 +328,14 @@
 }
 
 // EncodeJob returns the stored form of a submission in the inbox of a cell.
-func EncodeJob(j Job) ([]byte, error) { return encodeSubmission(j, nil) }
+func EncodeJob(j Job) ([]byte, error) { return encodeSubmission(j, 0, nil) }
 
-func encodeSubmission(j Job, path []int) ([]byte, error) {
+// encodeSubmission returns the stored form of a submission. AcceptedMs is when it was accepted, zero if that is not
+// known.
+func encodeSubmission(j Job, acceptedMs int64, path []int) ([]byte, error) {
 	w := wireJob{
-		ID: j.ID, Queue: j.Queue, Service: j.Policy.Service, Policy: encodePolicy(j.Policy), Spec: j.Spec, State: string(Queued), Path: path,
+		ID: j.ID, Queue: j.Queue, Service: j.Policy.Service, Policy: encodePolicy(j.Policy), Spec: j.Spec, State: string(Queued),
+		AcceptedMs: acceptedMs, Path: path,
 	}
 	if j.Repeat.Count > 0 {
 		w.Repeats, w.FirstMs, w.EveryMs = j.Repeat.Count, j.Repeat.First.UnixMilli(), j.Repeat.Every.Milliseconds()
@@ -346,7 +349,7 @@
 func (c *Core) encodeHandedOver(j *job) ([]byte, error) {
 	path := append(slices.Clone(j.cellPath), c.cell.Index)
 	if j.startedState == nil {
-		return encodeSubmission(j.Job, path)
+		return encodeSubmission(j.Job, j.accepted.Add(c.wallOffset).UnixMilli(), path)
 	}
 	j.startedState.Path = path
 	return json.Marshal(wireJob{ID: j.ID, Queue: j.Queue, State: string(Active), Started: j.startedState})
--- a/internal/batch/submit.go
+++ b/internal/batch/submit.go
@@ -45,7 +45,7 @@
 
 func (c *Core) accept(s Job, now time.Time, waiter func(State), path []int) {
 	c.completePolicy(&s)
-	j := &job{Job: s, accepted: now, state: Queued, cellPath: path}
+	j := &job{Job: s, accepted: now, arrivedAt: now, state: Queued, cellPath: path}
 	if to := c.chooseCell(s, now); to != c.cell.Index {
 		c.handOver(j, to)
 		c.notifyWhenDurable(j, waiter)
