A task whose start was refused does not wait anew

Cause: a task goes back to the queue when its start is not carried out (the worker is busy, full or fenced, or the command is not sent), and what it had waited was forgotten. A late filler job so waited for 1.5 s after each refusal, with nothing running, where 3 s are permitted for the whole; a lost task also waited anew until it was delegated or got a reservation.

Evidence: TestLateJobWaitsOnceForRefusedStarts fails before (two starts in 3 s, not four).

Change: the wait goes on when it is known that the run never began. After any other end it begins anew, as before.

Measured: the test passes, as do those of internal/batch and internal/scheduler.

--- a/internal/batch/command.go
+++ b/internal/batch/command.go
@@ -208,20 +208,20 @@
 		c.note(Note{Kind: NoteUnconfirmed, Task: r.task.name(), Run: r.number, Worker: w.ID, Age: now.Sub(r.sentAt)})
 	case AnswerUnsent, AnswerBusy, AnswerFenced, AnswerWrongIncarnation:
 		c.backOff(w, now)
-		c.requeue(r, startRefused(res.Answer), now)
+		c.requeueUnstarted(r, startRefused(res.Answer), now)
 	case AnswerBadTicket:
 		delete(r.task.stage.tickets, w.ID)
-		c.requeue(r, startRefused(res.Answer), now)
+		c.requeueUnstarted(r, startRefused(res.Answer), now)
 	case AnswerNoCapacity:
 		c.backOff(w, now)
 		c.requestPoll(w)
-		c.requeue(r, startRefused(res.Answer), now)
+		c.requeueUnstarted(r, startRefused(res.Answer), now)
 	case AnswerSuperseded, AnswerExpired:
 		c.requestPoll(w)
-		c.requeue(r, startRefused(res.Answer), now)
+		c.requeueUnstarted(r, startRefused(res.Answer), now)
 	case AnswerInvalid:
 		j := r.task.stage.job
-		c.requeue(r, startRefused(res.Answer), now)
+		c.requeueUnstarted(r, startRefused(res.Answer), now)
 		r.task.notBefore = now.Add(minProbePause)
 		c.markDirty(j)
 	}
--- a/internal/batch/evidence.go
+++ b/internal/batch/evidence.go
@@ -59,5 +59,13 @@
 	}
 }
 
+// requeueUnstarted does what requeue does for a run that never began: its task has waited all the while.
+func (c *Core) requeueUnstarted(r *run, evidence endEvidence, now time.Time) {
+	queuedAt := r.task.queuedAt
+	if c.requeue(r, evidence, now); r.task.state == taskQueued {
+		r.task.queuedAt = queuedAt
+	}
+}
+
 // withdrawRun removes a run whose start command was never sent.
-func (c *Core) withdrawRun(r *run, now time.Time) { c.requeue(r, evidenceNotSent, now) }
+func (c *Core) withdrawRun(r *run, now time.Time) { c.requeueUnstarted(r, evidenceNotSent, now) }
--- a/internal/batch/latefiller_test.go
+++ b/internal/batch/latefiller_test.go
@@ -163,3 +163,30 @@
 	sim.run(overdueJobAge + simIdleTime)
 	require.True(t, sim.core.jobs[id].hasRuns() || sim.core.jobs[id].state == Completed, "nothing has run")
 }
+
+// Guards against a late job that waits anew each time a worker does not carry out its start.
+func TestLateJobWaitsOnceForRefusedStarts(t *testing.T) {
+	const refusals = 4
+	sim := newInterferenceSim(t, slices.Repeat([]string{"v"}, refusals+1)...)
+	sim.setProcessors(2 * simWorkerProcessors)
+	sim.renewsLeases = true
+	sim.headroomLost = map[string]map[string]float64{"v": {"bad": 40}}
+	sim.submitLoad(8*time.Second, 4, "bad")
+	sim.run(2 * overdueAfterBusy)
+	id := sim.submit(fillerStep("bad", 1))
+	sim.run(overdueJobAge)
+	refused := 0
+	for until := sim.now.Add(simIdleTime); refused < refusals && sim.now.Before(until); sim.now = sim.now.Add(interferenceTick) {
+		sim.core.Plan(sim.now)
+		changes, err := sim.core.TakeChanges(20, sim.now)
+		require.NoError(t, err)
+		for _, command := range sim.core.Committed(changes) {
+			call, ok := sim.core.PrepareCall(command, sim.now)
+			require.True(t, ok)
+			require.Equal(t, id, call.Task.Job)
+			sim.core.HandleAnswer(command, Result{Answer: AnswerBusy, Clock: time.Hour}, sim.now, sim.now)
+			refused++
+		}
+	}
+	require.Equal(t, refusals, refused)
+}
