--- a/internal/batch/overdue.go
+++ b/internal/batch/overdue.go
@@ -17,24 +17,50 @@
 	overdueAfter     = 1500 * time.Millisecond
 	overdueJobAge    = 8 * time.Second
 	overdueAfterBusy = 60 * time.Second
+	// overdueAfterRestore is overdueAfter for a task that has waited under an earlier leader or in another cell,
+	// for an unknown time.
+	overdueAfterRestore = 500 * time.Millisecond
 	// mostlyFree is the share of a service's processors below which it counts as mostly free if no
 	// more are allocated.
 	mostlyFree = 0.55
 	// maxOverduePerWorker limits the runs on a worker that were overdue when they were placed, so that
-	// suspended runs do not accumulate there.
+	// suspended runs do not accumulate there. While the service is mostly free, an overdue task that finds no
+	// worker for exceedLimitAfter is placed all the same: its wait must be bounded however many there are.
 	maxOverduePerWorker = 2
-	// weightOverdueRun spreads overdue tasks over the workers.
+	exceedLimitAfter    = 250 * time.Millisecond
+	// weightOverdueRun spreads overdue tasks over the workers, weightOverLimit those over the limit evenly,
+	// whatever interference is expected.
 	weightOverdueRun = 1.0
+	weightOverLimit  = 10_000.0
 )
 
 // isOverdue reports whether a filler task is placed despite the interference that is expected of it.
 func (c *Core) isOverdue(t *task, now time.Time) bool {
-	s := t.stage
-	waited := now.Sub(t.queuedAt)
-	if !s.step.Filler || t.state != taskQueued || waited < overdueAfter || s.job.hasRuns() {
-		return false
+	return c.isOverdueInFreeService(t, 0, now) || now.Sub(t.queuedAt) >= overdueAfterBusy && t.mayBeOverdue()
+}
+
+// mayExceedLimit reports whether a task is placed although its workers have maxOverduePerWorker overdue runs.
+func (c *Core) mayExceedLimit(t *task, now time.Time) bool {
+	return c.isOverdueInFreeService(t, exceedLimitAfter, now)
+}
+
+// isOverdueInFreeService reports whether a filler task has been overdue for a time, in a service that is mostly free.
+func (c *Core) isOverdueInFreeService(t *task, since time.Duration, now time.Time) bool {
+	return now.Sub(t.queuedAt) >= t.overdueAfter()+since && now.Sub(c.submittedAt(t.stage)) >= overdueJobAge+since &&
+		t.mayBeOverdue() && c.isMostlyFree(t.stage.job.Policy.Service)
+}
+
+// overdueAfter returns how long the task waits under this leader until it may be overdue.
+func (t *task) overdueAfter() time.Duration {
+	if t.queuedAt.Equal(t.stage.job.restoredAt) {
+		return overdueAfterRestore
 	}
-	return waited >= overdueAfterBusy || now.Sub(c.submittedAt(s)) >= overdueJobAge && c.isMostlyFree(s.job.Policy.Service)
+	return overdueAfter
+}
+
+// mayBeOverdue reports whether the task is a waiting filler task of a job without runs.
+func (t *task) mayBeOverdue() bool {
+	return t.stage.step.Filler && t.state == taskQueued && !t.stage.job.hasRuns()
 }
 
 // hasRuns reports whether any task of the job has a run.
@@ -46,20 +72,23 @@
 	return float64(use.allocated) < mostlyFree*float64(use.capacity)
 }
 
-// serviceUse is the sum of the processors of the workers of a service that accept runs, and what is
-// allocated of them, in thousandths of a core.
+// serviceUse is the sum of the processors of the workers of a service that are listed and do not drain, and
+// what is allocated of them, in thousandths of a core. A worker that accepts no runs for a while counts.
 type serviceUse struct {
 	capacity  int64
 	allocated int64
 }
 
-// updateServiceUse updates c.serviceUse from the workers that accept runs.
+// updateServiceUse updates c.serviceUse from the workers.
 func (c *Core) updateServiceUse() {
 	if c.serviceUse == nil {
 		c.serviceUse = map[string]serviceUse{}
 	}
 	clear(c.serviceUse)
-	for _, w := range c.accepting {
+	for _, w := range c.workers {
+		if !w.isUsable() || w.Draining {
+			continue
+		}
 		use := c.serviceUse[w.Service]
 		use.capacity += int64(w.Capacity.Processors)
 		use.allocated += int64(w.allocated.Processors)
@@ -85,7 +114,7 @@
 
 // mayRunOverdue reports whether a worker has idle processors by measurement for a task that is overdue.
 func (c *Core) mayRunOverdue(t *task, w *worker, now time.Time) bool {
-	return c.isOverdue(t, now) && w.overdueRuns < maxOverduePerWorker && !w.hasStarved(now) &&
+	return c.isOverdue(t, now) && (w.overdueRuns < maxOverduePerWorker || c.mayExceedLimit(t, now)) && !w.hasStarved(now) &&
 		w.measuredIdle(now) >= minIdleShare*float64(t.stage.step.Size.Processors)
 }
 
@@ -94,6 +123,7 @@
 func (c *Core) overdueScore(t *task, w *worker, now time.Time) float64 {
 	s := t.stage
 	score := (w.measuredIdle(now)-float64(s.step.Size.Processors))/float64(max(1, w.Capacity.Processors)) - weightOverdueRun*float64(w.overdueRuns)
+	score -= weightOverLimit * float64(max(0, w.overdueRuns+1-maxOverduePerWorker))
 	if len(w.servingImages) > 0 {
 		p := c.estimatePlacement(s.image, s.step.cpuShare(w), w)
 		score -= weightNetProgress*(1-p.netProgress(initialMissCost)) + weightMissFree*(1-p.missFreeProbability)
