A planned stop answers requests that wait in the socket

Cause: a connection was ended by a read deadline in the past. After that a read fails even if bytes wait in the socket, so a request that a busy process had not read yet was dropped. And the listening socket was closed while connections, with their requests, waited to be accepted, which resets them.

Change: a read that fails because its connection is ending looks at the socket first, and goes on if it is readable. Drain closes the listener once no connection waits to be accepted, after 1 s at the latest, and then waits until all accepted ones are tracked. What is left is a request that arrives between that look and the close, which no process reads.

--- a/internal/shutdown/shutdown.go
+++ b/internal/shutdown/shutdown.go
@@ -2,8 +2,9 @@
 //
 // The standard library closes connections that it considers idle, and considers a connection
 // idle until it has parsed the header of the next request. On a busy machine a request that the
-// process has already received is lost that way. A Tracker knows for each connection whether any
-// byte has arrived since the last response, and ends only the others.
+// process has already received is lost that way, and so is one on a connection that waits to be
+// accepted. A Tracker accepts these connections, knows for each whether any byte has arrived since the
+// last response, read or not, and ends only the others.
 //
 // # Usage
 //
@@ -21,6 +22,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -42,7 +44,7 @@
 func (t *Tracker) Listen(l net.Listener) net.Listener {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.listener = &listener{Listener: l, tracker: t, closed: make(chan struct{})}
+	t.listener = &listener{Listener: l, tracker: t, ended: make(chan struct{}), closed: make(chan struct{})}
 	return t.listener
 }
 
@@ -98,11 +100,11 @@
 func (t *Tracker) Drain(ctx context.Context, s *http.Server) error {
 	t.CloseAfterResponses()
 	t.mu.Lock()
-	if t.listener != nil {
-		// The server reports the error, since it closes the listener again.
-		_ = t.listener.stop()
-	}
+	l := t.listener
 	t.mu.Unlock()
+	if l != nil {
+		l.drain(ctx)
+	}
 	tick := time.NewTicker(checkInterval)
 	defer tick.Stop()
 	for t.endIdle() > 0 && ctx.Err() == nil {
@@ -145,10 +147,39 @@
 	tracker   *Tracker
 	stopOnce  sync.Once
 	stopErr   error
+	endOnce   sync.Once
+	ended     chan struct{} // Closed once Accept returns no more connections.
 	closeOnce sync.Once
 	closed    chan struct{}
 }
 
+const (
+	// acceptCheckInterval is the pause between two checks whether connections wait to be accepted.
+	acceptCheckInterval = time.Millisecond
+	// maxAcceptTime limits how long Drain lets the server accept connections.
+	maxAcceptTime = time.Second
+)
+
+// drain lets the server accept the connections that wait for it, and closes the underlying listener.
+// When it returns, all accepted connections are tracked, unless the context has ended.
+func (l *listener) drain(ctx context.Context) {
+	tick := time.NewTicker(acceptCheckInterval)
+	defer tick.Stop()
+	for until := time.Now().Add(maxAcceptTime); isReadable(l.Listener) && ctx.Err() == nil && time.Now().Before(until); {
+		select {
+		case <-ctx.Done():
+		case <-tick.C:
+		}
+	}
+	// The server reports the error, since it closes the listener again.
+	_ = l.stop()
+	select {
+	case <-ctx.Done():
+	case <-l.ended:
+	case <-l.closed:
+	}
+}
+
 // stop closes the underlying listener, once.
 func (l *listener) stop() error {
 	l.stopOnce.Do(func() { l.stopErr = l.Listener.Close() })
@@ -161,6 +192,7 @@
 	c, err := l.Listener.Accept()
 	if err != nil {
 		if errors.Is(err, net.ErrClosed) {
+			l.endOnce.Do(func() { close(l.ended) })
 			<-l.closed
 		}
 		return nil, err
@@ -192,6 +224,9 @@
 // still served.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.resume() {
+		n, err = c.Conn.Read(p)
+	}
 	if n == 0 {
 		return n, err
 	}
@@ -207,6 +242,18 @@
 	return n, err
 }
 
+// resume lets reads go on if the connection was about to end, but bytes have arrived: a read fails after
+// its deadline although there are some.
+func (c *conn) resume() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.ending || !isReadable(c.Conn) {
+		return false
+	}
+	c.idle, c.ending = false, false
+	return c.Conn.SetReadDeadline(time.Time{}) == nil
+}
+
 // SetReadDeadline sets the deadline of reads, unless the connection is ending.
 func (c *conn) SetReadDeadline(deadline time.Time) error {
 	c.mu.Lock()
