Leaders tell each other which workers they have called

Cause: a worker whose clock shows less than 20 s counts as young, so that its leases are waited for as MaxLease (10.5 s) in place of Lease (5.4 s): a late call that was meant for an earlier incarnation may have set a deadline. Only the first leader of a cell knew that there was no earlier one; runs that a later leader placed on a young worker counted.

A call carries the worker's id, so it reaches another incarnation only under the same id. A term that ends as the only one that may call workers now writes, in the commit that deletes its key, the ids that it or an earlier leader may have called in the last 30 s and the young incarnations that are the first ones called. The next leader takes a worker for young only if its id was called before and its incarnation is not one of these. After a lost leader, nothing is known until calls can have no effect any more, and the rule stays as it was (docs/PLATFORM.md, Young workers).

Tests: TestYoungWorkerIsWaitedForAsKnownByEarlierLeaders (virtual time) failed before in both cases of planned stops, 10.62 s and 10.54 s; with a lost leader it requires the longer wait. The tests that guarded the rule pass unchanged.

--- a/internal/batch/core.go
+++ b/internal/batch/core.go
@@ -59,9 +59,8 @@
 	// accepting are the workers that accept runs, collected at the beginning of each plan.
 	// searchStart is the index in them at which the next search for a worker begins.
 	accepting []*worker
-	// firstTerm means that the cell had no leader before; seen are then the workers that were ever known.
-	firstTerm bool
-	seen      map[string]bool
+	// contacts is what is known of the calls to workers.
+	contacts contacts
 	// renewalsUntil is until when earlier leaders may renew leases, as given to LimitRenewals.
 	renewalsUntil time.Time
 	// serviceUse is the use of each service, updated at the beginning of each plan.
@@ -187,6 +186,7 @@
 		health:            health,
 		images:            map[string]int{},
 		recordLimit:       DefaultRecordLimit,
+		contacts:          contacts{seen: map[Witness]time.Time{}},
 	}
 }
 
@@ -304,10 +304,6 @@
 	}
 }
 
-// SetFirstTerm records that the cell had no leader before, so that no lease was granted to an earlier
-// incarnation of any worker. It is called before any worker is known.
-func (c *Core) SetFirstTerm() { c.firstTerm, c.seen = true, map[string]bool{} }
-
 // LimitRenewals records that earlier leaders renew leases until the given time at most. It shortens
 // the wait for the workers that this leader has not contacted yet.
 func (c *Core) LimitRenewals(until time.Time) {
--- a/internal/batch/lease.go
+++ b/internal/batch/lease.go
@@ -94,10 +94,7 @@
 			runs:           map[runKey]*run{},
 			orphans:        map[runKey]time.Time{},
 			leasesExpireAt: c.uncontactedExpiry,
-			restarted:      c.seen[id],
-		}
-		if c.firstTerm {
-			c.seen[id] = true
+			restarted:      c.contacts.add(id),
 		}
 		c.workers[id] = w
 		c.sortedWorkers = nil
@@ -110,7 +107,7 @@
 	culprits := c.recordCrash(w, incarnation, true, now)
 	// A worker that becomes known to this leader has not restarted if its runs are of this incarnation.
 	restarted := w.Incarnation != 0 || !w.hasOnlyRunsOf(incarnation)
-	w.restarted = w.restarted || w.Incarnation != 0
+	w.restarted = w.Incarnation != 0 || w.restarted && !c.contacts.isFirst(w.ID, incarnation)
 	w.Incarnation, w.incarnationKnownAt = incarnation, now
 	w.contacted, w.aliveAt, w.answeredPollAt = false, time.Time{}, time.Time{}
 	w.lastEnd, w.ackableEnd, w.undurableEnds = 0, 0, nil
@@ -170,13 +167,13 @@
 // isYoung reports whether a lease on the worker may have a deadline that was meant for the clock of
 // its previous incarnation.
 func (c *Core) isYoung(w *worker, now time.Time) bool {
-	if c.firstTerm && !w.restarted || w.hasSettledRun() {
-		return false
-	}
-	if w.clockAt.IsZero() {
-		return true
-	}
-	return w.clock+now.Sub(w.clockAt) < youngWorkerLeases*c.timing.MaxLease
+	return !w.hasSettledRun() && !c.isOld(w, now) && (w.restarted || !c.knowsContacts(now))
+}
+
+// isOld reports whether the worker's present incarnation is known to have lasted so long that no lease on
+// it has a deadline that was meant for an earlier one.
+func (c *Core) isOld(w *worker, now time.Time) bool {
+	return !w.clockAt.IsZero() && w.clock+now.Sub(w.clockAt) >= youngWorkerLeases*c.timing.MaxLease
 }
 
 // latestExpiry returns the time by which all leases granted until now are guaranteed to have
@@ -231,6 +228,7 @@
 	if retry {
 		c.nextStopRetry = now.Add(stopRetryCheckEvery)
 	}
+	c.pruneContacts(now)
 	for id, w := range c.workers {
 		if len(w.runs) > 0 && now.After(w.leasesExpireAt) {
 			c.loseExpired(w, now)
--- a/internal/batch/witness.go
+++ b/internal/batch/witness.go
@@ -62,8 +62,10 @@
 }
 
 // witness returns the witness of the worker's present incarnation.
-func (w *worker) witness() Witness {
-	return Witness(xxhash.Sum64String(w.ID + "/" + strconv.FormatInt(w.Incarnation, 10)))
+func (w *worker) witness() Witness { return newWitness(w.ID, w.Incarnation) }
+
+func newWitness(id string, incarnation int64) Witness {
+	return Witness(xxhash.Sum64String(id + "/" + strconv.FormatInt(incarnation, 10)))
 }
 
 // Witnesses returns the listed workers that have answered this leader.
--- a/internal/batch/world_test.go
+++ b/internal/batch/world_test.go
@@ -20,6 +20,11 @@
 	lostAnswer float64
 	// lateCommand is the probability that a command is executed 2 to 12 s late and not answered.
 	lateCommand float64
+	// latePoll is the probability that a poll renews the lease again, 2 to 10 s late, even if the worker has
+	// restarted.
+	latePoll float64
+	// inherit means that each leader tells the next one which workers it has called, and renews no more.
+	inherit bool
 	// crash, outage and takeover are the mean times between these events; zero means never.
 	crash    time.Duration
 	outage   time.Duration
@@ -147,11 +152,12 @@
 		sim.trace("takeover %d", sim.token+1)
 	}
 	sim.token++
-	timing := DefaultTiming()
+	timing, previous := DefaultTiming(), sim.core
 	sim.core = NewCore(timing, sim.now, sim.now.Add(timing.Lease+timing.RenewGrace+time.Second))
 	if sim.token == 1 {
 		sim.core.SetFirstTerm()
 	}
+	sim.inheritContacts(previous)
 	sim.core.SetQueueConfig(simQueueConfig())
 	for _, id := range sortedKeys(sim.records) {
 		require.NoError(sim.t, sim.core.Restore(sim.records[id], sim.now))
@@ -159,6 +165,9 @@
 	if sim.unresponsive != nil {
 		require.NoError(sim.t, sim.core.RestoreUnresponsive(sim.unresponsive, sim.now))
 	}
+	if sim.faults.inherit {
+		sim.core.LimitRenewals(sim.now)
+	}
 	var infos []WorkerInfo
 	for _, w := range sim.workers {
 		if !w.removed {
@@ -310,6 +319,7 @@
 	if !ok {
 		return
 	}
+	sim.repeatPollLate(w, poll, token)
 	sim.after(2*time.Millisecond, func() {
 		sim.passTime(w)
 		if sim.now.Before(w.unresponsiveUntil) || sim.chance(sim.faults.lostAnswer) {
--- a/internal/scheduler/election.go
+++ b/internal/scheduler/election.go
@@ -153,7 +153,7 @@
 		return
 	}
 	earlier := newTerms(record, token, m.scheduler.renewalLimit(), m.scheduler.now())
-	earlier.first = !found
+	earlier.first, earlier.inherited = !found, inheritedContacts(former)
 	m.serveTerm(ctx, id, earlier, requestedAt)
 }
 
--- a/internal/scheduler/fakeworkers_test.go
+++ b/internal/scheduler/fakeworkers_test.go
@@ -13,8 +13,10 @@
 type fakeWorkers struct {
 	mu        sync.Mutex
 	startedAt time.Time
-	duration  time.Duration
-	workers   map[string]*fakeWorker
+	// age is how long the workers had run when the test began.
+	age      time.Duration
+	duration time.Duration
+	workers  map[string]*fakeWorker
 	// violations describe starts of tasks that were still running or had already ended.
 	violations []string
 	done       map[batch.TaskName]bool
@@ -41,7 +43,7 @@
 }
 
 func newFakeWorkers(duration time.Duration, ids ...string) *fakeWorkers {
-	f := &fakeWorkers{startedAt: time.Now(), duration: duration, workers: map[string]*fakeWorker{}, done: map[batch.TaskName]bool{}}
+	f := &fakeWorkers{startedAt: time.Now(), age: time.Hour, duration: duration, workers: map[string]*fakeWorker{}, done: map[batch.TaskName]bool{}}
 	for _, id := range ids {
 		f.workers[id] = &fakeWorker{
 			running: map[batch.TaskName]*fakeRun{}, highestEndedRun: map[batch.TaskName]int64{}, changed: make(chan struct{}),
@@ -50,8 +52,8 @@
 	return f
 }
 
-// clock returns the clock of workers that started an hour before the test.
-func (f *fakeWorkers) clock() time.Duration { return time.Since(f.startedAt) + time.Hour }
+// clock returns the clock of the workers.
+func (f *fakeWorkers) clock() time.Duration { return time.Since(f.startedAt) + f.age }
 
 // advance ends the runs that are done or whose lease has expired; f.mu is held.
 func (f *fakeWorkers) advance(w *fakeWorker) {
--- a/internal/scheduler/leader.go
+++ b/internal/scheduler/leader.go
@@ -172,8 +172,12 @@
 		return err
 	}
 	core := batch.NewCore(l.Timing, now, now.Add(unreachedLimit))
-	if l.terms.first && r.head.Revision == 0 {
+	l.terms.checkHead(string(r.head.Value), r.head.Revision != 0, l.Now())
+	switch {
+	case l.terms.first && r.head.Revision == 0:
 		core.SetFirstTerm()
+	case l.terms.inherited != nil && len(l.terms.openAt(l.Now())) == 0:
+		core.SetContacts(*l.terms.inherited)
 	}
 	core.SetCell(l.Cell)
 	core.SetWallOffset(l.wallClockOffset())
@@ -185,7 +189,6 @@
 		}
 	}
 	l.headRevision = r.head.Revision
-	l.terms.checkHead(string(r.head.Value), r.head.Revision != 0, l.Now())
 	core.LimitRenewals(l.terms.renewalsEnd(l.Now()))
 	if r.learned.Revision != 0 {
 		if err := core.RestoreEffects(r.learned.Value); err != nil {
--- a/internal/scheduler/terms.go
+++ b/internal/scheduler/terms.go
@@ -27,6 +27,8 @@
 	Open []wireTerm `json:"open,omitempty"`
 	// Last is the highest fencing token of a term that has written the record after its election.
 	Last int64 `json:"last,omitempty"`
+	// Contacts are missing unless the last term has ended as the only one that may call workers.
+	Contacts *wireContacts `json:"contacts,omitempty"`
 }
 
 type wireTerm struct {
@@ -73,6 +75,9 @@
 	witnesses, durable, inDoubt batch.Witnesses
 	// witnessedUntil is the last result of Leader.witnessedUntil; zero if the sets have changed since.
 	witnessedUntil time.Time
+	// inherited are the contacts of the previous term, nil if they are not known; contacts are those of
+	// this term once it calls no worker any more.
+	inherited, contacts *batch.Contacts
 }
 
 // openTerm is an earlier term, and until when it may renew leases.
@@ -109,6 +114,7 @@
 		w.Open = append(w.Open, *former)
 	}
 	w.Serving = &wireTerm{leaderID: leaderID{ID: m.scheduler.ID, Address: m.scheduler.Address}, Witnessed: true}
+	w.Contacts = nil
 	return w
 }
 
@@ -215,6 +221,9 @@
 		own.Witnesses = t.witnesses.Encode()
 		w.Serving = &own
 	}
+	if ended && len(open) == 0 && t.contacts != nil {
+		w.Contacts = &wireContacts{Seen: t.contacts.Seen.Encode(), First: t.contacts.First.Encode()}
+	}
 	for _, o := range open {
 		w.Open = append(w.Open, wireTerm{
 			leaderID: leaderID{ID: o.ID, Address: o.Address}, Token: o.Token, RemainingMs: o.renewsUntil.Sub(now).Milliseconds() + 1,
@@ -269,6 +278,7 @@
 // The term sends nothing to workers any more. If the key is gone already, the term stays in the
 // record, until this node is asked or its time has passed.
 func (l *Leader) retire() {
+	l.recordContacts()
 	value, err := l.terms.value(l.Now(), true)
 	if err != nil {
 		l.Log.Emit(eventlog.RecordUnreadable, zap.String("key", l.keys.terms), zap.Error(err))
