A task that lost its run in an earlier term gets a reservation at once

From 36 to 41.5 s a rolling restart replaced the leader five times. Each leader counted the 1.5 s after which it reserves a worker from its own restore: one did so 0.15 s before the end of its term, the next one 0.2 s before its end, the third one not at all; the fifth placed the task, at 46.1 s. That the reservations would have sufficed in time is not shown.

Change: a task that has run, and waits when a leader restores it, lost its run in an earlier term, and is given a reservation without that wait.

TestLargeLongRunningTaskRestartsWhileLeadersChange (virtual time, a leader each 1.2 s) failed before: the task had not restarted after 6 s.

--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -143,6 +143,9 @@
 	failedRuns []int64
 	crashes    crashCount
 	queuedAt   time.Time
+	// lostEarlier means that the task lost its last run in an earlier term; queuedAt is then when this
+	// leader restored it.
+	lostEarlier bool
 	// notBefore delays the next run after a failure.
 	notBefore time.Time
 	// avoidWorker is the worker that the task should not run on again if another one fits: its last
--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -458,6 +458,7 @@
 	for _, t := range s.tasks {
 		if t.state == taskWaiting {
 			c.enqueue(t, now)
+			t.lostEarlier = t.lastRun > 0
 		}
 	}
 }
--- a/internal/batch/reserve.go
+++ b/internal/batch/reserve.go
@@ -15,7 +15,7 @@
 
 const (
 	// reserveAfter is how long a long-running task waits after its last run before a worker is
-	// reserved for it. The platform allows 6 s between two runs, and most other tasks end within
+	// reserved for it, unless it has waited since an earlier term. The platform allows 6 s between two runs, and most other tasks end within
 	// two.
 	reserveAfter = 1500 * time.Millisecond
 	// reserveEvery is how often workers are searched for reservations. A search checks each worker.
@@ -83,7 +83,7 @@
 
 // wantsReservation reports whether the task has lost its run and has waited long enough.
 func (t *task) wantsReservation(now time.Time) bool {
-	return t.state == taskQueued && t.lastRun > 0 && !now.Before(t.notBefore) && now.Sub(t.queuedAt) >= reserveAfter
+	return t.state == taskQueued && t.lastRun > 0 && !now.Before(t.notBefore) && (t.lostEarlier || now.Sub(t.queuedAt) >= reserveAfter)
 }
 
 // reserveFor reserves workers for the waiting tasks of a stage, up to the limit. It returns false
--- a/internal/batch/reserve_test.go
+++ b/internal/batch/reserve_test.go
@@ -80,6 +80,32 @@
 	}
 }
 
+// Guards against a large long-running task that gets no worker while leaders replace each other, because
+// each of them waits anew before it reserves one.
+func TestLargeLongRunningTaskRestartsWhileLeadersChange(t *testing.T) {
+	const largeJob = "ffffffffffffffff"
+	sim := newSimWorld(t, 1, 4, simFaults{inherit: true})
+	sim.submit(Job{ID: largeJob, Queue: "check", Steps: []Step{{
+		Tasks: 1, LongRunning: true, Estimate: time.Minute, Size: share.Resources{Processors: 16_000, Memory: 1 << 20},
+	}}})
+	sim.run(time.Second)
+	sim.submitStream(8, 2000, sim.now.Add(20*time.Second))
+	sim.run(3 * time.Second)
+	drained := sim.now
+	for _, w := range sim.workers {
+		if sim.runsJob(w, largeJob) {
+			w.info.Draining = true
+			sim.core.SetWorker(w.info, sim.now)
+		}
+	}
+	for range 5 {
+		sim.run(1200 * time.Millisecond)
+		sim.takeOver()
+	}
+	require.True(t, sim.startedAt[TaskName{Job: largeJob}].After(drained), "the task has not restarted within %v", sim.now.Sub(drained))
+	require.Empty(t, sim.violations)
+}
+
 // Guards against reservations for tasks that have not run yet, tasks of other jobs on a reserved
 // worker, and reservations that outlive the cancel of their job.
 func TestReservationsAreReleased(t *testing.T) {
