--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -462,6 +462,7 @@
 	for _, t := range s.tasks {
 		if t.state == taskWaiting {
 			c.enqueue(t, now)
+			t.lostEarlier = t.lastRun > 0
 		}
 	}
 }
@@ -472,7 +473,7 @@
 	w := c.worker(wr.Worker)
 	r := &run{
 		task: t, number: wr.Number, worker: w, incarnation: wr.Incarnation, state: runUnconfirmed, stateSince: now, sentAt: now, throttleRatio: unthrottled,
-		settled: settled,
+		settled: settled || c.contacts.isFirst(wr.Worker, wr.Incarnation),
 	}
 	t.state = taskPlaced
 	t.runs = append(t.runs, r)
