Lost long-running tasks leave a full cell for one whose backlog exceeds what is free

Cause: a cell's free capacity for other cells is what is free less its whole backlog.

Change: a load lists what single workers do not give to long-running tasks; a task that has lost its run, has waited for 2 s and has no reserved worker goes where two such workers suit. The other cell reserves a worker for it, as for its own.

TestLostLongRunningTasksLeaveFullCellDespiteBacklogs failed before in both cases (725 of 750 tasks run 9 s after the loss).

--- a/internal/batch/cells_test.go
+++ b/internal/batch/cells_test.go
@@ -203,6 +203,19 @@
 	}
 }
 
+// longRunning returns the number of runs of long-running tasks.
+func (sim *cellsSim) longRunning() int {
+	n := 0
+	for _, runs := range sim.runEnds {
+		for _, until := range runs {
+			if until.IsZero() {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // onTime returns the fraction of jobs that ended within a duration.
 func (sim *cellsSim) onTime(jobs []Job, within time.Duration) float64 {
 	n := 0
@@ -316,3 +329,53 @@
 	require.Equal(t, jobs*width, count(), "long-running tasks wait although other cells have free capacity")
 	require.Positive(t, sim.delegations)
 }
+
+// Guards against long-running tasks that wait in a full cell while other cells have capacity for them
+// that a longer backlog of other tasks does not use.
+func TestLostLongRunningTasksLeaveFullCellDespiteBacklogs(t *testing.T) {
+	const (
+		workers = 150
+		width   = 10
+		// bound is how long the platform lets a long-running task be without a run.
+		bound = 9 * time.Second
+	)
+	for _, c := range []struct {
+		name string
+		// longRunning are the processors of the five long-running tasks on each worker of the other
+		// cells, and backlog those of the tasks that wait there.
+		longRunning, backlog share.MilliCores
+	}{
+		{name: "waiting tasks are too large for what is free", longRunning: 4800, backlog: 12_000},
+		{name: "waiting tasks use what becomes free", longRunning: 3200, backlog: 3500},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			sim := newCellsSim(t, 3, workers)
+			n := 0
+			submit := func(core *Core, tasks int, s Step) {
+				n++
+				s.Tasks, s.Size.Memory = tasks, 5<<30
+				require.NoError(t, core.AcceptFromCell(Job{ID: fmt.Sprintf("%016x", n), Queue: "check", Steps: []Step{s}}, sim.now))
+			}
+			for i, core := range sim.cells {
+				core.SetPeers(nil) // It keeps its jobs.
+				size := c.longRunning
+				if i == 0 {
+					size = 6400
+				}
+				for left := 5 * len(core.workers); left > 0; left -= width {
+					submit(core, min(left, width), Step{Size: share.Resources{Processors: size}, LongRunning: true})
+				}
+				sim.tick()
+				if i > 0 {
+					submit(core, 40*len(core.workers), Step{Size: share.Resources{Processors: c.backlog}, Estimate: 2 * time.Second})
+				}
+			}
+			sim.run(3 * time.Second)
+			require.Equal(t, 5*workers, sim.longRunning())
+			sim.removeWorkers(sim.cells[0], 0.1)
+			require.Less(t, sim.longRunning(), 5*workers)
+			sim.run(bound)
+			require.Equal(t, 5*workers, sim.longRunning(), "long-running tasks wait although other cells have capacity for them")
+		})
+	}
+}
--- a/internal/batch/delegate.go
+++ b/internal/batch/delegate.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"slices"
 	"time"
+
+	"github.com/oriolepond/oriolepond/pkg/share"
 )
 
 // A cell may run out of free capacity while other cells have some. Then it hands over jobs that
@@ -184,6 +186,7 @@
 	need := cpuNeed{allocated: size, largestTask: size}
 	to := c.cellWithMostCapacity(s.job.Job, need, 0, s.job.delegators())
 	if to == c.cell.Index {
+		c.delegateLost(s, starved, now)
 		return
 	}
 	peer := c.peers[to]
@@ -192,6 +195,64 @@
 	c.delegate(s, starved[:min(len(starved), fitting)], to, now)
 }
 
+// delegateLost delegates the starved tasks of a stage that have lost their runs and for which this cell
+// cannot reserve a worker. Since lost tasks go ahead of the backlog in the other cell, that need not
+// have free capacity beyond its backlog.
+func (c *Core) delegateLost(s *stage, starved []*task, now time.Time) {
+	lost := slices.DeleteFunc(starved, func(t *task) bool {
+		return t.lastRun == 0 || now.Sub(t.queuedAt) < stuckAfter || c.hasReserved(t)
+	})
+	if len(lost) == 0 {
+		return
+	}
+	size := s.step.Size
+	to, most := c.cell.Index, minFitsForLost-1
+	for i := range c.cell.Count {
+		peer := c.peers[i]
+		if peer == nil || !peer.load.hasLabelsFor(s.job.Job) || slices.Contains(s.job.delegators(), i) {
+			continue
+		}
+		if n := peer.load.fitsForLost(size); n > most {
+			to, most = i, n
+		}
+	}
+	if to == c.cell.Index {
+		return
+	}
+	fitting := 0
+	for fitting < len(lost) && c.peers[to].load.fitsForLost(size) >= minFitsForLost {
+		// The other cells know the same load and choose the same cell.
+		for range c.cell.Count {
+			c.peers[to].load.deductLost(size)
+		}
+		fitting++
+	}
+	c.delegate(s, lost[:fitting], to, now)
+}
+
+// minFitsForLost is how many tasks of a size have to fit into a cell before a lost one is delegated to
+// it, because its load may have changed since. The platform, too, demands a run only while there is
+// capacity for two.
+const minFitsForLost = 2
+
+// fitsForLost returns on how many workers of the cell a lost task fits.
+func (l Load) fitsForLost(size share.Resources) int {
+	n := 0
+	for _, free := range l.FreeForLost {
+		if size.Fits(free) {
+			n++
+		}
+	}
+	return n
+}
+
+// deductLost deducts a lost task from what a worker of the cell can give to lost tasks.
+func (l Load) deductLost(size share.Resources) {
+	if i := slices.IndexFunc(l.FreeForLost, size.Fits); i >= 0 {
+		l.FreeForLost[i] = l.FreeForLost[i].Minus(size)
+	}
+}
+
 // delegators returns the cells through which delegated tasks came, to which they are not delegated
 // back. Cells that only have a forwarding record of the job are not among them, since they may be
 // given tasks of it.
--- a/internal/batch/move.go
+++ b/internal/batch/move.go
@@ -1,8 +1,11 @@
 package batch
 
 import (
+	"cmp"
 	"slices"
 	"time"
+
+	"github.com/oriolepond/oriolepond/pkg/share"
 )
 
 // Load is the capacity of a cell for more jobs, in thousandths of a core.
@@ -15,10 +18,17 @@
 	Idle int64
 	// LargestFree is the largest amount that is free on a single worker.
 	LargestFree int64
+	// FreeForLost is what each worker can give to long-running tasks that have lost their runs: what
+	// is not allocated to other long-running tasks nor reserved. Only the maxFreeForLost workers with
+	// the most processors are listed, the largest first.
+	FreeForLost []share.Resources
 	// Labels counts the workers that carry each label, without rack names.
 	Labels map[string]int
 }
 
+// maxFreeForLost limits the size of a published load.
+const maxFreeForLost = 64
+
 // cellLoad is the last known load of a cell, with the estimated need of the jobs that it was given
 // since.
 type cellLoad struct {
@@ -51,6 +61,7 @@
 func (c *Core) SetPeers(loads map[int]Load) {
 	peers := make(map[int]*cellLoad, len(loads))
 	for i, load := range loads {
+		load.FreeForLost = slices.Clone(load.FreeForLost)
 		peers[i] = &cellLoad{load: load}
 	}
 	c.peers = peers
@@ -68,12 +79,17 @@
 		l.Free += max(0, int64(w.free().Processors))
 		l.LargestFree = max(l.LargestFree, int64(w.free().Processors))
 		l.Idle += int64(c.idleProcessors(w, now))
+		if w.reservedFor == nil && w.isolated == nil {
+			l.FreeForLost = append(l.FreeForLost, w.free().Plus(w.transientUse()))
+		}
 		for _, label := range w.Labels {
 			if label != w.Rack {
 				l.Labels[label]++
 			}
 		}
 	}
+	slices.SortFunc(l.FreeForLost, func(a, b share.Resources) int { return cmp.Compare(b.Processors, a.Processors) })
+	l.FreeForLost = l.FreeForLost[:min(len(l.FreeForLost), maxFreeForLost)]
 	for _, j := range c.active {
 		for _, s := range j.stages {
 			if s.queued == 0 {
--- a/internal/scheduler/loads.go
+++ b/internal/scheduler/loads.go
@@ -12,6 +12,7 @@
 	"github.com/oriolepond/oriolepond/internal/batch"
 	"github.com/oriolepond/oriolepond/internal/eventlog"
 	"github.com/oriolepond/oriolepond/internal/store"
+	"github.com/oriolepond/oriolepond/pkg/share"
 )
 
 const (
@@ -27,11 +28,38 @@
 
 // wireLoad is the published form of batch.Load, in thousandths of a core.
 type wireLoad struct {
-	Capacity     int64          `json:"capacity"`
-	FreeCapacity int64          `json:"room"`
-	Idle         int64          `json:"idle"`
-	LargestFree  int64          `json:"widest"`
-	Labels       map[string]int `json:"labels,omitempty"`
+	Capacity     int64 `json:"capacity"`
+	FreeCapacity int64 `json:"room"`
+	Idle         int64 `json:"idle"`
+	LargestFree  int64 `json:"widest"`
+	// FreeForLost is missing in loads of earlier versions.
+	FreeForLost []wireFree     `json:"freeForLost,omitempty"`
+	Labels      map[string]int `json:"labels,omitempty"`
+}
+
+// wireFree is the published form of what a worker has free.
+type wireFree struct {
+	Processors   int64 `json:"p"`
+	Memory       int64 `json:"m"`
+	Accelerators int64 `json:"a,omitempty"`
+}
+
+func encodeLoad(l batch.Load) wireLoad {
+	w := wireLoad{Capacity: l.Capacity, FreeCapacity: l.Free, Idle: l.Idle, LargestFree: l.LargestFree, Labels: l.Labels}
+	for _, f := range l.FreeForLost {
+		w.FreeForLost = append(w.FreeForLost, wireFree{Processors: int64(f.Processors), Memory: int64(f.Memory), Accelerators: int64(f.Accelerators)})
+	}
+	return w
+}
+
+func decodeLoad(w wireLoad) batch.Load {
+	l := batch.Load{Capacity: w.Capacity, Free: w.FreeCapacity, Idle: w.Idle, LargestFree: w.LargestFree, Labels: w.Labels}
+	for _, f := range w.FreeForLost {
+		l.FreeForLost = append(l.FreeForLost, share.Resources{
+			Processors: share.MilliCores(f.Processors), Memory: share.Bytes(f.Memory), Accelerators: share.Accelerators(f.Accelerators),
+		})
+	}
+	return l
 }
 
 // peerLoad is the last published load of another cell, and when this node first read it.
@@ -61,7 +89,7 @@
 	l.mu.Lock()
 	load := l.core.Load(l.Now())
 	l.mu.Unlock()
-	value, err := json.Marshal(wireLoad{Capacity: load.Capacity, FreeCapacity: load.Free, Idle: load.Idle, LargestFree: load.LargestFree, Labels: load.Labels})
+	value, err := json.Marshal(encodeLoad(load))
 	if err != nil {
 		l.Log.Emit(eventlog.RecordUnreadable, zap.String("key", l.keys.load), zap.Error(err))
 		return
@@ -99,10 +127,7 @@
 			l.Log.Emit(eventlog.RecordUnreadable, zap.String("key", e.Key), zap.Error(err))
 			continue
 		}
-		seen[i] = peerLoad{
-			load:     batch.Load{Capacity: load.Capacity, Free: load.FreeCapacity, Idle: load.Idle, LargestFree: load.LargestFree, Labels: load.Labels},
-			revision: e.Revision, changedAt: now,
-		}
+		seen[i] = peerLoad{load: decodeLoad(load), revision: e.Revision, changedAt: now}
 	}
 	fresh := map[int]batch.Load{}
 	for i, peer := range seen {
