--- a/internal/batch/delegate.go
+++ b/internal/batch/delegate.go
@@ -268,7 +268,10 @@
 	j := s.job
 	delegation := wireStage{Stage: s.number()}
 	for _, t := range tasks {
-		delegation.Tasks = append(delegation.Tasks, wireTask{Index: t.index, LastRun: t.lastRun, Checkpoint: t.checkpoint, Crashes: encodeCrashes(t.crashes)})
+		delegation.Tasks = append(delegation.Tasks, wireTask{
+			Index: t.index, LastRun: t.lastRun, Checkpoint: t.checkpoint, Crashes: encodeCrashes(t.crashes),
+			WaitedMs: (now.Sub(t.queuedAt) + t.waitedElsewhere).Milliseconds(),
+		})
 		c.note(Note{Kind: NoteDelegated, Task: t.name(), Run: t.lastRun, Cell: to, Age: now.Sub(t.queuedAt)})
 		t.state = taskDone
 		s.queued--
@@ -351,6 +354,7 @@
 			t.lastRun, t.checkpoint, t.crashes = wt.LastRun, wt.Checkpoint, decodeCrashes(wt.Crashes)
 			s.unfinished++
 			c.enqueue(t, now)
+			t.waitedElsewhere = time.Duration(wt.WaitedMs) * time.Millisecond
 		}
 	}
 	c.markDirty(j)
--- a/internal/batch/delegate_test.go
+++ b/internal/batch/delegate_test.go
@@ -234,6 +234,35 @@
 	require.Equal(t, DelegatedID(j.ID), last.Records[0].CancelID)
 }
 
+// Guards against a lost long-running task that waits in the cell that it was delegated to as if it had
+// lost its run only then.
+func TestDelegatedTaskThatHasWaitedGetsReservation(t *testing.T) {
+	now := time.Unix(1_000_000_000, 0)
+	first := firstCellCore(t, now)
+	j := longRunningJob(t, 4)
+	require.NoError(t, first.Submit(j, now, nil))
+	first.Plan(now)
+	lost := commitAndStart(t, first, now)[TaskName{Job: j.ID}]
+	first.RemoveWorker(lost.Worker)
+	first.PollFailed(lost.Worker, AnswerWrongIncarnation, now, now)
+	now = now.Add(reserveAfter)
+	first.SetPeers(map[int]Load{1: {Capacity: 16_000, Free: 16_000, LargestFree: 4000}})
+	first.Plan(now)
+	changes, err := first.TakeChanges(20, now)
+	require.NoError(t, err)
+	require.NotNil(t, changes.Records[0].Delegation)
+	other := coreOfCell(t, 1, now)
+	short := homeJob(t, 1000, Step{Tasks: 4, Size: share.Resources{Processors: 4000}, Estimate: time.Second})
+	require.NoError(t, other.AcceptFromCell(short, now))
+	other.Plan(now)
+	require.Len(t, commitAndStart(t, other, now), 4)
+	_, err = other.AcceptDelegation(changes.Records[0].Delegation.Value, now)
+	require.NoError(t, err)
+	other.Plan(now.Add(reserveEvery))
+	require.Len(t, other.reserved, 1)
+	require.Equal(t, lost.Task, other.reserved[0].reservedFor.name())
+}
+
 func TestInvalidDelegationsAreRejected(t *testing.T) {
 	now := time.Unix(1_000_000_000, 0)
 	core := coreOfCell(t, 1, now)
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -143,6 +143,8 @@
 	failedRuns []int64
 	crashes    crashCount
 	queuedAt   time.Time
+	// waitedElsewhere is how long a delegated task had waited in other cells.
+	waitedElsewhere time.Duration
 	// notBefore delays the next run after a failure.
 	notBefore time.Time
 	// avoidWorker is the worker that the task should not run on again if another one fits: its last
--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -223,6 +223,8 @@
 		Runs       []wireRun `json:"r,omitempty"`
 		// Crashes counts the workers that crashed under the task; nil if there were none.
 		Crashes *wireCrashes `json:"x,omitempty"`
+		// WaitedMs is how long a delegated task had waited.
+		WaitedMs int64 `json:"waitedMillis,omitempty"`
 	}
 	wireCrashes struct {
 		Total     int  `json:"n"`
--- a/internal/batch/reserve.go
+++ b/internal/batch/reserve.go
@@ -83,7 +83,7 @@
 
 // wantsReservation reports whether the task has lost its run and has waited long enough.
 func (t *task) wantsReservation(now time.Time) bool {
-	return t.state == taskQueued && t.lastRun > 0 && !now.Before(t.notBefore) && now.Sub(t.queuedAt) >= reserveAfter
+	return t.state == taskQueued && t.lastRun > 0 && !now.Before(t.notBefore) && now.Sub(t.queuedAt)+t.waitedElsewhere >= reserveAfter
 }
 
 // reserveFor reserves workers for the waiting tasks of a stage, up to the limit. It returns false
--- a/internal/batch/submit.go
+++ b/internal/batch/submit.go
@@ -239,7 +239,7 @@
 
 // enqueue queues a task for placement.
 func (c *Core) enqueue(t *task, now time.Time) {
-	t.state, t.queuedAt = taskQueued, now
+	t.state, t.queuedAt, t.waitedElsewhere = taskQueued, now, 0
 	t.stage.queued++
 }
 
