--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -148,9 +148,9 @@
 	failedRuns []int64
 	crashes    crashCount
 	queuedAt   time.Time
-	// lostEarlier means that the task lost its last run in an earlier term; queuedAt is then when this
-	// leader restored it.
-	lostEarlier bool
+	// waitedBefore is how long the task had waited before queuedAt: in other cells, or at least as long as a
+	// reservation takes if it lost its run in an earlier term.
+	waitedBefore time.Duration
 	// notBefore delays the next run after a failure.
 	notBefore time.Time
 	// avoidWorker is the worker that the task should not run on again if another one fits: its last
--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -223,6 +223,8 @@
 		Runs       []wireRun `json:"r,omitempty"`
 		// Crashes counts the workers that crashed under the task; nil if there were none.
 		Crashes *wireCrashes `json:"x,omitempty"`
+		// WaitedMs is how long a delegated task had waited.
+		WaitedMs int64 `json:"waitedMillis,omitempty"`
 	}
 	wireCrashes struct {
 		Total     int  `json:"n"`
@@ -462,7 +464,9 @@
 	for _, t := range s.tasks {
 		if t.state == taskWaiting {
 			c.enqueue(t, now)
-			t.lostEarlier = t.lastRun > 0
+			if t.lastRun > 0 {
+				t.waitedBefore = reserveAfter
+			}
 		}
 	}
 }
