Decisions of the core do not depend on the iteration order of maps

Cause: runs were stopped, given up and polled for in the order in which a map yields them, which decides the order of the next commit's records; images got their numbers in such an order after a change of leader, and sums of floating point numbers over the runs of a worker differed in their last bits.

Change: fixed orders where an order has an effect; sums over a map add values rounded to a multiple of 2^-32, which is exact in any order.

--- a/internal/batch/core.go
+++ b/internal/batch/core.go
@@ -295,7 +295,7 @@
 
 // WithdrawUnsent withdraws all start commands that were not sent.
 func (c *Core) WithdrawUnsent(now time.Time) {
-	for _, w := range c.workers {
+	for _, w := range c.workersByID() {
 		for _, r := range sortedRuns(w.runs) {
 			if r.state == runPending {
 				c.withdrawRun(r, now)
--- a/internal/batch/fit.go
+++ b/internal/batch/fit.go
@@ -162,10 +162,11 @@
 	if w.fillerSize.Processors == 0 {
 		return score
 	}
+	loss := 0.0
 	for _, r := range w.runs {
 		if filler := r.task.stage; filler.step.Filler {
-			score -= weightInterference * c.expectedEffect(s.image, filler.image) * filler.step.cpuShare(w)
+			loss += quantize(weightInterference * c.expectedEffect(s.image, filler.image) * filler.step.cpuShare(w))
 		}
 	}
-	return score
+	return score - loss
 }
--- a/internal/batch/interference.go
+++ b/internal/batch/interference.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -79,8 +80,8 @@
 	got, need := 0.0, 0.0
 	for _, r := range w.runs {
 		if s := r.task.stage.step; s.Filler && r.isUseKnown(now) {
-			got += r.coresUsed
-			need += s.cores() * float64(r.throttleRatio) / unthrottled
+			got += quantize(r.coresUsed)
+			need += quantize(s.cores() * float64(r.throttleRatio) / unthrottled)
 		}
 	}
 	return need > 0 && got < minFillerCPUShare*need
@@ -132,7 +133,7 @@
 	}
 	for _, r := range w.runs {
 		if s := r.task.stage; s.step.Filler && r.state != runPending && r.state != runSent {
-			w.fillerUsage = addUsage(w.fillerUsage, s.image, s.step.cpuShare(w)*float64(r.throttleRatio)/unthrottled*span)
+			w.fillerUsage = addUsage(w.fillerUsage, s.image, quantize(s.step.cpuShare(w)*float64(r.throttleRatio)/unthrottled*span))
 		}
 	}
 }
@@ -147,15 +148,21 @@
 	return usage
 }
 
-// addUsage adds a share of a worker's processors to the usage of an image.
+// addUsage adds a share of a worker's processors to the usage of an image. The images are sorted.
 func addUsage(usage []interference.ImageUsage, image int, cpuShare float64) []interference.ImageUsage {
-	for i := range usage {
-		if usage[i].Aggressor == image {
-			usage[i].Fraction += cpuShare
-			return usage
-		}
+	i, known := slices.BinarySearchFunc(usage, image, func(u interference.ImageUsage, image int) int { return cmp.Compare(u.Aggressor, image) })
+	if !known {
+		return slices.Insert(usage, i, interference.ImageUsage{Aggressor: image, Fraction: cpuShare})
 	}
-	return append(usage, interference.ImageUsage{Aggressor: image, Fraction: cpuShare})
+	usage[i].Fraction += cpuShare
+	return usage
+}
+
+// quantize rounds a value to a multiple of 2^-32. Sums of such values are exact below 2^20, so that
+// they do not depend on the order in which a map yields the values.
+func quantize(x float64) float64 {
+	const unit = 1.0 / (1 << 32)
+	return math.Round(x/unit) * unit
 }
 
 // hasStarved reports whether the worker's filler tasks were starved recently.
@@ -175,17 +182,17 @@
 // filler run goes on to use what it was last reported to use. A run that has not been reported since
 // it was started or throttled counts with its size at its throttle ratio.
 func (w *worker) measuredIdle(now time.Time) float64 {
-	idle := float64(w.Capacity.Processors-w.allocated.Processors) + (1-w.servingUse())*float64(w.servingProcessors)
+	idle, fillers := float64(w.Capacity.Processors-w.allocated.Processors)+(1-w.servingUse())*float64(w.servingProcessors), 0.0
 	for _, r := range w.runs {
 		if s := r.task.stage.step; s.Filler {
 			used := s.cores() * float64(r.throttleRatio) / unthrottled
 			if r.isUseKnown(now) {
 				used = min(used, r.coresUsed)
 			}
-			idle -= 1000 * used
+			fillers += quantize(1000 * used)
 		}
 	}
-	return idle
+	return idle - fillers
 }
 
 // isUseKnown reports whether the processor time that is reported for the run belongs to its present
--- a/internal/batch/learned.go
+++ b/internal/batch/learned.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 
 	"github.com/oriolepond/oriolepond/internal/interference"
@@ -119,8 +120,8 @@
 	if err != nil {
 		return err
 	}
-	for p, e := range evidence {
-		c.headroom.Set(c.imageID(p.serving), c.imageID(p.beside), e)
+	for _, p := range sortedPairs(evidence) {
+		c.headroom.Set(c.imageID(p.serving), c.imageID(p.beside), evidence[p])
 	}
 	return nil
 }
@@ -128,8 +129,8 @@
 // SetPeerEffects replaces the interference effects that other cells have measured, by cell.
 func (c *Core) SetPeerEffects(values map[int][]byte) error {
 	evidence := map[imagePair][]interference.Evidence{}
-	for cell, value := range values {
-		all, err := decodeEffects(value)
+	for _, cell := range slices.Sorted(maps.Keys(values)) {
+		all, err := decodeEffects(values[cell])
 		if err != nil {
 			return fmt.Errorf("cell %d: %w", cell, err)
 		}
@@ -137,8 +138,8 @@
 			evidence[p] = append(evidence[p], e)
 		}
 	}
-	for p, all := range evidence {
-		c.headroom.SetReceivedEvidence(c.imageID(p.serving), c.imageID(p.beside), all...)
+	for _, p := range sortedPairs(evidence) {
+		c.headroom.SetReceivedEvidence(c.imageID(p.serving), c.imageID(p.beside), evidence[p]...)
 	}
 	return nil
 }
@@ -146,6 +147,13 @@
 // imagePair is a serving image and an image that runs beside it on the same worker.
 type imagePair struct{ serving, beside string }
 
+// sortedPairs returns the keys of a map in a fixed order.
+func sortedPairs[V any](byPair map[imagePair]V) []imagePair {
+	return slices.SortedFunc(maps.Keys(byPair), func(a, b imagePair) int {
+		return cmp.Or(cmp.Compare(a.serving, b.serving), cmp.Compare(a.beside, b.beside))
+	})
+}
+
 // decodeEffects decodes interference effects from their stored form: for each pair, the evidence of
 // how much headroom the serving image loses.
 func decodeEffects(value []byte) (map[imagePair]interference.Evidence, error) {
--- a/internal/batch/lease.go
+++ b/internal/batch/lease.go
@@ -231,14 +231,14 @@
 	if retry {
 		c.nextStopRetry = now.Add(stopRetryCheckEvery)
 	}
-	for id, w := range c.workers {
+	for _, w := range c.workersByID() {
 		if len(w.runs) > 0 && now.After(w.leasesExpireAt) {
 			c.loseExpired(w, now)
 		}
 		if !w.listed && len(w.runs) == 0 {
-			delete(c.workers, id)
+			delete(c.workers, w.ID)
 			c.sortedWorkers = nil
-			c.health.Remove(id)
+			c.health.Remove(w.ID)
 			continue
 		}
 		if retry {
@@ -268,10 +268,14 @@
 }
 
 func (c *Core) retryStops(w *worker, now time.Time) {
-	for _, r := range w.runs {
+	unanswered := map[runKey]*run{}
+	for key, r := range w.runs {
 		if r.state == runStopping && now.Sub(r.stopSentAt) >= stopRetryAfter && now.Sub(r.stateSince) >= stopRetryAfter {
-			r.stopSentAt = now
-			c.commands = append(c.commands, Command{Kind: CommandStop, run: r, worker: w})
+			unanswered[key] = r
 		}
 	}
+	for _, r := range sortedRuns(unanswered) {
+		r.stopSentAt = now
+		c.commands = append(c.commands, Command{Kind: CommandStop, run: r, worker: w})
+	}
 }
--- a/internal/batch/plan.go
+++ b/internal/batch/plan.go
@@ -302,7 +302,7 @@
 
 // stopRunsOnDraining stops the runs on draining workers, except those that mayRunToEnd permits.
 func (c *Core) stopRunsOnDraining(now time.Time) {
-	for _, w := range c.workers {
+	for _, w := range c.workersByID() {
 		if !w.Draining {
 			continue
 		}
@@ -344,10 +344,15 @@
 		return
 	}
 	c.nextJobExpiry = now.Add(jobExpiryEvery)
-	for _, j := range c.jobs {
+	var expired []string
+	for id, j := range c.jobs {
 		if j.state.Final() && j.finalStored && !j.removed && now.Sub(j.endedAt) > c.timing.Retention {
-			j.removed = true
-			c.markDirty(j)
+			expired = append(expired, id)
 		}
 	}
+	slices.Sort(expired)
+	for _, id := range expired {
+		c.jobs[id].removed = true
+		c.markDirty(c.jobs[id])
+	}
 }
--- a/internal/batch/poll.go
+++ b/internal/batch/poll.go
@@ -155,11 +155,15 @@
 			delete(w.orphans, key)
 		}
 	}
+	missing := map[runKey]*run{}
 	for key, r := range w.runs {
 		if !present[key] && r.stateSince.Before(sent) {
-			c.handleMissingRun(r, now)
+			missing[key] = r
 		}
 	}
+	for _, r := range sortedRuns(missing) {
+		c.handleMissingRun(r, now)
+	}
 }
 
 // applyRunningRow updates a run from what its worker reports.
--- a/internal/batch/search.go
+++ b/internal/batch/search.go
@@ -31,13 +31,18 @@
 	w.changedForFillersAt = c.changes
 }
 
-// updateAccepting sets c.accepting to the workers that accept runs, sorted by ID.
-func (c *Core) updateAccepting(now time.Time) {
+// workersByID returns all workers, sorted by ID.
+func (c *Core) workersByID() []*worker {
 	if c.sortedWorkers == nil {
 		c.sortedWorkers = slices.SortedFunc(maps.Values(c.workers), func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) })
 	}
+	return c.sortedWorkers
+}
+
+// updateAccepting sets c.accepting to the workers that accept runs, sorted by ID.
+func (c *Core) updateAccepting(now time.Time) {
 	c.accepting = c.accepting[:0]
-	for _, w := range c.sortedWorkers {
+	for _, w := range c.workersByID() {
 		accepts, starved := c.acceptsRuns(w, now), w.hasStarved(now)
 		switch {
 		case accepts && !w.accepts:
