--- a/internal/jsonc/value.go
+++ b/internal/jsonc/value.go
@@ -47,6 +47,12 @@
 	return o
 }
 
+// IsList reports whether the value is a list.
+func (v Value) IsList() bool {
+	_, ok := v.value.Value.(*hujson.Array)
+	return ok
+}
+
 // List returns the elements of a list. Another type is a fault and gives no elements.
 func (v Value) List() []Value {
 	h, ok := v.value.Value.(*hujson.Array)
