--- a/cmd/pondctl/main.go
+++ b/cmd/pondctl/main.go
@@ -5,6 +5,7 @@
 //	pondctl check note.jsonc
 //	pondctl apply -at 10.0.0.1:8082 -wait note.jsonc
 //	pondctl status -at 10.0.0.1:8082 bajio-1
+//	pondctl lab examples/laboratory/calm.jsonc
 //	pondctl job submit -at 10.0.0.1:8080 -tasks 20 flatness-review
 package main
 
--- a/cmd/pondctl/terminal.go
+++ b/cmd/pondctl/terminal.go
@@ -64,6 +64,7 @@
 		{"account", "", "print the resource usage of all shares", "pondctl account -at 10.0.0.1:8082", 0, account},
 		{"burn", "", "print how fast the services' error budgets burn, and why", "pondctl burn -at 10.0.0.1:8082 -html burn.html", 0, burnReport},
 		{"explain", "ID", "print the history of a job or task from the logs of nodes", "pondctl explain -log a.log -log b.log 5c0e7a21d94b36f8", 1, explain},
+		{"lab", "FILE", "play an experiment in virtual time and print what its policies earn", "pondctl lab -seeds 5 examples/laboratory/calm.jsonc", 1, lab},
 		{"job submit", "FAMILY", "submit a job, with a caller's token", "pondctl job submit -at 10.0.0.1:8080 -tasks 20 flatness-review", 1, jobSubmit},
 		{"job status", "ID", "print the state of a job, with a caller's token", "pondctl job status -at 10.0.0.1:8080 ID", 1, jobStatus},
 		{"job cancel", "ID", "cancel a job, with a caller's token", "pondctl job cancel -at 10.0.0.1:8080 ID", 1, jobCancel},
--- a/internal/laboratory/laboratory.go
+++ b/internal/laboratory/laboratory.go
@@ -9,7 +9,7 @@
 // outcomes of two policies by seed, and UpperBound tells what no policy can exceed on a day.
 //
 // A worker of the model reports tail latencies that follow the true ones with a delay, as real ones
-// do. A filler run takes headroom from the serving tasks beside it in proportion to the share of the
+// do. A batch run takes headroom from the serving tasks beside it in proportion to the share of the
 // worker's processors that it uses, and filler runs share the processors that allocated tasks leave.
 //
 // # Usage
@@ -78,6 +78,7 @@
 	// Startup is how long a task starts up before it does its work.
 	Startup        time.Duration
 	MaxUnavailable int
+	MaxPerWorker   int
 	// Worth is the weight of the service among all kinds of work.
 	Worth float64
 }
--- a/internal/laboratory/outcome.go
+++ b/internal/laboratory/outcome.go
@@ -22,7 +22,7 @@
 	Throttled float64
 	Suspended float64
 	// Harmed is the share of the time of serving tasks in which they missed their targets because of
-	// filler runs; LongestHarm is the longest such time on end on a worker.
+	// batch runs; LongestHarm is the longest such time on end on a worker.
 	Harmed      float64
 	LongestHarm time.Duration
 }
@@ -74,7 +74,7 @@
 const (
 	// serviceWindow is the time in which a service earns, in ticks.
 	serviceWindow = int(2 * time.Second / tick)
-	// harmCost is the weight of a target that is missed because of filler runs.
+	// harmCost is the weight of a target that is missed because of batch runs.
 	harmCost = 4
 	// askEvery is how often the core is asked whether tasks wait, in ticks.
 	askEvery = 5
--- a/internal/laboratory/parse.go
+++ b/internal/laboratory/parse.go
@@ -74,7 +74,7 @@
 		faultAt(o, "pool", "names no workers")
 	}
 	if len(e.Services)+len(e.Jobs) == 0 {
-		faultAt(o, "jobs", "is empty, as are the services")
+		o.Value().Faultf("has neither jobs nor services")
 	}
 	o.Close()
 	return e
@@ -115,7 +115,8 @@
 		TailTarget: durationIn(o, "tailTarget", 20*time.Millisecond, time.Millisecond, time.Minute), Baseline: floatIn(o, "baseline", 2.2, 0.1, maxNumber),
 		Swing: floatIn(o, "swing", 0, 0, maxNumber), Period: durationIn(o, "period", 10*time.Second, tick, maxDay), Use: floatIn(o, "use", 0.45, 0, 1),
 		Startup: durationIn(o, "startup", 500*time.Millisecond, 0, time.Hour), MaxUnavailable: int(intIn(o, "maxUnavailable", 0, 0, maxTasks)),
-		Worth: floatIn(o, "worth", 1, 0, maxNumber),
+		MaxPerWorker: int(intIn(o, "maxPerWorker", 0, 0, maxTasks)),
+		Worth:        floatIn(o, "worth", 1, 0, maxNumber),
 	}
 	s.Image = stringOr(o, "image", s.Name)
 	p.serving[s.Image] = true
--- a/internal/laboratory/worker.go
+++ b/internal/laboratory/worker.go
@@ -231,7 +231,7 @@
 		}
 		lost := 0.0
 		for _, o := range w.runs {
-			if o.step.Filler {
+			if !o.isServing() {
 				lost += float64(d.losses[r.step.Image][o.step.Image]*float64(o.step.Size.Processors)*o.speed) / float64(max(1, w.declared))
 			}
 		}
--- a/internal/laboratory/world.go
+++ b/internal/laboratory/world.go
@@ -114,6 +114,7 @@
 	for i, s := range e.Services {
 		job := batch.Job{ID: fmt.Sprintf("%016x", i+1), Queue: s.Queue, Steps: []batch.Step{{
 			Tasks: s.Tasks, Size: s.Size, LongRunning: true, Image: s.Image, TailTarget: s.TailTarget, MaxUnavailable: s.MaxUnavailable,
+			MaxPerWorker: s.MaxPerWorker,
 		}}}
 		sim.addCaller(&caller{job: job, service: i}, 0)
 	}
