--- a/cmd/pondctl/lab.go
+++ b/cmd/pondctl/lab.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"os"
+	"strconv"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -14,6 +15,7 @@
 
 // lab plays the days of an experiment and prints what each policy earns.
 func lab(ctx context.Context, c *call) error {
+	oracle := c.flags.Bool("oracle", false, "also print what no policy can exceed, and the distance to it")
 	seeds := c.flags.Int("seeds", 0, "play the first `n` seeds of the file only")
 	if err := c.parse(); err != nil {
 		return err
@@ -35,6 +37,9 @@
 		return err
 	}
 	report := labReport{experiment: e, results: results}
+	if *oracle {
+		report.bounds = labBounds(e)
+	}
 	for _, r := range results[1:] {
 		report.comparisons = append(report.comparisons, laboratory.Compare(results[0], r))
 	}
@@ -46,13 +51,27 @@
 	experiment  *laboratory.Experiment
 	results     []laboratory.Result
 	comparisons []laboratory.Comparison
+	// bounds are those of each policy and seed; nil if they are not asked for.
+	bounds [][]laboratory.Bound
+}
+
+// labBounds returns the bounds of each policy and seed.
+func labBounds(e *laboratory.Experiment) [][]laboratory.Bound {
+	bounds := make([][]laboratory.Bound, len(e.Policies))
+	for _, seed := range e.Seeds {
+		day := laboratory.Draw(e, seed)
+		for i, p := range e.Policies {
+			bounds[i] = append(bounds[i], laboratory.UpperBound(day, p))
+		}
+	}
+	return bounds
 }
 
 // write prints the report as tables.
 func (r labReport) write(c *call) {
 	e := r.experiment
 	fmt.Fprintf(c.out, "%s: %s and %s to settle, %d seed(s)\n", e.Name, e.Duration, e.Settle, len(e.Seeds))
-	for _, result := range r.results {
+	for i, result := range r.results {
 		fmt.Fprintf(c.out, "\npolicy %s\n\n", result.Policy.Name)
 		table := tabwriter.NewWriter(c.out, 0, 0, 2, ' ', tabwriter.AlignRight)
 		writeSeeds(table, result.Outcomes)
@@ -61,6 +80,12 @@
 		table = tabwriter.NewWriter(c.out, 0, 0, 2, ' ', tabwriter.AlignRight)
 		writeKinds(table, result.Outcomes)
 		_ = table.Flush()
+		if r.bounds != nil {
+			fmt.Fprintln(c.out)
+			table = tabwriter.NewWriter(c.out, 0, 0, 2, ' ', tabwriter.AlignRight)
+			writeDistances(table, result.Outcomes, r.bounds[i])
+			_ = table.Flush()
+		}
 	}
 	for _, comparison := range r.comparisons {
 		fmt.Fprintf(c.out, "\n%s less %s, paired by seed, 95%% interval\n\n", comparison.Policy, comparison.Base)
@@ -138,6 +163,37 @@
 	}
 }
 
+// writeDistances writes a row for each seed: the bound, and how far the worth and each kind are below
+// theirs.
+func writeDistances(table *tabwriter.Writer, outcomes []laboratory.Outcome, bounds []laboratory.Bound) {
+	header := []string{"seed", "bound", "distance"}
+	for _, k := range outcomes[0].Kinds {
+		header = append(header, "of "+k.Name)
+	}
+	fmt.Fprintln(table, strings.Join(header, "\t")+"\t")
+	sums := make([]float64, 2+len(outcomes[0].Kinds))
+	row := func(name string, figures []float64) {
+		fmt.Fprint(table, name)
+		for _, f := range figures {
+			fmt.Fprintf(table, "\t%.4f", f)
+		}
+		fmt.Fprintln(table, "\t")
+	}
+	for i, o := range outcomes {
+		figures := []float64{bounds[i].Worth, max(0, bounds[i].Worth-o.Worth)}
+		for k, kind := range o.Kinds {
+			figures = append(figures, max(0, bounds[i].Kinds[k]-kind.Share))
+		}
+		for k, f := range figures {
+			sums[k] += f / float64(len(outcomes))
+		}
+		row(strconv.FormatUint(o.Seed, 10), figures)
+	}
+	if len(outcomes) > 1 {
+		row("mean", sums)
+	}
+}
+
 // The JSON form of a report. Shares and cores are rounded to a millionth.
 type (
 	wireLab struct {
@@ -159,6 +215,8 @@
 		Suspended         float64       `json:"suspended"`
 		Harmed            float64       `json:"harmed"`
 		LongestHarmMillis int64         `json:"longestHarmMillis"`
+		// Bound is what no policy can exceed; nil if it is not asked for.
+		Bound *float64 `json:"bound,omitempty"`
 	}
 	wireLabKind struct {
 		Name              string  `json:"name"`
@@ -168,6 +226,8 @@
 		Late              int     `json:"late"`
 		MeanWaitMillis    int64   `json:"meanWaitMillis"`
 		LongestWaitMillis int64   `json:"longestWaitMillis"`
+		// Bound is that of the kind alone; nil if it is not asked for.
+		Bound *float64 `json:"bound,omitempty"`
 	}
 	wireLabComparison struct {
 		Policy      string              `json:"policy"`
@@ -185,10 +245,14 @@
 
 func (r labReport) wire() wireLab {
 	w := wireLab{Name: r.experiment.Name}
-	for _, result := range r.results {
+	for i, result := range r.results {
 		policy := wireLabPolicy{Name: result.Policy.Name}
-		for _, o := range result.Outcomes {
-			policy.Seeds = append(policy.Seeds, encodeOutcome(o))
+		for k, o := range result.Outcomes {
+			seed := encodeOutcome(o)
+			if r.bounds != nil {
+				seed.setBound(r.bounds[i][k])
+			}
+			policy.Seeds = append(policy.Seeds, seed)
 		}
 		w.Policies = append(w.Policies, policy)
 	}
@@ -218,4 +282,13 @@
 	return w
 }
 
+func (w *wireLabSeed) setBound(b laboratory.Bound) {
+	worth := round(b.Worth)
+	w.Bound = &worth
+	for i := range w.Kinds {
+		share := round(b.Kinds[i])
+		w.Kinds[i].Bound = &share
+	}
+}
+
 func round(x float64) float64 { return math.Round(x*1e6) / 1e6 }
--- a/cmd/pondctl/lab_test.go
+++ b/cmd/pondctl/lab_test.go
@@ -17,14 +17,18 @@
 	require.Contains(t, out, "policy 48 workers")
 	require.Contains(t, out, "64 workers less 48 workers")
 	require.Equal(t, 3, strings.Count(out, "mean wait"))
-	status, first, errs := pondctl("lab", "-json", "-seeds", "2", burstExperiment)
+	require.NotContains(t, out, "distance")
+	status, first, errs := pondctl("lab", "-json", "-oracle", "-seeds", "2", burstExperiment)
 	require.Equal(t, exitDone, status, errs)
-	_, again, _ := pondctl("lab", "-json", "-seeds", "2", burstExperiment)
+	_, again, _ := pondctl("lab", "-json", "-oracle", "-seeds", "2", burstExperiment)
 	require.Equal(t, first, again)
 	var report wireLab
 	require.NoError(t, json.Unmarshal([]byte(first), &report))
 	require.Len(t, report.Policies, 3)
 	require.Len(t, report.Policies[0].Seeds, 2)
+	for _, seed := range report.Policies[0].Seeds {
+		require.GreaterOrEqual(t, *seed.Bound, seed.Worth)
+	}
 	require.Len(t, report.Comparisons, 2)
 	require.Greater(t, report.Comparisons[0].Differences[0].Mean, 0.0, "more workers are worth more")
 }
--- a/internal/laboratory/world.go
+++ b/internal/laboratory/world.go
@@ -91,24 +91,36 @@
 // Play plays a day under a policy.
 func Play(d *Day, p Policy) (Outcome, error) {
 	sim := newWorld(d, p)
+	sim.run()
+	if sim.err != nil {
+		return Outcome{}, fmt.Errorf("seed %d, policy %q: %w", d.Seed, p.Name, sim.err)
+	}
+	return sim.outcome(), nil
+}
+
+// run lets everything happen until the end of the day, or the first error.
+func (sim *world) run() {
 	for sim.err == nil && len(sim.events) > 0 && !sim.events[0].at.After(sim.end) {
 		e := heap.Pop(&sim.events).(event)
 		sim.now = e.at
 		e.do()
 	}
-	if sim.err != nil {
-		return Outcome{}, fmt.Errorf("seed %d, policy %q: %w", d.Seed, p.Name, sim.err)
-	}
-	return sim.outcome(), nil
 }
 
-func newWorld(d *Day, p Policy) *world {
+// newPool returns a world with the workers of a day that nobody leads or calls.
+func newPool(d *Day, p Policy) *world {
 	e := d.Experiment
 	sim := &world{
 		day: d, policy: p, now: epoch, end: epoch.Add(e.Duration + e.Settle), byID: map[string]*simWorker{}, jobs: map[string]*caller{},
 		store: simStore{records: map[string][]byte{}}, tally: newTally(e),
 	}
 	sim.addWorkers()
+	return sim
+}
+
+func newWorld(d *Day, p Policy) *world {
+	e := d.Experiment
+	sim := newPool(d, p)
 	sim.lead()
 	sim.after(tick, sim.tick)
 	for i, s := range e.Services {
