A throttled run's move does not depend on the iteration order of maps

Cause: mayMove looks at workers until one suits, in the order in which a map yields them. What it looks at is cached with the baselines of that moment, so that later placements differed.

Change: workers are looked at in the order of their IDs.

--- a/internal/batch/throttle.go
+++ b/internal/batch/throttle.go
@@ -94,7 +94,7 @@
 		c.missFreeProbability(s.image, s.step.cpuShare(r.worker), r.worker) > maxMissFreeToMove {
 		return false
 	}
-	for _, w := range c.workers {
+	for _, w := range c.workersByID() {
 		if w == r.worker || !c.acceptsRuns(w, now) || !c.fits(r.task, w, now) {
 			continue
 		}
--- a/internal/laboratory/parse_test.go
+++ b/internal/laboratory/parse_test.go
@@ -67,3 +67,17 @@
 day.jsonc:10: disruptions[1].left: is not a known field
 day.jsonc:11: policies[one].workers.other: is not declared`)
 }
+
+// Guards against decisions that depend on the order in which a map yields the workers: the first one on
+// which a throttled run would do better ends the search, and estimates are cached where it has been.
+func TestSameOverloadedDayGivesTheSameOutcome(t *testing.T) {
+	e := readExample(t, "../../examples/laboratory/calm.jsonc")
+	day := Draw(e, 5)
+	first, err := Play(day, e.Policies[0])
+	require.NoError(t, err)
+	for range 7 {
+		again, err := Play(day, e.Policies[0])
+		require.NoError(t, err)
+		require.Equal(t, first, again)
+	}
+}
