--- a/cmd/pondctl/lab.go
+++ b/cmd/pondctl/lab.go
@@ -55,13 +55,17 @@
 	bounds [][]laboratory.Bound
 }
 
-// labBounds returns the bounds of each policy and seed.
+// labBounds returns the bounds of each policy and seed. Those of tiny days are exact.
 func labBounds(e *laboratory.Experiment) [][]laboratory.Bound {
 	bounds := make([][]laboratory.Bound, len(e.Policies))
 	for _, seed := range e.Seeds {
 		day := laboratory.Draw(e, seed)
 		for i, p := range e.Policies {
-			bounds[i] = append(bounds[i], laboratory.UpperBound(day, p))
+			bound := laboratory.UpperBound(day, p)
+			if exact, err := laboratory.ExactBound(day, p); err == nil {
+				bound.Worth = exact
+			}
+			bounds[i] = append(bounds[i], bound)
 		}
 	}
 	return bounds
--- a/internal/laboratory/leader.go
+++ b/internal/laboratory/leader.go
@@ -1,12 +1,10 @@
 package laboratory
 
 import (
-	"math"
 	"slices"
 	"time"
 
 	"github.com/oriolepond/oriolepond/internal/batch"
-	"github.com/oriolepond/oriolepond/pkg/share"
 )
 
 // leader is the model of a cell's leader: it calls the core as package scheduler does.
@@ -322,8 +320,3 @@
 		w.held, w.cut, w.heldUntil = answer, failed, sim.now.Add(wait)
 	})
 }
-
-// batchProcessors returns a part of a number of processors.
-func batchProcessors(n share.MilliCores, part float64) share.Resources {
-	return share.Resources{Processors: share.MilliCores(math.Round(float64(float64(n) * part)))}
-}
--- a/internal/laboratory/oracle.go
+++ b/internal/laboratory/oracle.go
@@ -110,9 +110,10 @@
 	return f
 }
 
-// fluidItem is the work of one step of a job, in core-seconds. Each of them earns value in the windows
-// from first to onTime, and lateValue in those from first to late.
+// fluidItem is the work of one step of a job. Each core-second of it earns value in the windows from
+// first to onTime, and the fraction late of that in those from first to last.
 type fluidItem struct {
+	// work is in core-seconds.
 	work                float64
 	value, late         float64
 	first, onTime, last int
@@ -277,8 +278,8 @@
 	return lowest
 }
 
-// spread adds an item's work to the windows from first to last, the more the cheaper they are. It
-// gives the direction in which prices change smoothness; the bound does not depend on it.
+// spread adds an item's work to the windows from first to last, the more the cheaper they are. All of
+// it in the cheapest window would let the prices oscillate; any division leaves the bound valid.
 func spread(item fluidItem, prices, used []float64, first, last int) {
 	first, last = max(0, first), min(last, len(prices)-1)
 	lowest := least(prices, first, last)
--- a/internal/laboratory/worker.go
+++ b/internal/laboratory/worker.go
@@ -13,8 +13,7 @@
 // simWorker is a worker that follows the rules for workers: it refuses outdated leaders, stops its
 // runs when its lease expires, and reports the ends of runs until they are acknowledged.
 type simWorker struct {
-	info  batch.WorkerInfo
-	group int
+	info batch.WorkerInfo
 	// declared is the capacity before any Shrink.
 	declared         share.MilliCores
 	joinsAt          time.Time
@@ -206,19 +205,19 @@
 			allocated += use
 		}
 	}
-	share, fillerShare := 1.0, 1.0
+	allocatedSpeed, fillerSpeed := 1.0, 1.0
 	if allocated > capacity {
-		share = capacity / allocated
+		allocatedSpeed = capacity / allocated
 	}
 	left := max(0, capacity-allocated)
 	if fillers > left {
-		fillerShare = left / fillers
+		fillerSpeed = left / fillers
 	}
 	w.idle = max(0, left-fillers)
 	for _, r := range w.runs {
-		r.speed = share
+		r.speed = allocatedSpeed
 		if r.step.Filler {
-			r.speed = float64(fillerShare*float64(r.ratio)) / 100
+			r.speed = float64(fillerSpeed*float64(r.ratio)) / 100
 		}
 	}
 }
--- a/internal/laboratory/world.go
+++ b/internal/laboratory/world.go
@@ -5,10 +5,12 @@
 	"container/heap"
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
 	"github.com/oriolepond/oriolepond/internal/batch"
+	"github.com/oriolepond/oriolepond/pkg/share"
 )
 
 // world plays one day under one policy.
@@ -140,7 +142,7 @@
 }
 
 func (sim *world) addWorkers() {
-	for g, group := range sim.day.Experiment.Pool {
+	for _, group := range sim.day.Experiment.Pool {
 		n := group.Workers
 		if replaced, ok := sim.policy.Workers[group.Name]; ok {
 			n = replaced
@@ -152,7 +154,7 @@
 					ID: id, Address: id, Service: poolService, Incarnation: 1, Rack: fmt.Sprintf("%s-rack-%d", group.Name, i%max(1, group.Racks)),
 					Capacity: group.Capacity,
 				},
-				group: g, declared: group.Capacity.Processors, joinsAt: epoch.Add(group.Joins), incarnationStart: epoch.Add(group.Joins),
+				declared: group.Capacity.Processors, joinsAt: epoch.Add(group.Joins), incarnationStart: epoch.Add(group.Joins),
 				highestEnded: map[batch.TaskName]int64{},
 			}
 			sim.workers = append(sim.workers, w)
@@ -228,7 +230,7 @@
 	drawn    *drawnJob
 	sentAt   time.Time
 	accepted bool
-	// done means that the job is known to have ended, doneAt is when; earned is what it earned.
+	// done means that the job is shown as ended, doneAt is since when and state how.
 	done   bool
 	doneAt time.Time
 	state  batch.State
@@ -324,7 +326,7 @@
 		w.cutHeld()
 	case Shrink:
 		before := w.info.Capacity.Processors
-		w.info.Capacity = w.info.Capacity.Minus(batchProcessors(before, 1-d.Left))
+		w.info.Capacity.Processors = share.MilliCores(math.Round(float64(before) * d.Left))
 		lost := before - w.info.Capacity.Processors
 		sim.publish(w)
 		sim.after(d.For, func() {
