--- a/cmd/pondctl/lab.go
+++ b/cmd/pondctl/lab.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"maps"
 	"math"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"text/tabwriter"
@@ -84,6 +87,7 @@
 		table = tabwriter.NewWriter(c.out, 0, 0, 2, ' ', tabwriter.AlignRight)
 		writeKinds(table, result.Outcomes)
 		_ = table.Flush()
+		writeReasons(c.out, result.Outcomes)
 		if r.bounds != nil {
 			fmt.Fprintln(c.out)
 			table = tabwriter.NewWriter(c.out, 0, 0, 2, ' ', tabwriter.AlignRight)
@@ -167,6 +171,27 @@
 	}
 }
 
+// writeReasons writes how often steps waited for each reason, over all seeds.
+func writeReasons(out io.Writer, outcomes []laboratory.Outcome) {
+	counts := map[string]int{}
+	for _, o := range outcomes {
+		for _, r := range o.Reasons {
+			counts[r.Reason] += r.Count
+		}
+	}
+	if len(counts) == 0 {
+		return
+	}
+	fmt.Fprint(out, "\nsteps waited for:")
+	for i, reason := range slices.Sorted(maps.Keys(counts)) {
+		if i > 0 {
+			fmt.Fprint(out, ",")
+		}
+		fmt.Fprintf(out, " %s %d", reason, counts[reason])
+	}
+	fmt.Fprintln(out)
+}
+
 // writeDistances writes a row for each seed: the bound, and how far the worth and each kind are below
 // theirs.
 func writeDistances(table *tabwriter.Writer, outcomes []laboratory.Outcome, bounds []laboratory.Bound) {
@@ -210,15 +235,16 @@
 		Seeds []wireLabSeed `json:"seeds"`
 	}
 	wireLabSeed struct {
-		Seed              uint64        `json:"seed"`
-		Worth             float64       `json:"worth"`
-		Kinds             []wireLabKind `json:"kinds"`
-		Waiting           float64       `json:"waiting"`
-		IdleBeside        float64       `json:"idleCoresBesideWaiting"`
-		Throttled         float64       `json:"throttled"`
-		Suspended         float64       `json:"suspended"`
-		Harmed            float64       `json:"harmed"`
-		LongestHarmMillis int64         `json:"longestHarmMillis"`
+		Seed              uint64         `json:"seed"`
+		Worth             float64        `json:"worth"`
+		Kinds             []wireLabKind  `json:"kinds"`
+		Waiting           float64        `json:"waiting"`
+		IdleBeside        float64        `json:"idleCoresBesideWaiting"`
+		Throttled         float64        `json:"throttled"`
+		Suspended         float64        `json:"suspended"`
+		Harmed            float64        `json:"harmed"`
+		LongestHarmMillis int64          `json:"longestHarmMillis"`
+		Reasons           map[string]int `json:"reasons,omitempty"`
 		// Bound is what no policy can exceed; nil if it is not asked for.
 		Bound *float64 `json:"bound,omitempty"`
 	}
@@ -277,6 +303,12 @@
 		Seed: o.Seed, Worth: round(o.Worth), Waiting: round(o.Waiting), IdleBeside: round(o.IdleBeside), Throttled: round(o.Throttled),
 		Suspended: round(o.Suspended), Harmed: round(o.Harmed), LongestHarmMillis: o.LongestHarm.Milliseconds(),
 	}
+	if len(o.Reasons) > 0 {
+		w.Reasons = map[string]int{}
+	}
+	for _, r := range o.Reasons {
+		w.Reasons[r.Reason] = r.Count
+	}
 	for _, k := range o.Kinds {
 		w.Kinds = append(w.Kinds, wireLabKind{
 			Name: k.Name, Share: round(k.Share), Jobs: k.Jobs, OnTime: k.OnTime, Late: k.Late,
--- a/cmd/pondctl/lab_test.go
+++ b/cmd/pondctl/lab_test.go
@@ -18,6 +18,7 @@
 	require.Contains(t, out, "64 workers less 48 workers")
 	require.Equal(t, 3, strings.Count(out, "mean wait"))
 	require.NotContains(t, out, "distance")
+	require.Contains(t, out, "steps waited for:")
 	status, first, errs := pondctl("lab", "-json", "-oracle", "-seeds", "2", burstExperiment)
 	require.Equal(t, exitDone, status, errs)
 	_, again, _ := pondctl("lab", "-json", "-oracle", "-seeds", "2", burstExperiment)
--- a/internal/laboratory/outcome.go
+++ b/internal/laboratory/outcome.go
@@ -25,6 +25,15 @@
 	// batch runs; LongestHarm is the longest such time on end on a worker.
 	Harmed      float64
 	LongestHarm time.Duration
+	// Reasons counts why steps waited for a worker, once in five seconds for each step that waits for
+	// longer than a second.
+	Reasons []ReasonCount
+}
+
+// ReasonCount is how often a step waited for a reason.
+type ReasonCount struct {
+	Reason string
+	Count  int
 }
 
 // KindOutcome is what one kind of jobs, or one service, has earned.
@@ -46,6 +55,7 @@
 type tally struct {
 	services []serviceTally
 	waits    map[string]*waitTally
+	reasons  map[string]int
 	// ticks counts the observations, waitingTicks those at which tasks waited; idle is the sum of
 	// idle cores at the latter.
 	ticks, waitingTicks int
@@ -81,11 +91,16 @@
 )
 
 func newTally(e *Experiment) tally {
-	return tally{services: make([]serviceTally, len(e.Services)), waits: map[string]*waitTally{}, harmedFor: map[string]int{}}
+	return tally{
+		services: make([]serviceTally, len(e.Services)), waits: map[string]*waitTally{}, reasons: map[string]int{}, harmedFor: map[string]int{},
+	}
 }
 
 // note counts a decision of the core.
 func (t *tally) note(n batch.Note) {
+	if n.Kind == batch.NoteWaits {
+		t.reasons[n.Reason]++
+	}
 	if n.Kind != batch.NotePlaced {
 		return
 	}
@@ -208,6 +223,9 @@
 		shares = append(shares, k.Share)
 	}
 	o.Worth = sim.day.weigh(shares)
+	for _, reason := range sortedKeys(t.reasons) {
+		o.Reasons = append(o.Reasons, ReasonCount{Reason: reason, Count: t.reasons[reason]})
+	}
 	return o
 }
 
