The use of services is summed over the sorted list of workers

The sum over the map that brought is made once a plan, for up to a thousand workers; the list is at hand. Behaviour is the same. internal/batch, internal/scheduler and platform pass.

--- a/internal/batch/overdue.go
+++ b/internal/batch/overdue.go
@@ -79,13 +79,13 @@
 	allocated int64
 }
 
-// updateServiceUse updates c.serviceUse from the workers.
+// updateServiceUse updates c.serviceUse from c.sortedWorkers.
 func (c *Core) updateServiceUse() {
 	if c.serviceUse == nil {
 		c.serviceUse = map[string]serviceUse{}
 	}
 	clear(c.serviceUse)
-	for _, w := range c.workers {
+	for _, w := range c.sortedWorkers {
 		if !w.isUsable() || w.Draining {
 			continue
 		}
