A late gang of filler tasks gets its place on fewer workers than it has tasks

Cause: a filler task is overdue only while its job has no runs. The tasks of a gang are placed together, by tentative runs: after the first one the others were no longer overdue, so that no worker was used twice.

Evidence: TestLateGangRunsOnFewerWorkersThanTasks (three tasks, two workers) fails before: nothing has run 11 s after the submission.

Change: runs of the same gang do not count.

Measured: the test passes, as do those of internal/batch and internal/scheduler.

--- a/internal/batch/latefiller_test.go
+++ b/internal/batch/latefiller_test.go
@@ -190,3 +190,19 @@
 	}
 	require.Equal(t, refusals, refused)
 }
+
+// Guards against a late gang that never runs because its first tasks, while they are placed together, count as
+// runs of its job.
+func TestLateGangRunsOnFewerWorkersThanTasks(t *testing.T) {
+	sim := newInterferenceSim(t, "v", "v")
+	sim.setProcessors(2 * simWorkerProcessors)
+	sim.renewsLeases = true
+	sim.headroomLost = map[string]map[string]float64{"v": {"bad": 40}}
+	sim.submitLoad(8*time.Second, 4, "bad")
+	sim.run(2 * overdueAfterBusy)
+	step := fillerStep("bad", 3)
+	step.Gang, step.Size.Processors = true, 3000
+	id := sim.submit(step)
+	sim.run(overdueJobAge + simIdleTime)
+	require.True(t, sim.core.jobs[id].hasRuns() || sim.core.jobs[id].state == Completed, "nothing has run")
+}
--- a/internal/batch/overdue.go
+++ b/internal/batch/overdue.go
@@ -58,9 +58,16 @@
 	return overdueAfter
 }
 
-// mayBeOverdue reports whether the task is a waiting filler task of a job without runs.
+// mayBeOverdue reports whether the task is a waiting filler task of a job without runs. Runs of its own gang do not
+// count, since its tasks are placed together.
 func (t *task) mayBeOverdue() bool {
-	return t.stage.step.Filler && t.state == taskQueued && !t.stage.job.hasRuns()
+	s := t.stage
+	return s.step.Filler && t.state == taskQueued && (!s.job.hasRuns() || s.step.Gang && !s.job.hasRunsBeside(s))
+}
+
+// hasRunsBeside reports whether any task of another stage of the job has a run.
+func (j *job) hasRunsBeside(s *stage) bool {
+	return slices.ContainsFunc(j.stages, func(o *stage) bool { return o != s && o.hasRuns() })
 }
 
 // hasRuns reports whether any task of the job has a run.
