A refused start does not end what a task has waited before

A long-running task that lost its run in an earlier term, or in another cell, could wait 1.5 s longer for a reservation, and was delegated with a shorter wait than it had.

Cause: enqueue sets waitedBefore to zero, and requeueUnstarted, through which refused and withdrawn starts go, restored queuedAt only.

Change: it restores both.

TestRefusedStartKeepsWaitOfEarlierTerm failed before ("Should be true": the task wants no reservation right after its worker answered that it has no capacity), and passes now.

--- a/internal/batch/evidence.go
+++ b/internal/batch/evidence.go
@@ -61,9 +61,9 @@
 
 // requeueUnstarted does what requeue does for a run that never began: its task has waited all the while.
 func (c *Core) requeueUnstarted(r *run, evidence endEvidence, now time.Time) {
-	queuedAt := r.task.queuedAt
+	queuedAt, waitedBefore := r.task.queuedAt, r.task.waitedBefore
 	if c.requeue(r, evidence, now); r.task.state == taskQueued {
-		r.task.queuedAt = queuedAt
+		r.task.queuedAt, r.task.waitedBefore = queuedAt, waitedBefore
 	}
 }
 
--- a/internal/batch/reserve_test.go
+++ b/internal/batch/reserve_test.go
@@ -188,3 +188,24 @@
 		})
 	}
 }
+
+// Guards against a task that lost its run in an earlier term, or in another cell, and waits anew for a
+// reservation after a start that its worker refused.
+func TestRefusedStartKeepsWaitOfEarlierTerm(t *testing.T) {
+	now := time.Unix(1_000_000_000, 0)
+	c := fourWorkerCore(t, now)
+	j := Job{ID: "0000000000000001", Queue: "check", Steps: []Step{{Tasks: 1, Size: share.Resources{Processors: 4000}, LongRunning: true}}}
+	require.NoError(t, c.Submit(j, now, nil))
+	lost := c.jobs[j.ID].stages[0].tasks[0]
+	lost.lastRun, lost.waitedBefore = 1, reserveAfter
+	c.Plan(now)
+	changes, err := c.TakeChanges(20, now)
+	require.NoError(t, err)
+	commands := c.Committed(changes)
+	require.Len(t, commands, 1)
+	_, ok := c.PrepareCall(commands[0], now)
+	require.True(t, ok)
+	c.HandleAnswer(commands[0], Result{Answer: AnswerNoCapacity, Clock: time.Hour}, now, now)
+	require.Equal(t, taskQueued, lost.state)
+	require.True(t, lost.wantsReservation(now), "it waits anew")
+}
