A task that lost its run in an earlier term leaves a full cell after 0.5 s

A long-running task could stay without a run in a full cell, while another cell had capacity for it, for as long as leaders were replaced.

Cause: the waits before a delegation (1 s if another cell has free capacity, 2 s if it has only what lost tasks may take) counted from each leader's restore, so that terms shorter than that never came to it.

Evidence: found by review, in virtual time.

Change: such a task, recognised as for overdue filler tasks by the time at which it was queued, waits for 0.5 s under each leader. A reservation in its own cell still goes first.

TestLostTaskLeavesFullCellThoughLeadersChange (terms of 0.9 s) failed before, "the task waits in the full cell", and passes now; with terms of 0.9 s for 30 s nothing was delegated. internal/batch passes (25.8 s).

--- a/internal/batch/cells_test.go
+++ b/internal/batch/cells_test.go
@@ -379,3 +379,47 @@
 		})
 	}
 }
+
+// Guards against a lost long-running task that stays in a full cell while another cell has capacity for it,
+// because each leader of a rolling restart counts its wait anew.
+func TestLostTaskLeavesFullCellThoughLeadersChange(t *testing.T) {
+	now := time.Unix(1_000_000_000, 0)
+	first := firstCellCore(t, now)
+	j := longRunningJob(t, 4)
+	require.NoError(t, first.Submit(j, now, nil))
+	first.Plan(now)
+	lost := commitAndStart(t, first, now)[TaskName{Job: j.ID}]
+	first.RemoveWorker(lost.Worker)
+	first.PollFailed(lost.Worker, AnswerWrongIncarnation, now, now)
+	_, records := commitAll(t, first, now)
+	size := share.Resources{Processors: 4000, Memory: 8 << 30}
+	delegated := false
+	// Another cell has workers for two lost tasks, but nothing beyond its backlog.
+	load := Load{Capacity: 16_000, Free: -16_000, LargestFree: 4000, FreeForLost: []share.Resources{size, size}}
+	const term = 900 * time.Millisecond
+	for range 5 {
+		next := NewCore(DefaultTiming(), now, now)
+		next.SetQueueConfig(simQueueConfig())
+		next.SetCell(Cell{Index: 0, Count: 3})
+		require.NoError(t, next.Restore(records[len(records)-1], now))
+		next.SetPeers(map[int]Load{1: load})
+		for _, id := range next.WorkerIDs() {
+			next.SetWorker(WorkerInfo{ID: id, Address: id, Service: "pool", Incarnation: 1, Capacity: size}, now)
+			var rows []RunningRow
+			for _, r := range sortedRuns(next.workers[id].runs) {
+				rows = append(rows, RunningRow{Task: r.task.name(), Run: r.number})
+			}
+			next.ApplyReport(id, Report{Incarnation: 1, Clock: time.Hour, Running: rows}, now, now)
+		}
+		for end := now.Add(term); now.Before(end); now = now.Add(cellsTick) {
+			next.Plan(now)
+			changes, err := next.TakeChanges(20, now)
+			require.NoError(t, err)
+			for _, r := range changes.Records {
+				delegated = delegated || r.Delegation != nil
+			}
+			next.Committed(changes)
+		}
+	}
+	require.True(t, delegated, "the task waits in the full cell")
+}
--- a/internal/batch/delegate.go
+++ b/internal/batch/delegate.go
@@ -23,6 +23,10 @@
 // The platform allows 3 s if another cell has free capacity for it.
 const stuckAfter = 2 * time.Second
 
+// lostBeforeAfter takes the place of both for a task that lost its run in an earlier term: terms may be
+// shorter than these times. Meanwhile this leader contacts its workers, and reserves one for the task if it can.
+const lostBeforeAfter = 500 * time.Millisecond
+
 // delegatedSuffix distinguishes the ID of delegated tasks from the ID of their job, for which the
 // same cell may have a forwarding record.
 const delegatedSuffix = "/loan"
@@ -181,7 +185,7 @@
 func (c *Core) delegateStarved(s *stage, now time.Time) {
 	var starved []*task
 	for _, t := range s.tasks {
-		if t.state == taskQueued && len(t.runs) == 0 && now.Sub(t.queuedAt) >= starvedAfter {
+		if t.state == taskQueued && len(t.runs) == 0 && t.hasWaited(starvedAfter, now) {
 			starved = append(starved, t)
 		}
 	}
@@ -201,12 +205,20 @@
 	c.delegate(s, starved[:min(len(starved), fitting)], to, now)
 }
 
+// hasWaited reports whether a queued task has waited long enough to be delegated.
+func (t *task) hasWaited(limit time.Duration, now time.Time) bool {
+	if t.lastRun > 0 && t.queuedAt.Equal(t.stage.job.restoredAt) {
+		limit = lostBeforeAfter
+	}
+	return now.Sub(t.queuedAt) >= limit
+}
+
 // delegateLost delegates the starved tasks of a stage that have lost their runs and for which this cell
 // cannot reserve a worker. Since lost tasks go ahead of the backlog in the other cell, that need not
 // have free capacity beyond its backlog.
 func (c *Core) delegateLost(s *stage, starved []*task, now time.Time) {
 	lost := slices.DeleteFunc(starved, func(t *task) bool {
-		return t.lastRun == 0 || now.Sub(t.queuedAt) < stuckAfter || c.hasReserved(t)
+		return t.lastRun == 0 || !t.hasWaited(stuckAfter, now) || c.hasReserved(t)
 	})
 	if len(lost) == 0 {
 		return
