The test of stalled leaders waits for its submissions

Cause: TestStalledLeaderStartsNoTaskTwice starts a submission beside the freeze of each leader, which adds its job to a list, and reads the list 20 s later without waiting for that goroutine. The fault is in the test alone. Evidence: go test -race reported it once in five runs of the package (for_longer_than_the_lease_of_runs: read in takeover_test.go:237, write at 209), and in 1 of 40 runs of the test. Change: the test waits for these submissions before it gives the jobs their 20 s, so that a job accepted late is checked as well, with the same time to end. Result: no report in 200 runs of the test with the race detector; the package passes without it.

--- a/internal/scheduler/takeover_test.go
+++ b/internal/scheduler/takeover_test.go
@@ -199,8 +199,9 @@
 				}
 				time.Sleep(2 * time.Second)
 				var (
-					mu   sync.Mutex
-					jobs []string
+					mu       sync.Mutex
+					jobs     []string
+					inFlight sync.WaitGroup
 				)
 				submitThrough := func(node *Scheduler, id int) {
 					if submit(node, testJob(id, 3)) == nil {
@@ -220,7 +221,8 @@
 						submitThrough(cl.nodes[name], 100*turn+i)
 						time.Sleep(time.Duration(7*turn+13) * time.Millisecond)
 					}
-					go submitThrough(cl.nodes[name], 100*turn+90)
+					frozen := cl.nodes[name]
+					inFlight.Go(func() { submitThrough(frozen, 100*turn+90) })
 					time.Sleep(time.Duration(turn) * time.Millisecond)
 					thaw := cl.freeze(name)
 					time.Sleep(c.stall / 2)
@@ -233,6 +235,7 @@
 					thaw()
 					time.Sleep(3 * time.Second)
 				}
+				inFlight.Wait()
 				time.Sleep(20 * time.Second)
 				require.NotEmpty(t, jobs)
 				for _, id := range jobs {
