One reading of bounded fields for release notes and experiments

Cause: internal/laboratory read durations, numbers and sizes between two bounds with a copy of the functions of pkg/release. Change: they are methods of jsonc.Object; the text of the faults is the same. Measured: the tests of pkg/release, internal/jsonc, internal/laboratory and cmd/pondctl pass.

--- a/internal/batch/reserve.go
+++ b/internal/batch/reserve.go
@@ -15,8 +15,8 @@
 
 const (
 	// reserveAfter is how long a long-running task waits after its last run before a worker is
-	// reserved for it, unless it has waited since an earlier term. The platform allows 6 s between two runs, and most other tasks end within
-	// two.
+	// reserved for it, waits in earlier terms and in other cells included. The platform allows 6 s
+	// between two runs, and most other tasks end within two.
 	reserveAfter = 1500 * time.Millisecond
 	// reserveEvery is how often workers are searched for reservations. A search checks each worker.
 	reserveEvery = 200 * time.Millisecond
--- a/internal/laboratory/parse.go
+++ b/internal/laboratory/parse.go
@@ -1,7 +1,6 @@
 package laboratory
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -51,8 +50,8 @@
 
 func (p *parser) experiment(o *jsonc.Object) *Experiment {
 	e := &Experiment{Name: o.String("name")}
-	e.Duration = durationIn(o, "duration", time.Minute, time.Second, maxDay)
-	e.Settle = durationIn(o, "settle", 14*time.Second, 0, maxDay)
+	e.Duration = o.DurationIn("duration", time.Minute, time.Second, maxDay)
+	e.Settle = o.DurationIn("settle", 14*time.Second, 0, maxDay)
 	e.Seeds = seeds(o)
 	e.Pool = each(o, "pool", p.group)
 	e.Queues = each(o, "queues", p.queue)
@@ -68,10 +67,10 @@
 		e.Policies = []Policy{DefaultPolicy("default")}
 	}
 	if len(e.Policies) == 0 {
-		faultAt(o, "policies", "is empty")
+		o.FaultAt("policies", "is empty")
 	}
 	if len(e.Pool) == 0 {
-		faultAt(o, "pool", "names no workers")
+		o.FaultAt("pool", "names no workers")
 	}
 	if len(e.Services)+len(e.Jobs) == 0 {
 		o.Value().Faultf("has neither jobs nor services")
@@ -82,8 +81,8 @@
 
 func seeds(o *jsonc.Object) []uint64 {
 	s := o.Object("seeds")
-	first := intIn(s, "first", 1, 0, math.MaxInt32)
-	count := intIn(s, "count", 10, 1, maxSeeds)
+	first := s.IntIn("first", 1, 0, math.MaxInt32)
+	count := s.IntIn("count", 10, 1, maxSeeds)
 	s.Close()
 	var all []uint64
 	for i := range count {
@@ -97,26 +96,26 @@
 		Name:     newName(o, p.groups),
 		Workers:  int(requiredIn(o, "workers", 1, maxWorkers)),
 		Capacity: size(o),
-		Racks:    int(intIn(o, "racks", 1, 1, maxWorkers)),
-		Joins:    durationIn(o, "joins", 0, 0, maxDay),
+		Racks:    int(o.IntIn("racks", 1, 1, maxWorkers)),
+		Joins:    o.DurationIn("joins", 0, 0, maxDay),
 	}
 }
 
 func (p *parser) queue(o *jsonc.Object) batch.Queue {
 	return batch.Queue{
-		Name: newName(o, p.queues), Priority: int(intIn(o, "priority", 0, 0, maxNumber)), Attempts: int(intIn(o, "attempts", 0, 0, maxNumber)),
-		Slack: floatIn(o, "slack", 2, 0, maxNumber), Target: durationIn(o, "target", time.Second, 0, maxDay),
+		Name: newName(o, p.queues), Priority: int(o.IntIn("priority", 0, 0, maxNumber)), Attempts: int(o.IntIn("attempts", 0, 0, maxNumber)),
+		Slack: o.FloatIn("slack", 2, 0, maxNumber), Target: o.DurationIn("target", time.Second, 0, maxDay),
 	}
 }
 
 func (p *parser) service(o *jsonc.Object) Service {
 	s := Service{
 		Name: newName(o, p.names), Queue: known(o, "queue", p.queues), Tasks: int(requiredIn(o, "tasks", 1, maxTasks)), Size: size(o),
-		TailTarget: durationIn(o, "tailTarget", 20*time.Millisecond, time.Millisecond, time.Minute), Baseline: floatIn(o, "baseline", 2.2, 0.1, maxNumber),
-		Swing: floatIn(o, "swing", 0, 0, maxNumber), Period: durationIn(o, "period", 10*time.Second, tick, maxDay), Use: floatIn(o, "use", 0.45, 0, 1),
-		Startup: durationIn(o, "startup", 500*time.Millisecond, 0, time.Hour), MaxUnavailable: int(intIn(o, "maxUnavailable", 0, 0, maxTasks)),
-		MaxPerWorker: int(intIn(o, "maxPerWorker", 0, 0, maxTasks)),
-		Worth:        floatIn(o, "worth", 1, 0, maxNumber),
+		TailTarget: o.DurationIn("tailTarget", 20*time.Millisecond, time.Millisecond, time.Minute), Baseline: o.FloatIn("baseline", 2.2, 0.1, maxNumber),
+		Swing: o.FloatIn("swing", 0, 0, maxNumber), Period: o.DurationIn("period", 10*time.Second, tick, maxDay), Use: o.FloatIn("use", 0.45, 0, 1),
+		Startup: o.DurationIn("startup", 500*time.Millisecond, 0, time.Hour), MaxUnavailable: int(o.IntIn("maxUnavailable", 0, 0, maxTasks)),
+		MaxPerWorker: int(o.IntIn("maxPerWorker", 0, 0, maxTasks)),
+		Worth:        o.FloatIn("worth", 1, 0, maxNumber),
 	}
 	s.Image = stringOr(o, "image", s.Name)
 	p.serving[s.Image] = true
@@ -125,15 +124,15 @@
 
 func (p *parser) jobKind(o *jsonc.Object, day time.Duration) JobKind {
 	k := JobKind{
-		Name: newName(o, p.names), Queue: known(o, "queue", p.queues), PerSecond: floatIn(o, "perSecond", 1, 0, maxNumber),
-		From: durationIn(o, "from", 0, 0, day), Until: durationIn(o, "until", day, 0, day),
-		LateWorth: floatIn(o, "lateWorth", 0.3, 0, 1), Worth: floatIn(o, "worth", 1, 0, maxNumber),
+		Name: newName(o, p.names), Queue: known(o, "queue", p.queues), PerSecond: o.FloatIn("perSecond", 1, 0, maxNumber),
+		From: o.DurationIn("from", 0, 0, day), Until: o.DurationIn("until", day, 0, day),
+		LateWorth: o.FloatIn("lateWorth", 0.3, 0, 1), Worth: o.FloatIn("worth", 1, 0, maxNumber),
 	}
 	k.LeastDeclared, k.MostDeclared = numbers(o, "declared", 1, 1, 0.01, 100)
 	steps := map[string]int{}
 	k.Steps = each(o, "steps", func(o *jsonc.Object) Step { return p.step(o, k.Name, steps) })
 	if len(k.Steps) == 0 {
-		faultAt(o, "steps", "is empty")
+		o.FaultAt("steps", "is empty")
 	}
 	return k
 }
@@ -148,11 +147,11 @@
 	p.images[s.Image] = true
 	least, most := numbers(o, "tasks", 1, 1, 1, maxTasks)
 	if least != math.Floor(least) || most != math.Floor(most) {
-		faultAt(o, "tasks", "is not a whole number")
+		o.FaultAt("tasks", "is not a whole number")
 	}
 	s.LeastTasks, s.MostTasks = int(least), int(most)
 	s.LeastTime, s.MostTime = times(o, "runTime")
-	s.MaxPerWorker = int(intIn(o, "maxPerWorker", 0, 0, maxTasks))
+	s.MaxPerWorker = int(o.IntIn("maxPerWorker", 0, 0, maxTasks))
 	for _, v := range o.List("after") {
 		name, isText := v.Text()
 		i, declared := steps[name]
@@ -166,20 +165,20 @@
 }
 
 func (p *parser) pair(o *jsonc.Object) Pair {
-	return Pair{Serving: known(o, "service", p.serving), Beside: known(o, "image", p.images), Loss: floatIn(o, "loses", 0, 0, maxNumber)}
+	return Pair{Serving: known(o, "service", p.serving), Beside: known(o, "image", p.images), Loss: o.FloatIn("loses", 0, 0, maxNumber)}
 }
 
 func disruption(o *jsonc.Object, end time.Duration) Disruption {
 	all := []DisruptionKind{Leave, Crash, Silent, Shrink, LeaderChange, StoreSlow, StoreAway}
-	d := Disruption{Kind: DisruptionKind(o.String("kind")), At: durationIn(o, "at", 0, 0, end), For: durationIn(o, "for", 2*time.Second, tick, maxDay)}
+	d := Disruption{Kind: DisruptionKind(o.String("kind")), At: o.DurationIn("at", 0, 0, end), For: o.DurationIn("for", 2*time.Second, tick, maxDay)}
 	if o.Has("kind") && !slices.Contains(all, d.Kind) {
-		faultAt(o, "kind", "%.80q is not one of %v", d.Kind, all)
+		o.FaultAt("kind", "%.80q is not one of %v", d.Kind, all)
 	}
 	if d.Kind.hitsWorkers() {
-		d.Workers = int(intIn(o, "workers", 1, 1, maxWorkers))
+		d.Workers = int(o.IntIn("workers", 1, 1, maxWorkers))
 	}
 	if d.Kind == Shrink {
-		d.Left = floatIn(o, "left", 0.5, 0, 1)
+		d.Left = o.FloatIn("left", 0.5, 0, 1)
 	}
 	return d
 }
@@ -191,10 +190,10 @@
 
 func (p *parser) policy(o *jsonc.Object) Policy {
 	policy := DefaultPolicy(newName(o, p.policies))
-	policy.PlanEvery = durationIn(o, "planEvery", policy.PlanEvery, time.Millisecond, time.Minute)
-	policy.PollWait = durationIn(o, "pollWait", policy.PollWait, time.Millisecond, time.Minute)
-	policy.Timing.Lease = durationIn(o, "lease", policy.Timing.Lease, time.Second, time.Minute)
-	policy.Timing.MaxLease = durationIn(o, "maxLease", max(policy.Timing.MaxLease, policy.Timing.Lease), policy.Timing.Lease, time.Hour)
+	policy.PlanEvery = o.DurationIn("planEvery", policy.PlanEvery, time.Millisecond, time.Minute)
+	policy.PollWait = o.DurationIn("pollWait", policy.PollWait, time.Millisecond, time.Minute)
+	policy.Timing.Lease = o.DurationIn("lease", policy.Timing.Lease, time.Second, time.Minute)
+	policy.Timing.MaxLease = o.DurationIn("maxLease", max(policy.Timing.MaxLease, policy.Timing.Lease), policy.Timing.Lease, time.Hour)
 	policy.AllocateFillers = o.BoolOr("allocateFillers", false)
 	policy.Priorities = replacements(o, "priorities", p.queues, maxNumber)
 	policy.Workers = replacements(o, "workers", p.groups, maxWorkers)
@@ -206,9 +205,9 @@
 	values := map[string]int{}
 	r := o.Object(field)
 	for _, name := range r.Names() {
-		values[name] = int(intIn(r, name, 0, 0, most))
+		values[name] = int(r.IntIn(name, 0, 0, most))
 		if !names[name] {
-			faultAt(r, name, "is not declared")
+			r.FaultAt(name, "is not declared")
 		}
 	}
 	return values
@@ -218,9 +217,9 @@
 func size(o *jsonc.Object) share.Resources {
 	cores := 0.0
 	if v, ok := o.Required("processors"); ok {
-		cores = inRange(o, "processors", v.Float(), 0, maxCores)
+		cores = jsonc.InRange(o, "processors", v.Float(), 0, maxCores)
 	}
-	memory := inRange(o, "memory", o.SizeOr("memory", 1<<30), 0, maxMemory)
+	memory := jsonc.InRange(o, "memory", o.SizeOr("memory", 1<<30), 0, maxMemory)
 	return share.Resources{Processors: share.MilliCores(math.Round(float64(cores * 1000))), Memory: share.Bytes(memory)}
 }
 
@@ -231,7 +230,7 @@
 		return least, most
 	}
 	bounds := pairOf(v, jsonc.Value.Float)
-	return inRange(o, field, bounds[0], low, high), inRange(o, field, bounds[1], max(low, bounds[0]), high)
+	return jsonc.InRange(o, field, bounds[0], low, high), jsonc.InRange(o, field, bounds[1], max(low, bounds[0]), high)
 }
 
 // times reads a required duration, or a list of the least and the greatest one.
@@ -241,7 +240,7 @@
 		return time.Millisecond, time.Millisecond
 	}
 	bounds := pairOf(v, jsonc.Value.Duration)
-	return inRange(o, field, bounds[0], time.Millisecond, maxDay), inRange(o, field, bounds[1], max(time.Millisecond, bounds[0]), maxDay)
+	return jsonc.InRange(o, field, bounds[0], time.Millisecond, maxDay), jsonc.InRange(o, field, bounds[1], max(time.Millisecond, bounds[0]), maxDay)
 }
 
 // pairOf reads a list of two values, or a value that stands for both.
@@ -273,7 +272,7 @@
 func newName(o *jsonc.Object, names map[string]bool) string {
 	name := o.String("name")
 	if names[name] && name != "" {
-		faultAt(o, "name", "%.80q stands twice", name)
+		o.FaultAt("name", "%.80q stands twice", name)
 	}
 	names[name] = true
 	return name
@@ -283,7 +282,7 @@
 func known(o *jsonc.Object, field string, names map[string]bool) string {
 	name := o.String(field)
 	if !names[name] && name != "" {
-		faultAt(o, field, "%.80q is not declared", name)
+		o.FaultAt(field, "%.80q is not declared", name)
 	}
 	return name
 }
@@ -300,35 +299,5 @@
 		o.Required(field)
 		return low
 	}
-	return intIn(o, field, low, low, high)
-}
-
-func durationIn(o *jsonc.Object, field string, fallback, low, high time.Duration) time.Duration {
-	return inRange(o, field, o.DurationOr(field, fallback), low, high)
-}
-
-func intIn(o *jsonc.Object, field string, fallback, low, high int64) int64 {
-	return inRange(o, field, o.IntOr(field, fallback), low, high)
-}
-
-func floatIn(o *jsonc.Object, field string, fallback, low, high float64) float64 {
-	return inRange(o, field, o.FloatOr(field, fallback), low, high)
-}
-
-// inRange returns v if it is between low and high; otherwise it records a fault and returns low.
-func inRange[T cmp.Ordered](o *jsonc.Object, field string, v, low, high T) T {
-	if v >= low && v <= high {
-		return v
-	}
-	faultAt(o, field, "is %v, not between %v and %v", v, low, high)
-	return low
-}
-
-// faultAt records a fault at a field, or at the object if the field is left out.
-func faultAt(o *jsonc.Object, field, format string, args ...any) {
-	v, ok := o.Optional(field)
-	if !ok {
-		v = o.Value()
-	}
-	v.Faultf(format, args...)
+	return o.IntIn(field, low, low, high)
 }
--- a/pkg/release/field.go
+++ b/pkg/release/field.go
@@ -1,7 +1,6 @@
 package release
 
 import (
-	"cmp"
 	"math"
 	"regexp"
 	"slices"
@@ -62,7 +61,7 @@
 		Name:      name(o, "name"),
 		Neighbour: name(o, "neighbour"),
 		Quota:     parseResources(o, "quota"),
-		Weight:    int(intIn(o, "weight", 1, 1, maxWeight)),
+		Weight:    int(o.IntIn("weight", 1, 1, maxWeight)),
 	}
 }
 
@@ -73,11 +72,11 @@
 		return share.Resources{}
 	}
 	o := v.Object()
-	cores := floatIn(o, "processors", 0, 0, maxProcessors)
+	cores := o.FloatIn("processors", 0, 0, maxProcessors)
 	r := share.Resources{
 		Processors:   share.MilliCores(math.Round(cores * 1000)),
-		Memory:       share.Bytes(sizeIn(o, "memory", 0, 0, maxMemory)),
-		Accelerators: share.Accelerators(intIn(o, "accelerators", 0, 0, maxAccelerators)),
+		Memory:       share.Bytes(o.SizeIn("memory", 0, 0, maxMemory)),
+		Accelerators: share.Accelerators(o.IntIn("accelerators", 0, 0, maxAccelerators)),
 	}
 	o.Close()
 	if r == (share.Resources{}) {
@@ -95,11 +94,11 @@
 	}
 	objective := o.Object("objective")
 	s.Objective = Objective{
-		Latency: durationIn(objective, "latency", defaultDeadline, minDeadline, maxDeadline),
+		Latency: objective.DurationIn("latency", defaultDeadline, minDeadline, maxDeadline),
 		Ratio:   objective.FloatOr("ratio", defaultObjectiveRatio),
 	}
 	if s.Objective.Ratio <= 0 || s.Objective.Ratio >= 1 {
-		faultAt(objective, "ratio", "is not between 0 and 1, both excluded")
+		objective.FaultAt("ratio", "is not between 0 and 1, both excluded")
 	}
 	objective.Close()
 	s.Routes = parseEach(o, "routes", parseRoute)
@@ -111,18 +110,18 @@
 	r := Route{
 		Path:            o.String("path"),
 		Class:           parseEnum(o, "class", Idempotent, Idempotent, NonIdempotent, Stream),
-		Deadline:        durationIn(o, "deadline", defaultDeadline, minDeadline, maxDeadline),
-		MaxRequest:      share.Bytes(sizeIn(o, "maxRequest", defaultMaxBody, 0, maxBody)),
-		MaxAnswer:       share.Bytes(sizeIn(o, "maxAnswer", defaultMaxBody, 1, maxBody)),
-		Retries:         int(intIn(o, "retries", 0, 0, maxRetries)),
-		HedgeAfter:      durationIn(o, "hedgeAfter", 0, 0, maxDeadline),
-		ProgressTimeout: durationIn(o, "progressTimeout", defaultProgressTimeout, minProgressTimeout, maxProgressTimeout),
+		Deadline:        o.DurationIn("deadline", defaultDeadline, minDeadline, maxDeadline),
+		MaxRequest:      share.Bytes(o.SizeIn("maxRequest", defaultMaxBody, 0, maxBody)),
+		MaxAnswer:       share.Bytes(o.SizeIn("maxAnswer", defaultMaxBody, 1, maxBody)),
+		Retries:         int(o.IntIn("retries", 0, 0, maxRetries)),
+		HedgeAfter:      o.DurationIn("hedgeAfter", 0, 0, maxDeadline),
+		ProgressTimeout: o.DurationIn("progressTimeout", defaultProgressTimeout, minProgressTimeout, maxProgressTimeout),
 	}
 	if r.HedgeAfter > 0 && r.Class != Idempotent {
-		faultAt(o, "hedgeAfter", "only idempotent requests may be sent twice, and this route is %s", r.Class)
+		o.FaultAt("hedgeAfter", "only idempotent requests may be sent twice, and this route is %s", r.Class)
 	}
 	if r.HedgeAfter > 0 && r.HedgeAfter >= r.Deadline {
-		faultAt(o, "hedgeAfter", "is not below the deadline of %v", r.Deadline)
+		o.FaultAt("hedgeAfter", "is not below the deadline of %v", r.Deadline)
 	}
 	return r
 }
@@ -131,7 +130,7 @@
 // overlap.
 func checkRoutes(o *jsonc.Object, routes []Route) {
 	if len(routes) == 0 {
-		faultAt(o, "routes", "a service needs at least one route")
+		o.FaultAt("routes", "a service needs at least one route")
 		return
 	}
 	elements := o.List("routes")
@@ -178,10 +177,10 @@
 		Neighbour:   name(o, "neighbour"),
 		Share:       name(o, "share"),
 		Size:        parseResources(o, "size"),
-		RunTime:     durationIn(o, "runTime", defaultRunTime, minRunTime, maxRunTime),
+		RunTime:     o.DurationIn("runTime", defaultRunTime, minRunTime, maxRunTime),
 		Urgent:      o.BoolOr("urgent", false),
 		Checkpoints: o.BoolOr("checkpoints", false),
-		MaxStarts:   int(intIn(o, "maxStarts", defaultMaxStarts, 1, maxStarts)),
+		MaxStarts:   int(o.IntIn("maxStarts", defaultMaxStarts, 1, maxStarts)),
 	}
 }
 
@@ -191,12 +190,12 @@
 		Yields:           name(o, "yields"),
 		To:               name(o, "to"),
 		Limit:            parseEnum(o, "limit", share.YieldThrottle, share.YieldThrottle, share.YieldCheckpoint, share.YieldEvict),
-		MinRunTime:       durationIn(o, "minRunTime", defaultMinRunTime, 0, maxRunTime),
-		EvictionsPerHour: int(intIn(o, "evictionsPerHour", defaultEvictions, 0, maxEvictions)),
-		TailWeight:       floatIn(o, "tailWeight", defaultTailWeight, 0, 1),
+		MinRunTime:       o.DurationIn("minRunTime", defaultMinRunTime, 0, maxRunTime),
+		EvictionsPerHour: int(o.IntIn("evictionsPerHour", defaultEvictions, 0, maxEvictions)),
+		TailWeight:       o.FloatIn("tailWeight", defaultTailWeight, 0, 1),
 	}
 	if r.Yields == r.To && r.To != "" {
-		faultAt(o, "to", "a share cannot yield to itself")
+		o.FaultAt("to", "a share cannot yield to itself")
 	}
 	return r
 }
@@ -214,41 +213,3 @@
 	}
 	return T(s)
 }
-
-// durationIn reads an optional duration between low and high.
-func durationIn(o *jsonc.Object, field string, fallback, low, high time.Duration) time.Duration {
-	return inRange(o, field, o.DurationOr(field, fallback), low, high)
-}
-
-// intIn reads an optional whole number between low and high.
-func intIn(o *jsonc.Object, field string, fallback, low, high int64) int64 {
-	return inRange(o, field, o.IntOr(field, fallback), low, high)
-}
-
-// sizeIn reads an optional size in bytes between low and high.
-func sizeIn(o *jsonc.Object, field string, fallback, low, high int64) int64 {
-	return inRange(o, field, o.SizeOr(field, fallback), low, high)
-}
-
-// floatIn reads an optional number between low and high.
-func floatIn(o *jsonc.Object, field string, fallback, low, high float64) float64 {
-	return inRange(o, field, o.FloatOr(field, fallback), low, high)
-}
-
-// inRange returns v if it is between low and high; otherwise it records a fault and returns low.
-func inRange[T cmp.Ordered](o *jsonc.Object, field string, v, low, high T) T {
-	if v >= low && v <= high {
-		return v
-	}
-	faultAt(o, field, "is %v, not between %v and %v", v, low, high)
-	return low
-}
-
-// faultAt records a fault at a field, or at the object if the field is left out.
-func faultAt(o *jsonc.Object, field, format string, args ...any) {
-	v, ok := o.Optional(field)
-	if !ok {
-		v = o.Value()
-	}
-	v.Faultf(format, args...)
-}
