One reading of lists of objects, one way to lose a task in tests

Cause: internal/laboratory wrote again what pkg/release and internal/replay each had; five tests of cells lost a task in the same five lines. Change: jsonc.Each and loseFirstTask; all assertions and faults are as they were.

--- a/internal/batch/cells_test.go
+++ b/internal/batch/cells_test.go
@@ -386,11 +386,7 @@
 	now := time.Unix(1_000_000_000, 0)
 	first := firstCellCore(t, now)
 	j := longRunningJob(t, 4)
-	require.NoError(t, first.Submit(j, now, nil))
-	first.Plan(now)
-	lost := commitAndStart(t, first, now)[TaskName{Job: j.ID}]
-	first.RemoveWorker(lost.Worker)
-	first.PollFailed(lost.Worker, AnswerWrongIncarnation, now, now)
+	loseFirstTask(t, first, j, now)
 	_, records := commitAll(t, first, now)
 	size := share.Resources{Processors: 4000, Memory: 8 << 30}
 	delegated := false
--- a/internal/batch/delegate_test.go
+++ b/internal/batch/delegate_test.go
@@ -240,11 +240,7 @@
 	now := time.Unix(1_000_000_000, 0)
 	first := firstCellCore(t, now)
 	j := longRunningJob(t, 4)
-	require.NoError(t, first.Submit(j, now, nil))
-	first.Plan(now)
-	lost := commitAndStart(t, first, now)[TaskName{Job: j.ID}]
-	first.RemoveWorker(lost.Worker)
-	first.PollFailed(lost.Worker, AnswerWrongIncarnation, now, now)
+	lost := loseFirstTask(t, first, j, now)
 	now = now.Add(reserveAfter)
 	first.SetPeers(map[int]Load{1: {Capacity: 16_000, Free: 16_000, LargestFree: 4000}})
 	first.Plan(now)
--- a/internal/batch/delegatelost_test.go
+++ b/internal/batch/delegatelost_test.go
@@ -17,11 +17,7 @@
 	room := Load{Capacity: 16_000, Free: -16_000, LargestFree: 4000, FreeForLost: []share.Resources{size, size, size}}
 	core := firstCellCore(t, now)
 	j := longRunningJob(t, 4)
-	require.NoError(t, core.Submit(j, now, nil))
-	core.Plan(now)
-	lost := commitAndStart(t, core, now)[TaskName{Job: j.ID}]
-	core.RemoveWorker(lost.Worker)
-	core.PollFailed(lost.Worker, AnswerWrongIncarnation, now, now)
+	loseFirstTask(t, core, j, now)
 	take := func(c *Core, to int, load Load) []byte {
 		c.Plan(now)
 		commitAndStart(t, c, now)
@@ -71,11 +67,7 @@
 	load.Free = -100000
 	core := firstCellCore(t, now)
 	j := longRunningJob(t, 4)
-	require.NoError(t, core.Submit(j, now, nil))
-	core.Plan(now)
-	lost := commitAndStart(t, core, now)[TaskName{Job: j.ID}]
-	core.RemoveWorker(lost.Worker)
-	core.PollFailed(lost.Worker, AnswerWrongIncarnation, now, now)
+	loseFirstTask(t, core, j, now)
 	core.SetPeers(map[int]Load{1: load})
 	now = now.Add(stuckAfter)
 	core.Plan(now)
@@ -96,11 +88,7 @@
 	core.SetWorker(WorkerInfo{ID: "a", Address: "a", Service: "pool", Incarnation: 1, Labels: []string{"gpu"}, Capacity: share.Resources{Processors: 4000, Memory: 8 << 30}}, now)
 	core.ApplyReport("a", Report{Incarnation: 1, Clock: time.Hour}, now, now)
 	j := homeJob(t, 0, Step{Tasks: 1, Size: size, LongRunning: true, RequiredLabel: "gpu"})
-	require.NoError(t, core.Submit(j, now, nil))
-	core.Plan(now)
-	lost := commitAndStart(t, core, now)[TaskName{Job: j.ID}]
-	core.RemoveWorker(lost.Worker)
-	core.PollFailed(lost.Worker, AnswerWrongIncarnation, now, now)
+	loseFirstTask(t, core, j, now)
 	// The labelled worker of the other cell is full with long-running tasks, and so not among these.
 	core.SetPeers(map[int]Load{1: {Capacity: 12000, Free: -50000, Labels: map[string]int{"gpu": 1}, FreeForLost: []share.Resources{
 		{Processors: 4000, Memory: 8 << 30}, {Processors: 4000, Memory: 8 << 30}, {},
@@ -113,3 +101,14 @@
 		require.Nil(t, r.Delegation, "delegated to a cell whose workers with the label are full")
 	}
 }
+
+// loseFirstTask submits a job, starts its tasks, and loses the worker of the first one. It returns the start of that task.
+func loseFirstTask(t *testing.T, core *Core, j Job, now time.Time) Call {
+	t.Helper()
+	require.NoError(t, core.Submit(j, now, nil))
+	core.Plan(now)
+	lost := commitAndStart(t, core, now)[TaskName{Job: j.ID}]
+	core.RemoveWorker(lost.Worker)
+	core.PollFailed(lost.Worker, AnswerWrongIncarnation, now, now)
+	return lost
+}
--- a/internal/laboratory/parse.go
+++ b/internal/laboratory/parse.go
@@ -53,16 +53,16 @@
 	e.Duration = o.DurationIn("duration", time.Minute, time.Second, maxDay)
 	e.Settle = o.DurationIn("settle", 14*time.Second, 0, maxDay)
 	e.Seeds = seeds(o)
-	e.Pool = each(o, "pool", p.group)
-	e.Queues = each(o, "queues", p.queue)
-	e.Services = each(o, "services", p.service)
-	e.Jobs = each(o, "jobs", func(o *jsonc.Object) JobKind { return p.jobKind(o, e.Duration) })
+	e.Pool = jsonc.Each(o, "pool", p.group)
+	e.Queues = jsonc.Each(o, "queues", p.queue)
+	e.Services = jsonc.Each(o, "services", p.service)
+	e.Jobs = jsonc.Each(o, "jobs", func(o *jsonc.Object) JobKind { return p.jobKind(o, e.Duration) })
 	interference := o.Object("interference")
 	e.LeastLoss, e.MostLoss = numbers(interference, "drawn", 0, 0, 0, maxNumber)
-	e.Pairs = each(interference, "pairs", p.pair)
+	e.Pairs = jsonc.Each(interference, "pairs", p.pair)
 	interference.Close()
-	e.Disruptions = each(o, "disruptions", func(o *jsonc.Object) Disruption { return disruption(o, e.Duration+e.Settle) })
-	e.Policies = each(o, "policies", p.policy)
+	e.Disruptions = jsonc.Each(o, "disruptions", func(o *jsonc.Object) Disruption { return disruption(o, e.Duration+e.Settle) })
+	e.Policies = jsonc.Each(o, "policies", p.policy)
 	if !o.Has("policies") {
 		e.Policies = []Policy{DefaultPolicy("default")}
 	}
@@ -130,7 +130,7 @@
 	}
 	k.LeastDeclared, k.MostDeclared = numbers(o, "declared", 1, 1, 0.01, 100)
 	steps := map[string]int{}
-	k.Steps = each(o, "steps", func(o *jsonc.Object) Step { return p.step(o, k.Name, steps) })
+	k.Steps = jsonc.Each(o, "steps", func(o *jsonc.Object) Step { return p.step(o, k.Name, steps) })
 	if len(k.Steps) == 0 {
 		o.FaultAt("steps", "is empty")
 	}
@@ -257,17 +257,6 @@
 	return [2]T{read(elements[0]), read(elements[1])}
 }
 
-// each reads the objects of an optional list.
-func each[T any](o *jsonc.Object, field string, parse func(*jsonc.Object) T) []T {
-	var all []T
-	for _, v := range o.List(field) {
-		element := v.Object()
-		all = append(all, parse(element))
-		element.Close()
-	}
-	return all
-}
-
 // newName reads a name and adds it to the names.
 func newName(o *jsonc.Object, names map[string]bool) string {
 	name := o.String("name")
--- a/internal/replay/parse.go
+++ b/internal/replay/parse.go
@@ -21,13 +21,13 @@
 		MeasureFrom: o.Duration("measureFrom"),
 		Window:      o.Duration("window"),
 		Lag:         o.Duration("lag"),
-		Fleets:      readList(o, "fleets", readFleet),
-		Services:    readList(o, "services", readService),
-		Loads:       readList(o, "loads", readLoad),
-		Families:    readList(o, "families", readFamily),
-		Slowdowns:   readList(o, "slowdowns", readSlowdown),
-		Users:       readList(o, "users", readUser),
-		Submissions: readList(o, "submissions", readSubmission),
+		Fleets:      jsonc.Each(o, "fleets", readFleet),
+		Services:    jsonc.Each(o, "services", readService),
+		Loads:       jsonc.Each(o, "loads", readLoad),
+		Families:    jsonc.Each(o, "families", readFamily),
+		Slowdowns:   jsonc.Each(o, "slowdowns", readSlowdown),
+		Users:       jsonc.Each(o, "users", readUser),
+		Submissions: jsonc.Each(o, "submissions", readSubmission),
 	}
 	wave := o.Object("wave")
 	t.Wave = Wave{From: wave.DurationOr("from", 0), To: wave.DurationOr("to", 0)}
@@ -44,17 +44,6 @@
 	return t, doc.Err()
 }
 
-// readList reads a list of objects.
-func readList[T any](o *jsonc.Object, name string, read func(*jsonc.Object) T) []T {
-	var all []T
-	for _, v := range o.List(name) {
-		element := v.Object()
-		all = append(all, read(element))
-		element.Close()
-	}
-	return all
-}
-
 func readResources(o *jsonc.Object) share.Resources {
 	r := share.Resources{
 		Processors:   share.MilliCores(o.FloatOr("processors", 0) * 1000),
--- a/pkg/release/field.go
+++ b/pkg/release/field.go
@@ -101,7 +101,7 @@
 		objective.FaultAt("ratio", "is not between 0 and 1, both excluded")
 	}
 	objective.Close()
-	s.Routes = parseEach(o, "routes", parseRoute)
+	s.Routes = jsonc.Each(o, "routes", parseRoute)
 	checkRoutes(o, s.Routes)
 	return s
 }
--- a/pkg/release/parse.go
+++ b/pkg/release/parse.go
@@ -42,7 +42,7 @@
 	c := Config{
 		Revision:     root.IntOr("revision", 0),
 		Declarations: p.declarations(root.Object("declarations"), ActionAdd),
-		Origins:      parseEach(root, "origins", parseOrigin),
+		Origins:      jsonc.Each(root, "origins", parseOrigin),
 	}
 	root.Close()
 	if err := doc.Err(); err != nil {
@@ -107,23 +107,13 @@
 }
 
 func parseKind[T any](p *parser, o *jsonc.Object, a Action, kind Kind, parse func(*jsonc.Object) T) []T {
-	return parseEach(o, listName(kind), func(e *jsonc.Object) T {
+	return jsonc.Each(o, listName(kind), func(e *jsonc.Object) T {
 		d := parse(e)
 		p.addEntry(Entry{Action: a, Kind: kind, Name: nameOf(d)}, e.Value())
 		return d
 	})
 }
 
-func parseEach[T any](o *jsonc.Object, list string, parse func(*jsonc.Object) T) []T {
-	var all []T
-	for _, v := range o.List(list) {
-		e := v.Object()
-		all = append(all, parse(e))
-		e.Close()
-	}
-	return all
-}
-
 func (p *parser) withdrawals(o *jsonc.Object) []Withdrawal {
 	var all []Withdrawal
 	for _, k := range kindLists {
