--- /dev/null
+++ b/review/standin-2/scenarios.go
@@ -0,0 +1,319 @@
+//go:build review2
+
+package main
+
+import (
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/oriolepond/oriolepond/platform/standin"
+)
+
+// wholeRunner is what a runner of the polishing shop has: 32 cores, 125 GB.
+var wholeRunner = size{cpu: 32000, memMB: 125000}
+
+// jobID returns the ID of the n-th job of a kind.
+func jobID(kind, n int) string { return fmt.Sprintf("%08x%08x", 0xa0000000+kind, n) }
+
+// runnerID returns the ID of the i-th runner. The IDs rise.
+func runnerID(i int) string { return fmt.Sprintf("i-%08x", 0x51c30000+i*7919) }
+
+var (
+	errNotStarted = errors.New("the tasks did not start in time")
+	errNoAnswer   = errors.New("the runner answered no hold in time")
+)
+
+// firstTasks is the number of tasks of the first job.
+const firstTasks = 4
+
+// start starts runners and the nodes. The first runners are of the special kinds, the others of the kind "a".
+func (d *deployment) start(runners int, special ...string) error {
+	for i := range runners {
+		kind := "a"
+		if i < len(special) {
+			kind = special[i]
+		}
+		if _, err := d.addRunner(runnerID(i), kind, wholeRunner); err != nil {
+			return err
+		}
+	}
+	if err := d.startNodes(); err != nil {
+		return err
+	}
+	// A first job shows that the leader serves and knows the runners.
+	id := jobID(0, 1)
+	if err := d.submit(id, step{count: firstTasks, size: size{cpu: 1000, memMB: 100}, duration: 100 * time.Millisecond}); err != nil {
+		return err
+	}
+	if !await(readyTimeout, func() bool { return d.state(id) == "completed" }) {
+		return errNotStarted
+	}
+	return nil
+}
+
+// formerLifetime: a runner crashes and starts again under its id. An answer that its former lifetime has given
+// arrives after answers of the new one.
+func formerLifetime(d *deployment, trouble bool) ([]string, error) {
+	const (
+		runners   = 8
+		watches   = 24
+		jobs      = 40
+		every     = 250 * time.Millisecond
+		crashAt   = 6 * time.Second
+		downFor   = 500 * time.Millisecond
+		underWay  = 1400 * time.Millisecond
+		answerFor = 3 * time.Second
+	)
+	if err := d.start(runners); err != nil {
+		return nil, err
+	}
+	w := d.runners[0]
+	var late atomic.Bool
+	answered := make(chan struct{}, 1)
+	w.lateAnswer = func(lifetime int) time.Duration {
+		if lifetime != 1 || !late.CompareAndSwap(true, false) {
+			return 0
+		}
+		answered <- struct{}{}
+		return underWay
+	}
+	if err := d.submit(jobID(2, 1), step{count: watches, size: size{cpu: 4000, memMB: 500}, lasts: true}); err != nil {
+		return nil, err
+	}
+	crashed := make(chan error, 1)
+	crashed <- nil
+	if trouble {
+		<-crashed
+		time.AfterFunc(crashAt, func() {
+			late.Store(true)
+			select {
+			case <-answered:
+			case <-time.After(answerFor):
+				crashed <- errNoAnswer
+				return
+			}
+			w.crash(false)
+			time.Sleep(downFor)
+			w.start("a", wholeRunner, 0)
+			crashed <- nil
+		})
+	}
+	for n := range jobs {
+		if err := d.submit(jobID(1, n), step{count: 6, size: size{cpu: 2300, memMB: 500}, duration: 800 * time.Millisecond}); err != nil {
+			return nil, err
+		}
+		time.Sleep(every)
+	}
+	for n := range jobs {
+		await(readyTimeout, func() bool { return d.state(jobID(1, n)) == "completed" })
+	}
+	return d.ledger.checkTwice(), <-crashed
+}
+
+// manyEnds: the store is down while more tasks end on a runner than it lists at once.
+func manyEnds(d *deployment, trouble bool) ([]string, error) {
+	const (
+		tasks    = 1800
+		duration = 5 * time.Second
+		downAt   = 4 * time.Second // After the first start.
+		downFor  = 4500 * time.Millisecond
+	)
+	if err := d.start(2); err != nil {
+		return nil, err
+	}
+	id := jobID(1, 1)
+	if err := d.submit(id, step{count: tasks, size: size{cpu: 30, memMB: 50}, duration: duration}); err != nil {
+		return nil, err
+	}
+	running := func() int {
+		sum := 0
+		for _, r := range d.runners {
+			_, n := r.runs("")
+			sum += n
+		}
+		return sum
+	}
+	if !await(readyTimeout, func() bool { return running() > 0 }) {
+		return nil, errNotStarted
+	}
+	first := time.Now()
+	if !await(downAt, func() bool { return running() == tasks }) {
+		return nil, errNotStarted
+	}
+	d.record.add("all tasks run")
+	if trouble {
+		time.Sleep(time.Until(first.Add(downAt)))
+		d.record.add("the store is down")
+		d.store.SetModePausingLeases(standin.Unresponsive)
+		time.Sleep(downFor)
+		d.store.SetMode(standin.Serving)
+		d.record.add("the store is back")
+	}
+	await(readyTimeout, func() bool { return d.state(id) == "completed" })
+	time.Sleep(2 * time.Second)
+	return d.ledger.checkTwice(), nil
+}
+
+// otherKind: a runner crashes and starts again under its id as one of another kind. Its entry in the store follows
+// at its first heartbeat.
+func otherKind(d *deployment, trouble bool) ([]string, error) {
+	const (
+		jobs       = 30
+		every      = 300 * time.Millisecond
+		crashAt    = 3 * time.Second
+		downFor    = time.Second
+		entryAfter = 750 * time.Millisecond
+	)
+	if err := d.start(8, "b"); err != nil {
+		return nil, err
+	}
+	w := d.runners[0]
+	if trouble {
+		time.AfterFunc(crashAt, func() {
+			w.crash(false)
+			time.Sleep(downFor)
+			w.start("a", wholeRunner, entryAfter)
+		})
+	}
+	for n := range jobs {
+		if err := d.submit(jobID(1, n), step{count: 4, size: size{cpu: 2300, memMB: 500}, duration: 400 * time.Millisecond, label: "b"}); err != nil {
+			return nil, err
+		}
+		time.Sleep(every)
+	}
+	time.Sleep(3 * time.Second)
+	var breaks []string
+	for n := range jobs {
+		for i := range 4 {
+			task := fmt.Sprintf("%s.0.0.%d", jobID(1, n), i)
+			for _, r := range d.ledger.runsOf(task) {
+				if r.kind != "b" {
+					breaks = append(breaks, fmt.Sprintf("ROUTE: %s run %d, whose step requires the label b, starts on %s of kind %s at %s",
+						task, r.run, r.runner, r.kind, d.record.at(r.from)))
+				}
+			}
+		}
+	}
+	return breaks, nil
+}
+
+// failingRunner: a runner fails all that it starts for some seconds. It is the only one with a label that tasks which
+// last require.
+func failingRunner(d *deployment, trouble bool) ([]string, error) {
+	const (
+		runners = 12
+		jobs    = 4
+		tasks   = 4
+		every   = time.Second
+		failFor = 6500 * time.Millisecond
+		// The rule holds in the last 3 s of 7 calm ones, and from 6 s after the last run.
+		bound = 9 * time.Second
+		limit = 45 * time.Second
+	)
+	if err := d.start(runners, "b"); err != nil {
+		return nil, err
+	}
+	w := d.runners[0]
+	began := time.Now()
+	if trouble {
+		w.setFailing(true)
+	}
+	for n := range jobs {
+		if err := d.submit(jobID(1, n), step{count: tasks, size: size{cpu: 900, memMB: 500}, label: "b", lasts: true}); err != nil {
+			return nil, err
+		}
+		time.Sleep(every)
+	}
+	time.Sleep(time.Until(began.Add(failFor)))
+	if trouble {
+		w.setFailing(false)
+	}
+	sound := time.Now()
+	missing := func() string {
+		for n := range jobs {
+			for i := range tasks {
+				if task := fmt.Sprintf("%s.0.0.%d", jobID(1, n), i); !d.ledger.isRunning(task) {
+					return task
+				}
+			}
+		}
+		return ""
+	}
+	if await(bound, func() bool { return missing() == "" }) {
+		return nil, nil
+	}
+	task := missing()
+	await(limit-bound, func() bool { return missing() == "" })
+	return []string{fmt.Sprintf("LOST: %s, which lasts, has no run %v after its runner is sound again, which has room for all; all run after %.1f s",
+		task, bound, time.Since(sound).Seconds())}, nil
+}
+
+// largeGang: gangs come to a queue with an adviser that allows every sixth runner; among them large ones that come at
+// once.
+func largeGang(d *deployment, trouble bool) ([]string, error) {
+	const (
+		runners    = 120
+		allowEvery = 6 // 20 runners, five of any 30 that follow one another.
+		small      = 10
+		smallTasks = 4
+		every      = 1500 * time.Millisecond
+		largeAfter = 3
+		large      = 2
+		largeTasks = 8
+		duration   = 500 * time.Millisecond
+		// Jobs are asked for finish_s after the end of the traffic; the rest is for the record.
+		finish = 14 * time.Second
+		limit  = 40 * time.Second
+	)
+	allowed := map[string]bool{}
+	for i := 0; i < runners; i += allowEvery {
+		allowed[runnerID(i)] = true
+	}
+	d.adviser = &adviser{record: d.record, allows: func(id string) bool { return allowed[id] }, issued: map[string]time.Time{}}
+	if err := d.start(runners); err != nil {
+		return nil, err
+	}
+	whole := size{cpu: 30000, memMB: 1000}
+	for n := range small {
+		if n == largeAfter && trouble {
+			for m := range large {
+				if err := d.submit(jobID(2, m), step{count: largeTasks, size: whole, duration: duration, gang: true}); err != nil {
+					return nil, err
+				}
+			}
+		}
+		if err := d.submit(jobID(1, n), step{count: smallTasks, size: whole, duration: duration, gang: true}); err != nil {
+			return nil, err
+		}
+		time.Sleep(every)
+	}
+	last := time.Now()
+	unfinished := func() []string {
+		var ids []string
+		for n := range small {
+			ids = append(ids, jobID(1, n))
+		}
+		for m := 0; m < large && trouble; m++ {
+			ids = append(ids, jobID(2, m))
+		}
+		var open []string
+		for _, id := range ids {
+			if d.state(id) != "completed" {
+				open = append(open, id)
+			}
+		}
+		return open
+	}
+	if await(finish, func() bool { return len(unfinished()) == 0 }) {
+		return nil, nil
+	}
+	await(limit-finish, func() bool { return len(unfinished()) == 0 })
+	var breaks []string
+	for _, id := range unfinished() {
+		breaks = append(breaks, fmt.Sprintf("LOST: %s is %s and has had %d starts, %.0f s after the end of the traffic; 20 runners may run it and are free",
+			id, d.state(id), len(d.ledger.runsOf(id+".0.0.0")), time.Since(last).Seconds()))
+	}
+	return breaks, nil
+}
