--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -25,7 +25,7 @@
 	"former-lifetime": formerLifetime,
 	"many-ends":       manyEnds,
 	"other-kind":      otherKind,
-	"failing-runner":  failingRunner,
+	"advised-burst":   advisedBurst,
 	"large-gang":      largeGang,
 }
 
