--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -2,4 +2,4 @@
 # Plays the case; see claim.txt. Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-2/case ] || exit 2
-exec timeout -k 2 115 target/review-2/case advised-burst review/9/record.txt
+exec timeout -k 2 115 target/review-2/case lent-for-good review/9/record.txt
--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -25,9 +25,11 @@
 )
 
 const (
-	serviceName = "finish-svc"
-	routeHost   = "jobs.example"
-	routePrefix = "/jobs/"
+	serviceName  = "finish-svc"
+	secondName   = "watch-svc"
+	routeHost    = "jobs.example"
+	routePrefix  = "/jobs/"
+	secondPrefix = "/watches/"
 	// holdMax is the holdMaxMs of the settings.
 	holdMax = 10 * time.Second
 	nodes   = 3
@@ -113,17 +115,20 @@
 	if d.adviser != nil {
 		route["advice"] = map[string]int64{"decideMs": d.adviser.decide.Milliseconds(), "periodMs": d.adviser.period.Milliseconds(), "validMs": adviceValid.Milliseconds()}
 	}
+	second := map[string]any{
+		"name": "q-2", "host": routeHost, "prefix": secondPrefix, "service": secondName, "priority": 0, "attempts": 3, "slackFactor": 2.0, "targetDurationMs": 2500,
+	}
 	config, _ := json.Marshal(map[string]any{
-		"version": 7, "routes": []any{route},
-		"services": []map[string]any{{"name": serviceName, "enforcesCapacity": true}},
+		"version": 7, "routes": []any{route, second},
+		"services": []map[string]any{{"name": serviceName, "enforcesCapacity": true}, {"name": secondName, "enforcesCapacity": true}},
 		"limits":   map[string]int{"bodyBytes": 262144},
 	})
 	d.store.Put("op/config", config)
 }
 
-// addRunner starts a runner. Its works are those of the jobs that are submitted.
-func (d *deployment) addRunner(id, kind string, capacity size) (*runner, error) {
-	r := &runner{id: id, rack: "r1-1", record: d.record, store: d.store, ledger: d.ledger, works: d.workOf, gangs: d.gangs, adviser: d.adviser}
+// addRunner starts a runner of a service. Its works are those of the jobs that are submitted.
+func (d *deployment) addRunner(id, service, kind string, capacity size) (*runner, error) {
+	r := &runner{id: id, rack: "r1-1", service: service, ofMany: len(d.runners) >= manyRunners, record: d.record, store: d.store, ledger: d.ledger, works: d.workOf, gangs: d.gangs, adviser: d.adviser}
 	if err := r.serve(); err != nil {
 		return nil, err
 	}
@@ -132,6 +137,9 @@
 	return r, nil
 }
 
+// manyRunners is the number of runners of which each heartbeat is written.
+const manyRunners = 200
+
 // workOf returns the work of a task, whose name is ID.K.STEP.INDEX.
 func (d *deployment) workOf(task string) work {
 	parts := strings.Split(task, ".")
@@ -266,6 +274,11 @@
 
 // submit hands a job in until it is accepted, at the nodes in turn.
 func (d *deployment) submit(id string, steps ...step) error {
+	return d.submitTo(routePrefix, id, steps...)
+}
+
+// submitTo is submit for the route with a prefix.
+func (d *deployment) submitTo(prefix, id string, steps ...step) error {
 	var wire []map[string]any
 	for i, s := range steps {
 		d.worksMu.Lock()
@@ -290,7 +303,7 @@
 	body, _ := json.Marshal(map[string]any{"spec": "spec of " + id, "steps": wire})
 	deadline := time.Now().Add(readyTimeout)
 	for i := 0; ; i++ {
-		status, _, err := d.call(http.MethodPost, d.fronts[i%len(d.fronts)], id, body)
+		status, _, err := d.call(http.MethodPost, d.fronts[i%len(d.fronts)], prefix, id, body)
 		if status == http.StatusOK {
 			return nil
 		}
@@ -304,7 +317,7 @@
 // state returns the state of a job, as the nodes in turn say it; empty if none answers with one.
 func (d *deployment) state(id string) string {
 	for _, front := range d.fronts {
-		status, body, _ := d.call(http.MethodGet, front, id, nil)
+		status, body, _ := d.call(http.MethodGet, front, routePrefix, id, nil)
 		var answer struct {
 			State string `json:"state"`
 		}
@@ -316,10 +329,10 @@
 }
 
 // call makes one call as a consumer and records it.
-func (d *deployment) call(method, front, id string, body []byte) (int, []byte, error) {
+func (d *deployment) call(method, front, prefix, id string, body []byte) (int, []byte, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+front+routePrefix+id, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+front+prefix+id, bytes.NewReader(body))
 	if err != nil {
 		return 0, nil, err
 	}
--- a/review/standin-2/ledger.go
+++ b/review/standin-2/ledger.go
@@ -97,3 +97,9 @@
 	}
 	return runs
 }
+
+// isRunning reports whether the last run of a task goes on.
+func (l *ledger) isRunning(task string) bool {
+	runs := l.runsOf(task)
+	return len(runs) > 0 && runs[len(runs)-1].how == ""
+}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -24,8 +24,8 @@
 var scenarios = map[string]scenario{
 	"former-lifetime": formerLifetime,
 	"many-ends":       manyEnds,
-	"other-kind":      otherKind,
-	"advised-burst":   advisedBurst,
+	"failing-runner":  failingRunner,
+	"lent-for-good":   lentForGood,
 	"large-gang":      largeGang,
 }
 
--- a/review/standin-2/runner.go
+++ b/review/standin-2/runner.go
@@ -37,15 +37,19 @@
 // runner is a stand-in of one of the platform's runners, as PROTOCOL.md describes them. Its lifetimes follow one
 // another under one id and at one address.
 type runner struct {
-	id, rack string
-	record   *record
-	store    entryStore
-	ledger   *ledger
+	id, rack, service string
+	record            *record
+	store             entryStore
+	ledger            *ledger
 	// works returns what the task runs.
 	works func(task string) work
 	gangs *gangs
 	// adviser issues the tickets that starts carry; nil if there is none.
 	adviser *adviser
+	ofMany  bool
+	// draining and leavesAt belong to a runner that is about to leave.
+	draining bool
+	leavesAt time.Time
 	// lateAnswer returns how long the answer to a hold that the present lifetime has given is under way.
 	lateAnswer func(lifetime int) time.Duration
 
@@ -57,6 +61,8 @@
 	capacity size
 	// dark means that the runner gives no answer while it is down, instead of closing the connection.
 	dark bool
+	// failing means that all runs that start fail after failureTime.
+	failing bool
 	// lifetime numbers the lifetimes; zero means that the runner is down. lastLifetime is the newest one.
 	lifetime     int
 	lastLifetime int
@@ -80,8 +86,12 @@
 	run      int64
 	started  time.Time
 	stopping bool
+	fails    bool
 }
 
+// failureTime is how long a run on a failing runner lasts.
+const failureTime = 50 * time.Millisecond
+
 // end is a run that has ended. lapses is how often the lease had lapsed by then.
 type end struct {
 	number int64
@@ -136,12 +146,34 @@
 		r.gangs.leave(a.task, a.run)
 		r.ledger.ended(r.id, a.task, a.run, "crashed", now)
 	}
-	r.record.add("runner %s crashes, lifetime %d; it ran %s", r.id, r.lifetime, strings.Join(r.runningNames(), ", "))
+	r.record.add("runner %s ends, lifetime %d; it ran %s", r.id, r.lifetime, strings.Join(r.runningNames(), ", "))
 	r.running, r.lifetime = map[string]*activeRun{}, 0
 	close(r.ended)
 }
 
+// setFailing sets whether all runs that start fail.
+func (r *runner) setFailing(failing bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.failing = failing
+	r.record.add("runner %s fails all that it starts: %v", r.id, failing)
+}
+
+// leave announces that the runner leaves after a time, and then ends it for good.
+func (r *runner) leave(after time.Duration) {
+	r.mu.Lock()
+	r.draining, r.leavesAt = true, time.Now().Add(after)
+	r.record.add("runner %s is draining", r.id)
+	r.store.Put("servers/"+r.id, r.entry())
+	r.mu.Unlock()
+	time.Sleep(after)
+	r.store.Remove("servers/" + r.id)
+	r.crash(false)
+}
+
 // beat writes the entry until the lifetime ends. It removes it three heartbeats later, unless another lifetime has begun.
+// A write that changes only `sequence` changes nothing that the nodes see (PROTOCOL.md, Service discovery); it is left out
+// if the runner is one of many.
 func (r *runner) beat(lifetime int, ended <-chan struct{}, delay time.Duration) {
 	for {
 		select {
@@ -157,7 +189,7 @@
 		case <-time.After(delay):
 		}
 		r.mu.Lock()
-		if r.lifetime == lifetime {
+		if r.lifetime == lifetime && (r.sequence == 0 || !r.ofMany) {
 			r.sequence++
 			r.store.Put("servers/"+r.id, r.entry())
 			if r.sequence == 1 {
@@ -171,9 +203,11 @@
 
 // entry returns the entry in the store; r.mu is held.
 func (r *runner) entry() []byte {
+	state := map[bool]string{false: "ready", true: "draining"}[r.draining]
 	text, _ := json.Marshal(map[string]any{
-		"service": serviceName, "address": r.address, "zone": "z-1", "version": "v1", "slots": 8, "state": "ready",
-		"capacity": map[string]int{"cpu": r.capacity.cpu, "memMb": r.capacity.memMB}, "labels": []string{r.kind, r.rack},
+		"service": r.service, "address": r.address, "zone": "z-1", "version": "v1", "slots": 8, "state": state,
+		"remainingMs": max(0, time.Until(r.leavesAt).Milliseconds()),
+		"capacity":    map[string]int{"cpu": r.capacity.cpu, "memMb": r.capacity.memMB}, "labels": []string{r.kind, r.rack},
 		"sequence": r.sequence, "born": r.born, "clockMs": r.clock().Milliseconds(),
 	})
 	return text
@@ -182,13 +216,16 @@
 // clock returns the runner's steady clock; r.mu is held.
 func (r *runner) clock() time.Duration { return time.Since(r.startedAt) + time.Second }
 
+// advanceInterval is how often runs are ended.
+const advanceInterval = 20 * time.Millisecond
+
 // advanceUntil ends runs in time until the lifetime ends.
 func (r *runner) advanceUntil(ended <-chan struct{}) {
 	for {
 		select {
 		case <-ended:
 			return
-		case <-time.After(10 * time.Millisecond):
+		case <-time.After(advanceInterval):
 		}
 		r.mu.Lock()
 		r.advance()
@@ -213,6 +250,8 @@
 			}
 		}
 		switch {
+		case a.fails && !a.stopping && time.Since(a.started) >= failureTime:
+			r.end(a, "failed")
 		case d > 0 && !a.stopping && time.Since(a.started) >= d:
 			r.end(a, "done")
 		case lapsed:
@@ -371,7 +410,7 @@
 		reason = "room"
 	default:
 		r.extend(c.Deadline)
-		r.running[c.Task] = &activeRun{task: c.Task, run: c.Run, started: time.Now()}
+		r.running[c.Task] = &activeRun{task: c.Task, run: c.Run, started: time.Now(), fails: r.failing}
 		if w := r.works(c.Task); w.gang > 0 {
 			r.gangs.join(c.Task, c.Run, w.gang)
 		}
--- a/review/standin-2/scenarios.go
+++ b/review/standin-2/scenarios.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/oriolepond/oriolepond/internal/batch"
 	"github.com/oriolepond/oriolepond/platform/standin"
 )
 
@@ -35,7 +36,7 @@
 		if i < len(special) {
 			kind = special[i]
 		}
-		if _, err := d.addRunner(runnerID(i), kind, wholeRunner); err != nil {
+		if _, err := d.addRunner(runnerID(i), serviceName, kind, wholeRunner); err != nil {
 			return err
 		}
 	}
@@ -156,49 +157,6 @@
 	return d.ledger.checkTwice(), nil
 }
 
-// otherKind: a runner crashes and starts again under its id as one of another kind. Its entry in the store follows
-// at its first heartbeat.
-func otherKind(d *deployment, trouble bool) ([]string, error) {
-	const (
-		jobs       = 30
-		every      = 300 * time.Millisecond
-		crashAt    = 3 * time.Second
-		downFor    = time.Second
-		entryAfter = 750 * time.Millisecond
-	)
-	if err := d.start(8, "b"); err != nil {
-		return nil, err
-	}
-	w := d.runners[0]
-	if trouble {
-		time.AfterFunc(crashAt, func() {
-			w.crash(false)
-			time.Sleep(downFor)
-			w.start("a", wholeRunner, entryAfter)
-		})
-	}
-	for n := range jobs {
-		if err := d.submit(jobID(1, n), step{count: 4, size: size{cpu: 2300, memMB: 500}, duration: 400 * time.Millisecond, label: "b"}); err != nil {
-			return nil, err
-		}
-		time.Sleep(every)
-	}
-	time.Sleep(3 * time.Second)
-	var breaks []string
-	for n := range jobs {
-		for i := range 4 {
-			task := fmt.Sprintf("%s.0.0.%d", jobID(1, n), i)
-			for _, r := range d.ledger.runsOf(task) {
-				if r.kind != "b" {
-					breaks = append(breaks, fmt.Sprintf("ROUTE: %s run %d, whose step requires the label b, starts on %s of kind %s at %s",
-						task, r.run, r.runner, r.kind, d.record.at(r.from)))
-				}
-			}
-		}
-	}
-	return breaks, nil
-}
-
 // largeGang: gangs come to a queue with an adviser that allows every sixth runner; among them large ones that come at
 // once.
 func largeGang(d *deployment, trouble bool) ([]string, error) {
@@ -242,42 +200,6 @@
 	return d.checkFinished(ids, "20 runners may run it and are free"), nil
 }
 
-// advisedBurst: jobs come to a queue with an adviser; for some seconds there are more than the adviser can serve.
-func advisedBurst(d *deployment, trouble bool) ([]string, error) {
-	const (
-		runners     = 40
-		every       = time.Second
-		jobs        = 12
-		burstFrom   = 4
-		burstFor    = 4
-		burstFactor = 2.6
-	)
-	d.setAdviser(200*time.Millisecond, 20*time.Millisecond, func(string) bool { return true })
-	if err := d.start(runners); err != nil {
-		return nil, err
-	}
-	sent := 0
-	submit := func() error {
-		sent++
-		return d.submit(jobID(1, sent-1), step{count: 2, size: size{cpu: 2300, memMB: 500}, duration: 800 * time.Millisecond})
-	}
-	owed := 0.0
-	for n := range jobs {
-		owed = max(owed, 0) + 1
-		if trouble && n >= burstFrom && n < burstFrom+burstFor {
-			owed += burstFactor - 1
-		}
-		pause := time.Duration(float64(every) / max(1, float64(int(owed))))
-		for ; owed >= 1; owed-- {
-			if err := submit(); err != nil {
-				return nil, err
-			}
-			time.Sleep(pause)
-		}
-	}
-	return d.checkFinished(jobIDs(1, sent), "the service is empty, and the adviser answers each call"), nil
-}
-
 // setAdviser gives the queue an adviser. It is called before start.
 func (d *deployment) setAdviser(decide, period time.Duration, allows func(string) bool) {
 	d.adviser = &adviser{record: d.record, decide: decide, period: period, allows: allows, issued: map[string]time.Time{}}
@@ -324,3 +246,146 @@
 	}
 	return breaks
 }
+
+// lentForGood: a small service stands beside a large one, and the deployment is divided into cells. A runner of the
+// small service is taken away, and another one comes.
+func lentForGood(d *deployment, trouble bool) ([]string, error) {
+	const (
+		cells      = 3
+		others     = 912 // Runners of the large service; 300 make a cell.
+		perCell    = 6   // Runners of the small service in each cell.
+		tasksPer   = 2   // Tasks on each of them.
+		settleFor  = 4 * time.Second
+		leavesIn   = 2 * time.Second
+		comesIn    = 4 * time.Second
+		bound      = 9 * time.Second // After the other runner has come, longer than the rule has it.
+		watchUntil = 40 * time.Second
+	)
+	var small []*runner
+	ids := 0
+	// add starts a runner of the small service in a cell.
+	add := func(cell int) (*runner, error) {
+		for {
+			ids++
+			id := fmt.Sprintf("w-%08x", 0x20c30000+ids*7919)
+			if (batch.Cell{Index: cell, Count: cells}).HasWorker(id) {
+				return d.addRunner(id, secondName, "a", wholeRunner)
+			}
+		}
+	}
+	for n := range cells * perCell {
+		r, err := add(n % cells)
+		if err != nil {
+			return nil, err
+		}
+		small = append(small, r)
+	}
+	if err := d.start(others); err != nil {
+		return nil, err
+	}
+	// Two tasks that last fit on each runner, and leave no room for a third.
+	var tasks []string
+	for n := 0; len(tasks) < cells*perCell*tasksPer; n++ {
+		id := jobID(3, n)
+		if batch.HomeOf(id, cells) != (len(tasks)/tasksPer)%cells {
+			continue
+		}
+		if err := d.submitTo(secondPrefix, id, step{count: tasksPer, size: size{cpu: 11000, memMB: 500}, lasts: true}); err != nil {
+			return nil, err
+		}
+		for i := range tasksPer {
+			tasks = append(tasks, fmt.Sprintf("%s.0.0.%d", id, i))
+		}
+		time.Sleep(settleFor / 10)
+	}
+	missing := func() []string {
+		var names []string
+		for _, t := range tasks {
+			if !d.ledger.isRunning(t) {
+				names = append(names, t)
+			}
+		}
+		return names
+	}
+	if !await(readyTimeout, func() bool { return len(missing()) == 0 }) {
+		return nil, errNotStarted
+	}
+	time.Sleep(settleFor)
+	w := small[0]
+	if trouble {
+		w.leave(leavesIn)
+		time.Sleep(comesIn)
+		var err error
+		if w, err = add(0); err != nil {
+			return nil, err
+		}
+	}
+	back := time.Now()
+	if await(bound, func() bool { return len(missing()) == 0 }) {
+		return nil, nil
+	}
+	late := missing()
+	await(watchUntil-bound, func() bool { return len(missing()) == 0 })
+	var breaks []string
+	for _, t := range late {
+		state := "runs by then"
+		if !d.ledger.isRunning(t) {
+			state = "still has none"
+		}
+		_, here := w.runs("")
+		breaks = append(breaks, fmt.Sprintf("LOST: %s, which lasts, has no run %v after another runner has come, and %s after %.0f s; %d tasks run on that runner, which has room for two",
+			t, bound, state, time.Since(back).Seconds(), here))
+	}
+	return breaks, nil
+}
+
+// failingRunner: a runner fails all that it starts for some seconds. It is the only one with a label that tasks which
+// last require.
+func failingRunner(d *deployment, trouble bool) ([]string, error) {
+	const (
+		runners = 12
+		jobs    = 4
+		tasks   = 4
+		every   = time.Second
+		failFor = 6500 * time.Millisecond
+		// The rule holds in the last 3 s of 7 calm ones, and from 6 s after the last run.
+		bound = 9 * time.Second
+		limit = 45 * time.Second
+	)
+	if err := d.start(runners, "b"); err != nil {
+		return nil, err
+	}
+	w := d.runners[0]
+	began := time.Now()
+	if trouble {
+		w.setFailing(true)
+	}
+	for n := range jobs {
+		if err := d.submit(jobID(1, n), step{count: tasks, size: size{cpu: 900, memMB: 500}, label: "b", lasts: true}); err != nil {
+			return nil, err
+		}
+		time.Sleep(every)
+	}
+	time.Sleep(time.Until(began.Add(failFor)))
+	if trouble {
+		w.setFailing(false)
+	}
+	sound := time.Now()
+	missing := func() string {
+		for n := range jobs {
+			for i := range tasks {
+				if task := fmt.Sprintf("%s.0.0.%d", jobID(1, n), i); !d.ledger.isRunning(task) {
+					return task
+				}
+			}
+		}
+		return ""
+	}
+	if await(bound, func() bool { return missing() == "" }) {
+		return nil, nil
+	}
+	task := missing()
+	await(limit-bound, func() bool { return missing() == "" })
+	return []string{fmt.Sprintf("LOST: %s, which lasts, has no run %v after its runner is sound again, which has room for all; all run after %.1f s",
+		task, bound, time.Since(sound).Seconds())}, nil
+}
