Runs that a cut list of ends may contain are not given up

Cause: a worker lists 500 ends at a time, and the leader took every report for complete. A run in neither list was given up as missing. The same held for a run whose stop the worker had confirmed.

The rest is listed once the first ends are acknowledged.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -252,6 +252,9 @@
 	Clock   time.Duration
 	Running []RunningRow
 	Ended   []EndedRow
+	// MayOmitEnds means that the worker may have more ended runs than are listed in Ended, because the
+	// size of a report is limited.
+	MayOmitEnds bool
 }
 
 // State is the state of a job.
--- a/internal/batch/evidence_test.go
+++ b/internal/batch/evidence_test.go
@@ -97,6 +97,44 @@
 	require.Empty(t, core.workers["a"].runs)
 }
 
+// Guards against a second run of a task whose end its worker has not listed yet, because more runs have ended
+// there than a report lists.
+func TestRunThatReportMayOmitIsNotLost(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// stopped means that the run was stopped, and the worker has confirmed that.
+		stopped bool
+	}{
+		{name: "running"},
+		{name: "stopped", stopped: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			now := time.Unix(1_000_000_000, 0)
+			core := fourWorkerCore(t, now)
+			require.NoError(t, core.Submit(Job{ID: "j", Queue: "check", Steps: []Step{{Tasks: 1, Size: share.Resources{Processors: 1000}}}}, now, nil))
+			core.Plan(now)
+			name := TaskName{Job: "j"}
+			first := commitAndStart(t, core, now)[name]
+			if c.stopped {
+				for _, r := range core.workers[first.Worker].runs {
+					core.stopRun(r, "test", now)
+					core.stopAnswered(r, Result{Answer: AnswerDone}, now)
+				}
+			}
+			now = now.Add(time.Second)
+			report := Report{Incarnation: 1, Clock: time.Hour, MayOmitEnds: true}
+			core.ApplyReport(first.Worker, report, now, now)
+			core.Plan(now)
+			require.Empty(t, commitAndStart(t, core, now), "the task was started again")
+			report = Report{Incarnation: 1, Clock: time.Hour, Ended: []EndedRow{{Number: 501, Task: name, Run: first.Run, How: EndDone}}}
+			core.ApplyReport(first.Worker, report, now, now)
+			require.Empty(t, commitAndStart(t, core, now))
+			state, _ := core.State("j")
+			require.Equal(t, Completed, state)
+		})
+	}
+}
+
 // otherWorkers returns the listed workers but one.
 func otherWorkers(c *Core, id string) []WorkerInfo {
 	var others []WorkerInfo
--- a/internal/batch/poll.go
+++ b/internal/batch/poll.go
@@ -137,15 +137,15 @@
 	for _, e := range rep.Ended {
 		c.applyEndedRow(w, e, now)
 	}
-	c.reconcileRuns(w, rep.Running, sent, now)
+	c.reconcileRuns(w, rep, sent, now)
 	c.updateThrottling(w, now)
 	c.markChangedForFillers(w)
 }
 
 // reconcileRuns compares the runs that a worker reports with those that it should have.
-func (c *Core) reconcileRuns(w *worker, rows []RunningRow, sent, now time.Time) {
-	present := make(map[runKey]bool, len(rows))
-	for _, row := range rows {
+func (c *Core) reconcileRuns(w *worker, rep Report, sent, now time.Time) {
+	present := make(map[runKey]bool, len(rep.Running))
+	for _, row := range rep.Running {
 		key := runKey{task: row.Task, run: row.Run}
 		present[key] = true
 		r, known := w.runs[key]
@@ -160,6 +160,10 @@
 			delete(w.orphans, key)
 		}
 	}
+	if rep.MayOmitEnds {
+		// A run that is not listed may be one of the ended runs that were omitted.
+		return
+	}
 	missing := map[runKey]*run{}
 	for key, r := range w.runs {
 		if !present[key] && r.stateSince.Before(sent) {
--- a/internal/batch/world_test.go
+++ b/internal/batch/world_test.go
@@ -31,6 +31,8 @@
 	takeover time.Duration
 	// resize is the mean time between changes of a worker's capacity.
 	resize time.Duration
+	// endsPerReport is the number of ended runs that a worker lists at a time; zero means all.
+	endsPerReport int
 	// fail is the probability that a run fails, cancel the probability that a job is cancelled.
 	fail   float64
 	cancel float64
@@ -340,6 +342,9 @@
 		sim.acknowledgeEnds(w, poll.Ack)
 		rep := Report{Incarnation: w.info.Incarnation, Clock: sim.clock(w)}
 		for _, e := range w.unackedEnds {
+			if rep.MayOmitEnds = sim.faults.endsPerReport > 0 && len(rep.Ended) == sim.faults.endsPerReport; rep.MayOmitEnds {
+				break
+			}
 			rep.Ended = append(rep.Ended, e.EndedRow)
 		}
 		for _, key := range sortedRunKeys(w.running) {
@@ -433,6 +438,7 @@
 		},
 		{name: "leader changes", seeds: 10, faults: simFaults{takeover: 4 * time.Second, cancel: 0.1}},
 		{name: "changing capacity", seeds: 10, faults: simFaults{resize: 200 * time.Millisecond, takeover: 8 * time.Second, cancel: 0.2}},
+		{name: "long lists of ends", seeds: 10, faults: simFaults{endsPerReport: 2, takeover: 4 * time.Second, outage: 2 * time.Second, cancel: 0.1, fail: 0.05}},
 		// Seed 89: a start command reached a restarted worker with a deadline on the clock of its
 		// previous incarnation.
 		{name: "all faults", seeds: 30, regressionSeeds: []int{89}, faults: simFaults{
