Cells publish their load by service

Cause: a cell's load was that of all its workers. What was free of another service, or without the label of the step, counted for tasks that cannot run there, so that they were delegated to cells without a suitable worker.

Change: the load has an entry for each service, what the largest worker with each label has free, and the labels of the workers that have capacity for lost tasks. Every decision about other cells reads the load of the job's service. Loads of earlier versions, without services, are used as before.

--- a/internal/batch/cells_test.go
+++ b/internal/batch/cells_test.go
@@ -391,7 +391,7 @@
 	size := share.Resources{Processors: 4000, Memory: 8 << 30}
 	delegated := false
 	// Another cell has workers for two lost tasks, but nothing beyond its backlog.
-	load := Load{Capacity: 16_000, Free: -16_000, LargestFree: 4000, FreeForLost: []share.Resources{size, size}}
+	load := Load{Capacity: 16_000, Free: -16_000, LargestFree: 4000, FreeForLost: []FreeWorker{{Free: size}, {Free: size}}}
 	const term = 900 * time.Millisecond
 	for range 5 {
 		next := NewCore(DefaultTiming(), now, now)
--- a/internal/batch/core.go
+++ b/internal/batch/core.go
@@ -17,7 +17,7 @@
 	// peers are the known loads of other cells, by cell index. ownLoad is this cell's load,
 	// computed at ownLoadAt.
 	peers     map[int]*cellLoad
-	ownLoad   cellLoad
+	ownLoad   *cellLoad
 	ownLoadAt time.Time
 	// leaderSince is when this leader took over.
 	leaderSince time.Time
@@ -178,6 +178,7 @@
 	return &Core{
 		timing:            timing,
 		leaderSince:       now,
+		ownLoad:           newCellLoad(Load{}),
 		uncontactedExpiry: uncontactedExpiry,
 		jobs:              map[string]*job{},
 		workers:           map[string]*worker{},
--- a/internal/batch/delegate.go
+++ b/internal/batch/delegate.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"slices"
 	"time"
-
-	"github.com/oriolepond/oriolepond/pkg/share"
 )
 
 // A cell may run out of free capacity while other cells have some. Then it hands over jobs that
@@ -193,14 +191,14 @@
 		return
 	}
 	size := int64(s.step.Size.Processors)
-	need := cpuNeed{allocated: size, largestTask: size}
+	need := cpuNeed{service: s.job.Policy.Service, allocated: size, largestTask: size, label: s.step.RequiredLabel}
 	to := c.cellWithMostCapacity(s.job.Job, need, 0, s.job.delegators())
 	if to == c.cell.Index {
 		c.delegateLost(s, starved, now)
 		return
 	}
 	peer := c.peers[to]
-	free := peer.load.shareLeft(peer.assumed, need) * float64(peer.load.Capacity)
+	free := peer.shareLeft(need) * float64(peer.of(need.service).Capacity)
 	fitting := max(1, int(free)/int(max(1, size)))
 	c.delegate(s, starved[:min(len(starved), fitting)], to, now)
 }
@@ -223,54 +221,33 @@
 	if len(lost) == 0 {
 		return
 	}
-	size := s.step.Size
+	service := s.job.Policy.Service
 	to, most := c.cell.Index, minFitsForLost-1
 	for i := range c.cell.Count {
 		peer := c.peers[i]
-		if peer == nil || !peer.load.hasLabelsFor(s.job.Job) || slices.Contains(s.job.delegators(), i) {
+		if peer == nil || slices.Contains(s.job.delegators(), i) {
 			continue
 		}
-		if n := peer.load.fitsForLost(size); n > most {
+		load := peer.of(service)
+		if n := load.fitsForLost(s.step); load.hasLabelsFor(s.job.Job) && n > most {
 			to, most = i, n
 		}
 	}
 	if to == c.cell.Index {
 		return
 	}
+	load := c.peers[to].of(service)
 	fitting := 0
-	for fitting < len(lost) && c.peers[to].load.fitsForLost(size) >= minFitsForLost {
+	for fitting < len(lost) && load.fitsForLost(s.step) >= minFitsForLost {
 		// The other cells know the same load and choose the same cell.
 		for range c.cell.Count {
-			c.peers[to].load.deductLost(size)
+			load.deductLost(s.step)
 		}
 		fitting++
 	}
 	c.delegate(s, lost[:fitting], to, now)
 }
 
-// minFitsForLost is how many tasks of a size have to fit into a cell before a lost one is delegated to
-// it, because its load may have changed since. The platform, too, demands a run only while there is
-// capacity for two.
-const minFitsForLost = 2
-
-// fitsForLost returns on how many workers of the cell a lost task fits.
-func (l Load) fitsForLost(size share.Resources) int {
-	n := 0
-	for _, free := range l.FreeForLost {
-		if size.Fits(free) {
-			n++
-		}
-	}
-	return n
-}
-
-// deductLost deducts a lost task from what a worker of the cell can give to lost tasks.
-func (l Load) deductLost(size share.Resources) {
-	if i := slices.IndexFunc(l.FreeForLost, size.Fits); i >= 0 {
-		l.FreeForLost[i] = l.FreeForLost[i].Minus(size)
-	}
-}
-
 // delegators returns the cells through which delegated tasks came, to which they are not delegated
 // back. Cells that only have a forwarding record of the job are not among them, since they may be
 // given tasks of it.
@@ -295,7 +272,7 @@
 		s.queued--
 		s.unfinished--
 	}
-	c.peers[to].assumed.allocated += int64(len(tasks)) * int64(s.step.Size.Processors)
+	c.peers[to].assume(cpuNeed{service: j.Policy.Service, allocated: int64(s.step.Size.Processors)}, int64(len(tasks)))
 	j.pendingDelegation = &delegation
 	j.delegatedTo = append(j.delegatedTo, to)
 	c.markDirty(j)
--- a/internal/batch/delegate_test.go
+++ b/internal/batch/delegate_test.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"maps"
 	"testing"
 	"time"
 
@@ -321,7 +322,7 @@
 	core.SetPeers(map[int]Load{1: {Capacity: 16_000, Free: -8000, Idle: -8000}})
 	later := now.Add(2 * starvedAfter)
 	core.Plan(later)
-	before := core.ownLoad.assumed
+	before := maps.Clone(core.ownLoad.assumed)
 	for range 10 {
 		core.Plan(later)
 	}
--- a/internal/batch/move.go
+++ b/internal/batch/move.go
@@ -1,52 +1,10 @@
 package batch
 
 import (
-	"cmp"
 	"slices"
 	"time"
-
-	"github.com/oriolepond/oriolepond/pkg/share"
 )
 
-// Load is the capacity of a cell for more jobs, in thousandths of a core.
-type Load struct {
-	Capacity int64
-	// Free is what is free for tasks that are allocated processors, Idle what is idle for filler
-	// tasks. The size of queued tasks is already deducted from both; queued filler tasks count only
-	// for Idle.
-	Free int64
-	Idle int64
-	// LargestFree is the largest amount that is free on a single worker.
-	LargestFree int64
-	// FreeForLost is what each worker can give to long-running tasks that have lost their runs: what
-	// is not allocated to other long-running tasks nor reserved. Only the maxFreeForLost workers with
-	// the most processors are listed, the largest first.
-	FreeForLost []share.Resources
-	// Labels counts the workers that carry each label, without rack names.
-	Labels map[string]int
-}
-
-// maxFreeForLost limits the size of a published load.
-const maxFreeForLost = 64
-
-// cellLoad is the last known load of a cell, with the estimated need of the jobs that it was given
-// since.
-type cellLoad struct {
-	load Load
-	// assumed is the need of the jobs that all cells together are assumed to have sent to the cell
-	// since its load was computed.
-	assumed cpuNeed
-}
-
-// cpuNeed is the number of processors that a job needs, in thousandths of a core.
-type cpuNeed struct {
-	// allocated is the need of tasks that are allocated processors, filler that of filler tasks.
-	allocated int64
-	filler    int64
-	// largestTask is what has to be free on one worker for a single task.
-	largestTask int64
-}
-
 // moveMargin is how much more free capacity another cell needs than this one before a job is handed
 // over to it; both are shares of the cell's processors. A hand-over costs a commit and a read of
 // the inbox.
@@ -56,59 +14,10 @@
 // Restore.
 func (c *Core) SetCell(cell Cell) { c.cell = cell }
 
-// SetPeers replaces the known loads of the other cells, by cell index. The caller leaves out
-// outdated loads; a cell whose load is not known gets no jobs.
-func (c *Core) SetPeers(loads map[int]Load) {
-	peers := make(map[int]*cellLoad, len(loads))
-	for i, load := range loads {
-		load.FreeForLost = slices.Clone(load.FreeForLost)
-		peers[i] = &cellLoad{load: load}
-	}
-	c.peers = peers
-}
-
-// Load returns the present load of the cell.
-func (c *Core) Load(now time.Time) Load {
-	l := Load{Labels: map[string]int{}}
-	for _, w := range c.workers {
-		if !c.acceptsRuns(w, now) {
-			continue
-		}
-		l.Capacity += int64(w.Capacity.Processors)
-		// A worker whose capacity has shrunk may be allocated more than it has.
-		l.Free += max(0, int64(w.free().Processors))
-		l.LargestFree = max(l.LargestFree, int64(w.free().Processors))
-		l.Idle += int64(c.idleProcessors(w, now))
-		if w.reservedFor == nil && w.isolated == nil {
-			l.FreeForLost = append(l.FreeForLost, w.free().Plus(w.transientUse()))
-		}
-		for _, label := range w.Labels {
-			if label != w.Rack {
-				l.Labels[label]++
-			}
-		}
-	}
-	slices.SortFunc(l.FreeForLost, func(a, b share.Resources) int { return cmp.Compare(b.Processors, a.Processors) })
-	l.FreeForLost = l.FreeForLost[:min(len(l.FreeForLost), maxFreeForLost)]
-	for _, j := range c.active {
-		for _, s := range j.stages {
-			if s.queued == 0 {
-				continue
-			}
-			waiting := int64(s.queued) * int64(s.step.Size.Processors)
-			l.Idle -= waiting
-			if !s.step.Filler {
-				l.Free -= waiting
-			}
-		}
-	}
-	return l
-}
-
 // cpuNeedOf returns the processors that a job needs: those of its largest step with allocated
 // processors, and those of its largest step of filler tasks.
 func cpuNeedOf(j Job) cpuNeed {
-	var n cpuNeed
+	n := cpuNeed{service: j.Policy.Service}
 	for _, s := range j.Steps {
 		processors := int64(s.Tasks) * int64(s.Size.Processors)
 		if s.Filler {
@@ -120,29 +29,6 @@
 	return n
 }
 
-// shareLeft returns the share of the cell's processors that would remain free after the assumed
-// need and a job's need are met.
-func (l Load) shareLeft(assumed, job cpuNeed) float64 {
-	if l.Capacity <= 0 {
-		return -1
-	}
-	free := l.Free - assumed.allocated - job.allocated
-	if job.allocated == 0 {
-		free = l.Idle - assumed.filler - assumed.allocated - job.filler
-	}
-	return float64(free) / float64(l.Capacity)
-}
-
-// hasLabelsFor reports whether the cell has workers with all labels that a job requires.
-func (l Load) hasLabelsFor(j Job) bool {
-	for _, s := range j.Steps {
-		if s.RequiredLabel != "" && l.Labels[s.RequiredLabel] == 0 {
-			return false
-		}
-	}
-	return true
-}
-
 // chooseCell returns the cell that runs a job which was submitted to its home: this cell, unless
 // another one has clearly more free capacity.
 func (c *Core) chooseCell(j Job, now time.Time) int {
@@ -151,10 +37,10 @@
 	}
 	need := cpuNeedOf(j)
 	if now.Sub(c.ownLoadAt) >= ownLoadEvery {
-		c.ownLoad, c.ownLoadAt = cellLoad{load: c.Load(now)}, now
+		c.ownLoad, c.ownLoadAt = newCellLoad(c.Load(now)), now
 	}
-	minShare := c.ownLoad.load.shareLeft(c.ownLoad.assumed, need) + moveMargin
-	if !c.ownLoad.load.hasLabelsFor(j) {
+	minShare := c.ownLoad.shareLeft(need) + moveMargin
+	if !c.ownLoad.of(need.service).hasLabelsFor(j) {
 		minShare = -1
 	}
 	best := c.cellWithMostCapacity(j, need, minShare, nil)
@@ -169,10 +55,14 @@
 	best := c.cell.Index
 	for i := range c.cell.Count {
 		peer := c.peers[i]
-		if peer == nil || !peer.load.hasLabelsFor(j) || peer.load.LargestFree < need.largestTask || slices.Contains(excluded, i) {
+		if peer == nil || slices.Contains(excluded, i) {
+			continue
+		}
+		load := peer.of(need.service)
+		if !load.hasLabelsFor(j) || load.largestFree(need.label) < need.largestTask {
 			continue
 		}
-		if share := peer.load.shareLeft(peer.assumed, need); share > minShare {
+		if share := peer.shareLeft(need); share > minShare {
 			best, minShare = i, share
 		}
 	}
@@ -183,12 +73,11 @@
 // need once for each cell, since the other cells know the same loads and choose the same cell for
 // their own jobs.
 func (c *Core) assumeMoved(cell int, need cpuNeed) {
-	destination := &c.ownLoad
+	destination := c.ownLoad
 	if cell != c.cell.Index {
 		destination = c.peers[cell]
 	}
-	destination.assumed.allocated += need.allocated * int64(c.cell.Count)
-	destination.assumed.filler += need.filler * int64(c.cell.Count)
+	destination.assume(need, int64(c.cell.Count))
 }
 
 // ownLoadEvery is how long the cell's own load is used before it is computed again.
--- a/internal/batch/move_test.go
+++ b/internal/batch/move_test.go
@@ -101,7 +101,9 @@
 		t.Run(c.name, func(t *testing.T) {
 			core := firstCellCore(t, now)
 			core.SetPeers(c.peers)
-			require.Equal(t, c.want, core.chooseCell(homeJob(t, 0, c.step), now))
+			j := homeJob(t, 0, c.step)
+			core.completePolicy(&j)
+			require.Equal(t, c.want, core.chooseCell(j, now))
 		})
 	}
 }
@@ -116,6 +118,7 @@
 	from := 0
 	for range 30 {
 		j := homeJob(t, from, Step{Tasks: 2, Size: share.Resources{Processors: 1000}})
+		core.completePolicy(&j)
 		_, err := fmt.Sscanf(j.ID, "%x", &from)
 		require.NoError(t, err)
 		from++
--- a/internal/scheduler/loads.go
+++ b/internal/scheduler/loads.go
@@ -28,37 +28,61 @@
 
 // wireLoad is the published form of batch.Load, in thousandths of a core.
 type wireLoad struct {
-	Capacity     int64 `json:"capacity"`
-	FreeCapacity int64 `json:"room"`
-	Idle         int64 `json:"idle"`
-	LargestFree  int64 `json:"widest"`
-	// FreeForLost is missing in loads of earlier versions.
-	FreeForLost []wireFree     `json:"freeForLost,omitempty"`
-	Labels      map[string]int `json:"labels,omitempty"`
+	Capacity       int64            `json:"capacity"`
+	FreeCapacity   int64            `json:"room"`
+	Idle           int64            `json:"idle"`
+	LargestFree    int64            `json:"widest"`
+	LargestByLabel map[string]int64 `json:"widestByLabel,omitempty"`
+	FreeForLost    []wireFree       `json:"freeForLost,omitempty"`
+	Labels         map[string]int   `json:"labels,omitempty"`
+	// Services is missing in loads of earlier versions.
+	Services map[string]wireLoad `json:"services,omitempty"`
 }
 
-// wireFree is the published form of what a worker has free.
+// wireFree is the published form of batch.FreeWorker.
 type wireFree struct {
-	Processors   int64 `json:"p"`
-	Memory       int64 `json:"m"`
-	Accelerators int64 `json:"a,omitempty"`
+	Processors   int64    `json:"p"`
+	Memory       int64    `json:"m"`
+	Accelerators int64    `json:"a,omitempty"`
+	Labels       []string `json:"l,omitempty"`
 }
 
 func encodeLoad(l batch.Load) wireLoad {
-	w := wireLoad{Capacity: l.Capacity, FreeCapacity: l.Free, Idle: l.Idle, LargestFree: l.LargestFree, Labels: l.Labels}
+	w := wireLoad{
+		Capacity: l.Capacity, FreeCapacity: l.Free, Idle: l.Idle, LargestFree: l.LargestFree, LargestByLabel: l.LargestByLabel, Labels: l.Labels,
+	}
 	for _, f := range l.FreeForLost {
-		w.FreeForLost = append(w.FreeForLost, wireFree{Processors: int64(f.Processors), Memory: int64(f.Memory), Accelerators: int64(f.Accelerators)})
+		w.FreeForLost = append(w.FreeForLost, wireFree{
+			Processors: int64(f.Free.Processors), Memory: int64(f.Free.Memory), Accelerators: int64(f.Free.Accelerators), Labels: f.Labels,
+		})
+	}
+	if l.Services != nil {
+		w.Services = make(map[string]wireLoad, len(l.Services))
+		for name, s := range l.Services {
+			w.Services[name] = encodeLoad(s)
+		}
 	}
 	return w
 }
 
 func decodeLoad(w wireLoad) batch.Load {
-	l := batch.Load{Capacity: w.Capacity, Free: w.FreeCapacity, Idle: w.Idle, LargestFree: w.LargestFree, Labels: w.Labels}
+	l := batch.Load{
+		Capacity: w.Capacity, Free: w.FreeCapacity, Idle: w.Idle, LargestFree: w.LargestFree, LargestByLabel: w.LargestByLabel, Labels: w.Labels,
+	}
 	for _, f := range w.FreeForLost {
-		l.FreeForLost = append(l.FreeForLost, share.Resources{
-			Processors: share.MilliCores(f.Processors), Memory: share.Bytes(f.Memory), Accelerators: share.Accelerators(f.Accelerators),
+		l.FreeForLost = append(l.FreeForLost, batch.FreeWorker{
+			Free: share.Resources{
+				Processors: share.MilliCores(f.Processors), Memory: share.Bytes(f.Memory), Accelerators: share.Accelerators(f.Accelerators),
+			},
+			Labels: f.Labels,
 		})
 	}
+	if w.Services != nil {
+		l.Services = make(map[string]batch.Load, len(w.Services))
+		for name, s := range w.Services {
+			l.Services[name] = decodeLoad(s)
+		}
+	}
 	return l
 }
 
--- a/internal/scheduler/loads_test.go
+++ b/internal/scheduler/loads_test.go
@@ -14,7 +14,13 @@
 func TestLoadIsPublishedWhole(t *testing.T) {
 	load := batch.Load{
 		Capacity: 5, Free: 4, Idle: 3, LargestFree: 2, Labels: map[string]int{"l": 1},
-		FreeForLost: []share.Resources{{Processors: 3, Memory: 2, Accelerators: 1}, {Processors: 1}},
+		LargestByLabel: map[string]int64{"l": 2},
+		Services: map[string]batch.Load{"s": {
+			Capacity: 5, LargestByLabel: map[string]int64{"l": 2}, Labels: map[string]int{"l": 1},
+			FreeForLost: []batch.FreeWorker{
+				{Free: share.Resources{Processors: 3, Memory: 2, Accelerators: 1}, Labels: []string{"l"}}, {Free: share.Resources{Processors: 1}},
+			},
+		}},
 	}
 	value, err := json.Marshal(encodeLoad(load))
 	require.NoError(t, err)
