Delegated tasks may return to the cells that they came through

Cause: a task was never delegated to a cell on its path. After two hops among three cells it could not leave the third one any more.

Change: a lost task goes to any cell with capacity for it; one that has never run may go back after 3 s. In the cell of their job, tasks that come back are tasks of that job again. The moves of a task are counted in its delegation and its record, so that a delegation that a leader finds again is not accepted twice. The inbox keys of a job are one list, and a cancel that has followed the tasks back leaves the inbox.

--- a/internal/batch/crash_test.go
+++ b/internal/batch/crash_test.go
@@ -142,7 +142,7 @@
 // crashUnder crashes the worker that runs a task, and returns when that was.
 func crashUnder(t *testing.T, c *Core, name TaskName, now time.Time) time.Time {
 	t.Helper()
-	r := c.jobOf(name).stage(name.Occurrence, name.Step).tasks[name.Index].runs[0]
+	r := c.jobHere(name.Job).stage(name.Occurrence, name.Step).tasks[name.Index].runs[0]
 	now = now.Add(50 * time.Millisecond)
 	c.SetWorker(WorkerInfo{
 		ID: r.worker.ID, Address: r.worker.ID, Service: r.worker.Service, Incarnation: r.worker.Incarnation + 1,
@@ -213,11 +213,11 @@
 			require.NoError(t, err)
 			require.Len(t, changes.Records, 1)
 			next := c.next(t, core, changes.Records[0], now)
-			require.Equal(t, want, next.jobOf(name).stages[0].tasks[0].crashes)
+			require.Equal(t, want, next.jobHere(name.Job).stages[0].tasks[0].crashes)
 			next.Plan(now)
 			require.Len(t, commitAndStart(t, next, now), 1)
 			crashUnder(t, next, name, now)
-			state := next.jobOf(name).state
+			state := next.jobHere(name.Job).state
 			require.Equal(t, Failed, state)
 		})
 	}
--- a/internal/batch/delegate.go
+++ b/internal/batch/delegate.go
@@ -1,9 +1,11 @@
 package batch
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -21,6 +23,10 @@
 // The platform allows 3 s if another cell has free capacity for it.
 const stuckAfter = 2 * time.Second
 
+// returnAfter is how long delegated tasks that have never run wait until they may go back to the cells that they
+// came through. Tasks that have lost their runs need not wait longer than stuckAfter.
+const returnAfter = 3 * time.Second
+
 // lostBeforeAfter takes the place of both for a task that lost its run in an earlier term: terms may be
 // shorter than these times. Meanwhile this leader contacts its workers, and reserves one for the task if it can.
 const lostBeforeAfter = 500 * time.Millisecond
@@ -40,12 +46,24 @@
 	return j.ID
 }
 
-// jobOf returns the job of a task that a worker reports, or nil.
-func (c *Core) jobOf(n TaskName) *job {
-	if j, ok := c.jobs[n.Job]; ok && j.state != Moved {
+// jobHere returns the job with an ID whose tasks this cell may run, or nil. Tasks that come back to the
+// cell that has delegated them are tasks of its own job again.
+func (c *Core) jobHere(id string) *job {
+	if j, ok := c.jobs[id]; ok && j.state != Moved {
 		return j
 	}
-	return c.jobs[DelegatedID(n.Job)]
+	return c.jobs[DelegatedID(id)]
+}
+
+// StorageID returns the ID under which this cell stores a job that another cell names by id, which may be
+// a DelegatedID.
+func (c *Core) StorageID(id string) string {
+	if job, delegated := strings.CutSuffix(id, delegatedSuffix); delegated {
+		if j := c.jobHere(job); j != nil {
+			return j.storageID()
+		}
+	}
+	return id
 }
 
 // Delegation is a set of tasks of a job that goes to the inbox of another cell.
@@ -194,7 +212,13 @@
 	need := cpuNeed{service: s.job.Policy.Service, allocated: size, largestTask: size, label: s.step.RequiredLabel}
 	to := c.cellWithMostCapacity(s.job.Job, need, 0, s.job.delegators())
 	if to == c.cell.Index {
-		c.delegateLost(s, starved, now)
+		if c.delegateLost(s, starved, now) {
+			return
+		}
+		starved = slices.DeleteFunc(starved, func(t *task) bool { return now.Sub(t.queuedAt) < returnAfter })
+		to = c.cellWithMostCapacity(s.job.Job, need, 0, nil)
+	}
+	if to == c.cell.Index || len(starved) == 0 {
 		return
 	}
 	peer := c.peers[to]
@@ -213,19 +237,23 @@
 
 // delegateLost delegates the starved tasks of a stage that have lost their runs and for which this cell
 // cannot reserve a worker. Since lost tasks go ahead of the backlog in the other cell, that need not
-// have free capacity beyond its backlog.
-func (c *Core) delegateLost(s *stage, starved []*task, now time.Time) {
-	lost := slices.DeleteFunc(starved, func(t *task) bool {
-		return t.lastRun == 0 || !t.hasWaited(stuckAfter, now) || c.hasReserved(t)
-	})
+// have free capacity beyond its backlog. The cells that the tasks came through count, too. It reports whether
+// any task was delegated.
+func (c *Core) delegateLost(s *stage, starved []*task, now time.Time) bool {
+	var lost []*task
+	for _, t := range starved {
+		if t.lastRun > 0 && t.hasWaited(stuckAfter, now) && !c.hasReserved(t) {
+			lost = append(lost, t)
+		}
+	}
 	if len(lost) == 0 {
-		return
+		return false
 	}
 	service := s.job.Policy.Service
 	to, most := c.cell.Index, minFitsForLost-1
 	for i := range c.cell.Count {
 		peer := c.peers[i]
-		if peer == nil || slices.Contains(s.job.delegators(), i) {
+		if peer == nil {
 			continue
 		}
 		load := peer.of(service)
@@ -234,7 +262,7 @@
 		}
 	}
 	if to == c.cell.Index {
-		return
+		return false
 	}
 	load := c.peers[to].of(service)
 	fitting := 0
@@ -246,10 +274,11 @@
 		fitting++
 	}
 	c.delegate(s, lost[:fitting], to, now)
+	return true
 }
 
-// delegators returns the cells through which delegated tasks came, to which they are not delegated
-// back. Cells that only have a forwarding record of the job are not among them, since they may be
+// delegators returns the cells through which delegated tasks came. Others are preferred to them, so that tasks do
+// not go back and forth. Cells that only have a forwarding record of the job are not among them, since they may be
 // given tasks of it.
 func (j *job) delegators() []int {
 	if j.delegated {
@@ -263,8 +292,9 @@
 	j := s.job
 	delegation := wireStage{Stage: s.number()}
 	for _, t := range tasks {
+		t.moves++
 		delegation.Tasks = append(delegation.Tasks, wireTask{
-			Index: t.index, LastRun: t.lastRun, Checkpoint: t.checkpoint, Crashes: encodeCrashes(t.crashes),
+			Index: t.index, LastRun: t.lastRun, Checkpoint: t.checkpoint, Crashes: encodeCrashes(t.crashes), Moves: t.moves,
 			WaitedMs: (now.Sub(t.queuedAt) + t.waitedBefore).Milliseconds(),
 		})
 		c.note(Note{Kind: NoteDelegated, Task: t.name(), Run: t.lastRun, Cell: to, Age: now.Sub(t.queuedAt)})
@@ -298,13 +328,13 @@
 }
 
 // AcceptDelegation accepts tasks that another cell has delegated, and returns the ID under which
-// they are stored. Tasks that were accepted before do not change.
+// they are stored. Tasks of a delegation that was accepted before do not change, even if they have moved on.
 func (c *Core) AcceptDelegation(value []byte, now time.Time) (string, error) {
 	var w wireJob
 	if err := json.Unmarshal(value, &w); err != nil {
 		return "", fmt.Errorf("decode delegation: %w", err)
 	}
-	j := c.jobs[DelegatedID(w.ID)]
+	j := c.jobHere(w.ID)
 	if j == nil {
 		j = &job{
 			Job: decodeSubmission(w), state: Active, delegated: true,
@@ -332,7 +362,7 @@
 		return j.storageID(), nil
 	}
 	for _, cell := range w.Path {
-		if !slices.Contains(j.cellPath, cell) {
+		if j.delegated && !slices.Contains(j.cellPath, cell) {
 			j.cellPath = append(j.cellPath, cell)
 		}
 	}
@@ -342,11 +372,13 @@
 		}
 		s := j.stages[ws.Stage]
 		for _, wt := range ws.Tasks {
-			if wt.Index < 0 || wt.Index >= len(s.tasks) || s.tasks[wt.Index].state != taskDone {
+			// Earlier versions do not count the moves, and let no task return to a cell.
+			moves := cmp.Or(wt.Moves, len(w.Path))
+			if wt.Index < 0 || wt.Index >= len(s.tasks) || !s.tasks[wt.Index].mayReceive(moves) {
 				continue
 			}
 			t := s.tasks[wt.Index]
-			t.lastRun, t.checkpoint, t.crashes = wt.LastRun, wt.Checkpoint, decodeCrashes(wt.Crashes)
+			t.lastRun, t.checkpoint, t.crashes, t.moves = wt.LastRun, wt.Checkpoint, decodeCrashes(wt.Crashes), moves
 			s.unfinished++
 			c.enqueue(t, now)
 			t.waitedBefore = time.Duration(wt.WaitedMs) * time.Millisecond
@@ -355,3 +387,21 @@
 	c.markDirty(j)
 	return j.storageID(), nil
 }
+
+// mayReceive reports whether a delegation after a number of moves brings the task to this cell. A delegation that was
+// accepted before does not, even if the task has been delegated to another cell since then.
+func (t *task) mayReceive(moves int) bool {
+	return t.state == taskDone && t.stage.step.LongRunning && moves > t.moves
+}
+
+// assumeMoves sets the moves of delegated tasks that came with a record of an earlier version, which did not
+// count them, nor let tasks return to a cell.
+func (j *job) assumeMoves(moves int) {
+	for _, s := range j.stages {
+		for _, t := range s.tasks {
+			if t.state != taskDone && t.moves == 0 {
+				t.moves = moves
+			}
+		}
+	}
+}
--- a/internal/batch/delegate_test.go
+++ b/internal/batch/delegate_test.go
@@ -199,7 +199,7 @@
 	require.Equal(t, 2, to)
 }
 
-// Delegated tasks that wait too long are delegated again, but never to a cell that delegated them
+// Delegated tasks that wait too long are delegated again, but not soon to a cell that delegated them
 // before. A cancel still reaches them.
 func TestDelegatedTasksAreNotDelegatedBack(t *testing.T) {
 	now := time.Unix(1_000_000_000, 0)
--- a/internal/batch/delegatelost_test.go
+++ b/internal/batch/delegatelost_test.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"regexp"
 	"testing"
 	"time"
 
@@ -9,48 +10,165 @@
 	"github.com/oriolepond/oriolepond/pkg/share"
 )
 
+// cellChain simulates cells of which a task goes from one to the next.
+type cellChain struct {
+	t   *testing.T
+	now time.Time
+}
+
+// emptyCell returns the core of a cell without workers.
+func (chain *cellChain) emptyCell(index int) *Core {
+	c := NewCore(DefaultTiming(), chain.now, chain.now)
+	c.SetQueueConfig(simQueueConfig())
+	c.SetCell(Cell{Index: index, Count: 3})
+	return c
+}
+
+// delegate lets a core wait for a time, with the load of one other cell. It returns the delegation to that cell, or nil,
+// and the records of the core's jobs.
+func (chain *cellChain) delegate(c *Core, wait time.Duration, to int, load Load) (delegation []byte, records map[string][]byte) {
+	c.SetPeers(nil)
+	c.Plan(chain.now)
+	commitAndStart(chain.t, c, chain.now)
+	for _, id := range c.WorkerIDs() {
+		var rows []RunningRow
+		for _, r := range sortedRuns(c.workers[id].runs) {
+			rows = append(rows, RunningRow{Task: r.task.name(), Run: r.number})
+		}
+		c.ApplyReport(id, Report{Incarnation: 1, Clock: time.Hour, Running: rows}, chain.now, chain.now)
+		c.renewLease(id, chain.now)
+	}
+	chain.now = chain.now.Add(wait)
+	c.SetPeers(map[int]Load{to: load})
+	c.Plan(chain.now)
+	changes, err := c.TakeChanges(20, chain.now)
+	require.NoError(chain.t, err)
+	records = map[string][]byte{}
+	for _, r := range changes.Records {
+		records[r.ID] = r.Value
+		if r.Delegation != nil {
+			require.Equal(chain.t, to, r.Delegation.To)
+			delegation = r.Delegation.Value
+		}
+	}
+	c.Committed(changes)
+	return delegation, records
+}
+
 // Guards against a lost task that stays in a full cell: it was delegated twice, and the cell that it came from
-// first has capacity again. Known to fail.
+// first has capacity again.
 func TestLostTaskReturnsToCellWithCapacity(t *testing.T) {
-	now := time.Unix(1_000_000_000, 0)
+	chain := &cellChain{t: t, now: time.Unix(1_000_000_000, 0)}
 	size := share.Resources{Processors: 4000, Memory: 8 << 30}
 	room := Load{Capacity: 16_000, Free: -16_000, LargestFree: 4000, FreeForLost: []FreeWorker{{Free: size}, {Free: size}, {Free: size}}}
-	core := firstCellCore(t, now)
+	core := firstCellCore(t, chain.now)
 	j := longRunningJob(t, 4)
-	loseFirstTask(t, core, j, now)
-	take := func(c *Core, to int, load Load) []byte {
-		c.Plan(now)
-		commitAndStart(t, c, now)
-		now = now.Add(stuckAfter)
-		c.SetPeers(map[int]Load{to: load})
-		c.Plan(now)
-		changes, err := c.TakeChanges(20, now)
-		require.NoError(t, err)
-		for _, r := range changes.Records {
-			if r.Delegation != nil {
-				require.Equal(t, to, r.Delegation.To)
-				return r.Delegation.Value
-			}
+	lost := loseFirstTask(t, core, j, chain.now)
+	first, records := chain.delegate(core, stuckAfter, 1, room)
+	require.NotNil(t, first)
+	second := chain.emptyCell(1)
+	_, err := second.AcceptDelegation(first, chain.now)
+	require.NoError(t, err)
+	value, _ := chain.delegate(second, stuckAfter, 2, room)
+	require.NotNil(t, value)
+	third := chain.emptyCell(2)
+	_, err = third.AcceptDelegation(value, chain.now)
+	require.NoError(t, err)
+	free := Load{Capacity: 16_000, Free: 16_000, LargestFree: 4000, FreeForLost: []FreeWorker{{Free: size}, {Free: size}, {Free: size}, {Free: size}}}
+	back, _ := chain.delegate(third, stuckAfter, 0, free)
+	require.NotNil(t, back, "stuck in the third cell")
+
+	// The next leader of the first cell knows the task as delegated only.
+	next := coreOfCell(t, 0, chain.now)
+	require.NoError(t, next.Restore(records[j.ID], chain.now))
+	for _, c := range []*Core{core, next} {
+		for range 2 {
+			id, err := c.AcceptDelegation(back, chain.now)
+			require.NoError(t, err)
+			require.Equal(t, j.ID, id)
+			require.Equal(t, j.ID, c.StorageID(DelegatedID(j.ID)), "a cancel from the third cell is of the own job")
 		}
-		return nil
+		c.SetWorker(WorkerInfo{ID: "new", Address: "new", Service: "pool", Incarnation: 1, Capacity: size}, chain.now)
+		c.ApplyReport("new", Report{Incarnation: 1, Clock: time.Hour}, chain.now, chain.now)
+		c.Plan(chain.now)
+		again, started := commitAndStart(t, c, chain.now)[lost.Task]
+		require.True(t, started, "the task has come back and does not run")
+		require.Equal(t, lost.Run+1, again.Run)
+		require.Len(t, c.jobs[j.ID].stages[0].tasks[0].runs, 1)
 	}
-	value := take(core, 1, room)
-	require.NotNil(t, value)
-	empty := func(index int) *Core {
-		c := NewCore(DefaultTiming(), now, now)
-		c.SetQueueConfig(simQueueConfig())
-		c.SetCell(Cell{Index: index, Count: 3})
-		return c
+}
+
+// Guards against a second run of a task: a delegation that a leader finds again, after the task has moved on to
+// another cell.
+func TestDelegationIsAcceptedOnce(t *testing.T) {
+	chain := &cellChain{t: t, now: time.Unix(1_000_000_000, 0)}
+	size := share.Resources{Processors: 4000, Memory: 8 << 30}
+	room := Load{Capacity: 16_000, Free: -16_000, LargestFree: 4000, FreeForLost: []FreeWorker{{Free: size}, {Free: size}, {Free: size}}}
+	core := firstCellCore(t, chain.now)
+	lost := loseFirstTask(t, core, longRunningJob(t, 4), chain.now)
+	first, _ := chain.delegate(core, stuckAfter, 1, room)
+	second := chain.emptyCell(1)
+	_, err := second.AcceptDelegation(first, chain.now)
+	require.NoError(t, err)
+	back, _ := chain.delegate(second, stuckAfter, 0, room)
+	_, err = core.AcceptDelegation(back, chain.now)
+	require.NoError(t, err)
+	again, records := chain.delegate(core, stuckAfter, 1, room)
+	require.NotNil(t, again)
+	next := coreOfCell(t, 0, chain.now)
+	require.NoError(t, next.Restore(records[lost.Task.Job], chain.now))
+	for _, c := range []*Core{core, next} {
+		_, err = c.AcceptDelegation(back, chain.now)
+		require.NoError(t, err)
+		require.Equal(t, taskDone, c.jobs[lost.Task.Job].stages[0].tasks[0].state, "the second cell runs the task")
 	}
-	second := empty(1)
-	_, err := second.AcceptDelegation(value, now)
+	_, err = second.AcceptDelegation(first, chain.now)
 	require.NoError(t, err)
-	value = take(second, 2, room)
-	require.NotNil(t, value)
-	third := empty(2)
-	_, err = third.AcceptDelegation(value, now)
+	require.Zero(t, second.jobs[DelegatedID(lost.Task.Job)].stages[0].queued, "the task has not come back yet")
+	_, err = second.AcceptDelegation(again, chain.now)
 	require.NoError(t, err)
-	require.NotNil(t, take(third, 0, Load{Capacity: 16_000, Free: 16_000, LargestFree: 4000, FreeForLost: []FreeWorker{{Free: size}, {Free: size}, {Free: size}, {Free: size}}}), "stuck in the third cell")
+	require.Equal(t, 1, second.jobs[DelegatedID(lost.Task.Job)].stages[0].queued)
+}
+
+// Guards against tasks that a mixture of versions loses: earlier ones do not count how often a task has moved.
+func TestUncountedDelegationsAreAccepted(t *testing.T) {
+	chain := &cellChain{t: t, now: time.Unix(1_000_000_000, 0)}
+	size := share.Resources{Processors: 4000, Memory: 8 << 30}
+	room := Load{Capacity: 16_000, Free: -16_000, LargestFree: 4000, FreeForLost: []FreeWorker{{Free: size}, {Free: size}, {Free: size}}}
+	uncounted := func(value []byte) []byte {
+		return regexp.MustCompile(`"m":\d+`).ReplaceAll(value, []byte(`"unknown":0`))
+	}
+	core := firstCellCore(t, chain.now)
+	j := longRunningJob(t, 4)
+	loseFirstTask(t, core, j, chain.now)
+	first, _ := chain.delegate(core, stuckAfter, 1, room)
+	second := chain.emptyCell(1)
+	_, err := second.AcceptDelegation(uncounted(first), chain.now)
+	require.NoError(t, err)
+	_, records := commitAll(t, second, chain.now)
+	second = chain.emptyCell(1)
+	require.NoError(t, second.Restore(uncounted(records[len(records)-1]), chain.now))
+	back, _ := chain.delegate(second, stuckAfter, 0, room)
+	require.NotNil(t, back)
+	_, err = core.AcceptDelegation(back, chain.now)
+	require.NoError(t, err)
+	require.Equal(t, taskQueued, core.jobs[j.ID].stages[0].tasks[0].state)
+}
+
+// Guards against tasks that wait in a full cell for good because they have never had a run: they go back to a
+// cell with free capacity, but not at once.
+func TestTaskThatNeverRanReturnsAfterAWhile(t *testing.T) {
+	now := time.Unix(1_000_000_000, 0)
+	_, _, changes, later := delegateTwo(t, now)
+	chain := &cellChain{t: t, now: later}
+	second := chain.emptyCell(1)
+	_, err := second.AcceptDelegation(changes.Records[0].Delegation.Value, later)
+	require.NoError(t, err)
+	load := Load{Capacity: 16_000, Free: 16_000, LargestFree: 4000}
+	value, _ := chain.delegate(second, returnAfter-time.Millisecond, 0, load)
+	require.Nil(t, value)
+	value, _ = chain.delegate(second, 2*time.Millisecond, 0, load)
+	require.NotNil(t, value)
 }
 
 // Guards against a lost task that is delegated to a cell whose free workers are of another service.
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -147,7 +147,9 @@
 	checkpoint string
 	failedRuns []int64
 	crashes    crashCount
-	queuedAt   time.Time
+	// moves is how often the task was delegated from one cell to another, as far as this cell knows.
+	moves    int
+	queuedAt time.Time
 	// waitedBefore is how long the task had waited before queuedAt: in other cells, or at least as long as a
 	// reservation takes if it lost its run in an earlier term.
 	waitedBefore time.Duration
--- a/internal/batch/poll.go
+++ b/internal/batch/poll.go
@@ -237,7 +237,7 @@
 	}
 	key := runKey{task: e.Task, run: e.Run}
 	delete(w.orphans, key)
-	j := c.jobOf(e.Task)
+	j := c.jobHere(e.Task.Job)
 	r := w.runs[key]
 	if r != nil {
 		c.markStarted(j)
--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -223,6 +223,8 @@
 		Runs       []wireRun `json:"r,omitempty"`
 		// Crashes counts the workers that crashed under the task; nil if there were none.
 		Crashes *wireCrashes `json:"x,omitempty"`
+		// Moves is how often the task was delegated. A task that another cell runs is done here.
+		Moves int `json:"m,omitempty"`
 		// WaitedMs is how long a delegated task had waited.
 		WaitedMs int64 `json:"waitedMillis,omitempty"`
 	}
@@ -274,11 +276,14 @@
 // encodeStage returns the stored form of a stage, and false if nothing has happened to its tasks.
 func encodeStage(s *stage) (wireStage, bool) {
 	w := wireStage{Stage: s.number()}
-	if s.unfinished == 0 {
-		w.AllDone = true
-		return w, true
-	}
+	w.AllDone = s.unfinished == 0
 	for _, t := range s.tasks {
+		if t.state == taskDone && t.moves > 0 {
+			w.Tasks = append(w.Tasks, wireTask{Index: t.index, Moves: t.moves})
+		}
+		if w.AllDone {
+			continue
+		}
 		if t.state == taskDone {
 			if w.Done == nil {
 				w.Done = make([]byte, (len(s.tasks)+7)/8)
@@ -286,17 +291,17 @@
 			w.Done[t.index/8] |= 1 << (t.index % 8)
 			continue
 		}
-		if t.lastRun == 0 {
+		if t.lastRun == 0 && t.moves == 0 {
 			continue
 		}
-		wt := wireTask{Index: t.index, LastRun: t.lastRun, Checkpoint: t.checkpoint, Failed: t.failedRuns, Crashes: encodeCrashes(t.crashes)}
+		wt := wireTask{Index: t.index, LastRun: t.lastRun, Checkpoint: t.checkpoint, Failed: t.failedRuns, Crashes: encodeCrashes(t.crashes), Moves: t.moves}
 		for _, r := range t.runs {
 			wt.Runs = append(wt.Runs, wireRun{Number: r.number, Worker: r.worker.ID, Incarnation: cmp.Or(r.worker.Incarnation, r.incarnation), Young: !r.settled})
 			w.Ages = true
 		}
 		w.Tasks = append(w.Tasks, wt)
 	}
-	return w, w.Done != nil || w.Tasks != nil
+	return w, w.AllDone || w.Done != nil || w.Tasks != nil
 }
 
 func encodeCrashes(n crashCount) *wireCrashes {
@@ -436,6 +441,9 @@
 			c.restoreStage(stage, s, now)
 		}
 	}
+	if w.Delegated {
+		j.assumeMoves(len(w.Path))
+	}
 	if j.hasStarted() {
 		j.state = Active
 	}
@@ -455,7 +463,7 @@
 			continue
 		}
 		t := s.tasks[wt.Index]
-		t.lastRun, t.checkpoint, t.failedRuns, t.crashes = wt.LastRun, wt.Checkpoint, wt.Failed, decodeCrashes(wt.Crashes)
+		t.lastRun, t.checkpoint, t.failedRuns, t.crashes, t.moves = wt.LastRun, wt.Checkpoint, wt.Failed, decodeCrashes(wt.Crashes), wt.Moves
 		s.lastGangRun = max(s.lastGangRun, t.lastRun)
 		for _, wr := range wt.Runs {
 			c.restoreRun(t, wr, w.Ages && !wr.Young, now)
--- a/internal/scheduler/cells_test.go
+++ b/internal/scheduler/cells_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"strconv"
 	"testing"
 	"testing/synctest"
@@ -177,6 +179,28 @@
 	}
 }
 
+// Guards against a cancel that stays in the inbox for good: it is for tasks that had been delegated and came back to the
+// cell of their job, which is cancelled already.
+func TestCancelOfReturnedTasksLeavesInbox(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const count = 2
+		cl := newCellCluster(t, count, 30*time.Second, "a", "b")
+		defer cl.stop()
+		const home = 1
+		j := jobAt(home, count, 1, 2)
+		require.NoError(t, submit(cl.nodes["a"], j))
+		require.False(t, cl.isHandedOver(j, count))
+		known, err := cl.nodes["a"].Cancel(context.Background(), j.ID)
+		require.NoError(t, err)
+		require.True(t, known)
+		key := keysOfCell(home).inbox + batch.DelegatedID(j.ID) + cancelSuffix
+		cl.store.put(key, cancelValue)
+		time.Sleep(time.Second)
+		cl.store.update(func(s *fakeStore) { require.False(t, slices.Contains(slices.Collect(maps.Keys(s.items)), key)) })
+		require.Equal(t, batch.Cancelled, state(t, cl.nodes["b"], j.ID))
+	})
+}
+
 // While one cell has no leader, the other cell has to start tasks as usual.
 func TestLeaderLossAffectsOnlyItsCell(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/scheduler/inbox.go
+++ b/internal/scheduler/inbox.go
@@ -10,15 +10,6 @@
 	"github.com/oriolepond/oriolepond/internal/store"
 )
 
-// inboxEntry records which keys of a job are in the cell's inbox.
-type inboxEntry struct {
-	// submitted is set if a node without a leader submitted the job, or another cell handed it over.
-	submitted bool
-	cancelled bool
-	// delegations are the keys of tasks that other cells have delegated.
-	delegations []string
-}
-
 func (l *Leader) inboxSnapshot(s store.Snapshot) {
 	l.acceptInbox(s.Entries)
 }
@@ -55,7 +46,7 @@
 			l.Log.Emit(eventlog.RecordUnreadable, zap.String("key", e.Key), zap.Error(err))
 			continue
 		}
-		l.updateInbox(id, func(entry *inboxEntry) { entry.submitted = true })
+		l.addInboxKey(id, e.Key)
 		l.core.MarkInInbox(id)
 	}
 	for _, e := range entries {
@@ -63,7 +54,8 @@
 		if !isCancel {
 			continue
 		}
-		l.updateInbox(id, func(entry *inboxEntry) { entry.cancelled = true })
+		id = l.core.StorageID(id)
+		l.addInboxKey(id, e.Key)
 		if l.core.Cancel(id, l.Now(), nil) {
 			l.core.MarkDirty(id)
 		}
@@ -77,19 +69,15 @@
 		l.Log.Emit(eventlog.RecordUnreadable, zap.String("key", e.Key), zap.Error(err))
 		return
 	}
-	l.updateInbox(id, func(entry *inboxEntry) {
-		if !slices.Contains(entry.delegations, e.Key) {
-			entry.delegations = append(entry.delegations, e.Key)
-		}
-	})
+	l.addInboxKey(id, e.Key)
 	l.core.MarkInInbox(id)
 }
 
-// updateInbox changes the inbox entry of a job; l.mu is held.
-func (l *Leader) updateInbox(id string, change func(*inboxEntry)) {
-	entry := l.inbox[id]
-	change(&entry)
-	l.inbox[id] = entry
+// addInboxKey records that an inbox key is to be removed with the next commit of a job; l.mu is held.
+func (l *Leader) addInboxKey(id, key string) {
+	if !slices.Contains(l.inbox[id], key) {
+		l.inbox[id] = append(l.inbox[id], key)
+	}
 }
 
 // inboxKeys returns the inbox keys of a job for removal in the commit of its record.
@@ -97,18 +85,7 @@
 func (l *Leader) inboxKeys(id string, limit int) []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	entry, ok := l.inbox[id]
-	if !ok {
-		return nil
-	}
-	var keys []string
-	if entry.submitted {
-		keys = append(keys, l.keys.inbox+id)
-	}
-	if entry.cancelled {
-		keys = append(keys, l.keys.inbox+id+cancelSuffix)
-	}
-	keys = append(keys, entry.delegations...)
+	keys := l.inbox[id]
 	if len(keys) > limit {
 		l.core.MarkDirty(id)
 		return nil
--- a/internal/scheduler/leader.go
+++ b/internal/scheduler/leader.go
@@ -60,7 +60,8 @@
 	unansweredSince time.Time
 	// fenced is true once a worker has rejected a poll because it has seen a newer leader.
 	fenced bool
-	inbox  map[string]inboxEntry
+	// inbox has, by job ID, the inbox keys that the next commit of the job removes.
+	inbox map[string][]string
 
 	// spent is what the leader spent its time on since that was last logged.
 	spent timeSpent
@@ -202,7 +203,7 @@
 	}
 	l.core = core
 	l.pollers = map[string]*poller{}
-	l.inbox = map[string]inboxEntry{}
+	l.inbox = map[string][]string{}
 	l.planNeeded = make(chan struct{}, 1)
 	l.commitNeeded = make(chan struct{}, 1)
 	l.startSlots = make(chan struct{}, maxConcurrentStarts)
--- a/internal/scheduler/refused.go
+++ b/internal/scheduler/refused.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -82,16 +81,7 @@
 	defer l.mu.Unlock()
 	for id, ofJob := range keys {
 		for _, key := range ofJob {
-			l.updateInbox(id, func(entry *inboxEntry) {
-				switch _, isCancel := l.keys.parseInboxKey(key); {
-				case strings.Contains(key, delegationMark):
-					entry.delegations = append(entry.delegations, key)
-				case isCancel:
-					entry.cancelled = true
-				default:
-					entry.submitted = true
-				}
-			})
+			l.addInboxKey(id, key)
 		}
 	}
 }
