Failures of runs that started together set one quarantine pause

Cause: each failure doubled the pause of the quarantine, also those of runs that were on the worker when it began.

Change: Health.Failed knows when the run started, and a run that started before the present pause was set does not extend it.

--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -194,8 +194,10 @@
 	// stateSince is when the run entered its state. Only reports to polls that were sent later
 	// reflect it.
 	stateSince time.Time
-	// sentAt is when the start command was sent.
-	sentAt time.Time
+	// placedAt is when the run was assigned to its worker, as far as this leader knows. sentAt is when the
+	// start command was sent.
+	placedAt time.Time
+	sentAt   time.Time
 	// started means that the worker has confirmed that the run has started, crashed that a crash of
 	// the worker during the run was recorded.
 	started bool
--- a/internal/batch/plan.go
+++ b/internal/batch/plan.go
@@ -284,7 +284,7 @@
 	t.state = taskPlaced
 	t.stage.queued--
 	r := &run{
-		task: t, number: number, worker: w, incarnation: w.Incarnation, state: runPending, stateSince: now, throttleRatio: unthrottled,
+		task: t, number: number, worker: w, incarnation: w.Incarnation, state: runPending, stateSince: now, placedAt: now, throttleRatio: unthrottled,
 		overdue: overdue, settled: !c.isYoung(w, now),
 	}
 	c.isolate(r)
--- a/internal/batch/poll.go
+++ b/internal/batch/poll.go
@@ -288,7 +288,11 @@
 		c.health.Succeeded(w.ID, t.stage.job.ID)
 		c.finishTask(t, now)
 	case e.How == EndFailed:
-		c.recordFailure(t, w, e.Run, now)
+		placed := time.Time{}
+		if r != nil {
+			placed = r.placedAt
+		}
+		c.recordFailure(t, w, e.Run, placed, now)
 	}
 	if t.state == taskPlaced && len(t.runs) == 0 && !t.stage.job.state.Final() {
 		if t.stage.step.Gang {
@@ -327,12 +331,13 @@
 // retryPause is how long a failed task waits before its next run, so that a short fault can pass.
 const retryPause = 50 * time.Millisecond
 
-// recordFailure counts the failure of a task, once for each run, and fails the job after too many.
-func (c *Core) recordFailure(t *task, w *worker, run int64, now time.Time) {
+// recordFailure counts the failure of a task, once for each run, and fails the job after too many. The time
+// at which the run was placed is zero if it is not known.
+func (c *Core) recordFailure(t *task, w *worker, run int64, placed, now time.Time) {
 	if slices.Contains(t.failedRuns, run) {
 		return
 	}
-	if c.health.Failed(w.ID, t.stage.job.ID, now) {
+	if c.health.Failed(w.ID, t.stage.job.ID, placed, now) {
 		c.note(Note{Kind: NoteQuarantined, Worker: w.ID, Task: t.name()})
 	}
 	t.avoidWorker = w
--- /dev/null
+++ b/internal/batch/quarantine_test.go
@@ -0,0 +1,98 @@
+package batch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/oriolepond/oriolepond/pkg/share"
+)
+
+// failingWorker simulates a worker that fails what it is given: the only one of four on which tasks with its label run.
+type failingWorker struct {
+	t       *testing.T
+	core    *Core
+	now     time.Time
+	label   string
+	lastEnd int64
+	// running are the starts that have not ended, with the time of the start.
+	running map[TaskName]Call
+	since   map[TaskName]time.Time
+	// failsAfter is how long after its start a run fails; zero means that none does.
+	failsAfter time.Duration
+	// starts counts the starts, mostAtOnce the most in one tick.
+	starts, mostAtOnce int
+}
+
+// newFailingWorker returns a worker that fails its runs at once, and a core that knows that each of
+// several jobs has succeeded elsewhere.
+func newFailingWorker(t *testing.T) *failingWorker {
+	now := time.Unix(1_000_000_000, 0)
+	return &failingWorker{
+		t: t, core: fourWorkerCore(t, now), now: now, label: "kind-a", running: map[TaskName]Call{}, since: map[TaskName]time.Time{},
+		failsAfter: 50 * time.Millisecond,
+	}
+}
+
+// submit submits jobs with a number of tasks that run on the worker only.
+func (f *failingWorker) submit(jobs, tasks int, longRunning bool) {
+	for range jobs {
+		id := fmt.Sprintf("%016x", len(f.core.jobs))
+		step := Step{Tasks: tasks, Size: share.Resources{Processors: 100}, RequiredLabel: f.label, LongRunning: longRunning, Estimate: time.Second}
+		require.NoError(f.t, f.core.Submit(Job{ID: id, Queue: "check", Steps: []Step{step}}, f.now, nil))
+	}
+}
+
+const failingWorkerTick = 50 * time.Millisecond
+
+// run simulates a duration.
+func (f *failingWorker) run(d time.Duration) {
+	for until := f.now.Add(d); f.now.Before(until); {
+		f.now = f.now.Add(failingWorkerTick)
+		rep := Report{Incarnation: 1, Clock: time.Hour + f.now.Sub(time.Unix(1_000_000_000, 0))}
+		for _, name := range sortedNames(f.running) {
+			if f.failsAfter > 0 && f.now.Sub(f.since[name]) >= f.failsAfter {
+				f.lastEnd++
+				rep.Ended = append(rep.Ended, EndedRow{Number: f.lastEnd, Task: name, Run: f.running[name].Run, How: EndFailed})
+				delete(f.running, name)
+				continue
+			}
+			rep.Running = append(rep.Running, RunningRow{Task: name, Run: f.running[name].Run, Percent: 100})
+		}
+		f.core.ApplyReport("a", rep, f.now, f.now)
+		f.core.renewLease("a", f.now)
+		f.core.Plan(f.now)
+		calls := commitAndStart(f.t, f.core, f.now)
+		for name, call := range calls {
+			require.Equal(f.t, "a", call.Worker)
+			f.running[name], f.since[name] = call, f.now
+		}
+		f.starts += len(calls)
+		f.mostAtOnce = max(f.mostAtOnce, len(calls))
+	}
+}
+
+func sortedNames(calls map[TaskName]Call) []TaskName {
+	keys := map[runKey]*simRun{}
+	for name := range calls {
+		keys[runKey{task: name}] = nil
+	}
+	var names []TaskName
+	for _, key := range sortedRunKeys(keys) {
+		names = append(names, key.task)
+	}
+	return names
+}
+
+// Guards against a worker that stays unused for long after one short fault, because all runs that it had then
+// have failed.
+func TestRunsOfOneFaultSetOnePause(t *testing.T) {
+	f := newFailingWorker(t)
+	f.submit(8, 4, true)
+	f.run(500 * time.Millisecond)
+	f.failsAfter = 0
+	f.run(minProbePause)
+	require.NotEmpty(t, f.running, "the worker is sound and stays unused")
+}
--- a/internal/placement/health.go
+++ b/internal/placement/health.go
@@ -36,8 +36,10 @@
 	// unprovenFamilies holds the job families without a recent success that failed on the worker.
 	unprovenFamilies map[string]bool
 	probePause       time.Duration
-	// nextProbeAt is when the next probe may start; zero if the worker is not in quarantine.
+	// nextProbeAt is when the next probe may start; zero if the worker is not in quarantine. setAt is when
+	// probePause was set.
 	nextProbeAt time.Time
+	setAt       time.Time
 }
 
 // NewHealth returns a Health that trusts all workers.
@@ -76,10 +78,11 @@
 	h.failedWorkers[family] = map[string]bool{}
 }
 
-// Failed records that a task of a job family failed on a worker. It reports
-// whether the worker is in quarantine, so that the failure is attributed to the
-// worker rather than to the task.
-func (h *Health) Failed(worker, family string, now time.Time) bool {
+// Failed records that a task of a job family failed on a worker, where it had started at the
+// given time. It reports whether the worker is in quarantine, so that the failure is attributed
+// to the worker rather than to the task. Tasks that had started before the quarantine began, or
+// before its last failed probe, do not extend it.
+func (h *Health) Failed(worker, family string, started, now time.Time) bool {
 	w, ok := h.workers[worker]
 	if !ok {
 		w = &workerHealth{unprovenFamilies: map[string]bool{}}
@@ -94,8 +97,11 @@
 	if w.failures+len(w.unprovenFamilies) < quarantineFailures {
 		return false
 	}
+	if !w.nextProbeAt.IsZero() && !started.After(w.setAt) {
+		return true
+	}
 	w.probePause = min(max(2*w.probePause, h.MinProbePause), h.MaxProbePause)
-	w.nextProbeAt = now.Add(w.probePause)
+	w.nextProbeAt, w.setAt = now.Add(w.probePause), now
 	return true
 }
 
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -162,7 +162,7 @@
 	case OutcomeFinished:
 		p.RecordFinished(worker, r.Job, m.tasks[task].peak)
 	case OutcomeFailed:
-		p.Health.Failed(worker, r.Job, now)
+		p.Health.Failed(worker, r.Job, m.tasks[task].startedAt, now)
 	}
 	delete(m.tasks, task)
 	p.Pool.Release(worker, task)
--- a/internal/shard/lifecycle.go
+++ b/internal/shard/lifecycle.go
@@ -123,7 +123,7 @@
 // it.
 func (c *Core) recordFailure(e *taskEntry, reason string, now time.Time) {
 	before := c.health.Quarantined(e.Worker)
-	c.health.Failed(e.Worker, e.job.Name, now)
+	c.health.Failed(e.Worker, e.job.Name, e.placedAt, now)
 	if !before && c.health.Quarantined(e.Worker) {
 		c.notify(Notice{Event: eventlog.WorkerQuarantined, Job: e.job.Name, Task: e.id, Worker: e.Worker, Reason: reason})
 	}
