Long-running tasks that last end the quarantine of their worker

Cause: only an end as done counted as a success. On a worker of long-running tasks the failures were never forgotten: it stayed in quarantine while they ran, and the next failure doubled its pause.

Change: a long-running task that has run for 1.5 s counts as a success, unless it had started before the last failed probe. A worker that leaves the quarantine so is searched again.

Measured: TestLongRunningTasksEndQuarantine fails without the change, and TestRunsOfBeforeDoNotEndQuarantine if the time of the start is not compared.

--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -204,6 +204,8 @@
 	crashed bool
 	// isolation is how long the run is isolated on its worker; zero means not at all.
 	isolation time.Duration
+	// proven means that the run is long-running and has counted as a success of its worker.
+	proven bool
 	// progress is the percentage of work done that the worker last reported.
 	progress int
 	// tail is the tail latency that was reported last, previousTail the one for which tailRatio was
--- a/internal/batch/poll.go
+++ b/internal/batch/poll.go
@@ -192,6 +192,7 @@
 		r.state, r.stateSince, r.started = runRunning, now, true
 		c.markStarted(t.stage.job)
 	}
+	c.recordLasting(r, now)
 	r.progress = row.Percent
 	if t.stage.step.TailTarget > 0 {
 		r.tail = time.Duration(row.Measurement * float64(time.Millisecond))
@@ -200,6 +201,21 @@
 	}
 }
 
+// provenAfter is how long a long-running task has to run without a failure before it counts as a success of
+// its worker: longer than the tasks take to start up.
+const provenAfter = 1500 * time.Millisecond
+
+// recordLasting counts a long-running task that has run for long enough as a success of its worker.
+func (c *Core) recordLasting(r *run, now time.Time) {
+	if r.proven || !r.task.stage.step.LongRunning || now.Sub(r.stateSince) < provenAfter {
+		return
+	}
+	r.proven = true
+	if c.health.Lasted(r.worker.ID, r.task.stage.job.ID, r.placedAt) {
+		c.markChanged(r.worker)
+	}
+}
+
 // markStarted makes a queued job active, because one of its tasks has started.
 func (c *Core) markStarted(j *job) {
 	if j.state == Queued {
--- a/internal/batch/quarantine_test.go
+++ b/internal/batch/quarantine_test.go
@@ -96,3 +96,35 @@
 	f.run(minProbePause)
 	require.NotEmpty(t, f.running, "the worker is sound and stays unused")
 }
+
+// Guards against a worker that counts as failing for good, because the tasks that run well on it never end.
+func TestLongRunningTasksEndQuarantine(t *testing.T) {
+	f := newFailingWorker(t)
+	f.submit(4, 4, true)
+	f.run(500 * time.Millisecond)
+	require.True(t, f.core.health.Quarantined("a"))
+	f.failsAfter = 0
+	f.run(minProbePause + provenAfter/2)
+	require.NotEmpty(t, f.running)
+	require.True(t, f.core.health.Quarantined("a"), "tasks may fail after their start")
+	f.run(provenAfter)
+	require.False(t, f.core.health.Quarantined("a"))
+}
+
+// Guards against a quarantine that ends while its worker still fails all that it starts: tasks that it had started
+// before run on.
+func TestRunsOfBeforeDoNotEndQuarantine(t *testing.T) {
+	f := newFailingWorker(t)
+	f.failsAfter = 0
+	f.submit(1, 4, true)
+	f.run(provenAfter / 2)
+	for name := range f.running {
+		f.since[name] = f.now.Add(time.Hour) // It does not fail.
+	}
+	f.failsAfter = 50 * time.Millisecond
+	f.submit(4, 4, true)
+	f.run(500 * time.Millisecond)
+	f.starts = 0
+	f.run(minProbePause / 2)
+	require.Zero(t, f.starts)
+}
--- a/internal/placement/health.go
+++ b/internal/placement/health.go
@@ -78,6 +78,19 @@
 	h.failedWorkers[family] = map[string]bool{}
 }
 
+// Lasted records that a task that does not end by itself has run on a worker for long enough to count as a
+// success, and reports whether that ended a quarantine. A task that had started before the last failed
+// probe proves nothing.
+func (h *Health) Lasted(worker, family string, started time.Time) bool {
+	w, ok := h.workers[worker]
+	quarantined := ok && !w.nextProbeAt.IsZero()
+	if quarantined && !started.After(w.setAt) {
+		return false
+	}
+	h.Succeeded(worker, family)
+	return quarantined
+}
+
 // Failed records that a task of a job family failed on a worker, where it had started at the
 // given time. It reports whether the worker is in quarantine, so that the failure is attributed
 // to the worker rather than to the task. Tasks that had started before the quarantine began, or
