Workers in quarantine get one probe, long-running tasks at once

Cause: nothing told the quarantine that a run had been started, so that all waiting tasks were the probe of a worker, and each failed one waited for the next pause, of up to 30 s.

Change: a worker in quarantine gets one run at a time. A long-running task that has waited for 2 s and for which no worker is reserved is placed there without the pause, 1.5 s after the last probe at the earliest: it may fail any number of times.

--- a/internal/batch/core.go
+++ b/internal/batch/core.go
@@ -56,9 +56,10 @@
 	isolationSearches int
 	// crashTimes are the times of the last contact with workers that have crashed recently.
 	crashTimes []time.Time
-	// accepting are the workers that accept runs, collected at the beginning of each plan.
-	// searchStart is the index in them at which the next search for a worker begins.
-	accepting []*worker
+	// accepting are the workers that accept runs, quarantined those in quarantine that otherwise would, collected at
+	// the beginning of each plan. searchStart is the index in accepting at which the next search for a worker begins.
+	accepting   []*worker
+	quarantined []*worker
 	// contacts is what is known of the calls to workers.
 	contacts contacts
 	// renewalsUntil is until when earlier leaders may renew leases, as given to LimitRenewals.
@@ -163,13 +164,6 @@
 	NoteResumed            NoteKind = "resumed"
 )
 
-const (
-	// minProbePause and maxProbePause limit the pause before a quarantined worker gets another
-	// task. Outages of a worker typically last some seconds.
-	minProbePause = 2 * time.Second
-	maxProbePause = 30 * time.Second
-)
-
 // NewCore returns a Core without jobs. By uncontactedExpiry, all leases that earlier leaders granted
 // must have expired; it applies to each worker until this leader contacts the worker.
 func NewCore(timing Timing, now, uncontactedExpiry time.Time) *Core {
--- a/internal/batch/fit.go
+++ b/internal/batch/fit.go
@@ -4,8 +4,13 @@
 
 // acceptsRuns reports whether a worker may be given new runs.
 func (c *Core) acceptsRuns(w *worker, now time.Time) bool {
+	return c.isAvailable(w, now) && c.health.Permits(w.ID, now)
+}
+
+// isAvailable reports whether nothing but a quarantine keeps a worker from being given new runs.
+func (c *Core) isAvailable(w *worker, now time.Time) bool {
 	return w.isUsable() && !w.Draining && w.contacted && w.unresponsiveSince.IsZero() &&
-		!now.Before(w.backoffUntil) && len(w.orphans) == 0 && c.mayGrant(w) && c.health.Permits(w.ID, now)
+		!now.Before(w.backoffUntil) && len(w.orphans) == 0 && c.mayGrant(w)
 }
 
 // Obstacle is why a worker that accepts runs cannot run a task; it is empty if the worker can.
@@ -22,6 +27,7 @@
 	NoIdleProcessors       Obstacle = "not enough idle processors"
 	NoHeadroom             Obstacle = "serving tasks have too little headroom for the image"
 	IsolatedRun            Obstacle = "a run is isolated on the worker"
+	Quarantined            Obstacle = "worker is in quarantine"
 	NoAcceptingWorker      Obstacle = "no worker accepts runs"
 	noObstacle             Obstacle = ""
 	noCapacityForGang      Obstacle = "not enough free capacity for the whole gang"
@@ -38,6 +44,9 @@
 	if w.Service != t.stage.job.Policy.Service {
 		return NoService
 	}
+	if w.probeTaken {
+		return Quarantined
+	}
 	if w.isolated != nil {
 		return IsolatedRun
 	}
--- a/internal/batch/plan.go
+++ b/internal/batch/plan.go
@@ -127,6 +127,7 @@
 		}
 	}
 	c.makeReservations(waiting, now)
+	c.placeInQuarantine(waiting, now)
 }
 
 // placeTasks assigns the queued tasks of a stage to workers until no worker suits the next one. Of
@@ -288,6 +289,10 @@
 		overdue: overdue, settled: !c.isYoung(w, now),
 	}
 	c.isolate(r)
+	if c.health.Quarantined(w.ID) {
+		c.health.Started(w.ID, now)
+		w.probeTaken = true
+	}
 	t.runs = append(t.runs, r)
 	w.addRun(r)
 	j := t.stage.job
--- a/internal/batch/quarantine_test.go
+++ b/internal/batch/quarantine_test.go
@@ -128,3 +128,80 @@
 	f.run(minProbePause / 2)
 	require.Zero(t, f.starts)
 }
+
+// Guards against many tasks that are lost to one bad worker: all that waited for it were its probe.
+func TestQuarantinedWorkerGetsOneProbe(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		longRunning bool
+	}{
+		{name: "tasks that end"},
+		{name: "long-running tasks", longRunning: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFailingWorker(t)
+			f.submit(8, 4, c.longRunning)
+			f.run(500 * time.Millisecond)
+			require.True(t, f.core.health.Quarantined("a"))
+			f.starts, f.mostAtOnce = 0, 0
+			f.run(10 * time.Second)
+			require.Equal(t, 1, f.mostAtOnce)
+		})
+	}
+}
+
+// Guards against long-running tasks that wait for the next probe of a worker that is sound again, although no other
+// worker suits them: the platform lets them be without a run for 7 s from then on, 3 s after 4 s of calm.
+func TestLongRunningTasksRunOnWorkerThatIsSoundAgain(t *testing.T) {
+	const bound = 7 * time.Second
+	for _, failsFor := range []time.Duration{500 * time.Millisecond, 2 * time.Second, 4100 * time.Millisecond, 6500 * time.Millisecond, 20 * time.Second} {
+		t.Run(failsFor.String(), func(t *testing.T) {
+			f := newFailingWorker(t)
+			f.submit(4, 4, true)
+			f.run(failsFor)
+			f.failsAfter = 0
+			f.run(bound)
+			require.Len(t, f.running, 16)
+		})
+	}
+}
+
+// Guards against long-running tasks that go from one bad worker to the next: one that can get a worker reserved waits
+// for that.
+func TestReservationGoesBeforeQuarantine(t *testing.T) {
+	f := newFailingWorker(t)
+	f.label = ""
+	size := share.Resources{Processors: 4000}
+	now := f.now
+	for _, id := range []string{"b", "c", "d"} {
+		f.core.renewLease(id, now)
+	}
+	short := Step{Tasks: 3, Size: size, Estimate: time.Second}
+	require.NoError(t, f.core.Submit(Job{ID: "short", Queue: "check", Steps: []Step{short}}, now, nil))
+	for _, family := range []string{"x", "y", "z"} {
+		f.core.health.Failed("a", family, now, now)
+	}
+	f.core.Plan(now)
+	require.Len(t, commitAndStart(t, f.core, now), 3)
+	lasting := Step{Tasks: 1, Size: size, LongRunning: true}
+	require.NoError(t, f.core.Submit(Job{ID: "lasting", Queue: "check", Steps: []Step{lasting}}, now, nil))
+	task := f.core.jobs["lasting"].stages[0].tasks[0]
+	task.lastRun = 1
+	for _, family := range []string{"x", "y", "z"} {
+		f.core.health.Failed("a", family, now.Add(minProbePause), now.Add(minProbePause))
+	}
+	for now.Sub(f.now) <= quarantineWait+reserveEvery {
+		now = now.Add(failingWorkerTick)
+		for _, w := range f.core.workersByID() {
+			var rows []RunningRow
+			for _, r := range sortedRuns(w.runs) {
+				rows = append(rows, RunningRow{Task: r.task.name(), Run: r.number})
+			}
+			f.core.ApplyReport(w.ID, Report{Incarnation: 1, Clock: time.Hour, Running: rows}, now, now)
+			f.core.renewLease(w.ID, now)
+		}
+		f.core.Plan(now)
+		require.Empty(t, commitAndStart(t, f.core, now))
+	}
+	require.True(t, f.core.hasReserved(task))
+}
--- a/internal/batch/search.go
+++ b/internal/batch/search.go
@@ -39,10 +39,12 @@
 	return c.sortedWorkers
 }
 
-// updateAccepting sets c.accepting to the workers that accept runs, sorted by ID.
+// updateAccepting sets c.accepting to the workers that accept runs, sorted by ID, and c.quarantined to those
+// that would but for their quarantine.
 func (c *Core) updateAccepting(now time.Time) {
-	c.accepting = c.accepting[:0]
+	c.accepting, c.quarantined = c.accepting[:0], c.quarantined[:0]
 	for _, w := range c.workersByID() {
+		w.probeTaken = false
 		accepts, starved := c.acceptsRuns(w, now), w.hasStarved(now)
 		switch {
 		case accepts && !w.accepts:
@@ -51,8 +53,11 @@
 			c.markChangedForFillers(w)
 		}
 		w.accepts, w.starved = accepts, starved
-		if accepts {
+		switch {
+		case accepts:
 			c.accepting = append(c.accepting, w)
+		case c.health.Quarantined(w.ID) && c.isAvailable(w, now):
+			c.quarantined = append(c.quarantined, w)
 		}
 	}
 }
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -82,6 +82,8 @@
 	fillerUsage     []interference.ImageUsage
 	tailsRecordedAt time.Time
 	usageAddedAt    time.Time
+	// probeTaken means that the worker is in quarantine and was given its probe in this plan.
+	probeTaken bool
 	// reservedFor is the task for which the worker is reserved since reservedAt; nil if it is not
 	// reserved.
 	reservedFor *task
--- a/internal/placement/health.go
+++ b/internal/placement/health.go
@@ -40,6 +40,8 @@
 	// probePause was set.
 	nextProbeAt time.Time
 	setAt       time.Time
+	// probedAt is when the last probe was started; zero if there was none.
+	probedAt time.Time
 }
 
 // NewHealth returns a Health that trusts all workers.
@@ -68,10 +70,18 @@
 // quarantine this is the probe, and the next one has to wait.
 func (h *Health) Started(worker string, now time.Time) {
 	if w, ok := h.workers[worker]; ok && !w.nextProbeAt.IsZero() {
-		w.nextProbeAt = now.Add(w.probePause)
+		w.nextProbeAt, w.probedAt = now.Add(w.probePause), now
 	}
 }
 
+// LastProbe returns when the last probe was started on a worker in quarantine; zero if there was none.
+func (h *Health) LastProbe(worker string) time.Time {
+	if w, ok := h.workers[worker]; ok {
+		return w.probedAt
+	}
+	return time.Time{}
+}
+
 // Succeeded records that a task of a job family finished on a worker.
 func (h *Health) Succeeded(worker, family string) {
 	delete(h.workers, worker)
