A run belongs to the incarnation that has reported it

Callers saw (the users' own runs, TWICE, no case): tasks of one worker ran a second time elsewhere while they ran, from one leader, without late orders, and the first runs were stopped.

Cause: answers to commands do not tell which incarnation of a worker has given them. A worker that restarted under its ID carried out starts before the leader knew of the restart. The leader took these runs for runs of the former incarnation, gave them up at the first report of the new one, and stopped them as orphans. The stand-in and the World told the incarnation, so no test could show it.

A run that no report has listed is in doubt when its worker restarts; the next report keeps it, or it is stopped first. A crash that was counted for such a run is taken back if the run is on the new incarnation. The soak restarts workers (-soak.faults restarts).

The row of TestOnlyEvidenceEndsRuns that ended a run by a restart alone asserted the false proof: one with a report before it ends it as fast, one without asks for a stop first. crashUnder reports the run before the crash.

--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -25,7 +25,7 @@
 	soakParallel = flag.Int("soak.beside", 3, "how many seeds are run at once")
 	soakNodes    = flag.Int("soak.nodes", 5, "how many nodes each seed runs")
 	soakCells    = flag.Int("soak.cells", 0, "into how many cells the workers of each seed are divided; 0 lets the nodes decide")
-	soakFaults   = flag.String("soak.faults", "", "`set` of faults of the new seeds: empty for random faults, rollouts, refusals, routes, losses or sizes")
+	soakFaults   = flag.String("soak.faults", "", "`set` of faults of the new seeds: empty for random faults, rollouts, refusals, restarts, routes, losses or sizes")
 	soakLogs     = flag.String("soak.logs", "", "`directory` in which the logs of each run are kept")
 )
 
--- a/internal/batch/crash.go
+++ b/internal/batch/crash.go
@@ -46,6 +46,8 @@
 	confirmed int
 	// early means that the last crash may have come within earlyCrash of the start.
 	early bool
+	// culprit means that the task is to be given up once it is certain that its run has ended.
+	culprit bool
 }
 
 // isolation returns how long the task's next run is to be isolated; zero means not at all.
@@ -70,7 +72,8 @@
 
 // recordCrash records that a worker has crashed, which ended its runs except those that were meant
 // for the new incarnation; this is zero if it is not known. Certain is false if the worker may have
-// left in another way. It returns the tasks that are to be given up.
+// left in another way. It returns the tasks that are to be given up. Runs that no report has listed may turn out
+// to have started on the new incarnation, see forgiveCrash; their tasks are only marked as to be given up.
 func (c *Core) recordCrash(w *worker, incarnation int64, certain bool, now time.Time) []*task {
 	if w.Draining {
 		// It has left as announced.
@@ -82,7 +85,7 @@
 		if !r.mayHaveCrashed(incarnation) {
 			continue
 		}
-		r.crashed = true
+		r.crashed, r.crashesBefore = true, r.task.crashes
 		crashed.Runs++
 		if r.lasted() < earlyCrash {
 			crashed.EarlyRuns++
@@ -105,13 +108,31 @@
 	var culprits []*task
 	cause, simultaneous := soleCause(w, suspects), c.crashedWithOthers(w)
 	for _, r := range suspects {
-		if r.task.crashes.total >= maxCrashes || r == cause && r.isProvenCause(simultaneous) {
+		switch isCulprit := r.task.crashes.total >= maxCrashes || r == cause && r.isProvenCause(simultaneous); {
+		case isCulprit && incarnation != 0 && !r.reported:
+			r.task.crashes.culprit = true
+		case isCulprit:
 			culprits = append(culprits, r.task)
 		}
 	}
 	return culprits
 }
 
+// forgiveCrash takes back the crash that was counted for a run, which turns out to have started after it. If an
+// earlier leader has counted it, only the verdict is taken back.
+func (c *Core) forgiveCrash(r *run) {
+	t := r.task
+	switch {
+	case r.crashed:
+		t.crashes, r.crashed = r.crashesBefore, false
+	case t.crashes.culprit:
+		t.crashes.culprit = false
+	default:
+		return
+	}
+	c.markDirty(t.stage.job)
+}
+
 // isProvenCause reports whether enough workers have crashed under the task of a run that alone may
 // have caused the last crash. Simultaneous means that other workers crashed at the same time.
 func (r *run) isProvenCause(simultaneous bool) bool {
--- a/internal/batch/crash_test.go
+++ b/internal/batch/crash_test.go
@@ -139,10 +139,11 @@
 	}
 }
 
-// crashUnder crashes the worker that runs a task, and returns when that was.
+// crashUnder crashes the worker that has reported the run of a task, and returns when that was.
 func crashUnder(t *testing.T, c *Core, name TaskName, now time.Time) time.Time {
 	t.Helper()
 	r := c.jobHere(name.Job).stage(name.Occurrence, name.Step).tasks[name.Index].runs[0]
+	c.ApplyReport(r.worker.ID, Report{Incarnation: r.worker.Incarnation, Running: []RunningRow{{Task: name, Run: r.number}}}, now, now)
 	now = now.Add(50 * time.Millisecond)
 	c.SetWorker(WorkerInfo{
 		ID: r.worker.ID, Address: r.worker.ID, Service: r.worker.Service, Incarnation: r.worker.Incarnation + 1,
--- a/internal/batch/evidence.go
+++ b/internal/batch/evidence.go
@@ -57,6 +57,9 @@
 		c.enqueue(t, now)
 		c.markDirty(t.stage.job)
 	}
+	if t.crashes.culprit {
+		c.giveUp([]*task{t}, now)
+	}
 }
 
 // requeueUnstarted does what requeue does for a run that never began: its task has waited all the while.
--- a/internal/batch/evidence_test.go
+++ b/internal/batch/evidence_test.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -46,11 +47,24 @@
 			c.RemoveWorker(w.ID)
 			c.PollFailed(w.ID, AnswerWrongIncarnation, at, at)
 		}, 0, time.Second},
-		{"restarts", func(c *Core, w *worker, at time.Time) {
+		{"reports the run and restarts", func(c *Core, w *worker, at time.Time) {
 			if w.Incarnation == 1 {
+				c.ApplyReport(w.ID, reportOf(w), at, at)
 				c.ApplyReport(w.ID, Report{Incarnation: 2, Clock: time.Second}, at, at)
 			}
 		}, 0, time.Second},
+		{"restarts before it reports the run", func(c *Core, w *worker, at time.Time) {
+			rep := Report{Incarnation: 2, Clock: time.Second}
+			if w.Incarnation == rep.Incarnation {
+				rep.Running = slices.DeleteFunc(reportOf(w).Running, func(r RunningRow) bool { return r.Run == 1 })
+			}
+			c.ApplyReport(w.ID, rep, at, at)
+			for _, command := range c.TakeCommands() {
+				if _, ok := c.PrepareCall(command, at); ok {
+					c.HandleAnswer(command, Result{Answer: AnswerDone}, at, at)
+				}
+			}
+		}, 1500 * time.Millisecond, 2 * time.Second},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			now := start
@@ -135,6 +149,54 @@
 	}
 }
 
+// reportOf returns a report in which a worker lists all runs that it should have.
+func reportOf(w *worker) Report {
+	rep := Report{Incarnation: w.Incarnation, Clock: time.Hour}
+	for _, r := range sortedRuns(w.runs) {
+		rep.Running = append(rep.Running, RunningRow{Task: r.task.name(), Run: r.number})
+	}
+	return rep
+}
+
+// Guards against a second run of a task that the new incarnation of its worker has started before this leader knew
+// of it: answers to commands do not tell which incarnation has carried them out.
+func TestRunOfNewIncarnationIsKept(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// knownBy makes the core learn of the new incarnation.
+		knownBy func(core *Core, w *worker, rep Report, now time.Time)
+	}{
+		{"its report", func(core *Core, w *worker, rep Report, now time.Time) { core.ApplyReport(w.ID, rep, now, now) }},
+		{"its entry", func(core *Core, w *worker, rep Report, now time.Time) {
+			info := w.WorkerInfo
+			info.Incarnation = rep.Incarnation
+			core.SetWorker(info, now)
+			core.Plan(now)
+			later := now.Add(100 * time.Millisecond)
+			core.ApplyReport(w.ID, rep, later, later)
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			now := time.Unix(1_000_000_000, 0)
+			core := fourWorkerCore(t, now)
+			require.NoError(t, core.Submit(Job{ID: "j", Queue: "check", Steps: []Step{{Tasks: 1, Size: share.Resources{Processors: 1000}}}}, now, nil))
+			core.Plan(now)
+			first := commitAndStart(t, core, now)[TaskName{Job: "j"}]
+			w := core.workers[first.Worker]
+			now = now.Add(200 * time.Millisecond)
+			rep := Report{Incarnation: 2, Clock: time.Second, Running: []RunningRow{{Task: first.Task, Run: first.Run}}}
+			c.knownBy(core, w, rep, now)
+			now = now.Add(time.Second)
+			core.Plan(now)
+			require.Empty(t, commitAndStart(t, core, now), "the task was started again")
+			for _, command := range core.TakeCommands() {
+				require.NotEqual(t, CommandStop, command.Kind)
+			}
+			require.Zero(t, core.jobs["j"].stages[0].tasks[0].crashes.total, "the run began after the crash")
+		})
+	}
+}
+
 // otherWorkers returns the listed workers but one.
 func otherWorkers(c *Core, id string) []WorkerInfo {
 	var others []WorkerInfo
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -188,8 +188,10 @@
 	task   *task
 	number int64
 	worker *worker
-	// incarnation is the worker incarnation that the start command was meant for.
+	// incarnation is the worker incarnation that the start command was meant for, or that has reported the run.
+	// reported means that it has: the answer to a start command does not tell which incarnation carried it out.
 	incarnation int64
+	reported    bool
 	state       runState
 	// stateSince is when the run entered its state. Only reports to polls that were sent later
 	// reflect it.
@@ -199,9 +201,10 @@
 	placedAt time.Time
 	sentAt   time.Time
 	// started means that the worker has confirmed that the run has started, crashed that a crash of
-	// the worker during the run was recorded.
-	started bool
-	crashed bool
+	// the worker during the run was recorded; crashesBefore is the task's count before that.
+	started       bool
+	crashed       bool
+	crashesBefore crashCount
 	// isolation is how long the run is isolated on its worker; zero means not at all.
 	isolation time.Duration
 	// proven means that the run is long-running and has counted as a success of its worker.
--- a/internal/batch/lease.go
+++ b/internal/batch/lease.go
@@ -131,18 +131,29 @@
 			c.markDirty(r.task.stage.job)
 		}
 		switch {
-		case r.state == runPending:
-		case r.incarnation != incarnation && (r.state == runSent || r.state == runUnconfirmed):
-			// The start command may still reach the new incarnation.
-			r.state, r.stateSince = runUnconfirmed, now
-		case r.incarnation != incarnation:
+		case r.state == runPending || r.incarnation == incarnation:
+		case r.reported:
 			c.lose(r, evidenceRestarted, now)
+		default:
+			c.doubtStart(r, now)
 		}
 	}
 	c.giveUp(culprits, now)
 	c.requestPoll(w)
 }
 
+// doubtStart handles a run whose worker has restarted since its start command was prepared, before any report listed
+// the run: the new incarnation may have carried out the command, or may still do so.
+func (c *Core) doubtStart(r *run, now time.Time) {
+	if r.state != runStopping && r.state != runStopped {
+		r.state, r.stateSince = runUnconfirmed, now
+		return
+	}
+	// The former incarnation may have been told to stop it.
+	r.state, r.stateSince, r.stopSentAt = runStopping, now, now
+	c.commands = append(c.commands, Command{Kind: CommandStop, run: r, worker: r.worker})
+}
+
 // hasOnlyRunsOf reports whether the worker has runs, and all of them were started on the given incarnation.
 func (w *worker) hasOnlyRunsOf(incarnation int64) bool {
 	for _, r := range w.runs {
--- a/internal/batch/poll.go
+++ b/internal/batch/poll.go
@@ -178,6 +178,10 @@
 // applyRunningRow updates a run from what its worker reports.
 func (c *Core) applyRunningRow(r *run, row RunningRow, now time.Time) {
 	t := r.task
+	if !r.reported {
+		c.forgiveCrash(r)
+	}
+	r.incarnation, r.reported = r.worker.Incarnation, true
 	if !r.settled && !c.isYoung(r.worker, now) {
 		r.settled = true
 		if t.stage.step.LongRunning {
@@ -228,7 +232,7 @@
 	switch r.state {
 	case runUnconfirmed:
 		// Once the stop is carried out, the worker refuses a start command that arrives late.
-		c.stopRun(r, "start command was not answered", now)
+		c.stopRun(r, "start command is not confirmed", now)
 	case runStopped:
 		c.requeue(r, evidenceStopped, now)
 	case runRunning:
--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -232,6 +232,7 @@
 		Total     int  `json:"n"`
 		Confirmed int  `json:"c,omitempty"`
 		Early     bool `json:"e,omitempty"`
+		Culprit   bool `json:"g,omitempty"`
 	}
 	wireRun struct {
 		Number      int64  `json:"n"`
@@ -308,14 +309,14 @@
 	if n.total == 0 {
 		return nil
 	}
-	return &wireCrashes{Total: n.total, Confirmed: n.confirmed, Early: n.early}
+	return &wireCrashes{Total: n.total, Confirmed: n.confirmed, Early: n.early, Culprit: n.culprit}
 }
 
 func decodeCrashes(w *wireCrashes) crashCount {
 	if w == nil {
 		return crashCount{}
 	}
-	return crashCount{total: w.Total, confirmed: w.Confirmed, early: w.Early}
+	return crashCount{total: w.Total, confirmed: w.Confirmed, early: w.Early, culprit: w.Culprit}
 }
 
 // DecodeJob returns the submission in a record or an inbox entry.
--- a/internal/batch/simworker_test.go
+++ b/internal/batch/simworker_test.go
@@ -60,7 +60,8 @@
 		sim.trace("execute %s %+v token %d run %d", w.info.ID, c.Kind, token, c.Run)
 	}
 	sim.passTime(w)
-	res := Result{Answer: AnswerDone, Clock: sim.clock(w), Incarnation: w.info.Incarnation}
+	// As on the platform, the answer does not tell the incarnation.
+	res := Result{Answer: AnswerDone, Clock: sim.clock(w)}
 	key := runKey{c.Task, c.Run}
 	switch {
 	case token < w.token:
