Late answers of a former incarnation end no run

Cause: any incarnation in an answer that differed from the known one counted as a restart, also that of a former incarnation whose answer came late.

Change: the answer to a call that was sent before the present incarnation was known says nothing about the worker: no restart, contact, clock, refusal or confirmed stop. Entries of former incarnations are ignored. The clock in an answer 421 is not the worker's.

--- a/internal/batch/command.go
+++ b/internal/batch/command.go
@@ -155,19 +155,7 @@
 // HandleAnswer handles the result of a call that was sent at the time sent.
 func (c *Core) HandleAnswer(cmd Command, res Result, sent, now time.Time) {
 	w := cmd.worker
-	if res.Answer == AnswerNone || res.Answer == AnswerUnsent {
-		c.recordNoAnswer(w, sent)
-	} else {
-		aliveAt := w.aliveAt
-		w.recordContact(res.Clock, now)
-		if res.Answer == AnswerWrongIncarnation || res.Incarnation != 0 && res.Incarnation != w.Incarnation {
-			// Another incarnation has answered.
-			w.aliveAt = aliveAt
-		}
-		if res.Incarnation != 0 && res.Incarnation != w.Incarnation {
-			c.beginIncarnation(w, res.Incarnation, now)
-		}
-	}
+	c.recordAnswer(w, res, sent, now)
 	if cmd.run == nil || w.runs[cmd.run.key()] != cmd.run {
 		return
 	}
@@ -175,7 +163,7 @@
 	case CommandStart:
 		c.startAnswered(cmd.run, res, now)
 	case CommandStop:
-		c.stopAnswered(cmd.run, res, now)
+		c.stopAnswered(cmd.run, res, sent, now)
 	case CommandThrottle:
 		if res.Answer == AnswerDone {
 			w.addFillerUsage(now)
@@ -186,6 +174,25 @@
 	}
 }
 
+// recordAnswer records what the answer to a command that was sent at the time sent tells of the worker.
+func (c *Core) recordAnswer(w *worker, res Result, sent, now time.Time) {
+	switch {
+	case res.Answer == AnswerNone || res.Answer == AnswerUnsent:
+		c.recordNoAnswer(w, sent)
+	case w.mayPrecede(sent):
+	case res.Answer == AnswerWrongIncarnation:
+		// Another incarnation or another worker has answered, with a clock of its own.
+		aliveAt := w.aliveAt
+		w.recordContact(0, now)
+		w.aliveAt = aliveAt
+	case res.Incarnation != 0 && res.Incarnation != w.Incarnation:
+		w.recordContact(0, now)
+		c.beginIncarnation(w, res.Incarnation, now)
+	default:
+		w.recordContact(res.Clock, now)
+	}
+}
+
 func (c *Core) startAnswered(r *run, res Result, now time.Time) {
 	if r.state != runSent {
 		return
@@ -227,7 +234,11 @@
 	}
 }
 
-func (c *Core) stopAnswered(r *run, res Result, now time.Time) {
+func (c *Core) stopAnswered(r *run, res Result, sent, now time.Time) {
+	if r.worker.mayPrecede(sent) {
+		// The stop may have been for a former incarnation. retryStops sends it again.
+		return
+	}
 	switch res.Answer {
 	case AnswerDone, AnswerSuperseded:
 		if r.state == runStopping {
@@ -261,7 +272,7 @@
 
 // recordNoAnswer records that a worker did not answer a call.
 func (c *Core) recordNoAnswer(w *worker, sent time.Time) {
-	if w.lastContact.After(sent) {
+	if w.lastContact.After(sent) || w.mayPrecede(sent) {
 		return
 	}
 	if w.unresponsiveSince.IsZero() {
--- a/internal/batch/evidence_test.go
+++ b/internal/batch/evidence_test.go
@@ -132,7 +132,7 @@
 			if c.stopped {
 				for _, r := range core.workers[first.Worker].runs {
 					core.stopRun(r, "test", now)
-					core.stopAnswered(r, Result{Answer: AnswerDone}, now)
+					core.stopAnswered(r, Result{Answer: AnswerDone}, now, now)
 				}
 			}
 			now = now.Add(time.Second)
@@ -197,6 +197,66 @@
 	}
 }
 
+// Guards against a second run of a task: an answer or an entry of a worker's former incarnation arrives after the
+// leader has learned of the present one, and is taken for another restart.
+func TestLateAnswerOfFormerIncarnationEndsNoRun(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// arrive makes something of the former incarnation, 1, arrive that was sent at a time.
+		arrive func(core *Core, w *worker, entry WorkerInfo, sent, now time.Time)
+	}{
+		{"report", func(core *Core, w *worker, _ WorkerInfo, sent, now time.Time) {
+			core.ApplyReport(w.ID, Report{Incarnation: 1, Clock: time.Hour}, sent, now)
+		}},
+		{"report of a busy worker", func(core *Core, w *worker, _ WorkerInfo, sent, now time.Time) {
+			core.PollFailed(w.ID, AnswerBusy, sent, now)
+		}},
+		{"no answer", func(core *Core, w *worker, _ WorkerInfo, sent, now time.Time) {
+			core.PollFailed(w.ID, AnswerNone, sent, now)
+		}},
+		{"answer to a command", func(core *Core, w *worker, _ WorkerInfo, sent, now time.Time) {
+			core.HandleAnswer(Command{worker: w}, Result{Answer: AnswerDone, Incarnation: 1, Clock: time.Hour}, sent, now)
+		}},
+		{"answer to the stop of the run", func(core *Core, w *worker, _ WorkerInfo, sent, now time.Time) {
+			for _, r := range sortedRuns(w.runs) {
+				core.HandleAnswer(Command{Kind: CommandStop, worker: w, run: r}, Result{Answer: AnswerWrongIncarnation}, sent, now)
+			}
+		}},
+		{"entry", func(core *Core, _ *worker, entry WorkerInfo, _, now time.Time) { core.SetWorker(entry, now) }},
+		{"entry after a removal", func(core *Core, w *worker, entry WorkerInfo, _, now time.Time) {
+			core.RemoveWorker(w.ID)
+			core.SetWorker(entry, now)
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			now := time.Unix(1_000_000_000, 0)
+			core := fourWorkerCore(t, now)
+			w := core.workers["a"]
+			entry, sent := w.WorkerInfo, now
+			now = now.Add(time.Second)
+			core.ApplyReport("a", Report{Incarnation: 2, Clock: time.Second}, now, now)
+			now = now.Add(10 * time.Millisecond)
+			core.ApplyReport("a", Report{Incarnation: 2, Clock: time.Second}, now, now)
+			step := Step{Tasks: 1, Size: share.Resources{Processors: 1000}, RequiredLabel: "kind-a"}
+			require.NoError(t, core.Submit(Job{ID: "j", Queue: "check", Steps: []Step{step}}, now, nil))
+			core.Plan(now)
+			require.Len(t, commitAndStart(t, core, now), 1)
+			now = now.Add(100 * time.Millisecond)
+			core.ApplyReport("a", reportOf(w), now, now)
+			clock := w.clock
+			now = now.Add(100 * time.Millisecond)
+			c.arrive(core, w, entry, sent, now)
+			core.Plan(now)
+			require.Empty(t, commitAndStart(t, core, now), "the task was started again")
+			require.Len(t, w.runs, 1)
+			require.EqualValues(t, 2, w.Incarnation)
+			require.Equal(t, clock, w.clock)
+			require.Zero(t, w.unresponsiveSince)
+			require.Zero(t, w.backoffUntil)
+		})
+	}
+}
+
 // otherWorkers returns the listed workers but one.
 func otherWorkers(c *Core, id string) []WorkerInfo {
 	var others []WorkerInfo
--- a/internal/batch/lease.go
+++ b/internal/batch/lease.go
@@ -28,7 +28,8 @@
 // SetWorker adds or updates a worker of the platform's list.
 func (c *Core) SetWorker(info WorkerInfo, now time.Time) {
 	w := c.worker(info.ID)
-	if w.listed && w.Incarnation != 0 && info.Incarnation != 0 && info.Incarnation < w.Incarnation {
+	if slices.Contains(w.formerIncarnations, info.Incarnation) ||
+		w.listed && w.Incarnation != 0 && info.Incarnation != 0 && info.Incarnation < w.Incarnation {
 		// The entry was read before the worker published its new incarnation.
 		return
 	}
@@ -102,6 +103,10 @@
 	return w
 }
 
+// maxFormerIncarnations limits the former incarnations of a worker that are known, so that its old entries are
+// recognized. An entry lags by a few heartbeats.
+const maxFormerIncarnations = 8
+
 // beginIncarnation records that a worker has restarted, which ended all its runs.
 func (c *Core) beginIncarnation(w *worker, incarnation int64, now time.Time) {
 	culprits := c.recordCrash(w, incarnation, true, now)
@@ -109,6 +114,8 @@
 	restarted := w.Incarnation != 0 || !w.hasOnlyRunsOf(incarnation)
 	w.restarted = w.Incarnation != 0 || w.restarted && !c.contacts.isFirst(w.ID, incarnation)
 	if w.Incarnation != 0 {
+		w.formerIncarnations = slices.DeleteFunc(append(w.formerIncarnations, w.Incarnation), func(i int64) bool { return i == incarnation })
+		w.formerIncarnations = w.formerIncarnations[max(0, len(w.formerIncarnations)-maxFormerIncarnations):]
 		w.lateLeasesEnd = c.latestExpiry(now.Add(maxLateness * c.timing.MaxLease))
 	}
 	w.Incarnation, w.incarnationKnownAt = incarnation, now
--- a/internal/batch/poll.go
+++ b/internal/batch/poll.go
@@ -86,13 +86,15 @@
 	switch answer {
 	case AnswerWrongIncarnation:
 		// An earlier poll may have gone to the address of an earlier incarnation.
-		if !w.listed && !sent.Before(w.incarnationKnownAt) {
+		if !w.listed && !w.mayPrecede(sent) {
 			c.loseAllRuns(w, evidenceReplaced, now)
 		}
 		w.backoffUntil = now.Add(minBackoff)
 	case AnswerBusy:
-		w.recordContact(0, now)
-		c.backOff(w, now)
+		if !w.mayPrecede(sent) {
+			w.recordContact(0, now)
+			c.backOff(w, now)
+		}
 	default:
 		c.recordNoAnswer(w, sent)
 	}
@@ -114,6 +116,9 @@
 		return
 	}
 	if rep.Incarnation != 0 && rep.Incarnation != w.Incarnation {
+		if w.mayPrecede(sent) {
+			return
+		}
 		c.beginIncarnation(w, rep.Incarnation, now)
 	}
 	if !w.unresponsiveSince.IsZero() {
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -34,8 +34,10 @@
 	clockAt time.Time
 	// contacted means that the worker's present incarnation has answered a poll of this leader.
 	contacted bool
-	// incarnationKnownAt is when this leader learned of the present incarnation.
+	// incarnationKnownAt is when this leader learned of the present incarnation. formerIncarnations are the last
+	// ones before it, the oldest first.
 	incarnationKnownAt time.Time
+	formerIncarnations []int64
 	// restarted means that this leader has known an earlier incarnation of the worker.
 	restarted bool
 	// leasesExpireAt is when every lease granted to the worker is guaranteed to have expired.
@@ -232,6 +234,10 @@
 	return at
 }
 
+// mayPrecede reports whether a former incarnation of the worker may have answered a call that was sent at a time. Its
+// answer may arrive late and says nothing about the present incarnation.
+func (w *worker) mayPrecede(sent time.Time) bool { return sent.Before(w.incarnationKnownAt) }
+
 // recordContact records that the worker answered a call, with its clock if that is known.
 func (w *worker) recordContact(clock time.Duration, now time.Time) {
 	w.lastContact, w.aliveAt = now, now
