Ends are acknowledged to the incarnation that listed them

Cause: each poll repeated the number of the last durable end. A worker that had restarted under its ID took it for one of its own and forgot ends that the leader had not seen.

Change: a poll acknowledges ends only if the last report listed some and no call has remained unanswered since its poll was sent. A restart breaks the connections, so that the next poll acknowledges nothing.

--- a/internal/batch/command.go
+++ b/internal/batch/command.go
@@ -178,7 +178,7 @@
 func (c *Core) recordAnswer(w *worker, res Result, sent, now time.Time) {
 	switch {
 	case res.Answer == AnswerNone || res.Answer == AnswerUnsent:
-		c.recordNoAnswer(w, sent)
+		c.recordNoAnswer(w, sent, now)
 	case w.mayPrecede(sent):
 	case res.Answer == AnswerWrongIncarnation:
 		// Another incarnation or another worker has answered, with a clock of its own.
@@ -270,8 +270,9 @@
 	w.backoffUntil = now.Add(pause)
 }
 
-// recordNoAnswer records that a worker did not answer a call.
-func (c *Core) recordNoAnswer(w *worker, sent time.Time) {
+// recordNoAnswer records that a worker did not answer a call that was sent at the time sent.
+func (c *Core) recordNoAnswer(w *worker, sent, now time.Time) {
+	w.endsListed, w.unansweredAt = false, now
 	if w.lastContact.After(sent) || w.mayPrecede(sent) {
 		return
 	}
--- a/internal/batch/evidence_test.go
+++ b/internal/batch/evidence_test.go
@@ -257,6 +257,54 @@
 	}
 }
 
+// Guards against ends that a worker forgets before the leader has seen them: it has restarted under its ID and takes
+// the number that the leader acknowledges for one of its own.
+func TestEndsAreAcknowledgedToTheirIncarnation(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// then happens after the ends have become durable.
+		then    func(core *Core, now time.Time)
+		wantAck int64
+	}{
+		{"the ends are listed", func(*Core, time.Time) {}, 1},
+		{"they are acknowledged", func(core *Core, now time.Time) {
+			core.ApplyReport("a", Report{Incarnation: 1, Clock: time.Hour}, now, now)
+		}, 0},
+		{"a poll fails", func(core *Core, now time.Time) { core.PollFailed("a", AnswerNone, now, now) }, 0},
+		{"a poll fails that was sent before the last contact", func(core *Core, now time.Time) {
+			core.PollFailed("a", AnswerNone, now.Add(-time.Second), now)
+		}, 0},
+		{"a poll that was sent before a failure answers after it", func(core *Core, now time.Time) {
+			core.PollFailed("a", AnswerNone, now, now)
+			ended := Report{Incarnation: 1, Clock: time.Hour, Ended: []EndedRow{{Number: 1, Task: TaskName{Job: "j"}, Run: 1, How: EndDone}}}
+			core.ApplyReport("a", ended, now.Add(-time.Millisecond), now.Add(time.Millisecond))
+		}, 0},
+		{"a command fails", func(core *Core, now time.Time) {
+			core.HandleAnswer(Command{worker: core.workers["a"]}, Result{Answer: AnswerNone}, now, now)
+		}, 0},
+		{"it restarts", func(core *Core, now time.Time) {
+			core.ApplyReport("a", Report{Incarnation: 2, Clock: time.Second}, now, now)
+		}, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			now := time.Unix(1_000_000_000, 0)
+			core := fourWorkerCore(t, now)
+			step := Step{Tasks: 1, Size: share.Resources{Processors: 1000}, RequiredLabel: "kind-a"}
+			require.NoError(t, core.Submit(Job{ID: "j", Queue: "check", Steps: []Step{step}}, now, nil))
+			core.Plan(now)
+			require.Len(t, commitAndStart(t, core, now), 1)
+			now = now.Add(time.Second)
+			ended := Report{Incarnation: 1, Clock: time.Hour, Ended: []EndedRow{{Number: 1, Task: TaskName{Job: "j"}, Run: 1, How: EndDone}}}
+			core.ApplyReport("a", ended, now, now)
+			commitAndStart(t, core, now)
+			c.then(core, now)
+			poll, ok := core.BeginPoll("a", now, true)
+			require.True(t, ok)
+			require.Equal(t, c.wantAck, poll.Ack)
+		})
+	}
+}
+
 // otherWorkers returns the listed workers but one.
 func otherWorkers(c *Core, id string) []WorkerInfo {
 	var others []WorkerInfo
--- a/internal/batch/poll.go
+++ b/internal/batch/poll.go
@@ -69,7 +69,10 @@
 	if !ok || w.Address == "" {
 		return Poll{}, false
 	}
-	poll := Poll{Worker: id, Address: w.Address, DataCentre: w.DataCentre, Ack: w.ackableEnd, Wait: !c.IsSuspect(id), ShortWait: w.isolated != nil || w.fillerSize.Processors > 0 && w.worstTailRatio > highTailRatio}
+	poll := Poll{Worker: id, Address: w.Address, DataCentre: w.DataCentre, Wait: !c.IsSuspect(id), ShortWait: w.isolated != nil || w.fillerSize.Processors > 0 && w.worstTailRatio > highTailRatio}
+	if w.endsListed {
+		poll.Ack = w.ackableEnd
+	}
 	if renew && w.contacted && w.unresponsiveSince.IsZero() && c.mayGrant(w) {
 		// Leases of an unresponsive worker are not renewed, so that they expire at a known time.
 		poll.Deadline = w.grantDeadline(c.timing.Lease, now)
@@ -96,7 +99,7 @@
 			c.backOff(w, now)
 		}
 	default:
-		c.recordNoAnswer(w, sent)
+		c.recordNoAnswer(w, sent, now)
 	}
 }
 
@@ -138,6 +141,7 @@
 		}
 		w.leasesExpireAt = later(w.leasesExpireAt, w.lateLeasesEnd)
 	}
+	w.endsListed = len(rep.Ended) > 0 && !sent.Before(w.unansweredAt)
 	slices.SortFunc(rep.Ended, func(a, b EndedRow) int { return cmp.Compare(a.Number, b.Number) })
 	for _, e := range rep.Ended {
 		c.applyEndedRow(w, e, now)
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -65,6 +65,11 @@
 	lastEnd       int64
 	undurableEnds []undurableEnd
 	ackableEnd    int64
+	// endsListed means that the last report listed ended runs, and that no call has remained unanswered since its poll was
+	// sent; unansweredAt is when that was last known of one. Only then are ends acknowledged: a worker that has
+	// restarted under its ID counts its ends anew.
+	endsListed   bool
+	unansweredAt time.Time
 
 	// servingImages are the images of the serving runs. servingProcessors is what is allocated to
 	// these runs.
