The test of planned stops holds its commit up before the runs end

Trace of 500 runs: in all 41 that failed, the fourth task had been started on w1 before the stop, and was lost with it; in 76 more the whole job had ended before it. The store was slowed down at the instant at which the runs end, so that the commit of their ends could be faster. No reported end was dropped: the case is allowed, and the test showed nothing in these 117 runs.

Change: the store is slow from the middle of the runs on, and the test asks that nothing more was started before the stop.

--- a/internal/scheduler/plannedstop_test.go
+++ b/internal/scheduler/plannedstop_test.go
@@ -14,18 +14,25 @@
 // leader that is stopped as planned has to commit what it knows.
 func TestPlannedStopCommitsReportedEnds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		cl := newCluster(t, 2*time.Second, "w1")
+		const duration = 2 * time.Second
+		cl := newCluster(t, duration, "w1")
 		defer cl.stop()
 		cl.addNode("a")
 		time.Sleep(3 * time.Second)
 		cl.addNode("b")
 		time.Sleep(time.Second)
 		require.NoError(t, submit(cl.nodes["a"], testJob(1, 3)))
-		for cl.runningOn("w1") > 0 || cl.workers.startCount() < 3 {
+		for cl.workers.startCount() < 3 {
 			time.Sleep(time.Millisecond)
 		}
+		// The ends are reported, but their commit is still under way when the leader is stopped.
+		time.Sleep(duration / 2)
 		cl.store.update(func(s *fakeStore) { s.latency["a"] = 150 * time.Millisecond })
+		for cl.runningOn("w1") > 0 {
+			time.Sleep(time.Millisecond)
+		}
 		time.Sleep(20 * time.Millisecond)
+		require.Equal(t, 3, cl.workers.startCount(), "the ends were committed before the stop")
 		cl.nodes["a"].StepDown()
 		cl.lose("w1")
 		cl.workers.update(func(f *fakeWorkers) {
