A gang asks its adviser for tickets for all of its tasks

Cause: one valid ticket for a worker with capacity for one task was enough to ask the adviser no more. An answer about 30 workers brought five tickets, and when they had expired the next one brought five others.

Change: a gang needs tickets for as many of its tasks as it has members. Workers that were admitted before are asked about first, since only their tickets expire, and workers with a valid ticket are not asked about again.

--- a/internal/batch/advise.go
+++ b/internal/batch/advise.go
@@ -13,6 +13,9 @@
 	notBefore time.Time
 	// queriedWorkers are the IDs of the workers that the adviser was already queried for.
 	queriedWorkers map[string]bool
+	// admittedWorkers are the IDs of the workers for which the adviser has ever issued a ticket. It issues them
+	// others when these expire.
+	admittedWorkers map[string]bool
 }
 
 // AdviserQuery asks an adviser which workers may run a step.
@@ -44,20 +47,26 @@
 // isAdvised reports whether the stage's queue has an adviser.
 func (c *Core) isAdvised(s *stage) bool { return s.job.Policy.Advised }
 
-// isAdmitted reports whether the stage has a valid ticket, or needs none. It queries the adviser if none of its
-// tickets is for a worker that has capacity for another task of the stage.
+// isAdmitted reports whether the stage has a valid ticket, or needs none. It queries the adviser if its tickets
+// are not for workers that have capacity for another task of the stage, or for all tasks of a gang.
 func (c *Core) isAdmitted(s *stage, now time.Time) bool {
 	if !c.isAdvised(s) {
 		return true
 	}
-	admitted := false
+	admitted, fitting, needed := false, 0, 1
+	if s.step.Gang {
+		needed = s.queued
+	}
 	for id, ticket := range s.tickets {
 		w := c.workers[id]
 		switch {
 		case !now.Before(ticket.validUntil):
 			delete(s.tickets, id)
 		case w != nil && s.hasTicket(w, now) && c.acceptsRuns(w, now):
-			if s.mayRunOn(w) && s.step.Size.Fits(w.free()) && !s.isAtLimit(w) {
+			if s.mayRunOn(w) {
+				fitting += s.fittingOn(w, needed)
+			}
+			if fitting >= needed {
 				return true
 			}
 			admitted = true
@@ -69,6 +78,18 @@
 	return admitted
 }
 
+// fittingOn returns how many tasks of the stage a worker has capacity for, up to a limit.
+func (s *stage) fittingOn(w *worker, limit int) int {
+	if s.step.MaxPerWorker > 0 {
+		limit = min(limit, s.step.MaxPerWorker-s.runsByWorker[w])
+	}
+	n := 0
+	for free := w.free(); n < limit && s.step.Size.Fits(free); free = free.Minus(s.step.Size) {
+		n++
+	}
+	return n
+}
+
 // mayRunOn reports whether tasks of the stage may run on a worker of its service and label.
 func (s *stage) mayRunOn(w *worker) bool {
 	return w.Service == s.job.Policy.Service && (s.step.RequiredLabel == "" || w.hasLabel(s.step.RequiredLabel))
@@ -79,12 +100,12 @@
 	return s.step.MaxPerWorker > 0 && s.runsByWorker[w] >= s.step.MaxPerWorker
 }
 
-// queryAdviser queries the adviser for the workers with the most free processors that were not
-// queried yet.
+// queryAdviser queries the adviser for the workers that were not queried yet: first for those that it has admitted
+// before, then for those with the most free processors. Workers with a valid ticket are left out.
 func (c *Core) queryAdviser(s *stage, now time.Time) {
 	var candidates []*worker
 	for _, w := range c.workers {
-		if s.mayRunOn(w) && c.acceptsRuns(w, now) && !s.query.queriedWorkers[w.ID] {
+		if s.mayRunOn(w) && c.acceptsRuns(w, now) && !s.query.queriedWorkers[w.ID] && !s.hasTicket(w, now) {
 			candidates = append(candidates, w)
 		}
 	}
@@ -94,8 +115,14 @@
 		s.query.notBefore = now.Add(queryPause)
 		return
 	}
+	unknown := func(w *worker) int {
+		if s.query.admittedWorkers[w.ID] {
+			return 0
+		}
+		return 1
+	}
 	slices.SortFunc(candidates, func(a, b *worker) int {
-		return cmp.Or(cmp.Compare(b.free().Processors, a.free().Processors), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(unknown(a), unknown(b)), cmp.Compare(b.free().Processors, a.free().Processors), cmp.Compare(a.ID, b.ID))
 	})
 	q := AdviserQuery{stage: s, Step: TaskName{Job: s.job.ID, Occurrence: s.occurrence, Step: s.index}.StepName()}
 	if s.query.queriedWorkers == nil {
@@ -132,10 +159,11 @@
 	}
 	s.failedSearch = failedSearch{}
 	if s.tickets == nil {
-		s.tickets = map[string]ticket{}
+		s.tickets, s.query.admittedWorkers = map[string]ticket{}, map[string]bool{}
 	}
 	for _, a := range admitted {
 		if w := c.workers[a.Worker]; w != nil {
+			s.query.admittedWorkers[a.Worker] = true
 			s.tickets[a.Worker] = ticket{text: a.Ticket, incarnation: w.Incarnation, validUntil: sent.Add(valid - ticketMargin)}
 		}
 	}
--- a/internal/batch/advise_test.go
+++ b/internal/batch/advise_test.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"cmp"
 	"fmt"
 	"testing"
 	"time"
@@ -15,6 +16,7 @@
 func TestAdvisedStepWaitsForNoUselessTicket(t *testing.T) {
 	const workers = maxQueriedWorkers + 10
 	size := share.Resources{Processors: 2000, Memory: 1 << 30}
+	whole := share.Resources{Processors: 16_000, Memory: 1 << 30}
 	for _, c := range []struct {
 		name string
 		step Step
@@ -23,10 +25,17 @@
 		// admits reports whether the adviser admits a worker; starts is how many tasks have to start.
 		admits func(worker int) bool
 		starts int
+		// valid is how long a ticket is valid, a minute if it is zero.
+		valid time.Duration
 	}{
-		{"workers without the label", Step{Tasks: 1, Size: size, RequiredLabel: "last"}, 0, func(int) bool { return true }, 1},
-		{"too few workers for the limit on each", Step{Tasks: 2, Size: size, MaxPerWorker: 1}, 0, func(w int) bool { return w == 0 || w == workers-1 }, 2},
-		{"workers without free processors", Step{Tasks: 1, Size: size, Filler: true, Image: "filler"}, 15_000, func(int) bool { return true }, 1},
+		{name: "workers without the label", step: Step{Tasks: 1, Size: size, RequiredLabel: "last"}, admits: func(int) bool { return true }, starts: 1},
+		{name: "too few workers for the limit on each", step: Step{Tasks: 2, Size: size, MaxPerWorker: 1}, admits: func(w int) bool { return w == 0 || w == workers-1 }, starts: 2},
+		{name: "workers without free processors", step: Step{Tasks: 1, Size: size, Filler: true, Image: "filler"}, occupied: 15_000, admits: func(int) bool { return true }, starts: 1},
+		{name: "too few workers for a gang", step: Step{Tasks: 3, Size: whole, Gang: true}, admits: func(w int) bool { return w < 2 || w == workers-1 }, starts: 3},
+		{
+			name: "tickets of a gang that expire before all workers are asked", step: Step{Tasks: 3, Size: whole, Gang: true},
+			admits: func(w int) bool { return w < 2 || w == workers-1 }, starts: 3, valid: ticketMargin + 150*time.Millisecond,
+		},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			now := time.Unix(1_000_000_000, 0)
@@ -64,7 +73,7 @@
 							admitted = append(admitted, Admission{Worker: id, Ticket: "t"})
 						}
 					}
-					core.HandleAdvice(q, admitted, time.Minute, nil, now, now)
+					core.HandleAdvice(q, admitted, cmp.Or(c.valid, time.Minute), nil, now, now)
 				}
 			}
 			require.Equal(t, c.starts, started)
