--- a/internal/batch/command.go
+++ b/internal/batch/command.go
@@ -179,7 +179,7 @@
 	switch {
 	case res.Answer == AnswerNone || res.Answer == AnswerUnsent:
 		c.recordNoAnswer(w, sent, now)
-	case w.mayPrecede(sent):
+	case w.predatesIncarnation(sent):
 	case res.Answer == AnswerWrongIncarnation:
 		// Another incarnation or another worker has answered, with a clock of its own.
 		aliveAt := w.aliveAt
@@ -235,7 +235,7 @@
 }
 
 func (c *Core) stopAnswered(r *run, res Result, sent, now time.Time) {
-	if r.worker.mayPrecede(sent) {
+	if r.worker.predatesIncarnation(sent) {
 		// The stop may have been for a former incarnation. retryStops sends it again.
 		return
 	}
@@ -273,7 +273,7 @@
 // recordNoAnswer records that a worker did not answer a call that was sent at the time sent.
 func (c *Core) recordNoAnswer(w *worker, sent, now time.Time) {
 	w.endsListed, w.unansweredAt = false, now
-	if w.lastContact.After(sent) || w.mayPrecede(sent) {
+	if w.lastContact.After(sent) || w.predatesIncarnation(sent) {
 		return
 	}
 	if w.unresponsiveSince.IsZero() {
--- a/internal/batch/delegate.go
+++ b/internal/batch/delegate.go
@@ -222,7 +222,7 @@
 		return
 	}
 	peer := c.peers[to]
-	free := peer.shareLeft(need) * float64(peer.of(need.service).Capacity)
+	free := peer.shareLeft(need) * float64(peer.forService(need.service).Capacity)
 	fitting := max(1, int(free)/int(max(1, size)))
 	c.delegate(s, starved[:min(len(starved), fitting)], to, now)
 }
@@ -256,7 +256,7 @@
 		if peer == nil {
 			continue
 		}
-		load := peer.of(service)
+		load := peer.forService(service)
 		if n := load.fitsForLost(s.step); load.hasLabelsFor(s.job.Job) && n > most {
 			to, most = i, n
 		}
@@ -264,7 +264,7 @@
 	if to == c.cell.Index {
 		return false
 	}
-	load := c.peers[to].of(service)
+	load := c.peers[to].forService(service)
 	fitting := 0
 	for fitting < len(lost) && load.fitsForLost(s.step) >= minFitsForLost {
 		// The other cells know the same load and choose the same cell.
--- a/internal/batch/evidence_test.go
+++ b/internal/batch/evidence_test.go
@@ -208,6 +208,9 @@
 		{"report", func(core *Core, w *worker, _ WorkerInfo, sent, now time.Time) {
 			core.ApplyReport(w.ID, Report{Incarnation: 1, Clock: time.Hour}, sent, now)
 		}},
+		{"report that names no incarnation", func(core *Core, w *worker, _ WorkerInfo, sent, now time.Time) {
+			core.ApplyReport(w.ID, Report{Clock: time.Hour}, sent, now)
+		}},
 		{"report of a busy worker", func(core *Core, w *worker, _ WorkerInfo, sent, now time.Time) {
 			core.PollFailed(w.ID, AnswerBusy, sent, now)
 		}},
--- a/internal/batch/load.go
+++ b/internal/batch/load.go
@@ -163,8 +163,8 @@
 	}
 }
 
-// of returns the load of a service, or that of all services if it is not known by service.
-func (l *cellLoad) of(service string) Load {
+// forService returns the load of a service, or that of all services if it is not known by service.
+func (l *cellLoad) forService(service string) Load {
 	if l.load.Services == nil {
 		return l.load
 	}
@@ -174,7 +174,7 @@
 // shareLeft returns the share of the service's processors that would remain free after the assumed need
 // and a job's need are met.
 func (l *cellLoad) shareLeft(job cpuNeed) float64 {
-	load, assumed := l.of(job.service), l.assumed[job.service]
+	load, assumed := l.forService(job.service), l.assumed[job.service]
 	if load.Capacity <= 0 {
 		return -1
 	}
--- a/internal/batch/move.go
+++ b/internal/batch/move.go
@@ -40,7 +40,7 @@
 		c.ownLoad, c.ownLoadAt = newCellLoad(c.Load(now)), now
 	}
 	minShare := c.ownLoad.shareLeft(need) + moveMargin
-	if !c.ownLoad.of(need.service).hasLabelsFor(j) {
+	if !c.ownLoad.forService(need.service).hasLabelsFor(j) {
 		minShare = -1
 	}
 	best := c.cellWithMostCapacity(j, need, minShare, nil)
@@ -58,7 +58,7 @@
 		if peer == nil || slices.Contains(excluded, i) {
 			continue
 		}
-		load := peer.of(need.service)
+		load := peer.forService(need.service)
 		if !load.hasLabelsFor(j) || load.largestFree(need.label) < need.largestTask {
 			continue
 		}
--- a/internal/batch/poll.go
+++ b/internal/batch/poll.go
@@ -89,12 +89,12 @@
 	switch answer {
 	case AnswerWrongIncarnation:
 		// An earlier poll may have gone to the address of an earlier incarnation.
-		if !w.listed && !w.mayPrecede(sent) {
+		if !w.listed && !w.predatesIncarnation(sent) {
 			c.loseAllRuns(w, evidenceReplaced, now)
 		}
 		w.backoffUntil = now.Add(minBackoff)
 	case AnswerBusy:
-		if !w.mayPrecede(sent) {
+		if !w.predatesIncarnation(sent) {
 			w.recordContact(0, now)
 			c.backOff(w, now)
 		}
@@ -118,10 +118,10 @@
 	if !ok {
 		return
 	}
+	if rep.Incarnation != w.Incarnation && w.predatesIncarnation(sent) {
+		return
+	}
 	if rep.Incarnation != 0 && rep.Incarnation != w.Incarnation {
-		if w.mayPrecede(sent) {
-			return
-		}
 		c.beginIncarnation(w, rep.Incarnation, now)
 	}
 	if !w.unresponsiveSince.IsZero() {
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -239,9 +239,9 @@
 	return at
 }
 
-// mayPrecede reports whether a former incarnation of the worker may have answered a call that was sent at a time. Its
-// answer may arrive late and says nothing about the present incarnation.
-func (w *worker) mayPrecede(sent time.Time) bool { return sent.Before(w.incarnationKnownAt) }
+// predatesIncarnation reports whether a call was sent before this leader knew of the worker's present incarnation. A
+// former one may have answered it; the answer may arrive late and says nothing about the present one.
+func (w *worker) predatesIncarnation(sent time.Time) bool { return sent.Before(w.incarnationKnownAt) }
 
 // recordContact records that the worker answered a call, with its clock if that is known.
 func (w *worker) recordContact(clock time.Duration, now time.Time) {
