--- a/internal/batch/cells_test.go
+++ b/internal/batch/cells_test.go
@@ -401,11 +401,7 @@
 		next.SetPeers(map[int]Load{1: load})
 		for _, id := range next.WorkerIDs() {
 			next.SetWorker(WorkerInfo{ID: id, Address: id, Service: "pool", Incarnation: 1, Capacity: size}, now)
-			var rows []RunningRow
-			for _, r := range sortedRuns(next.workers[id].runs) {
-				rows = append(rows, RunningRow{Task: r.task.name(), Run: r.number})
-			}
-			next.ApplyReport(id, Report{Incarnation: 1, Clock: time.Hour, Running: rows}, now, now)
+			next.ApplyReport(id, reportOf(next.workers[id]), now, now)
 		}
 		for end := now.Add(term); now.Before(end); now = now.Add(cellsTick) {
 			next.Plan(now)
--- a/internal/batch/command.go
+++ b/internal/batch/command.go
@@ -163,7 +163,10 @@
 	case CommandStart:
 		c.startAnswered(cmd.run, res, now)
 	case CommandStop:
-		c.stopAnswered(cmd.run, res, sent, now)
+		// An answer of a former incarnation is ignored; retryStops sends the stop again.
+		if !w.predatesIncarnation(sent) {
+			c.stopAnswered(cmd.run, res, now)
+		}
 	case CommandThrottle:
 		if res.Answer == AnswerDone {
 			w.addFillerUsage(now)
@@ -180,6 +183,7 @@
 	case res.Answer == AnswerNone || res.Answer == AnswerUnsent:
 		c.recordNoAnswer(w, sent, now)
 	case w.predatesIncarnation(sent):
+		// A former incarnation may have answered.
 	case res.Answer == AnswerWrongIncarnation:
 		// Another incarnation or another worker has answered, with a clock of its own.
 		aliveAt := w.aliveAt
@@ -234,11 +238,7 @@
 	}
 }
 
-func (c *Core) stopAnswered(r *run, res Result, sent, now time.Time) {
-	if r.worker.predatesIncarnation(sent) {
-		// The stop may have been for a former incarnation. retryStops sends it again.
-		return
-	}
+func (c *Core) stopAnswered(r *run, res Result, now time.Time) {
 	switch res.Answer {
 	case AnswerDone, AnswerSuperseded:
 		if r.state == runStopping {
--- a/internal/batch/core_test.go
+++ b/internal/batch/core_test.go
@@ -43,6 +43,26 @@
 	return calls
 }
 
+// startOne submits job "j" of one task, which requires a label unless it is empty, and starts the task.
+func startOne(t *testing.T, c *Core, label string, now time.Time) Call {
+	t.Helper()
+	step := Step{Tasks: 1, Size: share.Resources{Processors: 1000}, RequiredLabel: label}
+	require.NoError(t, c.Submit(Job{ID: "j", Queue: "check", Steps: []Step{step}}, now, nil))
+	c.Plan(now)
+	calls := commitAndStart(t, c, now)
+	require.Len(t, calls, 1)
+	return calls[TaskName{Job: "j"}]
+}
+
+// reportOf returns a report in which a worker lists all runs that it should have.
+func reportOf(w *worker) Report {
+	rep := Report{Incarnation: w.Incarnation, Clock: time.Hour}
+	for _, r := range sortedRuns(w.runs) {
+		rep.Running = append(rep.Running, RunningRow{Task: r.task.name(), Run: r.number})
+	}
+	return rep
+}
+
 func TestPlacementRespectsConstraintsOfSteps(t *testing.T) {
 	now := time.Unix(1_000_000_000, 0)
 	size := share.Resources{Processors: 1000, Memory: 1 << 30}
--- a/internal/batch/delegatelost_test.go
+++ b/internal/batch/delegatelost_test.go
@@ -31,11 +31,7 @@
 	c.Plan(chain.now)
 	commitAndStart(chain.t, c, chain.now)
 	for _, id := range c.WorkerIDs() {
-		var rows []RunningRow
-		for _, r := range sortedRuns(c.workers[id].runs) {
-			rows = append(rows, RunningRow{Task: r.task.name(), Run: r.number})
-		}
-		c.ApplyReport(id, Report{Incarnation: 1, Clock: time.Hour, Running: rows}, chain.now, chain.now)
+		c.ApplyReport(id, reportOf(c.workers[id]), chain.now, chain.now)
 		c.renewLease(id, chain.now)
 	}
 	chain.now = chain.now.Add(wait)
--- a/internal/batch/evidence_test.go
+++ b/internal/batch/evidence_test.go
@@ -6,8 +6,6 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
-
-	"github.com/oriolepond/oriolepond/pkg/share"
 )
 
 // Guards against a second run of a task beside the first one, whose worker is behind a firewall that
@@ -69,9 +67,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			now := start
 			core := fourWorkerCore(t, now)
-			require.NoError(t, core.Submit(Job{ID: "j", Queue: "check", Steps: []Step{{Tasks: 1, Size: share.Resources{Processors: 1000}}}}, now, nil))
-			core.Plan(now)
-			first := commitAndStart(t, core, now)[TaskName{Job: "j"}]
+			first := startOne(t, core, "", now)
 			w := core.workers[first.Worker]
 			started := false
 			for now.Sub(start) <= c.endsWithin {
@@ -99,10 +95,7 @@
 	info.Incarnation, info.Address = 2, "new address"
 	core.SetWorker(info, now)
 	core.ApplyReport("a", Report{Incarnation: 2, Clock: time.Second}, now, now)
-	step := Step{Tasks: 1, Size: share.Resources{Processors: 1000}, RequiredLabel: "kind-a"}
-	require.NoError(t, core.Submit(Job{ID: "j", Queue: "check", Steps: []Step{step}}, now, nil))
-	core.Plan(now)
-	require.Len(t, commitAndStart(t, core, now), 1)
+	startOne(t, core, "kind-a", now)
 	now = now.Add(time.Second)
 	core.RemoveWorker("a")
 	core.PollFailed("a", AnswerWrongIncarnation, sent, now)
@@ -125,14 +118,11 @@
 		t.Run(c.name, func(t *testing.T) {
 			now := time.Unix(1_000_000_000, 0)
 			core := fourWorkerCore(t, now)
-			require.NoError(t, core.Submit(Job{ID: "j", Queue: "check", Steps: []Step{{Tasks: 1, Size: share.Resources{Processors: 1000}}}}, now, nil))
-			core.Plan(now)
-			name := TaskName{Job: "j"}
-			first := commitAndStart(t, core, now)[name]
+			first := startOne(t, core, "", now)
 			if c.stopped {
 				for _, r := range core.workers[first.Worker].runs {
 					core.stopRun(r, "test", now)
-					core.stopAnswered(r, Result{Answer: AnswerDone}, now, now)
+					core.stopAnswered(r, Result{Answer: AnswerDone}, now)
 				}
 			}
 			now = now.Add(time.Second)
@@ -140,7 +130,7 @@
 			core.ApplyReport(first.Worker, report, now, now)
 			core.Plan(now)
 			require.Empty(t, commitAndStart(t, core, now), "the task was started again")
-			report = Report{Incarnation: 1, Clock: time.Hour, Ended: []EndedRow{{Number: 501, Task: name, Run: first.Run, How: EndDone}}}
+			report = Report{Incarnation: 1, Clock: time.Hour, Ended: []EndedRow{{Number: 501, Task: first.Task, Run: first.Run, How: EndDone}}}
 			core.ApplyReport(first.Worker, report, now, now)
 			require.Empty(t, commitAndStart(t, core, now))
 			state, _ := core.State("j")
@@ -149,15 +139,6 @@
 	}
 }
 
-// reportOf returns a report in which a worker lists all runs that it should have.
-func reportOf(w *worker) Report {
-	rep := Report{Incarnation: w.Incarnation, Clock: time.Hour}
-	for _, r := range sortedRuns(w.runs) {
-		rep.Running = append(rep.Running, RunningRow{Task: r.task.name(), Run: r.number})
-	}
-	return rep
-}
-
 // Guards against a second run of a task that the new incarnation of its worker has started before this leader knew
 // of it: answers to commands do not tell which incarnation has carried them out.
 func TestRunOfNewIncarnationIsKept(t *testing.T) {
@@ -179,9 +160,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			now := time.Unix(1_000_000_000, 0)
 			core := fourWorkerCore(t, now)
-			require.NoError(t, core.Submit(Job{ID: "j", Queue: "check", Steps: []Step{{Tasks: 1, Size: share.Resources{Processors: 1000}}}}, now, nil))
-			core.Plan(now)
-			first := commitAndStart(t, core, now)[TaskName{Job: "j"}]
+			first := startOne(t, core, "", now)
 			w := core.workers[first.Worker]
 			now = now.Add(200 * time.Millisecond)
 			rep := Report{Incarnation: 2, Clock: time.Second, Running: []RunningRow{{Task: first.Task, Run: first.Run}}}
@@ -240,10 +219,7 @@
 			core.ApplyReport("a", Report{Incarnation: 2, Clock: time.Second}, now, now)
 			now = now.Add(10 * time.Millisecond)
 			core.ApplyReport("a", Report{Incarnation: 2, Clock: time.Second}, now, now)
-			step := Step{Tasks: 1, Size: share.Resources{Processors: 1000}, RequiredLabel: "kind-a"}
-			require.NoError(t, core.Submit(Job{ID: "j", Queue: "check", Steps: []Step{step}}, now, nil))
-			core.Plan(now)
-			require.Len(t, commitAndStart(t, core, now), 1)
+			startOne(t, core, "kind-a", now)
 			now = now.Add(100 * time.Millisecond)
 			core.ApplyReport("a", reportOf(w), now, now)
 			clock := w.clock
@@ -292,10 +268,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			now := time.Unix(1_000_000_000, 0)
 			core := fourWorkerCore(t, now)
-			step := Step{Tasks: 1, Size: share.Resources{Processors: 1000}, RequiredLabel: "kind-a"}
-			require.NoError(t, core.Submit(Job{ID: "j", Queue: "check", Steps: []Step{step}}, now, nil))
-			core.Plan(now)
-			require.Len(t, commitAndStart(t, core, now), 1)
+			startOne(t, core, "kind-a", now)
 			now = now.Add(time.Second)
 			ended := Report{Incarnation: 1, Clock: time.Hour, Ended: []EndedRow{{Number: 1, Task: TaskName{Job: "j"}, Run: 1, How: EndDone}}}
 			core.ApplyReport("a", ended, now, now)
--- a/internal/batch/plan.go
+++ b/internal/batch/plan.go
@@ -289,10 +289,7 @@
 		overdue: overdue, settled: !c.isYoung(w, now),
 	}
 	c.isolate(r)
-	if c.health.Quarantined(w.ID) {
-		c.health.Started(w.ID, now)
-		w.probeTaken = true
-	}
+	w.probeTaken = c.health.Started(w.ID, now)
 	t.runs = append(t.runs, r)
 	w.addRun(r)
 	j := t.stage.job
--- a/internal/batch/quarantine_test.go
+++ b/internal/batch/quarantine_test.go
@@ -1,7 +1,10 @@
 package batch
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -26,8 +29,7 @@
 	starts, mostAtOnce int
 }
 
-// newFailingWorker returns a worker that fails its runs at once, and a core that knows that each of
-// several jobs has succeeded elsewhere.
+// newFailingWorker returns a worker that fails its runs soon after their start.
 func newFailingWorker(t *testing.T) *failingWorker {
 	now := time.Unix(1_000_000_000, 0)
 	return &failingWorker{
@@ -52,7 +54,7 @@
 	for until := f.now.Add(d); f.now.Before(until); {
 		f.now = f.now.Add(failingWorkerTick)
 		rep := Report{Incarnation: 1, Clock: time.Hour + f.now.Sub(time.Unix(1_000_000_000, 0))}
-		for _, name := range sortedNames(f.running) {
+		for _, name := range slices.SortedFunc(maps.Keys(f.running), func(a, b TaskName) int { return cmp.Compare(a.String(), b.String()) }) {
 			if f.failsAfter > 0 && f.now.Sub(f.since[name]) >= f.failsAfter {
 				f.lastEnd++
 				rep.Ended = append(rep.Ended, EndedRow{Number: f.lastEnd, Task: name, Run: f.running[name].Run, How: EndFailed})
@@ -74,18 +76,6 @@
 	}
 }
 
-func sortedNames(calls map[TaskName]Call) []TaskName {
-	keys := map[runKey]*simRun{}
-	for name := range calls {
-		keys[runKey{task: name}] = nil
-	}
-	var names []TaskName
-	for _, key := range sortedRunKeys(keys) {
-		names = append(names, key.task)
-	}
-	return names
-}
-
 // Guards against a worker that stays unused for long after one short fault, because all runs that it had then
 // have failed.
 func TestRunsOfOneFaultSetOnePause(t *testing.T) {
@@ -193,11 +183,7 @@
 	for now.Sub(f.now) <= quarantineWait+reserveEvery {
 		now = now.Add(failingWorkerTick)
 		for _, w := range f.core.workersByID() {
-			var rows []RunningRow
-			for _, r := range sortedRuns(w.runs) {
-				rows = append(rows, RunningRow{Task: r.task.name(), Run: r.number})
-			}
-			f.core.ApplyReport(w.ID, Report{Incarnation: 1, Clock: time.Hour, Running: rows}, now, now)
+			f.core.ApplyReport(w.ID, reportOf(w), now, now)
 			f.core.renewLease(w.ID, now)
 		}
 		f.core.Plan(now)
--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -276,20 +276,21 @@
 
 // encodeStage returns the stored form of a stage, and false if nothing has happened to its tasks.
 func encodeStage(s *stage) (wireStage, bool) {
-	w := wireStage{Stage: s.number()}
-	w.AllDone = s.unfinished == 0
+	w := wireStage{Stage: s.number(), AllDone: s.unfinished == 0}
+	if w.AllDone && !s.step.LongRunning {
+		return w, true
+	}
 	for _, t := range s.tasks {
-		if t.state == taskDone && t.moves > 0 {
-			w.Tasks = append(w.Tasks, wireTask{Index: t.index, Moves: t.moves})
-		}
-		if w.AllDone {
-			continue
-		}
 		if t.state == taskDone {
-			if w.Done == nil {
+			if !w.AllDone && w.Done == nil {
 				w.Done = make([]byte, (len(s.tasks)+7)/8)
 			}
-			w.Done[t.index/8] |= 1 << (t.index % 8)
+			if !w.AllDone {
+				w.Done[t.index/8] |= 1 << (t.index % 8)
+			}
+			if t.moves > 0 {
+				w.Tasks = append(w.Tasks, wireTask{Index: t.index, Moves: t.moves})
+			}
 			continue
 		}
 		if t.lastRun == 0 && t.moves == 0 {
--- a/internal/batch/unreadable_test.go
+++ b/internal/batch/unreadable_test.go
@@ -22,10 +22,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			now := time.Unix(1_000_000_000, 0)
 			core := fourWorkerCore(t, now)
-			require.NoError(t, core.Submit(Job{ID: "j", Queue: "check", Steps: []Step{{Tasks: 1, Size: share.Resources{Processors: 1000}}}}, now, nil))
-			core.Plan(now)
-			task := TaskName{Job: "j"}
-			id := commitAndStart(t, core, now)[task].Worker
+			id := startOne(t, core, "", now).Worker
 			c.change(core, id, otherWorkers(core, id), now)
 			now = now.Add(time.Second)
 			core.PollFailed(id, AnswerNone, now, now)
--- a/internal/placement/health.go
+++ b/internal/placement/health.go
@@ -67,11 +67,14 @@
 }
 
 // Started records that a task was assigned to a worker. For a worker in
-// quarantine this is the probe, and the next one has to wait.
-func (h *Health) Started(worker string, now time.Time) {
-	if w, ok := h.workers[worker]; ok && !w.nextProbeAt.IsZero() {
-		w.nextProbeAt, w.probedAt = now.Add(w.probePause), now
+// quarantine this is the probe, and the next one has to wait; Started then returns true.
+func (h *Health) Started(worker string, now time.Time) bool {
+	if !h.Quarantined(worker) {
+		return false
 	}
+	w := h.workers[worker]
+	w.nextProbeAt, w.probedAt = now.Add(w.probePause), now
+	return true
 }
 
 // LastProbe returns when the last probe was started on a worker in quarantine; zero if there was none.
