Evacuated data centres get no new runs

The leader reads the keys once a second and among its records before its first start; the core gives workers of these data centres nothing, withdraws starts that were not sent, and starts nothing at all once the last reading is older than the bound allows.

Without the checks in isAvailable, PrepareCall, place and logWait, 13 of the 14 cases of TestNothingStartsInEvacuatedDataCentre failed, and TestOutdatedEvacuationsHoldStartsBack, TestTaskSaysThatItWaitsForEvacuation, TestEvacuatedWorkersAreNoCapacity and TestEvacuationIsReportedOnce. With them go test ./internal/batch ./internal/scheduler ./platform passes.

--- a/cmd/oriolepond/node.go
+++ b/cmd/oriolepond/node.go
@@ -168,7 +168,7 @@
 			return peer.NewJobs(conn, cell), nil
 		},
 		DropConnection: pool.Drop, MaxStoreValue: s.MaxStoreValue,
-		Timing: coreTiming(s), Log: n.log, Metrics: scheduler.NewMetrics(set),
+		Evacuations: evacuationKeys(s), Timing: coreTiming(s), Log: n.log, Metrics: scheduler.NewMetrics(set),
 	}
 	listeners := make([]net.Listener, 0, 3)
 	for _, address := range []string{s.FrontAddress, s.ReadyAddress, s.PeerAddress} {
@@ -241,6 +241,17 @@
 	return t
 }
 
+// evacuationKeys returns the keys by which operators have data centres evacuated, or nil if the settings do not
+// state within which time that has to take effect.
+func evacuationKeys(s platform.Settings) *scheduler.EvacuationKeys {
+	if s.EvacuationDeadline == 0 {
+		return nil
+	}
+	return &scheduler.EvacuationKeys{
+		Prefix: platform.EvacuationPrefix, Decode: platform.DecodeEvacuation, Deadline: s.EvacuationDeadline,
+	}
+}
+
 // frontCalls returns the operations on jobs that the HTTP front for callers uses.
 func (n *node) frontCalls() *scheduler.Calls {
 	return &scheduler.Calls{
--- a/internal/batch/command.go
+++ b/internal/batch/command.go
@@ -128,7 +128,8 @@
 		if r.state != runPending || w.runs[r.key()] != r {
 			return Call{}, false
 		}
-		if !w.isUsable() || !w.contacted || !c.mayGrant(w) || r.incarnation != w.Incarnation || w.lacksCapacityFor(r) {
+		if !w.isUsable() || !w.contacted || !c.mayGrant(w) || r.incarnation != w.Incarnation || w.lacksCapacityFor(r) ||
+			c.isEvacuated(w) || !c.AreEvacuationsCurrent(now) {
 			c.withdrawRun(r, now)
 			return Call{}, false
 		}
--- a/internal/batch/core.go
+++ b/internal/batch/core.go
@@ -83,6 +83,7 @@
 	ranks []rank
 
 	unresponsive unresponsiveRecord
+	evacuations  evacuations
 	// work counts for TakeWork.
 	work Work
 
@@ -120,6 +121,10 @@
 	// not known to have lasted for earlyCrash.
 	Runs      int
 	EarlyRuns int
+	// DataCentre is that of a NoteEvacuated or NoteReadmitted. Workers is the number of workers in an evacuated
+	// one, Runs the number of runs there.
+	DataCentre string
+	Workers    int
 	// Cell is the destination of a NoteMoved or NoteDelegated.
 	Cell      int
 	TailRatio float64
@@ -162,6 +167,8 @@
 	NoteReserved           NoteKind = "reserved"
 	NoteSetAside           NoteKind = "setAside"
 	NoteResumed            NoteKind = "resumed"
+	NoteEvacuated          NoteKind = "evacuated"
+	NoteReadmitted         NoteKind = "readmitted"
 )
 
 // NewCore returns a Core without jobs. By uncontactedExpiry, all leases that earlier leaders granted
@@ -290,7 +297,15 @@
 
 // WithdrawUnsent withdraws all start commands that were not sent.
 func (c *Core) WithdrawUnsent(now time.Time) {
+	c.withdrawUnsent(now, func(*worker) bool { return true })
+}
+
+// withdrawUnsent withdraws the start commands for the selected workers that were not sent.
+func (c *Core) withdrawUnsent(now time.Time, selected func(*worker) bool) {
 	for _, w := range c.workersByID() {
+		if !selected(w) {
+			continue
+		}
 		for _, r := range sortedRuns(w.runs) {
 			if r.state == runPending {
 				c.withdrawRun(r, now)
--- a/internal/batch/fit.go
+++ b/internal/batch/fit.go
@@ -10,7 +10,7 @@
 // isAvailable reports whether nothing but a quarantine keeps a worker from being given new runs.
 func (c *Core) isAvailable(w *worker, now time.Time) bool {
 	return w.isUsable() && !w.Draining && w.contacted && w.unresponsiveSince.IsZero() &&
-		!now.Before(w.backoffUntil) && len(w.orphans) == 0 && c.mayGrant(w)
+		!now.Before(w.backoffUntil) && len(w.orphans) == 0 && c.mayGrant(w) && !c.isEvacuated(w)
 }
 
 // Obstacle is why a worker that accepts runs cannot run a task; it is empty if the worker can.
@@ -29,6 +29,8 @@
 	IsolatedRun            Obstacle = "a run is isolated on the worker"
 	Quarantined            Obstacle = "worker is in quarantine"
 	NoAcceptingWorker      Obstacle = "no worker accepts runs"
+	EvacuatedDataCentre    Obstacle = "data centre is evacuated"
+	EvacuationsUnconfirmed Obstacle = "evacuations are not confirmed"
 	noObstacle             Obstacle = ""
 	noCapacityForGang      Obstacle = "not enough free capacity for the whole gang"
 )
--- a/internal/batch/overdue.go
+++ b/internal/batch/overdue.go
@@ -79,8 +79,8 @@
 	return float64(use.allocated) < mostlyFree*float64(use.capacity)
 }
 
-// serviceUse is the sum of the processors of the workers of a service that are listed and do not drain, and
-// what is allocated of them, in thousandths of a core. A worker that accepts no runs for a while counts.
+// serviceUse is the sum of the processors of the workers of a service that are listed, do not drain and are not
+// evacuated, and what is allocated of them, in thousandths of a core. A worker that accepts no runs for a while counts.
 type serviceUse struct {
 	capacity  int64
 	allocated int64
@@ -93,7 +93,7 @@
 	}
 	clear(c.serviceUse)
 	for _, w := range c.sortedWorkers {
-		if !w.isUsable() || w.Draining {
+		if !w.isUsable() || w.Draining || c.isEvacuated(w) {
 			continue
 		}
 		use := c.serviceUse[w.Service]
--- a/internal/batch/plan.go
+++ b/internal/batch/plan.go
@@ -14,6 +14,7 @@
 	c.expireLeases(now)
 	c.endIsolations()
 	c.expireJobs(now)
+	c.reportEvacuations()
 	c.resumeFitting(now)
 	for _, j := range c.active {
 		if j.startedOccurrences < j.occurrences() && !j.isSetAside {
@@ -108,6 +109,12 @@
 	if len(waiting) == 0 && len(c.reserved) == 0 {
 		return
 	}
+	if !c.AreEvacuationsCurrent(now) {
+		for _, r := range waiting {
+			c.logWait(r.stage, now)
+		}
+		return
+	}
 	c.updateAccepting(now)
 	c.updateServiceUse()
 	c.endReservations(now)
--- a/internal/batch/wait.go
+++ b/internal/batch/wait.go
@@ -24,8 +24,14 @@
 	i := slices.IndexFunc(s.tasks, func(t *task) bool { return t.state == taskQueued })
 	t := s.tasks[i]
 	n := Note{Kind: NoteWaits, Task: t.name(), Run: t.lastRun, Age: now.Sub(t.queuedAt)}
-	counts := map[Obstacle]int{}
+	if !c.AreEvacuationsCurrent(now) {
+		n.Reason = string(EvacuationsUnconfirmed)
+		c.note(n)
+		return
+	}
+	counts, couldRun := map[Obstacle]int{}, false
 	for _, w := range c.accepting {
+		couldRun = couldRun || s.couldRunOn(w)
 		o := c.obstacle(t, w, now)
 		if o == NoService {
 			continue
@@ -38,10 +44,17 @@
 			n.MeasuredIdle = max(n.MeasuredIdle, w.measuredIdle(now)/1000)
 		}
 	}
+	evacuated := c.countEvacuated(s)
+	if evacuated > 0 {
+		counts[EvacuatedDataCentre] = evacuated
+	}
 	for _, o := range slices.Sorted(maps.Keys(counts)) {
 		n.Obstacles = append(n.Obstacles, ObstacleCount{Obstacle: o, Workers: counts[o]})
 	}
 	n.Reason = string(t.waitReason(n.Obstacles))
+	if evacuated > 0 && !couldRun {
+		n.Reason = string(EvacuatedDataCentre)
+	}
 	c.note(n)
 }
 
--- a/internal/eventlog/batch.go
+++ b/internal/eventlog/batch.go
@@ -206,4 +206,29 @@
 		Meaning: "The log exceeded its rate limit, or its output was blocked; the named number of lines is missing here.",
 		Advice:  "Look at the metrics for the time of the gap; check who reads the output if this lasts.",
 	})
+	DataCentreEvacuated = register(Event{
+		Number: 4060, Level: zapcore.InfoLevel, Message: "data centre evacuated",
+		Meaning: "An operator has asked for the evacuation of the data centre: nothing is started there until the request is taken back. The named number of workers of the cell stand there; the runs that they have go on.",
+		Advice:  "None, unless workers is 0: then check the name in the request. If events 4040 name the data centre as the reason, tasks find no other worker.",
+	})
+	DataCentreReadmitted = register(Event{
+		Number: 4061, Level: zapcore.InfoLevel, Message: "evacuation taken back",
+		Meaning: "The operator has taken the evacuation of the data centre back; its workers are given runs again.",
+		Advice:  "None.",
+	})
+	EvacuationsUnconfirmed = register(Event{
+		Number: 4062, Level: zapcore.WarnLevel, Message: "evacuations not confirmed",
+		Meaning: "The store renews the leader's lease, but has not told for the named time which data centres are evacuated. The leader starts nothing until it does; what runs goes on.",
+		Advice:  "Check the connection between the node and the store if this lasts.",
+	})
+	EvacuationsConfirmed = register(Event{
+		Number: 4063, Level: zapcore.InfoLevel, Message: "evacuations confirmed again",
+		Meaning: "The store has told again which data centres are evacuated; the leader starts what waits.",
+		Advice:  "None.",
+	})
+	EvacuationUnreadable = register(Event{
+		Number: 4064, Level: zapcore.ErrorLevel, Message: "evacuation unreadable",
+		Meaning: "A key that asks for an evacuation names no data centre. It has no effect; the other requests count.",
+		Advice:  "Remove the key, and write the one that was meant.",
+	})
 )
--- a/internal/scheduler/decisionlog.go
+++ b/internal/scheduler/decisionlog.go
@@ -28,6 +28,8 @@
 	batch.NoteReserved:           eventlog.WorkerReserved,
 	batch.NoteSetAside:           eventlog.JobSetAside,
 	batch.NoteResumed:            eventlog.JobResumed,
+	batch.NoteEvacuated:          eventlog.DataCentreEvacuated,
+	batch.NoteReadmitted:         eventlog.DataCentreReadmitted,
 }
 
 // logDecision logs one decision of the core under its event, with the fields that are set.
@@ -64,6 +66,15 @@
 	if decision.Kind == batch.NoteThrottled {
 		fields = append(fields, zap.Int("percent", decision.Percent), zap.Float64("strain", decision.TailRatio), zap.Float64("headroom", decision.Headroom))
 	}
+	if decision.DataCentre != "" {
+		fields = append(fields, zap.String("evacuated", decision.DataCentre))
+	}
+	if decision.Kind == batch.NoteEvacuated {
+		fields = append(fields, zap.Int("workers", decision.Workers), zap.Int("runs", decision.Runs))
+	}
+	if decision.Reason == string(batch.EvacuatedDataCentre) {
+		l.Metrics.WaitsForEvacuation()
+	}
 	if decision.Kind == batch.NoteWaits {
 		workers := make([]zap.Field, 0, len(decision.Obstacles))
 		for _, o := range decision.Obstacles {
--- a/internal/scheduler/election.go
+++ b/internal/scheduler/election.go
@@ -235,7 +235,7 @@
 	leader := &Leader{
 		Token: token, Cell: m.Cell, keys: m.keys, terms: earlier, ID: m.scheduler.ID, Store: m.scheduler.Store, Workers: m.scheduler.Workers, Timing: m.scheduler.Timing,
 		WorkerPrefix: m.scheduler.WorkerPrefix, DecodeWorker: m.scheduler.DecodeWorker, Log: m.Log, Metrics: m.scheduler.Metrics, Now: m.scheduler.now,
-		MaxStoreValue: m.scheduler.MaxStoreValue,
+		MaxStoreValue: m.scheduler.MaxStoreValue, Evacuations: m.scheduler.Evacuations,
 	}
 	leader.leaseRenewed(requestedAt)
 	term, cancel := context.WithCancel(ctx)
--- a/internal/scheduler/leader.go
+++ b/internal/scheduler/leader.go
@@ -33,8 +33,10 @@
 	MaxStoreValue int
 	WorkerPrefix  string
 	DecodeWorker  func(key string, value []byte) (batch.WorkerInfo, error)
-	Log           *eventlog.Log
-	Metrics       *Metrics
+	// Evacuations are those of the Scheduler.
+	Evacuations *EvacuationKeys
+	Log         *eventlog.Log
+	Metrics     *Metrics
 	// Now returns the monotonic time.
 	Now func() time.Time
 
@@ -63,6 +65,9 @@
 	// inbox has, by job ID, the inbox keys that the next commit of the job removes.
 	inbox map[string][]string
 
+	// unreadableKeys are the revisions of the evacuation keys that were logged as unreadable.
+	unreadableKeys map[string]int64
+
 	// spent is what the leader spent its time on since that was last logged.
 	spent timeSpent
 
@@ -184,6 +189,7 @@
 	core.SetWallOffset(l.wallClockOffset())
 	core.SetRecordLimit(l.MaxStoreValue)
 	core.SetQueueConfig(table)
+	l.restoreEvacuations(core, r.evacuated, now)
 	for _, e := range r.jobs.Entries {
 		if err := l.restoreRecord(core, e.Value, now); err != nil {
 			l.Log.Emit(eventlog.RecordUnreadable, zap.String("key", e.Key), zap.Error(err))
@@ -213,7 +219,7 @@
 
 // records are what a cell has in the store. Entries that do not exist are zero.
 type records struct {
-	jobs, inbox                 store.Snapshot
+	jobs, inbox, evacuated      store.Snapshot
 	head, learned, unresponsive store.Entry
 }
 
@@ -240,6 +246,9 @@
 		list(&r.jobs, l.keys.jobs), list(&r.inbox, l.keys.inbox),
 		read(&r.head, l.keys.head), read(&r.learned, l.keys.learned), read(&r.unresponsive, l.keys.unresponsive),
 	}
+	if l.Evacuations != nil {
+		reads = append(reads, list(&r.evacuated, l.Evacuations.Prefix))
+	}
 	errs := make([]error, len(reads))
 	var done sync.WaitGroup
 	for i, read := range reads {
@@ -267,6 +276,9 @@
 	actor.Loop(ctx, &g, l.commitLoop)
 	actor.Loop(ctx, &g, l.logLoad)
 	actor.Loop(ctx, &g, l.recordWitnesses)
+	if l.Evacuations != nil {
+		actor.Loop(ctx, &g, l.followEvacuations)
+	}
 	if !l.Cell.IsWhole() {
 		actor.Loop(ctx, &g, l.exchangeLoads)
 		actor.Loop(ctx, &g, l.removeForwardingRecords)
--- a/internal/scheduler/meter.go
+++ b/internal/scheduler/meter.go
@@ -18,20 +18,26 @@
 	crashes  *metrics.Counter
 	setAside *metrics.Counter
 	refused  *metrics.Counter
-	set      *metrics.Set
+	// evacuated is the number of evacuated data centres, evacuationWaits counts the tasks that were reported
+	// to wait for one of them.
+	evacuated       *metrics.Gauge
+	evacuationWaits *metrics.Counter
+	set             *metrics.Set
 }
 
 // NewMetrics returns metrics that are registered in a set.
 func NewMetrics(set *metrics.Set) *Metrics {
 	return &Metrics{
-		plans:    set.NewHistogram("oriolepond_plan_seconds"),
-		commits:  set.NewHistogram("oriolepond_commit_seconds"),
-		polls:    set.NewHistogram("oriolepond_look_seconds"),
-		commands: set.NewHistogram("oriolepond_order_seconds"),
-		crashes:  set.NewCounter("oriolepond_worker_crashes_total"),
-		setAside: set.NewCounter("oriolepond_jobs_set_aside_total"),
-		refused:  set.NewCounter("oriolepond_commits_refused_total"),
-		set:      set,
+		plans:           set.NewHistogram("oriolepond_plan_seconds"),
+		commits:         set.NewHistogram("oriolepond_commit_seconds"),
+		polls:           set.NewHistogram("oriolepond_look_seconds"),
+		commands:        set.NewHistogram("oriolepond_order_seconds"),
+		crashes:         set.NewCounter("oriolepond_worker_crashes_total"),
+		setAside:        set.NewCounter("oriolepond_jobs_set_aside_total"),
+		refused:         set.NewCounter("oriolepond_commits_refused_total"),
+		evacuated:       set.NewGauge("oriolepond_evacuated_data_centres", nil),
+		evacuationWaits: set.NewCounter("oriolepond_evacuation_waits_total"),
+		set:             set,
 	}
 }
 
@@ -53,6 +59,12 @@
 // CommitRefused counts a commit that the store refused as invalid.
 func (m *Metrics) CommitRefused() { m.refused.Inc() }
 
+// Evacuated records the number of evacuated data centres.
+func (m *Metrics) Evacuated(dataCentres int) { m.evacuated.Set(float64(dataCentres)) }
+
+// WaitsForEvacuation counts a task that waits because all workers that suit it are evacuated.
+func (m *Metrics) WaitsForEvacuation() { m.evacuationWaits.Inc() }
+
 // Command records the time until a command was answered or failed, and counts its answer.
 func (m *Metrics) Command(kind batch.CommandKind, answer batch.Answer, duration time.Duration) {
 	m.commands.Update(duration.Seconds())
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -83,6 +83,8 @@
 	// WorkerPrefix is the prefix of the workers' keys in the store; DecodeWorker decodes one entry.
 	WorkerPrefix string
 	DecodeWorker func(key string, value []byte) (batch.WorkerInfo, error)
+	// Evacuations are the keys of evacuated data centres; nil means that none is ever evacuated.
+	Evacuations *EvacuationKeys
 	// Peers are the addresses of some other nodes, which may be out of date.
 	Peers []string
 	// Peer returns the calls about a cell to the node at an address.
