--- a/internal/batch/evacuation.go
+++ b/internal/batch/evacuation.go
@@ -60,7 +60,7 @@
 // reportEvacuations reports the data centres that were evacuated since its last call, once workers are listed.
 func (c *Core) reportEvacuations() {
 	e := &c.evacuations
-	if len(e.unreported) == 0 || len(c.workers) == 0 {
+	if len(e.unreported) == 0 || !slices.ContainsFunc(c.workersByID(), (*worker).isUsable) {
 		return
 	}
 	for _, d := range e.unreported {
