Evacuations in the simulated world and in tests of nodes

The world evacuates data centres at random, tells the leader once a second unless the answer is lost, and checks each start command.

--- a/internal/batch/evacuation_test.go
+++ b/internal/batch/evacuation_test.go
@@ -81,6 +81,12 @@
 				w.backoffUntil = time.Time{}
 			}
 		}},
+		{name: "a worker whose entry names another data centre than before", step: Step{Tasks: 16, Size: size}, want: 4, after: func(_ *testing.T, core *Core, now time.Time) {
+			core.Plan(now)
+			info := core.workers["a"].WorkerInfo
+			info.DataCentre = "south"
+			core.SetWorker(info, now)
+		}},
 		{name: "a worker that is reserved there", step: Step{Tasks: 1, Size: size, LongRunning: true, RequiredLabel: "kind-d"}, before: func(_ *testing.T, core *Core, now time.Time) {
 			task := core.active[0].stages[0].tasks[0]
 			task.lastRun = 1
@@ -170,6 +176,7 @@
 		{name: "just current", limit: 4 * time.Second, atPlan: 4 * time.Second, sent: 4 * time.Second, want: 2},
 		{name: "outdated at the plan", limit: 4 * time.Second, atPlan: 4001 * time.Millisecond, sent: 4001 * time.Millisecond},
 		{name: "outdated when the command is sent", limit: 4 * time.Second, atPlan: 3900 * time.Millisecond, sent: 4100 * time.Millisecond},
+		{name: "never read", limit: 4 * time.Second, atPlan: 1 << 62, sent: 1 << 62},
 		{name: "no bound is promised", atPlan: time.Hour, sent: time.Hour, want: 2},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/batch/world_faults_test.go
+++ b/internal/batch/world_faults_test.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/oriolepond/oriolepond/pkg/share"
@@ -27,6 +28,7 @@
 		sim.workers[sim.random.IntN(len(sim.workers))].unresponsiveUntil = sim.now.Add(time.Duration(sim.random.Int64N(int64(12 * time.Second))))
 	})
 	repeatedly(sim.faults.takeover, sim.takeOver)
+	repeatedly(sim.faults.evacuation, func() { sim.evacuate(fmt.Sprintf("dc-%d", sim.random.IntN(3))) })
 	repeatedly(sim.faults.resize, func() { sim.resize(sim.workers[sim.random.IntN(len(sim.workers))]) })
 }
 
@@ -68,3 +70,39 @@
 	w.incarnationStart = sim.now
 	sim.after(d, func() { sim.core.SetWorker(w.info, sim.now) })
 }
+
+// The time after an evacuation from which nothing may be started, and for how long a leader goes by a reading.
+const (
+	simEvacuationDeadline = 5 * time.Second
+	simEvacuationAge      = 4 * time.Second
+)
+
+// evacuate evacuates a data centre for up to 15 s.
+func (sim *simWorld) evacuate(dataCentre string) {
+	if _, evacuated := sim.evacuatedAt[dataCentre]; evacuated {
+		return
+	}
+	sim.evacuations++
+	sim.evacuatedAt[dataCentre] = sim.now
+	sim.after(time.Duration(sim.random.Int64N(int64(15*time.Second))), func() { delete(sim.evacuatedAt, dataCentre) })
+}
+
+// followEvacuations lets a leader read what is evacuated, once a second from its election on.
+func (sim *simWorld) followEvacuations(token int64) {
+	if sim.faults.evacuation == 0 || token != sim.token {
+		return
+	}
+	sim.core.SetMaxEvacuationAge(simEvacuationAge)
+	if !sim.chance(sim.faults.lostAnswer) {
+		sim.core.SetEvacuated(sortedKeys(sim.evacuatedAt), sim.now, sim.now)
+	}
+	sim.after(time.Second, func() { sim.followEvacuations(token) })
+}
+
+// checkEvacuation checks that a command starts nothing in a data centre that has been evacuated for long.
+func (sim *simWorld) checkEvacuation(c Call) {
+	at, evacuated := sim.evacuatedAt[c.DataCentre]
+	if evacuated && c.Kind == CommandStart && sim.now.Sub(at) > simEvacuationDeadline {
+		sim.violate("%v is started in %s, which is evacuated", c.Task, c.DataCentre)
+	}
+}
--- a/internal/batch/world_test.go
+++ b/internal/batch/world_test.go
@@ -33,6 +33,9 @@
 	resize time.Duration
 	// endsPerReport is the number of ended runs that a worker lists at a time; zero means all.
 	endsPerReport int
+	// evacuation is the mean time between evacuations of a data centre, each of which is taken back after up to
+	// 15 s. The leader reads them once a second, unless the answer is lost.
+	evacuation time.Duration
 	// fail is the probability that a run fails, cancel the probability that a job is cancelled.
 	fail   float64
 	cancel float64
@@ -68,6 +71,9 @@
 	startCount   int
 	// crashedUnder counts the workers that crashed under each task.
 	crashedUnder map[TaskName]int
+	// evacuatedAt is when the data centres were evacuated that are, evacuations counts all evacuations.
+	evacuatedAt map[string]time.Time
+	evacuations int
 	// crasher makes tasks crash their workers; nil means that none does.
 	crasher    *simCrasher
 	violations []string
@@ -103,12 +109,13 @@
 		records: map[string][]byte{}, jobs: map[string]Job{}, endedAt: map[TaskName]time.Time{}, failures: map[TaskName]int{},
 		acknowledged: map[TaskName]time.Time{}, startedAt: map[TaskName]time.Time{},
 		cancelledAt: map[string]time.Time{}, crashedUnder: map[TaskName]int{},
+		evacuatedAt: map[string]time.Time{},
 	}
 	for i := range workers {
 		id := fmt.Sprintf("w-%03d", i)
 		sim.workers = append(sim.workers, &simWorker{
 			info: WorkerInfo{
-				ID: id, Address: id, Service: "pool", Incarnation: 1, Rack: fmt.Sprintf("r-%d", i/8),
+				ID: id, Address: id, Service: "pool", DataCentre: fmt.Sprintf("dc-%d", i%3), Incarnation: 1, Rack: fmt.Sprintf("r-%d", i/8),
 				Capacity: share.Resources{Processors: 16_000, Memory: 64 << 30},
 			},
 			incarnationStart: sim.now, running: map[runKey]*simRun{}, highestEndedRun: map[TaskName]int64{}, slowdown: 1,
@@ -178,6 +185,7 @@
 	}
 	sim.core.SetWorkers(infos, nil, sim.now)
 	token := sim.token
+	sim.followEvacuations(token)
 	for _, w := range sim.workers {
 		sim.pollLoop(w, token)
 	}
@@ -267,6 +275,7 @@
 			continue
 		}
 		sent, worker := sim.now, sim.find(call.Worker)
+		sim.checkEvacuation(call)
 		answer := func(r Result) {
 			if token == sim.token {
 				core.HandleAnswer(command, r, sent, sim.now)
@@ -396,6 +405,8 @@
 			name: "unresponsive workers", seeds: 10, regressionSeeds: []int{138}, faults: simFaults{outage: 2 * time.Second},
 		},
 		{name: "leader changes", seeds: 10, faults: simFaults{takeover: 4 * time.Second, cancel: 0.1}},
+		{name: "evacuations", seeds: 10, faults: simFaults{evacuation: 4 * time.Second, takeover: 6 * time.Second, lostAnswer: 0.05, crash: 5 * time.Second, cancel: 0.1}},
+		{name: "evacuations that are read late", seeds: 5, faults: simFaults{evacuation: 4 * time.Second, lostAnswer: 0.6}},
 		{name: "changing capacity", seeds: 10, faults: simFaults{resize: 200 * time.Millisecond, takeover: 8 * time.Second, cancel: 0.2}},
 		{name: "long lists of ends", seeds: 10, faults: simFaults{endsPerReport: 2, takeover: 4 * time.Second, outage: 2 * time.Second, cancel: 0.1, fail: 0.05}},
 		// Seed 89: a start command reached a restarted worker with a deadline on the clock of its
@@ -423,6 +434,7 @@
 				sim.run(90 * time.Second)
 				require.Empty(t, sim.violations, "seed %d", seed)
 				sim.checkEnds(seed)
+				require.Equal(t, c.faults.evacuation > 0, sim.evacuations > 0)
 			}
 		})
 	}
--- a/internal/scheduler/cluster_test.go
+++ b/internal/scheduler/cluster_test.go
@@ -87,14 +87,15 @@
 	node := &Scheduler{
 		ID: name + "/" + fmt.Sprint(cl.started), Address: name, CPUShare: 1, Store: cl.storeClient(name, dead), Workers: cl.workerCalls(name, dead),
 		WorkerPrefix: testPrefix, Timing: batch.DefaultTiming(), Log: eventlog.Discard(), Metrics: NewMetrics(metrics.NewSet()),
-		Now: time.Now,
+		Now: time.Now, Evacuations: testEvacuations(),
 		DecodeWorker: func(_ string, value []byte) (batch.WorkerInfo, error) {
 			if string(value) == oddEntry {
 				return batch.WorkerInfo{}, errors.New("odd entry")
 			}
 			id, draining := strings.CutSuffix(string(value), drainingEntry)
+			dataCentre, _, _ := strings.Cut(id, "-")
 			return batch.WorkerInfo{
-				ID: id, Address: id, Service: "pool", Incarnation: 1, Draining: draining,
+				ID: id, Address: id, DataCentre: dataCentre, Service: "pool", Incarnation: 1, Draining: draining,
 				Capacity: share.Resources{Processors: 32_000, Memory: 64 << 30},
 			}, nil
 		},
--- a/internal/scheduler/fakestore_test.go
+++ b/internal/scheduler/fakestore_test.go
@@ -31,6 +31,8 @@
 	// refuseAll refuses the calls of all clients, refusedClients those of the named ones.
 	refuseAll      bool
 	refusedClients map[string]bool
+	// refusedPrefix is a prefix whose listings are refused; empty means none.
+	refusedPrefix string
 	// unansweredClients are the clients whose calls get no answer.
 	unansweredClients map[string]bool
 	// stalledWatches are the clients whose watches deliver nothing. Once a client is removed, what it
@@ -166,6 +168,9 @@
 			if err := s.admit(name, "list"); err != nil {
 				return store.Snapshot{}, err
 			}
+			if s.refusedPrefix != "" && prefix == s.refusedPrefix {
+				return store.Snapshot{}, &store.RefusedError{Call: "list", Status: 503}
+			}
 			return store.Snapshot{Entries: s.withPrefix(prefix), Revision: s.revision}, nil
 		},
 		Commit: func(ctx context.Context, t store.Txn) (store.Result, error) { return s.commit(ctx, name, t) },
--- a/internal/scheduler/fakeworkers_test.go
+++ b/internal/scheduler/fakeworkers_test.go
@@ -21,6 +21,8 @@
 	violations []string
 	done       map[batch.TaskName]bool
 	starts     int
+	// startTimes are the times of the starts on each worker.
+	startTimes map[string][]time.Time
 }
 
 type fakeWorker struct {
@@ -43,7 +45,7 @@
 }
 
 func newFakeWorkers(duration time.Duration, ids ...string) *fakeWorkers {
-	f := &fakeWorkers{startedAt: time.Now(), age: time.Hour, duration: duration, workers: map[string]*fakeWorker{}, done: map[batch.TaskName]bool{}}
+	f := &fakeWorkers{startedAt: time.Now(), age: time.Hour, duration: duration, workers: map[string]*fakeWorker{}, done: map[batch.TaskName]bool{}, startTimes: map[string][]time.Time{}}
 	for _, id := range ids {
 		f.workers[id] = &fakeWorker{
 			running: map[batch.TaskName]*fakeRun{}, highestEndedRun: map[batch.TaskName]int64{}, changed: make(chan struct{}),
@@ -176,6 +178,7 @@
 		}
 	}
 	f.starts++
+	f.startTimes[call.Worker] = append(f.startTimes[call.Worker], time.Now())
 	w.running[call.Task] = &fakeRun{number: call.Run, ends: time.Now().Add(f.duration)}
 	close(w.changed)
 	w.changed = make(chan struct{})
@@ -188,6 +191,19 @@
 	return f.starts
 }
 
+// startsBetween returns the number of starts on a worker between two times.
+func (f *fakeWorkers) startsBetween(worker string, from, to time.Time) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, at := range f.startTimes[worker] {
+		if at.After(from) && at.Before(to) {
+			n++
+		}
+	}
+	return n
+}
+
 func (f *fakeWorkers) update(change func(*fakeWorkers)) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
