Documents of evacuations, and why tasks wait for them

The reason of event 4040 is an evacuation only if no worker that accepts runs could hold the task. A cell whose leader may start nothing publishes no capacity, so that others hand nothing over to it.

--- a/cmd/pondctl/explain_test.go
+++ b/cmd/pondctl/explain_test.go
@@ -48,3 +48,15 @@
 		require.Equal(t, c.want, got)
 	}
 }
+
+func TestExplainTellsWhyATaskWaits(t *testing.T) {
+	log := filepath.Join(t.TempDir(), "a.log")
+	require.NoError(t, os.WriteFile(log, []byte(
+		`{"ts":"2026-01-01T00:00:01.000Z","msg":"task waits","node":"a","event":4040,"task":"5c0e7a21d94b36f8.0.0.0","run":0,"age":1003,`+
+			`"reason":"data centre is evacuated","workers":{"data centre is evacuated":58,"no worker with the label":292}}`), 0o600))
+	var out, errs bytes.Buffer
+	term := &terminal{in: strings.NewReader(""), out: &out, err: &errs, env: func(string) string { return "" }}
+	require.Equal(t, int(exitDone), term.run(context.Background(), []string{"explain", "-log", log, "5c0e7a21d94b36f8"}), errs.String())
+	require.Contains(t, out.String(), "reason=data centre is evacuated")
+	require.Contains(t, out.String(), "data centre is evacuated:58")
+}
--- a/internal/batch/evacuation_test.go
+++ b/internal/batch/evacuation_test.go
@@ -197,6 +197,7 @@
 				require.False(t, core.HasChanges(), "tasks are placed and withdrawn in turn")
 			}
 			require.Equal(t, EvacuationsUnconfirmed, lastWaitReason(core))
+			require.Zero(t, core.Load(now).Capacity, "other cells hand work over")
 			core.SetEvacuated([]string{"south"}, now, now)
 			core.Plan(now)
 			require.Equal(t, []string{"north"}, usedCentres(commitAndStart(t, core, now)))
@@ -225,6 +226,7 @@
 	}{
 		{name: "its label is there only", step: Step{Tasks: 1, RequiredLabel: "kind-d"}, evacuated: []string{"south"}, want: EvacuatedDataCentre},
 		{name: "everything is evacuated", step: Step{Tasks: 1}, evacuated: []string{"north", "south"}, want: EvacuatedDataCentre},
+		{name: "the others are full", step: Step{Tasks: 9, Size: share.Resources{Processors: 2000}}, evacuated: []string{"south"}, want: NoProcessors},
 		{name: "no worker has its label", step: Step{Tasks: 1, RequiredLabel: "none"}, evacuated: []string{"south"}, want: NoLabel},
 		{name: "no worker is large enough", step: Step{Tasks: 1, Size: share.Resources{Processors: 9000}}, evacuated: []string{"south"}, want: NoProcessors},
 	} {
--- a/internal/batch/load.go
+++ b/internal/batch/load.go
@@ -89,7 +89,7 @@
 	c.peers = peers
 }
 
-// Load returns the present load of the cell.
+// Load returns the present load of the cell. It has no capacity while the Core may start nothing.
 func (c *Core) Load(now time.Time) Load {
 	services := map[string]*Load{}
 	of := func(service string) *Load {
@@ -98,8 +98,9 @@
 		}
 		return services[service]
 	}
+	current := c.AreEvacuationsCurrent(now)
 	for _, w := range c.workersByID() {
-		if c.acceptsRuns(w, now) {
+		if current && c.acceptsRuns(w, now) {
 			of(w.Service).addWorker(w, c.idleProcessors(w, now))
 		}
 	}
--- a/internal/batch/wait.go
+++ b/internal/batch/wait.go
@@ -23,12 +23,16 @@
 	s.waitLoggedAt = now
 	i := slices.IndexFunc(s.tasks, func(t *task) bool { return t.state == taskQueued })
 	t := s.tasks[i]
-	n := Note{Kind: NoteWaits, Task: t.name(), Run: t.lastRun, Age: now.Sub(t.queuedAt)}
-	if !c.AreEvacuationsCurrent(now) {
-		n.Reason = string(EvacuationsUnconfirmed)
-		c.note(n)
-		return
+	n := Note{Kind: NoteWaits, Task: t.name(), Run: t.lastRun, Age: now.Sub(t.queuedAt), Reason: string(EvacuationsUnconfirmed)}
+	if c.AreEvacuationsCurrent(now) {
+		c.describeWait(&n, t, now)
 	}
+	c.note(n)
+}
+
+// describeWait adds to a NoteWaits what keeps the task from the workers.
+func (c *Core) describeWait(n *Note, t *task, now time.Time) {
+	s := t.stage
 	counts, couldRun := map[Obstacle]int{}, false
 	for _, w := range c.accepting {
 		couldRun = couldRun || s.couldRunOn(w)
@@ -44,18 +48,16 @@
 			n.MeasuredIdle = max(n.MeasuredIdle, w.measuredIdle(now)/1000)
 		}
 	}
-	evacuated := c.countEvacuated(s)
-	if evacuated > 0 {
-		counts[EvacuatedDataCentre] = evacuated
-	}
 	for _, o := range slices.Sorted(maps.Keys(counts)) {
 		n.Obstacles = append(n.Obstacles, ObstacleCount{Obstacle: o, Workers: counts[o]})
 	}
 	n.Reason = string(t.waitReason(n.Obstacles))
-	if evacuated > 0 && !couldRun {
-		n.Reason = string(EvacuatedDataCentre)
+	if evacuated := c.countEvacuated(s); evacuated > 0 {
+		n.Obstacles = append(n.Obstacles, ObstacleCount{Obstacle: EvacuatedDataCentre, Workers: evacuated})
+		if !couldRun {
+			n.Reason = string(EvacuatedDataCentre)
+		}
 	}
-	c.note(n)
 }
 
 // waitReason returns the obstacle that keeps a task from most of the workers that accept runs.
--- a/internal/eventlog/batch.go
+++ b/internal/eventlog/batch.go
@@ -128,7 +128,7 @@
 	})
 	TaskWaiting = register(Event{
 		Number: 4040, Level: zapcore.InfoLevel, Message: "task waits",
-		Meaning: "A task has found no worker for the named time; reason is what excludes it from most of the workers that accept runs, workers gives how many each obstacle excludes. For a task that fills idle capacity, declaredIdle and measuredIdle are the most idle cores on one of them, by the declared size of such tasks and by what they use. Repeated at most every five seconds for each step.",
+		Meaning: "A task has found no worker for the named time; reason is what excludes it from most of the workers that accept runs, workers gives how many each obstacle excludes, and how many suitable ones are evacuated. For a task that fills idle capacity, declaredIdle and measuredIdle are the most idle cores on one of them, by the declared size of such tasks and by what they use. Repeated at most every five seconds for each step.",
 		Advice:  "Depending on the reason, add workers or run fewer long-running tasks on them; an image that interferes with all others needs workers of its own.",
 	})
 	WorkerReserved = register(Event{
@@ -208,12 +208,12 @@
 	})
 	DataCentreEvacuated = register(Event{
 		Number: 4060, Level: zapcore.InfoLevel, Message: "data centre evacuated",
-		Meaning: "An operator has asked for the evacuation of the data centre: nothing is started there until the request is taken back. The named number of workers of the cell stand there; the runs that they have go on.",
-		Advice:  "None, unless workers is 0: then check the name in the request. If events 4040 name the data centre as the reason, tasks find no other worker.",
+		Meaning: "An operator has asked for the evacuation of the data centre that evacuated names: nothing is started there until the request is taken back. The named number of workers of the cell stand there; the runs that they have go on.",
+		Advice:  "None, unless workers is 0: then check the name in the request. Events 4040 tell which tasks find no other worker.",
 	})
 	DataCentreReadmitted = register(Event{
 		Number: 4061, Level: zapcore.InfoLevel, Message: "evacuation taken back",
-		Meaning: "The operator has taken the evacuation of the data centre back; its workers are given runs again.",
+		Meaning: "The operator has taken the evacuation of the data centre that evacuated names back; its workers are given runs again.",
 		Advice:  "None.",
 	})
 	EvacuationsUnconfirmed = register(Event{
