Evacuation deadlines below a second count as a second

A deadline of a few milliseconds would have kept a leader from starting anything and had it list the keys without pause.

--- a/internal/batch/core.go
+++ b/internal/batch/core.go
@@ -130,8 +130,9 @@
 	TailRatio float64
 	Headroom  float64
 	// Obstacles and the others below belong to a NoteWaits: how many workers that accept runs each
-	// obstacle excludes, how many suitable ones are evacuated, and, for a filler task, the largest number of idle processors on one of
-	// them, in cores, with filler runs counted by their declared size and by what they use.
+	// obstacle excludes, how many suitable ones are evacuated, and, for a filler task, the largest number
+	// of idle processors on one that accepts runs, in cores, with filler runs counted by their declared
+	// size and by what they use.
 	Obstacles    []ObstacleCount
 	DeclaredIdle float64
 	MeasuredIdle float64
--- a/internal/scheduler/evacuations.go
+++ b/internal/scheduler/evacuations.go
@@ -30,11 +30,15 @@
 	evacuationRetryInterval = 100 * time.Millisecond
 	// startTransit is how long a start command may take from the check whether it may be sent to its worker.
 	startTransit = time.Second
+	// minEvacuationDeadline is the shortest deadline that is kept: with less, a slow store would keep the
+	// leader from starting anything.
+	minEvacuationDeadline = time.Second
 )
 
 // maxAge returns for how long after the keys were read runs may be started.
 func (k *EvacuationKeys) maxAge() time.Duration {
-	return max(k.Deadline-startTransit, k.Deadline/2)
+	deadline := max(k.Deadline, minEvacuationDeadline)
+	return max(deadline-startTransit, deadline/2)
 }
 
 // readInterval returns the time between two readings of the keys.
--- a/internal/scheduler/evacuations_test.go
+++ b/internal/scheduler/evacuations_test.go
@@ -158,7 +158,7 @@
 	}
 }
 
-// A deadline that is shorter than the way of a command still leaves time in which runs may be started.
+// A short deadline still leaves time in which runs may be started.
 func TestEvacuationKeysAreReadInTime(t *testing.T) {
 	for _, c := range []struct {
 		deadline, maxAge, interval time.Duration
@@ -166,6 +166,7 @@
 		{deadline: 5 * time.Second, maxAge: 4 * time.Second, interval: time.Second},
 		{deadline: 3 * time.Second, maxAge: 2 * time.Second, interval: 500 * time.Millisecond},
 		{deadline: time.Second, maxAge: 500 * time.Millisecond, interval: 125 * time.Millisecond},
+		{deadline: time.Millisecond, maxAge: 500 * time.Millisecond, interval: 125 * time.Millisecond},
 	} {
 		k := &EvacuationKeys{Deadline: c.deadline}
 		require.Equal(t, c.maxAge, k.maxAge())
