--- a/internal/batch/wait.go
+++ b/internal/batch/wait.go
@@ -23,9 +23,19 @@
 	s.waitLoggedAt = now
 	i := slices.IndexFunc(s.tasks, func(t *task) bool { return t.state == taskQueued })
 	t := s.tasks[i]
-	n := Note{Kind: NoteWaits, Task: t.name(), Run: t.lastRun, Age: now.Sub(t.queuedAt)}
-	counts := map[Obstacle]int{}
+	n := Note{Kind: NoteWaits, Task: t.name(), Run: t.lastRun, Age: now.Sub(t.queuedAt), Reason: string(EvacuationsUnconfirmed)}
+	if c.AreEvacuationsCurrent(now) {
+		c.describeWait(&n, t, now)
+	}
+	c.note(n)
+}
+
+// describeWait adds to a NoteWaits what keeps the task from the workers.
+func (c *Core) describeWait(n *Note, t *task, now time.Time) {
+	s := t.stage
+	counts, couldRun := map[Obstacle]int{}, false
 	for _, w := range c.accepting {
+		couldRun = couldRun || s.couldRunOn(w)
 		o := c.obstacle(t, w, now)
 		if o == NoService {
 			continue
@@ -42,7 +52,12 @@
 		n.Obstacles = append(n.Obstacles, ObstacleCount{Obstacle: o, Workers: counts[o]})
 	}
 	n.Reason = string(t.waitReason(n.Obstacles))
-	c.note(n)
+	if evacuated := c.countEvacuated(s); evacuated > 0 {
+		n.Obstacles = append(n.Obstacles, ObstacleCount{Obstacle: EvacuatedDataCentre, Workers: evacuated})
+		if !couldRun {
+			n.Reason = string(EvacuatedDataCentre)
+		}
+	}
 }
 
 // waitReason returns the obstacle that keeps a task from most of the workers that accept runs.
