--- a/internal/batch/refuse.go
+++ b/internal/batch/refuse.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -31,22 +32,43 @@
 		c.refuseUnresponsiveRecord(now)
 	}
 	for i, t := range ch.jobs {
-		j, record := t.job, ch.Records[i]
-		j.inFlight = false
-		j.cancelCells = append(record.CancelCells, j.cancelCells...)
-		j.handOverPending = j.handOverPending || record.HandedOver != nil
-		if t.delegation != nil {
-			j.pendingDelegation = t.delegation
-		}
-		j.pendingStarts = append(t.starts, j.pendingStarts...)
-		j.pendingEnds = append(t.ends, j.pendingEnds...)
-		j.waiters = append(t.waiters, j.waiters...)
-		c.setAside(j, len(record.Value), now)
-		c.markDirty(j)
+		t.takeBack(ch.Records[i])
+		c.setAside(t.job, len(ch.Records[i].Value), now)
+		c.markDirty(t.job)
 		// The next TakeChanges drops it if it was never stored and its record is not smaller now.
 	}
 }
 
+// Withdraw records that no commit contains the changes any more and that none has carried them out.
+// The next TakeChanges returns them again.
+func (c *Core) Withdraw(ch Changes) {
+	if ch.Unresponsive != nil {
+		c.withdrawUnresponsiveRecord()
+	}
+	for i, t := range ch.jobs {
+		t.takeBack(ch.Records[i])
+		c.markDirty(t.job)
+	}
+}
+
+// takeBack makes what a record contains part of the job's next record.
+func (t changedJob) takeBack(record Record) {
+	j := t.job
+	j.inFlight = false
+	for _, cell := range record.CancelCells {
+		if !slices.Contains(j.cancelCells, cell) {
+			j.cancelCells = append(j.cancelCells, cell)
+		}
+	}
+	j.handOverPending = j.handOverPending || record.HandedOver != nil
+	if t.delegation != nil {
+		j.pendingDelegation = t.delegation
+	}
+	j.pendingStarts = append(t.starts, j.pendingStarts...)
+	j.pendingEnds = append(t.ends, j.pendingEnds...)
+	j.waiters = append(t.waiters, j.waiters...)
+}
+
 // drop removes a job from memory, and calls its waiters with a state.
 func (c *Core) drop(j *job, s State, reason string, now time.Time) {
 	for _, r := range j.runs() {
@@ -107,7 +129,7 @@
 // their inbox entries, are durable.
 func (c *Core) dropUnfit(unfit []*job, now time.Time) {
 	for _, j := range unfit {
-		if !j.stored && !j.inInbox && !j.inFlight {
+		if !j.isDurable() && !j.inFlight {
 			c.drop(j, Refused, "refused: its record does not fit into the store", now)
 		}
 	}
--- a/internal/batch/submit.go
+++ b/internal/batch/submit.go
@@ -16,6 +16,10 @@
 // before Submit returns. A second submission with the same ID refers to the same job.
 func (c *Core) Submit(s Job, now time.Time, waiter func(State)) error {
 	if j, ok := c.jobs[s.ID]; ok {
+		if j.isDurable() {
+			waiter(j.state)
+			return nil
+		}
 		c.notifyWhenDurable(j, waiter)
 		return nil
 	}
@@ -66,13 +70,29 @@
 // in the inbox.
 func (c *Core) DropUncommitted(now time.Time) {
 	for _, j := range slices.Clone(c.dirty) {
-		if j.stored || j.inFlight || j.inInbox {
-			continue
+		if !j.isDurable() && !j.inFlight {
+			c.drop(j, Dropped, "dropped: the store does not answer", now)
 		}
-		c.drop(j, Dropped, "dropped: the store does not answer", now)
 	}
 }
 
+// DropSubmission drops one submission if it is neither stored, nor in a commit in progress, nor in
+// the inbox.
+func (c *Core) DropSubmission(id string, now time.Time) {
+	if j, ok := c.jobs[id]; ok && !j.isDurable() && !j.inFlight {
+		c.drop(j, Dropped, "dropped: its submission was not committed in time", now)
+	}
+}
+
+// IsDurable reports whether a job is known to be stored, as a record or in the inbox.
+func (c *Core) IsDurable(id string) bool {
+	j, ok := c.jobs[id]
+	return ok && j.isDurable()
+}
+
+// isDurable reports whether the job is known to be stored, as a record or in the inbox.
+func (j *job) isDurable() bool { return j.stored || j.inInbox }
+
 // addJob adds a job to those in memory.
 func (c *Core) addJob(j *job) {
 	j.criticalPath = criticalPath(j.Steps)
--- a/internal/batch/unresponsive.go
+++ b/internal/batch/unresponsive.go
@@ -118,6 +118,11 @@
 	record.writing, record.inFlight, record.refusedUntil = nil, false, now.Add(unresponsiveRefusedPause)
 }
 
+// withdrawUnresponsiveRecord records that the record was not committed and is due again.
+func (c *Core) withdrawUnresponsiveRecord() {
+	c.unresponsive.writing, c.unresponsive.inFlight, c.unresponsive.writeDue = nil, false, true
+}
+
 // RestoreUnresponsive loads the record that an earlier leader wrote; now is when it was read. No
 // leader has granted leases to these workers since the record was written.
 func (c *Core) RestoreUnresponsive(value []byte, now time.Time) error {
--- a/internal/eventlog/batch.go
+++ b/internal/eventlog/batch.go
@@ -191,6 +191,21 @@
 		Meaning: "The store refused a commit as invalid. Its records are committed one by one; those that are refused again are left out, and the term goes on.",
 		Advice:  "Look for the event 4022 and for the named key; check the limits of the store.",
 	})
+	CommitNotCarriedOut = register(Event{
+		Number: 4075, Level: zapcore.WarnLevel, Message: "commit not carried out",
+		Meaning: "The store refused to carry out a commit of jobs for now; the commit has had no effect and is retried.",
+		Advice:  "Check the store if this lasts.",
+	})
+	CommitWithdrawn = register(Event{
+		Number: 4076, Level: zapcore.WarnLevel, Message: "commit withdrawn",
+		Meaning: "The store has carried out no try of the commit. Submissions in it are refused; its other changes become part of the next commit.",
+		Advice:  "Check the store if this lasts.",
+	})
+	SubmissionOutcomeUnknown = register(Event{
+		Number: 4077, Level: zapcore.WarnLevel, Message: "outcome of submission not known",
+		Meaning: "The time for the answer to a submission is over while the named commit, which contains the job, has no answer; the job is accepted if the commit takes effect.",
+		Advice:  "Look for event 4004 with the same commit; check the store if this lasts.",
+	})
 	CallNotServed = register(Event{
 		Number: 4050, Level: zapcore.InfoLevel, Message: "call not served",
 		Meaning: "A call was answered with the named status; the error gives the reason.",
--- a/internal/peer/jobs.go
+++ b/internal/peer/jobs.go
@@ -7,6 +7,7 @@
 	"google.golang.org/genproto/googleapis/rpc/errdetails"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/peer"
 	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/types/known/durationpb"
 
@@ -25,16 +26,18 @@
 			if err != nil {
 				return err
 			}
-			_, err = c.Submit(ctx, &jobpb.SubmitRequest{Job: value, Cell: cellNumber})
-			return decodeJobError(err)
+			var server peer.Peer
+			_, err = c.Submit(ctx, &jobpb.SubmitRequest{Job: value, Cell: cellNumber}, grpc.Peer(&server))
+			return decodeSubmitError(err, server)
 		},
 		Relay: func(ctx context.Context, j batch.Job) error {
 			value, err := batch.EncodeJob(j)
 			if err != nil {
 				return err
 			}
-			_, err = c.Submit(ctx, &jobpb.SubmitRequest{Job: value, Relayed: true, Cell: cellNumber})
-			return decodeJobError(err)
+			var server peer.Peer
+			_, err = c.Submit(ctx, &jobpb.SubmitRequest{Job: value, Relayed: true, Cell: cellNumber}, grpc.Peer(&server))
+			return decodeSubmitError(err, server)
 		},
 		Cancel: func(ctx context.Context, id string) (bool, error) {
 			r, err := c.Cancel(ctx, &jobpb.JobRequest{Id: id, Cell: cellNumber})
@@ -55,6 +58,15 @@
 	}
 }
 
+// decodeSubmitError returns the error of a submission. The server is set once the call has been
+// assigned to a connection; without one, the call was not sent.
+func decodeSubmitError(err error, server peer.Peer) error {
+	if err != nil && server.Addr == nil {
+		return &scheduler.UnreachableError{Err: err}
+	}
+	return decodeJobError(err)
+}
+
 // decodeStateError returns the error of a reply, which may state the cell to which a job
 // was moved.
 func decodeStateError(r *jobpb.StateReply, err error) error {
--- /dev/null
+++ b/internal/scheduler/accept.go
@@ -0,0 +1,127 @@
+package scheduler
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/oriolepond/oriolepond/internal/batch"
+	"github.com/oriolepond/oriolepond/internal/eventlog"
+)
+
+// answerMargin is how long before the caller's deadline a submission is answered, so that the answer
+// reaches the caller: without one, the caller does not know whether the job was accepted.
+const answerMargin = 100 * time.Millisecond
+
+// withAnswerMargin returns a context that ends answerMargin before the caller's deadline.
+func withAnswerMargin(ctx context.Context) (context.Context, context.CancelFunc) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return context.WithCancel(ctx)
+	}
+	return context.WithDeadline(ctx, deadline.Add(-answerMargin))
+}
+
+// submit accepts a job. A submission that is not part of a commit when the time for its answer, or
+// the term, is over is dropped, so that its refusal is true; the outcome of one in a commit without
+// an answer is unknown.
+func (l *Leader) submit(ctx context.Context, j batch.Job) error {
+	ctx, cancel := withAnswerMargin(ctx)
+	defer cancel()
+	done := make(chan batch.State, 1)
+	var err error = &UnknownOutcomeError{Err: errTermPanicked}
+	l.guarded("submission", func() {
+		l.withLock(func() { err = l.accept(ctx, j, func(s batch.State) { done <- s }) })
+	})
+	if err != nil {
+		return err
+	}
+	l.signal(l.planNeeded)
+	select {
+	case s := <-done:
+		return submissionError(s)
+	case <-l.ended:
+	case <-ctx.Done():
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			l.guarded("submission", func() {
+				l.withLock(func() { l.core.DropSubmission(j.ID, l.Now()) })
+			})
+		}
+	}
+	select {
+	case s := <-done:
+		return submissionError(s)
+	default:
+		return l.openOutcome(j.ID)
+	}
+}
+
+// accept passes a submission to the core, unless it cannot be committed; l.mu is held.
+func (l *Leader) accept(ctx context.Context, j batch.Job, waiter func(batch.State)) error {
+	now := l.Now()
+	switch {
+	case l.core.IsDurable(j.ID):
+	case l.hasEnded():
+		return &NotLeaderError{}
+	case l.isStoreUnavailable(now) && l.core.HasJob(j.ID):
+		return &UnknownOutcomeError{Err: l.unansweredError()}
+	case l.isStoreUnavailable(now):
+		return &UnavailableError{Reason: "the store does not answer", RetryAfter: retryAfter}
+	case ctx.Err() != nil:
+		return &UnavailableError{Reason: "the leader was busy until the time for an answer was over", RetryAfter: retryAfter}
+	}
+	return l.core.Submit(j, now, waiter)
+}
+
+// submissionError returns the error for the state with which the waiter of a submission was called.
+func submissionError(s batch.State) error {
+	switch s {
+	case batch.Dropped:
+		return &UnavailableError{Reason: "the store does not answer", RetryAfter: retryAfter}
+	case batch.Refused:
+		return &batch.InvalidError{Reason: "the store refuses its record"}
+	}
+	return nil
+}
+
+// openOutcome returns the error for a submission in a commit whose outcome is not known.
+func (l *Leader) openOutcome(id string) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.Log.Emit(eventlog.SubmissionOutcomeUnknown, zap.String("job", id), zap.Int64("token", l.Token), zap.String("commit", l.unansweredCommit))
+	return &UnknownOutcomeError{Err: l.unansweredError()}
+}
+
+// unansweredError returns the reason why the outcome of a submission is not known; l.mu is held.
+func (l *Leader) unansweredError() error {
+	if l.unansweredCommit == "" {
+		return errCommitInProgress
+	}
+	return fmt.Errorf("commit %s has no answer", l.unansweredCommit)
+}
+
+var errCommitInProgress = errors.New("its commit is in progress")
+
+// endSubmissions answers the submissions of a term that has ended: those that are not part of a
+// commit are dropped. It is called once no commit is in progress any more.
+func (l *Leader) endSubmissions() {
+	l.guarded("submission", func() {
+		l.withLock(func() {
+			close(l.ended)
+			l.core.DropUncommitted(l.Now())
+		})
+	})
+}
+
+// hasEnded reports whether the term has ended and accepts nothing any more.
+func (l *Leader) hasEnded() bool {
+	select {
+	case <-l.ended:
+		return true
+	default:
+		return false
+	}
+}
--- a/internal/scheduler/answers.go
+++ b/internal/scheduler/answers.go
@@ -16,44 +16,6 @@
 // errTermPanicked means that a call panicked, which ends the term.
 var errTermPanicked = errors.New("the leader panicked")
 
-func (l *Leader) submit(ctx context.Context, j batch.Job) error {
-	if l.isStoreUnavailable(l.Now()) {
-		return l.submitError(j.ID)
-	}
-	done := make(chan batch.State, 1)
-	var err error = &UnknownOutcomeError{Err: errTermPanicked}
-	l.guarded("submission", func() {
-		l.withLock(func() { err = l.core.Submit(j, l.Now(), func(s batch.State) { done <- s }) })
-	})
-	if err != nil {
-		return err
-	}
-	l.signal(l.planNeeded)
-	select {
-	case s := <-done:
-		if s == batch.Dropped {
-			return &UnavailableError{Reason: "the store does not answer", RetryAfter: retryAfter}
-		}
-		if s == batch.Refused {
-			return &batch.InvalidError{Reason: "the store refuses its record"}
-		}
-		return nil
-	case <-ctx.Done():
-		return &UnknownOutcomeError{Err: ctx.Err()}
-	}
-}
-
-// submitError returns the error for a submission while the store is unavailable:
-// the outcome is unknown if an earlier submission of the job is being committed.
-func (l *Leader) submitError(id string) error {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.core.HasJob(id) {
-		return &UnknownOutcomeError{Err: errors.New("the store does not answer")}
-	}
-	return &UnavailableError{Reason: "the store does not answer", RetryAfter: retryAfter}
-}
-
 func (l *Leader) cancel(ctx context.Context, id string) (bool, error) {
 	done := make(chan batch.State, 1)
 	known := false
--- a/internal/scheduler/calls.go
+++ b/internal/scheduler/calls.go
@@ -46,6 +46,17 @@
 // Unwrap returns the cause.
 func (e *UnknownOutcomeError) Unwrap() error { return e.Err }
 
+// UnreachableError means that a call was not sent, because there is no connection to the node.
+type UnreachableError struct {
+	Err error
+}
+
+// Error returns the cause.
+func (e *UnreachableError) Error() string { return fmt.Sprintf("node not reachable: %v", e.Err) }
+
+// Unwrap returns the cause.
+func (e *UnreachableError) Unwrap() error { return e.Err }
+
 // MovedError means that the job was handed over to another cell.
 type MovedError struct {
 	Cell int
@@ -178,9 +189,12 @@
 
 // isUncertain reports whether a call that failed may have been carried out.
 func isUncertain(err error) bool {
-	return err != nil && !isAnswer(err) && !errors.As(err, new(*NotLeaderError))
+	return err != nil && !isAnswer(err) && !errors.As(err, new(*NotLeaderError)) && !isUnreachable(err)
 }
 
+// isUnreachable reports whether a call failed because the node cannot be reached.
+func isUnreachable(err error) bool { return errors.As(err, new(*UnreachableError)) }
+
 // callLeader makes a call to the current leader, which may be this node. If there is
 // none, it waits up to leaderWait for the next one.
 func (m *cellMember) callLeader(ctx context.Context, call func(context.Context, *Calls) error) error {
@@ -195,8 +209,8 @@
 			err = call(callCtx, c)
 			timedOut := m.scheduler.now().Sub(sent) >= suspectConnectionAfter && errors.Is(callCtx.Err(), context.DeadlineExceeded)
 			stop()
-			if !isUncertain(err) || timedOut {
-				m.recordAnswer(ref.Address, sent, isUncertain(err))
+			if unanswered := isUncertain(err) || isUnreachable(err); !unanswered || timedOut {
+				m.recordAnswer(ref.Address, sent, unanswered)
 			}
 		}
 		if !errors.As(err, new(*NotLeaderError)) {
@@ -258,7 +272,7 @@
 			}
 			return c.Submit(ctx, j)
 		},
-		Relay: func(ctx context.Context, j batch.Job) error { return m.submitLocally(ctx, m.withPolicy(j)) },
+		Relay: m.acceptRelayed,
 		Cancel: func(ctx context.Context, id string) (bool, error) {
 			c, err := termCalls()
 			if err != nil {
--- a/internal/scheduler/commit.go
+++ b/internal/scheduler/commit.go
@@ -47,7 +47,7 @@
 		if err != nil {
 			return err
 		}
-		if changes.IsEmpty() && !l.terms.isDue() {
+		if changes.IsEmpty() && !l.terms.isDue() && !l.isProbeDue() {
 			continue
 		}
 		starts, err := l.commitOrIsolate(commits, changes)
@@ -60,7 +60,7 @@
 		if ctx.Err() == nil {
 			l.dispatch(ctx, starts)
 		}
-		if dirty {
+		if dirty || l.isProbeDue() {
 			l.signal(l.commitNeeded)
 		}
 	}
@@ -99,10 +99,10 @@
 	return min(maxCommitInterval, baseCommitInterval*time.Duration(max(1, l.Cell.Count)))
 }
 
-// commitChanges commits records, and retries until the outcome is known. Each commit is
-// conditional on the leader's key and on the head, a key that names the latest commit, so that
+// commitChanges commits records. Unless the error is nil, the term has ended or the store refuses the
+// commit as invalid. Each commit is conditional on the leader's key and on the head, a key that names the latest commit, so that
 // neither an earlier leader nor a late retry can overwrite newer records.
-func (l *Leader) commitChanges(ctx context.Context, changes batch.Changes, learned []store.Op) error {
+func (l *Leader) commitChanges(ctx context.Context, changes batch.Changes, learned []store.Op) (commitOutcome, error) {
 	l.commitSequence++
 	stamp := fmt.Sprintf("%d/%d", l.Token, l.commitSequence)
 	txn := store.Txn{
@@ -138,32 +138,66 @@
 			freeEntries--
 		}
 	}
+	outcome, err := l.resolveCommit(ctx, txn, stamp)
+	if outcome != commitApplied {
+		l.restoreInboxKeys(inboxKeys)
+	}
+	if len(termsWrite) > 0 {
+		l.terms.endWrite(outcome == commitApplied)
+	}
+	return outcome, err
+}
+
+// resolveCommit sends a commit until its outcome is known, or the context ends. A commit that the
+// store has only refused has not taken effect; it is given up after storeUnavailableAfter, so that what
+// it contains can be dropped or become part of another one.
+func (l *Leader) resolveCommit(ctx context.Context, txn store.Txn, stamp string) (commitOutcome, error) {
 	startedAt := l.Now()
 	defer func() { l.Metrics.Commit(l.Now().Sub(startedAt)) }()
-	for attempt := 0; ; attempt++ {
-		revision, known, err := l.tryCommit(ctx, txn, stamp, attempt > 0)
-		switch {
-		case err != nil:
-			l.restoreInboxKeys(inboxKeys)
-		case known:
-			l.setUnansweredSince(time.Time{})
+	defer l.setUnansweredCommit("")
+	unanswered := false
+	for {
+		if ctx.Err() != nil && !unanswered {
+			return commitNotApplied, &TermEndedError{Reason: "commit " + stamp + " was given up"}
+		}
+		revision, outcome, err := l.tryCommit(ctx, txn, stamp, unanswered)
+		if outcome == commitApplied {
+			l.setUncommittedSince(time.Time{})
 			l.headRevision = revision
 		}
-		if err != nil || known {
-			if len(termsWrite) > 0 {
-				l.terms.endWrite(known)
-			}
-			return err
+		if err != nil || outcome == commitApplied {
+			return outcome, err
+		}
+		l.setUncommittedSince(startedAt)
+		if outcome == commitUnknown {
+			unanswered = true
+			l.setUnansweredCommit(stamp)
+		}
+		if !unanswered && l.Now().Sub(startedAt) >= storeUnavailableAfter {
+			l.Log.Emit(eventlog.CommitWithdrawn, zap.String("commit", stamp), zap.Int64("token", l.Token), zap.Duration("after", l.Now().Sub(startedAt)))
+			return commitNotApplied, nil
 		}
-		l.setUnansweredSince(startedAt)
 		select {
 		case <-ctx.Done():
-			return &TermEndedError{Reason: "the outcome of commit " + stamp + " is unknown"}
+			if unanswered {
+				return commitUnknown, &TermEndedError{Reason: "the outcome of commit " + stamp + " is unknown"}
+			}
 		case <-time.After(commitRetryInterval):
 		}
 	}
 }
 
+// commitOutcome is what is known about the effect of a commit.
+type commitOutcome string
+
+const (
+	commitApplied commitOutcome = "applied"
+	// commitNotApplied means that the commit has not taken effect and never will.
+	commitNotApplied commitOutcome = "notApplied"
+	// commitUnknown means that the commit may have taken effect, or may do so later.
+	commitUnknown commitOutcome = "unknown"
+)
+
 const (
 	// learnedWriteInterval is the minimum time between two writes of the interference effects
 	// that the core has measured, which change slowly.
@@ -195,50 +229,73 @@
 // commitRetryInterval is the pause between two tries of a commit.
 const commitRetryInterval = 60 * time.Millisecond
 
-// tryCommit sends a commit once, and reports whether it is known to have taken effect;
-// uncertain means that an earlier try may have.
-func (l *Leader) tryCommit(ctx context.Context, txn store.Txn, stamp string, uncertain bool) (int64, bool, error) {
+// tryCommit sends a commit once. Unanswered means that an earlier try may have taken effect.
+func (l *Leader) tryCommit(ctx context.Context, txn store.Txn, stamp string, unanswered bool) (int64, commitOutcome, error) {
 	call, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
 	result, err := l.Store.Commit(call, txn)
-	var invalid *store.InvalidError
 	switch {
-	case errors.As(err, &invalid):
-		return 0, false, err
+	case errors.As(err, new(*store.InvalidError)):
+		return 0, commitNotApplied, err
+	case errors.As(err, new(*store.RefusedError)):
+		l.Log.Emit(eventlog.CommitNotCarriedOut, zap.String("commit", stamp), zap.Error(err))
+		return 0, commitNotApplied, nil
 	case err != nil:
 		l.Log.Emit(eventlog.CommitUnanswered, zap.String("commit", stamp), zap.Error(err))
-		return 0, false, nil
+		return 0, commitUnknown, nil
 	case result.Done:
-		return result.Revision, true, nil
-	case !uncertain:
-		return 0, false, &TermEndedError{Reason: "the leader's key or the head has changed"}
+		return result.Revision, commitApplied, nil
+	case !unanswered:
+		return 0, commitNotApplied, errSuperseded
 	}
-	// An earlier try may have taken effect.
 	head, found, err := l.Store.Read(call, l.keys.head)
 	switch {
 	case err != nil:
-		return 0, false, nil
+		return 0, commitUnknown, nil
 	case found && string(head.Value) == stamp:
-		return head.Revision, true, nil
+		return head.Revision, commitApplied, nil
+	case head.Revision == l.headRevision:
+		// The commit would have changed the head, and the leader's key is gone for good.
+		return 0, commitNotApplied, errSuperseded
 	}
-	return 0, false, &TermEndedError{Reason: "the leader's key or the head has changed"}
+	return 0, commitUnknown, errSuperseded
 }
 
-// setUnansweredSince records since when a commit is unanswered; zero means that none is.
-func (l *Leader) setUnansweredSince(since time.Time) {
+// errSuperseded means that a condition of a commit does not hold, and never will again.
+var errSuperseded = &TermEndedError{Reason: "the leader's key or the head has changed"}
+
+// setUncommittedSince records that a commit, sent at the given time, was not carried out; zero means
+// that it was.
+func (l *Leader) setUncommittedSince(since time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.unansweredSince = since
+	if since.IsZero() || l.uncommittedSince.IsZero() {
+		l.uncommittedSince = since
+	}
 }
 
-// isStoreUnavailable reports whether the leader's lease may have expired, or a commit has been
-// unanswered for longer than storeUnavailableAfter.
+// setUnansweredCommit records the stamp of the commit that may take effect later; "" means that there
+// is none.
+func (l *Leader) setUnansweredCommit(stamp string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.unansweredCommit = stamp
+}
+
+// isStoreUnavailable reports whether the leader's lease may have expired, or the store has carried out
+// no commit for longer than storeUnavailableAfter; l.mu is held.
 func (l *Leader) isStoreUnavailable(now time.Time) bool {
+	return !l.isLeaseValid(now) || !l.uncommittedSince.IsZero() && now.Sub(l.uncommittedSince) >= storeUnavailableAfter
+}
+
+// isProbeDue reports whether a commit has to be sent even if nothing has changed, to find out whether
+// the store carries out commits again.
+func (l *Leader) isProbeDue() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return !l.isLeaseValid(now) || !l.unansweredSince.IsZero() && now.Sub(l.unansweredSince) > storeUnavailableAfter
+	return !l.uncommittedSince.IsZero()
 }
 
-// storeUnavailableAfter is how long a commit may be unanswered before submissions are refused: an
+// storeUnavailableAfter is how long a commit may take before submissions are refused: an
 // order of magnitude above the usual duration of a commit at a slow store.
 const storeUnavailableAfter = 400 * time.Millisecond
--- a/internal/scheduler/leader.go
+++ b/internal/scheduler/leader.go
@@ -56,8 +56,13 @@
 	core      *batch.Core
 	pollers   map[string]*poller
 	endReason string
-	// unansweredSince is when the commit that is still unanswered was first sent, zero if there is none.
-	unansweredSince time.Time
+	// uncommittedSince is when the first commit was sent that the store has not carried out since, zero
+	// if it has carried out the last one. unansweredCommit is the stamp of the commit in progress if one
+	// of its tries has no answer, so that it may take effect later.
+	uncommittedSince time.Time
+	unansweredCommit string
+	// ended is closed once the term has ended and none of its commits is in progress.
+	ended chan struct{}
 	// fenced is true once a worker has rejected a poll because it has seen a newer leader.
 	fenced bool
 	// inbox has, by job ID, the inbox keys that the next commit of the job removes.
@@ -207,6 +212,7 @@
 	l.planNeeded = make(chan struct{}, 1)
 	l.commitNeeded = make(chan struct{}, 1)
 	l.startSlots = make(chan struct{}, maxConcurrentStarts)
+	l.ended = make(chan struct{})
 	l.acceptInbox(r.inbox.Entries)
 	return nil
 }
@@ -273,6 +279,7 @@
 	}
 	err := g.Run()
 	l.stop()
+	l.endSubmissions()
 	l.goroutines.Wait()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -379,10 +386,10 @@
 			l.sleep(ctx, wait)
 		}
 		last = l.Now()
-		unavailable, dirty := l.isStoreUnavailable(last), false
+		dirty := false
 		l.guarded("plan", func() {
 			l.withLock(func() {
-				if unavailable {
+				if l.isStoreUnavailable(last) {
 					l.core.DropUncommitted(last)
 				}
 				l.core.SetWallOffset(l.wallClockOffset())
--- a/internal/scheduler/member.go
+++ b/internal/scheduler/member.go
@@ -38,6 +38,8 @@
 	steppedDown bool
 	// lastContact is when each peer last answered, by address.
 	lastContact map[string]time.Time
+	// unreachable is when each node, by address, could not be reached for a relayed submission.
+	unreachable map[string]time.Time
 }
 
 // leaderRef is the content of a leader's key; the zero value means that there is no leader.
--- a/internal/scheduler/meter.go
+++ b/internal/scheduler/meter.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"errors"
 	"fmt"
 	"time"
 
@@ -53,6 +54,24 @@
 // CommitRefused counts a commit that the store refused as invalid.
 func (m *Metrics) CommitRefused() { m.refused.Inc() }
 
+// Submission counts a submission that a caller made to this node, by the error that it got.
+func (m *Metrics) Submission(err error) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("oriolepond_submissions_total{outcome=%q}", submissionOutcome(err))).Inc()
+}
+
+// submissionOutcome names the outcome of a submission.
+func submissionOutcome(err error) string {
+	switch {
+	case err == nil:
+		return "accepted"
+	case errors.As(err, new(*UnavailableError)):
+		return "refused"
+	case errors.As(err, new(*batch.InvalidError)), errors.As(err, new(*batch.NoQueueError)):
+		return "invalid"
+	}
+	return "unknown"
+}
+
 // Command records the time until a command was answered or failed, and counts its answer.
 func (m *Metrics) Command(kind batch.CommandKind, answer batch.Answer, duration time.Duration) {
 	m.commands.Update(duration.Seconds())
--- a/internal/scheduler/refused.go
+++ b/internal/scheduler/refused.go
@@ -14,27 +14,30 @@
 
 // commitOrIsolate commits changes and returns the start commands that may be sent. If the store
 // refuses the commit as invalid, it commits the records one by one, and leaves out those that are
-// refused again: otherwise one of them would end this term and each later one.
+// refused again: otherwise one of them would end this term and each later one. Changes that are known
+// not to have been committed are withdrawn.
 func (l *Leader) commitOrIsolate(ctx context.Context, changes batch.Changes) ([]batch.Command, error) {
 	learned := l.learnedWrite()
-	err := l.commitChanges(ctx, changes, learned)
-	if err == nil {
-		return l.committed(changes), nil
-	}
+	outcome, err := l.commitChanges(ctx, changes, learned)
 	if !l.isRefused(err, "") {
-		return nil, err
+		return l.finishCommit(outcome, changes), err
 	}
 	var starts []batch.Command
 	refused := false
-	for _, part := range changes.Split() {
-		switch err := l.commitChanges(ctx, part, nil); {
-		case err == nil:
-			starts = append(starts, l.committed(part)...)
-		case l.isRefused(err, l.keyOf(part)):
+	parts := changes.Split()
+	for i, part := range parts {
+		outcome, partErr := l.commitChanges(ctx, part, nil)
+		if l.isRefused(partErr, l.keyOf(part)) {
 			refused = true
 			l.withLock(func() { l.core.Refuse(part, l.Now()) })
-		default:
-			return nil, err
+			continue
+		}
+		starts = append(starts, l.finishCommit(outcome, part)...)
+		if partErr != nil {
+			for _, unsent := range parts[i+1:] {
+				l.finishCommit(commitNotApplied, unsent)
+			}
+			return nil, partErr
 		}
 	}
 	if !refused && learned != nil {
@@ -48,11 +51,21 @@
 // them.
 const learnedRefusedPause = time.Minute
 
-// committed gives committed changes to the core, and returns the start commands that may be sent.
-func (l *Leader) committed(changes batch.Changes) []batch.Command {
+// finishCommit tells the core the outcome of a commit, and returns the start commands that may be sent.
+// If the store carries out no commits, submissions in a commit that was withdrawn are dropped.
+func (l *Leader) finishCommit(outcome commitOutcome, changes batch.Changes) []batch.Command {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.core.Committed(changes)
+	switch outcome {
+	case commitApplied:
+		return l.core.Committed(changes)
+	case commitNotApplied:
+		l.core.Withdraw(changes)
+		if now := l.Now(); l.isStoreUnavailable(now) {
+			l.core.DropUncommitted(now)
+		}
+	}
+	return nil
 }
 
 // isRefused reports whether an error means that the store refuses a commit as invalid, and logs
--- a/internal/scheduler/submit.go
+++ b/internal/scheduler/submit.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -21,59 +20,13 @@
 func (m *cellMember) submit(ctx context.Context, j batch.Job) error {
 	j = m.withPolicy(j)
 	err := m.submitLocally(ctx, j)
-	if !mayRelay(err) {
-		return err
-	}
-	for _, address := range m.relays() {
-		if remaining(ctx) < relayTimeout {
-			break
-		}
-		c, peerErr := m.scheduler.Peer(address, m.Cell.Index)
-		if peerErr != nil {
-			continue
-		}
-		bounded, cancel := context.WithTimeout(ctx, relayTimeout)
-		relayErr := c.Relay(bounded, j)
-		cancel()
-		m.Log.Emit(eventlog.SubmissionRelayed, zap.String("job", j.ID), zap.String("peer", address), zap.Error(relayErr))
-		switch {
-		case relayErr == nil:
-			return nil
-		case errors.As(err, new(*UnknownOutcomeError)):
-			// The outcome of the first try is open, so a refusal by the peer proves nothing.
-		case !mayRelay(relayErr):
-			return relayErr
-		case errors.As(relayErr, new(*UnknownOutcomeError)):
-			err = relayErr
-		}
+	if mayRelay(err) {
+		err = m.relay(ctx, j, err)
 	}
+	m.scheduler.Metrics.Submission(err)
 	return err
 }
 
-// relays returns the addresses of nodes through which this one may submit a job: the peers in
-// the settings, and the leaders of other cells, since the store serves these.
-func (m *cellMember) relays() []string {
-	homeLeader, _ := m.currentLeader()
-	addresses := slices.Clone(m.scheduler.Peers)
-	for _, other := range m.scheduler.allMembers() {
-		if ref, _ := other.currentLeader(); other != m && ref.Address != "" {
-			addresses = append(addresses, ref.Address)
-		}
-	}
-	slices.Sort(addresses)
-	return slices.DeleteFunc(slices.Compact(addresses), func(address string) bool {
-		return address == m.scheduler.Address || address == homeLeader.Address
-	})
-}
-
-// mayRelay reports whether another node may still accept a job after this error.
-func mayRelay(err error) bool {
-	return errors.As(err, new(*UnavailableError)) || errors.As(err, new(*UnknownOutcomeError))
-}
-
-// relayTimeout bounds a submission through another node.
-const relayTimeout = 800 * time.Millisecond
-
 // submitLocally accepts a job through the leader or the store, without other nodes.
 func (m *cellMember) submitLocally(ctx context.Context, j batch.Job) error {
 	if err := j.Check(); err != nil {
--- a/internal/scheduler/timespent.go
+++ b/internal/scheduler/timespent.go
@@ -37,12 +37,12 @@
 		}
 		now := l.Now()
 		l.mu.Lock()
-		spent, work, unansweredSince := l.spent, l.core.TakeWork(now), l.unansweredSince
+		spent, work, uncommittedSince := l.spent, l.core.TakeWork(now), l.uncommittedSince
 		l.spent = timeSpent{}
 		l.mu.Unlock()
 		var unanswered time.Duration
-		if !unansweredSince.IsZero() {
-			unanswered = now.Sub(unansweredSince)
+		if !uncommittedSince.IsZero() {
+			unanswered = now.Sub(uncommittedSince)
 		}
 		l.Log.Emit(eventlog.LeaderLoad, zap.Int64("token", l.Token), zap.Duration("interval", now.Sub(startedAt)),
 			zap.Int("plans", work.Plans), zap.Duration("planning", spent.planning), zap.Int("searches", work.Searches), zap.Int("examined", work.Examined),
