--- a/internal/batch/submit.go
+++ b/internal/batch/submit.go
@@ -16,7 +16,7 @@
 // before Submit returns. A second submission with the same ID refers to the same job.
 func (c *Core) Submit(s Job, now time.Time, waiter func(State)) error {
 	if j, ok := c.jobs[s.ID]; ok {
-		if j.isDurable() {
+		if waiter != nil && j.isDurable() {
 			waiter(j.state)
 			return nil
 		}
--- a/internal/scheduler/fakeworkers_test.go
+++ b/internal/scheduler/fakeworkers_test.go
@@ -21,6 +21,8 @@
 	violations []string
 	done       map[batch.TaskName]bool
 	starts     int
+	// startedJobs are the jobs of which a run was started.
+	startedJobs map[string]bool
 }
 
 type fakeWorker struct {
@@ -43,7 +45,7 @@
 }
 
 func newFakeWorkers(duration time.Duration, ids ...string) *fakeWorkers {
-	f := &fakeWorkers{startedAt: time.Now(), age: time.Hour, duration: duration, workers: map[string]*fakeWorker{}, done: map[batch.TaskName]bool{}}
+	f := &fakeWorkers{startedAt: time.Now(), age: time.Hour, duration: duration, workers: map[string]*fakeWorker{}, done: map[batch.TaskName]bool{}, startedJobs: map[string]bool{}}
 	for _, id := range ids {
 		f.workers[id] = &fakeWorker{
 			running: map[batch.TaskName]*fakeRun{}, highestEndedRun: map[batch.TaskName]int64{}, changed: make(chan struct{}),
@@ -176,6 +178,7 @@
 		}
 	}
 	f.starts++
+	f.startedJobs[call.Task.Job] = true
 	w.running[call.Task] = &fakeRun{number: call.Run, ends: time.Now().Add(f.duration)}
 	close(w.changed)
 	w.changed = make(chan struct{})
@@ -188,6 +191,13 @@
 	return f.starts
 }
 
+// hasStarted reports whether a run of a job was started.
+func (f *fakeWorkers) hasStarted(job string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.startedJobs[job]
+}
+
 func (f *fakeWorkers) update(change func(*fakeWorkers)) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- /dev/null
+++ b/internal/scheduler/submissions_test.go
@@ -0,0 +1,179 @@
+package scheduler
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/oriolepond/oriolepond/internal/batch"
+	"github.com/oriolepond/oriolepond/internal/store"
+)
+
+// outcome is what a caller was told about its submission, and after which time.
+type outcome struct {
+	job   batch.Job
+	err   error
+	after time.Duration
+}
+
+// submitEvery submits jobs through a node at an interval and returns their outcomes in order.
+func submitEvery(node *Scheduler, jobs int, interval time.Duration) []outcome {
+	results := make(chan outcome, jobs)
+	for i := range jobs {
+		go func() {
+			j, sent := testJob(i, 1), time.Now()
+			err := submit(node, j)
+			results <- outcome{j, err, time.Since(sent)}
+		}()
+		time.Sleep(interval)
+	}
+	var outcomes []outcome
+	for range jobs {
+		outcomes = append(outcomes, <-results)
+	}
+	slices.SortFunc(outcomes, func(a, b outcome) int { return strings.Compare(a.job.ID, b.job.ID) })
+	return outcomes
+}
+
+// isLeaderCommit reports whether a transaction is a commit of a leader.
+func isLeaderCommit(t store.Txn) bool {
+	return slices.ContainsFunc(t.Then, func(op store.Op) bool { return op.Key == keysOfCell(0).head })
+}
+
+// While the store is away, only the submissions in a commit without an answer may have an unknown
+// outcome. The others are refused before half of the callers' time is over, and never run.
+func TestOutcomesOfSubmissionsWhileStoreIsAway(t *testing.T) {
+	const jobs = 20
+	type phase struct {
+		lasts time.Duration
+		apply func(s *fakeStore)
+	}
+	refuse := func(s *fakeStore) { s.refuseAll, s.unresponsive = true, false }
+	silence := func(s *fakeStore) { s.refuseAll, s.unresponsive = false, true }
+	loseAnswers := func(late time.Duration) func(*fakeStore) {
+		return func(s *fakeStore) {
+			s.loseAnswer = func(t store.Txn) (bool, time.Duration) { return isLeaderCommit(t), late }
+		}
+	}
+	for _, c := range []struct {
+		name   string
+		phases []phase
+		// maxUnknown is the greatest number of submissions in one commit; minAccepted is how many the
+		// store could take meanwhile.
+		maxUnknown, minAccepted int
+	}{
+		{name: "refuses all calls", phases: []phase{{4 * time.Second, refuse}}},
+		{name: "answers no call", phases: []phase{{4 * time.Second, silence}}, maxUnknown: 2},
+		{name: "refuses, then answers no call", phases: []phase{{300 * time.Millisecond, refuse}, {4 * time.Second, silence}}, maxUnknown: 2},
+		{name: "answers no call, then refuses", phases: []phase{{300 * time.Millisecond, silence}, {4 * time.Second, refuse}}, maxUnknown: 2},
+		{name: "answers to commits are lost", phases: []phase{{4 * time.Second, loseAnswers(0)}}, minAccepted: jobs},
+		{name: "commits take effect seconds later", phases: []phase{{4 * time.Second, loseAnswers(2 * time.Second)}}, minAccepted: jobs},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cl := newCluster(t, time.Second, "w1", "w2", "w3")
+				defer cl.stop()
+				cl.addNode("a")
+				cl.addNode("b")
+				time.Sleep(4 * time.Second)
+				leader, _ := cl.leader()
+				other := cl.nodes[others(leader)[0]]
+				go func() {
+					for _, p := range c.phases {
+						cl.store.update(p.apply)
+						time.Sleep(p.lasts)
+					}
+					cl.store.update(func(s *fakeStore) { s.refuseAll, s.unresponsive, s.loseAnswer = false, false, nil })
+				}()
+				outcomes := submitEvery(other, jobs, 25*time.Millisecond)
+				time.Sleep(5 * time.Second)
+				require.NoError(t, submit(other, testJob(jobs, 1)), "once the store is back")
+				time.Sleep(20 * time.Second)
+				accepted, unknown := 0, 0
+				for _, o := range outcomes {
+					var unavailable *UnavailableError
+					switch {
+					case o.err == nil:
+						accepted++
+						require.Equal(t, batch.Completed, state(t, other, o.job.ID), "accepted job %s", o.job.ID)
+					case errors.As(o.err, &unavailable):
+						require.Less(t, o.after, 1500*time.Millisecond, "refusal of job %s: %v", o.job.ID, o.err)
+						require.False(t, cl.store.has(keysOfCell(0).jobs+o.job.ID), "refused job %s was stored", o.job.ID)
+						require.False(t, cl.workers.hasStarted(o.job.ID), "refused job %s has run", o.job.ID)
+					default:
+						require.ErrorAs(t, o.err, new(*UnknownOutcomeError))
+						unknown++
+					}
+				}
+				require.LessOrEqual(t, unknown, c.maxUnknown, "unknown outcomes")
+				require.GreaterOrEqual(t, accepted, c.minAccepted)
+			})
+		})
+	}
+}
+
+// A job that is stored is accepted, also if its record has changed since and the store is away.
+func TestRepeatOfStoredJobIsAccepted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, time.Second, "w1")
+		defer cl.stop()
+		cl.addNode("a")
+		cl.addNode("b")
+		time.Sleep(4 * time.Second)
+		leader, _ := cl.leader()
+		other := cl.nodes[others(leader)[0]]
+		require.NoError(t, submit(other, testJob(1, 1)))
+		cl.store.update(func(s *fakeStore) { s.refuseAll = true })
+		time.Sleep(1200 * time.Millisecond)
+		sent := time.Now()
+		require.NoError(t, submit(other, testJob(1, 1)))
+		require.Less(t, time.Since(sent), 50*time.Millisecond)
+	})
+}
+
+// A submission that reaches the leader after its caller's time is over does not run.
+func TestLateSubmissionIsNotAccepted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, time.Second, "w1")
+		defer cl.stop()
+		cl.addNode("a")
+		time.Sleep(4 * time.Second)
+		_, leader := cl.leader()
+		ctx, cancel := context.WithTimeout(context.Background(), answerMargin)
+		defer cancel()
+		require.ErrorAs(t, leader.calls().Submit(ctx, testJob(1, 1)), new(*UnavailableError))
+		time.Sleep(5 * time.Second)
+		require.False(t, cl.store.has(keysOfCell(0).jobs+testJob(1, 1).ID))
+	})
+}
+
+// The end of a term answers the submissions that wait for a commit.
+func TestEndOfTermAnswersSubmissions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, time.Second, "w1")
+		defer cl.stop()
+		cl.addNode("a")
+		time.Sleep(4 * time.Second)
+		_, leader := cl.leader()
+		cl.store.update(func(s *fakeStore) { s.unresponsive = true })
+		results := make(chan error, 2)
+		ctx, cancel := context.WithTimeout(context.Background(), leaderCallTimeout)
+		defer cancel()
+		for i := range 2 {
+			go func() { results <- leader.calls().Submit(ctx, testJob(i, 1)) }()
+			time.Sleep(100 * time.Millisecond)
+		}
+		endedAt := time.Now()
+		leader.endTerm("test")
+		require.ErrorAs(t, <-results, new(*UnknownOutcomeError), "its commit has no answer")
+		require.ErrorAs(t, <-results, new(*UnavailableError), "it is in no commit")
+		require.Less(t, time.Since(endedAt), 100*time.Millisecond)
+		require.ErrorAs(t, leader.calls().Submit(ctx, testJob(2, 1)), new(*NotLeaderError))
+	})
+}
