--- a/internal/scheduler/accept.go
+++ b/internal/scheduler/accept.go
@@ -25,9 +25,9 @@
 	return context.WithDeadline(ctx, deadline.Add(-answerMargin))
 }
 
-// submit accepts a job. A submission that is not part of a commit when the time for its answer, or
-// the term, is over is dropped, so that its refusal is true; the outcome of one in a commit without
-// an answer is unknown.
+// submit accepts a job. If the store does not answer, a submission that is not part of a commit when
+// the time for its answer, or the term, is over is dropped, so that its refusal is true; the outcome
+// of one in a commit without an answer is unknown.
 func (l *Leader) submit(ctx context.Context, j batch.Job) error {
 	ctx, cancel := withAnswerMargin(ctx)
 	defer cancel()
@@ -46,9 +46,7 @@
 	case <-l.ended:
 	case <-ctx.Done():
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			l.guarded("submission", func() {
-				l.withLock(func() { l.core.DropSubmission(j.ID, l.Now()) })
-			})
+			l.guarded("submission", func() { l.withLock(func() { l.dropStalled(j.ID) }) })
 		}
 	}
 	select {
@@ -59,6 +57,19 @@
 	}
 }
 
+// dropStalled drops a submission if the store carries out no commit that could contain it; l.mu is
+// held. A store that is only slow will: until then, the caller's node tries the inbox.
+func (l *Leader) dropStalled(id string) {
+	now := l.Now()
+	if l.isStoreUnavailable(now) || !l.commitStartedAt.IsZero() && now.Sub(l.commitStartedAt) >= commitStalledAfter {
+		l.core.DropSubmission(id, now)
+	}
+}
+
+// commitStalledAfter is how long a commit may be in progress before the submissions behind it are
+// dropped when the time for their answers is over; a slow store carries one out in less.
+const commitStalledAfter = 600 * time.Millisecond
+
 // accept passes a submission to the core, unless it cannot be committed; l.mu is held.
 func (l *Leader) accept(ctx context.Context, j batch.Job, waiter func(batch.State)) error {
 	now := l.Now()
--- a/internal/scheduler/commit.go
+++ b/internal/scheduler/commit.go
@@ -154,7 +154,8 @@
 func (l *Leader) resolveCommit(ctx context.Context, txn store.Txn, stamp string) (commitOutcome, error) {
 	startedAt := l.Now()
 	defer func() { l.Metrics.Commit(l.Now().Sub(startedAt)) }()
-	defer l.setUnansweredCommit("")
+	l.setCommitStartedAt(startedAt)
+	defer l.setCommitStartedAt(time.Time{})
 	unanswered := false
 	for {
 		if ctx.Err() != nil && !unanswered {
@@ -274,8 +275,14 @@
 	}
 }
 
-// setUnansweredCommit records the stamp of the commit that may take effect later; "" means that there
-// is none.
+// setCommitStartedAt records since when a commit is in progress; zero means that none is.
+func (l *Leader) setCommitStartedAt(startedAt time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.commitStartedAt, l.unansweredCommit = startedAt, ""
+}
+
+// setUnansweredCommit records the stamp of the commit in progress, a try of which has no answer.
 func (l *Leader) setUnansweredCommit(stamp string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/scheduler/leader.go
+++ b/internal/scheduler/leader.go
@@ -61,6 +61,8 @@
 	// of its tries has no answer, so that it may take effect later.
 	uncommittedSince time.Time
 	unansweredCommit string
+	// commitStartedAt is when the commit in progress was first sent, zero if there is none.
+	commitStartedAt time.Time
 	// ended is closed once the term has ended and none of its commits is in progress.
 	ended chan struct{}
 	// fenced is true once a worker has rejected a poll because it has seen a newer leader.
--- a/internal/scheduler/relay.go
+++ b/internal/scheduler/relay.go
@@ -17,6 +17,8 @@
 	relayTimeout = 800 * time.Millisecond
 	// relayInterval is how long a node may take to answer before the next one is asked, too.
 	relayInterval = 200 * time.Millisecond
+	// probeTimeout bounds the call by which a node is probed before a job is relayed through it.
+	probeTimeout = 250 * time.Millisecond
 	// unreachablePause is how long no job is relayed through a node that could not be reached.
 	unreachablePause = 5 * time.Second
 )
@@ -73,7 +75,9 @@
 	if err != nil {
 		return &UnreachableError{Err: err}
 	}
-	err = c.Relay(ctx, j)
+	if err = m.probe(ctx, address, c, j.ID); err == nil {
+		err = c.Relay(ctx, j)
+	}
 	if isUnreachable(err) {
 		m.setUnreachable(address)
 	}
@@ -81,6 +85,20 @@
 	return err
 }
 
+// probe returns an *UnreachableError unless a node answers a call without effect. A job that is sent
+// to a node that does not answer could no longer be refused.
+func (m *cellMember) probe(ctx context.Context, address string, c *Calls, id string) error {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	sent := m.scheduler.now()
+	_, _, err := c.State(ctx, id)
+	m.recordAnswer(address, sent, isUncertain(err) || isUnreachable(err))
+	if isUncertain(err) {
+		return &UnreachableError{Err: err}
+	}
+	return nil
+}
+
 // acceptRelayed accepts a job that another node could not submit.
 func (m *cellMember) acceptRelayed(ctx context.Context, j batch.Job) error {
 	ctx, cancel := withAnswerMargin(ctx)
--- a/internal/scheduler/relay_test.go
+++ b/internal/scheduler/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,6 +15,7 @@
 // Relays may accept a job, and must not make the outcome of a refused one unknown unless a call was sent.
 func TestOutcomeOfRelays(t *testing.T) {
 	unavailable, unknown := &UnavailableError{Reason: "no"}, &UnknownOutcomeError{Err: errUnreachable}
+	var errSilent error = &UnknownOutcomeError{Err: errors.New("nothing is answered")}
 	unreachable, noQueue := &UnreachableError{Err: errUnreachable}, &batch.NoQueueError{Queue: "review"}
 	for _, c := range []struct {
 		name   string
@@ -23,6 +25,7 @@
 		{name: "no relay", want: new(UnavailableError)},
 		{name: "refused", relays: []error{unavailable, unavailable}, want: new(UnavailableError)},
 		{name: "not reachable", relays: []error{unreachable, unreachable}, want: new(UnavailableError)},
+		{name: "silent", relays: []error{errSilent, errSilent}, want: new(UnavailableError)},
 		{name: "accepted by the last", relays: []error{unreachable, unavailable, nil}},
 		{name: "accepted after an unknown outcome", relays: []error{unknown, nil}},
 		{name: "unknown, then refused", relays: []error{unknown, unavailable}, want: new(UnknownOutcomeError)},
@@ -39,10 +42,22 @@
 					a.Peers = append(a.Peers, string(rune('p'+i)))
 				}
 				a.Peer = func(address string, _ int) (*Calls, error) {
-					return &Calls{Relay: func(context.Context, batch.Job) error { return c.relays[address[0]-'p'] }}, nil
+					result := c.relays[address[0]-'p']
+					return &Calls{
+						State: func(ctx context.Context, _ string) (batch.State, bool, error) {
+							if result == errSilent {
+								<-ctx.Done()
+								return "", false, &UnknownOutcomeError{Err: ctx.Err()}
+							}
+							return "", false, &NotLeaderError{}
+						},
+						Relay: func(context.Context, batch.Job) error { return result },
+					}, nil
 				}
 				cl.store.update(func(s *fakeStore) { s.refuseAll = true })
+				sent := time.Now()
 				err := submit(a, testJob(1, 1))
+				require.Less(t, time.Since(sent), 1500*time.Millisecond)
 				if c.want == nil {
 					require.NoError(t, err)
 					return
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -119,6 +119,8 @@
 	bestShare float64
 	// terms is the number of cells that the node leads or runs for.
 	terms int
+	// outage is how the store has served this node's submissions.
+	outage storeOutage
 }
 
 // SetTable applies a configuration to this node.
--- a/internal/scheduler/submit.go
+++ b/internal/scheduler/submit.go
@@ -87,14 +87,28 @@
 // precedes a write because an unanswered write might take effect later, so that
 // the submission could no longer be refused.
 func (m *cellMember) checkStore(ctx context.Context, id string) error {
+	if m.scheduler.outage.isSilent(m.scheduler.now()) {
+		return m.storeError(ctx, errStoreSilent)
+	}
 	bounded, cancel := context.WithTimeout(ctx, storeCheckTimeout)
 	defer cancel()
-	if _, _, err := m.scheduler.Store.Read(bounded, m.keys.inbox+id); err != nil {
-		return &UnavailableError{Reason: err.Error(), RetryAfter: retryAfter}
+	_, _, err := m.scheduler.Store.Read(bounded, m.keys.inbox+id)
+	if ctx.Err() == nil {
+		m.scheduler.outage.observe(err, m.scheduler.now())
+	}
+	if err != nil {
+		return m.storeError(ctx, err)
 	}
 	return nil
 }
 
+var errStoreSilent = errors.New("the store has not answered the last call")
+
+// storeError returns the error for a submission that the store has not taken.
+func (m *cellMember) storeError(ctx context.Context, err error) error {
+	return &UnavailableError{Reason: err.Error(), RetryAfter: m.scheduler.outage.retryAfter(m.scheduler.now(), remaining(ctx))}
+}
+
 // writeInbox writes an inbox key for the next leader to find, unless the job is already known.
 func (m *cellMember) writeInbox(ctx context.Context, id, key string, value []byte) error {
 	txn := store.Txn{
@@ -114,7 +128,7 @@
 		case !errors.As(err, &refused):
 			uncertain = true
 		case !uncertain:
-			return &UnavailableError{Reason: err.Error(), RetryAfter: retryAfter}
+			return m.storeError(ctx, err)
 		}
 		if remaining(ctx) < commitTimeout {
 			return &UnknownOutcomeError{Err: err}
