--- a/internal/scheduler/calls.go
+++ b/internal/scheduler/calls.go
@@ -196,9 +196,9 @@
 func isUnreachable(err error) bool { return errors.As(err, new(*UnreachableError)) }
 
 // callLeader makes a call to the current leader, which may be this node. If there is
-// none, it waits up to leaderWait for the next one.
+// none, it waits up to leaderWait for the next one, but leaves half of the caller's time for the store.
 func (m *cellMember) callLeader(ctx context.Context, call func(context.Context, *Calls) error) error {
-	wait, cancel := context.WithTimeout(ctx, leaderWait)
+	wait, cancel := context.WithTimeout(ctx, min(leaderWait, remaining(ctx)/2))
 	defer cancel()
 	for {
 		ref, changed := m.currentLeader()
--- a/internal/scheduler/submissions_test.go
+++ b/internal/scheduler/submissions_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/oriolepond/oriolepond/internal/batch"
+	"github.com/oriolepond/oriolepond/internal/eventlog"
 	"github.com/oriolepond/oriolepond/internal/store"
 )
 
@@ -177,3 +178,35 @@
 		require.ErrorAs(t, leader.calls().Submit(ctx, testJob(2, 1)), new(*NotLeaderError))
 	})
 }
+
+// A caller with little time left is refused rather than left with an unknown outcome.
+func TestNoWriteBeginsWithoutTimeForItsAnswer(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		remaining time.Duration
+		want      error
+	}{
+		{name: "too little", remaining: 120 * time.Millisecond, want: new(UnavailableError)},
+		{name: "enough, although there is no leader", remaining: 500 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newFakeStore()
+				s.latency["a"] = 30 * time.Millisecond
+				m := &cellMember{
+					keys: keysOfCell(0), leaderChanged: make(chan struct{}), Log: eventlog.Discard(),
+					scheduler: &Scheduler{Now: time.Now, Store: s.client("a")},
+				}
+				ctx, cancel := context.WithTimeout(t.Context(), c.remaining)
+				defer cancel()
+				err := m.submitLocally(ctx, testJob(1, 1))
+				if c.want == nil {
+					require.NoError(t, err)
+					return
+				}
+				require.IsType(t, c.want, err)
+				require.False(t, s.has(keysOfCell(0).inbox+testJob(1, 1).ID))
+			})
+		})
+	}
+}
--- a/internal/scheduler/submit.go
+++ b/internal/scheduler/submit.go
@@ -102,6 +102,12 @@
 	return nil
 }
 
+// minWriteTime is how much time a write needs, to be answered by a store in another region before the caller
+// gives up; a write without an answer could no longer be refused.
+const minWriteTime = 150 * time.Millisecond
+
+var errTooLate = errors.New("the caller has too little time left for a write to the store")
+
 var errStoreSilent = errors.New("the store has not answered the last call")
 
 // storeError returns the error for a submission that the store has not taken.
@@ -115,6 +121,9 @@
 		If:   []store.Condition{{Key: key}, {Key: m.keys.jobs + id}},
 		Then: []store.Op{store.Put(key, value)},
 	}
+	if remaining(ctx) < minWriteTime {
+		return m.storeError(ctx, errTooLate)
+	}
 	uncertain := false
 	for {
 		call, cancel := context.WithTimeout(ctx, commitTimeout)
