--- a/internal/scheduler/submissions_test.go
+++ b/internal/scheduler/submissions_test.go
@@ -62,6 +62,9 @@
 			s.loseAnswer = func(t store.Txn) (bool, time.Duration) { return isLeaderCommit(t), late }
 		}
 	}
+	slow := func(latency time.Duration) func(*fakeStore) {
+		return func(s *fakeStore) { s.latency["a"], s.latency["b"] = latency, latency }
+	}
 	for _, c := range []struct {
 		name   string
 		phases []phase
@@ -74,6 +77,8 @@
 		{name: "refuses, then answers no call", phases: []phase{{300 * time.Millisecond, refuse}, {4 * time.Second, silence}}, maxUnknown: 2},
 		{name: "answers no call, then refuses", phases: []phase{{300 * time.Millisecond, silence}, {4 * time.Second, refuse}}, maxUnknown: 2},
 		{name: "answers to commits are lost", phases: []phase{{4 * time.Second, loseAnswers(0)}}, minAccepted: jobs},
+		{name: "answers within 300 ms", phases: []phase{{4 * time.Second, slow(300 * time.Millisecond)}}, minAccepted: jobs},
+		{name: "answers within 400 ms", phases: []phase{{4 * time.Second, slow(400 * time.Millisecond)}}, minAccepted: jobs},
 		{name: "commits take effect seconds later", phases: []phase{{4 * time.Second, loseAnswers(2 * time.Second)}}, minAccepted: jobs},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -91,6 +96,7 @@
 						time.Sleep(p.lasts)
 					}
 					cl.store.update(func(s *fakeStore) { s.refuseAll, s.unresponsive, s.loseAnswer = false, false, nil })
+					cl.store.update(slow(0))
 				}()
 				outcomes := submitEvery(other, jobs, 25*time.Millisecond)
 				time.Sleep(5 * time.Second)
--- a/internal/scheduler/submit.go
+++ b/internal/scheduler/submit.go
@@ -83,7 +83,7 @@
 // store answers within 300 ms.
 const storeCheckTimeout = 350 * time.Millisecond
 
-// checkStore returns an *UnavailableError if the store does not serve this node. It
+// checkStore returns an *UnavailableError if the store does not serve this node in time. It
 // precedes a write because an unanswered write might take effect later, so that
 // the submission could no longer be refused.
 func (m *cellMember) checkStore(ctx context.Context, id string) error {
@@ -92,9 +92,14 @@
 	}
 	bounded, cancel := context.WithTimeout(ctx, storeCheckTimeout)
 	defer cancel()
+	sent := m.scheduler.now()
 	_, _, err := m.scheduler.Store.Read(bounded, m.keys.inbox+id)
+	now := m.scheduler.now()
 	if ctx.Err() == nil {
-		m.scheduler.outage.observe(err, m.scheduler.now())
+		m.scheduler.outage.observe(err, now)
+	}
+	if err == nil && remaining(ctx) < writeTimeFactor*now.Sub(sent) {
+		err = errTooLate
 	}
 	if err != nil {
 		return m.storeError(ctx, err)
@@ -102,9 +107,9 @@
 	return nil
 }
 
-// minWriteTime is how much time a write needs, to be answered by a store in another region before the caller
-// gives up; a write without an answer could no longer be refused.
-const minWriteTime = 150 * time.Millisecond
+// writeTimeFactor is how many times as long as the check a write may take. It does not begin with less
+// time left, since a write without an answer could no longer be refused.
+const writeTimeFactor = 2
 
 var errTooLate = errors.New("the caller has too little time left for a write to the store")
 
@@ -121,9 +126,6 @@
 		If:   []store.Condition{{Key: key}, {Key: m.keys.jobs + id}},
 		Then: []store.Op{store.Put(key, value)},
 	}
-	if remaining(ctx) < minWriteTime {
-		return m.storeError(ctx, errTooLate)
-	}
 	uncertain := false
 	for {
 		call, cancel := context.WithTimeout(ctx, commitTimeout)
