--- a/internal/scheduler/outage.go
+++ b/internal/scheduler/outage.go
@@ -1,18 +1,12 @@
 package scheduler
 
 import (
-	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
-
-	"github.com/oriolepond/oriolepond/internal/store"
 )
 
 const (
-	// silencePause is how long the store is not asked again on behalf of a submission after it has
-	// left such a call without an answer. It is shorter than the time after which callers retry.
-	silencePause = 500 * time.Millisecond
 	// minRetryAfter and maxRetryAfter bound when callers are told to retry while the store is away,
 	// the latter without the random share.
 	minRetryAfter = time.Second
@@ -22,33 +16,20 @@
 // storeOutage is what a node knows about the time for which the store has not served it.
 type storeOutage struct {
 	mu sync.Mutex
-	// since is when the first call failed after the last answer, silentAt when the last call was given
-	// up without an answer; zero if the store has answered since.
-	since, silentAt time.Time
+	// since is when the first call failed after the last success, zero if the last call succeeded.
+	since time.Time
 }
 
 // observe records the result of a call to the store.
 func (o *storeOutage) observe(err error, now time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if err == nil {
-		o.since, o.silentAt = time.Time{}, time.Time{}
-		return
-	}
-	if o.since.IsZero() {
+	switch {
+	case err == nil:
+		o.since = time.Time{}
+	case o.since.IsZero():
 		o.since = now
 	}
-	o.silentAt = time.Time{}
-	if !errors.As(err, new(*store.RefusedError)) {
-		o.silentAt = now
-	}
-}
-
-// isSilent reports whether the store has just left a call without an answer.
-func (o *storeOutage) isSilent(now time.Time) bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return !o.silentAt.IsZero() && now.Sub(o.silentAt) < silencePause
 }
 
 // retryAfter returns when a caller that waits for the given time in all should retry.
--- a/internal/scheduler/submit.go
+++ b/internal/scheduler/submit.go
@@ -87,9 +87,6 @@
 // precedes a write because an unanswered write might take effect later, so that
 // the submission could no longer be refused.
 func (m *cellMember) checkStore(ctx context.Context, id string) error {
-	if m.scheduler.outage.isSilent(m.scheduler.now()) {
-		return m.storeError(ctx, errStoreSilent)
-	}
 	bounded, cancel := context.WithTimeout(ctx, storeCheckTimeout)
 	defer cancel()
 	sent := m.scheduler.now()
@@ -113,8 +110,6 @@
 
 var errTooLate = errors.New("the caller has too little time left for a write to the store")
 
-var errStoreSilent = errors.New("the store has not answered the last call")
-
 // storeError returns the error for a submission that the store has not taken.
 func (m *cellMember) storeError(ctx context.Context, err error) error {
 	return &UnavailableError{Reason: err.Error(), RetryAfter: m.scheduler.outage.retryAfter(m.scheduler.now(), remaining(ctx))}
