--- a/internal/scheduler/outage.go
+++ b/internal/scheduler/outage.go
@@ -11,25 +11,31 @@
 	// the latter without the random share.
 	minRetryAfter = time.Second
 	maxRetryAfter = 10 * time.Second
+	// outageGap is the time between two failures after which the second belongs to another outage:
+	// a node calls the store for submissions only while there is no leader that accepts them.
+	outageGap = 5 * time.Second
 )
 
 // storeOutage is what a node knows about the time for which the store has not served it.
 type storeOutage struct {
 	mu sync.Mutex
-	// since is when the first call failed after the last success, zero if the last call succeeded.
-	since time.Time
+	// since is when the first call failed and lastFailure when the last one did; zero if a call has
+	// succeeded since.
+	since, lastFailure time.Time
 }
 
 // observe records the result of a call to the store.
 func (o *storeOutage) observe(err error, now time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	switch {
-	case err == nil:
-		o.since = time.Time{}
-	case o.since.IsZero():
+	if err == nil {
+		o.since, o.lastFailure = time.Time{}, time.Time{}
+		return
+	}
+	if now.Sub(o.lastFailure) >= outageGap {
 		o.since = now
 	}
+	o.lastFailure = now
 }
 
 // retryAfter returns when a caller that waits for the given time in all should retry.
--- a/internal/scheduler/outage_test.go
+++ b/internal/scheduler/outage_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/oriolepond/oriolepond/internal/store"
 )
 
 func TestRetryDelayFollowsOutageAndCaller(t *testing.T) {
@@ -27,3 +29,31 @@
 		})
 	}
 }
+
+func TestOutageEndsWithAnswersOrWithoutFailures(t *testing.T) {
+	start, failed := time.Unix(1_000_000_000, 0), &store.RefusedError{Call: "read", Status: 503}
+	type call struct {
+		at  time.Duration
+		err error
+	}
+	for _, c := range []struct {
+		name  string
+		calls []call
+		want  time.Duration
+	}{
+		{"no call", nil, time.Second},
+		{"lasts", []call{{0, failed}, {4 * time.Second, failed}, {8 * time.Second, failed}}, 4 * time.Second},
+		{"answered", []call{{0, failed}, {4 * time.Second, nil}, {8 * time.Second, failed}}, time.Second},
+		{"an earlier one", []call{{0, failed}, {8 * time.Second, failed}}, time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var o storeOutage
+			for _, call := range c.calls {
+				o.observe(call.err, start.Add(call.at))
+			}
+			got := o.retryAfter(start.Add(8*time.Second), time.Hour)
+			require.GreaterOrEqual(t, got, c.want)
+			require.LessOrEqual(t, got, c.want+c.want/2)
+		})
+	}
+}
