--- a/internal/scheduler/commit.go
+++ b/internal/scheduler/commit.go
@@ -99,9 +99,9 @@
 	return min(maxCommitInterval, baseCommitInterval*time.Duration(max(1, l.Cell.Count)))
 }
 
-// commitChanges commits records. Unless the error is nil, the term has ended or the store refuses the
-// commit as invalid. Each commit is conditional on the leader's key and on the head, a key that names the latest commit, so that
-// neither an earlier leader nor a late retry can overwrite newer records.
+// commitChanges commits records. An error means that the term ends, or that the store refuses the
+// commit as invalid. Each commit is conditional on the leader's key and on the head, a key that names
+// the latest commit, so that neither an earlier leader nor a late retry can overwrite newer records.
 func (l *Leader) commitChanges(ctx context.Context, changes batch.Changes, learned []store.Op) (commitOutcome, error) {
 	l.commitSequence++
 	stamp := fmt.Sprintf("%d/%d", l.Token, l.commitSequence)
