--- a/internal/scheduler/accept.go
+++ b/internal/scheduler/accept.go
@@ -13,7 +13,8 @@
 )
 
 // answerMargin is how long before the caller's deadline a submission is answered, so that the answer
-// reaches the caller: without one, the caller does not know whether the job was accepted.
+// reaches the caller: without one, the caller does not know whether the job was accepted. It is at
+// most a third of the caller's time.
 const answerMargin = 100 * time.Millisecond
 
 // withAnswerMargin returns a context that ends answerMargin before the caller's deadline.
@@ -22,7 +23,7 @@
 	if !ok {
 		return context.WithCancel(ctx)
 	}
-	return context.WithDeadline(ctx, deadline.Add(-answerMargin))
+	return context.WithDeadline(ctx, deadline.Add(-min(answerMargin, time.Until(deadline)/3)))
 }
 
 // submit accepts a job. If the store does not answer, a submission that is not part of a commit when
--- a/internal/scheduler/calls.go
+++ b/internal/scheduler/calls.go
@@ -196,7 +196,7 @@
 func isUnreachable(err error) bool { return errors.As(err, new(*UnreachableError)) }
 
 // callLeader makes a call to the current leader, which may be this node. If there is
-// none, it waits up to leaderWait for the next one, but leaves half of the caller's time for the store.
+// none, it waits up to leaderWait for the next one. Part of the caller's time is left for the store.
 func (m *cellMember) callLeader(ctx context.Context, call func(context.Context, *Calls) error) error {
 	wait, cancel := context.WithTimeout(ctx, min(leaderWait, remaining(ctx)/2))
 	defer cancel()
@@ -204,7 +204,7 @@
 		ref, changed := m.currentLeader()
 		c, err := m.leaderCalls(ref)
 		if err == nil {
-			callCtx, stop := context.WithTimeout(ctx, leaderCallTimeout)
+			callCtx, stop := context.WithTimeout(ctx, min(leaderCallTimeout, remaining(ctx)*2/3))
 			sent := m.scheduler.now()
 			err = call(callCtx, c)
 			timedOut := m.scheduler.now().Sub(sent) >= suspectConnectionAfter && errors.Is(callCtx.Err(), context.DeadlineExceeded)
