--- a/internal/scheduler/fakeworkers_test.go
+++ b/internal/scheduler/fakeworkers_test.go
@@ -23,6 +23,8 @@
 	starts     int
 	// startTimes are the times of the starts on each worker.
 	startTimes map[string][]time.Time
+	// startedJobs are the jobs of which a run was started.
+	startedJobs map[string]bool
 }
 
 type fakeWorker struct {
@@ -45,7 +47,7 @@
 }
 
 func newFakeWorkers(duration time.Duration, ids ...string) *fakeWorkers {
-	f := &fakeWorkers{startedAt: time.Now(), age: time.Hour, duration: duration, workers: map[string]*fakeWorker{}, done: map[batch.TaskName]bool{}, startTimes: map[string][]time.Time{}}
+	f := &fakeWorkers{startedAt: time.Now(), age: time.Hour, duration: duration, workers: map[string]*fakeWorker{}, done: map[batch.TaskName]bool{}, startTimes: map[string][]time.Time{}, startedJobs: map[string]bool{}}
 	for _, id := range ids {
 		f.workers[id] = &fakeWorker{
 			running: map[batch.TaskName]*fakeRun{}, highestEndedRun: map[batch.TaskName]int64{}, changed: make(chan struct{}),
@@ -179,6 +181,7 @@
 	}
 	f.starts++
 	f.startTimes[call.Worker] = append(f.startTimes[call.Worker], time.Now())
+	f.startedJobs[call.Task.Job] = true
 	w.running[call.Task] = &fakeRun{number: call.Run, ends: time.Now().Add(f.duration)}
 	close(w.changed)
 	w.changed = make(chan struct{})
@@ -204,6 +207,13 @@
 	return n
 }
 
+// hasStarted reports whether a run of a job was started.
+func (f *fakeWorkers) hasStarted(job string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.startedJobs[job]
+}
+
 func (f *fakeWorkers) update(change func(*fakeWorkers)) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/scheduler/submit.go
+++ b/internal/scheduler/submit.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -21,59 +20,13 @@
 func (m *cellMember) submit(ctx context.Context, j batch.Job) error {
 	j = m.withPolicy(j)
 	err := m.submitLocally(ctx, j)
-	if !mayRelay(err) {
-		return err
-	}
-	for _, address := range m.relays() {
-		if remaining(ctx) < relayTimeout {
-			break
-		}
-		c, peerErr := m.scheduler.Peer(address, m.Cell.Index)
-		if peerErr != nil {
-			continue
-		}
-		bounded, cancel := context.WithTimeout(ctx, relayTimeout)
-		relayErr := c.Relay(bounded, j)
-		cancel()
-		m.Log.Emit(eventlog.SubmissionRelayed, zap.String("job", j.ID), zap.String("peer", address), zap.Error(relayErr))
-		switch {
-		case relayErr == nil:
-			return nil
-		case errors.As(err, new(*UnknownOutcomeError)):
-			// The outcome of the first try is open, so a refusal by the peer proves nothing.
-		case !mayRelay(relayErr):
-			return relayErr
-		case errors.As(relayErr, new(*UnknownOutcomeError)):
-			err = relayErr
-		}
+	if mayRelay(err) {
+		err = m.relay(ctx, j, err)
 	}
+	m.scheduler.Metrics.Submission(err)
 	return err
 }
 
-// relays returns the addresses of nodes through which this one may submit a job: the peers in
-// the settings, and the leaders of other cells, since the store serves these.
-func (m *cellMember) relays() []string {
-	homeLeader, _ := m.currentLeader()
-	addresses := slices.Clone(m.scheduler.Peers)
-	for _, other := range m.scheduler.allMembers() {
-		if ref, _ := other.currentLeader(); other != m && ref.Address != "" {
-			addresses = append(addresses, ref.Address)
-		}
-	}
-	slices.Sort(addresses)
-	return slices.DeleteFunc(slices.Compact(addresses), func(address string) bool {
-		return address == m.scheduler.Address || address == homeLeader.Address
-	})
-}
-
-// mayRelay reports whether another node may still accept a job after this error.
-func mayRelay(err error) bool {
-	return errors.As(err, new(*UnavailableError)) || errors.As(err, new(*UnknownOutcomeError))
-}
-
-// relayTimeout bounds a submission through another node.
-const relayTimeout = 800 * time.Millisecond
-
 // submitLocally accepts a job through the leader or the store, without other nodes.
 func (m *cellMember) submitLocally(ctx context.Context, j batch.Job) error {
 	if err := j.Check(); err != nil {
@@ -130,18 +83,38 @@
 // store answers within 300 ms.
 const storeCheckTimeout = 350 * time.Millisecond
 
-// checkStore returns an *UnavailableError if the store does not serve this node. It
+// checkStore returns an *UnavailableError if the store does not serve this node in time. It
 // precedes a write because an unanswered write might take effect later, so that
 // the submission could no longer be refused.
 func (m *cellMember) checkStore(ctx context.Context, id string) error {
 	bounded, cancel := context.WithTimeout(ctx, storeCheckTimeout)
 	defer cancel()
-	if _, _, err := m.scheduler.Store.Read(bounded, m.keys.inbox+id); err != nil {
-		return &UnavailableError{Reason: err.Error(), RetryAfter: retryAfter}
+	sent := m.scheduler.now()
+	_, _, err := m.scheduler.Store.Read(bounded, m.keys.inbox+id)
+	now := m.scheduler.now()
+	if ctx.Err() == nil {
+		m.scheduler.outage.observe(err, now)
+	}
+	if err == nil && remaining(ctx) < writeTimeFactor*now.Sub(sent) {
+		err = errTooLate
+	}
+	if err != nil {
+		return m.storeError(ctx, err)
 	}
 	return nil
 }
 
+// writeTimeFactor is how many times as long as the check a write may take. It does not begin with less
+// time left, since a write without an answer could no longer be refused.
+const writeTimeFactor = 2
+
+var errTooLate = errors.New("the caller has too little time left for a write to the store")
+
+// storeError returns the error for a submission that the store has not taken.
+func (m *cellMember) storeError(ctx context.Context, err error) error {
+	return &UnavailableError{Reason: err.Error(), RetryAfter: m.scheduler.outage.retryAfter(m.scheduler.now(), remaining(ctx))}
+}
+
 // writeInbox writes an inbox key for the next leader to find, unless the job is already known.
 func (m *cellMember) writeInbox(ctx context.Context, id, key string, value []byte) error {
 	txn := store.Txn{
@@ -161,7 +134,7 @@
 		case !errors.As(err, &refused):
 			uncertain = true
 		case !uncertain:
-			return &UnavailableError{Reason: err.Error(), RetryAfter: retryAfter}
+			return m.storeError(ctx, err)
 		}
 		if remaining(ctx) < commitTimeout {
 			return &UnknownOutcomeError{Err: err}
