--- a/internal/scheduler/calls.go
+++ b/internal/scheduler/calls.go
@@ -77,6 +77,9 @@
 	retryAfter = time.Second
 	// leaderCallTimeout bounds one call to the leader, so that time remains to use the store instead.
 	leaderCallTimeout = 900 * time.Millisecond
+	// storeReserve is how much of a caller's time, up to half of it, is left for a write to the store in
+	// case that the leader does not answer.
+	storeReserve = 150 * time.Millisecond
 	// suspectConnectionAfter is how long a call must have waited before its timeout counts as a
 	// sign that the connection hangs.
 	suspectConnectionAfter = leaderCallTimeout / 2
@@ -204,7 +207,8 @@
 		ref, changed := m.currentLeader()
 		c, err := m.leaderCalls(ref)
 		if err == nil {
-			callCtx, stop := context.WithTimeout(ctx, min(leaderCallTimeout, remaining(ctx)*2/3))
+			left := remaining(ctx)
+			callCtx, stop := context.WithTimeout(ctx, min(leaderCallTimeout, max(left/2, left-storeReserve)))
 			sent := m.scheduler.now()
 			err = call(callCtx, c)
 			timedOut := m.scheduler.now().Sub(sent) >= suspectConnectionAfter && errors.Is(callCtx.Err(), context.DeadlineExceeded)
