Order of placement by priority before lateness; preemption; room for short tasks

Change: internal/precedence decides the order of claims, what new long-running tasks leave to short ones, and whose runs yield; internal/placement uses the last of these, too.

--- a/internal/batch/core.go
+++ b/internal/batch/core.go
@@ -50,6 +50,11 @@
 	// were last made.
 	reserved       []*worker
 	reservationsAt time.Time
+	// transientDemands is the demand of short tasks that new long-running tasks respect, last observed
+	// at demandAt. preemptedAt is when workers were last searched for runs to preempt.
+	transientDemands map[demandKey]transientDemand
+	demandAt         time.Time
+	preemptedAt      time.Time
 	// isolating are the workers with an isolated run. isolationSearches counts the searches for
 	// more of them in the current plan.
 	isolating         []*worker
@@ -160,6 +165,7 @@
 	NoteDelegated          NoteKind = "lent"
 	NoteWaits              NoteKind = "waits"
 	NoteReserved           NoteKind = "reserved"
+	NotePreempted          NoteKind = "preempted"
 	NoteSetAside           NoteKind = "setAside"
 	NoteResumed            NoteKind = "resumed"
 )
--- a/internal/batch/fit.go
+++ b/internal/batch/fit.go
@@ -29,6 +29,7 @@
 	IsolatedRun            Obstacle = "a run is isolated on the worker"
 	Quarantined            Obstacle = "worker is in quarantine"
 	NoAcceptingWorker      Obstacle = "no worker accepts runs"
+	HeldBack               Obstacle = "processors are left to short tasks"
 	noObstacle             Obstacle = ""
 	noCapacityForGang      Obstacle = "not enough free capacity for the whole gang"
 )
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -148,8 +148,10 @@
 	failedRuns []int64
 	crashes    crashCount
 	// moves is how often the task was delegated from one cell to another, as far as this cell knows.
-	moves    int
-	queuedAt time.Time
+	moves int
+	// preemptions is how often a run of the task was preempted by this leader.
+	preemptions int
+	queuedAt    time.Time
 	// waitedBefore is how long the task had waited before queuedAt: in other cells, or at least as long as a
 	// reservation takes if it lost its run in an earlier term.
 	waitedBefore time.Duration
--- a/internal/batch/plan.go
+++ b/internal/batch/plan.go
@@ -1,7 +1,6 @@
 package batch
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -26,81 +25,6 @@
 	c.scheduleUnresponsiveRecord(now)
 }
 
-// rank is the position of a waiting stage in the order of placement: jobs that can still meet their
-// objective come before late ones, then the priority decides, then the time when the job is due. A
-// job with filler tasks is considered due later the more unfinished tasks it has, since it delays
-// the other jobs for longer.
-type rank struct {
-	stage *stage
-	// lateness is 0 for jobs that can still meet their objective, 1 for late jobs, and 2 for jobs
-	// that no longer count as served.
-	lateness int
-	// priority is that of the queue. due is when the job should end according to its objective.
-	priority int
-	due      time.Time
-}
-
-// rankOf returns the rank of a stage.
-func (c *Core) rankOf(s *stage, now time.Time) rank {
-	j := s.job
-	q := j.Policy
-	submitted := c.submittedAt(s)
-	objective := time.Duration(q.Slack*float64(j.criticalPath)) + q.Target
-	r := rank{stage: s, priority: q.Priority, due: submitted.Add(objective)}
-	if s.step.LongRunning {
-		r.due = s.readyAt.Add(q.Target)
-		return r
-	}
-	if s.step.Filler {
-		r.due = r.due.Add(time.Duration(j.unfinished()) * fillerDuePerTask)
-	}
-	switch waited := now.Sub(submitted); {
-	case waited > unservedFactor*objective:
-		// The job no longer counts as served, but still has to end.
-		r.lateness = 2
-	case waited > objective:
-		r.lateness = 1
-	}
-	return r
-}
-
-// submittedAt returns when the stage's job was accepted, or when the occurrence of a repeated job was due.
-// Later leaders know it, too.
-func (c *Core) submittedAt(s *stage) time.Time {
-	j := s.job
-	if j.Repeat.Count > 0 {
-		return j.Repeat.First.Add(time.Duration(s.occurrence) * j.Repeat.Every).Add(-c.wallOffset)
-	}
-	return j.accepted
-}
-
-// fillerDuePerTask is how much later a job with filler tasks is considered due for each of its
-// unfinished tasks. Tasks run for a second or two, some of them in parallel.
-const fillerDuePerTask = 250 * time.Millisecond
-
-// unservedFactor is the multiple of its objective after which a job counts as not served.
-const unservedFactor = 3
-
-// waiting returns the stages with queued tasks in the order of placement.
-func (c *Core) waiting(now time.Time) []rank {
-	ranks := c.ranks[:0]
-	for _, j := range c.active {
-		if j.isSetAside {
-			continue
-		}
-		for _, s := range j.stages {
-			if s.queued > 0 {
-				ranks = append(ranks, c.rankOf(s, now))
-			}
-		}
-	}
-	c.ranks = ranks
-	slices.SortStableFunc(ranks, func(a, b rank) int {
-		return cmp.Or(cmp.Compare(a.lateness, b.lateness), cmp.Compare(a.priority, b.priority), a.due.Compare(b.due))
-	})
-	return ranks
-}
-
 // place assigns queued tasks to workers. It skips stages that do not fit, so that a job which can
 // never run delays no other.
 func (c *Core) place(now time.Time) {
@@ -112,20 +36,25 @@
 	c.updateServiceUse()
 	c.endReservations(now)
 	c.updateDemandPressure(now)
+	c.updateTransientDemand(now)
 	c.updateChanged()
 	for _, r := range waiting {
 		s := r.stage
+		queued := s.queued
 		switch {
+		case c.isHeldBack(s, now):
 		case !c.isAdmitted(s, now):
 		case s.step.Gang:
 			c.placeGang(s, now)
 		default:
 			c.placeTasks(s, now)
 		}
+		c.recordTaken(s, queued-s.queued)
 		if s.queued > 0 {
 			c.logWait(s, now)
 		}
 	}
+	c.preemptFor(waiting, now)
 	c.makeReservations(waiting, now)
 	c.placeInQuarantine(waiting, now)
 }
--- /dev/null
+++ b/internal/batch/scarce_test.go
@@ -0,0 +1,163 @@
+package batch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/oriolepond/oriolepond/pkg/share"
+)
+
+// scarceCore has four workers of 4 cores, each with a run of 3 cores of a job of the given queue and step.
+func scarceCore(t *testing.T, queue string, step Step, now time.Time) *Core {
+	t.Helper()
+	c := fourWorkerCore(t, now)
+	step.Tasks, step.Size = 4, share.Resources{Processors: 3000}
+	require.NoError(t, c.Submit(Job{ID: "occupant", Queue: queue, Steps: []Step{step}}, now, nil))
+	c.Plan(now)
+	for name, call := range commitAndStart(t, c, now) {
+		c.ApplyReport(call.Worker, Report{Incarnation: 1, Clock: time.Hour, Running: []RunningRow{{Task: name, Run: 1}}}, now, now)
+	}
+	return c
+}
+
+// preempted returns the tasks whose runs were preempted since the last call.
+func preempted(c *Core) []TaskName {
+	var tasks []TaskName
+	for _, n := range c.TakeNotes() {
+		if n.Kind == NotePreempted {
+			tasks = append(tasks, n.Task)
+		}
+	}
+	return tasks
+}
+
+// Load patterns in which a task finds too few processors: who yields to it.
+func TestRunsYieldToTasksOfHigherPriority(t *testing.T) {
+	short := Step{Tasks: 1, Size: share.Resources{Processors: 2000}}
+	for _, pattern := range []struct {
+		name     string
+		occupant string
+		occupied Step
+		queue    string
+		waiting  Step
+		want     int
+	}{
+		{"burst of a low priority before a short job", "review", Step{}, "check", short, 1},
+		{"an eighth of the workers at once, or one", "review", Step{}, "check", Step{Tasks: 3, Size: short.Size}, 1},
+		{"one priority", "check", Step{}, "check", short, 0},
+		{"only priority 0 preempts", "check", Step{}, "review", short, 0},
+		{"long-running runs never yield", "review", Step{LongRunning: true}, "check", short, 0},
+		{"gangs never yield", "review", Step{Gang: true}, "check", short, 0},
+		{"new long-running tasks preempt nothing", "review", Step{}, "check", Step{Tasks: 1, Size: short.Size, LongRunning: true}, 0},
+		{"filler tasks take what is idle", "review", Step{}, "check", Step{Tasks: 1, Size: short.Size, Filler: true}, 0},
+		{"too large for any worker", "review", Step{}, "check", Step{Tasks: 1, Size: share.Resources{Processors: 5000}}, 0},
+		{"no worker has the label", "review", Step{}, "check", Step{Tasks: 1, Size: short.Size, RequiredLabel: "gpu"}, 0},
+	} {
+		t.Run(pattern.name, func(t *testing.T) {
+			now := time.Unix(1_000_000_000, 0)
+			c := scarceCore(t, pattern.occupant, pattern.occupied, now)
+			require.NoError(t, c.Submit(Job{ID: "waiting", Queue: pattern.queue, Steps: []Step{pattern.waiting}}, now, nil))
+			c.Plan(now)
+			require.Empty(t, preempted(c), "before the task has waited")
+			c.Plan(now.Add(preemptAfter))
+			require.Len(t, preempted(c), pattern.want)
+			c.Plan(now.Add(2 * preemptAfter))
+			require.Empty(t, preempted(c), "while preempted runs end")
+		})
+	}
+}
+
+// The run that loses least yields; its worker is kept for the task, and it counts as no failure and is
+// preempted no second time.
+func TestPreemptedRunLosesLeastAndYieldsOnce(t *testing.T) {
+	now := time.Unix(1_000_000_000, 0)
+	c := scarceCore(t, "review", Step{}, now)
+	saved := Step{Tasks: 1, Size: share.Resources{Processors: 1000}, Checkpoints: true, RequiredLabel: "kind-c"}
+	require.NoError(t, c.Submit(Job{ID: "saved", Queue: "review", Steps: []Step{saved}}, now, nil))
+	c.Plan(now)
+	calls := commitAndStart(t, c, now)
+	call := calls[TaskName{Job: "saved"}]
+	now = now.Add(time.Second)
+	running := Report{Incarnation: 1, Clock: time.Hour}
+	for key := range c.workers["c"].runs {
+		running.Running = append(running.Running, RunningRow{Task: key.task, Run: key.run})
+	}
+	c.ApplyReport("c", running, now, now)
+	urgent := Step{Tasks: 1, Size: share.Resources{Processors: 1000}}
+	for i := range 3 {
+		require.NoError(t, c.Submit(Job{ID: fmt.Sprintf("filled-%d", i), Queue: "check", Steps: []Step{urgent}}, now, nil))
+	}
+	c.Plan(now)
+	commitAndStart(t, c, now)
+	require.NoError(t, c.Submit(Job{ID: "urgent", Queue: "check", Steps: []Step{urgent}}, now, nil))
+	now = now.Add(preemptAfter)
+	c.Plan(now)
+	now = now.Add(preemptAfter)
+	c.Plan(now)
+	require.Equal(t, []TaskName{{Job: "saved"}}, preempted(c))
+	// Another job of the same priority, which fits as well, does not get what was freed.
+	require.NoError(t, c.Submit(Job{ID: "late", Queue: "check", Steps: []Step{urgent}}, now, nil))
+	c.ApplyReport("c", Report{Incarnation: 1, Clock: time.Hour, Running: running.Running[:0], Ended: []EndedRow{
+		{Number: 1, Task: call.Task, Run: 1, How: EndStopped, Checkpoint: "half"},
+	}}, now, now)
+	c.Plan(now)
+	require.Contains(t, commitAndStart(t, c, now), TaskName{Job: "urgent"})
+	yielded := c.jobs["saved"].stages[0].tasks[0]
+	require.Empty(t, yielded.failedRuns)
+	require.Equal(t, "half", yielded.checkpoint)
+	require.Equal(t, maxPreemptions, yielded.preemptions)
+}
+
+// Load patterns in which new long-running tasks meet short ones: whether they are held back.
+func TestNewLongRunningTasksLeaveRoomForShortOnes(t *testing.T) {
+	const target = 400 * time.Millisecond // That of the queue "check".
+	for _, pattern := range []struct {
+		name string
+		// short is the queue of a short job that needed 20 of 24 cores and has ended; empty means none.
+		short string
+		size  share.MilliCores
+		// waited is how long the long-running task has waited.
+		waited time.Duration
+		held   bool
+	}{
+		{"no short work", "", 4000, 0, false},
+		{"room besides", "check", 4000, 0, false},
+		{"the room of the last peak", "check", 4200, 0, true},
+		{"for no longer than its own target", "check", 4200, target, false},
+		{"short work of a lower priority", "review", 4200, 0, false},
+	} {
+		t.Run(pattern.name, func(t *testing.T) {
+			now := time.Unix(1_000_000_000, 0)
+			c := fourWorkerCore(t, now)
+			for _, id := range []string{"a", "b", "c", "d"} {
+				info := c.workers[id].WorkerInfo
+				info.Capacity.Processors = 6000
+				c.SetWorker(info, now)
+			}
+			watch := Step{Tasks: 1, Size: share.Resources{Processors: 8000}, LongRunning: true}
+			require.NoError(t, c.Submit(Job{ID: "unplaceable", Queue: "check", Steps: []Step{watch}}, now, nil))
+			if pattern.short != "" {
+				short := Step{Tasks: 4, Size: share.Resources{Processors: 5000}}
+				require.NoError(t, c.Submit(Job{ID: "short", Queue: pattern.short, Steps: []Step{short}}, now, nil))
+				c.Plan(now)
+				commitAndStart(t, c, now)
+				now = now.Add(transientEvery)
+				c.Plan(now)
+				for _, r := range c.jobs["short"].runs() {
+					c.ApplyReport(r.worker.ID, Report{Incarnation: 1, Clock: time.Hour, Ended: []EndedRow{
+						{Number: 1, Task: r.task.name(), Run: r.number, How: EndDone},
+					}}, now, now)
+				}
+				now = now.Add(transientEvery)
+			}
+			long := Step{Tasks: 1, Size: share.Resources{Processors: pattern.size}, LongRunning: true}
+			require.NoError(t, c.Submit(Job{ID: "long", Queue: "check", Steps: []Step{long}}, now, nil))
+			c.Plan(now)
+			c.Plan(now.Add(pattern.waited))
+			require.Equal(t, pattern.held, len(c.jobs["long"].runs()) == 0)
+		})
+	}
+}
--- a/internal/batch/wait.go
+++ b/internal/batch/wait.go
@@ -42,6 +42,9 @@
 		n.Obstacles = append(n.Obstacles, ObstacleCount{Obstacle: o, Workers: counts[o]})
 	}
 	n.Reason = string(t.waitReason(n.Obstacles))
+	if c.isHeldBack(s, now) {
+		n.Reason = string(HeldBack)
+	}
 	c.note(n)
 }
 
--- a/internal/eventlog/batch.go
+++ b/internal/eventlog/batch.go
@@ -191,6 +191,11 @@
 		Meaning: "The store refused a commit as invalid. Its records are committed one by one; those that are refused again are left out, and the term goes on.",
 		Advice:  "Look for the event 4022 and for the named key; check the limits of the store.",
 	})
+	RunPreempted = register(Event{
+		Number: 4065, Level: zapcore.InfoLevel, Message: "run preempted",
+		Meaning: "The run is stopped because the task named as reason, of a higher priority, finds no free capacity; percent is its progress.",
+		Advice:  "None; if it is frequent, the pool is too small for the work of higher priorities.",
+	})
 	CallNotServed = register(Event{
 		Number: 4050, Level: zapcore.InfoLevel, Message: "call not served",
 		Meaning: "A call was answered with the named status; the error gives the reason.",
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -1,10 +1,9 @@
 package placement
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
+	"github.com/oriolepond/oriolepond/internal/precedence"
 	"github.com/oriolepond/oriolepond/pkg/share"
 )
 
@@ -102,27 +101,21 @@
 func (p *Planner) cheapestDisplacement(s *workerState, c Candidate, now time.Time) ([]Action, time.Duration, bool) {
 	free := p.unclaimedCapacity(s)
 	var evictable []ResidentView
+	var occupants []precedence.Occupant
 	for _, r := range p.residents(s.ID, now) {
 		if r.Leaving {
 			free = free.Plus(r.Size)
 		} else if !r.Urgent {
 			evictable = append(evictable, r)
+			occupants = append(occupants, precedence.Occupant{Size: r.Size, Lost: r.lostRunTime()})
 		}
 	}
-	slices.SortStableFunc(evictable, func(a, b ResidentView) int {
-		return cmp.Or(cmp.Compare(a.lostRunTime(), b.lostRunTime()), cmp.Compare(b.Size.Processors, a.Size.Processors))
-	})
+	d, ok := precedence.CheapestDisplacement(c.Size, free, occupants)
 	var actions []Action
-	var lost time.Duration
-	for _, r := range evictable {
-		if c.Size.Fits(free) {
-			break
-		}
-		free = free.Plus(r.Size)
-		lost += r.lostRunTime()
-		actions = append(actions, Action{Kind: r.removalAction(), Worker: s.ID, Task: r.Task})
+	for _, i := range d.Evicted {
+		actions = append(actions, Action{Kind: evictable[i].removalAction(), Worker: s.ID, Task: evictable[i].Task})
 	}
-	return actions, lost, c.Size.Fits(free)
+	return actions, d.Lost, ok
 }
 
 // removalAction returns the mildest action that removes the task from its worker.
--- a/internal/scheduler/decisionlog.go
+++ b/internal/scheduler/decisionlog.go
@@ -26,6 +26,7 @@
 	batch.NoteDelegated:          eventlog.TaskDelegated,
 	batch.NoteWaits:              eventlog.TaskWaiting,
 	batch.NoteReserved:           eventlog.WorkerReserved,
+	batch.NotePreempted:          eventlog.RunPreempted,
 	batch.NoteSetAside:           eventlog.JobSetAside,
 	batch.NoteResumed:            eventlog.JobResumed,
 }
@@ -61,6 +62,10 @@
 	if decision.Kind == batch.NoteMoved || decision.Kind == batch.NoteDelegated {
 		fields = append(fields, zap.Int("to", decision.Cell))
 	}
+	if decision.Kind == batch.NotePreempted {
+		l.Metrics.RunPreempted()
+		fields = append(fields, zap.Int("percent", decision.Percent))
+	}
 	if decision.Kind == batch.NoteThrottled {
 		fields = append(fields, zap.Int("percent", decision.Percent), zap.Float64("strain", decision.TailRatio), zap.Float64("headroom", decision.Headroom))
 	}
--- a/internal/scheduler/meter.go
+++ b/internal/scheduler/meter.go
@@ -11,27 +11,29 @@
 
 // Metrics records the durations of a node's plans, commits, polls and commands as leader.
 type Metrics struct {
-	plans    *metrics.Histogram
-	commits  *metrics.Histogram
-	polls    *metrics.Histogram
-	commands *metrics.Histogram
-	crashes  *metrics.Counter
-	setAside *metrics.Counter
-	refused  *metrics.Counter
-	set      *metrics.Set
+	plans       *metrics.Histogram
+	commits     *metrics.Histogram
+	polls       *metrics.Histogram
+	commands    *metrics.Histogram
+	crashes     *metrics.Counter
+	preemptions *metrics.Counter
+	setAside    *metrics.Counter
+	refused     *metrics.Counter
+	set         *metrics.Set
 }
 
 // NewMetrics returns metrics that are registered in a set.
 func NewMetrics(set *metrics.Set) *Metrics {
 	return &Metrics{
-		plans:    set.NewHistogram("oriolepond_plan_seconds"),
-		commits:  set.NewHistogram("oriolepond_commit_seconds"),
-		polls:    set.NewHistogram("oriolepond_look_seconds"),
-		commands: set.NewHistogram("oriolepond_order_seconds"),
-		crashes:  set.NewCounter("oriolepond_worker_crashes_total"),
-		setAside: set.NewCounter("oriolepond_jobs_set_aside_total"),
-		refused:  set.NewCounter("oriolepond_commits_refused_total"),
-		set:      set,
+		plans:       set.NewHistogram("oriolepond_plan_seconds"),
+		commits:     set.NewHistogram("oriolepond_commit_seconds"),
+		polls:       set.NewHistogram("oriolepond_look_seconds"),
+		commands:    set.NewHistogram("oriolepond_order_seconds"),
+		crashes:     set.NewCounter("oriolepond_worker_crashes_total"),
+		preemptions: set.NewCounter("oriolepond_preempted_runs_total"),
+		setAside:    set.NewCounter("oriolepond_jobs_set_aside_total"),
+		refused:     set.NewCounter("oriolepond_commits_refused_total"),
+		set:         set,
 	}
 }
 
@@ -44,6 +46,9 @@
 // Poll records the time until a poll was answered or failed.
 func (m *Metrics) Poll(duration time.Duration) { m.polls.Update(duration.Seconds()) }
 
+// RunPreempted counts a run that was preempted for a task of a higher priority.
+func (m *Metrics) RunPreempted() { m.preemptions.Inc() }
+
 // WorkerCrashed counts a worker that crashed while it ran something.
 func (m *Metrics) WorkerCrashed() { m.crashes.Inc() }
 
