--- a/internal/batch/transient.go
+++ b/internal/batch/transient.go
@@ -10,10 +10,17 @@
 // Long-running tasks keep their processors until their job is cancelled. If they took each processor
 // that is free for a moment, short tasks would find none at their next peak, or pieces too small for
 // them. New long-running tasks therefore leave what the short tasks of their service, of the same or a
-// higher priority, have needed of late, until they are due by their queue's target.
+// higher priority, have needed of late, while these find too few.
 
-// transientEvery is how often the need of short tasks is observed.
-const transientEvery = 100 * time.Millisecond
+const (
+	// transientEvery is how often the need of short tasks is observed.
+	transientEvery = 100 * time.Millisecond
+	// shortageAfter is how long a short task waits for processors until that counts as a shortage.
+	shortageAfter = 100 * time.Millisecond
+	// maxHoldBack is how long a new long-running task is held back. The platform demands that a task is
+	// at work 3 s after 6 s in which there was capacity for it.
+	maxHoldBack = 8 * time.Second
+)
 
 // demandKey identifies the demand of short tasks that new long-running tasks of a queue respect.
 type demandKey struct {
@@ -50,6 +57,7 @@
 // observeTransient returns the present demand of the short tasks that count for a key.
 func (c *Core) observeTransient(key demandKey, now time.Time) transientDemand {
 	var need, tasks share.MilliCores
+	shortage := false
 	for _, j := range c.active {
 		if j.Policy.Service != key.service || j.Policy.Priority > key.priority {
 			continue
@@ -58,6 +66,7 @@
 			if s.queued > 0 && s.isTransient() {
 				need += share.MilliCores(s.queued) * s.step.Size.Processors
 				tasks += share.MilliCores(s.queued)
+				shortage = shortage || s.nextTaskWait(now) >= shortageAfter
 			}
 		}
 	}
@@ -81,6 +90,9 @@
 		}
 	}
 	d.demand = c.transientDemands[key].demand.WithObservation(need, now)
+	if shortage {
+		d.demand = d.demand.WithShortage(now)
+	}
 	return d
 }
 
@@ -99,9 +111,9 @@
 }
 
 // isHeldBack reports whether a stage waits because its new long-running tasks would leave too few
-// processors to short tasks. It waits no longer than until it is due.
+// processors to short tasks. It waits no longer than maxHoldBack.
 func (c *Core) isHeldBack(s *stage, now time.Time) bool {
-	if !s.isNewLongRunning() || now.Sub(s.readyAt) >= s.job.Policy.Target {
+	if !s.isNewLongRunning() || now.Sub(s.readyAt) >= maxHoldBack {
 		return false
 	}
 	d := c.transientDemands[s.demandKey()]
