--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -109,6 +109,8 @@
 	gangSearchedAt time.Time
 	// reservationFailedAt is when no worker was found that can be reserved for a task of the stage.
 	reservationFailedAt time.Time
+	// preemptionFailedAt is when no worker was found whose runs can be preempted for a task of the stage.
+	preemptionFailedAt time.Time
 	// lastGangRun is the number of the gang's last run.
 	lastGangRun int64
 	// baseline is the headroom of the stage's serving tasks when no other image interferes.
--- a/internal/batch/preempt.go
+++ b/internal/batch/preempt.go
@@ -12,11 +12,10 @@
 	// preemptAfter is how long a task waits before runs are preempted for it: most tasks that find no
 	// capacity get some sooner, as others end.
 	preemptAfter = 200 * time.Millisecond
-	// preemptEvery is how often workers are searched for tasks that may preempt.
-	preemptEvery = 100 * time.Millisecond
-	// maxFailedPreemptions limits the stages for which no worker is found in one search, since each of
-	// them costs a look at the whole pool.
-	maxFailedPreemptions = 4
+	// preemptEvery is how often workers are searched for tasks that may preempt. A stage for which none
+	// is found is skipped for preemptRetryAfter, since such a search costs a look at the whole pool.
+	preemptEvery      = 100 * time.Millisecond
+	preemptRetryAfter = time.Second
 	// maxPreemptions limits how often a task is preempted.
 	maxPreemptions = 1
 	// restartCost is the run time that a preempted run loses even if its work is saved.
@@ -38,28 +37,28 @@
 	if !c.hasPreemptible() {
 		return
 	}
-	failed := 0
-	limit := max(1, len(c.accepting)/workersPerReservation)
 	for _, r := range waiting {
-		if !r.stage.mayPreempt() || r.claim.IsUnserved() {
-			continue
+		s := r.stage
+		if s.mayPreempt() && !r.claim.IsUnserved() && now.Sub(s.preemptionFailedAt) >= preemptRetryAfter && !c.preemptForStage(s, now) {
+			s.preemptionFailedAt = now
+		}
+	}
+}
+
+// preemptForStage preempts runs for the waiting tasks of a stage, up to the limit of reservations. It
+// returns false if no worker was found for one of them.
+func (c *Core) preemptForStage(s *stage, now time.Time) bool {
+	limit := max(1, len(c.accepting)/workersPerReservation)
+	for _, t := range s.tasks {
+		if len(c.reserved) >= limit {
+			return true
 		}
-		for _, t := range r.stage.tasks {
-			if len(c.reserved) >= limit {
-				return
-			}
-			if t.state != taskQueued || now.Before(t.notBefore) || now.Sub(t.queuedAt) < preemptAfter || c.hasReserved(t) {
-				continue
-			}
-			if c.preemptForTask(t, now) {
-				continue
-			}
-			if failed++; failed == maxFailedPreemptions {
-				return
-			}
-			break
+		waits := t.state == taskQueued && !now.Before(t.notBefore) && now.Sub(t.queuedAt) >= preemptAfter
+		if waits && !c.hasReserved(t) && !c.preemptForTask(t, now) {
+			return false
 		}
 	}
+	return true
 }
 
 // hasPreemptible reports whether any job of a priority that may be preempted has runs.
@@ -74,7 +73,7 @@
 	var chosen *worker
 	for _, w := range c.accepting {
 		c.work.Examined++
-		if w.reservedFor != nil || !c.lacksOnlyCapacity(t, w, now) {
+		if w.reservedFor != nil || !w.mayYieldEnough(t) || !c.lacksOnlyCapacity(t, w, now) {
 			continue
 		}
 		_, occupants := w.preemptible(t, now)
@@ -110,18 +109,33 @@
 	return !s.isAtLimit(w) && (s.step.RequiredLabel == "" || w.hasLabel(s.step.RequiredLabel)) && (!c.isAdvised(s) || s.hasTicket(w, now))
 }
 
+// mayYieldEnough reports whether a worker has enough for a task once all runs of lower priorities have ended.
+func (w *worker) mayYieldEnough(t *task) bool {
+	free := w.free()
+	for _, r := range w.runs {
+		if r.mayYieldTo(t) {
+			free = free.Plus(r.allocation())
+		}
+	}
+	return t.stage.step.Size.Fits(free)
+}
+
+// mayYieldTo reports whether the run may be preempted for a task.
+func (r *run) mayYieldTo(t *task) bool {
+	s := r.task.stage
+	return r.state == runRunning && s.job.Policy.Priority > t.stage.job.Policy.Priority && !s.step.LongRunning && !s.step.Gang &&
+		r.task.preemptions < maxPreemptions
+}
+
 // preemptible returns the runs on a worker that may be preempted for a task, and what each occupies.
 func (w *worker) preemptible(t *task, now time.Time) ([]*run, []precedence.Occupant) {
 	var runs []*run
 	var occupants []precedence.Occupant
 	for _, r := range sortedRuns(w.runs) {
-		s := r.task.stage
-		if r.state != runRunning || s.job.Policy.Priority <= t.stage.job.Policy.Priority || s.step.LongRunning || s.step.Gang ||
-			r.task.preemptions >= maxPreemptions {
-			continue
+		if r.mayYieldTo(t) {
+			runs = append(runs, r)
+			occupants = append(occupants, precedence.Occupant{Size: r.allocation(), Lost: r.lostTime(now)})
 		}
-		runs = append(runs, r)
-		occupants = append(occupants, precedence.Occupant{Size: r.allocation(), Lost: r.lostTime(now)})
 	}
 	return runs, occupants
 }
