--- a/internal/batch/fit.go
+++ b/internal/batch/fit.go
@@ -31,6 +31,7 @@
 	NoAcceptingWorker      Obstacle = "no worker accepts runs"
 	EvacuatedDataCentre    Obstacle = "data centre is evacuated"
 	EvacuationsUnconfirmed Obstacle = "evacuations are not confirmed"
+	HeldBack               Obstacle = "processors are left to short tasks"
 	noObstacle             Obstacle = ""
 	noCapacityForGang      Obstacle = "not enough free capacity for the whole gang"
 )
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -109,6 +109,8 @@
 	gangSearchedAt time.Time
 	// reservationFailedAt is when no worker was found that can be reserved for a task of the stage.
 	reservationFailedAt time.Time
+	// preemptionFailedAt is when no worker was found whose runs can be preempted for a task of the stage.
+	preemptionFailedAt time.Time
 	// lastGangRun is the number of the gang's last run.
 	lastGangRun int64
 	// baseline is the headroom of the stage's serving tasks when no other image interferes.
@@ -148,8 +150,10 @@
 	failedRuns []int64
 	crashes    crashCount
 	// moves is how often the task was delegated from one cell to another, as far as this cell knows.
-	moves    int
-	queuedAt time.Time
+	moves int
+	// preemptions is how often a run of the task was preempted by this leader.
+	preemptions int
+	queuedAt    time.Time
 	// waitedBefore is how long the task had waited before queuedAt: in other cells, or at least as long as a
 	// reservation takes if it lost its run in an earlier term.
 	waitedBefore time.Duration
--- a/internal/batch/wait.go
+++ b/internal/batch/wait.go
@@ -58,6 +58,9 @@
 			n.Reason = string(EvacuatedDataCentre)
 		}
 	}
+	if c.isHeldBack(s, now) {
+		n.Reason = string(HeldBack)
+	}
 }
 
 // waitReason returns the obstacle that keeps a task from most of the workers that accept runs.
--- a/internal/eventlog/batch.go
+++ b/internal/eventlog/batch.go
@@ -206,6 +206,11 @@
 		Meaning: "The time for the answer to a submission is over while the named commit, which contains the job, has no answer; the job is accepted if the commit takes effect.",
 		Advice:  "Look for event 4004 with the same commit; check the store if this lasts.",
 	})
+	RunPreempted = register(Event{
+		Number: 4065, Level: zapcore.InfoLevel, Message: "run preempted",
+		Meaning: "The run is stopped because the task named as reason, of a higher priority, finds no free capacity; percent is its progress.",
+		Advice:  "None; if it is frequent, the pool is too small for the work of higher priorities.",
+	})
 	CallNotServed = register(Event{
 		Number: 4050, Level: zapcore.InfoLevel, Message: "call not served",
 		Meaning: "A call was answered with the named status; the error gives the reason.",
--- a/internal/scheduler/meter.go
+++ b/internal/scheduler/meter.go
@@ -12,13 +12,14 @@
 
 // Metrics records the durations of a node's plans, commits, polls and commands as leader.
 type Metrics struct {
-	plans    *metrics.Histogram
-	commits  *metrics.Histogram
-	polls    *metrics.Histogram
-	commands *metrics.Histogram
-	crashes  *metrics.Counter
-	setAside *metrics.Counter
-	refused  *metrics.Counter
+	plans       *metrics.Histogram
+	commits     *metrics.Histogram
+	polls       *metrics.Histogram
+	commands    *metrics.Histogram
+	crashes     *metrics.Counter
+	preemptions *metrics.Counter
+	setAside    *metrics.Counter
+	refused     *metrics.Counter
 	// evacuated is the number of evacuated data centres, evacuationWaits counts the tasks that were reported
 	// to wait for one of them.
 	evacuated       *metrics.Gauge
@@ -34,6 +35,7 @@
 		polls:           set.NewHistogram("oriolepond_look_seconds"),
 		commands:        set.NewHistogram("oriolepond_order_seconds"),
 		crashes:         set.NewCounter("oriolepond_worker_crashes_total"),
+		preemptions:     set.NewCounter("oriolepond_preempted_runs_total"),
 		setAside:        set.NewCounter("oriolepond_jobs_set_aside_total"),
 		refused:         set.NewCounter("oriolepond_commits_refused_total"),
 		evacuated:       set.NewGauge("oriolepond_evacuated_data_centres", nil),
@@ -51,6 +53,9 @@
 // Poll records the time until a poll was answered or failed.
 func (m *Metrics) Poll(duration time.Duration) { m.polls.Update(duration.Seconds()) }
 
+// RunPreempted counts a run that was preempted for a task of a higher priority.
+func (m *Metrics) RunPreempted() { m.preemptions.Inc() }
+
 // WorkerCrashed counts a worker that crashed while it ran something.
 func (m *Metrics) WorkerCrashed() { m.crashes.Inc() }
 
