Tests: the order of two answers at the end of a term is open

Cause: TestEndOfTermAnswersSubmissions read both answers from one channel and failed under -race, where the second came first. Change: one channel each; what is required is unchanged.

--- a/internal/scheduler/submissions_test.go
+++ b/internal/scheduler/submissions_test.go
@@ -169,17 +169,17 @@
 		time.Sleep(4 * time.Second)
 		_, leader := cl.leader()
 		cl.store.update(func(s *fakeStore) { s.unresponsive = true })
-		results := make(chan error, 2)
+		results := [2]chan error{make(chan error, 1), make(chan error, 1)}
 		ctx, cancel := context.WithTimeout(context.Background(), leaderCallTimeout)
 		defer cancel()
 		for i := range 2 {
-			go func() { results <- leader.calls().Submit(ctx, testJob(i, 1)) }()
+			go func() { results[i] <- leader.calls().Submit(ctx, testJob(i, 1)) }()
 			time.Sleep(100 * time.Millisecond)
 		}
 		endedAt := time.Now()
 		leader.endTerm("test")
-		require.ErrorAs(t, <-results, new(*UnknownOutcomeError), "its commit has no answer")
-		require.ErrorAs(t, <-results, new(*UnavailableError), "it is in no commit")
+		require.ErrorAs(t, <-results[0], new(*UnknownOutcomeError), "its commit has no answer")
+		require.ErrorAs(t, <-results[1], new(*UnavailableError), "it is in no commit")
 		require.Less(t, time.Since(endedAt), 100*time.Millisecond)
 		require.ErrorAs(t, leader.calls().Submit(ctx, testJob(2, 1)), new(*NotLeaderError))
 	})
