Bound what a process holds for its clients

Bodies were read whole, each up to the configuration's limit, with no bound over all of them; headers of up to 1 MiB and connections had no bound either. The new package internal/intake counts connections and the bytes that they hold, before they are allocated, against limits that follow from the memory and the descriptors in the settings. If room is missing, connections that wait for their clients are closed: first those that hold most for longest without progress. A request that has arrived is not closed; a request without room gets 503 with Retry-After before it is handed on. Both front doors, probes, operators, peers (connections only) and the answers of workers and runners have a budget.

--- a/cmd/oriolepond/node.go
+++ b/cmd/oriolepond/node.go
@@ -22,6 +22,7 @@
 	"github.com/oriolepond/oriolepond/internal/actor"
 	"github.com/oriolepond/oriolepond/internal/batch"
 	"github.com/oriolepond/oriolepond/internal/eventlog"
+	"github.com/oriolepond/oriolepond/internal/intake"
 	"github.com/oriolepond/oriolepond/internal/peer"
 	"github.com/oriolepond/oriolepond/internal/replica"
 	"github.com/oriolepond/oriolepond/internal/scheduler"
@@ -153,12 +154,13 @@
 	s := n.settings
 	set := metrics.NewSet()
 	n.metricSet = set
+	limits := intake.LimitsFor(s.MemoryBytes, s.MaxDescriptors)
 	kv := platform.NewStoreClient(s.StoreAddress, n.client(storeConns, 0), n.observeStore)
 	pool := &peer.Pool{Dial: n.dialer.DialContext}
 	defer pool.Close()
 	n.scheduler = &scheduler.Scheduler{
 		ID: s.Node + "/" + uuid.NewString(), Address: n.advertise, Peers: s.Seeds, CPUShare: s.ProcessorShare, Store: kv,
-		Workers:      platform.NewWorkers(s.AdviserAddress, n.client(pollConns, 0), n.client(commandConns, commandConns)),
+		Workers:      platform.NewWorkers(s.AdviserAddress, n.client(pollConns, 0), n.client(commandConns, commandConns), n.budget("answers", limits.Answers)),
 		WorkerPrefix: platform.WorkerPrefix, DecodeWorker: platform.DecodeWorker,
 		Peer: func(address string, cell int) (*scheduler.Calls, error) {
 			conn, err := pool.Conn(address)
@@ -170,18 +172,14 @@
 		DropConnection: pool.Drop, MaxStoreValue: s.MaxStoreValue,
 		Timing: coreTiming(s), Log: n.log, Metrics: scheduler.NewMetrics(set),
 	}
-	listeners := make([]net.Listener, 0, 3)
-	for _, address := range []string{s.FrontAddress, s.ReadyAddress, s.PeerAddress} {
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			return fmt.Errorf("listen: %w", err)
-		}
-		listeners = append(listeners, l)
+	l, err := n.listen()
+	if err != nil {
+		return err
 	}
 	front := &http.Server{Handler: &platform.Front{
 		Jobs: n.frontCalls(), Config: n.currentConfig, Freshness: n.configFreshness, OnError: n.reportNotServed,
-	}, ReadHeaderTimeout: headerTimeout}
-	ready := &http.Server{Handler: platform.ReadinessHandler(n.isReady), ReadHeaderTimeout: headerTimeout}
+	}, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+	ready := &http.Server{Handler: platform.ReadinessHandler(n.isReady), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
 	server := grpc.NewServer(peer.ServerOptions(n.log)...)
 	peer.RegisterJobs(server, n.scheduler.LocalCalls)
 
@@ -189,12 +187,14 @@
 	n.addLoops(&g, kv)
 	tracker := &shutdown.Tracker{}
 	tracker.Attach(front)
-	actor.Server(&g, front, tracker.Listen(listeners[0]))
-	actor.Server(&g, ready, listeners[1])
-	if err := n.addMetrics(&g, set); err != nil {
-		return err
-	}
-	g.Add(func() error { return server.Serve(listeners[2]) }, func(error) { server.Stop() })
+	callers := n.budget("callers", limits.Callers)
+	callers.Refusal = refusal
+	callers.Attach(front)
+	actor.Server(&g, front, tracker.Listen(callers.Listen(l.front)))
+	n.addProbeServer(&g, "readiness", ready, l.ready)
+	n.addProbeServer(&g, "metrics", n.metricsServer(), l.metrics)
+	peers := n.budget("peers", limits.Peers).Listen(l.peer)
+	g.Add(func() error { return server.Serve(peers) }, func(error) { server.Stop() })
 	n.addReload(&g, file)
 	ended, end := context.WithCancel(context.Background())
 	g.Add(func() error {
@@ -206,30 +206,17 @@
 		return n.stop(tracker, front)
 	}, func(error) { end() })
 	n.log.Emit(eventlog.InstanceStarted, zap.String("listen", s.FrontAddress), zap.Int("pid", os.Getpid()))
-	err := g.Run()
+	err = g.Run()
 	n.log.Emit(eventlog.InstanceStopped, zap.Error(err))
 	return err
 }
 
-// addMetrics adds the server of the node's metrics. It listens on the last port of the range that
-// the platform leaves to the node.
-func (n *node) addMetrics(g *run.Group, set *metrics.Set) error {
-	l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", n.settings.IP, n.settings.LastPort))
-	if err != nil {
-		return fmt.Errorf("listen for metrics: %w", err)
-	}
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
-		set.WritePrometheus(w)
-		metrics.WriteProcessMetrics(w)
-	})
-	actor.Server(g, &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}, l)
-	return nil
-}
-
 // headerTimeout is the timeout for reading the headers of a request.
 const headerTimeout = 5 * time.Second
 
+// maxHeaderBytes limits the headers of a request.
+const maxHeaderBytes = 16 << 10
+
 // coreTiming returns the default timing of the scheduling core, adjusted to the limits that the
 // platform sets.
 func coreTiming(s platform.Settings) batch.Timing {
--- a/cmd/oriolepond/serve.go
+++ b/cmd/oriolepond/serve.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"runtime/debug"
 
 	"go.uber.org/zap"
 
@@ -31,6 +32,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitUsage
 	}
+	debug.SetMemoryLimit(int64(memoryLimitRatio * float64(s.Memory)))
 	z, err := zap.NewProduction()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/e2e/clients/entry_test.go
+++ b/e2e/clients/entry_test.go
@@ -155,4 +155,4 @@
 }
 
 // entryLimits ends the settings of an entry instance.
-const entryLimits = `}` + "\n// %d MB, %d descriptors\n"
+const entryLimits = `,"memory":"%dMiB","descriptors":%d}`
--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -18,14 +18,15 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
-	"io"
 	"net/http"
 	"net/url"
+	"os"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/oriolepond/oriolepond/internal/eventlog"
+	"github.com/oriolepond/oriolepond/internal/intake"
 	"github.com/oriolepond/oriolepond/pkg/release"
 	"github.com/oriolepond/oriolepond/pkg/share"
 )
@@ -147,6 +148,9 @@
 		w.Header().Set("Content-Length", strconv.Itoa(len(response.Body)))
 	}
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(callerWriteTimeout))
+	if err := intake.FromContext(r.Context()).Enter(intake.Answering); err != nil {
+		return &CutError{Err: err}
+	}
 	w.WriteHeader(response.Status)
 	_, _ = w.Write(response.Body)
 	return nil
@@ -232,18 +236,36 @@
 	}
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(max(route.Deadline, minBodyTimeout)))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(route.MaxRequest)))
+	body, err := intake.FromContext(r.Context()).ReadBody(http.MaxBytesReader(w, r.Body, int64(route.MaxRequest)), r.ContentLength, nil)
 	_ = control.SetReadDeadline(time.Time{})
-	if err == nil {
-		return body, nil
+	if err != nil {
+		w.Header().Set("Connection", "close")
+		return nil, bodyError(err)
 	}
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, callerError(http.StatusRequestEntityTooLarge, "the body exceeds %d bytes", tooLarge.Limit)
+	return body, nil
+}
+
+// bodyError returns the refusal of a request whose body was not read completely.
+func bodyError(err error) *OutcomeError {
+	var (
+		tooLarge *http.MaxBytesError
+		full     *intake.FullError
+	)
+	switch {
+	case errors.As(err, &tooLarge):
+		return callerError(http.StatusRequestEntityTooLarge, "the body exceeds %d bytes", tooLarge.Limit)
+	case errors.As(err, &full):
+		return notRun(http.StatusServiceUnavailable, "%v", full).WithRetryAfter(intake.RetryAfter)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return callerError(http.StatusRequestTimeout, "the body did not arrive in time")
 	}
-	return nil, callerError(http.StatusBadRequest, "the body was cut short")
+	return callerError(http.StatusBadRequest, "the body was cut short")
 }
 
+// Refusal is the response on a connection that is not accepted.
+const Refusal = "HTTP/1.1 503 Service Unavailable\r\n" + HeaderOutcome + ": " + string(NotRun) +
+	"\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
 // minBodyTimeout is the time that a caller has to send its body even if the route's deadline is
 // shorter.
 const minBodyTimeout = 10 * time.Second
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -1,12 +1,14 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"net/http"
 	"strings"
 
+	"github.com/oriolepond/oriolepond/internal/intake"
 	"github.com/oriolepond/oriolepond/internal/task"
 )
 
@@ -81,7 +83,12 @@
 // readSubmission decodes and validates the submission of a job.
 func readSubmission(w http.ResponseWriter, r *http.Request, neighbour string) (task.Submission, error) {
 	var body wireSubmission
-	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxJobBody))
+	text, err := intake.ReadRequest(w, r, maxJobBody, minBodyTimeout)
+	if err != nil {
+		w.Header().Set("Connection", "close")
+		return task.Submission{}, bodyError(err)
+	}
+	decoder := json.NewDecoder(bytes.NewReader(text))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&body); err != nil {
 		return task.Submission{}, notRun(http.StatusBadRequest, "the body is not a submission: %v", err)
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -15,6 +15,7 @@
 
 	"github.com/oriolepond/oriolepond/internal/attempt"
 	"github.com/oriolepond/oriolepond/internal/exchange"
+	"github.com/oriolepond/oriolepond/internal/intake"
 	"github.com/oriolepond/oriolepond/internal/target"
 	"github.com/oriolepond/oriolepond/pkg/release"
 )
@@ -189,10 +190,15 @@
 		return Response{}, outcome
 	}
 	defer reply.Close()
-	body, err := readResponse(reply, int64(r.request.Route.MaxAnswer))
+	body, err := readResponse(ctx, reply, int64(r.request.Route.MaxAnswer))
 	r.reportResult(ctx, dest, reply.StatusCode, err)
-	var tooLarge *responseTooLargeError
+	var (
+		tooLarge *responseTooLargeError
+		full     *intake.FullError
+	)
 	switch {
+	case errors.As(err, &full):
+		return Response{}, unknown(http.StatusServiceUnavailable, "there is no memory for the answer")
 	case errors.As(err, &tooLarge):
 		return Response{}, unknown(http.StatusBadGateway, "%v", err).WithCause(CauseTarget)
 	case err != nil && isTimeout(err):
@@ -213,21 +219,17 @@
 	return "the answer exceeds " + strconv.FormatInt(e.limit, 10) + " bytes"
 }
 
-// readResponse reads the body of a response up to its end, but not more than the limit.
-func readResponse(reply *exchange.Reply, limit int64) ([]byte, error) {
+// readResponse reads the body of a response up to its end, but not more than the limit. It takes the memory
+// from the lease of the caller's connection.
+func readResponse(ctx context.Context, reply *exchange.Reply, limit int64) ([]byte, error) {
 	if reply.ContentLength > limit {
 		return nil, &responseTooLargeError{limit: limit}
 	}
-	var b bytes.Buffer
-	b.Grow(int(max(reply.ContentLength, 0)) + bytes.MinRead)
-	_, err := b.ReadFrom(io.LimitReader(reply, limit+1))
-	if err != nil {
-		return nil, err
-	}
-	if int64(b.Len()) > limit {
+	body, err := intake.FromContext(ctx).Read(io.LimitReader(reply, limit+1), reply.ContentLength, nil)
+	if err == nil && int64(len(body)) > limit {
 		return nil, &responseTooLargeError{limit: limit}
 	}
-	return b.Bytes(), nil
+	return body, err
 }
 
 // forwardedHeader returns the headers of a response that the caller gets.
--- a/internal/eventlog/batch.go
+++ b/internal/eventlog/batch.go
@@ -206,4 +206,9 @@
 		Meaning: "The log exceeded its rate limit, or its output was blocked; the named number of lines is missing here.",
 		Advice:  "Look at the metrics for the time of the gap; check who reads the output if this lasts.",
 	})
+	ClientsLimited = register(Event{
+		Number: 4080, Level: zapcore.WarnLevel, Message: "clients limited",
+		Meaning: "Clients of the named server hold as many connections or as much memory as the settings leave to them: connections were closed, or requests refused, so often since the start. It is written at most once in ten seconds for each server.",
+		Advice:  "Find out who opens the connections. If they are ordinary callers, start more processes or give them more memory.",
+	})
 )
--- /dev/null
+++ b/internal/intake/lease.go
@@ -0,0 +1,178 @@
+package intake
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// Lease is what one connection holds of a Budget. All methods of a nil Lease do nothing and succeed.
+type Lease struct {
+	budget *Budget
+	end    func()
+
+	// The fields below are guarded by the mutex of the budget.
+	phase Phase
+	// held is the number of bytes that the current request holds, the allowance included.
+	held int64
+	// received counts the bytes since the last progress, which was made at progressAt.
+	received   int
+	progressAt time.Time
+	closed     bool
+}
+
+// leaseKey is the context key of the Lease of a request's connection.
+type leaseKey struct{}
+
+// FromContext returns the lease of the connection that a request came on, or nil.
+func FromContext(ctx context.Context) *Lease {
+	l, _ := ctx.Value(leaseKey{}).(*Lease)
+	return l
+}
+
+// charged returns how much the lease takes of the budget's bytes.
+func (l *Lease) charged() int64 { return max(0, l.held-Allowance) }
+
+// mayClose reports whether the connection may be closed after a time without progress: for another one, or
+// for bytes of taker if that is not nil.
+func (l *Lease) mayClose(age time.Duration, taker *Lease) bool {
+	switch {
+	case l.phase == Working, l == taker:
+		return false
+	case taker != nil:
+		return l.charged() > 0 && age >= stallTime
+	case l.phase == Answering:
+		return age >= stallTime
+	}
+	return true
+}
+
+// Take takes bytes for the current request, before they are allocated. The error is a *FullError or a
+// *ClosedError.
+func (l *Lease) Take(bytes int64) error {
+	if l == nil {
+		return nil
+	}
+	b := l.budget
+	b.mu.Lock()
+	victims, err := l.take(bytes)
+	b.mu.Unlock()
+	for _, v := range victims {
+		v.end()
+	}
+	var full *FullError
+	if len(victims) > 0 || errors.As(err, &full) {
+		b.report()
+	}
+	return err
+}
+
+// take takes bytes, with the lock held, and returns the connections to be closed.
+func (l *Lease) take(bytes int64) (victims []*Lease, err error) {
+	if l.closed {
+		return nil, &ClosedError{}
+	}
+	b := l.budget
+	more := max(0, l.held+bytes-Allowance) - l.charged()
+	for limit := b.Limits.Bytes; limit > 0 && more > 0 && b.usage.Bytes+more > limit; {
+		victim := b.first(b.now(), l)
+		if victim == nil || l.charged()+more > limit {
+			b.usage.Refused++
+			return victims, &FullError{Wanted: more}
+		}
+		b.evict(victim)
+		victims = append(victims, victim)
+	}
+	l.held += bytes
+	b.usage.Bytes += more
+	return victims, nil
+}
+
+// Give gives bytes back that were taken.
+func (l *Lease) Give(bytes int64) {
+	if l == nil {
+		return
+	}
+	l.budget.mu.Lock()
+	defer l.budget.mu.Unlock()
+	l.release(min(bytes, l.held))
+}
+
+// release gives bytes back, with the lock held.
+func (l *Lease) release(bytes int64) {
+	before := l.charged()
+	l.held -= bytes
+	l.budget.usage.Bytes -= before - l.charged()
+}
+
+// Enter begins a phase. The error is a *ClosedError.
+func (l *Lease) Enter(p Phase) error {
+	if l == nil {
+		return nil
+	}
+	l.budget.mu.Lock()
+	defer l.budget.mu.Unlock()
+	if l.closed {
+		return &ClosedError{}
+	}
+	if p == Idle {
+		l.release(l.held)
+	}
+	l.phase, l.progressAt, l.received = p, l.budget.now(), 0
+	return nil
+}
+
+// Progress records bytes that the client has sent of a body, or received of a response. It reports whether
+// that made progress.
+func (l *Lease) Progress(bytes int) bool {
+	if l == nil {
+		return true
+	}
+	l.budget.mu.Lock()
+	defer l.budget.mu.Unlock()
+	return l.progress(bytes)
+}
+
+// progress records bytes, with the lock held.
+func (l *Lease) progress(bytes int) bool {
+	if l.received += bytes; l.received < progressBytes {
+		return false
+	}
+	l.progressAt, l.received = l.budget.now(), 0
+	return true
+}
+
+// receive records bytes that arrived on the connection. In HTTP it begins the next request, and returns how
+// many bytes are to be taken for its header.
+func (l *Lease) receive(bytes int) (header int64) {
+	l.budget.mu.Lock()
+	defer l.budget.mu.Unlock()
+	switch {
+	case !l.budget.attached:
+		l.progress(bytes)
+		return 0
+	case l.phase == Idle:
+		l.phase, l.progressAt, l.received = Header, l.budget.now(), bytes
+	case l.phase == Header:
+		l.progress(bytes)
+	default:
+		return 0
+	}
+	return headerBytes * int64(bytes)
+}
+
+// sent records bytes that were written to the connection.
+func (l *Lease) sent(bytes int) {
+	l.budget.mu.Lock()
+	defer l.budget.mu.Unlock()
+	if l.phase == Answering {
+		l.progress(bytes)
+	}
+}
+
+// Close gives back everything that the connection holds.
+func (l *Lease) Close() {
+	l.budget.mu.Lock()
+	defer l.budget.mu.Unlock()
+	l.budget.remove(l)
+}
--- /dev/null
+++ b/internal/intake/listener.go
@@ -0,0 +1,130 @@
+package intake
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"syscall"
+)
+
+// headerBytes is how much memory the server needs for each byte of a request's header.
+const headerBytes = 3
+
+// listener limits the connections of a server.
+type listener struct {
+	net.Listener
+	budget *Budget
+}
+
+// Listen returns a listener whose connections are counted. Those beyond the budget are closed.
+func (b *Budget) Listen(l net.Listener) net.Listener { return &listener{Listener: l, budget: b} }
+
+// Accept returns the next connection that the budget grants.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		lease, err := l.budget.Open(func() { _ = c.Close() })
+		if err == nil {
+			return &conn{Conn: c, lease: lease}, nil
+		}
+		// The client may be gone.
+		_, _ = io.WriteString(c, l.budget.Refusal)
+		_ = c.Close()
+	}
+}
+
+// SyscallConn returns the underlying listener's raw connection.
+func (l *listener) SyscallConn() (syscall.RawConn, error) { return rawConn(l.Listener) }
+
+// rawConn returns the raw connection of a connection or a listener.
+func rawConn(source any) (syscall.RawConn, error) {
+	if s, ok := source.(syscall.Conn); ok {
+		return s.SyscallConn()
+	}
+	return nil, syscall.EINVAL
+}
+
+// conn is a connection with a lease.
+type conn struct {
+	net.Conn
+	lease *Lease
+}
+
+// Read reads from the connection. What arrives of a header is taken from the budget.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n == 0 {
+		return n, err
+	}
+	if header := c.lease.receive(n); header > 0 {
+		if takeErr := c.lease.Take(header); takeErr != nil {
+			_ = c.Conn.Close()
+			return 0, takeErr
+		}
+	}
+	return n, err
+}
+
+// Write writes to the connection.
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.lease.sent(n)
+	return n, err
+}
+
+// Close closes the connection and gives its lease back.
+func (c *conn) Close() error {
+	c.lease.Close()
+	return c.Conn.Close()
+}
+
+// SyscallConn returns the underlying raw connection.
+func (c *conn) SyscallConn() (syscall.RawConn, error) { return rawConn(c.Conn) }
+
+// leaseOf returns the lease of a connection that may be wrapped, or nil.
+func leaseOf(c net.Conn) *Lease {
+	for {
+		if counted, ok := c.(*conn); ok {
+			return counted.lease
+		}
+		wrapper, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			return nil
+		}
+		c = wrapper.NetConn()
+	}
+}
+
+// Attach makes an HTTP server track the phases of its connections, and pass their leases to handlers. It
+// wraps the server's Handler, ConnContext and ConnState. It is called before the server serves; without it
+// the connections of Listen are only counted.
+func (b *Budget) Attach(s *http.Server) {
+	b.attached = true
+	handler, connContext, connState := s.Handler, s.ConnContext, s.ConnState
+	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		if connContext != nil {
+			ctx = connContext(ctx, c)
+		}
+		return context.WithValue(ctx, leaseKey{}, leaseOf(c))
+	}
+	s.ConnState = func(c net.Conn, state http.ConnState) {
+		if l := leaseOf(c); l != nil && state == http.StateIdle {
+			_ = l.Enter(Idle)
+		}
+		if connState != nil {
+			connState(c, state)
+		}
+	}
+	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		l := FromContext(r.Context())
+		if err := l.Enter(Working); err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		defer func() { _ = l.Enter(Answering) }()
+		handler.ServeHTTP(w, r)
+	})
+}
--- /dev/null
+++ b/internal/intake/request.go
@@ -0,0 +1,21 @@
+package intake
+
+import (
+	"net/http"
+	"time"
+)
+
+// ReadRequest reads the body of a request, of at most limit bytes, from a client that makes progress within
+// each stallTimeout. Beside the errors of Lease.ReadBody, it returns an *http.MaxBytesError for a larger body,
+// and one that matches os.ErrDeadlineExceeded if the client stalls.
+func ReadRequest(w http.ResponseWriter, r *http.Request, limit int64, stallTimeout time.Duration) ([]byte, error) {
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	control := http.NewResponseController(w)
+	// The deadline is not supported by all writers, such as those of tests.
+	extend := func() { _ = control.SetReadDeadline(time.Now().Add(stallTimeout)) }
+	extend()
+	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
+	return FromContext(r.Context()).ReadBody(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, extend)
+}
--- /dev/null
+++ b/internal/intake/server_test.go
@@ -0,0 +1,116 @@
+package intake_test
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/oriolepond/oriolepond/internal/intake"
+	"github.com/oriolepond/oriolepond/internal/shutdown"
+)
+
+const largeBody = 100_000
+
+// Guards against memory or connections of requests that are not given back, by how the request ends.
+func TestEverythingIsGivenBack(t *testing.T) {
+	read := func(w http.ResponseWriter, r *http.Request) {
+		if _, err := intake.ReadRequest(w, r, largeBody, time.Minute); err != nil {
+			w.Header().Set("Connection", "close")
+			w.WriteHeader(http.StatusBadRequest)
+		}
+	}
+	for _, c := range []struct {
+		name    string
+		handler http.HandlerFunc
+		// sent is how much of the body is sent.
+		sent int
+		// keeps means that the connection stays open after the response.
+		keeps bool
+	}{
+		{"a response", read, largeBody, true},
+		{"a refusal", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNotFound) }, largeBody, true},
+		{"a panic", func(w http.ResponseWriter, r *http.Request) { read(w, r); panic(http.ErrAbortHandler) }, largeBody, false},
+		{"a client that leaves", read, largeBody / 2, false},
+		{"a connection that is taken over", func(w http.ResponseWriter, r *http.Request) {
+			read(w, r)
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err == nil {
+				_ = conn.Close()
+			}
+		}, largeBody, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := &intake.Budget{Limits: intake.Limits{Conns: 4, Bytes: 4 * largeBody}}
+			server, tracker := &http.Server{Handler: c.handler}, &shutdown.Tracker{}
+			tracker.Attach(server)
+			b.Attach(server)
+			l, err := intake.ListenTCP("127.0.0.1:0")
+			require.NoError(t, err)
+			go func() { _ = server.Serve(tracker.Listen(b.Listen(l))) }()
+			defer server.Close()
+			conn, err := net.Dial("tcp", l.Addr().String())
+			require.NoError(t, err)
+			defer conn.Close()
+			for range 2 {
+				_, _ = fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", largeBody, strings.Repeat("x", c.sent))
+				if c.sent < largeBody {
+					_ = conn.Close()
+					break
+				}
+				buffer := make([]byte, 1<<10)
+				_, err = conn.Read(buffer)
+				require.Equal(t, c.keeps, err == nil, "%v", err)
+			}
+			conns := 0
+			if c.keeps {
+				conns = 1
+			}
+			require.Eventually(t, func() bool { return b.Usage() == intake.Usage{Conns: conns} }, 10*time.Second, time.Millisecond, "%+v", b.Usage)
+		})
+	}
+}
+
+// Guards against a body that is read wrongly, by how it arrives.
+func TestBodiesAreRead(t *testing.T) {
+	text := strings.Repeat("0123456789", 5000)
+	broken := errors.New("broken")
+	for _, c := range []struct {
+		name     string
+		source   io.Reader
+		declared int64
+		limit    int64
+		want     error
+	}{
+		{"whole", strings.NewReader(text), int64(len(text)), 1 << 20, nil},
+		{"without a declared size", strings.NewReader(text), -1, 1 << 20, nil},
+		{"byte by byte", iotest.OneByteReader(strings.NewReader(text)), -1, 1 << 20, nil},
+		{"with the end", iotest.DataErrReader(strings.NewReader(text)), int64(len(text)), 1 << 20, nil},
+		{"shorter than declared", strings.NewReader(text), 1 << 40, 1 << 20, nil},
+		{"longer than declared", strings.NewReader(text), 1, 1 << 20, nil},
+		{"broken off", io.MultiReader(strings.NewReader(text), iotest.ErrReader(broken)), -1, 1 << 20, broken},
+		{"too large for the budget", strings.NewReader(text), int64(len(text)), 1 << 10, &intake.FullError{}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := &intake.Budget{Limits: intake.Limits{Bytes: c.limit}}
+			l, err := b.Open(func() {})
+			require.NoError(t, err)
+			got, err := l.ReadBody(c.source, c.declared, nil)
+			if c.want != nil {
+				require.IsType(t, c.want, err)
+				require.Zero(t, b.Usage().Bytes)
+				return
+			}
+			require.NoError(t, err)
+			require.Equal(t, text, string(got))
+			require.GreaterOrEqual(t, b.Usage().Bytes+intake.Allowance, int64(cap(got)))
+		})
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -15,6 +15,7 @@
 	"regexp"
 	"time"
 
+	"github.com/oriolepond/oriolepond/internal/intake"
 	"github.com/oriolepond/oriolepond/internal/jsonc"
 )
 
@@ -34,6 +35,8 @@
 	DefaultLinkBitsPerSec  = 30_000_000
 	DefaultMaxHeaderBytes  = 64 << 10
 	DefaultQueuedPerTarget = 16
+	DefaultMemory          = 1 << 30
+	DefaultDescriptors     = 65_536
 )
 
 // Settings are the settings of one entry instance.
@@ -91,6 +94,10 @@
 	// QueuedPerTarget limits the queue of a service to this number of requests for each of its
 	// targets.
 	QueuedPerTarget int
+	// Memory is the memory of the process, in bytes, and Descriptors the number of its descriptors. What
+	// callers, peers and operators may use of them follows from these.
+	Memory      int64
+	Descriptors int
 }
 
 // Load reads the settings from a file.
@@ -134,6 +141,8 @@
 		LinkBitsPerSecond:   positiveInt(o, "linkBitsPerSecond", DefaultLinkBitsPerSec),
 		MaxHeaderBytes:      int(positiveInt(o, "maxHeaderBytes", DefaultMaxHeaderBytes)),
 		QueuedPerTarget:     int(positiveInt(o, "queuedPerTarget", DefaultQueuedPerTarget)),
+		Memory:              atLeast(o, "memory", DefaultMemory, intake.MinMemory, jsonc.Value.Size),
+		Descriptors:         int(atLeast(o, "descriptors", DefaultDescriptors, intake.MinDescriptors, jsonc.Value.Int)),
 	}
 	s.BindAddress = ipAddress(o, "bindAddress")
 	s.Advertise = address(o, "advertise", s.Listen)
@@ -236,6 +245,19 @@
 	return positiveValue(o, name, fallback, jsonc.Value.Int)
 }
 
+// atLeast reads an optional number of at least a minimum.
+func atLeast(o *jsonc.Object, name string, fallback, minimum int64, read func(jsonc.Value) int64) int64 {
+	v, ok := o.Optional(name)
+	if !ok {
+		return fallback
+	}
+	n := read(v)
+	if n < minimum {
+		v.Faultf("is below %d, which an instance needs", minimum)
+	}
+	return n
+}
+
 // positiveValue reads an optional number, or returns the fallback if the field is missing. A number
 // that is not above zero is a fault.
 func positiveValue[T ~int64](o *jsonc.Object, name string, fallback T, read func(jsonc.Value) T) T {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -131,6 +131,10 @@
 		{"store scheme", "storeUrls", []string{"ftp://x"}, "is not an http or https URL"},
 		{"token instead of its hash", "operatorTokenHash", "operator-token", "is not a lower-case hexadecimal SHA-256"},
 		{"empty id", "id", "", "id: is empty"},
+		{"too little memory", "memory", "16MiB", "memory: is below 33554432"},
+		{"negative memory", "memory", "-1B", "is not a size"},
+		{"too few descriptors", "descriptors", 200, "descriptors: is below 264"},
+		{"negative descriptors", "descriptors", -1, "descriptors: is"},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/shutdown/shutdown.go
+++ b/internal/shutdown/shutdown.go
@@ -264,6 +264,9 @@
 	return c.Conn.SetReadDeadline(deadline)
 }
 
+// NetConn returns the underlying connection.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // Close closes the connection.
 func (c *conn) Close() error {
 	c.tracker.remove(c)
--- a/oriolepond.go
+++ b/oriolepond.go
@@ -19,6 +19,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/oklog/run"
 	"go.uber.org/zap"
 	"google.golang.org/grpc"
@@ -30,6 +31,7 @@
 	"github.com/oriolepond/oriolepond/internal/eventlog"
 	"github.com/oriolepond/oriolepond/internal/exchange"
 	"github.com/oriolepond/oriolepond/internal/home"
+	"github.com/oriolepond/oriolepond/internal/intake"
 	"github.com/oriolepond/oriolepond/internal/membership"
 	"github.com/oriolepond/oriolepond/internal/meter"
 	"github.com/oriolepond/oriolepond/internal/operate"
@@ -107,11 +109,17 @@
 	actor.Loop(context.Background(), &g, i.trimConnections)
 	front := &http.Server{Handler: i.callerHandler(), MaxHeaderBytes: i.Settings.MaxHeaderBytes, ReadHeaderTimeout: headerTimeout}
 	admin := &http.Server{Handler: i.adminHandler(), ReadHeaderTimeout: headerTimeout}
-	actor.Server(&g, admin, listeners.admin)
-	i.addPeerServer(&g, listeners.peer)
+	limits := intake.LimitsFor(i.Settings.Memory, intake.AllowedDescriptors(i.Settings.Descriptors))
+	operators := i.budget("operators", limits.Probes)
+	operators.Attach(admin)
+	actor.Server(&g, admin, operators.Listen(listeners.admin))
+	i.addPeerServer(&g, i.budget("peers", limits.Peers).Listen(listeners.peer))
 	tracker := &shutdown.Tracker{}
 	tracker.Attach(front)
-	actor.Server(&g, front, tracker.Listen(listeners.front))
+	callers := i.budget("callers", limits.Callers)
+	callers.Refusal = entry.Refusal
+	callers.Attach(front)
+	actor.Server(&g, front, tracker.Listen(callers.Listen(listeners.front)))
 	i.addStopActors(ctx, &g, tracker, front)
 	i.Log.Emit(eventlog.InstanceStarted, zap.String("listen", i.Settings.Listen))
 	if i.Listening != nil {
@@ -120,6 +128,11 @@
 	return g.Run()
 }
 
+// budget returns a budget whose usage is reported.
+func (i *Instance) budget(server string, l intake.Limits) *intake.Budget {
+	return intake.New(server, l, metrics.GetDefaultSet(), i.Log)
+}
+
 // addPeerServer adds the gRPC server for other instances.
 func (i *Instance) addPeerServer(g *run.Group, l net.Listener) {
 	server := grpc.NewServer(peer.ServerOptions(i.Log)...)
