Bound the jobs that other nodes hand on, and document the limits

A leader took any number of large jobs from other nodes at once. It now takes their memory from a budget of its own, and refuses with the usual error before anything is done. A large body keeps its price until the response, since the job is copied on its way.

--- a/cmd/oriolepond/node.go
+++ b/cmd/oriolepond/node.go
@@ -181,7 +181,7 @@
 	}, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
 	ready := &http.Server{Handler: platform.ReadinessHandler(n.isReady), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
 	server := grpc.NewServer(peer.ServerOptions(n.log)...)
-	peer.RegisterJobs(server, n.scheduler.LocalCalls)
+	peer.RegisterJobs(server, n.scheduler.LocalCalls, n.budget("submissions", limits.Submissions))
 
 	var g run.Group
 	n.addLoops(&g, kv)
--- a/e2e/clients/node_test.go
+++ b/e2e/clients/node_test.go
@@ -96,6 +96,24 @@
 	p.requireWithin(t, maxFds)
 }
 
+// Guards against a node that exceeds its memory because of large jobs that arrive completely. Each is answered
+// or its connection closed.
+func TestNodeCompleteLargeJobs(t *testing.T) {
+	const (
+		maxFds    = 4100
+		specBytes = 250_000
+	)
+	p, _ := startNode(t, maxFds)
+	job := strings.Replace(smallJob, "(text)", strings.Repeat("x", specBytes), 1)
+	var all sync.WaitGroup
+	for n := range crowdSize {
+		all.Go(func() { _, _ = post(p, 16+n, job) })
+	}
+	all.Wait()
+	p.requireServed(t, func() (int, error) { return submit(p, 2) })
+	p.requireWithin(t, maxFds)
+}
+
 // Guards against a node that opens more descriptors than it may because callers keep connections open.
 func TestNodeDescriptors(t *testing.T) {
 	const maxFds = 300
--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -9,7 +9,7 @@
 	// firstRead and declaredRead are the sizes of the first buffer for a body, without and with a declared
 	// size. A declared size is not trusted beyond that.
 	firstRead    = 1 << 10
-	declaredRead = 8 << 10
+	declaredRead = 12 << 10
 )
 
 // ReadBody reads a body to its end. Declared is its size in bytes, or negative if it is unknown. Each time
--- a/internal/intake/lease.go
+++ b/internal/intake/lease.go
@@ -118,7 +118,10 @@
 	if p == Idle {
 		l.release(l.held)
 	}
-	l.phase, l.progressAt, l.received = p, l.budget.now(), 0
+	l.phase, l.received = p, 0
+	if p != Working {
+		l.progressAt = l.budget.now()
+	}
 	return nil
 }
 
@@ -172,6 +175,9 @@
 
 // Close gives back everything that the connection holds.
 func (l *Lease) Close() {
+	if l == nil {
+		return
+	}
 	l.budget.mu.Lock()
 	defer l.budget.mu.Unlock()
 	l.budget.remove(l)
--- a/internal/intake/limits.go
+++ b/internal/intake/limits.go
@@ -6,8 +6,8 @@
 type ProcessLimits struct {
 	// Callers are those of the server for callers, Peers those of the server for other processes of the
 	// system, and Probes those of each server for probes, metrics and operators. Answers limits the answers
-	// to calls that the process makes.
-	Callers, Peers, Probes, Answers Limits
+	// to calls that the process makes, and Submissions what other processes hand on for their callers.
+	Callers, Peers, Probes, Answers, Submissions Limits
 }
 
 const (
@@ -49,7 +49,8 @@
 	l := ProcessLimits{
 		Callers: Limits{Conns: int(memory / connMemoryParts / (connBytes + Allowance)), Bytes: memory / byteMemoryParts},
 		Probes:  Limits{Conns: maxProbes, Bytes: memory / byteMemoryParts / probeParts},
-		Answers: Limits{Bytes: memory / answerMemoryParts},
+		Answers:     Limits{Bytes: memory / answerMemoryParts},
+		Submissions: Limits{Bytes: memory / byteMemoryParts},
 	}
 	if descriptors == 0 {
 		return l
--- a/internal/peer/jobs.go
+++ b/internal/peer/jobs.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"github.com/oriolepond/oriolepond/internal/batch"
+	"github.com/oriolepond/oriolepond/internal/intake"
 	"github.com/oriolepond/oriolepond/internal/peer/jobpb"
 	"github.com/oriolepond/oriolepond/internal/scheduler"
 )
@@ -64,19 +65,45 @@
 	return decodeJobError(err)
 }
 
-// RegisterJobs registers the handlers of peers' calls about the jobs of a cell.
-func RegisterJobs(server *grpc.Server, calls func(cell int) *scheduler.Calls) {
-	jobpb.RegisterJobsServer(server, &jobsServer{calls: calls})
+// RegisterJobs registers the handlers of peers' calls about the jobs of a cell. Jobs limits the memory for
+// the jobs that they submit at once; nil means no limit.
+func RegisterJobs(server *grpc.Server, calls func(cell int) *scheduler.Calls, jobs *intake.Budget) {
+	jobpb.RegisterJobsServer(server, &jobsServer{calls: calls, jobs: jobs})
 }
 
 type jobsServer struct {
 	jobpb.UnimplementedJobsServer
 	calls func(cell int) *scheduler.Calls
+	jobs  *intake.Budget
+}
+
+// submissionBytes is how much memory a submission needs for each byte of the encoded job.
+const submissionBytes = 8
+
+// lease takes the memory for a submission of so many bytes. The error is a *scheduler.UnavailableError.
+func (s *jobsServer) lease(bytes int64) (*intake.Lease, error) {
+	if s.jobs == nil {
+		return nil, nil
+	}
+	l, err := s.jobs.Open(func() {})
+	if err == nil {
+		_ = l.Enter(intake.Working)
+		if err = l.Take(submissionBytes * bytes); err == nil {
+			return l, nil
+		}
+		l.Close()
+	}
+	return nil, &scheduler.UnavailableError{Reason: err.Error(), RetryAfter: intake.RetryAfter}
 }
 
 // Submit accepts a job for its cell. This node must lead the cell unless the job is
 // relayed.
 func (s *jobsServer) Submit(ctx context.Context, q *jobpb.SubmitRequest) (*jobpb.SubmitReply, error) {
+	lease, err := s.lease(int64(len(q.Job)))
+	if err != nil {
+		return nil, encodeJobError(err)
+	}
+	defer lease.Close()
 	j, err := batch.DecodeJob(q.Job)
 	if err != nil {
 		return nil, encodeJobError(&batch.InvalidError{Reason: err.Error()})
--- a/internal/peer/recover_test.go
+++ b/internal/peer/recover_test.go
@@ -28,7 +28,7 @@
 				return "", true, &scheduler.MovedError{Cell: cell + 1}
 			},
 		}
-	})
+	}, nil)
 	go func() { _ = server.Serve(l) }()
 	t.Cleanup(server.Stop)
 	pool := &peer.Pool{}
