Small receive buffers only for large requests and many connections

The buffer is now made smaller when a request exceeds its allowance, or while more than a quarter of the connections are in use.

--- a/cmd/oriolepond/nodeservers.go
+++ b/cmd/oriolepond/nodeservers.go
@@ -27,16 +27,15 @@
 	s := n.settings
 	for _, c := range []struct {
 		address string
-		open    func(address string) (net.Listener, error)
 		to      *net.Listener
 	}{
-		{s.FrontAddress, intake.ListenTCP, &l.front},
-		{s.ReadyAddress, intake.ListenTCP, &l.ready},
-		{s.PeerAddress, func(address string) (net.Listener, error) { return net.Listen("tcp", address) }, &l.peer},
-		{fmt.Sprintf("%s:%d", s.IP, s.LastPort), intake.ListenTCP, &l.metrics},
+		{s.FrontAddress, &l.front},
+		{s.ReadyAddress, &l.ready},
+		{s.PeerAddress, &l.peer},
+		{fmt.Sprintf("%s:%d", s.IP, s.LastPort), &l.metrics},
 	} {
 		var err error
-		if *c.to, err = c.open(c.address); err != nil {
+		if *c.to, err = net.Listen("tcp", c.address); err != nil {
 			return l, fmt.Errorf("listen: %w", err)
 		}
 	}
--- a/internal/intake/bench_test.go
+++ b/internal/intake/bench_test.go
@@ -42,8 +42,6 @@
 	server := &http.Server{Handler: h}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if budget != nil {
-		require.NoError(b, l.Close())
-		l, err = intake.ListenTCP("127.0.0.1:0")
 		budget.Attach(server)
 		l = budget.Listen(l)
 	}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -127,6 +127,13 @@
 	return u
 }
 
+// isCrowded reports whether more than a quarter of the connections are in use.
+func (b *Budget) isCrowded() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.Limits.Conns > 0 && len(b.leases) > b.Limits.Conns/4
+}
+
 // Open grants a connection, which end closes. The error is a *FullError.
 func (b *Budget) Open(end func()) (*Lease, error) {
 	l, victim, err := b.open(end)
--- a/internal/intake/lease.go
+++ b/internal/intake/lease.go
@@ -146,22 +146,22 @@
 }
 
 // receive records bytes that arrived on the connection. In HTTP it begins the next request, and returns how
-// many bytes are to be taken for its header.
-func (l *Lease) receive(bytes int) (header int64) {
+// many bytes are to be taken for its header. Large means that the request exceeds the allowance.
+func (l *Lease) receive(bytes int) (header int64, large bool) {
 	l.budget.mu.Lock()
 	defer l.budget.mu.Unlock()
 	switch {
 	case !l.budget.attached:
 		l.progress(bytes)
-		return 0
+		return 0, false
 	case l.phase == Idle:
 		l.phase, l.progressAt, l.received = Header, l.budget.now(), bytes
 	case l.phase == Header:
 		l.progress(bytes)
 	default:
-		return 0
+		return 0, l.charged() > 0
 	}
-	return headerBytes * int64(bytes)
+	return headerBytes * int64(bytes), l.charged() > 0
 }
 
 // sent records bytes that were written to the connection.
--- a/internal/intake/limits.go
+++ b/internal/intake/limits.go
@@ -21,7 +21,7 @@
 	answerMemoryParts = 16
 	// The parts of the sockets for each server: one in so many. The rest is for connections that the
 	// process opens.
-	callerParts, peerParts, probeParts = 2, 8, 16
+	callerParts, peerParts, probeParts = 4, 8, 16
 	// minProbes is the smallest number of connections for probes.
 	minProbes = 4
 	// maxProbes bounds the connections for probes, since each of them needs memory.
@@ -47,8 +47,8 @@
 // means that a quantity is not limited.
 func LimitsFor(memory int64, descriptors int) ProcessLimits {
 	l := ProcessLimits{
-		Callers: Limits{Conns: int(memory / connMemoryParts / (connBytes + Allowance)), Bytes: memory / byteMemoryParts},
-		Probes:  Limits{Conns: maxProbes, Bytes: memory / byteMemoryParts / probeParts},
+		Callers:     Limits{Conns: int(memory / connMemoryParts / (connBytes + Allowance)), Bytes: memory / byteMemoryParts},
+		Probes:      Limits{Conns: maxProbes, Bytes: memory / byteMemoryParts / probeParts},
 		Answers:     Limits{Bytes: memory / answerMemoryParts},
 		Submissions: Limits{Bytes: memory / byteMemoryParts},
 	}
--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -8,6 +8,10 @@
 	"syscall"
 )
 
+// socketBytes is the receive buffer of connections with large requests, and of all connections that are
+// accepted while few are left. It limits what the system holds of requests that have not been read.
+const socketBytes = 16 << 10
+
 // headerBytes is how much memory the server needs for each byte of a request's header.
 const headerBytes = 3
 
@@ -29,7 +33,11 @@
 		}
 		lease, err := l.budget.Open(func() { _ = c.Close() })
 		if err == nil {
-			return &conn{Conn: c, lease: lease}, nil
+			counted := &conn{Conn: c, lease: lease}
+			if l.budget.isCrowded() {
+				counted.narrow()
+			}
+			return counted, nil
 		}
 		// The client may be gone.
 		_, _ = io.WriteString(c, l.budget.Refusal)
@@ -52,6 +60,16 @@
 type conn struct {
 	net.Conn
 	lease *Lease
+	// narrowed means that the receive buffer has socketBytes.
+	narrowed bool
+}
+
+// narrow makes the receive buffer smaller, if the system allows it.
+func (c *conn) narrow() {
+	c.narrowed = true
+	if s, ok := c.Conn.(interface{ SetReadBuffer(bytes int) error }); ok {
+		_ = s.SetReadBuffer(socketBytes)
+	}
 }
 
 // Read reads from the connection. What arrives of a header is taken from the budget.
@@ -60,7 +78,11 @@
 	if n == 0 {
 		return n, err
 	}
-	if header := c.lease.receive(n); header > 0 {
+	header, large := c.lease.receive(n)
+	if large && !c.narrowed {
+		c.narrow()
+	}
+	if header > 0 {
 		if takeErr := c.lease.Take(header); takeErr != nil {
 			_ = c.Conn.Close()
 			return 0, takeErr
--- a/internal/intake/server_test.go
+++ b/internal/intake/server_test.go
@@ -52,7 +52,7 @@
 			server, tracker := &http.Server{Handler: c.handler}, &shutdown.Tracker{}
 			tracker.Attach(server)
 			b.Attach(server)
-			l, err := intake.ListenTCP("127.0.0.1:0")
+			l, err := net.Listen("tcp", "127.0.0.1:0")
 			require.NoError(t, err)
 			go func() { _ = server.Serve(tracker.Listen(b.Listen(l))) }()
 			defer server.Close()
--- a/listen.go
+++ b/listen.go
@@ -3,8 +3,6 @@
 import (
 	"fmt"
 	"net"
-
-	"github.com/oriolepond/oriolepond/internal/intake"
 )
 
 // Addresses holds the addresses on which an instance listens for callers (Front), for
@@ -23,14 +21,9 @@
 	var err error
 	for _, listener := range []struct {
 		address string
-		open    func(address string) (net.Listener, error)
 		to      *net.Listener
-	}{
-		{i.Settings.Listen, intake.ListenTCP, &l.front},
-		{i.Settings.PeerListen, func(address string) (net.Listener, error) { return net.Listen("tcp", address) }, &l.peer},
-		{i.Settings.AdminListen, intake.ListenTCP, &l.admin},
-	} {
-		if *listener.to, err = listener.open(listener.address); err != nil {
+	}{{i.Settings.Listen, &l.front}, {i.Settings.PeerListen, &l.peer}, {i.Settings.AdminListen, &l.admin}} {
+		if *listener.to, err = net.Listen("tcp", listener.address); err != nil {
 			return l, fmt.Errorf("listen: %w", err)
 		}
 	}
