Refuse bodies whose declared size exceeds the limit at once

A body whose Content-Length is above the limit was read until the limit before it got 413; with the budget it could get 503 instead, which invites a repeat.

--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -234,6 +234,10 @@
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
+	if limit := int64(route.MaxRequest); r.ContentLength > limit {
+		w.Header().Set("Connection", "close")
+		return nil, bodyError(&http.MaxBytesError{Limit: limit})
+	}
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(max(route.Deadline, minBodyTimeout)))
 	body, err := intake.FromContext(r.Context()).ReadBody(http.MaxBytesReader(w, r.Body, int64(route.MaxRequest)), r.ContentLength, nil)
--- a/internal/intake/request.go
+++ b/internal/intake/request.go
@@ -12,6 +12,9 @@
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
+	if r.ContentLength > limit {
+		return nil, &http.MaxBytesError{Limit: limit}
+	}
 	control := http.NewResponseController(w)
 	// The deadline is not supported by all writers, such as those of tests.
 	extend := func() { _ = control.SetReadDeadline(time.Now().Add(stallTimeout)) }
--- a/internal/intake/server_test.go
+++ b/internal/intake/server_test.go
@@ -6,9 +6,11 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"testing/iotest"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -114,3 +116,60 @@
 		})
 	}
 }
+
+// Guards against a body that is waited for without end, and one that is cut although it arrives slowly but
+// steadily.
+func TestStalledBodiesEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const timeout, size = 10 * time.Second, 4096
+		for _, c := range []struct {
+			name string
+			// pieces is how many pieces arrive, one within each timeout.
+			pieces, bytes int
+			want          error
+		}{{"steady", 8, size / 8, nil}, {"trickling", 8, 1, os.ErrDeadlineExceeded}, {"stopped", 1, size / 2, os.ErrDeadlineExceeded}} {
+			l, errs := newPipeListener(), make(chan error, 1)
+			server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				_, err := intake.ReadRequest(w, r, size, timeout)
+				errs <- err
+			})}
+			b := &intake.Budget{}
+			b.Attach(server)
+			go func() { _ = server.Serve(b.Listen(l)) }()
+			client, end := net.Pipe()
+			l.conns <- end
+			go func() { _, _ = io.Copy(io.Discard, client) }()
+			_, err := fmt.Fprintf(client, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", size)
+			require.NoError(t, err)
+			for range c.pieces {
+				time.Sleep(timeout * 9 / 10)
+				_, _ = io.WriteString(client, strings.Repeat("x", c.bytes))
+			}
+			require.ErrorIs(t, <-errs, c.want, c.name)
+			require.NoError(t, client.Close())
+			require.NoError(t, server.Close())
+		}
+	})
+}
+
+// pipeListener accepts connections that are made in memory.
+type pipeListener struct {
+	conns  chan net.Conn
+	closed chan struct{}
+}
+
+func newPipeListener() *pipeListener {
+	return &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error   { close(l.closed); return nil }
+func (l *pipeListener) Addr() net.Addr { return &net.UnixAddr{Name: "pipe"} }
