--- a/e2e/clients/entry_test.go
+++ b/e2e/clients/entry_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -49,8 +50,11 @@
 	return hex.EncodeToString(sum[:])
 }
 
-// answerRequest answers the whole request, or, below /held, with a large body that stops short of its end.
-func answerRequest(w http.ResponseWriter, r *http.Request) {
+// runner answers requests for a service. Held counts the large answers that it has sent as far as it can.
+type runner struct{ held atomic.Int64 }
+
+// ServeHTTP answers the whole request, or, below /held, with a large body that stops short of its end.
+func (n *runner) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	_, _ = io.Copy(io.Discard, r.Body)
 	w.Header().Set(runnerHeader, r.Header.Get(runnerHeader))
 	if !strings.HasPrefix(r.URL.Path, "/held") {
@@ -60,6 +64,7 @@
 	w.Header().Set("Content-Length", fmt.Sprint(bodyBytes))
 	_, _ = io.WriteString(w, strings.Repeat("x", bodyBytes-1))
 	_ = http.NewResponseController(w).Flush()
+	n.held.Add(1)
 	<-r.Context().Done()
 }
 
@@ -72,13 +77,13 @@
 }
 
 // startEntry starts an entry instance with its store and runners, and waits until it serves requests.
-func startEntry(t *testing.T, maxFds int) *process {
+func startEntry(t *testing.T, maxFds int) (*process, *runner) {
 	t.Helper()
-	list := standin.NewPlatform()
+	list, all := standin.NewPlatform(), &runner{}
 	for i := range entryRunners {
 		list.Set(roster.Instance{
 			ID: fmt.Sprintf("runner-%d", i), Kind: roster.KindRunner, State: roster.Live, Region: "r", DataCentre: "d", Service: "s",
-			Address: serve(t, http.HandlerFunc(answerRequest)), Slots: entrySlots, Connections: 2 * entrySlots,
+			Address: serve(t, all), Slots: entrySlots, Connections: 2 * entrySlots,
 		})
 	}
 	ip := newAddress()
@@ -97,7 +102,7 @@
 	_, _, err := client.Apply(context.Background(), fmt.Appendf(nil, entryNote, hashOf(callerToken), bodyBytes))
 	require.NoError(t, err)
 	p.awaitStart(t, func() (int, error) { return p.request(t) })
-	return p
+	return p, all
 }
 
 // get returns a request with the callers' token.
@@ -118,17 +123,24 @@
 // entryRequest begins a request of the crowd.
 const entryRequest = request("POST /s/s/check HTTP/1.1\r\nHost: a.example\r\nAuthorization: Bearer " + callerToken + "\r\n")
 
+// largeAnswers is the name of the behaviour whose answers are large.
+const largeAnswers = "large answers of runners"
+
 // Guards against an entry instance that exceeds its memory because of what callers send or runners
 // answer, or does not serve an ordinary request.
 func TestEntryMemory(t *testing.T) {
 	const maxFds = 4100
-	cases := append([]behaviour{{"large answers of runners", func(request, int) []string {
+	cases := append([]behaviour{{largeAnswers, func(request, int) []string {
 		return []string{"GET /s/s/held HTTP/1.1\r\nHost: a.example\r\nAuthorization: Bearer " + callerToken + "\r\n\r\n"}
 	}}}, behaviours...)
 	for _, b := range cases {
 		t.Run(b.name, func(t *testing.T) {
-			p := startEntry(t, maxFds)
+			p, all := startEntry(t, maxFds)
 			p.gather(t, entryFrontPort, func(n int) []string { return b.send(entryRequest, n) })
+			if b.name == largeAnswers {
+				require.Eventually(t, func() bool { return all.held.Load() >= crowdSize }, patience, sampleInterval)
+				p.sample()
+			}
 			p.requireServed(t, func() (int, error) { return p.request(t) })
 			p.requireWithin(t, maxFds)
 		})
@@ -144,7 +156,7 @@
 		port int
 	}{{"callers", entryFrontPort}, {"peers", entryPeerPort}, {"operators", entryAdminPort}} {
 		t.Run(c.name, func(t *testing.T) {
-			p := startEntry(t, maxFds)
+			p, _ := startEntry(t, maxFds)
 			p.gather(t, c.port, func(n int) []string {
 				return []string{"", string(entryRequest), "GET / HTTP/1.1\r\nHost: a.example\r\n\r\n"}[n%3:][:1]
 			})
