--- a/internal/eventlog/batch.go
+++ b/internal/eventlog/batch.go
@@ -251,4 +251,9 @@
 		Meaning: "A key that asks for an evacuation names no data centre. It has no effect; the other requests count.",
 		Advice:  "Remove the key, and write the one that was meant.",
 	})
+	ClientsLimited = register(Event{
+		Number: 4080, Level: zapcore.WarnLevel, Message: "clients limited",
+		Meaning: "Clients of the named server hold as many connections or as much memory as the settings leave to them: connections were closed, or requests refused, so often since the start. It is written at most once in ten seconds for each server.",
+		Advice:  "Find out who opens the connections. If they are ordinary callers, start more processes or give them more memory.",
+	})
 )
--- a/internal/peer/unreachable_test.go
+++ b/internal/peer/unreachable_test.go
@@ -94,7 +94,7 @@
 	t.Helper()
 	l, server := listenLocally(t), grpc.NewServer()
 	handle := func(context.Context, batch.Job) error { return submit(server) }
-	peer.RegisterJobs(server, func(int) *scheduler.Calls { return &scheduler.Calls{Submit: handle, Relay: handle} })
+	peer.RegisterJobs(server, func(int) *scheduler.Calls { return &scheduler.Calls{Submit: handle, Relay: handle} }, nil)
 	go func() { _ = server.Serve(l) }()
 	return l.Addr().String()
 }
