Hold-back counts from the submission of the job

It ended 8 s after the step became ready under the present leader, so that changes of leader could hold a task back for longer than the platform allows.

--- a/internal/batch/transient.go
+++ b/internal/batch/transient.go
@@ -17,7 +17,8 @@
 	transientEvery = 100 * time.Millisecond
 	// shortageAfter is how long a short task waits for processors until that counts as a shortage.
 	shortageAfter = 100 * time.Millisecond
-	// maxHoldBack is how long a new long-running task is held back. The platform demands that a task is
+	// maxHoldBack is how long a new long-running task is held back, from the submission of its job, over
+	// changes of leader and cell. The platform demands that a task is
 	// at work 3 s after 6 s in which there was capacity for it.
 	maxHoldBack = 8 * time.Second
 )
@@ -113,7 +114,7 @@
 // isHeldBack reports whether a stage waits because its new long-running tasks would leave too few
 // processors to short tasks. It waits no longer than maxHoldBack.
 func (c *Core) isHeldBack(s *stage, now time.Time) bool {
-	if !s.isNewLongRunning() || now.Sub(s.readyAt) >= maxHoldBack {
+	if !s.isNewLongRunning() || now.Sub(c.submittedAt(s)) >= maxHoldBack {
 		return false
 	}
 	d := c.transientDemands[s.demandKey()]
