Interference: estimates that single tasks don't upset, and gaps of single tasks

Cause: on the grown deployments one task on a slow worker, or one whose own load rose, pulled down the baseline headroom of its whole job (1 of 100 baselines below 0.3, while undisturbed tasks have 1.1 and more), and moved effects by 2 and more within a second. A target then counted as lost anyway, and filler tasks were let in.

Change: a residual counts up to two standard deviations; an unmeasurable headroom leaves the baseline while other tasks of the job show more; effects settle to 0.15 and stay at least 0. A run that has less headroom than its job is a group of its own.

--- a/internal/batch/estimate.go
+++ b/internal/batch/estimate.go
@@ -19,10 +19,18 @@
 	throttleMissCost = 2.0
 )
 
-// servingGroup holds the serving tasks of one stage on a worker.
+// minUndisturbedHeadroom bounds from below the headroom that a task with a headroom gap is assumed to
+// have without filler tasks. Otherwise, a target that is missed beside filler tasks would count as one
+// that is missed without them, and more would be let in.
+const minUndisturbedHeadroom = 1.2
+
+// servingGroup holds the serving tasks of one stage on a worker that have the same headroom.
 type servingGroup struct {
 	stage *stage
 	tasks int
+	// gap is how much less headroom the tasks have than is expected of their job, for example because
+	// their own load has risen.
+	gap float64
 	// headroom is the expected headroom beside the filler tasks on the worker at their present
 	// throttle ratios, variance the variance of that estimate.
 	headroom float64
@@ -63,12 +71,14 @@
 		if s.step.TailTarget <= 0 {
 			continue
 		}
-		i := slices.IndexFunc(w.groups, func(group servingGroup) bool { return group.stage == s })
+		gap := r.headroomGap()
+		i := slices.IndexFunc(w.groups, func(group servingGroup) bool { return group.stage == s && group.gap == gap })
 		if i < 0 {
 			i = len(w.groups)
 			baseline := c.headroom.Baseline(&s.baseline, s.image)
 			typical, variance := c.headroom.LongTermBaseline(&s.baseline, s.image)
-			w.groups = append(w.groups, servingGroup{stage: s, headroom: baseline, typicalOffset: typical - baseline, typicalVariance: variance})
+			headroom := max(baseline-gap, min(baseline, minUndisturbedHeadroom))
+			w.groups = append(w.groups, servingGroup{stage: s, gap: gap, headroom: headroom, typicalOffset: typical - baseline, typicalVariance: variance})
 		}
 		w.groups[i].tasks++
 	}
--- a/internal/batch/interference_test.go
+++ b/internal/batch/interference_test.go
@@ -79,6 +79,36 @@
 	}
 }
 
+// The load of one serving task rises for 4 s, so that it misses its target beside filler tasks but not
+// without them, while the other tasks of its job have headroom. The filler tasks give way before the
+// target has been missed for half of that time, and go on afterwards.
+func TestFillersGiveWayToLoadSpikeOfOneServingTask(t *testing.T) {
+	sim := newInterferenceSim(t, "v", "v")
+	sim.renewsLeases = true
+	sim.headroomLost = map[string]map[string]float64{"v": {"a": 2}}
+	sim.baseline = func(string, time.Time) float64 { return 2.2 }
+	step := fillerStep("a", 6)
+	step.Estimate = 10 * time.Minute
+	sim.submit(step)
+	sim.run(20 * time.Second)
+	require.Zero(t, sim.longestMiss)
+	w := sim.core.workers["w-00"]
+	require.NotZero(t, w.fillerSize.Processors)
+	begin := sim.now
+	sim.spike = func(task TaskName, now time.Time) float64 {
+		if task.Job == "0000000000000001" && task.Index == 0 && now.Before(begin.Add(4*time.Second)) {
+			return 1
+		}
+		return 0
+	}
+	sim.run(4 * time.Second)
+	require.Less(t, sim.longestMiss, 2*time.Second)
+	sim.run(4 * time.Second)
+	for _, r := range sim.core.runningFillers(w) {
+		require.Equal(t, unthrottled, r.throttleRatio)
+	}
+}
+
 // Guards against filler jobs of an undemanding image that occupy the only worker which suits a more
 // demanding one. The jobs of that image have to be served in time, although more jobs of the
 // undemanding image are submitted before them.
--- a/internal/batch/throttle.go
+++ b/internal/batch/throttle.go
@@ -25,10 +25,16 @@
 	// move.
 	maxProgressToLose = 30
 	// highTailRatio is the tail ratio above which a worker is polled more often.
-	highTailRatio = 0.7
+	highTailRatio = 0.4
 	// raiseRatioAfter is how long throttle ratios are not raised after a change, so that
 	// measurements can show its effect.
 	raiseRatioAfter = 600 * time.Millisecond
+	// trySuspendedAfter is how long the filler runs on a worker stay suspended until one of them is tried
+	// for trialTime at the lowest throttle ratio, if the headroom is expected to be at least
+	// minHeadroomToTry beside it.
+	trySuspendedAfter = 3 * time.Second
+	trialTime         = 1500 * time.Millisecond
+	minHeadroomToTry  = 1.5
 	// minStayBeforeMove is how long a run stays on a worker before it may be moved.
 	minStayBeforeMove = time.Second
 	// urgentMissAfter is how long a target may be missed before the miss cost becomes
@@ -73,7 +79,9 @@
 		missCost = urgentMissCost
 	}
 	mayRaise := now.Sub(w.throttleChangedAt) >= raiseRatioAfter
-	for i, ratio := range c.bestThrottleRatios(w, runs, missCost) {
+	ratios := c.bestThrottleRatios(w, runs, missCost)
+	c.tryAfterSuspension(w, runs, ratios, now)
+	for i, ratio := range ratios {
 		r := runs[i]
 		switch {
 		case ratio < moveBelowRatio && c.mayMove(r, now):
@@ -87,6 +95,43 @@
 	}
 }
 
+// tryAfterSuspension raises the ratio of the run that has been suspended for longest by one step, if all
+// runs on the worker would remain suspended although serving tasks have headroom for it. While nothing
+// runs, nothing is measured that would correct the estimates.
+func (c *Core) tryAfterSuspension(w *worker, runs []*run, ratios []int, now time.Time) {
+	if slices.Max(append(ratios, 0)) > 0 || w.worstTailRatio >= 1 {
+		w.trial = nil
+		return
+	}
+	if i := slices.Index(runs, w.trial); i >= 0 && now.Before(w.trialEnds) {
+		ratios[i] = throttleStep
+		return
+	}
+	longest := -1
+	for i, r := range runs {
+		switch {
+		case r.throttleRatio > 0 || now.Sub(r.throttledAt) < trySuspendedAfter:
+			return
+		case longest < 0 || r.throttledAt.Before(runs[longest].throttledAt):
+			longest = i
+		}
+	}
+	if longest < 0 || !c.mayTry(runs[longest], w) {
+		return
+	}
+	w.trial, w.trialEnds = runs[longest], now.Add(trialTime)
+	ratios[longest] = throttleStep
+}
+
+// mayTry reports whether all serving tasks on a worker are expected to have minHeadroomToTry if a suspended
+// run is raised by one step.
+func (c *Core) mayTry(r *run, w *worker) bool {
+	cpuShare := r.task.stage.step.cpuShare(w) * throttleStep / unthrottled
+	return !slices.ContainsFunc(c.servingGroups(w), func(group servingGroup) bool {
+		return group.headroom-c.expectedEffect(group.stage.image, r.task.stage.image)*cpuShare < minHeadroomToTry
+	})
+}
+
 // mayMove reports whether a run may be moved and would run faster on another worker.
 func (c *Core) mayMove(r *run, now time.Time) bool {
 	s := r.task.stage
--- a/internal/interference/headroom.go
+++ b/internal/interference/headroom.go
@@ -42,6 +42,8 @@
 	// longTermMean and longTermVariance are the moving mean and variance over longTermWindow.
 	longTermMean     float64
 	longTermVariance float64
+	// measurableAt is when a headroom of at least minMeasurableHeadroom was last measured.
+	measurableAt time.Time
 }
 
 // Measured reports whether the baseline was ever measured.
@@ -76,7 +78,7 @@
 	priorEffectStdDev = 5.0
 	// minEffectStdDev bounds the standard deviation of an effect from below, so that new
 	// measurements still change it.
-	minEffectStdDev = 0.5
+	minEffectStdDev = 0.15
 	// defaultBaseline is the baseline of an image that was never measured: services are
 	// set up with a latency target of twice their usual tail latency.
 	defaultBaseline = 2.0
@@ -93,6 +95,12 @@
 	// minMeasurableHeadroom is the headroom below which a measurement only shows that there
 	// is less than this: tail latency has no bound there.
 	minMeasurableHeadroom = 0.3
+	// contradictedFor is how long a measurable headroom of a job contradicts one below
+	// minMeasurableHeadroom: the cause of the latter is then local to its worker.
+	contradictedFor = 2 * time.Second
+	// maxResidualStdDevs limits how much one measurement changes the estimates, in standard
+	// deviations of its residual. The load of a single task may rise far above that of its job.
+	maxResidualStdDevs = 2.0
 	// minUsageFraction is the fraction of a worker's processors below which an image is ignored.
 	minUsageFraction = 0.01
 )
@@ -114,48 +122,71 @@
 }
 
 // Observe updates the model with a victim's headroom as measured alongside other
-// images on its worker. noiseStdDev is the standard deviation of the measurement.
-func (h *HeadroomModel) Observe(baseline *BaselineHeadroom, victim int, coLocated []ImageUsage, headroom, noiseStdDev float64, at time.Time) {
-	expectedLoss, variance := 0.0, noiseStdDev*noiseStdDev
-	for _, image := range coLocated {
-		if image.Fraction >= minUsageFraction {
-			mean, stdDev := h.Effect(victim, image.Aggressor)
-			expectedLoss += mean * image.Fraction
-			variance += stdDev * stdDev * image.Fraction * image.Fraction
-		}
-	}
+// images on its worker, and returns the residual: the measured minus the expected
+// headroom. noiseStdDev is the standard deviation of the measurement.
+func (h *HeadroomModel) Observe(baseline *BaselineHeadroom, victim int, coLocated []ImageUsage, headroom, noiseStdDev float64, at time.Time) (residual float64) {
+	expectedLoss, variance := h.expectedLoss(victim, coLocated)
+	variance += noiseStdDev * noiseStdDev
+	isLocal := false
 	if headroom < minMeasurableHeadroom {
 		if baseline.Measured() && baseline.mean-expectedLoss < minMeasurableHeadroom {
 			h.calibration.observe(baseline.mean-expectedLoss, true)
-			return
+			return 0
 		}
 		headroom = minMeasurableHeadroom
+		isLocal = at.Sub(baseline.measurableAt) < contradictedFor
+	} else {
+		baseline.measurableAt = at
 	}
 	if !baseline.Measured() {
 		baseline.mean, baseline.variance, baseline.updatedAt = headroom+expectedLoss, variance, at
 		baseline.longTermMean, baseline.longTermVariance = baseline.mean, defaultBaselineStdDev*defaultBaselineStdDev
 		h.updateImageBaseline(victim, baseline.mean)
-		return
+		return 0
 	}
-	elapsedSeconds := max(0, at.Sub(baseline.updatedAt).Seconds())
-	baseline.variance += baselineVariancePerSecond * elapsedSeconds
+	elapsed := max(0, at.Sub(baseline.updatedAt))
+	baseline.variance += baselineVariancePerSecond * elapsed.Seconds()
 	baseline.updatedAt = at
 	expected := baseline.mean - expectedLoss
 	h.calibration.observe(expected, headroom < 1)
-	residual := headroom - expected
+	residual = headroom - expected
 	totalVariance := variance + baseline.variance
+	limit := maxResidualStdDevs * math.Sqrt(totalVariance)
+	limited := max(-limit, min(limit, residual))
 	for _, image := range coLocated {
 		if image.Fraction >= minUsageFraction {
-			h.mutableEffect(victim, image.Aggressor).correct(-residual*image.Fraction/totalVariance, image.Fraction*image.Fraction/totalVariance)
+			h.mutableEffect(victim, image.Aggressor).correct(-limited*image.Fraction/totalVariance, image.Fraction*image.Fraction/totalVariance)
 		}
 	}
-	baseline.mean += residual * baseline.variance / totalVariance
-	baseline.variance *= 1 - baseline.variance/totalVariance
-	weight := min(1, elapsedSeconds/longTermWindow.Seconds())
-	deviation := baseline.mean - baseline.longTermMean
-	baseline.longTermMean += weight * deviation
-	baseline.longTermVariance += weight * (deviation*deviation - baseline.longTermVariance)
-	h.updateImageBaseline(victim, baseline.mean)
+	if !isLocal {
+		baseline.correct(limited, totalVariance, elapsed)
+		h.updateImageBaseline(victim, baseline.mean)
+	}
+	return residual
+}
+
+// expectedLoss returns the headroom that a victim is expected to lose alongside
+// other images, and the variance of that loss.
+func (h *HeadroomModel) expectedLoss(victim int, coLocated []ImageUsage) (loss, variance float64) {
+	for _, image := range coLocated {
+		if image.Fraction >= minUsageFraction {
+			mean, stdDev := h.Effect(victim, image.Aggressor)
+			loss += mean * image.Fraction
+			variance += stdDev * stdDev * image.Fraction * image.Fraction
+		}
+	}
+	return loss, variance
+}
+
+// correct updates the baseline from the residual of a measurement, whose variance
+// is totalVariance, and the long-term mean and variance by the elapsed time.
+func (b *BaselineHeadroom) correct(residual, totalVariance float64, elapsed time.Duration) {
+	b.mean += residual * b.variance / totalVariance
+	b.variance *= 1 - b.variance/totalVariance
+	weight := min(1, float64(elapsed)/float64(longTermWindow))
+	deviation := b.mean - b.longTermMean
+	b.longTermMean += weight * deviation
+	b.longTermVariance += weight * (deviation*deviation - b.longTermVariance)
 }
 
 // MissProbability returns the probability that a latency target is missed at an
@@ -169,12 +200,12 @@
 }
 
 // correct updates the measured evidence so that variance*shift is added to the
-// estimated mean, and variance*variance*gain is subtracted from the variance.
+// estimated mean, which stays at least 0 since no image helps another, and variance*variance*gain is subtracted from the variance.
 func (e *effect) correct(shift, gain float64) {
 	mean, stdDev := e.estimate()
 	oldVariance := stdDev * stdDev
 	newVariance := oldVariance - oldVariance*oldVariance*gain
-	newMean := mean + oldVariance*shift
+	newMean := max(0, mean+oldVariance*shift)
 	if newVariance < minEffectStdDev*minEffectStdDev {
 		// With a smaller variance, new measurements would no longer move the mean.
 		newVariance = minEffectStdDev * minEffectStdDev
--- a/internal/interference/headroom_test.go
+++ b/internal/interference/headroom_test.go
@@ -67,3 +67,66 @@
 	after, _ := h.Effect(0, 1)
 	require.InDelta(t, before, after, 1e-9)
 }
+
+// One task of a job on a slow worker misses its target by far. The baseline of the job follows its
+// other tasks, and without others the only one that there is.
+func TestBaselineFollowsTheOtherTasksOfAJob(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		others int
+		want   float64
+		delta  float64
+	}{
+		{name: "seven tasks elsewhere", others: 7, want: 2, delta: 0.1},
+		{name: "one task elsewhere", others: 1, want: 2, delta: 0.1},
+		{name: "no other task", want: minMeasurableHeadroom, delta: 0.1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var h HeadroomModel
+			var baseline BaselineHeadroom
+			now := time.Unix(1_000_000_000, 0)
+			h.Observe(&baseline, 0, nil, 2, 0.1, now)
+			for range 40 {
+				now = now.Add(300 * time.Millisecond)
+				for range c.others {
+					h.Observe(&baseline, 0, nil, 2, 0.1, now)
+				}
+				h.Observe(&baseline, 0, []ImageUsage{{Aggressor: 1, Fraction: 0.1}}, 0.02, 0.1, now)
+				h.Observe(&baseline, 0, nil, 0.02, 0.1, now)
+			}
+			require.InDelta(t, c.want, h.Baseline(&baseline, 0), c.delta)
+		})
+	}
+}
+
+// The load of single tasks rises for a while, whatever runs beside them. The effect of the image
+// beside them is known as exactly as before.
+func TestLoadSpikesOfSingleTasksLeaveEffects(t *testing.T) {
+	const trueEffect, tasks = 4.0, 6
+	random := rand.New(rand.NewPCG(7, 8))
+	var h HeadroomModel
+	var baseline BaselineHeadroom
+	spikeEnds := make([]int, tasks)
+	now, worst := time.Unix(1_000_000_000, 0), 0.0
+	for round := range 400 {
+		now = now.Add(250 * time.Millisecond)
+		for i := range tasks {
+			if random.Float64() < 0.01 {
+				spikeEnds[i] = round + 6
+			}
+			headroom := 1.8 + 0.1*random.NormFloat64()
+			if round < spikeEnds[i] {
+				headroom -= 0.6
+			}
+			var coLocated []ImageUsage
+			if i%2 == 0 {
+				coLocated, headroom = []ImageUsage{{Aggressor: 1, Fraction: 0.1}}, headroom-trueEffect*0.1
+			}
+			h.Observe(&baseline, 0, coLocated, headroom, 0.1, now)
+		}
+		if mean, _ := h.Effect(0, 1); round >= 100 {
+			worst = max(worst, math.Abs(mean-trueEffect))
+		}
+	}
+	require.Less(t, worst, 1.0)
+}
