Interference: calibrate misses by expected headroom and loss

Cause: the load of a serving task rises at times to a level that leaves 1.1 to 1.2 of headroom, whatever its job has (quiet tasks, traced). So a target is missed beside any filler work that takes more than that, and further work costs little more; by expected headroom alone the first task beside a serving task looked as cheap as the fourth.

Change: the calibration has bins of loss besides; measurements whose expectation is uncertain, and those of a worker that is slow by itself, don't count.

--- a/internal/batch/estimate.go
+++ b/internal/batch/estimate.go
@@ -31,6 +31,8 @@
 	// gap is how much less headroom the tasks have than is expected of their job, for example because
 	// their own load has risen.
 	gap float64
+	// loss is the headroom that the tasks are expected to lose to the filler tasks on the worker.
+	loss float64
 	// headroom is the expected headroom beside the filler tasks on the worker at their present
 	// throttle ratios, variance the variance of that estimate.
 	headroom float64
@@ -48,13 +50,14 @@
 // missProbability returns the probability that the group's target is missed if an image uses an
 // additional share of the worker's processors.
 func (c *Core) missProbability(group *servingGroup, image int, cpuShare float64) float64 {
-	headroom, variance := group.headroom, group.variance
+	headroom, variance, loss := group.headroom, group.variance, group.loss
 	if cpuShare != 0 {
 		mean, spread := c.headroom.Effect(group.stage.image, image)
 		headroom -= max(0, mean) * cpuShare
+		loss += max(0, mean) * cpuShare
 		variance += spread * spread * cpuShare * math.Abs(cpuShare)
 	}
-	return c.headroom.MissProbability(headroom, math.Sqrt(max(0, variance)))
+	return c.headroom.MissProbability(headroom, math.Sqrt(max(0, variance)), loss)
 }
 
 // servingGroups returns the groups of serving tasks on a worker.
@@ -89,6 +92,7 @@
 				cpuShare := s.step.cpuShare(w) * float64(r.throttleRatio) / unthrottled
 				mean, spread := c.headroom.Effect(group.stage.image, s.image)
 				group.headroom -= max(0, mean) * cpuShare
+				group.loss += max(0, mean) * cpuShare
 				group.variance += spread * spread * cpuShare * cpuShare
 			}
 		}
--- a/internal/batch/throttle.go
+++ b/internal/batch/throttle.go
@@ -191,6 +191,7 @@
 	for i := range groups {
 		mean, spread := c.headroom.Effect(groups[i].stage.image, s.image)
 		groups[i].headroom -= max(0, mean) * cpuShare
+		groups[i].loss = max(0, groups[i].loss+max(0, mean)*cpuShare)
 		groups[i].variance = max(0, groups[i].variance+spread*spread*cpuShare*math.Abs(cpuShare))
 	}
 }
--- a/internal/interference/headroom.go
+++ b/internal/interference/headroom.go
@@ -29,7 +29,7 @@
 	effects [][]effect
 	// imageBaselines holds the mean baseline of each image as a victim; 0 before the first measurement.
 	imageBaselines []float64
-	// calibration gives how often a target was missed at each expected headroom.
+	// calibration gives how often a target was missed at each expected headroom and loss.
 	calibration calibration
 }
 
@@ -101,6 +101,9 @@
 	// maxResidualStdDevs limits how much one measurement changes the estimates, in standard
 	// deviations of its residual. The load of a single task may rise far above that of its job.
 	maxResidualStdDevs = 2.0
+	// maxCalibratedStdDev is the standard deviation of an expected loss above which a measurement
+	// does not count for the calibration.
+	maxCalibratedStdDev = binWidth / 2
 	// minUsageFraction is the fraction of a worker's processors below which an image is ignored.
 	minUsageFraction = 0.01
 )
@@ -126,11 +129,14 @@
 // headroom. noiseStdDev is the standard deviation of the measurement.
 func (h *HeadroomModel) Observe(baseline *BaselineHeadroom, victim int, coLocated []ImageUsage, headroom, noiseStdDev float64, at time.Time) (residual float64) {
 	expectedLoss, variance := h.expectedLoss(victim, coLocated)
+	isCalibrated := variance <= maxCalibratedStdDev*maxCalibratedStdDev
 	variance += noiseStdDev * noiseStdDev
 	isLocal := false
 	if headroom < minMeasurableHeadroom {
 		if baseline.Measured() && baseline.mean-expectedLoss < minMeasurableHeadroom {
-			h.calibration.observe(baseline.mean-expectedLoss, true)
+			if isCalibrated {
+				h.calibration.observe(baseline.mean-expectedLoss, expectedLoss, true)
+			}
 			return 0
 		}
 		headroom = minMeasurableHeadroom
@@ -148,7 +154,9 @@
 	baseline.variance += baselineVariancePerSecond * elapsed.Seconds()
 	baseline.updatedAt = at
 	expected := baseline.mean - expectedLoss
-	h.calibration.observe(expected, headroom < 1)
+	if isCalibrated && (!isLocal || expectedLoss > 0) {
+		h.calibration.observe(expected, expectedLoss, headroom < 1)
+	}
 	residual = headroom - expected
 	totalVariance := variance + baseline.variance
 	limit := maxResidualStdDevs * math.Sqrt(totalVariance)
@@ -190,13 +198,14 @@
 }
 
 // MissProbability returns the probability that a latency target is missed at an
-// expected headroom. stdDev is the uncertainty of the expected headroom beyond
-// the spread of past measurements around their expectations.
-func (h *HeadroomModel) MissProbability(expected, stdDev float64) float64 {
+// expected headroom beside images that are expected to take a loss from it.
+// stdDev is the uncertainty of the expected headroom beyond the spread of past
+// measurements around their expectations.
+func (h *HeadroomModel) MissProbability(expected, stdDev, loss float64) float64 {
 	if stdDev == 0 {
-		return h.calibration.missProbability(expected)
+		return h.calibration.missProbability(expected, loss)
 	}
-	return (h.calibration.missProbability(expected-stdDev) + h.calibration.missProbability(expected+stdDev)) / 2
+	return (h.calibration.missProbability(expected-stdDev, loss) + h.calibration.missProbability(expected+stdDev, loss)) / 2
 }
 
 // correct updates the measured evidence so that variance*shift is added to the
