--- a/internal/batch/core.go
+++ b/internal/batch/core.go
@@ -39,7 +39,9 @@
 	health *placement.Health
 	// headroom learns how much headroom each serving image loses beside other images.
 	headroom interference.HeadroomModel
-	images   map[string]int
+	// missed is the time for which targets were missed since the last call of TakeMissedTargets.
+	missed MissedTargets
+	images map[string]int
 	// sortedWorkers are all workers, sorted by ID; nil after a change.
 	sortedWorkers []*worker
 	// nextStopRetry is when unanswered stop commands are checked next.
--- a/internal/batch/interference.go
+++ b/internal/batch/interference.go
@@ -105,12 +105,38 @@
 		s := r.task.stage
 		if noise, known := r.updateTailRatio(span); known {
 			r.addResidual(c.headroom.Observe(&s.baseline, s.image, beside, 1/r.tailRatio, noise, now))
+			if r.tailRatio >= 1 {
+				c.missed.add(span, len(beside) > 0)
+			}
 		}
 	}
 	w.tailsRecordedAt = now
 	w.fillerUsage = w.fillerUsage[:0]
 }
 
+// MissedTargets is the time, summed over the serving tasks, for which they missed their tail targets.
+type MissedTargets struct {
+	// BesideFillers is the time for which filler tasks were at work on the same worker, Alone the rest.
+	BesideFillers time.Duration
+	Alone         time.Duration
+}
+
+// add adds the time for which one serving task missed its target.
+func (m *MissedTargets) add(d time.Duration, besideFillers bool) {
+	if besideFillers {
+		m.BesideFillers += d
+	} else {
+		m.Alone += d
+	}
+}
+
+// TakeMissedTargets returns the time since the last call for which serving tasks missed their targets.
+func (c *Core) TakeMissedTargets() MissedTargets {
+	missed := c.missed
+	c.missed = MissedTargets{}
+	return missed
+}
+
 // addResidual updates the headroom that the run lacks from the residual of a measurement.
 func (r *run) addResidual(residual float64) {
 	r.lackingHeadroom += residualWeight * (-residual - r.lackingHeadroom)
--- a/internal/scheduler/meter.go
+++ b/internal/scheduler/meter.go
@@ -18,7 +18,10 @@
 	crashes  *metrics.Counter
 	setAside *metrics.Counter
 	refused  *metrics.Counter
-	set      *metrics.Set
+	// missedBesideFillers and missedAlone sum the seconds for which serving tasks missed their targets.
+	missedBesideFillers *metrics.FloatCounter
+	missedAlone         *metrics.FloatCounter
+	set                 *metrics.Set
 }
 
 // NewMetrics returns metrics that are registered in a set.
@@ -31,7 +34,10 @@
 		crashes:  set.NewCounter("oriolepond_worker_crashes_total"),
 		setAside: set.NewCounter("oriolepond_jobs_set_aside_total"),
 		refused:  set.NewCounter("oriolepond_commits_refused_total"),
-		set:      set,
+
+		missedBesideFillers: set.NewFloatCounter(`oriolepond_target_missed_seconds_total{beside="filler"}`),
+		missedAlone:         set.NewFloatCounter(`oriolepond_target_missed_seconds_total{beside="none"}`),
+		set:                 set,
 	}
 }
 
@@ -53,6 +59,12 @@
 // CommitRefused counts a commit that the store refused as invalid.
 func (m *Metrics) CommitRefused() { m.refused.Inc() }
 
+// MissedTargets adds the time for which serving tasks missed their tail targets.
+func (m *Metrics) MissedTargets(missed batch.MissedTargets) {
+	m.missedBesideFillers.Add(missed.BesideFillers.Seconds())
+	m.missedAlone.Add(missed.Alone.Seconds())
+}
+
 // Command records the time until a command was answered or failed, and counts its answer.
 func (m *Metrics) Command(kind batch.CommandKind, answer batch.Answer, duration time.Duration) {
 	m.commands.Update(duration.Seconds())
--- a/internal/scheduler/polls.go
+++ b/internal/scheduler/polls.go
@@ -202,6 +202,7 @@
 		if err == nil {
 			startedAt := l.Now()
 			l.core.ApplyReport(id, report, sent, received)
+			l.Metrics.MissedTargets(l.core.TakeMissedTargets())
 			l.spent.applying += l.Now().Sub(startedAt)
 			l.spent.reports++
 		} else {
