--- a/internal/batch/estimate.go
+++ b/internal/batch/estimate.go
@@ -19,18 +19,10 @@
 	throttleMissCost = 2.0
 )
 
-// minUndisturbedHeadroom bounds from below the headroom that a task with a headroom gap is assumed to
-// have without filler tasks. Otherwise, a target that is missed beside filler tasks would count as one
-// that is missed without them, and more would be let in.
-const minUndisturbedHeadroom = 1.2
-
-// servingGroup holds the serving tasks of one stage on a worker that have the same headroom.
+// servingGroup holds the serving tasks of one stage on a worker.
 type servingGroup struct {
 	stage *stage
 	tasks int
-	// gap is how much less headroom the tasks have than is expected of their job, for example because
-	// their own load has risen.
-	gap float64
 	// loss is the headroom that the tasks are expected to lose to the filler tasks on the worker.
 	loss float64
 	// headroom is the expected headroom beside the filler tasks on the worker at their present
@@ -74,14 +66,12 @@
 		if s.step.TailTarget <= 0 {
 			continue
 		}
-		gap := r.headroomGap()
-		i := slices.IndexFunc(w.groups, func(group servingGroup) bool { return group.stage == s && group.gap == gap })
+		i := slices.IndexFunc(w.groups, func(group servingGroup) bool { return group.stage == s })
 		if i < 0 {
 			i = len(w.groups)
 			baseline := c.headroom.Baseline(&s.baseline, s.image)
 			typical, variance := c.headroom.LongTermBaseline(&s.baseline, s.image)
-			headroom := max(baseline-gap, min(baseline, minUndisturbedHeadroom))
-			w.groups = append(w.groups, servingGroup{stage: s, gap: gap, headroom: headroom, typicalOffset: typical - baseline, typicalVariance: variance})
+			w.groups = append(w.groups, servingGroup{stage: s, headroom: baseline, typicalOffset: typical - baseline, typicalVariance: variance})
 		}
 		w.groups[i].tasks++
 	}
--- a/internal/batch/interference.go
+++ b/internal/batch/interference.go
@@ -22,10 +22,6 @@
 	tailResolution  = time.Millisecond
 	tailChangeNoise = 0.3
 	headroomNoise   = 0.1
-	// residualWeight is the weight of a new measurement in run.lackingHeadroom, minHeadroomGap the
-	// least value of it that is no noise.
-	residualWeight = 0.7
-	minHeadroomGap = 0.25
 	// typicalServingUse is the share of their processors that serving tasks are assumed to use at
 	// typicalTailRatio and below, busyServingUse the share at their targets. In between, it grows
 	// linearly.
@@ -104,7 +100,7 @@
 	for _, r := range w.measuredRuns() {
 		s := r.task.stage
 		if noise, known := r.updateTailRatio(span); known {
-			r.addResidual(c.headroom.Observe(&s.baseline, s.image, beside, 1/r.tailRatio, noise, now))
+			c.headroom.Observe(&s.baseline, s.image, beside, 1/r.tailRatio, noise, now)
 			if r.tailRatio >= 1 {
 				c.missed.add(span, len(beside) > 0)
 			}
@@ -137,20 +133,6 @@
 	return missed
 }
 
-// addResidual updates the headroom that the run lacks from the residual of a measurement.
-func (r *run) addResidual(residual float64) {
-	r.lackingHeadroom += residualWeight * (-residual - r.lackingHeadroom)
-}
-
-// headroomGap returns how much less headroom the run has than is expected of its job, or 0 if the
-// difference may be noise.
-func (r *run) headroomGap() float64 {
-	if r.lackingHeadroom < minHeadroomGap {
-		return 0
-	}
-	return r.lackingHeadroom
-}
-
 // updateTailRatio computes the tail ratio in the span since the previous measurement, and returns
 // the noise of the headroom derived from it. It returns false for the first measurement, which may
 // include time before the run began.
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -217,8 +217,6 @@
 	tail         time.Duration
 	previousTail time.Duration
 	tailRatio    float64
-	// lackingHeadroom is how much less headroom the run has had lately than was expected of its job.
-	lackingHeadroom float64
 	// coresUsed is the number of processors that the run used recently; it is not reported for
 	// serving tasks. throttleRatio is the percentage of full speed at which a filler run may work,
 	// set at throttledAt.
--- a/internal/batch/throttle.go
+++ b/internal/batch/throttle.go
@@ -152,7 +152,8 @@
 
 // bestThrottleRatios returns the throttle ratios at which the progress of the filler runs, less the
 // cost of expected misses, is highest. It is a greedy search: it starts with all runs suspended and
-// raises the ratio of the run that gains most, step by step.
+// raises the ratio of the run that gains most, by one step or to full speed: the first steps may cost
+// more than they gain, and further ones less.
 func (c *Core) bestThrottleRatios(w *worker, runs []*run, missCost float64) []int {
 	ratios := make([]int, len(runs))
 	groups := slices.Clone(c.servingGroups(w))
@@ -160,29 +161,37 @@
 		c.shiftExpectations(groups, r.task.stage, w, -float64(r.throttleRatio)/unthrottled)
 	}
 	for {
-		best, most := -1, 0.0
+		best, step, most := -1, 0, 0.0
 		for i, r := range runs {
 			if ratios[i] == unthrottled {
 				continue
 			}
-			gain := float64(throttleStep) / unthrottled
-			cpuShare := r.task.stage.step.cpuShare(w) * gain
-			for k := range groups {
-				group := &groups[k]
-				gain -= missCost * float64(group.tasks) * (c.missProbability(group, r.task.stage.image, cpuShare) - c.missProbability(group, 0, 0))
-			}
-			if gain > most {
-				best, most = i, gain
+			for _, by := range []int{throttleStep, unthrottled - ratios[i]} {
+				if gain := c.netGain(groups, r, w, by, missCost); gain > most {
+					best, step, most = i, by, gain
+				}
 			}
 		}
 		if best < 0 {
 			return ratios
 		}
-		ratios[best] += throttleStep
-		c.shiftExpectations(groups, runs[best].task.stage, w, float64(throttleStep)/unthrottled)
+		ratios[best] += step
+		c.shiftExpectations(groups, runs[best].task.stage, w, float64(step)/unthrottled)
 	}
 }
 
+// netGain returns the progress less the cost of expected misses if the throttle ratio of a run rises by a number of
+// percent.
+func (c *Core) netGain(groups []servingGroup, r *run, w *worker, by int, missCost float64) float64 {
+	gain := float64(by) / unthrottled
+	cpuShare := r.task.stage.step.cpuShare(w) * gain
+	for k := range groups {
+		group := &groups[k]
+		gain -= missCost * float64(group.tasks) * (c.missProbability(group, r.task.stage.image, cpuShare) - c.missProbability(group, 0, 0))
+	}
+	return gain
+}
+
 // shiftExpectations updates the expected headroom of groups for a change in the speed of one filler
 // task of a stage. The ratio is the change as a fraction of full speed; it is negative if the task
 // slows down.
--- a/internal/interference/headroom.go
+++ b/internal/interference/headroom.go
@@ -125,9 +125,8 @@
 }
 
 // Observe updates the model with a victim's headroom as measured alongside other
-// images on its worker, and returns the residual: the measured minus the expected
-// headroom. noiseStdDev is the standard deviation of the measurement.
-func (h *HeadroomModel) Observe(baseline *BaselineHeadroom, victim int, coLocated []ImageUsage, headroom, noiseStdDev float64, at time.Time) (residual float64) {
+// images on its worker. noiseStdDev is the standard deviation of the measurement.
+func (h *HeadroomModel) Observe(baseline *BaselineHeadroom, victim int, coLocated []ImageUsage, headroom, noiseStdDev float64, at time.Time) {
 	expectedLoss, variance := h.expectedLoss(victim, coLocated)
 	isCalibrated := variance <= maxCalibratedStdDev*maxCalibratedStdDev
 	variance += noiseStdDev * noiseStdDev
@@ -137,7 +136,7 @@
 			if isCalibrated {
 				h.calibration.observe(baseline.mean-expectedLoss, expectedLoss, true)
 			}
-			return 0
+			return
 		}
 		headroom = minMeasurableHeadroom
 		isLocal = at.Sub(baseline.measurableAt) < contradictedFor
@@ -148,7 +147,7 @@
 		baseline.mean, baseline.variance, baseline.updatedAt = headroom+expectedLoss, variance, at
 		baseline.longTermMean, baseline.longTermVariance = baseline.mean, defaultBaselineStdDev*defaultBaselineStdDev
 		h.updateImageBaseline(victim, baseline.mean)
-		return 0
+		return
 	}
 	elapsed := max(0, at.Sub(baseline.updatedAt))
 	baseline.variance += baselineVariancePerSecond * elapsed.Seconds()
@@ -157,7 +156,7 @@
 	if isCalibrated && (!isLocal || expectedLoss > 0) {
 		h.calibration.observe(expected, expectedLoss, headroom < 1)
 	}
-	residual = headroom - expected
+	residual := headroom - expected
 	totalVariance := variance + baseline.variance
 	limit := maxResidualStdDevs * math.Sqrt(totalVariance)
 	limited := max(-limit, min(limit, residual))
@@ -170,7 +169,6 @@
 		baseline.correct(limited, totalVariance, elapsed)
 		h.updateImageBaseline(victim, baseline.mean)
 	}
-	return residual
 }
 
 // expectedLoss returns the headroom that a victim is expected to lose alongside
--- a/internal/interference/headroom_test.go
+++ b/internal/interference/headroom_test.go
@@ -130,3 +130,31 @@
 	}
 	require.Less(t, worst, 1.0)
 }
+
+// The load of single tasks rises to a level that leaves them some headroom, whatever their job has. A
+// target is then missed beside any images that take more than this, so that the first images beside a
+// task cost more misses than further ones.
+func TestMissesDependOnLoss(t *testing.T) {
+	random := rand.New(rand.NewPCG(9, 10))
+	var h HeadroomModel
+	var baseline BaselineHeadroom
+	h.Set(0, 1, Evidence{Precision: 100, WeightedMean: 100 * 2})
+	now := time.Unix(1_000_000_000, 0)
+	for range 4000 {
+		now = now.Add(50 * time.Millisecond)
+		headroom := 1.9
+		if random.Float64() < 0.1 {
+			headroom = 1.15
+		}
+		var coLocated []ImageUsage
+		if fraction := 0.1 * float64(random.IntN(4)); fraction > 0 {
+			coLocated = []ImageUsage{{Aggressor: 1, Fraction: fraction}}
+			headroom -= 2 * fraction
+		}
+		h.Observe(&baseline, 0, coLocated, headroom+0.03*random.NormFloat64(), 0.1, now)
+	}
+	alone, first, third := h.MissProbability(1.9, 0, 0), h.MissProbability(1.7, 0, 0.2), h.MissProbability(1.5, 0, 0.4)
+	require.Less(t, alone, 0.03)
+	require.Greater(t, first-alone, 0.05)
+	require.Less(t, third-first, (first-alone)/2)
+}
