--- a/internal/batch/throttle.go
+++ b/internal/batch/throttle.go
@@ -25,7 +25,7 @@
 	// move.
 	maxProgressToLose = 30
 	// highTailRatio is the tail ratio above which a worker is polled more often.
-	highTailRatio = 0.4
+	highTailRatio = 0.7
 	// raiseRatioAfter is how long throttle ratios are not raised after a change, so that
 	// measurements can show its effect.
 	raiseRatioAfter = 600 * time.Millisecond
--- a/internal/laboratory/leader.go
+++ b/internal/laboratory/leader.go
@@ -34,7 +34,7 @@
 	// that the worker may not hold back, and shortPollWait how long it may if a tail latency is high.
 	pollRetryAfter   = 250 * time.Millisecond
 	suspectPollEvery = 100 * time.Millisecond
-	shortPollWait    = 250 * time.Millisecond
+	shortPollWait    = 400 * time.Millisecond
 	// durableWithin bounds the wait of a poll for the commit of the ends that were reported before.
 	durableWithin = 300 * time.Millisecond
 	// storeEffectsEvery is how often the learned effects are stored.
--- a/internal/scheduler/polls.go
+++ b/internal/scheduler/polls.go
@@ -23,7 +23,7 @@
 	pollWait = 1500 * time.Millisecond
 	// shortPollWait is the same for a worker with filler tasks whose serving tasks' tail
 	// latency is near its limit; the worker measures this latency over half a second.
-	shortPollWait = 250 * time.Millisecond
+	shortPollWait = 400 * time.Millisecond
 	// pollRetryInterval is the wait after a failed poll.
 	pollRetryInterval = 250 * time.Millisecond
 	// durableEndsTimeout bounds the delay of a poll until the run ends that the worker reported earlier are committed.
