--- a/internal/scheduler/meter.go
+++ b/internal/scheduler/meter.go
@@ -24,7 +24,10 @@
 	// to wait for one of them.
 	evacuated       *metrics.Gauge
 	evacuationWaits *metrics.Counter
-	set             *metrics.Set
+	// missedBesideFillers and missedAlone sum the seconds for which serving tasks missed their targets.
+	missedBesideFillers *metrics.FloatCounter
+	missedAlone         *metrics.FloatCounter
+	set                 *metrics.Set
 }
 
 // NewMetrics returns metrics that are registered in a set.
@@ -40,7 +43,10 @@
 		refused:         set.NewCounter("oriolepond_commits_refused_total"),
 		evacuated:       set.NewGauge("oriolepond_evacuated_data_centres", nil),
 		evacuationWaits: set.NewCounter("oriolepond_evacuation_waits_total"),
-		set:             set,
+
+		missedBesideFillers: set.NewFloatCounter(`oriolepond_target_missed_seconds_total{beside="filler"}`),
+		missedAlone:         set.NewFloatCounter(`oriolepond_target_missed_seconds_total{beside="none"}`),
+		set:                 set,
 	}
 }
 
@@ -89,6 +95,12 @@
 	return "unknown"
 }
 
+// MissedTargets adds the time for which serving tasks missed their tail targets.
+func (m *Metrics) MissedTargets(missed batch.MissedTargets) {
+	m.missedBesideFillers.Add(missed.BesideFillers.Seconds())
+	m.missedAlone.Add(missed.Alone.Seconds())
+}
+
 // Command records the time until a command was answered or failed, and counts its answer.
 func (m *Metrics) Command(kind batch.CommandKind, answer batch.Answer, duration time.Duration) {
 	m.commands.Update(duration.Seconds())
