--- a/internal/batch/estimate.go
+++ b/internal/batch/estimate.go
@@ -23,8 +23,6 @@
 type servingGroup struct {
 	stage *stage
 	tasks int
-	// loss is the headroom that the tasks are expected to lose to the filler tasks on the worker.
-	loss float64
 	// headroom is the expected headroom beside the filler tasks on the worker at their present
 	// throttle ratios, variance the variance of that estimate.
 	headroom float64
@@ -42,14 +40,13 @@
 // missProbability returns the probability that the group's target is missed if an image uses an
 // additional share of the worker's processors.
 func (c *Core) missProbability(group *servingGroup, image int, cpuShare float64) float64 {
-	headroom, variance, loss := group.headroom, group.variance, group.loss
+	headroom, variance := group.headroom, group.variance
 	if cpuShare != 0 {
 		mean, spread := c.headroom.Effect(group.stage.image, image)
 		headroom -= max(0, mean) * cpuShare
-		loss += max(0, mean) * cpuShare
 		variance += spread * spread * cpuShare * math.Abs(cpuShare)
 	}
-	return c.headroom.MissProbability(headroom, math.Sqrt(max(0, variance)), loss)
+	return c.headroom.MissProbability(headroom, math.Sqrt(max(0, variance)))
 }
 
 // servingGroups returns the groups of serving tasks on a worker.
@@ -82,7 +79,6 @@
 				cpuShare := s.step.cpuShare(w) * float64(r.throttleRatio) / unthrottled
 				mean, spread := c.headroom.Effect(group.stage.image, s.image)
 				group.headroom -= max(0, mean) * cpuShare
-				group.loss += max(0, mean) * cpuShare
 				group.variance += spread * spread * cpuShare * cpuShare
 			}
 		}
--- a/internal/batch/interference_test.go
+++ b/internal/batch/interference_test.go
@@ -1,7 +1,6 @@
 package batch
 
 import (
-	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -80,47 +79,6 @@
 	}
 }
 
-// The load of single serving tasks rises so that their target is missed beside any filler work that is
-// worth a step of the throttle ratio, and more work costs no more. A run then works at full speed, since
-// its progress outweighs the misses, or not at all, though its first step alone is not worth them.
-func TestThrottleRatioRisesPastACostlyFirstStep(t *testing.T) {
-	for _, c := range []struct {
-		name   string
-		spikes float64
-		want   int
-	}{
-		{name: "rare spikes", spikes: 0.14, want: unthrottled},
-		{name: "frequent spikes", spikes: 0.35, want: 0},
-	} {
-		t.Run(c.name, func(t *testing.T) {
-			sim := newServingSim(t, 2, "v")
-			sim.baseline = func(string, time.Time) float64 { return 2.2 }
-			sim.submit(Step{Tasks: 1, Size: fillerStep("a", 1).Size, Filler: true, Image: "a", Estimate: time.Minute, Checkpoints: true})
-			sim.run(2 * time.Second)
-			core, w := sim.core, sim.core.workers["w-00"]
-			serving, filler := core.imageID("v"), core.imageID("a")
-			core.headroom.Set(serving, filler, interference.Evidence{Precision: 100, WeightedMean: 100 * 8})
-			var baseline interference.BaselineHeadroom
-			random, now := rand.New(rand.NewPCG(3, 4)), sim.now
-			for range 8000 {
-				now = now.Add(20 * time.Millisecond)
-				headroom := 2.2
-				if random.Float64() < c.spikes {
-					headroom = 1.1
-				}
-				fraction := 0.025 * float64(random.IntN(5))
-				beside := []interference.ImageUsage{{Aggressor: filler, Fraction: fraction}}
-				core.headroom.Observe(&baseline, serving, beside, headroom-8*fraction, 0.1, now)
-			}
-			core.headroom.Set(serving, filler, interference.Evidence{Precision: 100, WeightedMean: 100 * 8})
-			w.groupsStale = true
-			runs := core.runningFillers(w)
-			require.Len(t, runs, 1)
-			require.Equal(t, []int{c.want}, core.bestThrottleRatios(w, runs, throttleMissCost))
-		})
-	}
-}
-
 // Guards against filler jobs of an undemanding image that occupy the only worker which suits a more
 // demanding one. The jobs of that image have to be served in time, although more jobs of the
 // undemanding image are submitted before them.
--- a/internal/batch/throttle.go
+++ b/internal/batch/throttle.go
@@ -29,12 +29,6 @@
 	// raiseRatioAfter is how long throttle ratios are not raised after a change, so that
 	// measurements can show its effect.
 	raiseRatioAfter = 600 * time.Millisecond
-	// trySuspendedAfter is how long the filler runs on a worker stay suspended until one of them is tried
-	// for trialTime at the lowest throttle ratio, if the headroom is expected to be at least
-	// minHeadroomToTry beside it.
-	trySuspendedAfter = 3 * time.Second
-	trialTime         = 1500 * time.Millisecond
-	minHeadroomToTry  = 1.5
 	// minStayBeforeMove is how long a run stays on a worker before it may be moved.
 	minStayBeforeMove = time.Second
 	// urgentMissAfter is how long a target may be missed before the miss cost becomes
@@ -79,9 +73,7 @@
 		missCost = urgentMissCost
 	}
 	mayRaise := now.Sub(w.throttleChangedAt) >= raiseRatioAfter
-	ratios := c.bestThrottleRatios(w, runs, missCost)
-	c.tryAfterSuspension(w, runs, ratios, now)
-	for i, ratio := range ratios {
+	for i, ratio := range c.bestThrottleRatios(w, runs, missCost) {
 		r := runs[i]
 		switch {
 		case ratio < moveBelowRatio && c.mayMove(r, now):
@@ -95,43 +87,6 @@
 	}
 }
 
-// tryAfterSuspension raises the ratio of the run that has been suspended for longest by one step, if all
-// runs on the worker would remain suspended although serving tasks have headroom for it. While nothing
-// runs, nothing is measured that would correct the estimates.
-func (c *Core) tryAfterSuspension(w *worker, runs []*run, ratios []int, now time.Time) {
-	if slices.Max(append(ratios, 0)) > 0 || w.worstTailRatio >= 1 {
-		w.trial = nil
-		return
-	}
-	if i := slices.Index(runs, w.trial); i >= 0 && now.Before(w.trialEnds) {
-		ratios[i] = throttleStep
-		return
-	}
-	longest := -1
-	for i, r := range runs {
-		switch {
-		case r.throttleRatio > 0 || now.Sub(r.throttledAt) < trySuspendedAfter:
-			return
-		case longest < 0 || r.throttledAt.Before(runs[longest].throttledAt):
-			longest = i
-		}
-	}
-	if longest < 0 || !c.mayTry(runs[longest], w) {
-		return
-	}
-	w.trial, w.trialEnds = runs[longest], now.Add(trialTime)
-	ratios[longest] = throttleStep
-}
-
-// mayTry reports whether all serving tasks on a worker are expected to have minHeadroomToTry if a suspended
-// run is raised by one step.
-func (c *Core) mayTry(r *run, w *worker) bool {
-	cpuShare := r.task.stage.step.cpuShare(w) * throttleStep / unthrottled
-	return !slices.ContainsFunc(c.servingGroups(w), func(group servingGroup) bool {
-		return group.headroom-c.expectedEffect(group.stage.image, r.task.stage.image)*cpuShare < minHeadroomToTry
-	})
-}
-
 // mayMove reports whether a run may be moved and would run faster on another worker.
 func (c *Core) mayMove(r *run, now time.Time) bool {
 	s := r.task.stage
@@ -152,8 +107,7 @@
 
 // bestThrottleRatios returns the throttle ratios at which the progress of the filler runs, less the
 // cost of expected misses, is highest. It is a greedy search: it starts with all runs suspended and
-// raises the ratio of the run that gains most, by one step or to full speed: the first steps may cost
-// more than they gain, and further ones less.
+// raises the ratio of the run that gains most, step by step.
 func (c *Core) bestThrottleRatios(w *worker, runs []*run, missCost float64) []int {
 	ratios := make([]int, len(runs))
 	groups := slices.Clone(c.servingGroups(w))
@@ -161,35 +115,27 @@
 		c.shiftExpectations(groups, r.task.stage, w, -float64(r.throttleRatio)/unthrottled)
 	}
 	for {
-		best, step, most := -1, 0, 0.0
+		best, most := -1, 0.0
 		for i, r := range runs {
 			if ratios[i] == unthrottled {
 				continue
 			}
-			for _, by := range []int{throttleStep, unthrottled - ratios[i]} {
-				if gain := c.netGain(groups, r, w, by, missCost); gain > most {
-					best, step, most = i, by, gain
-				}
+			gain := float64(throttleStep) / unthrottled
+			cpuShare := r.task.stage.step.cpuShare(w) * gain
+			for k := range groups {
+				group := &groups[k]
+				gain -= missCost * float64(group.tasks) * (c.missProbability(group, r.task.stage.image, cpuShare) - c.missProbability(group, 0, 0))
+			}
+			if gain > most {
+				best, most = i, gain
 			}
 		}
 		if best < 0 {
 			return ratios
 		}
-		ratios[best] += step
-		c.shiftExpectations(groups, runs[best].task.stage, w, float64(step)/unthrottled)
-	}
-}
-
-// netGain returns the progress less the cost of expected misses if the throttle ratio of a run rises by a number of
-// percent.
-func (c *Core) netGain(groups []servingGroup, r *run, w *worker, by int, missCost float64) float64 {
-	gain := float64(by) / unthrottled
-	cpuShare := r.task.stage.step.cpuShare(w) * gain
-	for k := range groups {
-		group := &groups[k]
-		gain -= missCost * float64(group.tasks) * (c.missProbability(group, r.task.stage.image, cpuShare) - c.missProbability(group, 0, 0))
+		ratios[best] += throttleStep
+		c.shiftExpectations(groups, runs[best].task.stage, w, float64(throttleStep)/unthrottled)
 	}
-	return gain
 }
 
 // shiftExpectations updates the expected headroom of groups for a change in the speed of one filler
@@ -200,7 +146,6 @@
 	for i := range groups {
 		mean, spread := c.headroom.Effect(groups[i].stage.image, s.image)
 		groups[i].headroom -= max(0, mean) * cpuShare
-		groups[i].loss = max(0, groups[i].loss+max(0, mean)*cpuShare)
 		groups[i].variance = max(0, groups[i].variance+spread*spread*cpuShare*math.Abs(cpuShare))
 	}
 }
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -113,10 +113,6 @@
 	// targetMissedSince is the time from which on each report has shown a missed tail target; zero
 	// if the last report showed none.
 	targetMissedSince time.Time
-	// trial is the filler run that is tried until trialEnds after a suspension, see
-	// Core.tryAfterSuspension; nil if there is none.
-	trial     *run
-	trialEnds time.Time
 	// starvedAt is when the worker's filler tasks were last found starved, see isStarved.
 	starvedAt time.Time
 }
--- a/internal/interference/calibration.go
+++ b/internal/interference/calibration.go
@@ -3,17 +3,14 @@
 import "math"
 
 // calibration learns how often a latency target is missed, depending on the
-// headroom that was expected and on the expected loss to other images. The load
-// of a single task rises at times, by an amount that leaves it some headroom if
-// nothing else runs: the first images beside it then cost more than further ones.
-// The zero value assumes that measured headroom is normally distributed around
-// the expected one, whatever the loss.
+// headroom that was expected. The zero value assumes that measured headroom is
+// normally distributed around the expected one.
 type calibration struct {
-	bins [lossCount][binCount]bin
+	bins [binCount]bin
 }
 
 // bin counts the measurements, and the missed targets among them, in one range
-// of expected headroom and loss.
+// of expected headroom.
 type bin struct {
 	count  float64
 	missed float64
@@ -24,10 +21,6 @@
 	binWidth       = 0.25
 	firstBinCentre = -1.0
 	binCount       = 17
-	// lossWidth is the range of the expected loss that one bin covers. The first bin is centred on
-	// no loss, and the last covers all greater losses.
-	lossWidth = 0.1
-	lossCount = 6
 	// priorCount is the number of measurements that weigh as much as the prior in a bin.
 	// At maxBinCount measurements, a bin's counts are halved so that old measurements fade.
 	priorCount  = 20.0
@@ -44,11 +37,10 @@
 	return probabilities
 }()
 
-// observe records whether the target was missed at an expected headroom and loss.
-func (c *calibration) observe(expected, loss float64, missed bool) {
+// observe records whether the target was missed at an expected headroom.
+func (c *calibration) observe(expected float64, missed bool) {
 	index := int(math.Round((expected - firstBinCentre) / binWidth))
-	lossIndex := int(math.Round(loss / lossWidth))
-	b := &c.bins[max(0, min(lossCount-1, lossIndex))][max(0, min(binCount-1, index))]
+	b := &c.bins[max(0, min(binCount-1, index))]
 	if b.count >= maxBinCount {
 		b.count, b.missed = b.count/2, b.missed/2
 	}
@@ -59,24 +51,16 @@
 }
 
 // missProbability returns the probability of a missed target at an expected
-// headroom and loss, interpolated between the nearest bins.
-func (c *calibration) missProbability(expected, loss float64) float64 {
-	position := max(0, min(lossCount-1, loss/lossWidth))
-	lower := min(lossCount-2, int(position))
-	fraction := position - float64(lower)
-	return (1-fraction)*interpolate(&c.bins[lower], expected) + fraction*interpolate(&c.bins[lower+1], expected)
-}
-
-// interpolate returns the probability of a missed target at an expected headroom,
-// interpolated between the two nearest bins.
-func interpolate(bins *[binCount]bin, expected float64) float64 {
+// headroom, interpolated between the two nearest bins.
+func (c *calibration) missProbability(expected float64) float64 {
 	position := max(0, min(binCount-1, (expected-firstBinCentre)/binWidth))
 	lower := min(binCount-2, int(position))
 	fraction := position - float64(lower)
-	return (1-fraction)*bins[lower].probability(lower) + fraction*bins[lower+1].probability(lower+1)
+	return (1-fraction)*c.binProbability(lower) + fraction*c.binProbability(lower+1)
 }
 
-// probability returns the probability of a missed target in the i-th bin of expected headroom.
-func (b *bin) probability(i int) float64 {
+// binProbability returns the probability of a missed target in one bin.
+func (c *calibration) binProbability(i int) float64 {
+	b := &c.bins[i]
 	return (b.missed + priorCount*priorProbabilities[i]) / (b.count + priorCount)
 }
--- a/internal/interference/headroom.go
+++ b/internal/interference/headroom.go
@@ -29,7 +29,7 @@
 	effects [][]effect
 	// imageBaselines holds the mean baseline of each image as a victim; 0 before the first measurement.
 	imageBaselines []float64
-	// calibration gives how often a target was missed at each expected headroom and loss.
+	// calibration gives how often a target was missed at each expected headroom.
 	calibration calibration
 }
 
@@ -42,8 +42,6 @@
 	// longTermMean and longTermVariance are the moving mean and variance over longTermWindow.
 	longTermMean     float64
 	longTermVariance float64
-	// measurableAt is when a headroom of at least minMeasurableHeadroom was last measured.
-	measurableAt time.Time
 }
 
 // Measured reports whether the baseline was ever measured.
@@ -78,7 +76,7 @@
 	priorEffectStdDev = 5.0
 	// minEffectStdDev bounds the standard deviation of an effect from below, so that new
 	// measurements still change it.
-	minEffectStdDev = 0.15
+	minEffectStdDev = 0.5
 	// defaultBaseline is the baseline of an image that was never measured: services are
 	// set up with a latency target of twice their usual tail latency.
 	defaultBaseline = 2.0
@@ -95,15 +93,6 @@
 	// minMeasurableHeadroom is the headroom below which a measurement only shows that there
 	// is less than this: tail latency has no bound there.
 	minMeasurableHeadroom = 0.3
-	// contradictedFor is how long a measurable headroom of a job contradicts one below
-	// minMeasurableHeadroom: the cause of the latter is then local to its worker.
-	contradictedFor = 2 * time.Second
-	// maxResidualStdDevs limits how much one measurement changes the estimates, in standard
-	// deviations of its residual. The load of a single task may rise far above that of its job.
-	maxResidualStdDevs = 2.0
-	// maxCalibratedStdDev is the standard deviation of an expected loss above which a measurement
-	// does not count for the calibration.
-	maxCalibratedStdDev = binWidth / 2
 	// minUsageFraction is the fraction of a worker's processors below which an image is ignored.
 	minUsageFraction = 0.01
 )
@@ -127,21 +116,20 @@
 // Observe updates the model with a victim's headroom as measured alongside other
 // images on its worker. noiseStdDev is the standard deviation of the measurement.
 func (h *HeadroomModel) Observe(baseline *BaselineHeadroom, victim int, coLocated []ImageUsage, headroom, noiseStdDev float64, at time.Time) {
-	expectedLoss, variance := h.expectedLoss(victim, coLocated)
-	isCalibrated := variance <= maxCalibratedStdDev*maxCalibratedStdDev
-	variance += noiseStdDev * noiseStdDev
-	isLocal := false
+	expectedLoss, variance := 0.0, noiseStdDev*noiseStdDev
+	for _, image := range coLocated {
+		if image.Fraction >= minUsageFraction {
+			mean, stdDev := h.Effect(victim, image.Aggressor)
+			expectedLoss += mean * image.Fraction
+			variance += stdDev * stdDev * image.Fraction * image.Fraction
+		}
+	}
 	if headroom < minMeasurableHeadroom {
 		if baseline.Measured() && baseline.mean-expectedLoss < minMeasurableHeadroom {
-			if isCalibrated {
-				h.calibration.observe(baseline.mean-expectedLoss, expectedLoss, true)
-			}
+			h.calibration.observe(baseline.mean-expectedLoss, true)
 			return
 		}
 		headroom = minMeasurableHeadroom
-		isLocal = at.Sub(baseline.measurableAt) < contradictedFor
-	} else {
-		baseline.measurableAt = at
 	}
 	if !baseline.Measured() {
 		baseline.mean, baseline.variance, baseline.updatedAt = headroom+expectedLoss, variance, at
@@ -149,70 +137,44 @@
 		h.updateImageBaseline(victim, baseline.mean)
 		return
 	}
-	elapsed := max(0, at.Sub(baseline.updatedAt))
-	baseline.variance += baselineVariancePerSecond * elapsed.Seconds()
+	elapsedSeconds := max(0, at.Sub(baseline.updatedAt).Seconds())
+	baseline.variance += baselineVariancePerSecond * elapsedSeconds
 	baseline.updatedAt = at
 	expected := baseline.mean - expectedLoss
-	if isCalibrated && (!isLocal || expectedLoss > 0) {
-		h.calibration.observe(expected, expectedLoss, headroom < 1)
-	}
+	h.calibration.observe(expected, headroom < 1)
 	residual := headroom - expected
 	totalVariance := variance + baseline.variance
-	limit := maxResidualStdDevs * math.Sqrt(totalVariance)
-	limited := max(-limit, min(limit, residual))
 	for _, image := range coLocated {
 		if image.Fraction >= minUsageFraction {
-			h.mutableEffect(victim, image.Aggressor).correct(-limited*image.Fraction/totalVariance, image.Fraction*image.Fraction/totalVariance)
+			h.mutableEffect(victim, image.Aggressor).correct(-residual*image.Fraction/totalVariance, image.Fraction*image.Fraction/totalVariance)
 		}
 	}
-	if !isLocal {
-		baseline.correct(limited, totalVariance, elapsed)
-		h.updateImageBaseline(victim, baseline.mean)
-	}
-}
-
-// expectedLoss returns the headroom that a victim is expected to lose alongside
-// other images, and the variance of that loss.
-func (h *HeadroomModel) expectedLoss(victim int, coLocated []ImageUsage) (loss, variance float64) {
-	for _, image := range coLocated {
-		if image.Fraction >= minUsageFraction {
-			mean, stdDev := h.Effect(victim, image.Aggressor)
-			loss += mean * image.Fraction
-			variance += stdDev * stdDev * image.Fraction * image.Fraction
-		}
-	}
-	return loss, variance
-}
-
-// correct updates the baseline from the residual of a measurement, whose variance
-// is totalVariance, and the long-term mean and variance by the elapsed time.
-func (b *BaselineHeadroom) correct(residual, totalVariance float64, elapsed time.Duration) {
-	b.mean += residual * b.variance / totalVariance
-	b.variance *= 1 - b.variance/totalVariance
-	weight := min(1, float64(elapsed)/float64(longTermWindow))
-	deviation := b.mean - b.longTermMean
-	b.longTermMean += weight * deviation
-	b.longTermVariance += weight * (deviation*deviation - b.longTermVariance)
+	baseline.mean += residual * baseline.variance / totalVariance
+	baseline.variance *= 1 - baseline.variance/totalVariance
+	weight := min(1, elapsedSeconds/longTermWindow.Seconds())
+	deviation := baseline.mean - baseline.longTermMean
+	baseline.longTermMean += weight * deviation
+	baseline.longTermVariance += weight * (deviation*deviation - baseline.longTermVariance)
+	h.updateImageBaseline(victim, baseline.mean)
 }
 
 // MissProbability returns the probability that a latency target is missed at an
-// expected headroom beside images that are expected to take a loss from it.
-// stdDev is the uncertainty of the expected headroom beyond the spread of past
-// measurements around their expectations.
-func (h *HeadroomModel) MissProbability(expected, stdDev, loss float64) float64 {
+// expected headroom. stdDev is the uncertainty of the expected headroom beyond
+// the spread of past measurements around their expectations.
+func (h *HeadroomModel) MissProbability(expected, stdDev float64) float64 {
 	if stdDev == 0 {
-		return h.calibration.missProbability(expected, loss)
+		return h.calibration.missProbability(expected)
 	}
-	return (h.calibration.missProbability(expected-stdDev, loss) + h.calibration.missProbability(expected+stdDev, loss)) / 2
+	return (h.calibration.missProbability(expected-stdDev) + h.calibration.missProbability(expected+stdDev)) / 2
 }
 
 // correct updates the measured evidence so that variance*shift is added to the
-// estimated mean, which stays at least 0 since no image helps another, and variance*variance*gain is subtracted from the variance.
+// estimated mean, and variance*variance*gain is subtracted from the variance.
 func (e *effect) correct(shift, gain float64) {
 	mean, stdDev := e.estimate()
 	oldVariance := stdDev * stdDev
 	newVariance := oldVariance - oldVariance*oldVariance*gain
-	newMean := max(0, mean+oldVariance*shift)
+	newMean := mean + oldVariance*shift
 	if newVariance < minEffectStdDev*minEffectStdDev {
 		// With a smaller variance, new measurements would no longer move the mean.
 		newVariance = minEffectStdDev * minEffectStdDev
