--- a/e2e/clients/node_test.go
+++ b/e2e/clients/node_test.go
@@ -81,19 +81,23 @@
 		maxFds  = 4100
 		callers = 8
 	)
-	p, _ := startNode(t, maxFds)
-	body := `{"spec":"(text)","steps":[{}` + strings.Repeat(",{}", bodyBytes/3-32) + `]}`
-	var all sync.WaitGroup
-	for n := range callers {
-		all.Go(func() {
-			got, err := post(p, 16+n, body)
-			assert.NoError(t, err)
-			assert.NotEqual(t, http.StatusOK, got)
+	for _, step := range []string{"{}", "0", "null"} {
+		t.Run(step, func(t *testing.T) {
+			p, _ := startNode(t, maxFds)
+			body := `{"spec":"(text)","steps":[` + step + strings.Repeat(","+step, bodyBytes/(len(step)+1)-32) + `]}`
+			var all sync.WaitGroup
+			for n := range callers {
+				all.Go(func() {
+					got, err := post(p, 16+n, body)
+					assert.NoError(t, err)
+					assert.NotEqual(t, http.StatusOK, got)
+				})
+			}
+			all.Wait()
+			p.requireServed(t, func() (int, error) { return submit(p, 2) })
+			p.requireWithin(t, maxFds)
 		})
 	}
-	all.Wait()
-	p.requireServed(t, func() (int, error) { return submit(p, 2) })
-	p.requireWithin(t, maxFds)
 }
 
 // Guards against a node that exceeds its memory because of large jobs that arrive completely. Each is answered
--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -282,9 +282,9 @@
 func (e *InvalidError) Error() string { return "job: " + e.Reason }
 
 const (
-	// maxSteps and maxTasks limit the size of a job, so that its record fits into one value of the
+	// MaxSteps and maxTasks limit the size of a job, so that its record fits into one value of the
 	// store.
-	maxSteps = 256
+	MaxSteps = 256
 	maxTasks = 10_000
 )
 
@@ -293,8 +293,8 @@
 
 // Check returns an *InvalidError if the job is malformed.
 func (j Job) Check() error {
-	if len(j.Steps) == 0 || len(j.Steps) > maxSteps {
-		return &InvalidError{Reason: fmt.Sprintf("%d steps; 1 to %d are possible", len(j.Steps), maxSteps)}
+	if len(j.Steps) == 0 || len(j.Steps) > MaxSteps {
+		return &InvalidError{Reason: fmt.Sprintf("%d steps; 1 to %d are possible", len(j.Steps), MaxSteps)}
 	}
 	tasks := 0
 	for i, s := range j.Steps {
--- a/internal/batch/size_test.go
+++ b/internal/batch/size_test.go
@@ -15,8 +15,8 @@
 // widestJob returns a job of as many steps as are possible, with as many tasks as fit into them.
 func widestJob() Job {
 	j := Job{ID: "0000000000000001", Queue: "review", Spec: "spec"}
-	for range maxSteps {
-		j.Steps = append(j.Steps, Step{Tasks: maxTasks / maxSteps, Size: share.Resources{Processors: 10, Memory: 1 << 20}})
+	for range MaxSteps {
+		j.Steps = append(j.Steps, Step{Tasks: maxTasks / MaxSteps, Size: share.Resources{Processors: 10, Memory: 1 << 20}})
 	}
 	return j
 }
