Answers of runners wait for memory, and its lack does not count against targets

Cause: a full budget failed an answer at once, and the attempt counted as a failure of its runner, which was ejected because of other clients. Idempotent requests were then repeated elsewhere, where the same limit applies.

Change: answers wait for bytes until the deadline, without a lock; what is lacking here is Abandoned and not retried. Bytes that are given back wake those that wait.

--- a/internal/entry/attempts.go
+++ b/internal/entry/attempts.go
@@ -14,7 +14,7 @@
 	err      *OutcomeError
 	// target is the id of the target or the peer.
 	target string
-	// attempted is false if no destination was found, or if the key by which repeats of the request
+	// attempted is false if no destination was found, if a limit of this instance was reached, or if the key by which repeats of the request
 	// are detected could not be recorded.
 	attempted bool
 }
@@ -96,7 +96,9 @@
 		onTarget(dest.slot.Target)
 	}
 	response, err := r.attemptLocal(ctx, dest, repeated)
-	return attemptResult{response: response, err: err, target: dest.slot.Target, attempted: true}
+	// Another target's answer would meet the same limit of this instance.
+	attempted := err == nil || err.Cause != CauseRefusal
+	return attemptResult{response: response, err: err, target: dest.slot.Target, attempted: attempted}
 }
 
 // maxPeerRefusals is the number of peers that may refuse a request before it is restricted to
--- a/internal/entry/dispatcher_test.go
+++ b/internal/entry/dispatcher_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -12,6 +13,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/oriolepond/oriolepond/internal/exchange"
+	"github.com/oriolepond/oriolepond/internal/intake"
 	"github.com/oriolepond/oriolepond/internal/standin"
 	"github.com/oriolepond/oriolepond/internal/target"
 	"github.com/oriolepond/oriolepond/pkg/release"
@@ -270,3 +273,18 @@
 	}
 	require.LessOrEqual(t, float64(attempts), requests*(1+budgetRatio)+budgetBurst)
 }
+
+// Guards against targets that are ejected for what this instance lacks.
+func TestLimitsOfInstanceDoNotCountAgainstTargets(t *testing.T) {
+	for _, c := range []struct {
+		err  error
+		want target.Result
+	}{
+		{&exchange.FullError{}, target.Abandoned},
+		{&intake.FullError{Wanted: 1}, target.Abandoned},
+		{&intake.ClosedError{}, target.Abandoned},
+		{io.ErrUnexpectedEOF, target.Failed},
+	} {
+		require.Equal(t, c.want, (&requestRun{}).failureResult(t.Context(), 0, c.err), "%v", c.err)
+	}
+}
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -163,11 +163,11 @@
 }
 
 // failureResult returns how an attempt without a response counts against its target. It does not
-// count if the caller disconnected, if the connection limit was reached, or if the deadline passed
-// before the target had more than half of the route's time.
+// count if the caller disconnected, if the connection limit or that of the memory for callers was reached,
+// or if the deadline passed before the target had more than half of the route's time.
 func (r *requestRun) failureResult(ctx context.Context, elapsed time.Duration, err error) target.Result {
 	var full *exchange.FullError
-	if errors.As(err, &full) {
+	if errors.As(err, &full) || isLocal(err) {
 		return target.Abandoned
 	}
 	if ctx.Err() == nil {
@@ -183,6 +183,15 @@
 	return target.Abandoned
 }
 
+// isLocal reports whether a response was given up for a limit of this instance.
+func isLocal(err error) bool {
+	var (
+		full   *intake.FullError
+		closed *intake.ClosedError
+	)
+	return errors.As(err, &full) || errors.As(err, &closed)
+}
+
 // attemptLocal makes one attempt at a target of this instance and reads the complete response.
 func (r *requestRun) attemptLocal(ctx context.Context, dest destination, repeated bool) (Response, *OutcomeError) {
 	reply, outcome := r.send(ctx, dest, repeated)
@@ -192,13 +201,10 @@
 	defer reply.Close()
 	body, err := readResponse(ctx, reply, int64(r.request.Route.MaxAnswer))
 	r.reportResult(ctx, dest, reply.StatusCode, err)
-	var (
-		tooLarge *responseTooLargeError
-		full     *intake.FullError
-	)
+	var tooLarge *responseTooLargeError
 	switch {
-	case errors.As(err, &full):
-		return Response{}, unknown(http.StatusServiceUnavailable, "there is no memory for the answer")
+	case isLocal(err):
+		return Response{}, unknown(http.StatusServiceUnavailable, "there is no memory for the answer").WithCause(CauseRefusal)
 	case errors.As(err, &tooLarge):
 		return Response{}, unknown(http.StatusBadGateway, "%v", err).WithCause(CauseTarget)
 	case err != nil && isTimeout(err):
@@ -225,7 +231,7 @@
 	if reply.ContentLength > limit {
 		return nil, &responseTooLargeError{limit: limit}
 	}
-	body, err := intake.FromContext(ctx).Read(io.LimitReader(reply, limit+1), reply.ContentLength, nil)
+	body, err := intake.FromContext(ctx).Read(ctx, io.LimitReader(reply, limit+1), reply.ContentLength)
 	if err == nil && int64(len(body)) > limit {
 		return nil, &responseTooLargeError{limit: limit}
 	}
--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"context"
 	"errors"
 	"io"
 )
@@ -20,7 +21,7 @@
 	if err := l.Enter(Body); err != nil {
 		return nil, err
 	}
-	text, err := l.Read(body, declared, onProgress)
+	text, err := l.read(body, declared, onProgress, l.Take)
 	// A connection that was closed meanwhile fails here, so that its request is not served.
 	if enterErr := l.Enter(Working); err == nil {
 		err = enterErr
@@ -28,25 +29,31 @@
 	return text, err
 }
 
-// Read reads to the end like ReadBody, in the current phase.
-func (l *Lease) Read(source io.Reader, declared int64, onProgress func()) ([]byte, error) {
+// Read reads an answer to its end, in the current phase. If bytes are missing, it waits for them until the
+// context is done. The text is what arrived if there is an error; its bytes are then given back.
+func (l *Lease) Read(ctx context.Context, answer io.Reader, declared int64) ([]byte, error) {
+	return l.read(answer, declared, nil, func(bytes int64) error { return l.Await(ctx, bytes) })
+}
+
+// read reads to the end, with a function that takes bytes.
+func (l *Lease) read(source io.Reader, declared int64, onProgress func(), take func(bytes int64) error) ([]byte, error) {
 	size := int64(firstRead)
 	if declared >= 0 {
 		size = min(declared+1, declaredRead)
 	}
-	if err := l.Take(size); err != nil {
+	if err := take(size); err != nil {
 		return nil, err
 	}
 	buffer := make([]byte, 0, size)
-	if err := l.fill(&buffer, source, declared, onProgress); err != nil {
+	if err := l.fill(&buffer, source, declared, onProgress, take); err != nil {
 		l.Give(int64(cap(buffer)))
-		return nil, err
+		return buffer, err
 	}
 	return buffer, nil
 }
 
 // fill reads to the end into a buffer, which it replaces by larger ones.
-func (l *Lease) fill(buffer *[]byte, source io.Reader, declared int64, onProgress func()) error {
+func (l *Lease) fill(buffer *[]byte, source io.Reader, declared int64, onProgress func(), take func(bytes int64) error) error {
 	for {
 		text := *buffer
 		n, err := source.Read(text[len(text):cap(text)])
@@ -64,7 +71,7 @@
 		if len(text) < cap(text) {
 			continue
 		}
-		if *buffer, err = l.grow(text, declared); err != nil {
+		if *buffer, err = l.grow(text, declared, take); err != nil {
 			return err
 		}
 	}
@@ -72,12 +79,12 @@
 
 // grow returns a full buffer with twice the capacity, or that of the declared size if it is smaller. If it
 // fails, it returns the buffer as it was.
-func (l *Lease) grow(text []byte, declared int64) ([]byte, error) {
+func (l *Lease) grow(text []byte, declared int64, take func(bytes int64) error) ([]byte, error) {
 	size := 2 * int64(cap(text))
 	if declared >= int64(cap(text)) {
 		size = min(size, declared+1)
 	}
-	if err := l.Take(size); err != nil {
+	if err := take(size); err != nil {
 		return text, err
 	}
 	larger := make([]byte, len(text), size)
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -116,6 +116,8 @@
 	leases     map[*Lease]struct{}
 	usage      Usage
 	reportedAt time.Time
+	// room, if not nil, is closed when bytes are given back.
+	room chan struct{}
 }
 
 // Usage returns what is in use now.
@@ -202,10 +204,48 @@
 		return
 	}
 	delete(b.leases, l)
-	b.usage.Bytes -= l.charged()
+	b.free(l.charged())
 	l.held, l.closed = 0, true
 }
 
+// free gives bytes back, and wakes those that wait for some.
+func (b *Budget) free(bytes int64) {
+	b.usage.Bytes -= bytes
+	if bytes > 0 && b.room != nil {
+		close(b.room)
+		b.room = nil
+	}
+}
+
+// closeable returns how many bytes would be free if all connections were closed that may be, for taker.
+func (b *Budget) closeable(now time.Time, taker *Lease) int64 {
+	bytes := int64(0)
+	for l := range b.leases {
+		if l.mayClose(now.Sub(l.progressAt), taker) {
+			bytes += l.charged()
+		}
+	}
+	return bytes
+}
+
+// end closes connections that have been evicted. The lock is not held.
+func (b *Budget) end(victims []*Lease) {
+	for _, v := range victims {
+		v.end()
+	}
+	if len(victims) > 0 {
+		b.report()
+	}
+}
+
+// refuse counts a refusal for lack of bytes.
+func (b *Budget) refuse() {
+	b.mu.Lock()
+	b.usage.Refused++
+	b.mu.Unlock()
+	b.report()
+}
+
 // report calls OnPressure, unless it was called recently.
 func (b *Budget) report() {
 	b.mu.Lock()
--- a/internal/intake/lease.go
+++ b/internal/intake/lease.go
@@ -57,12 +57,10 @@
 	b.mu.Lock()
 	victims, err := l.take(bytes)
 	b.mu.Unlock()
-	for _, v := range victims {
-		v.end()
-	}
+	b.end(victims)
 	var full *FullError
-	if len(victims) > 0 || errors.As(err, &full) {
-		b.report()
+	if errors.As(err, &full) {
+		b.refuse()
 	}
 	return err
 }
@@ -74,14 +72,16 @@
 	}
 	b := l.budget
 	more := max(0, l.held+bytes-Allowance) - l.charged()
-	for limit := b.Limits.Bytes; limit > 0 && more > 0 && b.usage.Bytes+more > limit; {
-		victim := b.first(b.now(), l)
-		if victim == nil || l.charged()+more > limit {
-			b.usage.Refused++
-			return victims, &FullError{Wanted: more}
+	if missing := b.usage.Bytes + more - b.Limits.Bytes; b.Limits.Bytes > 0 && more > 0 && missing > 0 {
+		now := b.now()
+		if l.charged()+more > b.Limits.Bytes || b.closeable(now, l) < missing {
+			return nil, &FullError{Wanted: more}
+		}
+		for b.usage.Bytes+more > b.Limits.Bytes {
+			victim := b.first(now, l)
+			b.evict(victim)
+			victims = append(victims, victim)
 		}
-		b.evict(victim)
-		victims = append(victims, victim)
 	}
 	l.held += bytes
 	b.usage.Bytes += more
@@ -102,7 +102,7 @@
 func (l *Lease) release(bytes int64) {
 	before := l.charged()
 	l.held -= bytes
-	l.budget.usage.Bytes -= before - l.charged()
+	l.budget.free(before - l.charged())
 }
 
 // Enter begins a phase. The error is a *ClosedError.
--- a/internal/intake/server_test.go
+++ b/internal/intake/server_test.go
@@ -1,6 +1,7 @@
 package intake_test
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -117,6 +118,32 @@
 	}
 }
 
+// Guards against an answer that fails for want of bytes that are about to be given back, and a wait without
+// end.
+func TestAnswersWaitForBytes(t *testing.T) {
+	const size = 100_000
+	for _, c := range []struct {
+		name string
+		// held is how long the bytes are held by another request.
+		held time.Duration
+		want error
+	}{{"given back", time.Minute, nil}, {"held", time.Hour, &intake.FullError{}}} {
+		synctest.Test(t, func(t *testing.T) {
+			b := &intake.Budget{Limits: intake.Limits{Bytes: 2 * size}}
+			other, err := b.Open(func() {})
+			require.NoError(t, err)
+			require.NoError(t, other.Enter(intake.Working))
+			require.NoError(t, other.Take(2*size+intake.Allowance))
+			defer time.AfterFunc(c.held, other.Close).Stop()
+			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Minute)
+			defer cancel()
+			text, err := b.ReadAnswer(ctx, strings.NewReader(strings.Repeat("x", size)), size, func() {})
+			require.IsType(t, c.want, err, c.name)
+			require.Equal(t, c.want == nil, len(text) == size)
+		})
+	}
+}
+
 // Guards against a body that is waited for without end, and one that is cut although it arrives slowly but
 // steadily.
 func TestStalledBodiesEnd(t *testing.T) {
