An ordinary request finds room while others hold all bytes

Cause: what arrives with a header costs three times its size, and the first read often has a part of the body; with bodies of 6,000 to 12,000 bytes that exceeded the allowance, and they got 503 while others held the memory.

Change: the price is settled by the header's own size once it is complete, and the allowance is 28 KiB: a body and an answer of 12 KiB each, and headers.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -37,7 +37,7 @@
 const (
 	// Allowance is the number of bytes that each connection may hold for a request without taking them
 	// from Limits.Bytes.
-	Allowance = 16 << 10
+	Allowance = 28 << 10
 	// connBytes is the memory that a connection needs otherwise: the buffers of the operating system and
 	// of the server, and the stacks of its goroutines.
 	connBytes = 40 << 10
--- a/internal/intake/lease.go
+++ b/internal/intake/lease.go
@@ -15,6 +15,8 @@
 	phase Phase
 	// held is the number of bytes that the current request holds, the allowance included.
 	held int64
+	// header is how much of held was taken for the header.
+	header int64
 	// received counts the bytes since the last progress, which was made at progressAt.
 	received   int
 	progressAt time.Time
@@ -117,6 +119,7 @@
 	}
 	if p == Idle {
 		l.release(l.held)
+		l.header = 0
 	}
 	l.phase, l.received = p, 0
 	if p != Working {
@@ -125,6 +128,29 @@
 	return nil
 }
 
+// takeHeader takes bytes for what has arrived of a header.
+func (l *Lease) takeHeader(bytes int64) error {
+	if err := l.Take(bytes); err != nil {
+		return err
+	}
+	l.budget.mu.Lock()
+	defer l.budget.mu.Unlock()
+	l.header += bytes
+	return nil
+}
+
+// settleHeader gives back what was taken for a header beyond its actual price: the first bytes of a body may
+// have arrived with it.
+func (l *Lease) settleHeader(price int64) {
+	if l == nil {
+		return
+	}
+	l.budget.mu.Lock()
+	defer l.budget.mu.Unlock()
+	l.release(min(l.held, max(0, l.header-price)))
+	l.header = min(l.header, price)
+}
+
 // Progress records bytes that the client has sent of a body, or received of a response. It reports whether
 // that made progress.
 func (l *Lease) Progress(bytes int) bool {
--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -83,7 +83,7 @@
 		c.narrow()
 	}
 	if header > 0 {
-		if takeErr := c.lease.Take(header); takeErr != nil {
+		if takeErr := c.lease.takeHeader(header); takeErr != nil {
 			_ = c.Conn.Close()
 			return 0, takeErr
 		}
@@ -121,6 +121,17 @@
 	}
 }
 
+// headerPrice returns how much memory the header of a request needs.
+func headerPrice(r *http.Request) int64 {
+	size := len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, v := range values {
+			size += len(name) + len(v)
+		}
+	}
+	return headerBytes * int64(size)
+}
+
 // Attach makes an HTTP server track the phases of its connections, and pass their leases to handlers. It
 // wraps the server's Handler, ConnContext and ConnState. It is called before the server serves; without it
 // the connections of Listen are only counted.
@@ -146,6 +157,7 @@
 		if err := l.Enter(Working); err != nil {
 			panic(http.ErrAbortHandler)
 		}
+		l.settleHeader(headerPrice(r))
 		defer func() { _ = l.Enter(Answering) }()
 		handler.ServeHTTP(w, r)
 	})
--- a/internal/intake/server_test.go
+++ b/internal/intake/server_test.go
@@ -52,14 +52,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			b := &intake.Budget{Limits: intake.Limits{Conns: 4, Bytes: 4 * largeBody}}
-			server, tracker := &http.Server{Handler: c.handler}, &shutdown.Tracker{}
-			tracker.Attach(server)
-			b.Attach(server)
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			require.NoError(t, err)
-			go func() { _ = server.Serve(tracker.Listen(b.Listen(l))) }()
-			defer server.Close()
-			conn, err := net.Dial("tcp", l.Addr().String())
+			conn, err := net.Dial("tcp", startServer(t, b, c.handler))
 			require.NoError(t, err)
 			defer conn.Close()
 			for range 2 {
@@ -81,6 +74,46 @@
 	}
 }
 
+// startServer starts a server with a budget and returns its address.
+func startServer(t *testing.T, b *intake.Budget, handler http.HandlerFunc) string {
+	server, tracker := &http.Server{Handler: handler}, &shutdown.Tracker{}
+	tracker.Attach(server)
+	b.Attach(server)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() { _ = server.Serve(tracker.Listen(b.Listen(l))) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return l.Addr().String()
+}
+
+// Guards against an ordinary request, by the size of its body and of its answer, that is refused because others
+// hold all bytes.
+func TestOrdinaryRequestsFindRoom(t *testing.T) {
+	const limit = 100_000
+	b := &intake.Budget{Limits: intake.Limits{Conns: 10, Bytes: limit}}
+	other, err := b.Open(func() {})
+	require.NoError(t, err)
+	require.NoError(t, other.Enter(intake.Working))
+	require.NoError(t, other.Take(limit+intake.Allowance))
+	address := startServer(t, b, func(w http.ResponseWriter, r *http.Request) {
+		text, err := intake.ReadRequest(w, r, limit, time.Minute)
+		if err == nil {
+			err = intake.FromContext(r.Context()).Take(int64(len(text)))
+		}
+		if err != nil {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	for _, size := range []int{100, 2400, 3500, 4000, 6000, 9600, 12_000, 40_000} {
+		for _, body := range []io.Reader{strings.NewReader(strings.Repeat("x", size)), io.MultiReader(strings.NewReader(strings.Repeat("x", min(size, 9600))))} {
+			response, err := http.Post("http://"+address, "", body)
+			require.NoError(t, err)
+			require.NoError(t, response.Body.Close())
+			require.Equal(t, size > 12_000 && response.Request.ContentLength > 0, response.StatusCode != http.StatusOK, "%d bytes", size)
+		}
+	}
+}
+
 // Guards against a body that is read wrongly, by how it arrives.
 func TestBodiesAreRead(t *testing.T) {
 	text := strings.Repeat("0123456789", 5000)
