A client that receives a response steadily is not closed for others

Cause: progress was recorded when a whole write had ended, however long it was.

Change: connections write in pieces of 16 KiB and record progress after each.

Measured: TestSteadyReceiversAreNotClosed passes (1 MiB at 20 KiB/s, another connection wanted after each piece).

--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -91,11 +91,20 @@
 	return n, err
 }
 
+// writeBytes is how much is written at once, so that a client that receives steadily makes progress.
+const writeBytes = 16 << 10
+
 // Write writes to the connection.
 func (c *conn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.lease.sent(n)
-	return n, err
+	written := 0
+	for {
+		n, err := c.Conn.Write(p[written:min(len(p), written+writeBytes)])
+		c.lease.sent(n)
+		written += n
+		if err != nil || written >= len(p) {
+			return written, err
+		}
+	}
 }
 
 // Close closes the connection and gives its lease back.
--- a/internal/intake/server_test.go
+++ b/internal/intake/server_test.go
@@ -151,6 +151,33 @@
 	}
 }
 
+// Guards against a client that is closed while it receives a large response steadily.
+func TestSteadyReceiversAreNotClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const size, piece = 1 << 20, 8 << 10
+		l, b := newPipeListener(), &intake.Budget{Limits: intake.Limits{Conns: 1}}
+		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_ = intake.FromContext(r.Context()).Enter(intake.Answering)
+			_, _ = w.Write(make([]byte, size))
+		})}
+		b.Attach(server)
+		go func() { _ = server.Serve(b.Listen(l)) }()
+		client, end := net.Pipe()
+		l.conns <- end
+		_, err := io.WriteString(client, "GET / HTTP/1.0\r\nHost: h\r\n\r\n")
+		require.NoError(t, err)
+		for got := 0; got < size; got += piece {
+			time.Sleep(400 * time.Millisecond)
+			_, err := io.ReadFull(client, make([]byte, piece))
+			require.NoError(t, err, "%d bytes", got)
+			_, err = b.Open(func() {})
+			require.Error(t, err, "the connection was closed for another one")
+		}
+		require.NoError(t, client.Close())
+		require.NoError(t, server.Close())
+	})
+}
+
 // Guards against an answer that fails for want of bytes that are about to be given back, and a wait without
 // end.
 func TestAnswersWaitForBytes(t *testing.T) {
