A slow but steady body is read to its end in calm

Cause: the read deadline of a body was extended for 256 new bytes only, so that a body of a few bytes in each time-out got 408.

Measured: TestStalledBodiesEnd passes with a body of one byte in each 9 s.

--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -14,14 +14,14 @@
 )
 
 // ReadBody reads a body to its end. Declared is its size in bytes, or negative if it is unknown. Each time
-// that the client has made progress and more is expected, onProgress is called unless it is nil. The bytes
+// that bytes have arrived and more are expected, onBytes is called unless it is nil. The bytes
 // stay taken until the response has been sent. The error is a *FullError, a *ClosedError or that of the
 // reader.
-func (l *Lease) ReadBody(body io.Reader, declared int64, onProgress func()) ([]byte, error) {
+func (l *Lease) ReadBody(body io.Reader, declared int64, onBytes func()) ([]byte, error) {
 	if err := l.Enter(Body); err != nil {
 		return nil, err
 	}
-	text, err := l.read(body, declared, onProgress, l.Take)
+	text, err := l.read(body, declared, onBytes, l.Take)
 	// A connection that was closed meanwhile fails here, so that its request is not served.
 	if enterErr := l.Enter(Working); err == nil {
 		err = enterErr
@@ -36,7 +36,7 @@
 }
 
 // read reads to the end, with a function that takes bytes.
-func (l *Lease) read(source io.Reader, declared int64, onProgress func(), take func(bytes int64) error) ([]byte, error) {
+func (l *Lease) read(source io.Reader, declared int64, onBytes func(), take func(bytes int64) error) ([]byte, error) {
 	size := int64(firstRead)
 	if declared >= 0 {
 		size = min(declared+1, declaredRead)
@@ -45,7 +45,7 @@
 		return nil, err
 	}
 	buffer := make([]byte, 0, size)
-	if err := l.fill(&buffer, source, declared, onProgress, take); err != nil {
+	if err := l.fill(&buffer, source, declared, onBytes, take); err != nil {
 		l.Give(int64(cap(buffer)))
 		return buffer, err
 	}
@@ -53,7 +53,7 @@
 }
 
 // fill reads to the end into a buffer, which it replaces by larger ones.
-func (l *Lease) fill(buffer *[]byte, source io.Reader, declared int64, onProgress func(), take func(bytes int64) error) error {
+func (l *Lease) fill(buffer *[]byte, source io.Reader, declared int64, onBytes func(), take func(bytes int64) error) error {
 	for {
 		text := *buffer
 		n, err := source.Read(text[len(text):cap(text)])
@@ -65,8 +65,11 @@
 		if err != nil {
 			return err
 		}
-		if n > 0 && l.Progress(n) && onProgress != nil {
-			onProgress()
+		if n > 0 {
+			l.Progress(n)
+			if onBytes != nil {
+				onBytes()
+			}
 		}
 		if len(text) < cap(text) {
 			continue
--- a/internal/intake/lease.go
+++ b/internal/intake/lease.go
@@ -151,24 +151,21 @@
 	l.header = min(l.header, price)
 }
 
-// Progress records bytes that the client has sent of a body, or received of a response. It reports whether
-// that made progress.
-func (l *Lease) Progress(bytes int) bool {
+// Progress records bytes that the client has sent of a body, or received of a response.
+func (l *Lease) Progress(bytes int) {
 	if l == nil {
-		return true
+		return
 	}
 	l.budget.mu.Lock()
 	defer l.budget.mu.Unlock()
-	return l.progress(bytes)
+	l.progress(bytes)
 }
 
 // progress records bytes, with the lock held.
-func (l *Lease) progress(bytes int) bool {
-	if l.received += bytes; l.received < progressBytes {
-		return false
+func (l *Lease) progress(bytes int) {
+	if l.received += bytes; l.received >= progressBytes {
+		l.progressAt, l.received = l.budget.now(), 0
 	}
-	l.progressAt, l.received = l.budget.now(), 0
-	return true
 }
 
 // receive records bytes that arrived on the connection. In HTTP it begins the next request, and returns how
