Idle connections are closed before bodies that arrive

Cause: when connections were short, a body that arrived was closed before idle connections, since it held more.

Change: requests that made progress within the last second are closed for another connection only if nothing else can be.

Measured: the new rows of TestWhichConnectionIsClosed pass.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -179,14 +179,15 @@
 // that connection. It returns nil if there is none.
 func (b *Budget) first(now time.Time, taker *Lease) *Lease {
 	var first *Lease
-	highest := -1.0
+	highest, arriving := -1.0, true
 	for l := range b.leases {
 		age := now.Sub(l.progressAt)
 		if !l.mayClose(age, taker) {
 			continue
 		}
-		if rank := float64(connBytes+l.held) * age.Seconds(); rank > highest {
-			first, highest = l, rank
+		rank, last := float64(connBytes+l.held)*age.Seconds(), l.isArriving(age)
+		if !last && arriving || last == arriving && rank > highest {
+			first, highest, arriving = l, rank, last
 		}
 	}
 	return first
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -64,6 +64,22 @@
 			c.now = c.now.Add(second)
 			return []*client{first, c.open(), c.open()}, nil
 		}, []bool{true, false, false}, false},
+		{"a body arrives beside idle connections", intake.Limits{Conns: 2}, func(c *clock) ([]*client, error) {
+			body := c.hold(80, second/10)
+			idle := c.open()
+			c.now = c.now.Add(second / 10)
+			return []*client{body, idle, c.open()}, nil
+		}, []bool{false, true, false}, false},
+		{"all bodies arrive", intake.Limits{Conns: 2}, func(c *clock) ([]*client, error) {
+			large, small := c.hold(80_000, second/10), c.hold(0, second/10)
+			return []*client{large, small, c.open()}, nil
+		}, []bool{true, false, false}, false},
+		{"a body has stalled beside idle connections", intake.Limits{Conns: 2}, func(c *clock) ([]*client, error) {
+			body := c.hold(80, 0)
+			idle := c.open()
+			c.now = c.now.Add(second)
+			return []*client{body, idle, c.open()}, nil
+		}, []bool{true, false, false}, false},
 		{"all requests are being served", intake.Limits{Conns: 1}, func(c *clock) ([]*client, error) {
 			first := c.open()
 			_ = first.lease.Enter(intake.Working)
--- a/internal/intake/lease.go
+++ b/internal/intake/lease.go
@@ -49,6 +49,12 @@
 	return true
 }
 
+// isArriving reports whether a request has made progress recently. Its connection is closed for another one only
+// if there is no other choice.
+func (l *Lease) isArriving(age time.Duration) bool {
+	return (l.phase == Header || l.phase == Body) && age < stallTime
+}
+
 // Take takes bytes for the current request, before they are allocated. The error is a *FullError or a
 // *ClosedError.
 func (l *Lease) Take(bytes int64) error {
