--- a/internal/intake/server_test.go
+++ b/internal/intake/server_test.go
@@ -9,11 +9,13 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync"
 	"testing"
 	"testing/iotest"
 	"testing/synctest"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/oriolepond/oriolepond/internal/intake"
@@ -204,6 +206,32 @@
 	}
 }
 
+// Guards against polls of healthy workers that fail because many answers are large at once.
+func TestManyLargeAnswersAreRead(t *testing.T) {
+	const answers, size = 350, 60_000
+	synctest.Test(t, func(t *testing.T) {
+		b := &intake.Budget{Limits: intake.LimitsFor(160<<20, 0).Answers}
+		var all sync.WaitGroup
+		for range answers {
+			all.Go(func() {
+				body := strings.NewReader(strings.Repeat("x", size))
+				text, err := b.ReadAnswer(t.Context(), slowReader{body}, -1, func() {})
+				assert.NoError(t, err)
+				assert.Len(t, text, size)
+			})
+		}
+		all.Wait()
+	})
+}
+
+// slowReader takes some time for each read.
+type slowReader struct{ io.Reader }
+
+func (r slowReader) Read(p []byte) (int, error) {
+	time.Sleep(10 * time.Millisecond)
+	return r.Reader.Read(p[:min(len(p), 1<<10)])
+}
+
 // Guards against a body that is waited for without end, and one that is cut although it arrives slowly but
 // steadily.
 func TestStalledBodiesEnd(t *testing.T) {
