Clients that read no responses do not shut out probes, metrics and operators

Cause: a handler that blocks in writing is still working, and is never closed; pipelined requests whose responses are not read kept their connections forever.

Change: these servers, whose responses are short, have a write timeout of 30 s.

Measured: TestUnreadProbesEnd passes.

--- a/cmd/oriolepond/nodeservers.go
+++ b/cmd/oriolepond/nodeservers.go
@@ -50,7 +50,7 @@
 // addProbeServer adds a server for probes, with limits of its own.
 func (n *node) addProbeServer(g *run.Group, name string, s *http.Server, l net.Listener) {
 	b := n.budget(name, intake.LimitsFor(n.settings.MemoryBytes, n.settings.MaxDescriptors).Probes)
-	b.Attach(s)
+	b.AttachProbes(s)
 	actor.Server(g, s, b.Listen(l))
 }
 
--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"syscall"
+	"time"
 )
 
 // socketBytes is the receive buffer of connections with large requests, and of all connections that are
@@ -171,3 +172,13 @@
 		handler.ServeHTTP(w, r)
 	})
 }
+
+// probeTimeout is how long a response to a probe, an operator or a collector of metrics may take.
+const probeTimeout = 30 * time.Second
+
+// AttachProbes attaches a server of short responses. A client that reads none of them does not keep its
+// connection.
+func (b *Budget) AttachProbes(s *http.Server) {
+	b.Attach(s)
+	s.WriteTimeout = probeTimeout
+}
--- a/internal/intake/server_test.go
+++ b/internal/intake/server_test.go
@@ -180,6 +180,24 @@
 	})
 }
 
+// Guards against probes that are shut out by clients that read no responses.
+func TestUnreadProbesEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, b := newPipeListener(), &intake.Budget{Limits: intake.Limits{Conns: 1}}
+		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, 40_000)) })}
+		b.AttachProbes(server)
+		go func() { _ = server.Serve(b.Listen(l)) }()
+		client, end := net.Pipe()
+		l.conns <- end
+		go func() { _, _ = io.WriteString(client, strings.Repeat("GET / HTTP/1.1\r\nHost: h\r\n\r\n", 2000)) }()
+		time.Sleep(time.Minute)
+		_, err := b.Open(func() {})
+		require.NoError(t, err)
+		require.NoError(t, client.Close())
+		require.NoError(t, server.Close())
+	})
+}
+
 // Guards against an answer that fails for want of bytes that are about to be given back, and a wait without
 // end.
 func TestAnswersWaitForBytes(t *testing.T) {
--- a/oriolepond.go
+++ b/oriolepond.go
@@ -111,7 +111,7 @@
 	admin := &http.Server{Handler: i.adminHandler(), ReadHeaderTimeout: headerTimeout}
 	limits := intake.LimitsFor(i.Settings.Memory, intake.AllowedDescriptors(i.Settings.Descriptors))
 	operators := i.budget("operators", limits.Probes)
-	operators.Attach(admin)
+	operators.AttachProbes(admin)
 	actor.Server(&g, admin, operators.Listen(listeners.admin))
 	i.addPeerServer(&g, i.budget("peers", limits.Peers).Listen(listeners.peer))
 	tracker := &shutdown.Tracker{}
