Memory limit only if stated, and room for one body of 1 MiB with any memory

Cause: an entry instance without the setting memory got a soft limit of 90% of 1 GiB; and an eighth of a small memory does not suffice to decode a body of the default limit (1 MiB), which was refused even alone.

Change: the runtime's limit is set only if memory is stated. Callers and submissions get at least 10 MiB, and a memory below 64 MiB (32 before) is refused with the reason, since it would not hold both.

Measured: TestLargeBodyAlone with 64, 96 and 160 MiB, and the tests of internal/settings, pass.

--- a/cmd/oriolepond/serve.go
+++ b/cmd/oriolepond/serve.go
@@ -32,7 +32,9 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitUsage
 	}
-	debug.SetMemoryLimit(int64(memoryLimitRatio * float64(s.Memory)))
+	if s.Memory > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitRatio * float64(s.Memory)))
+	}
 	z, err := zap.NewProduction()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -207,3 +207,14 @@
 		require.Zero(t, u.Bytes)
 	})
 }
+
+// Guards against a memory with which a large body is refused though there is no other.
+func TestLargeBodyAlone(t *testing.T) {
+	const body, copies = 1 << 20, 9
+	for _, memory := range []int64{intake.MinMemory, 96 << 20, 160 << 20} {
+		limits := intake.LimitsFor(memory, 0)
+		for _, l := range []intake.Limits{limits.Callers, limits.Submissions} {
+			require.NoError(t, newClock(l).open().lease.Take(copies*body), "%d bytes of memory", memory)
+		}
+	}
+}
--- a/internal/intake/limits.go
+++ b/internal/intake/limits.go
@@ -29,7 +29,10 @@
 )
 
 // MinMemory is the smallest memory of a process, in bytes.
-const MinMemory = 32 << 20
+const MinMemory = 64 << 20
+
+// minBytes suffices for a body of 1 MiB, for which nine times its size is taken while it is decoded.
+const minBytes = 10 << 20
 
 // MinDescriptors is the smallest number of descriptors of a process.
 const MinDescriptors = reservedFiles + 64
@@ -46,11 +49,15 @@
 // LimitsFor returns the limits of a process with so much memory, in bytes, and so many descriptors. Zero
 // means that a quantity is not limited.
 func LimitsFor(memory int64, descriptors int) ProcessLimits {
+	large := memory / byteMemoryParts
+	if memory > 0 {
+		large = max(large, minBytes)
+	}
 	l := ProcessLimits{
-		Callers:     Limits{Conns: int(memory / connMemoryParts / (connBytes + Allowance)), Bytes: memory / byteMemoryParts},
+		Callers:     Limits{Conns: int(memory / connMemoryParts / (connBytes + Allowance)), Bytes: large},
 		Probes:      Limits{Conns: maxProbes, Bytes: memory / byteMemoryParts / probeParts},
 		Answers:     Limits{Bytes: memory / answerMemoryParts},
-		Submissions: Limits{Bytes: memory / byteMemoryParts},
+		Submissions: Limits{Bytes: large},
 	}
 	if descriptors == 0 {
 		return l
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -95,7 +95,8 @@
 	// targets.
 	QueuedPerTarget int
 	// Memory is the memory of the process, in bytes, and Descriptors the number of its descriptors. What
-	// callers, peers and operators may use of them follows from these.
+	// callers, peers and operators may use of them follows from these. Zero Memory means that it is not
+	// stated; the limits of clients then follow from DefaultMemory.
 	Memory      int64
 	Descriptors int
 }
@@ -141,7 +142,7 @@
 		LinkBitsPerSecond:   positiveInt(o, "linkBitsPerSecond", DefaultLinkBitsPerSec),
 		MaxHeaderBytes:      int(positiveInt(o, "maxHeaderBytes", DefaultMaxHeaderBytes)),
 		QueuedPerTarget:     int(positiveInt(o, "queuedPerTarget", DefaultQueuedPerTarget)),
-		Memory:              atLeast(o, "memory", DefaultMemory, intake.MinMemory, jsonc.Value.Size),
+		Memory:              atLeast(o, "memory", 0, intake.MinMemory, jsonc.Value.Size),
 		Descriptors:         int(atLeast(o, "descriptors", DefaultDescriptors, intake.MinDescriptors, jsonc.Value.Int)),
 	}
 	s.BindAddress = ipAddress(o, "bindAddress")
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -131,7 +131,7 @@
 		{"store scheme", "storeUrls", []string{"ftp://x"}, "is not an http or https URL"},
 		{"token instead of its hash", "operatorTokenHash", "operator-token", "is not a lower-case hexadecimal SHA-256"},
 		{"empty id", "id", "", "id: is empty"},
-		{"too little memory", "memory", "16MiB", "memory: is below 33554432"},
+		{"too little memory", "memory", "16MiB", "memory: is below 67108864"},
 		{"negative memory", "memory", "-1B", "is not a size"},
 		{"too few descriptors", "descriptors", 200, "descriptors: is below 264"},
 		{"negative descriptors", "descriptors", -1, "descriptors: is"},
--- a/oriolepond.go
+++ b/oriolepond.go
@@ -13,6 +13,7 @@
 package oriolepond
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -109,7 +110,7 @@
 	actor.Loop(context.Background(), &g, i.trimConnections)
 	front := &http.Server{Handler: i.callerHandler(), MaxHeaderBytes: i.Settings.MaxHeaderBytes, ReadHeaderTimeout: headerTimeout}
 	admin := &http.Server{Handler: i.adminHandler(), ReadHeaderTimeout: headerTimeout}
-	limits := intake.LimitsFor(i.Settings.Memory, intake.AllowedDescriptors(i.Settings.Descriptors))
+	limits := intake.LimitsFor(cmp.Or(i.Settings.Memory, settings.DefaultMemory), intake.AllowedDescriptors(i.Settings.Descriptors))
 	operators := i.budget("operators", limits.Probes)
 	operators.AttachProbes(admin)
 	actor.Server(&g, admin, operators.Listen(listeners.admin))
