Smaller messages and windows on a node's port for other nodes

Cause: a message could have 128 MiB and the windows 1 MiB for each connection, whether or not it is read.

Change: a node's server for other nodes takes messages of 8 MiB (a record of 1 MiB with each byte escaped), windows of 64 KiB for a call and 256 KiB for a connection, and 1,024 calls at once on a connection.

A crowd that keeps to the windows is not bounded by this.

--- a/cmd/oriolepond/node.go
+++ b/cmd/oriolepond/node.go
@@ -180,7 +180,7 @@
 		Jobs: n.frontCalls(), Config: n.currentConfig, Freshness: n.configFreshness, OnError: n.reportNotServed,
 	}, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
 	ready := &http.Server{Handler: platform.ReadinessHandler(n.isReady), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
-	server := grpc.NewServer(peer.ServerOptions(n.log)...)
+	server := grpc.NewServer(peer.JobServerOptions(n.log)...)
 	peer.RegisterJobs(server, n.scheduler.LocalCalls, n.budget("submissions", limits.Submissions))
 
 	var g run.Group
--- a/internal/peer/requests.go
+++ b/internal/peer/requests.go
@@ -45,6 +45,27 @@
 	}
 }
 
+const (
+	// maxJobMessageBytes bounds a message to a node: a job whose record fits into the store, with each of its bytes
+	// escaped.
+	maxJobMessageBytes = 8 << 20
+	// jobStreamWindowBytes and jobConnWindowBytes are the flow-control windows of a call to a node, most of which
+	// are small, and of a connection.
+	jobStreamWindowBytes = 64 << 10
+	jobConnWindowBytes   = 256 << 10
+	// maxJobCalls bounds the calls of one connection to a node.
+	maxJobCalls = 1024
+)
+
+// JobServerOptions returns the options of the server that handles calls about jobs.
+func JobServerOptions(log *eventlog.Log) []grpc.ServerOption {
+	return append(ServerOptions(log),
+		grpc.MaxRecvMsgSize(maxJobMessageBytes),
+		grpc.MaxConcurrentStreams(maxJobCalls),
+		grpc.StaticStreamWindowSize(jobStreamWindowBytes),
+		grpc.StaticConnWindowSize(jobConnWindowBytes))
+}
+
 // Requests handles callers' requests that are forwarded between instances, either at this
 // instance or at the peer at the other end of a connection.
 type Requests struct {
