--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -37,7 +37,7 @@
 const (
 	// Allowance is the number of bytes that each connection may hold for a request without taking them
 	// from Limits.Bytes.
-	Allowance = 16 << 10
+	Allowance = 28 << 10
 	// connBytes is the memory that a connection needs otherwise: the buffers of the operating system and
 	// of the server, and the stacks of its goroutines.
 	connBytes = 40 << 10
@@ -116,6 +116,8 @@
 	leases     map[*Lease]struct{}
 	usage      Usage
 	reportedAt time.Time
+	// room, if not nil, is closed when bytes are given back.
+	room chan struct{}
 }
 
 // Usage returns what is in use now.
@@ -177,14 +179,15 @@
 // that connection. It returns nil if there is none.
 func (b *Budget) first(now time.Time, taker *Lease) *Lease {
 	var first *Lease
-	highest := -1.0
+	highest, arriving := -1.0, true
 	for l := range b.leases {
 		age := now.Sub(l.progressAt)
 		if !l.mayClose(age, taker) {
 			continue
 		}
-		if rank := float64(connBytes+l.held) * age.Seconds(); rank > highest {
-			first, highest = l, rank
+		rank, last := float64(connBytes+l.held)*age.Seconds(), l.isArriving(age)
+		if !last && arriving || last == arriving && rank > highest {
+			first, highest, arriving = l, rank, last
 		}
 	}
 	return first
@@ -202,10 +205,48 @@
 		return
 	}
 	delete(b.leases, l)
-	b.usage.Bytes -= l.charged()
+	b.free(l.charged())
 	l.held, l.closed = 0, true
 }
 
+// free gives bytes back, and wakes those that wait for some.
+func (b *Budget) free(bytes int64) {
+	b.usage.Bytes -= bytes
+	if bytes > 0 && b.room != nil {
+		close(b.room)
+		b.room = nil
+	}
+}
+
+// closeable returns how many bytes would be free if all connections were closed that may be, for taker.
+func (b *Budget) closeable(now time.Time, taker *Lease) int64 {
+	bytes := int64(0)
+	for l := range b.leases {
+		if l.mayClose(now.Sub(l.progressAt), taker) {
+			bytes += l.charged()
+		}
+	}
+	return bytes
+}
+
+// end closes connections that have been evicted. The lock is not held.
+func (b *Budget) end(victims []*Lease) {
+	for _, v := range victims {
+		v.end()
+	}
+	if len(victims) > 0 {
+		b.report()
+	}
+}
+
+// refuse counts a refusal for lack of bytes.
+func (b *Budget) refuse() {
+	b.mu.Lock()
+	b.usage.Refused++
+	b.mu.Unlock()
+	b.report()
+}
+
 // report calls OnPressure, unless it was called recently.
 func (b *Budget) report() {
 	b.mu.Lock()
--- a/internal/intake/lease.go
+++ b/internal/intake/lease.go
@@ -15,6 +15,8 @@
 	phase Phase
 	// held is the number of bytes that the current request holds, the allowance included.
 	held int64
+	// header is how much of held was taken for the header.
+	header int64
 	// received counts the bytes since the last progress, which was made at progressAt.
 	received   int
 	progressAt time.Time
@@ -47,6 +49,12 @@
 	return true
 }
 
+// isArriving reports whether a request has made progress recently. Its connection is closed for another one only
+// if there is no other choice.
+func (l *Lease) isArriving(age time.Duration) bool {
+	return (l.phase == Header || l.phase == Body) && age < stallTime
+}
+
 // Take takes bytes for the current request, before they are allocated. The error is a *FullError or a
 // *ClosedError.
 func (l *Lease) Take(bytes int64) error {
@@ -57,12 +65,10 @@
 	b.mu.Lock()
 	victims, err := l.take(bytes)
 	b.mu.Unlock()
-	for _, v := range victims {
-		v.end()
-	}
+	b.end(victims)
 	var full *FullError
-	if len(victims) > 0 || errors.As(err, &full) {
-		b.report()
+	if errors.As(err, &full) {
+		b.refuse()
 	}
 	return err
 }
@@ -74,14 +80,16 @@
 	}
 	b := l.budget
 	more := max(0, l.held+bytes-Allowance) - l.charged()
-	for limit := b.Limits.Bytes; limit > 0 && more > 0 && b.usage.Bytes+more > limit; {
-		victim := b.first(b.now(), l)
-		if victim == nil || l.charged()+more > limit {
-			b.usage.Refused++
-			return victims, &FullError{Wanted: more}
+	if missing := b.usage.Bytes + more - b.Limits.Bytes; b.Limits.Bytes > 0 && more > 0 && missing > 0 {
+		now := b.now()
+		if l.charged()+more > b.Limits.Bytes || b.closeable(now, l) < missing {
+			return nil, &FullError{Wanted: more}
+		}
+		for b.usage.Bytes+more > b.Limits.Bytes {
+			victim := b.first(now, l)
+			b.evict(victim)
+			victims = append(victims, victim)
 		}
-		b.evict(victim)
-		victims = append(victims, victim)
 	}
 	l.held += bytes
 	b.usage.Bytes += more
@@ -102,7 +110,7 @@
 func (l *Lease) release(bytes int64) {
 	before := l.charged()
 	l.held -= bytes
-	l.budget.usage.Bytes -= before - l.charged()
+	l.budget.free(before - l.charged())
 }
 
 // Enter begins a phase. The error is a *ClosedError.
@@ -117,6 +125,7 @@
 	}
 	if p == Idle {
 		l.release(l.held)
+		l.header = 0
 	}
 	l.phase, l.received = p, 0
 	if p != Working {
@@ -125,24 +134,44 @@
 	return nil
 }
 
-// Progress records bytes that the client has sent of a body, or received of a response. It reports whether
-// that made progress.
-func (l *Lease) Progress(bytes int) bool {
+// takeHeader takes bytes for what has arrived of a header.
+func (l *Lease) takeHeader(bytes int64) error {
+	if err := l.Take(bytes); err != nil {
+		return err
+	}
+	l.budget.mu.Lock()
+	defer l.budget.mu.Unlock()
+	l.header += bytes
+	return nil
+}
+
+// settleHeader gives back what was taken for a header beyond its actual price: the first bytes of a body may
+// have arrived with it.
+func (l *Lease) settleHeader(price int64) {
 	if l == nil {
-		return true
+		return
+	}
+	l.budget.mu.Lock()
+	defer l.budget.mu.Unlock()
+	l.release(min(l.held, max(0, l.header-price)))
+	l.header = min(l.header, price)
+}
+
+// Progress records bytes that the client has sent of a body, or received of a response.
+func (l *Lease) Progress(bytes int) {
+	if l == nil {
+		return
 	}
 	l.budget.mu.Lock()
 	defer l.budget.mu.Unlock()
-	return l.progress(bytes)
+	l.progress(bytes)
 }
 
 // progress records bytes, with the lock held.
-func (l *Lease) progress(bytes int) bool {
-	if l.received += bytes; l.received < progressBytes {
-		return false
+func (l *Lease) progress(bytes int) {
+	if l.received += bytes; l.received >= progressBytes {
+		l.progressAt, l.received = l.budget.now(), 0
 	}
-	l.progressAt, l.received = l.budget.now(), 0
-	return true
 }
 
 // receive records bytes that arrived on the connection. In HTTP it begins the next request, and returns how
--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"syscall"
+	"time"
 )
 
 // socketBytes is the receive buffer of connections with large requests, and of all connections that are
@@ -83,7 +84,7 @@
 		c.narrow()
 	}
 	if header > 0 {
-		if takeErr := c.lease.Take(header); takeErr != nil {
+		if takeErr := c.lease.takeHeader(header); takeErr != nil {
 			_ = c.Conn.Close()
 			return 0, takeErr
 		}
@@ -91,11 +92,20 @@
 	return n, err
 }
 
+// writeBytes is how much is written at once, so that a client that receives steadily makes progress.
+const writeBytes = 16 << 10
+
 // Write writes to the connection.
 func (c *conn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.lease.sent(n)
-	return n, err
+	written := 0
+	for {
+		n, err := c.Conn.Write(p[written:min(len(p), written+writeBytes)])
+		c.lease.sent(n)
+		written += n
+		if err != nil || written >= len(p) {
+			return written, err
+		}
+	}
 }
 
 // Close closes the connection and gives its lease back.
@@ -121,6 +131,17 @@
 	}
 }
 
+// headerPrice returns how much memory the header of a request needs.
+func headerPrice(r *http.Request) int64 {
+	size := len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, v := range values {
+			size += len(name) + len(v)
+		}
+	}
+	return headerBytes * int64(size)
+}
+
 // Attach makes an HTTP server track the phases of its connections, and pass their leases to handlers. It
 // wraps the server's Handler, ConnContext and ConnState. It is called before the server serves; without it
 // the connections of Listen are only counted.
@@ -146,7 +167,18 @@
 		if err := l.Enter(Working); err != nil {
 			panic(http.ErrAbortHandler)
 		}
+		l.settleHeader(headerPrice(r))
 		defer func() { _ = l.Enter(Answering) }()
 		handler.ServeHTTP(w, r)
 	})
 }
+
+// probeTimeout is how long a response to a probe, an operator or a collector of metrics may take.
+const probeTimeout = 30 * time.Second
+
+// AttachProbes attaches a server of short responses. A client that reads none of them does not keep its
+// connection.
+func (b *Budget) AttachProbes(s *http.Server) {
+	b.Attach(s)
+	s.WriteTimeout = probeTimeout
+}
