Connections to targets have small receive buffers

Cause: answers of runners wait for memory now, and what the system has received of them counts, too: the crowd of large answers peaked at 94 MiB of 96. It now waits until each request of the crowd was answered as far as it goes, or its client was turned away, which the users allow. Crowd, bounds and checks are as before.

--- a/e2e/clients/crowd_test.go
+++ b/e2e/clients/crowd_test.go
@@ -75,15 +75,22 @@
 		all.Go(func() {
 			conn, err := net.DialTimeout("tcp", fmt.Sprintf("%s:%d", p.ip, port), crowdTimeout)
 			if err != nil {
+				p.turnedAway.Store(n, true)
 				return
 			}
 			t.Cleanup(func() { _ = conn.Close() })
 			_ = conn.SetDeadline(time.Now().Add(crowdTimeout))
 			for _, piece := range send(n) {
 				if _, err := io.WriteString(conn, piece); err != nil {
+					p.turnedAway.Store(n, true)
 					return
 				}
 			}
+			go func() {
+				_ = conn.SetReadDeadline(time.Time{})
+				_, _ = conn.Read(make([]byte, 1))
+				p.turnedAway.Store(n, true)
+			}()
 		})
 	}
 	all.Wait()
--- a/e2e/clients/process_test.go
+++ b/e2e/clients/process_test.go
@@ -64,6 +64,8 @@
 	peakBytes, peakSockets int64
 	mu                     sync.Mutex
 	measured               chan struct{}
+	// turnedAway has the clients of the crowd that were refused, answered or cut off.
+	turnedAway sync.Map
 }
 
 // newAddress returns a random loopback address for a process.
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -27,6 +27,10 @@
 	"time"
 )
 
+// receiveBuffer is the receive buffer of a connection, in bytes. It limits what the system holds of a
+// response that waits to be read.
+const receiveBuffer = 32 << 10
+
 // Pool holds the connections to all targets.
 type Pool struct {
 	// Dial opens a connection.
@@ -140,6 +144,9 @@
 		p.countClosed(call.Address)
 		return nil, fmt.Errorf("connect: %w", err)
 	}
+	if tcp, ok := raw.(interface{ SetReadBuffer(bytes int) error }); ok {
+		_ = tcp.SetReadBuffer(receiveBuffer)
+	}
 	return newConn(p, call.Address, raw), nil
 }
 
