--- a/internal/intake/report.go
+++ b/internal/intake/report.go
@@ -20,12 +20,12 @@
 		name  string
 		value func(Usage) float64
 	}{
-		{"connections", func(u Usage) float64 { return float64(u.Conns) }},
-		{"bytes", func(u Usage) float64 { return float64(u.Bytes) }},
-		{"refused_total", func(u Usage) float64 { return float64(u.Refused) }},
-		{"closed_total", func(u Usage) float64 { return float64(u.Closed) }},
+		{"oriolepond_clients_connections", func(u Usage) float64 { return float64(u.Conns) }},
+		{"oriolepond_clients_bytes", func(u Usage) float64 { return float64(u.Bytes) }},
+		{"oriolepond_clients_refused_total", func(u Usage) float64 { return float64(u.Refused) }},
+		{"oriolepond_clients_closed_total", func(u Usage) float64 { return float64(u.Closed) }},
 	} {
-		set.GetOrCreateGauge(fmt.Sprintf("oriolepond_clients_%s{server=%q}", g.name, server), func() float64 { return g.value(b.Usage()) })
+		set.GetOrCreateGauge(fmt.Sprintf("%s{server=%q}", g.name, server), func() float64 { return g.value(b.Usage()) })
 	}
 	return b
 }
