What a step's tasks are allocated is computed in one place

preempt.go, reserve.go and evacuation.go each cleared the processors of filler tasks; Step.allocation does it for all three. What keeps a task from a worker besides capacity asks mayRunOn, as the adviser's queries do.

--- a/internal/batch/evacuation.go
+++ b/internal/batch/evacuation.go
@@ -92,9 +92,5 @@
 
 // couldRunOn reports whether a worker without runs would have the capacity for a task of the stage.
 func (s *stage) couldRunOn(w *worker) bool {
-	size := s.step.Size
-	if s.step.Filler {
-		size.Processors = 0
-	}
-	return s.mayRunOn(w) && size.Fits(w.Capacity)
+	return s.mayRunOn(w) && s.step.allocation().Fits(w.Capacity)
 }
--- a/internal/batch/preempt.go
+++ b/internal/batch/preempt.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/oriolepond/oriolepond/internal/precedence"
-	"github.com/oriolepond/oriolepond/pkg/share"
 )
 
 const (
@@ -106,7 +105,7 @@
 	default:
 		return false
 	}
-	return !s.isAtLimit(w) && (s.step.RequiredLabel == "" || w.hasLabel(s.step.RequiredLabel)) && (!c.isAdvised(s) || s.hasTicket(w, now))
+	return !s.isAtLimit(w) && s.mayRunOn(w) && (!c.isAdvised(s) || s.hasTicket(w, now))
 }
 
 // mayYieldEnough reports whether a worker has enough for a task once all runs of lower priorities have ended.
@@ -114,7 +113,7 @@
 	free := w.free()
 	for _, r := range w.runs {
 		if r.mayYieldTo(t) {
-			free = free.Plus(r.allocation())
+			free = free.Plus(r.task.stage.step.allocation())
 		}
 	}
 	return t.stage.step.Size.Fits(free)
@@ -134,21 +133,12 @@
 	for _, r := range sortedRuns(w.runs) {
 		if r.mayYieldTo(t) {
 			runs = append(runs, r)
-			occupants = append(occupants, precedence.Occupant{Size: r.allocation(), Lost: r.lostTime(now)})
+			occupants = append(occupants, precedence.Occupant{Size: r.task.stage.step.allocation(), Lost: r.lostTime(now)})
 		}
 	}
 	return runs, occupants
 }
 
-// allocation returns the resources that are allocated to the run.
-func (r *run) allocation() share.Resources {
-	size := r.task.stage.step.Size
-	if !r.allocatesProcessors() {
-		size.Processors = 0
-	}
-	return size
-}
-
 // lostTime returns the run time that stopping the run loses. A run with checkpoints writes one when it
 // is stopped.
 func (r *run) lostTime(now time.Time) time.Duration {
--- a/internal/batch/reserve.go
+++ b/internal/batch/reserve.go
@@ -151,11 +151,7 @@
 		if r.task.stage.step.LongRunning {
 			continue
 		}
-		size := r.task.stage.step.Size
-		if !r.allocatesProcessors() {
-			size.Processors = 0
-		}
-		sum = sum.Plus(size)
+		sum = sum.Plus(r.task.stage.step.allocation())
 	}
 	return sum
 }
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -141,6 +141,16 @@
 		r.allocatesProcessors() && size.Processors > 0 && free.Processors < 0
 }
 
+// allocation returns the resources that a task of the step is allocated on its worker. Filler tasks are
+// allocated no processors.
+func (s *Step) allocation() share.Resources {
+	size := s.Size
+	if s.Filler {
+		size.Processors = 0
+	}
+	return size
+}
+
 // addRun adds a run to the worker.
 func (w *worker) addRun(r *run) {
 	w.runs[r.key()] = r
--- a/internal/entry/attempts.go
+++ b/internal/entry/attempts.go
@@ -14,8 +14,8 @@
 	err      *OutcomeError
 	// target is the id of the target or the peer.
 	target string
-	// attempted is false if no destination was found, if a limit of this instance was reached, or if the key by which repeats of the request
-	// are detected could not be recorded.
+	// attempted is false if no destination was found, if a limit of this instance was reached, or if the
+	// key by which repeats of the request are detected could not be recorded.
 	attempted bool
 }
 
