Events tell what a crash was inferred from and for which tasks it counts

The log could not tell a crash from an expired lease: event 4043 did not say what it was inferred from, and nothing said which tasks it was counted for. Event 4043 names the evidence, 4044 each task with the age of its run and its counts, 4045 and a metric the jobs that are given up. No decision changes.

--- a/internal/batch/core.go
+++ b/internal/batch/core.go
@@ -128,6 +128,10 @@
 	// not known to have lasted for earlyCrash.
 	Runs      int
 	EarlyRuns int
+	// Crashes is the number of crashes that count for the task of a NoteCrashCounted or NoteGivenUp,
+	// ConfirmedCrashes how many of them are confirmed.
+	Crashes          int
+	ConfirmedCrashes int
 	// DataCentre is that of a NoteEvacuated or NoteReadmitted. Workers is the number of workers in an evacuated
 	// one, Runs the number of runs there.
 	DataCentre string
@@ -166,6 +170,8 @@
 	NoteWorkerUnresponsive NoteKind = "workerLost"
 	NoteWorkerRecovered    NoteKind = "workerBack"
 	NoteWorkerCrashed      NoteKind = "workerCrashed"
+	NoteCrashCounted       NoteKind = "crashCounted"
+	NoteGivenUp            NoteKind = "givenUp"
 	NoteQuarantined        NoteKind = "quarantined"
 	NoteThrottled          NoteKind = "paced"
 	NoteOrphaned           NoteKind = "stray"
--- a/internal/batch/crash.go
+++ b/internal/batch/crash.go
@@ -72,14 +72,14 @@
 
 // recordCrash records that a worker has crashed, which ended its runs except those that were meant
 // for the new incarnation; this is zero if it is not known. Certain is false if the worker may have
-// left in another way. It returns the tasks that are to be given up. Runs that no report has listed may turn out
+// left in another way; evidence is that of the end of the runs. It returns the tasks that are to be given up. Runs that no report has listed may turn out
 // to have started on the new incarnation, see forgiveCrash; their tasks are only marked as to be given up.
-func (c *Core) recordCrash(w *worker, incarnation int64, certain bool, now time.Time) []*task {
+func (c *Core) recordCrash(w *worker, incarnation int64, certain bool, evidence endEvidence, now time.Time) []*task {
 	if w.Draining {
 		// It has left as announced.
 		return nil
 	}
-	crashed := Note{Kind: NoteWorkerCrashed, Worker: w.ID, Age: w.silence(now)}
+	crashed := Note{Kind: NoteWorkerCrashed, Worker: w.ID, Age: w.silence(now), Reason: string(evidence)}
 	var suspects []*run
 	for _, r := range sortedRuns(w.runs) {
 		if !r.mayHaveCrashed(incarnation) {
@@ -100,6 +100,10 @@
 			continue
 		}
 		t.crashes.add(r, certain)
+		c.note(Note{
+			Kind: NoteCrashCounted, Task: t.name(), Run: r.number, Worker: w.ID, Age: r.lasted(), Reason: string(evidence),
+			Crashes: t.crashes.total, ConfirmedCrashes: t.crashes.confirmed,
+		})
 		suspects = append(suspects, r)
 	}
 	if crashed.Runs > 0 {
@@ -193,6 +197,7 @@
 func (c *Core) giveUp(tasks []*task, now time.Time) {
 	for _, t := range tasks {
 		if !t.stage.job.state.Final() {
+			c.note(Note{Kind: NoteGivenUp, Task: t.name(), Run: t.lastRun, Crashes: t.crashes.total, ConfirmedCrashes: t.crashes.confirmed})
 			c.finish(t.stage.job, Failed, fmt.Sprintf("%d workers crashed under task %s", t.crashes.total, t.name()), now)
 		}
 	}
--- a/internal/batch/lease.go
+++ b/internal/batch/lease.go
@@ -109,7 +109,7 @@
 
 // beginIncarnation records that a worker has restarted, which ended all its runs.
 func (c *Core) beginIncarnation(w *worker, incarnation int64, now time.Time) {
-	culprits := c.recordCrash(w, incarnation, true, now)
+	culprits := c.recordCrash(w, incarnation, true, evidenceRestarted, now)
 	// A worker that becomes known to this leader has not restarted if its runs are of this incarnation.
 	restarted := w.Incarnation != 0 || !w.hasOnlyRunsOf(incarnation)
 	w.restarted = w.Incarnation != 0 || w.restarted && !c.contacts.isFirst(w.ID, incarnation)
@@ -285,7 +285,7 @@
 	var culprits []*task
 	if !w.listed {
 		// It has crashed, or is cut off from the platform.
-		culprits = c.recordCrash(w, 0, false, now)
+		culprits = c.recordCrash(w, 0, false, evidenceExpired, now)
 	}
 	for _, r := range sortedRuns(w.runs) {
 		if r.state != runPending {
--- a/internal/eventlog/batch.go
+++ b/internal/eventlog/batch.go
@@ -143,9 +143,19 @@
 	})
 	WorkerCrashed = register(Event{
 		Number: 4043, Level: zapcore.InfoLevel, Message: "worker crashed",
-		Meaning: "The worker ended, without having announced it, while it had the named number of runs; earlyRuns of them are not known to have lasted half a second.",
+		Meaning: "The worker ended, without having announced it, while it had the named number of runs, as inferred from the reason; earlyRuns of them are not known to have lasted half a second.",
 		Advice:  "Look for tasks that recur among the runs lost by these workers if it is frequent.",
 	})
+	CrashCounted = register(Event{
+		Number: 4044, Level: zapcore.InfoLevel, Message: "crash counted for task",
+		Meaning: "The run of the task was lost with its worker, as inferred from the reason, age after its start, 0 if the start is not confirmed. The crash counts for the task, which has the named number of crashes; confirmed are those of which is known that the run had started.",
+		Advice:  "Compare the reasons and ages if a job is given up (4045).",
+	})
+	JobGivenUp = register(Event{
+		Number: 4045, Level: zapcore.WarnLevel, Message: "job given up",
+		Meaning: "The job fails because workers crashed under the named task, as often as crashes says.",
+		Advice:  "Look for the events 4044 of the task; check what it runs before the job is submitted again.",
+	})
 	RunOrphaned = register(Event{
 		Number: 4036, Level: zapcore.WarnLevel, Message: "orphaned run",
 		Meaning: "A worker reported a run of which there is no record; the run is stopped.",
--- a/internal/scheduler/decisionlog.go
+++ b/internal/scheduler/decisionlog.go
@@ -19,6 +19,8 @@
 	batch.NoteWorkerUnresponsive: eventlog.WorkerUnresponsive,
 	batch.NoteWorkerRecovered:    eventlog.WorkerRecovered,
 	batch.NoteWorkerCrashed:      eventlog.WorkerCrashed,
+	batch.NoteCrashCounted:       eventlog.CrashCounted,
+	batch.NoteGivenUp:            eventlog.JobGivenUp,
 	batch.NoteQuarantined:        eventlog.WorkerQuarantined,
 	batch.NoteThrottled:          eventlog.RunThrottleChanged,
 	batch.NoteOrphaned:           eventlog.RunOrphaned,
@@ -52,6 +54,12 @@
 		l.Metrics.WorkerCrashed()
 		fields = append(fields, zap.Int("runs", decision.Runs), zap.Int("earlyRuns", decision.EarlyRuns))
 	}
+	if decision.Crashes != 0 {
+		fields = append(fields, zap.Int("crashes", decision.Crashes), zap.Int("confirmed", decision.ConfirmedCrashes))
+	}
+	if decision.Kind == batch.NoteGivenUp {
+		l.Metrics.JobGivenUp()
+	}
 	if decision.Remaining != 0 {
 		fields = append(fields, zap.Int("runs", decision.Runs), zap.Duration("givenUpIn", decision.Remaining))
 	}
--- a/internal/scheduler/meter.go
+++ b/internal/scheduler/meter.go
@@ -17,6 +17,7 @@
 	polls       *metrics.Histogram
 	commands    *metrics.Histogram
 	crashes     *metrics.Counter
+	givenUp     *metrics.Counter
 	preemptions *metrics.Counter
 	setAside    *metrics.Counter
 	refused     *metrics.Counter
@@ -38,6 +39,7 @@
 		polls:           set.NewHistogram("oriolepond_look_seconds"),
 		commands:        set.NewHistogram("oriolepond_order_seconds"),
 		crashes:         set.NewCounter("oriolepond_worker_crashes_total"),
+		givenUp:         set.NewCounter("oriolepond_jobs_given_up_total"),
 		preemptions:     set.NewCounter("oriolepond_preempted_runs_total"),
 		setAside:        set.NewCounter("oriolepond_jobs_set_aside_total"),
 		refused:         set.NewCounter("oriolepond_commits_refused_total"),
@@ -65,6 +67,9 @@
 // WorkerCrashed counts a worker that crashed while it ran something.
 func (m *Metrics) WorkerCrashed() { m.crashes.Inc() }
 
+// JobGivenUp counts a job that was given up because workers crashed under one of its tasks.
+func (m *Metrics) JobGivenUp() { m.givenUp.Inc() }
+
 // JobSetAside counts a job that was set aside because the store refuses its record.
 func (m *Metrics) JobSetAside() { m.setAside.Inc() }
 
