Expired leases are no crashes

Cause: if the platform did not list a worker when its leases expired, the loss counted as a suspected crash, and five suspicions gave the job up as five crashes do. A worker that is cut off from the platform for a few seconds loses its entry, so that each longer cut counted; it came back as the same incarnation and reported the runs as lapsed. Only what proves that an incarnation has ended counts now: a new incarnation, or 421 from the address of a worker that is not listed. Counts in records of earlier versions contain expired leases; of these only the confirmed crashes are kept.

--- a/internal/batch/command.go
+++ b/internal/batch/command.go
@@ -246,7 +246,7 @@
 			r.state, r.stateSince = runStopped, now
 		}
 	case AnswerWrongIncarnation:
-		culprits := c.recordCrash(r.worker, 0, true, evidenceReplaced, now)
+		culprits := c.recordCrash(r.worker, 0, evidenceReplaced, now)
 		c.lose(r, evidenceReplaced, now)
 		c.giveUp(culprits, now)
 	default:
--- a/internal/batch/crash.go
+++ b/internal/batch/crash.go
@@ -62,19 +62,20 @@
 }
 
 // add counts a crash under a run.
-func (n *crashCount) add(r *run, certain bool) {
+func (n *crashCount) add(r *run) {
 	n.total++
-	if r.started && certain {
+	if r.started {
 		n.confirmed++
 	}
 	n.early = r.lasted() < earlyCrash
 }
 
 // recordCrash records that a worker has crashed, which ended its runs except those that were meant
-// for the new incarnation; this is zero if it is not known. Certain is false if the worker may have
-// left in another way; evidence is that of the end of the runs. It returns the tasks that are to be given up. Runs that no report has listed may turn out
-// to have started on the new incarnation, see forgiveCrash; their tasks are only marked as to be given up.
-func (c *Core) recordCrash(w *worker, incarnation int64, certain bool, evidence endEvidence, now time.Time) []*task {
+// for the new incarnation; this is zero if it is not known. Evidence is what shows that the incarnation has
+// ended; an expired lease does not. It returns the tasks that are to be given up. Runs that no report has listed
+// may turn out to have started on the new incarnation, see forgiveCrash; their tasks are only marked as to be
+// given up.
+func (c *Core) recordCrash(w *worker, incarnation int64, evidence endEvidence, now time.Time) []*task {
 	if w.Draining {
 		// It has left as announced.
 		return nil
@@ -99,7 +100,7 @@
 			t.crashes = crashCount{}
 			continue
 		}
-		t.crashes.add(r, certain)
+		t.crashes.add(r)
 		c.note(Note{
 			Kind: NoteCrashCounted, Task: t.name(), Run: r.number, Worker: w.ID, Age: r.lasted(), Reason: string(evidence),
 			Crashes: t.crashes.total, ConfirmedCrashes: t.crashes.confirmed,
--- a/internal/batch/evidence.go
+++ b/internal/batch/evidence.go
@@ -38,7 +38,7 @@
 
 // loseAllRuns gives up all runs of a worker that has ended.
 func (c *Core) loseAllRuns(w *worker, evidence endEvidence, now time.Time) {
-	culprits := c.recordCrash(w, 0, true, evidence, now)
+	culprits := c.recordCrash(w, 0, evidence, now)
 	for _, r := range sortedRuns(w.runs) {
 		c.lose(r, evidence, now)
 	}
--- a/internal/batch/lease.go
+++ b/internal/batch/lease.go
@@ -109,7 +109,7 @@
 
 // beginIncarnation records that a worker has restarted, which ended all its runs.
 func (c *Core) beginIncarnation(w *worker, incarnation int64, now time.Time) {
-	culprits := c.recordCrash(w, incarnation, true, evidenceRestarted, now)
+	culprits := c.recordCrash(w, incarnation, evidenceRestarted, now)
 	// A worker that becomes known to this leader has not restarted if its runs are of this incarnation.
 	restarted := w.Incarnation != 0 || !w.hasOnlyRunsOf(incarnation)
 	w.restarted = w.Incarnation != 0 || w.restarted && !c.contacts.isFirst(w.ID, incarnation)
@@ -282,17 +282,11 @@
 // loseExpired gives up the runs on a worker whose leases have expired, except those whose start
 // command was not sent.
 func (c *Core) loseExpired(w *worker, now time.Time) {
-	var culprits []*task
-	if !w.listed {
-		// It has crashed, or is cut off from the platform.
-		culprits = c.recordCrash(w, 0, false, evidenceExpired, now)
-	}
 	for _, r := range sortedRuns(w.runs) {
 		if r.state != runPending {
 			c.lose(r, evidenceExpired, now)
 		}
 	}
-	c.giveUp(culprits, now)
 }
 
 func (c *Core) retryStops(w *worker, now time.Time) {
--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -229,7 +229,8 @@
 		WaitedMs int64 `json:"waitedMillis,omitempty"`
 	}
 	wireCrashes struct {
-		Total     int  `json:"n"`
+		// Total is missing in records of versions that counted expired leases, too.
+		Total     int  `json:"t"`
 		Confirmed int  `json:"c,omitempty"`
 		Early     bool `json:"e,omitempty"`
 		Culprit   bool `json:"g,omitempty"`
@@ -317,7 +318,7 @@
 	if w == nil {
 		return crashCount{}
 	}
-	return crashCount{total: w.Total, confirmed: w.Confirmed, early: w.Early, culprit: w.Culprit}
+	return crashCount{total: max(w.Total, w.Confirmed), confirmed: w.Confirmed, early: w.Early, culprit: w.Culprit}
 }
 
 // DecodeJob returns the submission in a record or an inbox entry.
