Crashes soon after a takeover are not taken for crashes soon after a start

A restored run has the time of the takeover as its start. A crash of its worker within half a second of that counted as one soon after the start of the run, however long the run had lasted, and as proof if it was the only such run. A restored run counts towards the limit of five crashes only.

TestAgeOfRestoredRunIsNotKnown fails without the change (early 1, expected 0).

--- a/internal/batch/chance_test.go
+++ b/internal/batch/chance_test.go
@@ -122,3 +122,30 @@
 		})
 	}
 }
+
+// Guards against crashes soon after a takeover that count as crashes soon after the start of the run.
+func TestAgeOfRestoredRunIsNotKnown(t *testing.T) {
+	now := time.Unix(1_000_000_000, 0)
+	core := fourWorkerCore(t, now)
+	j := Job{ID: "0000000000000001", Queue: "check", Spec: "spec", Steps: []Step{{
+		Tasks: 1, Size: share.Resources{Processors: 4000}, LongRunning: true,
+	}}}
+	require.NoError(t, core.Submit(j, now, nil))
+	core.Plan(now)
+	require.Len(t, commitAndStart(t, core, now), 1)
+	changes, err := core.TakeChanges(20, now)
+	require.NoError(t, err)
+	records := changes.Records
+	if len(records) == 0 {
+		core.MarkDirty(j.ID)
+		changes, err = core.TakeChanges(20, now)
+		require.NoError(t, err)
+		records = changes.Records
+	}
+	now = now.Add(time.Hour)
+	next := fourWorkerCore(t, now)
+	require.NoError(t, next.Restore(records[0].Value, now))
+	name := TaskName{Job: j.ID}
+	crashUnder(t, next, name, now)
+	require.Equal(t, crashCount{total: 1, confirmed: 1, isolate: true}, next.jobs[j.ID].stages[0].tasks[0].crashes)
+}
--- a/internal/batch/crash.go
+++ b/internal/batch/crash.go
@@ -64,14 +64,14 @@
 	return 0
 }
 
-// add counts a crash under a run.
+// add counts a crash under a run. How long a run has lasted that began under an earlier leader is not known.
 func (n *crashCount) add(r *run) {
 	n.total++
 	if r.started {
 		n.confirmed++
 	}
 	n.isolate = r.lasted() < earlyCrash
-	if n.isolate {
+	if n.isolate && !r.restored {
 		n.early++
 	}
 }
@@ -157,7 +157,7 @@
 	if lasted >= promptCrash {
 		least++
 	}
-	return r.started && lasted < earlyCrash && n.early >= least && n.confirmed >= confirmedCrashes
+	return r.started && !r.restored && lasted < earlyCrash && n.early >= least && n.confirmed >= confirmedCrashes
 }
 
 // soleCause returns the run that alone may have caused the crash of a worker, or nil. If runs had
--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -491,7 +491,8 @@
 	w := c.worker(wr.Worker)
 	r := &run{
 		task: t, number: wr.Number, worker: w, incarnation: wr.Incarnation, state: runUnconfirmed, stateSince: now, sentAt: now, throttleRatio: unthrottled,
-		settled: settled || c.contacts.isFirst(wr.Worker, wr.Incarnation),
+		restored: true,
+		settled:  settled || c.contacts.isFirst(wr.Worker, wr.Incarnation),
 	}
 	t.state = taskPlaced
 	t.runs = append(t.runs, r)
