A run that lasts clears the crashes of its task

The crashes of a task were cleared only by a crash more than 5 s after the start of a run, or by an isolation of 5 s. A run that is seen to last for 5 s clears them now.

TestLastingRunClearsCrashes fails without the change (total 1, expected 0).

--- a/internal/batch/chance_test.go
+++ b/internal/batch/chance_test.go
@@ -149,3 +149,31 @@
 	crashUnder(t, next, name, now)
 	require.Equal(t, crashCount{total: 1, confirmed: 1, isolate: true}, next.jobs[j.ID].stages[0].tasks[0].crashes)
 }
+
+// Guards against crashes that count for a task for good, however long it has run since.
+func TestLastingRunClearsCrashes(t *testing.T) {
+	now := time.Unix(1_000_000_000, 0)
+	core := fourWorkerCore(t, now)
+	j := Job{ID: "0000000000000001", Queue: "check", Spec: "spec", Steps: []Step{{
+		Tasks: 1, Size: share.Resources{Processors: 4000}, LongRunning: true,
+	}}}
+	require.NoError(t, core.Submit(j, now, nil))
+	name := TaskName{Job: j.ID}
+	task := func() *task { return core.jobs[j.ID].stages[0].tasks[0] }
+	core.Plan(now)
+	require.Len(t, commitAndStart(t, core, now), 1)
+	now = crashUnder(t, core, name, now)
+	core.Plan(now)
+	require.Len(t, commitAndStart(t, core, now), 1)
+	for _, c := range []struct {
+		after time.Duration
+		want  int
+	}{{after: lateCrash / 2, want: 1}, {after: lateCrash, want: 0}} {
+		at := now.Add(c.after)
+		r := task().runs[0]
+		rep := Report{Incarnation: r.worker.Incarnation, Running: []RunningRow{{Task: name, Run: r.number}}}
+		core.ApplyReport(r.worker.ID, rep, at, at)
+		require.Equal(t, c.want, task().crashes.total, "after %v", c.after)
+	}
+	require.True(t, core.HasChanges(), "the next leader has to know")
+}
--- a/internal/batch/poll.go
+++ b/internal/batch/poll.go
@@ -206,6 +206,10 @@
 		c.markStarted(t.stage.job)
 	}
 	c.recordLasting(r, now)
+	if t.crashes != (crashCount{}) && r.lasted() >= lateCrash {
+		t.crashes = crashCount{}
+		c.markDirty(t.stage.job)
+	}
 	r.progress = row.Percent
 	if t.stage.step.TailTarget > 0 {
 		r.tail = time.Duration(row.Measurement * float64(time.Millisecond))
