Tasks are isolated where a crash costs the fewest runs

A task under which workers have crashed is isolated on the suitable worker with the fewest runs instead of the best one.

--- a/internal/batch/crash.go
+++ b/internal/batch/crash.go
@@ -219,13 +219,14 @@
 	return now.Sub(w.lastContact)
 }
 
-// findIsolated returns the best worker on which a task can be isolated, under which workers have
-// crashed, or nil. It reports whether the task should rather wait than run beside others.
+// findIsolated returns a worker on which a task can be isolated, under which workers have crashed, or nil: the
+// one with the fewest runs, which are lost if it crashes. It reports whether the task should rather wait than run
+// beside others.
 func (c *Core) findIsolated(t *task, permits func(*worker) bool, now time.Time) (w *worker, waits bool) {
 	if c.isolationSearches < maxIsolationSearches && len(c.isolating) < c.isolationLimit(t) {
 		c.isolationSearches++
 		isolates := func(w *worker) bool { return w.canIsolate() && (permits == nil || permits(w)) }
-		if w = c.take(c.search(t, isolates, maxCandidates, now), t, now); w != nil {
+		if w = c.search(t, isolates, maxCandidates, now).fewestRuns(); w != nil {
 			return w, false
 		}
 	}
--- a/internal/batch/search.go
+++ b/internal/batch/search.go
@@ -206,6 +206,16 @@
 	return nil
 }
 
+// fewestRuns returns the worker on a new shortlist that has the fewest runs, the best one of these, or nil.
+func (l *shortlist) fewestRuns() *worker {
+	if len(l.choices) == 0 {
+		return nil
+	}
+	return slices.MinFunc(l.choices, func(a, b choice) int {
+		return cmp.Or(cmp.Compare(len(a.worker.runs), len(b.worker.runs)), cmp.Compare(b.score, a.score))
+	}).worker
+}
+
 // missCostLevels is the number of steps in which the miss cost of a waiting filler task falls.
 const missCostLevels = 8
 
