A task avoids the worker that has crashed under it

The task takes another worker if one suits.

TestTaskAvoidsWorkerThatCrashed fails without the change.

--- a/internal/batch/chance_test.go
+++ b/internal/batch/chance_test.go
@@ -177,3 +177,23 @@
 	}
 	require.True(t, core.HasChanges(), "the next leader has to know")
 }
+
+// Guards against a worker that crashes again and again and gets the same task each time, which is then taken for the cause.
+func TestTaskAvoidsWorkerThatCrashed(t *testing.T) {
+	now := time.Unix(1_000_000_000, 0)
+	core := fourWorkerCore(t, now)
+	name := TaskName{Job: "j"}
+	first := startOne(t, core, "", now)
+	now = crashUnder(t, core, name, now)
+	crashed := core.workers[first.Worker]
+	core.ApplyReport(crashed.ID, Report{Incarnation: crashed.Incarnation, Clock: time.Hour}, now, now)
+	// It is the only worker without runs otherwise.
+	for i, w := range core.workersByID() {
+		if w != crashed {
+			step := Step{Tasks: 1, Size: share.Resources{Processors: 1000}, RequiredLabel: "kind-" + w.ID}
+			require.NoError(t, core.Submit(Job{ID: fmt.Sprint(i), Queue: "check", Steps: []Step{step}}, now, nil))
+		}
+	}
+	core.Plan(now)
+	require.NotEqual(t, first.Worker, commitAndStart(t, core, now)[name].Worker)
+}
--- a/internal/batch/crash.go
+++ b/internal/batch/crash.go
@@ -112,6 +112,7 @@
 			continue
 		}
 		t.crashes.add(r)
+		t.avoidWorker = w
 		c.note(Note{
 			Kind: NoteCrashCounted, Task: t.name(), Run: r.number, Worker: w.ID, Age: r.lasted(), Reason: string(evidence),
 			Crashes: t.crashes.total, ConfirmedCrashes: t.crashes.confirmed,
