Submissions dropped at the end of a term are not reported as unknown

Cause: endSubmissions closes l.ended before it drops the submissions, and submit looked once for its state without l.mu. If it ran between the two, it found none, waited for l.mu in openOutcome, and did not look again. The submission was never in flight, so no commit races with the end.

The last look for the state now takes l.mu, with which the core calls waiters and endSubmissions does both of its steps: once l.ended is seen, the look comes after the drop. That also holds at the caller's deadline. Submissions in a commit without an answer have no state then and stay unknown.

--- a/internal/scheduler/accept.go
+++ b/internal/scheduler/accept.go
@@ -50,11 +50,22 @@
 			l.guarded("submission", func() { l.withLock(func() { l.dropStalled(j.ID) }) })
 		}
 	}
+	if s, called := l.lastState(done); called {
+		return submissionError(s)
+	}
+	return l.openOutcome(j.ID)
+}
+
+// lastState returns the state with which the core has called a waiter, if it has. It looks with l.mu
+// locked, as the core does when it calls waiters: the end of a term is visible before its last calls.
+func (l *Leader) lastState(done <-chan batch.State) (batch.State, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	select {
 	case s := <-done:
-		return submissionError(s)
+		return s, true
 	default:
-		return l.openOutcome(j.ID)
+		return "", false
 	}
 }
 
--- a/internal/scheduler/submissions_test.go
+++ b/internal/scheduler/submissions_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"runtime"
 	"slices"
 	"strings"
 	"testing"
@@ -185,6 +186,46 @@
 	})
 }
 
+// Guards against a submission in no commit whose outcome is reported as unknown because its caller sees the end of the term before the drop.
+func TestEndOfTermIsSeenBeforeDrop(t *testing.T) {
+	// On one processor, the submission runs while endSubmissions yields.
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	for _, c := range []struct {
+		name     string
+		inCommit bool
+		want     any
+	}{
+		{name: "in no commit", want: new(*UnavailableError)},
+		{name: "in a commit without an answer", inCommit: true, want: new(*UnknownOutcomeError)},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := &Leader{
+					Log: eventlog.Discard(), core: batch.NewCore(batch.DefaultTiming(), time.Now(), time.Now()),
+					planNeeded: make(chan struct{}, 1), ended: make(chan struct{}),
+				}
+				l.core.SetQueueConfig(testTable())
+				l.leaseRenewed(time.Now())
+				l.Now = func() time.Time {
+					for i := 0; i < 1000 && l.hasEnded(); i++ {
+						runtime.Gosched()
+					}
+					return time.Now()
+				}
+				result := make(chan error, 1)
+				go func() { result <- l.submit(t.Context(), testJob(1, 1)) }()
+				synctest.Wait()
+				if c.inCommit {
+					_, err := l.core.TakeChanges(maxCommitRecords, l.Now())
+					require.NoError(t, err)
+				}
+				l.endSubmissions()
+				require.ErrorAs(t, <-result, c.want)
+			})
+		})
+	}
+}
+
 // A caller with little time left is refused rather than left with an unknown outcome.
 func TestNoWriteBeginsWithoutTimeForItsAnswer(t *testing.T) {
 	for _, c := range []struct {
