Cancels that are durable at their deadline are not reported as unknown

Leader.cancel waits for the state of a cancel or the end of its context; if both were there, select chose at random, and half of the durable cancels ended as an UnknownOutcomeError ("context deadline exceeded"). Callers were told so only if the node could not read the job's record after that. Found while looking for the cause of the submissions reported as unknown at the end of a term.

When the context ends, cancel now looks for the state as submit does, with l.mu locked (lastState).

--- a/internal/scheduler/answers.go
+++ b/internal/scheduler/answers.go
@@ -27,19 +27,23 @@
 		return false, err
 	}
 	l.signal(l.planNeeded)
+	var s batch.State
 	select {
-	case s := <-done:
-		if s == batch.Dropped || s == batch.Refused {
-			// This leader does not know whether the inbox still contains the job.
-			return true, &NotLeaderError{}
-		}
-		if s == batch.Moved {
-			return true, l.movedError(id)
-		}
-		return true, nil
+	case s = <-done:
 	case <-ctx.Done():
-		return true, &UnknownOutcomeError{Err: ctx.Err()}
+		var called bool
+		if s, called = l.lastState(done); !called {
+			return true, &UnknownOutcomeError{Err: ctx.Err()}
+		}
+	}
+	switch s {
+	case batch.Dropped, batch.Refused:
+		// This leader does not know whether the inbox still contains the job.
+		return true, &NotLeaderError{}
+	case batch.Moved:
+		return true, l.movedError(id)
 	}
+	return true, nil
 }
 
 func (l *Leader) state(_ context.Context, id string) (batch.State, bool, error) {
--- a/internal/scheduler/submissions_test.go
+++ b/internal/scheduler/submissions_test.go
@@ -226,6 +226,27 @@
 	}
 }
 
+// Guards against a cancel that is durable but reported as unknown because its caller's time is over, too.
+func TestDurableCancelIsConfirmedAtDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, time.Second, "w1")
+		defer cl.stop()
+		a := cl.addNode("a")
+		time.Sleep(4 * time.Second)
+		require.NoError(t, submit(a, testJob(1, 1)))
+		_, leader := cl.leader()
+		known, err := leader.cancel(t.Context(), testJob(1, 1).ID)
+		require.NoError(t, err)
+		require.True(t, known)
+		ctx, cancel := context.WithTimeout(t.Context(), 0)
+		defer cancel()
+		for range 64 {
+			_, err := leader.cancel(ctx, testJob(1, 1).ID)
+			require.NoError(t, err)
+		}
+	})
+}
+
 // A caller with little time left is refused rather than left with an unknown outcome.
 func TestNoWriteBeginsWithoutTimeForItsAnswer(t *testing.T) {
 	for _, c := range []struct {
