Changes of a shard that are durable at the deadline are confirmed

Shard's Leader.awaitBatch waits for the next commit or the end of its context; if both were there, select chose at random, and half of the changes (submissions, cancels, transfers and reports) that were durable ended with the context's error.

After the context has ended, awaitBatch now looks once more, with l.mu locked, whether the batch is durable.

--- a/internal/shard/leader.go
+++ b/internal/shard/leader.go
@@ -283,11 +283,12 @@
 			return nil
 		case ended:
 			return &NotLeaderError{Shard: l.Shard}
+		case ctx.Err() != nil:
+			return ctx.Err()
 		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return ctx.Err()
 		}
 	}
 }
