--- a/internal/batch/crash_test.go
+++ b/internal/batch/crash_test.go
@@ -270,6 +270,18 @@
 			next.SetWorkers([]WorkerInfo{info}, nil, now)
 			return next
 		}},
+		{name: "found again by the next leader", want: 1, end: func(t *testing.T, c *Core, w *worker, now time.Time) *Core {
+			info := w.WorkerInfo
+			info.Incarnation++
+			c.SetWorker(info, now)
+			changes, err := c.TakeChanges(20, now)
+			require.NoError(t, err)
+			next := NewCore(DefaultTiming(), now, now.Add(time.Minute))
+			next.SetQueueConfig(simQueueConfig())
+			require.NoError(t, next.Restore(changes.Records[0].Value, now))
+			next.SetWorkers([]WorkerInfo{info}, nil, now)
+			return next
+		}},
 		{name: "drained", want: 0, end: func(_ *testing.T, c *Core, w *worker, now time.Time) *Core {
 			info := w.WorkerInfo
 			info.Draining = true
