Runs work at full speed once no serving task is left

Callers would see a filler job never end: a run that was throttled, or suspended, for a serving task stayed so after that task had left the worker, until another one came. Cause: ratios were only adjusted on workers with serving tasks. They are set to full speed on the others now.

TestThrottledRunsGoOn/no_serving_task: a suspended run with 5 s of work had not ended 20 s after the serving job was cancelled; it ends now.

--- a/internal/batch/interference_test.go
+++ b/internal/batch/interference_test.go
@@ -98,6 +98,51 @@
 	require.InDelta(t, 1, sim.onTime(hard, 3*time.Second), 1e-9)
 }
 
+// Guards against filler runs that stay throttled for good after the last serving task has left their worker.
+func TestThrottledRunsGoOn(t *testing.T) {
+	noServing := func(sim *interferenceSim) {
+		i := slices.IndexFunc(sim.core.active, func(j *job) bool { return j.Queue == "check" })
+		sim.core.Cancel(sim.core.active[i].ID, sim.now, nil)
+	}
+	for _, c := range []struct {
+		name string
+		// relief happens once the run is suspended and the serving tasks have headroom again.
+		relief func(*interferenceSim)
+	}{
+		{name: "headroom", relief: func(*interferenceSim) {}},
+		{name: "no serving task", relief: noServing},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			sim := newInterferenceSim(t, "s")
+			sim.renewsLeases = true
+			sim.headroomLost = map[string]map[string]float64{"s": {"a": 1.5}}
+			for range 10 {
+				sim.submit(fillerStep("a", 3))
+				sim.run(time.Second)
+			}
+			sim.run(5 * time.Second)
+			step := fillerStep("a", 1)
+			step.Estimate = 5 * time.Second
+			job := sim.submit(step)
+			sim.run(interferenceTick)
+			run := sim.core.jobs[job].runs()[0]
+			sim.baseline = func(string, time.Time) float64 { return 1.05 }
+			for range 10 {
+				if run.throttleRatio == 0 {
+					break
+				}
+				sim.run(interferenceTick)
+			}
+			require.Zero(t, run.throttleRatio)
+			sim.baseline = func(string, time.Time) float64 { return 4 }
+			clear(sim.reportedTails)
+			c.relief(sim)
+			sim.run(20 * time.Second)
+			require.Contains(t, sim.jobTimes, job)
+		})
+	}
+}
+
 // The reason why a task waits is logged once per interval for each step, with the number of workers
 // that each obstacle excludes.
 func TestWaitReasonIsLogged(t *testing.T) {
--- a/internal/batch/throttle.go
+++ b/internal/batch/throttle.go
@@ -55,10 +55,16 @@
 
 // adjustThrottling sets the throttle ratios of the filler runs on a worker, or moves them away.
 func (c *Core) adjustThrottling(w *worker, now time.Time) {
-	if w.fillerSize.Processors == 0 || len(c.servingGroups(w)) == 0 {
+	if w.fillerSize.Processors == 0 {
 		return
 	}
 	runs := c.runningFillers(w)
+	if len(c.servingGroups(w)) == 0 {
+		for _, r := range runs {
+			c.setThrottleRatio(w, r, unthrottled, "no serving task is left", now)
+		}
+		return
+	}
 	missCost, missedFor := throttleMissCost, time.Duration(0)
 	if !w.targetMissedSince.IsZero() {
 		missedFor = now.Sub(w.targetMissedSince)
