Throttle ratios that are not known are set again

Callers would see a filler job never end: its run stayed suspended though the serving tasks had headroom. Cause: the leader took the ratio it had last confirmed for the one in force. A throttle command without an answer counted as not carried out, and a new leader assumed full speed for runs that the leader before had suspended. If that ratio was the wanted one, no command was sent, for as long as it was. Until then the worker also counted as short of processors, since its runs used far less than their assumed ratio, and wrong effects of images were learned.

A ratio is now in doubt from when a command is sent until it is answered, and after a take-over; it is set again every 0.6 s until a worker confirms it. Meanwhile it tells nothing about processors or interference. Commands for runs that have ended are not sent any more.

The simulation of interference used the leader's ratio as that of the worker, which hid the fault; workers have their own now. With that and without the fix fail: TestThrottledRunsGoOn/another_leader and /no_serving_task_after_lost_answers (a run with 5 s of work has not ended after 20 s), and TestManyLateJobsThatInterfereEverywhereKeepARun/11 (a job without a run for 3 s after a change of leader). They pass with it.

--- a/internal/batch/command.go
+++ b/internal/batch/command.go
@@ -145,10 +145,11 @@
 		}
 		r.stopSentAt = now
 	case CommandThrottle:
-		if r.state != runRunning {
+		if r.state != runRunning || w.runs[r.key()] != r {
 			return Call{}, false
 		}
 		call.Percent = cmd.throttleRatio
+		w.doubtThrottle(r, now)
 	}
 	return call, true
 }
@@ -169,12 +170,7 @@
 			c.stopAnswered(cmd.run, res, now)
 		}
 	case CommandThrottle:
-		if res.Answer == AnswerDone {
-			w.addFillerUsage(now)
-			cmd.run.throttleRatio, cmd.run.throttledAt = cmd.throttleRatio, now
-			w.groupsStale = true
-			c.markChangedForFillers(w)
-		}
+		c.throttleAnswered(cmd.run, cmd.throttleRatio, res, now)
 	}
 }
 
@@ -239,6 +235,21 @@
 	}
 }
 
+func (c *Core) throttleAnswered(r *run, ratio int, res Result, now time.Time) {
+	w := r.worker
+	switch res.Answer {
+	case AnswerDone:
+		w.addFillerUsage(now)
+		r.throttleRatio, r.throttledAt = ratio, now
+		delete(w.throttlesInDoubt, r)
+		w.groupsStale = true
+		c.markChangedForFillers(w)
+	case AnswerNone:
+		// It may be carried out after others that were sent later.
+		w.doubtThrottle(r, w.throttlesInDoubt[r])
+	}
+}
+
 func (c *Core) stopAnswered(r *run, res Result, now time.Time) {
 	switch res.Answer {
 	case AnswerDone, AnswerSuperseded:
--- a/internal/batch/interference.go
+++ b/internal/batch/interference.go
@@ -96,11 +96,13 @@
 
 // recordTails learns from the tail latencies on a worker, recorded a span after the previous ones.
 func (c *Core) recordTails(w *worker, span time.Duration, now time.Time) {
-	beside := w.meanFillerUsage(span)
+	beside, isUsageKnown := w.meanFillerUsage(span), len(w.throttlesInDoubt) == 0
 	for _, r := range w.measuredRuns() {
 		s := r.task.stage
 		if noise, known := r.updateTailRatio(span); known {
-			c.headroom.Observe(&s.baseline, s.image, beside, 1/r.tailRatio, noise, now)
+			if isUsageKnown {
+				c.headroom.Observe(&s.baseline, s.image, beside, 1/r.tailRatio, noise, now)
+			}
 			if r.tailRatio >= 1 {
 				c.missed.add(span, len(beside) > 0)
 			}
@@ -224,7 +226,7 @@
 // isUseKnown reports whether the processor time that is reported for the run belongs to its present
 // throttle ratio.
 func (r *run) isUseKnown(now time.Time) bool {
-	return r.state == runRunning && now.Sub(r.throttledAt) >= tailDecay && now.Sub(r.sentAt) >= tailDecay
+	return r.state == runRunning && !r.isThrottleInDoubt() && now.Sub(r.throttledAt) >= tailDecay && now.Sub(r.sentAt) >= tailDecay
 }
 
 // servingUse returns the share of their processors that the serving tasks on the worker are assumed
--- a/internal/batch/interference_test.go
+++ b/internal/batch/interference_test.go
@@ -98,7 +98,8 @@
 	require.InDelta(t, 1, sim.onTime(hard, 3*time.Second), 1e-9)
 }
 
-// Guards against filler runs that stay throttled for good after the last serving task has left their worker.
+// Guards against filler runs that stay throttled for good: no serving task is left on their worker, or the leader takes a
+// ratio for the one in force that an earlier leader, or a command without an answer, has changed.
 func TestThrottledRunsGoOn(t *testing.T) {
 	noServing := func(sim *interferenceSim) {
 		i := slices.IndexFunc(sim.core.active, func(j *job) bool { return j.Queue == "check" })
@@ -106,11 +107,15 @@
 	}
 	for _, c := range []struct {
 		name string
+		// answersLost means that the answers to the commands that suspend the run are lost.
+		answersLost bool
 		// relief happens once the run is suspended and the serving tasks have headroom again.
 		relief func(*interferenceSim)
 	}{
 		{name: "headroom", relief: func(*interferenceSim) {}},
 		{name: "no serving task", relief: noServing},
+		{name: "no serving task after lost answers", answersLost: true, relief: noServing},
+		{name: "another leader", relief: (*interferenceSim).replaceLeader},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			sim := newInterferenceSim(t, "s")
@@ -124,16 +129,20 @@
 			step := fillerStep("a", 1)
 			step.Estimate = 5 * time.Second
 			job := sim.submit(step)
+			run := runKey{task: TaskName{Job: job}, run: 1}
 			sim.run(interferenceTick)
-			run := sim.core.jobs[job].runs()[0]
+			require.Contains(t, sim.remainingWork, run)
+			sim.ratios[run] = unthrottled
+			sim.losesThrottleAnswers = c.answersLost
 			sim.baseline = func(string, time.Time) float64 { return 1.05 }
 			for range 10 {
-				if run.throttleRatio == 0 {
+				if sim.ratios[run] == 0 {
 					break
 				}
 				sim.run(interferenceTick)
 			}
-			require.Zero(t, run.throttleRatio)
+			require.Zero(t, sim.ratios[run])
+			sim.losesThrottleAnswers = false
 			sim.baseline = func(string, time.Time) float64 { return 4 }
 			clear(sim.reportedTails)
 			c.relief(sim)
--- a/internal/batch/interferencesim_test.go
+++ b/internal/batch/interferencesim_test.go
@@ -39,7 +39,10 @@
 	lastEnds map[string]int64
 	// remainingWork is the remaining run time of each run at full speed.
 	remainingWork map[runKey]time.Duration
-	jobTimes      map[string]time.Duration
+	// ratios are the throttle ratios that the workers were told. losesThrottleAnswers means that the answers are lost.
+	ratios               map[runKey]int
+	losesThrottleAnswers bool
+	jobTimes             map[string]time.Duration
 	// reportedTails are the last reported tail latencies in milliseconds.
 	reportedTails map[runKey]float64
 	lastJob       int
@@ -81,7 +84,7 @@
 	sim := &interferenceSim{
 		t: t, now: time.Unix(1_000_000_000, 0), headroomLost: map[string]map[string]float64{}, lastEnds: map[string]int64{},
 		remainingWork: map[runKey]time.Duration{}, jobTimes: map[string]time.Duration{}, reportedTails: map[runKey]float64{},
-		harmedFor: map[string]time.Duration{},
+		harmedFor: map[string]time.Duration{}, ratios: map[runKey]int{},
 		missedFor: map[runKey]time.Duration{},
 		baseline:  func(string, time.Time) float64 { return 2.2 },
 	}
@@ -179,10 +182,17 @@
 func (sim *interferenceSim) executeCommands() {
 	for _, command := range sim.core.TakeCommands() {
 		if call, ok := sim.core.PrepareCall(command, sim.now); ok {
-			sim.core.HandleAnswer(command, Result{Answer: AnswerDone, Clock: time.Hour}, sim.now, sim.now)
-			if call.Kind == CommandStop {
-				delete(sim.remainingWork, runKey{task: call.Task, run: call.Run})
+			key, result := runKey{task: call.Task, run: call.Run}, Result{Answer: AnswerDone, Clock: time.Hour}
+			switch call.Kind {
+			case CommandStop:
+				delete(sim.remainingWork, key)
+			case CommandThrottle:
+				sim.ratios[key] = call.Percent
+				if sim.losesThrottleAnswers {
+					result = Result{Answer: AnswerNone}
+				}
 			}
+			sim.core.HandleAnswer(command, result, sim.now, sim.now)
 		}
 	}
 }
@@ -203,11 +213,15 @@
 		if _, known := sim.remainingWork[key]; !known {
 			sim.remainingWork[key] = s.Estimate
 		}
-		cores := float64(s.Size.Processors) * float64(r.throttleRatio) / unthrottled
+		ratio, throttled := sim.ratios[key]
+		if !throttled {
+			ratio = unthrottled
+		}
+		cores := float64(s.Size.Processors) * float64(ratio) / unthrottled
 		for serving, lostBeside := range sim.headroomLost {
 			lost[serving] += lostBeside[s.Image] * cores / simWorkerProcessors
 		}
-		sim.remainingWork[key] -= interferenceTick * time.Duration(r.throttleRatio) / unthrottled
+		sim.remainingWork[key] -= interferenceTick * time.Duration(ratio) / unthrottled
 		if sim.remainingWork[key] <= 0 {
 			sim.endRun(&rep, w, key, EndDone)
 			continue
--- a/internal/batch/poll.go
+++ b/internal/batch/poll.go
@@ -203,6 +203,10 @@
 	if r.state == runSent || r.state == runUnconfirmed || r.state == runPending {
 		r.worker.addFillerUsage(now)
 		r.state, r.stateSince, r.started = runRunning, now, true
+		if t.stage.step.Filler && r.placedAt.IsZero() {
+			// The earlier leader that has placed the run may have throttled it.
+			r.worker.doubtThrottle(r, time.Time{})
+		}
 		c.markStarted(t.stage.job)
 	}
 	c.recordLasting(r, now)
--- a/internal/batch/throttle.go
+++ b/internal/batch/throttle.go
@@ -89,6 +89,8 @@
 			c.setThrottleRatio(w, r, ratio, "not enough headroom", now)
 		case ratio > r.throttleRatio && mayRaise:
 			c.setThrottleRatio(w, r, ratio, "headroom is available", now)
+		case r.mayRepeatThrottle(now):
+			c.setThrottleRatio(w, r, r.throttleRatio, "ratio in force is not known", now)
 		}
 	}
 }
@@ -163,12 +165,37 @@
 	})
 }
 
+// throttleRetryAfter is the interval at which a throttle command is repeated until it is answered.
+const throttleRetryAfter = stopRetryAfter
+
+// doubtThrottle records that another throttle ratio than that of the run may be in force since a command was sent.
+func (w *worker) doubtThrottle(r *run, sent time.Time) {
+	if w.throttlesInDoubt == nil {
+		w.throttlesInDoubt = map[*run]time.Time{}
+	}
+	w.throttlesInDoubt[r] = sent
+}
+
+// isThrottleInDoubt reports whether another throttle ratio than that of the run may be in force.
+func (r *run) isThrottleInDoubt() bool {
+	_, inDoubt := r.worker.throttlesInDoubt[r]
+	return inDoubt
+}
+
+// mayRepeatThrottle reports whether the throttle ratio in force is not known and no recent command sets it.
+func (r *run) mayRepeatThrottle(now time.Time) bool {
+	sent, inDoubt := r.worker.throttlesInDoubt[r]
+	return inDoubt && now.Sub(sent) >= throttleRetryAfter
+}
+
 // setThrottleRatio sends a command that changes the throttle ratio of a run.
 func (c *Core) setThrottleRatio(w *worker, r *run, ratio int, reason string, now time.Time) {
-	if ratio == r.throttleRatio {
+	switch {
+	case ratio != r.throttleRatio:
+		w.throttleChangedAt = now
+	case !r.mayRepeatThrottle(now):
 		return
 	}
-	w.throttleChangedAt = now
 	c.commands = append(c.commands, Command{Kind: CommandThrottle, run: r, worker: w, throttleRatio: ratio})
 	leastHeadroom := 0.0
 	for i, group := range c.servingGroups(w) {
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -110,6 +110,9 @@
 	// meanTailRatio is the mean of the last measured tail ratios, each counted as at most 1.
 	meanTailRatio     float64
 	throttleChangedAt time.Time
+	// throttlesInDoubt are the filler runs at which another throttle ratio may be in force than the leader takes for
+	// granted, with the time of the last throttle command: it is not answered, or an earlier leader has sent others.
+	throttlesInDoubt map[*run]time.Time
 	// targetMissedSince is the time from which on each report has shown a missed tail target; zero
 	// if the last report showed none.
 	targetMissedSince time.Time
@@ -179,6 +182,7 @@
 		return
 	}
 	delete(w.runs, r.key())
+	delete(w.throttlesInDoubt, r)
 	if w.isolated == r {
 		w.isolated = nil
 	}
