Ejected targets are probed in every service and under load

Callers would see too little capacity for as long as the load lasts: up to a third of the targets, ejected for five unanswered attempts, stayed out of use though they answered again. Cause: only an idempotent request that found nothing waiting could be a probe. So a target was never probed again in a service without idempotent requests, nor while requests waited, which the missing capacity itself brings about.

TestWaitingRequestProbesEjectedTarget and TestTargetIsProbedWithoutIdempotentRequests failed before (the request still waits; no probe) and pass.

--- a/internal/entry/destination.go
+++ b/internal/entry/destination.go
@@ -46,6 +46,8 @@
 	assigned chan destination
 	// forwardable is set if the request may be sent to a peer.
 	forwardable bool
+	// idempotent is set if the request may probe an ejected target.
+	idempotent bool
 }
 
 // serviceState returns the state of a service, which it creates on first use.
@@ -145,7 +147,10 @@
 func (d *Dispatcher) enqueue(svc *serviceState, q Request, filter destinationFilter) (*waiter, *OutcomeError) {
 	svc.queue.Slots = d.Targets.Capacity(svc.name)
 	svc.queue.Limit = d.QueuedPerTarget * d.Targets.Count(svc.name)
-	w := &waiter{assigned: make(chan destination, 1), forwardable: !q.Forwarded && !filter.localOnly}
+	w := &waiter{
+		assigned: make(chan destination, 1), forwardable: !q.Forwarded && !filter.localOnly,
+		idempotent: q.Route.Class == release.Idempotent,
+	}
 	w.item = queue.Item{Neighbour: q.Neighbour.Name, Weight: d.weight(q.Neighbour.Name), Deadline: q.Deadline, Value: w}
 	if svc.queue.Slots == 0 {
 		return w, notRun(http.StatusServiceUnavailable, "this instance holds no slot of the service").
@@ -266,7 +271,9 @@
 func (d *Dispatcher) assignFree(svc *serviceState) {
 	for svc.queue.Len() > 0 {
 		dest := destination{acquiredAt: time.Now()}
-		slot, local := d.Targets.Acquire(target.Criteria{Service: svc.name, Now: dest.acquiredAt})
+		// If this one turns out to be late, another one may be the probe.
+		next := svc.queue.Peek().Value.(*waiter)
+		slot, local := d.Targets.Acquire(target.Criteria{Service: svc.name, Now: dest.acquiredAt, Idempotent: next.idempotent})
 		switch {
 		case local:
 			dest.slot = slot
--- a/internal/entry/dispatcher_test.go
+++ b/internal/entry/dispatcher_test.go
@@ -116,6 +116,39 @@
 	requireResponse(t, "a", a, err)
 }
 
+// Guards against an ejected target that stays out of use for as long as requests wait for the others.
+func TestWaitingRequestProbesEjectedTarget(t *testing.T) {
+	const ejection = time.Second
+	fx := newFixture(t, 3, 1, 0)
+	ejectedAt := time.Now().Add(100*time.Millisecond - ejection)
+	for change := target.Unchanged; change == target.Unchanged; {
+		slot, ok := fx.Targets.Acquire(target.Criteria{Service: "s", Now: ejectedAt})
+		require.True(t, ok)
+		change = fx.Targets.Report(slot, target.Failed, 0, ejectedAt)
+		fx.Targets.Release(slot)
+	}
+	for range 2 {
+		_, ok := fx.Targets.Acquire(anySlot("s"))
+		require.True(t, ok)
+	}
+	svc := fx.serviceState("s")
+	r := route(release.Idempotent)
+	r.Deadline = 3 * time.Second
+	q := request(r, "a")
+	svc.mu.Lock()
+	w, refused := fx.enqueue(svc, q, destinationFilter{})
+	svc.mu.Unlock()
+	require.Nil(t, refused)
+	time.Sleep(time.Until(ejectedAt.Add(ejection)))
+	fx.Wake("s")
+	select {
+	case dest := <-w.assigned:
+		require.True(t, dest.slot.Probe)
+	default:
+		require.Fail(t, "the request still waits")
+	}
+}
+
 // If a target stalls, the hedge responds instead, and no runner gets more requests than it has
 // slots.
 func TestHedgeAnswersForStalledTarget(t *testing.T) {
--- a/internal/target/group.go
+++ b/internal/target/group.go
@@ -91,9 +91,9 @@
 }
 
 // choose returns the target for a request, or nil if none accepts it. An ejected target that is
-// due for a probe comes first if the request is idempotent.
+// due for a probe by the request comes first.
 func (g *group) choose(criteria Criteria) *state {
-	if criteria.Idempotent && len(g.ejected) > 0 {
+	if len(g.ejected) > 0 {
 		if s := g.dueProbe(criteria); s != nil {
 			return s
 		}
@@ -131,10 +131,15 @@
 	return best
 }
 
-// dueProbe returns an ejected target that is due for a probe and has no request in flight, or nil.
+// dueProbe returns an ejected target that is due for a probe by the request and has no request in flight, or nil. A
+// request that is not idempotent is a probe only if no idempotent one has come for longestEjection.
 func (g *group) dueProbe(criteria Criteria) *state {
 	for _, s := range g.ejected {
-		due := !criteria.Now.Before(s.health.probeAt)
+		probeAt := s.health.probeAt
+		if !criteria.Idempotent {
+			probeAt = probeAt.Add(longestEjection)
+		}
+		due := !criteria.Now.Before(probeAt)
 		if due && s.inFlight == 0 && s.usableSlots() > 0 && s.ID != criteria.Exclude {
 			return s
 		}
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -61,7 +61,7 @@
 	Service string
 	// Exclude is the id of a target that must not be chosen; empty excludes none.
 	Exclude string
-	// Idempotent requests may be used to probe an ejected target.
+	// Idempotent requests are preferred to probe an ejected target.
 	Idempotent bool
 	Now        time.Time
 }
--- a/internal/target/target_test.go
+++ b/internal/target/target_test.go
@@ -146,6 +146,32 @@
 	require.Equal(t, 3, table.Idle("s"), "six slots, three of them taken")
 }
 
+// Guards against a target that stays out of use for good because no idempotent request probes it.
+func TestTargetIsProbedWithoutIdempotentRequests(t *testing.T) {
+	table := tableOf(3, 2)
+	eject(t, table)
+	due := start.Add(firstEjection)
+	for _, c := range []struct {
+		name  string
+		after time.Duration
+		probe bool
+	}{
+		{name: "just due"},
+		{name: "left to idempotent requests", after: longestEjection - 1},
+		{name: "no idempotent request has come", after: longestEjection, probe: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			slot, ok := table.Acquire(criteria(due.Add(c.after)))
+			require.True(t, ok)
+			require.Equal(t, c.probe, slot.Probe)
+			if c.probe {
+				require.Equal(t, Readmitted, table.Report(slot, Succeeded, time.Millisecond, due.Add(c.after)))
+			}
+			table.Release(slot)
+		})
+	}
+}
+
 // eject reports failures for target 0 until it is ejected.
 func eject(t *testing.T, table *Table) {
 	t.Helper()
