Starts that a report confirms end the pause of their worker

Callers would see tasks wait while workers are free: a worker whose answers to starts are lost or late was given no run for 0.5 s after the first, and up to 8 s after the fifth, although it had carried out each of them. Cause: a start without an answer counts as a refusal, and only an answered one took the count back. Now a report that lists the run does so, too, and ends the pause. A report without the run still does not: a worker may answer polls and leave starts unanswered.

TestConfirmedStartsCauseNoBackoff/reported failed before (the worker accepts no runs) and passes.

--- a/internal/batch/command.go
+++ b/internal/batch/command.go
@@ -201,7 +201,7 @@
 	w := r.worker
 	switch res.Answer {
 	case AnswerDone:
-		w.refusals = 0
+		w.confirmStart(false)
 		w.addFillerUsage(now)
 		r.state, r.stateSince, r.started = runRunning, now, true
 		c.markStarted(r.task.stage.job)
@@ -282,6 +282,15 @@
 	w.backoffUntil = now.Add(pause)
 }
 
+// confirmStart records that the worker has carried out a start command of this leader. If that was without an answer,
+// the pause that the lack of it has caused ends.
+func (w *worker) confirmStart(unanswered bool) {
+	w.refusals = 0
+	if unanswered {
+		w.backoffUntil = time.Time{}
+	}
+}
+
 // recordNoAnswer records that a worker did not answer a call that was sent at the time sent.
 func (c *Core) recordNoAnswer(w *worker, sent, now time.Time) {
 	w.endsListed, w.unansweredAt = false, now
--- a/internal/batch/poll.go
+++ b/internal/batch/poll.go
@@ -202,6 +202,9 @@
 	}
 	if r.state == runSent || r.state == runUnconfirmed || r.state == runPending {
 		r.worker.addFillerUsage(now)
+		if !r.placedAt.IsZero() {
+			r.worker.confirmStart(r.state == runUnconfirmed)
+		}
 		r.state, r.stateSince, r.started = runRunning, now, true
 		if t.stage.step.Filler && r.placedAt.IsZero() {
 			// The earlier leader that has placed the run may have throttled it.
