Refused polls renew no leases

Callers would see a long-running task without a run for as long as its worker is listed and refuses its polls: 503 of an unhealthy worker, or 421 of another one at its address. Cause: each poll that was to renew the leases extended the time at which the leader takes them for expired, and only a poll without any answer stopped that. A worker that refuses a poll has done nothing, so its runs ended with the leases that it had, and nothing gave them up.

After such a refusal no lease is renewed until the worker reports, as after a call without an answer; the runs are given up once the leases granted until then have expired.

TestRefusedPollRenewsNoLease/busy and /gone failed before (no second run within 7 s) and pass.

--- a/internal/batch/command.go
+++ b/internal/batch/command.go
@@ -294,20 +294,31 @@
 // recordNoAnswer records that a worker did not answer a call that was sent at the time sent.
 func (c *Core) recordNoAnswer(w *worker, sent, now time.Time) {
 	w.endsListed, w.unansweredAt = false, now
-	if w.lastContact.After(sent) || w.predatesIncarnation(sent) {
+	c.markUnresponsive(w, "no answer", sent)
+}
+
+// recordRefusedPoll records that a poll, which was sent at the time sent, was answered but renewed no lease.
+func (c *Core) recordRefusedPoll(w *worker, answer Answer, sent time.Time) {
+	if len(w.runs) > 0 {
+		c.markUnresponsive(w, string(answer), sent)
+	}
+}
+
+// markUnresponsive records that a call that was sent at the time sent has shown nothing of the worker's runs, unless
+// another answer has arrived since. Leases are renewed again once the worker reports.
+func (c *Core) markUnresponsive(w *worker, reason string, sent time.Time) {
+	if w.lastContact.After(sent) || w.predatesIncarnation(sent) || !w.unresponsiveSince.IsZero() {
 		return
 	}
-	if w.unresponsiveSince.IsZero() {
-		w.unresponsiveSince = sent
-		n := Note{Kind: NoteWorkerUnresponsive, Worker: w.ID, Reason: "no answer"}
-		if !w.lastContact.IsZero() {
-			n.Age = sent.Sub(w.lastContact)
-		}
-		if len(w.runs) > 0 {
-			n.Runs, n.Remaining = len(w.runs), w.leasesExpireAt.Sub(sent)
-		}
-		c.note(n)
+	w.unresponsiveSince = sent
+	n := Note{Kind: NoteWorkerUnresponsive, Worker: w.ID, Reason: reason}
+	if !w.lastContact.IsZero() {
+		n.Age = sent.Sub(w.lastContact)
+	}
+	if len(w.runs) > 0 {
+		n.Runs, n.Remaining = len(w.runs), w.leasesExpireAt.Sub(sent)
 	}
+	c.note(n)
 }
 
 // dropRun removes a run from its worker and its task.
--- a/internal/batch/evidence_test.go
+++ b/internal/batch/evidence_test.go
@@ -85,6 +85,31 @@
 	}
 }
 
+// Guards against tasks that wait for good while their worker is listed and each poll is answered, but with a refusal: it
+// has renewed no lease, so that the runs have ended.
+func TestRefusedPollRenewsNoLease(t *testing.T) {
+	for _, answer := range []Answer{AnswerNone, AnswerBusy, AnswerWrongIncarnation, AnswerInvalid} {
+		t.Run(string(answer), func(t *testing.T) {
+			start := time.Unix(1_000_000_000, 0)
+			core := fourWorkerCore(t, start)
+			first := startOne(t, core, "", start)
+			core.ApplyReport(first.Worker, reportOf(core.workers[first.Worker]), start, start)
+			started := time.Duration(0)
+			for now := start.Add(500 * time.Millisecond); now.Sub(start) <= 7*time.Second && started == 0; now = now.Add(500 * time.Millisecond) {
+				_, ok := core.BeginPoll(first.Worker, now, true)
+				require.True(t, ok)
+				core.PollFailed(first.Worker, answer, now, now)
+				core.Plan(now)
+				for _, call := range commitAndStart(t, core, now) {
+					require.EqualValues(t, 2, call.Run)
+					started = now.Sub(start)
+				}
+			}
+			require.Greater(t, started, core.timing.Lease, "the task was started again before its lease had expired")
+		})
+	}
+}
+
 // Guards against a second run of a task: a late answer from the address that its worker had before a restart.
 func TestAnswerAtFormerAddressEndsNoRun(t *testing.T) {
 	now := time.Unix(1_000_000_000, 0)
--- a/internal/batch/poll.go
+++ b/internal/batch/poll.go
@@ -93,9 +93,13 @@
 			c.loseAllRuns(w, evidenceReplaced, now)
 		}
 		w.backoffUntil = now.Add(minBackoff)
+		c.recordRefusedPoll(w, answer, sent)
 	case AnswerBusy:
 		if !w.predatesIncarnation(sent) {
+			c.recordRefusedPoll(w, answer, sent)
+			unresponsiveSince := w.unresponsiveSince
 			w.recordContact(0, now)
+			w.unresponsiveSince = unresponsiveSince
 			c.backOff(w, now)
 		}
 	default:
