Merge: throttling, backing off and ejection that rested on missing answers

The survey of the same class of fault found answers that were missing taken for refusals: throttle commands, starts, refused polls and requests to runners. Each is fixed with a test that failed before.

--- a/internal/batch/command.go
+++ b/internal/batch/command.go
@@ -145,10 +145,11 @@
 		}
 		r.stopSentAt = now
 	case CommandThrottle:
-		if r.state != runRunning {
+		if r.state != runRunning || w.runs[r.key()] != r {
 			return Call{}, false
 		}
 		call.Percent = cmd.throttleRatio
+		w.doubtThrottle(r, now)
 	}
 	return call, true
 }
@@ -169,12 +170,7 @@
 			c.stopAnswered(cmd.run, res, now)
 		}
 	case CommandThrottle:
-		if res.Answer == AnswerDone {
-			w.addFillerUsage(now)
-			cmd.run.throttleRatio, cmd.run.throttledAt = cmd.throttleRatio, now
-			w.groupsStale = true
-			c.markChangedForFillers(w)
-		}
+		c.throttleAnswered(cmd.run, cmd.throttleRatio, res, now)
 	}
 }
 
@@ -205,7 +201,7 @@
 	w := r.worker
 	switch res.Answer {
 	case AnswerDone:
-		w.refusals = 0
+		w.confirmStart(false)
 		w.addFillerUsage(now)
 		r.state, r.stateSince, r.started = runRunning, now, true
 		c.markStarted(r.task.stage.job)
@@ -239,6 +235,21 @@
 	}
 }
 
+func (c *Core) throttleAnswered(r *run, ratio int, res Result, now time.Time) {
+	w := r.worker
+	switch res.Answer {
+	case AnswerDone:
+		w.addFillerUsage(now)
+		r.throttleRatio, r.throttledAt = ratio, now
+		delete(w.throttlesInDoubt, r)
+		w.groupsStale = true
+		c.markChangedForFillers(w)
+	case AnswerNone:
+		// It may be carried out after others that were sent later.
+		w.doubtThrottle(r, w.throttlesInDoubt[r])
+	}
+}
+
 func (c *Core) stopAnswered(r *run, res Result, now time.Time) {
 	switch res.Answer {
 	case AnswerDone, AnswerSuperseded:
@@ -271,23 +282,43 @@
 	w.backoffUntil = now.Add(pause)
 }
 
+// confirmStart records that the worker has carried out a start command of this leader. If that was without an answer,
+// the pause that the lack of it has caused ends.
+func (w *worker) confirmStart(unanswered bool) {
+	w.refusals = 0
+	if unanswered {
+		w.backoffUntil = time.Time{}
+	}
+}
+
 // recordNoAnswer records that a worker did not answer a call that was sent at the time sent.
 func (c *Core) recordNoAnswer(w *worker, sent, now time.Time) {
 	w.endsListed, w.unansweredAt = false, now
-	if w.lastContact.After(sent) || w.predatesIncarnation(sent) {
+	c.markUnresponsive(w, "no answer", sent)
+}
+
+// recordRefusedPoll records that a poll, which was sent at the time sent, was answered but renewed no lease.
+func (c *Core) recordRefusedPoll(w *worker, answer Answer, sent time.Time) {
+	if len(w.runs) > 0 {
+		c.markUnresponsive(w, string(answer), sent)
+	}
+}
+
+// markUnresponsive records that a call that was sent at the time sent has shown nothing of the worker's runs, unless
+// another answer has arrived since. Leases are renewed again once the worker reports.
+func (c *Core) markUnresponsive(w *worker, reason string, sent time.Time) {
+	if w.lastContact.After(sent) || w.predatesIncarnation(sent) || !w.unresponsiveSince.IsZero() {
 		return
 	}
-	if w.unresponsiveSince.IsZero() {
-		w.unresponsiveSince = sent
-		n := Note{Kind: NoteWorkerUnresponsive, Worker: w.ID, Reason: "no answer"}
-		if !w.lastContact.IsZero() {
-			n.Age = sent.Sub(w.lastContact)
-		}
-		if len(w.runs) > 0 {
-			n.Runs, n.Remaining = len(w.runs), w.leasesExpireAt.Sub(sent)
-		}
-		c.note(n)
+	w.unresponsiveSince = sent
+	n := Note{Kind: NoteWorkerUnresponsive, Worker: w.ID, Reason: reason}
+	if !w.lastContact.IsZero() {
+		n.Age = sent.Sub(w.lastContact)
+	}
+	if len(w.runs) > 0 {
+		n.Runs, n.Remaining = len(w.runs), w.leasesExpireAt.Sub(sent)
 	}
+	c.note(n)
 }
 
 // dropRun removes a run from its worker and its task.
--- a/internal/batch/poll.go
+++ b/internal/batch/poll.go
@@ -93,9 +93,13 @@
 			c.loseAllRuns(w, evidenceReplaced, now)
 		}
 		w.backoffUntil = now.Add(minBackoff)
+		c.recordRefusedPoll(w, answer, sent)
 	case AnswerBusy:
 		if !w.predatesIncarnation(sent) {
+			c.recordRefusedPoll(w, answer, sent)
+			unresponsiveSince := w.unresponsiveSince
 			w.recordContact(0, now)
+			w.unresponsiveSince = unresponsiveSince
 			c.backOff(w, now)
 		}
 	default:
@@ -202,7 +206,14 @@
 	}
 	if r.state == runSent || r.state == runUnconfirmed || r.state == runPending {
 		r.worker.addFillerUsage(now)
+		if !r.placedAt.IsZero() {
+			r.worker.confirmStart(r.state == runUnconfirmed)
+		}
 		r.state, r.stateSince, r.started = runRunning, now, true
+		if t.stage.step.Filler && r.placedAt.IsZero() {
+			// The earlier leader that has placed the run may have throttled it.
+			r.worker.doubtThrottle(r, time.Time{})
+		}
 		c.markStarted(t.stage.job)
 	}
 	c.recordLasting(r, now)
