A run whose worker has crashed is not one that lasts

Cause: a run that no report has listed stays until it is known whether the new incarnation has started it, and stayed confirmed as started. How long it has lasted was then measured up to the answer of the new incarnation, and ended its isolation as if it had lasted for 5 s.

The confirmation came from the former incarnation, so it is taken back; a report that lists the run confirms it anew.

--- a/internal/batch/crash_test.go
+++ b/internal/batch/crash_test.go
@@ -355,3 +355,24 @@
 		})
 	}
 }
+
+// Guards against a run that crashed its worker but counts as one that has lasted, because the next incarnation answers.
+func TestCrashedRunHasNotLasted(t *testing.T) {
+	now := time.Unix(1_000_000_000, 0)
+	core := fourWorkerCore(t, now)
+	step := Step{Tasks: 1, Size: share.Resources{Processors: 4000}}
+	require.NoError(t, core.Submit(Job{ID: "0000000000000001", Queue: "check", Spec: "spec", Steps: []Step{step}}, now, nil))
+	task := core.jobs["0000000000000001"].stages[0].tasks[0]
+	task.crashes = crashCount{total: 3, confirmed: 3}
+	core.Plan(now)
+	require.Len(t, commitAndStart(t, core, now), 1)
+	w := task.runs[0].worker
+	require.NotNil(t, w.isolated)
+	now = now.Add(2 * lateCrash)
+	info := w.WorkerInfo
+	info.Incarnation++
+	core.SetWorker(info, now)
+	core.ApplyReport(w.ID, Report{Incarnation: info.Incarnation, Clock: time.Second}, now, now)
+	core.Plan(now)
+	require.Equal(t, 4, task.crashes.total)
+}
--- a/internal/batch/lease.go
+++ b/internal/batch/lease.go
@@ -152,6 +152,7 @@
 // doubtStart handles a run whose worker has restarted since its start command was prepared, before any report listed
 // the run: the new incarnation may have carried out the command, or may still do so.
 func (c *Core) doubtStart(r *run, now time.Time) {
+	r.started = false
 	if r.state != runStopping && r.state != runStopped {
 		r.state, r.stateSince = runUnconfirmed, now
 		return
