Crashes that are proven after the lease has expired count

A task that crashes its workers was started without limit where the worker's lease expires before the crash is proven.

Cause: the runs, and with them the worker if it is not listed, were forgotten at the expiry, so that the proof found no task to count for.

The runs are now remembered for MaxLease after the expiry, and the worker is polled for as long. If another incarnation, or another worker at its address, answers, the crash counts; if the same incarnation does, the runs are forgotten: it was cut off. After three crashes a task whose lease expires waits for the proof, for up to maxIsolationWait from the expiry.

TestTaskThatCrashesWorkersIsGivenUp with workers that are away for 7 s failed before; TestJobsOutlastWorkersThatAreCutOff and TestCrashesByChanceGiveNoJobUp pass.

--- a/internal/batch/crash.go
+++ b/internal/batch/crash.go
@@ -82,6 +82,8 @@
 // may turn out to have started on the new incarnation, see forgiveCrash; their tasks are only marked as to be
 // given up.
 func (c *Core) recordCrash(w *worker, incarnation int64, evidence endEvidence, now time.Time) []*task {
+	runs := slices.Concat(sortedRuns(w.runs), w.expired)
+	w.expired = nil
 	if w.Draining {
 		// It has left as announced.
 		return nil
@@ -89,7 +91,7 @@
 	others := c.failedWith(w)
 	crashed := Note{Kind: NoteWorkerCrashed, Worker: w.ID, Age: w.silence(now), Reason: string(evidence)}
 	var suspects []*run
-	for _, r := range sortedRuns(w.runs) {
+	for _, r := range runs {
 		if !r.mayHaveCrashed(incarnation) {
 			continue
 		}
@@ -99,12 +101,14 @@
 			crashed.EarlyRuns++
 		}
 		t := r.task
-		if t.state != taskPlaced || t.stage.job.state.Final() {
+		if !c.isBlamable(r) {
 			continue
 		}
 		c.markDirty(t.stage.job)
 		if r.lasted() >= lateCrash {
-			t.crashes = crashCount{}
+			if !r.expired {
+				t.crashes = crashCount{}
+			}
 			continue
 		}
 		t.crashes.add(r, others.haveCommonCause(t.stage.job))
@@ -122,7 +126,7 @@
 	cause := soleCause(w, suspects)
 	for _, r := range suspects {
 		switch isCulprit := r.task.crashes.total >= maxCrashes || r == cause && !others.haveCommonCause(r.task.stage.job) && r.isProvenCause(); {
-		case isCulprit && incarnation != 0 && !r.reported:
+		case isCulprit && incarnation != 0 && !r.reported && !r.expired:
 			r.task.crashes.culprit = true
 		case isCulprit:
 			culprits = append(culprits, r.task)
@@ -131,6 +135,13 @@
 	return culprits
 }
 
+// isBlamable reports whether a crash under a run may count for its task: it has not ended otherwise, and its job is
+// still here.
+func (c *Core) isBlamable(r *run) bool {
+	t, j := r.task, r.task.stage.job
+	return (t.state == taskPlaced || r.expired && t.state == taskQueued) && !j.state.Final() && c.jobHere(t.name().Job) == j
+}
+
 // forgiveCrash takes back the crash that was counted for a run, which turns out to have started after it. If an
 // earlier leader has counted it, only the verdict is taken back.
 func (c *Core) forgiveCrash(r *run) {
--- a/internal/batch/crash_test.go
+++ b/internal/batch/crash_test.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"testing"
@@ -62,14 +63,15 @@
 }
 
 // Guards against a task that crashes worker after worker: after three workers have crashed under a
-// task it must not be started three times more, across takeovers, too. No other task may be given
+// task it must not be started three times more, across takeovers and expired leases, too. No other task may be given
 // up, however many runs it lost with those workers; where workers also crash by themselves, or long
 // after the start, at least two must have crashed under it.
 func TestTaskThatCrashesWorkersIsGivenUp(t *testing.T) {
 	for _, c := range []struct {
-		name   string
-		delay  time.Duration
-		faults simFaults
+		name     string
+		delay    time.Duration
+		downtime time.Duration
+		faults   simFaults
 		// ambiguous means that crashes recur under innocent tasks without any sign of the cause. These
 		// may be given up if the platform permits it.
 		ambiguous bool
@@ -78,6 +80,7 @@
 		{name: "before the start is answered", delay: time.Millisecond},
 		{name: "some time after its start", delay: 300 * time.Millisecond},
 		{name: "long after its start", delay: 2 * time.Second, ambiguous: true},
+		{name: "with leases that expire before the workers are back", delay: 10 * time.Millisecond, downtime: 7 * time.Second},
 		{name: "beside takeovers", delay: 10 * time.Millisecond, faults: simFaults{takeover: 3 * time.Second}},
 		{name: "beside other crashes", delay: 10 * time.Millisecond, faults: simFaults{crash: 2 * time.Second}, ambiguous: true},
 		{name: "beside lost answers", delay: 10 * time.Millisecond, faults: simFaults{lostAnswer: 0.05}},
@@ -86,7 +89,7 @@
 			for seed := range 6 {
 				sim := newSimWorld(t, uint64(seed), 20, c.faults)
 				sim.crasher = &simCrasher{
-					crashes: crashingTask, delay: c.delay, downtime: 3 * time.Second,
+					crashes: crashingTask, delay: c.delay, downtime: cmp.Or(c.downtime, 3*time.Second),
 					crashCount: map[TaskName]int{}, startsAfterThree: map[TaskName]int{},
 				}
 				sim.injectFaults(sim.now.Add(30 * time.Second))
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -209,8 +209,10 @@
 	started       bool
 	crashed       bool
 	crashesBefore crashCount
-	// restored means that the run began under an earlier leader.
+	// restored means that the run began under an earlier leader, expired that it was given up because its lease
+	// had expired.
 	restored bool
+	expired  bool
 	// isolation is how long the run is isolated on its worker; zero means not at all.
 	isolation time.Duration
 	// proven means that the run is long-running and has counted as a success of its worker.
--- a/internal/batch/lease.go
+++ b/internal/batch/lease.go
@@ -79,7 +79,7 @@
 		return
 	}
 	w.listed = false
-	if len(w.runs) == 0 {
+	if len(w.runs) == 0 && len(w.expired) == 0 {
 		delete(c.workers, id)
 		c.sortedWorkers = nil
 		c.health.Remove(id)
@@ -264,7 +264,10 @@
 		if len(w.runs) > 0 && now.After(w.leasesExpireAt) {
 			c.loseExpired(w, now)
 		}
-		if !w.listed && len(w.runs) == 0 {
+		if now.After(w.expiredUntil) {
+			w.expired = nil
+		}
+		if !w.listed && len(w.runs) == 0 && len(w.expired) == 0 {
 			delete(c.workers, w.ID)
 			c.sortedWorkers = nil
 			c.health.Remove(w.ID)
@@ -281,11 +284,21 @@
 const stopRetryCheckEvery = stopRetryAfter / 8
 
 // loseExpired gives up the runs on a worker whose leases have expired, except those whose start
-// command was not sent.
+// command was not sent. The worker is remembered for a while: only its next answer, or another one at its
+// address, tells whether it has crashed.
 func (c *Core) loseExpired(w *worker, now time.Time) {
+	w.expiredUntil = now.Add(c.timing.MaxLease)
 	for _, r := range sortedRuns(w.runs) {
 		if r.state != runPending {
+			if !r.crashed && r.state != runStopped {
+				r.expired = true
+				w.expired = append(w.expired, r)
+			}
 			c.lose(r, evidenceExpired, now)
+			if t := r.task; r.expired && t.crashes.total >= longCrashes {
+				// One more crash may be the last; whether this was one is probably known soon.
+				t.notBefore = now.Add(maxIsolationWait)
+			}
 		}
 	}
 }
--- a/internal/batch/poll.go
+++ b/internal/batch/poll.go
@@ -33,7 +33,7 @@
 		return false
 	}
 	if !w.listed {
-		return len(w.runs) > 0
+		return len(w.runs) > 0 || len(w.expired) > 0
 	}
 	return !w.contacted || now.Sub(w.clockAt) > maxClockAge || !w.unresponsiveSince.IsZero() || len(w.runs) > 0 || len(w.orphans) > 0 || len(w.undurableEnds) > 0
 }
@@ -124,6 +124,7 @@
 	if rep.Incarnation != 0 && rep.Incarnation != w.Incarnation {
 		c.beginIncarnation(w, rep.Incarnation, now)
 	}
+	w.expired = nil
 	if !w.unresponsiveSince.IsZero() {
 		c.note(Note{Kind: NoteWorkerRecovered, Worker: id, Age: now.Sub(w.unresponsiveSince)})
 	}
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -46,6 +46,9 @@
 	// earlier incarnation, may grant. It is zero if this leader has known none.
 	lateLeasesEnd time.Time
 	lastContact   time.Time
+	// expired are the runs whose leases have expired since the worker's last answer, until expiredUntil.
+	expired      []*run
+	expiredUntil time.Time
 	// answeredPollAt is when the newest poll that its present incarnation has answered was sent.
 	answeredPollAt time.Time
 	// aliveAt is when the worker's present incarnation last answered a call.
--- a/internal/batch/world_faults_test.go
+++ b/internal/batch/world_faults_test.go
@@ -68,7 +68,17 @@
 	w.unackedEnds, w.lastEnd, w.token, w.leasedUntil = nil, 0, 0, time.Time{}
 	w.info.Incarnation++
 	w.incarnationStart = sim.now
-	sim.after(d, func() { sim.core.SetWorker(w.info, sim.now) })
+	incarnation := w.info.Incarnation
+	sim.after(simEntryLifetime, func() {
+		if d > simEntryLifetime && w.info.Incarnation == incarnation {
+			w.removed = true
+			sim.core.RemoveWorker(w.info.ID)
+		}
+	})
+	sim.after(d, func() {
+		w.removed = w.departed
+		sim.core.SetWorker(w.info, sim.now)
+	})
 }
 
 // The time after an evacuation from which nothing may be started, and for how long a leader goes by a reading.
