A worker that has failed is not taken for several

A crash counted as one with a common cause, which proves nothing, although only one other worker had failed: a task that crashes its workers was given up after five crashes in place of three.

Cause: a worker that has crashed was counted once for each answer that showed it, and again while it did not answer. Failures now name their worker, which counts once.

TestWorkerFailsOnce fails without the change (early 0, expected 1, for the second worker to crash).

--- a/internal/batch/chance_test.go
+++ b/internal/batch/chance_test.go
@@ -196,3 +196,36 @@
 	core.Plan(now)
 	require.NotEqual(t, first.Worker, commitAndStart(t, core, now)[name].Worker)
 }
+
+// Guards against a worker that is taken for several that have failed: because it crashed and does not answer either, or
+// because several answers have shown the same crash.
+func TestWorkerFailsOnce(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		jobs, crashes int
+	}{
+		{name: "fewer workers than have a common cause", jobs: 4, crashes: 3},
+		{name: "tasks of one job", jobs: 1, crashes: 4},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			now := time.Unix(1_000_000_000, 0)
+			core := fourWorkerCore(t, now)
+			for i := range c.jobs {
+				step := Step{Tasks: 4 / c.jobs, Size: share.Resources{Processors: 4000}}
+				require.NoError(t, core.Submit(Job{ID: fmt.Sprint(i), Queue: "check", Spec: "spec", Steps: []Step{step}}, now, nil))
+			}
+			core.Plan(now)
+			require.Len(t, commitAndStart(t, core, now), 4)
+			now = now.Add(50 * time.Millisecond)
+			for i, w := range core.workersByID()[:c.crashes] {
+				task := sortedRuns(w.runs)[0].task
+				core.PollFailed(w.ID, AnswerNone, now, now)
+				core.RemoveWorker(w.ID)
+				for range 2 {
+					core.PollFailed(w.ID, AnswerWrongIncarnation, now, now)
+				}
+				require.Equal(t, 1, task.crashes.early, "worker %d", i)
+			}
+		})
+	}
+}
--- a/internal/batch/commoncause.go
+++ b/internal/batch/commoncause.go
@@ -18,7 +18,8 @@
 
 // failure is a worker that has failed, as far as it matters for the blame of tasks on others.
 type failure struct {
-	at time.Time
+	worker string
+	at     time.Time
 	// isolated means that the worker had an isolated run, which may be the cause. suspects are the jobs whose
 	// runs had begun shortly before.
 	isolated bool
@@ -44,7 +45,7 @@
 
 // newFailure returns the failure of a worker that has not answered since.
 func newFailure(w *worker) failure {
-	f := failure{at: w.aliveAt, isolated: w.isolated != nil}
+	f := failure{worker: w.ID, at: w.aliveAt, isolated: w.isolated != nil}
 	for _, r := range w.runs {
 		if r.lasted() < earlyCrash && !slices.Contains(f.suspects, r.task.stage.job) {
 			f.suspects = append(f.suspects, r.task.stage.job)
@@ -63,16 +64,20 @@
 		return w.aliveAt.Sub(f.at) > 2*c.timing.MaxLease
 	})
 	var found failures
+	crashed := map[string]bool{}
 	for _, f := range c.recentCrashes {
-		if w.aliveAt.Sub(f.at).Abs() < commonCauseWithin {
-			found = append(found, f)
+		if f.worker != w.ID && w.aliveAt.Sub(f.at).Abs() < commonCauseWithin {
+			found, crashed[f.worker] = append(found, f), true
 		}
 	}
 	for _, o := range c.workers {
-		if o != w && !o.unresponsiveSince.IsZero() && w.aliveAt.Sub(o.aliveAt).Abs() < commonCauseWithin {
+		if o != w && !crashed[o.ID] && !o.unresponsiveSince.IsZero() && w.aliveAt.Sub(o.aliveAt).Abs() < commonCauseWithin {
 			found = append(found, newFailure(o))
 		}
 	}
-	c.recentCrashes = append(c.recentCrashes, newFailure(w))
+	// Several answers may show the same crash, the later ones after its runs were lost.
+	if !slices.ContainsFunc(c.recentCrashes, func(f failure) bool { return f.worker == w.ID && f.at.Equal(w.aliveAt) }) {
+		c.recentCrashes = append(c.recentCrashes, newFailure(w))
+	}
 	return found
 }
