--- a/internal/batch/crash.go
+++ b/internal/batch/crash.go
@@ -8,10 +8,9 @@
 
 // A task may crash each worker that runs it. All runs on such a worker are lost with it and none of
 // them reports an end, so it is not known which one was the cause. Each crash counts for the tasks
-// whose runs had begun shortly before, unless several workers have failed at the same time for which the
-// task cannot be the cause. Such a task is then isolated on its next worker: nothing else starts there
-// until the run has lasted for a while. A task is given up if several workers have crashed under it and it
-// is the only one that may have caused the last crash.
+// whose runs had begun shortly before. Such a task is then isolated on its next worker: nothing else starts
+// there until the run has lasted for a while. A task is given up if several workers have crashed under it and it
+// is the only one that may have caused the last crash; crashes with a common cause are no such evidence.
 
 const (
 	// earlyCrash and lateCrash limit how long after its start a run is suspected of a crash of its
@@ -64,14 +63,15 @@
 	return 0
 }
 
-// add counts a crash under a run. How long a run has lasted that began under an earlier leader is not known.
-func (n *crashCount) add(r *run) {
+// add counts a crash under a run, which may have a cause in common with others. How long a run has lasted that began
+// under an earlier leader is not known.
+func (n *crashCount) add(r *run, commonCause bool) {
 	n.total++
 	if r.started {
 		n.confirmed++
 	}
 	n.isolate = r.lasted() < earlyCrash
-	if n.isolate && !r.restored {
+	if n.isolate && !r.restored && !commonCause {
 		n.early++
 	}
 }
@@ -82,14 +82,17 @@
 // may turn out to have started on the new incarnation, see forgiveCrash; their tasks are only marked as to be
 // given up.
 func (c *Core) recordCrash(w *worker, incarnation int64, evidence endEvidence, now time.Time) []*task {
+	runs := slices.Concat(sortedRuns(w.runs), w.expired)
+	defer func() { w.expired = nil }()
 	if w.Draining {
 		// It has left as announced.
 		return nil
 	}
-	others := c.failedWith(w)
+	c.recordWorkerFailure(w)
+	commonCause := map[*job]bool{}
 	crashed := Note{Kind: NoteWorkerCrashed, Worker: w.ID, Age: w.silence(now), Reason: string(evidence)}
 	var suspects []*run
-	for _, r := range sortedRuns(w.runs) {
+	for _, r := range runs {
 		if !r.mayHaveCrashed(incarnation) {
 			continue
 		}
@@ -99,19 +102,20 @@
 			crashed.EarlyRuns++
 		}
 		t := r.task
-		if t.state != taskPlaced || t.stage.job.state.Final() {
+		if !c.isBlamable(r) {
 			continue
 		}
 		c.markDirty(t.stage.job)
 		if r.lasted() >= lateCrash {
-			t.crashes = crashCount{}
+			if !r.expired {
+				t.crashes = crashCount{}
+			}
 			continue
 		}
-		if others.unexplainedBy(t.stage.job) >= commonCauseFailures {
-			t.crashes.isolate = true
-			continue
+		if _, known := commonCause[t.stage.job]; !known {
+			commonCause[t.stage.job] = c.hasCommonCause(w, t.stage.job)
 		}
-		t.crashes.add(r)
+		t.crashes.add(r, commonCause[t.stage.job])
 		t.avoidWorker = w
 		c.note(Note{
 			Kind: NoteCrashCounted, Task: t.name(), Run: r.number, Worker: w.ID, Age: r.lasted(), Reason: string(evidence),
@@ -125,8 +129,8 @@
 	var culprits []*task
 	cause := soleCause(w, suspects)
 	for _, r := range suspects {
-		switch isCulprit := r.task.crashes.total >= maxCrashes || r == cause && r.isProvenCause(); {
-		case isCulprit && incarnation != 0 && !r.reported:
+		switch isCulprit := r.task.crashes.total >= maxCrashes || r == cause && !commonCause[r.task.stage.job] && r.isProvenCause(); {
+		case isCulprit && incarnation != 0 && !r.reported && !r.expired:
 			r.task.crashes.culprit = true
 		case isCulprit:
 			culprits = append(culprits, r.task)
@@ -135,6 +139,13 @@
 	return culprits
 }
 
+// isBlamable reports whether a crash under a run may count for its task: it has not ended otherwise, and its job is
+// still here.
+func (c *Core) isBlamable(r *run) bool {
+	t, j := r.task, r.task.stage.job
+	return (t.state == taskPlaced || r.expired && t.state == taskQueued) && !j.state.Final() && c.jobHere(t.name().Job) == j
+}
+
 // forgiveCrash takes back the crash that was counted for a run, which turns out to have started after it. If an
 // earlier leader has counted it, only the verdict is taken back.
 func (c *Core) forgiveCrash(r *run) {
--- a/internal/batch/crash_test.go
+++ b/internal/batch/crash_test.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"testing"
@@ -62,14 +63,15 @@
 }
 
 // Guards against a task that crashes worker after worker: after three workers have crashed under a
-// task it must not be started three times more, across takeovers, too. No other task may be given
+// task it must not be started three times more, across takeovers and expired leases, too. No other task may be given
 // up, however many runs it lost with those workers; where workers also crash by themselves, or long
 // after the start, at least two must have crashed under it.
 func TestTaskThatCrashesWorkersIsGivenUp(t *testing.T) {
 	for _, c := range []struct {
-		name   string
-		delay  time.Duration
-		faults simFaults
+		name     string
+		delay    time.Duration
+		downtime time.Duration
+		faults   simFaults
 		// ambiguous means that crashes recur under innocent tasks without any sign of the cause. These
 		// may be given up if the platform permits it.
 		ambiguous bool
@@ -78,6 +80,7 @@
 		{name: "before the start is answered", delay: time.Millisecond},
 		{name: "some time after its start", delay: 300 * time.Millisecond},
 		{name: "long after its start", delay: 2 * time.Second, ambiguous: true},
+		{name: "with leases that expire before the workers are back", delay: 10 * time.Millisecond, downtime: 7 * time.Second},
 		{name: "beside takeovers", delay: 10 * time.Millisecond, faults: simFaults{takeover: 3 * time.Second}},
 		{name: "beside other crashes", delay: 10 * time.Millisecond, faults: simFaults{crash: 2 * time.Second}, ambiguous: true},
 		{name: "beside lost answers", delay: 10 * time.Millisecond, faults: simFaults{lostAnswer: 0.05}},
@@ -86,7 +89,7 @@
 			for seed := range 6 {
 				sim := newSimWorld(t, uint64(seed), 20, c.faults)
 				sim.crasher = &simCrasher{
-					crashes: crashingTask, delay: c.delay, downtime: 3 * time.Second,
+					crashes: crashingTask, delay: c.delay, downtime: cmp.Or(c.downtime, 3*time.Second),
 					crashCount: map[TaskName]int{}, startsAfterThree: map[TaskName]int{},
 				}
 				sim.injectFaults(sim.now.Add(30 * time.Second))
@@ -115,6 +118,44 @@
 	}
 }
 
+// Guards against tasks that are never given up because many of them crash workers at the same time, or because other
+// workers do not answer meanwhile, which looks like a common cause.
+func TestTasksThatCrashWorkersAtTheSameTimeAreGivenUp(t *testing.T) {
+	everySecond := func(n TaskName) bool { return (n.Job[len(n.Job)-1]-'0')%2 == 0 && n.Step == 0 && n.Index == 0 }
+	for _, c := range []struct {
+		name          string
+		workers, jobs int
+		every         time.Duration
+		crashes       func(TaskName) bool
+		faults        simFaults
+	}{
+		{name: "few workers", workers: 20, jobs: 50, crashes: everySecond},
+		{name: "all at once", workers: 100, jobs: 200, crashes: everySecond},
+		{name: "one after the other", workers: 200, jobs: 400, every: 20 * time.Millisecond, crashes: crashingTask},
+		{
+			name: "beside lost answers", workers: 200, jobs: 300, every: 50 * time.Millisecond, crashes: crashingTask,
+			faults: simFaults{lostAnswer: 0.05},
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			sim := newSimWorld(t, 1, c.workers, c.faults)
+			sim.crasher = &simCrasher{
+				crashes: c.crashes, delay: 10 * time.Millisecond, downtime: 3 * time.Second,
+				crashCount: map[TaskName]int{}, startsAfterThree: map[TaskName]int{},
+			}
+			for i := range c.jobs {
+				sim.after(time.Duration(i)*c.every, func() { sim.submit(sim.randomJob(i)) })
+			}
+			sim.run(60 * time.Second)
+			require.Empty(t, sim.violations)
+			for name := range sim.crasher.crashCount {
+				state, _ := sim.core.State(name.Job)
+				require.Equal(t, Failed, state, "task %v", name)
+			}
+		})
+	}
+}
+
 // Guards against a long-running task that crashes worker after worker.
 func TestLongRunningTaskThatCrashesWorkersIsGivenUp(t *testing.T) {
 	sim := newSimWorld(t, 1, 20, simFaults{})
@@ -329,3 +370,24 @@
 		})
 	}
 }
+
+// Guards against a run that crashed its worker but counts as one that has lasted, because the next incarnation answers.
+func TestCrashedRunHasNotLasted(t *testing.T) {
+	now := time.Unix(1_000_000_000, 0)
+	core := fourWorkerCore(t, now)
+	step := Step{Tasks: 1, Size: share.Resources{Processors: 4000}}
+	require.NoError(t, core.Submit(Job{ID: "0000000000000001", Queue: "check", Spec: "spec", Steps: []Step{step}}, now, nil))
+	task := core.jobs["0000000000000001"].stages[0].tasks[0]
+	task.crashes = crashCount{total: 3, confirmed: 3}
+	core.Plan(now)
+	require.Len(t, commitAndStart(t, core, now), 1)
+	w := task.runs[0].worker
+	require.NotNil(t, w.isolated)
+	now = now.Add(2 * lateCrash)
+	info := w.WorkerInfo
+	info.Incarnation++
+	core.SetWorker(info, now)
+	core.ApplyReport(w.ID, Report{Incarnation: info.Incarnation, Clock: time.Second}, now, now)
+	core.Plan(now)
+	require.Equal(t, 4, task.crashes.total)
+}
