The test of a panic on submission lets the leader become idle first

Its leader was still busy with the first job when the test replaced the core; if another activity panicked on it first, the term had ended before the submission.

--- a/internal/scheduler/guard_test.go
+++ b/internal/scheduler/guard_test.go
@@ -86,6 +86,8 @@
 		time.Sleep(2 * time.Second)
 		require.NoError(t, submit(a, testJob(1, 8)))
 		_, leader := cl.leader()
+		// The other activities of the leader would panic first if they were still busy.
+		synctest.Wait()
 		leader.withLock(func() {
 			// A core that was not made by NewCore cannot add a job.
 			leader.core = &batch.Core{}
