A new leader waits for late renewals of the former one

A task could run twice at once after a takeover: its worker had restarted under its ID, was then lost together with its leader, and executed renewals late that were meant for its former incarnation. The next leader counted on the longest lease from the takeover, not on calls that are executed after it.

--- a/internal/batch/contacts_test.go
+++ b/internal/batch/contacts_test.go
@@ -150,3 +150,28 @@
 		require.Empty(t, sim.violations, "seed %d", seed)
 	}
 }
+
+// Guards against two runs of a task after a worker has restarted and is lost together with its leader: a poll that the
+// former leader meant for the earlier incarnation is executed late, and grants a lease of which the next leader knows nothing.
+func TestLateRenewalsOfFormerLeaderAreWaitedFor(t *testing.T) {
+	now := time.Unix(1_000_000_000, 0)
+	core := fourWorkerCore(t, now)
+	info := core.workers["a"].WorkerInfo
+	info.Incarnation = 2
+	core.SetWorker(info, now)
+	core.ApplyReport("a", Report{Incarnation: 2, Clock: time.Second}, now, now)
+	startOne(t, core, "kind-a", now)
+	core.MarkDirty("j")
+	changes, err := core.TakeChanges(20, now)
+	require.NoError(t, err)
+	timing := DefaultTiming()
+	next := NewCore(timing, now, now.Add(timing.MaxLease))
+	next.SetQueueConfig(simQueueConfig())
+	next.SetContacts(Contacts{Seen: Witnesses{idHash("a")}})
+	require.NoError(t, next.Restore(changes.Records[0].Value, now))
+	next.LimitRenewals(now)
+	next.SetWorkers([]WorkerInfo{info}, nil, now)
+	require.GreaterOrEqual(t, next.workers["a"].leasesExpireAt.Sub(now), maxLateness*timing.MaxLease+timing.MaxLease)
+	require.NoError(t, next.RestoreUnresponsive([]byte(`[{"worker":"a","leftMillis":3000}]`), now))
+	require.Less(t, next.workers["a"].leasesExpireAt.Sub(now), 4*time.Second, "a former leader has waited for them")
+}
