Refusals of newcomers follow their requests

Cause: the listener wrote the 503 as soon as it had accepted the connection and closed it. net/http's client takes a response that comes before its request for a broken connection, and does not repeat a request on a new one; a request that arrived after the close met a reset, which can also drop a response that has not been read. The caller could not tell that its request was not run. The servers for probes, metrics and operators closed newcomers without any response.

One in sixteen of an HTTP server's connections is now for refusals: the server reads the request and answers it by itself, so that its timeouts and its care for arriving bodies hold, and planned stops wait for the answer. If there is no such connection either, newcomers wait to be accepted; one on which no request follows makes room after a second.

--- a/cmd/oriolepond/node.go
+++ b/cmd/oriolepond/node.go
@@ -188,7 +188,6 @@
 	tracker := &shutdown.Tracker{}
 	tracker.Attach(front)
 	callers := n.budget("callers", limits.Callers)
-	callers.Refusal = refusal
 	callers.Attach(front)
 	actor.Server(&g, front, tracker.Listen(callers.Listen(l.front)))
 	n.addProbeServer(&g, "readiness", ready, l.ready)
--- a/cmd/oriolepond/nodeservers.go
+++ b/cmd/oriolepond/nodeservers.go
@@ -12,9 +12,6 @@
 	"github.com/oriolepond/oriolepond/internal/intake"
 )
 
-// refusal is the response on a connection that is not accepted.
-const refusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-
 // nodeListeners are the listeners of a node: for callers, readiness checks, other nodes and metrics.
 type nodeListeners struct {
 	front, ready, peer, metrics net.Listener
--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -266,9 +266,8 @@
 	return callerError(http.StatusBadRequest, "the body was cut short")
 }
 
-// Refusal is the response on a connection that is not accepted.
-const Refusal = "HTTP/1.1 503 Service Unavailable\r\n" + HeaderOutcome + ": " + string(NotRun) +
-	"\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+// RefusalHeader returns the header of responses to requests that are refused before a handler gets them.
+func RefusalHeader() http.Header { return http.Header{HeaderOutcome: {string(NotRun)}} }
 
 // minBodyTimeout is the time that a caller has to send its body even if the route's deadline is
 // shorter.
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -6,7 +6,7 @@
 // the memory is allocated. If a connection or bytes are missing, the Budget closes connections that wait
 // for their clients: first the one with the highest product of the bytes held and the time without
 // progress. A request that has arrived completely is never closed. If nothing can be closed, the request
-// is refused.
+// is refused: once it has arrived, on one of the connections that are kept for refusals.
 //
 // A Budget needs no network. Attach and Listen connect it to an HTTP server.
 //
@@ -22,6 +22,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"sync"
 	"time"
 )
@@ -106,14 +107,16 @@
 	// OnPressure, if not nil, is called after connections were closed or requests were refused, at most once
 	// in each ReportInterval.
 	OnPressure func(Usage)
-	// Refusal, if not empty, is sent on each connection that is not accepted, before it is closed.
-	Refusal string
+	// RefusalHeader is added to the responses to requests that are refused for want of a connection.
+	RefusalHeader http.Header
 
 	// attached means that the connections carry HTTP; see Attach.
 	attached bool
 
-	mu         sync.Mutex
-	leases     map[*Lease]struct{}
+	mu     sync.Mutex
+	leases map[*Lease]struct{}
+	// refused is the number of leases of connections whose requests are refused.
+	refused    int
 	usage      Usage
 	reportedAt time.Time
 	// room, if not nil, is closed when bytes are given back.
@@ -138,34 +141,49 @@
 
 // Open grants a connection, which end closes. The error is a *FullError.
 func (b *Budget) Open(end func()) (*Lease, error) {
-	l, victim, err := b.open(end)
-	if victim != nil {
-		victim.end()
-	}
-	if victim != nil || err != nil {
+	l, victims := b.open(end)
+	b.end(victims)
+	if l == nil {
 		b.report()
+		return nil, &FullError{}
 	}
-	return l, err
+	return l, nil
 }
 
-// open grants a connection, and returns the one to be closed for it, if there is any.
-func (b *Budget) open(end func()) (l, victim *Lease, err error) {
+// open grants a connection, and returns those to be closed for it. It returns no lease if there is no room.
+func (b *Budget) open(end func()) (l *Lease, victims []*Lease) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
-	if b.Limits.Conns > 0 && len(b.leases) >= b.Limits.Conns {
-		if victim = b.first(now, nil); victim == nil {
-			b.usage.Refused++
-			return nil, nil, &FullError{}
-		}
-		b.evict(victim)
+	victims, ok := b.vacate(now)
+	if !ok {
+		b.usage.Refused++
+		return nil, nil
+	}
+	return b.add(end, now), victims
+}
+
+// vacate makes room for a connection if there is none, and returns those to be closed for it.
+func (b *Budget) vacate(now time.Time) (victims []*Lease, ok bool) {
+	if b.Limits.Conns == 0 || len(b.leases)-b.refused < b.Limits.Conns-b.maxRefused() {
+		return nil, true
 	}
+	victim := b.first(now, nil)
+	if victim == nil {
+		return nil, false
+	}
+	b.evict(victim)
+	return []*Lease{victim}, true
+}
+
+// add adds a connection.
+func (b *Budget) add(end func(), now time.Time) *Lease {
 	if b.leases == nil {
 		b.leases = map[*Lease]struct{}{}
 	}
-	l = &Lease{budget: b, end: end, phase: Idle, progressAt: now}
+	l := &Lease{budget: b, end: end, phase: Idle, progressAt: now}
 	b.leases[l] = struct{}{}
-	return l, victim, nil
+	return l
 }
 
 func (b *Budget) now() time.Time {
@@ -205,6 +223,9 @@
 		return
 	}
 	delete(b.leases, l)
+	if l.isRefused() {
+		b.refused--
+	}
 	b.free(l.charged())
 	l.held, l.closed = 0, true
 }
--- a/internal/intake/lease.go
+++ b/internal/intake/lease.go
@@ -20,7 +20,9 @@
 	// received counts the bytes since the last progress, which was made at progressAt.
 	received   int
 	progressAt time.Time
-	closed     bool
+	// refusedAt, if not zero, is when it was decided to refuse the request of the connection.
+	refusedAt time.Time
+	closed    bool
 }
 
 // leaseKey is the context key of the Lease of a request's connection.
@@ -43,6 +45,8 @@
 		return false
 	case taker != nil:
 		return l.charged() > 0 && age >= stallTime
+	case l.isRefused():
+		return false
 	case l.phase == Answering:
 		return age >= stallTime
 	}
--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -19,11 +19,16 @@
 // listener limits the connections of a server.
 type listener struct {
 	net.Listener
-	budget *Budget
+	budget    *Budget
+	closeOnce sync.Once
+	closed    chan struct{}
 }
 
-// Listen returns a listener whose connections are counted. Those beyond the budget are closed.
-func (b *Budget) Listen(l net.Listener) net.Listener { return &listener{Listener: l, budget: b} }
+// Listen returns a listener whose connections are counted. If there is room neither for one nor for a refusal,
+// it accepts no more until there is; without Attach it closes those beyond the budget.
+func (b *Budget) Listen(l net.Listener) net.Listener {
+	return &listener{Listener: l, budget: b, closed: make(chan struct{})}
+}
 
 // Accept returns the next connection that the budget grants.
 func (l *listener) Accept() (net.Conn, error) {
@@ -32,7 +37,7 @@
 		if err != nil {
 			return nil, err
 		}
-		lease, err := l.budget.Open(func() { _ = c.Close() })
+		lease, err := l.grant(func() { _ = c.Close() })
 		if err == nil {
 			counted := &conn{Conn: c, lease: lease}
 			if l.budget.isCrowded() {
@@ -40,12 +45,36 @@
 			}
 			return counted, nil
 		}
-		// The client may be gone.
-		_, _ = io.WriteString(c, l.budget.Refusal)
 		_ = c.Close()
 	}
 }
 
+// grantInterval is the pause between two attempts to grant a connection that has been accepted.
+const grantInterval = 10 * time.Millisecond
+
+// grant grants a connection, which end closes. With HTTP it waits until there is room, or the listener is closed.
+func (l *listener) grant(end func()) (*Lease, error) {
+	if !l.budget.attached {
+		return l.budget.Open(end)
+	}
+	for {
+		if lease := l.budget.admit(end); lease != nil {
+			return lease, nil
+		}
+		select {
+		case <-l.closed:
+			return nil, net.ErrClosed
+		case <-time.After(grantInterval):
+		}
+	}
+}
+
+// Close closes the listener.
+func (l *listener) Close() error {
+	l.closeOnce.Do(func() { close(l.closed) })
+	return l.Listener.Close()
+}
+
 // SyscallConn returns the underlying listener's raw connection.
 func (l *listener) SyscallConn() (syscall.RawConn, error) { return rawConn(l.Listener) }
 
@@ -169,6 +198,10 @@
 		}
 		l.settleHeader(headerPrice(r))
 		defer func() { _ = l.Enter(Answering) }()
+		if l.mustRefuse() {
+			b.writeRefusal(w)
+			return
+		}
 		handler.ServeHTTP(w, r)
 	})
 }
--- a/oriolepond.go
+++ b/oriolepond.go
@@ -118,7 +118,7 @@
 	tracker := &shutdown.Tracker{}
 	tracker.Attach(front)
 	callers := i.budget("callers", limits.Callers)
-	callers.Refusal = entry.Refusal
+	callers.RefusalHeader = entry.RefusalHeader()
 	callers.Attach(front)
 	actor.Server(&g, front, tracker.Listen(callers.Listen(listeners.front)))
 	i.addStopActors(ctx, &g, tracker, front)
