Requests that have arrived or begun are not cut for newcomers

Callers met a reset in place of an answer when connections were short, though their request had reached the process or was on its way.

An idle connection is now looked at before it is closed, and kept if its socket is readable. Only if no room for refusals is left they are closed as before, so that a crowd does not keep newcomers waiting.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -6,7 +6,8 @@
 // the memory is allocated. If a connection or bytes are missing, the Budget closes connections that wait
 // for their clients: first the one with the highest product of the bytes held and the time without
 // progress. A request that has arrived completely is never closed. If nothing can be closed, the request
-// is refused: once it has arrived, on one of the connections that are kept for refusals.
+// is refused: once it has arrived, on one of the connections that are kept for refusals. A connection on which
+// no request has arrived yet becomes one of these instead of being closed.
 //
 // A Budget needs no network. Attach and Listen connect it to an HTTP server.
 //
@@ -155,33 +156,45 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
-	victims, ok := b.vacate(now)
+	victims, ok := b.vacate(now, false)
 	if !ok {
 		b.usage.Refused++
 		return nil, nil
 	}
-	return b.add(end, now), victims
+	return b.add(end, nil, now), victims
 }
 
-// vacate makes room for a connection if there is none, and returns those to be closed for it.
-func (b *Budget) vacate(now time.Time) (victims []*Lease, ok bool) {
+// vacate makes room for a connection if there is none, and returns those to be closed for it. Sparing means that
+// requests that have just begun are not cut.
+func (b *Budget) vacate(now time.Time, sparing bool) (victims []*Lease, ok bool) {
 	if b.Limits.Conns == 0 || len(b.leases)-b.refused < b.Limits.Conns-b.maxRefused() {
 		return nil, true
 	}
 	victim := b.first(now, nil)
-	if victim == nil {
+	for victim != nil && victim.phase == Idle && victim.arrived != nil && victim.arrived() {
+		victim.begin(now)
+		victim.unread = true
+		victim = b.first(now, nil)
+	}
+	switch {
+	case victim == nil, sparing && victim.hasJustBegun(now):
 		return nil, false
+	case victim.isNew():
+		if victims, ok = b.vacateRefusal(now); ok {
+			b.markRefused(victim, now)
+			return victims, true
+		}
 	}
 	b.evict(victim)
 	return []*Lease{victim}, true
 }
 
-// add adds a connection.
-func (b *Budget) add(end func(), now time.Time) *Lease {
+// add adds a connection. Arrived may be nil.
+func (b *Budget) add(end func(), arrived func() bool, now time.Time) *Lease {
 	if b.leases == nil {
 		b.leases = map[*Lease]struct{}{}
 	}
-	l := &Lease{budget: b, end: end, phase: Idle, progressAt: now}
+	l := &Lease{budget: b, end: end, arrived: arrived, phase: Idle, progressAt: now}
 	b.leases[l] = struct{}{}
 	return l
 }
@@ -197,15 +210,14 @@
 // that connection. It returns nil if there is none.
 func (b *Budget) first(now time.Time, taker *Lease) *Lease {
 	var first *Lease
-	highest, arriving := -1.0, true
+	highest, last := 0.0, justBegun
 	for l := range b.leases {
-		age := now.Sub(l.progressAt)
-		if !l.mayClose(age, taker) {
+		if !l.mayClose(now, taker) {
 			continue
 		}
-		rank, last := float64(connBytes+l.held)*age.Seconds(), l.isArriving(age)
-		if !last && arriving || last == arriving && rank > highest {
-			first, highest, arriving = l, rank, last
+		rank, arrival := float64(connBytes+l.held)*now.Sub(l.progressAt).Seconds(), l.arrival(now)
+		if first == nil || arrival < last || arrival == last && rank > highest {
+			first, highest, last = l, rank, arrival
 		}
 	}
 	return first
@@ -243,7 +255,7 @@
 func (b *Budget) closeable(now time.Time, taker *Lease) int64 {
 	bytes := int64(0)
 	for l := range b.leases {
-		if l.mayClose(now.Sub(l.progressAt), taker) {
+		if l.mayClose(now, taker) {
 			bytes += l.charged()
 		}
 	}
--- a/internal/intake/lease.go
+++ b/internal/intake/lease.go
@@ -10,6 +10,8 @@
 type Lease struct {
 	budget *Budget
 	end    func()
+	// arrived reports whether bytes wait to be read from the connection. Nil means that this is not known.
+	arrived func() bool
 
 	// The fields below are guarded by the mutex of the budget.
 	phase Phase
@@ -20,6 +22,10 @@
 	// received counts the bytes since the last progress, which was made at progressAt.
 	received   int
 	progressAt time.Time
+	// begunAt is when the last request began to arrive; zero if there was none.
+	begunAt time.Time
+	// unread means that a request waits to be read from the connection, of which nothing has been read.
+	unread bool
 	// refusedAt, if not zero, is when it was decided to refuse the request of the connection.
 	refusedAt time.Time
 	closed    bool
@@ -37,15 +43,16 @@
 // charged returns how much the lease takes of the budget's bytes.
 func (l *Lease) charged() int64 { return max(0, l.held-Allowance) }
 
-// mayClose reports whether the connection may be closed after a time without progress: for another one, or
-// for bytes of taker if that is not nil.
-func (l *Lease) mayClose(age time.Duration, taker *Lease) bool {
+// mayClose reports whether the connection may be closed: for another one, or for bytes of taker if that is not
+// nil.
+func (l *Lease) mayClose(now time.Time, taker *Lease) bool {
+	age := now.Sub(l.progressAt)
 	switch {
 	case l.phase == Working, l == taker:
 		return false
 	case taker != nil:
 		return l.charged() > 0 && age >= stallTime
-	case l.isRefused():
+	case l.isRefused(), l.unread:
 		return false
 	case l.phase == Answering:
 		return age >= stallTime
@@ -53,10 +60,33 @@
 	return true
 }
 
-// isArriving reports whether a request has made progress recently. Its connection is closed for another one only
-// if there is no other choice.
-func (l *Lease) isArriving(age time.Duration) bool {
-	return (l.phase == Header || l.phase == Body) && age < stallTime
+// hasJustBegun reports whether a request within the allowance began to arrive less than stallTime ago.
+func (l *Lease) hasJustBegun(now time.Time) bool {
+	return (l.phase == Header || l.phase == Body) && l.charged() == 0 && now.Sub(l.begunAt) < stallTime
+}
+
+// isNew reports whether no request has arrived on the connection.
+func (l *Lease) isNew() bool { return l.phase == Idle && l.begunAt.IsZero() }
+
+// arrival is how far a request is from having arrived. Connections with a lower one are closed first.
+type arrival int
+
+const (
+	// notArriving means that there is no request, or that it has made no progress recently.
+	notArriving arrival = iota
+	arriving
+	justBegun
+)
+
+// arrival returns how far the request of the connection is from having arrived.
+func (l *Lease) arrival(now time.Time) arrival {
+	switch {
+	case l.phase != Header && l.phase != Body || now.Sub(l.progressAt) >= stallTime:
+		return notArriving
+	case l.hasJustBegun(now):
+		return justBegun
+	}
+	return arriving
 }
 
 // Take takes bytes for the current request, before they are allocated. The error is a *FullError or a
@@ -131,7 +161,10 @@
 		l.release(l.held)
 		l.header = 0
 	}
-	l.phase, l.received = p, 0
+	if p == Body && l.phase == Idle {
+		l.begunAt = l.budget.now()
+	}
+	l.phase, l.received, l.unread = p, 0, false
 	if p != Working {
 		l.progressAt = l.budget.now()
 	}
@@ -188,8 +221,10 @@
 		l.progress(bytes)
 		return 0, false
 	case l.phase == Idle:
-		l.phase, l.progressAt, l.received = Header, l.budget.now(), bytes
+		l.begin(l.budget.now())
+		l.received = bytes
 	case l.phase == Header:
+		l.unread = false
 		l.progress(bytes)
 	default:
 		return 0, l.charged() > 0
@@ -197,6 +232,11 @@
 	return headerBytes * int64(bytes), l.charged() > 0
 }
 
+// begin begins a request, with the lock held.
+func (l *Lease) begin(now time.Time) {
+	l.phase, l.progressAt, l.begunAt, l.received = Header, now, now, 0
+}
+
 // sent records bytes that were written to the connection.
 func (l *Lease) sent(bytes int) {
 	l.budget.mu.Lock()
--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -7,6 +7,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/oriolepond/oriolepond/internal/socket"
 )
 
 // socketBytes is the receive buffer of connections with large requests, and of all connections that are
@@ -37,7 +39,7 @@
 		if err != nil {
 			return nil, err
 		}
-		lease, err := l.grant(func() { _ = c.Close() })
+		lease, err := l.grant(c)
 		if err == nil {
 			counted := &conn{Conn: c, lease: lease}
 			if l.budget.isCrowded() {
@@ -52,13 +54,14 @@
 // grantInterval is the pause between two attempts to grant a connection that has been accepted.
 const grantInterval = 10 * time.Millisecond
 
-// grant grants a connection, which end closes. With HTTP it waits until there is room, or the listener is closed.
-func (l *listener) grant(end func()) (*Lease, error) {
+// grant grants a connection. With HTTP it waits until there is room, or the listener is closed.
+func (l *listener) grant(c net.Conn) (*Lease, error) {
+	end := func() { _ = c.Close() }
 	if !l.budget.attached {
 		return l.budget.Open(end)
 	}
 	for {
-		if lease := l.budget.admit(end); lease != nil {
+		if lease := l.budget.admit(end, func() bool { return socket.IsReadable(c) }); lease != nil {
 			return lease, nil
 		}
 		select {
--- a/internal/intake/refusal.go
+++ b/internal/intake/refusal.go
@@ -20,9 +20,9 @@
 }
 
 // admit grants a connection, or one on which a request is only refused. It returns nil if there is room for
-// neither.
-func (b *Budget) admit(end func()) *Lease {
-	l, victims := b.admitOrRefuse(end)
+// neither. Arrived reports whether bytes wait to be read from the connection.
+func (b *Budget) admit(end func(), arrived func() bool) *Lease {
+	l, victims := b.admitOrRefuse(end, arrived)
 	b.end(victims)
 	if l != nil && l.mustRefuse() {
 		b.report()
@@ -31,20 +31,22 @@
 }
 
 // admitOrRefuse is admit, and returns the connections to be closed.
-func (b *Budget) admitOrRefuse(end func()) (l *Lease, victims []*Lease) {
+func (b *Budget) admitOrRefuse(end func(), arrived func() bool) (l *Lease, victims []*Lease) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
-	if victims, ok := b.vacate(now); ok {
-		return b.add(end, now), victims
+	if victims, ok := b.vacate(now, true); ok {
+		return b.add(end, arrived, now), victims
 	}
-	victims, ok := b.vacateRefusal(now)
-	if !ok {
-		return nil, nil
+	if victims, ok := b.vacateRefusal(now); ok {
+		l = b.add(end, arrived, now)
+		b.markRefused(l, now)
+		return l, victims
 	}
-	l = b.add(end, now)
-	b.markRefused(l, now)
-	return l, victims
+	if victims, ok := b.vacate(now, false); ok {
+		return b.add(end, arrived, now), victims
+	}
+	return nil, nil
 }
 
 // vacateRefusal makes room for one more refusal if there is none, and returns the connections to be closed for it.
--- a/internal/intake/refusal_test.go
+++ b/internal/intake/refusal_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
 	"strings"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -34,7 +37,7 @@
 			begun <- struct{}{}
 			<-hold
 		}
-		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = intake.ReadRequest(w, r, largeBody, time.Minute)
 	})
 	release = func() { close(hold) }
 	for range occupied {
@@ -153,3 +156,120 @@
 	require.NoError(t, l.Close())
 	require.ErrorIs(t, <-ended, net.ErrClosed)
 }
+
+// Guards against a client that is cut off before its first request can arrive, since others connect.
+func TestNewConnectionIsRefused(t *testing.T) {
+	b := &intake.Budget{Limits: intake.Limits{Conns: conns}}
+	address, release := startBusyServer(t, b, servedConns-1)
+	defer release()
+	first := dial(t, address)
+	require.Eventually(t, func() bool { return b.Usage().Conns == servedConns }, answerTimeout, time.Millisecond)
+	second := dial(t, address)
+	for _, c := range []struct {
+		conn net.Conn
+		want int
+	}{{second, http.StatusOK}, {first, http.StatusServiceUnavailable}} {
+		_, err := io.WriteString(c.conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		require.NoError(t, err)
+		require.Equal(t, c.want, receive(t, c.conn).StatusCode)
+	}
+}
+
+// Guards against an ordinary request that is cut while it arrives, since another client connects.
+func TestRequestThatHasBegunIsNotCut(t *testing.T) {
+	now := time.Now()
+	b := &intake.Budget{Limits: intake.Limits{Conns: conns}, Now: func() time.Time { return now }}
+	address, release := startBusyServer(t, b, servedConns-1)
+	defer release()
+	first, request := dial(t, address), "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\n"
+	_, err := io.WriteString(first, request)
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return b.Usage().Conns == servedConns }, answerTimeout, time.Millisecond)
+	second := dial(t, address)
+	for _, c := range []struct {
+		conn net.Conn
+		rest string
+		want int
+	}{{second, request + "12345", http.StatusServiceUnavailable}, {first, "12345", http.StatusOK}} {
+		_, err := io.WriteString(c.conn, c.rest)
+		require.NoError(t, err)
+		require.Equal(t, c.want, receive(t, c.conn).StatusCode)
+	}
+}
+
+// lateListener listens in a process that reads late: once held is set, what arrives stays in its socket until gate
+// is closed.
+type lateListener struct {
+	*net.TCPListener
+	held atomic.Bool
+	gate chan struct{}
+}
+
+func (l *lateListener) Accept() (net.Conn, error) {
+	c, err := l.AcceptTCP()
+	if err != nil {
+		return nil, err
+	}
+	return &lateConn{TCPConn: c, listener: l}, nil
+}
+
+type lateConn struct {
+	*net.TCPConn
+	listener *lateListener
+}
+
+func (c *lateConn) Read(p []byte) (int, error) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	if err := raw.Read(func(fd uintptr) bool {
+		_, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return !errors.Is(err, syscall.EAGAIN)
+	}); err != nil {
+		return 0, err
+	}
+	if c.listener.held.Load() {
+		<-c.listener.gate
+	}
+	return c.TCPConn.Read(p)
+}
+
+// Guards against a request without an answer: it waits in the socket of a connection that is closed for another one.
+func TestRequestInSocketIsNotCut(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// requests is how many requests were made on the connection before.
+		requests int
+	}{{"new connection", 0}, {"kept connection", 1}} {
+		t.Run(c.name, func(t *testing.T) {
+			inner, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			tcp, ok := inner.(*net.TCPListener)
+			require.True(t, ok)
+			l := &lateListener{TCPListener: tcp, gate: make(chan struct{})}
+			b := &intake.Budget{Limits: intake.Limits{Conns: 1}}
+			server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
+			b.Attach(server)
+			go func() { _ = server.Serve(b.Listen(l)) }()
+			t.Cleanup(func() { _ = server.Close() })
+			first, request := dial(t, inner.Addr().String()), "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+			for range c.requests {
+				_, err := io.WriteString(first, request)
+				require.NoError(t, err)
+				require.Equal(t, http.StatusOK, receive(t, first).StatusCode)
+				requireSilence(t, first)
+			}
+			l.held.Store(true)
+			_, err = io.WriteString(first, request)
+			require.NoError(t, err)
+			second := dial(t, inner.Addr().String())
+			_, err = io.WriteString(second, request)
+			require.NoError(t, err)
+			requireSilence(t, first)
+			close(l.gate)
+			require.Equal(t, http.StatusOK, receive(t, first).StatusCode)
+			require.Equal(t, http.StatusOK, receive(t, second).StatusCode)
+		})
+	}
+}
--- a/internal/shutdown/shutdown.go
+++ b/internal/shutdown/shutdown.go
@@ -26,6 +26,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/oriolepond/oriolepond/internal/socket"
 )
 
 // checkInterval is the pause between two searches for idle connections.
@@ -165,7 +167,7 @@
 func (l *listener) drain(ctx context.Context) {
 	tick := time.NewTicker(acceptCheckInterval)
 	defer tick.Stop()
-	for until := time.Now().Add(maxAcceptTime); isReadable(l.Listener) && ctx.Err() == nil && time.Now().Before(until); {
+	for until := time.Now().Add(maxAcceptTime); socket.IsReadable(l.Listener) && ctx.Err() == nil && time.Now().Before(until); {
 		select {
 		case <-ctx.Done():
 		case <-tick.C:
@@ -247,7 +249,7 @@
 func (c *conn) resume() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.ending || !isReadable(c.Conn) {
+	if !c.ending || !socket.IsReadable(c.Conn) {
 		return false
 	}
 	c.idle, c.ending = false, false
--- a/internal/shutdown/readable.go
+++ b/internal/socket/readable.go
@@ -1,4 +1,5 @@
-package shutdown
+// Package socket looks at sockets without reading from them.
+package socket
 
 import (
 	"errors"
@@ -7,9 +8,9 @@
 	"golang.org/x/sys/unix"
 )
 
-// isReadable reports whether bytes, or the end of the stream, wait at a connection to be read, or
+// IsReadable reports whether bytes, or the end of the stream, wait at a connection to be read, or
 // connections at a listener to be accepted. It is false for those without a socket.
-func isReadable(source any) bool {
+func IsReadable(source any) bool {
 	s, ok := source.(syscall.Conn)
 	if !ok {
 		return false
