Messages that arrive at a node from others are counted

The listener follows the frames of HTTP/2 in both directions and takes from the budget of the port what calls hold until their message is complete or they end: its bytes, 128 bytes for each piece, 8 KiB for a call without one. An allowance for each connection suffices for ordinary calls. If bytes are missing, stalled connections are closed; otherwise the connection is not read until there is room, at most 10 s.

TestNodePeerMessages has rows for windows that are kept to, frames of one byte, and calls without messages.

--- a/cmd/oriolepond/node.go
+++ b/cmd/oriolepond/node.go
@@ -192,7 +192,7 @@
 	actor.Server(&g, front, tracker.Listen(callers.Listen(l.front)))
 	n.addProbeServer(&g, "readiness", ready, l.ready)
 	n.addProbeServer(&g, "metrics", n.metricsServer(), l.metrics)
-	peers := n.budget("peers", limits.Peers).Listen(l.peer)
+	peers := n.budget("peers", limits.Peers).ListenMessages(l.peer)
 	g.Add(func() error { return server.Serve(peers) }, func(error) { server.Stop() })
 	n.addReload(&g, file)
 	ended, end := context.WithCancel(context.Background())
--- a/e2e/clients/peer_test.go
+++ b/e2e/clients/peer_test.go
@@ -26,22 +26,57 @@
 	return string(binary.BigEndian.AppendUint32(append(head, flags), stream)) + payload
 }
 
-// peerCall begins a call that submits a job to another node.
-func peerCall() string {
-	fields := ""
-	for _, f := range [][2]string{
-		{":method", "POST"}, {":scheme", "http"}, {":path", jobpb.Jobs_Submit_FullMethodName}, {":authority", "a"}, {"content-type", "application/grpc"}, {"te", "trailers"},
-	} {
-		fields += "\x00" + string(rune(len(f[0]))) + f[0] + string(rune(len(f[1]))) + f[1]
+// connectionStart begins a connection to a node's port for other nodes.
+func connectionStart() string {
+	return "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + frame(settingsFrame, 0, 0, "")
+}
+
+// field returns a header field.
+func field(name, value string) string {
+	return "\x00" + string(rune(len(name))) + name + string(rune(len(value))) + value
+}
+
+// callFields returns the header of a call that submits a job to another node.
+func callFields() string {
+	return field(":method", "POST") + field(":scheme", "http") + field(":path", jobpb.Jobs_Submit_FullMethodName) +
+		field(":authority", "a") + field("content-type", "application/grpc") + field("te", "trailers")
+}
+
+// peerCall begins a call and its message.
+func peerCall(stream uint32) string {
+	return frame(headersFrame, endHeaders, stream, callFields()) + frame(dataFrame, 0, stream, messageStart)
+}
+
+// peerCalls returns the beginnings of calls, each followed by frames with so many bytes of its message.
+func peerCalls(calls, frames, bytes int) []string {
+	sent := []string{connectionStart()}
+	for n := range calls {
+		stream := uint32(2*n + 1)
+		sent = append(sent, peerCall(stream)+strings.Repeat(frame(dataFrame, 0, stream, strings.Repeat("x", bytes)), frames))
 	}
-	return "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + frame(settingsFrame, 0, 0, "") + frame(headersFrame, endHeaders, 1, fields) + frame(dataFrame, 0, 1, messageStart)
+	return sent
 }
 
-// Guards against a node that exceeds its memory because messages on the port for other nodes stop short of their end.
+// Guards against a node that exceeds its memory because of what arrives on the port for other nodes, but is not
+// complete.
 func TestNodePeerMessages(t *testing.T) {
-	p, _ := startNode(t, peerMaxFds)
-	piece := frame(dataFrame, 0, 1, strings.Repeat("x", pieceBytes))
-	p.gather(t, nodePeerPort, func(int) []string { return append([]string{peerCall()}, slices.Repeat([]string{piece}, pieces)...) })
-	p.requireServed(t, func() (int, error) { return submit(p, 2) })
-	p.requireWithin(t, peerMaxFds)
+	for _, c := range []struct {
+		name string
+		send func() []string
+	}{
+		{"messages that stop short of their end", func() []string {
+			piece := frame(dataFrame, 0, 1, strings.Repeat("x", pieceBytes))
+			return append([]string{connectionStart() + peerCall(1)}, slices.Repeat([]string{piece}, pieces)...)
+		}},
+		{"messages within the windows of many calls", func() []string { return peerCalls(40, 3, pieceBytes) }},
+		{"messages in frames of one byte", func() []string { return peerCalls(1, 100_000, 1) }},
+		{"calls without a message", func() []string { return peerCalls(1000, 0, 0) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p, _ := startNode(t, peerMaxFds)
+			p.gather(t, nodePeerPort, func(int) []string { return c.send() })
+			p.requireServed(t, func() (int, error) { return submit(p, 2) })
+			p.requireWithin(t, peerMaxFds)
+		})
+	}
 }
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -120,6 +120,8 @@
 	refused    int
 	usage      Usage
 	reportedAt time.Time
+	// passing is the connection that may use all of Limits.Bytes for messages.
+	passing *Lease
 	// room, if not nil, is closed when bytes are given back.
 	room chan struct{}
 }
@@ -238,6 +240,9 @@
 	if l.isRefused() {
 		b.refused--
 	}
+	if b.passing == l {
+		b.passing = nil
+	}
 	b.free(l.charged())
 	l.held, l.closed = 0, true
 }
@@ -245,6 +250,9 @@
 // free gives bytes back, and wakes those that wait for some.
 func (b *Budget) free(bytes int64) {
 	b.usage.Bytes -= bytes
+	if b.usage.Bytes <= b.sharedBytes() {
+		b.passing = nil
+	}
 	if bytes > 0 && b.room != nil {
 		close(b.room)
 		b.room = nil
--- a/internal/intake/lease.go
+++ b/internal/intake/lease.go
@@ -26,6 +26,10 @@
 	begunAt time.Time
 	// unread means that a request waits to be read from the connection, of which nothing has been read.
 	unread bool
+	// messages means that the bytes are those of messages. WaitingSince, if not zero, is when the connection began to
+	// wait for some.
+	messages     bool
+	waitingSince time.Time
 	// refusedAt, if not zero, is when it was decided to refuse the request of the connection.
 	refusedAt time.Time
 	closed    bool
@@ -51,7 +55,7 @@
 	case l.phase == Working, l == taker:
 		return false
 	case taker != nil:
-		return l.charged() > 0 && age >= stallTime
+		return l.charged() > 0 && age >= stallTime && (l.waitingSince.IsZero() || now.Sub(l.waitingSince) >= waitTime)
 	case l.isRefused(), l.unread:
 		return false
 	case l.phase == Answering:
@@ -114,15 +118,9 @@
 	}
 	b := l.budget
 	more := max(0, l.held+bytes-Allowance) - l.charged()
-	if missing := b.usage.Bytes + more - b.Limits.Bytes; b.Limits.Bytes > 0 && more > 0 && missing > 0 {
-		now := b.now()
-		if l.charged()+more > b.Limits.Bytes || b.closeable(now, l) < missing {
-			return nil, &FullError{Wanted: more}
-		}
-		for b.usage.Bytes+more > b.Limits.Bytes {
-			victim := b.first(now, l)
-			b.evict(victim)
-			victims = append(victims, victim)
+	if b.Limits.Bytes > 0 && more > 0 {
+		if victims, err = l.makeRoom(more); err != nil {
+			return nil, err
 		}
 	}
 	l.held += bytes
@@ -130,6 +128,27 @@
 	return victims, nil
 }
 
+// makeRoom makes room for more bytes of the budget, and returns the connections to be closed. The error is a
+// *FullError.
+func (l *Lease) makeRoom(more int64) (victims []*Lease, err error) {
+	b := l.budget
+	limit := l.byteLimit(more)
+	missing := b.usage.Bytes + more - limit
+	if missing <= 0 {
+		return nil, nil
+	}
+	now := b.now()
+	if l.charged()+more > b.Limits.Bytes || b.closeable(now, l) < missing {
+		return nil, &FullError{Wanted: more}
+	}
+	for b.usage.Bytes+more > limit {
+		victim := b.first(now, l)
+		b.evict(victim)
+		victims = append(victims, victim)
+	}
+	return victims, nil
+}
+
 // Give gives bytes back that were taken.
 func (l *Lease) Give(bytes int64) {
 	if l == nil {
--- a/internal/intake/limits.go
+++ b/internal/intake/limits.go
@@ -58,6 +58,7 @@
 		Probes:      Limits{Conns: maxProbes, Bytes: memory / byteMemoryParts / probeParts},
 		Answers:     Limits{Bytes: memory / answerMemoryParts},
 		Submissions: Limits{Bytes: large},
+		Peers:       Limits{Bytes: large},
 	}
 	if descriptors == 0 {
 		return l
--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -21,7 +21,9 @@
 // listener limits the connections of a server.
 type listener struct {
 	net.Listener
-	budget    *Budget
+	budget *Budget
+	// messages means that the connections carry calls with messages.
+	messages  bool
 	closeOnce sync.Once
 	closed    chan struct{}
 }
@@ -32,6 +34,12 @@
 	return &listener{Listener: l, budget: b, closed: make(chan struct{})}
 }
 
+// ListenMessages is Listen for a server of gRPC: what arrives of messages is taken from the budget until it
+// is complete. A connection waits while bytes are missing, and is closed if none are given back.
+func (b *Budget) ListenMessages(l net.Listener) net.Listener {
+	return &listener{Listener: l, budget: b, messages: b.Limits.Bytes > 0, closed: make(chan struct{})}
+}
+
 // Accept returns the next connection that the budget grants.
 func (l *listener) Accept() (net.Conn, error) {
 	for {
@@ -42,6 +50,9 @@
 		lease, err := l.grant(c)
 		if err == nil {
 			counted := &conn{Conn: c, lease: lease}
+			if l.messages {
+				counted.messages, lease.messages = newMessages(), true
+			}
 			if l.budget.isCrowded() {
 				counted.narrow()
 			}
@@ -93,6 +104,8 @@
 type conn struct {
 	net.Conn
 	lease *Lease
+	// messages is nil for connections whose messages are not counted.
+	messages *messages
 	// narrowed means that the receive buffer has socketBytes.
 	narrowed bool
 }
@@ -111,6 +124,13 @@
 	if n == 0 {
 		return n, err
 	}
+	if c.messages != nil {
+		if takeErr := c.messages.received(c.lease, p[:n]); takeErr != nil {
+			_ = c.Conn.Close()
+			return 0, takeErr
+		}
+		return n, err
+	}
 	header, large := c.lease.receive(n)
 	if large && !c.narrowed {
 		c.narrow()
@@ -133,6 +153,9 @@
 	for {
 		n, err := c.Conn.Write(p[written:min(len(p), written+writeBytes)])
 		c.lease.sent(n)
+		if c.messages != nil {
+			c.messages.sent(c.lease, p[written:written+n])
+		}
 		written += n
 		if err != nil || written >= len(p) {
 			return written, err
