Headers of calls to a node are limited

The limit is now 16 KiB, that of callers' headers; nodes send no metadata of their own. A connection that goes on is closed.

--- a/e2e/clients/peer_test.go
+++ b/e2e/clients/peer_test.go
@@ -11,7 +11,7 @@
 
 // The frames of HTTP/2 that the tests use, and the size and number of those with data.
 const (
-	dataFrame, headersFrame, settingsFrame = 0, 1, 4
+	dataFrame, headersFrame, settingsFrame, continuationFrame = 0, 1, 4, 9
 
 	endHeaders   = 4
 	pieces       = 60
@@ -71,6 +71,11 @@
 		{"messages within the windows of many calls", func() []string { return peerCalls(40, 3, pieceBytes) }},
 		{"messages in frames of one byte", func() []string { return peerCalls(1, 100_000, 1) }},
 		{"calls without a message", func() []string { return peerCalls(1000, 0, 0) }},
+		{"large headers", func() []string {
+			filler := strings.Repeat(field("filler", strings.Repeat("x", 100)), 150)
+			start := connectionStart() + frame(headersFrame, 0, 1, callFields())
+			return append([]string{start}, slices.Repeat([]string{frame(continuationFrame, 0, 1, filler)}, pieces)...)
+		}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			p, _ := startNode(t, peerMaxFds)
--- a/internal/peer/requests.go
+++ b/internal/peer/requests.go
@@ -53,6 +53,8 @@
 	// are small, and of a connection.
 	jobStreamWindowBytes = 64 << 10
 	jobConnWindowBytes   = 256 << 10
+	// maxJobHeaderBytes bounds the header of a call to a node.
+	maxJobHeaderBytes = 16 << 10
 	// maxJobCalls bounds the calls of one connection to a node.
 	maxJobCalls = 1024
 )
@@ -61,6 +63,7 @@
 func JobServerOptions(log *eventlog.Log) []grpc.ServerOption {
 	return append(ServerOptions(log),
 		grpc.MaxRecvMsgSize(maxJobMessageBytes),
+		grpc.MaxHeaderListSize(maxJobHeaderBytes),
 		grpc.MaxConcurrentStreams(maxJobCalls),
 		grpc.StaticStreamWindowSize(jobStreamWindowBytes),
 		grpc.StaticConnWindowSize(jobConnWindowBytes))
