--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -6,7 +6,8 @@
 // the memory is allocated. If a connection or bytes are missing, the Budget closes connections that wait
 // for their clients: first the one with the highest product of the bytes held and the time without
 // progress. A request that has arrived completely is never closed. If nothing can be closed, the request
-// is refused.
+// is refused: once it has arrived, on one of the connections that are kept for refusals. A connection on which
+// no request has arrived yet becomes one of these instead of being closed.
 //
 // A Budget needs no network. Attach and Listen connect it to an HTTP server.
 //
@@ -22,6 +23,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"sync"
 	"time"
 )
@@ -106,16 +108,20 @@
 	// OnPressure, if not nil, is called after connections were closed or requests were refused, at most once
 	// in each ReportInterval.
 	OnPressure func(Usage)
-	// Refusal, if not empty, is sent on each connection that is not accepted, before it is closed.
-	Refusal string
+	// RefusalHeader is added to the responses to requests that are refused for want of a connection.
+	RefusalHeader http.Header
 
 	// attached means that the connections carry HTTP; see Attach.
 	attached bool
 
-	mu         sync.Mutex
-	leases     map[*Lease]struct{}
+	mu     sync.Mutex
+	leases map[*Lease]struct{}
+	// refused is the number of leases of connections whose requests are refused.
+	refused    int
 	usage      Usage
 	reportedAt time.Time
+	// passing is the connection that may use all of Limits.Bytes for messages.
+	passing *Lease
 	// room, if not nil, is closed when bytes are given back.
 	room chan struct{}
 }
@@ -138,34 +144,61 @@
 
 // Open grants a connection, which end closes. The error is a *FullError.
 func (b *Budget) Open(end func()) (*Lease, error) {
-	l, victim, err := b.open(end)
-	if victim != nil {
-		victim.end()
-	}
-	if victim != nil || err != nil {
+	l, victims := b.open(end)
+	b.end(victims)
+	if l == nil {
 		b.report()
+		return nil, &FullError{}
 	}
-	return l, err
+	return l, nil
 }
 
-// open grants a connection, and returns the one to be closed for it, if there is any.
-func (b *Budget) open(end func()) (l, victim *Lease, err error) {
+// open grants a connection, and returns those to be closed for it. It returns no lease if there is no room.
+func (b *Budget) open(end func()) (l *Lease, victims []*Lease) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
-	if b.Limits.Conns > 0 && len(b.leases) >= b.Limits.Conns {
-		if victim = b.first(now, nil); victim == nil {
-			b.usage.Refused++
-			return nil, nil, &FullError{}
+	victims, ok := b.vacate(now, false)
+	if !ok {
+		b.usage.Refused++
+		return nil, nil
+	}
+	return b.add(end, nil, now), victims
+}
+
+// vacate makes room for a connection if there is none, and returns those to be closed for it. Sparing means that
+// requests that have just begun are not cut.
+func (b *Budget) vacate(now time.Time, sparing bool) (victims []*Lease, ok bool) {
+	if b.Limits.Conns == 0 || len(b.leases)-b.refused < b.Limits.Conns-b.maxRefused() {
+		return nil, true
+	}
+	victim := b.first(now, nil)
+	for victim != nil && victim.phase == Idle && victim.arrived != nil && victim.arrived() {
+		victim.begin(now)
+		victim.unread = true
+		victim = b.first(now, nil)
+	}
+	switch {
+	case victim == nil, sparing && victim.hasJustBegun(now):
+		return nil, false
+	case victim.isNew():
+		if victims, ok = b.vacateRefusal(now); ok {
+			b.markRefused(victim, now)
+			return victims, true
 		}
-		b.evict(victim)
 	}
+	b.evict(victim)
+	return []*Lease{victim}, true
+}
+
+// add adds a connection. Arrived may be nil.
+func (b *Budget) add(end func(), arrived func() bool, now time.Time) *Lease {
 	if b.leases == nil {
 		b.leases = map[*Lease]struct{}{}
 	}
-	l = &Lease{budget: b, end: end, phase: Idle, progressAt: now}
+	l := &Lease{budget: b, end: end, arrived: arrived, phase: Idle, progressAt: now}
 	b.leases[l] = struct{}{}
-	return l, victim, nil
+	return l
 }
 
 func (b *Budget) now() time.Time {
@@ -179,15 +212,14 @@
 // that connection. It returns nil if there is none.
 func (b *Budget) first(now time.Time, taker *Lease) *Lease {
 	var first *Lease
-	highest, arriving := -1.0, true
+	highest, last := 0.0, justBegun
 	for l := range b.leases {
-		age := now.Sub(l.progressAt)
-		if !l.mayClose(age, taker) {
+		if !l.mayClose(now, taker) {
 			continue
 		}
-		rank, last := float64(connBytes+l.held)*age.Seconds(), l.isArriving(age)
-		if !last && arriving || last == arriving && rank > highest {
-			first, highest, arriving = l, rank, last
+		rank, arrival := float64(connBytes+l.held)*now.Sub(l.progressAt).Seconds(), l.arrival(now)
+		if first == nil || arrival < last || arrival == last && rank > highest {
+			first, highest, last = l, rank, arrival
 		}
 	}
 	return first
@@ -205,6 +237,12 @@
 		return
 	}
 	delete(b.leases, l)
+	if l.isRefused() {
+		b.refused--
+	}
+	if b.passing == l {
+		b.passing = nil
+	}
 	b.free(l.charged())
 	l.held, l.closed = 0, true
 }
@@ -212,6 +250,9 @@
 // free gives bytes back, and wakes those that wait for some.
 func (b *Budget) free(bytes int64) {
 	b.usage.Bytes -= bytes
+	if b.usage.Bytes <= b.sharedBytes() {
+		b.passing = nil
+	}
 	if bytes > 0 && b.room != nil {
 		close(b.room)
 		b.room = nil
@@ -222,7 +263,7 @@
 func (b *Budget) closeable(now time.Time, taker *Lease) int64 {
 	bytes := int64(0)
 	for l := range b.leases {
-		if l.mayClose(now.Sub(l.progressAt), taker) {
+		if l.mayClose(now, taker) {
 			bytes += l.charged()
 		}
 	}
--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
+	"sync"
 	"syscall"
 	"time"
+
+	"github.com/oriolepond/oriolepond/internal/socket"
 )
 
 // socketBytes is the receive buffer of connections with large requests, and of all connections that are
@@ -20,10 +22,23 @@
 type listener struct {
 	net.Listener
 	budget *Budget
+	// messages means that the connections carry calls with messages.
+	messages  bool
+	closeOnce sync.Once
+	closed    chan struct{}
+}
+
+// Listen returns a listener whose connections are counted. If there is room neither for one nor for a refusal,
+// it accepts no more until there is; without Attach it closes those beyond the budget.
+func (b *Budget) Listen(l net.Listener) net.Listener {
+	return &listener{Listener: l, budget: b, closed: make(chan struct{})}
 }
 
-// Listen returns a listener whose connections are counted. Those beyond the budget are closed.
-func (b *Budget) Listen(l net.Listener) net.Listener { return &listener{Listener: l, budget: b} }
+// ListenMessages is Listen for a server of gRPC: what arrives of messages is taken from the budget until it
+// is complete. A connection waits while bytes are missing, and is closed if none are given back.
+func (b *Budget) ListenMessages(l net.Listener) net.Listener {
+	return &listener{Listener: l, budget: b, messages: b.Limits.Bytes > 0, closed: make(chan struct{})}
+}
 
 // Accept returns the next connection that the budget grants.
 func (l *listener) Accept() (net.Conn, error) {
@@ -32,20 +47,48 @@
 		if err != nil {
 			return nil, err
 		}
-		lease, err := l.budget.Open(func() { _ = c.Close() })
+		lease, err := l.grant(c)
 		if err == nil {
 			counted := &conn{Conn: c, lease: lease}
+			if l.messages {
+				counted.messages, lease.messages = newMessages(), true
+			}
 			if l.budget.isCrowded() {
 				counted.narrow()
 			}
 			return counted, nil
 		}
-		// The client may be gone.
-		_, _ = io.WriteString(c, l.budget.Refusal)
 		_ = c.Close()
 	}
 }
 
+// grantInterval is the pause between two attempts to grant a connection that has been accepted.
+const grantInterval = 10 * time.Millisecond
+
+// grant grants a connection. With HTTP it waits until there is room, or the listener is closed.
+func (l *listener) grant(c net.Conn) (*Lease, error) {
+	end := func() { _ = c.Close() }
+	if !l.budget.attached {
+		return l.budget.Open(end)
+	}
+	for {
+		if lease := l.budget.admit(end, func() bool { return socket.IsReadable(c) }); lease != nil {
+			return lease, nil
+		}
+		select {
+		case <-l.closed:
+			return nil, net.ErrClosed
+		case <-time.After(grantInterval):
+		}
+	}
+}
+
+// Close closes the listener.
+func (l *listener) Close() error {
+	l.closeOnce.Do(func() { close(l.closed) })
+	return l.Listener.Close()
+}
+
 // SyscallConn returns the underlying listener's raw connection.
 func (l *listener) SyscallConn() (syscall.RawConn, error) { return rawConn(l.Listener) }
 
@@ -61,6 +104,8 @@
 type conn struct {
 	net.Conn
 	lease *Lease
+	// messages is nil for connections whose messages are not counted.
+	messages *messages
 	// narrowed means that the receive buffer has socketBytes.
 	narrowed bool
 }
@@ -79,6 +124,13 @@
 	if n == 0 {
 		return n, err
 	}
+	if c.messages != nil {
+		if takeErr := c.messages.received(c.lease, p[:n]); takeErr != nil {
+			_ = c.Conn.Close()
+			return 0, takeErr
+		}
+		return n, err
+	}
 	header, large := c.lease.receive(n)
 	if large && !c.narrowed {
 		c.narrow()
@@ -101,6 +153,9 @@
 	for {
 		n, err := c.Conn.Write(p[written:min(len(p), written+writeBytes)])
 		c.lease.sent(n)
+		if c.messages != nil {
+			c.messages.sent(c.lease, p[written:written+n])
+		}
 		written += n
 		if err != nil || written >= len(p) {
 			return written, err
@@ -169,6 +224,10 @@
 		}
 		l.settleHeader(headerPrice(r))
 		defer func() { _ = l.Enter(Answering) }()
+		if l.mustRefuse() {
+			b.writeRefusal(w)
+			return
+		}
 		handler.ServeHTTP(w, r)
 	})
 }
