Only workers that are known to have restarted are waited for longer

The wait for late renewals applied to all workers that may be young, among them those of a first incarnation whose former leader was lost: TestYoungWorkerIsWaitedForAsKnownByEarlierLeaders failed at its bound of 20 s. It applies now if an earlier leader is known to have called the worker before; without that knowledge the wait is what it was. All of internal/scheduler passes, and the tests of takeovers and late renewals of internal/batch.

--- a/internal/batch/core.go
+++ b/internal/batch/core.go
@@ -350,10 +350,14 @@
 func (c *Core) UncontactedExpiry() time.Time { return c.uncontactedExpiry }
 
 // expiryAfter returns the time by which all leases that earlier leaders granted to a worker until the
-// given time are guaranteed to have expired. A young worker may execute their calls late.
+// given time are guaranteed to have expired. A young worker that is known to have restarted may execute their
+// calls late.
 func (c *Core) expiryAfter(w *worker, until time.Time) time.Time {
 	if len(w.runs) > 0 && !w.hasSettledRun() {
-		return c.latestExpiry(until.Add(maxLateness * c.timing.MaxLease))
+		if w.restarted {
+			until = until.Add(maxLateness * c.timing.MaxLease)
+		}
+		return c.latestExpiry(until)
 	}
 	return until.Add(time.Duration(float64(lease.Longer(c.timing.Lease))/minClockRate) + expirySlack)
 }
--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -497,7 +497,7 @@
 	t.state = taskPlaced
 	t.runs = append(t.runs, r)
 	w.addRun(r)
-	if !r.settled && !w.contacted {
+	if !r.settled && w.restarted && !w.contacted {
 		w.leasesExpireAt = later(w.leasesExpireAt, c.uncontactedExpiry.Add(maxLateness*c.timing.MaxLease))
 	}
 }
