An unproven crash counts as the last of five

TestUnprovenCrashIsTheLastOnly has the cases; TestJobsOutlastWorkersThatAreCutOff and TestCrashesByChanceGiveNoJobUp pass.

--- a/internal/batch/blame_test.go
+++ b/internal/batch/blame_test.go
@@ -191,3 +191,40 @@
 	want := crashCount{isolate: true}
 	require.Equal(t, want, decodeCrashes(encodeCrashes(want)))
 }
+
+// Guards against a sixth start of a task whose crash is not proven before, and against expired leases that give a job up
+// without four crashes.
+func TestUnprovenCrashIsTheLastOnly(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		crashes int
+		want    State
+	}{
+		{name: "three crashes", crashes: 3, want: Active},
+		{name: "four crashes", crashes: 4, want: Failed},
+		{name: "no crash", want: Active},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			now := time.Unix(1_000_000_000, 0)
+			core := fourWorkerCore(t, now)
+			step := Step{Tasks: 1, Size: share.Resources{Processors: 4000}}
+			require.NoError(t, core.Submit(Job{ID: "j", Queue: "check", Spec: "spec", Steps: []Step{step}}, now, nil))
+			core.Plan(now)
+			require.Len(t, commitAndStart(t, core, now), 1)
+			j := core.jobs["j"]
+			task := j.stages[0].tasks[0]
+			task.crashes = crashCount{total: c.crashes, confirmed: c.crashes}
+			w := task.runs[0].worker
+			core.PollFailed(w.ID, AnswerNone, now, now)
+			core.RemoveWorker(w.ID)
+			now = now.Add(7 * time.Second)
+			core.expireLeases(now)
+			require.Equal(t, c.want, j.state)
+			require.True(t, task.crashes.unproven)
+			require.Equal(t, task.crashes, decodeCrashes(encodeCrashes(task.crashes)))
+			core.SetWorker(w.WorkerInfo, now)
+			core.ApplyReport(w.ID, Report{Incarnation: w.Incarnation, Clock: time.Hour}, now, now)
+			require.Equal(t, c.want == Failed, task.crashes.unproven, "the worker has not crashed")
+		})
+	}
+}
--- a/internal/batch/crash.go
+++ b/internal/batch/crash.go
@@ -48,6 +48,9 @@
 	// isolate means that the last crash may have come within earlyCrash of the start, so that the next run is
 	// to be isolated.
 	isolate bool
+	// unproven means that the lease of a run has expired that may have crashed its worker, which has not answered
+	// since.
+	unproven bool
 	// culprit means that the task is to be given up once it is certain that its run has ended.
 	culprit bool
 }
@@ -76,6 +79,12 @@
 	}
 }
 
+// reachesLimit reports whether the task is to be given up although others may have caused the crashes. An unproven
+// crash counts as the last one only, since the platform permits no further start if it was one.
+func (n crashCount) reachesLimit() bool {
+	return n.total >= maxCrashes || n.total == maxCrashes-1 && n.unproven
+}
+
 // recordCrash records that a worker has crashed, which ended its runs except those that were meant
 // for the new incarnation; this is zero if it is not known. Evidence is what shows that the incarnation has
 // ended; an expired lease does not. It returns the tasks that are to be given up. Runs that no report has listed
@@ -116,6 +125,7 @@
 			commonCause[t.stage.job] = c.hasCommonCause(w, t.stage.job)
 		}
 		t.crashes.add(r, commonCause[t.stage.job])
+		t.crashes.unproven = t.crashes.unproven && !r.expired
 		t.avoidWorker = w
 		c.note(Note{
 			Kind: NoteCrashCounted, Task: t.name(), Run: r.number, Worker: w.ID, Age: r.lasted(), Reason: string(evidence),
@@ -129,7 +139,7 @@
 	var culprits []*task
 	cause := soleCause(w, suspects)
 	for _, r := range suspects {
-		switch isCulprit := r.task.crashes.total >= maxCrashes || r == cause && !commonCause[r.task.stage.job] && r.isProvenCause(); {
+		switch isCulprit := r.task.crashes.reachesLimit() || r == cause && !commonCause[r.task.stage.job] && r.isProvenCause(); {
 		case isCulprit && incarnation != 0 && !r.reported && !r.expired:
 			r.task.crashes.culprit = true
 		case isCulprit:
--- a/internal/batch/lease.go
+++ b/internal/batch/lease.go
@@ -288,19 +288,41 @@
 // address, tells whether it has crashed.
 func (c *Core) loseExpired(w *worker, now time.Time) {
 	w.expiredUntil = now.Add(c.timing.MaxLease)
+	var culprits []*task
 	for _, r := range sortedRuns(w.runs) {
-		if r.state != runPending {
-			if !r.crashed && r.state != runStopped {
-				r.expired = true
-				w.expired = append(w.expired, r)
-			}
-			c.lose(r, evidenceExpired, now)
-			if t := r.task; r.expired && t.crashes.total >= longCrashes {
-				// One more crash may be the last; whether this was one is probably known soon.
-				t.notBefore = now.Add(maxIsolationWait)
-			}
+		if r.state == runPending {
+			continue
+		}
+		if !r.crashed && r.state != runStopped {
+			r.expired = true
+			w.expired = append(w.expired, r)
+		}
+		c.lose(r, evidenceExpired, now)
+		t := r.task
+		if !r.expired || r.lasted() >= lateCrash || !c.isBlamable(r) {
+			continue
+		}
+		t.crashes.unproven = true
+		if t.crashes.reachesLimit() {
+			culprits = append(culprits, t)
+		}
+		if t.crashes.total >= longCrashes {
+			// One more crash may be the last; whether this was one is probably known soon.
+			t.notBefore = now.Add(maxIsolationWait)
+		}
+	}
+	c.giveUp(culprits, now)
+}
+
+// refuteExpired records that the worker still has the incarnation under which leases have expired: it has not crashed.
+func (c *Core) refuteExpired(w *worker) {
+	for _, r := range w.expired {
+		if r.task.crashes.unproven && c.isBlamable(r) {
+			r.task.crashes.unproven = false
+			c.markDirty(r.task.stage.job)
 		}
 	}
+	w.expired = nil
 }
 
 func (c *Core) retryStops(w *worker, now time.Time) {
--- a/internal/batch/poll.go
+++ b/internal/batch/poll.go
@@ -128,7 +128,7 @@
 	if rep.Incarnation != 0 && rep.Incarnation != w.Incarnation {
 		c.beginIncarnation(w, rep.Incarnation, now)
 	}
-	w.expired = nil
+	c.refuteExpired(w)
 	if !w.unresponsiveSince.IsZero() {
 		c.note(Note{Kind: NoteWorkerRecovered, Worker: id, Age: now.Sub(w.unresponsiveSince)})
 	}
--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -234,6 +234,7 @@
 		Early     int  `json:"s,omitempty"`
 		Confirmed int  `json:"c,omitempty"`
 		Isolate   bool `json:"e,omitempty"`
+		Unproven  bool `json:"u,omitempty"`
 		Culprit   bool `json:"g,omitempty"`
 	}
 	wireRun struct {
@@ -312,7 +313,7 @@
 	if n == (crashCount{}) {
 		return nil
 	}
-	return &wireCrashes{Total: n.total, Early: n.early, Confirmed: n.confirmed, Isolate: n.isolate, Culprit: n.culprit}
+	return &wireCrashes{Total: n.total, Early: n.early, Confirmed: n.confirmed, Isolate: n.isolate, Unproven: n.unproven, Culprit: n.culprit}
 }
 
 func decodeCrashes(w *wireCrashes) crashCount {
@@ -320,7 +321,7 @@
 		return crashCount{}
 	}
 	return crashCount{
-		total: max(w.Total, w.Confirmed), early: w.Early, confirmed: w.Confirmed, isolate: w.Isolate, culprit: w.Culprit,
+		total: max(w.Total, w.Confirmed), early: w.Early, confirmed: w.Confirmed, isolate: w.Isolate, unproven: w.Unproven, culprit: w.Culprit,
 	}
 }
 
