--- a/e2e/soakfaults_test.go
+++ b/e2e/soakfaults_test.go
@@ -49,3 +49,9 @@
 	t.Parallel()
 	runSoaks(t, []soakCase{{seed: 1, reason: "a long schedule and a wide job, leaders killed", faults: soak.SizeFaults}})
 }
+
+// Guards against jobs that are given up because the leases of their runs have expired, although no worker has crashed.
+func TestLongRunningJobsOutlastCutOffs(t *testing.T) {
+	t.Parallel()
+	runSoaks(t, []soakCase{{seed: 57501, reason: "seven series that overlap, no other faults", faults: soak.CutOffFaults}})
+}
