Network stand-in: a reset drops the data that a fault holds back

A reset closed the flow before its connections, so that the goroutine that waited for the end of a stall could write the data to the target between the two.

--- a/internal/standin/flow.go
+++ b/internal/standin/flow.go
@@ -132,6 +132,16 @@
 	}
 }
 
+// isClosed reports whether the flow has been closed.
+func (f *flow) isClosed() bool {
+	select {
+	case <-f.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // close closes both connections.
 func (f *flow) close() {
 	f.mu.Lock()
@@ -188,7 +198,7 @@
 			_ = p.limiter.WaitN(context.Background(), len(c.bytes))
 		}
 		switch {
-		case f.blackholed.Load() || broken:
+		case f.blackholed.Load() || broken || f.isClosed():
 		case len(c.bytes) == 0:
 			closeWrite(to)
 		default:
