The verdict on a task that crashes workers is easier to read

The conditions for giving a task up were in one switch statement. No behaviour changes; the tests of crashes, expired leases and common causes of internal/batch pass.

--- a/internal/batch/crash.go
+++ b/internal/batch/crash.go
@@ -19,9 +19,9 @@
 	earlyCrash  = 500 * time.Millisecond
 	lateCrash   = 5 * time.Second
 	longCrashes = 3
-	// A task is given up after minCrashes if the last one came within promptCrash of the start, after one
-	// more if it came within earlyCrash. After maxCrashes it is given up although others may have caused
-	// them. The platform requires two and permits five; fewer may be a coincidence.
+	// A task is given up after minCrashes within earlyCrash of the start, confirmedCrashes of them confirmed, if
+	// the last one came within promptCrash, else after one more. After maxCrashes it is given up although others
+	// may have caused them. The platform requires two and permits five; fewer may be a coincidence.
 	minCrashes       = 3
 	maxCrashes       = 5
 	confirmedCrashes = 2
@@ -67,7 +67,7 @@
 }
 
 // add counts a crash under a run, which may have a cause in common with others. How long a run has lasted that began
-// under an earlier leader is not known.
+// under an earlier leader is not known, so that it proves nothing.
 func (n *crashCount) add(r *run, commonCause bool) {
 	n.total++
 	if r.started {
@@ -136,13 +136,15 @@
 	if crashed.Runs > 0 {
 		c.note(crashed)
 	}
-	var culprits []*task
 	cause := soleCause(w, suspects)
+	var culprits []*task
 	for _, r := range suspects {
-		switch isCulprit := r.task.crashes.reachesLimit() || r == cause && !commonCause[r.task.stage.job] && r.isProvenCause(); {
-		case isCulprit && incarnation != 0 && !r.reported && !r.expired:
+		isProven := r == cause && !commonCause[r.task.stage.job] && r.isProvenCause()
+		switch {
+		case !isProven && !r.task.crashes.reachesLimit():
+		case incarnation != 0 && !r.reported && !r.expired:
 			r.task.crashes.culprit = true
-		case isCulprit:
+		default:
 			culprits = append(culprits, r.task)
 		}
 	}
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -205,7 +205,7 @@
 	placedAt time.Time
 	sentAt   time.Time
 	// started means that the worker has confirmed that the run has started, crashed that a crash of
-	// the worker during the run was recorded; crashesBefore is the task's count before that.
+	// the worker during the run was counted; crashesBefore is the task's count before that.
 	started       bool
 	crashed       bool
 	crashesBefore crashCount
