--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -228,15 +228,6 @@
 		// WaitedMs is how long a delegated task had waited.
 		WaitedMs int64 `json:"waitedMillis,omitempty"`
 	}
-	wireCrashes struct {
-		// Total and Early are missing in records of versions that counted expired leases, too.
-		Total     int  `json:"t"`
-		Early     int  `json:"s,omitempty"`
-		Confirmed int  `json:"c,omitempty"`
-		Isolate   bool `json:"e,omitempty"`
-		Unproven  bool `json:"u,omitempty"`
-		Culprit   bool `json:"g,omitempty"`
-	}
 	wireRun struct {
 		Number      int64  `json:"n"`
 		Worker      string `json:"w"`
@@ -309,22 +300,6 @@
 	return w, w.AllDone || w.Done != nil || w.Tasks != nil
 }
 
-func encodeCrashes(n crashCount) *wireCrashes {
-	if n == (crashCount{}) {
-		return nil
-	}
-	return &wireCrashes{Total: n.total, Early: n.early, Confirmed: n.confirmed, Isolate: n.isolate, Unproven: n.unproven, Culprit: n.culprit}
-}
-
-func decodeCrashes(w *wireCrashes) crashCount {
-	if w == nil {
-		return crashCount{}
-	}
-	return crashCount{
-		total: max(w.Total, w.Confirmed), early: w.Early, confirmed: w.Confirmed, isolate: w.Isolate, unproven: w.Unproven, culprit: w.Culprit,
-	}
-}
-
 // DecodeJob returns the submission in a record or an inbox entry.
 func DecodeJob(value []byte) (Job, error) {
 	j, _, err := DecodeHandedOver(value)
