Events 4044 and 4045 say which crashes prove nothing

A reader of the log could not tell why a job was not given up after three crashes, or was after four. docs/EVENTS.md is generated from the texts; the test of the catalogue passes.

--- a/internal/eventlog/batch.go
+++ b/internal/eventlog/batch.go
@@ -148,12 +148,12 @@
 	})
 	CrashCounted = register(Event{
 		Number: 4044, Level: zapcore.InfoLevel, Message: "crash counted for task",
-		Meaning: "The run of the task was lost with its worker, as inferred from the reason, age after its start, 0 if the start is not confirmed. The crash counts for the task, which has the named number of crashes; confirmed are those of which is known that the run had started.",
+		Meaning: "The run of the task was lost with its worker, as inferred from the reason, age after its start, 0 if the start is not confirmed. The crash counts for the task, which has the named number of crashes; confirmed are those of which is known that the run had started. A crash that many workers share, or of a run that began under an earlier leader, is counted but proves nothing.",
 		Advice:  "Compare the reasons and ages if a job is given up (4045).",
 	})
 	JobGivenUp = register(Event{
 		Number: 4045, Level: zapcore.WarnLevel, Message: "job given up",
-		Meaning: "The job fails because workers crashed under the named task, as often as crashes says.",
+		Meaning: "The job fails because workers crashed under the named task, as often as crashes says; with four, the lease of a fifth run has expired without an answer of its worker.",
 		Advice:  "Look for the events 4044 of the task; check what it runs before the job is submitted again.",
 	})
 	RunOrphaned = register(Event{
