--- a/internal/batch/chance_test.go
+++ b/internal/batch/chance_test.go
@@ -80,6 +80,19 @@
 	}
 }
 
+// coreWithFullWorkers returns a core with four workers, each filled by a task of one of a number of jobs.
+func coreWithFullWorkers(t *testing.T, jobs int, now time.Time) *Core {
+	t.Helper()
+	core := fourWorkerCore(t, now)
+	for i := range jobs {
+		step := Step{Tasks: 4 / jobs, Size: share.Resources{Processors: 4000}}
+		require.NoError(t, core.Submit(Job{ID: fmt.Sprint(i), Queue: "check", Spec: "spec", Steps: []Step{step}}, now, nil))
+	}
+	core.Plan(now)
+	require.Len(t, commitAndStart(t, core, now), 4)
+	return core
+}
+
 // crashWorkers crashes all workers at the same time. They have stopped answering before the first is known to be back.
 func crashWorkers(c *Core, now time.Time) {
 	for _, w := range c.workersByID() {
@@ -105,13 +118,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			now := time.Unix(1_000_000_000, 0)
-			core := fourWorkerCore(t, now)
-			for i := range c.jobs {
-				step := Step{Tasks: 4 / c.jobs, Size: share.Resources{Processors: 4000}}
-				require.NoError(t, core.Submit(Job{ID: fmt.Sprint(i), Queue: "check", Spec: "spec", Steps: []Step{step}}, now, nil))
-			}
-			core.Plan(now)
-			require.Len(t, commitAndStart(t, core, now), 4)
+			core := coreWithFullWorkers(t, c.jobs, now)
 			crashWorkers(core, now.Add(50*time.Millisecond))
 			for _, j := range core.jobs {
 				for _, task := range j.stages[0].tasks {
@@ -132,18 +139,12 @@
 	require.NoError(t, core.Submit(j, now, nil))
 	core.Plan(now)
 	require.Len(t, commitAndStart(t, core, now), 1)
+	core.MarkDirty(j.ID)
 	changes, err := core.TakeChanges(20, now)
 	require.NoError(t, err)
-	records := changes.Records
-	if len(records) == 0 {
-		core.MarkDirty(j.ID)
-		changes, err = core.TakeChanges(20, now)
-		require.NoError(t, err)
-		records = changes.Records
-	}
 	now = now.Add(time.Hour)
 	next := fourWorkerCore(t, now)
-	require.NoError(t, next.Restore(records[0].Value, now))
+	require.NoError(t, next.Restore(changes.Records[0].Value, now))
 	name := TaskName{Job: j.ID}
 	crashUnder(t, next, name, now)
 	require.Equal(t, crashCount{total: 1, confirmed: 1, isolate: true}, next.jobs[j.ID].stages[0].tasks[0].crashes)
@@ -209,13 +210,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			now := time.Unix(1_000_000_000, 0)
-			core := fourWorkerCore(t, now)
-			for i := range c.jobs {
-				step := Step{Tasks: 4 / c.jobs, Size: share.Resources{Processors: 4000}}
-				require.NoError(t, core.Submit(Job{ID: fmt.Sprint(i), Queue: "check", Spec: "spec", Steps: []Step{step}}, now, nil))
-			}
-			core.Plan(now)
-			require.Len(t, commitAndStart(t, core, now), 4)
+			core := coreWithFullWorkers(t, c.jobs, now)
 			now = now.Add(50 * time.Millisecond)
 			for i, w := range core.workersByID()[:c.crashes] {
 				task := sortedRuns(w.runs)[0].task
