Events for ends of runs of ended jobs, acknowledgements, and the commit a leader goes on from

Cause: the end of a run of a final job, or of one that the leader does not know, left no line in the log; nor did an acknowledgement. Change: event 4046 (info) says how such a run ended and what is stored of its job, 4047 (debug) up to where ends are acknowledged and after which commit; 4002 and 4003 name the commit that a term begins and ends with. No decision changes. Measured: tests of eventlog, batch and scheduler pass.

--- a/internal/batch/core.go
+++ b/internal/batch/core.go
@@ -163,6 +163,7 @@
 	NoteAccepted           NoteKind = "accepted"
 	NotePlaced             NoteKind = "placed"
 	NoteEnded              NoteKind = "ended"
+	NoteEndedAfterJob      NoteKind = "endedAfterJob"
 	NoteJobEnded           NoteKind = "jobEnded"
 	NoteStopping           NoteKind = "stopping"
 	NoteUnconfirmed        NoteKind = "unclear"
--- a/internal/batch/poll.go
+++ b/internal/batch/poll.go
@@ -301,6 +301,7 @@
 		return
 	}
 	if t == nil || j.state.Final() {
+		c.note(Note{Kind: NoteEndedAfterJob, Task: e.Task, Run: e.Run, Worker: w.ID, Reason: string(e.How) + ": " + c.describeStored(e.Task.Job)})
 		if j == nil || !j.dirty && !j.isSetAside {
 			w.markEndDurable(e.Number)
 			return
@@ -314,6 +315,23 @@
 	c.markDirty(j)
 }
 
+// describeStored describes for the log what is stored of a job.
+func (c *Core) describeStored(id string) string {
+	j, known := c.jobs[id]
+	if !known {
+		if j, known = c.jobs[DelegatedID(id)]; !known {
+			return "no record of its job"
+		}
+	}
+	switch {
+	case j.finalStored || j.forwardStored:
+		return "its job is stored as " + string(j.state)
+	case j.inFlight:
+		return "its job is " + string(j.state) + ", a commit is in progress"
+	}
+	return "its job is " + string(j.state) + ", not stored yet"
+}
+
 // applyEnd updates a task after the end of one of its runs. The run is nil if the leader had given
 // it up before.
 func (c *Core) applyEnd(t *task, r *run, w *worker, e EndedRow, now time.Time) {
--- a/internal/eventlog/batch.go
+++ b/internal/eventlog/batch.go
@@ -18,12 +18,12 @@
 	})
 	TermServing = register(Event{
 		Number: 4002, Level: zapcore.InfoLevel, Message: "term serving",
-		Meaning: "The leader has read all jobs of the cell and schedules them from now on.",
+		Meaning: "The leader has read all jobs of the cell, as the named commit of an earlier leader left them, and schedules them from now on.",
 		Advice:  "None.",
 	})
 	TermEnded = register(Event{
 		Number: 4003, Level: zapcore.InfoLevel, Message: "term ended",
-		Meaning: "This node is no longer leader of the cell; the error gives the reason.",
+		Meaning: "This node is no longer leader of the cell; the error gives the reason, commit the last one that it carried out.",
 		Advice:  "None, unless it recurs: then check the connection between the node and the store.",
 	})
 	CommitUnanswered = register(Event{
@@ -111,6 +111,16 @@
 		Meaning: "The run is stopped for the named reason.",
 		Advice:  "None.",
 	})
+	RunOfEndedJobEnded = register(Event{
+		Number: 4046, Level: zapcore.InfoLevel, Message: "run of ended job has ended",
+		Meaning: "The worker reported the end of a run of a job in a final state, or of a job of which this leader has no record. The reason says how the run ended and what is stored of the job; the end is acknowledged to the worker once nothing can start the task again.",
+		Advice:  "None. If the task starts again later, compare the reason with the commit in events 4002, 4003 and 4047.",
+	})
+	EndsAcknowledged = register(Event{
+		Number: 4047, Level: zapcore.DebugLevel, Message: "run ends acknowledged",
+		Meaning: "The worker may forget the ends of runs up to the named number of its own count; commit is the last one that had been carried out.",
+		Advice:  "None.",
+	})
 	StartUnanswered = register(Event{
 		Number: 4033, Level: zapcore.InfoLevel, Message: "start without an answer",
 		Meaning: "It is unknown whether the run began; the worker is polled, and the run is stopped if the worker does not report it.",
--- a/internal/scheduler/commit.go
+++ b/internal/scheduler/commit.go
@@ -164,6 +164,7 @@
 		revision, outcome, err := l.tryCommit(ctx, txn, stamp, unanswered)
 		if outcome == commitApplied {
 			l.setUncommittedSince(time.Time{})
+			l.setLastCommit(stamp)
 			l.headRevision = revision
 		}
 		if err != nil || outcome == commitApplied {
@@ -275,6 +276,20 @@
 	}
 }
 
+// setLastCommit records the stamp of a commit that the store has carried out.
+func (l *Leader) setLastCommit(stamp string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lastCommit = stamp
+}
+
+// latestCommit returns the stamp of the last commit that the store has carried out.
+func (l *Leader) latestCommit() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lastCommit
+}
+
 // setCommitStartedAt records since when a commit is in progress; zero means that none is.
 func (l *Leader) setCommitStartedAt(startedAt time.Time) {
 	l.mu.Lock()
--- a/internal/scheduler/decisionlog.go
+++ b/internal/scheduler/decisionlog.go
@@ -12,6 +12,7 @@
 	batch.NoteAccepted:           eventlog.JobAccepted,
 	batch.NotePlaced:             eventlog.TaskPlaced,
 	batch.NoteEnded:              eventlog.RunEnded,
+	batch.NoteEndedAfterJob:      eventlog.RunOfEndedJobEnded,
 	batch.NoteJobEnded:           eventlog.JobEnded,
 	batch.NoteStopping:           eventlog.RunStopping,
 	batch.NoteUnconfirmed:        eventlog.StartUnanswered,
--- a/internal/scheduler/election.go
+++ b/internal/scheduler/election.go
@@ -257,7 +257,7 @@
 		go m.awaitEarlierTerms(term, leader)
 		go leader.fenceEarlierTerms(term)
 		m.Log.Emit(eventlog.TermServing, zap.Int64("token", token), zap.Duration("loaded", m.scheduler.now().Sub(startedAt)),
-			zap.Int("jobs", leader.jobCount()))
+			zap.Int("jobs", leader.jobCount()), zap.String("commit", leader.latestCommit()))
 		err = leader.run(term)
 	}
 	m.mu.Lock()
@@ -270,7 +270,7 @@
 	m.mu.Unlock()
 	leader.retire()
 	m.revokeLease(id)
-	m.Log.Emit(eventlog.TermEnded, zap.Int64("token", token), zap.Error(err))
+	m.Log.Emit(eventlog.TermEnded, zap.Int64("token", token), zap.String("commit", leader.latestCommit()), zap.Error(err))
 }
 
 // unreachedRunLimit returns how long runs may go on at workers that this leader never
--- a/internal/scheduler/leader.go
+++ b/internal/scheduler/leader.go
@@ -65,6 +65,8 @@
 	unansweredCommit string
 	// commitStartedAt is when the commit in progress was first sent, zero if there is none.
 	commitStartedAt time.Time
+	// lastCommit is the stamp of the last commit that the store has carried out, by an earlier leader at first.
+	lastCommit string
 	// ended is closed once the term has ended and none of its commits is in progress.
 	ended chan struct{}
 	// fenced is true once a worker has rejected a poll because it has seen a newer leader.
@@ -202,7 +204,7 @@
 			l.Log.Emit(eventlog.RecordUnreadable, zap.String("key", e.Key), zap.Error(err))
 		}
 	}
-	l.headRevision = r.head.Revision
+	l.headRevision, l.lastCommit = r.head.Revision, string(r.head.Value)
 	core.LimitRenewals(l.terms.renewalsEnd(l.Now()))
 	if r.learned.Revision != 0 {
 		if err := core.RestoreEffects(r.learned.Value); err != nil {
--- a/internal/scheduler/polls.go
+++ b/internal/scheduler/polls.go
@@ -16,6 +16,8 @@
 	wakeUp chan struct{}
 	// extraPoll is true while pollNow polls the worker in addition to the poller.
 	extraPoll bool
+	// acknowledged is the number up to which run ends were last acknowledged.
+	acknowledged int64
 }
 
 const (
@@ -166,7 +168,12 @@
 	l.logSuspension(!renew)
 	l.mu.Lock()
 	request, ok := l.core.BeginPoll(id, sent, renew)
+	commit := l.lastCommit
+	isNewAck := ok && l.noteAcknowledged(request)
 	l.mu.Unlock()
+	if isNewAck {
+		l.Log.Emit(eventlog.EndsAcknowledged, zap.String("worker", id), zap.Int64("upTo", request.Ack), zap.String("commit", commit), zap.Int64("token", l.Token))
+	}
 	if !ok {
 		return false, false
 	}
@@ -218,6 +225,17 @@
 	return request.Wait, err == nil
 }
 
+// noteAcknowledged records which run ends a poll acknowledges, and reports whether they are others than before; l.mu is
+// held.
+func (l *Leader) noteAcknowledged(request batch.Poll) bool {
+	p := l.pollers[request.Worker]
+	if p == nil || request.Ack == 0 || request.Ack == p.acknowledged {
+		return false
+	}
+	p.acknowledged = request.Ack
+	return true
+}
+
 // sendCommand sends one command to a worker and gives the result to the core.
 func (l *Leader) sendCommand(ctx context.Context, command batch.Command) {
 	l.goGuarded("order", func() {
