--- a/internal/scheduler/fakeworkers_test.go
+++ b/internal/scheduler/fakeworkers_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -8,15 +9,17 @@
 	"github.com/oriolepond/oriolepond/internal/batch"
 )
 
-// fakeWorkers are workers on which each task runs for a fixed duration. They check
-// that no task runs twice at once, or again after its end.
+// fakeWorkers are workers on which each task runs for a fixed duration, those of the jobs in durations for another one.
+// They check that no task runs twice at once, or again after its end.
 type fakeWorkers struct {
 	mu        sync.Mutex
 	startedAt time.Time
 	// age is how long the workers had run when the test began.
 	age      time.Duration
 	duration time.Duration
-	workers  map[string]*fakeWorker
+	// durations are by job ID.
+	durations map[string]time.Duration
+	workers   map[string]*fakeWorker
 	// violations describe starts of tasks that were still running or had already ended.
 	violations []string
 	done       map[batch.TaskName]bool
@@ -182,7 +185,7 @@
 	f.starts++
 	f.startTimes[call.Worker] = append(f.startTimes[call.Worker], time.Now())
 	f.startedJobs[call.Task.Job] = true
-	w.running[call.Task] = &fakeRun{number: call.Run, ends: time.Now().Add(f.duration)}
+	w.running[call.Task] = &fakeRun{number: call.Run, ends: time.Now().Add(cmp.Or(f.durations[call.Task.Job], f.duration))}
 	close(w.changed)
 	w.changed = make(chan struct{})
 }
