Jobs: one field for the state in the durable record

Change: storedState, the state in the durable record, replaces stored, finalStored and forwardStored. No decision changes.

--- a/internal/batch/delegate.go
+++ b/internal/batch/delegate.go
@@ -87,7 +87,7 @@
 			continue
 		}
 		switch {
-		case j.neverPlaced() && j.stored && !j.inFlight && now.Sub(later(j.accepted, j.arrivedAt)) >= starvedAfter:
+		case j.neverPlaced() && j.isStored() && !j.inFlight && now.Sub(later(j.accepted, j.arrivedAt)) >= starvedAfter:
 			c.tryHandOver(j, 0)
 		case len(c.accepting) == 0 && j.canHandOver(starvedAfter, now):
 			// Any cell with workers is better than one without.
@@ -118,7 +118,7 @@
 // canHandOver reports whether a job that has started may be handed over: none of its tasks runs or
 // may run, none is long-running or delegated, and its queued tasks have waited long enough.
 func (j *job) canHandOver(wait time.Duration, now time.Time) bool {
-	if !j.stored || j.inFlight || j.delegated || len(j.delegatedTo) > 0 || j.pendingDelegation != nil || j.Repeat.Count > 0 {
+	if !j.isStored() || j.inFlight || j.delegated || len(j.delegatedTo) > 0 || j.pendingDelegation != nil || j.Repeat.Count > 0 {
 		return false
 	}
 	for _, s := range j.stages {
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -20,10 +20,8 @@
 	endedAt time.Time
 	state   State
 	reason  string
-	// stored means that a record of the job is durable, finalStored that a record of its final
-	// state is.
-	stored      bool
-	finalStored bool
+	// storedState is the state in the job's durable record, empty if there is none. The state may be ahead of it.
+	storedState State
 	// inInbox means that the job is stored in the inbox.
 	inInbox bool
 	// inFlight means that a commit that contains a record of the job is in progress.
@@ -42,10 +40,8 @@
 	// nextForwardCheck that cell is asked again whether it still knows the job.
 	forwardedTo      int
 	nextForwardCheck time.Time
-	// handOverPending means that the next commit hands the job over. forwardStored means that the
-	// forwarding record, which replaces the record of a job that was handed over, is durable.
+	// handOverPending means that the next commit hands the job over: a forwarding record replaces its record.
 	handOverPending bool
-	forwardStored   bool
 	// startedState is the progress of a job that is handed over after it has started.
 	startedState *wireJob
 	// cancelCells are the cells to which the next commit forwards a cancel.
@@ -257,6 +253,9 @@
 	return s
 }
 
+// isStored reports whether a record of the job is durable.
+func (j *job) isStored() bool { return j.storedState != "" }
+
 // runs returns all runs of the job.
 func (j *job) runs() []*run {
 	var runs []*run
--- a/internal/batch/move.go
+++ b/internal/batch/move.go
@@ -95,7 +95,7 @@
 // forwardCancel cancels a job that was handed over, or takes the job back if its hand-over is not
 // part of a commit yet.
 func (c *Core) forwardCancel(j *job, now time.Time) {
-	if !j.stored && !j.inFlight {
+	if !j.isStored() && !j.inFlight {
 		j.state, j.handOverPending = Queued, false
 		c.finish(j, Cancelled, "cancelled by its caller", now)
 		return
@@ -107,7 +107,7 @@
 // ForwardedTo returns the cell to which a job was handed over, once that is durable.
 func (c *Core) ForwardedTo(id string) (int, bool) {
 	j, ok := c.jobs[id]
-	if !ok || j.state != Moved || !j.forwardStored {
+	if !ok || j.storedState != Moved {
 		return 0, false
 	}
 	return j.forwardedTo, true
@@ -121,7 +121,7 @@
 		if len(old) == limit {
 			break
 		}
-		if j.state == Moved && j.forwardStored && !j.removed && now.Sub(j.accepted) > c.timing.Retention && !now.Before(j.nextForwardCheck) {
+		if j.storedState == Moved && !j.removed && now.Sub(j.accepted) > c.timing.Retention && !now.Before(j.nextForwardCheck) {
 			j.nextForwardCheck = now.Add(c.timing.Retention)
 			old[id] = j.forwardedTo
 		}
--- a/internal/batch/plan.go
+++ b/internal/batch/plan.go
@@ -284,7 +284,7 @@
 	c.nextJobExpiry = now.Add(jobExpiryEvery)
 	var expired []string
 	for id, j := range c.jobs {
-		if j.state.Final() && j.finalStored && !j.removed && now.Sub(j.endedAt) > c.timing.Retention {
+		if j.storedState.Final() && !j.removed && now.Sub(j.endedAt) > c.timing.Retention {
 			expired = append(expired, id)
 		}
 	}
--- a/internal/batch/poll.go
+++ b/internal/batch/poll.go
@@ -324,7 +324,7 @@
 		}
 	}
 	switch {
-	case j.finalStored || j.forwardStored:
+	case j.storedState.Final() || j.storedState == Moved:
 		return "its job is stored as " + string(j.state)
 	case j.inFlight:
 		return "its job is " + string(j.state) + ", a commit is in progress"
--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -36,7 +36,6 @@
 // durable. The state is that of the record.
 type changedJob struct {
 	job     *job
-	final   bool
 	starts  []*run
 	ends    []endRef
 	waiters []func(State)
@@ -106,7 +105,7 @@
 		j.cancelCells, j.handOverPending = nil, false
 		ch.Records = append(ch.Records, record)
 		ch.jobs = append(ch.jobs, changedJob{
-			job: j, final: j.state.Final(), starts: j.pendingStarts, ends: j.pendingEnds, waiters: j.waiters, state: j.state,
+			job: j, starts: j.pendingStarts, ends: j.pendingEnds, waiters: j.waiters, state: j.state,
 			delegation: delegation, writes: writes,
 		})
 		j.dirty, j.inFlight = false, true
@@ -140,10 +139,9 @@
 		c.markUnresponsiveDurable()
 	}
 	for i, t := range ch.jobs {
-		t.job.stored, t.job.inFlight = true, false
+		t.job.storedState, t.job.inFlight = t.state, false
 		t.job.recordSize = len(ch.Records[i].Value)
-		t.job.finalStored = t.job.finalStored || t.final
-		t.job.isSetAside = t.job.isSetAside && !t.final
+		t.job.isSetAside = t.job.isSetAside && !t.state.Final()
 		for _, r := range t.starts {
 			if r.state == runPending {
 				commands = append(commands, Command{Kind: CommandStart, run: r, worker: r.worker})
@@ -159,7 +157,6 @@
 			call(t.state)
 		}
 		if t.state == Moved {
-			t.job.forwardStored = true
 			// The other cell stores the steps.
 			t.job.Job = Job{ID: t.job.ID, Queue: t.job.Queue}
 		}
@@ -376,15 +373,15 @@
 	w, finished := w.unfold()
 	j := &job{
 		Job: decodeSubmission(w), state: State(w.State), reason: w.Reason,
-		accepted: time.UnixMilli(w.AcceptedMs).Add(-c.wallOffset), stored: true, delegatedTo: w.DelegatedTo, delegated: w.Delegated, cellPath: w.Path,
+		accepted: time.UnixMilli(w.AcceptedMs).Add(-c.wallOffset), storedState: State(w.State), delegatedTo: w.DelegatedTo, delegated: w.Delegated, cellPath: w.Path,
 	}
 	if j.state.Final() {
-		j.finalStored, j.endedAt = true, time.UnixMilli(w.EndedMs).Add(-c.wallOffset)
+		j.endedAt = time.UnixMilli(w.EndedMs).Add(-c.wallOffset)
 		c.addJob(j)
 		return nil
 	}
 	if j.state == Moved {
-		j.forwardedTo, j.forwardStored = w.Cell, true
+		j.forwardedTo = w.Cell
 		c.addJob(j)
 		return nil
 	}
--- a/internal/batch/refuse.go
+++ b/internal/batch/refuse.go
@@ -112,7 +112,7 @@
 // and the pause is over.
 func (c *Core) resumeFitting(now time.Time) {
 	for _, j := range c.active {
-		if !j.isSetAside || !j.stored || j.inFlight || j.dirty || now.Before(j.resumeAt) || j.recordSize >= j.refusedSize {
+		if !j.isSetAside || !j.isStored() || j.inFlight || j.dirty || now.Before(j.resumeAt) || j.recordSize >= j.refusedSize {
 			continue
 		}
 		j.isSetAside = false
--- a/internal/batch/size_test.go
+++ b/internal/batch/size_test.go
@@ -129,7 +129,7 @@
 	core.Cancel("0000000000000001", now, func(s State) { done = s })
 	commitAndStart(t, core, now)
 	require.Equal(t, Cancelled, done)
-	require.True(t, core.jobs["0000000000000001"].finalStored)
+	require.True(t, core.jobs["0000000000000001"].storedState.Final())
 }
 
 // Guards against the arithmetic of CheckSize being too low, and against a new term that cannot
--- a/internal/batch/submit.go
+++ b/internal/batch/submit.go
@@ -91,7 +91,7 @@
 }
 
 // isDurable reports whether the job is known to be stored, as a record or in the inbox.
-func (j *job) isDurable() bool { return j.stored || j.inInbox }
+func (j *job) isDurable() bool { return j.isStored() || j.inInbox }
 
 // addJob adds a job to those in memory.
 func (c *Core) addJob(j *job) {
@@ -112,7 +112,7 @@
 	if waiter == nil {
 		return
 	}
-	if j.stored && (!j.dirty || j.isSetAside && j.state != Moved) && j.finalStored == j.state.Final() {
+	if j.isStored() && (!j.dirty || j.isSetAside && j.state != Moved) && j.storedState.Final() == j.state.Final() {
 		waiter(j.state)
 		return
 	}
@@ -144,9 +144,9 @@
 func (c *Core) State(id string) (State, bool) {
 	j, ok := c.jobs[id]
 	switch {
-	case !ok || !j.stored:
+	case !ok || !j.isStored():
 		return "", false
-	case j.state.Final() && !j.finalStored:
+	case j.state.Final() && !j.storedState.Final():
 		return Active, true
 	case j.state == Moved:
 		// The other cell knows the job only once the hand-over is durable.
