An end of a final job is acknowledged only once the job's end is stored

Cause: applyEndedRow took the end of a run of a final job for durable unless the job was marked as changed. TakeChanges takes the mark away when it puts the record into a commit: until the outcome of that commit is known, the job is final in memory only. A next leader that does not see the commit has neither the end of the job nor, since the worker was told to forget it, that of the run. Change: only the state in the durable record counts. Ends that wait are released by the commit that stores the job's end, without a further write. Why it works: a job whose durable record is final is never scheduled again, and a worker lists an end until it is acknowledged, so the next leader learns of it.

--- a/internal/batch/poll.go
+++ b/internal/batch/poll.go
@@ -302,11 +302,15 @@
 	}
 	if t == nil || j.state.Final() {
 		c.note(Note{Kind: NoteEndedAfterJob, Task: e.Task, Run: e.Run, Worker: w.ID, Reason: string(e.How) + ": " + c.describeStored(e.Task.Job)})
-		if j == nil || !j.dirty && !j.isSetAside {
+		if j == nil || j.storedState.Final() {
 			w.markEndDurable(e.Number)
 			return
 		}
 		j.pendingEnds = append(j.pendingEnds, endRef{worker: w, incarnation: w.Incarnation, number: e.Number})
+		if !j.state.Final() {
+			// No change of the job would write a record that releases the end.
+			c.markDirty(j)
+		}
 		return
 	}
 	c.note(Note{Kind: NoteEnded, Task: e.Task, Run: e.Run, Worker: w.ID, Reason: string(e.How)})
--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -147,11 +147,11 @@
 				commands = append(commands, Command{Kind: CommandStart, run: r, worker: r.worker})
 			}
 		}
-		for _, e := range t.ends {
-			if e.worker.Incarnation == e.incarnation {
-				e.worker.markEndDurable(e.number)
-				c.ackable[e.worker.ID] = true
-			}
+		c.markEndsDurable(t.ends)
+		if t.state.Final() {
+			// Nothing can start its tasks again, so the ends that were reported since then need no record.
+			c.markEndsDurable(t.job.pendingEnds)
+			t.job.pendingEnds = nil
 		}
 		for _, call := range t.waiters {
 			call(t.state)
@@ -167,6 +167,16 @@
 	return commands
 }
 
+// markEndsDurable lets the workers forget run ends that they have reported, except those of former incarnations.
+func (c *Core) markEndsDurable(ends []endRef) {
+	for _, e := range ends {
+		if e.worker.Incarnation == e.incarnation {
+			e.worker.markEndDurable(e.number)
+			c.ackable[e.worker.ID] = true
+		}
+	}
+}
+
 // The stored form of a job. Times are milliseconds of Unix time.
 type (
 	wireJob struct {
