A job of which tasks were delegated is not handed over as a whole

Cause: tasks were delegated while the first record of their job was in a commit in progress, for which a slow store takes longer than the second that they have to wait. A job that had no run and counted as never placed was then handed over as a whole, with the delegated tasks. Change: tasks are delegated only once their job is stored and no commit with it is in progress, and a job with delegated tasks counts as placed. Why it works: a hand-over carries the whole submission, so it must exclude all that was given away; both conditions now read the same list. Without a commit in progress, a withdrawn one cannot replace a delegation that was decided since, either. Measured: tests of internal/batch and internal/scheduler pass.

--- a/internal/batch/delegate.go
+++ b/internal/batch/delegate.go
@@ -94,15 +94,16 @@
 			c.handOverStarted(j, -1)
 		case j.canHandOver(stuckAfter, now):
 			c.handOverStarted(j, 0)
-		case s.step.LongRunning && !s.step.Gang && j.pendingDelegation == nil && j.Repeat.Count == 0:
+		case s.step.LongRunning && !s.step.Gang && j.isStored() && !j.inFlight && j.pendingDelegation == nil && j.Repeat.Count == 0:
 			c.delegateStarved(s, now)
 		}
 	}
 }
 
-// neverPlaced reports whether no task of the job was ever assigned to a worker.
+// neverPlaced reports whether no task of the job was ever assigned to a worker, here or in a cell to which it was
+// delegated.
 func (j *job) neverPlaced() bool {
-	if j.state != Queued || j.Repeat.Count > 0 {
+	if j.state != Queued || j.Repeat.Count > 0 || len(j.delegatedTo) > 0 {
 		return false
 	}
 	for _, s := range j.stages {
