A planned stop of a shard's leader takes no later commit for the one that it gave up

What callers would see: a job whose submission was confirmed, and that no leader knows; likewise a cancellation, or tasks handed over from another shard, which that shard then counts as moved for ever. Cause: the end of a leadership cut off the commit in progress, whose changes are in no later one. The last commit of the stop then stored the next batch, and batches count as durable up to the number of the last one. Change: a commit that was begun goes on when the leadership ends, for up to finalCommitTimeout in all; if it fails, there is no last commit. Evidence: before, TestPlannedStopConfirmsWhatIsStored failed in three of five rows: "job committing is confirmed and not stored" with the request lost; with the answer lost, the stop's last commit was refused as that of a replaced leader, so that nothing of it was stored. Why it works: batches are committed one after the other, each with a known outcome, or none after it.

--- a/internal/shard/leader.go
+++ b/internal/shard/leader.go
@@ -93,15 +93,17 @@
 }
 
 // Run leads the shard until the context ends or the shard is lost. When the context ends, Run
-// commits the remaining changes and returns nil.
+// completes the commit in progress, commits the remaining changes and returns nil.
 func (l *Leader) Run(ctx context.Context) error {
 	running, stopLeading := context.WithCancel(ctx)
 	defer stopLeading()
 	l.stopLeading = stopLeading
+	commits, stopCommits := outlasting(running, finalCommitTimeout)
+	defer stopCommits()
 	if l.OtherShards != nil {
 		l.loops.Go(func() { l.moveLoop(running) })
 	}
-	err := l.commitLoop(running)
+	err := l.commitLoop(running, commits)
 	stopLeading()
 	l.mu.Lock()
 	for _, stop := range l.stopExchange {
@@ -110,25 +112,31 @@
 	l.mu.Unlock()
 	l.loops.Wait()
 	if err == nil && ctx.Err() != nil {
-		final, cancel := context.WithTimeout(context.WithoutCancel(ctx), finalCommitTimeout)
-		defer cancel()
-		err = l.commitOnce(final)
+		err = l.commitOnce(commits)
 	}
 	l.mu.Lock()
 	l.ended = true
 	close(l.changed)
 	l.mu.Unlock()
-	if err == nil && ctx.Err() == nil {
+	if ctx.Err() == nil && (err == nil || commits.Err() != nil) {
 		err = &NotLeaderError{Shard: l.Shard}
 	}
 	return err
 }
 
-// finalCommitTimeout bounds the last commit of a planned stop.
+// finalCommitTimeout bounds the last commits of a planned stop.
 const finalCommitTimeout = 2 * time.Second
 
-// commitLoop plans and commits until the context ends.
-func (l *Leader) commitLoop(ctx context.Context) error {
+// outlasting returns a context that ends a time after another one, or when it is cancelled.
+func outlasting(ctx context.Context, d time.Duration) (context.Context, context.CancelFunc) {
+	longer, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	context.AfterFunc(ctx, func() { time.AfterFunc(d, cancel) })
+	return longer, cancel
+}
+
+// commitLoop plans and commits until the context ends. A commit that was begun ends with the context commits only: the
+// batch after it must not be committed without it.
+func (l *Leader) commitLoop(ctx, commits context.Context) error {
 	for {
 		l.mu.Lock()
 		now := time.Now()
@@ -137,10 +145,7 @@
 		l.logNotices()
 		l.reconcile(ctx)
 		l.mu.Unlock()
-		if err := l.commitOnce(ctx); err != nil {
-			if ctx.Err() != nil {
-				return nil
-			}
+		if err := l.commitOnce(commits); err != nil {
 			return err
 		}
 		if !l.waitForWork(ctx, now) {
