A release note that arrives late is not reported as refused

What operators would see: "refused", or a conflict with a later note, for a note that is in force. Cause: an attempt read the note's record first and the configuration after it. An earlier attempt without an answer, or the same note at another instance, that took effect between the two reads was found in the configuration, and the note then judged against itself. Change: the head is read before the record. Why it works: a head comes with the records of all notes in it. A note that arrives after the read of the record changes the head, so the commit is refused and tried again.

--- a/internal/config/apply.go
+++ b/internal/config/apply.go
@@ -99,6 +99,14 @@
 // applyOnce applies the note to the configuration that the store holds now, or reports the outcome
 // if the note was accepted before.
 func (a *applyCall) applyOnce(ctx context.Context) (release.Report, error) {
+	// Take the snapshot before reading the head. One that comes into force during the read
+	// could be newer than the head, and the store would be reported as stale.
+	current := a.keeper.Snapshot()
+	h, revision, err := a.keeper.readHead(ctx)
+	if err != nil {
+		return release.Report{}, err
+	}
+	// The record is read after the head: a head that contains the note comes with its record.
 	r, known, err := a.keeper.record(ctx, a.note.Name)
 	if err != nil {
 		return release.Report{}, err
@@ -106,7 +114,7 @@
 	if known {
 		return a.reportAccepted(r)
 	}
-	base, revision, err := a.readBase(ctx)
+	base, err := a.loadBase(ctx, h, current)
 	if err != nil {
 		return release.Report{}, err
 	}
@@ -129,28 +137,20 @@
 	return r.Report(a.keeper.Current(), nil), nil
 }
 
-// readBase returns the newest configuration in the store and the store's revision of the head key.
-func (a *applyCall) readBase(ctx context.Context) (Snapshot, int64, error) {
-	// Take the snapshot before reading the head. One that comes into force during the read
-	// could be newer than the head, and the store would be reported as stale.
-	current := a.keeper.Snapshot()
-	h, revision, err := a.keeper.readHead(ctx)
-	if err != nil {
-		return Snapshot{}, 0, err
-	}
+// loadBase returns the configuration of the store's head.
+func (a *applyCall) loadBase(ctx context.Context, h Head, current Snapshot) (Snapshot, error) {
 	if h.Revision < current.head.Revision {
-		return Snapshot{}, 0, &StaleStoreError{Head: h.Revision, InForce: current.head.Revision}
+		return Snapshot{}, &StaleStoreError{Head: h.Revision, InForce: current.head.Revision}
 	}
 	values, err := a.keeper.loadChunks(ctx, h, current.values)
 	if err != nil {
-		return Snapshot{}, 0, err
+		return Snapshot{}, err
 	}
 	if !a.sinceSet && a.since == 0 {
 		a.since = h.Revision
 	}
 	a.sinceSet = true
-	base, err := snapshotFromChunks(h, values, current)
-	return base, revision, err
+	return snapshotFromChunks(h, values, current)
 }
 
 // readHead returns the head in the store and the store's revision of its key.
--- a/internal/config/keeper_test.go
+++ b/internal/config/keeper_test.go
@@ -352,3 +352,50 @@
 	}
 	require.Equal(t, listed, stored)
 }
+
+// Guards against a note that is reported as refused although an earlier attempt of the same call, whose answer was lost, has
+// been accepted: the attempt after it saw the result without the note's record.
+func TestNoteThatArrivesLateIsNotRefused(t *testing.T) {
+	for _, c := range []struct {
+		name, body string
+		// other is accepted after the note and before the next attempt goes on.
+		other string
+	}{
+		{name: "withdrawn", body: `"withdrawn": {"shares": ["two"]}`},
+		{name: "added", body: `"added": ` + shareBody("three", 3)},
+		{name: "changed", body: `"changed": ` + shareBody("one", 5)},
+		{name: "superseded", body: `"changed": ` + shareBody("one", 5), other: `"changed": ` + shareBody("one", 6)},
+	} {
+		for _, before := range []string{config.HeadKey, config.NotePrefix + "late"} {
+			t.Run(c.name+", arrives before the read of "+before, func(t *testing.T) {
+				f := newFleet(t, 2)
+				mustApply(t, f.keepers[0], note(t, "first", floorBody))
+				k := f.keepers[0]
+				inner := *k.Store
+				var late *store.Txn
+				attempts := 0
+				k.Store.Commit = func(ctx context.Context, txn store.Txn) (store.Result, error) {
+					if attempts++; attempts > 1 {
+						return inner.Commit(ctx, txn)
+					}
+					late = &txn
+					return store.Result{}, &store.UnavailableError{Call: "commit", Err: errCutOff}
+				}
+				k.Store.Read = func(ctx context.Context, key string) (store.Entry, bool, error) {
+					if key == before && late != nil {
+						result, err := inner.Commit(ctx, *late)
+						require.NoError(t, err)
+						require.True(t, result.Done)
+						late = nil
+						if c.other != "" {
+							mustApply(t, f.keepers[1], note(t, "other", c.other))
+						}
+					}
+					return inner.Read(ctx, key)
+				}
+				report := mustApply(t, k, note(t, "late", c.body))
+				require.EqualValues(t, 2, report.Revision)
+			})
+		}
+	}
+}
