A planned stop writes the counts of requests and link bytes although the write before it has no answer

What operators saw: accounts that lack what an instance counted since its last write, after a planned stop that cut off a write, or lost its answer. Cause: a write that conflicts with an earlier one only read the keys again and left the writing to the next call; after the last call there is none. Change: the call writes again, as internal/burn does. Why it works: the keys tell whether the earlier write took effect, and each write requires the revisions that were read.

--- a/internal/meter/keeper.go
+++ b/internal/meter/keeper.go
@@ -87,34 +87,52 @@
 	}
 }
 
+// maxWriteAttempts bounds the writes of one call. The first may conflict with an earlier write whose
+// response was lost, or with a fold by another instance.
+const maxWriteAttempts = 3
+
+// ContendedError is returned when each attempt to write an instance's counts conflicted with
+// another write.
+type ContendedError struct {
+	ID string
+}
+
+// Error names the instance.
+func (e *ContendedError) Error() string { return "the counts of " + e.ID + " change too often" }
+
 // Flush writes the counts if they have changed since the last write. On a conflict
-// with another write it only reads the keys again; the next call writes.
+// with another write it reads the keys again and writes again.
 func (k *Keeper) Flush(ctx context.Context) error {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	next := k.Meter.Counts().Minus(k.folded)
-	if len(next.Minus(k.written)) == 0 {
-		return nil
-	}
-	value, err := Encode(next)
-	if err != nil {
-		return err
-	}
-	result, err := k.Store.Commit(ctx, store.Txn{
-		If: []store.Condition{
-			{Key: k.key(), Revision: k.revision},
-			{Key: foldedPrefix + k.ID, Revision: k.foldedRevision},
-		},
-		Then: []store.Op{store.Put(k.key(), value)},
-	})
-	if err != nil {
-		return err
-	}
-	if result.Done {
-		k.written, k.revision = next, result.Revision
-		return nil
+	for range maxWriteAttempts {
+		next := k.Meter.Counts().Minus(k.folded)
+		if len(next.Minus(k.written)) == 0 {
+			return nil
+		}
+		value, err := Encode(next)
+		if err != nil {
+			return err
+		}
+		result, err := k.Store.Commit(ctx, store.Txn{
+			If: []store.Condition{
+				{Key: k.key(), Revision: k.revision},
+				{Key: foldedPrefix + k.ID, Revision: k.foldedRevision},
+			},
+			Then: []store.Op{store.Put(k.key(), value)},
+		})
+		if err != nil {
+			return err
+		}
+		if result.Done {
+			k.written, k.revision = next, result.Revision
+			return nil
+		}
+		if err := k.syncRevisions(ctx); err != nil {
+			return err
+		}
 	}
-	return k.syncRevisions(ctx)
+	return &ContendedError{ID: k.ID}
 }
 
 func (k *Keeper) key() string { return instancePrefix + k.ID }
--- a/internal/meter/keeper_test.go
+++ b/internal/meter/keeper_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -139,3 +140,36 @@
 	require.NoError(t, a.Flush(context.Background()))
 	require.Equal(t, int64(7), h.total(b).Requests)
 }
+
+// Guards against a planned stop that loses counts because the response to the write before its own was lost, or that the instance
+// was folded by mistake.
+func TestPlannedStopWritesAllCounts(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		before func(h *harness, a, b *meter.Keeper)
+	}{
+		{name: "response lost", before: func(h *harness, a, _ *meter.Keeper) {
+			h.store.SetLostAnswers(1, 1)
+			require.Error(h.t, a.Flush(h.t.Context()))
+			h.store.SetLostAnswers(0, 0)
+		}},
+		{name: "folded by mistake", before: func(h *harness, _, b *meter.Keeper) {
+			h.alive["a"] = false
+			require.NoError(h.t, b.Fold(h.t.Context()))
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHarness(t)
+			a, b := h.keeper("a"), h.keeper("b")
+			a.Interval = time.Hour
+			h.count(a, 5)
+			a.Meter.Add(payer, meter.Traffic{Requests: 2})
+			c.before(h, a, b)
+			a.Meter.Add(payer, meter.Traffic{Requests: 4})
+			ctx, stop := context.WithCancel(t.Context())
+			stop()
+			require.NoError(t, a.Run(ctx))
+			require.Equal(t, int64(11), h.total(b).Requests)
+		})
+	}
+}
