A registration whose answer was lost keeps its lease if it arrives late

What operators would see: after an outage of the store, an instance uses its allocation of slots, and begins keys, while its registration has ended and the others may take both over: overcommitted targets, a request that runs twice. Cause: a registration without an answer was taken for not done. The next attempt got a lease of its own and wrote the same key; an instance that is still in the table needs no other condition than the table's revision, so that the first commit, arriving last, attached the key to a lease that nobody renews. Change: an attempt goes on with the lease of the one before, unless that has expired. Why it works: a late commit writes the same key with the lease that is renewed, or is refused since its lease has expired.

--- a/internal/membership/keeper.go
+++ b/internal/membership/keeper.go
@@ -77,8 +77,10 @@
 	cutTimer       *time.Timer
 	maxRequestTime time.Duration
 	lastRecheck    time.Time
-	// registerMu is held during a registration or a renewal, so that only one runs at once.
-	registerMu sync.Mutex
+	// registerMu is held during a registration or a renewal, so that only one runs at once. It guards
+	// unconfirmedLease, the lease of a registration whose outcome is not known.
+	registerMu       sync.Mutex
+	unconfirmedLease store.LeaseID
 
 	view          atomic.Pointer[View]
 	lease         atomic.Int64
--- a/internal/membership/keeper_test.go
+++ b/internal/membership/keeper_test.go
@@ -376,6 +376,54 @@
 	require.Len(t, f.currentMembers()[a].keeper.View().Table.Members, 1)
 }
 
+// Guards against a registration that ends while its holder counts on it: a commit whose answer was lost arrived after the next one,
+// and attached the key to a lease that nobody renews.
+func TestLateRegistrationKeepsItsLease(t *testing.T) {
+	t.Parallel()
+	s := standin.NewStore()
+	server := httptest.NewServer(s)
+	t.Cleanup(server.Close)
+	client := store.NewEtcd([]string{server.URL}, server.Client())
+	var held atomic.Bool
+	late := make(chan store.Txn, 1)
+	slow := *client
+	slow.Commit = func(ctx context.Context, txn store.Txn) (store.Result, error) {
+		if held.CompareAndSwap(true, false) {
+			late <- txn
+			return store.Result{}, &store.UnavailableError{Call: "commit", Err: errors.New("no answer")}
+		}
+		return client.Commit(ctx, txn)
+	}
+	k := &membership.Keeper{
+		Store: &slow, Self: membership.Peer{ID: "entry", Region: region}, TTL: testTTL, Log: eventlog.Discard(),
+		MaxRequestTime: func() time.Duration { return testMaxRequestTime }, ListLag: testListLag,
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = k.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		stop()
+		<-done
+	})
+	registered := func() bool { return k.Lease() != 0 && k.Entitled() }
+	require.Eventually(t, registered, waitTimeout, pollInterval)
+	first := k.Lease()
+	held.Store(true)
+	s.ExpireLeases()
+	txn := <-late
+	require.Eventually(t, func() bool { return registered() && k.Lease() != first }, waitTimeout, pollInterval)
+	_, _ = client.Commit(t.Context(), txn)
+	for end := time.Now().Add(2 * testTTL); time.Now().Before(end); time.Sleep(testTTL / 10) {
+		e, found, err := client.Read(t.Context(), membership.MemberPrefix+k.View().Self)
+		require.NoError(t, err)
+		require.True(t, found, "the registration has ended, and the instance uses its allocation: %v", k.Entitled())
+		require.Equal(t, k.Lease(), e.Lease)
+	}
+}
+
 // BenchmarkStoreCalls measures the calls to the store while membership does not change, for
 // a join and for a planned stop.
 func BenchmarkStoreCalls(b *testing.B) {
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -201,7 +201,7 @@
 func (k *Keeper) register(ctx context.Context) error {
 	k.lease.Store(0)
 	requestedAt := time.Now()
-	id, err := k.Store.GrantLease(ctx, k.TTL)
+	id, err := k.registrationLease(ctx)
 	if err != nil {
 		return err
 	}
@@ -214,6 +214,7 @@
 			return err
 		}
 		if done {
+			k.unconfirmedLease = 0
 			k.lease.Store(int64(id))
 			k.recordRenewal(requestedAt)
 			return k.readRegistry(ctx)
@@ -223,6 +224,21 @@
 	return ctx.Err()
 }
 
+// registrationLease returns the lease for a registration. That of an earlier attempt without a known outcome is used again
+// while it is valid: its commit may still arrive, and must not attach the key to a lease that is no longer renewed.
+func (k *Keeper) registrationLease(ctx context.Context) (store.LeaseID, error) {
+	if k.unconfirmedLease != 0 {
+		err := k.Store.KeepAlive(ctx, k.unconfirmedLease)
+		var expired *store.LeaseExpiredError
+		if !errors.As(err, &expired) {
+			return k.unconfirmedLease, err
+		}
+	}
+	var err error
+	k.unconfirmedLease, err = k.Store.GrantLease(ctx, k.TTL)
+	return k.unconfirmedLease, err
+}
+
 // writeRegistration writes the member's key, and the table if it does not contain the
 // member yet. It returns false if nothing was written because the table had changed in
 // the store meanwhile.
