A shard whose leader's key was not released is led again

What callers would see: "shard r0.2 has no holder at present" for each job of a shard, as long as one instance runs. Cause: the end of a leadership deletes the leader's key in one write, and took it for done without an answer. The instance renews the lease of the key, so that the key stays; no instance claims a shard with a key, and this one no longer knew of its leadership. Likewise after a claim without a known outcome. Change: an instance claims a shard whose key is attached to its own lease and for which it knows no leadership, and then leads or releases it. Why it works: the claim requires the revision of the key that was left over, so a release that arrives late is refused, or makes the claim fail until the next step. A key with the lease of another start of the instance does not count.

--- a/internal/shard/fleet_test.go
+++ b/internal/shard/fleet_test.go
@@ -174,7 +174,11 @@
 }
 
 // submit submits a job through a running instance, and retries through others until it is accepted.
-func (f *fleet) submit(b testing.TB, n, tasks int) {
+func (f *fleet) submit(b testing.TB, n, tasks int) { f.submitWithin(b, n, tasks, waitLimit) }
+
+// submitWithin is like submit, and fails if the job is not accepted within a time.
+func (f *fleet) submitWithin(b testing.TB, n, tasks int, limit time.Duration) {
+	deadline := time.Now().Add(limit)
 	neighbour := fmt.Sprintf("n%d", n%2)
 	s := task.Submission{Neighbour: neighbour, Job: neighbour, Tasks: tasks, Key: fmt.Sprintf("key-%d", n)}
 	for try := n; ; try++ {
@@ -190,6 +194,10 @@
 			b.Error(err)
 			return
 		}
+		if time.Now().After(deadline) {
+			b.Errorf("job %d was not accepted within %v: %v", n, limit, err)
+			return
+		}
 	}
 }
 
--- a/internal/shard/keeper.go
+++ b/internal/shard/keeper.go
@@ -216,7 +216,10 @@
 }
 
 // claimAndRelease claims the shards without a leader that are assigned to this instance, and
-// releases those that stableSteps steps in a row have assigned to another one. k.mu must be held.
+// releases those that stableSteps steps in a row have assigned to another one. It also claims, to lead
+// or release them, the shards whose key is left over from a leadership of this instance: without an
+// answer of the store, the end of a leadership may leave the key in place, and this instance renews its
+// lease. k.mu must be held.
 func (k *Keeper) claimAndRelease(leadCtx context.Context, keys, handovers map[string]store.Entry) {
 	assigned := Assign(k.shards(handovers), k.Members())
 	if k.leaderships == nil {
@@ -225,10 +228,13 @@
 	}
 	for id, member := range assigned {
 		l, known := k.leaderships[id]
-		_, hasLeader := keys[id]
+		key, hasLeader := keys[id]
+		leftOver := hasLeader && !known && k.lease != 0 && key.Lease == k.lease
 		switch {
+		case leftOver:
+			k.startClaim(leadCtx, id, key, handovers[id])
 		case member == k.ID && !hasLeader && !known:
-			k.startClaim(leadCtx, id, keys[id], handovers[id])
+			k.startClaim(leadCtx, id, key, handovers[id])
 		case member == k.ID:
 			k.elsewhereSteps[id] = 0
 		case known:
--- a/internal/shard/keeper_test.go
+++ b/internal/shard/keeper_test.go
@@ -1,12 +1,17 @@
 package shard
 
 import (
+	"context"
+	"errors"
 	"fmt"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/oriolepond/oriolepond/internal/store"
 	"github.com/oriolepond/oriolepond/internal/task"
 )
 
@@ -62,6 +67,69 @@
 	}
 }
 
+// Guards against a shard that nobody leads although all instances and the store work: its leader's key remained in the store,
+// since the write that was to delete it was lost, and the instance went on renewing the key's lease.
+func TestShardIsLedAgainAfterLostRelease(t *testing.T) {
+	lost := &store.UnavailableError{Call: "commit", Err: errors.New("no answer")}
+	for _, c := range []struct {
+		name string
+		// journal is set if the first leadership ends because its journal cannot be read.
+		journal bool
+		end     func(f *fleet)
+	}{
+		{name: "reassigned", end: func(f *fleet) { f.setMembers([]Member{{ID: "e1", Region: "r1"}, {ID: "e2", Region: "r0"}}) }},
+		{name: "journal not read", journal: true, end: func(*fleet) {}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			var releases, reads sync.Map
+			f := newFleet(t, 16, 3, 2*time.Second, 300*time.Millisecond, func(k *Keeper) {
+				if k.ID != "e0" {
+					return
+				}
+				inner := *k.Store
+				cut := inner
+				// The first release of each shard is lost, and with journal set the first read of each journal.
+				cut.Commit = func(ctx context.Context, txn store.Txn) (store.Result, error) {
+					for _, op := range txn.Then {
+						if _, known := releases.Load(op.Key); op.Kind == store.OpDelete && strings.HasPrefix(op.Key, MapPrefix) && !known {
+							releases.Store(op.Key, true)
+							return store.Result{}, lost
+						}
+					}
+					return inner.Commit(ctx, txn)
+				}
+				cut.List = func(ctx context.Context, prefix string) (store.Snapshot, error) {
+					if _, known := reads.Load(prefix); c.journal && prefix != MapPrefix && !known {
+						reads.Store(prefix, true)
+						return store.Snapshot{}, lost
+					}
+					return inner.List(ctx, prefix)
+				}
+				k.Store = &cut
+			})
+			const tasks = 40
+			if !c.journal {
+				f.submit(t, 0, tasks)
+				f.awaitFinished(t, tasks)
+			}
+			c.end(f)
+			isLost := func() bool {
+				n := 0
+				releases.Range(func(any, any) bool { n++; return true })
+				return n > 0
+			}
+			require.Eventually(t, isLost, waitLimit, 10*time.Millisecond)
+			before := f.ledger.Finished()
+			for n := 1; n < 3; n++ {
+				f.submitWithin(t, n, tasks, waitLimit/4)
+			}
+			require.False(t, t.Failed())
+			f.awaitFinished(t, before+2*tasks)
+		})
+	}
+}
+
 func (f *fleet) shardsLedBy(id string) int {
 	led := 0
 	for _, s := range f.keepers[1].Shards() {
