The property test of shards has commits that take time

Why: commits were atomic in the simulation, so that no end, cancellation or transfer could arrive during one, and none was lost with its leader while it was under way. Change to a test: a leader sends a commit in one step; the store carries it out in another, or the leader is lost first. A cancellation counts as confirmed when its batch is durable, and no start of its tasks may be sent afterwards. The checks that were there are unchanged, and checked as often.

--- a/internal/shard/accounts_test.go
+++ b/internal/shard/accounts_test.go
@@ -34,10 +34,10 @@
 	}
 }
 
-// recordDurable records which readings a leader's batch makes durable: those of the tasks in the
-// batch, and of the ended tasks of the jobs in the batch.
-func (w *simulation) recordDurable(leader *simLeader, b journal.Batch) {
-	keep := func(id string) { w.durableReadings[id] = maps.Clone(leader.received[id]) }
+// recordDurable records which of the readings that a leader had received a batch makes durable: those
+// of the tasks in the batch, and of the ended tasks of the jobs in the batch.
+func (w *simulation) recordDurable(received readings, b journal.Batch) {
+	keep := func(id string) { w.durableReadings[id] = maps.Clone(received[id]) }
 	for _, t := range b.Tasks {
 		handedBack := t.Origin.Shard != "" && t.State == task.Moved
 		w.endedTasks[t.ID()] = t.State.Final() || t.State == task.Released || handedBack
--- a/internal/shard/property_test.go
+++ b/internal/shard/property_test.go
@@ -28,6 +28,7 @@
 	require.Zero(t, w.ledger.Overcommits(), "a worker was over its capacity")
 	require.Zero(t, w.ledger.DuplicateResumes(), "a checkpoint was resumed twice")
 	require.Zero(t, w.ledger.LostCheckpoints(), "a committed checkpoint was not resumed")
+	require.Zero(t, w.startsAfterCancel, "a task was started after its cancellation was confirmed")
 	for _, leader := range w.leaders {
 		for _, s := range w.workers {
 			var reserved share.Resources
@@ -42,7 +43,8 @@
 	}
 }
 
-// Guards against interleavings of faults that violate an invariant: crashes, pauses, lost, late and
+// Guards against interleavings of faults that violate an invariant: crashes, pauses, commits that take time
+// or are lost with their leader, lost, late and
 // repeated messages, takeovers and outages of the store. Once all faults have ended, every accepted
 // job must end with each of its tasks finished once or cancelled.
 func TestInvariantsHoldUnderFaults(t *testing.T) {
@@ -109,6 +111,7 @@
 	commit := withLeader(func(t *rapid.T, leader *simLeader) {
 		w.commit(leader, rapid.IntRange(0, 4).Draw(t, "answer") == 0)
 	})
+	begin := withLeader(func(_ *rapid.T, leader *simLeader) { w.beginCommit(leader) })
 	round := withLeader(func(_ *rapid.T, leader *simLeader) { w.leaderRound(leader) })
 	fractions := []time.Duration{0, 40 * time.Millisecond, 100 * time.Millisecond, 500 * time.Millisecond}
 	return map[string]func(*rapid.T){
@@ -127,7 +130,10 @@
 			}
 			id := rapid.SampledFrom(slices.Sorted(maps.Keys(w.accepted))).Draw(t, "job")
 			w.cancelled[id] = true
-			_, _ = leader.core.Cancel("n", id, w.now)
+			w.callLeader(leader, func(c *Core) error {
+				_, err := c.Cancel("n", id, w.now)
+				return err
+			}, func() { w.confirmedCancels[id] = true })
 		}),
 		"yield": withLeader(func(t *rapid.T, leader *simLeader) {
 			i := onWorker.Draw(t, "worker")
@@ -142,6 +148,13 @@
 			}
 		}),
 		"commit": commit, "commit2": commit, "commit3": commit,
+		// The commit takes time: it is carried out later, or is lost with the leader.
+		"beginCommit": begin, "beginCommit2": begin,
+		"carryOut": withLeader(func(_ *rapid.T, leader *simLeader) {
+			if w.storeUp && !leader.isolated {
+				w.carryOut(leader)
+			}
+		}),
 		"exchange": exchange, "exchange2": exchange, "exchange3": exchange, "exchange4": exchange,
 		"round": round, "round2": round, "round3": round,
 		"coast": func(t *rapid.T) {
--- a/internal/shard/simulation_test.go
+++ b/internal/shard/simulation_test.go
@@ -58,7 +58,11 @@
 	// numbers of tasks.
 	accepted  map[string]int
 	cancelled map[string]bool
-	submitted int
+	// confirmedCancels are the jobs whose cancellation was committed and confirmed to the caller. startsAfterCancel counts the
+	// starts of their tasks that were sent afterwards.
+	confirmedCancels  map[string]bool
+	startsAfterCancel int
+	submitted         int
 	// durableReadings are the usages of each task's incarnations that the journal holds.
 	durableReadings readings
 	// sent are the incarnations whose start was sent to a worker. endedTasks are the tasks that
@@ -75,17 +79,25 @@
 	confirmedAt time.Time
 	// isolated leaders can't reach the store.
 	isolated bool
-	// unconfirmedBatch is a batch that was committed although the leader did not receive the
-	// response.
-	unconfirmedBatch uint64
-	pendingJobs      map[string]uint64
-	taskCounts       map[string]int
+	// inProgress is the commit whose outcome the leader does not know.
+	inProgress  *commitInProgress
+	pendingJobs map[string]uint64
+	taskCounts  map[string]int
 	// received are the usages that the leader knows from reports and the journal.
 	received readings
 	// pendingAnswers are the responses to other shards that wait for their batch to be durable.
 	pendingAnswers []pendingAnswer
 }
 
+// commitInProgress is a batch whose commit was sent to the store. The store has carried it out if stored is set.
+type commitInProgress struct {
+	batch  journal.Batch
+	number uint64
+	stored bool
+	// received are the usages that the leader knew when it sent the commit.
+	received readings
+}
+
 type pendingAnswer struct {
 	batch  uint64
 	answer func()
@@ -107,17 +119,18 @@
 // share a ledger.
 func newShardSimulation(shard, prefix string, ledger *standin.TaskLedger) *simulation {
 	w := &simulation{
-		shard:           shard,
-		prefix:          prefix,
-		now:             time.Unix(1_000_000, 0),
-		timing:          DefaultTiming(),
-		ledger:          ledger,
-		storeUp:         true,
-		accepted:        map[string]int{},
-		cancelled:       map[string]bool{},
-		durableReadings: readings{},
-		sent:            map[worker.Ack]bool{},
-		endedTasks:      map[string]bool{},
+		shard:            shard,
+		prefix:           prefix,
+		now:              time.Unix(1_000_000, 0),
+		timing:           DefaultTiming(),
+		ledger:           ledger,
+		storeUp:          true,
+		accepted:         map[string]int{},
+		cancelled:        map[string]bool{},
+		confirmedCancels: map[string]bool{},
+		durableReadings:  readings{},
+		sent:             map[worker.Ack]bool{},
+		endedTasks:       map[string]bool{},
 		config: release.Config{Revision: 1, Declarations: release.Declarations{
 			Neighbours: []share.Neighbour{{Name: "n", Region: "r"}},
 			Shares:     []share.Share{{Name: "s", Neighbour: "n", Weight: 1, Quota: simCapacity.Times(simWorkers)}},
@@ -243,14 +256,22 @@
 }
 
 // commit makes a leader plan and commit. If the store's response is lost, the leader doesn't learn
-// the outcome before the next call.
+// the outcome before the next call. A commit in progress is completed first.
 func (w *simulation) commit(leader *simLeader, lost bool) {
-	if !w.storeUp || leader.isolated {
+	if !w.storeUp || leader.isolated || !w.completeCommit(leader) {
+		return
+	}
+	w.beginCommit(leader)
+	if !w.carryOut(leader) || lost {
 		return
 	}
-	if leader.unconfirmedBatch != 0 {
-		w.confirmBatch(leader, leader.unconfirmedBatch)
-		leader.unconfirmedBatch = 0
+	w.completeCommit(leader)
+}
+
+// beginCommit makes a leader plan, and send a commit unless there is nothing to commit or a commit is in progress.
+func (w *simulation) beginCommit(leader *simLeader) {
+	if leader.inProgress != nil {
+		return
 	}
 	leader.core.Configure(w.config, w.quotas())
 	leader.core.SetListing(w.listing(), w.now)
@@ -258,26 +279,46 @@
 	if !leader.core.HasChanges() {
 		return
 	}
-	if leader.epoch != w.epoch {
-		w.removeLeader(leader)
-		return
-	}
 	batch, number := leader.core.TakeBatch()
 	text, err := journal.Encode(batch)
 	if err != nil {
 		panic(err)
 	}
-	stored, err := journal.Decode(text)
+	sent, err := journal.Decode(text)
 	if err != nil {
 		panic(err)
 	}
-	w.batches = append(w.batches, stored)
-	w.recordDurable(leader, stored)
-	if lost {
-		leader.unconfirmedBatch = number
-		return
+	leader.inProgress = &commitInProgress{batch: sent, number: number, received: leader.received.clone()}
+}
+
+// carryOut makes the store carry out a leader's commit in progress. It returns false if the leader was replaced, and
+// removes it.
+func (w *simulation) carryOut(leader *simLeader) bool {
+	c := leader.inProgress
+	if c == nil || c.stored {
+		return true
+	}
+	if leader.epoch != w.epoch {
+		w.removeLeader(leader)
+		return false
+	}
+	w.batches = append(w.batches, c.batch)
+	w.recordDurable(c.received, c.batch)
+	c.stored = true
+	return true
+}
+
+// completeCommit carries out a leader's commit in progress, if there is one, and notifies the leader. It returns false if
+// the leader was replaced.
+func (w *simulation) completeCommit(leader *simLeader) bool {
+	if !w.carryOut(leader) {
+		return false
+	}
+	if c := leader.inProgress; c != nil {
+		leader.inProgress = nil
+		w.confirmBatch(leader, c.number)
 	}
-	w.confirmBatch(leader, number)
+	return true
 }
 
 // confirmBatch notifies a leader, and the callers that wait for it, that a batch is durable.
@@ -330,6 +371,9 @@
 	for _, command := range e.Commands {
 		if command.Kind == worker.Start {
 			w.sent[worker.Ack{Task: command.Task, Incarnation: command.Incarnation}] = true
+			if w.confirmedCancels[leader.core.tasks[command.Task].Job] {
+				w.startsAfterCancel++
+			}
 		}
 	}
 	switch {
