The status of a job reports an end once it is stored

What callers would see: a task as finished or cancelled that is queued again after a change of the leader, and then runs. Cause: the status was that in memory, while docs/DESIGN.md has that no other message about a task leaves before the state behind it is durable. Change: until the commit with its end is done, a task is reported as stopping if it was cancelled, and otherwise as running. The answers to submissions and cancellations wait for the commit as before, and name the new state. Evidence: with the status in memory, the property test of shards, which now asks all leaders for all statuses at each step, failed after 4 and 32 runs: "a task of j1 that was reported as ended has not ended: map[queued:1]". It passes now, as does TestEndIsReportedOnceStored. Why it works: ends are counted with the batch that holds them, the open one and the one that is being committed, and taken out of the status.

--- a/internal/shard/changes.go
+++ b/internal/shard/changes.go
@@ -29,6 +29,10 @@
 	// get commands once the batch that is being committed is durable.
 	workers map[string]bool
 	sent    map[string]bool
+	// ends are the tasks whose ends are in the open batch, sentEnds those in the batch that is being
+	// committed.
+	ends     jobEnds
+	sentEnds jobEnds
 }
 
 func newChanges() changes {
@@ -47,6 +51,7 @@
 	c.links = map[string]*link{}
 	c.dropped = nil
 	c.workers = map[string]bool{}
+	c.ends = jobEnds{}
 }
 
 // markTask adds a task to the open batch.
@@ -111,7 +116,7 @@
 	}
 	b.Dropped = c.changes.dropped
 	number := c.changes.open
-	c.changes.sent = c.changes.workers
+	c.changes.sent, c.changes.sentEnds = c.changes.workers, c.changes.ends
 	c.changes.clear()
 	c.changes.open++
 	return b, number
@@ -127,7 +132,7 @@
 			ids = append(ids, id)
 		}
 	}
-	c.changes.sent = map[string]bool{}
+	c.changes.sent, c.changes.sentEnds = map[string]bool{}, nil
 	return ids
 }
 
--- a/internal/shard/job.go
+++ b/internal/shard/job.go
@@ -38,6 +38,38 @@
 	return j.status(), nil
 }
 
+// DescribeStored is like Describe, as far as the status is durable: a task whose end is not committed
+// counts as stopping if it was cancelled, and otherwise as running.
+func (c *Core) DescribeStored(neighbour, id string) (task.Status, error) {
+	s, err := c.Describe(neighbour, id)
+	if err != nil {
+		return s, err
+	}
+	for _, ends := range []jobEnds{c.changes.ends, c.changes.sentEnds} {
+		for state, n := range ends[c.jobs[id]] {
+			before := task.Running
+			if state == task.Cancelled {
+				before = task.Stopping
+			}
+			s.States[before] += n
+			if s.States[state] -= n; s.States[state] == 0 {
+				delete(s.States, state)
+			}
+		}
+	}
+	return s, nil
+}
+
+// jobEnds counts tasks that have ended, by job and final state.
+type jobEnds map[*jobEntry]map[task.State]int
+
+func (e jobEnds) add(j *jobEntry, state task.State) {
+	if e[j] == nil {
+		e[j] = map[task.State]int{}
+	}
+	e[j][state]++
+}
+
 func (j *jobEntry) status() task.Status {
 	s := task.Status{ID: j.ID, Job: j.Name, States: maps.Clone(j.Counts), Reason: j.Reason}
 	if s.States == nil {
--- a/internal/shard/leader.go
+++ b/internal/shard/leader.go
@@ -309,14 +309,15 @@
 	return l.changeJob(ctx, func(c *Core, now time.Time) (task.Status, error) { return c.Cancel(neighbour, id, now) })
 }
 
-// Describe returns the status of the tasks of a job that this shard is responsible for.
+// Describe returns the status of the tasks of a job that this shard is responsible for, as far as it
+// is durable.
 func (l *Leader) Describe(neighbour, id string) (task.Status, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.ended {
 		return task.Status{}, &NotLeaderError{Shard: l.Shard}
 	}
-	return l.core.Describe(neighbour, id)
+	return l.core.DescribeStored(neighbour, id)
 }
 
 // Accounts returns the usage of all shares in this shard.
--- a/internal/shard/lifecycle.go
+++ b/internal/shard/lifecycle.go
@@ -42,6 +42,7 @@
 		c.enqueue(e, now)
 	case next.Final() && !before.Final() && e.job.originShard == "":
 		c.addUsageToJob(e)
+		c.changes.ends.add(e.job, next)
 		c.finishJob(e.job, now)
 	}
 	if e.job.originShard != "" && next != before {
--- a/internal/shard/property_test.go
+++ b/internal/shard/property_test.go
@@ -28,6 +28,7 @@
 	require.Zero(t, w.ledger.Overcommits(), "a worker was over its capacity")
 	require.Zero(t, w.ledger.DuplicateResumes(), "a checkpoint was resumed twice")
 	require.Zero(t, w.ledger.LostCheckpoints(), "a committed checkpoint was not resumed")
+	w.checkStatuses(t)
 	require.Zero(t, w.startsAfterCancel, "a task was started after its cancellation was confirmed")
 	for _, leader := range w.leaders {
 		for _, s := range w.workers {
@@ -80,6 +81,29 @@
 	})
 }
 
+// checkStatuses asks all leaders for the statuses of all accepted jobs, and fails if the current one reports less tasks of a
+// job as ended than any leader has before.
+func (w *simulation) checkStatuses(t require.TestingT) {
+	for id := range w.accepted {
+		for _, leader := range w.leaders {
+			s, err := leader.core.DescribeStored("n", id)
+			if err != nil {
+				continue
+			}
+			ended := 0
+			for state, n := range s.States {
+				if state.Final() {
+					ended += n
+				}
+			}
+			if leader.epoch == w.epoch {
+				require.GreaterOrEqual(t, ended, w.reportedEnds[id], "a task of %s that was reported as ended has not ended: %v", id, s.States)
+			}
+			w.reportedEnds[id] = max(w.reportedEnds[id], ended)
+		}
+	}
+}
+
 // checkEnds fails unless every accepted job has ended with each of its tasks finished or cancelled.
 func (w *simulation) checkEnds(t require.TestingT) {
 	for id, tasks := range w.accepted {
--- a/internal/shard/simulation_test.go
+++ b/internal/shard/simulation_test.go
@@ -63,6 +63,8 @@
 	confirmedCancels  map[string]bool
 	startsAfterCancel int
 	submitted         int
+	// reportedEnds are the most tasks of each accepted job that a leader has reported as ended.
+	reportedEnds map[string]int
 	// durableReadings are the usages of each task's incarnations that the journal holds.
 	durableReadings readings
 	// sent are the incarnations whose start was sent to a worker. endedTasks are the tasks that
@@ -127,6 +129,7 @@
 		storeUp:          true,
 		accepted:         map[string]int{},
 		cancelled:        map[string]bool{},
+		reportedEnds:     map[string]int{},
 		confirmedCancels: map[string]bool{},
 		durableReadings:  readings{},
 		sent:             map[worker.Ack]bool{},
--- a/internal/shard/takeover_test.go
+++ b/internal/shard/takeover_test.go
@@ -112,6 +112,51 @@
 	}
 }
 
+// Guards against a caller who is told of an end that the next leader does not know.
+func TestEndIsReportedOnceStored(t *testing.T) {
+	for _, c := range []struct {
+		name, family string
+		end          func(w *simulation, leader *simLeader)
+		before, want task.State
+	}{
+		{"finished", "plain", func(w *simulation, leader *simLeader) {
+			w.advance(shortRunTime)
+			for i := range w.workers {
+				w.exchange(leader, i, answered)
+			}
+		}, task.Running, task.Finished},
+		{"cancelled", "batch", func(w *simulation, leader *simLeader) {
+			_, err := leader.core.Cancel("n", "j1", w.now)
+			require.NoError(t, err)
+			w.commit(leader, false)
+			for i := range w.workers {
+				w.exchange(leader, i, answered)
+			}
+		}, task.Stopping, task.Cancelled},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newSimulation()
+			w.run(2, 0)
+			w.submit(w.leaders[0], c.family, 2)
+			w.run(2, 0)
+			leader := w.leaders[0]
+			c.end(w, leader)
+			states := func(leader *simLeader) map[task.State]int {
+				s, err := leader.core.DescribeStored("n", "j1")
+				require.NoError(t, err)
+				return s.States
+			}
+			require.Equal(t, map[task.State]int{c.before: 2}, states(leader), "not in a commit")
+			w.beginCommit(leader)
+			require.Equal(t, map[task.State]int{c.before: 2}, states(leader), "the commit is in progress")
+			w.completeCommit(leader)
+			require.Equal(t, map[task.State]int{c.want: 2}, states(leader))
+			w.handOver(leader)
+			require.Equal(t, map[task.State]int{c.want: 2}, states(w.leaders[0]))
+		})
+	}
+}
+
 // A job that can never run must report the reason in its status, and other jobs must not wait for
 // it.
 func TestUnschedulableJobReportsReasonAndBlocksNoOther(t *testing.T) {
