A planned stop completes a compaction that is in progress

What callers would see: submissions and cancellations of the last 100 ms of a planned stop that fail, and the shard's next leader waiting for the former one's leases. Cause: the stop cut off a compaction. If the write had taken effect, the last commit was taken for that of a replaced leader and refused. Change: a compaction goes on like a commit. Evidence: of three new rows of TestPlannedStopConfirmsWhatIsStored one failed before ("answer to a compaction lost during the stop"); all pass now.

--- a/internal/shard/leader.go
+++ b/internal/shard/leader.go
@@ -151,7 +151,7 @@
 		if !l.waitForWork(ctx, now) {
 			return nil
 		}
-		if err := l.compact(ctx); err != nil {
+		if err := l.compact(commits); err != nil {
 			return err
 		}
 	}
--- a/internal/shard/stop_test.go
+++ b/internal/shard/stop_test.go
@@ -4,7 +4,8 @@
 	"context"
 	"errors"
 	"net/http/httptest"
-	"sync"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,19 +18,18 @@
 	"github.com/oriolepond/oriolepond/internal/task"
 )
 
-// heldCommit holds the first commit of a store until the time for its answer is over or release is closed, and then carries
+// heldCommit holds one commit of a store until the time for its answer is over or release is closed, and then carries
 // it out or not.
 type heldCommit struct {
 	store.Client
-	began, release     chan struct{}
-	first              sync.Once
+	began, release chan struct{}
+	// after is the number of commits before the one that is held.
+	after              atomic.Int32
 	carriesOut, answer bool
 }
 
 func (h *heldCommit) commit(ctx context.Context, t store.Txn) (store.Result, error) {
-	held := false
-	h.first.Do(func() { held = true })
-	if !held {
+	if h.after.Add(-1) != -1 {
 		return h.Client.Commit(ctx, t)
 	}
 	close(h.began)
@@ -52,7 +52,9 @@
 func TestPlannedStopConfirmsWhatIsStored(t *testing.T) {
 	for _, c := range []struct {
 		name string
-		// late is when the first commit goes on after the stop began. The last commit of a stop has finalCommitTimeout.
+		// compacts is set if the held commit is part of a compaction.
+		compacts bool
+		// late is when the held commit goes on after the stop began. The last commit of a stop has finalCommitTimeout.
 		late               time.Duration
 		carriesOut, answer bool
 		wantConfirmed      bool
@@ -62,6 +64,9 @@
 		{name: "request lost during the stop", late: 100 * time.Millisecond, wantConfirmed: true},
 		{name: "carried out when the stop has given up", late: time.Hour, carriesOut: true},
 		{name: "request lost, the stop has given up", late: time.Hour},
+		{name: "compaction answered during the stop", compacts: true, late: 100 * time.Millisecond, carriesOut: true, answer: true, wantConfirmed: true},
+		{name: "answer to a compaction lost during the stop", compacts: true, late: 100 * time.Millisecond, carriesOut: true, wantConfirmed: true},
+		{name: "compaction lost during the stop", compacts: true, late: 100 * time.Millisecond, wantConfirmed: true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
@@ -74,6 +79,14 @@
 			slow := *client
 			slow.Commit = held.commit
 			fence := store.Condition{Key: "/holder", Revision: key.Revision}
+			if c.compacts {
+				held.after.Store(1)
+				grown := &journal.Log{Store: client, Writer: &store.Writer{Client: client, ID: "former"}, Prefix: "/s/", Fence: fence}
+				for !grown.NeedsCompaction() {
+					account := journal.Account{Neighbour: "n", Share: strings.Repeat("s", 8<<10)}
+					require.NoError(t, grown.Append(t.Context(), journal.Batch{Accounts: []journal.Account{account}}))
+				}
+			}
 			w := newSimulation()
 			l := &Leader{
 				Shard:    w.shard,
