A commit that its caller gave up does not refuse the next one

What callers would see: a submission that is refused with "the key came and went" because another caller, whose commit went before through the same writer, had left meanwhile. Cause: a commit that was given up and took effect all the same moves the writer's sequence number. The next commit failed on that condition alone, and was reported as if its own conditions had not held. Change: if only the writer's key has changed, the commit is sent again with its new revision. Evidence: TestAbandonedCommitRefusesNoOther failed before (/second not done) and passes now. With the writer alone, TestAbandonedBatchIsNotOverwritten failed (the next batch was written over the one that had taken effect); it passed on the old writer, and passes with both changes. Why it works: an earlier try of a commit requires the sequence number's revision, too, so it is refused once that has changed.

--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -200,3 +200,26 @@
 	require.NoError(t, <-done)
 	require.Equal(t, []string{"job-0001"}, loadedJobs(t, b.log("b")))
 }
+
+// Guards against a batch that is overwritten by the next one: its commit was given up by the caller and took effect all the same.
+func TestAbandonedBatchIsNotOverwritten(t *testing.T) {
+	b := newStoreFixture(t)
+	l := b.log("a")
+	slow := *b.client
+	l.Writer.Client = &slow
+	require.NoError(t, l.Append(t.Context(), jobBatch(1)))
+	ctx, cancel := context.WithCancel(t.Context())
+	slow.Commit = func(_ context.Context, txn store.Txn) (store.Result, error) {
+		_, err := b.client.Commit(t.Context(), txn)
+		require.NoError(t, err)
+		cancel()
+		return store.Result{}, &store.UnavailableError{Call: "commit", Err: context.Canceled}
+	}
+	require.Error(t, l.Append(ctx, jobBatch(2)))
+	slow.Commit = b.client.Commit
+	require.Error(t, l.Append(t.Context(), jobBatch(3)))
+	require.Equal(t, []string{"job-0001", "job-0002"}, loadedJobs(t, b.log("b")))
+	require.Equal(t, []string{"job-0001", "job-0002"}, loadedJobs(t, l))
+	require.NoError(t, l.Append(t.Context(), jobBatch(3)))
+	require.Equal(t, []string{"job-0001", "job-0002", "job-0003"}, loadedJobs(t, b.log("c")))
+}
--- a/internal/journal/log.go
+++ b/internal/journal/log.go
@@ -63,6 +63,8 @@
 	snapshotKeys  []string
 	logBytes      int
 	snapshotBytes int
+	// failed is the error of a commit. It may have taken effect, so that what the log holds is not known.
+	failed error
 }
 
 // segmentKey returns the key of a segment. Keys sort by number. A snapshot is named by the number
@@ -80,6 +82,7 @@
 // Load returns all batches: first those of the snapshot, then those of the log, in the order in
 // which they were appended. It also deletes what incomplete snapshots left behind.
 func (l *Log) Load(ctx context.Context) ([]Batch, error) {
+	l.failed = nil
 	s, err := l.Store.List(ctx, l.Prefix)
 	if err != nil {
 		return nil, err
@@ -164,7 +167,8 @@
 	return nil
 }
 
-// Append commits a batch. It returns once the outcome is known or the context ends.
+// Append commits a batch. It returns once the outcome is known or the context ends. After an error, the
+// log accepts no further changes until it is loaded again.
 func (l *Log) Append(ctx context.Context, b Batch) error {
 	text, err := Encode(b)
 	if err != nil {
@@ -288,12 +292,13 @@
 
 // commit writes under the fence. It returns a *FencedError if another leader has taken over.
 func (l *Log) commit(ctx context.Context, ops []store.Op) error {
-	result, err := l.Writer.Commit(ctx, store.Txn{If: []store.Condition{l.Fence}, Then: ops})
-	if err != nil {
-		return err
+	if l.failed != nil {
+		return l.failed
 	}
-	if !result.Done {
-		return &FencedError{Key: l.Fence.Key}
+	result, err := l.Writer.Commit(ctx, store.Txn{If: []store.Condition{l.Fence}, Then: ops})
+	if err == nil && !result.Done {
+		err = &FencedError{Key: l.Fence.Key}
 	}
-	return nil
+	l.failed = err
+	return err
 }
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -52,6 +52,38 @@
 	require.False(t, result.Done)
 }
 
+// Guards against a commit that is reported as not done because the one before it was given up by its caller and took effect all the
+// same: only the writer's own condition failed.
+func TestAbandonedCommitRefusesNoOther(t *testing.T) {
+	_, client := newStore(t)
+	slow := *client
+	w := &store.Writer{Client: &slow, ID: "w"}
+	ctx, cancel := context.WithCancel(t.Context())
+	slow.Commit = func(_ context.Context, txn store.Txn) (store.Result, error) {
+		_, err := client.Commit(t.Context(), txn)
+		require.NoError(t, err)
+		cancel()
+		return store.Result{}, &store.UnavailableError{Call: "commit", Err: context.Canceled}
+	}
+	put := func(key string) store.Txn {
+		return store.Txn{If: []store.Condition{{Key: key}}, Then: []store.Op{store.Put(key, nil)}}
+	}
+	_, err := w.Commit(ctx, put("/first"))
+	require.Error(t, err)
+	slow.Commit = client.Commit
+	for _, c := range []struct {
+		key  string
+		want bool
+	}{{"/second", true}, {"/first", false}, {"/second", false}, {"/third", true}} {
+		result, err := w.Commit(t.Context(), put(c.key))
+		require.NoError(t, err)
+		require.Equal(t, c.want, result.Done, c.key)
+		_, found, err := client.Read(t.Context(), c.key)
+		require.NoError(t, err)
+		require.True(t, found, c.key)
+	}
+}
+
 // The watch starts after a listing and has to deliver later puts and deletions.
 func TestWatchDeliversChanges(t *testing.T) {
 	_, client := newStore(t)
--- a/internal/store/writer.go
+++ b/internal/store/writer.go
@@ -40,7 +40,6 @@
 	defer w.mu.Unlock()
 	w.sequence++
 	sequence := strconv.FormatInt(w.sequence, 10)
-	t.If = append(append([]Condition(nil), t.If...), Condition{Key: w.key(), Revision: w.revision})
 	t.Then = append(append([]Op(nil), t.Then...), Put(w.key(), []byte(sequence)).WithLease(w.Lease))
 	wait := backoff.NewExponentialBackOff()
 	wait.InitialInterval = initialRetry
@@ -67,7 +66,8 @@
 // attempt sends the commit once. If its conditions failed, it reads the sequence
 // number to find out whether an earlier try took effect.
 func (w *Writer) attempt(ctx context.Context, t Txn, sequence string) (Result, error) {
-	r, err := w.Client.Commit(ctx, t)
+	own := Condition{Key: w.key(), Revision: w.revision}
+	r, err := w.Client.Commit(ctx, Txn{If: append(append([]Condition(nil), t.If...), own), Then: t.Then})
 	var unavailable *UnavailableError
 	switch {
 	case errors.As(err, &unavailable):
@@ -83,6 +83,10 @@
 	if earlier, done, err := w.tookEffect(ctx, sequence); done || err != nil {
 		return earlier, err
 	}
+	if w.revision != own.Revision {
+		// An earlier commit, which its caller gave up, took effect: the conditions of this one may hold.
+		return w.attempt(ctx, t, sequence)
+	}
 	return r, nil
 }
 
