A status of 500 or higher leaves the outcome of a store call open

What callers would see: a leader of a shard that gives up, or a note that is answered with an error, because a commit that took effect was taken for refused. Cause: the gateway answers a call that ran out of time, or broke off, with 504 or 500 and a JSON body; only 503 counted as no answer. Change: each status from 500 on does. Evidence: TestErrorStatusLeavesOutcomeOpen failed in three of five rows (504 with and without an effect, 500 with one); all pass now.

--- a/internal/store/etcd.go
+++ b/internal/store/etcd.go
@@ -142,11 +142,12 @@
 // answer: a fault that made one connection hang may affect the others, too.
 func (e *etcd) closeIdleConnections() { e.http.CloseIdleConnections() }
 
-// errorForStatus returns the error for a response whose status is not 200. After a
-// 503 or a body that is not a JSON status, the call may have had an effect.
+// errorForStatus returns the error for a response whose status is not 200. After a status of 500 or
+// higher, which includes calls that ran out of time, or a body that is not a JSON status, the call may
+// have had an effect.
 func errorForStatus(path string, status int, body []byte) error {
 	var w statusAnswer
-	if json.Unmarshal(body, &w) != nil || status == http.StatusServiceUnavailable {
+	if json.Unmarshal(body, &w) != nil || status >= http.StatusInternalServerError {
 		return &UnavailableError{Call: path, Err: fmt.Errorf("status %d", status)}
 	}
 	return &statusError{Status: status, Code: w.Code, Message: w.Message}
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"io"
+	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -84,6 +87,45 @@
 	}
 }
 
+// Guards against a commit that is reported as failed although it has taken effect: the gateway has a status with a JSON body for a
+// call that ran out of time, too.
+func TestErrorStatusLeavesOutcomeOpen(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		status      int
+		body        string
+		takesEffect bool
+		wantDone    bool
+	}{
+		{"deadline exceeded, took effect", http.StatusGatewayTimeout, `{"code":4,"message":"context deadline exceeded"}`, true, true},
+		{"deadline exceeded, no effect", http.StatusGatewayTimeout, `{"code":4,"message":"context deadline exceeded"}`, false, true},
+		{"internal error, took effect", http.StatusInternalServerError, `{"code":13,"message":"stream terminated"}`, true, true},
+		{"unavailable, took effect", http.StatusServiceUnavailable, `{"code":14,"message":"etcdserver: request timed out"}`, true, true},
+		{"refused", http.StatusBadRequest, `{"code":3,"message":"invalid"}`, false, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := standin.NewStore()
+			var failed atomic.Bool
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path != "/v3/kv/txn" || failed.Swap(true) {
+					s.ServeHTTP(w, r)
+					return
+				}
+				if c.takesEffect {
+					s.ServeHTTP(httptest.NewRecorder(), r)
+				}
+				w.WriteHeader(c.status)
+				_, _ = io.WriteString(w, c.body)
+			}))
+			t.Cleanup(server.Close)
+			client := store.NewEtcd([]string{server.URL}, server.Client())
+			w := &store.Writer{Client: client, ID: "w"}
+			result, err := w.Commit(t.Context(), store.Txn{If: []store.Condition{{Key: "/k"}}, Then: []store.Op{store.Put("/k", nil)}})
+			require.Equal(t, c.wantDone, err == nil && result.Done, "%v", err)
+		})
+	}
+}
+
 // The watch starts after a listing and has to deliver later puts and deletions.
 func TestWatchDeliversChanges(t *testing.T) {
 	_, client := newStore(t)
