Inbox keys are removed only with a record that contains their entries

What callers would see: a cancel that was confirmed by the inbox is lost, and the tasks of its job start; or delegated tasks that never start. Cause: commitChanges collected the inbox keys of a job when it built the commit, after TakeChanges had encoded its record. An entry that was read in between lost its key to a commit whose record did not contain it. If the leader was lost before its next commit, nothing of the entry was left. The window is wide when records are committed one by one, and otherwise as long as the leader waits for its lock in learnedWrite. Change: the keys that a commit may remove are fixed under the same lock as its records, also for the parts of a commit that was refused. A key stays among those to be removed until a commit that removes it was applied, so nothing has to be restored after one that was not. Why it works: the core's state contains an entry once its key is recorded, both under the lock; the records are encoded under it, too.

--- a/internal/scheduler/commit.go
+++ b/internal/scheduler/commit.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -40,7 +41,7 @@
 		}
 		last = l.Now()
 		l.mu.Lock()
-		changes, err := l.core.TakeChanges(maxCommitRecords, last)
+		changes, err := l.takeChanges(last)
 		l.spent.encoding += l.Now().Sub(last)
 		l.spent.commits++
 		l.mu.Unlock()
@@ -73,7 +74,7 @@
 		if !withdrawn {
 			l.core.WithdrawUnsent(l.Now())
 		}
-		changes, err := l.core.TakeChanges(maxCommitRecords, l.Now())
+		changes, err := l.takeChanges(l.Now())
 		l.mu.Unlock()
 		if err != nil {
 			return err
@@ -99,10 +100,39 @@
 	return min(maxCommitInterval, baseCommitInterval*time.Duration(max(1, l.Cell.Count)))
 }
 
+// takenChanges are changes of the core with the inbox keys, by job ID, of the entries that the records contain. A commit of
+// the records may remove these keys, but none of entries that have arrived since.
+type takenChanges struct {
+	batch.Changes
+	inboxKeys map[string][]string
+}
+
+// takeChanges takes the core's changes for a commit; l.mu is held.
+func (l *Leader) takeChanges(now time.Time) (takenChanges, error) {
+	taken, err := l.core.TakeChanges(maxCommitRecords, now)
+	if err != nil {
+		return takenChanges{}, err
+	}
+	keys := map[string][]string{}
+	for _, r := range taken.Records {
+		keys[r.ID] = slices.Clone(l.inbox[r.ID])
+	}
+	return takenChanges{Changes: taken, inboxKeys: keys}, nil
+}
+
+// split returns the changes as parts that can be committed one by one.
+func (c takenChanges) split() []takenChanges {
+	var parts []takenChanges
+	for _, part := range c.Split() {
+		parts = append(parts, takenChanges{Changes: part, inboxKeys: c.inboxKeys})
+	}
+	return parts
+}
+
 // commitChanges commits records. An error means that the term ends, or that the store refuses the
 // commit as invalid. Each commit is conditional on the leader's key and on the head, a key that names
 // the latest commit, so that neither an earlier leader nor a late retry can overwrite newer records.
-func (l *Leader) commitChanges(ctx context.Context, changes batch.Changes, learned []store.Op) (commitOutcome, error) {
+func (l *Leader) commitChanges(ctx context.Context, changes takenChanges, learned []store.Op) (commitOutcome, error) {
 	l.commitSequence++
 	stamp := fmt.Sprintf("%d/%d", l.Token, l.commitSequence)
 	txn := store.Txn{
@@ -115,7 +145,7 @@
 	if changes.Unresponsive != nil {
 		txn.Then = append(txn.Then, store.Put(l.keys.unresponsive, changes.Unresponsive))
 	}
-	inboxKeys := map[string][]string{}
+	removed := map[string][]string{}
 	freeEntries := maxCommitEntries - len(txn.If) - len(txn.Then) - changes.Writes()
 	for _, r := range changes.Records {
 		if r.HandedOver != nil {
@@ -132,15 +162,19 @@
 		} else {
 			txn.Then = append(txn.Then, store.Put(l.keys.jobs+r.ID, r.Value))
 		}
-		inboxKeys[r.ID] = l.inboxKeys(r.ID, freeEntries)
-		for _, key := range inboxKeys[r.ID] {
+		keys := changes.inboxKeys[r.ID]
+		if len(keys) > freeEntries {
+			keys = nil
+		}
+		removed[r.ID] = keys
+		for _, key := range keys {
 			txn.Then = append(txn.Then, store.Delete(key))
 			freeEntries--
 		}
 	}
 	outcome, err := l.resolveCommit(ctx, txn, stamp)
-	if outcome != commitApplied {
-		l.restoreInboxKeys(inboxKeys)
+	if outcome == commitApplied {
+		l.forgetInboxKeys(removed)
 	}
 	if len(termsWrite) > 0 {
 		l.terms.endWrite(outcome == commitApplied)
--- a/internal/scheduler/fakestore_test.go
+++ b/internal/scheduler/fakestore_test.go
@@ -43,6 +43,9 @@
 	// loseAnswer decides for each commit whether its answer is lost, and after which delay it is
 	// applied if so.
 	loseAnswer func(t store.Txn) (lost bool, late time.Duration)
+	// beforeCommit is called before each commit of a client, without s.mu, and returns the error for its answer if the
+	// commit is not to be applied. It may be nil.
+	beforeCommit func(client string, t store.Txn) error
 	// unresponsive applies and answers no calls; a commit waits until its context ends.
 	unresponsive bool
 	commits      int
@@ -229,6 +232,14 @@
 func (s *fakeStore) commit(ctx context.Context, name string, t store.Txn) (store.Result, error) {
 	s.await(name)
 	s.mu.Lock()
+	beforeCommit := s.beforeCommit
+	s.mu.Unlock()
+	if beforeCommit != nil {
+		if err := beforeCommit(name, t); err != nil {
+			return store.Result{}, err
+		}
+	}
+	s.mu.Lock()
 	if err := s.admit(name, "commit"); err != nil {
 		unresponsive := s.unresponsive
 		s.mu.Unlock()
--- a/internal/scheduler/inbox.go
+++ b/internal/scheduler/inbox.go
@@ -73,23 +73,23 @@
 	l.core.MarkInInbox(id)
 }
 
-// addInboxKey records that an inbox key is to be removed with the next commit of a job; l.mu is held.
+// addInboxKey records that an inbox key is to be removed with a record of a job; l.mu is held.
 func (l *Leader) addInboxKey(id, key string) {
 	if !slices.Contains(l.inbox[id], key) {
 		l.inbox[id] = append(l.inbox[id], key)
 	}
 }
 
-// inboxKeys returns the inbox keys of a job for removal in the commit of its record.
-// If there are more than limit, it returns none and has the job committed again.
-func (l *Leader) inboxKeys(id string, limit int) []string {
+// forgetInboxKeys records which inbox keys a commit of jobs has removed. Jobs that still have some are committed again.
+func (l *Leader) forgetInboxKeys(removed map[string][]string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	keys := l.inbox[id]
-	if len(keys) > limit {
+	for id, keys := range removed {
+		l.inbox[id] = slices.DeleteFunc(l.inbox[id], func(key string) bool { return slices.Contains(keys, key) })
+		if len(l.inbox[id]) == 0 {
+			delete(l.inbox, id)
+			continue
+		}
 		l.core.MarkDirty(id)
-		return nil
 	}
-	delete(l.inbox, id)
-	return keys
 }
--- a/internal/scheduler/leader.go
+++ b/internal/scheduler/leader.go
@@ -71,7 +71,7 @@
 	ended chan struct{}
 	// fenced is true once a worker has rejected a poll because it has seen a newer leader.
 	fenced bool
-	// inbox has, by job ID, the inbox keys that the next commit of the job removes.
+	// inbox has, by job ID, the keys of the inbox entries that were read and are to be removed with the job's record.
 	inbox map[string][]string
 
 	// unreadableKeys are the revisions of the evacuation keys that were logged as unreadable.
--- a/internal/scheduler/refused.go
+++ b/internal/scheduler/refused.go
@@ -16,26 +16,26 @@
 // refuses the commit as invalid, it commits the records one by one, and leaves out those that are
 // refused again: otherwise one of them would end this term and each later one. Changes that are known
 // not to have been committed are withdrawn.
-func (l *Leader) commitOrIsolate(ctx context.Context, changes batch.Changes) ([]batch.Command, error) {
+func (l *Leader) commitOrIsolate(ctx context.Context, changes takenChanges) ([]batch.Command, error) {
 	learned := l.learnedWrite()
 	outcome, err := l.commitChanges(ctx, changes, learned)
 	if !l.isRefused(err, "") {
-		return l.finishCommit(outcome, changes), err
+		return l.finishCommit(outcome, changes.Changes), err
 	}
 	var starts []batch.Command
 	refused := false
-	parts := changes.Split()
+	parts := changes.split()
 	for i, part := range parts {
 		outcome, partErr := l.commitChanges(ctx, part, nil)
-		if l.isRefused(partErr, l.keyOf(part)) {
+		if l.isRefused(partErr, l.keyOf(part.Changes)) {
 			refused = true
-			l.withLock(func() { l.core.Refuse(part, l.Now()) })
+			l.withLock(func() { l.core.Refuse(part.Changes, l.Now()) })
 			continue
 		}
-		starts = append(starts, l.finishCommit(outcome, part)...)
+		starts = append(starts, l.finishCommit(outcome, part.Changes)...)
 		if partErr != nil {
 			for _, unsent := range parts[i+1:] {
-				l.finishCommit(commitNotApplied, unsent)
+				l.finishCommit(commitNotApplied, unsent.Changes)
 			}
 			return nil, partErr
 		}
@@ -86,15 +86,3 @@
 	}
 	return l.keys.jobs + part.Records[0].ID
 }
-
-// restoreInboxKeys makes inbox keys of jobs that a failed commit should have removed part of the
-// next one.
-func (l *Leader) restoreInboxKeys(keys map[string][]string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for id, ofJob := range keys {
-		for _, key := range ofJob {
-			l.addInboxKey(id, key)
-		}
-	}
-}
