More inbox entries of one job than fit into a commit are removed by several

What callers would see: a leader that commits without end, and entries that no leader ever removes, once one job has more entries in the inbox than a commit has space for (26 beside its record). Cause: commitChanges removed either all inbox keys of a job or, if they did not fit, none, and had the job committed again, with the same result. Change: a commit removes as many keys as fit. The record contains the entries of all of them.

--- a/internal/scheduler/commit.go
+++ b/internal/scheduler/commit.go
@@ -163,9 +163,7 @@
 			txn.Then = append(txn.Then, store.Put(l.keys.jobs+r.ID, r.Value))
 		}
 		keys := changes.inboxKeys[r.ID]
-		if len(keys) > freeEntries {
-			keys = nil
-		}
+		keys = keys[:min(len(keys), max(0, freeEntries))]
 		removed[r.ID] = keys
 		for _, key := range keys {
 			txn.Then = append(txn.Then, store.Delete(key))
--- a/internal/scheduler/inbox_test.go
+++ b/internal/scheduler/inbox_test.go
@@ -97,3 +97,28 @@
 		})
 	}
 }
+
+// Guards against a job that is committed again and again because more inbox entries are to be removed with its record than fit
+// into one commit.
+func TestManyInboxEntriesOfOneJobAreRemoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const cell, count, tasks = 1, 2, 2*maxCommitEntries + 1
+		k := keysOfCell(cell)
+		cl := newCellCluster(t, count, time.Hour, "a", "b")
+		defer cl.stop()
+		j := longRunningJob(jobAt(cell, count, 1, 1), tasks)
+		j.Steps[0].Size.Processors = 1
+		for i := range tasks {
+			cl.store.put(k.delegation(j.ID, 0, i+1), delegationOf(t, j, i))
+		}
+		time.Sleep(2 * time.Second)
+		require.Equal(t, tasks, cl.runningTasks(j.ID))
+		commits := 0
+		cl.store.update(func(s *fakeStore) {
+			require.Empty(t, s.withPrefix(k.inbox), "entries stay in the inbox")
+			commits = s.commits
+		})
+		time.Sleep(10 * time.Second)
+		cl.store.update(func(s *fakeStore) { require.Less(t, s.commits-commits, 100) })
+	})
+}
