A cancel names the cell of a handed-over job only once the hand-over is stored

What callers would see: 410 for the cancel of an accepted job while its cell hands it over to another one; the job runs on. Cause: the core calls the waiter of a cancel with Moved while the commit of the hand-over is in progress (the record before was stored, and neither state is final). movedError ignored that ForwardedTo then knows no cell, and named cell 0, which does not know the job. Evidence: TestCancelAmidHandOverReachesJob (three cells in virtual time, a commit of 300 ms) failed: the cancel was answered as unknown, and the job was active two seconds later. Change: without a durable hand-over, movedError returns a NotLeaderError. The caller's node repeats the call and in the end uses the inbox of the home cell, whose leader forwards the cancel. The early call of the waiter is the core's (notifyWhenDurable) and left as it is here.

--- a/internal/scheduler/answers.go
+++ b/internal/scheduler/answers.go
@@ -65,11 +65,15 @@
 	return state, known, nil
 }
 
-// movedError returns an error with the cell to which a job was handed over.
+// movedError returns an error with the cell to which a job was handed over. As long as that is not durable, the other cell
+// does not know the job.
 func (l *Leader) movedError(id string) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	cell, _ := l.core.ForwardedTo(id)
+	cell, moved := l.core.ForwardedTo(id)
+	if !moved {
+		return &NotLeaderError{}
+	}
 	return &MovedError{Cell: cell}
 }
 
--- a/internal/scheduler/cells_test.go
+++ b/internal/scheduler/cells_test.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 	"strconv"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/oriolepond/oriolepond/internal/batch"
+	"github.com/oriolepond/oriolepond/internal/store"
 	"github.com/oriolepond/oriolepond/pkg/share"
 )
 
@@ -405,3 +407,44 @@
 		require.Equal(t, batch.Completed, state(t, cl.nodes[refused], j.ID))
 	})
 }
+
+// Guards against a cancel that goes to the first cell: its job was being handed over to another cell, in a commit in progress.
+func TestCancelAmidHandOverReachesJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const home, count = 2, 3
+		cl := newCellCluster(t, count, time.Hour, "a", "b", "c")
+		defer cl.stop()
+		workers := 0
+		for i := range 8 {
+			if (batch.Cell{Index: home, Count: count}).HasWorker(fmt.Sprintf("w%d", i)) {
+				workers++
+			}
+		}
+		// Without the loads of the other cells, the home keeps a job that does not fit there.
+		cl.store.update(func(s *fakeStore) { s.refusedPrefix = loadPrefix })
+		time.Sleep(2 * loadValidity)
+		require.NoError(t, submit(cl.nodes["a"], longRunningJob(jobAt(home, count, 1, 1), 4*workers)))
+		time.Sleep(time.Second)
+		j := jobAt(home, count, 100, 1)
+		require.NoError(t, submit(cl.nodes["a"], j))
+		handedOver := make(chan struct{})
+		cl.store.update(func(s *fakeStore) {
+			s.refusedPrefix = ""
+			s.beforeCommit = func(_ string, txn store.Txn) error {
+				if slices.ContainsFunc(txn.Then, func(op store.Op) bool { return op.Kind != store.OpDelete && strings.HasSuffix(op.Key, "/inbox/"+j.ID) }) {
+					close(handedOver)
+					time.Sleep(300 * time.Millisecond)
+				}
+				return nil
+			}
+		})
+		<-handedOver
+		known, err := cl.nodes["a"].Cancel(t.Context(), j.ID)
+		require.NoError(t, err)
+		require.True(t, known)
+		time.Sleep(2 * time.Second)
+		for _, node := range cl.nodes {
+			require.Equal(t, batch.Cancelled, state(t, node, j.ID))
+		}
+	})
+}
