A cancel is not answered as one of an unknown job while a commit with the job may be in progress

What callers would see: 410 for the cancel of a job whose submission has an unknown outcome; the job is accepted then and runs, if the leader is lost before its next commit. Cause: the leader knows the job and waits for its commits, without an answer in time. The caller's node then read the store alone, where the job is not yet, and answered as if the leader had not known it. Evidence: TestCancelOfJobInCommitInProgressIsNotAnsweredAsUnknown, with nodes in virtual time, whose commits take effect 2 s later: before the change the cancel was answered with known false and no error, and with the leader crashed the job started. Change: if the call to the leader may have been carried out and the store has no such job, the outcome of the cancel is unknown. Why it works: the store's answer holds for the time of the read only; a commit that was sent before may take effect later.

--- a/internal/scheduler/calls.go
+++ b/internal/scheduler/calls.go
@@ -101,7 +101,12 @@
 	if err == nil && known || isAnswer(err) {
 		return known, err
 	}
+	callErr := err
 	state, known, err := m.storedState(ctx, id)
+	if err == nil && !known && isUncertain(callErr) {
+		// A commit in progress may contain the job.
+		return false, &UnknownOutcomeError{Err: callErr}
+	}
 	if err != nil || !known || state.Final() {
 		return known, err
 	}
--- a/internal/scheduler/submissions_test.go
+++ b/internal/scheduler/submissions_test.go
@@ -293,3 +293,49 @@
 		})
 	}
 }
+
+// Guards against a cancel that is answered as one of an unknown job although the leader knows the job: its first commit has no
+// answer, and takes effect later.
+func TestCancelOfJobInCommitInProgressIsNotAnsweredAsUnknown(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// crash ends the leader before the commit takes effect.
+		crash bool
+	}{
+		{name: "the leader goes on"},
+		{name: "the leader crashes", crash: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cl := newCluster(t, time.Second, "w1")
+				defer cl.stop()
+				for _, name := range []string{"a", "b", "c"} {
+					cl.addNode(name)
+				}
+				time.Sleep(4 * time.Second)
+				leader, term := cl.leader()
+				other := cl.nodes[others(leader)[0]]
+				j := testJob(1, 1)
+				cl.store.update(func(s *fakeStore) {
+					s.loseAnswer = func(t store.Txn) (bool, time.Duration) { return isLeaderCommit(t), 2 * time.Second }
+				})
+				ctx, stop := context.WithTimeout(t.Context(), 600*time.Millisecond)
+				defer stop()
+				submitted := make(chan error, 1)
+				go func() { submitted <- term.calls().Submit(ctx, j) }()
+				time.Sleep(100 * time.Millisecond)
+				ctx, stop = context.WithTimeout(t.Context(), 3*time.Second)
+				defer stop()
+				known, err := other.Cancel(ctx, j.ID)
+				require.ErrorAs(t, <-submitted, new(*UnknownOutcomeError))
+				if c.crash {
+					cl.crash(leader)
+				}
+				cl.store.update(func(s *fakeStore) { s.loseAnswer = nil })
+				time.Sleep(10 * time.Second)
+				require.Equal(t, c.crash, cl.workers.hasStarted(j.ID))
+				require.ErrorAs(t, err, new(*UnknownOutcomeError), "known: %t", known)
+			})
+		})
+	}
+}
