A refusal of a commit as invalid does not settle an earlier try without an answer

What callers would see: a submission refused (503, "will never run", or 400) whose job runs: a try of its commit had no answer and took effect, and the store refused the next try with 400, 403 or 413. Cause: tryCommit took such a refusal for the outcome of the commit. It only says that this try has no effect. Evidence: TestInvalidTryDoesNotSettleUnansweredCommit, in virtual time, failed in two of three rows: an UnavailableError for a job that was stored, and an InvalidError for one whose first try may still take effect. It passes now; all tests of the package pass. Change: after a try without an answer, the head is read as after a failed condition. If it names the commit, that was applied; otherwise the term ends with an unknown outcome, since an earlier try may take effect as long as the leader's key exists. Why it works: the next term has a key of its own, so no earlier try can take effect any more, and a first try that is refused is isolated there.

--- a/internal/scheduler/commit.go
+++ b/internal/scheduler/commit.go
@@ -268,8 +268,11 @@
 	call, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
 	result, err := l.Store.Commit(call, txn)
+	invalid := errors.As(err, new(*store.InvalidError))
 	switch {
-	case errors.As(err, new(*store.InvalidError)):
+	case invalid && unanswered:
+		// This try has no effect, but an earlier one may have.
+	case invalid:
 		return 0, commitNotApplied, err
 	case errors.As(err, new(*store.RefusedError)):
 		l.Log.Emit(eventlog.CommitNotCarriedOut, zap.String("commit", stamp), zap.Error(err))
@@ -288,6 +291,8 @@
 		return 0, commitUnknown, nil
 	case found && string(head.Value) == stamp:
 		return head.Revision, commitApplied, nil
+	case invalid:
+		return 0, commitUnknown, &TermEndedError{Reason: "the store refuses commit " + stamp + ", an earlier try of which has no answer"}
 	case head.Revision == l.headRevision:
 		// The commit would have changed the head, and the leader's key is gone for good.
 		return 0, commitNotApplied, errSuperseded
--- a/internal/scheduler/refused_test.go
+++ b/internal/scheduler/refused_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/oriolepond/oriolepond/internal/batch"
+	"github.com/oriolepond/oriolepond/internal/store"
 	"github.com/oriolepond/oriolepond/pkg/share"
 )
 
@@ -210,3 +211,55 @@
 		require.Equal(t, 4*count, cl.workers.startCount())
 	})
 }
+
+// Guards against a submission that is answered as refused but runs: the store has carried out its commit without an answer,
+// and refuses the next try as invalid.
+func TestInvalidTryDoesNotSettleUnansweredCommit(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// late is when the first try takes effect, invalid how many of the next ones the store refuses.
+		late    time.Duration
+		invalid int
+	}{
+		{name: "it has taken effect", invalid: 1},
+		{name: "it takes effect later", late: 300 * time.Millisecond, invalid: 2},
+		{name: "it takes effect after many refusals", late: time.Second, invalid: 100},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cl := newCluster(t, time.Second, "w1")
+				defer cl.stop()
+				a := cl.addNode("a")
+				time.Sleep(4 * time.Second)
+				_, leader := cl.leader()
+				j := testJob(1, 1)
+				tries := 0
+				cl.store.update(func(s *fakeStore) {
+					s.beforeCommit = func(_ string, txn store.Txn) error {
+						if !writesUnder(txn, keysOfCell(0).jobs+j.ID) {
+							return nil
+						}
+						switch tries++; {
+						case tries == 1:
+							time.AfterFunc(c.late, func() { cl.store.update(func(s *fakeStore) { _, _ = s.apply(txn) }) })
+							time.Sleep(time.Millisecond)
+							return &store.UnavailableError{Call: "commit", Err: errAnswerLost}
+						case tries <= 1+c.invalid:
+							return &store.InvalidError{Call: "commit", Status: 403}
+						}
+						return nil
+					}
+				})
+				ctx, stop := context.WithTimeout(t.Context(), 3*time.Second)
+				defer stop()
+				err := leader.calls().Submit(ctx, j)
+				time.Sleep(10 * time.Second)
+				if err != nil {
+					require.ErrorAs(t, err, new(*UnknownOutcomeError))
+					return
+				}
+				require.Equal(t, batch.Completed, state(t, a, j.ID))
+			})
+		})
+	}
+}
