Nothing of a core that has panicked is stored

What callers would see: after a panic in the core of a leader that is stopping, whatever the half-done step had changed in memory becomes durable; in the test, a job is cancelled without a call. Cause: guarded ends the term after a panic, since the core may be half changed, but the commits of a planned stop went on from that core. Also outside a planned stop, l.mu is free before the term ends. Evidence: TestHalfChangedCoreIsNotCommitted, amid a planned stop: the job was cancelled instead of completed.

--- a/internal/scheduler/contacts.go
+++ b/internal/scheduler/contacts.go
@@ -46,7 +46,10 @@
 	var known batch.Contacts
 	var complete bool
 	now := l.Now()
-	l.withLock(func() { known, complete = l.core.Contacts(now) })
+	l.withLock(func() {
+		known, complete = l.core.Contacts(now)
+		complete = complete && !l.halfChanged
+	})
 	if !complete || l.MaxStoreValue > 0 && len(known.Seen.Encode())+len(known.First.Encode()) > l.MaxStoreValue/contactsShare {
 		return
 	}
--- a/internal/scheduler/guard.go
+++ b/internal/scheduler/guard.go
@@ -28,11 +28,14 @@
 	f()
 }
 
-// withLock runs f with l.mu locked, and unlocks it even if f panics.
+// withLock runs f with l.mu locked, and unlocks it even if f panics. Nothing of the core is stored after that.
 func (l *Leader) withLock(f func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	returned := false
+	defer func() { l.halfChanged = l.halfChanged || !returned }()
 	f()
+	returned = true
 }
 
 // RecordFaultError is the error for a record on which the core panicked.
--- a/internal/scheduler/guard_test.go
+++ b/internal/scheduler/guard_test.go
@@ -75,6 +75,51 @@
 	})
 }
 
+// Guards against a half-changed core that is committed after a panic, before the term has ended.
+func TestHalfChangedCoreIsNotCommitted(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// planned means that the node is stopping when the core panics.
+		planned bool
+		// repeat is how often the case is tried, since the leader may notice the end of its term first.
+		repeat int
+	}{
+		{name: "amid a term", repeat: 12},
+		{name: "amid a planned stop", planned: true, repeat: 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			for range c.repeat {
+				synctest.Test(t, func(t *testing.T) {
+					cl := newCluster(t, 4*time.Second, "w1")
+					defer cl.stop()
+					cl.addNode("a")
+					time.Sleep(2 * time.Second)
+					_, leader := cl.leader()
+					b := cl.addNode("b")
+					time.Sleep(time.Second)
+					j := testJob(1, 1)
+					require.NoError(t, submit(b, j))
+					time.Sleep(time.Second)
+					cl.store.update(func(s *fakeStore) { s.latency["a"] = 100 * time.Millisecond })
+					go func() { _ = submit(b, testJob(2, 1)) }()
+					time.Sleep(50 * time.Millisecond)
+					if c.planned {
+						cl.nodes["a"].StepDown()
+					}
+					leader.goGuarded("test", func() {
+						leader.withLock(func() {
+							leader.core.Cancel(j.ID, leader.Now(), nil)
+							panic("half changed")
+						})
+					})
+					time.Sleep(20 * time.Second)
+					require.Equal(t, batch.Completed, state(t, b, j.ID))
+				})
+			}
+		})
+	}
+}
+
 // A panic within the core over a submission has to end the term and release the lock; a leader that
 // keeps it renews no lease and answers no call.
 func TestPanicOnSubmissionEndsTerm(t *testing.T) {
