--- a/internal/scheduler/leader.go
+++ b/internal/scheduler/leader.go
@@ -58,6 +58,8 @@
 	core      *batch.Core
 	pollers   map[string]*poller
 	endReason string
+	// halfChanged means that the core has panicked.
+	halfChanged bool
 	// uncommittedSince is when the first commit was sent that the store has not carried out since, zero
 	// if it has carried out the last one. unansweredCommit is the stamp of the commit in progress if one
 	// of its tries has no answer, so that it may take effect later.
@@ -71,7 +73,7 @@
 	ended chan struct{}
 	// fenced is true once a worker has rejected a poll because it has seen a newer leader.
 	fenced bool
-	// inbox has, by job ID, the inbox keys that the next commit of the job removes.
+	// inbox has, by job ID, the keys of the inbox entries that were read and are to be removed with the job's record.
 	inbox map[string][]string
 
 	// unreadableKeys are the revisions of the evacuation keys that were logged as unreadable.
