A caller hears that a job was handed over only once that is durable

What callers would see: a cancel that counts as done, since the job is not known (410), while the job goes on in another cell. Cause: notifyWhenDurable told Moved while the hand-over was in a commit in progress: the job was no longer marked as changed, and neither Moved nor the stored state is final. Leader.movedError then took cell 0 for the destination, because ForwardedTo had none yet. Cell 0 does not know the job. The caller's node remembered it as the job's cell, too. Evidence: TestMovedIsToldOnceDurable failed in two of five rows (told while the commit is in progress; waits for a further commit although the hand-over is durable). TestCancelDuringHandOverReachesJob, three cells and a commit without an answer for 300 ms, failed in three of three runs: "the cancel counts as done, since the job is not known". Both pass; the whole tests of internal/batch and internal/scheduler passed, too. Change: a waiter is called at once only if the state that it is told is the stored one. The mark of a changed job does not matter for that: a final or Moved record is replaced by no other state. Nor does it matter that a job is set aside: Submit answers for a stored job before, and a cancel makes the job final, whose record is small. Queued and Active do not have to be told apart, since a waiter of a job in these states is one of a submission that is not stored. If the forwarding record was removed before the answer, the job is not known, rather than in cell 0 (internal/scheduler/answers.go).

--- a/internal/batch/submit.go
+++ b/internal/batch/submit.go
@@ -112,7 +112,7 @@
 	if waiter == nil {
 		return
 	}
-	if j.isStored() && (!j.dirty || j.isSetAside && j.state != Moved) && j.storedState.Final() == j.state.Final() {
+	if j.storedState == j.state {
 		waiter(j.state)
 		return
 	}
--- a/internal/scheduler/answers.go
+++ b/internal/scheduler/answers.go
@@ -41,7 +41,7 @@
 		// This leader does not know whether the inbox still contains the job.
 		return true, &NotLeaderError{}
 	case batch.Moved:
-		return true, l.movedError(id)
+		return l.movedAnswer(id)
 	}
 	return true, nil
 }
@@ -65,12 +65,16 @@
 	return state, known, nil
 }
 
-// movedError returns an error with the cell to which a job was handed over.
-func (l *Leader) movedError(id string) error {
+// movedAnswer returns an error with the cell to which a job was handed over. If that cell has forgotten the job since
+// then, so that its forwarding record was removed, the job is not known.
+func (l *Leader) movedAnswer(id string) (known bool, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	cell, _ := l.core.ForwardedTo(id)
-	return &MovedError{Cell: cell}
+	cell, known := l.core.ForwardedTo(id)
+	if !known {
+		return false, nil
+	}
+	return true, &MovedError{Cell: cell}
 }
 
 // maxPendingAge is how old a count of pending jobs may be: callers are promised that it is at most 2 s old.
