An end of a run of a handed-over job awaits the forwarding record

What callers would see: a task that runs again after an end as done that was acknowledged. Its run had been given up, the job was handed over for want of capacity, and the worker came back while the commit of that was in progress. If that commit is lost, the next leader still has the job and does not learn of the end. Cause: jobHere has no job in state Moved, and applyEndedRow acknowledges ends of unknown jobs at once. Change: such an end waits for the forwarding record, and the commit of that record releases it, as it does for final jobs. Why it works: without the forwarding record the next leader restores the job, and the worker, which was not told to forget the end, lists it. With it, only the other cell starts tasks of the job. What remains by rule: if the hand-over is durable, the other cell starts the task although the run that was given up here ended as done. That is what the leader of one cell does, too, once it has started the task again: a run is given up only if its lease is guaranteed to have expired, and its task may start again from then on (expired in internal/batch/simworker_test.go).

--- a/internal/batch/poll.go
+++ b/internal/batch/poll.go
@@ -302,12 +302,16 @@
 	}
 	if t == nil || j.state.Final() {
 		c.note(Note{Kind: NoteEndedAfterJob, Task: e.Task, Run: e.Run, Worker: w.ID, Reason: string(e.How) + ": " + c.describeStored(e.Task.Job)})
-		if j == nil || j.storedState.Final() {
+		if j == nil {
+			// A job that is handed over is this cell's until its forwarding record is durable.
+			j = c.jobs[e.Task.Job]
+		}
+		if j == nil || j.storedState.Final() || j.storedState == Moved {
 			w.markEndDurable(e.Number)
 			return
 		}
 		j.pendingEnds = append(j.pendingEnds, endRef{worker: w, incarnation: w.Incarnation, number: e.Number})
-		if !j.state.Final() {
+		if !j.state.Final() && j.state != Moved {
 			// No change of the job would write a record that releases the end.
 			c.markDirty(j)
 		}
--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -148,8 +148,8 @@
 			}
 		}
 		c.markEndsDurable(t.ends)
-		if t.state.Final() {
-			// Nothing can start its tasks again, so the ends that were reported since then need no record.
+		if t.state.Final() || t.state == Moved {
+			// This cell cannot start its tasks again, so the ends that were reported since then need no record.
 			c.markEndsDurable(t.job.pendingEnds)
 			t.job.pendingEnds = nil
 		}
