A job whose record a leader cannot load is kept for the next one

What callers would see: a task that runs again after an end as done that was acknowledged, or a job whose progress is lost: in a rolling upgrade an older version leads for a while and meets a record that it rejects. Its leader acknowledged the ends of the job's runs, as those of a job that it does not know, and accepted a repeated submission anew, over the record. Delegated tasks were accepted over such a record, too. Change: the core is told of such records. Ends of runs of these jobs are not acknowledged. A submission is refused as unavailable by the leader, and the caller's node then finds the job in the store, so that the repeat is the same job; an entry of the inbox stays there for the next leader. A cancel and a question for the state were answered from the store before, the cancel through the inbox. What it costs: ends are acknowledged in order, so that later ends of the same worker wait, too. What remains: the runs are stopped as before, as those of any job that the leader does not know, since their sizes are unknown. In internal/scheduler: Leader.restore tells the core, Leader.accept translates the error.

--- a/internal/batch/core.go
+++ b/internal/batch/core.go
@@ -32,6 +32,8 @@
 
 	jobs    map[string]*job
 	workers map[string]*worker
+	// unreadableJobs are the IDs of the records that could not be loaded.
+	unreadableJobs map[string]bool
 	// active lists the jobs that are neither final nor moved, in the order of acceptance.
 	active []*job
 	// dirty lists the jobs with changes that no commit contains yet.
@@ -198,6 +200,7 @@
 		ownLoad:           newCellLoad(Load{}),
 		uncontactedExpiry: uncontactedExpiry,
 		jobs:              map[string]*job{},
+		unreadableJobs:    map[string]bool{},
 		workers:           map[string]*worker{},
 		polls:             map[string]bool{},
 		ackable:           map[string]bool{},
--- a/internal/batch/delegate.go
+++ b/internal/batch/delegate.go
@@ -164,6 +164,9 @@
 	if c.HasJob(started.ID) {
 		return nil
 	}
+	if err := c.unreadableRecord(started.ID); err != nil {
+		return err
+	}
 	j := &job{
 		Job: decodeSubmission(started), state: Queued, cellPath: started.Path,
 		accepted: time.UnixMilli(started.AcceptedMs).Add(-c.wallOffset),
@@ -336,6 +339,9 @@
 	}
 	j := c.jobHere(w.ID)
 	if j == nil {
+		if err := c.unreadableRecord(w.ID, DelegatedID(w.ID)); err != nil {
+			return "", err
+		}
 		j = &job{
 			Job: decodeSubmission(w), state: Active, delegated: true,
 			accepted: time.UnixMilli(w.AcceptedMs).Add(-c.wallOffset),
--- a/internal/batch/lease.go
+++ b/internal/batch/lease.go
@@ -120,7 +120,7 @@
 	}
 	w.Incarnation, w.incarnationKnownAt = incarnation, now
 	w.contacted, w.aliveAt, w.answeredPollAt = false, time.Time{}, time.Time{}
-	w.lastEnd, w.ackableEnd, w.undurableEnds, w.endsListed = 0, 0, nil, false
+	w.lastEnd, w.ackableEnd, w.undurableEnds, w.unreadableEnds, w.endsListed = 0, 0, nil, nil, false
 	w.clock, w.clockAt = 0, time.Time{}
 	if restarted {
 		// Commands that were sent to the previous incarnation may reach this one. Their deadlines refer
--- a/internal/batch/poll.go
+++ b/internal/batch/poll.go
@@ -151,6 +151,7 @@
 	for _, e := range rep.Ended {
 		c.applyEndedRow(w, e, now)
 	}
+	w.releaseHeldUpEnds()
 	c.reconcileRuns(w, rep, sent, now)
 	c.updateThrottling(w, now)
 	c.markChangedForFillers(w)
@@ -302,6 +303,10 @@
 	}
 	if t == nil || j.state.Final() {
 		c.note(Note{Kind: NoteEndedAfterJob, Task: e.Task, Run: e.Run, Worker: w.ID, Reason: string(e.How) + ": " + c.describeStored(e.Task.Job)})
+		if j == nil && c.unreadableRecord(e.Task.Job, DelegatedID(e.Task.Job)) != nil {
+			w.unreadableEnds = append(w.unreadableEnds, e.Number)
+			return
+		}
 		if j == nil {
 			// A job that is handed over is this cell's until its forwarding record is durable.
 			j = c.jobs[e.Task.Job]
@@ -328,6 +333,9 @@
 	j, known := c.jobs[id]
 	if !known {
 		if j, known = c.jobs[DelegatedID(id)]; !known {
+			if err := c.unreadableRecord(id, DelegatedID(id)); err != nil {
+				return err.Error()
+			}
 			return "no record of its job"
 		}
 	}
--- a/internal/batch/submit.go
+++ b/internal/batch/submit.go
@@ -23,6 +23,9 @@
 		c.notifyWhenDurable(j, waiter)
 		return nil
 	}
+	if err := c.unreadableRecord(s.ID); err != nil {
+		return err
+	}
 	if err := s.Check(); err != nil {
 		return err
 	}
@@ -43,6 +46,9 @@
 	if err := s.Check(); err != nil || c.HasJob(s.ID) {
 		return err
 	}
+	if err := c.unreadableRecord(s.ID); err != nil {
+		return err
+	}
 	c.accept(s, now, nil, path)
 	return nil
 }
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -70,6 +70,8 @@
 	lastEnd       int64
 	undurableEnds []undurableEnd
 	ackableEnd    int64
+	// unreadableEnds are the numbers of the ends of runs of unreadable jobs.
+	unreadableEnds []int64
 	// endsListed means that the last report listed ended runs, and that no call has remained unanswered since its poll was
 	// sent; unansweredAt is when that was last known of one. Only then are ends acknowledged: a worker that has
 	// restarted under its ID counts its ends anew.
--- a/internal/scheduler/accept.go
+++ b/internal/scheduler/accept.go
@@ -96,7 +96,12 @@
 	case ctx.Err() != nil:
 		return &UnavailableError{Reason: "the leader was busy until the time for an answer was over", RetryAfter: retryAfter}
 	}
-	return l.core.Submit(j, now, waiter)
+	err := l.core.Submit(j, now, waiter)
+	if errors.As(err, new(*batch.UnreadableJobError)) {
+		// The caller's node finds the job in the store.
+		return &UnavailableError{Reason: err.Error(), RetryAfter: retryAfter}
+	}
+	return err
 }
 
 // submissionError returns the error for the state with which the waiter of a submission was called.
--- a/internal/scheduler/leader.go
+++ b/internal/scheduler/leader.go
@@ -202,6 +202,7 @@
 	for _, e := range r.jobs.Entries {
 		if err := l.restoreRecord(core, e.Value, now); err != nil {
 			l.Log.Emit(eventlog.RecordUnreadable, zap.String("key", e.Key), zap.Error(err))
+			core.SetUnreadableJob(strings.TrimPrefix(e.Key, l.keys.jobs))
 		}
 	}
 	l.headRevision, l.lastCommit = r.head.Revision, string(r.head.Value)
