A job is forgotten only once its record is deleted

What callers would see: a job submitted after the retention of an earlier one with the same ID runs, and no node knows it. Cause: Committed forgot a job that is to be removed at any commit of its record, also at one that was taken before its removal was decided. In memory it was then gone while its record was stored. A submission was accepted anew; the deletion of the old record then removed the new job from memory. The end of its run would be acknowledged as that of an unknown job. Evidence: TestRemovedJobIsKnownUntilItsRecordIsDeleted failed in both rows (an ended job, a forwarding record) and passes. Change: a job is forgotten at the commit that deletes its record.

--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -160,7 +160,7 @@
 			// The other cell stores the steps.
 			t.job.Job = Job{ID: t.job.ID, Queue: t.job.Queue}
 		}
-		if t.job.removed {
+		if ch.Records[i].Value == nil {
 			delete(c.jobs, t.job.storageID())
 		}
 	}
