A withdrawn delegation does not replace a later one

What callers would see: long-running tasks that no cell runs any more, until their job is cancelled. Cause: while a delegation was in a commit in progress, further tasks of the job could be delegated. If that commit was withdrawn, takeBack put the first delegation in the place of the second one. The tasks of the second one counted as run elsewhere, but were in no commit. Evidence: TestDelegationsOutlastWithdrawnCommit failed in the row of a withdrawn commit: of tasks 4 to 7, only 4 and 5 were delegated, to the cell that had been chosen for 6 and 7. It passes; the whole tests of internal/batch pass. Change: no further tasks of a job are delegated while one of its delegations is in a commit in progress. Other commits of the job do not hold delegations up.

--- a/internal/batch/delegate.go
+++ b/internal/batch/delegate.go
@@ -94,7 +94,7 @@
 			c.handOverStarted(j, -1)
 		case j.canHandOver(stuckAfter, now):
 			c.handOverStarted(j, 0)
-		case s.step.LongRunning && !s.step.Gang && j.pendingDelegation == nil && j.Repeat.Count == 0:
+		case s.step.LongRunning && !s.step.Gang && j.pendingDelegation == nil && !j.delegationInFlight && j.Repeat.Count == 0:
 			c.delegateStarved(s, now)
 		}
 	}
@@ -322,7 +322,7 @@
 		Path: append(slices.Clone(j.delegators()), c.cell.Index),
 	}
 	w.Steps = encodeSteps(j.Steps)
-	j.pendingDelegation = nil
+	j.pendingDelegation, j.delegationInFlight = nil, true
 	value, err := json.Marshal(w)
 	if err != nil {
 		return nil, fmt.Errorf("encode delegation of job %s: %w", j.ID, err)
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -47,9 +47,11 @@
 	// cancelCells are the cells to which the next commit forwards a cancel.
 	cancelCells []int
 	// delegatedTo has one entry for each delegation of tasks: the cell that runs them.
-	// pendingDelegation is the delegation that the next commit hands over.
-	delegatedTo       []int
-	pendingDelegation *wireStage
+	// pendingDelegation is the delegation that the next commit hands over, delegationInFlight means that one is in a
+	// commit in progress.
+	delegatedTo        []int
+	pendingDelegation  *wireStage
+	delegationInFlight bool
 	// delegated means that only tasks which another cell delegated are present here. cellPath lists
 	// the cells through which the job or the delegation came; it is never sent back to them.
 	delegated bool
--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -139,7 +139,7 @@
 		c.markUnresponsiveDurable()
 	}
 	for i, t := range ch.jobs {
-		t.job.storedState, t.job.inFlight = t.state, false
+		t.job.storedState, t.job.inFlight, t.job.delegationInFlight = t.state, false, false
 		t.job.recordSize = len(ch.Records[i].Value)
 		t.job.isSetAside = t.job.isSetAside && !t.state.Final()
 		for _, r := range t.starts {
--- a/internal/batch/refuse.go
+++ b/internal/batch/refuse.go
@@ -62,7 +62,7 @@
 	}
 	j.handOverPending = j.handOverPending || record.HandedOver != nil
 	if t.delegation != nil {
-		j.pendingDelegation = t.delegation
+		j.pendingDelegation, j.delegationInFlight = t.delegation, false
 	}
 	j.pendingStarts = append(t.starts, j.pendingStarts...)
 	j.pendingEnds = append(t.ends, j.pendingEnds...)
