An entry leaves the inbox only with a record that contains it

What callers would see: a cancel that was answered as done is lost with the leader, and the job goes on. Delegated tasks that come back, or a further delegation of a job, would be lost in the same way: no cell runs them. Cause: the inbox keys that a commit removes were looked up after its records had been taken from the core, without the lock in between. An entry that arrived in between was applied in memory, to be part of the next record, but its key was removed with the older one. The time is short for most commits. If the store refuses one, so that its records are committed one by one, it is that of all commits before. Change: inbox keys are numbered; a commit removes those that were there when its records were taken.

--- a/internal/scheduler/commit.go
+++ b/internal/scheduler/commit.go
@@ -40,7 +40,7 @@
 		}
 		last = l.Now()
 		l.mu.Lock()
-		changes, err := l.core.TakeChanges(maxCommitRecords, last)
+		changes, err := l.takeChanges(last)
 		l.spent.encoding += l.Now().Sub(last)
 		l.spent.commits++
 		l.mu.Unlock()
@@ -73,7 +73,7 @@
 		if !withdrawn {
 			l.core.WithdrawUnsent(l.Now())
 		}
-		changes, err := l.core.TakeChanges(maxCommitRecords, l.Now())
+		changes, err := l.takeChanges(l.Now())
 		l.mu.Unlock()
 		if err != nil {
 			return err
@@ -115,7 +115,7 @@
 	if changes.Unresponsive != nil {
 		txn.Then = append(txn.Then, store.Put(l.keys.unresponsive, changes.Unresponsive))
 	}
-	inboxKeys := map[string][]string{}
+	inboxKeys := map[string][]inboxKey{}
 	freeEntries := maxCommitEntries - len(txn.If) - len(txn.Then) - changes.Writes()
 	for _, r := range changes.Records {
 		if r.HandedOver != nil {
@@ -133,8 +133,8 @@
 			txn.Then = append(txn.Then, store.Put(l.keys.jobs+r.ID, r.Value))
 		}
 		inboxKeys[r.ID] = l.inboxKeys(r.ID, freeEntries)
-		for _, key := range inboxKeys[r.ID] {
-			txn.Then = append(txn.Then, store.Delete(key))
+		for _, k := range inboxKeys[r.ID] {
+			txn.Then = append(txn.Then, store.Delete(k.key))
 			freeEntries--
 		}
 	}
--- a/internal/scheduler/inbox.go
+++ b/internal/scheduler/inbox.go
@@ -3,9 +3,11 @@
 import (
 	"slices"
 	"strings"
+	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/oriolepond/oriolepond/internal/batch"
 	"github.com/oriolepond/oriolepond/internal/eventlog"
 	"github.com/oriolepond/oriolepond/internal/store"
 )
@@ -73,23 +75,50 @@
 	l.core.MarkInInbox(id)
 }
 
-// addInboxKey records that an inbox key is to be removed with the next commit of a job; l.mu is held.
+// inboxKey is a key of the inbox that is to be removed. Keys are numbered in the order in which the core gets their entries.
+type inboxKey struct {
+	key    string
+	number int64
+}
+
+// addInboxKey records that an inbox key is to be removed with the next record of a job; l.mu is held.
 func (l *Leader) addInboxKey(id, key string) {
-	if !slices.Contains(l.inbox[id], key) {
-		l.inbox[id] = append(l.inbox[id], key)
+	l.lastInboxKey++
+	l.putInboxKey(id, inboxKey{key: key, number: l.lastInboxKey})
+}
+
+// putInboxKey adds a key to those that are to be removed, unless it is one of them; l.mu is held.
+func (l *Leader) putInboxKey(id string, k inboxKey) {
+	if !slices.ContainsFunc(l.inbox[id], func(o inboxKey) bool { return o.key == k.key }) {
+		l.inbox[id] = append(l.inbox[id], k)
 	}
 }
 
-// inboxKeys returns the inbox keys of a job for removal in the commit of its record.
+// takeChanges returns the core's changes for the next commit; l.mu is held.
+func (l *Leader) takeChanges(now time.Time) (batch.Changes, error) {
+	l.recordedInboxKey = l.lastInboxKey
+	return l.core.TakeChanges(maxCommitRecords, now)
+}
+
+// inboxKeys returns the inbox keys of a job for removal in the commit of its record: those whose entries the record contains.
 // If there are more than limit, it returns none and has the job committed again.
-func (l *Leader) inboxKeys(id string, limit int) []string {
+func (l *Leader) inboxKeys(id string, limit int) []inboxKey {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	keys := l.inbox[id]
+	var keys, others []inboxKey
+	for _, k := range l.inbox[id] {
+		if k.number <= l.recordedInboxKey {
+			keys = append(keys, k)
+		} else {
+			others = append(others, k)
+		}
+	}
 	if len(keys) > limit {
 		l.core.MarkDirty(id)
 		return nil
 	}
-	delete(l.inbox, id)
+	if l.inbox[id] = others; len(others) == 0 {
+		delete(l.inbox, id)
+	}
 	return keys
 }
--- a/internal/scheduler/leader.go
+++ b/internal/scheduler/leader.go
@@ -71,8 +71,11 @@
 	ended chan struct{}
 	// fenced is true once a worker has rejected a poll because it has seen a newer leader.
 	fenced bool
-	// inbox has, by job ID, the inbox keys that the next commit of the job removes.
-	inbox map[string][]string
+	// inbox has, by job ID, the inbox keys that the next record of the job removes. lastInboxKey is the number of the newest key,
+	// recordedInboxKey that of the newest one whose entry the changes in the commit in progress contain.
+	inbox            map[string][]inboxKey
+	lastInboxKey     int64
+	recordedInboxKey int64
 
 	// unreadableKeys are the revisions of the evacuation keys that were logged as unreadable.
 	unreadableKeys map[string]int64
@@ -219,7 +222,7 @@
 	}
 	l.core = core
 	l.pollers = map[string]*poller{}
-	l.inbox = map[string][]string{}
+	l.inbox = map[string][]inboxKey{}
 	l.planNeeded = make(chan struct{}, 1)
 	l.commitNeeded = make(chan struct{}, 1)
 	l.startSlots = make(chan struct{}, maxConcurrentStarts)
--- a/internal/scheduler/refused.go
+++ b/internal/scheduler/refused.go
@@ -89,12 +89,12 @@
 
 // restoreInboxKeys makes inbox keys of jobs that a failed commit should have removed part of the
 // next one.
-func (l *Leader) restoreInboxKeys(keys map[string][]string) {
+func (l *Leader) restoreInboxKeys(keys map[string][]inboxKey) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for id, ofJob := range keys {
-		for _, key := range ofJob {
-			l.addInboxKey(id, key)
+		for _, k := range ofJob {
+			l.putInboxKey(id, k)
 		}
 	}
 }
