No lease is granted beside a record of unresponsive workers that cannot be read

What callers could see: a task that runs twice at once, in a rolling upgrade that changes this record. The record says how long the leases of unresponsive workers last, and that none is granted to them since. A leader that could not read it left it in the store and granted leases; the next leader, if it can read the record, takes the leases of these workers for expired earlier than they are. Evidence: TestUnreadableUnresponsiveRecordIsReplaced failed in all five rows: the record was not due to be replaced. Change: such a record is replaced, and no worker is granted a lease until that is durable. The terms of earlier leaders, in another record, do not have this fault: the head tells that one is missing, and the longest time is waited for (internal/scheduler/terms.go).

--- a/internal/batch/unresponsive.go
+++ b/internal/batch/unresponsive.go
@@ -17,6 +17,8 @@
 type unresponsiveRecord struct {
 	// recorded are the IDs of workers that a durable record may contain.
 	recorded map[string]bool
+	// unreadable means that the durable record cannot be read, so that it may contain any worker.
+	unreadable bool
 	// inFlight means that a commit with the record is in progress; writing are the IDs that it
 	// contains.
 	inFlight bool
@@ -46,7 +48,7 @@
 
 // mayGrant reports whether a worker may be granted leases.
 func (c *Core) mayGrant(w *worker) bool {
-	return !c.unresponsive.recorded[w.ID] && !c.unresponsive.writing[w.ID]
+	return !c.unresponsive.unreadable && !c.unresponsive.recorded[w.ID] && !c.unresponsive.writing[w.ID]
 }
 
 // isUnresponsive reports whether a worker has runs whose leases are not renewed.
@@ -60,8 +62,8 @@
 	return !w.unresponsiveSince.IsZero() && now.Sub(w.unresponsiveSince) >= unresponsiveAfter
 }
 
-// scheduleUnresponsiveRecord marks the record as due if it contains a worker that has recovered or
-// if its remaining times are outdated. It is called once per plan.
+// scheduleUnresponsiveRecord marks the record as due if it contains a worker that has recovered, if it cannot be read
+// or if its remaining times are outdated. It is called once per plan.
 func (c *Core) scheduleUnresponsiveRecord(now time.Time) {
 	if c.unresponsive.inFlight || now.Before(c.unresponsive.refusedUntil) {
 		return
@@ -70,6 +72,9 @@
 }
 
 func (c *Core) isUnresponsiveRecordDue(now time.Time) bool {
+	if c.unresponsive.unreadable {
+		return true
+	}
 	for id := range c.unresponsive.recorded {
 		if w := c.workers[id]; w == nil || !c.isUnresponsive(w, now) {
 			return true
@@ -106,6 +111,7 @@
 // markUnresponsiveDurable records that the record was committed.
 func (c *Core) markUnresponsiveDurable() {
 	c.unresponsive.recorded, c.unresponsive.writing, c.unresponsive.inFlight = c.unresponsive.writing, nil, false
+	c.unresponsive.unreadable = false
 }
 
 // unresponsiveRefusedPause is how long the record is not written after the store has refused it. The
@@ -124,10 +130,12 @@
 }
 
 // RestoreUnresponsive loads the record that an earlier leader wrote; now is when it was read. No
-// leader has granted leases to these workers since the record was written.
+// leader has granted leases to these workers since the record was written. If it cannot be read, no
+// worker is granted leases until it is replaced.
 func (c *Core) RestoreUnresponsive(value []byte, now time.Time) error {
 	var rows []wireUnresponsive
 	if err := json.Unmarshal(value, &rows); err != nil {
+		c.unresponsive.unreadable = true
 		return fmt.Errorf("decode unresponsive workers: %w", err)
 	}
 	c.unresponsive.recorded = map[string]bool{}
--- a/internal/batch/unresponsive_test.go
+++ b/internal/batch/unresponsive_test.go
@@ -75,3 +75,43 @@
 	require.True(t, ok)
 	require.NotZero(t, poll.Deadline)
 }
+
+// Guards against a task that runs twice at once: a leader that could not read the record of unresponsive workers left it as it was and
+// granted leases to workers in it, and the next leader relied on the times in the record.
+func TestUnreadableUnresponsiveRecordIsReplaced(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// resolve gets the first changes with the record that replaces the unreadable one.
+		resolve   func(c *Core, ch Changes, now time.Time)
+		wantGrant bool
+	}{
+		{name: "not committed yet", resolve: func(*Core, Changes, time.Time) {}},
+		{name: "withdrawn", resolve: func(c *Core, ch Changes, _ time.Time) { c.Withdraw(ch) }},
+		{name: "refused", resolve: func(c *Core, ch Changes, now time.Time) { c.Refuse(ch, now) }},
+		{name: "committed", resolve: func(c *Core, ch Changes, _ time.Time) { c.Committed(ch) }, wantGrant: true},
+		{name: "withdrawn, then committed", resolve: func(c *Core, ch Changes, now time.Time) {
+			c.Withdraw(ch)
+			c.Plan(now)
+			commitAll(t, c, now)
+		}, wantGrant: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			now := time.Unix(1_000_000_000, 0)
+			core := fourWorkerCore(t, now)
+			require.Error(t, core.RestoreUnresponsive([]byte(`{"newer":[]}`), now))
+			core.Plan(now)
+			require.True(t, core.HasChanges())
+			changes, err := core.TakeChanges(20, now)
+			require.NoError(t, err)
+			require.Equal(t, "[]", string(changes.Unresponsive))
+			c.resolve(core, changes, now)
+			core.Plan(now)
+			for _, id := range core.WorkerIDs() {
+				poll, ok := core.BeginPoll(id, now, true)
+				require.True(t, ok)
+				require.Equal(t, c.wantGrant, poll.Deadline != 0)
+				require.Equal(t, c.wantGrant, core.acceptsRuns(core.workers[id], now))
+			}
+		})
+	}
+}
