The end of an isolation is stored

What callers could see: a task that is given up too early by a later leader, or holds up a worker needlessly: the count of crashes that its lasting run had cleared, or that the next run is to be isolated, was still in its record. Cause: endIsolations clears both in memory and does not mark the job as changed. A report of the run that lasted does, unless an answer to a command came before it. Evidence: TestEndOfIsolationIsStored failed in both rows, and passes.

--- a/internal/batch/crash.go
+++ b/internal/batch/crash.go
@@ -300,6 +300,7 @@
 			if r.isolation == lateCrash {
 				r.task.crashes = crashCount{}
 			}
+			c.markDirty(r.task.stage.job)
 			w.isolated = nil
 			c.markChanged(w)
 		}
