Ends that wait for a dropped job are acknowledged

What callers could see: a worker on which no end is acknowledged until the next term, and whose reports list the same ends again and again. A submission that is dropped has to have the ID of an earlier job for that, of whose runs an end is reported meanwhile. Cause: such an end waits for the next record of the job; a dropped job has none. Evidence: TestEndOfDroppedJobIsAcknowledged failed in both rows, and passes; the whole tests of internal/batch passed. Change: drop releases the ends that wait. The job was never stored, so they are like those of unknown jobs.

--- a/internal/batch/ends_test.go
+++ b/internal/batch/ends_test.go
@@ -54,3 +54,36 @@
 		})
 	}
 }
+
+// Guards against a worker whose ends are never acknowledged again, because one of them waits for a job that was dropped.
+func TestEndOfDroppedJobIsAcknowledged(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// cancelled means that the job is cancelled before the end is reported.
+		cancelled bool
+	}{
+		{name: "queued"},
+		{name: "cancelled", cancelled: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			now := time.Unix(1_000_000_000, 0)
+			core := fourWorkerCore(t, now)
+			// An earlier job with the same ID had the run.
+			require.NoError(t, core.Submit(Job{ID: "j", Queue: "check", Steps: []Step{{Tasks: 1}}}, now, nil))
+			if c.cancelled {
+				require.True(t, core.Cancel("j", now, nil))
+			}
+			ended := []EndedRow{{Number: 1, Task: TaskName{Job: "j"}, Run: 1, How: EndStopped}}
+			core.ApplyReport("a", Report{Incarnation: 1, Clock: time.Hour, Ended: ended}, now, now)
+			poll, ok := core.BeginPoll("a", now, true)
+			require.True(t, ok)
+			require.Zero(t, poll.Ack)
+			core.DropUncommitted(now)
+			require.False(t, core.HasJob("j"))
+			poll, ok = core.BeginPoll("a", now, true)
+			require.True(t, ok)
+			require.Equal(t, int64(1), poll.Ack)
+			require.Equal(t, []string{"a"}, core.TakeAckable())
+		})
+	}
+}
--- a/internal/batch/refuse.go
+++ b/internal/batch/refuse.go
@@ -69,7 +69,8 @@
 	j.waiters = append(t.waiters, j.waiters...)
 }
 
-// drop removes a job from memory, and calls its waiters with a state.
+// drop removes a job from memory, and calls its waiters with a state. Run ends that wait for a record of the job are those
+// of an unknown job then.
 func (c *Core) drop(j *job, s State, reason string, now time.Time) {
 	for _, r := range j.runs() {
 		c.dropRun(r, now)
@@ -80,6 +81,7 @@
 	for _, call := range j.waiters {
 		call(s)
 	}
+	c.markEndsDurable(j.pendingEnds)
 	c.note(Note{Kind: NoteJobEnded, Job: j.ID, Reason: reason})
 }
 
