--- a/internal/batch/delegate.go
+++ b/internal/batch/delegate.go
@@ -94,7 +94,7 @@
 			c.handOverStarted(j, -1)
 		case j.canHandOver(stuckAfter, now):
 			c.handOverStarted(j, 0)
-		case s.step.LongRunning && !s.step.Gang && j.isStored() && !j.inFlight && j.pendingDelegation == nil && j.Repeat.Count == 0:
+		case s.step.LongRunning && !s.step.Gang && j.isStored() && j.pendingDelegation == nil && !j.delegationInFlight && j.Repeat.Count == 0:
 			c.delegateStarved(s, now)
 		}
 	}
@@ -165,6 +165,9 @@
 	if c.HasJob(started.ID) {
 		return nil
 	}
+	if err := c.unreadableRecord(started.ID); err != nil {
+		return err
+	}
 	j := &job{
 		Job: decodeSubmission(started), state: Queued, cellPath: started.Path,
 		accepted: time.UnixMilli(started.AcceptedMs).Add(-c.wallOffset),
@@ -320,7 +323,7 @@
 		Path: append(slices.Clone(j.delegators()), c.cell.Index),
 	}
 	w.Steps = encodeSteps(j.Steps)
-	j.pendingDelegation = nil
+	j.pendingDelegation, j.delegationInFlight = nil, true
 	value, err := json.Marshal(w)
 	if err != nil {
 		return nil, fmt.Errorf("encode delegation of job %s: %w", j.ID, err)
@@ -337,6 +340,9 @@
 	}
 	j := c.jobHere(w.ID)
 	if j == nil {
+		if err := c.unreadableRecord(w.ID, DelegatedID(w.ID)); err != nil {
+			return "", err
+		}
 		j = &job{
 			Job: decodeSubmission(w), state: Active, delegated: true,
 			accepted: time.UnixMilli(w.AcceptedMs).Add(-c.wallOffset),
--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -139,7 +139,7 @@
 		c.markUnresponsiveDurable()
 	}
 	for i, t := range ch.jobs {
-		t.job.storedState, t.job.inFlight = t.state, false
+		t.job.storedState, t.job.inFlight, t.job.delegationInFlight = t.state, false, false
 		t.job.recordSize = len(ch.Records[i].Value)
 		t.job.isSetAside = t.job.isSetAside && !t.state.Final()
 		for _, r := range t.starts {
@@ -148,8 +148,8 @@
 			}
 		}
 		c.markEndsDurable(t.ends)
-		if t.state.Final() {
-			// Nothing can start its tasks again, so the ends that were reported since then need no record.
+		if t.state.Final() || t.state == Moved {
+			// This cell cannot start its tasks again, so the ends that were reported since then need no record.
 			c.markEndsDurable(t.job.pendingEnds)
 			t.job.pendingEnds = nil
 		}
@@ -160,7 +160,7 @@
 			// The other cell stores the steps.
 			t.job.Job = Job{ID: t.job.ID, Queue: t.job.Queue}
 		}
-		if t.job.removed {
+		if ch.Records[i].Value == nil {
 			delete(c.jobs, t.job.storageID())
 		}
 	}
--- a/internal/batch/refuse.go
+++ b/internal/batch/refuse.go
@@ -62,14 +62,15 @@
 	}
 	j.handOverPending = j.handOverPending || record.HandedOver != nil
 	if t.delegation != nil {
-		j.pendingDelegation = t.delegation
+		j.pendingDelegation, j.delegationInFlight = t.delegation, false
 	}
 	j.pendingStarts = append(t.starts, j.pendingStarts...)
 	j.pendingEnds = append(t.ends, j.pendingEnds...)
 	j.waiters = append(t.waiters, j.waiters...)
 }
 
-// drop removes a job from memory, and calls its waiters with a state.
+// drop removes a job from memory, and calls its waiters with a state. Run ends that wait for a record of the job are those
+// of an unknown job then.
 func (c *Core) drop(j *job, s State, reason string, now time.Time) {
 	for _, r := range j.runs() {
 		c.dropRun(r, now)
@@ -80,6 +81,7 @@
 	for _, call := range j.waiters {
 		call(s)
 	}
+	c.markEndsDurable(j.pendingEnds)
 	c.note(Note{Kind: NoteJobEnded, Job: j.ID, Reason: reason})
 }
 
