The copy of the registry does not go back to a late listing

What operators would see: an instance that lacks a peer, or still has one that left, for up to 75 s. Cause: the changes that a watch delivered did not count in the revision of the copy, so that a listing from before them, whose answer came after them, replaced it. A watch does not deliver them again. Change: the copy's revision follows its changes. Evidence: TestLateListingKeepsNewerChanges failed before (the peer was gone again); three runs pass now.

--- a/internal/membership/keeper_test.go
+++ b/internal/membership/keeper_test.go
@@ -424,6 +424,60 @@
 	}
 }
 
+// Guards against a copy of the registry that goes back: a listing from before a change that the watch had delivered arrived after it,
+// and the change did not show again before the next full reading.
+func TestLateListingKeepsNewerChanges(t *testing.T) {
+	t.Parallel()
+	s := standin.NewStore()
+	server := httptest.NewServer(s)
+	t.Cleanup(server.Close)
+	client := store.NewEtcd([]string{server.URL}, server.Client())
+	// With armed set, the first listing after the next commit waits for release.
+	var armed, committed atomic.Bool
+	listed, release := make(chan struct{}), make(chan struct{})
+	slow := *client
+	slow.Commit = func(ctx context.Context, txn store.Txn) (store.Result, error) {
+		result, err := client.Commit(ctx, txn)
+		committed.Store(armed.Swap(false))
+		return result, err
+	}
+	slow.List = func(ctx context.Context, prefix string) (store.Snapshot, error) {
+		snapshot, err := client.List(ctx, prefix)
+		if committed.Swap(false) {
+			close(listed)
+			<-release
+		}
+		return snapshot, err
+	}
+	k := &membership.Keeper{
+		Store: &slow, Self: membership.Peer{ID: "entry", Region: region}, TTL: testTTL, Log: eventlog.Discard(),
+		MaxRequestTime: func() time.Duration { return testMaxRequestTime }, ListLag: testListLag,
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = k.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		stop()
+		<-done
+	})
+	require.Eventually(t, func() bool { return k.Lease() != 0 && k.View().Joined() }, waitTimeout, pollInterval)
+	armed.Store(true)
+	s.ExpireLeases()
+	<-listed
+	_, err := client.Commit(t.Context(), store.Txn{Then: []store.Op{store.Put(membership.MemberPrefix+"other~1", []byte(`{"id": "other", "region": "r"}`))}})
+	require.NoError(t, err)
+	knowsOther := func() bool {
+		_, known := k.View().Peer("other")
+		return known
+	}
+	require.Eventually(t, knowsOther, waitTimeout, pollInterval)
+	close(release)
+	require.Never(t, func() bool { return !knowsOther() }, time.Second, pollInterval)
+}
+
 // BenchmarkStoreCalls measures the calls to the store while membership does not change, for
 // a join and for a planned stop.
 func BenchmarkStoreCalls(b *testing.B) {
--- a/internal/membership/registry.go
+++ b/internal/membership/registry.go
@@ -36,8 +36,8 @@
 	table grant.Table
 	// revision is the store revision of the table's key.
 	revision int64
-	// nextRevision is the revision that follows the snapshot from which the copy was
-	// made.
+	// nextRevision is the revision that follows the last change in the copy, or the snapshot from
+	// which it was made.
 	nextRevision int64
 }
 
@@ -54,12 +54,13 @@
 
 // apply applies an update from a watch, and reports whether it changed anything.
 func (r *registry) apply(u store.Update) (bool, error) {
-	changed := false
+	changed, first := false, r.nextRevision
 	for _, c := range u.Changes {
-		if c.Entry.Revision < r.nextRevision {
+		if c.Entry.Revision < first {
 			continue
 		}
 		changed = true
+		r.nextRevision = max(r.nextRevision, c.Entry.Revision+1)
 		if c.Deleted {
 			delete(r.peers, strings.TrimPrefix(c.Entry.Key, MemberPrefix))
 			continue
