An accepted note whose status cannot be read is pending

What operators would see: `pondctl apply -wait` that ends with "tookEffect" at once while no instance has been asked, since the store failed right after the note was accepted. Cause: the answer then fell back on the report of the acceptance, which names no instances; "tookEffect" is documented as in force at every known one. Change: without a status, such entries are pending, with the reason; -wait goes on asking. Evidence: TestNoteIsPendingWhileItsStatusIsUnknown failed in one of five rows before (tookEffect); all pass now.

--- a/internal/operate/api.go
+++ b/internal/operate/api.go
@@ -142,6 +142,8 @@
 		// The note is accepted even if its status cannot be read.
 		if now, err := a.Status(r.Context(), n.Name); err == nil {
 			report = now
+		} else {
+			report = report.WithoutStatus(err)
 		}
 	}
 	writeJSON(w, encodeReport(report))
--- a/pkg/release/report.go
+++ b/pkg/release/report.go
@@ -26,7 +26,7 @@
 type EntryReport struct {
 	Entry
 	Outcome Outcome
-	// Reason explains why an entry was refused or superseded.
+	// Reason explains why an entry was refused or superseded, or is pending on no instance by name.
 	Reason string
 	// PendingOn are the ids of the instances that have not confirmed the entry.
 	PendingOn []string
@@ -55,6 +55,18 @@
 	return slices.ContainsFunc(r.Entries, func(e EntryReport) bool { return e.Outcome == o })
 }
 
+// WithoutStatus returns a copy of the report in which the entries that took effect are pending, because
+// an error prevented asking the instances.
+func (r Report) WithoutStatus(err error) Report {
+	r.Entries = slices.Clone(r.Entries)
+	for i, e := range r.Entries {
+		if e.Outcome == TookEffect {
+			r.Entries[i].Outcome, r.Entries[i].Reason = Pending, fmt.Sprintf("the instances could not be asked: %v", err)
+		}
+	}
+	return r
+}
+
 // Record is the stored record of an accepted note.
 type Record struct {
 	Note     string
