The property test of shards has compactions

It also holds the changes since the last commit, which no caller has been told are stored. The checks are unchanged.

--- a/internal/shard/property_test.go
+++ b/internal/shard/property_test.go
@@ -174,6 +174,7 @@
 		"commit": commit, "commit2": commit, "commit3": commit,
 		// The commit takes time: it is carried out later, or is lost with the leader.
 		"beginCommit": begin, "beginCommit2": begin,
+		"compact": withLeader(func(_ *rapid.T, leader *simLeader) { w.compact(leader) }),
 		"carryOut": withLeader(func(_ *rapid.T, leader *simLeader) {
 			if w.storeUp && !leader.isolated {
 				w.carryOut(leader)
--- a/internal/shard/simulation_test.go
+++ b/internal/shard/simulation_test.go
@@ -283,15 +283,32 @@
 		return
 	}
 	batch, number := leader.core.TakeBatch()
-	text, err := journal.Encode(batch)
+	leader.inProgress = &commitInProgress{batch: recoded(batch), number: number, received: leader.received.clone()}
+}
+
+// recoded returns a batch as the next leader reads it.
+func recoded(b journal.Batch) journal.Batch {
+	text, err := journal.Encode(b)
 	if err != nil {
 		panic(err)
 	}
-	sent, err := journal.Decode(text)
+	stored, err := journal.Decode(text)
 	if err != nil {
 		panic(err)
 	}
-	leader.inProgress = &commitInProgress{batch: sent, number: number, received: leader.received.clone()}
+	return stored
+}
+
+// compact replaces the journal by a leader's snapshot, which also contains the changes since its last commit. A leader
+// does so only while no commit is in progress.
+func (w *simulation) compact(leader *simLeader) {
+	if !w.storeUp || leader.isolated || leader.epoch != w.epoch || leader.inProgress != nil {
+		return
+	}
+	snapshot := recoded(leader.core.Snapshot())
+	w.batches = []journal.Batch{snapshot}
+	w.recordDurable(leader.received, snapshot)
+	w.durableReadings = leader.received.clone()
 }
 
 // carryOut makes the store carry out a leader's commit in progress. It returns false if the leader was replaced, and
