--- a/internal/scheduler/cluster_test.go
+++ b/internal/scheduler/cluster_test.go
@@ -187,10 +187,13 @@
 }
 
 // cutPeers cuts a node off from its peers.
-func (cl *cluster) cutPeers(name string) {
+func (cl *cluster) cutPeers(name string) { cl.setUnreachable(name, true) }
+
+// setUnreachable cuts a node off from its peers, or connects it to them again.
+func (cl *cluster) setUnreachable(name string, unreachable bool) {
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
-	cl.unreachable[name] = true
+	cl.unreachable[name] = unreachable
 }
 
 // others returns the names of three nodes without the named one.
--- a/internal/scheduler/fakeworkers_test.go
+++ b/internal/scheduler/fakeworkers_test.go
@@ -26,8 +26,8 @@
 	starts     int
 	// startTimes are the times of the starts on each worker.
 	startTimes map[string][]time.Time
-	// startedJobs are the jobs of which a run was started.
-	startedJobs map[string]bool
+	// lastStarts are the times of the last starts, by job ID.
+	lastStarts map[string]time.Time
 }
 
 type fakeWorker struct {
@@ -50,7 +50,7 @@
 }
 
 func newFakeWorkers(duration time.Duration, ids ...string) *fakeWorkers {
-	f := &fakeWorkers{startedAt: time.Now(), age: time.Hour, duration: duration, workers: map[string]*fakeWorker{}, done: map[batch.TaskName]bool{}, startTimes: map[string][]time.Time{}, startedJobs: map[string]bool{}}
+	f := &fakeWorkers{startedAt: time.Now(), age: time.Hour, duration: duration, workers: map[string]*fakeWorker{}, done: map[batch.TaskName]bool{}, startTimes: map[string][]time.Time{}, lastStarts: map[string]time.Time{}}
 	for _, id := range ids {
 		f.workers[id] = &fakeWorker{
 			running: map[batch.TaskName]*fakeRun{}, highestEndedRun: map[batch.TaskName]int64{}, changed: make(chan struct{}),
@@ -184,7 +184,7 @@
 	}
 	f.starts++
 	f.startTimes[call.Worker] = append(f.startTimes[call.Worker], time.Now())
-	f.startedJobs[call.Task.Job] = true
+	f.lastStarts[call.Task.Job] = time.Now()
 	w.running[call.Task] = &fakeRun{number: call.Run, ends: time.Now().Add(cmp.Or(f.durations[call.Task.Job], f.duration))}
 	close(w.changed)
 	w.changed = make(chan struct{})
@@ -211,10 +211,13 @@
 }
 
 // hasStarted reports whether a run of a job was started.
-func (f *fakeWorkers) hasStarted(job string) bool {
+func (f *fakeWorkers) hasStarted(job string) bool { return !f.lastStart(job).IsZero() }
+
+// lastStart returns when a run of a job was last started, zero if none was.
+func (f *fakeWorkers) lastStart(job string) time.Time {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.startedJobs[job]
+	return f.lastStarts[job]
 }
 
 func (f *fakeWorkers) update(change func(*fakeWorkers)) {
