A repeated submission is not refused while a commit with its job may take effect

What callers would see: 503 ("not accepted") for the repetition of a submission, or a refusal through the inbox, although the first one is in a commit in progress, or in one without an answer that the term ended with; the job runs. Cause: accept looked for an earlier submission of the job only if the store is unavailable, not if the time of the second caller is over or the term has ended. Evidence: TestRepeatOfSubmissionInCommitIsNotRefused, in virtual time, failed in all three rows: an UnavailableError in one, NotLeaderErrors in the others. In the first, the job completes afterwards. Change: in all these cases the outcome is unknown if the leader has the job. After the end of a term, it has only jobs that a commit without an answer may contain.

--- a/internal/scheduler/accept.go
+++ b/internal/scheduler/accept.go
@@ -85,13 +85,15 @@
 // accept passes a submission to the core, unless it cannot be committed; l.mu is held.
 func (l *Leader) accept(ctx context.Context, j batch.Job, waiter func(batch.State)) error {
 	now := l.Now()
+	unavailable := l.isStoreUnavailable(now)
 	switch {
 	case l.core.IsDurable(j.ID):
+	case l.core.HasJob(j.ID) && (l.hasEnded() || unavailable || ctx.Err() != nil):
+		// An earlier submission of the job may be accepted yet.
+		return &UnknownOutcomeError{Err: l.unansweredError()}
 	case l.hasEnded():
 		return &NotLeaderError{}
-	case l.isStoreUnavailable(now) && l.core.HasJob(j.ID):
-		return &UnknownOutcomeError{Err: l.unansweredError()}
-	case l.isStoreUnavailable(now):
+	case unavailable:
 		return &UnavailableError{Reason: "the store does not answer", RetryAfter: retryAfter}
 	case ctx.Err() != nil:
 		return &UnavailableError{Reason: "the leader was busy until the time for an answer was over", RetryAfter: retryAfter}
--- a/internal/scheduler/submissions_test.go
+++ b/internal/scheduler/submissions_test.go
@@ -339,3 +339,46 @@
 		})
 	}
 }
+
+// Guards against the refusal of a repeated submission whose job may still be accepted: a commit without an answer contains it.
+func TestRepeatOfSubmissionInCommitIsNotRefused(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// remaining is the time of the second caller, ended that the term has ended when it calls.
+		remaining time.Duration
+		ended     bool
+	}{
+		{name: "its time is over"},
+		{name: "the term has ended", remaining: time.Second, ended: true},
+		{name: "its time is over and the term has ended", ended: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cl := newCluster(t, time.Second, "w1")
+				defer cl.stop()
+				a := cl.addNode("a")
+				time.Sleep(4 * time.Second)
+				_, leader := cl.leader()
+				cl.store.update(func(s *fakeStore) {
+					s.loseAnswer = func(t store.Txn) (bool, time.Duration) { return isLeaderCommit(t), 300 * time.Millisecond }
+				})
+				first, stop := context.WithTimeout(t.Context(), leaderCallTimeout)
+				defer stop()
+				go func() { _ = leader.calls().Submit(first, testJob(1, 1)) }()
+				time.Sleep(100 * time.Millisecond)
+				if c.ended {
+					leader.endTerm("test")
+					time.Sleep(100 * time.Millisecond)
+				}
+				second, stop := context.WithTimeout(t.Context(), c.remaining)
+				defer stop()
+				require.ErrorAs(t, leader.calls().Submit(second, testJob(1, 1)), new(*UnknownOutcomeError))
+				cl.store.update(func(s *fakeStore) { s.loseAnswer = nil })
+				time.Sleep(10 * time.Second)
+				if !c.ended {
+					require.Equal(t, batch.Completed, state(t, a, testJob(1, 1).ID))
+				}
+			})
+		})
+	}
+}
