--- a/internal/scheduler/durable_test.go
+++ b/internal/scheduler/durable_test.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -82,6 +83,12 @@
 func (c *callers) submit() {
 	id := c.random.IntN(1 << 30)
 	j := testJob(id, 1+c.random.IntN(4))
+	// Its record changes again and again, for longer than a leader needs to read the inbox.
+	for range c.random.IntN(20) {
+		last := j.Steps[len(j.Steps)-1]
+		last.After = []int{len(j.Steps) - 1}
+		j.Steps = append(j.Steps, last)
+	}
 	if tasks := 1 + c.random.IntN(8); c.random.IntN(3) == 0 && c.longRunning()+tasks <= maxLongRunning {
 		j = longRunningJob(j, tasks)
 		c.cl.workers.update(func(f *fakeWorkers) { f.durations[j.ID] = time.Hour })
@@ -144,6 +151,14 @@
 	})
 }
 
+// loseStore keeps the store from answering a node for some time.
+func loseStore(cl *cluster, name string, d time.Duration) {
+	cl.store.update(func(s *fakeStore) { s.unansweredClients[name] = true })
+	time.AfterFunc(d, func() {
+		cl.store.update(func(s *fakeStore) { s.unansweredClients[name] = false })
+	})
+}
+
 // disturbCommits makes the store delay, refuse or lose commits of leaders, by chance.
 func disturbCommits(cl *cluster, seed uint64) {
 	var mu sync.Mutex
@@ -166,11 +181,17 @@
 			if len(txn.Then) == 0 || !isHead(txn.Then[0]) {
 				return nil
 			}
+			if slices.ContainsFunc(txn.Then, func(op store.Op) bool { return op.Kind == store.OpDelete && strings.HasSuffix(op.Key, cancelSuffix) }) && draw(2) == 0 {
+				// The leader is lost before its next commit.
+				time.AfterFunc(time.Millisecond, func() { loseStore(cl, client, 3*time.Second) })
+				return nil
+			}
 			switch n := draw(100); {
-			case n < 15:
+			case n < 10:
 				time.Sleep(time.Duration(draw(400)) * time.Millisecond)
 			case n < 25 && len(txn.Then) > 2:
-				time.Sleep(time.Duration(draw(200)) * time.Millisecond)
+				// Meanwhile the leader reads the inbox; then it commits the records one by one.
+				time.Sleep(time.Duration(draw(300)) * time.Millisecond)
 				return &store.InvalidError{Call: "commit", Status: 413}
 			case n < 30:
 				return &store.RefusedError{Call: "commit", Status: 503}
@@ -228,10 +249,7 @@
 			})
 		case n < 59:
 			name := []string{"a", "b", "c"}[random.IntN(3)]
-			cl.store.update(func(s *fakeStore) { s.unansweredClients[name] = true })
-			time.AfterFunc(time.Duration(random.IntN(1500))*time.Millisecond, func() {
-				cl.store.update(func(s *fakeStore) { s.unansweredClients[name] = false })
-			})
+			loseStore(cl, name, time.Duration(random.IntN(1500))*time.Millisecond)
 		case n < 65:
 			// Its callers' submissions and cancels go to the inbox.
 			name := []string{"a", "b", "c"}[random.IntN(3)]
