Soak: waves of cancels while the leader loses commits and is lost

Change: the set cancels. The checker is unchanged: it judges a start after an end as done that was acknowledged.

--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -25,7 +25,7 @@
 	soakParallel = flag.Int("soak.beside", 3, "how many seeds are run at once")
 	soakNodes    = flag.Int("soak.nodes", 5, "how many nodes each seed runs")
 	soakCells    = flag.Int("soak.cells", 0, "into how many cells the workers of each seed are divided; 0 lets the nodes decide")
-	soakFaults   = flag.String("soak.faults", "", "`set` of faults of the new seeds: empty for random faults, rollouts, refusals, restarts, routes, losses, cutoffs, reborn or sizes")
+	soakFaults   = flag.String("soak.faults", "", "`set` of faults of the new seeds: empty for random faults, rollouts, refusals, restarts, routes, losses, cutoffs, reborn, sizes or cancels")
 	soakLogs     = flag.String("soak.logs", "", "`directory` in which the logs of each run are kept")
 )
 
@@ -101,6 +101,11 @@
 			case soak.RandomFaults:
 			case soak.CutOffFaults, soak.RebornFaults:
 				s.Workers, s.Duration = 10, cutOffsLength
+			case soak.CancelFaults:
+				s.Workers, s.Duration = 8, rolloutLength
+				if c.seed%manyNodesOneIn == 0 {
+					s.Nodes = manyNodes
+				}
 			default:
 				// Its faults come in series, each followed by a time without any.
 				s.Workers, s.Duration = 8, rolloutLength
@@ -131,6 +136,9 @@
 	rolloutLength = 24 * time.Second
 	// cutOffsLength is how long load lasts where workers are cut off: the leases of a task expire five times and more.
 	cutOffsLength = 48 * time.Second
+	// manyNodesOneIn is how many seeds with waves of cancels there are for one that runs manyNodes.
+	manyNodesOneIn = 5
+	manyNodes      = 16
 	// soakFaultEvery is the mean time between series of faults.
 	soakFaultEvery = 1500 * time.Millisecond
 	// soakJobs is the number of jobs submitted per second.
