--- a/e2e/soakfaults_test.go
+++ b/e2e/soakfaults_test.go
@@ -55,3 +55,12 @@
 	t.Parallel()
 	runSoaks(t, []soakCase{{seed: 57501, reason: "seven series that overlap, no other faults", faults: soak.CutOffFaults}})
 }
+
+// Guards against tasks that are started again after an end that was acknowledged, because the cancel of their job was lost with its leader.
+func TestLostCancelsStartNoEndedTasks(t *testing.T) {
+	t.Parallel()
+	runSoaks(t, []soakCase{
+		{seed: 60001, reason: "waves of cancels amid commits that are unanswered, or carried out without a response", faults: soak.CancelFaults},
+		{seed: 60007, reason: "waves of cancels amid commits that are unanswered or refused", faults: soak.CancelFaults},
+	})
+}
