World: commits that take time, fail and are lost with their leader

A commit took 5 ms there, and the answers to a stop and to the next poll took 4 ms and up to 100 ms, so that no end was listed and acknowledged while a commit was in progress; none was withdrawn; a stopped run ended at once, as stopped, never as done; a commit was lost only if a leader was replaced within those 5 ms. Cancels and submissions were not judged. Change: a commit is a request that the store carries out or not, conditional on the leader's key and the head, and an answer that may be lost; the leader repeats it, withdraws or splits it as the package scheduler does. Leaders freeze, some are replaced; the store goes silent, in most cases until the leader is replaced; jobs are cancelled in waves, the next cancel comes 6 s later; a stopped run goes on for up to 0.8 s.

--- a/internal/batch/simworker_test.go
+++ b/internal/batch/simworker_test.go
@@ -47,7 +47,9 @@
 type simRun struct {
 	endsAt    time.Time
 	startedAt time.Time
-	fails     bool
+	// stopsAt is when the run ends because the worker was told to stop it; zero if it was not.
+	stopsAt time.Time
+	fails   bool
 }
 
 func (sim *simWorld) clock(w *simWorker) time.Duration {
@@ -69,8 +71,12 @@
 	case c.Kind == CommandStop:
 		w.token = token
 		w.highestEndedRun[c.Task] = max(w.highestEndedRun[c.Task], c.Run)
-		if w.running[key] != nil {
-			sim.endRun(w, key, EndStopped)
+		if r := w.running[key]; r != nil && r.stopsAt.IsZero() {
+			if sim.faults.slowStop == 0 {
+				sim.endRun(w, key, EndStopped)
+				break
+			}
+			r.stopsAt = sim.now.Add(time.Duration(sim.random.Int64N(int64(sim.faults.slowStop))))
 		}
 	case c.Kind == CommandStart && w.running[key] != nil:
 	case c.Kind == CommandStart && c.Run <= w.highestEndedRun[c.Task]:
@@ -85,6 +91,9 @@
 	return res
 }
 
+// listsEnds reports whether a worker has run ends that were not acknowledged.
+func (w *simWorker) listsEnds() bool { return len(w.unackedEnds) > 0 }
+
 // grant extends a worker's lease to a deadline on the worker's clock, but to no more than MaxLease
 // from now.
 func (sim *simWorld) grant(w *simWorker, deadline time.Duration) {
@@ -152,6 +161,12 @@
 	}
 	for _, key := range sortedRunKeys(w.running) {
 		r := w.running[key]
+		if !r.stopsAt.IsZero() && r.stopsAt.Before(r.endsAt) && !r.stopsAt.After(w.leasedUntil) {
+			if !r.stopsAt.After(sim.now) {
+				sim.endRun(w, key, EndStopped)
+			}
+			continue
+		}
 		switch {
 		case r.endsAt.After(sim.now) && w.leasedUntil.After(sim.now):
 		case !r.endsAt.After(w.leasedUntil) && !r.endsAt.After(sim.now) && r.fails:
--- a/internal/batch/world_faults_test.go
+++ b/internal/batch/world_faults_test.go
@@ -29,6 +29,10 @@
 	})
 	repeatedly(sim.faults.takeover, sim.takeOver)
 	repeatedly(sim.faults.evacuation, func() { sim.evacuate(fmt.Sprintf("dc-%d", sim.random.IntN(3))) })
+	repeatedly(sim.faults.cancelWave, sim.cancelWave)
+	repeatedly(sim.faults.commits.rejection, sim.rejectCommits)
+	repeatedly(sim.faults.commits.silence, sim.silenceStore)
+	repeatedly(sim.faults.commits.freeze, sim.freeze)
 	repeatedly(sim.faults.resize, func() { sim.resize(sim.workers[sim.random.IntN(len(sim.workers))]) })
 }
 
@@ -106,7 +110,7 @@
 	if !sim.chance(sim.faults.lostAnswer) {
 		sim.core.SetEvacuated(sortedKeys(sim.evacuatedAt), sim.now, sim.now)
 	}
-	sim.after(time.Second, func() { sim.followEvacuations(token) })
+	sim.after(time.Second, func() { sim.asLeader(token, func() { sim.followEvacuations(token) }) })
 }
 
 // checkEvacuation checks that a command starts nothing in a data centre that has been evacuated for long.
--- a/internal/batch/world_jobs_test.go
+++ b/internal/batch/world_jobs_test.go
@@ -9,24 +9,66 @@
 	"github.com/oriolepond/oriolepond/pkg/share"
 )
 
-// submit submits a job and, as callers do, repeats the submission until the job is durable.
+// submit submits a job and, as callers do, repeats the submission until it is acknowledged.
 func (sim *simWorld) submit(j Job) {
 	sim.jobs[j.ID] = j
 	var try func()
 	try = func() {
-		if sim.records[j.ID] != nil {
+		if sim.accepted[j.ID] {
 			return
 		}
-		require.NoError(sim.t, sim.core.Submit(j, sim.now, nil))
+		sim.asLeader(sim.token, func() {
+			require.NoError(sim.t, sim.core.Submit(j, sim.now, func(s State) {
+				if s == Dropped || s == Refused {
+					return
+				}
+				sim.accepted[j.ID] = true
+				if sim.records[j.ID] == nil {
+					sim.violate("the submission of job %s is acknowledged and not stored", j.ID)
+				}
+			}))
+		})
 		sim.after(time.Second, try)
 	}
 	try()
 	if sim.chance(sim.faults.cancel) {
-		sim.after(time.Duration(sim.random.Int64N(int64(3*time.Second))), func() {
-			if sim.core.Cancel(j.ID, sim.now, nil) {
-				sim.cancelledAt[j.ID] = sim.now
+		sim.after(time.Duration(sim.random.Int64N(int64(3*time.Second))), func() { sim.cancel(j.ID) })
+	}
+}
+
+// simCancelRetry is after what time callers repeat a cancel that was not acknowledged.
+const simCancelRetry = 6 * time.Second
+
+// cancel cancels a job, and repeats the cancel until it is acknowledged.
+func (sim *simWorld) cancel(id string) {
+	if !sim.cancelledAt[id].IsZero() {
+		return
+	}
+	sim.asLeader(sim.token, func() {
+		sim.core.Cancel(id, sim.now, func(s State) {
+			if s == Dropped || s == Refused || !sim.cancelledAt[id].IsZero() {
+				return
+			}
+			sim.cancelledAt[id] = sim.now
+			if stored, _, err := DecodeState(sim.records[id]); err != nil || !stored.Final() {
+				sim.violate("the cancel of job %s is acknowledged, stored is %q", id, stored)
 			}
 		})
+	})
+	sim.after(simCancelRetry, func() { sim.cancel(id) })
+}
+
+// cancelWave cancels most of the jobs that have not ended, within a second or at once.
+func (sim *simWorld) cancelWave() {
+	spread := time.Second
+	if sim.chance(0.5) {
+		spread = time.Millisecond
+	}
+	for _, id := range sortedKeys(sim.jobs) {
+		if state, known := sim.core.State(id); !sim.cancelAsked[id] && known && !state.Final() && sim.chance(0.7) {
+			sim.cancelAsked[id] = true
+			sim.after(time.Duration(sim.random.Int64N(int64(spread))), func() { sim.cancel(id) })
+		}
 	}
 }
 
--- a/internal/batch/world_test.go
+++ b/internal/batch/world_test.go
@@ -39,6 +39,12 @@
 	// fail is the probability that a run fails, cancel the probability that a job is cancelled.
 	fail   float64
 	cancel float64
+	// cancelWave is the mean time between waves in which callers cancel most of the jobs that have not ended.
+	cancelWave time.Duration
+	// slowStop is how long a run goes on at most after its worker was told to stop it.
+	slowStop time.Duration
+	// commits are the faults of the store and of leaders that commit.
+	commits simCommitFaults
 }
 
 // simWorld simulates a core and its workers in virtual time, without a network. It records
@@ -52,7 +58,13 @@
 	lastEvent int
 	core      *Core
 	token     int64
-	records   map[string][]byte
+	// frozenUntil is until when the leader does nothing. head is the store's head as the leader knows it, committing the commit
+	// whose outcome it does not know.
+	frozenUntil time.Time
+	head        int
+	committing  *simCommit
+	store       simStore
+	records     map[string][]byte
 	// unresponsive is the stored record of unresponsive workers.
 	unresponsive []byte
 	// storeLimit is the size of the largest record that the store takes; zero means any size.
@@ -67,8 +79,12 @@
 	acknowledged map[TaskName]time.Time
 	startedAt    map[TaskName]time.Time
 	failures     map[TaskName]int
-	cancelledAt  map[string]time.Time
-	startCount   int
+	// accepted are the jobs whose submission was acknowledged to the caller, cancelledAt is when cancels were.
+	// cancelAsked are the jobs that a wave of cancels has chosen.
+	accepted    map[string]bool
+	cancelAsked map[string]bool
+	cancelledAt map[string]time.Time
+	startCount  int
 	// crashedUnder counts the workers that crashed under each task.
 	crashedUnder map[TaskName]int
 	// evacuatedAt is when the data centres were evacuated that are, evacuations counts all evacuations.
@@ -108,7 +124,7 @@
 		t: t, random: rand.New(rand.NewPCG(seed, 1)), faults: faults, now: time.Unix(1_000_000_000, 0),
 		records: map[string][]byte{}, jobs: map[string]Job{}, endedAt: map[TaskName]time.Time{}, failures: map[TaskName]int{},
 		acknowledged: map[TaskName]time.Time{}, startedAt: map[TaskName]time.Time{},
-		cancelledAt: map[string]time.Time{}, crashedUnder: map[TaskName]int{},
+		accepted: map[string]bool{}, cancelAsked: map[string]bool{}, cancelledAt: map[string]time.Time{}, crashedUnder: map[TaskName]int{},
 		evacuatedAt: map[string]time.Time{},
 	}
 	for i := range workers {
@@ -161,6 +177,10 @@
 		sim.trace("takeover %d", sim.token+1)
 	}
 	sim.token++
+	if sim.committing != nil && sim.store.stamp != sim.committing {
+		sim.store.lost++
+	}
+	sim.head, sim.committing, sim.frozenUntil, sim.store.silentUntil = sim.store.head, nil, time.Time{}, time.Time{}
 	timing, previous := DefaultTiming(), sim.core
 	sim.core = NewCore(timing, sim.now, sim.now.Add(timing.Lease+timing.RenewGrace+time.Second))
 	if sim.token == 1 {
@@ -184,6 +204,7 @@
 		}
 	}
 	sim.core.SetWorkers(infos, nil, sim.now)
+	sim.checkAccepted()
 	token := sim.token
 	sim.followEvacuations(token)
 	for _, w := range sim.workers {
@@ -207,7 +228,7 @@
 	}
 	sim.core.Plan(sim.now)
 	sim.sendCommands(sim.core.TakeCommands())
-	for _, id := range sim.core.TakePolls() {
+	for _, id := range slices.Sorted(slices.Values(sim.core.TakePolls())) {
 		sim.poll(sim.find(id), token)
 	}
 	sim.core.TakeAckable()
@@ -216,26 +237,12 @@
 			sim.trace("note %+v", n)
 		}
 	}
-	changes, err := sim.core.TakeChanges(20, sim.now)
-	require.NoError(sim.t, err)
-	sim.after(5*time.Millisecond, func() {
-		if token != sim.token {
-			return
-		}
-		if !sim.isRefused(changes) {
-			sim.commit(changes)
-			return
-		}
-		for _, part := range changes.Split() {
-			if sim.isRefused(part) {
-				sim.refusals++
-				sim.core.Refuse(part, sim.now)
-			} else {
-				sim.commit(part)
-			}
-		}
-	})
-	sim.after(20*time.Millisecond, func() { sim.planLoop(token) })
+	if sim.committing == nil {
+		changes, err := sim.core.TakeChanges(20, sim.now)
+		require.NoError(sim.t, err)
+		sim.startCommit(changes, nil)
+	}
+	sim.after(20*time.Millisecond, func() { sim.asLeader(token, func() { sim.planLoop(token) }) })
 }
 
 // isRefused reports whether the store refuses changes.
@@ -243,20 +250,6 @@
 	return sim.storeLimit > 0 && slices.ContainsFunc(changes.Records, func(r Record) bool { return len(r.Value) > sim.storeLimit })
 }
 
-// commit stores changes, and sends the start commands that wait for them.
-func (sim *simWorld) commit(changes Changes) {
-	for _, r := range changes.Records {
-		sim.records[r.ID] = r.Value
-		if r.Value == nil {
-			delete(sim.records, r.ID)
-		}
-	}
-	if changes.Unresponsive != nil {
-		sim.unresponsive = changes.Unresponsive
-	}
-	sim.sendCommands(sim.core.Committed(changes))
-}
-
 func (sim *simWorld) find(id string) *simWorker {
 	for _, w := range sim.workers {
 		if w.info.ID == id {
@@ -276,10 +269,11 @@
 		}
 		sent, worker := sim.now, sim.find(call.Worker)
 		sim.checkEvacuation(call)
+		if at := sim.cancelledAt[call.Task.Job]; call.Kind == CommandStart && !at.IsZero() {
+			sim.violate("%v is started %v after the cancel of its job was acknowledged", call.Task, sim.now.Sub(at))
+		}
 		answer := func(r Result) {
-			if token == sim.token {
-				core.HandleAnswer(command, r, sent, sim.now)
-			}
+			sim.asLeader(token, func() { core.HandleAnswer(command, r, sent, sim.now) })
 		}
 		draw := sim.random.Float64()
 		switch {
@@ -318,7 +312,7 @@
 	if sim.core.NeedsPoll(w.info.ID, sim.now) {
 		sim.poll(w, token)
 	}
-	sim.after(100*time.Millisecond, func() { sim.pollLoop(w, token) })
+	sim.after(100*time.Millisecond, func() { sim.asLeader(token, func() { sim.pollLoop(w, token) }) })
 }
 
 func (sim *simWorld) poll(w *simWorker, token int64) {
@@ -335,9 +329,7 @@
 		sim.passTime(w)
 		if sim.now.Before(w.unresponsiveUntil) || sim.chance(sim.faults.lostAnswer) {
 			sim.after(600*time.Millisecond, func() {
-				if token == sim.token {
-					core.PollFailed(w.info.ID, AnswerNone, sent, sim.now)
-				}
+				sim.asLeader(token, func() { core.PollFailed(w.info.ID, AnswerNone, sent, sim.now) })
 			})
 			return
 		}
@@ -360,9 +352,7 @@
 			rep.Running = append(rep.Running, RunningRow{Task: key.task, Run: key.run, Percent: 10})
 		}
 		sim.after(2*time.Millisecond, func() {
-			if token == sim.token {
-				core.ApplyReport(w.info.ID, rep, sent, sim.now)
-			}
+			sim.asLeader(token, func() { core.ApplyReport(w.info.ID, rep, sent, sim.now) })
 		})
 	})
 }
@@ -390,7 +380,9 @@
 	for _, c := range []struct {
 		name   string
 		faults simFaults
-		seeds  int
+		// storeLimit is the size of the largest record that the store takes during the faults.
+		storeLimit int
+		seeds      int
 		// regressionSeeds are additional seeds that have failed before.
 		regressionSeeds []int
 	}{
@@ -409,6 +401,15 @@
 		{name: "evacuations that are read late", seeds: 5, faults: simFaults{evacuation: 4 * time.Second, lostAnswer: 0.6}},
 		{name: "changing capacity", seeds: 10, faults: simFaults{resize: 200 * time.Millisecond, takeover: 8 * time.Second, cancel: 0.2}},
 		{name: "long lists of ends", seeds: 10, faults: simFaults{endsPerReport: 2, takeover: 4 * time.Second, outage: 2 * time.Second, cancel: 0.1, fail: 0.05}},
+		{name: "slow commits", seeds: 8, faults: simFaults{cancelWave: 6 * time.Second, slowStop: 800 * time.Millisecond, fail: 0.05, commits: simCommitFaults{
+			latency: 100 * time.Millisecond, lost: 0.02, late: 0.02,
+		}}},
+		{name: "withdrawn commits and refused records", seeds: 8, storeLimit: 800, faults: simFaults{takeover: 8 * time.Second, cancelWave: 6 * time.Second, slowStop: 800 * time.Millisecond, commits: simCommitFaults{
+			latency: 10 * time.Millisecond, rejection: 2 * time.Second,
+		}}},
+		{name: "commits lost with their leader", seeds: 16, faults: simFaults{cancelWave: 6 * time.Second, slowStop: 800 * time.Millisecond, commits: simCommitFaults{
+			latency: 20 * time.Millisecond, lost: 0.02, late: 0.02, rejection: 8 * time.Second, silence: 4 * time.Second, freeze: 6 * time.Second,
+		}}},
 		// Seed 89: a start command reached a restarted worker with a deadline on the clock of its
 		// previous incarnation.
 		{name: "all faults", seeds: 30, regressionSeeds: []int{89}, faults: simFaults{
@@ -420,14 +421,18 @@
 			for seed := range c.seeds {
 				seeds = append(seeds, seed)
 			}
+			withdrawn, lost, refused := 0, 0, 0
 			for _, seed := range seeds {
 				sim := newSimWorld(t, uint64(seed), 10, c.faults)
+				sim.storeLimit = c.storeLimit
 				sim.injectFaults(sim.now.Add(30 * time.Second))
 				for i := range 60 {
 					sim.after(time.Duration(i)*500*time.Millisecond, func() { sim.submit(sim.randomJob(i)) })
 				}
 				sim.run(30 * time.Second)
 				sim.faults.lostAnswer, sim.faults.lateCommand, sim.faults.fail = 0, 0, 0
+				sim.faults.commits.lost, sim.faults.commits.late = 0, 0
+				sim.storeLimit = 0
 				if c.faults.resize > 0 {
 					sim.restoreCapacity()
 				}
@@ -435,6 +440,12 @@
 				require.Empty(t, sim.violations, "seed %d", seed)
 				sim.checkEnds(seed)
 				require.Equal(t, c.faults.evacuation > 0, sim.evacuations > 0)
+				withdrawn, lost, refused = withdrawn+sim.store.withdrawn, lost+sim.store.lost, refused+sim.refusals
+			}
+			require.Equal(t, c.faults.commits.rejection > 0, withdrawn > 0, "%d withdrawn commits", withdrawn)
+			require.Equal(t, c.storeLimit > 0, refused > 0, "%d refused records", refused)
+			if c.faults.commits.silence > 0 {
+				require.Positive(t, lost)
 			}
 		})
 	}
@@ -470,4 +481,11 @@
 		sim.passTime(w)
 		require.Empty(sim.t, w.running, "seed %d: runs are left over", seed)
 	}
+	for tries := 0; tries < 4 && slices.ContainsFunc(sim.workers, (*simWorker).listsEnds); tries++ {
+		// An idle worker is polled rarely.
+		sim.run(maxClockAge)
+	}
+	for _, w := range sim.workers {
+		require.False(sim.t, w.listsEnds(), "seed %d: ends at %s are never acknowledged", seed, w.info.ID)
+	}
 }
