A job with delegated tasks is not handed over as if none had started

What callers would see: TWICE, two runs of a long-running task in two cells; and a cancel that leaves one of them running. Cause: while the first commit of a job waits, relieveStarved may delegate some of its tasks. Once the job is stored, neverPlaced still held, since none of its tasks had a run here, and the whole submission was handed over to another cell. TestJobWithDelegatedTasksIsNotHandedOver fails without it. Change: a job with delegations does not count as never placed. canHandOver has the same condition already.

--- a/internal/batch/delegate.go
+++ b/internal/batch/delegate.go
@@ -100,9 +100,9 @@
 	}
 }
 
-// neverPlaced reports whether no task of the job was ever assigned to a worker.
+// neverPlaced reports whether no task of the job was ever assigned to a worker or delegated.
 func (j *job) neverPlaced() bool {
-	if j.state != Queued || j.Repeat.Count > 0 {
+	if j.state != Queued || j.Repeat.Count > 0 || len(j.delegatedTo) > 0 {
 		return false
 	}
 	for _, s := range j.stages {
--- /dev/null
+++ b/internal/batch/delegatecommit_test.go
@@ -0,0 +1,45 @@
+package batch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// fullCell returns the core of the first of three cells, whose workers are all in use by long-running tasks, and a job of two more,
+// which was submitted at the given time.
+func fullCell(t *testing.T, now time.Time) (*Core, Job) {
+	t.Helper()
+	core := firstCellCore(t, now)
+	require.NoError(t, core.Submit(longRunningJob(t, 4), now, nil))
+	core.Plan(now)
+	require.Len(t, commitAndStart(t, core, now), 4)
+	j := homeJob(t, 1000, longRunningJob(t, 2).Steps...)
+	require.NoError(t, core.Submit(j, now, nil))
+	return core, j
+}
+
+// offerOne makes a core know another cell that has capacity for one of its tasks, and plan.
+func offerOne(core *Core, now time.Time) {
+	core.SetPeers(map[int]Load{1: {Capacity: 16_000, Free: 6000, LargestFree: 4000}})
+	core.Plan(now)
+}
+
+// Guards against a job that is handed over with all its tasks after some were delegated, while its first commit waited: they ran in
+// two cells.
+func TestJobWithDelegatedTasksIsNotHandedOver(t *testing.T) {
+	now := time.Unix(1_000_000_000, 0)
+	core, j := fullCell(t, now)
+	now = now.Add(2 * starvedAfter)
+	offerOne(core, now)
+	require.Len(t, core.jobs[j.ID].delegatedTo, 1)
+	commitAll(t, core, now)
+	core.SetPeers(map[int]Load{2: {Capacity: 64_000, Free: 64_000, LargestFree: 4000}})
+	core.Plan(now)
+	changes, err := core.TakeChanges(20, now)
+	require.NoError(t, err)
+	require.Len(t, changes.Records, 1)
+	require.Empty(t, string(changes.Records[0].HandedOver))
+	require.NotNil(t, changes.Records[0].Delegation)
+}
