No task is delegated while its job's record is in a commit

What callers would see: LOST, a long-running task that no cell runs again. Cause: TakeChanges takes a delegation into the commit, so that another one of the same job could be made at once. If the commit was then withdrawn, its delegation took the place of the newer one, whose task counts as done here and is in no inbox. TestWithdrawnDelegationReplacesNoOther fails in "withdrawn" without it. Change: tasks wait until the outcome of the commit is known, as jobs do that are handed over.

--- a/internal/batch/delegate.go
+++ b/internal/batch/delegate.go
@@ -94,7 +94,7 @@
 			c.handOverStarted(j, -1)
 		case j.canHandOver(stuckAfter, now):
 			c.handOverStarted(j, 0)
-		case s.step.LongRunning && !s.step.Gang && j.pendingDelegation == nil && j.Repeat.Count == 0:
+		case s.step.LongRunning && !s.step.Gang && j.pendingDelegation == nil && !j.inFlight && j.Repeat.Count == 0:
 			c.delegateStarved(s, now)
 		}
 	}
--- a/internal/batch/delegatecommit_test.go
+++ b/internal/batch/delegatecommit_test.go
@@ -43,3 +43,51 @@
 	require.Empty(t, string(changes.Records[0].HandedOver))
 	require.NotNil(t, changes.Records[0].Delegation)
 }
+
+// Guards against a delegated task that no cell has: its delegation was made while that of another task of the job was in a commit, and
+// was replaced by that one when the commit was withdrawn.
+func TestWithdrawnDelegationReplacesNoOther(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		outcome func(c *Core, ch Changes)
+	}{
+		{name: "committed", outcome: func(c *Core, ch Changes) { c.Committed(ch) }},
+		{name: "withdrawn", outcome: func(c *Core, ch Changes) { c.Withdraw(ch) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			now := time.Unix(1_000_000_000, 0)
+			core, j := fullCell(t, now)
+			commitAll(t, core, now)
+			other := coreOfCell(t, 1, now)
+			accept := func(ch Changes) {
+				for _, r := range ch.Records {
+					if r.Delegation != nil {
+						_, err := other.AcceptDelegation(r.Delegation.Value, now)
+						require.NoError(t, err)
+					}
+				}
+			}
+			// Tasks of a job that has started are delegated one by one.
+			core.jobs[j.ID].state = Active
+			now = now.Add(2 * starvedAfter)
+			offerOne(core, now)
+			first, err := core.TakeChanges(20, now)
+			require.NoError(t, err)
+			require.NotNil(t, first.Records[0].Delegation)
+			offerOne(core, now)
+			c.outcome(core, first)
+			if c.name == "committed" {
+				accept(first)
+			}
+			for range 3 {
+				offerOne(core, now)
+				changes, err := core.TakeChanges(20, now)
+				require.NoError(t, err)
+				accept(changes)
+				core.Committed(changes)
+			}
+			require.Contains(t, other.jobs, DelegatedID(j.ID))
+			require.Equal(t, 2, other.jobs[DelegatedID(j.ID)].stages[0].unfinished)
+		})
+	}
+}
