The record of delegated tasks that have ended says that they were delegated

What callers would see: a cancel that is answered as done and reaches no cell, and the state of a job that has not ended shown as final. Cause: a final record left out that it is one of delegated tasks. The next leader kept it under the ID of the job, in place of the record that says to which cell the job was handed over. If the tasks had been given up there because workers crashed under them, the job itself goes on. TestEndedDelegationDoesNotHideForward fails without the change. Change: the final record has the mark, which Restore reads already. Records of earlier versions stay as they are.

--- a/internal/batch/delegatecommit_test.go
+++ b/internal/batch/delegatecommit_test.go
@@ -91,3 +91,43 @@
 		})
 	}
 }
+
+// Guards against a cancel that is acknowledged and reaches no cell: the next leader took the record of delegated tasks that had ended
+// for that of their job, which the cell has handed over.
+func TestEndedDelegationDoesNotHideForward(t *testing.T) {
+	now := time.Unix(1_000_000_000, 0)
+	home := firstCellCore(t, now)
+	j, changes := handOver(t, home, now)
+	home.Committed(changes)
+	forward := changes.Records[0].Value
+	other := coreOfCell(t, 1, now)
+	longRunning := longRunningJob(t, 6)
+	longRunning.ID = j.ID
+	require.NoError(t, other.AcceptFromCell(longRunning, now))
+	other.Plan(now)
+	require.Len(t, commitAndStart(t, other, now), 4)
+	now = now.Add(2 * starvedAfter)
+	other.SetPeers(map[int]Load{0: {Capacity: 16_000, Free: 16_000, LargestFree: 4000}})
+	other.Plan(now)
+	delegated, err := other.TakeChanges(20, now)
+	require.NoError(t, err)
+	_, err = home.AcceptDelegation(delegated.Records[0].Delegation.Value, now)
+	require.NoError(t, err)
+	require.True(t, home.Cancel(DelegatedID(j.ID), now, nil))
+	_, ended := commitAll(t, home, now)
+	require.Len(t, ended, 1)
+	for _, records := range [][][]byte{{forward, ended[0]}, {ended[0], forward}} {
+		next := coreOfCell(t, 0, now)
+		for _, r := range records {
+			require.NoError(t, next.Restore(r, now))
+		}
+		_, moved := next.ForwardedTo(j.ID)
+		require.True(t, moved)
+		var answers []State
+		require.True(t, next.Cancel(j.ID, now, func(s State) { answers = append(answers, s) }))
+		require.Equal(t, []State{Moved}, answers)
+		state, known := next.State(DelegatedID(j.ID))
+		require.True(t, known)
+		require.Equal(t, Cancelled, state)
+	}
+}
--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -249,7 +249,7 @@
 		AcceptedMs: j.accepted.Add(wallOffset).UnixMilli(),
 	}
 	if j.state.Final() {
-		w.EndedMs = j.endedAt.Add(wallOffset).UnixMilli()
+		w.EndedMs, w.Delegated = j.endedAt.Add(wallOffset).UnixMilli(), j.delegated
 		return json.Marshal(w)
 	}
 	if j.state == Moved {
