--- a/internal/batch/world_test.go
+++ b/internal/batch/world_test.go
@@ -39,20 +39,31 @@
 	// fail is the probability that a run fails, cancel the probability that a job is cancelled.
 	fail   float64
 	cancel float64
+	// cancelWave is the mean time between waves in which callers cancel most of the jobs that have not ended.
+	cancelWave time.Duration
+	// slowStop is how long a run goes on at most after its worker was told to stop it.
+	slowStop time.Duration
+	// commits are the faults of the store and of leaders that commit.
+	commits simCommitFaults
 }
 
 // simWorld simulates a core and its workers in virtual time, without a network. It records
 // violations of the scheduling rules, see startRun and acknowledgeEnds.
 type simWorld struct {
-	t         *testing.T
-	random    *rand.Rand
-	faults    simFaults
-	now       time.Time
-	events    simEvents
-	lastEvent int
-	core      *Core
-	token     int64
-	records   map[string][]byte
+	t *testing.T
+	*simClock
+	faults simFaults
+	core   *Core
+	token  int64
+	// cell is the cell that the world is, if the deployment is divided.
+	cell simCell
+	// frozenUntil is until when the leader does nothing. head is the store's head as the leader knows it, committing the commit
+	// whose outcome it does not know.
+	frozenUntil time.Time
+	head        int
+	committing  *simCommit
+	store       simStore
+	records     map[string][]byte
 	// unresponsive is the stored record of unresponsive workers.
 	unresponsive []byte
 	// storeLimit is the size of the largest record that the store takes; zero means any size.
@@ -67,8 +78,13 @@
 	acknowledged map[TaskName]time.Time
 	startedAt    map[TaskName]time.Time
 	failures     map[TaskName]int
-	cancelledAt  map[string]time.Time
-	startCount   int
+	// accepted are the jobs whose submission was acknowledged to the caller, cancelledAt is when cancels were.
+	// cancelAsked are the jobs that a wave of cancels has chosen, cancelled those whose cancel this leader's cell has stored.
+	cancelled   map[string]bool
+	accepted    map[string]bool
+	cancelAsked map[string]bool
+	cancelledAt map[string]time.Time
+	startCount  int
 	// crashedUnder counts the workers that crashed under each task.
 	crashedUnder map[TaskName]int
 	// evacuatedAt is when the data centres were evacuated that are, evacuations counts all evacuations.
@@ -83,6 +99,14 @@
 	traced func(TaskName) bool
 }
 
+// simClock is the virtual time with the events to come, and the source of randomness.
+type simClock struct {
+	now       time.Time
+	random    *rand.Rand
+	events    simEvents
+	lastEvent int
+}
+
 type simEvent struct {
 	at     time.Time
 	number int
@@ -104,15 +128,26 @@
 }
 
 func newSimWorld(t *testing.T, seed uint64, workers int, faults simFaults) *simWorld {
+	sim := buildSimWorld(t, newSimClock(seed), "w", workers, faults)
+	sim.takeOver()
+	return sim
+}
+
+func newSimClock(seed uint64) *simClock {
+	return &simClock{now: time.Unix(1_000_000_000, 0), random: rand.New(rand.NewPCG(seed, 1))}
+}
+
+// buildSimWorld returns a world without a leader. The prefix begins the IDs of its workers.
+func buildSimWorld(t *testing.T, clock *simClock, prefix string, workers int, faults simFaults) *simWorld {
 	sim := &simWorld{
-		t: t, random: rand.New(rand.NewPCG(seed, 1)), faults: faults, now: time.Unix(1_000_000_000, 0),
+		t: t, simClock: clock, faults: faults,
 		records: map[string][]byte{}, jobs: map[string]Job{}, endedAt: map[TaskName]time.Time{}, failures: map[TaskName]int{},
 		acknowledged: map[TaskName]time.Time{}, startedAt: map[TaskName]time.Time{},
-		cancelledAt: map[string]time.Time{}, crashedUnder: map[TaskName]int{},
+		cancelled: map[string]bool{}, accepted: map[string]bool{}, cancelAsked: map[string]bool{}, cancelledAt: map[string]time.Time{}, crashedUnder: map[TaskName]int{},
 		evacuatedAt: map[string]time.Time{},
 	}
 	for i := range workers {
-		id := fmt.Sprintf("w-%03d", i)
+		id := fmt.Sprintf("%s-%03d", prefix, i)
 		sim.workers = append(sim.workers, &simWorker{
 			info: WorkerInfo{
 				ID: id, Address: id, Service: "pool", DataCentre: fmt.Sprintf("dc-%d", i%3), Incarnation: 1, Rack: fmt.Sprintf("r-%d", i/8),
@@ -121,7 +156,6 @@
 			incarnationStart: sim.now, running: map[runKey]*simRun{}, highestEndedRun: map[TaskName]int64{}, slowdown: 1,
 		})
 	}
-	sim.takeOver()
 	return sim
 }
 
@@ -132,27 +166,27 @@
 	}}
 }
 
-func (sim *simWorld) after(d time.Duration, do func()) {
-	sim.lastEvent++
-	heap.Push(&sim.events, simEvent{at: sim.now.Add(d), number: sim.lastEvent, do: do})
+func (c *simClock) after(d time.Duration, do func()) {
+	c.lastEvent++
+	heap.Push(&c.events, simEvent{at: c.now.Add(d), number: c.lastEvent, do: do})
 }
 
 // run simulates a duration.
-func (sim *simWorld) run(d time.Duration) {
-	end := sim.now.Add(d)
-	for len(sim.events) > 0 && !sim.events[0].at.After(end) {
-		e := heap.Pop(&sim.events).(simEvent)
-		sim.now = e.at
+func (c *simClock) run(d time.Duration) {
+	end := c.now.Add(d)
+	for len(c.events) > 0 && !c.events[0].at.After(end) {
+		e := heap.Pop(&c.events).(simEvent)
+		c.now = e.at
 		e.do()
 	}
-	sim.now = end
+	c.now = end
 }
 
-func (sim *simWorld) chance(p float64) bool { return sim.random.Float64() < p }
+func (c *simClock) chance(p float64) bool { return c.random.Float64() < p }
 
 // exponential returns a random duration from the exponential distribution with the given mean.
-func (sim *simWorld) exponential(mean time.Duration) time.Duration {
-	return time.Duration(sim.random.ExpFloat64() * float64(mean))
+func (c *simClock) exponential(mean time.Duration) time.Duration {
+	return time.Duration(c.random.ExpFloat64() * float64(mean))
 }
 
 // takeOver replaces the leader by a new one that knows only the stored records.
@@ -161,12 +195,17 @@
 		sim.trace("takeover %d", sim.token+1)
 	}
 	sim.token++
+	if sim.committing != nil && sim.store.stamp != sim.committing {
+		sim.store.lost++
+	}
+	sim.head, sim.committing, sim.frozenUntil, sim.store.silentUntil = sim.store.head, nil, time.Time{}, time.Time{}
 	timing, previous := DefaultTiming(), sim.core
 	sim.core = NewCore(timing, sim.now, sim.now.Add(timing.Lease+timing.RenewGrace+time.Second))
 	if sim.token == 1 {
 		sim.core.SetFirstTerm()
 	}
 	sim.inheritContacts(previous)
+	sim.beginCell()
 	sim.core.SetQueueConfig(simQueueConfig())
 	for _, id := range sortedKeys(sim.records) {
 		require.NoError(sim.t, sim.core.Restore(sim.records[id], sim.now))
@@ -184,6 +223,8 @@
 		}
 	}
 	sim.core.SetWorkers(infos, nil, sim.now)
+	sim.acceptInbox()
+	sim.checkAccepted()
 	token := sim.token
 	sim.followEvacuations(token)
 	for _, w := range sim.workers {
@@ -207,7 +248,7 @@
 	}
 	sim.core.Plan(sim.now)
 	sim.sendCommands(sim.core.TakeCommands())
-	for _, id := range sim.core.TakePolls() {
+	for _, id := range slices.Sorted(slices.Values(sim.core.TakePolls())) {
 		sim.poll(sim.find(id), token)
 	}
 	sim.core.TakeAckable()
@@ -216,26 +257,12 @@
 			sim.trace("note %+v", n)
 		}
 	}
-	changes, err := sim.core.TakeChanges(20, sim.now)
-	require.NoError(sim.t, err)
-	sim.after(5*time.Millisecond, func() {
-		if token != sim.token {
-			return
-		}
-		if !sim.isRefused(changes) {
-			sim.commit(changes)
-			return
-		}
-		for _, part := range changes.Split() {
-			if sim.isRefused(part) {
-				sim.refusals++
-				sim.core.Refuse(part, sim.now)
-			} else {
-				sim.commit(part)
-			}
-		}
-	})
-	sim.after(20*time.Millisecond, func() { sim.planLoop(token) })
+	if sim.committing == nil {
+		changes, err := sim.core.TakeChanges(20, sim.now)
+		require.NoError(sim.t, err)
+		sim.startCommit(changes, nil, sim.takeInboxKeys(changes))
+	}
+	sim.after(20*time.Millisecond, func() { sim.asLeader(token, func() { sim.planLoop(token) }) })
 }
 
 // isRefused reports whether the store refuses changes.
@@ -243,20 +270,6 @@
 	return sim.storeLimit > 0 && slices.ContainsFunc(changes.Records, func(r Record) bool { return len(r.Value) > sim.storeLimit })
 }
 
-// commit stores changes, and sends the start commands that wait for them.
-func (sim *simWorld) commit(changes Changes) {
-	for _, r := range changes.Records {
-		sim.records[r.ID] = r.Value
-		if r.Value == nil {
-			delete(sim.records, r.ID)
-		}
-	}
-	if changes.Unresponsive != nil {
-		sim.unresponsive = changes.Unresponsive
-	}
-	sim.sendCommands(sim.core.Committed(changes))
-}
-
 func (sim *simWorld) find(id string) *simWorker {
 	for _, w := range sim.workers {
 		if w.info.ID == id {
@@ -276,10 +289,11 @@
 		}
 		sent, worker := sim.now, sim.find(call.Worker)
 		sim.checkEvacuation(call)
+		if at := sim.cancelledAt[call.Task.Job]; call.Kind == CommandStart && !at.IsZero() && sim.now.Sub(at) >= sim.cell.cancelTime() {
+			sim.violate("%v is started %v after the cancel of its job was acknowledged", call.Task, sim.now.Sub(at))
+		}
 		answer := func(r Result) {
-			if token == sim.token {
-				core.HandleAnswer(command, r, sent, sim.now)
-			}
+			sim.asLeader(token, func() { core.HandleAnswer(command, r, sent, sim.now) })
 		}
 		draw := sim.random.Float64()
 		switch {
@@ -318,7 +332,7 @@
 	if sim.core.NeedsPoll(w.info.ID, sim.now) {
 		sim.poll(w, token)
 	}
-	sim.after(100*time.Millisecond, func() { sim.pollLoop(w, token) })
+	sim.after(100*time.Millisecond, func() { sim.asLeader(token, func() { sim.pollLoop(w, token) }) })
 }
 
 func (sim *simWorld) poll(w *simWorker, token int64) {
@@ -335,9 +349,7 @@
 		sim.passTime(w)
 		if sim.now.Before(w.unresponsiveUntil) || sim.chance(sim.faults.lostAnswer) {
 			sim.after(600*time.Millisecond, func() {
-				if token == sim.token {
-					core.PollFailed(w.info.ID, AnswerNone, sent, sim.now)
-				}
+				sim.asLeader(token, func() { core.PollFailed(w.info.ID, AnswerNone, sent, sim.now) })
 			})
 			return
 		}
@@ -360,9 +372,7 @@
 			rep.Running = append(rep.Running, RunningRow{Task: key.task, Run: key.run, Percent: 10})
 		}
 		sim.after(2*time.Millisecond, func() {
-			if token == sim.token {
-				core.ApplyReport(w.info.ID, rep, sent, sim.now)
-			}
+			sim.asLeader(token, func() { core.ApplyReport(w.info.ID, rep, sent, sim.now) })
 		})
 	})
 }
@@ -390,7 +400,9 @@
 	for _, c := range []struct {
 		name   string
 		faults simFaults
-		seeds  int
+		// storeLimit is the size of the largest record that the store takes during the faults.
+		storeLimit int
+		seeds      int
 		// regressionSeeds are additional seeds that have failed before.
 		regressionSeeds []int
 	}{
@@ -409,6 +421,15 @@
 		{name: "evacuations that are read late", seeds: 5, faults: simFaults{evacuation: 4 * time.Second, lostAnswer: 0.6}},
 		{name: "changing capacity", seeds: 10, faults: simFaults{resize: 200 * time.Millisecond, takeover: 8 * time.Second, cancel: 0.2}},
 		{name: "long lists of ends", seeds: 10, faults: simFaults{endsPerReport: 2, takeover: 4 * time.Second, outage: 2 * time.Second, cancel: 0.1, fail: 0.05}},
+		{name: "slow commits", seeds: 8, faults: simFaults{cancelWave: 6 * time.Second, slowStop: 800 * time.Millisecond, fail: 0.05, commits: simCommitFaults{
+			latency: 100 * time.Millisecond, lost: 0.02, late: 0.02,
+		}}},
+		{name: "withdrawn commits and refused records", seeds: 8, storeLimit: 800, faults: simFaults{takeover: 8 * time.Second, cancelWave: 6 * time.Second, slowStop: 800 * time.Millisecond, commits: simCommitFaults{
+			latency: 10 * time.Millisecond, rejection: 2 * time.Second,
+		}}},
+		{name: "commits lost with their leader", seeds: 16, faults: simFaults{cancelWave: 6 * time.Second, slowStop: 800 * time.Millisecond, commits: simCommitFaults{
+			latency: 20 * time.Millisecond, lost: 0.02, late: 0.02, rejection: 8 * time.Second, silence: 4 * time.Second, freeze: 6 * time.Second,
+		}}},
 		// Seed 89: a start command reached a restarted worker with a deadline on the clock of its
 		// previous incarnation.
 		{name: "all faults", seeds: 30, regressionSeeds: []int{89}, faults: simFaults{
@@ -420,14 +441,18 @@
 			for seed := range c.seeds {
 				seeds = append(seeds, seed)
 			}
+			withdrawn, lost, refused := 0, 0, 0
 			for _, seed := range seeds {
 				sim := newSimWorld(t, uint64(seed), 10, c.faults)
+				sim.storeLimit = c.storeLimit
 				sim.injectFaults(sim.now.Add(30 * time.Second))
 				for i := range 60 {
 					sim.after(time.Duration(i)*500*time.Millisecond, func() { sim.submit(sim.randomJob(i)) })
 				}
 				sim.run(30 * time.Second)
 				sim.faults.lostAnswer, sim.faults.lateCommand, sim.faults.fail = 0, 0, 0
+				sim.faults.commits.lost, sim.faults.commits.late = 0, 0
+				sim.storeLimit = 0
 				if c.faults.resize > 0 {
 					sim.restoreCapacity()
 				}
@@ -435,6 +460,12 @@
 				require.Empty(t, sim.violations, "seed %d", seed)
 				sim.checkEnds(seed)
 				require.Equal(t, c.faults.evacuation > 0, sim.evacuations > 0)
+				withdrawn, lost, refused = withdrawn+sim.store.withdrawn, lost+sim.store.lost, refused+sim.refusals
+			}
+			require.Equal(t, c.faults.commits.rejection > 0, withdrawn > 0, "%d withdrawn commits", withdrawn)
+			require.Equal(t, c.storeLimit > 0, refused > 0, "%d refused records", refused)
+			if c.faults.commits.silence > 0 {
+				require.Positive(t, lost)
 			}
 		})
 	}
@@ -456,18 +487,36 @@
 		state, known := sim.core.State(id)
 		require.True(sim.t, known, "seed %d, job %s", seed, id)
 		require.True(sim.t, state.Final(), "seed %d, job %s is %s", seed, id, state)
-		if state != Completed {
-			continue
+		if state == Completed {
+			sim.checkTasksDone(seed, id)
 		}
-		for s, step := range sim.jobs[id].Steps {
-			for i := range step.Tasks {
-				_, done := sim.endedAt[TaskName{Job: id, Step: s, Index: i}]
-				require.True(sim.t, done, "seed %d, job %s is completed without task %d.%d", seed, id, s, i)
-			}
+	}
+	sim.checkWorkers(seed)
+}
+
+// checkTasksDone checks that all tasks of a job have ended successfully.
+func (sim *simWorld) checkTasksDone(seed int, id string) {
+	sim.t.Helper()
+	for s, step := range sim.jobs[id].Steps {
+		for i := range step.Tasks {
+			_, done := sim.endedAt[TaskName{Job: id, Step: s, Index: i}]
+			require.True(sim.t, done, "seed %d, job %s is completed without task %d.%d", seed, id, s, i)
 		}
 	}
+}
+
+// checkWorkers checks that no runs are left on the workers, and that all ends are acknowledged.
+func (sim *simWorld) checkWorkers(seed int) {
+	sim.t.Helper()
 	for _, w := range sim.workers {
 		sim.passTime(w)
 		require.Empty(sim.t, w.running, "seed %d: runs are left over", seed)
 	}
+	for tries := 0; tries < 4 && slices.ContainsFunc(sim.workers, (*simWorker).listsEnds); tries++ {
+		// An idle worker is polled rarely.
+		sim.run(maxClockAge)
+	}
+	for _, w := range sim.workers {
+		require.False(sim.t, w.listsEnds(), "seed %d: ends at %s are never acknowledged", seed, w.info.ID)
+	}
 }
