A cancel that is written again leaves the inbox

What callers would see: nothing at first. The key of a cancel stays in the inbox for the rest of the term; once the job's record has expired, no leader removes it any more. Evidence: TestCancelThatIsWrittenAgainLeavesInbox failed (the key was there 4 s later), and passes; the whole tests of internal/scheduler passed. Change: keys are recorded with the revisions of their entries, and only those with the revision that was removed are forgotten. Why it works: the job with a key that is left is committed again, which removes the key.

--- a/internal/scheduler/commit.go
+++ b/internal/scheduler/commit.go
@@ -104,7 +104,7 @@
 // the records may remove these keys, but none of entries that have arrived since.
 type takenChanges struct {
 	batch.Changes
-	inboxKeys map[string][]string
+	inboxKeys map[string][]inboxKey
 }
 
 // takeChanges takes the core's changes for a commit; l.mu is held.
@@ -116,7 +116,7 @@
 	if err != nil {
 		return takenChanges{}, err
 	}
-	keys := map[string][]string{}
+	keys := map[string][]inboxKey{}
 	for _, r := range taken.Records {
 		keys[r.ID] = slices.Clone(l.inbox[r.ID])
 	}
@@ -148,7 +148,7 @@
 	if changes.Unresponsive != nil {
 		txn.Then = append(txn.Then, store.Put(l.keys.unresponsive, changes.Unresponsive))
 	}
-	removed := map[string][]string{}
+	removed := map[string][]inboxKey{}
 	freeEntries := maxCommitEntries - len(txn.If) - len(txn.Then) - changes.Writes()
 	for _, r := range changes.Records {
 		if r.HandedOver != nil {
@@ -168,8 +168,8 @@
 		keys := changes.inboxKeys[r.ID]
 		keys = keys[:min(len(keys), max(0, freeEntries))]
 		removed[r.ID] = keys
-		for _, key := range keys {
-			txn.Then = append(txn.Then, store.Delete(key))
+		for _, k := range keys {
+			txn.Then = append(txn.Then, store.Delete(k.key))
 			freeEntries--
 		}
 	}
--- a/internal/scheduler/inbox.go
+++ b/internal/scheduler/inbox.go
@@ -46,7 +46,7 @@
 			l.Log.Emit(eventlog.RecordUnreadable, zap.String("key", e.Key), zap.Error(err))
 			continue
 		}
-		l.addInboxKey(id, e.Key)
+		l.addInboxKey(id, e)
 		l.core.MarkInInbox(id)
 	}
 	for _, e := range entries {
@@ -55,7 +55,7 @@
 			continue
 		}
 		id = l.core.StorageID(id)
-		l.addInboxKey(id, e.Key)
+		l.addInboxKey(id, e)
 		if l.core.Cancel(id, l.Now(), nil) {
 			l.core.MarkDirty(id)
 		}
@@ -69,23 +69,32 @@
 		l.Log.Emit(eventlog.RecordUnreadable, zap.String("key", e.Key), zap.Error(err))
 		return
 	}
-	l.addInboxKey(id, e.Key)
+	l.addInboxKey(id, e)
 	l.core.MarkInInbox(id)
 }
 
-// addInboxKey records that an inbox key is to be removed with a record of a job; l.mu is held.
-func (l *Leader) addInboxKey(id, key string) {
-	if !slices.Contains(l.inbox[id], key) {
-		l.inbox[id] = append(l.inbox[id], key)
+// inboxKey is a key of the inbox with the revision of its entry: a key that was removed may be written again.
+type inboxKey struct {
+	key      string
+	revision int64
+}
+
+// addInboxKey records that the key of an inbox entry is to be removed with a record of a job; l.mu is held.
+func (l *Leader) addInboxKey(id string, e store.Entry) {
+	i := slices.IndexFunc(l.inbox[id], func(k inboxKey) bool { return k.key == e.Key })
+	if i < 0 {
+		l.inbox[id] = append(l.inbox[id], inboxKey{key: e.Key, revision: e.Revision})
+		return
 	}
+	l.inbox[id][i].revision = max(l.inbox[id][i].revision, e.Revision)
 }
 
 // forgetInboxKeys records which inbox keys a commit of jobs has removed. Jobs that still have some are committed again.
-func (l *Leader) forgetInboxKeys(removed map[string][]string) {
+func (l *Leader) forgetInboxKeys(removed map[string][]inboxKey) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for id, keys := range removed {
-		l.inbox[id] = slices.DeleteFunc(l.inbox[id], func(key string) bool { return slices.Contains(keys, key) })
+		l.inbox[id] = slices.DeleteFunc(l.inbox[id], func(k inboxKey) bool { return slices.Contains(keys, k) })
 		if len(l.inbox[id]) == 0 {
 			delete(l.inbox, id)
 			continue
--- a/internal/scheduler/inboxkeys_test.go
+++ b/internal/scheduler/inboxkeys_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -62,3 +63,32 @@
 		require.False(t, cl.store.has(cancelKey))
 	})
 }
+
+// Guards against a cancel that stays in the inbox: it was written again while the commit that removed the first one had no answer.
+func TestCancelThatIsWrittenAgainLeavesInbox(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, time.Hour, "w1")
+		defer cl.stop()
+		node := cl.addNode("a")
+		time.Sleep(2 * time.Second)
+		j := testJob(1, 1)
+		require.NoError(t, submit(node, j))
+		cancelKey := keysOfCell(0).inbox + j.ID + cancelSuffix
+		writes := 1
+		cl.store.update(func(s *fakeStore) {
+			s.loseAnswer = func(txn store.Txn) (bool, time.Duration) {
+				if writes > 1 || !slices.ContainsFunc(txn.Then, func(op store.Op) bool { return op.Key == cancelKey }) {
+					return false, 0
+				}
+				writes++
+				go cl.store.put(cancelKey, cancelValue)
+				return true, 0
+			}
+		})
+		cl.store.put(cancelKey, cancelValue)
+		time.Sleep(4 * time.Second)
+		require.Equal(t, 2, writes)
+		require.Equal(t, batch.Cancelled, state(t, node, j.ID))
+		require.False(t, cl.store.has(cancelKey))
+	})
+}
--- a/internal/scheduler/leader.go
+++ b/internal/scheduler/leader.go
@@ -74,7 +74,7 @@
 	// fenced is true once a worker has rejected a poll because it has seen a newer leader.
 	fenced bool
 	// inbox has, by job ID, the keys of the inbox entries that were read and are to be removed with the job's record.
-	inbox map[string][]string
+	inbox map[string][]inboxKey
 
 	// unreadableKeys are the revisions of the evacuation keys that were logged as unreadable.
 	unreadableKeys map[string]int64
@@ -221,7 +221,7 @@
 	}
 	l.core = core
 	l.pollers = map[string]*poller{}
-	l.inbox = map[string][]string{}
+	l.inbox = map[string][]inboxKey{}
 	l.planNeeded = make(chan struct{}, 1)
 	l.commitNeeded = make(chan struct{}, 1)
 	l.startSlots = make(chan struct{}, maxConcurrentStarts)
