Ends of unreadable jobs do not fill a worker's reports

What callers would see: a worker of which a leader learns no further end, so that its tasks count as running for the rest of the term. It takes a worker that lists 250 or more ends of runs of jobs whose records this leader cannot load. Cause: such ends are acknowledged once more than 250 durable ones wait behind them, but those of unreadable jobs were not counted themselves. A report lists 500 ends: with 250 or more of unreadable jobs, that many durable ones never fit in. Change: the ends of unreadable jobs behind the first one count, too.

--- a/internal/batch/unreadablejob.go
+++ b/internal/batch/unreadablejob.go
@@ -12,8 +12,8 @@
 
 func (e *UnreadableJobError) Error() string { return "the record of job " + e.ID + " cannot be loaded" }
 
-// maxHeldUpEnds is how many ends that may be acknowledged otherwise a worker keeps behind one of an unreadable job: half of
-// what a report lists, so that the leader learns of those that follow.
+// maxHeldUpEnds is how many ends, of unreadable jobs or that may be acknowledged otherwise, a worker keeps behind one of an
+// unreadable job: half of what a report lists, so that the leader learns of those that follow.
 const maxHeldUpEnds = 250
 
 // SetUnreadableJob records that the record with an ID cannot be loaded, and removes what was loaded of it.
@@ -45,7 +45,10 @@
 
 // releaseHeldUpEnds lets a worker forget the ends of runs of unreadable jobs if they hold up too many others.
 func (w *worker) releaseHeldUpEnds() {
-	heldUp := 0
+	if len(w.unreadableEnds) == 0 {
+		return
+	}
+	heldUp := len(w.unreadableEnds) - 1
 	for _, e := range w.undurableEnds {
 		if e.durable {
 			heldUp++
--- a/internal/batch/unreadablejob_test.go
+++ b/internal/batch/unreadablejob_test.go
@@ -69,6 +69,36 @@
 	}
 }
 
+// Guards against a worker of which this leader learns nothing more, because the ends of runs of unreadable jobs fill its reports.
+func TestEndsOfUnreadableJobsFillNoReport(t *testing.T) {
+	const listed = 500
+	now := time.Unix(1_000_000_000, 0)
+	for _, c := range []struct {
+		name       string
+		unreadable int
+	}{
+		{name: "half", unreadable: listed / 2},
+		{name: "most", unreadable: listed - 100},
+		{name: "all", unreadable: listed},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			core, call, _ := coreWithUnreadableJob(t, now)
+			rep := Report{Incarnation: 1, Clock: time.Hour, MayOmitEnds: true}
+			for i := range listed {
+				task := TaskName{Job: "j", Index: i}
+				if i >= c.unreadable {
+					task.Job = "forgotten"
+				}
+				rep.Ended = append(rep.Ended, EndedRow{Number: int64(i) + 1, Task: task, Run: 1, How: EndDone})
+			}
+			core.ApplyReport(call.Worker, rep, now, now)
+			poll, ok := core.BeginPoll(call.Worker, now, true)
+			require.True(t, ok)
+			require.Equal(t, int64(listed), poll.Ack)
+		})
+	}
+}
+
 // Guards against a record that is overwritten because this leader cannot load it.
 func TestUnreadableJobIsNotAcceptedAnew(t *testing.T) {
 	now := time.Unix(1_000_000_000, 0)
