Cells in virtual time: a leader learns of inbox entries in their order

Cause: entries that came while a leader was frozen could overtake one another if it froze again, so that a cancel was accepted before the job or the delegation that it is for. The watch of a store keeps the order.

--- a/internal/batch/world_cells_test.go
+++ b/internal/batch/world_cells_test.go
@@ -20,7 +20,8 @@
 	// inbox is the cell's inbox in the store. inboxKeys has, by the ID of a record, the keys that the leader's next commit of it removes.
 	inbox     map[string][]byte
 	inboxKeys map[string][]string
-	// deliveredAt is when the leader learns of the newest entry: it learns of them in order.
+	// undelivered are the entries of which the leader has not learned yet, in order. It learns of the newest at deliveredAt.
+	undelivered []map[string][]byte
 	deliveredAt time.Time
 	// handedOver, delegated and cancels count what commits have brought to the inbox.
 	handedOver, delegated, cancels int
@@ -86,7 +87,7 @@
 
 // beginCell prepares a new leader for its cell.
 func (sim *simWorld) beginCell() {
-	sim.cell.inboxKeys = map[string][]string{}
+	sim.cell.inboxKeys, sim.cell.undelivered = map[string][]string{}, nil
 	if sim.cell.all != nil {
 		sim.core.SetCell(Cell{Index: sim.cell.index, Count: len(sim.cell.all)})
 	}
@@ -165,7 +166,14 @@
 	token := sim.token
 	at := later(sim.now, sim.store.silentUntil).Add(sim.exponential(20 * time.Millisecond))
 	sim.cell.deliveredAt = later(sim.cell.deliveredAt, at)
-	sim.after(sim.cell.deliveredAt.Sub(sim.now), func() { sim.asLeader(token, func() { sim.acceptEntries(entries) }) })
+	sim.cell.undelivered = append(sim.cell.undelivered, entries)
+	sim.after(sim.cell.deliveredAt.Sub(sim.now), func() {
+		sim.asLeader(token, func() {
+			first := sim.cell.undelivered[0]
+			sim.cell.undelivered = sim.cell.undelivered[1:]
+			sim.acceptEntries(first)
+		})
+	})
 }
 
 // acceptInbox lets a new leader accept what the inbox contains.
