Tasks of a job that no cell can take as a whole are delegated

What callers would see: LOST, long-running tasks that never run, although their home, or another cell, has space for them. Cause: a job that has never been placed is offered to other cells as a whole only, and delegateStarved is not reached for it. A job that was handed over may return neither to its home nor to the cells that it came through, and needs one with capacity for all of its tasks. Evidence: TestTasksLeaveFullCellToWhichJobWasHandedOver failed in both rows (no task delegated in 10 s, with space for all of them at home, and for one elsewhere). Change: if the job stays, its starved long-running tasks are delegated as those of other jobs. Why it works: a cell with a forwarding record may be given tasks of the job; once tasks are delegated, the job is not handed over.

--- a/internal/batch/delegate.go
+++ b/internal/batch/delegate.go
@@ -89,17 +89,27 @@
 		switch {
 		case j.neverPlaced() && j.isStored() && !j.inFlight && now.Sub(later(j.accepted, j.arrivedAt)) >= starvedAfter:
 			c.tryHandOver(j, 0)
+			if j.state != Moved && s.mayDelegate() {
+				// No cell has capacity for the whole job.
+				c.delegateStarved(s, now)
+			}
 		case len(c.accepting) == 0 && j.canHandOver(starvedAfter, now):
 			// Any cell with workers is better than one without.
 			c.handOverStarted(j, -1)
 		case j.canHandOver(stuckAfter, now):
 			c.handOverStarted(j, 0)
-		case s.step.LongRunning && !s.step.Gang && j.pendingDelegation == nil && !j.delegationInFlight && j.Repeat.Count == 0:
+		case s.mayDelegate():
 			c.delegateStarved(s, now)
 		}
 	}
 }
 
+// mayDelegate reports whether tasks of the stage may be delegated now.
+func (s *stage) mayDelegate() bool {
+	j := s.job
+	return s.step.LongRunning && !s.step.Gang && j.pendingDelegation == nil && !j.delegationInFlight && j.Repeat.Count == 0
+}
+
 // neverPlaced reports whether no task of the job was ever assigned to a worker, here or in a cell to which it was
 // delegated.
 func (j *job) neverPlaced() bool {
