--- a/internal/membership/keeper_test.go
+++ b/internal/membership/keeper_test.go
@@ -376,6 +376,25 @@
 	require.Len(t, f.currentMembers()[a].keeper.View().Table.Members, 1)
 }
 
+// runEntryKeeper runs a keeper with the given client until the end of the test.
+func runEntryKeeper(t *testing.T, client *store.Client) *membership.Keeper {
+	k := &membership.Keeper{
+		Store: client, Self: membership.Peer{ID: "entry", Region: region}, TTL: testTTL, Log: eventlog.Discard(),
+		MaxRequestTime: func() time.Duration { return testMaxRequestTime }, ListLag: testListLag,
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = k.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		stop()
+		<-done
+	})
+	return k
+}
+
 // Guards against a registration that ends while its holder counts on it: a commit whose answer was lost arrived after the next one,
 // and attached the key to a lease that nobody renews.
 func TestLateRegistrationKeepsItsLease(t *testing.T) {
@@ -394,20 +413,7 @@
 		}
 		return client.Commit(ctx, txn)
 	}
-	k := &membership.Keeper{
-		Store: &slow, Self: membership.Peer{ID: "entry", Region: region}, TTL: testTTL, Log: eventlog.Discard(),
-		MaxRequestTime: func() time.Duration { return testMaxRequestTime }, ListLag: testListLag,
-	}
-	ctx, stop := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		_ = k.Run(ctx)
-	}()
-	t.Cleanup(func() {
-		stop()
-		<-done
-	})
+	k := runEntryKeeper(t, &slow)
 	registered := func() bool { return k.Lease() != 0 && k.Entitled() }
 	require.Eventually(t, registered, waitTimeout, pollInterval)
 	first := k.Lease()
@@ -449,20 +455,7 @@
 		}
 		return snapshot, err
 	}
-	k := &membership.Keeper{
-		Store: &slow, Self: membership.Peer{ID: "entry", Region: region}, TTL: testTTL, Log: eventlog.Discard(),
-		MaxRequestTime: func() time.Duration { return testMaxRequestTime }, ListLag: testListLag,
-	}
-	ctx, stop := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		_ = k.Run(ctx)
-	}()
-	t.Cleanup(func() {
-		stop()
-		<-done
-	})
+	k := runEntryKeeper(t, &slow)
 	require.Eventually(t, func() bool { return k.Lease() != 0 && k.View().Joined() }, waitTimeout, pollInterval)
 	armed.Store(true)
 	s.ExpireLeases()
