--- a/internal/scheduler/commit.go
+++ b/internal/scheduler/commit.go
@@ -109,7 +109,7 @@
 
 // takeChanges takes the core's changes for a commit; l.mu is held.
 func (l *Leader) takeChanges(now time.Time) (takenChanges, error) {
-	if l.halfChanged {
+	if l.corePanicked {
 		return takenChanges{}, &TermEndedError{Reason: "the core has panicked"}
 	}
 	taken, err := l.core.TakeChanges(maxCommitRecords, now)
--- a/internal/scheduler/contacts.go
+++ b/internal/scheduler/contacts.go
@@ -48,7 +48,7 @@
 	now := l.Now()
 	l.withLock(func() {
 		known, complete = l.core.Contacts(now)
-		complete = complete && !l.halfChanged
+		complete = complete && !l.corePanicked
 	})
 	if !complete || l.MaxStoreValue > 0 && len(known.Seen.Encode())+len(known.First.Encode()) > l.MaxStoreValue/contactsShare {
 		return
--- a/internal/scheduler/guard.go
+++ b/internal/scheduler/guard.go
@@ -33,7 +33,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	returned := false
-	defer func() { l.halfChanged = l.halfChanged || !returned }()
+	defer func() { l.corePanicked = l.corePanicked || !returned }()
 	f()
 	returned = true
 }
--- a/internal/scheduler/leader.go
+++ b/internal/scheduler/leader.go
@@ -58,8 +58,8 @@
 	core      *batch.Core
 	pollers   map[string]*poller
 	endReason string
-	// halfChanged means that the core has panicked.
-	halfChanged bool
+	// corePanicked means that a panic has cut off a change of the core, so that nothing of it is stored any more.
+	corePanicked bool
 	// uncommittedSince is when the first commit was sent that the store has not carried out since, zero
 	// if it has carried out the last one. unansweredCommit is the stamp of the commit in progress if one
 	// of its tries has no answer, so that it may take effect later.
