One name for states in which a cell starts no more tasks of a job

Change: State.isClosed; applyEndAfterJob finds the job once and describes that one. No decision changes. The reason in event 4046 differs in two rare cases, in which it named a forwarding record beside the job that the decision was about (delegated tasks that have come back, or whose record cannot be loaded).

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -274,6 +274,9 @@
 // Final reports whether the state never changes again.
 func (s State) Final() bool { return s == Completed || s == Failed || s == Cancelled }
 
+// isClosed reports whether a cell starts no more tasks of a job in the state: the job has ended, or was handed over.
+func (s State) isClosed() bool { return s.Final() || s == Moved }
+
 // InvalidError explains why a submission can never be accepted.
 type InvalidError struct {
 	Reason string
--- a/internal/batch/delegate.go
+++ b/internal/batch/delegate.go
@@ -83,7 +83,7 @@
 	for _, r := range c.ranks {
 		s := r.stage
 		j := s.job
-		if s.queued == 0 || j.state.Final() || j.state == Moved {
+		if s.queued == 0 || j.state.isClosed() {
 			continue
 		}
 		switch {
--- a/internal/batch/ends.go
+++ b/internal/batch/ends.go
@@ -31,7 +31,6 @@
 		return
 	}
 	if t == nil || j.state.Final() {
-		c.note(Note{Kind: NoteEndedAfterJob, Task: e.Task, Run: e.Run, Worker: w.ID, Reason: string(e.How) + ": " + c.describeStored(e.Task.Job)})
 		c.applyEndAfterJob(j, w, e)
 		return
 	}
@@ -44,20 +43,27 @@
 // applyEndAfterJob handles the end of a run of which nothing is left to decide, because its job, nil if it is not here, has ended
 // or was handed over. The end is acknowledged once that is stored.
 func (c *Core) applyEndAfterJob(j *job, w *worker, e EndedRow) {
-	if j == nil && c.unreadableRecord(e.Task.Job, DelegatedID(e.Task.Job)) != nil {
-		w.unreadableEnds = append(w.unreadableEnds, e.Number)
-		return
-	}
+	var unreadable error
 	if j == nil {
+		unreadable = c.unreadableRecord(e.Task.Job, DelegatedID(e.Task.Job))
 		// A job that is handed over is this cell's until its forwarding record is durable.
 		j = c.jobs[e.Task.Job]
 	}
-	if j == nil || j.storedState.Final() || j.storedState == Moved {
+	stored := j.describeStored()
+	if unreadable != nil {
+		stored = unreadable.Error()
+	}
+	c.note(Note{Kind: NoteEndedAfterJob, Task: e.Task, Run: e.Run, Worker: w.ID, Reason: string(e.How) + ": " + stored})
+	switch {
+	case unreadable != nil:
+		w.unreadableEnds = append(w.unreadableEnds, e.Number)
+		return
+	case j == nil || j.storedState.isClosed():
 		w.markEndDurable(e.Number)
 		return
 	}
 	j.awaitRecord(w, e)
-	if !j.state.Final() && j.state != Moved {
+	if !j.state.isClosed() {
 		// No change of the job would write a record that releases the end.
 		c.markDirty(j)
 	}
@@ -68,19 +74,12 @@
 	j.pendingEnds = append(j.pendingEnds, endRef{worker: w, incarnation: w.Incarnation, number: e.Number})
 }
 
-// describeStored describes for the log what is stored of a job.
-func (c *Core) describeStored(id string) string {
-	j, known := c.jobs[id]
-	if !known {
-		if j, known = c.jobs[DelegatedID(id)]; !known {
-			if err := c.unreadableRecord(id, DelegatedID(id)); err != nil {
-				return err.Error()
-			}
-			return "no record of its job"
-		}
-	}
+// describeStored describes for the log what is stored of a job, which is nil if it is not known.
+func (j *job) describeStored() string {
 	switch {
-	case j.storedState.Final() || j.storedState == Moved:
+	case j == nil:
+		return "no record of its job"
+	case j.storedState.isClosed():
 		return "its job is stored as " + string(j.state)
 	case j.inFlight:
 		return "its job is " + string(j.state) + ", a commit is in progress"
--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -148,7 +148,7 @@
 			}
 		}
 		c.markEndsDurable(t.ends)
-		if t.state.Final() || t.state == Moved {
+		if t.state.isClosed() {
 			// This cell cannot start its tasks again, so the ends that were reported since then need no record.
 			c.markEndsDurable(t.job.pendingEnds)
 			t.job.pendingEnds = nil
--- a/internal/batch/reserve.go
+++ b/internal/batch/reserve.go
@@ -112,7 +112,7 @@
 // run there but for a lack of capacity, and the capacity will suffice once the runs that are not
 // long-running have ended.
 func (c *Core) mayReserve(t *task, w *worker, now time.Time) bool {
-	if t.state != taskQueued || t.stage.job.state.Final() || t.stage.job.state == Moved || !c.acceptsRuns(w, now) {
+	if t.state != taskQueued || t.stage.job.state.isClosed() || !c.acceptsRuns(w, now) {
 		return false
 	}
 	switch c.obstacle(t, w, now) {
--- a/internal/batch/submit.go
+++ b/internal/batch/submit.go
@@ -103,7 +103,7 @@
 func (c *Core) addJob(j *job) {
 	j.criticalPath = criticalPath(j.Steps)
 	c.jobs[j.storageID()] = j
-	if !j.state.Final() && j.state != Moved {
+	if !j.state.isClosed() {
 		c.active = append(c.active, j)
 	}
 }
@@ -138,7 +138,7 @@
 		c.forwardCancel(j, now)
 		return true
 	}
-	if !j.state.Final() && j.state != Moved {
+	if !j.state.isClosed() {
 		c.finish(j, Cancelled, "cancelled by its caller", now)
 	}
 	c.notifyWhenDurable(j, waiter)
