Conflicting writes have one error type

Change: both return store.ContendedError; the texts stay. Measured: the tests of internal/burn, internal/meter and internal/store pass.

--- a/internal/burn/keeper.go
+++ b/internal/burn/keeper.go
@@ -141,18 +141,9 @@
 			return err
 		}
 	}
-	return &ContendedError{ID: k.ID}
+	return &store.ContendedError{Subject: "the burn counts of " + k.ID}
 }
 
-// ContendedError is returned when each attempt to write an instance's counts
-// conflicted with another write.
-type ContendedError struct {
-	ID string
-}
-
-// Error names the instance.
-func (e *ContendedError) Error() string { return "the burn counts of " + e.ID + " change too often" }
-
 // unmoved returns the counts that neither this instance nor another one has
 // moved to slot keys. The caller holds k.mu.
 func (k *Keeper) unmoved() (state, error) {
--- a/internal/meter/keeper.go
+++ b/internal/meter/keeper.go
@@ -91,15 +91,6 @@
 // response was lost, or with a fold by another instance.
 const maxWriteAttempts = 3
 
-// ContendedError is returned when each attempt to write an instance's counts conflicted with
-// another write.
-type ContendedError struct {
-	ID string
-}
-
-// Error names the instance.
-func (e *ContendedError) Error() string { return "the counts of " + e.ID + " change too often" }
-
 // Flush writes the counts if they have changed since the last write. On a conflict
 // with another write it reads the keys again and writes again.
 func (k *Keeper) Flush(ctx context.Context) error {
@@ -132,7 +123,7 @@
 			return err
 		}
 	}
-	return &ContendedError{ID: k.ID}
+	return &store.ContendedError{Subject: "the counts of " + k.ID}
 }
 
 func (k *Keeper) key() string { return instancePrefix + k.ID }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -193,6 +193,15 @@
 	return fmt.Sprintf("store %s: refused with status %d", e.Call, e.Status)
 }
 
+// ContendedError is returned when each attempt at a write conflicted with another write.
+type ContendedError struct {
+	// Subject is what was to be written.
+	Subject string
+}
+
+// Error names the subject.
+func (e *ContendedError) Error() string { return e.Subject + " change too often" }
+
 // InvalidError means that the store rejected a call as malformed or too large;
 // a retry cannot succeed.
 type InvalidError struct {
