--- a/internal/batch/delegatecommit_test.go
+++ b/internal/batch/delegatecommit_test.go
@@ -7,15 +7,15 @@
 	"github.com/stretchr/testify/require"
 )
 
-// fullCell returns the core of the first of three cells, whose workers are all in use by long-running tasks, and a job of two more,
+// fullCell returns the core of the first of three cells, whose workers are all in use by long-running tasks, and a job of more of them,
 // which was submitted at the given time.
-func fullCell(t *testing.T, now time.Time) (*Core, Job) {
+func fullCell(t *testing.T, tasks int, now time.Time) (*Core, Job) {
 	t.Helper()
 	core := firstCellCore(t, now)
 	require.NoError(t, core.Submit(longRunningJob(t, 4), now, nil))
 	core.Plan(now)
 	require.Len(t, commitAndStart(t, core, now), 4)
-	j := homeJob(t, 1000, longRunningJob(t, 2).Steps...)
+	j := homeJob(t, 1000, longRunningJob(t, tasks).Steps...)
 	require.NoError(t, core.Submit(j, now, nil))
 	return core, j
 }
@@ -30,7 +30,7 @@
 // two cells.
 func TestJobWithDelegationsCountsAsPlaced(t *testing.T) {
 	now := time.Unix(1_000_000_000, 0)
-	core, j := fullCell(t, now)
+	core, j := fullCell(t, 2, now)
 	now = now.Add(2 * starvedAfter)
 	offerOne(core, now)
 	require.Len(t, core.jobs[j.ID].delegatedTo, 1)
@@ -56,7 +56,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			now := time.Unix(1_000_000_000, 0)
-			core, j := fullCell(t, now)
+			core, j := fullCell(t, 2, now)
 			commitAll(t, core, now)
 			other := coreOfCell(t, 1, now)
 			accept := func(ch Changes) {
--- a/internal/batch/delegatedjob_test.go
+++ b/internal/batch/delegatedjob_test.go
@@ -21,14 +21,7 @@
 			small := Load{Capacity: 16_000, Free: 16_000, LargestFree: 4000}
 			large := Load{Capacity: 64_000, Free: 64_000, LargestFree: 4000}
 			now := time.Unix(1_000_000_000, 0)
-			core := firstCellCore(t, now)
-			full := longRunningJob(t, 4)
-			require.NoError(t, core.Submit(full, now, nil))
-			core.Plan(now)
-			require.Len(t, commitAndStart(t, core, now), 4)
-
-			j := homeJob(t, 100, longRunningJob(t, 6).Steps...)
-			require.NoError(t, core.Submit(j, now, nil))
+			core, j := fullCell(t, 6, now)
 			if c.stored {
 				commitAll(t, core, now)
 				core.MarkDirty(j.ID)
--- a/internal/batch/world_test.go
+++ b/internal/batch/world_test.go
@@ -1,9 +1,7 @@
 package batch
 
 import (
-	"container/heap"
 	"fmt"
-	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -99,44 +97,12 @@
 	traced func(TaskName) bool
 }
 
-// simClock is the virtual time with the events to come, and the source of randomness.
-type simClock struct {
-	now       time.Time
-	random    *rand.Rand
-	events    simEvents
-	lastEvent int
-}
-
-type simEvent struct {
-	at     time.Time
-	number int
-	do     func()
-}
-
-type simEvents []simEvent
-
-func (e simEvents) Len() int { return len(e) }
-func (e simEvents) Less(a, b int) bool {
-	return e[a].at.Before(e[b].at) || e[a].at.Equal(e[b].at) && e[a].number < e[b].number
-}
-func (e simEvents) Swap(a, b int) { e[a], e[b] = e[b], e[a] }
-func (e *simEvents) Push(x any)   { *e = append(*e, x.(simEvent)) }
-func (e *simEvents) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 func newSimWorld(t *testing.T, seed uint64, workers int, faults simFaults) *simWorld {
 	sim := buildSimWorld(t, newSimClock(seed), "w", workers, faults)
 	sim.takeOver()
 	return sim
 }
 
-func newSimClock(seed uint64) *simClock {
-	return &simClock{now: time.Unix(1_000_000_000, 0), random: rand.New(rand.NewPCG(seed, 1))}
-}
-
 // buildSimWorld returns a world without a leader. The prefix begins the IDs of its workers.
 func buildSimWorld(t *testing.T, clock *simClock, prefix string, workers int, faults simFaults) *simWorld {
 	sim := &simWorld{
@@ -166,29 +132,6 @@
 	}}
 }
 
-func (c *simClock) after(d time.Duration, do func()) {
-	c.lastEvent++
-	heap.Push(&c.events, simEvent{at: c.now.Add(d), number: c.lastEvent, do: do})
-}
-
-// run simulates a duration.
-func (c *simClock) run(d time.Duration) {
-	end := c.now.Add(d)
-	for len(c.events) > 0 && !c.events[0].at.After(end) {
-		e := heap.Pop(&c.events).(simEvent)
-		c.now = e.at
-		e.do()
-	}
-	c.now = end
-}
-
-func (c *simClock) chance(p float64) bool { return c.random.Float64() < p }
-
-// exponential returns a random duration from the exponential distribution with the given mean.
-func (c *simClock) exponential(mean time.Duration) time.Duration {
-	return time.Duration(c.random.ExpFloat64() * float64(mean))
-}
-
 // takeOver replaces the leader by a new one that knows only the stored records.
 func (sim *simWorld) takeOver() {
 	if sim.traced != nil {
